--- /dev/null
+++ b/crates/wingspur-coordination/src/lib.rs
@@ -0,0 +1,11 @@
+//! What the boxes of a fleet do together, as state machines without I/O.
+
+mod membership;
+mod placement;
+mod shard_log;
+
+pub use membership::{HeardRefusal, Membership, MembershipSettings, PeerView};
+pub use placement::{owner_of, ranked};
+pub use shard_log::{
+    ClaimTicket, ClaimVerdict, LogCommand, SegmentWrite, ShardLog, ShardLogSettings,
+};
--- /dev/null
+++ b/crates/wingspur-entry/src/bundles.rs
@@ -0,0 +1,313 @@
+//! Bundles on a box: from the store or a peer, checked, in force, spread on.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use wingspur_coordination::{PeerView, ranked};
+use wingspur_protocol::{
+    BundleOffer, Manifest, PeerMessage, PeerReply, SignedBundle, digest_of, verify_bundle,
+};
+use wingspur_state::check_bundle;
+use wingspur_transport::{
+    PublishError, StopSignal, StoreError, assemble, load_bundle, load_pointer,
+};
+
+use crate::in_force::{InForce, Place};
+use crate::shared::Shared;
+
+/// Why a bundle was not put in force.
+#[derive(Debug, thiserror::Error)]
+pub enum BundleRefusal {
+    /// One as new, or newer, is in force.
+    #[error("version {0} is not newer")]
+    NotNewer(u64),
+    /// It is of another fleet.
+    #[error("it is for fleet `{0}`")]
+    WrongFleet(String),
+    /// The sign-off does not hold, or the records cannot be read.
+    #[error(transparent)]
+    Invalid(#[from] PublishError),
+    /// It is not sound.
+    #[error("it is not sound: {0}")]
+    Unsound(String),
+    /// The peer did not give all of its parts.
+    #[error("the peer did not give all of its parts")]
+    PartsMissing,
+}
+
+impl BundleRefusal {
+    fn label(&self) -> &'static str {
+        match self {
+            Self::NotNewer(_) => "not_newer",
+            Self::WrongFleet(_) => "wrong_fleet",
+            Self::Invalid(_) => "invalid",
+            Self::Unsound(_) => "unsound",
+            Self::PartsMissing => "parts_missing",
+        }
+    }
+}
+
+/// Takes a peer's offer if it is newer, and spreads it on.
+pub async fn take_offer(shared: &Arc<Shared>, offer: BundleOffer, from: &PeerView) {
+    let taken = async {
+        let manifest = accept_manifest(shared, &offer.signed)?;
+        let parts = fetch_parts(shared, &manifest, from).await?;
+        put_in_force(shared, offer.signed, manifest, parts)
+    };
+    note_refusal(shared, taken.await);
+}
+
+/// Asks a peer that has a newer bundle for it.
+pub async fn fetch_from(shared: &Arc<Shared>, peer: &PeerView) {
+    let reply = shared
+        .ask(peer, PeerMessage::FetchBundle, FETCH_TIMEOUT)
+        .await;
+    if let Some(PeerReply::Bundle(Some(offer))) = reply {
+        take_offer(shared, offer, peer).await;
+    }
+}
+
+/// Looks into the store for a newer bundle.
+pub async fn fetch_from_store(shared: &Arc<Shared>) -> Result<i64, StoreError> {
+    shared.count_store_call("pointer_read");
+    let pointer = match load_pointer(&shared.store, &shared.keys).await {
+        Ok(pointer) => pointer,
+        Err(PublishError::Store(error)) => return Err(error),
+        Err(error) => {
+            note_refusal(shared, Err(error.into()));
+            return Ok(0);
+        }
+    };
+    let Some((pointer, revision)) = pointer else {
+        return Ok(0);
+    };
+    if pointer.version <= shared.bundle_version() {
+        return Ok(revision);
+    }
+    let known = known_parts(shared);
+    shared.count_store_call("bundle_read");
+    let loaded = load_bundle(&shared.store, &shared.keys, &pointer, &known).await;
+    match loaded {
+        Err(PublishError::Store(error)) => return Err(error),
+        Err(error) => note_refusal(shared, Err(error.into())),
+        Ok((signed, parts)) => {
+            let taken = accept_manifest(shared, &signed)
+                .and_then(|manifest| put_in_force(shared, signed, manifest, parts));
+            note_refusal(shared, taken);
+        }
+    }
+    Ok(revision)
+}
+
+/// Finds the first bundle: the store's, or with the store down the greatest that the
+/// peers have.
+pub async fn find_first(shared: &Arc<Shared>, stop: &StopSignal) {
+    while shared.bundle_version() == 0 && !stop.is_given() {
+        if let Err(error) = fetch_from_store(shared).await {
+            tracing::warn!("bundle: the store has none for us: {error}.");
+        }
+        if shared.bundle_version() == 0 {
+            ask_peers(shared).await;
+        }
+        if shared.bundle_version() == 0 {
+            smol::Timer::after(FIRST_RETRY).await;
+        }
+    }
+}
+
+/// Watches the pointer for as long as this box is a reader of its data centre.
+pub async fn run_reader(shared: Arc<Shared>, stop: StopSignal) {
+    let mut failures = 0u32;
+    while !stop.is_given() {
+        if !is_reader(&shared) {
+            smol::Timer::after(READER_CHECK).await;
+            continue;
+        }
+        match watch_once(&shared, &stop).await {
+            Ok(()) => failures = 0,
+            Err(error) => {
+                failures = failures.saturating_add(1);
+                tracing::debug!("bundle: the watch is lost: {error}.");
+                smol::Timer::after(backoff(failures)).await;
+            }
+        }
+    }
+}
+
+/// A pause that doubles to half a minute, drawn between a half and the whole of it.
+pub fn backoff(failures: u32) -> Duration {
+    let whole = BACKOFF_FIRST * 2u32.pow(failures.min(8));
+    whole
+        .min(BACKOFF_MOST)
+        .mul_f64(0.5 + rand::random::<f64>() / 2.0)
+}
+
+async fn watch_once(shared: &Arc<Shared>, stop: &StopSignal) -> Result<(), StoreError> {
+    let revision = fetch_from_store(shared).await?;
+    let key = shared.keys.pointer();
+    shared.count_store_call("watch");
+    let mut watch = shared.store.watch(&key, revision + 1).await?;
+    while !stop.is_given() && is_reader(shared) {
+        if watch
+            .next(WATCH_PATIENCE)
+            .await?
+            .is_some_and(|events| !events.is_empty())
+        {
+            fetch_from_store(shared).await?;
+        }
+    }
+    Ok(())
+}
+
+fn is_reader(shared: &Shared) -> bool {
+    let home = &shared.settings.data_centre;
+    let now = std::time::Instant::now();
+    let inside = shared.membership.lock().live_in(home, true, now);
+    let role = format!("reader/{home}");
+    ranked(&role, inside.iter(), READERS).contains(&&shared.settings.box_id)
+}
+
+async fn ask_peers(shared: &Arc<Shared>) {
+    for peer in random_peers(shared, START_PEERS) {
+        fetch_from(shared, &peer).await;
+    }
+}
+
+/// Checks a manifest's sign-off, fleet and version.
+fn accept_manifest(
+    shared: &Shared,
+    signed: &SignedBundle,
+) -> Result<Manifest, BundleRefusal> {
+    let manifest =
+        verify_bundle(signed, &shared.settings.keyring).map_err(PublishError::from)?;
+    if manifest.fleet != shared.settings.fleet {
+        return Err(BundleRefusal::WrongFleet(manifest.fleet));
+    }
+    if manifest.version <= shared.bundle_version() {
+        return Err(BundleRefusal::NotNewer(manifest.version));
+    }
+    Ok(manifest)
+}
+
+fn put_in_force(
+    shared: &Arc<Shared>,
+    signed: SignedBundle,
+    manifest: Manifest,
+    parts: HashMap<String, Vec<u8>>,
+) -> Result<(), BundleRefusal> {
+    let version = manifest.version;
+    let offer = BundleOffer {
+        signed: signed.clone(),
+    };
+    let bundle = assemble(&manifest, &parts)?;
+    if let Some(finding) = check_bundle(&bundle).first() {
+        return Err(BundleRefusal::Unsound(finding.to_string()));
+    }
+    let before = shared.in_force();
+    let boxes = shared.membership.lock().size() as u32;
+    let place = Place {
+        data_centre: &shared.settings.data_centre,
+        boxes,
+        spawner: &shared.spawner,
+    };
+    let in_force =
+        InForce::new(signed, manifest, parts, bundle, before.as_deref(), &place)
+            .map_err(|clash| BundleRefusal::Unsound(clash.to_string()))?;
+    if !shared.swap_in(in_force) {
+        return Err(BundleRefusal::NotNewer(version));
+    }
+    tracing::info!("bundle: version {version} is in force.");
+    shared.spawner.detach(spread(shared.clone(), offer));
+    Ok(())
+}
+
+/// Offers a bundle that has just come in force to some peers, who do the same.
+async fn spread(shared: Arc<Shared>, offer: BundleOffer) {
+    for peer in random_peers(&shared, SPREAD_PEERS) {
+        let (shared, offer) = (shared.clone(), offer.clone());
+        let spawner = shared.spawner.clone();
+        spawner.detach(async move {
+            shared
+                .ask(&peer, PeerMessage::Offer(offer), FETCH_TIMEOUT)
+                .await;
+        });
+    }
+}
+
+/// Gets the parts that no bundle in force has had from the peer that offered.
+async fn fetch_parts(
+    shared: &Shared,
+    manifest: &Manifest,
+    from: &PeerView,
+) -> Result<HashMap<String, Vec<u8>>, BundleRefusal> {
+    let mut parts = known_parts(shared);
+    let wanted = manifest.parts.iter().map(|part| part.digest.clone());
+    let missing: Vec<String> = wanted
+        .filter(|digest| !parts.contains_key(digest))
+        .collect();
+    for some in missing.chunks(PARTS_AT_ONCE) {
+        let message = PeerMessage::FetchParts(some.to_vec());
+        let reply = shared.ask(from, message, FETCH_TIMEOUT).await;
+        let Some(PeerReply::Parts(given)) = reply else {
+            return Err(BundleRefusal::PartsMissing);
+        };
+        for (digest, bytes) in given {
+            if digest_of(&bytes) == digest {
+                parts.insert(digest, bytes.into_vec());
+            }
+        }
+    }
+    let needed =
+        |digest: &String| manifest.parts.iter().any(|part| part.digest == *digest);
+    if manifest.parts.len() <= PARTS_AT_ONCE {
+        parts.retain(|digest, _| needed(digest));
+    }
+    if manifest
+        .parts
+        .iter()
+        .any(|part| !parts.contains_key(&part.digest))
+    {
+        return Err(BundleRefusal::PartsMissing);
+    }
+    Ok(parts)
+}
+
+fn known_parts(shared: &Shared) -> HashMap<String, Vec<u8>> {
+    shared
+        .in_force()
+        .map(|bundle| bundle.parts.clone())
+        .unwrap_or_default()
+}
+
+fn random_peers(shared: &Shared, count: usize) -> Vec<PeerView> {
+    let live = shared.live();
+    let membership = shared.membership.lock();
+    let peers: Vec<PeerView> = live.iter().filter_map(|id| membership.view(id)).collect();
+    peers.sample(&mut rand::rng(), count).cloned().collect()
+}
+
+fn note_refusal(shared: &Shared, taken: Result<(), BundleRefusal>) {
+    let Err(refusal) = taken else { return };
+    shared
+        .metrics
+        .bundle_refusals
+        .with_label_values(&[refusal.label()])
+        .inc();
+    if !matches!(refusal, BundleRefusal::NotNewer(_)) {
+        tracing::warn!("bundle: refused: {refusal}.");
+    }
+}
+
+/// Boxes of a data centre that watch the pointer.
+const READERS: usize = 2;
+const READER_CHECK: Duration = Duration::from_secs(1);
+const WATCH_PATIENCE: Duration = Duration::from_secs(1);
+const FIRST_RETRY: Duration = Duration::from_millis(300);
+const START_PEERS: usize = 5;
+const SPREAD_PEERS: usize = 4;
+const PARTS_AT_ONCE: usize = 64;
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+const BACKOFF_FIRST: Duration = Duration::from_millis(200);
+const BACKOFF_MOST: Duration = Duration::from_secs(30);
--- /dev/null
+++ b/crates/wingspur-entry/src/detection.rs
@@ -0,0 +1,308 @@
+//! Evidence on its way to the judges, and verdicts on their way back.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use wingspur_coordination::{PeerView, owner_of};
+use wingspur_protocol::{PeerMessage, PeerReply};
+use wingspur_state::{
+    BoxId, DataCentreId, EjectionRecord, EvidenceReport, Judge, JudgeEvent, TICK, Verdict,
+};
+use wingspur_transport::{StopSignal, StoreError, WriteOutcome};
+
+use crate::bundles::backoff;
+use crate::in_force::{InForce, ServiceHandle};
+use crate::shared::Shared;
+
+/// The judges that a box holds, by the tag of their service.
+#[derive(Debug, Default)]
+pub struct Judges {
+    seats: HashMap<u64, JudgeSeat>,
+}
+
+#[derive(Debug)]
+struct JudgeSeat {
+    judge: Judge,
+    service: String,
+    /// The store's revision of the record that the judge holds; none until it was read.
+    revision: Option<i64>,
+    syncing: bool,
+    failures: u32,
+    heard: Instant,
+    /// The verdicts that were last sent out, by data centre.
+    sent: HashMap<DataCentreId, Verdict>,
+}
+
+/// Weighs, reports and judges until the box stops.
+pub async fn run_detection(shared: Arc<Shared>, stop: StopSignal) {
+    while !stop.is_given() {
+        smol::Timer::after(TICK).await;
+        let Some(bundle) = shared.in_force() else {
+            continue;
+        };
+        report(&shared, &bundle);
+        judge(&shared);
+    }
+}
+
+/// Adds a peer's evidence to the judges held here, and gives their verdicts.
+pub fn hear_evidence(
+    shared: &Shared,
+    reports: &[EvidenceReport],
+    from: &PeerView,
+) -> Vec<Verdict> {
+    let Some(bundle) = shared.in_force() else {
+        return Vec::new();
+    };
+    hear(shared, &bundle, reports, &from.id, &from.data_centre)
+}
+
+/// Puts verdicts in force here.
+pub fn apply_verdicts(shared: &Shared, verdicts: &[Verdict]) {
+    let Some(bundle) = shared.in_force() else {
+        return;
+    };
+    let now = Instant::now();
+    for handle in &bundle.services {
+        let mut table = handle.table.lock();
+        let tag = table.tag();
+        for verdict in verdicts.iter().filter(|verdict| verdict.service_tag == tag) {
+            table.apply(verdict, now);
+        }
+    }
+}
+
+/// Sends what was seen to each service's judge, one message a box.
+fn report(shared: &Arc<Shared>, bundle: &InForce) {
+    let now = Instant::now();
+    let mut by_judge: HashMap<BoxId, Vec<EvidenceReport>> = HashMap::new();
+    let mut live = None;
+    for handle in &bundle.services {
+        let Some(report) = handle.table.lock().tick(now) else {
+            continue;
+        };
+        let live = live.get_or_insert_with(|| shared.live());
+        let role = format!("judge/{}", handle.service.name);
+        let holder = owner_of(&role, live.iter());
+        let holder = holder.unwrap_or(&shared.settings.box_id).clone();
+        by_judge.entry(holder).or_default().push(report);
+    }
+    for (holder, reports) in by_judge {
+        let Some(peer) = shared.peer(&holder) else {
+            let home = &shared.settings.data_centre;
+            let verdicts = hear(shared, bundle, &reports, &holder, home);
+            apply_verdicts(shared, &verdicts);
+            continue;
+        };
+        let asking = shared.clone();
+        shared.spawner.detach(async move {
+            let message = PeerMessage::Evidence(reports);
+            let reply = asking.ask(&peer, message, REPORT_TIMEOUT).await;
+            if let Some(PeerReply::Verdicts(verdicts)) = reply {
+                apply_verdicts(&asking, &verdicts);
+            }
+        });
+    }
+}
+
+fn hear(
+    shared: &Shared,
+    bundle: &InForce,
+    reports: &[EvidenceReport],
+    from: &BoxId,
+    data_centre: &DataCentreId,
+) -> Vec<Verdict> {
+    let now = Instant::now();
+    let mut judges = shared.judges.lock();
+    let mut verdicts = Vec::with_capacity(reports.len());
+    for report in reports {
+        let tagged = |handle: &&Arc<ServiceHandle>| handle.table.lock().tag();
+        let tag = report.service_tag;
+        let Some(handle) = bundle.services.iter().find(|handle| tagged(handle) == tag)
+        else {
+            continue;
+        };
+        let seat = judges
+            .seats
+            .entry(tag)
+            .or_insert_with(|| JudgeSeat::new(handle, tag, now));
+        seat.heard = now;
+        seat.judge.hear(from, data_centre, report, now);
+        // Without the agreed record a judge cannot say who is out, and says nothing.
+        if seat.revision.is_some() {
+            verdicts.push(seat.judge.verdict(data_centre));
+        }
+    }
+    verdicts
+}
+
+/// Steps the judges held here, and carries out what follows.
+fn judge(shared: &Arc<Shared>) {
+    let now = Instant::now();
+    let mut to_sync = Vec::new();
+    let mut changed = Vec::new();
+    let data_centres = shared
+        .membership
+        .lock()
+        .data_centres(&shared.settings.data_centre);
+    {
+        let mut judges = shared.judges.lock();
+        judges
+            .seats
+            .retain(|_, seat| now.saturating_duration_since(seat.heard) < SEAT_TTL);
+        for (tag, seat) in &mut judges.seats {
+            for event in seat.judge.step(now) {
+                note(shared, &seat.service, &event);
+            }
+            changed.extend(seat.take_changes(&data_centres));
+            let wanted = seat.revision.is_none() || seat.judge.proposal().is_some();
+            if wanted && !seat.syncing {
+                seat.syncing = true;
+                to_sync.push(*tag);
+            }
+        }
+    }
+    send_changes(shared, changed);
+    for tag in to_sync {
+        shared.spawner.detach(sync_record(shared.clone(), tag));
+    }
+}
+
+/// Brings a judge and the agreed record in the store together.
+async fn sync_record(shared: Arc<Shared>, tag: u64) {
+    let pause = match sync_once(&shared, tag).await {
+        Ok(()) => Duration::ZERO,
+        Err(error) => {
+            tracing::debug!("judge: the record cannot be had: {error}.");
+            let mut judges = shared.judges.lock();
+            let Some(seat) = judges.seats.get_mut(&tag) else {
+                return;
+            };
+            seat.failures = seat.failures.saturating_add(1);
+            backoff(seat.failures)
+        }
+    };
+    smol::Timer::after(pause).await;
+    if let Some(seat) = shared.judges.lock().seats.get_mut(&tag) {
+        seat.syncing = false;
+    }
+}
+
+async fn sync_once(shared: &Shared, tag: u64) -> Result<(), StoreError> {
+    let Some((service, revision, proposal)) = ({
+        let judges = shared.judges.lock();
+        judges.seats.get(&tag).map(JudgeSeat::wish)
+    }) else {
+        return Ok(());
+    };
+    let key = shared.keys.ejections(&service);
+    if let (Some(revision), Some(proposal)) = (revision, proposal) {
+        let value = serde_json::to_vec(&proposal)?;
+        shared.count_store_call("record_write");
+        // Whether it was written, refused or lost: the read that follows tells.
+        let written = shared.store.put_if(&key, &value, revision).await;
+        if let Ok(WriteOutcome::Refused(_)) = written {
+            tracing::info!("judge: another judge of {service} wrote first.");
+        }
+    }
+    shared.count_store_call("record_read");
+    let present = shared.store.get(&key).await?;
+    let revision = present.as_ref().map_or(0, |pair| pair.mod_revision);
+    let record: EjectionRecord = match present {
+        Some(pair) => serde_json::from_slice(&pair.value)?,
+        None => EjectionRecord::default(),
+    };
+    let mut judges = shared.judges.lock();
+    if let Some(seat) = judges.seats.get_mut(&tag) {
+        seat.failures = 0;
+        seat.revision = Some(revision);
+        seat.judge.adopt(record, Instant::now());
+    }
+    Ok(())
+}
+
+impl JudgeSeat {
+    fn new(handle: &ServiceHandle, tag: u64, now: Instant) -> Self {
+        Self {
+            judge: Judge::new(&handle.service, tag, None, now),
+            service: handle.service.name.clone(),
+            revision: None,
+            syncing: false,
+            failures: 0,
+            heard: now,
+            sent: HashMap::new(),
+        }
+    }
+
+    fn wish(&self) -> (String, Option<i64>, Option<EjectionRecord>) {
+        (self.service.clone(), self.revision, self.judge.proposal())
+    }
+
+    /// The verdicts that have changed since they were last sent out.
+    fn take_changes(
+        &mut self,
+        data_centres: &[DataCentreId],
+    ) -> Vec<(DataCentreId, Verdict)> {
+        if self.revision.is_none() {
+            return Vec::new();
+        }
+        let mut changes = Vec::new();
+        for data_centre in data_centres.iter().cloned() {
+            let verdict = self.judge.verdict(&data_centre);
+            let sent = self.sent.get(&data_centre);
+            let news = match sent {
+                Some(sent) => *sent != verdict,
+                None => !verdict.standings.is_empty(),
+            };
+            if news {
+                self.sent.insert(data_centre.clone(), verdict.clone());
+                changes.push((data_centre, verdict));
+            }
+        }
+        changes
+    }
+}
+
+/// Tells every box of each data centre what has changed.
+fn send_changes(shared: &Arc<Shared>, changes: Vec<(DataCentreId, Verdict)>) {
+    let mut by_data_centre: HashMap<DataCentreId, Vec<Verdict>> = HashMap::new();
+    for (data_centre, verdict) in changes {
+        by_data_centre.entry(data_centre).or_default().push(verdict);
+    }
+    for (data_centre, verdicts) in by_data_centre {
+        if data_centre == shared.settings.data_centre {
+            apply_verdicts(shared, &verdicts);
+        }
+        let membership = shared.membership.lock();
+        let inside = membership.live_in(&data_centre, false, Instant::now());
+        let peers: Vec<PeerView> =
+            inside.iter().filter_map(|id| membership.view(id)).collect();
+        drop(membership);
+        for peer in peers {
+            let (telling, message) =
+                (shared.clone(), PeerMessage::Verdicts(verdicts.clone()));
+            shared.spawner.detach(async move {
+                telling.ask(&peer, message, REPORT_TIMEOUT).await;
+            });
+        }
+    }
+}
+
+fn note(shared: &Shared, service: &str, event: &JudgeEvent) {
+    let (name, server) = match event {
+        JudgeEvent::Suspected(server) => ("suspected", server),
+        JudgeEvent::OnTrial(server) => ("on_trial", server),
+        JudgeEvent::Returned(server) => ("returned", server),
+    };
+    shared
+        .metrics
+        .judge_events
+        .with_label_values(&[service, name])
+        .inc();
+    tracing::info!("judge: server {server} of {service} is {name}.");
+}
+
+const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+/// A judge that nobody reports to any more gives up its seat.
+const SEAT_TTL: Duration = Duration::from_secs(10);
--- /dev/null
+++ b/crates/wingspur-entry/src/entry_box.rs
@@ -0,0 +1,269 @@
+//! An entry box: started whole, stopped in order.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use smol::net::TcpListener;
+use wingspur_coordination::MembershipSettings;
+use wingspur_transport::{
+    HttpListener, LinkFaults, ListenerOptions, Spawner, StopTrigger, stop_pair,
+};
+
+use crate::bundles::{find_first, run_reader};
+use crate::claims::drive_shard;
+use crate::detection::run_detection;
+use crate::operator::{answer_operator, status};
+use crate::peers::{answer_peer, beat, read_box_list, run_box_list, run_heartbeats};
+use crate::proxy::Proxy;
+use crate::shared::{Addresses, Shared};
+use crate::{Settings, metrics::Metrics};
+
+/// A running entry box.
+#[derive(Debug)]
+pub struct EntryBox {
+    shared: Arc<Shared>,
+    callers: HttpListener,
+    peers: HttpListener,
+    operators: HttpListener,
+    stop: StopTrigger,
+    tasks: Vec<smol::Task<()>>,
+}
+
+/// Why a box could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// A port cannot be had.
+    #[error("`{field}` {address}: {error}; free the port or choose another")]
+    Bind {
+        /// The settings' field.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        error: std::io::Error,
+    },
+}
+
+/// How a stop went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopReport {
+    /// Requests that were cut because the limit was reached.
+    pub cut_requests: usize,
+}
+
+impl EntryBox {
+    /// Starts a box; it takes callers once it has a bundle.
+    pub async fn start(
+        settings: Settings,
+        spawner: &Spawner,
+        faults: LinkFaults,
+    ) -> Result<Self, StartError> {
+        let caller_port = bind("caller_address", settings.caller_address).await?;
+        let peer_port = bind("peer_address", settings.peer_address).await?;
+        let operator_port = bind("operator_address", settings.operator_address).await?;
+        let shared = Arc::new(Shared::new(settings, spawner.clone(), &faults));
+        let proxy = Proxy::new(shared.clone());
+        let options = ListenerOptions::default();
+        let handler = move |request, from| proxy.clone().answer(request, from);
+        let callers = listen(caller_port, spawner, options, handler)?;
+        let peer_shared = shared.clone();
+        let handler = move |request, _| answer_peer(peer_shared.clone(), request);
+        let peers = listen(peer_port, spawner, options, handler)?;
+        let operator_shared = shared.clone();
+        let handler = move |request, _| answer_operator(operator_shared.clone(), request);
+        let operators = listen(operator_port, spawner, options, handler)?;
+        let (stop, _) = stop_pair();
+        let mut entry_box = Self {
+            shared,
+            callers,
+            peers,
+            operators,
+            stop,
+            tasks: Vec::new(),
+        };
+        entry_box.start_tasks();
+        Ok(entry_box)
+    }
+
+    /// The addresses it listens on.
+    pub fn addresses(&self) -> Addresses {
+        Addresses {
+            caller: self.callers.address(),
+            peer: self.peers.address(),
+            operator: self.operators.address(),
+        }
+    }
+
+    /// Whether it takes callers.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// The version of the bundle in force; 0 for none.
+    pub fn bundle_version(&self) -> u64 {
+        self.shared.bundle_version()
+    }
+
+    /// Servers that it gives no work, or less, as `service/server`.
+    pub fn servers_out(&self) -> Vec<String> {
+        status(&self.shared).out
+    }
+
+    /// Its counters.
+    pub fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
+    /// Messages to peers and the box list, and bytes of bodies sent and received.
+    pub fn peer_totals(&self) -> (u64, u64, u64) {
+        self.shared.peers.totals()
+    }
+
+    /// Calls to the store, and bytes of bodies sent and received.
+    pub fn store_totals(&self) -> (u64, u64, u64) {
+        self.shared.store_exchange.totals()
+    }
+
+    /// Once-only shards owned, and operations remembered.
+    pub fn once_only_totals(&self) -> (usize, usize) {
+        self.shared.shards.owned()
+    }
+
+    /// Waits until the box takes callers; false when `patience` is over before.
+    pub async fn wait_ready(&self, patience: Duration) -> bool {
+        let end = Instant::now() + patience;
+        while !self.is_ready() {
+            if Instant::now() >= end {
+                return false;
+            }
+            smol::Timer::after(READY_POLL).await;
+        }
+        true
+    }
+
+    /// Stops as planned: no new callers, all requests in flight to their end.
+    pub async fn close(self) -> StopReport {
+        let settings = &self.shared.settings;
+        let (lag, limit) = (settings.balancer_lag(), settings.drain_limit());
+        tracing::info!("stop: not ready from now on.");
+        self.shared.leaving.store(true, Ordering::Release);
+        beat(&self.shared);
+        // The balancer learns of it late, and sends callers until then.
+        smol::Timer::after(lag).await;
+        let cut_requests = self.callers.close(limit).await;
+        self.stop.close();
+        for task in self.tasks {
+            task.cancel().await;
+        }
+        self.peers.close(PORT_LIMIT).await;
+        self.operators.close(PORT_LIMIT).await;
+        tracing::info!("stop: done, {cut_requests} requests cut.");
+        StopReport { cut_requests }
+    }
+
+    /// Ends at once, as a crash would: nothing is told, nothing finished.
+    pub fn abort(self) {
+        self.stop.close();
+        drop(self.tasks);
+        drop(self.callers);
+        drop(self.peers);
+        drop(self.operators);
+    }
+
+    fn start_tasks(&mut self) {
+        let (stop, signal) = stop_pair();
+        self.stop = stop;
+        let shared = self.shared.clone();
+        let spawner = self.shared.spawner.clone();
+        let every = MembershipSettings::default().heartbeat_every;
+        let starting = (shared.clone(), signal.clone());
+        let mut tasks = vec![
+            spawner.spawn(async move { start_up(&starting.0, &starting.1).await }),
+            spawner.spawn(run_box_list(shared.clone(), signal.clone())),
+            spawner.spawn(run_heartbeats(shared.clone(), every, signal.clone())),
+            spawner.spawn(run_reader(shared.clone(), signal.clone())),
+            spawner.spawn(run_detection(shared.clone(), signal.clone())),
+            spawner.spawn(keep_warm(shared.clone())),
+        ];
+        for shard in 0..shared.shards.count() {
+            let driving = drive_shard(shared.clone(), shard, signal.clone());
+            tasks.push(spawner.spawn(driving));
+        }
+        self.tasks = tasks;
+    }
+}
+
+/// Finds the first bundle and warms the connections; then the box is ready.
+async fn start_up(shared: &Arc<Shared>, stop: &wingspur_transport::StopSignal) {
+    read_box_list(shared).await;
+    find_first(shared, stop).await;
+    warm(shared).await;
+    shared.started.store(true, Ordering::Release);
+    tracing::info!("start: ready.");
+}
+
+async fn keep_warm(shared: Arc<Shared>) {
+    loop {
+        smol::Timer::after(WARM_EVERY).await;
+        warm(&shared).await;
+    }
+}
+
+async fn warm(shared: &Shared) {
+    let Some(bundle) = shared.in_force() else {
+        return;
+    };
+    for handle in &bundle.services {
+        for pool in &handle.pools {
+            pool.keep_warm(WARM_CONNECTIONS, Instant::now()).await;
+        }
+    }
+}
+
+async fn bind(
+    field: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| StartError::Bind {
+            field,
+            address,
+            error,
+        })
+}
+
+fn listen<H, F, B>(
+    port: TcpListener,
+    spawner: &Spawner,
+    options: ListenerOptions,
+    handler: H,
+) -> Result<HttpListener, StartError>
+where
+    H: Fn(hyper::Request<hyper::body::Incoming>, SocketAddr) -> F
+        + Clone
+        + Send
+        + Sync
+        + 'static,
+    F: Future<Output = hyper::Response<B>> + Send + 'static,
+    B: hyper::body::Body<Data = hyper::body::Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let address = port.local_addr();
+    HttpListener::start(port, spawner, options, handler).map_err(|error| {
+        let address = address.unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)));
+        StartError::Bind {
+            field: "address",
+            address,
+            error,
+        }
+    })
+}
+
+/// Idle connections kept to each backend server.
+const WARM_CONNECTIONS: usize = 1;
+const WARM_EVERY: Duration = Duration::from_secs(5);
+const READY_POLL: Duration = Duration::from_millis(10);
+const PORT_LIMIT: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/wingspur-entry/src/lib.rs
@@ -0,0 +1,24 @@
+//! An entry box: the request path and the tasks around it.
+
+mod answer;
+mod bundles;
+mod claims;
+mod concern;
+mod detection;
+mod entry_box;
+mod in_force;
+mod locks;
+mod metrics;
+mod operator;
+mod peers;
+mod proxy;
+mod relay;
+mod settings;
+mod shared;
+
+pub use entry_box::{EntryBox, StartError, StopReport};
+pub use settings::{
+    DrainSettings, LogFormat, LogSettings, OnceOnlySettings, Settings, SettingsError,
+    load_settings, parse_settings,
+};
+pub use shared::Addresses;
--- /dev/null
+++ b/crates/wingspur-entry/src/locks.rs
@@ -0,0 +1,115 @@
+//! Locks with a stated order, asserted in debug builds.
+//!
+//! A thread may take a lock only while all locks that it holds have a lower rank. No
+//! lock is held across an `await`, a system call or a call to a peer.
+
+use std::ops::{Deref, DerefMut};
+use std::sync::{Mutex, MutexGuard};
+
+/// The order in which locks are taken, first to last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// The bundle in force.
+    InForce,
+    /// Who lives.
+    Membership,
+    /// The judges that this box holds.
+    Judges,
+    /// The table of one service.
+    ServiceTable,
+    /// The logs of once-only shards.
+    Shards,
+    /// The buckets of caller accounts.
+    Accounts,
+}
+
+/// A mutex with a rank.
+#[derive(Debug)]
+pub struct Ranked<T> {
+    rank: Rank,
+    inner: Mutex<T>,
+}
+
+impl<T> Ranked<T> {
+    /// Wraps a value.
+    pub fn new(rank: Rank, value: T) -> Self {
+        Self {
+            rank,
+            inner: Mutex::new(value),
+        }
+    }
+
+    /// Takes the lock; panics in debug builds when the order is broken.
+    pub fn lock(&self) -> RankedGuard<'_, T> {
+        held::enter(self.rank);
+        let guard = self.inner.lock().expect("no holder panics");
+        RankedGuard {
+            rank: self.rank,
+            guard,
+        }
+    }
+}
+
+/// Holds a ranked lock.
+#[derive(Debug)]
+pub struct RankedGuard<'a, T> {
+    rank: Rank,
+    guard: MutexGuard<'a, T>,
+}
+
+impl<T> Deref for RankedGuard<'_, T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.guard
+    }
+}
+
+impl<T> DerefMut for RankedGuard<'_, T> {
+    fn deref_mut(&mut self) -> &mut T {
+        &mut self.guard
+    }
+}
+
+impl<T> Drop for RankedGuard<'_, T> {
+    fn drop(&mut self) {
+        held::leave(self.rank);
+    }
+}
+
+#[cfg(debug_assertions)]
+mod held {
+    use std::cell::RefCell;
+
+    use super::Rank;
+
+    thread_local! {
+        static HELD: RefCell<Vec<Rank>> = const { RefCell::new(Vec::new()) };
+    }
+
+    pub fn enter(rank: Rank) {
+        HELD.with_borrow_mut(|held| {
+            if let Some(highest) = held.iter().max() {
+                assert!(*highest < rank, "{rank:?} taken while {highest:?} is held");
+            }
+            held.push(rank);
+        });
+    }
+
+    pub fn leave(rank: Rank) {
+        HELD.with_borrow_mut(|held| {
+            if let Some(index) = held.iter().rposition(|other| *other == rank) {
+                held.remove(index);
+            }
+        });
+    }
+}
+
+#[cfg(not(debug_assertions))]
+mod held {
+    use super::Rank;
+
+    pub fn enter(_: Rank) {}
+
+    pub fn leave(_: Rank) {}
+}
--- /dev/null
+++ b/crates/wingspur-entry/src/peers.rs
@@ -0,0 +1,223 @@
+//! Messages of peers: heartbeats sent, and all that comes in answered.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Method, Request, Response, StatusCode};
+use wingspur_coordination::PeerView;
+use wingspur_protocol::{
+    BoxList, BundleOffer, Heartbeat, PeerEnvelope, PeerMessage, PeerReply, decode_peer,
+    encode_peer,
+};
+use wingspur_transport::StopSignal;
+
+use crate::bundles::{fetch_from, take_offer};
+use crate::detection;
+use crate::operator::status;
+use crate::shared::{PEER_PATH, Shared};
+
+/// Answers a request on the peer port.
+pub async fn answer_peer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    if request.method() != Method::POST || request.uri().path() != PEER_PATH {
+        return refuse(&shared, "wrong_path", StatusCode::NOT_FOUND);
+    }
+    let body = Limited::new(request.into_body(), MOST_MESSAGE_BYTES)
+        .collect()
+        .await;
+    let Ok(body) = body else {
+        return refuse(&shared, "oversized", StatusCode::PAYLOAD_TOO_LARGE);
+    };
+    let envelope = match decode_peer(&body.to_bytes(), &shared.settings.fleet) {
+        Ok(envelope) => envelope,
+        Err(error) => {
+            tracing::debug!("peer: refused: {error}.");
+            return refuse(&shared, "unreadable", StatusCode::BAD_REQUEST);
+        }
+    };
+    // An operator's command asks from outside the fleet, and changes nothing.
+    if envelope.message != PeerMessage::Status {
+        let PeerEnvelope {
+            from,
+            incarnation,
+            sequence,
+            ..
+        } = &envelope;
+        let mut membership = shared.membership.lock();
+        let heard = membership.hear(from, *incarnation, *sequence, Instant::now());
+        drop(membership);
+        if let Err(refusal) = heard {
+            tracing::debug!("peer: {from} refused: {refusal}.");
+            return refuse(&shared, "not_admitted", StatusCode::FORBIDDEN);
+        }
+    }
+    let reply = answer_message(&shared, envelope).await;
+    Response::new(Full::new(Bytes::from(encode_peer(&reply))))
+}
+
+async fn answer_message(shared: &Arc<Shared>, envelope: PeerEnvelope) -> PeerReply {
+    let peer = shared.peer(&envelope.from);
+    match (envelope.message, peer) {
+        (PeerMessage::Status, _) => PeerReply::Status(status(shared)),
+        (PeerMessage::Heartbeat(heartbeat), Some(peer)) => {
+            let reply = own_heartbeat(shared, &peer);
+            take_heartbeat(shared, heartbeat, &peer);
+            PeerReply::Heartbeat(reply)
+        }
+        (PeerMessage::Offer(offer), Some(peer)) => {
+            let taking = shared.clone();
+            shared
+                .spawner
+                .detach(async move { take_offer(&taking, offer, &peer).await });
+            PeerReply::Done
+        }
+        (PeerMessage::FetchParts(digests), _) => {
+            PeerReply::Parts(parts(shared, &digests))
+        }
+        (PeerMessage::FetchBundle, _) => {
+            let in_force = shared.in_force();
+            let offer = in_force.map(|b| BundleOffer {
+                signed: b.signed.clone(),
+            });
+            PeerReply::Bundle(offer)
+        }
+        (PeerMessage::Evidence(reports), Some(peer)) => {
+            PeerReply::Verdicts(detection::hear_evidence(shared, &reports, &peer))
+        }
+        (PeerMessage::Verdicts(verdicts), Some(_)) => {
+            detection::apply_verdicts(shared, &verdicts);
+            PeerReply::Done
+        }
+        (PeerMessage::Claim(request), _) => {
+            PeerReply::Claim(shared.shards.claim(request).await)
+        }
+        (PeerMessage::Outcome(note), _) => match shared.shards.outcome(&note) {
+            true => PeerReply::Done,
+            false => PeerReply::Refused("this box does not own the shard".to_owned()),
+        },
+        (_, None) => PeerReply::Refused("the sender is not in the list".to_owned()),
+    }
+}
+
+/// Sends heartbeats until the box stops.
+pub async fn run_heartbeats(shared: Arc<Shared>, every: Duration, stop: StopSignal) {
+    while !stop.is_given() {
+        beat(&shared);
+        smol::Timer::after(every).await;
+    }
+}
+
+/// Sends one round of heartbeats.
+pub fn beat(shared: &Arc<Shared>) {
+    let lot = rand::random();
+    let targets = shared.membership.lock().begin_round(lot, Instant::now());
+    for peer in targets {
+        let shared = shared.clone();
+        let spawner = shared.spawner.clone();
+        spawner.detach(async move {
+            let message = PeerMessage::Heartbeat(own_heartbeat(&shared, &peer));
+            let reply = shared.ask(&peer, message, HEARTBEAT_TIMEOUT).await;
+            if let Some(PeerReply::Heartbeat(heartbeat)) = reply {
+                take_heartbeat(&shared, heartbeat, &peer);
+            }
+        });
+    }
+}
+
+/// Reads the platform's list until the box stops.
+pub async fn run_box_list(shared: Arc<Shared>, stop: StopSignal) {
+    while !stop.is_given() {
+        read_box_list(&shared).await;
+        smol::Timer::after(LIST_EVERY).await;
+    }
+}
+
+/// Reads the platform's list once; an old one stays when it cannot be had.
+pub async fn read_box_list(shared: &Shared) {
+    let address = shared.settings.box_list_address;
+    let list = match shared.peers.get(address, "/boxes", LIST_TIMEOUT).await {
+        Ok(bytes) => serde_json::from_slice::<BoxList>(&bytes).map_err(|e| e.to_string()),
+        Err(error) => Err(error.to_string()),
+    };
+    let list = match list {
+        Ok(list) => list,
+        Err(error) => {
+            tracing::debug!("list: the platform's list cannot be had: {error}.");
+            return;
+        }
+    };
+    shared.membership.lock().set_list(&list);
+    let Some(bundle) = shared.in_force() else {
+        return;
+    };
+    for handle in &bundle.services {
+        let mut table = handle.table.lock();
+        for (index, server) in handle.service.servers.iter().enumerate() {
+            let leaving = |listed: &wingspur_protocol::ListedServer| {
+                listed.address == server.address
+            };
+            if list.leaving_servers.iter().any(leaving) {
+                table.set_leaving(index, true);
+            }
+        }
+    }
+}
+
+fn own_heartbeat(shared: &Shared, to: &PeerView) -> Heartbeat {
+    let membership = shared.membership.lock();
+    let heard_sequence = membership.heard_sequence(&to.id);
+    let suspicions = membership.suspicions(Instant::now());
+    drop(membership);
+    Heartbeat {
+        bundle_version: shared.bundle_version(),
+        heard_sequence,
+        leaving: shared.leaving.load(Ordering::Acquire),
+        suspicions,
+    }
+}
+
+fn take_heartbeat(shared: &Arc<Shared>, heartbeat: Heartbeat, peer: &PeerView) {
+    let mut membership = shared.membership.lock();
+    membership.set_leaving(&peer.id, heartbeat.leaving);
+    membership.hear_suspicions(&heartbeat.suspicions, Instant::now());
+    drop(membership);
+    if heartbeat.bundle_version > shared.bundle_version() {
+        let (fetching, peer) = (shared.clone(), peer.clone());
+        shared
+            .spawner
+            .detach(async move { fetch_from(&fetching, &peer).await });
+    }
+}
+
+fn parts(shared: &Shared, digests: &[String]) -> Vec<(String, serde_bytes::ByteBuf)> {
+    let Some(bundle) = shared.in_force() else {
+        return Vec::new();
+    };
+    let held = |digest: &String| {
+        let bytes = bundle.parts.get(digest)?.clone();
+        Some((digest.clone(), serde_bytes::ByteBuf::from(bytes)))
+    };
+    digests.iter().filter_map(held).collect()
+}
+
+fn refuse(shared: &Shared, reason: &str, status: StatusCode) -> Response<Full<Bytes>> {
+    shared
+        .metrics
+        .peer_refusals
+        .with_label_values(&[reason])
+        .inc();
+    let mut response = Response::new(Full::new(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// The longest message that a box takes from a peer, in bytes.
+const MOST_MESSAGE_BYTES: usize = 8 << 20;
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1000);
+const LIST_EVERY: Duration = Duration::from_secs(1);
+const LIST_TIMEOUT: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/wingspur-entry/src/relay.rs
@@ -0,0 +1,221 @@
+//! The answer's body on its way to the caller, cut or whole, never in between.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use futures_lite::Stream;
+use http_body_util::Full;
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use prometheus::IntCounter;
+use wingspur_state::{AttemptId, AttemptOutcome, ServerIndex};
+use wingspur_transport::{BodyError, Lease};
+
+use crate::concern::Place;
+use crate::in_force::ServiceHandle;
+
+/// The body of any answer to a caller.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// Wingspur's own.
+    Own(Full<Bytes>),
+    /// A backend server's, passed on as it comes.
+    Relay(Box<RelayBody>),
+}
+
+impl AnswerBody {
+    /// A body of wingspur's own.
+    pub fn own(body: Full<Bytes>) -> Self {
+        Self::Own(body)
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Own(body) => {
+                let polled = Pin::new(body).poll_frame(context);
+                polled
+                    .map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
+            }
+            Self::Relay(body) => body.poll(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Own(body) => body.is_end_stream(),
+            Self::Relay(body) => body.incoming.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Own(body) => body.size_hint(),
+            Self::Relay(body) => body.incoming.size_hint(),
+        }
+    }
+}
+
+/// An attempt that is out; dropping it counts it as abandoned.
+#[derive(Debug)]
+pub struct AttemptGuard {
+    handle: Arc<ServiceHandle>,
+    /// The server it is at.
+    pub server: ServerIndex,
+    id: Option<AttemptId>,
+}
+
+impl AttemptGuard {
+    /// Begins an attempt.
+    pub fn begin(handle: Arc<ServiceHandle>, server: ServerIndex) -> Self {
+        let id = handle.table.lock().begin(server, Instant::now());
+        Self {
+            handle,
+            server,
+            id: Some(id),
+        }
+    }
+
+    /// Notes that the answer's head came.
+    pub fn head(&self, outcome: AttemptOutcome) {
+        if let Some(id) = self.id {
+            self.handle.table.lock().head(id, outcome, Instant::now());
+        }
+    }
+
+    /// Ends the attempt.
+    pub fn finish(&mut self, outcome: AttemptOutcome) {
+        if let Some(id) = self.id.take() {
+            self.handle.table.lock().finish(id, outcome, Instant::now());
+        }
+    }
+
+    /// Gives the connection of a whole answer back to the pool.
+    fn give_back(&self, lease: Lease) {
+        self.handle.pools[self.server].finish(lease);
+    }
+
+    fn progress(&self) {
+        if let Some(id) = self.id {
+            self.handle.table.lock().progress(id, Instant::now());
+        }
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        self.finish(AttemptOutcome::Abandoned);
+    }
+}
+
+/// A backend server's body with all that is bound to it.
+#[derive(Debug)]
+pub struct RelayBody {
+    incoming: Incoming,
+    attempt: AttemptGuard,
+    lease: Option<Lease>,
+    timer: smol::Timer,
+    /// For downloads: the longest standstill; the timer starts anew with each byte.
+    standstill: Option<Duration>,
+    cuts: IntCounter,
+    /// Held until the answer is through.
+    _place: Place,
+}
+
+/// When an answer that is not through is cut.
+#[derive(Debug, Clone, Copy)]
+pub enum CutRule {
+    /// At this instant.
+    At(Instant),
+    /// When no byte came for so long.
+    Standstill(Duration),
+}
+
+impl RelayBody {
+    /// Passes on an answer whose head has come.
+    pub fn new(
+        incoming: Incoming,
+        attempt: AttemptGuard,
+        lease: Lease,
+        rule: CutRule,
+        cuts: IntCounter,
+        place: Place,
+    ) -> Self {
+        let (timer, standstill) = match rule {
+            CutRule::At(instant) => (smol::Timer::at(instant), None),
+            CutRule::Standstill(limit) => (smol::Timer::after(limit), Some(limit)),
+        };
+        let lease = Some(lease);
+        Self {
+            incoming,
+            attempt,
+            lease,
+            timer,
+            standstill,
+            cuts,
+            _place: place,
+        }
+    }
+
+    fn poll(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match Pin::new(&mut self.incoming).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                if let Some(limit) = self.standstill {
+                    self.timer.set_after(limit);
+                    self.attempt.progress();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                self.attempt.finish(AttemptOutcome::Failed);
+                self.cut(BodyError::from(error))
+            }
+            Poll::Ready(None) => {
+                self.finish();
+                Poll::Ready(None)
+            }
+            Poll::Pending => match Pin::new(&mut self.timer).poll_next(context) {
+                Poll::Ready(_) => {
+                    self.attempt.finish(AttemptOutcome::Abandoned);
+                    self.cut(BodyError::Stalled)
+                }
+                Poll::Pending => Poll::Pending,
+            },
+        }
+    }
+
+    /// The answer breaks off: its connection closes, and so does the caller's.
+    fn cut(&mut self, error: BodyError) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.lease = None;
+        self.cuts.inc();
+        Poll::Ready(Some(Err(error)))
+    }
+
+    /// The answer is through: its connection may serve another request.
+    fn finish(&mut self) {
+        self.attempt.finish(AttemptOutcome::Answered);
+        if let Some(lease) = self.lease.take() {
+            self.attempt.give_back(lease);
+        }
+    }
+}
+
+impl Drop for RelayBody {
+    fn drop(&mut self) {
+        // A body whose length is known is not polled past its last byte.
+        if self.lease.is_some() && self.incoming.is_end_stream() {
+            self.finish();
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingspur-entry/src/settings.rs
@@ -0,0 +1,362 @@
+//! A box's settings, checked whole before anything starts.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use wingspur_protocol::Keyring;
+use wingspur_state::{BoxId, DataCentreId};
+
+/// The settings of one box.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The box's id.
+    pub box_id: BoxId,
+    /// Where the box stands.
+    pub data_centre: DataCentreId,
+    /// The fleet it belongs to.
+    pub fleet: String,
+    /// Where callers come in, behind the platform's balancer.
+    pub caller_address: SocketAddr,
+    /// Where other boxes come in.
+    pub peer_address: SocketAddr,
+    /// Where operators read `/ready`, `/status` and `/metrics`.
+    pub operator_address: SocketAddr,
+    /// The platform's key-value service.
+    pub store_address: SocketAddr,
+    /// The platform's list of boxes.
+    pub box_list_address: SocketAddr,
+    /// Whose bundles the box accepts.
+    pub keyring: Keyring,
+    /// Threads for the request path.
+    #[serde(default = "default_worker_threads")]
+    pub worker_threads: usize,
+    /// The longest request body, in bytes.
+    #[serde(default = "default_max_body_bytes")]
+    pub max_body_bytes: u64,
+    /// Request bodies up to this are kept, so that they can be sent again.
+    #[serde(default = "default_kept_body_bytes")]
+    pub kept_body_bytes: u64,
+    /// How the box stops.
+    #[serde(default)]
+    pub drain: DrainSettings,
+    /// How once-only requests are kept.
+    #[serde(default)]
+    pub once_only: OnceOnlySettings,
+    /// How the box logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// How a box stops.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DrainSettings {
+    /// How long the balancer may still send callers after `/ready` says no.
+    pub balancer_lag_ms: u64,
+    /// How long requests in flight may take to finish.
+    pub limit_ms: u64,
+}
+
+impl Default for DrainSettings {
+    fn default() -> Self {
+        Self {
+            balancer_lag_ms: 2_000,
+            limit_ms: 60_000,
+        }
+    }
+}
+
+/// How once-only requests are kept; the same on all boxes of a fleet.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct OnceOnlySettings {
+    /// The logs that operations are spread over.
+    pub shards: u32,
+    /// Least time between two writes of one log.
+    pub commit_every_ms: u64,
+    /// How long an operation is remembered.
+    pub retention_s: u64,
+}
+
+impl Default for OnceOnlySettings {
+    fn default() -> Self {
+        Self {
+            shards: 8,
+            commit_every_ms: 20,
+            retention_s: 24 * 3600,
+        }
+    }
+}
+
+/// How a box logs.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// The form of a line.
+    pub format: LogFormat,
+    /// What is logged, in the form `info,wingspur_entry=debug`.
+    pub filter: String,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            format: LogFormat::Human,
+            filter: "info".to_owned(),
+        }
+    }
+}
+
+/// The form of a log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// For people.
+    Human,
+    /// One JSON object a line.
+    Json,
+}
+
+impl Settings {
+    /// How long the balancer may still send callers.
+    pub fn balancer_lag(&self) -> Duration {
+        Duration::from_millis(self.drain.balancer_lag_ms)
+    }
+
+    /// How long requests in flight may take to finish.
+    pub fn drain_limit(&self) -> Duration {
+        Duration::from_millis(self.drain.limit_ms)
+    }
+}
+
+/// Why settings were refused.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("{}: cannot be read: {error}; check the path", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// The file is not JSON.
+    #[error("{file}: not JSON: {error}; mend the file at that place")]
+    NotJson {
+        /// The file.
+        file: String,
+        /// Where and why.
+        error: serde_json::Error,
+    },
+    /// Fields are wrong; a line for each.
+    #[error("{}", .0.trim_end())]
+    Findings(String),
+}
+
+/// Reads and checks a settings file.
+pub fn load_settings(path: &Path) -> Result<Settings, SettingsError> {
+    let text =
+        std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
+            path: path.to_owned(),
+            error,
+        })?;
+    parse_settings(&path.display().to_string(), &text)
+}
+
+/// Checks settings and reports all findings at once; `file` is for the messages.
+pub fn parse_settings(file: &str, text: &str) -> Result<Settings, SettingsError> {
+    let not_json = |error| SettingsError::NotJson {
+        file: file.to_owned(),
+        error,
+    };
+    let value: Value = serde_json::from_str(text).map_err(not_json)?;
+    let mut findings = String::new();
+    check_object(&mut findings, file, "", &value, FIELDS);
+    if !findings.is_empty() {
+        return Err(SettingsError::Findings(findings));
+    }
+    serde_json::from_value(value).map_err(not_json)
+}
+
+/// A field that settings may have.
+struct Field {
+    name: &'static str,
+    kind: Kind,
+    required: bool,
+}
+
+/// What a field holds.
+enum Kind {
+    Text,
+    Address,
+    /// A whole number within these bounds.
+    Number(u64, u64),
+    OneOf(&'static [&'static str]),
+    Texts,
+    Object(&'static [Field]),
+}
+
+const fn must(name: &'static str, kind: Kind) -> Field {
+    Field {
+        name,
+        kind,
+        required: true,
+    }
+}
+
+const fn may(name: &'static str, kind: Kind) -> Field {
+    Field {
+        name,
+        kind,
+        required: false,
+    }
+}
+
+const FIELDS: &[Field] = &[
+    must("box_id", Kind::Text),
+    must("data_centre", Kind::Text),
+    must("fleet", Kind::Text),
+    must("caller_address", Kind::Address),
+    must("peer_address", Kind::Address),
+    must("operator_address", Kind::Address),
+    must("store_address", Kind::Address),
+    must("box_list_address", Kind::Address),
+    must("keyring", Kind::Texts),
+    may("worker_threads", Kind::Number(1, 256)),
+    may("max_body_bytes", Kind::Number(0, u64::MAX)),
+    may("kept_body_bytes", Kind::Number(0, 16 << 20)),
+    may(
+        "drain",
+        Kind::Object(&[
+            may("balancer_lag_ms", Kind::Number(0, 600_000)),
+            may("limit_ms", Kind::Number(1, 3_600_000)),
+        ]),
+    ),
+    may(
+        "once_only",
+        Kind::Object(&[
+            may("shards", Kind::Number(1, 4096)),
+            may("commit_every_ms", Kind::Number(1, 10_000)),
+            may("retention_s", Kind::Number(60, 30 * 24 * 3600)),
+        ]),
+    ),
+    may(
+        "log",
+        Kind::Object(&[
+            may("format", Kind::OneOf(&["human", "json"])),
+            may("filter", Kind::Text),
+        ]),
+    ),
+];
+
+fn check_object(out: &mut String, file: &str, at: &str, value: &Value, fields: &[Field]) {
+    let Value::Object(object) = value else {
+        let found = shorten(value);
+        return finding(out, file, at, &found, "write a JSON object here");
+    };
+    for (name, value) in object {
+        let place = join(at, name);
+        match fields.iter().find(|field| field.name == name) {
+            Some(field) => check_value(out, file, &place, value, &field.kind),
+            None => {
+                let fix = hint_for_unknown(name, fields);
+                finding(out, file, &place, "an unknown field", &fix);
+            }
+        }
+    }
+    for field in fields {
+        if field.required && !object.contains_key(field.name) {
+            let fix = format!("add it: {}", wanted(&field.kind));
+            finding(out, file, &join(at, field.name), "missing", &fix);
+        }
+    }
+}
+
+fn check_value(out: &mut String, file: &str, at: &str, value: &Value, kind: &Kind) {
+    let fits = match kind {
+        Kind::Text => value.as_str().is_some_and(|text| !text.is_empty()),
+        Kind::Address => value
+            .as_str()
+            .is_some_and(|text| text.parse::<SocketAddr>().is_ok()),
+        Kind::Number(least, most) => value
+            .as_u64()
+            .is_some_and(|number| (*least..=*most).contains(&number)),
+        Kind::OneOf(names) => value.as_str().is_some_and(|text| names.contains(&text)),
+        Kind::Texts => {
+            let object = value.as_object();
+            object.is_some_and(|object| object.values().all(Value::is_string))
+        }
+        Kind::Object(fields) => {
+            return check_object(out, file, at, value, fields);
+        }
+    };
+    if !fits {
+        let fix = format!("write {}", wanted(kind));
+        finding(out, file, at, &shorten(value), &fix);
+    }
+}
+
+fn wanted(kind: &Kind) -> String {
+    match kind {
+        Kind::Text => "a text that is not empty".to_owned(),
+        Kind::Address => "an IP address and a port, such as \"10.0.0.1:8080\"".to_owned(),
+        Kind::Number(least, u64::MAX) => format!("a whole number from {least} up"),
+        Kind::Number(least, most) => format!("a whole number from {least} to {most}"),
+        Kind::OneOf(names) => format!("one of {}", names.join(", ")),
+        Kind::Texts => "an object of texts, such as {\"ana\": \"KEY\"}".to_owned(),
+        Kind::Object(_) => "an object".to_owned(),
+    }
+}
+
+/// A field of the right stem and the wrong unit is told so.
+fn hint_for_unknown(name: &str, fields: &[Field]) -> String {
+    let stem = |name: &str| name.rsplit_once('_').map(|(stem, _)| stem.to_owned());
+    let sibling = fields.iter().find(|field| {
+        let stems = (stem(field.name), stem(name));
+        stems.0.is_some() && stems.0 == stems.1 || stems.0.as_deref() == Some(name)
+    });
+    if let Some(field) = sibling {
+        return format!("write `{}`, in the unit that its name says", field.name);
+    }
+    let known: Vec<&str> = fields.iter().map(|field| field.name).collect();
+    format!("remove it, or use one of {}", known.join(", "))
+}
+
+fn finding(out: &mut String, file: &str, at: &str, found: &str, fix: &str) {
+    let at = if at.is_empty() { "the whole file" } else { at };
+    // Writing to a string does not fail.
+    let _ = writeln!(out, "{file}: {at}: found {found}; {fix}");
+}
+
+fn join(at: &str, name: &str) -> String {
+    if at.is_empty() {
+        name.to_owned()
+    } else {
+        format!("{at}.{name}")
+    }
+}
+
+fn shorten(value: &Value) -> String {
+    let text = value.to_string();
+    if text.chars().count() <= 40 {
+        return text;
+    }
+    text.chars().take(40).chain("...".chars()).collect()
+}
+
+fn default_worker_threads() -> usize {
+    2
+}
+
+fn default_max_body_bytes() -> u64 {
+    64 << 20
+}
+
+fn default_kept_body_bytes() -> u64 {
+    64 << 10
+}
--- /dev/null
+++ b/crates/wingspur-entry/src/shared.rs
@@ -0,0 +1,189 @@
+//! What all parts of a box share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use wingspur_coordination::{Membership, MembershipSettings, PeerView};
+use wingspur_protocol::{
+    PEER_PROTOCOL_VERSION, PeerEnvelope, PeerMessage, PeerReply, StoreKeys, encode_peer,
+};
+use wingspur_state::{AccountLimiter, BoxId};
+use wingspur_transport::{Exchange, LinkFaults, Spawner, StoreClient};
+
+use crate::Settings;
+use crate::claims::Shards;
+use crate::detection::Judges;
+use crate::in_force::InForce;
+use crate::locks::{Rank, Ranked};
+use crate::metrics::Metrics;
+
+/// What all parts of a box share.
+#[derive(Debug)]
+pub struct Shared {
+    /// The box's settings.
+    pub settings: Settings,
+    /// Starts tasks.
+    pub spawner: Spawner,
+    /// Counters and gauges.
+    pub metrics: Metrics,
+    /// Connections to peers and the box list.
+    pub peers: Exchange,
+    /// Connections to the store.
+    pub store_exchange: Arc<Exchange>,
+    /// The store.
+    pub store: StoreClient,
+    /// The store's keys of this fleet.
+    pub keys: StoreKeys,
+    /// Who lives.
+    pub membership: Ranked<Membership>,
+    /// The judges that this box holds.
+    pub judges: Ranked<Judges>,
+    /// The once-only shards that this box holds.
+    pub shards: Shards,
+    /// The buckets of caller accounts.
+    pub accounts: Ranked<AccountLimiter>,
+    /// Drawn anew at each start: the time of the start in microseconds.
+    pub incarnation: u64,
+    /// Whether the box is stopping.
+    pub leaving: AtomicBool,
+    /// Whether the box has started up.
+    pub started: AtomicBool,
+    in_force: Ranked<Option<Arc<InForce>>>,
+    sequence: AtomicU64,
+}
+
+/// The addresses that a box listens on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For other boxes.
+    pub peer: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+}
+
+impl Shared {
+    /// A box that has not started yet.
+    pub fn new(settings: Settings, spawner: Spawner, faults: &LinkFaults) -> Self {
+        let store_exchange = Arc::new(Exchange::new(spawner.clone(), faults.clone()));
+        let exchange = store_exchange.clone();
+        let store = StoreClient::new(settings.store_address, exchange, STORE_TIMEOUT);
+        let membership =
+            Membership::new(settings.box_id.clone(), MembershipSettings::default());
+        let incarnation = unix_time().as_micros() as u64;
+        Self {
+            peers: Exchange::new(spawner.clone(), faults.clone()),
+            store_exchange,
+            store,
+            keys: StoreKeys::new(&settings.fleet),
+            metrics: Metrics::new(),
+            membership: Ranked::new(Rank::Membership, membership),
+            judges: Ranked::new(Rank::Judges, Judges::default()),
+            shards: Shards::new(&settings, incarnation),
+            accounts: Ranked::new(Rank::Accounts, AccountLimiter::default()),
+            incarnation,
+            leaving: AtomicBool::new(false),
+            started: AtomicBool::new(false),
+            in_force: Ranked::new(Rank::InForce, None),
+            sequence: AtomicU64::new(0),
+            settings,
+            spawner,
+        }
+    }
+
+    /// The bundle in force.
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.in_force.lock().clone()
+    }
+
+    /// Puts a bundle in force if it is newer than what is.
+    pub fn swap_in(&self, bundle: InForce) -> bool {
+        let mut in_force = self.in_force.lock();
+        let version = bundle.manifest.version;
+        if in_force
+            .as_ref()
+            .is_some_and(|old| old.manifest.version >= version)
+        {
+            return false;
+        }
+        self.metrics.bundle_version.set(version as i64);
+        *in_force = Some(Arc::new(bundle));
+        true
+    }
+
+    /// The version in force; 0 for none.
+    pub fn bundle_version(&self) -> u64 {
+        self.in_force().map_or(0, |bundle| bundle.manifest.version)
+    }
+
+    /// Whether the box takes callers.
+    pub fn is_ready(&self) -> bool {
+        self.started.load(Ordering::Acquire)
+            && !self.leaving.load(Ordering::Acquire)
+            && self.bundle_version() > 0
+    }
+
+    /// Sends a message to a peer and returns its reply.
+    pub async fn ask(
+        &self,
+        peer: &PeerView,
+        message: PeerMessage,
+        timeout: Duration,
+    ) -> Option<PeerReply> {
+        let body = encode_peer(&self.envelope(message));
+        let reply = self
+            .peers
+            .post(peer.address, PEER_PATH, body, timeout)
+            .await;
+        match reply {
+            Ok(bytes) => {
+                self.membership.lock().answered(&peer.id, Instant::now());
+                rmp_serde::from_slice(&bytes).ok()
+            }
+            Err(error) => {
+                tracing::debug!("peer: {} did not answer: {error}.", peer.id);
+                None
+            }
+        }
+    }
+
+    /// Boxes that count as living.
+    pub fn live(&self) -> Vec<BoxId> {
+        self.membership.lock().live(Instant::now())
+    }
+
+    /// A peer by its id; none for this box itself.
+    pub fn peer(&self, id: &BoxId) -> Option<PeerView> {
+        self.membership.lock().view(id)
+    }
+
+    /// Counts a call to the store.
+    pub fn count_store_call(&self, kind: &str) {
+        self.metrics.store_calls.with_label_values(&[kind]).inc();
+    }
+
+    fn envelope(&self, message: PeerMessage) -> PeerEnvelope {
+        PeerEnvelope {
+            protocol: PEER_PROTOCOL_VERSION,
+            fleet: self.settings.fleet.clone(),
+            from: self.settings.box_id.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+            message,
+        }
+    }
+}
+
+/// The time since the Unix epoch; for retention and incarnations, never for fencing.
+pub fn unix_time() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+/// Where peers post their messages.
+pub const PEER_PATH: &str = "/peer";
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
--- /dev/null
+++ b/crates/wingspur-protocol/src/codes.rs
@@ -0,0 +1,158 @@
+//! Numbered result codes, one for each answer that wingspur makes itself.
+
+use crate::RunState;
+
+/// The result of a request that wingspur answered itself.
+///
+/// The table in `docs/RESULT_CODES.md` is checked against this enum by a test.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ResultCode {
+    /// No route has this path.
+    NoRoute,
+    /// The path is known, but not by this method.
+    MethodNotAllowed,
+    /// The request's head or body is over the limit.
+    TooLarge,
+    /// The request's framing is ambiguous.
+    BadFraming,
+    /// A once-only request has no key, or one of the wrong form.
+    BadKey,
+    /// The caller account is over its rate.
+    AccountLimit,
+    /// The concern's places and queue are full.
+    ConcernFull,
+    /// The deadline would pass, or passed, before the request was sent.
+    DeadlineBeforeSend,
+    /// No backend server may take the request now.
+    NoServer,
+    /// No backend server could be reached, or all refused before running.
+    NotSent,
+    /// The answer did not come before the deadline.
+    DeadlineInDoubt,
+    /// The connection failed after the request was sent.
+    InDoubt,
+    /// The once-only claim could not be recorded.
+    ClaimUnavailable,
+    /// The once-only request is running now.
+    InProgress,
+    /// The once-only request has run before.
+    AlreadyRun,
+    /// The once-only request may have run before.
+    OutcomeUnknown,
+    /// The key is older than what is kept.
+    KeyTooOld,
+    /// The box has no bundle yet.
+    NotReady,
+}
+
+impl ResultCode {
+    /// All codes, in the order of their numbers.
+    pub const ALL: [Self; 18] = [
+        Self::NoRoute,
+        Self::MethodNotAllowed,
+        Self::TooLarge,
+        Self::BadFraming,
+        Self::BadKey,
+        Self::AccountLimit,
+        Self::ConcernFull,
+        Self::DeadlineBeforeSend,
+        Self::NoServer,
+        Self::NotSent,
+        Self::DeadlineInDoubt,
+        Self::InDoubt,
+        Self::ClaimUnavailable,
+        Self::InProgress,
+        Self::AlreadyRun,
+        Self::OutcomeUnknown,
+        Self::KeyTooOld,
+        Self::NotReady,
+    ];
+
+    /// The number in the `wingspur-result` header.
+    pub fn number(self) -> u16 {
+        match self {
+            Self::NoRoute => 1001,
+            Self::MethodNotAllowed => 1002,
+            Self::TooLarge => 1003,
+            Self::BadFraming => 1004,
+            Self::BadKey => 1005,
+            Self::AccountLimit => 2001,
+            Self::ConcernFull => 2002,
+            Self::DeadlineBeforeSend => 2003,
+            Self::NoServer => 3001,
+            Self::NotSent => 3002,
+            Self::DeadlineInDoubt => 3003,
+            Self::InDoubt => 3004,
+            Self::ClaimUnavailable => 4001,
+            Self::InProgress => 4002,
+            Self::AlreadyRun => 4003,
+            Self::OutcomeUnknown => 4004,
+            Self::KeyTooOld => 4005,
+            Self::NotReady => 5001,
+        }
+    }
+
+    /// The HTTP status that goes with the code.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::NoRoute => 404,
+            Self::MethodNotAllowed => 405,
+            Self::TooLarge => 413,
+            Self::BadFraming | Self::BadKey => 400,
+            Self::AccountLimit => 429,
+            Self::ConcernFull | Self::NoServer | Self::ClaimUnavailable => 503,
+            Self::DeadlineBeforeSend | Self::NotReady => 503,
+            Self::NotSent | Self::InDoubt => 502,
+            Self::DeadlineInDoubt => 504,
+            Self::InProgress | Self::AlreadyRun | Self::OutcomeUnknown => 409,
+            Self::KeyTooOld => 410,
+        }
+    }
+
+    /// The short name used in metric labels and the body.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoRoute => "no_route",
+            Self::MethodNotAllowed => "method_not_allowed",
+            Self::TooLarge => "too_large",
+            Self::BadFraming => "bad_framing",
+            Self::BadKey => "bad_key",
+            Self::AccountLimit => "account_limit",
+            Self::ConcernFull => "concern_full",
+            Self::DeadlineBeforeSend => "deadline_before_send",
+            Self::NoServer => "no_server",
+            Self::NotSent => "not_sent",
+            Self::DeadlineInDoubt => "deadline_in_doubt",
+            Self::InDoubt => "in_doubt",
+            Self::ClaimUnavailable => "claim_unavailable",
+            Self::InProgress => "in_progress",
+            Self::AlreadyRun => "already_run",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::KeyTooOld => "key_too_old",
+            Self::NotReady => "not_ready",
+        }
+    }
+
+    /// What the code says about the request having run.
+    pub fn run_state(self) -> RunState {
+        match self {
+            Self::DeadlineInDoubt | Self::InDoubt => RunState::Unknown,
+            Self::InProgress | Self::OutcomeUnknown | Self::KeyTooOld => {
+                RunState::Unknown
+            }
+            Self::AlreadyRun => RunState::Ran,
+            _ => RunState::NotRun,
+        }
+    }
+
+    /// Seconds after which the caller may ask again; none where it should not.
+    pub fn retry_after_s(self) -> Option<u32> {
+        match self {
+            Self::AccountLimit | Self::ConcernFull => Some(1),
+            Self::DeadlineBeforeSend | Self::NoServer | Self::NotSent => Some(1),
+            Self::InProgress | Self::NotReady => Some(1),
+            Self::ClaimUnavailable => Some(5),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -0,0 +1,25 @@
+//! Typed messages between boxes, store records and result codes.
+
+mod answer;
+mod box_list;
+mod codes;
+mod load_report;
+mod operation;
+mod peer;
+mod signing;
+mod store;
+
+pub use answer::{RefusalBody, RunState};
+pub use box_list::{BoxList, BoxState, ListedBox, ListedServer};
+pub use codes::ResultCode;
+pub use load_report::parse_load_hint;
+pub use operation::{LogEntry, LogSegment, OperationId, OperationOutcome};
+pub use peer::{
+    BoxStatus, BundleOffer, ClaimReply, ClaimRequest, Heartbeat, OutcomeNote,
+    PEER_PROTOCOL_VERSION, PeerEnvelope, PeerError, PeerMessage, PeerReply, Suspicion,
+    decode_peer, encode_peer,
+};
+pub use signing::{Keyring, SigningError, sign_bundle, verify_bundle};
+pub use store::{
+    BundlePointer, Manifest, PartReference, SignedBundle, StoreKeys, digest_of,
+};
--- /dev/null
+++ b/crates/wingspur-state/src/history.rs
@@ -0,0 +1,184 @@
+//! What a box has learned of a service: each server's own history and the present.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::ServerIndex;
+use crate::evidence::{LEAST_ERROR_RATE, Reference};
+
+/// A server's own latency history, slow to change.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LatencyHistory {
+    answers: u32,
+    mean_ln_ms: f64,
+    variance_ln: f64,
+}
+
+impl LatencyHistory {
+    /// Takes in an answer; `ln_ms` is the logarithm of its latency.
+    pub fn learn(&mut self, ln_ms: f64) {
+        self.answers = self.answers.saturating_add(1);
+        let weight = (1.0 / f64::from(self.answers)).max(HISTORY_WEIGHT);
+        let off = ln_ms - self.mean_ln_ms;
+        self.mean_ln_ms += weight * off;
+        self.variance_ln = (1.0 - weight) * (self.variance_ln + weight * off * off);
+    }
+
+    /// Whether there is enough to judge by.
+    pub fn is_settled(&self) -> bool {
+        self.answers >= SETTLED_ANSWERS
+    }
+}
+
+/// The present of a service: what all its servers have in common.
+#[derive(Debug, Clone)]
+pub struct ServiceHistory {
+    pooled: LatencyHistory,
+    /// How far recent answers were from their servers' own histories.
+    residuals: VecDeque<(Instant, f64)>,
+    /// Recent ends: the server, and whether it was an error.
+    ends: VecDeque<(Instant, ServerIndex, bool)>,
+    tail_rate: f64,
+    shift: f64,
+    error_rate: f64,
+}
+
+impl Default for ServiceHistory {
+    fn default() -> Self {
+        Self {
+            pooled: LatencyHistory::default(),
+            residuals: VecDeque::new(),
+            ends: VecDeque::new(),
+            tail_rate: LEAST_TAIL_RATE,
+            shift: 0.0,
+            error_rate: LEAST_ERROR_RATE,
+        }
+    }
+}
+
+impl ServiceHistory {
+    /// What a server is measured against now.
+    pub fn reference(&self, own: &LatencyHistory) -> Reference {
+        let history = if own.is_settled() { own } else { &self.pooled };
+        let learned = history
+            .variance_ln
+            .sqrt()
+            .clamp(LEAST_DEVIATION, MOST_DEVIATION);
+        let settled = own.is_settled();
+        Reference {
+            mean_ln_ms: history.mean_ln_ms + self.shift,
+            deviation_ln: if settled {
+                learned
+            } else {
+                learned.max(UNSETTLED_DEVIATION)
+            },
+            error_rate: self.error_rate,
+            tail_rate: self.tail_rate,
+        }
+    }
+
+    /// Whether the service is known well enough to judge by latency at all.
+    pub fn is_settled(&self) -> bool {
+        self.pooled.is_settled()
+    }
+
+    /// Takes in an answer; `trusted` is false for a server under suspicion, whose
+    /// answers tell of the present but must not become its history.
+    pub fn learn_answer(
+        &mut self,
+        own: &mut LatencyHistory,
+        latency_ms: f64,
+        trusted: bool,
+        now: Instant,
+    ) {
+        let ln_ms = latency_ms.max(0.05).ln();
+        if own.is_settled() {
+            let residual = ln_ms - own.mean_ln_ms;
+            self.residuals.push_back((now, residual));
+            if trusted {
+                let deviation = self.reference(own).deviation_ln;
+                let beyond = (residual - self.shift) / deviation > TAIL_Z;
+                self.learn_tail(beyond);
+            }
+        }
+        if trusted {
+            own.learn(ln_ms - self.shift);
+            self.pooled.learn(ln_ms - self.shift);
+        }
+    }
+
+    /// Takes in how an attempt ended.
+    pub fn learn_end(&mut self, server: ServerIndex, error: bool, now: Instant) {
+        self.ends.push_back((now, server, error));
+        if self.ends.len() > MOST_ENDS {
+            self.ends.pop_front();
+        }
+    }
+
+    /// Forgets what is past and settles what the service shows at present.
+    pub fn refresh(&mut self, now: Instant) {
+        let past = |at: Instant| now.saturating_duration_since(at) > PRESENT;
+        while self.residuals.len() > MOST_RESIDUALS
+            || self.residuals.front().is_some_and(|(at, _)| past(*at))
+        {
+            self.residuals.pop_front();
+        }
+        while self.ends.front().is_some_and(|(at, ..)| past(*at)) {
+            self.ends.pop_front();
+        }
+        self.shift = self.present_shift();
+        self.error_rate = self.present_error_rate().max(LEAST_ERROR_RATE);
+    }
+
+    fn learn_tail(&mut self, beyond: bool) {
+        let seen = if beyond { TAIL_MARGIN } else { 0.0 };
+        let rate = self.tail_rate + TAIL_WEIGHT * (seen - self.tail_rate);
+        self.tail_rate = rate.clamp(LEAST_TAIL_RATE, MOST_TAIL_RATE);
+    }
+
+    /// The median residual: sick servers are few, a slow evening is felt by most.
+    fn present_shift(&self) -> f64 {
+        if self.residuals.len() < LEAST_RESIDUALS {
+            return 0.0;
+        }
+        let residuals = self.residuals.iter().map(|(_, residual)| *residual);
+        median(residuals.collect()).max(0.0)
+    }
+
+    /// The median over servers of their present error shares.
+    fn present_error_rate(&self) -> f64 {
+        let servers = self.ends.iter().map(|(_, server, _)| server + 1).max();
+        let mut counts = vec![(0u32, 0u32); servers.unwrap_or(0)];
+        for (_, server, error) in &self.ends {
+            counts[*server].0 += 1;
+            counts[*server].1 += u32::from(*error);
+        }
+        let seen = counts.into_iter().filter(|(ends, _)| *ends > 0);
+        let rates: Vec<f64> = seen
+            .map(|(ends, errors)| f64::from(errors) / f64::from(ends))
+            .collect();
+        if rates.len() < 2 { 0.0 } else { median(rates) }
+    }
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    let middle = values.len() / 2;
+    *values.select_nth_unstable_by(middle, f64::total_cmp).1
+}
+
+/// History weighs a new answer by this, once it has settled.
+const HISTORY_WEIGHT: f64 = 0.005;
+const SETTLED_ANSWERS: u32 = 20;
+const LEAST_DEVIATION: f64 = 0.3;
+const MOST_DEVIATION: f64 = 1.2;
+const UNSETTLED_DEVIATION: f64 = 1.0;
+/// What counts as the present.
+const PRESENT: Duration = Duration::from_secs(4);
+const MOST_RESIDUALS: usize = 48;
+const LEAST_RESIDUALS: usize = 8;
+const MOST_ENDS: usize = 256;
+const TAIL_Z: f64 = 3.0;
+const TAIL_WEIGHT: f64 = 0.002;
+const TAIL_MARGIN: f64 = 1.5;
+const LEAST_TAIL_RATE: f64 = 0.003;
+const MOST_TAIL_RATE: f64 = 0.05;
--- /dev/null
+++ b/crates/wingspur-state/src/ids.rs
@@ -0,0 +1,14 @@
+//! Type aliases for the ids that cross module borders.
+
+/// Names an entry box; unique in a fleet, reused by the box's replacement.
+pub type BoxId = String;
+/// Names a data centre, as the settings and the bundle spell it.
+pub type DataCentreId = String;
+/// The version of a bundle; only ever grows.
+pub type BundleVersion = u64;
+/// The position of a service in the bundle in force.
+pub type ServiceIndex = usize;
+/// The position of a backend server in its service.
+pub type ServerIndex = usize;
+/// Numbers an attempt within one box.
+pub type AttemptId = u64;
--- /dev/null
+++ b/crates/wingspur-state/src/retry.rs
@@ -0,0 +1,124 @@
+//! The retry policy: a table over attempt state, class, deadline and budget.
+
+use std::time::Duration;
+
+use crate::{RetryRules, RouteClass};
+
+/// How an attempt at a backend server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum AttemptEnd {
+    /// Nothing of the request left this box.
+    NotSent,
+    /// The server refused by a status declared to mean that it did not run.
+    RefusedBeforeRunning,
+    /// The request left, and no answer came: it may have run.
+    InDoubt,
+    /// A whole head came back; the answer belongs to the caller.
+    Answered,
+    /// The answer broke off midway.
+    Cut,
+}
+
+impl AttemptEnd {
+    /// Whether the request surely did not run in this attempt.
+    pub fn surely_not_run(self) -> bool {
+        matches!(self, Self::NotSent | Self::RefusedBeforeRunning)
+    }
+}
+
+/// Why a request is sent again; each reason has a counter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RetryReason {
+    /// The former attempt never left this box.
+    NotSent,
+    /// The server refused the former attempt before running it.
+    RefusedBeforeRunning,
+    /// The former attempt is in doubt and the class may repeat.
+    InDoubt,
+}
+
+impl RetryReason {
+    /// The reason as a metric label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::RefusedBeforeRunning => "refused_before_running",
+            Self::InDoubt => "in_doubt",
+        }
+    }
+}
+
+/// What follows a failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryDecision {
+    /// Send again to another server.
+    Retry(RetryReason),
+    /// Hand on what came, or give up.
+    Stop,
+}
+
+/// Decides whether a request is sent again.
+///
+/// `remaining` is the time to the deadline, `tried` the attempts made so far and
+/// `body_kept` whether the request's body can be sent a second time.
+pub fn decide_retry(
+    end: AttemptEnd,
+    class: RouteClass,
+    rules: &RetryRules,
+    remaining: Duration,
+    tried: u8,
+    body_kept: bool,
+    budget: &RetryBudget,
+) -> RetryDecision {
+    let reason = match end {
+        AttemptEnd::NotSent => RetryReason::NotSent,
+        AttemptEnd::RefusedBeforeRunning => RetryReason::RefusedBeforeRunning,
+        AttemptEnd::InDoubt if class.may_repeat() => RetryReason::InDoubt,
+        AttemptEnd::InDoubt | AttemptEnd::Answered | AttemptEnd::Cut => {
+            return RetryDecision::Stop;
+        }
+    };
+    let body_ready = body_kept || end == AttemptEnd::NotSent;
+    let within_rules = tried <= rules.retries && remaining >= LEAST_REMAINING;
+    if body_ready && within_rules && budget.allows() {
+        return RetryDecision::Retry(reason);
+    }
+    RetryDecision::Stop
+}
+
+/// Retries allowed as a share of recent successes.
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    tokens: f64,
+    per_success: f64,
+}
+
+impl RetryBudget {
+    /// Starts with a small allowance, so that a fresh box may retry at all.
+    pub fn new(budget_percent: u8) -> Self {
+        Self {
+            tokens: STARTING_TOKENS,
+            per_success: f64::from(budget_percent) / 100.0,
+        }
+    }
+
+    /// Counts a success, which earns a share of a retry.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + self.per_success).min(MOST_TOKENS);
+    }
+
+    /// Whether a retry is allowed now.
+    pub fn allows(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
+    /// Counts a retry that was made.
+    pub fn spend(&mut self) {
+        self.tokens = (self.tokens - 1.0).max(0.0);
+    }
+}
+
+/// With less time than this a retry could not be answered.
+const LEAST_REMAINING: Duration = Duration::from_millis(5);
+const STARTING_TOKENS: f64 = 10.0;
+const MOST_TOKENS: f64 = 100.0;
--- /dev/null
+++ b/crates/wingspur-state/src/service_table.rs
@@ -0,0 +1,443 @@
+//! One box's table of a service: its servers, its attempts and what they show.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+use crate::evidence::{EvidenceEntry, EvidenceReport, threshold, well_evidence};
+use crate::history::{LatencyHistory, ServiceHistory};
+use crate::judge::{Verdict, VerdictStanding};
+use crate::{
+    AttemptId, Candidate, RetryBudget, RouteClass, ServerIndex, Service, Standing, pick,
+};
+
+/// What a box knows of a service and its backend servers.
+#[derive(Debug)]
+pub struct ServiceTable {
+    service: Arc<Service>,
+    tag: u64,
+    servers: Vec<ServerEntry>,
+    attempts: HashMap<AttemptId, Attempt>,
+    next_attempt: AttemptId,
+    history: ServiceHistory,
+    budget: RetryBudget,
+    threshold: f64,
+    reported: Option<Instant>,
+    ticked: Option<Instant>,
+    verdict_expires: Option<Instant>,
+}
+
+#[derive(Debug, Clone)]
+struct ServerEntry {
+    same_data_centre: bool,
+    connection_share: u32,
+    outstanding: u32,
+    load_hint: f64,
+    leaving: bool,
+    verdict: VerdictStanding,
+    history: LatencyHistory,
+    /// This box's own cumulative sum, used when no verdict is to be had.
+    own_score: f64,
+    /// Observations in a second, smoothed.
+    rate: f64,
+    pending_observations: u32,
+    pending_excess: f64,
+    tick_observations: u32,
+    tick_excess: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Attempt {
+    server: ServerIndex,
+    /// The start, or the last progress of a long answer.
+    since: Instant,
+    /// The survival evidence that has been counted already.
+    counted: f64,
+    observed: bool,
+    /// Whether the head came: what follows is judged by progress alone.
+    streaming: bool,
+}
+
+/// How an attempt ended, as far as it tells of the server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    /// A good answer.
+    Answered,
+    /// An answer that is an error, or a connection that failed.
+    Failed,
+    /// Given up by us or the caller, or refused by a server that sheds load.
+    Abandoned,
+}
+
+impl ServiceTable {
+    /// A fresh table for a box in `home`, one of `boxes` that share the servers.
+    pub fn new(service: Arc<Service>, tag: u64, home: &str, boxes: u32) -> Self {
+        let entry = |server: &crate::BackendServer| ServerEntry {
+            same_data_centre: server.data_centre == home,
+            connection_share: (server.connections / boxes.max(1)).max(1),
+            outstanding: 0,
+            load_hint: 0.0,
+            leaving: false,
+            verdict: VerdictStanding::In,
+            history: LatencyHistory::default(),
+            own_score: 0.0,
+            rate: 0.0,
+            pending_observations: 0,
+            pending_excess: 0.0,
+            tick_observations: 0,
+            tick_excess: 0.0,
+        };
+        let knob = service.detection.false_ejections_per_server_day;
+        Self {
+            tag,
+            servers: service.servers.iter().map(entry).collect(),
+            attempts: HashMap::new(),
+            next_attempt: 1,
+            history: ServiceHistory::default(),
+            budget: RetryBudget::new(service.retry.budget_percent),
+            threshold: threshold(knob),
+            reported: None,
+            ticked: None,
+            verdict_expires: None,
+            service,
+        }
+    }
+
+    /// Takes over what a table of an older bundle learned of the same servers.
+    pub fn inherit(&mut self, older: &Self) {
+        for (index, server) in self.service.servers.iter().enumerate() {
+            let same = |old: &crate::BackendServer| old.address == server.address;
+            let Some(old) = older.service.servers.iter().position(same) else {
+                continue;
+            };
+            let kept = &older.servers[old];
+            let entry = &mut self.servers[index];
+            entry.history = kept.history;
+            entry.verdict = kept.verdict;
+            entry.own_score = kept.own_score;
+            entry.rate = kept.rate;
+            entry.leaving = kept.leaving;
+        }
+        self.history = older.history.clone();
+        self.verdict_expires = older.verdict_expires;
+    }
+
+    /// The service as the bundle declares it.
+    pub fn service(&self) -> &Arc<Service> {
+        &self.service
+    }
+
+    /// Stands for the service and its exact list of servers in evidence.
+    pub fn tag(&self) -> u64 {
+        self.tag
+    }
+
+    /// The retry budget.
+    pub fn budget(&mut self) -> &mut RetryBudget {
+        &mut self.budget
+    }
+
+    /// Picks a server for a request, none of those in `tried` if another will do.
+    pub fn pick(
+        &self,
+        class: RouteClass,
+        tried: &[ServerIndex],
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<ServerIndex> {
+        let all: Vec<Candidate> = (0..self.servers.len())
+            .map(|server| self.candidate(server, now))
+            .collect();
+        let fresh = all
+            .iter()
+            .filter(|candidate| !tried.contains(&candidate.server));
+        let fresh: Vec<Candidate> = fresh.copied().collect();
+        let safe = class.may_repeat();
+        pick(&fresh, safe, random).or_else(|| pick(&all, safe, random))
+    }
+
+    /// Counts an attempt at a server as begun.
+    pub fn begin(&mut self, server: ServerIndex, now: Instant) -> AttemptId {
+        let id = self.next_attempt;
+        self.next_attempt += 1;
+        self.servers[server].outstanding += 1;
+        let attempt = Attempt {
+            server,
+            since: now,
+            counted: 0.0,
+            observed: false,
+            streaming: false,
+        };
+        self.attempts.insert(id, attempt);
+        id
+    }
+
+    /// Weighs the arrival of an answer's head; its body is judged by its progress.
+    pub fn head(&mut self, id: AttemptId, outcome: AttemptOutcome, now: Instant) {
+        let Some(mut attempt) = self.attempts.remove(&id) else {
+            return;
+        };
+        self.weigh_end(&attempt, outcome, now);
+        attempt.streaming = true;
+        attempt.since = now;
+        attempt.counted = 0.0;
+        attempt.observed = true;
+        self.attempts.insert(id, attempt);
+    }
+
+    /// Notes that bytes of an answer came.
+    pub fn progress(&mut self, id: AttemptId, now: Instant) {
+        if let Some(attempt) = self.attempts.get_mut(&id) {
+            attempt.since = now;
+            attempt.counted = 0.0;
+        }
+    }
+
+    /// Counts an attempt as ended.
+    pub fn finish(&mut self, id: AttemptId, outcome: AttemptOutcome, now: Instant) {
+        let Some(attempt) = self.attempts.remove(&id) else {
+            return;
+        };
+        let entry = &mut self.servers[attempt.server];
+        entry.outstanding = entry.outstanding.saturating_sub(1);
+        if !attempt.streaming {
+            self.weigh_end(&attempt, outcome, now);
+            return;
+        }
+        if outcome == AttemptOutcome::Failed {
+            self.weigh_end(&attempt, outcome, now);
+        }
+    }
+
+    /// Takes in a server's load report, 0 (idle) to 1 (full): a hint only.
+    pub fn set_load_hint(&mut self, server: ServerIndex, hint: f64) {
+        let old = &mut self.servers[server].load_hint;
+        *old += LOAD_HINT_WEIGHT * (hint - *old);
+    }
+
+    /// Notes that a server leaves, or is back; a leaving one gets nothing new.
+    pub fn set_leaving(&mut self, server: ServerIndex, leaving: bool) {
+        self.servers[server].leaving = leaving;
+    }
+
+    /// Whether the server is known to be leaving.
+    pub fn is_leaving(&self, server: ServerIndex) -> bool {
+        self.servers[server].leaving
+    }
+
+    /// Weighs the age of work that has not come back, and reports what was seen.
+    ///
+    /// Call it each `TICK`. A report comes at once when there is something to tell,
+    /// and else each `REPORT_EVERY`, which also keeps verdicts fresh.
+    pub fn tick(&mut self, now: Instant) -> Option<EvidenceReport> {
+        self.history.refresh(now);
+        self.weigh_ages(now);
+        let passed = self.ticked.map_or(0.0, |last| seconds(now, last));
+        self.ticked = Some(now);
+        for entry in &mut self.servers {
+            entry.settle_tick(passed, self.threshold);
+        }
+        let last = *self.reported.get_or_insert(now);
+        let since = now.saturating_duration_since(last);
+        let telling = self
+            .servers
+            .iter()
+            .any(|entry| entry.pending_excess >= TELLING_EXCESS);
+        if since >= REPORT_EVERY || (telling && since >= REPORT_SOONEST) {
+            self.reported = Some(now);
+            return Some(self.take_report(since));
+        }
+        None
+    }
+
+    /// Puts the judge's verdict in force until it expires.
+    pub fn apply(&mut self, verdict: &Verdict, now: Instant) {
+        if verdict.service_tag != self.tag {
+            return;
+        }
+        for entry in &mut self.servers {
+            entry.verdict = VerdictStanding::In;
+        }
+        for (server, standing) in &verdict.standings {
+            if let Some(entry) = self.servers.get_mut(usize::from(*server)) {
+                entry.verdict = *standing;
+            }
+        }
+        self.verdict_expires = Some(now + VERDICT_TTL);
+    }
+
+    /// How a server stands with this box now.
+    pub fn standing(&self, server: ServerIndex, now: Instant) -> Standing {
+        let entry = &self.servers[server];
+        if entry.leaving {
+            return Standing::Out;
+        }
+        let fresh = self.verdict_expires.is_some_and(|expires| now < expires);
+        let own = if entry.own_score >= self.threshold {
+            Standing::Avoided
+        } else {
+            Standing::In
+        };
+        if !fresh {
+            // Without a judge nobody may take capacity away: suspects are used last.
+            return match entry.verdict {
+                VerdictStanding::In => own,
+                _ => Standing::Avoided,
+            };
+        }
+        match entry.verdict {
+            VerdictStanding::In => own,
+            VerdictStanding::Trial(share) => Standing::Trial(f64::from(share)),
+            VerdictStanding::Avoided => Standing::Avoided,
+            VerdictStanding::Out => Standing::Out,
+        }
+    }
+
+    /// Attempts that are out now.
+    pub fn outstanding(&self) -> usize {
+        self.attempts.len()
+    }
+
+    fn candidate(&self, server: ServerIndex, now: Instant) -> Candidate {
+        let entry = &self.servers[server];
+        let full = entry.outstanding >= entry.connection_share;
+        Candidate {
+            server,
+            slots: self.service.servers[server].slots,
+            outstanding: entry.outstanding,
+            load_hint: entry.load_hint,
+            same_data_centre: entry.same_data_centre,
+            standing: if full {
+                Standing::Out
+            } else {
+                self.standing(server, now)
+            },
+        }
+    }
+
+    fn weigh_ages(&mut self, now: Instant) {
+        if !self.history.is_settled() {
+            return;
+        }
+        for attempt in self.attempts.values_mut() {
+            let entry = &mut self.servers[attempt.server];
+            let reference = self.history.reference(&entry.history);
+            let age_ms = seconds(now, attempt.since) * 1000.0;
+            let evidence = reference.survival(age_ms);
+            if evidence - attempt.counted < LEAST_STEP {
+                continue;
+            }
+            if !attempt.observed {
+                attempt.observed = true;
+                entry.observe(0.0);
+            }
+            entry.add_excess(evidence - attempt.counted);
+            attempt.counted = evidence;
+        }
+    }
+
+    fn weigh_end(&mut self, attempt: &Attempt, outcome: AttemptOutcome, now: Instant) {
+        let entry = &mut self.servers[attempt.server];
+        let trusted = entry.is_trusted();
+        let latency_ms = seconds(now, attempt.since) * 1000.0;
+        let settled = self.history.is_settled();
+        let reference = self.history.reference(&entry.history);
+        let evidence = match outcome {
+            AttemptOutcome::Abandoned => return,
+            AttemptOutcome::Failed => reference.error(),
+            AttemptOutcome::Answered if settled => reference.answer(latency_ms),
+            AttemptOutcome::Answered => well_evidence(),
+        };
+        // What its age has told already is not told twice; nor is it taken back, for
+        // the judge's own drift stands for what well answers take back.
+        let excess = (evidence - well_evidence() - attempt.counted).max(0.0);
+        if !attempt.observed {
+            entry.observe(0.0);
+        }
+        entry.add_excess(excess);
+        let failed = outcome == AttemptOutcome::Failed;
+        if !failed {
+            self.history
+                .learn_answer(&mut entry.history, latency_ms, trusted, now);
+        }
+        self.history.learn_end(attempt.server, failed, now);
+    }
+
+    fn take_report(&mut self, span: Duration) -> EvidenceReport {
+        let mut entries = Vec::new();
+        for (server, entry) in self.servers.iter_mut().enumerate() {
+            if entry.pending_observations == 0 && entry.pending_excess <= 0.0 {
+                continue;
+            }
+            let observations = entry.pending_observations.min(u32::from(u16::MAX));
+            entries.push(EvidenceEntry {
+                server: server as u16,
+                observations: observations as u16,
+                excess: entry.pending_excess as f32,
+            });
+            entry.pending_observations = 0;
+            entry.pending_excess = 0.0;
+        }
+        let span_ms = span.as_millis().min(u128::from(u32::MAX)) as u32;
+        EvidenceReport {
+            service_tag: self.tag,
+            span_ms,
+            entries,
+        }
+    }
+}
+
+impl ServerEntry {
+    fn observe(&mut self, excess: f64) {
+        self.pending_observations += 1;
+        self.tick_observations += 1;
+        self.add_excess(excess);
+    }
+
+    fn add_excess(&mut self, excess: f64) {
+        self.pending_excess += excess;
+        self.tick_excess += excess;
+    }
+
+    /// One step of this box's own cumulative sum.
+    fn settle_tick(&mut self, passed_s: f64, threshold: f64) {
+        if passed_s > 0.0 {
+            let seen = f64::from(self.tick_observations) / passed_s;
+            let weight = (passed_s / RATE_WINDOW_S).min(1.0);
+            self.rate += weight * (seen - self.rate);
+        }
+        let drift = well_evidence() * (self.rate * passed_s).max(LEAST_DRIFT * passed_s);
+        let step = self.tick_excess.min(threshold / STEPS_TO_CROSS);
+        self.own_score = (self.own_score + drift + step).clamp(0.0, 2.0 * threshold);
+        self.tick_observations = 0;
+        self.tick_excess = 0.0;
+    }
+
+    fn is_trusted(&self) -> bool {
+        self.own_score < TRUSTED_SCORE && self.verdict == VerdictStanding::In
+    }
+}
+
+fn seconds(now: Instant, since: Instant) -> f64 {
+    now.saturating_duration_since(since).as_secs_f64()
+}
+
+/// How often `ServiceTable::tick` wants to be called.
+pub const TICK: Duration = Duration::from_millis(50);
+/// A verdict is in force for so long unless it is renewed.
+pub const VERDICT_TTL: Duration = Duration::from_secs(3);
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+const REPORT_SOONEST: Duration = Duration::from_millis(50);
+/// Evidence worth a report of its own.
+const TELLING_EXCESS: f64 = 1.0;
+/// Smaller steps of an attempt's evidence wait for the next tick.
+const LEAST_STEP: f64 = 0.25;
+const RATE_WINDOW_S: f64 = 2.0;
+/// A suspect without work is forgiven at this pace, in observations a second.
+const LEAST_DRIFT: f64 = 0.2;
+/// One moment alone never crosses the threshold.
+const STEPS_TO_CROSS: f64 = 3.0;
+const TRUSTED_SCORE: f64 = 3.0;
+const LOAD_HINT_WEIGHT: f64 = 0.3;
--- /dev/null
+++ b/crates/wingspur-transport/src/exchange.rs
@@ -0,0 +1,231 @@
+//! One request and its whole reply, over connections kept for the next one.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Bytes;
+use hyper::client::conn::http1::SendRequest;
+use hyper::{Request, Response, StatusCode};
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+use crate::{LinkFault, LinkFaults, Spawner};
+
+/// Exchanges small messages with the store, the box list and peers.
+#[derive(Debug)]
+pub struct Exchange {
+    spawner: Spawner,
+    faults: LinkFaults,
+    idle: Mutex<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>,
+    sent_bytes: AtomicU64,
+    received_bytes: AtomicU64,
+    calls: AtomicU64,
+}
+
+/// Why an exchange failed.
+#[derive(Debug, thiserror::Error)]
+pub enum ExchangeError {
+    /// No reply within the time given: the request may have taken effect.
+    #[error("no reply in time")]
+    Timeout,
+    /// The connection could not be opened: nothing was sent.
+    #[error("cannot connect: {0}")]
+    Connect(#[from] std::io::Error),
+    /// The connection failed: the request may have taken effect.
+    #[error("the exchange failed: {0}")]
+    Http(#[from] hyper::Error),
+    /// The reply is longer than allowed, or broke off.
+    #[error("the reply broke off or is over the limit")]
+    Reply,
+    /// The receiver answered with an error status.
+    #[error("status {0}")]
+    Status(StatusCode),
+}
+
+impl Exchange {
+    /// Starts with no connections.
+    pub fn new(spawner: Spawner, faults: LinkFaults) -> Self {
+        Self {
+            spawner,
+            faults,
+            idle: Mutex::default(),
+            sent_bytes: AtomicU64::new(0),
+            received_bytes: AtomicU64::new(0),
+            calls: AtomicU64::new(0),
+        }
+    }
+
+    /// Posts a body and returns the reply's, within `timeout`.
+    pub async fn post(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Bytes, ExchangeError> {
+        let request = Request::post(path).header("host", to.to_string());
+        let request = request.body(Full::new(Bytes::from(body)));
+        self.call(to, request.expect("the path is a constant"), timeout)
+            .await
+    }
+
+    /// Gets a document, within `timeout`.
+    pub async fn get(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Bytes, ExchangeError> {
+        let request = Request::get(path).header("host", to.to_string());
+        let request = request.body(Full::new(Bytes::new()));
+        self.call(to, request.expect("the path is a constant"), timeout)
+            .await
+    }
+
+    /// Opens a stream of replies, such as a watch; its connection is not reused.
+    pub async fn open_stream(
+        &self,
+        to: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Response<hyper::body::Incoming>, ExchangeError> {
+        let opening = async {
+            self.apply_request_fault(to).await;
+            let mut sender = self.connect(to).await?;
+            let request = Request::post(path).header("host", to.to_string());
+            let request = request.body(Full::new(Bytes::from(body)));
+            self.calls.fetch_add(1, Ordering::Relaxed);
+            let response = sender
+                .send_request(request.expect("the path is a constant"))
+                .await?;
+            if !response.status().is_success() {
+                return Err(ExchangeError::Status(response.status()));
+            }
+            Ok(response)
+        };
+        opening.or(expire(timeout)).await
+    }
+
+    /// Calls made, bytes of bodies sent and received, since the start.
+    pub fn totals(&self) -> (u64, u64, u64) {
+        (
+            self.calls.load(Ordering::Relaxed),
+            self.sent_bytes.load(Ordering::Relaxed),
+            self.received_bytes.load(Ordering::Relaxed),
+        )
+    }
+
+    async fn call(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Bytes, ExchangeError> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        self.call_in_time(to, request).or(expire(timeout)).await
+    }
+
+    async fn call_in_time(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Bytes, ExchangeError> {
+        let fault = self.apply_request_fault(to).await;
+        let sent = request.body().size_hint_bytes();
+        let mut sender = match self.take_idle(to) {
+            Some(sender) => sender,
+            None => self.connect(to).await?,
+        };
+        self.sent_bytes.fetch_add(sent, Ordering::Relaxed);
+        let response = sender.send_request(request).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MOST_REPLY_BYTES);
+        let body = body
+            .collect()
+            .await
+            .map_err(|_| ExchangeError::Reply)?
+            .to_bytes();
+        self.received_bytes
+            .fetch_add(body.len() as u64, Ordering::Relaxed);
+        if fault == LinkFault::DropReply {
+            futures_lite::future::pending::<()>().await;
+        }
+        self.keep_idle(to, sender);
+        if !status.is_success() {
+            return Err(ExchangeError::Status(status));
+        }
+        Ok(body)
+    }
+
+    async fn apply_request_fault(&self, to: SocketAddr) -> LinkFault {
+        let fault = self.faults.toward(to);
+        match fault {
+            LinkFault::DropRequest => futures_lite::future::pending::<()>().await,
+            LinkFault::Delay(time) => {
+                smol::Timer::after(time).await;
+            }
+            LinkFault::None | LinkFault::DropReply => {}
+        }
+        fault
+    }
+
+    async fn connect(
+        &self,
+        to: SocketAddr,
+    ) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
+        let stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        let io = FuturesIo::new(stream);
+        let (sender, connection) = hyper::client::conn::http1::handshake(io).await?;
+        self.spawner.detach(async move {
+            // A failed connection shows as an error of its request.
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
+    fn take_idle(&self, to: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+        let mut idle = self.idle.lock().expect("no holder panics");
+        let senders = idle.get_mut(&to)?;
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn keep_idle(&self, to: SocketAddr, sender: SendRequest<Full<Bytes>>) {
+        let mut idle = self.idle.lock().expect("no holder panics");
+        let senders = idle.entry(to).or_default();
+        if senders.len() < MOST_IDLE {
+            senders.push(sender);
+        }
+    }
+}
+
+trait SizeHintBytes {
+    fn size_hint_bytes(&self) -> u64;
+}
+
+impl SizeHintBytes for Full<Bytes> {
+    fn size_hint_bytes(&self) -> u64 {
+        hyper::body::Body::size_hint(self).exact().unwrap_or(0)
+    }
+}
+
+async fn expire<T>(timeout: Duration) -> Result<T, ExchangeError> {
+    smol::Timer::after(timeout).await;
+    Err(ExchangeError::Timeout)
+}
+
+/// Replies are at most a few values of a megabyte, in base64.
+const MOST_REPLY_BYTES: usize = 64 << 20;
+/// Connections kept to one receiver.
+const MOST_IDLE: usize = 4;
--- /dev/null
+++ b/crates/wingspur-transport/src/lib.rs
@@ -0,0 +1,24 @@
+//! Sockets: listeners, backend connections, the store client and the peer client.
+
+mod body;
+mod exchange;
+mod faults;
+mod listener;
+mod pool;
+mod publish;
+mod store;
+mod workers;
+
+pub use body::{BodyError, SendBody};
+pub use exchange::{Exchange, ExchangeError};
+pub use faults::{LinkFault, LinkFaults};
+pub use listener::{HttpListener, ListenerCounts, ListenerOptions};
+pub use pool::{BackendPool, Lease, SendFailure};
+pub use publish::{
+    PublishError, Published, accept_bundle, assemble, load_bundle, load_pointer,
+    submit_bundle,
+};
+pub use store::{
+    KeyValue, RangeResult, StoreClient, StoreError, WatchStream, WriteOutcome,
+};
+pub use workers::{Spawner, StopSignal, StopTrigger, Workers, stop_pair};
--- /dev/null
+++ b/crates/wingspur-transport/src/listener.rs
@@ -0,0 +1,251 @@
+//! An HTTP listener with a stop that cuts nothing.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
+
+use crate::{Spawner, StopSignal, StopTrigger, stop_pair};
+
+/// Accepts connections and serves HTTP/1.1 and HTTP/2 on them.
+#[derive(Debug)]
+pub struct HttpListener {
+    address: SocketAddr,
+    stop: StopTrigger,
+    accepting: smol::Task<()>,
+    counts: Arc<ListenerCounts>,
+}
+
+/// What a listener holds open.
+#[derive(Debug, Default)]
+pub struct ListenerCounts {
+    /// Connections open now.
+    pub connections: AtomicUsize,
+    /// Requests being answered now.
+    pub requests: AtomicUsize,
+}
+
+/// How a listener treats its connections.
+#[derive(Debug, Clone, Copy)]
+pub struct ListenerOptions {
+    /// How long a request's head may take to arrive.
+    pub head_timeout: Duration,
+    /// The largest head, in bytes.
+    pub max_head_bytes: usize,
+}
+
+impl Default for ListenerOptions {
+    fn default() -> Self {
+        Self {
+            head_timeout: Duration::from_secs(30),
+            max_head_bytes: 64 << 10,
+        }
+    }
+}
+
+impl HttpListener {
+    /// Starts to serve on a bound socket.
+    pub fn start<H, F, B>(
+        listener: TcpListener,
+        spawner: &Spawner,
+        options: ListenerOptions,
+        handler: H,
+    ) -> std::io::Result<Self>
+    where
+        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let address = listener.local_addr()?;
+        let (stop, signal) = stop_pair();
+        let counts = Arc::new(ListenerCounts::default());
+        let server = Server {
+            spawner: spawner.clone(),
+            options,
+            handler,
+            signal,
+            counts: counts.clone(),
+        };
+        let accepting = spawner.spawn(server.accept(listener));
+        Ok(Self {
+            address,
+            stop,
+            accepting,
+            counts,
+        })
+    }
+
+    /// The address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, lets requests in flight finish, and returns how many were
+    /// still unfinished after `limit`.
+    pub async fn close(self, limit: Duration) -> usize {
+        self.stop.close();
+        self.accepting.await;
+        let end = Instant::now() + limit;
+        while self.counts.connections.load(Ordering::Acquire) > 0 {
+            if Instant::now() >= end {
+                break;
+            }
+            smol::Timer::after(DRAIN_POLL).await;
+        }
+        self.counts.requests.load(Ordering::Acquire)
+    }
+
+    /// What the listener holds open.
+    pub fn counts(&self) -> &ListenerCounts {
+        &self.counts
+    }
+}
+
+/// What each accepted connection needs.
+#[derive(Clone)]
+struct Server<H> {
+    spawner: Spawner,
+    options: ListenerOptions,
+    handler: H,
+    signal: StopSignal,
+    counts: Arc<ListenerCounts>,
+}
+
+impl<H, F, B> Server<H>
+where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            match self.until_stop(listener.accept()).await {
+                None => return,
+                Some(Ok((stream, from))) => self.clone().spawn_connection(stream, from),
+                Some(Err(error)) => {
+                    tracing::warn!("listen: cannot accept: {error}.");
+                    smol::Timer::after(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn spawn_connection(self, stream: TcpStream, from: SocketAddr) {
+        self.counts.connections.fetch_add(1, Ordering::AcqRel);
+        let spawner = self.spawner.clone();
+        spawner.detach(async move {
+            let counts = self.counts.clone();
+            let _open = CountGuard(&counts.connections);
+            if let Err(error) = self.serve(stream, from).await {
+                tracing::debug!("listen: connection from {from} ended: {error}.");
+            }
+        });
+    }
+
+    async fn serve(
+        &self,
+        stream: TcpStream,
+        from: SocketAddr,
+    ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+        stream.set_nodelay(true)?;
+        let Some(speaks_http2) = self.until_stop(speaks_http2(&stream)).await else {
+            return Ok(());
+        };
+        let speaks_http2 = speaks_http2?;
+        let service = service_fn(|request| {
+            let handler = self.handler.clone();
+            async move {
+                self.counts.requests.fetch_add(1, Ordering::AcqRel);
+                let _running = CountGuard(&self.counts.requests);
+                Ok::<_, Infallible>(handler(request, from).await)
+            }
+        });
+        let io = FuturesIo::new(stream);
+        if speaks_http2 {
+            let executor = SmolExecutor::new(self.spawner.clone());
+            return self.serve_http2(io, executor, from).await;
+        }
+        let mut builder = hyper::server::conn::http1::Builder::new();
+        builder.timer(SmolTimer::new());
+        builder.header_read_timeout(self.options.head_timeout);
+        builder.max_buf_size(self.options.max_head_bytes.max(8 << 10));
+        let mut connection = pin!(builder.serve_connection(io, service));
+        match self.until_stop(connection.as_mut()).await {
+            Some(ended) => Ok(ended?),
+            None => {
+                connection.as_mut().graceful_shutdown();
+                Ok(connection.await?)
+            }
+        }
+    }
+
+    /// Waits for the future, or gives none when the listener stops first.
+    async fn until_stop<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let ended = async { Some(future.await) };
+        let stopped = async {
+            self.signal.wait().await;
+            None
+        };
+        ended.or(stopped).await
+    }
+
+    async fn serve_http2(
+        &self,
+        io: FuturesIo<TcpStream>,
+        executor: SmolExecutor<Spawner>,
+        from: SocketAddr,
+    ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
+        let (handler, counts) = (self.handler.clone(), self.counts.clone());
+        let service = service_fn(move |request| {
+            let (handler, counts) = (handler.clone(), counts.clone());
+            async move {
+                counts.requests.fetch_add(1, Ordering::AcqRel);
+                let _running = CountGuard(&counts.requests);
+                Ok::<_, Infallible>(handler(request, from).await)
+            }
+        });
+        let mut builder = hyper::server::conn::http2::Builder::new(executor);
+        builder.timer(SmolTimer::new());
+        builder.max_header_list_size(self.options.max_head_bytes as u32);
+        let mut connection = pin!(builder.serve_connection(io, service));
+        match self.until_stop(connection.as_mut()).await {
+            Some(ended) => Ok(ended?),
+            None => {
+                connection.as_mut().graceful_shutdown();
+                Ok(connection.await?)
+            }
+        }
+    }
+}
+
+/// HTTP/2 by prior knowledge begins with a preface that HTTP/1.1 cannot.
+async fn speaks_http2(stream: &TcpStream) -> std::io::Result<bool> {
+    let mut start = [0; HTTP2_PREFACE.len()];
+    let length = stream.peek(&mut start).await?;
+    Ok(length > 0 && start[..length] == HTTP2_PREFACE[..length])
+}
+
+/// Takes one off a count when it goes out of scope.
+struct CountGuard<'a>(&'a AtomicUsize);
+
+impl Drop for CountGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+const HTTP2_PREFACE: &[u8] = b"PRI ";
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+const DRAIN_POLL: Duration = Duration::from_millis(5);
--- /dev/null
+++ b/crates/wingspur/src/bundle.rs
@@ -0,0 +1,93 @@
+//! `wingspur bundle`: check, sign and submit.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use wingspur_protocol::{SignedBundle, StoreKeys, sign_bundle};
+use wingspur_state::{Bundle, Finding, Service, check_bundle};
+use wingspur_transport::submit_bundle;
+
+use crate::CommandResult;
+use crate::args::{CheckArgs, SignArgs, SubmitArgs};
+use crate::keys::read_key;
+use crate::report::{Failure, print_json, read_json, write_new};
+use crate::rollout::with_store;
+
+/// A signed bundle as a file: what was signed, and the services.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SignedFile {
+    /// The signed manifest.
+    pub signed: SignedBundle,
+    /// The fleet, for the store's keys.
+    pub fleet: String,
+    /// The services, whose bytes the manifest names by digest.
+    pub services: Vec<Service>,
+}
+
+/// Checks a bundle and prints all findings.
+pub fn check(args: &CheckArgs) -> CommandResult {
+    let bundle: Bundle = read_json(&args.bundle)?;
+    let findings = check_bundle(&bundle);
+    if args.json {
+        let rows: Vec<BTreeMap<&str, &str>> = findings.iter().map(row).collect();
+        print_json(&rows)?;
+    }
+    if findings.is_empty() {
+        if !args.json {
+            println!("The bundle is sound.");
+        }
+        return Ok(());
+    }
+    Err(wrong(&args.bundle, &findings))
+}
+
+/// Signs a bundle that is sound.
+pub fn sign(args: &SignArgs) -> CommandResult {
+    let bundle: Bundle = read_json(&args.bundle)?;
+    let findings = check_bundle(&bundle);
+    if !findings.is_empty() {
+        return Err(wrong(&args.bundle, &findings));
+    }
+    let key = read_key(&args.key)?;
+    let (signed, _) =
+        sign_bundle(&bundle, &args.signer, &key).map_err(Failure::failed)?;
+    let file = SignedFile {
+        signed,
+        fleet: bundle.fleet.clone(),
+        services: bundle.services,
+    };
+    let text = serde_json::to_string(&file).map_err(Failure::failed)?;
+    write_new(&args.out, &text)?;
+    println!("Version {} is signed by {}.", bundle.version, args.signer);
+    Ok(())
+}
+
+/// Puts a signed bundle into the store.
+pub fn submit(args: &SubmitArgs) -> CommandResult {
+    let file: SignedFile = read_json(&args.signed)?;
+    let parts = file.services.iter().map(serde_json::to_vec);
+    let parts: Vec<Vec<u8>> = parts.collect::<Result<_, _>>().map_err(Failure::failed)?;
+    let keys = StoreKeys::new(&file.fleet);
+    let digest = with_store(args.store, async |store| {
+        submit_bundle(&store, &keys, &file.signed, &parts).await
+    });
+    println!("Submitted as {}.", digest.map_err(Failure::failed)?);
+    Ok(())
+}
+
+fn row(finding: &Finding) -> BTreeMap<&str, &str> {
+    BTreeMap::from([
+        ("field", finding.field.as_str()),
+        ("found", finding.found.as_str()),
+        ("fix", finding.fix.as_str()),
+    ])
+}
+
+fn wrong(path: &std::path::Path, findings: &[Finding]) -> Failure {
+    let lines: Vec<String> = findings
+        .iter()
+        .map(|finding| format!("{}: {finding}", path.display()))
+        .collect();
+    Failure::WrongInput(lines.join("\n"))
+}
--- /dev/null
+++ b/crates/wingspur/src/keys.rs
@@ -0,0 +1,44 @@
+//! `wingspur keys`: signing keys of persons.
+
+use std::path::Path;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use ed25519_dalek::SigningKey;
+
+use crate::CommandResult;
+use crate::args::{NewKeyArgs, ShowKeyArgs};
+use crate::report::{Failure, write_new};
+
+/// Makes a secret key and shows its public half.
+pub fn new(args: &NewKeyArgs) -> CommandResult {
+    let key = SigningKey::from_bytes(&rand::random());
+    write_new(&args.key, &format!("{}\n", STANDARD.encode(key.to_bytes())))?;
+    println!("{}", public(&key));
+    Ok(())
+}
+
+/// Shows the public half of a secret key.
+pub fn show(args: &ShowKeyArgs) -> CommandResult {
+    println!("{}", public(&read_key(&args.key)?));
+    Ok(())
+}
+
+/// Reads a secret key.
+pub fn read_key(path: &Path) -> Result<SigningKey, Failure> {
+    let wrong = |what: &str| {
+        Failure::WrongInput(format!(
+            "{}: {what}; make one by `keys new`",
+            path.display()
+        ))
+    };
+    let text = std::fs::read_to_string(path).map_err(|e| wrong(&e.to_string()))?;
+    let bytes = STANDARD.decode(text.trim()).ok();
+    let bytes = bytes.and_then(|bytes| <[u8; 32]>::try_from(bytes).ok());
+    let bytes = bytes.ok_or_else(|| wrong("not a secret key"))?;
+    Ok(SigningKey::from_bytes(&bytes))
+}
+
+fn public(key: &SigningKey) -> String {
+    STANDARD.encode(key.verifying_key().to_bytes())
+}
--- /dev/null
+++ b/crates/wingspur/src/report.rs
@@ -0,0 +1,65 @@
+//! Failures of commands, with their exit codes, and small helpers for files.
+
+use std::fmt::Display;
+use std::path::Path;
+use std::process::ExitCode;
+
+use serde::de::DeserializeOwned;
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// It could not be done now.
+    #[error("{0}")]
+    Failed(String),
+    /// The input is wrong.
+    #[error("{0}")]
+    WrongInput(String),
+    /// Another bundle was accepted first.
+    #[error("{0}")]
+    Overtaken(String),
+}
+
+impl Failure {
+    /// A failure of something that may go better another time.
+    pub fn failed(error: impl Display) -> Self {
+        Self::Failed(error.to_string())
+    }
+
+    /// The exit code, as `--help` states them.
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Failed(_) => ExitCode::from(1),
+            Self::WrongInput(_) => ExitCode::from(2),
+            Self::Overtaken(_) => ExitCode::from(3),
+        }
+    }
+}
+
+/// Reads a JSON file; the message names the file and the place.
+pub fn read_json<T: DeserializeOwned>(path: &Path) -> Result<T, Failure> {
+    let shown = path.display();
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        Failure::WrongInput(format!("{shown}: cannot be read: {error}; check the path"))
+    })?;
+    serde_json::from_str(&text).map_err(|error| {
+        Failure::WrongInput(format!("{shown}: {error}; mend the file at that place"))
+    })
+}
+
+/// Writes a file that must not exist yet.
+pub fn write_new(path: &Path, text: &str) -> Result<(), Failure> {
+    use std::io::Write;
+    let shown = path.display();
+    let file = std::fs::File::create_new(path).map_err(|error| {
+        Failure::WrongInput(format!("{shown}: {error}; choose another file"))
+    });
+    file?.write_all(text.as_bytes()).map_err(Failure::failed)
+}
+
+/// Prints a value as JSON.
+pub fn print_json(value: &impl serde::Serialize) -> Result<(), Failure> {
+    let text = serde_json::to_string_pretty(value).map_err(Failure::failed)?;
+    println!("{text}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/wingspur/src/rollout.rs
@@ -0,0 +1,175 @@
+//! `wingspur rollout`: acceptance of a bundle, and how far it has come.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+use wingspur_protocol::{
+    BoxList, BoxStatus, ListedBox, PEER_PROTOCOL_VERSION, PeerEnvelope, PeerMessage,
+    PeerReply, StoreKeys, encode_peer,
+};
+use wingspur_transport::{
+    Exchange, LinkFaults, Published, StoreClient, Workers, accept_bundle, load_pointer,
+};
+
+use crate::CommandResult;
+use crate::args::{RolloutStatusArgs, StartArgs};
+use crate::bundle::SignedFile;
+use crate::report::{Failure, print_json, read_json};
+
+/// What a rollout's start came to.
+#[derive(Serialize)]
+struct StartOutcome {
+    accepted: bool,
+    version: u64,
+    signer: String,
+}
+
+/// What a rollout has come to.
+#[derive(Serialize)]
+struct RolloutReport {
+    accepted_version: Option<u64>,
+    boxes: Vec<BoxRow>,
+}
+
+/// One box in a rollout.
+#[derive(Serialize)]
+struct BoxRow {
+    id: String,
+    status: Option<BoxStatus>,
+}
+
+/// Accepts a submitted bundle.
+pub fn start(args: &StartArgs) -> CommandResult {
+    let file: SignedFile = read_json(&args.signed)?;
+    let keys = StoreKeys::new(&file.fleet);
+    let accepted = with_store(args.store, async |store| {
+        accept_bundle(&store, &keys, &file.signed).await
+    });
+    match accepted.map_err(Failure::failed)? {
+        Published::Accepted => {
+            let manifest: wingspur_protocol::Manifest =
+                serde_json::from_str(&file.signed.manifest).map_err(Failure::failed)?;
+            let version = manifest.version;
+            if args.json {
+                let signer = file.signed.signer;
+                return print_json(&StartOutcome {
+                    accepted: true,
+                    version,
+                    signer,
+                });
+            }
+            println!("Version {version} is accepted.");
+            Ok(())
+        }
+        Published::Overtaken(by) => {
+            let hint = "number yours higher, sign it again and submit it";
+            let (version, signer) = (by.version, by.signer);
+            let text =
+                format!("version {version} of {signer} was accepted first; {hint}");
+            if args.json {
+                print_json(&StartOutcome {
+                    accepted: false,
+                    version,
+                    signer,
+                })?;
+            }
+            Err(Failure::Overtaken(text))
+        }
+    }
+}
+
+/// Shows which version is in force on each listed box.
+pub fn status(args: &RolloutStatusArgs) -> CommandResult {
+    let workers = Workers::start(2);
+    let exchange = Exchange::new(workers.spawner(), LinkFaults::default());
+    let report = smol::block_on(gather(args, exchange));
+    workers.close();
+    let report = report?;
+    if args.json {
+        return print_json(&report);
+    }
+    match report.accepted_version {
+        Some(version) => println!("accepted: version {version}"),
+        None => println!("accepted: not known, the store does not answer or has none"),
+    }
+    for row in &report.boxes {
+        match &row.status {
+            Some(status) => println!(
+                "{}: version {} for {} ms{}",
+                row.id,
+                status.bundle_version,
+                status.in_force_ms,
+                if status.ready { "" } else { ", not ready" },
+            ),
+            None => println!("{}: does not answer", row.id),
+        }
+    }
+    Ok(())
+}
+
+/// Calls the store from a command.
+pub fn with_store<T>(address: SocketAddr, call: impl AsyncFnOnce(StoreClient) -> T) -> T {
+    let workers = Workers::start(1);
+    let exchange = Exchange::new(workers.spawner(), LinkFaults::default());
+    let store = StoreClient::new(address, exchange.into(), TIMEOUT);
+    let value = smol::block_on(call(store));
+    workers.close();
+    value
+}
+
+async fn gather(
+    args: &RolloutStatusArgs,
+    exchange: Exchange,
+) -> Result<RolloutReport, Failure> {
+    let list = exchange.get(args.box_list, "/boxes", TIMEOUT).await;
+    let list = list.map_err(|error| {
+        Failure::Failed(format!(
+            "{}: no box list: {error}; try again",
+            args.box_list
+        ))
+    })?;
+    let list: BoxList = serde_json::from_slice(&list).map_err(Failure::failed)?;
+    let mut boxes = Vec::with_capacity(list.boxes.len());
+    for listed in &list.boxes {
+        let status = ask_status(&exchange, &args.fleet, listed).await;
+        boxes.push(BoxRow {
+            id: listed.id.clone(),
+            status,
+        });
+    }
+    let store = StoreClient::new(args.store, exchange.into(), TIMEOUT);
+    let pointer = load_pointer(&store, &StoreKeys::new(&args.fleet)).await;
+    let pointer = pointer.ok().flatten();
+    let accepted_version = pointer.map(|(pointer, _)| pointer.version);
+    Ok(RolloutReport {
+        accepted_version,
+        boxes,
+    })
+}
+
+async fn ask_status(
+    exchange: &Exchange,
+    fleet: &str,
+    listed: &ListedBox,
+) -> Option<BoxStatus> {
+    let envelope = PeerEnvelope {
+        protocol: PEER_PROTOCOL_VERSION,
+        fleet: fleet.to_owned(),
+        from: "operator".to_owned(),
+        incarnation: 0,
+        sequence: 0,
+        message: PeerMessage::Status,
+    };
+    let body = encode_peer(&envelope);
+    let reply = exchange
+        .post(listed.peer_address, "/peer", body, TIMEOUT)
+        .await
+        .ok()?;
+    match rmp_serde::from_slice(&reply).ok()? {
+        PeerReply::Status(status) => Some(status),
+        _ => None,
+    }
+}
+
+const TIMEOUT: Duration = Duration::from_secs(3);
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Helpers shared by the suite.
--- /dev/null
+++ b/tests/tests/data.rs
@@ -0,0 +1,9 @@
+//! Runs the data files under `tests/data`, one test a file.
+
+mod cases;
+
+datatest_stable::harness! {
+    { test = cases::settings, root = "data/settings", pattern = r"\.json$" },
+    { test = cases::bundle, root = "data/bundles", pattern = r"\.json$" },
+    { test = cases::retries, root = "data/retries", pattern = r"\.json$" },
+}
--- /dev/null
+++ b/tests/tests/fleet.rs
@@ -0,0 +1,90 @@
+//! Whole deployments on loopback: real boxes before small stand-ins.
+
+use std::time::Duration;
+
+use wingspur_bench::{Fleet, Load, LoadOptions, RequestKind, small_zagreb};
+use wingspur_transport::Workers;
+
+/// Runs a test on its own worker threads.
+fn on_workers(test: impl AsyncFnOnce(&Workers)) {
+    let workers = Workers::start(4);
+    smol::block_on(test(&workers));
+    workers.close();
+}
+
+fn kind(method: &'static str, path: &'static str) -> RequestKind {
+    RequestKind {
+        method,
+        path,
+        once_only_repeats: None,
+        answer_bytes: None,
+    }
+}
+
+fn some_seconds(rate_per_s: f64, mix: Vec<(RequestKind, f64)>) -> LoadOptions {
+    LoadOptions {
+        rate_per_s,
+        duration: Duration::from_secs(2),
+        mix,
+    }
+}
+
+#[test]
+fn every_caller_gets_its_own_answer() {
+    on_workers(async |workers| {
+        let spawner = workers.spawner();
+        let fleet = Fleet::start(small_zagreb(3), &spawner).await.unwrap();
+        let download = RequestKind {
+            answer_bytes: Some(300_000),
+            ..kind("GET", "/archive/3")
+        };
+        let mix = vec![(kind("GET", "/exam/p"), 3.0), (download, 1.0)];
+        let load = Load::new(&spawner, &fleet.caller_addresses());
+        let report = load.run(&some_seconds(100.0, mix)).await;
+        assert_eq!(report.sent, 200);
+        assert_eq!(report.answered, 200, "{report:?}");
+        assert_eq!(report.foreign, 0);
+        assert_eq!(fleet.close().await, 0);
+    });
+}
+
+#[test]
+fn unknown_routes_and_methods_are_refused_by_number() {
+    on_workers(async |workers| {
+        let spawner = workers.spawner();
+        let fleet = Fleet::start(small_zagreb(1), &spawner).await.unwrap();
+        let load = Load::new(&spawner, &fleet.caller_addresses());
+        let mix = vec![(kind("GET", "/nowhere"), 1.0)];
+        let report = load.run(&some_seconds(5.0, mix)).await;
+        assert_eq!(report.refused.get(&1001), Some(&10));
+        let mix = vec![(kind("DELETE", "/exam/p"), 1.0)];
+        let report = load.run(&some_seconds(5.0, mix)).await;
+        assert_eq!(report.refused.get(&1002), Some(&10));
+        let mix = vec![(kind("POST", "/submit/1"), 1.0)];
+        let report = load.run(&some_seconds(5.0, mix)).await;
+        assert_eq!(report.refused.get(&1005), Some(&10), "no key was sent");
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn repeats_through_other_boxes_run_once() {
+    on_workers(async |workers| {
+        let spawner = workers.spawner();
+        let fleet = Fleet::start(small_zagreb(3), &spawner).await.unwrap();
+        let submit = RequestKind {
+            once_only_repeats: Some(1.0),
+            ..kind("POST", "/submit/1")
+        };
+        let load = Load::new(&spawner, &fleet.caller_addresses());
+        let report = load.run(&some_seconds(50.0, vec![(submit, 1.0)])).await;
+        let servers = fleet.servers.iter().flatten();
+        let runs: Vec<u32> = servers
+            .flat_map(|server| server.runs().into_values())
+            .collect();
+        assert_eq!(runs.len(), 100, "{report:?}");
+        assert!(runs.iter().all(|count| *count == 1));
+        assert_eq!(report.answered, 100);
+        fleet.close().await;
+    });
+}
