Detection: boxes report where their sums stand, two ways of being sick

Cause: the judge added up evidence sent as changes and took back what well answers would have by the server's usual rate.

Change: each box keeps its own cumulative sums, with its own answers counted at once, and reports where they stand. The judge adds the sums over boxes and compares with a threshold from Chernoff's bound for so many boxes. A repeated, lost or late report neither adds up nor leaves a gap. A second alternative (most of the work goes wrong) runs beside the first.

Ruled out: sampling (same load), the age tail (unchanged).

The test that failed before (three boxes, 200 requests/s) passes.

--- a/crates/wingspur-state/src/judge.rs
+++ b/crates/wingspur-state/src/judge.rs
@@ -10,13 +10,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::evidence::{EvidenceReport, threshold, well_evidence};
+use crate::evidence::{Evidence, EvidenceReport, threshold};
 use crate::{BoxId, DataCentreId, ServerIndex, Service};
 
 /// Judges the servers of one service.
 #[derive(Debug)]
 pub struct Judge {
     tag: u64,
+    false_ejections_per_server_day: f64,
+    /// For the number of boxes that report at present.
     threshold: f64,
     floor_slots: u32,
     servers: Vec<Judged>,
@@ -74,31 +76,31 @@
     name: String,
     slots: u32,
     leaving: bool,
-    total: Score,
-    by_data_centre: HashMap<DataCentreId, Score>,
-    by_box: HashMap<BoxId, Contribution>,
+    /// What each box makes of it, as last reported.
+    by_box: HashMap<BoxId, Opinion>,
+    /// The evidence of all boxes; it falls at once and rises by steps.
+    total: f64,
+    by_data_centre: HashMap<DataCentreId, LocalView>,
     state: State,
     /// How often it was ejected lately; each time doubles the hold.
     relapses: u32,
     ended: Option<Instant>,
 }
 
-/// A cumulative sum of evidence.
-#[derive(Debug, Clone, Copy, Default)]
-struct Score {
-    sum: f64,
-    /// Evidence of the present step, capped when the step ends.
-    step: f64,
-    /// Observations a second, smoothed.
-    rate: f64,
-    step_observations: f64,
+/// What one box makes of a server.
+#[derive(Debug, Clone)]
+struct Opinion {
+    data_centre: DataCentreId,
+    sums: Evidence,
+    observations_per_s: f64,
+    at: Instant,
 }
 
-/// What one box has contributed of late.
-#[derive(Debug, Clone, Copy)]
-struct Contribution {
-    excess: f64,
-    at: Instant,
+/// What the boxes of one data centre make of a server.
+#[derive(Debug, Clone, Copy, Default)]
+struct LocalView {
+    sum: f64,
+    observations_per_s: f64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -132,9 +134,11 @@
         record: Option<EjectionRecord>,
         now: Instant,
     ) -> Self {
+        let knob = service.detection.false_ejections_per_server_day;
         let mut judge = Self {
             tag,
-            threshold: threshold(service.detection.false_ejections_per_server_day),
+            false_ejections_per_server_day: knob,
+            threshold: threshold(knob, 1),
             floor_slots: service.floor_slots(),
             servers: service.servers.iter().map(Judged::new).collect(),
             observers: HashMap::new(),
@@ -150,10 +154,10 @@
         self.tag
     }
 
-    /// Adds a box's evidence.
+    /// Takes in what a box makes of the servers, in place of what it made before.
     ///
-    /// No box moves a server's score by more than a share of the threshold, so none
-    /// can bring about an ejection alone where three or more observe.
+    /// No box counts for more than a share of the threshold, so none can bring about an
+    /// ejection alone where three or more report.
     pub fn hear(
         &mut self,
         from: &BoxId,
@@ -165,27 +169,20 @@
             return;
         }
         self.observers.insert(from.clone(), now);
-        let span_s = f64::from(report.span_ms.max(1)) / 1000.0;
-        let most = self.most_from_one_box();
+        let span_s = (f64::from(report.span_ms) / 1000.0).max(LEAST_SPAN_S);
         for entry in &report.entries {
             let Some(server) = self.servers.get_mut(usize::from(entry.server)) else {
                 continue;
             };
-            let most_observations = MOST_OBSERVATIONS_PER_S * span_s.max(1.0);
-            let observations = f64::from(entry.observations).min(most_observations);
-            let offered = f64::from(entry.excess);
-            let offered = if offered.is_finite() {
-                offered.max(0.0)
-            } else {
-                0.0
+            let opinion = Opinion {
+                data_centre: data_centre.clone(),
+                sums: entry
+                    .hundredths
+                    .map(|hundredths| f64::from(hundredths) / 100.0),
+                observations_per_s: f64::from(entry.observations) / span_s,
+                at: now,
             };
-            let excess = server.allow(from, offered, most, now);
-            server.total.add(excess, observations);
-            let local = server
-                .by_data_centre
-                .entry(data_centre.clone())
-                .or_default();
-            local.add(excess, observations);
+            server.by_box.insert(from.clone(), opinion);
         }
     }
 
@@ -196,16 +193,20 @@
 
     /// Takes one step; call it each `TICK`, or less often without harm.
     pub fn step(&mut self, now: Instant) -> Vec<JudgeEvent> {
-        let last = *self.stepped.get_or_insert(now);
-        let passed_s = now.saturating_duration_since(last).as_secs_f64();
-        if passed_s < STEP_S {
+        let last = self.stepped.unwrap_or(now);
+        if self.stepped.is_some() && now.saturating_duration_since(last) < STEP {
             return Vec::new();
         }
         self.stepped = Some(now);
         self.observers
             .retain(|_, heard| now.saturating_duration_since(*heard) < OBSERVER_TTL);
+        self.threshold = threshold(
+            self.false_ejections_per_server_day,
+            self.observers.len().max(1),
+        );
+        let most = self.threshold * self.share_of_one_box();
         for server in &mut self.servers {
-            server.settle(passed_s, self.threshold, now);
+            server.settle(most, self.threshold / STEPS_TO_CROSS, now);
         }
         let mut events = Vec::new();
         self.suspect(&mut events, now);
@@ -295,7 +296,7 @@
 
     /// The cumulative sum against a server, for status pages.
     pub fn score(&self, server: ServerIndex) -> f64 {
-        self.servers[server].total.sum
+        self.servers[server].total
     }
 
     /// Slots that are in by the agreed record.
@@ -307,11 +308,11 @@
         kept.map(|server| server.slots).sum()
     }
 
-    fn most_from_one_box(&self) -> f64 {
+    fn share_of_one_box(&self) -> f64 {
         match self.observers.len() {
-            0 | 1 => 2.0 * self.threshold,
-            2 => self.threshold * 0.7,
-            _ => self.threshold * 0.4,
+            0 | 1 => 2.0,
+            2 => 0.7,
+            _ => 0.4,
         }
     }
 
@@ -322,7 +323,7 @@
             return;
         }
         for (index, server) in self.servers.iter_mut().enumerate() {
-            let over = server.total.sum >= self.threshold;
+            let over = server.total >= self.threshold;
             match server.state {
                 State::In if over => {
                     server.state = State::Avoided {
@@ -330,7 +331,7 @@
                     };
                     events.push(JudgeEvent::Suspected(index));
                 }
-                State::Avoided { .. } if server.total.sum < FORGIVEN => {
+                State::Avoided { .. } if server.total < FORGIVEN => {
                     server.state = State::In;
                     events.push(JudgeEvent::Returned(index));
                 }
@@ -349,7 +350,7 @@
         for server in judged {
             all += 1;
             let suspect = matches!(server.state, State::Avoided { .. });
-            uneasy += usize::from(suspect || server.total.sum >= uneasy_at);
+            uneasy += usize::from(suspect || server.total >= uneasy_at);
         }
         all >= LEAST_TO_COMPARE && uneasy * 2 >= all
     }
@@ -368,7 +369,7 @@
                     };
                     events.push(JudgeEvent::OnTrial(index));
                 }
-                State::Trial { agreed, .. } if server.total.sum >= relapse_at => {
+                State::Trial { agreed, .. } if server.total >= relapse_at => {
                     let until = server.hold(now);
                     server.state = match agreed {
                         true => State::Out { until },
@@ -411,7 +412,7 @@
             avoided && !server.is_well_from_anywhere()
         };
         let mut suspects: Vec<&Judged> = self.servers.iter().filter(suspected).collect();
-        suspects.sort_by(|a, b| b.total.sum.total_cmp(&a.total.sum));
+        suspects.sort_by(|a, b| b.total.total_cmp(&a.total));
         suspects
     }
 }
@@ -422,39 +423,36 @@
             name: server.name.clone(),
             slots: server.slots,
             leaving: false,
-            total: Score::default(),
-            by_data_centre: HashMap::new(),
             by_box: HashMap::new(),
+            total: 0.0,
+            by_data_centre: HashMap::new(),
             state: State::In,
             relapses: 0,
             ended: None,
         }
     }
 
-    /// Takes from a box no more than it may contribute.
-    fn allow(&mut self, from: &BoxId, excess: f64, most: f64, now: Instant) -> f64 {
-        let fresh = Contribution {
-            excess: 0.0,
-            at: now,
-        };
-        let given = self.by_box.entry(from.clone()).or_insert(fresh);
-        let passed = now.saturating_duration_since(given.at).as_secs_f64();
-        given.excess *= (-passed / CONTRIBUTION_WINDOW_S).exp();
-        given.at = now;
-        let allowed = excess.min((most - given.excess).max(0.0));
-        given.excess += allowed;
-        allowed
-    }
-
-    fn settle(&mut self, passed_s: f64, threshold: f64, now: Instant) {
-        self.total.settle(passed_s, threshold);
-        for score in self.by_data_centre.values_mut() {
-            score.settle(passed_s, threshold);
+    /// Adds up what the boxes make of the server, each up to `most`.
+    fn settle(&mut self, most: f64, step: f64, now: Instant) {
+        self.by_box.retain(|_, opinion| {
+            now.saturating_duration_since(opinion.at) < OBSERVER_TTL
+        });
+        let mut sums = Evidence::default();
+        self.by_data_centre.clear();
+        for opinion in self.by_box.values() {
+            let local = self
+                .by_data_centre
+                .entry(opinion.data_centre.clone())
+                .or_default();
+            local.observations_per_s += opinion.observations_per_s;
+            local.sum += opinion.sums.into_iter().fold(0.0, f64::max);
+            for (sum, own) in sums.iter_mut().zip(opinion.sums) {
+                *sum += own.min(most);
+            }
         }
-        let recent = |given: &mut Contribution| {
-            now.saturating_duration_since(given.at) < CONTRIBUTION_TTL
-        };
-        self.by_box.retain(|_, given| recent(given));
+        let target = sums.into_iter().fold(0.0, f64::max);
+        // One moment alone, however bad, never crosses the threshold.
+        self.total = target.min(self.total + step);
         let forgiven = self
             .ended
             .is_some_and(|at| now.saturating_duration_since(at) > RELAPSE_TTL);
@@ -473,7 +471,7 @@
     }
 
     fn forget_evidence(&mut self) {
-        self.total = Score::default();
+        self.total = 0.0;
         self.by_data_centre.clear();
         self.by_box.clear();
     }
@@ -495,36 +493,17 @@
 
     /// Whether boxes of a data centre use the server a good deal and find it well.
     fn is_well_from(&self, data_centre: &DataCentreId) -> bool {
-        self.by_data_centre
-            .get(data_centre)
-            .is_some_and(Score::is_well)
+        self.by_data_centre.get(data_centre).is_some_and(is_well)
     }
 
     fn is_well_from_anywhere(&self) -> bool {
-        self.by_data_centre.values().any(Score::is_well)
+        self.by_data_centre.values().any(is_well)
     }
 }
 
-impl Score {
-    fn add(&mut self, excess: f64, observations: f64) {
-        self.step += excess;
-        self.step_observations += observations;
-    }
-
-    /// Ends a step: what well answers would take back, plus what was seen, capped.
-    fn settle(&mut self, passed_s: f64, threshold: f64) {
-        let weight = (passed_s / RATE_WINDOW_S).min(1.0);
-        self.rate += weight * (self.step_observations / passed_s - self.rate);
-        let drift = well_evidence() * self.rate.max(LEAST_RATE) * passed_s;
-        let step = self.step.min(threshold / STEPS_TO_CROSS);
-        self.sum = (self.sum + drift + step).clamp(0.0, 2.0 * threshold);
-        self.step = 0.0;
-        self.step_observations = 0.0;
-    }
-
-    fn is_well(&self) -> bool {
-        self.rate >= WELL_RATE && self.sum < WELL_SCORE
-    }
+/// Whether a good deal of work shows a server well.
+fn is_well(view: &LocalView) -> bool {
+    view.observations_per_s >= WELL_RATE && view.sum < WELL_SCORE
 }
 
 fn sorted_names<'a>(servers: impl Iterator<Item = &'a Judged>) -> Vec<String> {
@@ -533,17 +512,11 @@
     names
 }
 
-/// The judge's step; the threshold counts in these.
-const STEP_S: f64 = 0.1;
-/// One moment alone, however bad, never crosses the threshold.
+/// How often the judge looks; the threshold counts in these.
+const STEP: Duration = Duration::from_millis(100);
 const STEPS_TO_CROSS: f64 = 3.0;
-/// A suspect without any work is forgiven at this pace, in observations a second.
-const LEAST_RATE: f64 = 0.2;
-const RATE_WINDOW_S: f64 = 2.0;
-const MOST_OBSERVATIONS_PER_S: f64 = 1000.0;
+const LEAST_SPAN_S: f64 = 0.05;
 const OBSERVER_TTL: Duration = Duration::from_secs(3);
-const CONTRIBUTION_WINDOW_S: f64 = 5.0;
-const CONTRIBUTION_TTL: Duration = Duration::from_secs(60);
 /// A server is uneasy at this share of the threshold.
 const UNEASY_SHARE: f64 = 0.25;
 const LEAST_TO_COMPARE: usize = 3;
--- a/crates/wingspur-state/src/service_table.rs
+++ b/crates/wingspur-state/src/service_table.rs
@@ -6,7 +6,9 @@
 
 use rand::Rng;
 
-use crate::evidence::{EvidenceEntry, EvidenceReport, threshold, well_evidence};
+use crate::evidence::{
+    Evidence, EvidenceEntry, EvidenceReport, Score, threshold, well_evidence,
+};
 use crate::history::{LatencyHistory, ServiceHistory};
 use crate::judge::{Verdict, VerdictStanding};
 use crate::{
@@ -38,14 +40,11 @@
     leaving: bool,
     verdict: VerdictStanding,
     history: LatencyHistory,
-    /// This box's own cumulative sum, used when no verdict is to be had.
-    own_score: f64,
-    /// Observations in a second, smoothed.
-    rate: f64,
-    pending_observations: u32,
-    pending_excess: f64,
-    tick_observations: u32,
-    tick_excess: f64,
+    /// This box's own sums: reported, and used alone when no verdict is to be had.
+    score: Score,
+    /// The largest of them when it was last reported.
+    reported_sum: f64,
+    observations: u32,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -54,7 +53,7 @@
     /// The start, or the last progress of a long answer.
     since: Instant,
     /// The survival evidence that has been counted already.
-    counted: f64,
+    counted: Evidence,
     observed: bool,
     /// Whether the head came: what follows is judged by progress alone.
     streaming: bool,
@@ -82,12 +81,9 @@
             leaving: false,
             verdict: VerdictStanding::In,
             history: LatencyHistory::default(),
-            own_score: 0.0,
-            rate: 0.0,
-            pending_observations: 0,
-            pending_excess: 0.0,
-            tick_observations: 0,
-            tick_excess: 0.0,
+            score: Score::default(),
+            reported_sum: 0.0,
+            observations: 0,
         };
         let knob = service.detection.false_ejections_per_server_day;
         Self {
@@ -97,7 +93,7 @@
             next_attempt: 1,
             history: ServiceHistory::default(),
             budget: RetryBudget::new(service.retry.budget_percent),
-            threshold: threshold(knob),
+            threshold: threshold(knob, 1),
             reported: None,
             ticked: None,
             verdict_expires: None,
@@ -116,8 +112,7 @@
             let entry = &mut self.servers[index];
             entry.history = kept.history;
             entry.verdict = kept.verdict;
-            entry.own_score = kept.own_score;
-            entry.rate = kept.rate;
+            entry.score = kept.score;
             entry.leaving = kept.leaving;
         }
         self.history = older.history.clone();
@@ -166,7 +161,7 @@
         let attempt = Attempt {
             server,
             since: now,
-            counted: 0.0,
+            counted: Evidence::default(),
             observed: false,
             streaming: false,
         };
@@ -182,7 +177,7 @@
         self.weigh_end(&attempt, outcome, now);
         attempt.streaming = true;
         attempt.since = now;
-        attempt.counted = 0.0;
+        attempt.counted = Evidence::default();
         attempt.observed = true;
         self.attempts.insert(id, attempt);
     }
@@ -191,7 +186,7 @@
     pub fn progress(&mut self, id: AttemptId, now: Instant) {
         if let Some(attempt) = self.attempts.get_mut(&id) {
             attempt.since = now;
-            attempt.counted = 0.0;
+            attempt.counted = Evidence::default();
         }
     }
 
@@ -237,14 +232,11 @@
         let passed = self.ticked.map_or(0.0, |last| seconds(now, last));
         self.ticked = Some(now);
         for entry in &mut self.servers {
-            entry.settle_tick(passed, self.threshold);
+            entry.score.forgive(passed);
         }
         let last = *self.reported.get_or_insert(now);
         let since = now.saturating_duration_since(last);
-        let telling = self
-            .servers
-            .iter()
-            .any(|entry| entry.pending_excess >= TELLING_EXCESS);
+        let telling = self.servers.iter().any(ServerEntry::has_news);
         if since >= REPORT_EVERY || (telling && since >= REPORT_SOONEST) {
             self.reported = Some(now);
             return Some(self.take_report(since));
@@ -257,14 +249,25 @@
         if verdict.service_tag != self.tag {
             return;
         }
-        for entry in &mut self.servers {
-            entry.verdict = VerdictStanding::In;
-        }
+        let mut standings = vec![VerdictStanding::In; self.servers.len()];
         for (server, standing) in &verdict.standings {
-            if let Some(entry) = self.servers.get_mut(usize::from(*server)) {
-                entry.verdict = *standing;
+            if let Some(slot) = standings.get_mut(usize::from(*server)) {
+                *slot = *standing;
             }
         }
+        for (entry, standing) in self.servers.iter_mut().zip(standings) {
+            let was_held = matches!(
+                entry.verdict,
+                VerdictStanding::Out | VerdictStanding::Avoided
+            );
+            let returns =
+                matches!(standing, VerdictStanding::In | VerdictStanding::Trial(_));
+            if was_held && returns {
+                // What it did before the hold must not speak against it after.
+                entry.score = Score::default();
+            }
+            entry.verdict = standing;
+        }
         self.verdict_expires = Some(now + VERDICT_TTL);
     }
 
@@ -275,7 +278,7 @@
             return Standing::Out;
         }
         let fresh = self.verdict_expires.is_some_and(|expires| now < expires);
-        let own = if entry.own_score >= self.threshold {
+        let own = if entry.score.sum() >= self.threshold {
             Standing::Avoided
         } else {
             Standing::In
@@ -326,14 +329,12 @@
             let reference = self.history.reference(&entry.history);
             let age_ms = seconds(now, attempt.since) * 1000.0;
             let evidence = reference.survival(age_ms);
-            if evidence - attempt.counted < LEAST_STEP {
+            let step: Evidence =
+                std::array::from_fn(|index| evidence[index] - attempt.counted[index]);
+            if largest(step) < LEAST_STEP {
                 continue;
             }
-            if !attempt.observed {
-                attempt.observed = true;
-                entry.observe(0.0);
-            }
-            entry.add_excess(evidence - attempt.counted);
+            entry.add(step, !std::mem::replace(&mut attempt.observed, true));
             attempt.counted = evidence;
         }
     }
@@ -350,13 +351,10 @@
             AttemptOutcome::Answered if settled => reference.answer(latency_ms),
             AttemptOutcome::Answered => well_evidence(),
         };
-        // What its age has told already is not told twice; nor is it taken back, for
-        // the judge's own drift stands for what well answers take back.
-        let excess = (evidence - well_evidence() - attempt.counted).max(0.0);
-        if !attempt.observed {
-            entry.observe(0.0);
-        }
-        entry.add_excess(excess);
+        // What its age has told already is not told twice.
+        let step: Evidence =
+            std::array::from_fn(|index| evidence[index] - attempt.counted[index]);
+        entry.add(step, !attempt.observed);
         let failed = outcome == AttemptOutcome::Failed;
         if !failed {
             self.history
@@ -368,17 +366,18 @@
     fn take_report(&mut self, span: Duration) -> EvidenceReport {
         let mut entries = Vec::new();
         for (server, entry) in self.servers.iter_mut().enumerate() {
-            if entry.pending_observations == 0 && entry.pending_excess <= 0.0 {
+            let sum = entry.score.sum();
+            if entry.observations == 0 && sum == 0.0 && entry.reported_sum == 0.0 {
                 continue;
             }
-            let observations = entry.pending_observations.min(u32::from(u16::MAX));
+            entry.reported_sum = sum;
+            let observations = entry.observations.min(u32::from(u16::MAX));
+            entry.observations = 0;
             entries.push(EvidenceEntry {
                 server: server as u16,
                 observations: observations as u16,
-                excess: entry.pending_excess as f32,
+                hundredths: entry.score.hundredths(),
             });
-            entry.pending_observations = 0;
-            entry.pending_excess = 0.0;
         }
         let span_ms = span.as_millis().min(u128::from(u32::MAX)) as u32;
         EvidenceReport {
@@ -390,36 +389,25 @@
 }
 
 impl ServerEntry {
-    fn observe(&mut self, excess: f64) {
-        self.pending_observations += 1;
-        self.tick_observations += 1;
-        self.add_excess(excess);
-    }
-
-    fn add_excess(&mut self, excess: f64) {
-        self.pending_excess += excess;
-        self.tick_excess += excess;
+    fn add(&mut self, evidence: Evidence, first: bool) {
+        self.observations += u32::from(first);
+        self.score.add(evidence);
     }
 
-    /// One step of this box's own cumulative sum.
-    fn settle_tick(&mut self, passed_s: f64, threshold: f64) {
-        if passed_s > 0.0 {
-            let seen = f64::from(self.tick_observations) / passed_s;
-            let weight = (passed_s / RATE_WINDOW_S).min(1.0);
-            self.rate += weight * (seen - self.rate);
-        }
-        let drift = well_evidence() * (self.rate * passed_s).max(LEAST_DRIFT * passed_s);
-        let step = self.tick_excess.min(threshold / STEPS_TO_CROSS);
-        self.own_score = (self.own_score + drift + step).clamp(0.0, 2.0 * threshold);
-        self.tick_observations = 0;
-        self.tick_excess = 0.0;
+    /// Whether the judge should hear of this before the next regular report.
+    fn has_news(&self) -> bool {
+        (self.score.sum() - self.reported_sum).abs() >= NEWS
     }
 
     fn is_trusted(&self) -> bool {
-        self.own_score < TRUSTED_SCORE && self.verdict == VerdictStanding::In
+        self.score.sum() < TRUSTED_SCORE && self.verdict == VerdictStanding::In
     }
 }
 
+fn largest(evidence: Evidence) -> f64 {
+    evidence.into_iter().fold(0.0, f64::max)
+}
+
 fn seconds(now: Instant, since: Instant) -> f64 {
     now.saturating_duration_since(since).as_secs_f64()
 }
@@ -430,14 +418,9 @@
 pub const VERDICT_TTL: Duration = Duration::from_secs(3);
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 const REPORT_SOONEST: Duration = Duration::from_millis(50);
-/// Evidence worth a report of its own.
-const TELLING_EXCESS: f64 = 1.0;
+/// A change of a sum that is worth a report of its own.
+const NEWS: f64 = 1.0;
 /// Smaller steps of an attempt's evidence wait for the next tick.
 const LEAST_STEP: f64 = 0.25;
-const RATE_WINDOW_S: f64 = 2.0;
-/// A suspect without work is forgiven at this pace, in observations a second.
-const LEAST_DRIFT: f64 = 0.2;
-/// One moment alone never crosses the threshold.
-const STEPS_TO_CROSS: f64 = 3.0;
 const TRUSTED_SCORE: f64 = 3.0;
 const LOAD_HINT_WEIGHT: f64 = 0.3;
--- a/tests/tests/fleet.rs
+++ b/tests/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wingspur_bench::{Fleet, Load, LoadOptions, RequestKind, small_zagreb};
+use wingspur_bench::{Fleet, Gray, Load, LoadOptions, RequestKind, small_zagreb};
 use wingspur_transport::Workers;
 
 /// Runs a test on its own worker threads.
@@ -88,3 +88,20 @@
         fleet.close().await;
     });
 }
+
+#[test]
+fn a_stalled_server_is_held_back_and_no_other() {
+    on_workers(async |workers| {
+        let spawner = workers.spawner();
+        let fleet = Fleet::start(small_zagreb(3), &spawner).await.unwrap();
+        let load = Load::new(&spawner, &fleet.caller_addresses());
+        let mix = vec![(kind("GET", "/exam/p"), 1.0)];
+        load.run(&some_seconds(200.0, mix.clone())).await;
+        fleet.servers[0][2].set_gray(Gray::Stall);
+        load.run(&some_seconds(200.0, mix)).await;
+        for running in fleet.boxes.iter().flatten() {
+            assert_eq!(running.servers_out(), ["exam-pages/exam-pages-02"]);
+        }
+        fleet.close().await;
+    });
+}
