--- a/crates/wingspur-bench/src/lib.rs
+++ b/crates/wingspur-bench/src/lib.rs
@@ -1,15 +1,24 @@
 //! Stand-ins, load and experiments; not shipped.
 
 mod backend;
+mod baseline;
 mod box_list;
 mod demo;
+mod detect;
 mod fleet;
 mod load;
+mod replay;
 mod store;
+mod trace;
 
 pub use backend::{BackendStandIn, Gray, ServerPlan};
 pub use box_list::BoxListStandIn;
 pub use demo::{DemoOptions, DemoReport, run_demo};
+pub use detect::{DetectCase, DetectRow, User, cases, run_case};
 pub use fleet::{Fleet, FleetPlan, ServicePlan, bratislava, small_zagreb, zagreb};
 pub use load::{Load, LoadOptions, LoadReport, RequestKind};
+pub use replay::{Decider, ReplayReport, replay, service_of};
 pub use store::{StoreFault, StoreStandIn};
+pub use trace::{
+    Fault, FaultKind, Observation, Scenario, TraceSource, read_trace, write_trace,
+};
--- a/crates/wingspur-bench/src/main.rs
+++ b/crates/wingspur-bench/src/main.rs
@@ -4,7 +4,9 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use wingspur_bench::{DemoOptions, DemoReport, run_demo};
+use wingspur_bench::{
+    Decider, DemoOptions, DemoReport, DetectRow, User, cases, run_case, run_demo,
+};
 use wingspur_transport::Workers;
 
 /// Stand-ins, load and experiments for wingspur.
@@ -18,6 +20,7 @@
 #[argh(subcommand)]
 enum Command {
     Demo(DemoArgs),
+    Detect(DetectArgs),
 }
 
 /// Start a small deployment on loopback, make a server sick and show what holds.
@@ -38,6 +41,24 @@
     json: Option<PathBuf>,
 }
 
+/// Replay every detection case over many seeds, beside the baselines.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "detect")]
+struct DetectArgs {
+    /// seeds a case (default 20)
+    #[argh(option, default = "20")]
+    seeds: u64,
+    /// threads (default 8)
+    #[argh(option, default = "8")]
+    threads: usize,
+    /// only cases whose name has this in it
+    #[argh(option, default = "String::new()")]
+    only: String,
+    /// write the rows to this file as JSON
+    #[argh(option)]
+    json: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
     let filter = tracing_subscriber::EnvFilter::try_from_default_env();
     let filter = filter.unwrap_or_else(|_| "warn".into());
@@ -49,6 +70,7 @@
     let workers = Workers::start(4);
     let ended = match args.command {
         Command::Demo(args) => demo(&args, &workers),
+        Command::Detect(args) => detect(&args),
     };
     workers.close();
     match ended {
@@ -80,6 +102,49 @@
     })
 }
 
+fn detect(args: &DetectArgs) -> Result<ExitCode, String> {
+    let mut rows = Vec::new();
+    for (name, user) in [("ispitnica", User::Ispitnica), ("gateway", User::Gateway)] {
+        println!("{name}");
+        for case in cases(user)
+            .iter()
+            .filter(|case| case.name.contains(&args.only))
+        {
+            for decider in Decider::ALL {
+                let row = run_case(case, decider, args.seeds, args.threads);
+                print_row(&row);
+                rows.push((name, row));
+            }
+        }
+    }
+    write_json(args.json.as_deref(), &rows)?;
+    let broken = rows.iter().any(|(_, row)| row.floor_violations > 0);
+    Ok(if broken {
+        ExitCode::FAILURE
+    } else {
+        ExitCode::SUCCESS
+    })
+}
+
+fn print_row(row: &DetectRow) {
+    let ms = |value: Option<f64>| match value {
+        Some(value) => format!("{value:.0}"),
+        None => "-".to_owned(),
+    };
+    println!(
+        "{:28} {:22} {:>3}/{:<3} p50 {:>6} p99 {:>6} ms  false {:>3}  floor {}  {:.2}/s",
+        row.case,
+        row.decider,
+        row.detected,
+        row.sick,
+        ms(row.p50_ms),
+        ms(row.p99_ms),
+        row.false_ejections,
+        row.floor_violations,
+        row.reports_per_box_s,
+    );
+}
+
 fn print_demo(report: &DemoReport) {
     let load = &report.load;
     println!("sent                    {}", load.sent);
