Detection: what many servers share is not held against one

Change: the present shift is also learned for each data centre (that of its least slow server); sums that were measured against an outdated present are dropped; suspicion of a whole data centre must last 2.5 s; a box's own view counts after 1 s when a judge is heard, against its share of the allowance.

--- a/crates/wingspur-bench/src/main.rs
+++ b/crates/wingspur-bench/src/main.rs
@@ -51,6 +51,12 @@
     /// threads (default 8)
     #[argh(option, default = "8")]
     threads: usize,
+    /// leave the baselines out
+    #[argh(switch)]
+    ours: bool,
+    /// only this user's setting: ispitnica or gateway
+    #[argh(option)]
+    user: Option<String>,
     /// only cases whose name has this in it
     #[argh(option, default = "String::new()")]
     only: String,
@@ -105,13 +111,21 @@
 fn detect(args: &DetectArgs) -> Result<ExitCode, String> {
     let mut rows = Vec::new();
     for (name, user) in [("ispitnica", User::Ispitnica), ("gateway", User::Gateway)] {
+        if args.user.as_deref().is_some_and(|wanted| wanted != name) {
+            continue;
+        }
         println!("{name}");
+        let deciders = if args.ours {
+            &Decider::ALL[..1]
+        } else {
+            &Decider::ALL[..]
+        };
         for case in cases(user)
             .iter()
             .filter(|case| case.name.contains(&args.only))
         {
-            for decider in Decider::ALL {
-                let row = run_case(case, decider, args.seeds, args.threads);
+            for decider in deciders {
+                let row = run_case(case, *decider, args.seeds, args.threads);
                 print_row(&row);
                 rows.push((name, row));
             }
--- a/crates/wingspur-state/src/history.rs
+++ b/crates/wingspur-state/src/history.rs
@@ -30,35 +30,73 @@
     }
 }
 
+/// What a service shows at present, beyond the histories of its servers.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Present {
+    /// How much later answers come, as a difference of logarithms.
+    pub shift: f64,
+    /// The share of errors.
+    pub error_rate: f64,
+}
+
+impl Present {
+    /// Follows the present; true when it has become so much worse that evidence which
+    /// was measured against what went before no longer counts.
+    pub fn follow(&mut self, present: Present) -> bool {
+        let later = present.shift > self.shift + WORSE_SHIFT;
+        let failing = present.error_rate > 2.0 * self.error_rate + WORSE_ERRORS;
+        if later || failing {
+            *self = present;
+            return true;
+        }
+        self.shift = self.shift.min(present.shift);
+        self.error_rate = self.error_rate.min(present.error_rate);
+        false
+    }
+}
+
 /// The present of a service: what all its servers have in common.
 #[derive(Debug, Clone)]
 pub struct ServiceHistory {
     pooled: LatencyHistory,
     /// How far recent answers were from their servers' own histories.
-    residuals: VecDeque<(Instant, f64)>,
+    residuals: VecDeque<(Instant, ServerIndex, f64)>,
     /// Recent ends: the server, and whether it was an error.
     ends: VecDeque<(Instant, ServerIndex, bool)>,
     tail_rate: f64,
+    /// The present shift of the whole service.
     shift: f64,
+    /// The present shift of each server's data centre, where it has several.
+    group_shifts: Vec<f64>,
+    groups: Vec<Vec<ServerIndex>>,
     error_rate: f64,
 }
 
-impl Default for ServiceHistory {
-    fn default() -> Self {
+impl ServiceHistory {
+    /// A history without observations; `groups` are the servers of each data centre.
+    pub fn new(servers: usize, groups: Vec<Vec<ServerIndex>>) -> Self {
         Self {
             pooled: LatencyHistory::default(),
             residuals: VecDeque::new(),
             ends: VecDeque::new(),
             tail_rate: LEAST_TAIL_RATE,
             shift: 0.0,
+            group_shifts: vec![0.0; servers],
+            groups,
             error_rate: LEAST_ERROR_RATE,
         }
     }
-}
 
-impl ServiceHistory {
+    /// Takes over what another history knows of the service as a whole.
+    pub fn inherit(&mut self, older: &Self) {
+        self.pooled = older.pooled;
+        self.tail_rate = older.tail_rate;
+        self.shift = older.shift;
+        self.error_rate = older.error_rate;
+    }
+
     /// What a server is measured against now.
-    pub fn reference(&self, own: &LatencyHistory) -> Reference {
+    pub fn reference(&self, server: ServerIndex, own: &LatencyHistory) -> Reference {
         let history = if own.is_settled() { own } else { &self.pooled };
         let learned = history
             .variance_ln
@@ -66,7 +104,7 @@
             .clamp(LEAST_DEVIATION, MOST_DEVIATION);
         let settled = own.is_settled();
         Reference {
-            mean_ln_ms: history.mean_ln_ms + self.shift,
+            mean_ln_ms: history.mean_ln_ms + self.shift_of(server),
             deviation_ln: if settled {
                 learned
             } else {
@@ -86,6 +124,7 @@
     /// answers tell of the present but must not become its history.
     pub fn learn_answer(
         &mut self,
+        server: ServerIndex,
         own: &mut LatencyHistory,
         latency_ms: f64,
         trusted: bool,
@@ -94,16 +133,17 @@
         let ln_ms = latency_ms.max(0.05).ln();
         if own.is_settled() {
             let residual = ln_ms - own.mean_ln_ms;
-            self.residuals.push_back((now, residual));
+            self.residuals.push_back((now, server, residual));
             if trusted {
-                let deviation = self.reference(own).deviation_ln;
-                let beyond = (residual - self.shift) / deviation > TAIL_Z;
+                let deviation = self.reference(server, own).deviation_ln;
+                let beyond = (residual - self.shift_of(server)) / deviation > TAIL_Z;
                 self.learn_tail(beyond);
             }
         }
         if trusted {
-            own.learn(ln_ms - self.shift);
-            self.pooled.learn(ln_ms - self.shift);
+            let shift = self.shift_of(server);
+            own.learn(ln_ms - shift);
+            self.pooled.learn(ln_ms - shift);
         }
     }
 
@@ -119,7 +159,7 @@
     pub fn refresh(&mut self, now: Instant) {
         let past = |at: Instant| now.saturating_duration_since(at) > PRESENT;
         while self.residuals.len() > MOST_RESIDUALS
-            || self.residuals.front().is_some_and(|(at, _)| past(*at))
+            || self.residuals.front().is_some_and(|(at, ..)| past(*at))
         {
             self.residuals.pop_front();
         }
@@ -127,6 +167,7 @@
             self.ends.pop_front();
         }
         self.shift = self.present_shift();
+        self.refresh_groups();
         self.error_rate = self.present_error_rate().max(LEAST_ERROR_RATE);
     }
 
@@ -141,10 +182,49 @@
         if self.residuals.len() < LEAST_RESIDUALS {
             return 0.0;
         }
-        let residuals = self.residuals.iter().map(|(_, residual)| *residual);
+        let residuals = self.residuals.iter().map(|(_, _, residual)| *residual);
         median(residuals.collect()).max(0.0)
     }
 
+    /// A data centre is as slow as its least slow server: only what all of its servers
+    /// share is the data centre's.
+    fn refresh_groups(&mut self) {
+        let mut sums = vec![(0u32, 0.0); self.group_shifts.len()];
+        for (_, server, residual) in &self.residuals {
+            sums[*server].0 += 1;
+            sums[*server].1 += residual;
+        }
+        for group in &self.groups {
+            let seen = group.iter().filter(|server| sums[**server].0 > 0);
+            let means = seen.map(|server| sums[*server].1 / f64::from(sums[*server].0));
+            let (mut count, mut least) = (0, f64::INFINITY);
+            for mean in means {
+                count += 1;
+                least = least.min(mean);
+            }
+            let shift = if count >= LEAST_GROUP {
+                least.max(0.0)
+            } else {
+                0.0
+            };
+            for server in group {
+                self.group_shifts[*server] = shift;
+            }
+        }
+    }
+
+    /// What the service shows at present where a server stands.
+    pub fn present(&self, server: ServerIndex) -> Present {
+        Present {
+            shift: self.shift_of(server),
+            error_rate: self.error_rate,
+        }
+    }
+
+    fn shift_of(&self, server: ServerIndex) -> f64 {
+        self.shift.max(self.group_shifts[server])
+    }
+
     /// The median over servers of their present error shares.
     fn present_error_rate(&self) -> f64 {
         let servers = self.ends.iter().map(|(_, server, _)| server + 1).max();
@@ -173,8 +253,14 @@
 const MOST_DEVIATION: f64 = 1.2;
 const UNSETTLED_DEVIATION: f64 = 1.0;
 /// What counts as the present.
-const PRESENT: Duration = Duration::from_secs(4);
-const MOST_RESIDUALS: usize = 48;
+const PRESENT: Duration = Duration::from_millis(2000);
+const WORSE_SHIFT: f64 = 0.2;
+const WORSE_ERRORS: f64 = 0.02;
+const MOST_RESIDUALS: usize = 64;
+/// Servers of a data centre that make it comparable.
+const LEAST_GROUP: usize = 3;
+/// Of them, those that must have answered lately.
+const LEAST_SEEN: usize = 2;
 const LEAST_RESIDUALS: usize = 8;
 const MOST_ENDS: usize = 256;
 const TAIL_Z: f64 = 3.0;
--- a/crates/wingspur-state/src/judge.rs
+++ b/crates/wingspur-state/src/judge.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::evidence::{Evidence, EvidenceReport, threshold};
+use crate::unease::{UNEASY_SHARE, Unease, groups_of};
 use crate::{BoxId, DataCentreId, ServerIndex, Service};
 
 /// Judges the servers of one service.
@@ -22,6 +23,8 @@
     threshold: f64,
     floor_slots: u32,
     servers: Vec<Judged>,
+    /// The servers of each data centre.
+    groups: Vec<Vec<ServerIndex>>,
     observers: HashMap<BoxId, Instant>,
     /// The agreed record that this judge last read or wrote.
     record: Option<EjectionRecord>,
@@ -81,6 +84,8 @@
     /// The evidence of all boxes; it falls at once and rises by steps.
     total: f64,
     by_data_centre: HashMap<DataCentreId, LocalView>,
+    /// Since when it is over the threshold.
+    over_since: Option<Instant>,
     state: State,
     /// How often it was ejected lately; each time doubles the hold.
     relapses: u32,
@@ -141,6 +146,7 @@
             threshold: threshold(knob, 1),
             floor_slots: service.floor_slots(),
             servers: service.servers.iter().map(Judged::new).collect(),
+            groups: groups_of(service),
             observers: HashMap::new(),
             record: None,
             stepped: None,
@@ -316,16 +322,21 @@
         }
     }
 
-    /// Suspects servers over the threshold, unless most of the service is uneasy: then
-    /// it is the service, the network or a change, and no ejection would help.
+    /// Suspects servers over the threshold, unless many are uneasy at once.
     fn suspect(&mut self, events: &mut Vec<JudgeEvent>, now: Instant) {
-        if self.most_are_uneasy() {
-            return;
-        }
+        let uneasy_at = self.threshold * UNEASY_SHARE;
+        let scores = self.servers.iter().map(Judged::unease);
+        let unease = Unease::new(scores, &self.groups, uneasy_at);
         for (index, server) in self.servers.iter_mut().enumerate() {
-            let over = server.total >= self.threshold;
+            if server.total < self.threshold {
+                server.over_since = None;
+            }
             match server.state {
-                State::In if over => {
+                State::In if server.total >= self.threshold => {
+                    let since = *server.over_since.get_or_insert(now);
+                    if !unease.allows(index, now.saturating_duration_since(since)) {
+                        continue;
+                    }
                     server.state = State::Avoided {
                         until: server.hold(now),
                     };
@@ -340,21 +351,6 @@
         }
     }
 
-    fn most_are_uneasy(&self) -> bool {
-        let uneasy_at = self.threshold * UNEASY_SHARE;
-        let judged = self
-            .servers
-            .iter()
-            .filter(|s| !s.is_ejected() && !s.leaving);
-        let (mut all, mut uneasy) = (0, 0);
-        for server in judged {
-            all += 1;
-            let suspect = matches!(server.state, State::Avoided { .. });
-            uneasy += usize::from(suspect || server.total >= uneasy_at);
-        }
-        all >= LEAST_TO_COMPARE && uneasy * 2 >= all
-    }
-
     fn advance(&mut self, events: &mut Vec<JudgeEvent>, now: Instant) {
         let relapse_at = self.threshold * RELAPSE_SHARE;
         for (index, server) in self.servers.iter_mut().enumerate() {
@@ -426,6 +422,7 @@
             by_box: HashMap::new(),
             total: 0.0,
             by_data_centre: HashMap::new(),
+            over_since: None,
             state: State::In,
             relapses: 0,
             ended: None,
@@ -462,6 +459,12 @@
         }
     }
 
+    /// The evidence that tells whether many are uneasy: one that is held back for good
+    /// reason is not.
+    fn unease(&self) -> f64 {
+        if self.is_ejected() { 0.0 } else { self.total }
+    }
+
     /// When a hold that begins now ends; each relapse doubles it.
     fn hold(&mut self, now: Instant) -> Instant {
         let hold = FIRST_HOLD * 2u32.pow(self.relapses.min(MOST_DOUBLINGS));
@@ -517,9 +520,6 @@
 const STEPS_TO_CROSS: f64 = 3.0;
 const LEAST_SPAN_S: f64 = 0.05;
 const OBSERVER_TTL: Duration = Duration::from_secs(3);
-/// A server is uneasy at this share of the threshold.
-const UNEASY_SHARE: f64 = 0.25;
-const LEAST_TO_COMPARE: usize = 3;
 /// On trial, this share of the threshold is enough to put it out again.
 const RELAPSE_SHARE: f64 = 0.5;
 const FORGIVEN: f64 = 1.0;
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -14,6 +14,7 @@
 mod retry;
 mod route;
 mod service_table;
+mod unease;
 
 pub use bundle::{
     BackendServer, Bundle, Detection, Floor, Limits, RetryRules, Route, RouteClass,
--- a/crates/wingspur-state/src/service_table.rs
+++ b/crates/wingspur-state/src/service_table.rs
@@ -9,8 +9,9 @@
 use crate::evidence::{
     Evidence, EvidenceEntry, EvidenceReport, Score, threshold, well_evidence,
 };
-use crate::history::{LatencyHistory, ServiceHistory};
+use crate::history::{LatencyHistory, Present, ServiceHistory};
 use crate::judge::{Verdict, VerdictStanding};
+use crate::unease::{UNEASY_SHARE, Unease, groups_of};
 use crate::{
     AttemptId, Candidate, RetryBudget, RouteClass, ServerIndex, Service, Standing, pick,
 };
@@ -24,6 +25,8 @@
     attempts: HashMap<AttemptId, Attempt>,
     next_attempt: AttemptId,
     history: ServiceHistory,
+    /// The servers of each data centre.
+    groups: Vec<Vec<ServerIndex>>,
     budget: RetryBudget,
     threshold: f64,
     reported: Option<Instant>,
@@ -42,6 +45,12 @@
     history: LatencyHistory,
     /// This box's own sums: reported, and used alone when no verdict is to be had.
     score: Score,
+    /// What the sums were measured against.
+    present: Present,
+    /// Since when they are over the threshold.
+    over_since: Option<Instant>,
+    /// Whether this box avoids the server on its own account.
+    avoided: bool,
     /// The largest of them when it was last reported.
     reported_sum: f64,
     observations: u32,
@@ -82,18 +91,24 @@
             verdict: VerdictStanding::In,
             history: LatencyHistory::default(),
             score: Score::default(),
+            present: Present::default(),
+            over_since: None,
+            avoided: false,
             reported_sum: 0.0,
             observations: 0,
         };
+        let groups = groups_of(&service);
         let knob = service.detection.false_ejections_per_server_day;
         Self {
             tag,
             servers: service.servers.iter().map(entry).collect(),
             attempts: HashMap::new(),
             next_attempt: 1,
-            history: ServiceHistory::default(),
+            history: ServiceHistory::new(service.servers.len(), groups.clone()),
+            groups,
             budget: RetryBudget::new(service.retry.budget_percent),
-            threshold: threshold(knob, 1),
+            // The allowance is the fleet's: each box has its share of it.
+            threshold: threshold(knob / f64::from(boxes.max(1)), 1),
             reported: None,
             ticked: None,
             verdict_expires: None,
@@ -115,7 +130,7 @@
             entry.score = kept.score;
             entry.leaving = kept.leaving;
         }
-        self.history = older.history.clone();
+        self.history.inherit(&older.history);
         self.verdict_expires = older.verdict_expires;
     }
 
@@ -231,9 +246,13 @@
         self.weigh_ages(now);
         let passed = self.ticked.map_or(0.0, |last| seconds(now, last));
         self.ticked = Some(now);
-        for entry in &mut self.servers {
+        for (server, entry) in self.servers.iter_mut().enumerate() {
             entry.score.forgive(passed);
+            if entry.present.follow(self.history.present(server)) {
+                entry.score = Score::default();
+            }
         }
+        self.settle_own(now);
         let last = *self.reported.get_or_insert(now);
         let since = now.saturating_duration_since(last);
         let telling = self.servers.iter().any(ServerEntry::has_news);
@@ -277,8 +296,8 @@
         if entry.leaving {
             return Standing::Out;
         }
-        let fresh = self.verdict_expires.is_some_and(|expires| now < expires);
-        let own = if entry.score.sum() >= self.threshold {
+        let fresh = self.has_verdict(now);
+        let own = if entry.avoided {
             Standing::Avoided
         } else {
             Standing::In
@@ -303,6 +322,10 @@
         self.attempts.len()
     }
 
+    fn has_verdict(&self, now: Instant) -> bool {
+        self.verdict_expires.is_some_and(|expires| now < expires)
+    }
+
     fn candidate(&self, server: ServerIndex, now: Instant) -> Candidate {
         let entry = &self.servers[server];
         let full = entry.outstanding >= entry.connection_share;
@@ -320,13 +343,34 @@
         }
     }
 
+    /// Settles which servers this box avoids on its own account.
+    fn settle_own(&mut self, now: Instant) {
+        let judged = self.has_verdict(now);
+        let uneasy_at = self.threshold * UNEASY_SHARE;
+        let scores = self.servers.iter().map(|entry| entry.score.sum());
+        let unease = Unease::new(scores, &self.groups, uneasy_at);
+        for (server, entry) in self.servers.iter_mut().enumerate() {
+            if entry.score.sum() < self.threshold {
+                entry.over_since = None;
+                entry.avoided = false;
+                continue;
+            }
+            let since = *entry.over_since.get_or_insert(now);
+            let over = now.saturating_duration_since(since);
+            // A judge that is heard decides for all, and sooner; what only this box
+            // sees must last.
+            let patience = if judged { OWN_PATIENCE } else { Duration::ZERO };
+            entry.avoided |= over >= patience && unease.allows(server, over);
+        }
+    }
+
     fn weigh_ages(&mut self, now: Instant) {
         if !self.history.is_settled() {
             return;
         }
         for attempt in self.attempts.values_mut() {
             let entry = &mut self.servers[attempt.server];
-            let reference = self.history.reference(&entry.history);
+            let reference = self.history.reference(attempt.server, &entry.history);
             let age_ms = seconds(now, attempt.since) * 1000.0;
             let evidence = reference.survival(age_ms);
             let step: Evidence =
@@ -344,7 +388,7 @@
         let trusted = entry.is_trusted();
         let latency_ms = seconds(now, attempt.since) * 1000.0;
         let settled = self.history.is_settled();
-        let reference = self.history.reference(&entry.history);
+        let reference = self.history.reference(attempt.server, &entry.history);
         let evidence = match outcome {
             AttemptOutcome::Abandoned => return,
             AttemptOutcome::Failed => reference.error(),
@@ -357,8 +401,9 @@
         entry.add(step, !attempt.observed);
         let failed = outcome == AttemptOutcome::Failed;
         if !failed {
+            let own = &mut entry.history;
             self.history
-                .learn_answer(&mut entry.history, latency_ms, trusted, now);
+                .learn_answer(attempt.server, own, latency_ms, trusted, now);
         }
         self.history.learn_end(attempt.server, failed, now);
     }
@@ -422,5 +467,7 @@
 const NEWS: f64 = 1.0;
 /// Smaller steps of an attempt's evidence wait for the next tick.
 const LEAST_STEP: f64 = 0.25;
+/// What only this box sees counts when it has lasted so long.
+const OWN_PATIENCE: Duration = Duration::from_secs(1);
 const TRUSTED_SCORE: f64 = 3.0;
 const LOAD_HINT_WEIGHT: f64 = 0.3;
