--- a/crates/wingspur-state/src/unease.rs
+++ b/crates/wingspur-state/src/unease.rs
@@ -68,4 +68,4 @@
 pub const UNEASY_SHARE: f64 = 0.25;
 const LEAST_TO_COMPARE: usize = 3;
 /// The present shift is known after this.
-const GROUP_PATIENCE: Duration = Duration::from_millis(3500);
+const GROUP_PATIENCE: Duration = Duration::from_millis(2500);
