--- a/crates/wingspur-coordination/src/shard_log.rs
+++ b/crates/wingspur-coordination/src/shard_log.rs
@@ -8,7 +8,7 @@
 //! the end of a claim outweighs its beginning, and claims stand side by side, told
 //! apart by their nonces.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use wingspur_protocol::{
@@ -21,12 +21,12 @@
 pub type ClaimTicket = u64;
 
 /// One shard's log as its owner holds it.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct ShardLog {
     writer: (BoxId, u64),
     settings: ShardLogSettings,
     state: LogState,
-    operations: HashMap<OperationId, Vec<Claim>>,
+    operations: BTreeMap<OperationId, Vec<Claim>>,
     pending_claims: Vec<PendingClaim>,
     pending_notes: Vec<LogEntry>,
     writes: u64,
@@ -142,7 +142,7 @@
             writer,
             settings,
             state: LogState::Closed,
-            operations: HashMap::new(),
+            operations: BTreeMap::new(),
             pending_claims: Vec::new(),
             pending_notes: Vec::new(),
             writes: 0,
