--- a/crates/wingspur-bench/src/demo.rs
+++ b/crates/wingspur-bench/src/demo.rs
@@ -113,7 +113,7 @@
     sick.set_gray(Gray::Well);
     let (added_p50_ms, added_p99_ms) = measure_hop(&fleet, spawner).await;
     let (refusals, retries) = counters(&fleet);
-    let (duplicates, false_not_run) = check_once_only(&fleet, &report);
+    let (duplicates, false_not_run) = fleet.check_once_only(&report);
     let cut_by_stop = fleet.close().await;
     Ok(DemoReport {
         load: report,
@@ -213,24 +213,6 @@
     (refusals, retries)
 }
 
-fn check_once_only(fleet: &Fleet, report: &LoadReport) -> (usize, usize) {
-    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
-    for server in fleet.servers.iter().flatten() {
-        for (key, count) in server.runs() {
-            *runs.entry(key).or_default() += count;
-        }
-    }
-    let duplicates = runs.values().filter(|count| **count > 1).count();
-    // A repeat may be refused as not run while its twin runs: only keys that no
-    // answer came for are looked at.
-    let ran: HashSet<&String> = report.ran_keys.iter().collect();
-    let not_run = report.not_run_keys.iter().filter(|key| !ran.contains(key));
-    (
-        duplicates,
-        not_run.filter(|key| runs.contains_key(*key)).count(),
-    )
-}
-
 fn kind(method: &'static str, path: &'static str) -> RequestKind {
     RequestKind {
         method,
--- a/crates/wingspur-bench/src/fleet.rs
+++ b/crates/wingspur-bench/src/fleet.rs
@@ -1,5 +1,6 @@
 //! A whole deployment on loopback: store, list, servers and boxes.
 
+use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
@@ -15,7 +16,7 @@
     Exchange, LinkFaults, Published, Spawner, StoreClient, accept_bundle, submit_bundle,
 };
 
-use crate::{BackendStandIn, BoxListStandIn, ServerPlan, StoreStandIn};
+use crate::{BackendStandIn, BoxListStandIn, LoadReport, ServerPlan, StoreStandIn};
 
 /// A running deployment.
 #[derive(Debug)]
@@ -270,6 +271,21 @@
         Ok(())
     }
 
+    /// Compares what callers were told with what the servers ran: operations that ran
+    /// more than once, and operations told *not run* that ran.
+    pub fn check_once_only(&self, report: &LoadReport) -> (usize, usize) {
+        let mut runs: HashMap<String, u32> = HashMap::new();
+        for server in self.servers.iter().flatten() {
+            for (key, count) in server.runs() {
+                *runs.entry(key).or_default() += count;
+            }
+        }
+        let duplicates = runs.values().filter(|count| **count > 1).count();
+        let not_run = report.keys_not_run();
+        let ran = not_run.into_iter().filter(|key| runs.contains_key(*key));
+        (duplicates, ran.count())
+    }
+
     /// Stops all boxes as planned, and returns the requests that were cut.
     pub async fn close(mut self) -> usize {
         let mut cut = 0;
--- a/crates/wingspur-bench/src/load.rs
+++ b/crates/wingspur-bench/src/load.rs
@@ -10,8 +10,8 @@
 use hyper::body::Bytes;
 use rand::RngExt;
 use serde::Serialize;
-use std::collections::BTreeMap;
-use wingspur_transport::{BackendPool, SendBody, Spawner};
+use std::collections::{BTreeMap, HashSet};
+use wingspur_transport::{BackendPool, SendBody, SendFailure, Spawner};
 
 /// Sends load to some addresses.
 #[derive(Debug)]
@@ -55,8 +55,10 @@
     pub errors: u64,
     /// Refusals, by result code.
     pub refused: BTreeMap<u16, u64>,
-    /// Connections that failed without any answer.
+    /// Connections that failed without any answer to a request that was sent.
     pub broken: u64,
+    /// Requests that could not be sent: no box was there.
+    pub unsent: u64,
     /// Answers that are not the request's own.
     pub foreign: u64,
     /// Latency from the time that the request was due, in milliseconds.
@@ -65,12 +67,12 @@
     pub p99_ms: f64,
     /// As above.
     pub p999_ms: f64,
-    /// Keys of once-only requests and whether a refusal said `not_run`.
+    /// Keys of once-only requests that were told `not_run`.
     #[serde(skip)]
     pub not_run_keys: Vec<String>,
-    /// Keys that were answered by a backend server.
+    /// Keys of once-only requests that ended in any other way.
     #[serde(skip)]
-    pub ran_keys: Vec<String>,
+    pub other_keys: Vec<String>,
 }
 
 #[derive(Debug)]
@@ -126,6 +128,15 @@
     }
 }
 
+impl LoadReport {
+    /// Keys of which every request was told `not_run`.
+    pub fn keys_not_run(&self) -> HashSet<&String> {
+        let others: HashSet<&String> = self.other_keys.iter().collect();
+        let not_run = self.not_run_keys.iter();
+        not_run.filter(|key| !others.contains(key)).collect()
+    }
+}
+
 impl Tally {
     fn new() -> Self {
         let report = LoadReport {
@@ -134,12 +145,13 @@
             errors: 0,
             refused: BTreeMap::new(),
             broken: 0,
+            unsent: 0,
             foreign: 0,
             p50_ms: 0.0,
             p99_ms: 0.0,
             p999_ms: 0.0,
             not_run_keys: Vec::new(),
-            ran_keys: Vec::new(),
+            other_keys: Vec::new(),
         };
         let latency = Histogram::new(3).expect("three digits are allowed");
         Self { report, latency }
@@ -184,26 +196,35 @@
     let took_us = due.elapsed().as_micros() as u64;
     let mut tally = tally.lock().expect("no holder panics");
     tally.report.sent += 1;
-    let Some((status, code, body)) = ended else {
-        tally.report.broken += 1;
-        return;
+    let (status, code, body) = match ended {
+        Ended::Answered(status, code, body) => (status, code, body),
+        Ended::Broken => {
+            tally.report.broken += 1;
+            tally.report.other_keys.extend(key);
+            return;
+        }
+        Ended::Unsent => {
+            tally.report.unsent += 1;
+            return;
+        }
     };
     // Values above the histogram's range do not occur: deadlines bound them.
     let _ = tally.latency.record(took_us.max(1));
     if let Some(code) = code {
         *tally.report.refused.entry(code).or_default() += 1;
         let not_run = body.windows(9).any(|window| window == b"\"not_run\"");
-        if let (true, Some(key)) = (not_run, key) {
-            tally.report.not_run_keys.push(key);
+        match not_run {
+            true => tally.report.not_run_keys.extend(key),
+            false => tally.report.other_keys.extend(key),
         }
         return;
     }
+    tally.report.other_keys.extend(key);
     if status >= 500 {
         tally.report.errors += 1;
         return;
     }
     tally.report.answered += 1;
-    tally.report.ran_keys.extend(key);
     let own = match kind.answer_bytes {
         Some(bytes) => body.len() as u64 == bytes && body.starts_with(id.as_bytes()),
         None => body == id.as_bytes(),
@@ -211,17 +232,27 @@
     tally.report.foreign += u64::from(!own);
 }
 
-async fn exchange(
-    pool: &BackendPool,
-    request: Request<SendBody>,
-) -> Option<(u16, Option<u16>, Bytes)> {
-    let (response, lease) = pool.send(request).await.ok()?;
+/// How a request ended: with its status, result code and body, or without an answer.
+enum Ended {
+    Answered(u16, Option<u16>, Bytes),
+    Broken,
+    Unsent,
+}
+
+async fn exchange(pool: &BackendPool, request: Request<SendBody>) -> Ended {
+    let (response, lease) = match pool.send(request).await {
+        Ok(answered) => answered,
+        Err(SendFailure::NotSent { .. }) => return Ended::Unsent,
+        Err(SendFailure::InDoubt(_)) => return Ended::Broken,
+    };
     let status = response.status().as_u16();
     let code = response.headers().get("wingspur-result");
     let code = code.and_then(|value| value.to_str().ok()?.parse().ok());
-    let body = response.into_body().collect().await.ok()?.to_bytes();
+    let Ok(body) = response.into_body().collect().await else {
+        return Ended::Broken;
+    };
     pool.finish(lease);
-    Some((status, code, body))
+    Ended::Answered(status, code, body.to_bytes())
 }
 
 fn draw(mix: &[(RequestKind, f64)]) -> RequestKind {
--- a/crates/wingspur-bench/src/main.rs
+++ b/crates/wingspur-bench/src/main.rs
@@ -5,7 +5,8 @@
 
 use argh::FromArgs;
 use wingspur_bench::{
-    Decider, DemoOptions, DemoReport, DetectRow, User, cases, run_case, run_demo,
+    Decider, DemoOptions, DemoReport, DetectRow, FaultOptions, FaultRow, User, cases,
+    run_case, run_demo, run_faults,
 };
 use wingspur_transport::Workers;
 
@@ -21,6 +22,7 @@
 enum Command {
     Demo(DemoArgs),
     Detect(DetectArgs),
+    Faults(FaultsArgs),
 }
 
 /// Start a small deployment on loopback, make a server sick and show what holds.
@@ -65,6 +67,27 @@
     json: Option<PathBuf>,
 }
 
+/// Send once-only load and bundles while the store, boxes and servers fail.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "faults")]
+struct FaultsArgs {
+    /// times through the table (default 1)
+    #[argh(option, default = "1")]
+    rounds: usize,
+    /// boxes (default 6)
+    #[argh(option, default = "6")]
+    boxes: usize,
+    /// once-only requests a second (default 400)
+    #[argh(option, default = "400.0")]
+    rate: f64,
+    /// seconds of load a row (default 6)
+    #[argh(option, default = "6")]
+    seconds: u64,
+    /// write the rows to this file as JSON
+    #[argh(option)]
+    json: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
     let filter = tracing_subscriber::EnvFilter::try_from_default_env();
     let filter = filter.unwrap_or_else(|_| "warn".into());
@@ -77,6 +100,7 @@
     let ended = match args.command {
         Command::Demo(args) => demo(&args, &workers),
         Command::Detect(args) => detect(&args),
+        Command::Faults(args) => faults(&args, &workers),
     };
     workers.close();
     match ended {
@@ -140,6 +164,51 @@
     })
 }
 
+fn faults(args: &FaultsArgs, workers: &Workers) -> Result<ExitCode, String> {
+    let options = FaultOptions {
+        rounds: args.rounds,
+        boxes: args.boxes,
+        rate_per_s: args.rate,
+        seconds: args.seconds,
+    };
+    let rows = smol::block_on(run_faults(options, &workers.spawner(), print_fault_row))?;
+    write_json(args.json.as_deref(), &rows)?;
+    let total = |count: fn(&FaultRow) -> u64| rows.iter().map(count).sum::<u64>();
+    let duplicates = total(|row| row.duplicates as u64);
+    let false_not_run = total(|row| row.false_not_run as u64);
+    let reversions = total(|row| row.reversions);
+    println!(
+        "sent {}  duplicates {duplicates}  false `not run` {false_not_run}  bundles {}  \
+         reversions {reversions}",
+        total(|row| row.sent),
+        total(|row| row.bundles),
+    );
+    let held = duplicates + false_not_run + reversions == 0;
+    Ok(if held {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn print_fault_row(row: &FaultRow) {
+    println!(
+        "{:44} sent {:>5} answered {:>5} broken {:>3} dup {} false {} cut {} bundles {:>3} \
+         back {} in force {:>5.0} ms {:?}",
+        row.faults,
+        row.sent,
+        row.answered,
+        row.broken,
+        row.duplicates,
+        row.false_not_run,
+        row.cut_by_stop,
+        row.bundles,
+        row.reversions,
+        row.in_force_ms,
+        row.refused,
+    );
+}
+
 fn print_row(row: &DetectRow) {
     let ms = |value: Option<f64>| match value {
         Some(value) => format!("{value:.0}"),
--- a/crates/wingspur-coordination/src/lib.rs
+++ b/crates/wingspur-coordination/src/lib.rs
@@ -5,7 +5,7 @@
 mod shard_log;
 
 pub use membership::{HeardRefusal, Membership, MembershipSettings, PeerView};
-pub use placement::{owner_of, ranked};
+pub use placement::{Roster, hash_of};
 pub use shard_log::{
     ClaimTicket, ClaimVerdict, LogCommand, SegmentWrite, ShardLog, ShardLogSettings,
 };
--- a/crates/wingspur-coordination/src/membership.rs
+++ b/crates/wingspur-coordination/src/membership.rs
@@ -6,14 +6,16 @@
 //! two others suspect it. The cost for one box does not grow with the fleet, and a
 //! wrong view does no harm: roles are soft, or fenced by the store.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use sha2::{Digest, Sha256};
 use wingspur_protocol::{BoxList, BoxState, ListedBox, Suspicion};
 use wingspur_state::{BoxId, DataCentreId};
 
+use crate::{Roster, hash_of};
+
 /// One box's view of the fleet.
 #[derive(Debug)]
 pub struct Membership {
@@ -25,6 +27,8 @@
     /// Who suspects whom, and until when.
     suspicions: HashMap<(BoxId, BoxId), Instant>,
     round: u64,
+    /// The last answer of `live`, and when it was worked out.
+    roster: Option<(Instant, Arc<Roster>)>,
 }
 
 /// The times of membership.
@@ -97,6 +101,7 @@
             peers: HashMap::new(),
             suspicions: HashMap::new(),
             round: 0,
+            roster: None,
         }
     }
 
@@ -114,7 +119,7 @@
                 }
             }
         }
-        let placed = self.peers.keys().map(|id| ((place(id), id.clone()), ()));
+        let placed = self.peers.keys().map(|id| ((hash_of(id), id.clone()), ()));
         self.ring = placed.collect();
     }
 
@@ -208,42 +213,36 @@
 
     /// Whether a listed box counts as living.
     pub fn is_live(&self, id: &BoxId, now: Instant) -> bool {
-        if *id == self.own {
-            return true;
-        }
-        let Some(peer) = self.peers.get(id) else {
-            return false;
-        };
-        peer.listed.state == BoxState::Live
-            && !peer.says_leaving
-            && !self.is_down(id, now)
+        let listed = self.peers.get(id);
+        *id == self.own || listed.is_some_and(|peer| peer.stays(&self.down(now)))
     }
 
-    /// All boxes that count as living, this one included, in order.
-    pub fn live(&self, now: Instant) -> Vec<BoxId> {
-        let others = self.peers.keys().filter(|id| self.is_live(id, now));
-        let mut live: Vec<BoxId> = others.cloned().collect();
-        live.push(self.own.clone());
-        live.sort();
-        live
+    /// All boxes that count as living, this one included.
+    ///
+    /// Worked out anew at most once in `ROSTER_TTL`: the request path asks often.
+    pub fn live(&mut self, now: Instant) -> Arc<Roster> {
+        let fresh = |at: Instant| now.saturating_duration_since(at) < ROSTER_TTL;
+        if let Some((at, roster)) = &self.roster
+            && fresh(*at)
+        {
+            return roster.clone();
+        }
+        let down = self.down(now);
+        let live = self.peers.values().filter(|peer| peer.stays(&down));
+        let ids = live.map(|peer| peer.listed.id.clone());
+        let roster = Arc::new(Roster::new(ids.chain([self.own.clone()])));
+        self.roster = Some((now, roster.clone()));
+        roster
     }
 
-    /// Boxes of one data centre that count as living, in order.
-    pub fn live_in(
-        &self,
-        data_centre: &DataCentreId,
-        own: bool,
-        now: Instant,
-    ) -> Vec<BoxId> {
-        let inside = |id: &&BoxId| self.peers[*id].listed.data_centre == *data_centre;
-        let others = self.peers.keys().filter(inside);
-        let others = others.filter(|id| self.is_live(id, now));
-        let mut live: Vec<BoxId> = others.cloned().collect();
-        if own {
-            live.push(self.own.clone());
-        }
-        live.sort();
-        live
+    /// Other boxes of one data centre that count as living.
+    pub fn live_in(&self, data_centre: &DataCentreId, now: Instant) -> Vec<PeerView> {
+        let down = self.down(now);
+        let inside = self
+            .peers
+            .values()
+            .filter(|peer| peer.listed.data_centre == *data_centre && peer.stays(&down));
+        inside.map(Peer::view).collect()
     }
 
     /// The data centres of all listed boxes, and this box's own.
@@ -257,12 +256,7 @@
 
     /// A box by its id.
     pub fn view(&self, id: &BoxId) -> Option<PeerView> {
-        let listed = &self.peers.get(id)?.listed;
-        Some(PeerView {
-            id: listed.id.clone(),
-            address: listed.peer_address,
-            data_centre: listed.data_centre.clone(),
-        })
+        self.peers.get(id).map(Peer::view)
     }
 
     /// The sequence last heard from a box, for echoing it back; 0 for none.
@@ -275,15 +269,21 @@
         self.peers.len() + 1
     }
 
-    fn is_down(&self, id: &BoxId, now: Instant) -> bool {
+    /// The boxes that enough others suspect.
+    fn down(&self, now: Instant) -> HashSet<&BoxId> {
         let needed = if self.peers.len() < 3 {
             1
         } else {
             LEAST_SUSPECTING
         };
-        let by = self.suspicions.iter();
-        let by = by.filter(|((of, _), until)| of == id && **until > now);
-        by.count() >= needed
+        let mut counts: HashMap<&BoxId, usize> = HashMap::new();
+        for ((of, _), until) in &self.suspicions {
+            if *until > now {
+                *counts.entry(of).or_default() += 1;
+            }
+        }
+        let down = counts.into_iter().filter(|(_, count)| *count >= needed);
+        down.map(|(id, _)| id).collect()
     }
 
     /// The boxes after this one on the ring, which it watches.
@@ -291,7 +291,7 @@
     /// Boxes that are down stay watched, and the ring goes on behind them, so that
     /// everyone who lives always has two who watch.
     fn successors(&self) -> impl Iterator<Item = &BoxId> {
-        let own = (place(&self.own), self.own.clone());
+        let own = (hash_of(&self.own), self.own.clone());
         let after = self.ring.range(own.clone()..);
         let before = self.ring.range(..own);
         after.chain(before).map(|((_, id), ())| id).take(WATCHED)
@@ -312,6 +312,20 @@
         }
     }
 
+    fn stays(&self, down: &HashSet<&BoxId>) -> bool {
+        self.listed.state == BoxState::Live
+            && !self.says_leaving
+            && !down.contains(&self.listed.id)
+    }
+
+    fn view(&self) -> PeerView {
+        PeerView {
+            id: self.listed.id.clone(),
+            address: self.listed.peer_address,
+            data_centre: self.listed.data_centre.clone(),
+        }
+    }
+
     /// Incarnations grow with the time of the start; an older one is a leftover.
     fn admit(&mut self, incarnation: u64, sequence: u64) -> Result<(), HeardRefusal> {
         if incarnation < self.incarnation {
@@ -339,16 +353,11 @@
     }
 }
 
-fn place(id: &BoxId) -> u64 {
-    let digest = Sha256::digest(id.as_bytes());
-    let mut start = [0; 8];
-    start.copy_from_slice(&digest[..8]);
-    u64::from_le_bytes(start)
-}
-
 /// Boxes that each box watches.
 const WATCHED: usize = 3;
 /// Boxes that must agree before one counts as down.
 const LEAST_SUSPECTING: usize = 2;
+/// How long the roster of living boxes is used again.
+const ROSTER_TTL: Duration = Duration::from_millis(100);
 /// Suspicions on one heartbeat.
 const MOST_SUSPICIONS: usize = 8;
--- a/crates/wingspur-coordination/src/placement.rs
+++ b/crates/wingspur-coordination/src/placement.rs
@@ -3,32 +3,59 @@
 use sha2::{Digest, Sha256};
 use wingspur_state::BoxId;
 
-/// The box among `boxes` that holds `role`; a role moves only when its holder goes.
-pub fn owner_of<'a>(
-    role: &str,
-    boxes: impl Iterator<Item = &'a BoxId>,
-) -> Option<&'a BoxId> {
-    boxes.max_by_key(|id| (weight(role, id), *id))
+/// Boxes with their hashes, ready for many placements.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Roster {
+    boxes: Vec<(u64, BoxId)>,
 }
 
-/// The first `count` boxes for a role, the holder first.
-pub fn ranked<'a>(
-    role: &str,
-    boxes: impl Iterator<Item = &'a BoxId>,
-    count: usize,
-) -> Vec<&'a BoxId> {
-    let mut ranked: Vec<(u64, &BoxId)> = boxes.map(|id| (weight(role, id), id)).collect();
-    ranked.sort_by(|a, b| b.cmp(a));
-    ranked.into_iter().take(count).map(|(_, id)| id).collect()
+impl Roster {
+    /// A roster of these boxes.
+    pub fn new(boxes: impl IntoIterator<Item = BoxId>) -> Self {
+        let hashed = boxes.into_iter().map(|id| (hash_of(&id), id));
+        Self {
+            boxes: hashed.collect(),
+        }
+    }
+
+    /// The box that holds a role; the role moves only when its holder goes.
+    pub fn holder(&self, role: &str) -> Option<&BoxId> {
+        let role = hash_of(role);
+        let best = self
+            .boxes
+            .iter()
+            .max_by_key(|(hash, id)| (mix(*hash ^ role), id));
+        best.map(|(_, id)| id)
+    }
+
+    /// Whether a box is among the first `count` for a role.
+    pub fn is_among(&self, role: &str, count: usize, id: &BoxId) -> bool {
+        let role = hash_of(role);
+        let own = mix(hash_of(id) ^ role);
+        let before = self.boxes.iter().filter(|(hash, other)| {
+            let weight = mix(*hash ^ role);
+            weight > own || (weight == own && other > id)
+        });
+        before.count() < count
+    }
+
+    /// The boxes.
+    pub fn ids(&self) -> impl ExactSizeIterator<Item = &BoxId> {
+        self.boxes.iter().map(|(_, id)| id)
+    }
 }
 
-fn weight(role: &str, id: &BoxId) -> u64 {
-    let mut hash = Sha256::new();
-    hash.update((role.len() as u64).to_le_bytes());
-    hash.update(role.as_bytes());
-    hash.update(id.as_bytes());
-    let digest = hash.finalize();
+/// The first 64 bits of a text's SHA-256: the same on every box and in every release.
+pub fn hash_of(text: &str) -> u64 {
+    let digest = Sha256::digest(text.as_bytes());
     let mut start = [0; 8];
     start.copy_from_slice(&digest[..8]);
     u64::from_le_bytes(start)
 }
+
+/// Spreads a hash over all bits (the finaliser of SplitMix64).
+fn mix(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- a/crates/wingspur-entry/src/bundles.rs
+++ b/crates/wingspur-entry/src/bundles.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
-use wingspur_coordination::{PeerView, ranked};
+use wingspur_coordination::{PeerView, Roster};
 use wingspur_protocol::{
     BundleOffer, Manifest, PeerMessage, PeerReply, SignedBundle, digest_of, verify_bundle,
 };
-use wingspur_state::check_bundle;
+use wingspur_state::{BoxId, check_bundle};
 use wingspur_transport::{
     PublishError, StopSignal, StoreError, assemble, load_bundle, load_pointer,
 };
@@ -163,10 +163,14 @@
 
 fn is_reader(shared: &Shared) -> bool {
     let home = &shared.settings.data_centre;
-    let now = std::time::Instant::now();
-    let inside = shared.membership.lock().live_in(home, true, now);
-    let role = format!("reader/{home}");
-    ranked(&role, inside.iter(), READERS).contains(&&shared.settings.box_id)
+    let own = &shared.settings.box_id;
+    let others = shared
+        .membership
+        .lock()
+        .live_in(home, std::time::Instant::now());
+    let ids = others.into_iter().map(|peer| peer.id);
+    let inside = Roster::new(ids.chain([own.clone()]));
+    inside.is_among(&format!("reader/{home}"), READERS, own)
 }
 
 async fn ask_peers(shared: &Arc<Shared>) {
@@ -283,9 +287,10 @@
 
 fn random_peers(shared: &Shared, count: usize) -> Vec<PeerView> {
     let live = shared.live();
-    let membership = shared.membership.lock();
-    let peers: Vec<PeerView> = live.iter().filter_map(|id| membership.view(id)).collect();
-    peers.sample(&mut rand::rng(), count).cloned().collect()
+    let ids: Vec<&BoxId> = live.ids().collect();
+    // One more than wanted: this box itself may be among those drawn.
+    let drawn = ids.sample(&mut rand::rng(), count + 1);
+    drawn.filter_map(|id| shared.peer(id)).take(count).collect()
 }
 
 fn note_refusal(shared: &Shared, taken: Result<(), BundleRefusal>) {
--- a/crates/wingspur-entry/src/claims.rs
+++ b/crates/wingspur-entry/src/claims.rs
@@ -7,7 +7,6 @@
 use futures_lite::FutureExt;
 use wingspur_coordination::{
     ClaimTicket, ClaimVerdict, LogCommand, SegmentWrite, ShardLog, ShardLogSettings,
-    owner_of,
 };
 use wingspur_protocol::{
     ClaimReply, ClaimRequest, LogSegment, OperationId, OperationOutcome, OutcomeNote,
@@ -202,12 +201,22 @@
         }
         smol::Timer::after(pause).await;
     }
-    tracing::warn!("claims: an outcome stays unrecorded; the operation is unknown.");
+    let outcome = match note.outcome {
+        OperationOutcome::Ran => "ran",
+        OperationOutcome::NotRun => "not_run",
+        OperationOutcome::Unknown => "unknown",
+    };
+    shared
+        .metrics
+        .unrecorded_outcomes
+        .with_label_values(&[outcome])
+        .inc();
+    tracing::debug!("claims: an outcome stays unrecorded: {outcome}.");
 }
 
 fn owner(shared: &Shared, shard: u32) -> wingspur_state::BoxId {
     let live = shared.live();
-    let owner = owner_of(&format!("once/{shard}"), live.iter());
+    let owner = live.holder(&format!("once/{shard}"));
     owner.unwrap_or(&shared.settings.box_id).clone()
 }
 
--- a/crates/wingspur-entry/src/detection.rs
+++ b/crates/wingspur-entry/src/detection.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use wingspur_coordination::{PeerView, owner_of};
+use wingspur_coordination::PeerView;
 use wingspur_protocol::{PeerMessage, PeerReply};
 use wingspur_state::{
     BoxId, DataCentreId, EjectionRecord, EvidenceReport, Judge, JudgeEvent, TICK, Verdict,
@@ -84,7 +84,7 @@
         };
         let live = live.get_or_insert_with(|| shared.live());
         let role = format!("judge/{}", handle.service.name);
-        let holder = owner_of(&role, live.iter());
+        let holder = live.holder(&role);
         let holder = holder.unwrap_or(&shared.settings.box_id).clone();
         by_judge.entry(holder).or_default().push(report);
     }
@@ -274,11 +274,10 @@
         if data_centre == shared.settings.data_centre {
             apply_verdicts(shared, &verdicts);
         }
-        let membership = shared.membership.lock();
-        let inside = membership.live_in(&data_centre, false, Instant::now());
-        let peers: Vec<PeerView> =
-            inside.iter().filter_map(|id| membership.view(id)).collect();
-        drop(membership);
+        let peers = shared
+            .membership
+            .lock()
+            .live_in(&data_centre, Instant::now());
         for peer in peers {
             let (telling, message) =
                 (shared.clone(), PeerMessage::Verdicts(verdicts.clone()));
--- a/crates/wingspur-entry/src/entry_box.rs
+++ b/crates/wingspur-entry/src/entry_box.rs
@@ -116,16 +116,6 @@
         &self.shared.metrics
     }
 
-    /// Messages to peers and the box list, and bytes of bodies sent and received.
-    pub fn peer_totals(&self) -> (u64, u64, u64) {
-        self.shared.peers.totals()
-    }
-
-    /// Calls to the store, and bytes of bodies sent and received.
-    pub fn store_totals(&self) -> (u64, u64, u64) {
-        self.shared.store_exchange.totals()
-    }
-
     /// Once-only shards owned, and operations remembered.
     pub fn once_only_totals(&self) -> (usize, usize) {
         self.shared.shards.owned()
--- a/crates/wingspur-entry/src/metrics.rs
+++ b/crates/wingspur-entry/src/metrics.rs
@@ -1,8 +1,11 @@
 //! Counters and gauges, with one counter for each refusal and each retry reason.
 
-use prometheus::{Encoder, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+};
 use wingspur_protocol::ResultCode;
 use wingspur_state::RetryReason;
+use wingspur_transport::ExchangeTotals;
 
 /// The metrics of one box.
 #[derive(Debug, Clone)]
@@ -26,6 +29,11 @@
     pub store_calls: IntCounterVec,
     /// Bundles refused, by reason.
     pub bundle_refusals: IntCounterVec,
+    /// Outcomes of once-only operations that no owner took, by outcome.
+    pub unrecorded_outcomes: IntCounterVec,
+    /// Exchanges with peers and the store that this box began, by part and kind:
+    /// calls, bytes of bodies sent and received.
+    pub exchanges: IntGaugeVec,
     /// The bundle in force.
     pub bundle_version: IntGauge,
 }
@@ -46,6 +54,11 @@
         let bundle_version = version.expect("the name is a constant");
         let boxed = Box::new(bundle_version.clone());
         registry.register(boxed).expect("each name is used once");
+        let opts = Opts::new("wingspur_exchanges", "Exchanges begun, by part and kind.");
+        let exchanges = IntGaugeVec::new(opts, &["part", "kind"]);
+        let exchanges = exchanges.expect("the name is a constant");
+        let boxed = Box::new(exchanges.clone());
+        registry.register(boxed).expect("each name is used once");
         let metrics = Self {
             requests: counter(
                 "wingspur_requests_total",
@@ -92,6 +105,12 @@
                 "Bundles refused, by reason.",
                 &["reason"],
             ),
+            unrecorded_outcomes: counter(
+                "wingspur_unrecorded_outcomes_total",
+                "Outcomes of once-only operations that no owner took.",
+                &["outcome"],
+            ),
+            exchanges,
             bundle_version,
             registry,
         };
@@ -122,6 +141,20 @@
         self.retries.with_label_values(&[reason.as_str()]).get()
     }
 
+    /// Takes in the totals of exchanges of one part of the box.
+    pub fn set_exchanges(&self, part: &str, totals: ExchangeTotals) {
+        let rows = [
+            ("calls", totals.calls),
+            ("sent_bytes", totals.sent_bytes),
+            ("received_bytes", totals.received_bytes),
+        ];
+        for (kind, value) in rows {
+            self.exchanges
+                .with_label_values(&[part, kind])
+                .set(value as i64);
+        }
+    }
+
     /// All metrics in the text form.
     pub fn render(&self) -> Vec<u8> {
         let mut out = Vec::new();
--- a/crates/wingspur-entry/src/operator.rs
+++ b/crates/wingspur-entry/src/operator.rs
@@ -22,7 +22,13 @@
     match request.uri().path() {
         "/ready" if shared.is_ready() => text(StatusCode::OK, "ready\n"),
         "/ready" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-        "/metrics" => bytes(StatusCode::OK, shared.metrics.render()),
+        "/metrics" => {
+            shared.metrics.set_exchanges("peers", shared.peers.totals());
+            shared
+                .metrics
+                .set_exchanges("store", shared.store_exchange.totals());
+            bytes(StatusCode::OK, shared.metrics.render())
+        }
         "/status" => {
             let status = serde_json::to_vec(&status(&shared));
             bytes(StatusCode::OK, status.expect("a status serialises"))
--- a/crates/wingspur-entry/src/shared.rs
+++ b/crates/wingspur-entry/src/shared.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use wingspur_coordination::{Membership, MembershipSettings, PeerView};
+use wingspur_coordination::{Membership, MembershipSettings, PeerView, Roster};
 use wingspur_protocol::{
     PEER_PROTOCOL_VERSION, PeerEnvelope, PeerMessage, PeerReply, StoreKeys, encode_peer,
 };
@@ -151,7 +151,7 @@
     }
 
     /// Boxes that count as living.
-    pub fn live(&self) -> Vec<BoxId> {
+    pub fn live(&self) -> Arc<Roster> {
         self.membership.lock().live(Instant::now())
     }
 
--- a/crates/wingspur-transport/src/exchange.rs
+++ b/crates/wingspur-transport/src/exchange.rs
@@ -27,6 +27,17 @@
     calls: AtomicU64,
 }
 
+/// What was exchanged; bytes are those of bodies, without heads.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ExchangeTotals {
+    /// Calls begun.
+    pub calls: u64,
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Bytes received.
+    pub received_bytes: u64,
+}
+
 /// Why an exchange failed.
 #[derive(Debug, thiserror::Error)]
 pub enum ExchangeError {
@@ -112,13 +123,13 @@
         opening.or(expire(timeout)).await
     }
 
-    /// Calls made, bytes of bodies sent and received, since the start.
-    pub fn totals(&self) -> (u64, u64, u64) {
-        (
-            self.calls.load(Ordering::Relaxed),
-            self.sent_bytes.load(Ordering::Relaxed),
-            self.received_bytes.load(Ordering::Relaxed),
-        )
+    /// What was exchanged since the start.
+    pub fn totals(&self) -> ExchangeTotals {
+        ExchangeTotals {
+            calls: self.calls.load(Ordering::Relaxed),
+            sent_bytes: self.sent_bytes.load(Ordering::Relaxed),
+            received_bytes: self.received_bytes.load(Ordering::Relaxed),
+        }
     }
 
     async fn call(
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -10,7 +10,7 @@
 mod workers;
 
 pub use body::{BodyError, SendBody};
-pub use exchange::{Exchange, ExchangeError};
+pub use exchange::{Exchange, ExchangeError, ExchangeTotals};
 pub use faults::{LinkFault, LinkFaults};
 pub use listener::{HttpListener, ListenerCounts, ListenerOptions};
 pub use pool::{BackendPool, Lease, SendFailure};
