--- a/crates/wingspur-state/src/evidence.rs
+++ b/crates/wingspur-state/src/evidence.rs
@@ -218,8 +218,8 @@
 /// One error in so many is taken for granted.
 pub(crate) const LEAST_ERROR_RATE: f64 = 0.003;
 const LEAST_MS: f64 = 0.05;
-/// Ten looks a second.
-const STEPS_PER_DAY: f64 = 864_000.0;
+/// One look a second: looks that are closer see nearly the same sums.
+const STEPS_PER_DAY: f64 = 86_400.0;
 /// How often a box's sum against a well server is above nought, at most.
 const BUSY_SHARE: f64 = 0.03;
 /// A server without work is forgiven as if it had given so many well answers a second.
--- a/crates/wingspur-state/src/judge.rs
+++ b/crates/wingspur-state/src/judge.rs
@@ -46,6 +46,8 @@
 pub enum VerdictStanding {
     /// It takes work.
     In,
+    /// It takes work, and boxes elsewhere try it as if it stood nearby.
+    Watched,
     /// It returns by this share of its usual work, retry-safe work only.
     Trial(f32),
     /// It takes work only when no other has room.
@@ -277,6 +279,7 @@
         let mut standings = Vec::new();
         for (index, server) in self.servers.iter().enumerate() {
             let standing = match server.state {
+                State::In if self.wants_observers(server) => VerdictStanding::Watched,
                 State::In | State::Returned { .. } => VerdictStanding::In,
                 State::Avoided { .. } if server.is_well_from(data_centre) => {
                     VerdictStanding::In
@@ -314,6 +317,13 @@
         kept.map(|server| server.slots).sum()
     }
 
+    /// Whether so few boxes work with an uneasy server that they cannot decide: others
+    /// shall try it too, wherever it stands.
+    fn wants_observers(&self, server: &Judged) -> bool {
+        let enough = LEAST_OBSERVERS.min(self.observers.len());
+        server.total >= self.threshold * UNEASY_SHARE && server.observers() < enough
+    }
+
     fn share_of_one_box(&self) -> f64 {
         match self.observers.len() {
             0 | 1 => 2.0,
@@ -459,6 +469,14 @@
         }
     }
 
+    /// Boxes that have something to say about the server.
+    fn observers(&self) -> usize {
+        let says = |opinion: &&Opinion| {
+            opinion.observations_per_s > 0.0 || opinion.sums != Evidence::default()
+        };
+        self.by_box.values().filter(says).count()
+    }
+
     /// The evidence that tells whether many are uneasy: one that is held back for good
     /// reason is not.
     fn unease(&self) -> f64 {
@@ -517,6 +535,8 @@
 
 /// How often the judge looks; the threshold counts in these.
 const STEP: Duration = Duration::from_millis(100);
+/// So many boxes can decide about a server.
+const LEAST_OBSERVERS: usize = 3;
 const STEPS_TO_CROSS: f64 = 3.0;
 const LEAST_SPAN_S: f64 = 0.05;
 const OBSERVER_TTL: Duration = Duration::from_secs(3);
--- a/crates/wingspur-state/src/service_table.rs
+++ b/crates/wingspur-state/src/service_table.rs
@@ -158,7 +158,7 @@
         random: &mut impl Rng,
     ) -> Option<ServerIndex> {
         let all: Vec<Candidate> = (0..self.servers.len())
-            .map(|server| self.candidate(server, now))
+            .map(|server| self.candidate(server, class.may_repeat(), now))
             .collect();
         let fresh = all
             .iter()
@@ -280,7 +280,7 @@
                 VerdictStanding::Out | VerdictStanding::Avoided
             );
             let returns =
-                matches!(standing, VerdictStanding::In | VerdictStanding::Trial(_));
+                !matches!(standing, VerdictStanding::Out | VerdictStanding::Avoided);
             if was_held && returns {
                 // What it did before the hold must not speak against it after.
                 entry.score = Score::default();
@@ -305,12 +305,12 @@
         if !fresh {
             // Without a judge nobody may take capacity away: suspects are used last.
             return match entry.verdict {
-                VerdictStanding::In => own,
+                VerdictStanding::In | VerdictStanding::Watched => own,
                 _ => Standing::Avoided,
             };
         }
         match entry.verdict {
-            VerdictStanding::In => own,
+            VerdictStanding::In | VerdictStanding::Watched => own,
             VerdictStanding::Trial(share) => Standing::Trial(f64::from(share)),
             VerdictStanding::Avoided => Standing::Avoided,
             VerdictStanding::Out => Standing::Out,
@@ -326,15 +326,16 @@
         self.verdict_expires.is_some_and(|expires| now < expires)
     }
 
-    fn candidate(&self, server: ServerIndex, now: Instant) -> Candidate {
+    fn candidate(&self, server: ServerIndex, safe: bool, now: Instant) -> Candidate {
         let entry = &self.servers[server];
+        let watched = safe && entry.verdict == VerdictStanding::Watched;
         let full = entry.outstanding >= entry.connection_share;
         Candidate {
             server,
             slots: self.service.servers[server].slots,
             outstanding: entry.outstanding,
             load_hint: entry.load_hint,
-            same_data_centre: entry.same_data_centre,
+            same_data_centre: entry.same_data_centre || watched,
             standing: if full {
                 Standing::Out
             } else {
--- a/tests/tests/fleet.rs
+++ b/tests/tests/fleet.rs
@@ -98,6 +98,7 @@
         let mix = vec![(kind("GET", "/exam/p"), 1.0)];
         load.run(&some_seconds(200.0, mix.clone())).await;
         fleet.servers[0][2].set_gray(Gray::Stall);
+        load.run(&some_seconds(200.0, mix.clone())).await;
         load.run(&some_seconds(200.0, mix)).await;
         for running in fleet.boxes.iter().flatten() {
             assert_eq!(running.servers_out(), ["exam-pages/exam-pages-02"]);
