Suite: judge, membership, raw answers, acceptance under store faults, leaving servers; pages

Found by them and mended: no judge was told which servers leave, so they counted towards the floor; servers ejected before others leave are let back in when the floor asks for it; the sickest were ranked by a figure that rises by steps and was equal for all. Known red at this commit: the planned-stop test, one request of 800 broken in a run: the load tool keeps sending to a box that is not ready.

--- a/crates/wingspur-bench/src/lib.rs
+++ b/crates/wingspur-bench/src/lib.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod demo;
 mod detect;
+mod detect_page;
 mod faults;
 mod fleet;
 mod load;
@@ -21,6 +22,7 @@
 };
 pub use demo::{DemoOptions, DemoReport, run_demo};
 pub use detect::{DetectCase, DetectRow, User, cases, run_case};
+pub use detect_page::{KnobRow, draw_knob, measure_knob, render_detect_page};
 pub use faults::{FaultOptions, FaultRow, RoundFault, fault_rows, run_faults};
 pub use fleet::{Fleet, FleetPlan, ServicePlan, bratislava, small_zagreb, zagreb};
 pub use load::{Load, LoadOptions, LoadReport, RequestKind};
--- a/crates/wingspur-bench/src/main.rs
+++ b/crates/wingspur-bench/src/main.rs
@@ -6,8 +6,8 @@
 use argh::FromArgs;
 use wingspur_bench::{
     CapacityReport, Decider, DemoOptions, DemoReport, DetectRow, FaultOptions, FaultRow,
-    User, cases, measure_claims, measure_decisions, measure_processes, render_page,
-    run_case, run_demo, run_faults,
+    User, cases, draw_knob, measure_claims, measure_decisions, measure_knob,
+    measure_processes, render_detect_page, render_page, run_case, run_demo, run_faults,
 };
 use wingspur_transport::Workers;
 
@@ -64,6 +64,12 @@
     /// only cases whose name has this in it
     #[argh(option, default = "String::new()")]
     only: String,
+    /// write the page to this file, with the knob's curve measured as well
+    #[argh(option)]
+    page: Option<PathBuf>,
+    /// draw the knob's curve into this file
+    #[argh(option)]
+    plot: Option<PathBuf>,
     /// write the rows to this file as JSON
     #[argh(option)]
     json: Option<PathBuf>,
@@ -174,6 +180,14 @@
         }
     }
     write_json(args.json.as_deref(), &rows)?;
+    if let Some(page) = &args.page {
+        let knob = measure_knob(args.threads);
+        let text = render_detect_page(&rows, &knob);
+        std::fs::write(page, text).map_err(|error| error.to_string())?;
+        if let Some(plot) = &args.plot {
+            draw_knob(&knob, plot)?;
+        }
+    }
     let broken = rows.iter().any(|(_, row)| row.floor_violations > 0);
     Ok(if broken {
         ExitCode::FAILURE
--- a/crates/wingspur-entry/src/detection.rs
+++ b/crates/wingspur-entry/src/detection.rs
@@ -43,7 +43,7 @@
         let Some(bundle) = shared.in_force() else {
             continue;
         };
-        idle = report(&shared, &bundle) & judge(&shared);
+        idle = report(&shared, &bundle) & judge(&shared, &bundle);
     }
 }
 
@@ -145,7 +145,7 @@
 }
 
 /// Steps the judges held here, and carries out what follows; true when none is held.
-fn judge(shared: &Arc<Shared>) -> bool {
+fn judge(shared: &Arc<Shared>, bundle: &InForce) -> bool {
     if shared.judges.lock().seats.is_empty() {
         return true;
     }
@@ -162,6 +162,7 @@
             .seats
             .retain(|_, seat| now.saturating_duration_since(seat.heard) < SEAT_TTL);
         for (tag, seat) in &mut judges.seats {
+            seat.follow_leaving(bundle);
             for event in seat.judge.step(now) {
                 note(shared, &seat.service, &event);
             }
@@ -246,6 +247,20 @@
         }
     }
 
+    /// Takes over from this box's table which servers leave: they count for no floor.
+    fn follow_leaving(&mut self, bundle: &InForce) {
+        let Some(handle) = bundle.service(&self.service) else {
+            return;
+        };
+        let table = handle.table.lock();
+        if table.tag() != self.judge.tag() {
+            return;
+        }
+        for server in 0..handle.service.servers.len() {
+            self.judge.set_leaving(server, table.is_leaving(server));
+        }
+    }
+
     fn wish(&self) -> (String, Option<i64>, Option<EjectionRecord>) {
         (self.service.clone(), self.revision, self.judge.proposal())
     }
--- a/crates/wingspur-entry/src/peers.rs
+++ b/crates/wingspur-entry/src/peers.rs
@@ -9,8 +9,8 @@
 use hyper::{Method, Request, Response, StatusCode};
 use wingspur_coordination::PeerView;
 use wingspur_protocol::{
-    BoxList, BundleOffer, Heartbeat, PeerEnvelope, PeerMessage, PeerReply, decode_peer,
-    encode_peer,
+    BoxList, BundleOffer, Heartbeat, ListedServer, PeerEnvelope, PeerMessage, PeerReply,
+    decode_peer, encode_peer,
 };
 use wingspur_transport::StopSignal;
 
@@ -167,12 +167,9 @@
     for handle in &bundle.services {
         let mut table = handle.table.lock();
         for (index, server) in handle.service.servers.iter().enumerate() {
-            let leaving = |listed: &wingspur_protocol::ListedServer| {
-                listed.address == server.address
-            };
-            if list.leaving_servers.iter().any(leaving) {
-                table.set_leaving(index, true);
-            }
+            let same = |listed: &ListedServer| listed.address == server.address;
+            let leaving = list.leaving_servers.iter().any(same);
+            table.set_listed_leaving(index, leaving);
         }
     }
 }
--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -276,7 +276,7 @@
             table.set_load_hint(server, hint);
         }
         if drains {
-            table.set_leaving(server, true);
+            table.set_draining(server);
         }
     }
 
--- a/crates/wingspur-state/src/judge.rs
+++ b/crates/wingspur-state/src/judge.rs
@@ -83,7 +83,9 @@
     leaving: bool,
     /// What each box makes of it, as last reported.
     by_box: HashMap<BoxId, Opinion>,
-    /// The evidence of all boxes; it falls at once and rises by steps.
+    /// The evidence of all boxes.
+    evidence: f64,
+    /// The same, but that it rises by steps.
     total: f64,
     by_data_centre: HashMap<DataCentreId, LocalView>,
     /// Since when it is over the threshold.
@@ -219,6 +221,7 @@
         let mut events = Vec::new();
         self.suspect(&mut events, now);
         self.advance(&mut events, now);
+        self.release_for_floor(now);
         events
     }
 
@@ -411,6 +414,21 @@
         }
     }
 
+    /// Takes servers out of the ejected when others have left meanwhile and the floor
+    /// would not hold; they stay avoided, the least often ejected first.
+    fn release_for_floor(&mut self, now: Instant) {
+        while self.slots_in() < self.floor_slots {
+            let ejected = self.servers.iter_mut();
+            let ejected = ejected.filter(|s| s.is_ejected() && !s.leaving);
+            let Some(server) = ejected.min_by_key(|server| server.relapses) else {
+                return;
+            };
+            server.state = State::Avoided {
+                until: now + FIRST_HOLD,
+            };
+        }
+    }
+
     /// Suspects that are sick from everywhere they are used, the sickest first.
     fn suspects(&self) -> Vec<&Judged> {
         let suspected = |server: &&Judged| {
@@ -418,7 +436,7 @@
             avoided && !server.is_well_from_anywhere()
         };
         let mut suspects: Vec<&Judged> = self.servers.iter().filter(suspected).collect();
-        suspects.sort_by(|a, b| b.total.total_cmp(&a.total));
+        suspects.sort_by(|a, b| b.evidence.total_cmp(&a.evidence));
         suspects
     }
 }
@@ -430,6 +448,7 @@
             slots: server.slots,
             leaving: false,
             by_box: HashMap::new(),
+            evidence: 0.0,
             total: 0.0,
             by_data_centre: HashMap::new(),
             over_since: None,
@@ -457,9 +476,9 @@
                 *sum += own.min(most);
             }
         }
-        let target = sums.into_iter().fold(0.0, f64::max);
+        self.evidence = sums.into_iter().fold(0.0, f64::max);
         // One moment alone, however bad, never crosses the threshold.
-        self.total = target.min(self.total + step);
+        self.total = self.evidence.min(self.total + step);
         let forgiven = self
             .ended
             .is_some_and(|at| now.saturating_duration_since(at) > RELAPSE_TTL);
--- a/crates/wingspur-state/src/service_table.rs
+++ b/crates/wingspur-state/src/service_table.rs
@@ -42,7 +42,8 @@
     connection_share: u32,
     outstanding: u32,
     load_hint: f64,
-    leaving: bool,
+    listed_leaving: bool,
+    draining: bool,
     verdict: VerdictStanding,
     history: LatencyHistory,
     /// This box's own sums: reported, and used alone when no verdict is to be had.
@@ -89,7 +90,8 @@
             connection_share: (server.connections / boxes.max(1)).max(1),
             outstanding: 0,
             load_hint: 0.0,
-            leaving: false,
+            listed_leaving: false,
+            draining: false,
             verdict: VerdictStanding::In,
             history: LatencyHistory::default(),
             score: Score::default(),
@@ -131,7 +133,8 @@
             entry.history = kept.history;
             entry.verdict = kept.verdict;
             entry.score = kept.score;
-            entry.leaving = kept.leaving;
+            entry.listed_leaving = kept.listed_leaving;
+            entry.draining = kept.draining && self.tag == older.tag;
         }
         self.history.inherit(&older.history);
         self.verdict_expires = older.verdict_expires;
@@ -231,14 +234,20 @@
         *old += LOAD_HINT_WEIGHT * (hint - *old);
     }
 
-    /// Notes that a server leaves, or is back; a leaving one gets nothing new.
-    pub fn set_leaving(&mut self, server: ServerIndex, leaving: bool) {
-        self.servers[server].leaving = leaving;
+    /// Notes what the platform's list says of a server; a leaving one gets nothing new.
+    pub fn set_listed_leaving(&mut self, server: ServerIndex, leaving: bool) {
+        self.servers[server].listed_leaving = leaving;
+    }
+
+    /// Notes that a server said itself that it leaves; it stays out until the bundle
+    /// changes its service.
+    pub fn set_draining(&mut self, server: ServerIndex) {
+        self.servers[server].draining = true;
     }
 
     /// Whether the server is known to be leaving.
     pub fn is_leaving(&self, server: ServerIndex) -> bool {
-        self.servers[server].leaving
+        self.servers[server].is_leaving()
     }
 
     /// Weighs the age of work that has not come back, and reports what was seen.
@@ -307,7 +316,7 @@
     /// How a server stands with this box now.
     pub fn standing(&self, server: ServerIndex, now: Instant) -> Standing {
         let entry = &self.servers[server];
-        if entry.leaving {
+        if entry.is_leaving() {
             return Standing::Out;
         }
         let fresh = self.has_verdict(now);
@@ -454,6 +463,10 @@
         self.score.add(evidence);
     }
 
+    fn is_leaving(&self) -> bool {
+        self.listed_leaving || self.draining
+    }
+
     /// Whether the judge should hear of this before the next regular report.
     fn has_news(&self) -> bool {
         (self.score.sum() - self.reported_sum).abs() >= NEWS
--- /dev/null
+++ b/tests/tests/answers.rs
@@ -0,0 +1,211 @@
+//! Whole answers: raw servers and raw callers that do what libraries never would.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use wingspur_bench::{Fleet, small_zagreb};
+use wingspur_transport::Workers;
+
+/// A server that answers each request on a connection by what `answer` writes; the
+/// connection closes when it returns false.
+fn raw_server(
+    answer: impl Fn(&str, &mut TcpStream) -> bool + Send + Sync + 'static,
+) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let heads = Arc::new(AtomicUsize::new(0));
+    let counted = heads.clone();
+    let answer = Arc::new(answer);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (answer, counted) = (answer.clone(), counted.clone());
+            std::thread::spawn(move || {
+                let mut writer = stream.try_clone().unwrap();
+                let mut reader = BufReader::new(stream);
+                while let Some(echo) = read_head(&mut reader) {
+                    counted.fetch_add(1, Ordering::SeqCst);
+                    if !answer(&echo, &mut writer) {
+                        let _ = writer.shutdown(std::net::Shutdown::Both);
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, heads)
+}
+
+/// Reads a request's head and gives its `x-echo`.
+fn read_head(reader: &mut impl BufRead) -> Option<String> {
+    let mut echo = String::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if let Some(value) = line.strip_prefix("x-echo: ") {
+            echo = value.trim().to_owned();
+        }
+        if line == "\r\n" {
+            return Some(echo);
+        }
+    }
+}
+
+/// Sends raw bytes and reads until the connection closes or nothing comes for a while.
+fn raw_call(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(3)))
+        .unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Runs a test with one box before one raw server.
+fn with_box(server: SocketAddr, test: impl FnOnce(SocketAddr)) {
+    let workers = Workers::start(2);
+    smol::block_on(async {
+        let spawner = workers.spawner();
+        let mut fleet = Fleet::start(small_zagreb(1), &spawner).await.unwrap();
+        let version = fleet
+            .publish_next(|bundle| {
+                let pages = &mut bundle.services[0];
+                pages.servers.truncate(1);
+                pages.servers[0].address = server;
+            })
+            .await
+            .unwrap();
+        assert!(fleet.wait_in_force(version, Duration::from_secs(20)).await);
+        let address = fleet.caller_addresses()[0];
+        smol::unblock(move || address).await;
+        test(address);
+        fleet.close().await;
+    });
+    workers.close();
+}
+
+const GET: &str = "GET /exam/p HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+
+#[test]
+fn a_cut_answer_is_never_ended_as_if_whole() {
+    let (server, _) = raw_server(|_, out| {
+        let head = "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n";
+        let _ = write!(out, "{head}{}", "a".repeat(500));
+        false
+    });
+    with_box(server, |caller| {
+        let answer = raw_call(caller, GET);
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+        assert!(head.contains("content-length: 1000"), "{head}");
+        assert!(
+            body.len() < 1000,
+            "the caller can see that the answer is cut"
+        );
+    });
+}
+
+#[test]
+fn a_cut_chunked_answer_has_no_last_chunk() {
+    let (server, _) = raw_server(|_, out| {
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let _ = write!(out, "{head}5\r\nhello\r\n");
+        false
+    });
+    with_box(server, |caller| {
+        let answer = raw_call(caller, GET);
+        assert!(answer.contains("hello"), "{answer}");
+        assert!(!answer.contains("\r\n0\r\n"), "{answer}");
+    });
+}
+
+#[test]
+fn leftovers_on_a_connection_reach_nobody() {
+    let (server, _) = raw_server(|echo, out| {
+        let answer = |body: &str| {
+            format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            )
+        };
+        // The answer, and one more that nobody asked for.
+        let _ = write!(out, "{}{}", answer(echo), answer("somebody else's"));
+        true
+    });
+    with_box(server, |caller| {
+        for number in 0..50 {
+            let request = format!(
+                "GET /exam/p HTTP/1.1\r\nhost: x\r\nx-echo: own-{number}\r\n\
+                 connection: close\r\n\r\n"
+            );
+            let answer = raw_call(caller, &request);
+            let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+            let refused = answer.contains("wingspur-result:");
+            assert!(refused || body == format!("own-{number}"), "{answer}");
+        }
+    });
+}
+
+#[test]
+fn ambiguous_framing_never_reaches_a_server() {
+    let (server, heads) = raw_server(|_, out| {
+        let _ = write!(out, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+        true
+    });
+    let shapes = [
+        "content-length: 5\r\ncontent-length: 6\r\n\r\nhello!",
+        "content-length: +5\r\n\r\nhello",
+        "content-length: 5, 6\r\n\r\nhello!",
+        "transfer-encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+        "transfer-encoding: xchunked\r\n\r\n0\r\n\r\n",
+        "transfer-encoding : chunked\r\n\r\n0\r\n\r\n",
+    ];
+    with_box(server, |caller| {
+        for shape in shapes {
+            let request = format!("GET /exam/p HTTP/1.1\r\nhost: x\r\n{shape}");
+            let answer = raw_call(caller, &request);
+            assert!(
+                !answer.starts_with("HTTP/1.1 200"),
+                "{shape:?} got {answer}"
+            );
+        }
+        // Both a length and chunks: one reading only, and the connection ends.
+        let both = "GET /exam/p HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\
+                    transfer-encoding: chunked\r\n\r\n0\r\n\r\n\
+                    GET /exam/smuggled HTTP/1.1\r\nhost: x\r\n\r\n";
+        let answer = raw_call(caller, both);
+        assert!(answer.matches("HTTP/1.1 200").count() <= 2, "{answer}");
+    });
+    assert!(
+        heads.load(Ordering::SeqCst) <= 2,
+        "only the well-formed got through"
+    );
+}
+
+#[test]
+fn a_broken_request_body_never_arrives_as_if_whole() {
+    let (seen, bodies) = std::sync::mpsc::channel();
+    let seen = std::sync::Mutex::new(seen);
+    let (server, _) = raw_server(move |_, out| {
+        out.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+        let mut body = Vec::new();
+        let _ = out.read_to_end(&mut body);
+        let _ = seen.lock().unwrap().send(body);
+        false
+    });
+    with_box(server, |caller| {
+        let request = "GET /exam/p HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n\
+                       5\r\nhello\r\nzz\r\nworld\r\n0\r\n\r\n";
+        let answer = raw_call(caller, request);
+        assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+    });
+    while let Ok(body) = bodies.recv_timeout(Duration::from_millis(100)) {
+        let text = String::from_utf8_lossy(&body).into_owned();
+        assert!(!text.contains("0\r\n\r\n"), "{text:?}");
+    }
+}
--- a/tests/tests/cases/mod.rs
+++ b/tests/tests/cases/mod.rs
@@ -3,14 +3,21 @@
 use std::path::Path;
 use std::time::Duration;
 
+use ed25519_dalek::SigningKey;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
+use wingspur_bench::{StoreFault, StoreStandIn};
 use wingspur_entry::parse_settings;
+use wingspur_protocol::{SignedBundle, StoreKeys, sign_bundle};
 use wingspur_state::{
     AttemptEnd, Bundle, RetryBudget, RetryDecision, RetryRules, RouteClass, check_bundle,
     decide_retry,
 };
+use wingspur_transport::{
+    Exchange, LinkFaults, Published, StoreClient, Workers, accept_bundle, load_pointer,
+    submit_bundle,
+};
 
 type TestResult = datatest_stable::Result<()>;
 
@@ -109,3 +116,112 @@
     )
     .into())
 }
+
+/// A fault of the store at a moment of a bundle's way, and what must come of it.
+#[derive(Deserialize)]
+struct AcceptanceRow {
+    fault: String,
+    moment: String,
+    outcome: String,
+    /// The version that stands in the store in the end.
+    version: u64,
+}
+
+/// Checks bundle acceptance under faults of the store.
+pub fn store_faults(path: &Path) -> TestResult {
+    let rows: Vec<AcceptanceRow> = read(path)?;
+    let workers = Workers::start(2);
+    for (index, row) in rows.iter().enumerate() {
+        let (outcome, version) = smol::block_on(accept_under(row, &workers))?;
+        if (outcome.as_str(), version) != (row.outcome.as_str(), row.version) {
+            return Err(format!("row {index}: {outcome}, version {version}").into());
+        }
+    }
+    workers.close();
+    Ok(())
+}
+
+async fn accept_under(
+    row: &AcceptanceRow,
+    workers: &Workers,
+) -> datatest_stable::Result<(String, u64)> {
+    let spawner = workers.spawner();
+    let store = StoreStandIn::start(&spawner).await?;
+    let exchange = Exchange::new(spawner.clone(), LinkFaults::default());
+    let client = StoreClient::new(store.address(), exchange.into(), CALL_TIMEOUT);
+    let keys = StoreKeys::new("zagreb");
+    publish(&client, &keys, 1, "ana").await?;
+    let (signed, parts) = signed_bundle(2, "ana")?;
+    let fault = store_fault(&row.fault);
+    if row.moment == "submit" {
+        store.set_fault(fault);
+    }
+    let submitted = match row.fault.as_str() {
+        "not_submitted" => Ok(String::new()),
+        _ => submit_bundle(&client, &keys, &signed, &parts).await,
+    };
+    store.set_fault(StoreFault::None);
+    match row.fault.as_str() {
+        "other_operator_first" => publish(&client, &keys, 2, "ivo").await?,
+        "greater_version_first" => publish(&client, &keys, 3, "ivo").await?,
+        "smaller_version_first" => publish(&client, &keys, 1, "ivo").await.unwrap_or(()),
+        _ => {}
+    }
+    if row.moment == "accept" {
+        store.set_fault(fault);
+    }
+    let accepted = match submitted {
+        Ok(_) => accept_bundle(&client, &keys, &signed).await,
+        Err(error) => Err(error),
+    };
+    store.set_fault(StoreFault::None);
+    let outcome = match accepted {
+        Ok(Published::Accepted) => "accepted",
+        Ok(Published::Overtaken(_)) => "overtaken",
+        Err(_) => "error",
+    };
+    let pointer = load_pointer(&client, &keys).await?;
+    Ok((
+        outcome.to_owned(),
+        pointer.map_or(0, |(pointer, _)| pointer.version),
+    ))
+}
+
+async fn publish(
+    client: &StoreClient,
+    keys: &StoreKeys,
+    version: u64,
+    signer: &str,
+) -> datatest_stable::Result<()> {
+    let (signed, parts) = signed_bundle(version, signer)?;
+    submit_bundle(client, keys, &signed, &parts).await?;
+    match accept_bundle(client, keys, &signed).await? {
+        Published::Accepted => Ok(()),
+        Published::Overtaken(by) => Err(format!("overtaken by {}", by.version).into()),
+    }
+}
+
+fn signed_bundle(
+    version: u64,
+    signer: &str,
+) -> datatest_stable::Result<(SignedBundle, Vec<Vec<u8>>)> {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("data/bundles/sound.json");
+    let case: Checked = read(&file)?;
+    let mut bundle: Bundle = serde_json::from_value(case.input)?;
+    bundle.version = version;
+    let key = SigningKey::from_bytes(&[7; 32]);
+    Ok(sign_bundle(&bundle, signer, &key)?)
+}
+
+fn store_fault(name: &str) -> StoreFault {
+    match name {
+        "down" => StoreFault::Down,
+        "slow" => StoreFault::Slow(Duration::from_millis(50)),
+        "lose_write_replies" => StoreFault::LoseWriteReplies,
+        "lose_every_second_reply" => StoreFault::LoseEveryNthReply(2),
+        _ => StoreFault::None,
+    }
+}
+
+/// Calls that the fault leaves unanswered end after this.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
--- a/tests/tests/fleet.rs
+++ b/tests/tests/fleet.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use wingspur_bench::{Fleet, Gray, Load, LoadOptions, RequestKind, small_zagreb};
+use wingspur_bench::{
+    Fleet, Gray, Load, LoadOptions, RequestKind, StoreFault, small_zagreb,
+};
 use wingspur_transport::Workers;
 
 /// Runs a test on its own worker threads.
@@ -106,3 +108,82 @@
         fleet.close().await;
     });
 }
+
+#[test]
+fn a_planned_stop_of_each_box_in_turn_cuts_nothing() {
+    on_workers(async |workers| {
+        let spawner = workers.spawner();
+        let mut fleet = Fleet::start(small_zagreb(3), &spawner).await.unwrap();
+        let load = Load::new(&spawner, &fleet.caller_addresses());
+        let download = RequestKind {
+            answer_bytes: Some(300_000),
+            ..kind("GET", "/archive/3")
+        };
+        let mix = vec![(kind("GET", "/exam/p"), 3.0), (download, 1.0)];
+        let options = LoadOptions {
+            rate_per_s: 100.0,
+            duration: Duration::from_secs(8),
+            mix,
+        };
+        let stopping = async {
+            let mut cut = 0;
+            for index in 0..3 {
+                smol::Timer::after(Duration::from_millis(500)).await;
+                cut += fleet.stop_box(index).await;
+                fleet.restart_box(index).await.unwrap();
+                let running = fleet.boxes[index].as_ref().unwrap();
+                assert!(running.wait_ready(Duration::from_secs(20)).await);
+            }
+            cut
+        };
+        let (report, cut) = futures_lite::future::zip(load.run(&options), stopping).await;
+        assert_eq!(cut, 0);
+        assert_eq!(report.broken, 0, "{report:?}");
+        assert_eq!(report.foreign, 0);
+        assert_eq!(report.answered + report.unsent, report.sent);
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn a_leaving_server_gets_no_new_work() {
+    on_workers(async |workers| {
+        let spawner = workers.spawner();
+        let fleet = Fleet::start(small_zagreb(3), &spawner).await.unwrap();
+        let load = Load::new(&spawner, &fleet.caller_addresses());
+        let mix = vec![(kind("GET", "/exam/p"), 1.0)];
+        fleet.servers[0][0].set_draining(true);
+        load.run(&some_seconds(100.0, mix.clone())).await;
+        let before = fleet.servers[0][0].requests();
+        load.run(&some_seconds(100.0, mix)).await;
+        assert_eq!(fleet.servers[0][0].requests(), before);
+        fleet.close().await;
+    });
+}
+
+#[test]
+fn fresh_once_only_requests_are_refused_as_not_run_while_the_store_is_down() {
+    on_workers(async |workers| {
+        let spawner = workers.spawner();
+        let fleet = Fleet::start(small_zagreb(3), &spawner).await.unwrap();
+        let load = Load::new(&spawner, &fleet.caller_addresses());
+        let submit = RequestKind {
+            once_only_repeats: Some(0.0),
+            ..kind("POST", "/submit/1")
+        };
+        let mix = vec![(submit, 1.0)];
+        load.run(&some_seconds(20.0, mix.clone())).await;
+        fleet.store.set_fault(StoreFault::Down);
+        let report = load.run(&some_seconds(20.0, mix.clone())).await;
+        assert_eq!(report.refused.get(&4001), Some(&40), "{report:?}");
+        assert_eq!(fleet.check_once_only(&report), (0, 0));
+        let reads = vec![(kind("GET", "/exam/p"), 1.0)];
+        let report = load.run(&some_seconds(20.0, reads)).await;
+        assert_eq!(report.answered, 40, "all else goes on");
+        fleet.store.set_fault(StoreFault::None);
+        smol::Timer::after(Duration::from_secs(3)).await;
+        let report = load.run(&some_seconds(20.0, mix)).await;
+        assert_eq!(report.answered, 40, "{report:?}");
+        fleet.close().await;
+    });
+}
