Planned stop: the connection ends with the answer, the load follows readiness

A box that stops closed idle connections while a caller was sending on one: HTTP/1.1 leaves that race to whoever closes. The load tool went on sending to a box that said it was not ready, which the platform's balancer does not do.

Change: while a box is leaving, its HTTP/1.1 answers say `connection: close`; the load tool asks `/ready` every 50 ms and sends only to boxes that are, as the balancer in front does.

Ruled out: requests in flight, whose count was 0 at each stop.

A caller that ignores readiness for longer than the stated lag can still meet a closing connection.

--- a/crates/wingspur-bench/src/faults.rs
+++ b/crates/wingspur-bench/src/faults.rs
@@ -139,7 +139,7 @@
         .iter()
         .flatten()
         .for_each(|server| server.clear_runs());
-    let load = Load::new(spawner, &fleet.caller_addresses());
+    let load = Load::balanced(spawner, fleet.settings());
     let kind = RequestKind {
         method: "POST",
         path: "/submit/9",
--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -3,12 +3,15 @@
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Bytes, Incoming};
-use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
+};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Uri, Version};
 use wingspur_protocol::{OperationId, OperationOutcome, ResultCode, parse_load_hint};
@@ -88,13 +91,20 @@
         request: Request<Incoming>,
         from: SocketAddr,
     ) -> Response<AnswerBody> {
-        match self.try_answer(request, from).await {
+        let http1 = request.version() == Version::HTTP_11;
+        let mut response = match self.try_answer(request, from).await {
             Ok(response) => response,
             Err(code) => {
                 self.shared.metrics.refuse(code);
                 refusal(code)
             }
+        };
+        if http1 && self.shared.leaving.load(Ordering::Acquire) {
+            // The connection ends with this answer, not under the caller's next request.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
         }
+        response
     }
 
     async fn try_answer(
