Bench: the price of the request path, one real box beside going direct

Cause: the processor time of a request was only known at 20 requests/s a box, where waking up weighs most. Change: a measurement at rising rates, part of the capacity page.

--- a/crates/wingspur-bench/src/capacity/mod.rs
+++ b/crates/wingspur-bench/src/capacity/mod.rs
@@ -7,4 +7,7 @@
 
 pub use decisions::{DecisionRow, measure_decisions};
 pub use page::{CapacityReport, render_page};
-pub use processes::{ClaimRow, ProcessRow, measure_claims, measure_processes};
+pub use processes::{
+    BoxProcesses, ClaimRow, ProcessRow, measure_claims, measure_processes,
+    start_processes,
+};
--- a/crates/wingspur-bench/src/capacity/page.rs
+++ b/crates/wingspur-bench/src/capacity/page.rs
@@ -7,6 +7,7 @@
 use super::decisions::DecisionRow;
 use super::fit::{Fit, fit_line};
 use super::processes::{ClaimRow, ProcessRow};
+use crate::PriceRow;
 
 /// All that was measured for the page.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -17,6 +18,9 @@
     pub decisions: Vec<DecisionRow>,
     /// Once-only requests.
     pub claims: Vec<ClaimRow>,
+    /// One box at rising rates.
+    #[serde(default)]
+    pub price: Vec<PriceRow>,
 }
 
 /// The users' target in about two years.
@@ -71,6 +75,7 @@
 pub fn render_page(report: &CapacityReport) -> String {
     let mut page = String::from(HEAD);
     write_measured(&mut page, report);
+    write_price(&mut page, report);
     write_target(&mut page, report);
     write_roles(&mut page, report);
     page.push_str(SHORTFALLS);
@@ -141,6 +146,33 @@
     }
 }
 
+fn write_price(page: &mut String, report: &CapacityReport) {
+    page.push_str(
+        "\n## The price of the request path\n\nOne real box of two worker threads before \
+         four servers of 0.2 ms; load, servers and box share the machine. Direct and through \
+         the box in turn, 4 s each.\n\n| asked/s | answered | core µs a request | through \
+         p50, p99, p99.9 ms | direct p50, p99, p99.9 ms | added p50, p99 ms \
+         |\n|---|---|---|---|---|---|\n",
+    );
+    let three = |ms: [f64; 3]| format!("{:.2}, {:.2}, {:.2}", ms[0], ms[1], ms[2]);
+    for row in &report.price {
+        let added = |index: usize| row.through_ms[index] - row.direct_ms[index];
+        line(
+            page,
+            format_args!(
+                "| {:.0} | {} | {:.0} | {} | {} | {:.2}, {:.2} |",
+                row.rate_per_s,
+                row.answered,
+                row.core_us,
+                three(row.through_ms),
+                three(row.direct_ms),
+                added(0),
+                added(1),
+            ),
+        );
+    }
+}
+
 /// A row of the target table.
 struct TargetRow<'a> {
     what: &'a str,
--- a/crates/wingspur-bench/src/capacity/processes.rs
+++ b/crates/wingspur-bench/src/capacity/processes.rs
@@ -125,12 +125,13 @@
 }
 
 /// The processes of one fleet; they end when this is dropped.
-struct Processes {
+#[derive(Debug)]
+pub struct BoxProcesses {
     children: Vec<Child>,
     folder: PathBuf,
 }
 
-impl Drop for Processes {
+impl Drop for BoxProcesses {
     fn drop(&mut self) {
         for child in &mut self.children {
             // A child that has ended already is as good.
@@ -155,9 +156,8 @@
     plan.services
         .retain(|service| service.class == RouteClass::Read);
     let mut fleet = Fleet::prepare(plan, spawner).await?;
-    let processes = start(&fleet)?;
+    let processes = start_processes(&fleet, spawner).await?;
     let exchange = Exchange::new(spawner.clone(), LinkFaults::default());
-    wait_ready(&fleet, &exchange).await?;
     smol::Timer::after(SETTLE).await;
     let at_rest = measure(&fleet, &processes, &exchange, MEASURE).await?;
     let load = Load::new(spawner, &fleet.caller_addresses());
@@ -206,7 +206,28 @@
     })
 }
 
-fn start(fleet: &Fleet) -> Result<Processes, String> {
+impl BoxProcesses {
+    /// User and system time of all processes together, in seconds.
+    pub fn processor_seconds(&self) -> Result<f64, String> {
+        self.children
+            .iter()
+            .map(|child| processor_seconds(child.id()))
+            .sum()
+    }
+}
+
+/// Starts a prepared fleet's boxes as processes, and waits until all are ready.
+pub async fn start_processes(
+    fleet: &Fleet,
+    spawner: &Spawner,
+) -> Result<BoxProcesses, String> {
+    let processes = start(fleet)?;
+    let exchange = Exchange::new(spawner.clone(), LinkFaults::default());
+    wait_ready(fleet, &exchange).await?;
+    Ok(processes)
+}
+
+fn start(fleet: &Fleet) -> Result<BoxProcesses, String> {
     let own = std::env::current_exe().map_err(|error| error.to_string())?;
     let binary = own.with_file_name("wingspur");
     if !binary.exists() {
@@ -216,7 +237,7 @@
     }
     let folder = std::env::temp_dir().join(format!("wingspur-{}", std::process::id()));
     std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
-    let mut processes = Processes {
+    let mut processes = BoxProcesses {
         children: Vec::new(),
         folder,
     };
@@ -255,7 +276,7 @@
 
 async fn measure(
     fleet: &Fleet,
-    processes: &Processes,
+    processes: &BoxProcesses,
     exchange: &Exchange,
     time: Duration,
 ) -> Result<Counts, String> {
@@ -273,7 +294,7 @@
 
 async fn count(
     fleet: &Fleet,
-    processes: &Processes,
+    processes: &BoxProcesses,
     exchange: &Exchange,
 ) -> Result<Counts, String> {
     let mut counts = Counts::default();
@@ -315,7 +336,7 @@
     Ok((user.unwrap_or(0.0) + system.unwrap_or(0.0)) / TICKS_PER_S)
 }
 
-fn resident(processes: &Processes) -> f64 {
+fn resident(processes: &BoxProcesses) -> f64 {
     let of = |child: &Child| {
         let path = format!("/proc/{}/status", child.id());
         let text = std::fs::read_to_string(path).unwrap_or_default();
--- a/crates/wingspur-bench/src/lib.rs
+++ b/crates/wingspur-bench/src/lib.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod fleet;
 mod load;
+mod price;
 mod replay;
 mod store;
 mod trace;
@@ -26,6 +27,7 @@
 pub use faults::{FaultOptions, FaultRow, RoundFault, fault_rows, run_faults};
 pub use fleet::{Fleet, FleetPlan, ServicePlan, bratislava, small_zagreb, zagreb};
 pub use load::{Load, LoadOptions, LoadReport, RequestKind};
+pub use price::{PriceRow, measure_price};
 pub use replay::{Decider, ReplayReport, replay, service_of};
 pub use store::{StoreFault, StoreStandIn};
 pub use trace::{
--- a/crates/wingspur-bench/src/main.rs
+++ b/crates/wingspur-bench/src/main.rs
@@ -7,7 +7,8 @@
 use wingspur_bench::{
     CapacityReport, Decider, DemoOptions, DemoReport, DetectRow, FaultOptions, FaultRow,
     User, cases, draw_knob, measure_claims, measure_decisions, measure_knob,
-    measure_processes, render_detect_page, render_page, run_case, run_demo, run_faults,
+    measure_price, measure_processes, render_detect_page, render_page, run_case,
+    run_demo, run_faults,
 };
 use wingspur_transport::Workers;
 
@@ -103,6 +104,9 @@
     /// make the page from this file's figures instead of measuring
     #[argh(option)]
     from: Option<PathBuf>,
+    /// measure only the price of the request path, and take the rest from `--from`
+    #[argh(switch)]
+    price: bool,
     /// write the figures to this file as JSON
     #[argh(option)]
     json: Option<PathBuf>,
@@ -224,7 +228,7 @@
 }
 
 fn capacity(args: &CapacityArgs, workers: &Workers) -> Result<ExitCode, String> {
-    let report = match &args.from {
+    let mut report = match &args.from {
         Some(path) => {
             let text =
                 std::fs::read_to_string(path).map_err(|error| error.to_string())?;
@@ -232,6 +236,9 @@
         }
         None => smol::block_on(measure_capacity(workers))?,
     };
+    if args.price {
+        report.price = smol::block_on(measure_price(PRICE_RATES, &workers.spawner()))?;
+    }
     write_json(args.json.as_deref(), &report)?;
     let page = render_page(&report);
     match &args.page {
@@ -247,10 +254,12 @@
         decisions: measure_decisions(),
         processes: measure_processes(FLEET_SIZES, &spawner).await?,
         claims: measure_claims(CLAIM_RATES, &spawner).await?,
+        price: measure_price(PRICE_RATES, &spawner).await?,
     })
 }
 
 const FLEET_SIZES: &[usize] = &[5, 10, 20, 40, 80];
+const PRICE_RATES: &[f64] = &[500.0, 2_000.0, 4_000.0, 8_000.0, 12_000.0];
 const CLAIM_RATES: &[f64] = &[100.0, 1_000.0, 5_000.0];
 
 fn print_fault_row(row: &FaultRow) {
