--- a/crates/wingspur-bench/src/baseline.rs
+++ b/crates/wingspur-bench/src/baseline.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::replay::Decider;
+use crate::decider::Decider;
 
 /// A box's plain detector.
 #[derive(Debug)]
--- a/crates/wingspur-bench/src/capacity/decisions.rs
+++ b/crates/wingspur-bench/src/capacity/decisions.rs
@@ -81,7 +81,7 @@
 
 /// Tables for so many servers, thirty a service; the operation is one tick of them all.
 fn servers(size: usize) -> DecisionRow {
-    let service = Arc::new(service_of(&scenario(30, 40)));
+    let service = Arc::new(service_of(&Scenario::quiet(30, 40)));
     let region = Region::new(ALLOCATOR);
     let mut tables: Vec<ServiceTable> = (0..size.div_ceil(30))
         .map(|tag| ServiceTable::new(service.clone(), tag as u64, "data-centre-0", 40))
@@ -184,7 +184,7 @@
 }
 
 fn busy_judge(size: usize) -> (Judge, EvidenceReport, Instant, f64) {
-    let service = service_of(&scenario(30, size));
+    let service = service_of(&Scenario::quiet(30, size));
     let now = Instant::now();
     let region = Region::new(ALLOCATOR);
     let mut judge = Judge::new(&service, 1, None, now);
@@ -228,7 +228,7 @@
 
 fn bundle_with(services: usize, routes: usize, servers: usize) -> Bundle {
     let service = |index: usize| {
-        let mut service: Service = service_of(&scenario(servers, 40));
+        let mut service: Service = service_of(&Scenario::quiet(servers, 40));
         service.name = format!("service-{index}");
         service.floor = Floor {
             healthy_slots_percent: 60,
@@ -253,25 +253,6 @@
     }
 }
 
-fn scenario(servers: usize, boxes: usize) -> Scenario {
-    Scenario {
-        boxes,
-        servers,
-        slots: 3,
-        data_centres: 3,
-        rate_per_s: 1.0,
-        median_ms: 20.0,
-        deviation_ln: 0.4,
-        hardware_spread: 1.0,
-        straggler_share: 0.0,
-        error_share: 0.0,
-        duration_s: 1.0,
-        floor_percent: 60,
-        false_ejections_per_server_day: 0.01,
-        faults: Vec::new(),
-    }
-}
-
 fn boxes(size: usize) -> Vec<ListedBox> {
     let listed = |index: usize| ListedBox {
         id: format!("box-{index}"),
--- a/crates/wingspur-bench/src/capacity/processes.rs
+++ b/crates/wingspur-bench/src/capacity/processes.rs
@@ -162,12 +162,7 @@
     let at_rest = measure(&fleet, &processes, &exchange, MEASURE).await?;
     let load = Load::new(spawner, &fleet.caller_addresses());
     let rate_per_s = LOAD_PER_BOX * boxes as f64;
-    let kind = RequestKind {
-        method: "GET",
-        path: "/exam/page/7",
-        once_only_repeats: None,
-        answer_bytes: None,
-    };
+    let kind = RequestKind::new("GET", "/exam/page/7");
     let options = LoadOptions {
         rate_per_s,
         duration: MEASURE,
--- a/crates/wingspur-bench/src/demo.rs
+++ b/crates/wingspur-bench/src/demo.rs
@@ -82,18 +82,18 @@
 ) -> Result<DemoReport, String> {
     let fleet = Fleet::start(small_zagreb(options.boxes), spawner).await?;
     let mix = vec![
-        (kind("GET", "/exam/page/7"), 6.0),
+        (RequestKind::new("GET", "/exam/page/7"), 6.0),
         (
             RequestKind {
                 once_only_repeats: Some(0.1),
-                ..kind("POST", "/submit/9")
+                ..RequestKind::new("POST", "/submit/9")
             },
             2.0,
         ),
         (
             RequestKind {
                 answer_bytes: Some(200_000),
-                ..kind("GET", "/archive/3")
+                ..RequestKind::new("GET", "/archive/3")
             },
             1.0,
         ),
@@ -172,7 +172,7 @@
     let options = LoadOptions {
         rate_per_s: 200.0,
         duration: Duration::from_secs(2),
-        mix: vec![(kind("GET", "/exam/page/7"), 1.0)],
+        mix: vec![(RequestKind::new("GET", "/exam/page/7"), 1.0)],
     };
     let direct: Vec<_> = fleet.servers[0]
         .iter()
@@ -212,12 +212,3 @@
     }
     (refusals, retries)
 }
-
-fn kind(method: &'static str, path: &'static str) -> RequestKind {
-    RequestKind {
-        method,
-        path,
-        once_only_repeats: None,
-        answer_bytes: None,
-    }
-}
--- a/crates/wingspur-bench/src/detect.rs
+++ b/crates/wingspur-bench/src/detect.rs
@@ -5,7 +5,8 @@
 
 use serde::Serialize;
 
-use crate::replay::{Decider, ReplayReport, replay};
+use crate::decider::Decider;
+use crate::replay::{ReplayReport, replay};
 use crate::trace::{Fault, FaultKind, Scenario, TraceSource};
 
 /// A case: a scenario, who is sick in it and which boxes should find out.
@@ -204,23 +205,18 @@
 impl DetectCase {
     fn new(name: &'static str, user: User, kind: FaultKind, sick: Vec<usize>) -> Self {
         let scenario = Scenario {
-            boxes: 40,
-            servers: 10,
             slots: if user == User::Ispitnica { 3 } else { 4 },
             data_centres: data_centres(user),
             rate_per_s: 600.0,
-            median_ms: 20.0,
-            deviation_ln: 0.4,
-            hardware_spread: 1.0,
             straggler_share: 0.002,
             error_share: 0.001,
             duration_s: 80.0,
-            floor_percent: 60,
             false_ejections_per_server_day: match user {
                 User::Ispitnica => 0.1,
                 User::Gateway => 0.0001,
             },
             faults: vec![fault(kind, sick.clone())],
+            ..Scenario::quiet(10, 40)
         };
         let boxes = (0..scenario.boxes).collect();
         Self {
--- a/crates/wingspur-bench/src/detect_page.rs
+++ b/crates/wingspur-bench/src/detect_page.rs
@@ -6,8 +6,8 @@
 use plotters::prelude::*;
 use serde::Serialize;
 
+use crate::decider::Decider;
 use crate::detect::{DetectRow, User, cases, run_case};
-use crate::replay::Decider;
 
 /// A point of the knob's curve.
 #[derive(Debug, Clone, Serialize)]
--- a/crates/wingspur-bench/src/fleet.rs
+++ b/crates/wingspur-bench/src/fleet.rs
@@ -74,39 +74,14 @@
 
 /// Ispitnica's deployment at today's size, but for the number of boxes.
 pub fn zagreb(boxes: usize) -> FleetPlan {
-    let plan = |name, path, method, class, deadline_ms, servers, median_ms| ServicePlan {
-        name,
-        path,
-        method,
-        class,
-        deadline_ms,
-        servers,
-        connections: 330,
-        server: ServerPlan {
-            slots: 3,
-            median_ms,
-            deviation_ln: 0.4,
-        },
-        false_ejections_per_server_day: 0.1,
-    };
-    let (read, once) = (RouteClass::Read, RouteClass::OnceOnly);
-    let download = RouteClass::Download;
     FleetPlan {
         fleet: "zagreb",
         data_centres: vec!["hala-jug", "hala-sjever", "hala-zapad"],
         boxes,
         services: vec![
-            plan("exam-pages", "/exam/{*page}", "GET", read, 2_000, 10, 20.0),
-            plan(
-                "submissions",
-                "/submit/{exam}",
-                "POST",
-                once,
-                4_000,
-                15,
-                30.0,
-            ),
-            plan("archives", "/archive/{id}", "GET", download, 5_000, 5, 15.0),
+            ServicePlan::read("exam-pages", "/exam/{*page}", 10),
+            ServicePlan::once_only("submissions", "/submit/{exam}", 15),
+            ServicePlan::download("archives", "/archive/{id}", 5),
         ],
     }
 }
@@ -122,40 +97,61 @@
 
 /// The Gateway's deployment at today's size, but for the number of boxes.
 pub fn bratislava(boxes: usize) -> FleetPlan {
-    let plan = |name, path, method, class, deadline_ms, servers, median_ms| ServicePlan {
-        name,
-        path,
-        method,
-        class,
-        deadline_ms,
-        servers,
-        connections: 360,
-        server: ServerPlan {
-            slots: 4,
-            median_ms,
-            deviation_ln: 0.4,
-        },
-        false_ejections_per_server_day: 0.0001,
-    };
-    let (read, once) = (RouteClass::Read, RouteClass::OnceOnly);
-    let download = RouteClass::Download;
-    FleetPlan {
+    let mut plan = FleetPlan {
         fleet: "bratislava",
         data_centres: vec!["ba-sever", "ba-juh", "ba-vychod", "ba-zapad"],
         boxes,
         services: vec![
-            plan("status", "/status/{*page}", "GET", read, 2_000, 10, 20.0),
-            plan("choices", "/choice/{id}", "POST", once, 4_000, 20, 30.0),
-            plan(
-                "dossiers",
-                "/dossier/{id}",
-                "GET",
-                download,
-                5_000,
-                10,
-                15.0,
-            ),
+            ServicePlan::read("status", "/status/{*page}", 10),
+            ServicePlan::once_only("choices", "/choice/{id}", 20),
+            ServicePlan::download("dossiers", "/dossier/{id}", 10),
         ],
+    };
+    for service in &mut plan.services {
+        service.server.slots = 4;
+        service.connections = 360;
+        service.false_ejections_per_server_day = 0.0001;
+    }
+    plan
+}
+
+impl ServicePlan {
+    /// Pages that may be read again.
+    fn read(name: &'static str, path: &'static str, servers: usize) -> Self {
+        Self {
+            name,
+            path,
+            method: "GET",
+            class: RouteClass::Read,
+            deadline_ms: 2_000,
+            servers,
+            connections: 330,
+            server: ServerPlan {
+                slots: 3,
+                median_ms: 20.0,
+                deviation_ln: 0.4,
+            },
+            false_ejections_per_server_day: 0.1,
+        }
+    }
+
+    /// Submissions that run at most once.
+    fn once_only(name: &'static str, path: &'static str, servers: usize) -> Self {
+        let mut plan = Self::read(name, path, servers);
+        plan.method = "POST";
+        plan.class = RouteClass::OnceOnly;
+        plan.deadline_ms = 4_000;
+        plan.server.median_ms = 30.0;
+        plan
+    }
+
+    /// Large files.
+    fn download(name: &'static str, path: &'static str, servers: usize) -> Self {
+        let mut plan = Self::read(name, path, servers);
+        plan.class = RouteClass::Download;
+        plan.deadline_ms = 5_000;
+        plan.server.median_ms = 15.0;
+        plan
     }
 }
 
--- a/crates/wingspur-bench/src/lib.rs
+++ b/crates/wingspur-bench/src/lib.rs
@@ -4,6 +4,7 @@
 mod baseline;
 mod box_list;
 mod capacity;
+mod decider;
 mod demo;
 mod detect;
 mod detect_page;
@@ -21,6 +22,7 @@
     CapacityReport, ClaimRow, DecisionRow, ProcessRow, measure_claims, measure_decisions,
     measure_processes, render_page,
 };
+pub use decider::Decider;
 pub use demo::{DemoOptions, DemoReport, run_demo};
 pub use detect::{DetectCase, DetectRow, User, cases, run_case};
 pub use detect_page::{KnobRow, draw_knob, measure_knob, render_detect_page};
@@ -28,7 +30,7 @@
 pub use fleet::{Fleet, FleetPlan, ServicePlan, bratislava, small_zagreb, zagreb};
 pub use load::{Load, LoadOptions, LoadReport, RequestKind};
 pub use price::{PriceRow, measure_price};
-pub use replay::{Decider, ReplayReport, replay, service_of};
+pub use replay::{ReplayReport, replay, service_of};
 pub use store::{StoreFault, StoreStandIn};
 pub use trace::{
     Fault, FaultKind, Observation, Scenario, TraceSource, read_trace, write_trace,
--- a/crates/wingspur-bench/src/load.rs
+++ b/crates/wingspur-bench/src/load.rs
@@ -57,6 +57,18 @@
     pub answer_bytes: Option<u64>,
 }
 
+impl RequestKind {
+    /// A plain request.
+    pub fn new(method: &'static str, path: &'static str) -> Self {
+        Self {
+            method,
+            path,
+            once_only_repeats: None,
+            answer_bytes: None,
+        }
+    }
+}
+
 /// What came of it.
 #[derive(Debug, Clone, Serialize)]
 pub struct LoadReport {
--- a/crates/wingspur-bench/src/price.rs
+++ b/crates/wingspur-bench/src/price.rs
@@ -80,12 +80,7 @@
 }
 
 fn options(rate_per_s: f64, duration: Duration) -> LoadOptions {
-    let kind = RequestKind {
-        method: "GET",
-        path: "/exam/page/7",
-        once_only_repeats: None,
-        answer_bytes: None,
-    };
+    let kind = RequestKind::new("GET", "/exam/page/7");
     LoadOptions {
         rate_per_s,
         duration,
--- a/crates/wingspur-bench/src/trace.rs
+++ b/crates/wingspur-bench/src/trace.rs
@@ -65,6 +65,28 @@
     pub faults: Vec<Fault>,
 }
 
+impl Scenario {
+    /// A quiet service of three slots a server, which nothing befalls.
+    pub fn quiet(servers: usize, boxes: usize) -> Self {
+        Self {
+            boxes,
+            servers,
+            slots: 3,
+            data_centres: 3,
+            rate_per_s: 1.0,
+            median_ms: 20.0,
+            deviation_ln: 0.4,
+            hardware_spread: 1.0,
+            straggler_share: 0.0,
+            error_share: 0.0,
+            duration_s: 1.0,
+            floor_percent: 60,
+            false_ejections_per_server_day: 0.1,
+            faults: Vec::new(),
+        }
+    }
+}
+
 /// Something that goes wrong.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/wingspur-entry/src/detection.rs
+++ b/crates/wingspur-entry/src/detection.rs
@@ -7,33 +7,15 @@
 use wingspur_coordination::PeerView;
 use wingspur_protocol::{PeerMessage, PeerReply};
 use wingspur_state::{
-    BoxId, DataCentreId, EjectionRecord, EvidenceReport, Judge, JudgeEvent, TICK, Verdict,
+    BoxId, DataCentreId, EjectionRecord, EvidenceReport, JudgeEvent, TICK, Verdict,
 };
 use wingspur_transport::{StopSignal, StoreError, WriteOutcome};
 
 use crate::bundles::backoff;
 use crate::in_force::{InForce, ServiceHandle};
+use crate::judges::JudgeSeat;
 use crate::shared::Shared;
 
-/// The judges that a box holds, by the tag of their service.
-#[derive(Debug, Default)]
-pub struct Judges {
-    seats: HashMap<u64, JudgeSeat>,
-}
-
-#[derive(Debug)]
-struct JudgeSeat {
-    judge: Judge,
-    service: String,
-    /// The store's revision of the record that the judge holds; none until it was read.
-    revision: Option<i64>,
-    syncing: bool,
-    failures: u32,
-    heard: Instant,
-    /// The verdicts that were last sent out, by data centre.
-    sent: HashMap<DataCentreId, Verdict>,
-}
-
 /// Weighs, reports and judges until the box stops.
 pub async fn run_detection(shared: Arc<Shared>, stop: StopSignal) {
     let mut idle = true;
@@ -234,62 +216,6 @@
     Ok(())
 }
 
-impl JudgeSeat {
-    fn new(handle: &ServiceHandle, tag: u64, now: Instant) -> Self {
-        Self {
-            judge: Judge::new(&handle.service, tag, None, now),
-            service: handle.service.name.clone(),
-            revision: None,
-            syncing: false,
-            failures: 0,
-            heard: now,
-            sent: HashMap::new(),
-        }
-    }
-
-    /// Takes over from this box's table which servers leave: they count for no floor.
-    fn follow_leaving(&mut self, bundle: &InForce) {
-        let Some(handle) = bundle.service(&self.service) else {
-            return;
-        };
-        let table = handle.table.lock();
-        if table.tag() != self.judge.tag() {
-            return;
-        }
-        for server in 0..handle.service.servers.len() {
-            self.judge.set_leaving(server, table.is_leaving(server));
-        }
-    }
-
-    fn wish(&self) -> (String, Option<i64>, Option<EjectionRecord>) {
-        (self.service.clone(), self.revision, self.judge.proposal())
-    }
-
-    /// The verdicts that have changed since they were last sent out.
-    fn take_changes(
-        &mut self,
-        data_centres: &[DataCentreId],
-    ) -> Vec<(DataCentreId, Verdict)> {
-        if self.revision.is_none() {
-            return Vec::new();
-        }
-        let mut changes = Vec::new();
-        for data_centre in data_centres.iter().cloned() {
-            let verdict = self.judge.verdict(&data_centre);
-            let sent = self.sent.get(&data_centre);
-            let news = match sent {
-                Some(sent) => *sent != verdict,
-                None => !verdict.standings.is_empty(),
-            };
-            if news {
-                self.sent.insert(data_centre.clone(), verdict.clone());
-                changes.push((data_centre, verdict));
-            }
-        }
-        changes
-    }
-}
-
 /// Tells every box of each data centre what has changed.
 fn send_changes(shared: &Arc<Shared>, changes: Vec<(DataCentreId, Verdict)>) {
     let mut by_data_centre: HashMap<DataCentreId, Vec<Verdict>> = HashMap::new();
--- a/crates/wingspur-entry/src/entry_box.rs
+++ b/crates/wingspur-entry/src/entry_box.rs
@@ -12,11 +12,11 @@
 };
 
 use crate::bundles::{find_first, run_reader};
-use crate::claims::drive_shard;
 use crate::detection::run_detection;
 use crate::operator::{answer_operator, status};
 use crate::peers::{answer_peer, beat, read_box_list, run_box_list, run_heartbeats};
 use crate::proxy::Proxy;
+use crate::shard_driver::drive_shard;
 use crate::shared::{Addresses, Shared};
 use crate::{Settings, metrics::Metrics};
 
--- a/crates/wingspur-entry/src/lib.rs
+++ b/crates/wingspur-entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod detection;
 mod entry_box;
 mod in_force;
+mod judges;
 mod locks;
 mod metrics;
 mod operator;
@@ -14,6 +15,8 @@
 mod proxy;
 mod relay;
 mod settings;
+mod shard_driver;
+mod shards;
 mod shared;
 
 pub use entry_box::{EntryBox, StartError, StopReport};
--- /dev/null
+++ b/crates/wingspur-entry/src/shard_driver.rs
@@ -0,0 +1,162 @@
+//! Drives the logs of once-only shards: what they want of the store, carried out.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use wingspur_coordination::{ClaimVerdict, LogCommand, SegmentWrite};
+use wingspur_protocol::LogSegment;
+use wingspur_transport::{StopSignal, StoreError, WriteOutcome};
+
+use crate::shards::ShardSeat;
+use crate::shared::{Shared, unix_time};
+
+/// Drives the log of one shard until the box stops.
+pub async fn drive_shard(shared: Arc<Shared>, shard: u32, stop: StopSignal) {
+    let seat = shared.shards.seat(shard);
+    while !stop.is_given() {
+        let pending = seat.state.lock().log.has_pending();
+        let due = async {
+            // A write is due when the commit interval is over; else only a wake counts.
+            match pending {
+                true => smol::Timer::after(BUSY_TICK).await,
+                false => futures_lite::future::pending().await,
+            };
+        };
+        seat.woken().or(due).await;
+        while run_one(&shared, seat, shard).await {}
+    }
+}
+
+/// Carries out one command of the log; false when there is nothing to do.
+async fn run_one(shared: &Arc<Shared>, seat: &ShardSeat, shard: u32) -> bool {
+    let unix_ms = unix_time().as_millis() as u64;
+    let (command, expired) = {
+        let mut state = seat.state.lock();
+        let now = Instant::now();
+        let expired = state.log.expire(now);
+        let command = state.log.next_command(now, unix_ms);
+        (command, expired)
+    };
+    seat.answer(expired);
+    let Some(command) = command else { return false };
+    let verdicts = match command {
+        LogCommand::TakeOwnership => take_ownership(shared, seat, shard).await,
+        LogCommand::Load => load(shared, seat, shard, unix_ms).await,
+        LogCommand::Write(write) => put_segment(shared, seat, shard, write).await,
+        LogCommand::Delete(from, to) => {
+            shared.count_store_call("log_delete");
+            let keys = &shared.keys;
+            let (from, to) = (keys.log_segment(shard, from), keys.log_segment(shard, to));
+            if let Err(error) = shared.store.delete_range(&from, &to).await {
+                tracing::warn!("claims: old segments stay: {error}.");
+            }
+            Vec::new()
+        }
+    };
+    seat.answer(verdicts);
+    true
+}
+
+async fn take_ownership(
+    shared: &Shared,
+    seat: &ShardSeat,
+    shard: u32,
+) -> Vec<ClaimVerdict> {
+    let key = shared.keys.log_owner(shard);
+    // A fresh value for each try, so that one's own late write is told apart.
+    let value = format!("{}/{:016x}", shared.settings.box_id, rand::random::<u64>());
+    for _ in 0..OWNERSHIP_TRIES {
+        shared.count_store_call("owner_read");
+        let Ok(present) = shared.store.get(&key).await else {
+            break;
+        };
+        let revision = present.as_ref().map_or(0, |pair| pair.mod_revision);
+        if present.is_some_and(|pair| pair.value == value.as_bytes()) {
+            tracing::info!("claims: owner of shard {shard}.");
+            seat.state.lock().log.took(revision);
+            return Vec::new();
+        }
+        shared.count_store_call("owner_write");
+        // Whatever the answer, the next read tells who is owner, and as of when.
+        let _ = shared.store.put_if(&key, value.as_bytes(), revision).await;
+    }
+    tracing::warn!("claims: shard {shard} cannot be owned now.");
+    let verdicts = seat.state.lock().log.failed();
+    smol::Timer::after(OWNERSHIP_PAUSE).await;
+    verdicts
+}
+
+async fn load(
+    shared: &Shared,
+    seat: &ShardSeat,
+    shard: u32,
+    unix_ms: u64,
+) -> Vec<ClaimVerdict> {
+    shared.count_store_call("log_read");
+    let prefix = shared.keys.log(shard);
+    let pairs = match shared.store.get_prefix(&prefix).await {
+        Ok(found) => found.pairs,
+        Err(error) => {
+            tracing::warn!("claims: the log of shard {shard} cannot be read: {error}.");
+            return seat.state.lock().log.failed();
+        }
+    };
+    let mut segments = Vec::with_capacity(pairs.len());
+    for pair in pairs {
+        let number = pair
+            .key
+            .strip_prefix(&prefix)
+            .and_then(|text| text.parse().ok());
+        let segment = rmp_serde::from_slice::<LogSegment>(&pair.value).ok();
+        let (Some(number), Some(segment)) = (number, segment) else {
+            tracing::error!(
+                "claims: `{}` is unreadable; shard {shard} stays shut.",
+                pair.key
+            );
+            return seat.state.lock().log.failed();
+        };
+        segments.push((number, segment));
+    }
+    seat.state.lock().log.loaded(segments, unix_ms);
+    Vec::new()
+}
+
+async fn put_segment(
+    shared: &Shared,
+    seat: &ShardSeat,
+    shard: u32,
+    write: SegmentWrite,
+) -> Vec<ClaimVerdict> {
+    shared.count_store_call("log_write");
+    let owner = shared.keys.log_owner(shard);
+    let key = shared.keys.log_segment(shard, write.number);
+    let value = rmp_serde::to_vec(&write.segment).expect("a segment serialises");
+    let guard = (owner.as_str(), write.owner_revision);
+    match shared.store.put_if_guarded(&key, &value, guard).await {
+        Ok(WriteOutcome::Written) => seat.state.lock().log.written(Instant::now()),
+        Ok(WriteOutcome::Refused(Some(present))) if present.value == value => {
+            // Our own: the reply to an earlier try was lost.
+            seat.state.lock().log.written(Instant::now())
+        }
+        Ok(WriteOutcome::Refused(_)) => {
+            tracing::info!("claims: shard {shard} has another owner now.");
+            seat.state.lock().log.deposed()
+        }
+        Err(StoreError::TooLarge(bytes)) => {
+            tracing::error!("claims: a segment of {bytes} bytes; shard {shard} is shut.");
+            seat.state.lock().log.deposed()
+        }
+        Err(error) => {
+            tracing::debug!("claims: a write to shard {shard} is in doubt: {error}.");
+            seat.state.lock().log.unanswered();
+            smol::Timer::after(UNANSWERED_PAUSE).await;
+            Vec::new()
+        }
+    }
+}
+
+const BUSY_TICK: Duration = Duration::from_millis(2);
+const OWNERSHIP_TRIES: usize = 4;
+const OWNERSHIP_PAUSE: Duration = Duration::from_millis(500);
+const UNANSWERED_PAUSE: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/crates/wingspur-entry/src/shards.rs
@@ -0,0 +1,142 @@
+//! The once-only shards of a box: their logs, and the claims that wait.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use wingspur_coordination::{ClaimTicket, ClaimVerdict, ShardLog, ShardLogSettings};
+use wingspur_protocol::{ClaimReply, ClaimRequest, OutcomeNote};
+
+use crate::Settings;
+use crate::locks::{Rank, Ranked};
+
+/// The once-only shards of a fleet, each with a log that is open where it is owned.
+#[derive(Debug)]
+pub struct Shards {
+    seats: Vec<ShardSeat>,
+}
+
+/// One shard's log, and who waits for it.
+#[derive(Debug)]
+pub struct ShardSeat {
+    /// The log.
+    pub state: Ranked<SeatState>,
+    wake: (async_channel::Sender<()>, async_channel::Receiver<()>),
+}
+
+/// A shard's log with the claims that wait for an answer.
+#[derive(Debug)]
+pub struct SeatState {
+    /// The log.
+    pub log: ShardLog,
+    waiting: HashMap<ClaimTicket, async_channel::Sender<ClaimReply>>,
+    next_ticket: ClaimTicket,
+}
+
+impl Shards {
+    /// All shards, closed.
+    pub fn new(settings: &Settings, incarnation: u64) -> Self {
+        let once_only = settings.once_only;
+        let log_settings = ShardLogSettings {
+            commit_every: Duration::from_millis(once_only.commit_every_ms),
+            retention: Duration::from_secs(once_only.retention_s),
+            ..ShardLogSettings::default()
+        };
+        let seat = |_| {
+            let writer = (settings.box_id.clone(), incarnation);
+            let state = SeatState {
+                log: ShardLog::new(writer, log_settings),
+                waiting: HashMap::new(),
+                next_ticket: 1,
+            };
+            let state = Ranked::new(Rank::Shards, state);
+            ShardSeat {
+                state,
+                wake: async_channel::bounded(1),
+            }
+        };
+        Self {
+            seats: (0..once_only.shards).map(seat).collect(),
+        }
+    }
+
+    /// The number of shards.
+    pub fn count(&self) -> u32 {
+        self.seats.len() as u32
+    }
+
+    /// One shard.
+    pub fn seat(&self, shard: u32) -> &ShardSeat {
+        &self.seats[shard as usize]
+    }
+
+    /// Shards that this box owns as of its last writes, and operations remembered.
+    pub fn owned(&self) -> (usize, usize) {
+        let mut totals = (0, 0);
+        for seat in &self.seats {
+            let state = seat.state.lock();
+            totals.0 += usize::from(state.log.is_open());
+            totals.1 += state.log.len();
+        }
+        totals
+    }
+
+    /// Answers a claim, here or from a peer, as the shard's owner.
+    pub async fn claim(&self, request: ClaimRequest) -> ClaimReply {
+        let seat = self.seat(request.operation.shard(self.count()));
+        let (sender, receiver) = async_channel::bounded(1);
+        let now = Instant::now();
+        {
+            let mut state = seat.state.lock();
+            let ticket = state.next_ticket;
+            state.next_ticket += 1;
+            let expires = now + CLAIM_PATIENCE;
+            if let Some(reply) = state.log.claim(request, ticket, expires, now) {
+                return reply;
+            }
+            state.waiting.insert(ticket, sender);
+        }
+        seat.wake();
+        receiver.recv().await.unwrap_or(ClaimReply::Unavailable)
+    }
+
+    /// Takes in how an operation ended; false when this box does not own the shard.
+    pub fn outcome(&self, note: &OutcomeNote) -> bool {
+        let seat = self.seat(note.operation.shard(self.count()));
+        {
+            let mut state = seat.state.lock();
+            if !state.log.is_open() {
+                return false;
+            }
+            state.log.outcome(note);
+        }
+        seat.wake();
+        true
+    }
+}
+
+impl ShardSeat {
+    /// Waits until there is something to do.
+    pub async fn woken(&self) {
+        // The channel stays open as long as the shards do.
+        let _ = self.wake.1.recv().await;
+    }
+
+    fn wake(&self) {
+        // A wake that is pending already will do.
+        let _ = self.wake.0.try_send(());
+    }
+
+    /// Hands verdicts to those who wait for them.
+    pub fn answer(&self, verdicts: Vec<ClaimVerdict>) {
+        let mut state = self.state.lock();
+        for verdict in verdicts {
+            if let Some(sender) = state.waiting.remove(&verdict.ticket) {
+                // An asker that went away is told nothing.
+                let _ = sender.try_send(verdict.reply);
+            }
+        }
+    }
+}
+
+/// A claim that is not recorded by then is refused.
+pub const CLAIM_PATIENCE: Duration = Duration::from_millis(1500);
--- a/crates/wingspur-entry/src/shared.rs
+++ b/crates/wingspur-entry/src/shared.rs
@@ -13,11 +13,11 @@
 use wingspur_transport::{Exchange, LinkFaults, Spawner, StoreClient};
 
 use crate::Settings;
-use crate::claims::Shards;
-use crate::detection::Judges;
 use crate::in_force::InForce;
+use crate::judges::Judges;
 use crate::locks::{Rank, Ranked};
 use crate::metrics::Metrics;
+use crate::shards::Shards;
 
 /// What all parts of a box share.
 #[derive(Debug)]
--- a/crates/wingspur/src/bundle.rs
+++ b/crates/wingspur/src/bundle.rs
@@ -2,28 +2,16 @@
 
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Serialize};
-use wingspur_protocol::{SignedBundle, StoreKeys, sign_bundle};
-use wingspur_state::{Bundle, Finding, Service, check_bundle};
+use wingspur_protocol::{StoreKeys, sign_bundle};
+use wingspur_state::{Bundle, Finding, check_bundle};
 use wingspur_transport::submit_bundle;
 
 use crate::CommandResult;
 use crate::args::{CheckArgs, SignArgs, SubmitArgs};
 use crate::keys::read_key;
 use crate::report::{Failure, print_json, read_json, write_new};
-use crate::rollout::with_store;
-
-/// A signed bundle as a file: what was signed, and the services.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct SignedFile {
-    /// The signed manifest.
-    pub signed: SignedBundle,
-    /// The fleet, for the store's keys.
-    pub fleet: String,
-    /// The services, whose bytes the manifest names by digest.
-    pub services: Vec<Service>,
-}
+use crate::signed_file::SignedFile;
+use crate::store::with_store;
 
 /// Checks a bundle and prints all findings.
 pub fn check(args: &CheckArgs) -> CommandResult {
--- a/crates/wingspur/src/main.rs
+++ b/crates/wingspur/src/main.rs
@@ -6,7 +6,9 @@
 mod report;
 mod rollout;
 mod run;
+mod signed_file;
 mod status;
+mod store;
 
 use std::process::ExitCode;
 
--- a/crates/wingspur/src/rollout.rs
+++ b/crates/wingspur/src/rollout.rs
@@ -1,6 +1,5 @@
 //! `wingspur rollout`: acceptance of a bundle, and how far it has come.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -14,8 +13,9 @@
 
 use crate::CommandResult;
 use crate::args::{RolloutStatusArgs, StartArgs};
-use crate::bundle::SignedFile;
 use crate::report::{Failure, print_json, read_json};
+use crate::signed_file::SignedFile;
+use crate::store::with_store;
 
 /// What a rollout's start came to.
 #[derive(Serialize)]
@@ -108,16 +108,6 @@
     Ok(())
 }
 
-/// Calls the store from a command.
-pub fn with_store<T>(address: SocketAddr, call: impl AsyncFnOnce(StoreClient) -> T) -> T {
-    let workers = Workers::start(1);
-    let exchange = Exchange::new(workers.spawner(), LinkFaults::default());
-    let store = StoreClient::new(address, exchange.into(), TIMEOUT);
-    let value = smol::block_on(call(store));
-    workers.close();
-    value
-}
-
 async fn gather(
     args: &RolloutStatusArgs,
     exchange: Exchange,
--- a/tests/tests/fleet.rs
+++ b/tests/tests/fleet.rs
@@ -14,15 +14,6 @@
     workers.close();
 }
 
-fn kind(method: &'static str, path: &'static str) -> RequestKind {
-    RequestKind {
-        method,
-        path,
-        once_only_repeats: None,
-        answer_bytes: None,
-    }
-}
-
 fn some_seconds(rate_per_s: f64, mix: Vec<(RequestKind, f64)>) -> LoadOptions {
     LoadOptions {
         rate_per_s,
@@ -38,9 +29,9 @@
         let fleet = Fleet::start(small_zagreb(3), &spawner).await.unwrap();
         let download = RequestKind {
             answer_bytes: Some(300_000),
-            ..kind("GET", "/archive/3")
+            ..RequestKind::new("GET", "/archive/3")
         };
-        let mix = vec![(kind("GET", "/exam/p"), 3.0), (download, 1.0)];
+        let mix = vec![(RequestKind::new("GET", "/exam/p"), 3.0), (download, 1.0)];
         let load = Load::new(&spawner, &fleet.caller_addresses());
         let report = load.run(&some_seconds(100.0, mix)).await;
         assert_eq!(report.sent, 200);
@@ -56,13 +47,13 @@
         let spawner = workers.spawner();
         let fleet = Fleet::start(small_zagreb(1), &spawner).await.unwrap();
         let load = Load::new(&spawner, &fleet.caller_addresses());
-        let mix = vec![(kind("GET", "/nowhere"), 1.0)];
+        let mix = vec![(RequestKind::new("GET", "/nowhere"), 1.0)];
         let report = load.run(&some_seconds(5.0, mix)).await;
         assert_eq!(report.refused.get(&1001), Some(&10));
-        let mix = vec![(kind("DELETE", "/exam/p"), 1.0)];
+        let mix = vec![(RequestKind::new("DELETE", "/exam/p"), 1.0)];
         let report = load.run(&some_seconds(5.0, mix)).await;
         assert_eq!(report.refused.get(&1002), Some(&10));
-        let mix = vec![(kind("POST", "/submit/1"), 1.0)];
+        let mix = vec![(RequestKind::new("POST", "/submit/1"), 1.0)];
         let report = load.run(&some_seconds(5.0, mix)).await;
         assert_eq!(report.refused.get(&1005), Some(&10), "no key was sent");
         fleet.close().await;
@@ -76,7 +67,7 @@
         let fleet = Fleet::start(small_zagreb(3), &spawner).await.unwrap();
         let submit = RequestKind {
             once_only_repeats: Some(1.0),
-            ..kind("POST", "/submit/1")
+            ..RequestKind::new("POST", "/submit/1")
         };
         let load = Load::new(&spawner, &fleet.caller_addresses());
         let report = load.run(&some_seconds(50.0, vec![(submit, 1.0)])).await;
@@ -97,7 +88,7 @@
         let spawner = workers.spawner();
         let fleet = Fleet::start(small_zagreb(3), &spawner).await.unwrap();
         let load = Load::new(&spawner, &fleet.caller_addresses());
-        let mix = vec![(kind("GET", "/exam/p"), 1.0)];
+        let mix = vec![(RequestKind::new("GET", "/exam/p"), 1.0)];
         load.run(&some_seconds(200.0, mix.clone())).await;
         fleet.servers[0][2].set_gray(Gray::Stall);
         load.run(&some_seconds(200.0, mix.clone())).await;
@@ -117,9 +108,9 @@
         let load = Load::balanced(&spawner, fleet.settings());
         let download = RequestKind {
             answer_bytes: Some(300_000),
-            ..kind("GET", "/archive/3")
+            ..RequestKind::new("GET", "/archive/3")
         };
-        let mix = vec![(kind("GET", "/exam/p"), 3.0), (download, 1.0)];
+        let mix = vec![(RequestKind::new("GET", "/exam/p"), 3.0), (download, 1.0)];
         let options = LoadOptions {
             rate_per_s: 100.0,
             duration: Duration::from_secs(8),
@@ -151,7 +142,7 @@
         let spawner = workers.spawner();
         let fleet = Fleet::start(small_zagreb(3), &spawner).await.unwrap();
         let load = Load::new(&spawner, &fleet.caller_addresses());
-        let mix = vec![(kind("GET", "/exam/p"), 1.0)];
+        let mix = vec![(RequestKind::new("GET", "/exam/p"), 1.0)];
         fleet.servers[0][0].set_draining(true);
         load.run(&some_seconds(100.0, mix.clone())).await;
         let before = fleet.servers[0][0].requests();
@@ -169,7 +160,7 @@
         let load = Load::new(&spawner, &fleet.caller_addresses());
         let submit = RequestKind {
             once_only_repeats: Some(0.0),
-            ..kind("POST", "/submit/1")
+            ..RequestKind::new("POST", "/submit/1")
         };
         let mix = vec![(submit, 1.0)];
         load.run(&some_seconds(20.0, mix.clone())).await;
@@ -177,7 +168,7 @@
         let report = load.run(&some_seconds(20.0, mix.clone())).await;
         assert_eq!(report.refused.get(&4001), Some(&40), "{report:?}");
         assert_eq!(fleet.check_once_only(&report), (0, 0));
-        let reads = vec![(kind("GET", "/exam/p"), 1.0)];
+        let reads = vec![(RequestKind::new("GET", "/exam/p"), 1.0)];
         let report = load.run(&some_seconds(20.0, reads)).await;
         assert_eq!(report.answered, 40, "all else goes on");
         fleet.store.set_fault(StoreFault::None);
--- a/tests/tests/judging.rs
+++ b/tests/tests/judging.rs
@@ -15,20 +15,8 @@
 
 fn service(floor_percent: u8) -> Service {
     service_of(&Scenario {
-        boxes: BOXES,
-        servers: SERVERS,
-        slots: 3,
-        data_centres: 3,
-        rate_per_s: 1.0,
-        median_ms: 20.0,
-        deviation_ln: 0.4,
-        hardware_spread: 1.0,
-        straggler_share: 0.0,
-        error_share: 0.0,
-        duration_s: 1.0,
         floor_percent,
-        false_ejections_per_server_day: 0.1,
-        faults: Vec::new(),
+        ..Scenario::quiet(SERVERS, BOXES)
     })
 }
 
