Mutual TLS between boxes, with keys and authorities changed without a stop

Cause: any process that reached the peer port could pose as any listed box.

Change: `tls` in the settings, by futures-rustls. Who calls checks that the certificate names the address, who answers that it names the box a message says it is from. Without `tls` a box starts on loopback only and speaks to no peer elsewhere. The files are read again every five seconds; a half-written one changes nothing. `rollout status` takes the operator's certificate.

What TLS costs a message was not measured yet.

--- a/crates/wingspur-entry/src/entry_box.rs
+++ b/crates/wingspur-entry/src/entry_box.rs
@@ -8,7 +8,8 @@
 use smol::net::TcpListener;
 use wingspur_coordination::MembershipSettings;
 use wingspur_transport::{
-    HttpListener, LinkFaults, ListenerOptions, Spawner, StopTrigger, stop_pair,
+    HttpListener, LinkFaults, ListenerOptions, Spawner, StopTrigger, TlsError, TlsFiles,
+    TlsIdentity, stop_pair,
 };
 
 use crate::bundles::{find_first, run_reader};
@@ -44,6 +45,9 @@
         /// Why.
         error: std::io::Error,
     },
+    /// The identity cannot be used.
+    #[error("`tls`: {0}")]
+    Identity(#[from] TlsError),
 }
 
 /// How a stop went.
@@ -63,14 +67,21 @@
         let caller_port = bind("caller_address", settings.caller_address).await?;
         let peer_port = bind("peer_address", settings.peer_address).await?;
         let operator_port = bind("operator_address", settings.operator_address).await?;
-        let shared = Arc::new(Shared::new(settings, spawner.clone(), &faults));
+        let files = settings.tls.as_ref().map(TlsFiles::from);
+        let identity = files.map(TlsIdentity::load).transpose()?.map(Arc::new);
+        let shared = Shared::new(settings, spawner.clone(), &faults, identity.clone());
+        let shared = Arc::new(shared);
         let proxy = Proxy::new(shared.clone());
         let options = ListenerOptions::default();
         let handler = move |request, from| proxy.clone().answer(request, from);
-        let callers = listen(caller_port, spawner, options, handler)?;
+        let callers = listen(caller_port, spawner, options.clone(), handler)?;
         let peer_shared = shared.clone();
         let handler = move |request, _| answer_peer(peer_shared.clone(), request);
-        let peers = listen(peer_port, spawner, options, handler)?;
+        let proven = ListenerOptions {
+            identity,
+            ..options.clone()
+        };
+        let peers = listen(peer_port, spawner, proven, handler)?;
         let operator_shared = shared.clone();
         let handler = move |request, _| answer_operator(operator_shared.clone(), request);
         let operators = listen(operator_port, spawner, options, handler)?;
@@ -176,6 +187,7 @@
             spawner.spawn(run_reader(shared.clone(), signal.clone())),
             spawner.spawn(run_detection(shared.clone(), signal.clone())),
             spawner.spawn(keep_warm(shared.clone())),
+            spawner.spawn(keep_identity(shared.clone())),
         ];
         for shard in 0..shared.shards.count() {
             let driving = drive_shard(shared.clone(), shard, signal.clone());
@@ -201,6 +213,21 @@
     }
 }
 
+/// Takes up a new certificate or authority when its file is replaced.
+async fn keep_identity(shared: Arc<Shared>) {
+    let Some(identity) = &shared.identity else {
+        return;
+    };
+    loop {
+        smol::Timer::after(IDENTITY_EVERY).await;
+        match identity.refresh() {
+            Ok(true) => tracing::info!("peer: a new certificate is in use."),
+            Ok(false) => {}
+            Err(error) => tracing::warn!("peer: the former certificate stays: {error}."),
+        }
+    }
+}
+
 async fn warm(shared: &Shared) {
     let Some(bundle) = shared.in_force() else {
         return;
@@ -254,6 +281,7 @@
 
 /// Idle connections kept to each backend server.
 const WARM_CONNECTIONS: usize = 1;
+const IDENTITY_EVERY: Duration = Duration::from_secs(5);
 const WARM_EVERY: Duration = Duration::from_secs(5);
 const READY_POLL: Duration = Duration::from_millis(10);
 const PORT_LIMIT: Duration = Duration::from_secs(1);
--- a/crates/wingspur-entry/src/lib.rs
+++ b/crates/wingspur-entry/src/lib.rs
@@ -22,6 +22,6 @@
 pub use entry_box::{EntryBox, StartError, StopReport};
 pub use settings::{
     DrainSettings, LogFormat, LogSettings, OnceOnlySettings, Settings, SettingsError,
-    load_settings, parse_settings,
+    TlsSettings, load_settings, parse_settings,
 };
 pub use shared::Addresses;
--- a/crates/wingspur-entry/src/peers.rs
+++ b/crates/wingspur-entry/src/peers.rs
@@ -12,7 +12,7 @@
     BoxList, BundleOffer, Heartbeat, ListedServer, PeerEnvelope, PeerMessage, PeerReply,
     decode_peer, encode_peer,
 };
-use wingspur_transport::StopSignal;
+use wingspur_transport::{PeerCertificate, StopSignal};
 
 use crate::bundles::fetch_newer;
 use crate::detection;
@@ -27,6 +27,7 @@
     if request.method() != Method::POST || request.uri().path() != PEER_PATH {
         return refuse(&shared, "wrong_path", StatusCode::NOT_FOUND);
     }
+    let certificate = request.extensions().get::<PeerCertificate>().cloned();
     let body = Limited::new(request.into_body(), MOST_MESSAGE_BYTES)
         .collect()
         .await;
@@ -42,6 +43,10 @@
     };
     // An operator's command asks from outside the fleet, and changes nothing.
     if envelope.message != PeerMessage::Status {
+        if certificate.is_some_and(|own| !own.names(&envelope.from)) {
+            tracing::warn!("peer: a certificate that does not name {}.", envelope.from);
+            return refuse(&shared, "wrong_certificate", StatusCode::FORBIDDEN);
+        }
         let PeerEnvelope {
             from,
             incarnation,
@@ -141,7 +146,7 @@
     let address = shared.settings.box_list_address;
     let known = validator.as_deref();
     let got = shared
-        .peers
+        .box_list
         .get_changed(address, "/boxes", known, LIST_TIMEOUT)
         .await;
     let (bytes, new_validator) = match got {
--- a/crates/wingspur-entry/src/settings.rs
+++ b/crates/wingspur-entry/src/settings.rs
@@ -9,6 +9,7 @@
 use serde_json::Value;
 use wingspur_protocol::Keyring;
 use wingspur_state::{BoxId, DataCentreId};
+use wingspur_transport::TlsFiles;
 
 /// The settings of one box.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -50,6 +51,31 @@
     /// How the box logs.
     #[serde(default)]
     pub log: LogSettings,
+    /// Who the box is towards other boxes; may be left out on loopback only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tls: Option<TlsSettings>,
+}
+
+/// Where the box finds its identity, in PEM files that may be replaced while it runs.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TlsSettings {
+    /// The authorities that are trusted.
+    pub authorities_path: PathBuf,
+    /// The certificate, naming `box_id` and the peer address.
+    pub certificate_path: PathBuf,
+    /// The certificate's key.
+    pub key_path: PathBuf,
+}
+
+impl From<&TlsSettings> for TlsFiles {
+    fn from(settings: &TlsSettings) -> Self {
+        Self {
+            authorities: settings.authorities_path.clone(),
+            certificate: settings.certificate_path.clone(),
+            key: settings.key_path.clone(),
+        }
+    }
 }
 
 /// How a box stops.
@@ -180,7 +206,13 @@
     if !findings.is_empty() {
         return Err(SettingsError::Findings(findings));
     }
-    serde_json::from_value(value).map_err(not_json)
+    let settings: Settings = serde_json::from_value(value).map_err(not_json)?;
+    if settings.tls.is_none() && !settings.peer_address.ip().is_loopback() {
+        let fix = "add it, or use a loopback `peer_address`: plain is for loopback only";
+        finding(&mut findings, file, "tls", "missing", fix);
+        return Err(SettingsError::Findings(findings));
+    }
+    Ok(settings)
 }
 
 /// A field that settings may have.
@@ -245,6 +277,14 @@
             may("retention_s", Kind::Number(60, 30 * 24 * 3600)),
         ]),
     ),
+    may(
+        "tls",
+        Kind::Object(&[
+            must("authorities_path", Kind::Text),
+            must("certificate_path", Kind::Text),
+            must("key_path", Kind::Text),
+        ]),
+    ),
     may(
         "log",
         Kind::Object(&[
--- a/crates/wingspur-entry/src/shared.rs
+++ b/crates/wingspur-entry/src/shared.rs
@@ -10,7 +10,7 @@
     PEER_PROTOCOL_VERSION, PeerEnvelope, PeerMessage, PeerReply, StoreKeys, encode_peer,
 };
 use wingspur_state::{AccountLimiter, BoxId};
-use wingspur_transport::{Exchange, LinkFaults, Spawner, StoreClient};
+use wingspur_transport::{Exchange, LinkFaults, Spawner, StoreClient, TlsIdentity};
 
 use crate::Settings;
 use crate::in_force::InForce;
@@ -28,8 +28,12 @@
     pub spawner: Spawner,
     /// Counters and gauges.
     pub metrics: Metrics,
-    /// Connections to peers and the box list.
+    /// Connections to peers.
     pub peers: Exchange,
+    /// Connections to the box list.
+    pub box_list: Exchange,
+    /// Who the box is towards its peers.
+    pub identity: Option<Arc<TlsIdentity>>,
     /// Connections to the store.
     pub store_exchange: Arc<Exchange>,
     /// The store.
@@ -68,7 +72,12 @@
 
 impl Shared {
     /// A box that has not started yet.
-    pub fn new(settings: Settings, spawner: Spawner, faults: &LinkFaults) -> Self {
+    pub fn new(
+        settings: Settings,
+        spawner: Spawner,
+        faults: &LinkFaults,
+        identity: Option<Arc<TlsIdentity>>,
+    ) -> Self {
         let store_exchange = Arc::new(Exchange::new(spawner.clone(), faults.clone()));
         let exchange = store_exchange.clone();
         let store = StoreClient::new(settings.store_address, exchange, STORE_TIMEOUT);
@@ -76,7 +85,10 @@
             Membership::new(settings.box_id.clone(), MembershipSettings::default());
         let incarnation = unix_time().as_micros() as u64;
         Self {
-            peers: Exchange::new(spawner.clone(), faults.clone()),
+            peers: Exchange::new(spawner.clone(), faults.clone())
+                .with_identity(identity.clone()),
+            box_list: Exchange::new(spawner.clone(), faults.clone()),
+            identity,
             store_exchange,
             store,
             keys: StoreKeys::new(&settings.fleet),
@@ -151,6 +163,10 @@
         message: PeerMessage,
         timeout: Duration,
     ) -> Option<PeerReply> {
+        if self.identity.is_none() && !peer.address.ip().is_loopback() {
+            tracing::warn!("peer: {} is not on loopback and `tls` is not set.", peer.id);
+            return None;
+        }
         let body = encode_peer(&self.envelope(message));
         let reply = self
             .peers
--- a/crates/wingspur-transport/src/exchange.rs
+++ b/crates/wingspur-transport/src/exchange.rs
@@ -2,11 +2,12 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use futures_lite::FutureExt;
+use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use futures_rustls::rustls::pki_types::ServerName;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::SendRequest;
@@ -16,13 +17,14 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use crate::{LinkFault, LinkFaults, Spawner};
+use crate::{LinkFault, LinkFaults, Spawner, TlsIdentity};
 
 /// Exchanges small messages with the store, the box list and peers.
 #[derive(Debug)]
 pub struct Exchange {
     spawner: Spawner,
     faults: LinkFaults,
+    identity: Option<Arc<TlsIdentity>>,
     idle: Mutex<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>,
     sent_bytes: AtomicU64,
     received_bytes: AtomicU64,
@@ -66,6 +68,7 @@
         Self {
             spawner,
             faults,
+            identity: None,
             idle: Mutex::default(),
             sent_bytes: AtomicU64::new(0),
             received_bytes: AtomicU64::new(0),
@@ -73,6 +76,11 @@
         }
     }
 
+    /// Exchanges by mutual TLS from now on, and with nobody else.
+    pub fn with_identity(self, identity: Option<Arc<TlsIdentity>>) -> Self {
+        Self { identity, ..self }
+    }
+
     /// Posts a body and returns the reply's, within `timeout`.
     pub async fn post(
         &self,
@@ -233,6 +241,23 @@
     ) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
         let stream = TcpStream::connect(to).await?;
         stream.set_nodelay(true)?;
+        match &self.identity {
+            None => self.handshake(stream).await,
+            Some(identity) => {
+                let name = ServerName::from(to.ip());
+                let stream = identity.connector().connect(name, stream).await?;
+                self.handshake(stream).await
+            }
+        }
+    }
+
+    async fn handshake<S>(
+        &self,
+        stream: S,
+    ) -> Result<SendRequest<Full<Bytes>>, ExchangeError>
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
         let io = FuturesIo::new(stream);
         let (sender, connection) = hyper::client::conn::http1::handshake(io).await?;
         self.spawner.detach(async move {
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -7,6 +7,7 @@
 mod pool;
 mod publish;
 mod store;
+mod tls;
 mod workers;
 
 pub use body::{BodyError, SendBody};
@@ -21,4 +22,5 @@
 pub use store::{
     KeyValue, RangeResult, StoreClient, StoreError, WatchStream, WriteOutcome,
 };
+pub use tls::{PeerCertificate, TlsError, TlsFiles, TlsIdentity};
 pub use workers::{Spawner, StopSignal, StopTrigger, Workers, stop_pair};
--- a/crates/wingspur-transport/src/listener.rs
+++ b/crates/wingspur-transport/src/listener.rs
@@ -8,14 +8,15 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use futures_lite::FutureExt;
+use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use futures_rustls::server::TlsStream;
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
 
-use crate::{Spawner, StopSignal, StopTrigger, stop_pair};
+use crate::{PeerCertificate, Spawner, StopSignal, StopTrigger, TlsIdentity, stop_pair};
 
 /// Accepts connections and serves HTTP/1.1 and HTTP/2 on them.
 #[derive(Debug)]
@@ -36,12 +37,14 @@
 }
 
 /// How a listener treats its connections.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct ListenerOptions {
     /// How long a request's head may take to arrive.
     pub head_timeout: Duration,
     /// The largest head, in bytes.
     pub max_head_bytes: usize,
+    /// Who the box is, where callers must prove who they are as well.
+    pub identity: Option<Arc<TlsIdentity>>,
 }
 
 impl Default for ListenerOptions {
@@ -49,6 +52,7 @@
         Self {
             head_timeout: Duration::from_secs(30),
             max_head_bytes: 64 << 10,
+            identity: None,
         }
     }
 }
@@ -160,27 +164,46 @@
         from: SocketAddr,
     ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
         stream.set_nodelay(true)?;
+        if let Some(identity) = &self.options.identity {
+            let accepting = identity.acceptor().accept(stream);
+            let Some(accepted) = self.until_stop(self.in_time(accepting)).await else {
+                return Ok(());
+            };
+            let stream = accepted?;
+            let certificate = peer_certificate(&stream);
+            return self
+                .serve_http1(FuturesIo::new(stream), from, certificate)
+                .await;
+        }
         let Some(speaks_http2) = self.until_stop(speaks_http2(&stream)).await else {
             return Ok(());
         };
-        let speaks_http2 = speaks_http2?;
-        let service = service_fn(|request| {
-            let handler = self.handler.clone();
-            async move {
-                self.counts.requests.fetch_add(1, Ordering::AcqRel);
-                let _running = CountGuard(&self.counts.requests);
-                Ok::<_, Infallible>(handler(request, from).await)
-            }
-        });
         let io = FuturesIo::new(stream);
-        if speaks_http2 {
-            let executor = SmolExecutor::new(self.spawner.clone());
-            return self.serve_http2(io, executor, from).await;
+        if speaks_http2? {
+            return self.serve_http2(io, from).await;
         }
+        self.serve_http1(io, from, None).await
+    }
+
+    async fn serve_http1<S>(
+        &self,
+        io: FuturesIo<S>,
+        from: SocketAddr,
+        certificate: Option<PeerCertificate>,
+    ) -> Result<(), Box<dyn std::error::Error + Send + Sync>>
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
         let mut builder = hyper::server::conn::http1::Builder::new();
         builder.timer(SmolTimer::new());
         builder.header_read_timeout(self.options.head_timeout);
         builder.max_buf_size(self.options.max_head_bytes.max(8 << 10));
+        let service = service_fn(|mut request: Request<Incoming>| {
+            if let Some(certificate) = &certificate {
+                request.extensions_mut().insert(certificate.clone());
+            }
+            self.answer(request, from)
+        });
         let mut connection = pin!(builder.serve_connection(io, service));
         match self.until_stop(connection.as_mut()).await {
             Some(ended) => Ok(ended?),
@@ -191,34 +214,21 @@
         }
     }
 
-    /// Waits for the future, or gives none when the listener stops first.
-    async fn until_stop<T>(&self, future: impl Future<Output = T>) -> Option<T> {
-        let ended = async { Some(future.await) };
-        let stopped = async {
-            self.signal.wait().await;
-            None
-        };
-        ended.or(stopped).await
-    }
-
     async fn serve_http2(
         &self,
         io: FuturesIo<TcpStream>,
-        executor: SmolExecutor<Spawner>,
         from: SocketAddr,
     ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
-        let (handler, counts) = (self.handler.clone(), self.counts.clone());
-        let service = service_fn(move |request| {
-            let (handler, counts) = (handler.clone(), counts.clone());
-            async move {
-                counts.requests.fetch_add(1, Ordering::AcqRel);
-                let _running = CountGuard(&counts.requests);
-                Ok::<_, Infallible>(handler(request, from).await)
-            }
-        });
+        let executor = SmolExecutor::new(self.spawner.clone());
         let mut builder = hyper::server::conn::http2::Builder::new(executor);
         builder.timer(SmolTimer::new());
         builder.max_header_list_size(self.options.max_head_bytes as u32);
+        let server = self.clone();
+        // Each stream is a task of its own, so its answer owns all it needs.
+        let service = service_fn(move |request| {
+            let server = server.clone();
+            async move { server.answer(request, from).await }
+        });
         let mut connection = pin!(builder.serve_connection(io, service));
         match self.until_stop(connection.as_mut()).await {
             Some(ended) => Ok(ended?),
@@ -228,6 +238,45 @@
             }
         }
     }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        from: SocketAddr,
+    ) -> Result<Response<B>, Infallible> {
+        self.counts.requests.fetch_add(1, Ordering::AcqRel);
+        let _running = CountGuard(&self.counts.requests);
+        Ok((self.handler)(request, from).await)
+    }
+
+    /// A handshake takes no longer than a head may.
+    async fn in_time<T>(
+        &self,
+        future: impl Future<Output = std::io::Result<T>>,
+    ) -> std::io::Result<T> {
+        let expired = async {
+            smol::Timer::after(self.options.head_timeout).await;
+            Err(std::io::ErrorKind::TimedOut.into())
+        };
+        future.or(expired).await
+    }
+
+    /// Waits for the future, or gives none when the listener stops first.
+    async fn until_stop<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let ended = async { Some(future.await) };
+        let stopped = async {
+            self.signal.wait().await;
+            None
+        };
+        ended.or(stopped).await
+    }
+}
+
+/// The certificate that the other side has proved to hold.
+fn peer_certificate(stream: &TlsStream<TcpStream>) -> Option<PeerCertificate> {
+    let (_, connection) = stream.get_ref();
+    let certificate = connection.peer_certificates()?.first()?;
+    Some(PeerCertificate::new(certificate.clone().into_owned()))
 }
 
 /// HTTP/2 by prior knowledge begins with a preface that HTTP/1.1 cannot.
--- a/crates/wingspur/src/args.rs
+++ b/crates/wingspur/src/args.rs
@@ -141,6 +141,15 @@
     /// the store's IP address and port
     #[argh(option)]
     pub store: SocketAddr,
+    /// trusted authorities in PEM, where boxes speak TLS
+    #[argh(option)]
+    pub authorities: Option<PathBuf>,
+    /// your certificate in PEM, where boxes speak TLS
+    #[argh(option)]
+    pub certificate: Option<PathBuf>,
+    /// your certificate's key in PEM, where boxes speak TLS
+    #[argh(option)]
+    pub key: Option<PathBuf>,
     /// print the states as JSON
     #[argh(switch)]
     pub json: bool,
--- a/crates/wingspur/src/rollout.rs
+++ b/crates/wingspur/src/rollout.rs
@@ -1,5 +1,6 @@
 //! `wingspur rollout`: acceptance of a bundle, and how far it has come.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -8,7 +9,8 @@
     PeerReply, StoreKeys, encode_peer,
 };
 use wingspur_transport::{
-    Exchange, LinkFaults, Published, StoreClient, Workers, accept_bundle, load_pointer,
+    Exchange, LinkFaults, Published, StoreClient, TlsFiles, TlsIdentity, Workers,
+    accept_bundle, load_pointer,
 };
 
 use crate::CommandResult;
@@ -82,8 +84,9 @@
 /// Shows which version is in force on each listed box.
 pub fn status(args: &RolloutStatusArgs) -> CommandResult {
     let workers = Workers::start(2);
-    let exchange = Exchange::new(workers.spawner(), LinkFaults::default());
-    let report = smol::block_on(gather(args, exchange));
+    let exchange = || Exchange::new(workers.spawner(), LinkFaults::default());
+    let peers = exchange().with_identity(identity(args)?);
+    let report = smol::block_on(gather(args, exchange(), &peers));
     workers.close();
     let report = report?;
     if args.json {
@@ -108,9 +111,30 @@
     Ok(())
 }
 
+/// Who the operator is towards boxes that speak TLS: all three files, or none.
+fn identity(args: &RolloutStatusArgs) -> Result<Option<Arc<TlsIdentity>>, Failure> {
+    let files = match (&args.authorities, &args.certificate, &args.key) {
+        (None, None, None) => return Ok(None),
+        (Some(authorities), Some(certificate), Some(key)) => TlsFiles {
+            authorities: authorities.clone(),
+            certificate: certificate.clone(),
+            key: key.clone(),
+        },
+        _ => {
+            let hint =
+                "--authorities, --certificate and --key go together; give all three";
+            return Err(Failure::WrongInput(hint.to_owned()));
+        }
+    };
+    let identity = TlsIdentity::load(files);
+    let identity = identity.map_err(|error| Failure::WrongInput(error.to_string()))?;
+    Ok(Some(Arc::new(identity)))
+}
+
 async fn gather(
     args: &RolloutStatusArgs,
     exchange: Exchange,
+    peers: &Exchange,
 ) -> Result<RolloutReport, Failure> {
     let list = exchange.get(args.box_list, "/boxes", TIMEOUT).await;
     let list = list.map_err(|error| {
@@ -122,7 +146,7 @@
     let list: BoxList = serde_json::from_slice(&list).map_err(Failure::failed)?;
     let mut boxes = Vec::with_capacity(list.boxes.len());
     for listed in &list.boxes {
-        let status = ask_status(&exchange, &args.fleet, listed).await;
+        let status = ask_status(peers, &args.fleet, listed).await;
         boxes.push(BoxRow {
             id: listed.id.clone(),
             status,
