Whole answers: an answer that names another request is not passed on

Found: the raw server wrote its answer and the leftover in two pieces, and the second sometimes came only after the next request was on the wire, where nothing tells it from that request's answer.

Conclusion: for servers that repeat the id the promise holds even against answers out of step; for others it holds as far as HTTP/1.1 lets anyone tell.

--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -256,6 +256,11 @@
         lease: Lease,
     ) -> Result<AnswerHead, FailedAttempt> {
         self.take_hints(pending, attempt.server, response.headers());
+        if names_another(&pending.parts.headers, response.headers()) {
+            tracing::warn!("proxy: an answer to another request; its connection ends.");
+            attempt.finish(AttemptOutcome::Failed);
+            return Err(FailedAttempt::new(AttemptEnd::InDoubt, ResultCode::InDoubt));
+        }
         let status = response.status();
         let declared = &pending.handle.service.retry.not_run_statuses;
         if declared.contains(&status.as_u16()) {
@@ -396,6 +401,13 @@
     }
 }
 
+/// Whether an answer says that it belongs to another request than the one sent: servers
+/// that repeat the request's id are held to it.
+fn names_another(request: &HeaderMap, answer: &HeaderMap) -> bool {
+    let answered = answer.get(REQUEST_ID_HEADER);
+    answered.is_some_and(|id| Some(id) != request.get(REQUEST_ID_HEADER))
+}
+
 /// A second copy of a body that is held in memory.
 fn keep(body: &Option<SendBody>) -> Option<SendBody> {
     match body {
