A stop waits for the ends of once-only operations; a dead watch is noticed

Cause: read as a newcomer: a box that stopped ended its shard drivers and its telling of outcomes at once, so operations that had run became `outcome unknown`; and a watch that went dead without a word (a one-way cut to the store) would have waited for ever. Change: a stop waits up to 2 s until all ends are told and written; a watch is opened anew every 5 s and the pointer read.

--- a/crates/wingspur-entry/src/bundles.rs
+++ b/crates/wingspur-entry/src/bundles.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::seq::IndexedRandom;
 use wingspur_coordination::{PeerView, Roster};
@@ -162,12 +162,12 @@
     let key = shared.keys.pointer();
     shared.count_store_call("watch");
     let mut watch = shared.store.watch(&key, revision + 1).await?;
-    while !stop.is_given() && is_reader(shared) {
-        if watch
-            .next(WATCH_PATIENCE)
-            .await?
-            .is_some_and(|events| !events.is_empty())
-        {
+    // A watch can go dead without a word: it is opened anew after a while, and the pointer
+    // read, whatever it says.
+    let end = Instant::now() + WATCH_AT_MOST;
+    while !stop.is_given() && is_reader(shared) && Instant::now() < end {
+        let events = watch.next(WATCH_PATIENCE).await?;
+        if events.is_some_and(|events| !events.is_empty()) {
             fetch_from_store(shared).await?;
         }
     }
@@ -177,10 +177,7 @@
 fn is_reader(shared: &Shared) -> bool {
     let home = &shared.settings.data_centre;
     let own = &shared.settings.box_id;
-    let others = shared
-        .membership
-        .lock()
-        .live_in(home, std::time::Instant::now());
+    let others = shared.membership.lock().live_in(home, Instant::now());
     let ids = others.into_iter().map(|peer| peer.id);
     let inside = Roster::new(ids.chain([own.clone()]));
     inside.is_among(&format!("reader/{home}"), READERS, own)
@@ -321,6 +318,7 @@
 const READERS: usize = 2;
 const READER_CHECK: Duration = Duration::from_secs(1);
 const WATCH_PATIENCE: Duration = Duration::from_secs(1);
+const WATCH_AT_MOST: Duration = Duration::from_secs(5);
 const FIRST_RETRY: Duration = Duration::from_millis(300);
 const START_PEERS: usize = 5;
 const SPREAD_ON_RING: usize = 2;
--- a/crates/wingspur-entry/src/claims.rs
+++ b/crates/wingspur-entry/src/claims.rs
@@ -1,7 +1,8 @@
 //! Once-only claims: asking the shard's owner, and telling it how it ended.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
 use wingspur_protocol::{
@@ -67,10 +68,26 @@
 
 /// Tells the owner how an operation ended, a few times if need be.
 async fn tell_outcome(shared: Arc<Shared>, note: OutcomeNote) {
+    shared.untold.fetch_add(1, Ordering::AcqRel);
+    tell_until_taken(&shared, &note).await;
+    shared.untold.fetch_sub(1, Ordering::AcqRel);
+}
+
+/// Waits until the ends of all operations are told and written, at most so long.
+pub async fn settle(shared: &Shared, patience: Duration) {
+    let end = Instant::now() + patience;
+    let open =
+        || shared.untold.load(Ordering::Acquire) > 0 || shared.shards.has_pending();
+    while open() && Instant::now() < end {
+        smol::Timer::after(SETTLE_POLL).await;
+    }
+}
+
+async fn tell_until_taken(shared: &Arc<Shared>, note: &OutcomeNote) {
     for pause in OUTCOME_PAUSES {
-        let owner = owner(&shared, note.operation.shard(shared.shards.count()));
+        let owner = owner(shared, note.operation.shard(shared.shards.count()));
         let taken = match shared.peer(&owner) {
-            None => shared.shards.outcome(&note),
+            None => shared.shards.outcome(note),
             Some(peer) => {
                 let message = PeerMessage::Outcome(note.clone());
                 let reply = shared.ask(&peer, message, PEER_PATIENCE).await;
@@ -142,6 +159,7 @@
     }
 }
 
+const SETTLE_POLL: Duration = Duration::from_millis(5);
 const PEER_PATIENCE: Duration = Duration::from_millis(500);
 const OUTCOME_PAUSES: [Duration; 4] = [
     Duration::from_millis(200),
--- a/crates/wingspur-entry/src/entry_box.rs
+++ b/crates/wingspur-entry/src/entry_box.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::bundles::{find_first, run_reader};
+use crate::claims::settle;
 use crate::detection::run_detection;
 use crate::operator::{answer_operator, status};
 use crate::peers::{answer_peer, beat, read_box_list, run_box_list, run_heartbeats};
@@ -154,6 +155,7 @@
         // The balancer learns of it late, and sends callers until then.
         smol::Timer::after(lag).await;
         let cut_requests = self.callers.close(limit).await;
+        settle(&self.shared, SETTLE_LIMIT).await;
         self.stop.close();
         for task in self.tasks {
             task.cancel().await;
@@ -284,4 +286,6 @@
 const IDENTITY_EVERY: Duration = Duration::from_secs(5);
 const WARM_EVERY: Duration = Duration::from_secs(5);
 const READY_POLL: Duration = Duration::from_millis(10);
+/// How long the ends of once-only operations may take to be recorded at a stop.
+const SETTLE_LIMIT: Duration = Duration::from_secs(2);
 const PORT_LIMIT: Duration = Duration::from_secs(1);
--- a/crates/wingspur-entry/src/shards.rs
+++ b/crates/wingspur-entry/src/shards.rs
@@ -80,6 +80,13 @@
         totals
     }
 
+    /// Whether any shard has something to write still.
+    pub fn has_pending(&self) -> bool {
+        self.seats
+            .iter()
+            .any(|seat| seat.state.lock().log.has_pending())
+    }
+
     /// Answers a claim, here or from a peer, as the shard's owner.
     pub async fn claim(&self, request: ClaimRequest) -> ClaimReply {
         let seat = self.seat(request.operation.shard(self.count()));
--- a/crates/wingspur-entry/src/shared.rs
+++ b/crates/wingspur-entry/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use wingspur_coordination::{Membership, MembershipSettings, PeerView, Roster};
@@ -50,6 +50,8 @@
     pub accounts: Ranked<AccountLimiter>,
     /// Drawn anew at each start: the time of the start in microseconds.
     pub incarnation: u64,
+    /// Ends of once-only operations that no owner has taken yet.
+    pub untold: AtomicUsize,
     /// Whether the box is stopping.
     pub leaving: AtomicBool,
     /// Whether the box has started up.
@@ -98,6 +100,7 @@
             shards: Shards::new(&settings, incarnation),
             accounts: Ranked::new(Rank::Accounts, AccountLimiter::default()),
             incarnation,
+            untold: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
             started: AtomicBool::new(false),
             in_force: Ranked::new(Rank::InForce, None),
