Detection: the threshold learns how noisy a service is

The bound took a box to hold something against a well server 3 % of the time; with stragglers it is far more.

Change: the judge learns that share as the median over servers, which a sick server does not move, and the threshold uses it.

--- a/crates/wingspur-state/src/evidence.rs
+++ b/crates/wingspur-state/src/evidence.rs
@@ -178,15 +178,21 @@
 /// The threshold for the sum over `boxes` boxes of their cumulative sums.
 ///
 /// A single cumulative sum of log-likelihood ratios `s` has `P(s > x) <= p exp(-x)`,
-/// where `p` is how often it is above nought. Chernoff's bound for the sum of so many
-/// then gives, for any `t` below 1, `P(S > h) <= exp(-t h) (1 + p t / (1 - t))^boxes`;
-/// the best `t` gives the threshold at which the allowance is kept, with a sum for each
-/// alternative and `STEPS_PER_DAY` looks at it a day.
-pub fn threshold(false_ejections_per_server_day: f64, boxes: usize) -> f64 {
+/// where `p` is how often it is above nought, `busy_share`. Chernoff's bound for the sum
+/// of so many then gives, for any `t` below 1,
+/// `P(S > h) <= exp(-t h) (1 + p t / (1 - t))^boxes`; the best `t` gives the threshold at
+/// which the allowance is kept, with a sum for each alternative and `STEPS_PER_DAY` looks
+/// at it a day.
+pub fn threshold(
+    false_ejections_per_server_day: f64,
+    boxes: usize,
+    busy_share: f64,
+) -> f64 {
     let sums = ALTERNATIVES.len() as f64;
     let wanted = (sums * STEPS_PER_DAY / false_ejections_per_server_day).ln();
+    let busy = busy_share.clamp(LEAST_BUSY_SHARE, 1.0);
     let bound = |t: f64| {
-        let each = (1.0 + BUSY_SHARE * t / (1.0 - t)).ln();
+        let each = (1.0 + busy * t / (1.0 - t)).ln();
         (wanted + boxes as f64 * each) / t
     };
     (1..100)
@@ -220,8 +226,8 @@
 const LEAST_MS: f64 = 0.05;
 /// One look a second: looks that are closer see nearly the same sums.
 const STEPS_PER_DAY: f64 = 86_400.0;
-/// How often a box's sum against a well server is above nought, at most.
-const BUSY_SHARE: f64 = 0.03;
+/// How often a box's sum against a well server is taken to be above nought, at least.
+pub(crate) const LEAST_BUSY_SHARE: f64 = 0.03;
 /// A server without work is forgiven as if it had given so many well answers a second.
 const IDLE_RATE: f64 = 0.1;
 const MOST_SUM: f64 = 100.0;
--- a/crates/wingspur-state/src/judge.rs
+++ b/crates/wingspur-state/src/judge.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::evidence::{Evidence, EvidenceReport, threshold};
+use crate::evidence::{Evidence, EvidenceReport, LEAST_BUSY_SHARE, threshold};
 use crate::unease::{UNEASY_SHARE, Unease, groups_of};
 use crate::{BoxId, DataCentreId, ServerIndex, Service};
 
@@ -21,6 +21,8 @@
     false_ejections_per_server_day: f64,
     /// For the number of boxes that report at present.
     threshold: f64,
+    /// How often a box holds something against a server that is well, smoothed.
+    busy_share: f64,
     floor_slots: u32,
     servers: Vec<Judged>,
     /// The servers of each data centre.
@@ -147,7 +149,8 @@
         let mut judge = Self {
             tag,
             false_ejections_per_server_day: knob,
-            threshold: threshold(knob, 1),
+            threshold: threshold(knob, 1, LEAST_BUSY_SHARE),
+            busy_share: LEAST_BUSY_SHARE,
             floor_slots: service.floor_slots(),
             servers: service.servers.iter().map(Judged::new).collect(),
             groups: groups_of(service),
@@ -210,10 +213,10 @@
         self.stepped = Some(now);
         self.observers
             .retain(|_, heard| now.saturating_duration_since(*heard) < OBSERVER_TTL);
-        self.threshold = threshold(
-            self.false_ejections_per_server_day,
-            self.observers.len().max(1),
-        );
+        self.learn_busy_share();
+        let boxes = self.observers.len().max(1);
+        self.threshold =
+            threshold(self.false_ejections_per_server_day, boxes, self.busy_share);
         let most = self.threshold * self.share_of_one_box();
         for server in &mut self.servers {
             server.settle(most, self.threshold / STEPS_TO_CROSS, now);
@@ -320,6 +323,19 @@
         kept.map(|server| server.slots).sum()
     }
 
+    /// Learns how noisy the service is: the median over servers of the share of boxes that
+    /// hold something against one. A sick server does not move it, a rough day does.
+    fn learn_busy_share(&mut self) {
+        let shares = self.servers.iter().filter_map(Judged::busy_share);
+        let mut shares: Vec<f64> = shares.collect();
+        if shares.is_empty() {
+            return;
+        }
+        let middle = shares.len() / 2;
+        let present = *shares.select_nth_unstable_by(middle, f64::total_cmp).1;
+        self.busy_share += BUSY_WEIGHT * (present - self.busy_share);
+    }
+
     /// Whether so few boxes work with an uneasy server that they cannot decide: others
     /// shall try it too, wherever it stands.
     fn wants_observers(&self, server: &Judged) -> bool {
@@ -488,6 +504,14 @@
         }
     }
 
+    /// The share of the boxes that report on the server and hold something against it.
+    fn busy_share(&self) -> Option<f64> {
+        let busy = |opinion: &&Opinion| opinion.sums.iter().any(|sum| *sum > 0.0);
+        let count = self.by_box.values().filter(busy).count();
+        let all = self.by_box.len();
+        (all > 0).then(|| count as f64 / all as f64)
+    }
+
     /// Boxes that have something to say about the server.
     fn observers(&self) -> usize {
         let says = |opinion: &&Opinion| {
@@ -557,6 +581,8 @@
 /// So many boxes can decide about a server.
 const LEAST_OBSERVERS: usize = 3;
 const STEPS_TO_CROSS: f64 = 3.0;
+/// The noise of a service is learned over about ten seconds.
+const BUSY_WEIGHT: f64 = 0.01;
 const LEAST_SPAN_S: f64 = 0.05;
 const OBSERVER_TTL: Duration = Duration::from_secs(3);
 /// On trial, this share of the threshold is enough to put it out again.
--- a/crates/wingspur-state/src/service_table.rs
+++ b/crates/wingspur-state/src/service_table.rs
@@ -7,7 +7,8 @@
 use rand::Rng;
 
 use crate::evidence::{
-    Evidence, EvidenceEntry, EvidenceReport, Score, threshold, well_evidence,
+    Evidence, EvidenceEntry, EvidenceReport, LEAST_BUSY_SHARE, Score, threshold,
+    well_evidence,
 };
 use crate::history::{LatencyHistory, Present, ServiceHistory};
 use crate::judge::{Verdict, VerdictStanding};
@@ -112,7 +113,7 @@
             groups,
             budget: RetryBudget::new(service.retry.budget_percent),
             // The allowance is the fleet's: each box has its share of it.
-            threshold: threshold(knob / f64::from(boxes.max(1)), 1),
+            threshold: threshold(knob / f64::from(boxes.max(1)), 1, LEAST_BUSY_SHARE),
             reported: None,
             ticked: None,
             verdict_expires: None,
