--- a/crates/wingspur-state/src/judge.rs
+++ b/crates/wingspur-state/src/judge.rs
@@ -5,7 +5,7 @@
 //! ejection into the service's record in the store, so that whatever other judges
 //! there are, the union of all ejections is that one record, and under the floor.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -84,12 +84,12 @@
     slots: u32,
     leaving: bool,
     /// What each box makes of it, as last reported.
-    by_box: HashMap<BoxId, Opinion>,
+    by_box: BTreeMap<BoxId, Opinion>,
     /// The evidence of all boxes.
     evidence: f64,
     /// The same, but that it rises by steps.
     total: f64,
-    by_data_centre: HashMap<DataCentreId, LocalView>,
+    by_data_centre: BTreeMap<DataCentreId, LocalView>,
     /// Since when it is over the threshold.
     over_since: Option<Instant>,
     state: State,
@@ -463,10 +463,10 @@
             name: server.name.clone(),
             slots: server.slots,
             leaving: false,
-            by_box: HashMap::new(),
+            by_box: BTreeMap::new(),
             evidence: 0.0,
             total: 0.0,
-            by_data_centre: HashMap::new(),
+            by_data_centre: BTreeMap::new(),
             over_since: None,
             state: State::In,
             relapses: 0,
--- a/crates/wingspur-state/src/service_table.rs
+++ b/crates/wingspur-state/src/service_table.rs
@@ -1,6 +1,6 @@
 //! One box's table of a service: its servers, its attempts and what they show.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -23,7 +23,8 @@
     service: Arc<Service>,
     tag: u64,
     servers: Vec<ServerEntry>,
-    attempts: HashMap<AttemptId, Attempt>,
+    /// In order, so that a replay adds up alike each time.
+    attempts: BTreeMap<AttemptId, Attempt>,
     next_attempt: AttemptId,
     history: ServiceHistory,
     /// The servers of each data centre.
@@ -107,7 +108,7 @@
         Self {
             tag,
             servers: service.servers.iter().map(entry).collect(),
-            attempts: HashMap::new(),
+            attempts: BTreeMap::new(),
             next_attempt: 1,
             history: ServiceHistory::new(service.servers.len(), groups.clone()),
             groups,
--- a/tests/tests/cases/mod.rs
+++ b/tests/tests/cases/mod.rs
@@ -7,7 +7,9 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use wingspur_bench::{StoreFault, StoreStandIn};
+use wingspur_bench::{
+    Decider, Scenario, StoreFault, StoreStandIn, TraceSource, replay, service_of,
+};
 use wingspur_entry::parse_settings;
 use wingspur_protocol::{SignedBundle, StoreKeys, sign_bundle};
 use wingspur_state::{
@@ -225,3 +227,58 @@
 
 /// Calls that the fault leaves unanswered end after this.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A scenario with what must come of it, for each seed.
+#[derive(Deserialize)]
+struct ScenarioCase {
+    scenario: Scenario,
+    seeds: Vec<u64>,
+    /// The servers that must be held back; no other may be, by any box.
+    held: Vec<usize>,
+    /// By when the last of the boxes holds each back, from the onset.
+    within_ms: f64,
+    /// The boxes that must; none means all.
+    by_boxes: Option<Vec<usize>>,
+}
+
+/// Replays a scenario through the real tables and judge, in virtual time.
+pub fn scenarios(path: &Path) -> TestResult {
+    let case: ScenarioCase = read(path)?;
+    let scenario = &case.scenario;
+    let boxes = case
+        .by_boxes
+        .clone()
+        .unwrap_or((0..scenario.boxes).collect());
+    let floor = service_of(scenario).floor_slots();
+    for seed in &case.seeds {
+        let trace = TraceSource::new(scenario, *seed);
+        let report = replay(scenario, trace, Decider::Wingspur);
+        if report.least_slots_in < floor {
+            return Err(format!("seed {seed}: {} slots in", report.least_slots_in).into());
+        }
+        for server in 0..scenario.servers {
+            let held = report.held_by_all_ms(server, &boxes);
+            if !case.held.contains(&server) {
+                if report.was_held(server) {
+                    return Err(
+                        format!("seed {seed}: server {server} was held back").into()
+                    );
+                }
+                continue;
+            }
+            let onset = scenario
+                .faults
+                .first()
+                .map_or(0.0, |fault| fault.from_s * 1000.0);
+            match held.map(|at| at - onset) {
+                Some(took) if took >= 0.0 && took <= case.within_ms => {}
+                other => {
+                    return Err(
+                        format!("seed {seed}: server {server}: {other:?} ms").into()
+                    );
+                }
+            }
+        }
+    }
+    Ok(())
+}
