--- /dev/null
+++ b/crates/wingspur-bench/src/bin/wingspur-bench-decisions.rs
@@ -0,0 +1,293 @@
+//! The decisions' own price: bytes and time against size, as JSON rows.
+//!
+//! A program of its own, since it counts every allocation: counting slows down all that
+//! allocates on many threads.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use wingspur_bench::{DecisionRow, Scenario, service_of};
+use wingspur_coordination::{Membership, MembershipSettings, Roster};
+use wingspur_protocol::{BoxList, BoxState, ListedBox, Manifest};
+use wingspur_state::{
+    AccountLimiter, AttemptOutcome, Bundle, EvidenceEntry, EvidenceReport, Floor, Judge,
+    Limits, RetryRules, Route, RouteClass, RouteTable, Service, ServiceTable,
+};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<std::alloc::System> = &INSTRUMENTED_SYSTEM;
+
+fn main() {
+    let rows = measure_decisions();
+    println!("{}", serde_json::to_string(&rows).expect("rows serialise"));
+}
+
+/// Measures every decision at several sizes.
+fn measure_decisions() -> Vec<DecisionRow> {
+    let mut rows = Vec::new();
+    for size in [1_000, 6_500, 13_000, 26_000, 52_000] {
+        rows.push(routes(size));
+    }
+    for size in [500, 2_000, 9_000, 37_000] {
+        rows.push(servers(size));
+    }
+    for size in [10_000, 40_000, 160_000, 290_000] {
+        rows.push(accounts(size));
+    }
+    for size in [40, 400, 1_600, 4_300] {
+        rows.push(membership(size));
+        rows.push(placement(size));
+        rows.push(judge_hearing(size));
+        rows.push(judge_step(size));
+    }
+    for size in [3, 75, 300, 1_200] {
+        rows.push(manifest(size));
+    }
+    rows
+}
+
+fn routes(size: usize) -> DecisionRow {
+    let bundle = bundle_with(size.div_ceil(44), 44, 1);
+    let region = Region::new(ALLOCATOR);
+    let table = RouteTable::new(&bundle).expect("the paths are distinct");
+    let bytes = held(&region);
+    let mut random = SmallRng::seed_from_u64(1);
+    let paths: Vec<String> = (0..1000)
+        .map(|_| {
+            let service = random.random_range(0..bundle.services.len());
+            format!("/s{service}/r{}/item/77", random.random_range(0..44))
+        })
+        .collect();
+    let mut next = 0;
+    let operation_us = time_us(|| {
+        next = (next + 1) % paths.len();
+        black_box(table.find("GET", &paths[next]));
+    });
+    row("route lookup", size, bytes, operation_us)
+}
+
+/// Tables for so many servers, thirty a service; the operation is one tick of them all.
+fn servers(size: usize) -> DecisionRow {
+    let service = Arc::new(service_of(&Scenario::quiet(30, 40)));
+    let region = Region::new(ALLOCATOR);
+    let mut tables: Vec<ServiceTable> = (0..size.div_ceil(30))
+        .map(|tag| ServiceTable::new(service.clone(), tag as u64, "data-centre-0", 40))
+        .collect();
+    let bytes = held(&region);
+    let mut now = Instant::now();
+    // A box with 88 requests a second has some four in each tick, anywhere.
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut tick = || {
+        for _ in 0..REQUESTS_PER_TICK {
+            let table = random.random_range(0..tables.len());
+            let server = random.random_range(0..30);
+            let attempt = tables[table].begin(server, now);
+            let end = now + Duration::from_millis(20);
+            tables[table].finish(attempt, AttemptOutcome::Answered, end);
+        }
+        now += Duration::from_millis(50);
+        for table in &mut tables {
+            black_box(table.tick(now));
+        }
+    };
+    // Until as many tables are busy as ever will be.
+    (0..100).for_each(|_| tick());
+    let operation_us = time_us(tick);
+    row("tick of all server tables", size, bytes, operation_us)
+}
+
+fn accounts(size: usize) -> DecisionRow {
+    let region = Region::new(ALLOCATOR);
+    let mut limiter = AccountLimiter::default();
+    let start = Instant::now();
+    // The accounts come round evenly in ten minutes.
+    let gap = Duration::from_secs(600) / size as u32;
+    for account in 0..size {
+        let now = start + gap * account as u32;
+        limiter.take(account as u64, 10.0, now);
+    }
+    let bytes = held(&region);
+    let mut account = 0;
+    let mut now = start + Duration::from_secs(600);
+    let operation_us = time_us(|| {
+        account = (account + 7919) % size;
+        now += gap;
+        black_box(limiter.take(account as u64, 10.0, now));
+    });
+    row("account limit", size, bytes, operation_us)
+}
+
+fn membership(size: usize) -> DecisionRow {
+    let list = BoxList {
+        boxes: boxes(size),
+        ..BoxList::default()
+    };
+    let region = Region::new(ALLOCATOR);
+    let mut membership =
+        Membership::new("box-0".to_owned(), MembershipSettings::default());
+    membership.set_list(&list);
+    let bytes = held(&region);
+    let mut now = Instant::now();
+    let mut lot = 0u64;
+    let operation_us = time_us(|| {
+        now += Duration::from_millis(500);
+        lot = lot.wrapping_add(77);
+        black_box(membership.begin_round(lot, now));
+        black_box(membership.live(now));
+    });
+    row("membership round", size, bytes, operation_us)
+}
+
+fn placement(size: usize) -> DecisionRow {
+    let region = Region::new(ALLOCATOR);
+    let roster = Roster::new(boxes(size).into_iter().map(|listed| listed.id));
+    let bytes = held(&region);
+    let operation_us = time_us(|| {
+        black_box(roster.holder("judge/exam-pages"));
+    });
+    row("placement", size, bytes, operation_us)
+}
+
+/// A judge of thirty servers that hears so many boxes; the operation is one report.
+fn judge_hearing(size: usize) -> DecisionRow {
+    let (mut judge, report, now, bytes) = busy_judge(size);
+    let mut index = 0;
+    let operation_us = time_us(|| {
+        index = (index + 1) % size;
+        let from = format!("box-{index}");
+        judge.hear(&from, &"data-centre-0".to_owned(), &report, now);
+    });
+    row("judge hears a report", size, bytes, operation_us)
+}
+
+fn judge_step(size: usize) -> DecisionRow {
+    let (mut judge, _, mut now, bytes) = busy_judge(size);
+    // Twenty-seven steps in all, within the time that reports stay fresh.
+    let operation_us = time_us_of(3, || {
+        now += Duration::from_millis(100);
+        black_box(judge.step(now));
+    });
+    row("judge step", size, bytes, operation_us)
+}
+
+fn busy_judge(size: usize) -> (Judge, EvidenceReport, Instant, f64) {
+    let service = service_of(&Scenario::quiet(30, size));
+    let now = Instant::now();
+    let region = Region::new(ALLOCATOR);
+    let mut judge = Judge::new(&service, 1, None, now);
+    let entry = |server| EvidenceEntry {
+        server,
+        observations: 2,
+        hundredths: [10, 0],
+    };
+    let entries = (0..30).step_by(3).map(entry).collect();
+    let report = EvidenceReport {
+        service_tag: 1,
+        span_ms: 1000,
+        entries,
+    };
+    for index in 0..size {
+        judge.hear(
+            &format!("box-{index}"),
+            &"data-centre-0".to_owned(),
+            &report,
+            now,
+        );
+    }
+    (judge, report, now, held(&region))
+}
+
+/// A manifest of so many services; the bytes are those that travel.
+fn manifest(size: usize) -> DecisionRow {
+    let bundle = bundle_with(size, 44, 31);
+    let (manifest, _) = Manifest::split(&bundle).expect("a bundle serialises");
+    let text = serde_json::to_string(&manifest).expect("a manifest serialises");
+    let operation_us = time_us_of(5, || {
+        black_box(Manifest::split(&bundle).expect("a bundle serialises"));
+    });
+    row(
+        "manifest of services",
+        size,
+        text.len() as f64,
+        operation_us,
+    )
+}
+
+fn bundle_with(services: usize, routes: usize, servers: usize) -> Bundle {
+    let service = |index: usize| {
+        let mut service: Service = service_of(&Scenario::quiet(servers, 40));
+        service.name = format!("service-{index}");
+        service.floor = Floor {
+            healthy_slots_percent: 60,
+        };
+        service.limits = Limits::default();
+        service.retry = RetryRules::default();
+        let route = |route: usize| Route {
+            path: format!("/s{index}/r{route}/item/{{id}}"),
+            methods: vec!["GET".to_owned()],
+            class: RouteClass::Read,
+            deadline_ms: 2000,
+            key_header: None,
+        };
+        service.routes = (0..routes).map(route).collect();
+        service
+    };
+    Bundle {
+        version: 1,
+        fleet: "capacity".to_owned(),
+        account_header: "x-account".to_owned(),
+        services: (0..services).map(service).collect(),
+    }
+}
+
+fn boxes(size: usize) -> Vec<ListedBox> {
+    let listed = |index: usize| ListedBox {
+        id: format!("box-{index}"),
+        peer_address: ([127, 0, 0, 1], 7002).into(),
+        data_centre: format!("data-centre-{}", index % 16),
+        state: BoxState::Live,
+    };
+    (0..size).map(listed).collect()
+}
+
+fn held(region: &Region<'_, std::alloc::System>) -> f64 {
+    let change = region.change();
+    change.bytes_allocated as f64 - change.bytes_deallocated as f64
+        + change.bytes_reallocated as f64
+}
+
+fn row(what: &str, size: usize, bytes: f64, operation_us: f64) -> DecisionRow {
+    DecisionRow {
+        what: what.to_owned(),
+        size,
+        bytes,
+        operation_us,
+    }
+}
+
+/// 380,000 requests/s over 4,300 boxes, and twenty ticks a second.
+const REQUESTS_PER_TICK: usize = 4;
+
+fn time_us(operation: impl FnMut()) -> f64 {
+    time_us_of(200, operation)
+}
+
+/// The median over nine batches of the time of one operation.
+fn time_us_of(batch: u32, mut operation: impl FnMut()) -> f64 {
+    let mut times: Vec<f64> = (0..9)
+        .map(|_| {
+            let start = Instant::now();
+            for _ in 0..batch {
+                operation();
+            }
+            start.elapsed().as_secs_f64() * 1e6 / f64::from(batch)
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    times[times.len() / 2]
+}
--- a/crates/wingspur-bench/src/commands/capacity.rs
+++ b/crates/wingspur-bench/src/commands/capacity.rs
@@ -36,7 +36,7 @@
 async fn measure_capacity(workers: &Workers) -> Result<CapacityReport, String> {
     let spawner = workers.spawner();
     Ok(CapacityReport {
-        decisions: measure_decisions(),
+        decisions: measure_decisions()?,
         processes: measure_processes(FLEET_SIZES, &spawner).await?,
         claims: measure_claims(CLAIM_RATES, &spawner).await?,
         price: measure_price(PRICE_RATES, &spawner).await?,
