Parts of former bundles are dropped at any size; dead code out

Cause: read again: a box that fetched a bundle of more than 64 services from a peer kept the parts of every bundle before it, for the clean-up ran only up to that number, a leftover of its quadratic search. `Peer::started` was counted and never read, `Judge::score` never called.

Change: what the manifest names is looked up in a set, whatever its size, and the rest is dropped; the two are removed. What a box accepts and refuses is unchanged.

Memory over many bundles of that size was not measured, before or after; the leak was found by reading.

--- a/crates/wingspur-coordination/src/membership.rs
+++ b/crates/wingspur-coordination/src/membership.rs
@@ -83,7 +83,6 @@
     listed: ListedBox,
     hash: u64,
     incarnation: u64,
-    started: u64,
     newest_sequence: u64,
     /// Which of the last 64 sequences were heard: messages may overtake each other.
     window: u64,
@@ -330,7 +329,6 @@
             hash: hash_of(&listed.id),
             listed,
             incarnation: 0,
-            started: 0,
             newest_sequence: 0,
             window: 0,
             heard: None,
@@ -360,7 +358,6 @@
         }
         if incarnation > self.incarnation {
             self.incarnation = incarnation;
-            self.started += 1;
             self.newest_sequence = 0;
             self.window = 0;
             self.says_leaving = false;
--- a/crates/wingspur-entry/src/bundles.rs
+++ b/crates/wingspur-entry/src/bundles.rs
@@ -1,6 +1,6 @@
 //! Bundles on a box: from the store or a peer, checked, in force, spread on.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -272,16 +272,10 @@
             }
         }
     }
-    let needed =
-        |digest: &String| manifest.parts.iter().any(|part| part.digest == *digest);
-    if manifest.parts.len() <= PARTS_AT_ONCE {
-        parts.retain(|digest, _| needed(digest));
-    }
-    if manifest
-        .parts
-        .iter()
-        .any(|part| !parts.contains_key(&part.digest))
-    {
+    let needed: HashSet<&String> =
+        manifest.parts.iter().map(|part| &part.digest).collect();
+    parts.retain(|digest, _| needed.contains(digest));
+    if parts.len() < needed.len() {
         return Err(BundleRefusal::PartsMissing);
     }
     Ok(parts)
--- a/crates/wingspur-state/src/judge.rs
+++ b/crates/wingspur-state/src/judge.rs
@@ -309,11 +309,6 @@
         self.servers[server].is_ejected()
     }
 
-    /// The cumulative sum against a server, for status pages.
-    pub fn score(&self, server: ServerIndex) -> f64 {
-        self.servers[server].total
-    }
-
     /// Slots that are in by the agreed record.
     pub fn slots_in(&self) -> u32 {
         let kept = self
