--- a/crates/wingspur-bench/src/bin/wingspur-bench-decisions.rs
+++ b/crates/wingspur-bench/src/bin/wingspur-bench-decisions.rs
@@ -15,8 +15,9 @@
 use wingspur_coordination::{Membership, MembershipSettings, Roster};
 use wingspur_protocol::{BoxList, BoxState, ListedBox, Manifest};
 use wingspur_state::{
-    AccountLimiter, AttemptOutcome, Bundle, EvidenceEntry, EvidenceReport, Floor, Judge,
-    Limits, RetryRules, Route, RouteClass, RouteTable, Service, ServiceTable,
+    AccountLimiter, AttemptOutcome, Bundle, CallerLimits, EvidenceEntry, EvidenceReport,
+    Floor, Judge, Limits, RetryRules, Route, RouteClass, RouteTable, Service,
+    ServiceTable,
 };
 
 #[global_allocator]
@@ -242,6 +243,8 @@
         fleet: "capacity".to_owned(),
         account_header: "x-account".to_owned(),
         services: (0..services).map(service).collect(),
+        host_routes: Vec::new(),
+        caller_limits: CallerLimits::default(),
     }
 }
 
--- a/crates/wingspur-bench/src/capacity/processes.rs
+++ b/crates/wingspur-bench/src/capacity/processes.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
-use wingspur_entry::Settings;
+use wingspur_edge::Settings;
 use wingspur_protocol::BoxStatus;
 use wingspur_state::RouteClass;
 use wingspur_transport::{Exchange, LinkFaults, Spawner};
--- a/crates/wingspur-bench/src/fleet.rs
+++ b/crates/wingspur-bench/src/fleet.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use ed25519_dalek::SigningKey;
-use wingspur_entry::{EntryBox, Settings};
+use wingspur_edge::Settings;
+use wingspur_entry::EntryBox;
 use wingspur_protocol::{BoxList, BoxState, Keyring, ListedBox, StoreKeys, sign_bundle};
 use wingspur_state::{
-    BackendServer, Bundle, Detection, Floor, Limits, RetryRules, Route, RouteClass,
-    Service,
+    BackendServer, Bundle, CallerLimits, Detection, Floor, Limits, RetryRules, Route,
+    RouteClass, Service,
 };
 use wingspur_transport::{
     Exchange, LinkFaults, Published, Spawner, StoreClient, accept_bundle, submit_bundle,
@@ -402,6 +403,7 @@
                 deadline_ms: service.deadline_ms,
                 key_header: None,
             }],
+            server_connections: None,
         }
     });
     Bundle {
@@ -409,6 +411,8 @@
         fleet: plan.fleet.to_owned(),
         account_header: "x-account".to_owned(),
         services: services.collect(),
+        host_routes: Vec::new(),
+        caller_limits: CallerLimits::default(),
     }
 }
 
--- a/crates/wingspur-bench/src/load.rs
+++ b/crates/wingspur-bench/src/load.rs
@@ -12,7 +12,7 @@
 use rand::RngExt;
 use serde::Serialize;
 use std::collections::{BTreeMap, HashSet};
-use wingspur_entry::Settings;
+use wingspur_edge::Settings;
 use wingspur_transport::{
     BackendPool, Exchange, LinkFaults, SendBody, SendFailure, Spawner,
 };
--- a/crates/wingspur-bench/src/replay.rs
+++ b/crates/wingspur-bench/src/replay.rs
@@ -81,6 +81,7 @@
         retry: RetryRules::default(),
         servers: (0..scenario.servers).map(server).collect(),
         routes: Vec::new(),
+        server_connections: None,
     }
 }
 
--- /dev/null
+++ b/crates/wingspur-edge/src/answer_body.rs
@@ -0,0 +1,105 @@
+//! The body of an answer to a caller: held whole, or passed on as it comes.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use futures_lite::Stream;
+use http_body_util::Full;
+use hyper::body::{Body, Bytes, Frame, SizeHint};
+use wingspur_transport::{BackendConnection, BodyError};
+
+use crate::attempt::AttemptGuard;
+
+/// The body of any answer to a caller.
+pub enum AnswerBody {
+    /// All of it is here.
+    Whole(Full<Bytes>),
+    /// It is still coming from the server.
+    Stream(StreamBody),
+}
+
+/// A long answer under way; an error breaks the caller's connection visibly.
+pub struct StreamBody {
+    pieces: Pin<Box<dyn Stream<Item = Result<Bytes, BodyError>> + Send>>,
+    /// The length, where the head told it.
+    length: Option<u64>,
+}
+
+impl StreamBody {
+    /// Passes on the pieces that have come, and those that will.
+    pub fn new(
+        first: Vec<Bytes>,
+        connection: BackendConnection,
+        guard: AttemptGuard,
+        length: Option<u64>,
+    ) -> Self {
+        let state = (first.into_iter(), Some((connection, guard)));
+        let pieces =
+            futures_lite::stream::unfold(state, |(mut first, rest)| async move {
+                if let Some(piece) = first.next() {
+                    return Some((Ok(piece), (first, rest)));
+                }
+                let (mut connection, guard) = rest?;
+                match connection.next_piece().await {
+                    // The listener does not ask again after the last byte of a known length.
+                    Ok(Some(piece)) if connection.is_read() => {
+                        guard.close_good(connection);
+                        Some((Ok(piece), (first, None)))
+                    }
+                    Ok(Some(piece)) => {
+                        Some((Ok(piece), (first, Some((connection, guard)))))
+                    }
+                    Ok(None) => {
+                        guard.close_good(connection);
+                        None
+                    }
+                    Err(error) => {
+                        guard.close_failed(&error);
+                        Some((Err(BodyError::Stalled), (first, None)))
+                    }
+                }
+            });
+        Self {
+            pieces: Box::pin(pieces),
+            length,
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Whole(body) => {
+                let polled = Pin::new(body).poll_frame(context);
+                polled
+                    .map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
+            }
+            Self::Stream(body) => {
+                let polled = body.pieces.as_mut().poll_next(context);
+                polled.map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Stream(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Stream(body) => body
+                .length
+                .map_or_else(SizeHint::default, SizeHint::with_exact),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -0,0 +1,358 @@
+//! One attempt at one backend server: sent, answered, weighed.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use hyper::body::Bytes;
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue};
+use hyper::{Method, StatusCode};
+use wingspur_protocol::ResultCode;
+use wingspur_state::{AttemptEnd, AttemptId, Ended, Pick, ServerRecord};
+use wingspur_transport::{
+    AnswerError, AnswerHead, Backend, BackendConnection, Reuse, SendBody,
+};
+
+use crate::in_force::ActiveRoute;
+use crate::services::ServiceState;
+use crate::shared::Shared;
+
+/// A request as every attempt sends it, but for the body.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// The method.
+    pub method: Method,
+    /// Path and query, as the caller wrote them.
+    pub target: String,
+    /// All headers but those that concern one connection or one attempt.
+    pub headers: HeaderMap,
+    /// The request's id, if the caller gave one.
+    pub id: Option<HeaderValue>,
+    /// When the request is given up.
+    pub limit: Instant,
+}
+
+/// An answer that is here whole.
+#[derive(Debug, Clone)]
+pub struct HeldAnswer {
+    /// The status and headers.
+    pub head: AnswerHead,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// How an attempt ended.
+pub enum AttemptResult {
+    /// The server's answer, whole.
+    Answered(HeldAnswer),
+    /// The beginning of an answer that is too long to hold.
+    Streaming {
+        /// The status and headers.
+        head: AnswerHead,
+        /// What has come of the body.
+        first: Vec<Bytes>,
+        /// Where the rest comes from.
+        connection: Box<BackendConnection>,
+        /// Ends the attempt with the body.
+        guard: AttemptGuard,
+    },
+    /// Nothing to pass on, or a failure of the server's own.
+    Failed(FailedAttempt),
+}
+
+/// An attempt that brought no good answer.
+#[derive(Debug)]
+pub struct FailedAttempt {
+    /// What is known about the request at the server.
+    pub end: AttemptEnd,
+    /// What the caller is told if nothing better comes.
+    pub code: ResultCode,
+    /// The server's own failure, whole; it may be passed on.
+    pub answer: Option<HeldAnswer>,
+    /// What happened, for the log.
+    pub reason: String,
+}
+
+/// An attempt that is out; dropping it counts it as abandoned.
+pub struct AttemptGuard {
+    service: Arc<ServiceState>,
+    backend: Arc<Backend>,
+    id: Option<AttemptId>,
+}
+
+/// What an attempt needs to know.
+pub struct AttemptPlan {
+    /// What all parts of the box share.
+    pub shared: Arc<Shared>,
+    /// The route.
+    pub route: Arc<ActiveRoute>,
+    /// The service.
+    pub service: Arc<ServiceState>,
+    /// The server that was picked.
+    pub pick: Pick,
+    /// The request.
+    pub outgoing: Arc<Outgoing>,
+}
+
+impl AttemptPlan {
+    /// Makes the attempt.
+    pub async fn run(self, body: SendBody) -> AttemptResult {
+        let backend = self.shared.services.backend(self.pick.server.address);
+        let mut guard = AttemptGuard::begin(&self, backend.clone());
+        let timeout = CONNECT_TIMEOUT.min(self.remaining());
+        let mut connection = match backend.connect(self.reuse(), timeout).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                guard.end(Ended::Unreached);
+                return failed(AttemptEnd::NotSent, ResultCode::NotSent, &error);
+            }
+        };
+        let began = Instant::now();
+        let answering = async { Some(self.converse(&mut connection, body).await) };
+        let expired = async {
+            smol::Timer::at(self.outgoing.limit + LATE_ANSWER).await;
+            None
+        };
+        let answered = match answering.or(expired).await {
+            None => {
+                guard.end(Ended::Abandoned);
+                let code = ResultCode::DeadlineInDoubt;
+                return failed(AttemptEnd::InDoubt, code, &"no answer in time");
+            }
+            Some(Err(error)) => {
+                guard.end(Ended::Failed);
+                return failed(AttemptEnd::InDoubt, ResultCode::InDoubt, &error);
+            }
+            Some(Ok(answered)) => answered,
+        };
+        match answered {
+            Conversed::Whole(answer) => self.weigh(answer, connection, guard, began),
+            Conversed::Longer { head, first } => AttemptResult::Streaming {
+                head,
+                first,
+                connection: Box::new(connection),
+                guard,
+            },
+        }
+    }
+
+    /// Sends the request and reads the answer that is its own.
+    async fn converse(
+        &self,
+        connection: &mut BackendConnection,
+        body: SendBody,
+    ) -> Result<Conversed, AnswerError> {
+        let method = &self.outgoing.method;
+        let request = self.head_bytes(&body);
+        let mut head = connection.exchange(request, body, method).await?;
+        while self.belongs_to_another(&head) {
+            // A second answer to an earlier request; ours may follow it.
+            tracing::info!(server = %self.pick.server.id, "attempt: skipped an answer to another request.");
+            connection.set_last();
+            let skipped = connection.read_whole(HELD_BYTES).await?;
+            if skipped.is_err() || !connection.is_read() {
+                return Err(AnswerError::Unreadable("of another request".to_owned()));
+            }
+            head = connection.read_head(method).await?;
+        }
+        self.check_own(&head)?;
+        match connection.read_whole(HELD_BYTES).await? {
+            Ok(body) => Ok(Conversed::Whole(HeldAnswer { head, body })),
+            Err(first) => Ok(Conversed::Longer { head, first }),
+        }
+    }
+
+    /// Weighs an answer that is here whole.
+    fn weigh(
+        &self,
+        answer: HeldAnswer,
+        connection: BackendConnection,
+        mut guard: AttemptGuard,
+        began: Instant,
+    ) -> AttemptResult {
+        let status = answer.head.status;
+        if self.was_not_run(&answer.head) {
+            guard.end(Ended::Refused);
+            guard.backend.keep(connection);
+            if status == StatusCode::MISDIRECTED_REQUEST {
+                let server = &self.pick.server;
+                tracing::warn!(server = %server.id, address = %server.address, "server: its address is another's now.");
+                self.shared.services.close_server(server);
+            }
+            let end = AttemptEnd::RefusedBeforeRunning;
+            return failed(end, ResultCode::NotSent, &status);
+        }
+        if status.is_server_error() {
+            guard.end(Ended::Failed);
+            guard.backend.keep(connection);
+            return AttemptResult::Failed(FailedAttempt {
+                end: AttemptEnd::ServerError,
+                code: ResultCode::InDoubt,
+                answer: Some(answer),
+                reason: status.to_string(),
+            });
+        }
+        let bytes = answer.body.len() as u64;
+        self.route.learned.learn(began.elapsed(), bytes);
+        guard.close_good(connection);
+        AttemptResult::Answered(answer)
+    }
+
+    /// Checks what an answer must have to be the server's own.
+    fn check_own(&self, head: &AnswerHead) -> Result<(), AnswerError> {
+        if !head.status.is_success() {
+            return Ok(());
+        }
+        let stamp = self.shared.names.server_stamp;
+        if stamp.is_some_and(|name| !head.headers.contains_key(name)) {
+            let reason = "a success without the server's stamp";
+            return Err(AnswerError::Unreadable(reason.to_owned()));
+        }
+        let encoded = head.headers.contains_key(CONTENT_ENCODING);
+        if stamp.is_some() && encoded {
+            // Callers ask for bodies as they are: an encoded one is not the server's.
+            let reason = "an encoded body that nobody asked for";
+            return Err(AnswerError::Unreadable(reason.to_owned()));
+        }
+        Ok(())
+    }
+
+    fn was_not_run(&self, head: &AnswerHead) -> bool {
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            return self.shared.names.expected_incarnation.is_some();
+        }
+        let marker = self.shared.names.not_run;
+        marker.is_some_and(|name| head.headers.contains_key(name))
+    }
+
+    fn belongs_to_another(&self, head: &AnswerHead) -> bool {
+        let echoed = head.headers.get(self.shared.names.request_id);
+        echoed.is_some_and(|id| Some(id) != self.outgoing.id.as_ref())
+    }
+
+    /// Which connections the request may take: one that must not run twice is in doubt when
+    /// a kept connection turns out to lead nowhere, so it takes one that is surely alive.
+    fn reuse(&self) -> Reuse {
+        if self.route.route.class.may_repeat() {
+            return Reuse::Any;
+        }
+        Reuse::RestedAtMost(SURELY_ALIVE)
+    }
+
+    fn remaining(&self) -> Duration {
+        self.outgoing
+            .limit
+            .saturating_duration_since(Instant::now())
+    }
+
+    /// The request's head in bytes.
+    fn head_bytes(&self, body: &SendBody) -> Vec<u8> {
+        let outgoing = &self.outgoing;
+        let names = &self.shared.names;
+        let mut head = Vec::with_capacity(512);
+        push(
+            &mut head,
+            &[outgoing.method.as_str(), " ", &outgoing.target],
+        );
+        head.extend_from_slice(b" HTTP/1.1\r\n");
+        for (name, value) in &outgoing.headers {
+            push(&mut head, &[name.as_str(), ": "]);
+            head.extend_from_slice(value.as_bytes());
+            head.extend_from_slice(b"\r\n");
+        }
+        let left_ms = self.remaining().as_millis().to_string();
+        push(&mut head, &[names.deadline_ms, ": ", &left_ms, "\r\n"]);
+        if let Some(name) = names.expected_incarnation {
+            push(&mut head, &[name, ": ", &self.pick.server.id, "\r\n"]);
+        }
+        match hyper::body::Body::size_hint(body).exact() {
+            Some(0) if outgoing.headers.contains_key(CONTENT_LENGTH) => {}
+            Some(0) if !takes_body(&outgoing.method) => {}
+            Some(length) => {
+                let length = length.to_string();
+                push(&mut head, &[CONTENT_LENGTH.as_str(), ": ", &length, "\r\n"]);
+            }
+            None => push(&mut head, &["transfer-encoding: chunked\r\n"]),
+        }
+        head.extend_from_slice(b"\r\n");
+        head
+    }
+}
+
+/// What came back on the connection.
+enum Conversed {
+    Whole(HeldAnswer),
+    Longer { head: AnswerHead, first: Vec<Bytes> },
+}
+
+impl AttemptGuard {
+    fn begin(plan: &AttemptPlan, backend: Arc<Backend>) -> Self {
+        let server: &ServerRecord = &plan.pick.server;
+        let typical = plan.route.learned.typical();
+        let mut balancer = plan.service.balancer.lock();
+        let id = balancer.begin(server.key(), typical, Instant::now());
+        drop(balancer);
+        Self {
+            service: plan.service.clone(),
+            backend,
+            id: Some(id),
+        }
+    }
+
+    /// Ends the attempt by a good answer, and keeps its connection.
+    pub fn close_good(mut self, connection: BackendConnection) {
+        self.end(Ended::Good);
+        self.backend.keep(connection);
+    }
+
+    /// Ends the attempt by an answer that broke off.
+    pub fn close_failed(mut self, error: &AnswerError) {
+        tracing::info!(%error, "attempt: an answer under way broke off.");
+        self.end(Ended::Failed);
+    }
+
+    fn end(&mut self, ended: Ended) {
+        if let Some(id) = self.id.take() {
+            self.service.balancer.lock().end(id, ended, Instant::now());
+        }
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        self.end(Ended::Abandoned);
+    }
+}
+
+fn failed(
+    end: AttemptEnd,
+    code: ResultCode,
+    reason: &dyn std::fmt::Display,
+) -> AttemptResult {
+    AttemptResult::Failed(FailedAttempt {
+        end,
+        code,
+        answer: None,
+        reason: reason.to_string(),
+    })
+}
+
+fn takes_body(method: &Method) -> bool {
+    matches!(*method, Method::POST | Method::PUT | Method::PATCH)
+}
+
+fn push(to: &mut Vec<u8>, parts: &[&str]) {
+    for part in parts {
+        to.extend_from_slice(part.as_bytes());
+    }
+}
+
+/// Answers up to this are held whole before any of it is passed on.
+const HELD_BYTES: usize = 1 << 20;
+/// A connection within a region is up in milliseconds; a lost opening packet is only sent
+/// again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// A connection that rested no longer leads to a server that was alive just now.
+const SURELY_ALIVE: Duration = Duration::from_millis(200);
+/// An answer on its way at the limit is still passed on.
+const LATE_ANSWER: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -0,0 +1,311 @@
+//! A request's way from the first attempt to its one outcome.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use wingspur_protocol::ResultCode;
+use wingspur_state::{
+    AttemptEnd, Pick, ResendUse, RetryDecision, RouteClass, ServerKey, Want, decide_retry,
+};
+use wingspur_transport::SendBody;
+
+use crate::attempt::{AttemptPlan, AttemptResult, FailedAttempt, HeldAnswer, Outgoing};
+use crate::in_force::ActiveRoute;
+use crate::services::ServiceState;
+use crate::shared::Shared;
+
+/// A request under way.
+pub struct Forwarding {
+    shared: Arc<Shared>,
+    route: Arc<ActiveRoute>,
+    service: Arc<ServiceState>,
+    outgoing: Arc<Outgoing>,
+    /// The body, for as long as it can be sent.
+    body: Option<SendBody>,
+    /// Servers that were sent the request.
+    tried: Vec<ServerKey>,
+    /// Attempts that did not reach a server.
+    unreached: u32,
+    running: Vec<Running>,
+    /// Whether an attempt that is over may have run.
+    in_doubt: bool,
+    /// What the caller is told if nothing better comes.
+    last: Option<FailedAttempt>,
+}
+
+/// Why a request got no answer.
+#[derive(Debug)]
+pub struct GivenUp {
+    /// What the caller is told.
+    pub code: ResultCode,
+    /// When it may ask again.
+    pub retry_after: Option<Duration>,
+    /// The server's own failure, if it is to be passed on instead.
+    pub answer: Option<HeldAnswer>,
+}
+
+type Running = Pin<Box<dyn Future<Output = AttemptResult> + Send>>;
+
+/// What happened next.
+enum Event {
+    Ended(AttemptResult),
+    TimeToHedge,
+}
+
+impl Forwarding {
+    /// A request that has not been sent yet.
+    pub fn new(
+        shared: Arc<Shared>,
+        route: Arc<ActiveRoute>,
+        service: Arc<ServiceState>,
+        outgoing: Outgoing,
+        body: SendBody,
+    ) -> Self {
+        Self {
+            shared,
+            route,
+            service,
+            outgoing: Arc::new(outgoing),
+            body: Some(body),
+            tried: Vec::new(),
+            unreached: 0,
+            running: Vec::new(),
+            in_doubt: false,
+            last: None,
+        }
+    }
+
+    /// Tries servers until one answers, the rules forbid more, or time is up.
+    pub async fn run(mut self) -> Result<AttemptResult, GivenUp> {
+        self.service.budget.lock().count_request(Instant::now());
+        self.send_next().map_err(|code| self.give_up(code))?;
+        loop {
+            let failed = match self.next_event().await {
+                Event::TimeToHedge => {
+                    self.hedge();
+                    continue;
+                }
+                Event::Ended(AttemptResult::Failed(failed)) => failed,
+                Event::Ended(answered) => return Ok(answered),
+            };
+            self.note_failure(&failed);
+            let code = failed.code;
+            let end = failed.end;
+            self.keep_worst(failed);
+            if !self.running.is_empty() {
+                continue;
+            }
+            if !self.may_resend(end) {
+                return Err(self.give_up(code));
+            }
+            if let Err(code) = self.send_next() {
+                return Err(self.give_up(code));
+            }
+        }
+    }
+
+    /// Starts an attempt at the best server.
+    fn send_next(&mut self) -> Result<(), ResultCode> {
+        if self.remaining().is_zero() {
+            return Err(ResultCode::DeadlineBeforeSend);
+        }
+        let pick = self.pick().ok_or(ResultCode::NoServer)?;
+        let left_ms = self.remaining().as_secs_f64() * 1000.0;
+        if pick.wait_ms > left_ms {
+            return Err(ResultCode::DeadlineBeforeSend);
+        }
+        self.start(pick);
+        Ok(())
+    }
+
+    fn start(&mut self, pick: Pick) {
+        self.tried.push(pick.server.key());
+        let body = self.take_body();
+        let plan = AttemptPlan {
+            shared: self.shared.clone(),
+            route: self.route.clone(),
+            service: self.service.clone(),
+            pick,
+            outgoing: self.outgoing.clone(),
+        };
+        self.running.push(Box::pin(plan.run(body)));
+    }
+
+    fn pick(&self) -> Option<Pick> {
+        let learned = &self.route.learned;
+        let want = Want {
+            repeatable: self.is_repeatable(),
+            typical: learned.typical(),
+            crossing: crossing_cost(learned.answer_bytes()),
+            tried: &self.tried,
+        };
+        let balancer = self.service.balancer.lock();
+        balancer.pick(&want, Instant::now(), &mut rand::rng())
+    }
+
+    /// Waits for the first of the running attempts, or for the time to hedge.
+    async fn next_event(&mut self) -> Event {
+        let may_hedge = self.may_hedge();
+        let patience = self.route.learned.typical() * HEDGE_FACTOR;
+        let ended = Any(&mut self.running);
+        let ended = async { Event::Ended(ended.await) };
+        let hedge = async {
+            if !may_hedge {
+                futures_lite::future::pending::<()>().await;
+            }
+            smol::Timer::after(patience).await;
+            Event::TimeToHedge
+        };
+        ended.or(hedge).await
+    }
+
+    /// Starts a second attempt beside one that takes long, if that is likely to help.
+    fn hedge(&mut self) {
+        let allowed = self
+            .service
+            .budget
+            .lock()
+            .allows(ResendUse::Hedge, Instant::now());
+        let pick = if allowed { self.pick() } else { None };
+        let left_ms = self.remaining().as_secs_f64() * 1000.0;
+        match pick {
+            Some(pick) if pick.expected_ms < left_ms => {
+                self.service.budget.lock().count_resend(Instant::now());
+                self.shared.metrics.hedges.inc();
+                self.start(pick);
+            }
+            // Once is enough: what does not help now will not help later.
+            _ => self.body = None,
+        }
+    }
+
+    fn may_hedge(&self) -> bool {
+        self.is_repeatable()
+            && self.running.len() == 1
+            && self.can_send_again()
+            && self.tried.len() < usize::from(self.route.route.max_attempts)
+    }
+
+    /// Decides whether the request is sent again, and counts it.
+    fn may_resend(&mut self, end: AttemptEnd) -> bool {
+        if end == AttemptEnd::NotSent {
+            // It has reached nobody: neither an attempt nor a resend.
+            self.tried.pop();
+            self.unreached += 1;
+            return self.unreached < MOST_UNREACHED && self.can_send_again();
+        }
+        let now = Instant::now();
+        let mut budget = self.service.budget.lock();
+        let decision = decide_retry(
+            end,
+            self.route.route.class,
+            self.route.route.max_attempts,
+            self.remaining(),
+            self.tried.len(),
+            self.can_send_again(),
+            budget.allows(ResendUse::Sure, now),
+        );
+        let RetryDecision::Retry(reason) = decision else {
+            return false;
+        };
+        budget.count_resend(now);
+        self.shared.metrics.retry(reason);
+        true
+    }
+
+    fn note_failure(&mut self, failed: &FailedAttempt) {
+        self.in_doubt |= !failed.end.surely_not_run();
+        tracing::info!(
+            id = ?self.outgoing.id,
+            route = %self.route.route.name,
+            end = ?failed.end,
+            reason = %failed.reason,
+            tried = self.tried.len(),
+            left_ms = self.remaining().as_millis() as u64,
+            "attempt: failed."
+        );
+    }
+
+    /// Keeps what tells the caller most: a server's own answer before none.
+    fn keep_worst(&mut self, failed: FailedAttempt) {
+        let keeps = self.last.as_ref().is_some_and(|last| last.answer.is_some());
+        if !keeps || failed.answer.is_some() {
+            self.last = Some(failed);
+        }
+    }
+
+    fn give_up(&mut self, code: ResultCode) -> GivenUp {
+        let answer = self.last.take().and_then(|last| last.answer);
+        let code = match code {
+            ResultCode::DeadlineInDoubt | ResultCode::InDoubt => code,
+            ResultCode::DeadlineBeforeSend if self.in_doubt => {
+                ResultCode::DeadlineInDoubt
+            }
+            _ if self.in_doubt => ResultCode::InDoubt,
+            code => code,
+        };
+        let not_run = !self.in_doubt;
+        GivenUp {
+            code,
+            retry_after: not_run.then_some(COME_BACK),
+            answer,
+        }
+    }
+
+    fn take_body(&mut self) -> SendBody {
+        let body = self.body.take().unwrap_or(SendBody::empty());
+        self.body = body.copy();
+        body
+    }
+
+    fn can_send_again(&self) -> bool {
+        self.body.is_some()
+    }
+
+    fn is_repeatable(&self) -> bool {
+        self.route.route.class != RouteClass::OnceOnly
+    }
+
+    fn remaining(&self) -> Duration {
+        self.outgoing
+            .limit
+            .saturating_duration_since(Instant::now())
+    }
+}
+
+/// Waits for the first of some futures and takes it out.
+struct Any<'a>(&'a mut Vec<Running>);
+
+impl Future for Any<'_> {
+    type Output = AttemptResult;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<AttemptResult> {
+        for index in 0..self.0.len() {
+            if let Poll::Ready(result) = self.0[index].as_mut().poll(context) {
+                drop(self.0.swap_remove(index));
+                return Poll::Ready(result);
+            }
+        }
+        Poll::Pending
+    }
+}
+
+/// What it costs to fetch an answer of so many bytes from another data centre.
+fn crossing_cost(bytes: u64) -> Duration {
+    let kilobytes = bytes as f64 / 1024.0;
+    CROSSING_LEAST + CROSSING_PER_KB.mul_f64(kilobytes)
+}
+
+/// A second attempt starts when the first takes so many times longer than usual.
+const HEDGE_FACTOR: u32 = 3;
+/// Servers that may turn out unreachable for one request.
+const MOST_UNREACHED: u32 = 4;
+/// When a caller whose request was not run may ask again.
+const COME_BACK: Duration = Duration::from_millis(100);
+/// What a request that crosses to another data centre is charged, and more for each
+/// kilobyte that comes back: bytes between data centres are the dearest of the prices.
+const CROSSING_LEAST: Duration = Duration::from_millis(30);
+const CROSSING_PER_KB: Duration = Duration::from_millis(15);
--- /dev/null
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -0,0 +1,144 @@
+//! An entry box over a catalog: started whole, stopped in order.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use smol::net::TcpListener;
+use wingspur_protocol::HeaderNames;
+use wingspur_transport::{
+    Catalog, HttpListener, ListenerOptions, Spawner, StopSignal, StopTrigger, stop_pair,
+};
+
+use crate::feed::run_feed;
+use crate::operator::answer_operator;
+use crate::request::answer_caller;
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+/// A running entry box.
+#[derive(Debug)]
+pub struct EdgeBox {
+    shared: Arc<Shared>,
+    callers: HttpListener,
+    operators: HttpListener,
+    stop: StopTrigger,
+    tasks: Vec<smol::Task<()>>,
+}
+
+/// Why a box could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum EdgeError {
+    /// A port cannot be had.
+    #[error("`{field}` {address}: {error}; free the port or choose another")]
+    Bind {
+        /// The settings' field.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        error: std::io::Error,
+    },
+}
+
+impl EdgeBox {
+    /// Starts a box; it takes callers once it knows a bundle and servers.
+    pub async fn start(
+        settings: Settings,
+        names: HeaderNames,
+        catalog: Catalog,
+        spawner: &Spawner,
+    ) -> Result<Self, EdgeError> {
+        let caller_port = bind("caller_address", settings.caller_address).await?;
+        let operator_port = bind("operator_address", settings.operator_address).await?;
+        let shared = Shared::new(settings, names, catalog);
+        let shared = Arc::new(shared);
+        let options = ListenerOptions::default();
+        let caller_shared = shared.clone();
+        let handler =
+            move |request, from| answer_caller(caller_shared.clone(), request, from);
+        let callers = HttpListener::start(caller_port, spawner, options.clone(), handler);
+        let callers = callers.map_err(|error| lost("caller_address", error))?;
+        let operator_shared = shared.clone();
+        let handler = move |request, _| answer_operator(operator_shared.clone(), request);
+        let operators = HttpListener::start(operator_port, spawner, options, handler);
+        let operators = operators.map_err(|error| lost("operator_address", error))?;
+        let (stop, signal) = stop_pair();
+        let tasks = vec![
+            spawner.spawn(run_feed(shared.clone(), signal.clone())),
+            spawner.spawn(tidy(shared.clone(), signal)),
+        ];
+        Ok(Self {
+            shared,
+            callers,
+            operators,
+            stop,
+            tasks,
+        })
+    }
+
+    /// Stops as planned: no new callers, all requests in flight to their end; returns
+    /// how many were cut.
+    pub async fn close(self) -> usize {
+        let settings = &self.shared.settings;
+        let (lag, limit) = (settings.balancer_lag(), settings.drain_limit());
+        tracing::info!(
+            lag_ms = lag.as_millis() as u64,
+            "stop: not ready from now on."
+        );
+        self.shared.leaving.store(true, Ordering::Release);
+        // The balancer learns of it late, and sends callers until then.
+        smol::Timer::after(lag).await;
+        let cut = self.callers.close(limit).await;
+        self.stop.close();
+        for task in self.tasks {
+            task.cancel().await;
+        }
+        self.operators.close(PORT_LIMIT).await;
+        tracing::info!(cut, "stop: done.");
+        cut
+    }
+}
+
+/// Marks overdue attempts and closes connections that have rested, until the box stops.
+async fn tidy(shared: Arc<Shared>, stop: StopSignal) {
+    let mut closed = Instant::now();
+    while !stop.is_given() {
+        smol::Timer::after(TIDY_EVERY).await;
+        let now = Instant::now();
+        for service in shared.services.all() {
+            service.balancer.lock().mark_overdue(now);
+        }
+        if now.saturating_duration_since(closed) >= CLOSE_EVERY {
+            closed = now;
+            shared.services.close_rested(now);
+        }
+        shared.settle(now);
+    }
+}
+
+async fn bind(
+    field: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, EdgeError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| EdgeError::Bind {
+        field,
+        address,
+        error,
+    })
+}
+
+fn lost(field: &'static str, error: std::io::Error) -> EdgeError {
+    let address = SocketAddr::from(([0, 0, 0, 0], 0));
+    EdgeError::Bind {
+        field,
+        address,
+        error,
+    }
+}
+
+const TIDY_EVERY: Duration = Duration::from_millis(250);
+const CLOSE_EVERY: Duration = Duration::from_secs(1);
+const PORT_LIMIT: Duration = Duration::from_millis(200);
--- /dev/null
+++ b/crates/wingspur-edge/src/in_force.rs
@@ -0,0 +1,163 @@
+//! The bundle in force, with what the request path needs of it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use wingspur_state::{Bundle, HostRoute, HostRoutes, RouteClass};
+
+use crate::services::{ServiceState, Services};
+
+/// A bundle in force; swapped whole for the next one.
+#[derive(Debug)]
+pub struct InForce {
+    /// The bundle.
+    pub bundle: Arc<Bundle>,
+    /// Since when it is in force.
+    pub since: Instant,
+    hosts: HostRoutes,
+    routes: Vec<Arc<ActiveRoute>>,
+}
+
+/// A route with the services it leads to and what has been learned of it.
+#[derive(Debug)]
+pub struct ActiveRoute {
+    /// The route as the bundle declares it.
+    pub route: HostRoute,
+    /// The services, with the sum of the weights up to and with each.
+    targets: Vec<(u32, Arc<ServiceState>)>,
+    /// What has been learned; goes over to the next bundle.
+    pub learned: Arc<RouteFigures>,
+}
+
+/// What has been learned of a route's requests.
+#[derive(Debug)]
+pub struct RouteFigures {
+    typical_us: AtomicU64,
+    answer_bytes: AtomicU64,
+    /// Where the next request falls among the targets.
+    turn: AtomicU64,
+}
+
+impl InForce {
+    /// Puts a bundle together; takes over what was learned under the one before it.
+    pub fn new(bundle: Arc<Bundle>, before: Option<&Self>, services: &Services) -> Self {
+        let known: HashMap<&str, &Arc<ActiveRoute>> = before
+            .into_iter()
+            .flat_map(|before| &before.routes)
+            .map(|active| (active.route.name.as_str(), active))
+            .collect();
+        let active = |route: &HostRoute| {
+            let learned = known.get(route.name.as_str());
+            let learned = learned.map(|active| active.learned.clone());
+            let fresh = || Arc::new(RouteFigures::new(route));
+            Arc::new(ActiveRoute {
+                targets: targets(route, services),
+                learned: learned.unwrap_or_else(fresh),
+                route: route.clone(),
+            })
+        };
+        Self {
+            hosts: HostRoutes::new(&bundle.host_routes),
+            routes: bundle.host_routes.iter().map(active).collect(),
+            bundle,
+            since: Instant::now(),
+        }
+    }
+
+    /// The version.
+    pub fn version(&self) -> u64 {
+        self.bundle.version
+    }
+
+    /// Finds the route of a request.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<ActiveRoute>> {
+        self.hosts.find(host, path).map(|index| &self.routes[index])
+    }
+}
+
+impl ActiveRoute {
+    /// The service that takes the next request, by the weights.
+    pub fn next_service(&self) -> &Arc<ServiceState> {
+        let whole = self.targets.last().map_or(1, |(sum, _)| *sum).max(1);
+        let turn = self.learned.next_turn();
+        let at = ((turn * f64::from(whole)) as u32).min(whole - 1);
+        let target = self.targets.iter().find(|(sum, _)| at < *sum);
+        let (_, service) = target.unwrap_or(&self.targets[0]);
+        service
+    }
+
+    /// The longest time that a request may be held.
+    pub fn timeout(&self) -> Duration {
+        Duration::from_millis(self.route.timeout_ms)
+    }
+}
+
+impl RouteFigures {
+    fn new(route: &HostRoute) -> Self {
+        let target = Duration::from_millis(route.target_latency_ms);
+        let typical = target.mul_f64(FIRST_TYPICAL_SHARE);
+        let bytes = match route.class {
+            RouteClass::Download => FIRST_DOWNLOAD_BYTES,
+            RouteClass::Read | RouteClass::OnceOnly => FIRST_ANSWER_BYTES,
+        };
+        Self {
+            typical_us: AtomicU64::new(typical.as_micros() as u64),
+            answer_bytes: AtomicU64::new(bytes),
+            // Boxes begin at different points, so that few requests of each still add up.
+            turn: AtomicU64::new(rand::random()),
+        }
+    }
+
+    /// How long a good answer usually takes.
+    pub fn typical(&self) -> Duration {
+        Duration::from_micros(self.typical_us.load(Ordering::Relaxed))
+    }
+
+    /// How long an answer usually is, in bytes.
+    pub fn answer_bytes(&self) -> u64 {
+        self.answer_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Takes in a good answer.
+    pub fn learn(&self, took: Duration, bytes: u64) {
+        // Stragglers must not stretch what counts as usual.
+        let took = took.min(self.typical() * MOST_STRETCH);
+        blend(&self.typical_us, took.as_micros() as u64);
+        blend(&self.answer_bytes, bytes);
+    }
+
+    /// A point between 0 and 1, spread evenly over the calls (a golden-ratio sequence).
+    fn next_turn(&self) -> f64 {
+        let turn = self.turn.fetch_add(GOLDEN_STEP, Ordering::Relaxed);
+        (turn >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+fn targets(route: &HostRoute, services: &Services) -> Vec<(u32, Arc<ServiceState>)> {
+    let mut sum = 0;
+    let weighty = route.targets.iter().filter(|target| target.weight > 0);
+    weighty
+        .map(|target| {
+            sum += target.weight;
+            (sum, services.get(&target.service))
+        })
+        .collect()
+}
+
+fn blend(figure: &AtomicU64, seen: u64) {
+    let old = figure.load(Ordering::Relaxed) as f64;
+    let new = old + LEARNING_WEIGHT * (seen as f64 - old);
+    figure.store(new as u64, Ordering::Relaxed);
+}
+
+/// Before any answer came, it is taken to need this share of the target latency.
+const FIRST_TYPICAL_SHARE: f64 = 0.3;
+const FIRST_ANSWER_BYTES: u64 = 1 << 10;
+const FIRST_DOWNLOAD_BYTES: u64 = 64 << 10;
+/// A box sees about one request of a route a second: ten of them make the figure.
+const LEARNING_WEIGHT: f64 = 0.1;
+const MOST_STRETCH: u32 = 4;
+/// The golden ratio's fraction of 2^64.
+const GOLDEN_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
--- a/crates/wingspur-entry/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -11,6 +11,16 @@
 pub enum Rank {
     /// The bundle in force.
     InForce,
+    /// The announced backend servers.
+    Directory,
+    /// The services by name.
+    Services,
+    /// A service's retry budget.
+    Budget,
+    /// A service's backend servers.
+    Balancer,
+    /// The connections by server.
+    Backends,
     /// Who lives.
     Membership,
     /// The judges that this box holds.
--- a/crates/wingspur-entry/src/metrics.rs
+++ b/crates/wingspur-edge/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Counters and gauges, with one counter for each refusal and each retry reason.
 
 use prometheus::{
-    Encoder, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+    Encoder, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 use wingspur_protocol::ResultCode;
 use wingspur_state::RetryReason;
@@ -36,6 +37,8 @@
     pub exchanges: IntGaugeVec,
     /// The bundle in force.
     pub bundle_version: IntGauge,
+    /// Second attempts begun beside a slow first one.
+    pub hedges: IntCounter,
 }
 
 impl Metrics {
@@ -54,6 +57,10 @@
         let bundle_version = version.expect("the name is a constant");
         let boxed = Box::new(bundle_version.clone());
         registry.register(boxed).expect("each name is used once");
+        let hedges = IntCounter::new("wingspur_hedges_total", "Second attempts.");
+        let hedges = hedges.expect("the name is a constant");
+        let boxed = Box::new(hedges.clone());
+        registry.register(boxed).expect("each name is used once");
         let opts = Opts::new("wingspur_exchanges", "Exchanges begun, by part and kind.");
         let exchanges = IntGaugeVec::new(opts, &["part", "kind"]);
         let exchanges = exchanges.expect("the name is a constant");
@@ -112,6 +119,7 @@
             ),
             exchanges,
             bundle_version,
+            hedges,
             registry,
         };
         metrics.touch_all();
@@ -174,6 +182,7 @@
             RetryReason::NotSent,
             RetryReason::RefusedBeforeRunning,
             RetryReason::InDoubt,
+            RetryReason::ServerError,
         ];
         for reason in reasons {
             self.retries.with_label_values(&[reason.as_str()]);
--- /dev/null
+++ b/crates/wingspur-edge/src/operator.rs
@@ -0,0 +1,61 @@
+//! The operator port, read-only: `/ready`, `/status` and `/metrics`.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::{Method, Request, Response, StatusCode};
+use wingspur_protocol::BoxStatus;
+
+use crate::shared::Shared;
+
+/// Answers a request on the operator port.
+pub async fn answer_operator(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    if request.method() != Method::GET {
+        return text(StatusCode::METHOD_NOT_ALLOWED, "This port only reads.\n");
+    }
+    match request.uri().path() {
+        "/ready" if shared.is_ready() => text(StatusCode::OK, "ready\n"),
+        "/ready" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/metrics" => bytes(StatusCode::OK, shared.metrics.render()),
+        "/status" => {
+            let status = serde_json::to_vec(&status(&shared));
+            bytes(StatusCode::OK, status.expect("a status serialises"))
+        }
+        _ => text(StatusCode::NOT_FOUND, "Try /ready, /status or /metrics.\n"),
+    }
+}
+
+/// What the box says of itself.
+pub fn status(shared: &Shared) -> BoxStatus {
+    let now = Instant::now();
+    let mut out = Vec::new();
+    for service in shared.services.all() {
+        let suspects = service.balancer.lock().suspects(now);
+        out.extend(suspects.iter().map(|id| format!("{}/{id}", service.name)));
+    }
+    out.sort();
+    let in_force = shared.in_force().map(|bundle| bundle.since.elapsed());
+    BoxStatus {
+        id: shared.settings.box_id.clone(),
+        data_centre: shared.settings.data_centre.clone(),
+        bundle_version: shared.bundle_version(),
+        in_force_ms: in_force.map_or(0, |time| time.as_millis() as u64),
+        ready: shared.is_ready(),
+        out,
+    }
+}
+
+fn text(status: StatusCode, body: &'static str) -> Response<Full<Bytes>> {
+    bytes(status, body.as_bytes().to_vec())
+}
+
+fn bytes(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/wingspur-edge/src/refusal.rs
@@ -0,0 +1,33 @@
+//! Answers of wingspur's own.
+
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use wingspur_protocol::{RefusalBody, ResultCode};
+
+/// The header with the number of a result code.
+pub const RESULT_HEADER: &str = "wingspur-result";
+
+/// The whole answer for a result code; `retry_after` goes before the code's own.
+pub fn refusal(code: ResultCode, retry_after: Option<Duration>) -> Response<Full<Bytes>> {
+    let mut body = RefusalBody::from(code);
+    if let Some(after) = retry_after {
+        body.retry_after_s = Some(after.as_secs_f64());
+    }
+    let seconds = body.retry_after_s;
+    let bytes = serde_json::to_vec(&body).expect("a refusal serialises");
+    let mut response = Response::new(Full::new(Bytes::from(bytes)));
+    let status = StatusCode::from_u16(code.status());
+    *response.status_mut() = status.expect("the statuses are constants");
+    let headers = response.headers_mut();
+    headers.insert(RESULT_HEADER, HeaderValue::from(code.number()));
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(seconds) = seconds {
+        let text = HeaderValue::from_str(&format!("{seconds}"));
+        headers.insert(RETRY_AFTER, text.expect("a number is visible characters"));
+    }
+    response
+}
--- /dev/null
+++ b/crates/wingspur-edge/src/request.rs
@@ -0,0 +1,213 @@
+//! A caller's request: checked, routed, forwarded, answered.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
+};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, Version};
+use wingspur_protocol::ResultCode;
+use wingspur_transport::{AnswerHead, SendBody};
+
+use crate::answer_body::{AnswerBody, StreamBody};
+use crate::attempt::{AttemptResult, HeldAnswer, Outgoing};
+use crate::attempts::{Forwarding, GivenUp};
+use crate::in_force::ActiveRoute;
+use crate::refusal::refusal;
+use crate::shared::Shared;
+
+/// Answers a caller: a backend server's whole answer, or an honest refusal.
+pub async fn answer_caller(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    _from: SocketAddr,
+) -> Response<AnswerBody> {
+    let old_version = request.version() < Version::HTTP_11;
+    let mut response = match forward(&shared, request).await {
+        Ok(response) => response,
+        Err(given_up) => refuse(&shared, given_up),
+    };
+    if shared.leaving.load(Ordering::Acquire) || old_version {
+        // The connection ends with this answer, not under the caller's next request.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+async fn forward(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, GivenUp> {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    let in_force = shared.in_force().ok_or(plain(ResultCode::NotReady))?;
+    check_framing(&parts.headers).map_err(plain)?;
+    let host = host_of(&parts).ok_or(plain(ResultCode::BadFraming))?;
+    let route = in_force.find(host, parts.uri.path());
+    let route = route.ok_or(plain(ResultCode::NoRoute))?.clone();
+    let limit = arrived + time_allowed(shared, &route, &parts.headers);
+    let limits = in_force.bundle.caller_limits;
+    let kept_bytes = shared.settings.kept_body_bytes;
+    let body = receive_body(body, limits.max_body_bytes, kept_bytes, limit);
+    let body = body.await.map_err(plain)?;
+    let service = route.next_service().clone();
+    let class = route.route.class.as_str();
+    let labels = [service.name.as_str(), class];
+    shared.metrics.requests.with_label_values(&labels).inc();
+    let outgoing = outgoing(shared, parts, limit);
+    let forwarding = Forwarding::new(shared.clone(), route, service, outgoing, body);
+    match forwarding.run().await? {
+        AttemptResult::Answered(answer) => Ok(whole(answer)),
+        AttemptResult::Streaming {
+            head,
+            first,
+            connection,
+            guard,
+        } => {
+            let length = head.body_bytes;
+            let body = StreamBody::new(first, *connection, guard, length);
+            Ok(with_head(head, AnswerBody::Stream(body)))
+        }
+        AttemptResult::Failed(failed) => Err(plain(failed.code)),
+    }
+}
+
+fn refuse(shared: &Shared, given_up: GivenUp) -> Response<AnswerBody> {
+    if let Some(answer) = given_up.answer {
+        return whole(answer);
+    }
+    shared.metrics.refuse(given_up.code);
+    refusal(given_up.code, given_up.retry_after).map(AnswerBody::Whole)
+}
+
+/// Turns a caller's head into what every attempt sends.
+fn outgoing(shared: &Shared, parts: Parts, limit: Instant) -> Outgoing {
+    let names = &shared.names;
+    let mut headers = parts.headers;
+    strip_hop_by_hop(&mut headers);
+    let id = headers.get(names.request_id).cloned();
+    headers.remove(names.deadline_ms);
+    headers.remove(CONTENT_LENGTH);
+    if let Some(name) = names.expected_incarnation {
+        headers.remove(name);
+    }
+    let target = parts.uri.path_and_query();
+    Outgoing {
+        method: parts.method,
+        target: target.map_or("/", |target| target.as_str()).to_owned(),
+        headers,
+        id,
+        limit,
+    }
+}
+
+/// The smaller of what the caller and the route allow.
+fn time_allowed(shared: &Shared, route: &ActiveRoute, headers: &HeaderMap) -> Duration {
+    let told = headers.get(shared.names.deadline_ms);
+    let told = told.and_then(|value| value.to_str().ok()?.parse().ok());
+    let callers = told.map_or(Duration::MAX, Duration::from_millis);
+    callers.min(route.timeout())
+}
+
+/// Keeps a small body whole, so that it can be sent again; streams a large one.
+async fn receive_body(
+    body: Incoming,
+    most_bytes: u64,
+    kept_bytes: u64,
+    limit: Instant,
+) -> Result<SendBody, ResultCode> {
+    if body.is_end_stream() {
+        return Ok(SendBody::empty());
+    }
+    match body.size_hint().exact() {
+        Some(length) if length > most_bytes => Err(ResultCode::TooLarge),
+        Some(length) if length <= kept_bytes => {
+            let whole = Limited::new(body, length as usize).collect();
+            let received = async { whole.await.map_err(|_| ResultCode::BadFraming) };
+            let expired = async {
+                smol::Timer::at(limit).await;
+                Err(ResultCode::DeadlineBeforeSend)
+            };
+            let whole = received.or(expired).await?;
+            Ok(SendBody::whole(whole.to_bytes()))
+        }
+        _ => Ok(SendBody::Stream(body, most_bytes)),
+    }
+}
+
+fn host_of(parts: &Parts) -> Option<&str> {
+    let authority = parts.uri.authority().map(|authority| authority.as_str());
+    let header = parts
+        .headers
+        .get(HOST)
+        .and_then(|value| value.to_str().ok());
+    authority.or(header)
+}
+
+/// Refuses what two readers could frame differently.
+fn check_framing(headers: &HeaderMap) -> Result<(), ResultCode> {
+    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+    let chunked = headers.contains_key(hyper::header::TRANSFER_ENCODING);
+    if lengths > 1 || (chunked && lengths > 0) {
+        return Err(ResultCode::BadFraming);
+    }
+    Ok(())
+}
+
+fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(*name);
+    }
+}
+
+fn whole(answer: HeldAnswer) -> Response<AnswerBody> {
+    let body = AnswerBody::Whole(Full::new(answer.body));
+    with_head(answer.head, body)
+}
+
+fn with_head(head: AnswerHead, body: AnswerBody) -> Response<AnswerBody> {
+    let mut headers = head.headers;
+    strip_hop_by_hop(&mut headers);
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn plain(code: ResultCode) -> GivenUp {
+    GivenUp {
+        code,
+        retry_after: None,
+        answer: None,
+    }
+}
+
+const HOP_BY_HOP: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
--- /dev/null
+++ b/crates/wingspur-edge/src/services.rs
@@ -0,0 +1,120 @@
+//! The services that this box sends work to, with what it knows of each.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use wingspur_state::{
+    Balancer, BudgetSettings, Bundle, DataCentreId, DirectoryChange, FleetBudget,
+    ServerKey, ServerRecord,
+};
+use wingspur_transport::Backend;
+
+use crate::locks::{Rank, Ranked};
+
+/// One service as this box sees it; outlives the bundles that name it.
+#[derive(Debug)]
+pub struct ServiceState {
+    /// The name.
+    pub name: String,
+    /// Its backend servers.
+    pub balancer: Ranked<Balancer>,
+    /// Its retry budget.
+    pub budget: Ranked<FleetBudget>,
+}
+
+/// All services, and the connections to their servers.
+#[derive(Debug)]
+pub struct Services {
+    home: DataCentreId,
+    budget: BudgetSettings,
+    by_name: Ranked<HashMap<String, Arc<ServiceState>>>,
+    backends: Ranked<HashMap<SocketAddr, Arc<Backend>>>,
+}
+
+impl Services {
+    /// No services yet.
+    pub fn new(home: DataCentreId, budget: BudgetSettings) -> Self {
+        Self {
+            home,
+            budget,
+            by_name: Ranked::new(Rank::Services, HashMap::new()),
+            backends: Ranked::new(Rank::Backends, HashMap::new()),
+        }
+    }
+
+    /// A service by its name, made when it is first asked for.
+    pub fn get(&self, name: &str) -> Arc<ServiceState> {
+        let mut services = self.by_name.lock();
+        if let Some(service) = services.get(name) {
+            return service.clone();
+        }
+        let balancer = Balancer::new(self.home.clone(), Instant::now());
+        let service = Arc::new(ServiceState {
+            name: name.to_owned(),
+            balancer: Ranked::new(Rank::Balancer, balancer),
+            budget: Ranked::new(Rank::Budget, FleetBudget::new(self.budget)),
+        });
+        services.insert(name.to_owned(), service.clone());
+        service
+    }
+
+    /// All services.
+    pub fn all(&self) -> Vec<Arc<ServiceState>> {
+        self.by_name.lock().values().cloned().collect()
+    }
+
+    /// The connections to a server's address.
+    pub fn backend(&self, address: SocketAddr) -> Arc<Backend> {
+        let mut backends = self.backends.lock();
+        let fresh = || Arc::new(Backend::new(address));
+        backends.entry(address).or_insert_with(fresh).clone()
+    }
+
+    /// Takes in what became of servers.
+    pub fn follow(&self, changes: &[DirectoryChange]) {
+        let now = Instant::now();
+        for change in changes {
+            match change {
+                DirectoryChange::Put(record) => {
+                    let service = self.get(&record.service);
+                    service.balancer.lock().put(record.clone(), now);
+                }
+                DirectoryChange::Gone(record) => {
+                    let service = self.get(&record.service);
+                    service.balancer.lock().remove(record.key());
+                    self.backends.lock().remove(&record.address);
+                }
+            }
+        }
+    }
+
+    /// Divides each service's connections and budget among the boxes.
+    pub fn share(&self, bundle: &Bundle, boxes: usize) {
+        for declared in &bundle.services {
+            let service = self.get(&declared.name);
+            if let Some(connections) = declared.server_connections {
+                service
+                    .balancer
+                    .lock()
+                    .share_connections(connections, boxes);
+            }
+            service.budget.lock().set_boxes(boxes);
+        }
+    }
+
+    /// Closes connections that have rested too long.
+    pub fn close_rested(&self, now: Instant) {
+        let backends: Vec<_> = self.backends.lock().values().cloned().collect();
+        for backend in backends {
+            backend.close_rested(now);
+        }
+    }
+
+    /// Stops sending to a run of a server whose address is another's now.
+    pub fn close_server(&self, record: &ServerRecord) {
+        let key: ServerKey = record.key();
+        self.get(&record.service).balancer.lock().remove(key);
+    }
+}
--- a/crates/wingspur-entry/src/settings.rs
+++ b/crates/wingspur-edge/src/settings.rs
@@ -8,12 +8,14 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use wingspur_protocol::Keyring;
-use wingspur_state::{BoxId, DataCentreId};
+use wingspur_state::{BoxId, BudgetSettings, DataCentreId};
 use wingspur_transport::TlsFiles;
 
 /// The settings of one box.
+///
+/// Where bundles, servers and boxes are announced stands either in the product's own
+/// fields, `store_address`, `box_list_address` and `keyring`, or in `catalog`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Settings {
     /// The box's id.
     pub box_id: BoxId,
@@ -27,12 +29,15 @@
     pub peer_address: SocketAddr,
     /// Where operators read `/ready`, `/status` and `/metrics`.
     pub operator_address: SocketAddr,
-    /// The platform's key-value service.
-    pub store_address: SocketAddr,
-    /// The platform's list of boxes.
-    pub box_list_address: SocketAddr,
-    /// Whose bundles the box accepts.
-    pub keyring: Keyring,
+    /// The product's own sources; none where there is a catalog.
+    #[serde(flatten)]
+    pub own: Option<OwnSources>,
+    /// The catalog; none where the product's own sources are used.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub catalog: Option<CatalogSettings>,
+    /// What resends a service may be asked to bear.
+    #[serde(default)]
+    pub retry_budget: BudgetSettings,
     /// Threads for the request path.
     #[serde(default = "default_worker_threads")]
     pub worker_threads: usize,
@@ -56,6 +61,32 @@
     pub tls: Option<TlsSettings>,
 }
 
+/// Where the product's own bundles and lists of boxes are found.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct OwnSources {
+    /// The key-value service.
+    pub store_address: SocketAddr,
+    /// The platform's list of boxes.
+    pub box_list_address: SocketAddr,
+    /// Whose bundles the box accepts.
+    pub keyring: Keyring,
+}
+
+/// Where a catalog of bundles, backend servers and boxes is found.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CatalogSettings {
+    /// The form in which it speaks.
+    pub form: String,
+    /// The store that holds it.
+    pub store_address: SocketAddr,
+    /// For how long the store remembers changes.
+    pub history_s: u64,
+    /// Peers to ask while the store is away; they may be gone.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+}
+
 /// Where the box finds its identity, in PEM files that may be replaced while it runs.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -203,11 +234,15 @@
     let value: Value = serde_json::from_str(text).map_err(not_json)?;
     let mut findings = String::new();
     check_object(&mut findings, file, "", &value, FIELDS);
+    if value.get("catalog").is_none() {
+        require(&mut findings, file, &value, OWN_FIELDS);
+    }
     if !findings.is_empty() {
         return Err(SettingsError::Findings(findings));
     }
     let settings: Settings = serde_json::from_value(value).map_err(not_json)?;
-    if settings.tls.is_none() && !settings.peer_address.ip().is_loopback() {
+    let private = settings.catalog.is_some() || settings.peer_address.ip().is_loopback();
+    if settings.tls.is_none() && !private {
         let fix = "add it, or use a loopback `peer_address`: plain is for loopback only";
         finding(&mut findings, file, "tls", "missing", fix);
         return Err(SettingsError::Findings(findings));
@@ -228,7 +263,12 @@
     Address,
     /// A whole number within these bounds.
     Number(u64, u64),
+    /// A number from 0 to 1.
+    Fraction,
+    /// A number from 0 up.
+    Amount,
     OneOf(&'static [&'static str]),
+    Addresses,
     Texts,
     Object(&'static [Field]),
 }
@@ -256,9 +296,26 @@
     must("caller_address", Kind::Address),
     must("peer_address", Kind::Address),
     must("operator_address", Kind::Address),
-    must("store_address", Kind::Address),
-    must("box_list_address", Kind::Address),
-    must("keyring", Kind::Texts),
+    may("store_address", Kind::Address),
+    may("box_list_address", Kind::Address),
+    may("keyring", Kind::Texts),
+    may(
+        "catalog",
+        Kind::Object(&[
+            must("form", Kind::OneOf(&["kv"])),
+            must("store_address", Kind::Address),
+            must("history_s", Kind::Number(1, 86_400)),
+            may("seeds", Kind::Addresses),
+        ]),
+    ),
+    may(
+        "retry_budget",
+        Kind::Object(&[
+            must("ratio", Kind::Fraction),
+            must("window_ms", Kind::Number(100, 600_000)),
+            must("slack", Kind::Amount),
+        ]),
+    ),
     may("worker_threads", Kind::Number(1, 256)),
     may("max_body_bytes", Kind::Number(0, u64::MAX)),
     may("kept_body_bytes", Kind::Number(0, 16 << 20)),
@@ -294,6 +351,13 @@
     ),
 ];
 
+/// Fields that must stand where there is no catalog.
+const OWN_FIELDS: &[Field] = &[
+    must("store_address", Kind::Address),
+    must("box_list_address", Kind::Address),
+    must("keyring", Kind::Texts),
+];
+
 fn check_object(out: &mut String, file: &str, at: &str, value: &Value, fields: &[Field]) {
     let Value::Object(object) = value else {
         let found = shorten(value);
@@ -317,15 +381,30 @@
     }
 }
 
+fn require(out: &mut String, file: &str, value: &Value, fields: &[Field]) {
+    for field in fields
+        .iter()
+        .filter(|field| value.get(field.name).is_none())
+    {
+        let fix = format!("add it, or `catalog`: {}", wanted(&field.kind));
+        finding(out, file, field.name, "missing", &fix);
+    }
+}
+
 fn check_value(out: &mut String, file: &str, at: &str, value: &Value, kind: &Kind) {
     let fits = match kind {
         Kind::Text => value.as_str().is_some_and(|text| !text.is_empty()),
-        Kind::Address => value
-            .as_str()
-            .is_some_and(|text| text.parse::<SocketAddr>().is_ok()),
+        Kind::Address => is_address(value),
         Kind::Number(least, most) => value
             .as_u64()
             .is_some_and(|number| (*least..=*most).contains(&number)),
+        Kind::Fraction => value
+            .as_f64()
+            .is_some_and(|part| (0.0..=1.0).contains(&part)),
+        Kind::Amount => value.as_f64().is_some_and(|amount| amount >= 0.0),
+        Kind::Addresses => value
+            .as_array()
+            .is_some_and(|all| all.iter().all(is_address)),
         Kind::OneOf(names) => value.as_str().is_some_and(|text| names.contains(&text)),
         Kind::Texts => {
             let object = value.as_object();
@@ -341,12 +420,20 @@
     }
 }
 
+fn is_address(value: &Value) -> bool {
+    let text = value.as_str();
+    text.is_some_and(|text| text.parse::<SocketAddr>().is_ok())
+}
+
 fn wanted(kind: &Kind) -> String {
     match kind {
         Kind::Text => "a text that is not empty".to_owned(),
         Kind::Address => "an IP address and a port, such as \"10.0.0.1:8080\"".to_owned(),
         Kind::Number(least, u64::MAX) => format!("a whole number from {least} up"),
         Kind::Number(least, most) => format!("a whole number from {least} to {most}"),
+        Kind::Fraction => "a number from 0 to 1".to_owned(),
+        Kind::Amount => "a number from 0 up".to_owned(),
+        Kind::Addresses => "a list such as [\"10.0.0.1:8080\"]".to_owned(),
         Kind::OneOf(names) => format!("one of {}", names.join(", ")),
         Kind::Texts => "an object of texts, such as {\"ana\": \"KEY\"}".to_owned(),
         Kind::Object(_) => "an object".to_owned(),
--- /dev/null
+++ b/crates/wingspur-edge/src/shared.rs
@@ -0,0 +1,106 @@
+//! What all parts of an entry box share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+
+use wingspur_protocol::HeaderNames;
+use wingspur_state::{Bundle, Directory, DirectoryChange};
+use wingspur_transport::Catalog;
+
+use crate::in_force::InForce;
+use crate::locks::{Rank, Ranked};
+use crate::metrics::Metrics;
+use crate::services::Services;
+use crate::settings::Settings;
+
+/// What all parts of an entry box share.
+#[derive(Debug)]
+pub struct Shared {
+    /// The box's settings.
+    pub settings: Settings,
+    /// Counters and gauges.
+    pub metrics: Metrics,
+    /// The header names of callers and servers.
+    pub names: HeaderNames,
+    /// Where bundles, servers and boxes are announced.
+    pub catalog: Catalog,
+    /// The services and their servers.
+    pub services: Services,
+    /// The announced servers.
+    pub directory: Ranked<Directory>,
+    /// Whether the box is stopping.
+    pub leaving: AtomicBool,
+    in_force: Ranked<Option<Arc<InForce>>>,
+}
+
+impl Shared {
+    /// A box that knows nothing yet.
+    pub fn new(settings: Settings, names: HeaderNames, catalog: Catalog) -> Self {
+        let services = Services::new(settings.data_centre.clone(), settings.retry_budget);
+        Self {
+            metrics: Metrics::new(),
+            names,
+            catalog,
+            services,
+            directory: Ranked::new(Rank::Directory, Directory::default()),
+            leaving: AtomicBool::new(false),
+            in_force: Ranked::new(Rank::InForce, None),
+            settings,
+        }
+    }
+
+    /// The bundle in force.
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.in_force.lock().clone()
+    }
+
+    /// The version in force; 0 for none.
+    pub fn bundle_version(&self) -> u64 {
+        self.in_force().map_or(0, |bundle| bundle.version())
+    }
+
+    /// Puts a bundle in force if it is newer than what is.
+    pub fn put_in_force(&self, bundle: Arc<Bundle>, source: &str) -> bool {
+        let mut in_force = self.in_force.lock();
+        let before = in_force.as_ref().map_or(0, |old| old.version());
+        if bundle.version <= before {
+            return false;
+        }
+        let version = bundle.version;
+        let new = InForce::new(bundle, in_force.as_deref(), &self.services);
+        let routes = new.bundle.host_routes.len();
+        *in_force = Some(Arc::new(new));
+        drop(in_force);
+        self.metrics.bundle_version.set(version as i64);
+        tracing::info!(version, before, routes, source, "bundle: in force.");
+        true
+    }
+
+    /// Lets the services follow what became of servers.
+    pub fn follow(&self, changes: &[DirectoryChange], source: &str) {
+        for change in changes {
+            let (event, record) = match change {
+                DirectoryChange::Put(record) if record.leaving => ("leaving", record),
+                DirectoryChange::Put(record) => ("takes work", record),
+                DirectoryChange::Gone(record) => ("gone", record),
+            };
+            let (server, service) = (&record.id, &record.service);
+            tracing::info!(%server, %service, address = %record.address, source, "server: {event}.");
+        }
+        self.services.follow(changes);
+    }
+
+    /// Whether the box takes callers.
+    pub fn is_ready(&self) -> bool {
+        !self.leaving.load(Ordering::Acquire)
+            && self.bundle_version() > 0
+            && !self.directory.lock().is_empty()
+    }
+
+    /// Drops servers that have not come back after an outage of the store.
+    pub fn settle(&self, now: Instant) {
+        let changes = self.directory.lock().settle(now);
+        self.follow(&changes, "settled");
+    }
+}
--- a/crates/wingspur-entry/src/bundles.rs
+++ b/crates/wingspur-entry/src/bundles.rs
@@ -195,7 +195,7 @@
     signed: &SignedBundle,
 ) -> Result<Manifest, BundleRefusal> {
     let manifest =
-        verify_bundle(signed, &shared.settings.keyring).map_err(PublishError::from)?;
+        verify_bundle(signed, &shared.sources.keyring).map_err(PublishError::from)?;
     if manifest.fleet != shared.settings.fleet {
         return Err(BundleRefusal::WrongFleet(manifest.fleet));
     }
--- a/crates/wingspur-entry/src/entry_box.rs
+++ b/crates/wingspur-entry/src/entry_box.rs
@@ -7,6 +7,7 @@
 
 use smol::net::TcpListener;
 use wingspur_coordination::MembershipSettings;
+use wingspur_edge::{Metrics, Settings};
 use wingspur_transport::{
     HttpListener, LinkFaults, ListenerOptions, Spawner, StopTrigger, TlsError, TlsFiles,
     TlsIdentity, stop_pair,
@@ -20,7 +21,6 @@
 use crate::proxy::Proxy;
 use crate::shard_driver::drive_shard;
 use crate::shared::{Addresses, Shared};
-use crate::{Settings, metrics::Metrics};
 
 /// A running entry box.
 #[derive(Debug)]
@@ -46,6 +46,9 @@
         /// Why.
         error: std::io::Error,
     },
+    /// The settings name a catalog, not the product's own sources.
+    #[error("`store_address`: missing; add it, `box_list_address` and `keyring`")]
+    NoSources,
     /// The identity cannot be used.
     #[error("`tls`: {0}")]
     Identity(#[from] TlsError),
@@ -65,12 +68,19 @@
         spawner: &Spawner,
         faults: LinkFaults,
     ) -> Result<Self, StartError> {
+        let sources = settings.own.clone().ok_or(StartError::NoSources)?;
         let caller_port = bind("caller_address", settings.caller_address).await?;
         let peer_port = bind("peer_address", settings.peer_address).await?;
         let operator_port = bind("operator_address", settings.operator_address).await?;
         let files = settings.tls.as_ref().map(TlsFiles::from);
         let identity = files.map(TlsIdentity::load).transpose()?.map(Arc::new);
-        let shared = Shared::new(settings, spawner.clone(), &faults, identity.clone());
+        let shared = Shared::new(
+            settings,
+            sources,
+            spawner.clone(),
+            &faults,
+            identity.clone(),
+        );
         let shared = Arc::new(shared);
         let proxy = Proxy::new(shared.clone());
         let options = ListenerOptions::default();
--- a/crates/wingspur-entry/src/in_force.rs
+++ b/crates/wingspur-entry/src/in_force.rs
@@ -12,7 +12,7 @@
 use wingspur_transport::{BackendPool, Spawner};
 
 use crate::concern::Concern;
-use crate::locks::{Rank, Ranked};
+use wingspur_edge::{Rank, Ranked};
 
 /// A bundle in force; swapped whole for the next one.
 #[derive(Debug)]
--- a/crates/wingspur-entry/src/peers.rs
+++ b/crates/wingspur-entry/src/peers.rs
@@ -143,7 +143,7 @@
 /// Reads the platform's list once, if it has changed since the one with this validator;
 /// an old one stays when none can be had.
 pub async fn read_box_list(shared: &Shared, validator: &mut Option<String>) {
-    let address = shared.settings.box_list_address;
+    let address = shared.sources.box_list_address;
     let known = validator.as_deref();
     let got = shared
         .box_list
--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -8,7 +8,7 @@
 
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Bytes, Incoming};
+use hyper::body::{Body, Incoming};
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
 };
@@ -20,12 +20,12 @@
 };
 use wingspur_transport::{Lease, SendBody, SendFailure};
 
-use crate::answer::refusal;
 use crate::claims::{ClaimGuard, claim};
 use crate::concern::Place;
 use crate::in_force::ServiceHandle;
 use crate::relay::{AnswerBody, AttemptGuard, CutRule, RelayBody};
 use crate::shared::Shared;
+use wingspur_edge::refusal;
 
 /// Answers callers' requests.
 #[derive(Debug, Clone)]
@@ -96,7 +96,7 @@
             Ok(response) => response,
             Err(code) => {
                 self.shared.metrics.refuse(code);
-                refusal(code)
+                refusal(code, None).map(AnswerBody::own)
             }
         };
         if http1 && self.shared.leaving.load(Ordering::Acquire) {
@@ -188,7 +188,7 @@
             let Some(server) = self.pick(pending, &tried) else {
                 return Err(give_up(ResultCode::NoServer, in_doubt));
             };
-            let kept = keep(&body);
+            let kept = body.as_ref().and_then(SendBody::copy);
             let sent = body.take().unwrap_or(SendBody::empty());
             let attempt = AttemptGuard::begin(pending.handle.clone(), server);
             tried.push(server);
@@ -303,11 +303,19 @@
         body_kept: bool,
     ) -> bool {
         let mut table = pending.handle.table.lock();
-        let rules = table.service().retry.clone();
+        let max_attempts = table.service().retry.retries.saturating_add(1);
         let (class, remaining) = (pending.route().class, pending.remaining());
-        let tried = tried.min(usize::from(u8::MAX)) as u8;
         let budget = table.budget();
-        match decide_retry(end, class, &rules, remaining, tried, body_kept, budget) {
+        let in_budget = budget.allows();
+        match decide_retry(
+            end,
+            class,
+            max_attempts,
+            remaining,
+            tried,
+            body_kept,
+            in_budget,
+        ) {
             RetryDecision::Stop => false,
             RetryDecision::Retry(reason) => {
                 budget.spend();
@@ -408,16 +416,6 @@
     answered.is_some_and(|id| Some(id) != request.get(REQUEST_ID_HEADER))
 }
 
-/// A second copy of a body that is held in memory.
-fn keep(body: &Option<SendBody>) -> Option<SendBody> {
-    match body {
-        Some(SendBody::Whole(bytes)) => {
-            Some(SendBody::Whole(Option::<Bytes>::clone(bytes)))
-        }
-        Some(SendBody::Stream(..)) | None => None,
-    }
-}
-
 /// The final code: once an attempt is in doubt, no later one makes it *not run*.
 fn give_up(code: ResultCode, in_doubt: bool) -> (ResultCode, bool) {
     match code {
--- a/crates/wingspur-entry/src/shards.rs
+++ b/crates/wingspur-entry/src/shards.rs
@@ -6,8 +6,8 @@
 use wingspur_coordination::{ClaimTicket, ClaimVerdict, ShardLog, ShardLogSettings};
 use wingspur_protocol::{ClaimReply, ClaimRequest, OutcomeNote};
 
-use crate::Settings;
-use crate::locks::{Rank, Ranked};
+use wingspur_edge::Settings;
+use wingspur_edge::{Rank, Ranked};
 
 /// The once-only shards of a fleet, each with a log that is open where it is owned.
 #[derive(Debug)]
--- a/crates/wingspur-entry/src/shared.rs
+++ b/crates/wingspur-entry/src/shared.rs
@@ -12,11 +12,10 @@
 use wingspur_state::{AccountLimiter, BoxId};
 use wingspur_transport::{Exchange, LinkFaults, Spawner, StoreClient, TlsIdentity};
 
-use crate::Settings;
+use wingspur_edge::{Metrics, OwnSources, Rank, Ranked, Settings};
+
 use crate::in_force::InForce;
 use crate::judges::Judges;
-use crate::locks::{Rank, Ranked};
-use crate::metrics::Metrics;
 use crate::shards::Shards;
 
 /// What all parts of a box share.
@@ -24,6 +23,8 @@
 pub struct Shared {
     /// The box's settings.
     pub settings: Settings,
+    /// Where bundles and lists of boxes are found.
+    pub sources: OwnSources,
     /// Starts tasks.
     pub spawner: Spawner,
     /// Counters and gauges.
@@ -76,13 +77,14 @@
     /// A box that has not started yet.
     pub fn new(
         settings: Settings,
+        sources: OwnSources,
         spawner: Spawner,
         faults: &LinkFaults,
         identity: Option<Arc<TlsIdentity>>,
     ) -> Self {
         let store_exchange = Arc::new(Exchange::new(spawner.clone(), faults.clone()));
         let exchange = store_exchange.clone();
-        let store = StoreClient::new(settings.store_address, exchange, STORE_TIMEOUT);
+        let store = StoreClient::new(sources.store_address, exchange, STORE_TIMEOUT);
         let membership =
             Membership::new(settings.box_id.clone(), MembershipSettings::default());
         let incarnation = unix_time().as_micros() as u64;
@@ -107,6 +109,7 @@
             sequence: AtomicU64::new(0),
             fetching: AtomicU64::new(0),
             settings,
+            sources,
             spawner,
         }
     }
--- a/crates/wingspur-protocol/src/answer.rs
+++ b/crates/wingspur-protocol/src/answer.rs
@@ -17,7 +17,7 @@
 }
 
 /// The JSON body of a refusal.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RefusalBody {
     /// The number, as in the `wingspur-result` header.
     pub code: u16,
@@ -27,7 +27,7 @@
     pub ran: RunState,
     /// When to ask again, in seconds; absent where asking again does not help.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub retry_after_s: Option<u32>,
+    pub retry_after_s: Option<f64>,
 }
 
 impl From<ResultCode> for RefusalBody {
@@ -36,7 +36,7 @@
             code: code.number(),
             result: code.name().to_owned(),
             ran: code.run_state(),
-            retry_after_s: code.retry_after_s(),
+            retry_after_s: code.retry_after_s().map(f64::from),
         }
     }
 }
--- /dev/null
+++ b/crates/wingspur-protocol/src/catalog.rs
@@ -0,0 +1,62 @@
+//! What a catalog announces: the bundle, backend servers and boxes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use wingspur_state::{BoxId, Bundle, DataCentreId, ServerId, ServerRecord};
+
+/// The store's count of changes; grows with each.
+pub type Revision = u64;
+
+/// All that a catalog announces, as of a revision.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct CatalogListing {
+    /// Changes up to this one are in.
+    pub revision: Revision,
+    /// The bundle in force, if there is a sound one.
+    pub bundle: Option<Arc<Bundle>>,
+    /// The backend servers.
+    pub servers: Vec<ServerRecord>,
+    /// The boxes.
+    pub boxes: Vec<BoxRecord>,
+}
+
+/// Changes after one revision and up to another, in order.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CatalogChanges {
+    /// What the changes come on top of.
+    pub after: Revision,
+    /// Changes up to this one are in.
+    pub revision: Revision,
+    /// The changes.
+    pub changes: Vec<CatalogChange>,
+}
+
+/// One change of what is announced.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum CatalogChange {
+    /// A bundle was accepted.
+    Bundle(Arc<Bundle>),
+    /// A backend server is new, or its entry has changed.
+    Server(ServerRecord),
+    /// A backend server's entry has vanished.
+    ServerGone(ServerId),
+    /// A box is new, or its entry has changed.
+    Box(BoxRecord),
+    /// A box's entry has vanished.
+    BoxGone(BoxId),
+}
+
+/// An entry box as it announces itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BoxRecord {
+    /// The box.
+    pub id: BoxId,
+    /// Where it stands.
+    pub data_centre: DataCentreId,
+    /// Where it hears its peers.
+    pub peer_address: SocketAddr,
+    /// Drawn anew at each start.
+    pub incarnation: u64,
+}
--- a/crates/wingspur-protocol/src/codes.rs
+++ b/crates/wingspur-protocol/src/codes.rs
@@ -102,7 +102,9 @@
             Self::AccountLimit => 429,
             Self::ConcernFull | Self::NoServer | Self::ClaimUnavailable => 503,
             Self::DeadlineBeforeSend | Self::NotReady => 503,
-            Self::NotSent | Self::InDoubt => 502,
+            // A caller may trust a 503 to mean that nothing ran.
+            Self::NotSent => 503,
+            Self::InDoubt => 502,
             Self::DeadlineInDoubt => 504,
             Self::InProgress | Self::AlreadyRun | Self::OutcomeUnknown => 409,
             Self::KeyTooOld => 410,
--- /dev/null
+++ b/crates/wingspur-protocol/src/headers.rs
@@ -0,0 +1,45 @@
+//! The names of the headers that callers, boxes and backend servers exchange.
+
+/// The header names of one deployment, in lower case.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeaderNames {
+    /// Names a request; a server that repeats it in its answer is held to it.
+    pub request_id: &'static str,
+    /// Tells how many milliseconds are left for a request.
+    pub deadline_ms: &'static str,
+    /// Stands in every answer that a server made, where servers set one.
+    pub server_stamp: Option<&'static str>,
+    /// Names the run of a server that a request is for; others answer 421.
+    pub expected_incarnation: Option<&'static str>,
+    /// Says that a server did not run the request, where servers say so by a header.
+    pub not_run: Option<&'static str>,
+    /// Tells a server's load.
+    pub load: &'static str,
+    /// How the load is written.
+    pub load_form: LoadForm,
+    /// Says that a server is leaving, where servers say so by a header.
+    pub draining: Option<&'static str>,
+}
+
+/// How servers write their load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadForm {
+    /// The published JSON form of load reports.
+    EndpointLoadMetrics,
+    /// Requests running, requests waiting and slots, separated by commas.
+    RunningWaitingSlots,
+}
+
+impl HeaderNames {
+    /// The product's own names.
+    pub const OWN: Self = Self {
+        request_id: "x-request-id",
+        deadline_ms: "wingspur-deadline-ms",
+        server_stamp: None,
+        expected_incarnation: None,
+        not_run: None,
+        load: "endpoint-load-metrics",
+        load_form: LoadForm::EndpointLoadMetrics,
+        draining: Some("wingspur-draining"),
+    };
+}
--- a/crates/wingspur-protocol/src/lib.rs
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -2,7 +2,9 @@
 
 mod answer;
 mod box_list;
+mod catalog;
 mod codes;
+mod headers;
 mod load_report;
 mod operation;
 mod peer;
@@ -11,7 +13,9 @@
 
 pub use answer::{RefusalBody, RunState};
 pub use box_list::{BoxList, BoxState, ListedBox, ListedServer};
+pub use catalog::{BoxRecord, CatalogChange, CatalogChanges, CatalogListing, Revision};
 pub use codes::ResultCode;
+pub use headers::{HeaderNames, LoadForm};
 pub use load_report::parse_load_hint;
 pub use operation::{LogEntry, LogSegment, OperationId, OperationOutcome};
 pub use peer::{
--- a/crates/wingspur-protocol/src/store.rs
+++ b/crates/wingspur-protocol/src/store.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use wingspur_state::{Bundle, BundleVersion, Service};
+use wingspur_state::{Bundle, BundleVersion, CallerLimits, HostRoute, Service};
 
 /// The one key whose move is the acceptance of a bundle.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,7 +17,7 @@
 }
 
 /// The manifest of a bundle: everything but the services, which are parts.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Manifest {
     /// The version, which the signature covers.
@@ -28,6 +28,12 @@
     pub account_header: String,
     /// The services, in order.
     pub parts: Vec<PartReference>,
+    /// Routes by host and path prefix.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub host_routes: Vec<HostRoute>,
+    /// What callers may send.
+    #[serde(default)]
+    pub caller_limits: CallerLimits,
 }
 
 /// A part by name and content.
@@ -71,6 +77,8 @@
             fleet: bundle.fleet.clone(),
             account_header: bundle.account_header.clone(),
             parts: references,
+            host_routes: bundle.host_routes.clone(),
+            caller_limits: bundle.caller_limits,
         };
         Ok((manifest, parts))
     }
@@ -82,6 +90,8 @@
             fleet: self.fleet.clone(),
             account_header: self.account_header.clone(),
             services,
+            host_routes: self.host_routes.clone(),
+            caller_limits: self.caller_limits,
         }
     }
 }
--- /dev/null
+++ b/crates/wingspur-state/src/balancer.rs
@@ -0,0 +1,435 @@
+//! Picks backend servers of one service by what the whole fleet knows of them.
+//!
+//! Each candidate has a cost in milliseconds: how long its answer should take, with the
+//! wait for a slot, and what its likely failure would cost. The cheapest gets the request.
+//! There is no state of being ejected: a server that fails is dear, and becomes cheaper as
+//! its failures age or the others fill up, so that no decision can take the last capacity
+//! away.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::evidence_window::RecentOutcomes;
+use crate::{
+    AttemptId, DataCentreId, KeyedTally, ServerKey, ServerRecord, ServerTally, SourceId,
+};
+
+/// The backend servers of a service, as one box picks among them.
+#[derive(Debug)]
+pub struct Balancer {
+    home: DataCentreId,
+    servers: BTreeMap<ServerKey, Server>,
+    attempts: HashMap<AttemptId, Attempt>,
+    next_attempt: AttemptId,
+    /// All servers' outcomes together.
+    service: RecentOutcomes,
+    /// Requests that this box may have out at one server.
+    most_in_flight: u32,
+}
+
+/// What a request wants of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Want<'a> {
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// How long an answer usually takes.
+    pub typical: Duration,
+    /// What it costs to cross to another data centre.
+    pub crossing: Duration,
+    /// Servers that it was sent to before.
+    pub tried: &'a [ServerKey],
+}
+
+/// A server that was picked, and why.
+#[derive(Debug, Clone)]
+pub struct Pick {
+    /// The server.
+    pub server: Arc<ServerRecord>,
+    /// When its answer should be there, in milliseconds.
+    pub expected_ms: f64,
+    /// Of them, the wait for a slot.
+    pub wait_ms: f64,
+    /// How likely it is to fail.
+    pub failure_share: f64,
+    /// Requests that the fleet has out there.
+    pub in_flight: u32,
+    /// Servers that it was picked from.
+    pub candidates: usize,
+}
+
+/// How an attempt ended, as far as it tells of the server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// A good answer.
+    Good,
+    /// An error, or a broken, spoiled or missing answer.
+    Failed,
+    /// The server refused it before running it.
+    Refused,
+    /// This box could not reach the server.
+    Unreached,
+    /// It was given up for reasons that lie elsewhere.
+    Abandoned,
+}
+
+#[derive(Debug)]
+struct Server {
+    record: Arc<ServerRecord>,
+    cold_until: Instant,
+    /// This box's own tally.
+    own: ServerTally,
+    /// Whether it has changed since it was last reported.
+    changed: bool,
+    /// What other boxes have out there, by who told it.
+    remote: BTreeMap<SourceId, ServerTally>,
+    /// All boxes' outcomes.
+    outcomes: RecentOutcomes,
+    /// This box's own, with requests that did not reach the server.
+    path: RecentOutcomes,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    server: ServerKey,
+    since: Instant,
+    typical: Duration,
+    overdue: bool,
+}
+
+impl Balancer {
+    /// No servers yet; `home` is the box's data centre.
+    pub fn new(home: DataCentreId, now: Instant) -> Self {
+        Self {
+            home,
+            servers: BTreeMap::new(),
+            attempts: HashMap::new(),
+            next_attempt: 1,
+            service: RecentOutcomes::new(now),
+            most_in_flight: u32::MAX,
+        }
+    }
+
+    /// Takes in a server, or its changed record.
+    pub fn put(&mut self, record: ServerRecord, now: Instant) {
+        let key = record.key();
+        let cold_until = now + Duration::from_millis(record.cold_ms);
+        let record = Arc::new(record);
+        let fresh = || Server {
+            record: record.clone(),
+            cold_until,
+            own: ServerTally::default(),
+            changed: false,
+            remote: BTreeMap::new(),
+            outcomes: RecentOutcomes::new(now),
+            path: RecentOutcomes::new(now),
+        };
+        let server = self.servers.entry(key).or_insert_with(fresh);
+        server.record = record;
+    }
+
+    /// Forgets a server; attempts that are out there end on their own.
+    pub fn remove(&mut self, key: ServerKey) {
+        self.servers.remove(&key);
+    }
+
+    /// Divides the connections that each server accepts among the boxes.
+    pub fn share_connections(&mut self, connections: u32, boxes: usize) {
+        let boxes = boxes.clamp(1, u32::MAX as usize) as u32;
+        self.most_in_flight = (connections / boxes).max(LEAST_CONNECTIONS);
+    }
+
+    /// Servers that take new work.
+    pub fn open_servers(&self) -> usize {
+        self.servers
+            .values()
+            .filter(|server| server.is_open())
+            .count()
+    }
+
+    /// Whether a server is known and takes new work.
+    pub fn is_open(&self, key: ServerKey) -> bool {
+        self.servers.get(&key).is_some_and(Server::is_open)
+    }
+
+    /// Picks the server with the least cost; none when there is none.
+    pub fn pick(
+        &self,
+        want: &Want<'_>,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<Pick> {
+        let prior = self.prior_failure_share(now);
+        let mut best: Option<(f64, Pick)> = None;
+        let mut candidates = 0;
+        for (key, server) in &self.servers {
+            let saturated = server.own.in_flight >= self.most_in_flight;
+            if !server.is_open() || want.tried.contains(key) || saturated {
+                continue;
+            }
+            candidates += 1;
+            let pick = self.weigh(server, want, prior, now);
+            let noise = 1.0 + NOISE * random.random::<f64>();
+            let cost =
+                pick.expected_ms * noise + self.penalty_ms(server, want, &pick, now);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, pick));
+            }
+        }
+        best.map(|(_, pick)| Pick { candidates, ..pick })
+    }
+
+    /// Counts an attempt as begun.
+    pub fn begin(
+        &mut self,
+        key: ServerKey,
+        typical: Duration,
+        now: Instant,
+    ) -> AttemptId {
+        let id = self.next_attempt;
+        self.next_attempt += 1;
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.own.in_flight += 1;
+            server.changed = true;
+        }
+        let attempt = Attempt {
+            server: key,
+            since: now,
+            typical,
+            overdue: false,
+        };
+        self.attempts.insert(id, attempt);
+        id
+    }
+
+    /// Counts an attempt as ended.
+    pub fn end(&mut self, id: AttemptId, ended: Ended, now: Instant) {
+        let Some(attempt) = self.attempts.remove(&id) else {
+            return;
+        };
+        let Some(server) = self.servers.get_mut(&attempt.server) else {
+            return;
+        };
+        server.changed = true;
+        server.own.in_flight = server.own.in_flight.saturating_sub(1);
+        if attempt.overdue {
+            server.own.overdue = server.own.overdue.saturating_sub(1);
+        }
+        let seen = attempt.outcome(ended, now);
+        server.own = server.own.plus(&seen);
+        server.outcomes.add(&seen, now);
+        server.path.add(&path_outcome(ended, &seen), now);
+        self.service.add(&seen, now);
+    }
+
+    /// Takes in what other boxes have seen, as told by a source; `news` are the outcomes
+    /// that were not known before.
+    pub fn apply_remote(
+        &mut self,
+        source: SourceId,
+        (key, tally): KeyedTally,
+        news: &ServerTally,
+        now: Instant,
+    ) {
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        server.remote.insert(source, tally);
+        server.outcomes.add(news, now);
+        self.service.add(news, now);
+    }
+
+    /// Forgets what a source has out: it is not heard any more.
+    pub fn forget_source(&mut self, source: SourceId) {
+        for server in self.servers.values_mut() {
+            server.remote.remove(&source);
+        }
+    }
+
+    /// Marks the attempts that are out for much longer than usual.
+    pub fn mark_overdue(&mut self, now: Instant) {
+        for attempt in self
+            .attempts
+            .values_mut()
+            .filter(|attempt| !attempt.overdue)
+        {
+            let patience = (attempt.typical * OVERDUE_FACTOR).max(LEAST_OVERDUE);
+            if now.saturating_duration_since(attempt.since) < patience {
+                continue;
+            }
+            attempt.overdue = true;
+            if let Some(server) = self.servers.get_mut(&attempt.server) {
+                server.own.overdue += 1;
+                server.changed = true;
+            }
+        }
+    }
+
+    /// This box's tallies that have changed since they were last taken.
+    pub fn take_changes(&mut self) -> Vec<KeyedTally> {
+        let changed = self.servers.iter_mut().filter(|(_, server)| server.changed);
+        changed
+            .map(|(key, server)| {
+                server.changed = false;
+                (*key, server.own)
+            })
+            .collect()
+    }
+
+    /// All of this box's tallies that say anything.
+    pub fn tallies(&self) -> Vec<KeyedTally> {
+        let told = self.servers.iter().map(|(key, server)| (*key, server.own));
+        told.filter(|(_, tally)| *tally != ServerTally::default())
+            .collect()
+    }
+
+    /// Attempts that are out now.
+    pub fn outstanding(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Servers that are likelier than not to fail, by id, for the box's status.
+    pub fn suspects(&self, now: Instant) -> Vec<String> {
+        let prior = self.prior_failure_share(now);
+        let suspected = |server: &&Server| {
+            server.failure_share(prior, now) >= SUSPECT_SHARE || !server.is_open()
+        };
+        let suspects = self.servers.values().filter(suspected);
+        suspects.map(|server| server.record.id.clone()).collect()
+    }
+
+    fn weigh(&self, server: &Server, want: &Want<'_>, prior: f64, now: Instant) -> Pick {
+        let in_flight = server.in_flight();
+        let slots = f64::from(server.record.slots.max(1));
+        let cold = if now < server.cold_until {
+            COLD_FACTOR
+        } else {
+            1.0
+        };
+        let slowness = server.outcomes.at(now).slowness().max(cold);
+        let work_ms = want.typical.as_secs_f64() * 1000.0 * slowness;
+        // The queue before the request, in rounds of all slots.
+        let ahead = (f64::from(in_flight) + 1.0 - slots).max(0.0);
+        let wait_ms = work_ms * ahead / slots;
+        let crowding = CROWDING * work_ms * f64::from(in_flight) / slots;
+        Pick {
+            server: server.record.clone(),
+            expected_ms: work_ms + wait_ms + crowding,
+            wait_ms,
+            failure_share: server.failure_share(prior, now),
+            in_flight,
+            candidates: 0,
+        }
+    }
+
+    fn penalty_ms(
+        &self,
+        server: &Server,
+        want: &Want<'_>,
+        pick: &Pick,
+        now: Instant,
+    ) -> f64 {
+        let failure_ms = if want.repeatable {
+            REPEATABLE_FAILURE_MS
+        } else {
+            LOST_FAILURE_MS
+        };
+        let refusals = server.outcomes.at(now).refusal_share();
+        let away = server.record.data_centre != self.home;
+        let crossing_ms = if away {
+            want.crossing.as_secs_f64() * 1000.0
+        } else {
+            0.0
+        };
+        pick.failure_share * failure_ms + refusals * REFUSAL_MS + crossing_ms
+    }
+
+    /// What is taken for granted of a server that little is known about.
+    fn prior_failure_share(&self, now: Instant) -> f64 {
+        let service = self.service.at(now);
+        let share = (service.failed() + 1.0) / (service.weight() + SERVICE_PRIOR);
+        share.clamp(LEAST_PRIOR, MOST_PRIOR)
+    }
+}
+
+impl Server {
+    fn is_open(&self) -> bool {
+        !self.record.leaving
+    }
+
+    fn in_flight(&self) -> u32 {
+        let remote: u32 = self.remote.values().map(|tally| tally.in_flight).sum();
+        self.own.in_flight + remote
+    }
+
+    fn overdue(&self) -> u32 {
+        let remote: u32 = self.remote.values().map(|tally| tally.overdue).sum();
+        self.own.overdue + remote
+    }
+
+    /// The worse of what the fleet and what this box alone makes of the server.
+    fn failure_share(&self, prior: f64, now: Instant) -> f64 {
+        let fleet = self.outcomes.at(now).failure_share(prior, self.overdue());
+        let path = self.path.at(now).failure_share(prior, self.own.overdue);
+        fleet.max(path)
+    }
+}
+
+impl Attempt {
+    fn outcome(&self, ended: Ended, now: Instant) -> ServerTally {
+        let mut seen = ServerTally::default();
+        match ended {
+            Ended::Good => {
+                seen.good = 1;
+                let took = now.saturating_duration_since(self.since).as_secs_f64();
+                let typical = self.typical.as_secs_f64().max(LEAST_TYPICAL_S);
+                seen.slowness_percent = (took / typical * 100.0).min(MOST_PERCENT) as u32;
+            }
+            Ended::Failed => seen.failed = 1,
+            Ended::Refused | Ended::Unreached => seen.refused = 1,
+            Ended::Abandoned => {}
+        }
+        seen
+    }
+}
+
+/// What an outcome says about this box's way to the server.
+fn path_outcome(ended: Ended, seen: &ServerTally) -> ServerTally {
+    match ended {
+        Ended::Unreached => ServerTally {
+            failed: 1,
+            ..ServerTally::default()
+        },
+        _ => *seen,
+    }
+}
+
+/// Costs are blurred by up to this share, so that boxes with the same view spread.
+const NOISE: f64 = 0.2;
+/// Servers slow down as they fill: this share of the work's time for full slots.
+const CROWDING: f64 = 0.3;
+/// A server that has just started takes about twice as long.
+const COLD_FACTOR: f64 = 2.0;
+/// What a failure costs a request that can be sent again: another attempt.
+const REPEATABLE_FAILURE_MS: f64 = 800.0;
+/// What a failure costs a request that cannot: it is worth about as much as an answer that
+/// comes three seconds late.
+const LOST_FAILURE_MS: f64 = 3000.0;
+/// What a refusal costs: a round trip and a resend from the budget.
+const REFUSAL_MS: f64 = 300.0;
+/// A request is overdue after so many times the usual, and never before a second.
+const OVERDUE_FACTOR: u32 = 4;
+const LEAST_OVERDUE: Duration = Duration::from_millis(1000);
+/// The service's own outcomes weigh as one failure in so many before any came.
+const SERVICE_PRIOR: f64 = 50.0;
+const LEAST_PRIOR: f64 = 0.01;
+const MOST_PRIOR: f64 = 0.3;
+/// A box may always have so many requests out at a server.
+const LEAST_CONNECTIONS: u32 = 4;
+/// From here on a server is named as suspect in the status.
+const SUSPECT_SHARE: f64 = 0.35;
+const LEAST_TYPICAL_S: f64 = 0.001;
+const MOST_PERCENT: f64 = 1200.0;
--- a/crates/wingspur-state/src/bundle.rs
+++ b/crates/wingspur-state/src/bundle.rs
@@ -19,6 +19,80 @@
     pub account_header: String,
     /// The services, each a concern of its own.
     pub services: Vec<Service>,
+    /// Routes by host and path prefix, which may divide their requests among services.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub host_routes: Vec<HostRoute>,
+    /// What callers may send, and how long they may take.
+    #[serde(default)]
+    pub caller_limits: CallerLimits,
+}
+
+/// A route by host and path prefix.
+///
+/// Among the routes of a host, the one with the longest prefix of the path is taken.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostRoute {
+    /// The name, for logs.
+    pub name: String,
+    /// The host as callers name it, without a port.
+    pub host: String,
+    /// The beginning of the path; begins and ends with a slash.
+    pub path_prefix: String,
+    /// What kind of work this is.
+    pub class: RouteClass,
+    /// The services that share the requests, by weight.
+    pub targets: Vec<RouteTarget>,
+    /// The longest time that a request may be held.
+    pub timeout_ms: u64,
+    /// The time within which an answer is worth most to its caller.
+    pub target_latency_ms: u64,
+    /// Servers that one request may be sent to.
+    pub max_attempts: u8,
+    /// The rank where a service is short of room; 0 goes first.
+    pub priority: u8,
+}
+
+/// A service's part of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteTarget {
+    /// The service's name.
+    pub service: String,
+    /// Its part, relative to the others' weights.
+    pub weight: u32,
+}
+
+impl RouteTarget {
+    /// The target of a route that leads to one service.
+    pub fn whole(service: String) -> Self {
+        Self { service, weight: 1 }
+    }
+}
+
+/// What a caller may send, and how long it may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerLimits {
+    /// The largest head, in bytes.
+    pub max_head_bytes: usize,
+    /// The largest body, in bytes.
+    pub max_body_bytes: u64,
+    /// How long a head may take to arrive.
+    pub head_timeout_ms: u64,
+    /// How long a connection may rest between two requests.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            max_head_bytes: 64 << 10,
+            max_body_bytes: 64 << 20,
+            head_timeout_ms: 30_000,
+            idle_timeout_ms: 60_000,
+        }
+    }
 }
 
 /// One service: its backend servers, routes and rules.
@@ -42,6 +116,9 @@
     pub servers: Vec<BackendServer>,
     /// The routes that lead to this service.
     pub routes: Vec<Route>,
+    /// Connections that each server accepts, where servers announce themselves.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub server_connections: Option<u32>,
 }
 
 impl Service {
--- /dev/null
+++ b/crates/wingspur-state/src/directory.rs
@@ -0,0 +1,168 @@
+//! The backend servers that are announced now, and those that may only seem gone.
+//!
+//! An entry of a server that cannot reach the store lapses, and while the store is away
+//! entries lapse that nobody could renew. So an entry that vanishes around an outage is kept
+//! until the store has been back for `RETURN_GRACE`: a living server has written anew by
+//! then.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::{ServerId, ServerRecord};
+
+/// The announced backend servers of all services.
+#[derive(Debug, Default)]
+pub struct Directory {
+    entries: BTreeMap<ServerId, Entry>,
+    store: StoreStanding,
+}
+
+/// What became of a server, for the tables that follow the directory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DirectoryChange {
+    /// It is new, or its record has changed.
+    Put(ServerRecord),
+    /// It is gone.
+    Gone(ServerRecord),
+}
+
+#[derive(Debug)]
+struct Entry {
+    record: ServerRecord,
+    /// Its entry in the store has vanished in or around an outage.
+    missing: bool,
+}
+
+/// Whether the store's silence about a server means anything.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum StoreStanding {
+    #[default]
+    Sound,
+    Away,
+    ReturnedAt(Instant),
+}
+
+impl Directory {
+    /// Notes that the store does not answer.
+    pub fn store_lost(&mut self) {
+        self.store = StoreStanding::Away;
+    }
+
+    /// Notes that the store answers again; changes nothing while it was not lost.
+    pub fn store_returned(&mut self, now: Instant) {
+        if self.store == StoreStanding::Away {
+            self.store = StoreStanding::ReturnedAt(now);
+        }
+    }
+
+    /// Takes in an entry as it stands in the store.
+    pub fn put(&mut self, record: ServerRecord) -> Option<DirectoryChange> {
+        let entry = Entry {
+            record: record.clone(),
+            missing: false,
+        };
+        let before = self.entries.insert(record.id.clone(), entry);
+        let known = before.is_some_and(|entry| entry.record == record);
+        (!known).then_some(DirectoryChange::Put(record))
+    }
+
+    /// Takes in that an entry has vanished.
+    pub fn remove(&mut self, id: &str, now: Instant) -> Option<DirectoryChange> {
+        let trusted = self.is_trusted(now);
+        let entry = self.entries.get_mut(id)?;
+        // A server that said that it leaves has no need to come back.
+        if !trusted && !entry.record.leaving {
+            entry.missing = true;
+            return None;
+        }
+        self.entries
+            .remove(id)
+            .map(|entry| DirectoryChange::Gone(entry.record))
+    }
+
+    /// Takes in a whole listing: what it lacks has vanished.
+    pub fn replace(
+        &mut self,
+        listing: Vec<ServerRecord>,
+        now: Instant,
+    ) -> Vec<DirectoryChange> {
+        let listed = |id: &ServerId| listing.iter().any(|record| record.id == *id);
+        let unlisted: Vec<ServerId> = self
+            .entries
+            .keys()
+            .filter(|id| !listed(id))
+            .cloned()
+            .collect();
+        let mut changes = Vec::new();
+        for id in unlisted {
+            changes.extend(self.remove(&id, now));
+        }
+        for record in listing {
+            changes.extend(self.put(record));
+        }
+        changes
+    }
+
+    /// Drops the servers that have not come back in time after an outage.
+    pub fn settle(&mut self, now: Instant) -> Vec<DirectoryChange> {
+        if !self.is_trusted(now) {
+            return Vec::new();
+        }
+        self.store = StoreStanding::Sound;
+        let missing = |entry: &Entry| entry.missing;
+        let gone: Vec<ServerId> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| missing(entry))
+            .map(|(id, _)| id.clone())
+            .collect();
+        gone.iter()
+            .filter_map(|id| self.entries.remove(id))
+            .map(|entry| DirectoryChange::Gone(entry.record))
+            .collect()
+    }
+
+    /// When `settle` has something to do; none while nothing is missing.
+    pub fn settles_at(&self) -> Option<Instant> {
+        let StoreStanding::ReturnedAt(at) = self.store else {
+            return None;
+        };
+        Some(at + RETURN_GRACE)
+    }
+
+    /// All servers, missing ones included.
+    pub fn records(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.entries.values().map(|entry| &entry.record)
+    }
+
+    /// The servers whose entries stand in the store as far as is known.
+    pub fn listed(&self) -> impl Iterator<Item = &ServerRecord> {
+        let listed = self.entries.values().filter(|entry| !entry.missing);
+        listed.map(|entry| &entry.record)
+    }
+
+    /// The number of servers, missing ones included.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Whether a vanished entry means that the server is gone.
+    fn is_trusted(&self, now: Instant) -> bool {
+        match self.store {
+            StoreStanding::Sound => true,
+            StoreStanding::Away => false,
+            StoreStanding::ReturnedAt(at) => {
+                now.saturating_duration_since(at) >= RETURN_GRACE
+            }
+        }
+    }
+}
+
+/// How long servers have to write anew after the store's return: the users' figure of
+/// about two seconds.
+pub const RETURN_GRACE: Duration = Duration::from_secs(2);
--- a/crates/wingspur-state/src/ids.rs
+++ b/crates/wingspur-state/src/ids.rs
@@ -12,3 +12,9 @@
 pub type ServerIndex = usize;
 /// Numbers an attempt within one box.
 pub type AttemptId = u64;
+/// Names one run of a backend server.
+pub type ServerId = String;
+/// Stands for a `ServerId` in tables and between boxes; see `server_key`.
+pub type ServerKey = u64;
+/// Names who tells of other boxes' work: a hub's start.
+pub type SourceId = u64;
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -3,29 +3,45 @@
 //! Nothing here does I/O, reads a clock or draws random numbers of its own, so
 //! every decision can be replayed from a trace.
 
+mod balancer;
 mod bundle;
 mod check;
+mod directory;
 mod evidence;
+mod evidence_window;
+mod fleet_budget;
 mod history;
+mod host_routes;
 mod ids;
 mod judge;
 mod limit;
 mod pick;
 mod retry;
 mod route;
+mod server;
 mod service_table;
+mod tally;
 mod unease;
 
+pub use balancer::{Balancer, Ended, Pick, Want};
 pub use bundle::{
-    BackendServer, Bundle, Detection, Floor, Limits, RetryRules, Route, RouteClass,
-    Service,
+    BackendServer, Bundle, CallerLimits, Detection, Floor, HostRoute, Limits, RetryRules,
+    Route, RouteClass, RouteTarget, Service,
 };
 pub use check::{Finding, check_bundle};
+pub use directory::{Directory, DirectoryChange, RETURN_GRACE};
 pub use evidence::{EvidenceEntry, EvidenceReport, Reference, threshold, well_evidence};
-pub use ids::{AttemptId, BoxId, BundleVersion, DataCentreId, ServerIndex, ServiceIndex};
+pub use fleet_budget::{BudgetSettings, FleetBudget, ResendUse};
+pub use host_routes::HostRoutes;
+pub use ids::{
+    AttemptId, BoxId, BundleVersion, DataCentreId, ServerId, ServerIndex, ServerKey,
+    ServiceIndex, SourceId,
+};
 pub use judge::{EjectionRecord, Judge, JudgeEvent, Verdict, VerdictStanding};
 pub use limit::AccountLimiter;
 pub use pick::{Candidate, Standing, pick};
 pub use retry::{AttemptEnd, RetryBudget, RetryDecision, RetryReason, decide_retry};
 pub use route::{RouteClash, RouteMatch, RouteTable};
+pub use server::{ServerRecord, server_key};
 pub use service_table::{AttemptOutcome, ServiceTable, TICK, VERDICT_TTL};
+pub use tally::{KeyedTally, ServerTally, ServiceTally};
--- a/crates/wingspur-state/src/retry.rs
+++ b/crates/wingspur-state/src/retry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{RetryRules, RouteClass};
+use crate::RouteClass;
 
 /// How an attempt at a backend server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -15,7 +15,9 @@
     InDoubt,
     /// A whole head came back; the answer belongs to the caller.
     Answered,
-    /// The answer broke off midway.
+    /// The server answered that it failed, and nothing of that was passed on.
+    ServerError,
+    /// The answer broke off midway, after its beginning was passed on.
     Cut,
 }
 
@@ -35,6 +37,8 @@
     RefusedBeforeRunning,
     /// The former attempt is in doubt and the class may repeat.
     InDoubt,
+    /// The server failed in the former attempt and the class may repeat.
+    ServerError,
 }
 
 impl RetryReason {
@@ -44,6 +48,7 @@
             Self::NotSent => "not_sent",
             Self::RefusedBeforeRunning => "refused_before_running",
             Self::InDoubt => "in_doubt",
+            Self::ServerError => "server_error",
         }
     }
 }
@@ -59,28 +64,31 @@
 
 /// Decides whether a request is sent again.
 ///
-/// `remaining` is the time to the deadline, `tried` the attempts made so far and
-/// `body_kept` whether the request's body can be sent a second time.
+/// `remaining` is the time to the deadline, `tried` the attempts made so far,
+/// `body_kept` whether the request's body can be sent a second time, and `in_budget`
+/// whether the service's budget has room for one more.
 pub fn decide_retry(
     end: AttemptEnd,
     class: RouteClass,
-    rules: &RetryRules,
+    max_attempts: u8,
     remaining: Duration,
-    tried: u8,
+    tried: usize,
     body_kept: bool,
-    budget: &RetryBudget,
+    in_budget: bool,
 ) -> RetryDecision {
     let reason = match end {
         AttemptEnd::NotSent => RetryReason::NotSent,
         AttemptEnd::RefusedBeforeRunning => RetryReason::RefusedBeforeRunning,
         AttemptEnd::InDoubt if class.may_repeat() => RetryReason::InDoubt,
-        AttemptEnd::InDoubt | AttemptEnd::Answered | AttemptEnd::Cut => {
-            return RetryDecision::Stop;
-        }
+        AttemptEnd::ServerError if class.may_repeat() => RetryReason::ServerError,
+        AttemptEnd::InDoubt
+        | AttemptEnd::ServerError
+        | AttemptEnd::Answered
+        | AttemptEnd::Cut => return RetryDecision::Stop,
     };
     let body_ready = body_kept || end == AttemptEnd::NotSent;
-    let within_rules = tried <= rules.retries && remaining >= LEAST_REMAINING;
-    if body_ready && within_rules && budget.allows() {
+    let attempts_left = tried < usize::from(max_attempts);
+    if body_ready && attempts_left && remaining >= LEAST_REMAINING && in_budget {
         return RetryDecision::Retry(reason);
     }
     RetryDecision::Stop
--- /dev/null
+++ b/crates/wingspur-state/src/tally.rs
@@ -0,0 +1,102 @@
+//! What boxes tell each other of backend servers and services, in sums that add up.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ServerKey;
+
+/// What one box, or all boxes behind one hub, have seen of a server.
+///
+/// Counts only grow and wrap around; a reader that knows an earlier tally of the same
+/// sender takes the difference.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerTally {
+    /// Requests that are out now.
+    pub in_flight: u32,
+    /// Of them, those that are out for much longer than usual.
+    pub overdue: u32,
+    /// Good answers.
+    pub good: u32,
+    /// Errors, broken and spoiled answers, and no answers at all.
+    pub failed: u32,
+    /// Requests that it refused, or that never reached it.
+    pub refused: u32,
+    /// How long good answers took, as a sum of percentages of the usual time.
+    pub slowness_percent: u32,
+}
+
+/// What has been sent to a service.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceTally {
+    /// Requests of callers.
+    pub requests: u32,
+    /// Requests sent to a server after their first.
+    pub resends: u32,
+}
+
+/// A server's tally with its key.
+pub type KeyedTally = (ServerKey, ServerTally);
+
+impl ServerTally {
+    /// The counts that came on top of an earlier tally; gauges as they stand.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            in_flight: self.in_flight,
+            overdue: self.overdue,
+            good: self.good.wrapping_sub(earlier.good),
+            failed: self.failed.wrapping_sub(earlier.failed),
+            refused: self.refused.wrapping_sub(earlier.refused),
+            slowness_percent: self
+                .slowness_percent
+                .wrapping_sub(earlier.slowness_percent),
+        }
+    }
+
+    /// The sum of two tallies.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            in_flight: self.in_flight + other.in_flight,
+            overdue: self.overdue + other.overdue,
+            good: self.good.wrapping_add(other.good),
+            failed: self.failed.wrapping_add(other.failed),
+            refused: self.refused.wrapping_add(other.refused),
+            slowness_percent: self.slowness_percent.wrapping_add(other.slowness_percent),
+        }
+    }
+
+    /// What is left of a sum without one of its parts.
+    pub fn minus(&self, part: &Self) -> Self {
+        let counts = self.since(part);
+        Self {
+            in_flight: self.in_flight.saturating_sub(part.in_flight),
+            overdue: self.overdue.saturating_sub(part.overdue),
+            ..counts
+        }
+    }
+
+    /// The counts alone: what stays of a sender that is gone.
+    pub fn without_gauges(&self) -> Self {
+        Self {
+            in_flight: 0,
+            overdue: 0,
+            ..*self
+        }
+    }
+}
+
+impl ServiceTally {
+    /// The counts that came on top of an earlier tally.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            requests: self.requests.wrapping_sub(earlier.requests),
+            resends: self.resends.wrapping_sub(earlier.resends),
+        }
+    }
+
+    /// The sum of two tallies.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            requests: self.requests.wrapping_add(other.requests),
+            resends: self.resends.wrapping_add(other.resends),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wingspur-transport/src/backend.rs
@@ -0,0 +1,610 @@
+//! Connections to a backend server, none ever used out of step.
+//!
+//! HTTP/1.1 by hand over a published parser: what a faulty server sends (a second answer,
+//! half of one, an answer before the request is in) must be told apart byte by byte, and an
+//! answer that belongs to another request can be skipped for the one that follows it.
+
+use std::future::{Future, poll_fn};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::Poll;
+use std::time::{Duration, Instant};
+
+use bytes::{Buf, Bytes, BytesMut};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use http_body_util::BodyExt;
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
+use hyper::{Method, StatusCode};
+use smol::net::TcpStream;
+
+use crate::SendBody;
+
+/// The connections of this box to one backend server.
+#[derive(Debug)]
+pub struct Backend {
+    address: SocketAddr,
+    idle: Mutex<Vec<IdleConnection>>,
+    opened: AtomicUsize,
+}
+
+/// A connection in use for one request.
+///
+/// It goes back by `Backend::keep`, after its answer was read whole; when it is dropped
+/// instead, it closes.
+#[derive(Debug)]
+pub struct BackendConnection {
+    stream: TcpStream,
+    buffer: BytesMut,
+    /// How the body of the answer that is being read ends.
+    framing: Framing,
+    /// Whether another request may follow.
+    reusable: bool,
+    /// For how long it may rest before the server closes it.
+    rest_for: Duration,
+    /// Whether it has served a request before.
+    used: bool,
+}
+
+/// Which connection a request may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any that has not rested too long.
+    Any,
+    /// One that has rested no longer than this.
+    RestedAtMost(Duration),
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone)]
+pub struct AnswerHead {
+    /// The status.
+    pub status: StatusCode,
+    /// All headers, as the server sent them.
+    pub headers: HeaderMap,
+    /// The body's length in bytes, where the head tells it.
+    pub body_bytes: Option<u64>,
+}
+
+/// Why there is no connection: nothing was sent.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectError {
+    /// Nobody answered.
+    #[error("no connection within {0:?}")]
+    Silent(Duration),
+    /// The address refused, or cannot be reached.
+    #[error("no connection: {0}")]
+    Refused(io::Error),
+}
+
+/// Why an answer is missing or of no use: the request may have run.
+#[derive(Debug, thiserror::Error)]
+pub enum AnswerError {
+    /// The connection failed or ended before the whole answer was in.
+    #[error("the answer broke off: {0}")]
+    Broken(io::Error),
+    /// The bytes are no answer in HTTP/1.1.
+    #[error("the bytes are no answer: {0}")]
+    Unreadable(String),
+    /// The caller's body broke off or was too long.
+    #[error("the request's body broke off")]
+    RequestBody,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: BackendConnection,
+    since: Instant,
+}
+
+/// How a body ends, and how much of it is still to come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    Length(u64),
+    /// Bytes left of the present chunk; none between chunks.
+    Chunked(Option<u64>),
+    UntilClose,
+    Done,
+}
+
+impl Backend {
+    /// Starts with no connections.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: Mutex::default(),
+            opened: AtomicUsize::new(0),
+        }
+    }
+
+    /// Takes a kept connection, or opens one within `timeout`.
+    pub async fn connect(
+        &self,
+        reuse: Reuse,
+        timeout: Duration,
+    ) -> Result<BackendConnection, ConnectError> {
+        let now = Instant::now();
+        while let Some(mut connection) = self.take_idle(reuse, now) {
+            if connection.is_quiet().await {
+                return Ok(connection);
+            }
+        }
+        let connecting = async { Some(TcpStream::connect(self.address).await) };
+        let expired = async {
+            smol::Timer::after(timeout).await;
+            None
+        };
+        let stream = match connecting.or(expired).await {
+            Some(stream) => stream.map_err(ConnectError::Refused)?,
+            None => return Err(ConnectError::Silent(timeout)),
+        };
+        stream.set_nodelay(true).map_err(ConnectError::Refused)?;
+        self.opened.fetch_add(1, Ordering::Relaxed);
+        Ok(BackendConnection::new(stream))
+    }
+
+    /// Takes back a connection whose answer was read whole, if another may follow.
+    pub fn keep(&self, mut connection: BackendConnection) {
+        if !connection.may_follow() {
+            return;
+        }
+        // An idle connection holds no buffer.
+        connection.buffer = BytesMut::new();
+        connection.used = true;
+        let since = Instant::now();
+        let idle = IdleConnection { connection, since };
+        self.idle.lock().expect("no holder panics").push(idle);
+    }
+
+    /// Closes connections that have rested too long; false when none is left.
+    pub fn close_rested(&self, now: Instant) -> bool {
+        let mut idle = self.idle.lock().expect("no holder panics");
+        idle.retain(|idle| !idle.has_rested(idle.connection.rest_for, now));
+        !idle.is_empty()
+    }
+
+    /// Connections opened since the start.
+    pub fn opened(&self) -> usize {
+        self.opened.load(Ordering::Relaxed)
+    }
+
+    /// The newest kept connection that may still be used.
+    fn take_idle(&self, reuse: Reuse, now: Instant) -> Option<BackendConnection> {
+        let mut idle = self.idle.lock().expect("no holder panics");
+        let newest = idle.last()?;
+        let limit = match reuse {
+            Reuse::Any => newest.connection.rest_for,
+            Reuse::RestedAtMost(limit) => limit.min(newest.connection.rest_for),
+        };
+        if newest.has_rested(limit, now) {
+            return None;
+        }
+        idle.pop().map(|idle| idle.connection)
+    }
+}
+
+impl IdleConnection {
+    fn has_rested(&self, limit: Duration, now: Instant) -> bool {
+        now.saturating_duration_since(self.since) >= limit
+    }
+}
+
+impl BackendConnection {
+    fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            buffer: BytesMut::new(),
+            framing: Framing::Done,
+            reusable: true,
+            rest_for: REST_BY_DEFAULT,
+            used: false,
+        }
+    }
+
+    /// Whether it has served a request before this one.
+    pub fn is_used(&self) -> bool {
+        self.used
+    }
+
+    /// Sends a request and reads the head of what comes back.
+    ///
+    /// An answer that comes before the request is in ends the sending, and the connection
+    /// with its answer: the server may still read on, and must not take what follows for
+    /// the rest of the body.
+    pub async fn exchange(
+        &mut self,
+        head: Vec<u8>,
+        body: SendBody,
+        method: &Method,
+    ) -> Result<AnswerHead, AnswerError> {
+        let writer = self.stream.clone();
+        let mut sending = pin!(send(writer, head, body));
+        let (sent, answer) = {
+            let mut reading = pin!(self.read_head(method));
+            let mut sent = None;
+            poll_fn(|context| {
+                if sent.is_none()
+                    && let Poll::Ready(ended) = sending.as_mut().poll(context)
+                {
+                    if let Err(error @ AnswerError::RequestBody) = ended {
+                        return Poll::Ready((Some(Ok(())), Err(error)));
+                    }
+                    // A server that refuses early may close its side: its answer, not the
+                    // failed sending, tells what happened.
+                    sent = Some(ended);
+                }
+                reading
+                    .as_mut()
+                    .poll(context)
+                    .map(|answer| (sent.take(), answer))
+            })
+            .await
+        };
+        self.reusable &= matches!(sent, Some(Ok(())));
+        answer
+    }
+
+    /// Reads the head of the next answer, past interim ones.
+    pub async fn read_head(
+        &mut self,
+        method: &Method,
+    ) -> Result<AnswerHead, AnswerError> {
+        loop {
+            if let Some((head, length)) = parse_head(&self.buffer)? {
+                self.buffer.advance(length);
+                if head.status.is_informational() {
+                    continue;
+                }
+                return self.take_head(head, method);
+            }
+            if self.buffer.len() > MOST_HEAD_BYTES {
+                return Err(unreadable("its head is too long"));
+            }
+            if self.fill().await? == 0 {
+                return Err(ended_early());
+            }
+        }
+    }
+
+    /// The next piece of the answer's body; none at its end.
+    pub async fn next_piece(&mut self) -> Result<Option<Bytes>, AnswerError> {
+        loop {
+            match self.framing {
+                Framing::Done => return Ok(None),
+                Framing::Length(0) => self.framing = Framing::Done,
+                Framing::Length(left) => {
+                    let piece = self.take_piece(left).await?;
+                    self.framing = Framing::Length(left - piece.len() as u64);
+                    return Ok(Some(piece));
+                }
+                Framing::UntilClose => {
+                    if self.buffer.is_empty() && self.fill().await? == 0 {
+                        self.framing = Framing::Done;
+                        return Ok(None);
+                    }
+                    return Ok(Some(self.buffer.split().freeze()));
+                }
+                Framing::Chunked(None) => self.begin_chunk().await?,
+                Framing::Chunked(Some(0)) => {
+                    self.expect_line_end().await?;
+                    self.framing = Framing::Chunked(None);
+                }
+                Framing::Chunked(Some(left)) => {
+                    let piece = self.take_piece(left).await?;
+                    self.framing = Framing::Chunked(Some(left - piece.len() as u64));
+                    return Ok(Some(piece));
+                }
+            }
+        }
+    }
+
+    /// Reads the body to its end; none if it is longer than `limit`, with what came so far
+    /// kept for `next_piece`.
+    pub async fn read_whole(
+        &mut self,
+        limit: usize,
+    ) -> Result<Result<Bytes, Vec<Bytes>>, AnswerError> {
+        let mut pieces = Vec::new();
+        let mut length = 0;
+        while let Some(piece) = self.next_piece().await? {
+            length += piece.len();
+            pieces.push(piece);
+            if length > limit {
+                return Ok(Err(pieces));
+            }
+        }
+        Ok(Ok(join(pieces, length)))
+    }
+
+    /// Whether all of the answer has been read.
+    pub fn is_read(&self) -> bool {
+        matches!(self.framing, Framing::Done | Framing::Length(0))
+    }
+
+    /// Closes the connection after this answer, whatever the server says.
+    pub fn set_last(&mut self) {
+        self.reusable = false;
+    }
+
+    /// Whether another request may be sent: all was read, and nothing beyond.
+    fn may_follow(&self) -> bool {
+        self.reusable && self.is_read() && self.buffer.is_empty()
+    }
+
+    /// Whether the server has sent nothing and not closed while the connection rested.
+    async fn is_quiet(&mut self) -> bool {
+        let mut byte = [0];
+        let peeked = futures_lite::future::poll_once(self.stream.peek(&mut byte)).await;
+        peeked.is_none()
+    }
+
+    fn take_head(
+        &mut self,
+        head: ParsedHead,
+        method: &Method,
+    ) -> Result<AnswerHead, AnswerError> {
+        let ParsedHead {
+            status,
+            headers,
+            keeps,
+        } = head;
+        let bodiless = *method == Method::HEAD
+            || status == StatusCode::NO_CONTENT
+            || status == StatusCode::NOT_MODIFIED;
+        self.framing = if bodiless {
+            Framing::Done
+        } else {
+            framing_of(&headers)?
+        };
+        self.reusable &= keeps && self.framing != Framing::UntilClose;
+        if let Some(rest) = rest_of(&headers) {
+            self.rest_for = rest;
+        }
+        let body_bytes = match self.framing {
+            Framing::Length(length) => Some(length),
+            Framing::Done => Some(0),
+            Framing::Chunked(_) | Framing::UntilClose => None,
+        };
+        Ok(AnswerHead {
+            status,
+            headers,
+            body_bytes,
+        })
+    }
+
+    async fn take_piece(&mut self, most: u64) -> Result<Bytes, AnswerError> {
+        if self.buffer.is_empty() && self.fill().await? == 0 {
+            return Err(ended_early());
+        }
+        let length = most.min(self.buffer.len() as u64) as usize;
+        Ok(self.buffer.split_to(length).freeze())
+    }
+
+    async fn begin_chunk(&mut self) -> Result<(), AnswerError> {
+        loop {
+            match httparse::parse_chunk_size(&self.buffer) {
+                Ok(httparse::Status::Complete((head, 0))) => {
+                    self.buffer.advance(head);
+                    self.skip_trailers().await?;
+                    self.framing = Framing::Done;
+                    return Ok(());
+                }
+                Ok(httparse::Status::Complete((head, size))) => {
+                    self.buffer.advance(head);
+                    self.framing = Framing::Chunked(Some(size));
+                    return Ok(());
+                }
+                Ok(httparse::Status::Partial) => {}
+                Err(_) => return Err(unreadable("a chunk without a size")),
+            }
+            if self.buffer.len() > MOST_LINE_BYTES {
+                return Err(unreadable("a chunk's head is too long"));
+            }
+            if self.fill().await? == 0 {
+                return Err(ended_early());
+            }
+        }
+    }
+
+    async fn skip_trailers(&mut self) -> Result<(), AnswerError> {
+        loop {
+            let end = self.buffer.windows(2).position(|pair| pair == b"\r\n");
+            match end {
+                Some(0) => {
+                    self.buffer.advance(2);
+                    return Ok(());
+                }
+                Some(end) => self.buffer.advance(end + 2),
+                None if self.buffer.len() > MOST_LINE_BYTES => {
+                    return Err(unreadable("a trailer is too long"));
+                }
+                None if self.fill().await? == 0 => return Err(ended_early()),
+                None => {}
+            }
+        }
+    }
+
+    async fn expect_line_end(&mut self) -> Result<(), AnswerError> {
+        while self.buffer.len() < 2 {
+            if self.fill().await? == 0 {
+                return Err(ended_early());
+            }
+        }
+        if &self.buffer[..2] != b"\r\n" {
+            return Err(unreadable("a chunk does not end where it should"));
+        }
+        self.buffer.advance(2);
+        Ok(())
+    }
+
+    /// Reads more into the buffer; 0 when the server has closed.
+    async fn fill(&mut self) -> Result<usize, AnswerError> {
+        let held = self.buffer.len();
+        self.buffer.resize(held + READ_BYTES, 0);
+        let read = self.stream.read(&mut self.buffer[held..]).await;
+        self.buffer.truncate(held + *read.as_ref().unwrap_or(&0));
+        read.map_err(AnswerError::Broken)
+    }
+}
+
+struct ParsedHead {
+    status: StatusCode,
+    headers: HeaderMap,
+    /// Whether the server keeps the connection.
+    keeps: bool,
+}
+
+async fn send(
+    mut stream: TcpStream,
+    head: Vec<u8>,
+    body: SendBody,
+) -> Result<(), AnswerError> {
+    let broken = AnswerError::Broken;
+    match body {
+        SendBody::Whole(None) => stream.write_all(&head).await.map_err(broken),
+        SendBody::Whole(Some(bytes)) => {
+            let mut all = head;
+            all.extend_from_slice(&bytes);
+            stream.write_all(&all).await.map_err(broken)
+        }
+        streamed @ SendBody::Stream(..) => {
+            let chunked = hyper::body::Body::size_hint(&streamed).exact().is_none();
+            stream.write_all(&head).await.map_err(broken)?;
+            send_stream(stream, streamed, chunked).await
+        }
+    }
+}
+
+async fn send_stream(
+    mut stream: TcpStream,
+    mut body: SendBody,
+    chunked: bool,
+) -> Result<(), AnswerError> {
+    let broken = AnswerError::Broken;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| AnswerError::RequestBody)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if data.is_empty() {
+            continue;
+        }
+        if chunked {
+            let size = format!("{:x}\r\n", data.len());
+            stream.write_all(size.as_bytes()).await.map_err(broken)?;
+        }
+        stream.write_all(&data).await.map_err(broken)?;
+        if chunked {
+            stream.write_all(b"\r\n").await.map_err(broken)?;
+        }
+    }
+    if chunked {
+        stream.write_all(b"0\r\n\r\n").await.map_err(broken)?;
+    }
+    Ok(())
+}
+
+/// Reads a head at the start of the bytes, with its length; none while it is not all in.
+fn parse_head(bytes: &[u8]) -> Result<Option<(ParsedHead, usize)>, AnswerError> {
+    let mut space = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut parsed = httparse::Response::new(&mut space);
+    let length = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(error) => return Err(unreadable(&error.to_string())),
+    };
+    let status = StatusCode::from_u16(parsed.code.unwrap_or_default());
+    let status = status.map_err(|_| unreadable("a status out of range"))?;
+    let mut headers = HeaderMap::with_capacity(parsed.headers.len());
+    for header in parsed.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let name = name.map_err(|_| unreadable("a header's name"))?;
+        let value = HeaderValue::from_bytes(header.value);
+        let value = value.map_err(|_| unreadable("a header's value"))?;
+        headers.append(name, value);
+    }
+    let keeps = parsed.version == Some(1) && !has_token(&headers, &CONNECTION, "close");
+    let head = ParsedHead {
+        status,
+        headers,
+        keeps,
+    };
+    Ok(Some((head, length)))
+}
+
+fn framing_of(headers: &HeaderMap) -> Result<Framing, AnswerError> {
+    let lengths = headers.get_all(CONTENT_LENGTH);
+    let mut lengths = lengths
+        .iter()
+        .map(|value| value.to_str().ok()?.parse().ok());
+    let length: Option<Option<u64>> = lengths.next();
+    if headers.contains_key(TRANSFER_ENCODING) {
+        if length.is_some() || !has_token(headers, &TRANSFER_ENCODING, "chunked") {
+            return Err(unreadable("two readers could frame it differently"));
+        }
+        return Ok(Framing::Chunked(None));
+    }
+    match length {
+        None => Ok(Framing::UntilClose),
+        Some(Some(length)) if lengths.all(|other| other == Some(length)) => {
+            Ok(Framing::Length(length))
+        }
+        Some(_) => Err(unreadable("its length")),
+    }
+}
+
+/// For how long the server says that it keeps a resting connection, with a margin.
+fn rest_of(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text.split(',').find_map(|part| {
+        let (name, value) = part.trim().split_once('=')?;
+        name.eq_ignore_ascii_case("timeout")
+            .then(|| value.trim().parse().ok())?
+    });
+    let whole = Duration::from_secs(seconds?);
+    Some(whole.mul_f64(REST_SHARE))
+}
+
+fn has_token(headers: &HeaderMap, name: &HeaderName, token: &str) -> bool {
+    let values = headers.get_all(name);
+    let mut texts = values.iter().filter_map(|value| value.to_str().ok());
+    texts.any(|text| {
+        text.split(',')
+            .any(|part| part.trim().eq_ignore_ascii_case(token))
+    })
+}
+
+fn join(mut pieces: Vec<Bytes>, length: usize) -> Bytes {
+    if pieces.len() == 1 {
+        return pieces.remove(0);
+    }
+    let mut whole = BytesMut::with_capacity(length);
+    for piece in pieces {
+        whole.extend_from_slice(&piece);
+    }
+    whole.freeze()
+}
+
+fn unreadable(reason: &str) -> AnswerError {
+    AnswerError::Unreadable(reason.to_owned())
+}
+
+fn ended_early() -> AnswerError {
+    AnswerError::Broken(io::ErrorKind::UnexpectedEof.into())
+}
+
+/// Read at once from a server; more makes fewer system calls of a long answer.
+const READ_BYTES: usize = 16 << 10;
+/// The longest head of an answer.
+const MOST_HEAD_BYTES: usize = 64 << 10;
+const MOST_LINE_BYTES: usize = 8 << 10;
+const MOST_HEADERS: usize = 96;
+/// How long a connection may rest when its server does not say.
+const REST_BY_DEFAULT: Duration = Duration::from_secs(4);
+/// Used up to this share of the time that the server gives: its clock runs ahead of ours by
+/// what the answer took to arrive.
+const REST_SHARE: f64 = 0.75;
--- a/crates/wingspur-transport/src/body.rs
+++ b/crates/wingspur-transport/src/body.rs
@@ -20,6 +20,14 @@
         Self::Whole(Some(bytes))
     }
 
+    /// A second copy of a body that is held in memory; none of a streamed one.
+    pub fn copy(&self) -> Option<Self> {
+        match self {
+            Self::Whole(bytes) => Some(Self::Whole(Option::<Bytes>::clone(bytes))),
+            Self::Stream(..) => None,
+        }
+    }
+
     /// No body.
     pub fn empty() -> Self {
         Self::Whole(None)
--- a/crates/wingspur-transport/src/exchange.rs
+++ b/crates/wingspur-transport/src/exchange.rs
@@ -11,9 +11,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::SendRequest;
-use hyper::header::{ETAG, IF_NONE_MATCH};
+use hyper::header::{ETAG, HOST, HeaderValue, IF_NONE_MATCH};
 use hyper::http::response::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
@@ -137,6 +137,26 @@
         Ok(Some((body, validator.map(str::to_owned))))
     }
 
+    /// Sends a request and returns the reply's status and body, whatever the status.
+    pub async fn request(
+        &self,
+        to: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), ExchangeError> {
+        let mut request = Request::new(Full::new(Bytes::from(body)));
+        *request.method_mut() = method;
+        *request.uri_mut() = path.parse().map_err(|_| ExchangeError::Reply)?;
+        let host = HeaderValue::from_str(&to.to_string());
+        request
+            .headers_mut()
+            .insert(HOST, host.expect("addresses are visible characters"));
+        let (parts, body) = self.call_for_head(to, request, timeout).await?;
+        Ok((parts.status, body))
+    }
+
     /// Opens a stream of replies, such as a watch; its connection is not reused.
     pub async fn open_stream(
         &self,
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -1,6 +1,8 @@
 //! Sockets: listeners, backend connections, the store client and the peer client.
 
+mod backend;
 mod body;
+mod catalog;
 mod exchange;
 mod faults;
 mod listener;
@@ -10,7 +12,11 @@
 mod tls;
 mod workers;
 
+pub use backend::{
+    AnswerError, AnswerHead, Backend, BackendConnection, ConnectError, Reuse,
+};
 pub use body::{BodyError, SendBody};
+pub use catalog::{Catalog, CatalogError, CatalogFuture, LeaseId};
 pub use exchange::{Exchange, ExchangeError, ExchangeTotals};
 pub use faults::{LinkFault, LinkFaults};
 pub use listener::{HttpListener, ListenerCounts, ListenerOptions};
--- a/tests/tests/cases/mod.rs
+++ b/tests/tests/cases/mod.rs
@@ -10,7 +10,7 @@
 use wingspur_bench::{
     Decider, Scenario, StoreFault, StoreStandIn, TraceSource, replay, service_of,
 };
-use wingspur_entry::parse_settings;
+use wingspur_edge::parse_settings;
 use wingspur_protocol::{SignedBundle, StoreKeys, sign_bundle};
 use wingspur_state::{
     AttemptEnd, Bundle, RetryBudget, RetryDecision, RetryRules, RouteClass, check_bundle,
@@ -75,11 +75,11 @@
         let decision = decide_retry(
             parse_end(&row.end)?,
             row.class,
-            &RetryRules::default(),
+            RetryRules::default().retries + 1,
             Duration::from_millis(row.remaining_ms),
-            row.tried,
+            usize::from(row.tried),
             row.body_kept,
-            &budget,
+            budget.allows(),
         );
         let name = match decision {
             RetryDecision::Retry(reason) => reason.as_str(),
@@ -97,6 +97,7 @@
         "not_sent" => AttemptEnd::NotSent,
         "refused_before_running" => AttemptEnd::RefusedBeforeRunning,
         "in_doubt" => AttemptEnd::InDoubt,
+        "server_error" => AttemptEnd::ServerError,
         "answered" => AttemptEnd::Answered,
         "cut" => AttemptEnd::Cut,
         other => return Err(format!("no such end: {other}").into()),
--- a/tests/tests/pages.rs
+++ b/tests/tests/pages.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use wingspur_entry::load_settings;
+use wingspur_edge::load_settings;
 use wingspur_protocol::{ResultCode, RunState};
 use wingspur_state::{Bundle, check_bundle};
 
