--- /dev/null
+++ b/crates/wingspur-coordination/src/link_plan.rs
@@ -0,0 +1,161 @@
+//! Whom a box should keep links with: the hub of its data centre, or other hubs.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use wingspur_protocol::{BoxRecord, LinkRole};
+use wingspur_state::{BoxId, DataCentreId};
+
+use crate::hash_of;
+
+/// Chooses a box's links from the announced boxes, past those that cannot be reached.
+#[derive(Debug)]
+pub struct LinkPlanner {
+    own: BoxRecord,
+    boxes: BTreeMap<BoxId, BoxRecord>,
+    /// Boxes that could not be reached, until when they are passed over, and how often
+    /// in a row.
+    avoided: HashMap<BoxId, (Instant, u32)>,
+}
+
+/// A link that should stand.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlannedLink {
+    /// With whom.
+    pub to: BoxRecord,
+    /// What this box is on it.
+    pub role: LinkRole,
+}
+
+impl LinkPlanner {
+    /// Knows this box only.
+    pub fn new(own: BoxRecord) -> Self {
+        Self {
+            own,
+            boxes: BTreeMap::new(),
+            avoided: HashMap::new(),
+        }
+    }
+
+    /// Takes in an announced box.
+    pub fn put(&mut self, record: BoxRecord) {
+        if record.id == self.own.id {
+            return;
+        }
+        let before = self.boxes.insert(record.id.clone(), record.clone());
+        if before.is_some_and(|before| before.incarnation != record.incarnation) {
+            self.avoided.remove(&record.id);
+        }
+    }
+
+    /// Takes in that a box is not announced any more.
+    pub fn remove(&mut self, id: &BoxId) {
+        self.boxes.remove(id);
+    }
+
+    /// Takes in a whole listing.
+    pub fn replace(&mut self, listing: Vec<BoxRecord>) {
+        let listed = |id: &BoxId| listing.iter().any(|record| record.id == *id);
+        self.boxes.retain(|id, _| listed(id));
+        listing.into_iter().for_each(|record| self.put(record));
+    }
+
+    /// The announced boxes, without this one.
+    pub fn boxes(&self) -> impl Iterator<Item = &BoxRecord> {
+        self.boxes.values()
+    }
+
+    /// The number of boxes, this one included.
+    pub fn size(&self) -> usize {
+        self.boxes.len() + 1
+    }
+
+    /// Passes a box over for a while, longer each time in a row.
+    pub fn avoid(&mut self, id: &BoxId, now: Instant) {
+        let (_, before) = self.avoided.get(id).copied().unwrap_or((now, 0));
+        let times = before + 1;
+        let hold = FIRST_AVOIDANCE * 2u32.pow((times - 1).min(MOST_DOUBLINGS));
+        self.avoided.insert(id.clone(), (now + hold, times));
+    }
+
+    /// Notes that a box was reached.
+    pub fn reached(&mut self, id: &BoxId) {
+        self.avoided.remove(id);
+    }
+
+    /// The links that should stand now.
+    pub fn plan(&self, now: Instant) -> Vec<PlannedLink> {
+        if let Some(hub) = self.hub_of(&self.own.data_centre, now) {
+            return vec![PlannedLink {
+                to: hub.clone(),
+                role: LinkRole::Member,
+            }];
+        }
+        // One side of each pair of hubs opens the link; a stand-in, whom the others may
+        // not take for a hub, opens all of its own.
+        let stands_in = !self.is_first_by_rank();
+        let mut links = Vec::new();
+        for data_centre in self.other_data_centres() {
+            let opens = stands_in || self.own.data_centre < data_centre;
+            if let Some(hub) = self.hub_of(&data_centre, now).filter(|_| opens) {
+                links.push(PlannedLink {
+                    to: hub.clone(),
+                    role: LinkRole::Hub,
+                });
+            }
+        }
+        links
+    }
+
+    /// This box's place among the boxes of its data centre, 0 for the first.
+    pub fn rank(&self) -> usize {
+        let own = rank_of(&self.own);
+        let inside = self.inside(&self.own.data_centre);
+        inside.filter(|record| rank_of(record) < own).count()
+    }
+
+    /// The best box of a data centre; none where that is this box.
+    fn hub_of(&self, data_centre: &DataCentreId, now: Instant) -> Option<&BoxRecord> {
+        let reachable = self.inside(data_centre).filter(|record| {
+            let avoided = self.avoided.get(&record.id);
+            avoided.is_none_or(|(until, _)| *until <= now)
+        });
+        let best = reachable.min_by_key(|record| rank_of(record))?;
+        let own_is_better =
+            *data_centre == self.own.data_centre && rank_of(&self.own) < rank_of(best);
+        (!own_is_better).then_some(best)
+    }
+
+    fn is_first_by_rank(&self) -> bool {
+        self.rank() == 0
+    }
+
+    fn inside(&self, data_centre: &DataCentreId) -> impl Iterator<Item = &BoxRecord> {
+        self.boxes
+            .values()
+            .filter(move |record| record.data_centre == *data_centre)
+    }
+
+    fn other_data_centres(&self) -> Vec<DataCentreId> {
+        let mut names: Vec<DataCentreId> = self
+            .boxes
+            .values()
+            .map(|record| record.data_centre.clone())
+            .filter(|name| *name != self.own.data_centre)
+            .collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+}
+
+/// Rendezvous: the smallest hash of data centre and box goes first.
+fn rank_of(record: &BoxRecord) -> (u64, &BoxId) {
+    let name = format!("{}/{}", record.data_centre, record.id);
+    (hash_of(&name), &record.id)
+}
+
+/// A box that could not be reached is tried again after this.
+const FIRST_AVOIDANCE: Duration = Duration::from_secs(2);
+/// At most sixteen times as long.
+const MOST_DOUBLINGS: u32 = 4;
--- /dev/null
+++ b/crates/wingspur-coordination/src/rollup.rs
@@ -0,0 +1,317 @@
+//! Adds up what boxes have seen, and says what each link should hear of it.
+//!
+//! Every box has a rollup. Its own tallies and those of its members, if it is a hub, add up
+//! to its total. A link is told the total without what came from that link itself, so
+//! nobody hears its own voice. Digests of other hubs are passed on to members as they are.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use wingspur_protocol::Digest;
+use wingspur_state::{KeyedTally, ServerKey, ServerTally, ServiceTally, SourceId};
+
+/// What a box knows of the work of others, and what it has told whom.
+#[derive(Debug)]
+pub struct Rollup {
+    source: SourceId,
+    total: Tallies,
+    links: BTreeMap<LinkId, Link>,
+    /// What other hubs told, by source, with the link that it came by.
+    foreign: HashMap<SourceId, (LinkId, Tallies)>,
+}
+
+/// Names a link of this box.
+pub type LinkId = u64;
+
+/// The link that stands for this box itself.
+pub const OWN_LINK: LinkId = 0;
+
+/// What a link is to this box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkKind {
+    /// Its tallies add to this box's total, and it hears everything.
+    Member,
+    /// Its tallies are another hub's, and it hears this box's total only.
+    Hub,
+}
+
+/// News for this box's own tables, from one source.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SourceNews {
+    /// Who told.
+    pub source: SourceId,
+    /// Server tallies as they stand, with the counts that are new.
+    pub servers: Vec<(KeyedTally, ServerTally)>,
+    /// New counts of services.
+    pub services: Vec<(u64, ServiceTally)>,
+}
+
+#[derive(Debug, Default, Clone)]
+struct Tallies {
+    servers: HashMap<ServerKey, ServerTally>,
+    services: HashMap<u64, ServiceTally>,
+}
+
+#[derive(Debug)]
+struct Link {
+    kind: LinkKind,
+    /// What a member has told.
+    told: Tallies,
+    /// What it has not heard yet of this box's total.
+    unheard: Unheard,
+    /// What it has not heard yet of other hubs.
+    unheard_foreign: BTreeMap<SourceId, Unheard>,
+}
+
+/// Keys that have changed since a link was told; all of them for a new link.
+#[derive(Debug, Default)]
+struct Unheard {
+    whole: bool,
+    servers: BTreeSet<ServerKey>,
+    services: BTreeSet<u64>,
+}
+
+impl Rollup {
+    /// A rollup that speaks as `source`.
+    pub fn new(source: SourceId) -> Self {
+        let mut rollup = Self {
+            source,
+            total: Tallies::default(),
+            links: BTreeMap::new(),
+            foreign: HashMap::new(),
+        };
+        rollup.add_link(OWN_LINK, LinkKind::Member);
+        rollup
+    }
+
+    /// Takes up a link.
+    pub fn add_link(&mut self, id: LinkId, kind: LinkKind) {
+        let whole = || Unheard {
+            whole: true,
+            ..Unheard::default()
+        };
+        let mut unheard_foreign = BTreeMap::new();
+        if kind == LinkKind::Member {
+            unheard_foreign.extend(self.foreign.keys().map(|source| (*source, whole())));
+        }
+        let link = Link {
+            kind,
+            told: Tallies::default(),
+            unheard: whole(),
+            unheard_foreign,
+        };
+        self.links.insert(id, link);
+    }
+
+    /// Gives up a link; returns the sources that are not heard any more. What a member has
+    /// counted stays counted, what it had out does not.
+    pub fn drop_link(&mut self, id: LinkId) -> Vec<SourceId> {
+        let Some(link) = self.links.remove(&id) else {
+            return Vec::new();
+        };
+        let mut changed = Vec::new();
+        for (key, told) in &link.told.servers {
+            let total = self.total.servers.entry(*key).or_default();
+            *total = total.minus(told).plus(&told.without_gauges());
+            changed.push(*key);
+        }
+        self.mark(None, &changed, &[]);
+        let by_link = self.foreign.iter().filter(|(_, (by, _))| *by == id);
+        let lost: Vec<SourceId> = by_link.map(|(source, _)| *source).collect();
+        for source in &lost {
+            self.foreign.remove(source);
+            for link in self.links.values_mut() {
+                link.unheard_foreign.remove(source);
+            }
+        }
+        lost
+    }
+
+    /// Takes in a digest that came by a link.
+    pub fn hear(&mut self, id: LinkId, digest: &Digest) {
+        match self.links.get(&id).map(|link| link.kind) {
+            Some(LinkKind::Member) => self.hear_member(id, digest),
+            Some(LinkKind::Hub) => self.hear_hub(id, digest),
+            None => {}
+        }
+    }
+
+    /// What a link should be told now; empty when it has heard all.
+    pub fn compose(&mut self, id: LinkId) -> Vec<Digest> {
+        let Some(link) = self.links.get_mut(&id) else {
+            return Vec::new();
+        };
+        let mut digests = Vec::new();
+        let unheard = std::mem::take(&mut link.unheard);
+        if !unheard.is_empty() {
+            let digest = self.total.without(&link.told, &unheard);
+            digests.push(Digest {
+                source: self.source,
+                ..digest
+            });
+        }
+        for (source, unheard) in &mut link.unheard_foreign {
+            let unheard = std::mem::take(unheard);
+            let Some((_, tallies)) = self.foreign.get(source) else {
+                continue;
+            };
+            if !unheard.is_empty() {
+                let digest = tallies.without(&Tallies::default(), &unheard);
+                digests.push(Digest {
+                    source: *source,
+                    ..digest
+                });
+            }
+        }
+        digests
+    }
+
+    /// Whether a link has something to hear.
+    pub fn has_news(&self, id: LinkId) -> bool {
+        let Some(link) = self.links.get(&id) else {
+            return false;
+        };
+        let foreign = link.unheard_foreign.values();
+        let any_foreign = foreign.into_iter().any(|unheard| !unheard.is_empty());
+        !link.unheard.is_empty() || any_foreign
+    }
+
+    fn hear_member(&mut self, id: LinkId, digest: &Digest) {
+        let Some(link) = self.links.get_mut(&id) else {
+            return;
+        };
+        let mut servers = Vec::new();
+        for (key, tally) in &digest.servers {
+            let told = link.told.servers.entry(*key).or_default();
+            let total = self.total.servers.entry(*key).or_default();
+            *total = total.minus(told).plus(tally);
+            *told = *tally;
+            servers.push(*key);
+        }
+        let mut services = Vec::new();
+        for (key, tally) in &digest.services {
+            let told = link.told.services.entry(*key).or_default();
+            let total = self.total.services.entry(*key).or_default();
+            *total = total.plus(&tally.since(told));
+            *told = *tally;
+            services.push(*key);
+        }
+        self.mark(Some(id), &servers, &services);
+    }
+
+    fn hear_hub(&mut self, id: LinkId, digest: &Digest) {
+        if digest.source == self.source {
+            return;
+        }
+        let fresh = || (id, Tallies::default());
+        let entry = self.foreign.entry(digest.source).or_insert_with(fresh);
+        if digest.whole {
+            entry.1 = Tallies::default();
+        }
+        entry.0 = id;
+        entry.1.servers.extend(digest.servers.iter().copied());
+        entry.1.services.extend(digest.services.iter().copied());
+        let members = self.links.iter_mut();
+        for (_, link) in members.filter(|(_, link)| link.kind == LinkKind::Member) {
+            let unheard = link.unheard_foreign.entry(digest.source).or_default();
+            unheard.whole |= digest.whole;
+            unheard
+                .servers
+                .extend(digest.servers.iter().map(|(key, _)| *key));
+            unheard
+                .services
+                .extend(digest.services.iter().map(|(key, _)| *key));
+        }
+    }
+
+    /// Notes for all links but one that parts of the total have changed.
+    fn mark(&mut self, but: Option<LinkId>, servers: &[ServerKey], services: &[u64]) {
+        for (id, link) in &mut self.links {
+            if Some(*id) != but {
+                link.unheard.servers.extend(servers);
+                link.unheard.services.extend(services);
+            }
+        }
+    }
+}
+
+impl Tallies {
+    /// The tallies of some keys without what one link has told of them.
+    fn without(&self, told: &Self, unheard: &Unheard) -> Digest {
+        let of_server = |key: &ServerKey| {
+            let own = told.servers.get(key).copied().unwrap_or_default();
+            let total = self.servers.get(key).copied().unwrap_or_default();
+            (*key, total.minus(&own))
+        };
+        let of_service = |key: &u64| {
+            let own = told.services.get(key).copied().unwrap_or_default();
+            let total = self.services.get(key).copied().unwrap_or_default();
+            (*key, total.since(&own))
+        };
+        let (servers, services) = match unheard.whole {
+            true => (
+                self.servers.keys().map(of_server).collect(),
+                self.services.keys().map(of_service).collect(),
+            ),
+            false => (
+                unheard.servers.iter().map(of_server).collect(),
+                unheard.services.iter().map(of_service).collect(),
+            ),
+        };
+        Digest {
+            source: 0,
+            whole: unheard.whole,
+            servers,
+            services,
+        }
+    }
+}
+
+impl Unheard {
+    fn is_empty(&self) -> bool {
+        !self.whole && self.servers.is_empty() && self.services.is_empty()
+    }
+}
+
+/// Turns digests into news: tallies as they stand with the counts that are new.
+#[derive(Debug, Default)]
+pub struct NewsReader {
+    known: HashMap<SourceId, Tallies>,
+}
+
+impl NewsReader {
+    /// Reads a digest; the first of a source only sets what later ones are compared with.
+    pub fn read(&mut self, digest: &Digest) -> SourceNews {
+        let first = !self.known.contains_key(&digest.source);
+        let known = self.known.entry(digest.source).or_default();
+        let mut servers = Vec::with_capacity(digest.servers.len());
+        for (key, tally) in &digest.servers {
+            let before = known.servers.insert(*key, *tally);
+            let news = match before {
+                Some(before) => tally.since(&before),
+                None if first => ServerTally::default(),
+                None => *tally,
+            };
+            servers.push(((*key, *tally), news));
+        }
+        let mut services = Vec::with_capacity(digest.services.len());
+        for (key, tally) in &digest.services {
+            let before = known.services.insert(*key, *tally);
+            let news = match before {
+                Some(before) => tally.since(&before),
+                None if first => ServiceTally::default(),
+                None => *tally,
+            };
+            services.push((*key, news));
+        }
+        SourceNews {
+            source: digest.source,
+            servers,
+            services,
+        }
+    }
+
+    /// Forgets a source that is not heard any more.
+    pub fn forget(&mut self, source: SourceId) {
+        self.known.remove(&source);
+    }
+}
--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -75,6 +75,7 @@
 
 /// An attempt that is out; dropping it counts it as abandoned.
 pub struct AttemptGuard {
+    shared: Arc<Shared>,
     service: Arc<ServiceState>,
     backend: Arc<Backend>,
     id: Option<AttemptId>,
@@ -292,7 +293,9 @@
         let mut balancer = plan.service.balancer.lock();
         let id = balancer.begin(server.key(), typical, Instant::now());
         drop(balancer);
+        plan.shared.news.poke();
         Self {
+            shared: plan.shared.clone(),
             service: plan.service.clone(),
             backend,
             id: Some(id),
@@ -314,6 +317,7 @@
     fn end(&mut self, ended: Ended) {
         if let Some(id) = self.id.take() {
             self.service.balancer.lock().end(id, ended, Instant::now());
+            self.shared.news.poke();
         }
     }
 }
--- /dev/null
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -0,0 +1,165 @@
+//! What this box knows of the catalog, whoever read it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use wingspur_coordination::LinkId;
+use wingspur_protocol::{
+    CatalogChange, CatalogChanges, CatalogListing, CatalogUpdate, Revision,
+};
+
+use crate::exchange::spread;
+use crate::shared::Shared;
+
+/// Takes in news of the catalog that came by a link, and passes on what was news here.
+pub fn apply_update(
+    shared: &Arc<Shared>,
+    update: CatalogUpdate,
+    from: Option<LinkId>,
+    now: Instant,
+) {
+    let known = shared.links.lock().revision();
+    let (after, revision, doubtful_ms) = match &update {
+        CatalogUpdate::Listing {
+            listing,
+            doubtful_ms,
+        } => (0, listing.revision, *doubtful_ms),
+        CatalogUpdate::Changes {
+            changes,
+            doubtful_ms,
+        } => (changes.after, changes.revision, *doubtful_ms),
+    };
+    if revision <= known {
+        return;
+    }
+    if after > known {
+        // Changes in between never came this way.
+        if let Some(link) = from {
+            shared.links.lock().ask_for_listing(link);
+            shared.news.poke();
+        }
+        return;
+    }
+    let doubtful = Duration::from_millis(u64::from(doubtful_ms));
+    shared.directory.lock().read_by_another(doubtful, now);
+    spread(shared, &update, from);
+    match update {
+        CatalogUpdate::Listing { listing, .. } => {
+            apply_listing(shared, listing, "peer", now);
+        }
+        CatalogUpdate::Changes { changes, .. } => {
+            apply_changes(shared, changes, "peer", now);
+        }
+    }
+}
+
+/// Takes in a listing that this box read itself, and spreads it.
+pub fn take_listing(shared: &Arc<Shared>, listing: CatalogListing, now: Instant) {
+    let known = shared.links.lock().revision();
+    if listing.revision > known {
+        let update = CatalogUpdate::Listing {
+            listing: listing.clone(),
+            doubtful_ms: doubtful_ms(shared, now),
+        };
+        spread(shared, &update, None);
+    }
+    apply_listing(shared, listing, "store", now);
+}
+
+/// Takes in changes that this box read itself, and spreads them.
+pub fn take_changes(shared: &Arc<Shared>, changes: CatalogChanges, now: Instant) {
+    if !changes.changes.is_empty() {
+        let update = CatalogUpdate::Changes {
+            changes: changes.clone(),
+            doubtful_ms: doubtful_ms(shared, now),
+        };
+        spread(shared, &update, None);
+    }
+    apply_changes(shared, changes, "store", now);
+}
+
+/// All that this box knows, for a peer that is behind.
+pub fn listing_of(shared: &Shared, now: Instant) -> CatalogUpdate {
+    let (revision, boxes) = {
+        let mut links = shared.links.lock();
+        let own = links.own().clone();
+        let known = links.planner().boxes().cloned();
+        let boxes = known.chain([own]).collect();
+        (links.revision(), boxes)
+    };
+    let in_force = shared.in_force();
+    let listing = CatalogListing {
+        revision,
+        bundle: in_force.map(|in_force| in_force.bundle.clone()),
+        servers: shared.directory.lock().records().cloned().collect(),
+        boxes,
+    };
+    CatalogUpdate::Listing {
+        listing,
+        doubtful_ms: doubtful_ms(shared, now),
+    }
+}
+
+fn apply_listing(
+    shared: &Arc<Shared>,
+    listing: CatalogListing,
+    source: &str,
+    now: Instant,
+) -> Revision {
+    if let Some(bundle) = listing.bundle {
+        shared.put_in_force(bundle, source);
+    }
+    let changes = shared.directory.lock().replace(listing.servers, now);
+    shared.follow(&changes, source);
+    let mut links = shared.links.lock();
+    links.planner().replace(listing.boxes);
+    links.feed().reach(listing.revision);
+    drop(links);
+    shared.share_out();
+    shared.replan.poke();
+    listing.revision
+}
+
+fn apply_changes(
+    shared: &Arc<Shared>,
+    changes: CatalogChanges,
+    source: &str,
+    now: Instant,
+) -> Revision {
+    let mut followed = Vec::new();
+    let mut boxes_changed = false;
+    for change in changes.changes {
+        match change {
+            CatalogChange::Bundle(bundle) => {
+                shared.put_in_force(bundle, source);
+                shared.share_out();
+            }
+            CatalogChange::Server(record) => {
+                followed.extend(shared.directory.lock().put(record));
+            }
+            CatalogChange::ServerGone(id) => {
+                followed.extend(shared.directory.lock().remove(&id, now));
+            }
+            CatalogChange::Box(record) => {
+                shared.links.lock().planner().put(record);
+                boxes_changed = true;
+            }
+            CatalogChange::BoxGone(id) => {
+                shared.links.lock().planner().remove(&id);
+                boxes_changed = true;
+            }
+        }
+    }
+    shared.follow(&followed, source);
+    shared.links.lock().feed().reach(changes.revision);
+    if boxes_changed {
+        shared.share_out();
+        shared.replan.poke();
+    }
+    changes.revision
+}
+
+fn doubtful_ms(shared: &Shared, now: Instant) -> u32 {
+    let doubtful = shared.directory.lock().doubtful_for(now);
+    doubtful.as_millis().min(u128::from(u32::MAX)) as u32
+}
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -5,13 +5,15 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use futures_lite::FutureExt;
 use smol::net::TcpListener;
 use wingspur_protocol::HeaderNames;
 use wingspur_transport::{
     Catalog, HttpListener, ListenerOptions, Spawner, StopSignal, StopTrigger, stop_pair,
 };
 
-use crate::feed::run_feed;
+use crate::exchange::{answer_peer, run_exchange, run_links};
+use crate::feed::{run_announcement, run_feed};
 use crate::operator::answer_operator;
 use crate::request::answer_caller;
 use crate::settings::Settings;
@@ -22,6 +24,7 @@
 pub struct EdgeBox {
     shared: Arc<Shared>,
     callers: HttpListener,
+    peers: HttpListener,
     operators: HttpListener,
     stop: StopTrigger,
     tasks: Vec<smol::Task<()>>,
@@ -51,8 +54,9 @@
         spawner: &Spawner,
     ) -> Result<Self, EdgeError> {
         let caller_port = bind("caller_address", settings.caller_address).await?;
+        let peer_port = bind("peer_address", settings.peer_address).await?;
         let operator_port = bind("operator_address", settings.operator_address).await?;
-        let shared = Shared::new(settings, names, catalog);
+        let shared = Shared::new(settings, names, catalog, spawner.clone());
         let shared = Arc::new(shared);
         let options = ListenerOptions::default();
         let caller_shared = shared.clone();
@@ -60,6 +64,10 @@
             move |request, from| answer_caller(caller_shared.clone(), request, from);
         let callers = HttpListener::start(caller_port, spawner, options.clone(), handler);
         let callers = callers.map_err(|error| lost("caller_address", error))?;
+        let peer_shared = shared.clone();
+        let handler = move |request, _| answer_peer(peer_shared.clone(), request);
+        let peers = HttpListener::start(peer_port, spawner, options.clone(), handler);
+        let peers = peers.map_err(|error| lost("peer_address", error))?;
         let operator_shared = shared.clone();
         let handler = move |request, _| answer_operator(operator_shared.clone(), request);
         let operators = HttpListener::start(operator_port, spawner, options, handler);
@@ -67,11 +75,15 @@
         let (stop, signal) = stop_pair();
         let tasks = vec![
             spawner.spawn(run_feed(shared.clone(), signal.clone())),
+            spawner.spawn(run_announcement(shared.clone(), signal.clone())),
+            spawner.spawn(run_links(shared.clone(), signal.clone())),
+            spawner.spawn(run_exchange(shared.clone(), signal.clone())),
             spawner.spawn(tidy(shared.clone(), signal)),
         ];
         Ok(Self {
             shared,
             callers,
+            peers,
             operators,
             stop,
             tasks,
@@ -88,6 +100,7 @@
             "stop: not ready from now on."
         );
         self.shared.leaving.store(true, Ordering::Release);
+        self.withdraw().await;
         // The balancer learns of it late, and sends callers until then.
         smol::Timer::after(lag).await;
         let cut = self.callers.close(limit).await;
@@ -95,10 +108,26 @@
         for task in self.tasks {
             task.cancel().await;
         }
+        self.peers.close(Duration::ZERO).await;
         self.operators.close(PORT_LIMIT).await;
         tracing::info!(cut, "stop: done.");
         cut
     }
+
+    /// Ends the announcement, so that the others look for another hub in time.
+    async fn withdraw(&self) {
+        let Some(lease) = self.shared.lease.lock().take() else {
+            return;
+        };
+        let withdrawing = async { (self.shared.catalog.withdraw)(lease).await };
+        let expired = async {
+            smol::Timer::after(PORT_LIMIT).await;
+            Ok(())
+        };
+        if let Err(error) = withdrawing.or(expired).await {
+            tracing::info!(%error, "lease: not ended, it will lapse.");
+        }
+    }
 }
 
 /// Marks overdue attempts and closes connections that have rested, until the box stops.
--- /dev/null
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -0,0 +1,278 @@
+//! Keeps the links that should stand, and the news going over them.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use wingspur_coordination::{LinkId, PlannedLink, SourceNews};
+use wingspur_protocol::{
+    CatalogUpdate, Digest, Frame, Hello, LINK_PROTOCOL_VERSION, LinkRole,
+};
+use wingspur_state::{SourceId, server_key};
+use wingspur_transport::{
+    LinkBody, LinkError, LinkReceiver, LinkSender, StopSignal, accept_link,
+    empty_link_body, open_link,
+};
+
+use crate::catalog_state::{apply_update, listing_of};
+use crate::shared::Shared;
+
+/// Opens and closes links until the box stops.
+pub async fn run_links(shared: Arc<Shared>, stop: StopSignal) {
+    while !stop.is_given() {
+        let (missing, unplanned) = shared.links.lock().differences(Instant::now());
+        for id in unplanned {
+            drop_link(&shared, id, "another hub took its place");
+        }
+        for planned in missing {
+            keep_link(&shared, planned).await;
+        }
+        shared.replan.wait(REPLAN_EVERY).await;
+    }
+}
+
+/// Sends news over the links until the box stops.
+pub async fn run_exchange(shared: Arc<Shared>, stop: StopSignal) {
+    while !stop.is_given() {
+        let pause = shared.links.lock().next_tick(Instant::now());
+        if shared.news.wait(pause).await {
+            // What happens at about the same time goes in one frame.
+            let gap = shared.links.lock().next_tick(Instant::now());
+            smol::Timer::after(gap.min(GATHER)).await;
+        }
+        tick(&shared);
+    }
+}
+
+/// Answers a request on the peer port.
+pub async fn answer_peer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Response<LinkBody> {
+    if request.method() != Method::POST || request.uri().path() != LINK_PATH {
+        shared.metrics.refuse_peer("wrong_path");
+        let mut response = Response::new(empty_link_body());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    }
+    let (sender, receiver, response) = accept_link(request);
+    let spawner = shared.spawner.clone();
+    spawner.detach(serve_link(shared, sender, receiver));
+    response
+}
+
+/// Opens a planned link and reads it in a task of its own.
+async fn keep_link(shared: &Arc<Shared>, planned: PlannedLink) {
+    let to = planned.to.clone();
+    match open(shared, &planned).await {
+        Ok((sender, receiver, hello)) => {
+            tracing::info!(peer = %to.id, role = ?planned.role, "peer: linked.");
+            let opened_as = Some(planned.role);
+            let (peer, now) = (hello.from.clone(), Instant::now());
+            let id = shared.links.lock().add(peer, opened_as, None, sender, now);
+            greet(shared, id, &hello);
+            let reading = read_link(shared.clone(), id, receiver);
+            shared.spawner.detach(reading);
+        }
+        Err(error) => {
+            tracing::info!(peer = %to.id, %error, "peer: cannot be reached.");
+            shared.links.lock().planner().avoid(&to.id, Instant::now());
+        }
+    }
+}
+
+async fn open(
+    shared: &Shared,
+    planned: &PlannedLink,
+) -> Result<(LinkSender, LinkReceiver, Hello), LinkError> {
+    let to = planned.to.peer_address;
+    let opened = open_link(&shared.connector, to, LINK_PATH, OPEN_TIMEOUT).await;
+    let (sender, mut receiver) = opened?;
+    sender.send(&own_hello(shared, planned.role))?;
+    let hello: Hello = receiver.next(OPEN_TIMEOUT).await?;
+    check(shared, &hello)?;
+    Ok((sender, receiver, hello))
+}
+
+/// Serves a link that another box opened.
+async fn serve_link(shared: Arc<Shared>, sender: LinkSender, mut receiver: LinkReceiver) {
+    let hello = match receiver.next::<Hello>(OPEN_TIMEOUT).await {
+        Ok(hello) => hello,
+        Err(error) => {
+            tracing::info!(%error, "peer: a link without a greeting.");
+            return shared.metrics.refuse_peer("no_greeting");
+        }
+    };
+    if let Err(error) = check(&shared, &hello) {
+        tracing::warn!(peer = %hello.from.id, %error, "peer: a link was refused.");
+        return shared.metrics.refuse_peer("not_admitted");
+    }
+    if sender.send(&own_hello(&shared, LinkRole::Hub)).is_err() {
+        return;
+    }
+    let id = admit(&shared, &hello, sender);
+    greet(&shared, id, &hello);
+    read_link(shared, id, receiver).await;
+}
+
+fn admit(shared: &Shared, hello: &Hello, sender: LinkSender) -> LinkId {
+    let mut links = shared.links.lock();
+    links.planner().put(hello.from.clone());
+    let role = Some(hello.role);
+    links.add(hello.from.clone(), None, role, sender, Instant::now())
+}
+
+/// Brings the other side up to date, if it is behind.
+fn greet(shared: &Shared, id: LinkId, hello: &Hello) {
+    let ours = shared.links.lock().revision();
+    if ours > hello.revision {
+        let listing = listing_of(shared, Instant::now());
+        shared.links.lock().tell(id, listing);
+    }
+    shared.news.poke();
+}
+
+async fn read_link(shared: Arc<Shared>, id: LinkId, mut receiver: LinkReceiver) {
+    loop {
+        match receiver.next::<Frame>(SILENCE).await {
+            Ok(frame) => take_frame(&shared, id, frame),
+            Err(error) => {
+                let opened_here = shared.links.lock().peer(id).cloned();
+                if let (Some(peer), LinkError::Silent(_)) = (opened_here, &error) {
+                    shared.links.lock().planner().avoid(&peer, Instant::now());
+                }
+                return drop_link(&shared, id, &error.to_string());
+            }
+        }
+    }
+}
+
+fn take_frame(shared: &Arc<Shared>, id: LinkId, frame: Frame) {
+    let now = Instant::now();
+    for update in frame.catalog {
+        apply_update(shared, update, Some(id), now);
+    }
+    let mut links = shared.links.lock();
+    links.note_feed(id, &frame.feed, now);
+    let news = links.hear(id, &frame.digests);
+    let passes_on = links.counts().0 > 1;
+    drop(links);
+    apply_news(shared, &news, now);
+    if frame.wants_listing {
+        let listing = listing_of(shared, now);
+        shared.links.lock().tell(id, listing);
+    }
+    if passes_on || frame.wants_listing {
+        shared.news.poke();
+    }
+}
+
+fn drop_link(shared: &Arc<Shared>, id: LinkId, reason: &str) {
+    let mut links = shared.links.lock();
+    let peer = links.peer(id).cloned();
+    let lost = links.remove(id);
+    let news = links.own_news();
+    drop(links);
+    if let Some(peer) = peer {
+        tracing::info!(%peer, reason, "peer: link ended.");
+    }
+    forget_sources(shared, &lost);
+    apply_news(shared, &news, Instant::now());
+    shared.replan.poke();
+    shared.news.poke();
+}
+
+/// Gathers what this box has seen, and sends what is due.
+fn tick(shared: &Arc<Shared>) {
+    let now = Instant::now();
+    let digest = own_digest(shared);
+    let mut links = shared.links.lock();
+    if !digest.servers.is_empty() || !digest.services.is_empty() {
+        links.hear_own(&digest);
+    }
+    let frames = links.take_frames(now);
+    drop(links);
+    for outgoing in frames {
+        match outgoing.sender.send(&outgoing.frame) {
+            Ok(bytes) => shared.metrics.count_frame(bytes),
+            Err(error) => drop_link(shared, outgoing.link, &error.to_string()),
+        }
+    }
+}
+
+fn own_digest(shared: &Shared) -> Digest {
+    let mut digest = Digest::default();
+    for service in shared.services.all() {
+        digest
+            .servers
+            .extend(service.balancer.lock().take_changes());
+        if let Some(tally) = service.budget.lock().take_change() {
+            digest.services.push((server_key(&service.name), tally));
+        }
+    }
+    digest
+}
+
+/// Lets this box's tables take in what others have seen.
+fn apply_news(shared: &Shared, news: &[SourceNews], now: Instant) {
+    for source in news {
+        for (keyed, counts) in &source.servers {
+            if let Some(service) = shared.services.of_server(keyed.0) {
+                let mut balancer = service.balancer.lock();
+                balancer.apply_remote(source.source, *keyed, counts, now);
+            }
+        }
+        for service in shared.services.all() {
+            let key = server_key(&service.name);
+            let counted = source.services.iter().find(|(other, _)| *other == key);
+            let mut budget = service.budget.lock();
+            match counted {
+                Some((_, tally)) => budget.count_remote(source.source, *tally, now),
+                None => budget.note_heard(source.source, now),
+            }
+        }
+    }
+}
+
+fn forget_sources(shared: &Shared, lost: &[SourceId]) {
+    for service in shared.services.all() {
+        let mut balancer = service.balancer.lock();
+        lost.iter()
+            .for_each(|source| balancer.forget_source(*source));
+    }
+}
+
+fn own_hello(shared: &Shared, role: LinkRole) -> Hello {
+    let links = shared.links.lock();
+    Hello {
+        protocol: LINK_PROTOCOL_VERSION,
+        fleet: shared.settings.fleet.clone(),
+        from: links.own().clone(),
+        role,
+        revision: links.revision(),
+    }
+}
+
+fn check(shared: &Shared, hello: &Hello) -> Result<(), LinkError> {
+    let ours = hello.protocol == LINK_PROTOCOL_VERSION;
+    match ours && hello.fleet == shared.settings.fleet {
+        true => Ok(()),
+        false => Err(LinkError::Gone),
+    }
+}
+
+/// Says that a link should be told all there is of the catalog.
+pub fn spread(shared: &Shared, update: &CatalogUpdate, from: Option<LinkId>) {
+    shared.links.lock().spread(update, from);
+    shared.news.poke();
+}
+
+/// Where boxes open links.
+const LINK_PATH: &str = "/link";
+const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
+/// Three signs of life in a row are missing.
+const SILENCE: Duration = Duration::from_millis(1000);
+const REPLAN_EVERY: Duration = Duration::from_millis(500);
+/// A frame waits at most so long for more to put into it.
+const GATHER: Duration = Duration::from_millis(50);
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -1,90 +1,188 @@
-//! Follows the catalog: a listing first, then its changes.
+//! Reads the catalog where this box should: a listing first, then changes.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use wingspur_protocol::{CatalogChange, CatalogChanges, CatalogListing, Revision};
-use wingspur_transport::{CatalogError, StopSignal};
+use futures_lite::FutureExt;
+use wingspur_transport::{CatalogError, LeaseId, StopSignal};
 
+use crate::catalog_state::{take_changes, take_listing};
 use crate::shared::Shared;
 
-/// Follows the catalog until the box stops.
+/// Reads the catalog whenever this box should, until it stops.
 pub async fn run_feed(shared: Arc<Shared>, stop: StopSignal) {
-    let mut revision: Option<Revision> = None;
+    let mut reading = Reading::default();
+    while !stop.is_given() {
+        if !should_read(&shared) {
+            if reading.active {
+                tracing::info!("store: another box reads it.");
+                shared.links.lock().feed().stop_reading();
+            }
+            reading = Reading::default();
+            smol::Timer::after(IDLE_CHECK).await;
+            continue;
+        }
+        if !reading.active {
+            tracing::info!(
+                revision = shared.links.lock().revision(),
+                "store: reading it."
+            );
+            reading.active = true;
+        }
+        match step(&shared, &mut reading).await {
+            Ok(()) => reading.note_success(&shared),
+            Err(CatalogError::HistoryLost) => {
+                tracing::info!("store: its history is lost, listing anew.");
+                reading.lists = Some(Listing::Fresh);
+            }
+            Err(error) => {
+                reading.note_failure(&shared, &error);
+                smol::Timer::after(pause(reading.failures)).await;
+            }
+        }
+        shared.settle(Instant::now());
+    }
+}
+
+/// Announces this box and renews its lease until it stops.
+pub async fn run_announcement(shared: Arc<Shared>, stop: StopSignal) {
+    let mut lease: Option<LeaseId> = None;
     let mut failures = 0u32;
     while !stop.is_given() {
-        let result = match revision {
-            None => list(&shared).await,
-            Some(after) => watch(&shared, after).await,
+        let result = match lease {
+            None => announce(&shared).await.map(Some),
+            Some(held) => renew(&shared, held).await,
         };
         match result {
-            Ok(reached) => {
-                if failures > 0 {
-                    tracing::info!(failures, "store: it answers again.");
-                }
+            Ok(held) => {
                 failures = 0;
-                revision = Some(reached);
-                shared.directory.lock().store_returned(Instant::now());
-            }
-            Err(CatalogError::HistoryLost) => {
-                tracing::info!(?revision, "store: history lost, listing anew.");
-                revision = None;
+                lease = held;
+                *shared.lease.lock() = held;
             }
             Err(error) => {
-                if failures == 0 {
-                    tracing::warn!(%error, "store: lost.");
-                }
                 failures += 1;
-                shared.directory.lock().store_lost();
-                smol::Timer::after(pause(failures)).await;
+                tracing::info!(%error, failures, "lease: not renewed.");
             }
         }
-        shared.settle(Instant::now());
+        let reads = shared.links.lock().feed().is_reading();
+        let every = if reads { READER_RENEWAL } else { RENEWAL };
+        let wait = if lease.is_none() {
+            pause(failures)
+        } else {
+            every
+        };
+        smol::Timer::after(wait).await;
     }
 }
 
-async fn list(shared: &Shared) -> Result<Revision, CatalogError> {
-    let listing = (shared.catalog.list)().await?;
-    Ok(apply_listing(shared, listing))
+/// How far this box is in reading the catalog.
+#[derive(Debug)]
+struct Reading {
+    active: bool,
+    failures: u32,
+    /// The listing that is due; none while changes are followed.
+    lists: Option<Listing>,
 }
 
-async fn watch(shared: &Shared, after: Revision) -> Result<Revision, CatalogError> {
-    let changes = (shared.catalog.watch)(after, WATCH_WAIT).await?;
-    Ok(apply_changes(shared, changes))
+/// Which listing is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Listing {
+    /// One that may be some seconds old: the first watch makes up for it.
+    Cheap,
+    /// The present one: the store has no history to make up for an old one.
+    Fresh,
 }
 
-fn apply_listing(shared: &Shared, listing: CatalogListing) -> Revision {
-    if let Some(bundle) = listing.bundle {
-        shared.put_in_force(bundle, "store");
+impl Default for Reading {
+    fn default() -> Self {
+        Self {
+            active: false,
+            failures: 0,
+            lists: None,
+        }
     }
-    let now = Instant::now();
-    let changes = shared.directory.lock().replace(listing.servers, now);
-    shared.follow(&changes, "store");
-    if let Some(in_force) = shared.in_force() {
-        shared.services.share(&in_force.bundle, listing.boxes.len());
+}
+
+impl Reading {
+    fn note_success(&mut self, shared: &Shared) {
+        if self.failures > 0 {
+            tracing::info!(failures = self.failures, "store: it answers again.");
+        }
+        self.failures = 0;
+        shared.directory.lock().store_returned(Instant::now());
+    }
+
+    fn note_failure(&mut self, shared: &Shared, error: &CatalogError) {
+        if self.failures == 0 {
+            tracing::warn!(%error, "store: lost.");
+        }
+        self.failures += 1;
+        shared.directory.lock().store_lost();
     }
-    listing.revision
 }
 
-fn apply_changes(shared: &Shared, changes: CatalogChanges) -> Revision {
-    let now = Instant::now();
-    let mut followed = Vec::new();
-    for change in changes.changes {
-        match change {
-            CatalogChange::Bundle(bundle) => {
-                shared.put_in_force(bundle, "store");
-            }
-            CatalogChange::Server(record) => {
-                followed.extend(shared.directory.lock().put(record));
-            }
-            CatalogChange::ServerGone(id) => {
-                followed.extend(shared.directory.lock().remove(&id, now));
-            }
-            CatalogChange::Box(_) | CatalogChange::BoxGone(_) => {}
+/// Lists, or waits for changes.
+async fn step(shared: &Arc<Shared>, reading: &mut Reading) -> Result<(), CatalogError> {
+    let revision = shared.links.lock().revision();
+    let due = match reading.lists {
+        None if revision == 0 => Some(Listing::Cheap),
+        due => due,
+    };
+    if let Some(due) = due {
+        shared.metrics.count_store_call("list");
+        let listing = (shared.catalog.list)(due == Listing::Fresh).await?;
+        reading.lists = None;
+        note_answer(shared);
+        take_listing(shared, listing, Instant::now());
+        return Ok(());
+    }
+    shared.metrics.count_store_call("watch");
+    let watching = (shared.catalog.watch)(revision, WATCH_WAIT);
+    let unneeded = async {
+        while should_read(shared) {
+            smol::Timer::after(NEED_CHECK).await;
+        }
+        Ok(None)
+    };
+    let watched = async { watching.await.map(Some) };
+    if let Some(changes) = watched.or(unneeded).await? {
+        note_answer(shared);
+        take_changes(shared, changes, Instant::now());
+    }
+    Ok(())
+}
+
+async fn announce(shared: &Shared) -> Result<LeaseId, CatalogError> {
+    let record = shared.links.lock().own().clone();
+    shared.metrics.count_store_call("announce");
+    let lease = (shared.catalog.announce)(record).await?;
+    tracing::info!(lease, "lease: announced.");
+    Ok(lease)
+}
+
+/// Renews a lease; none when it has ended and the box must be announced anew.
+async fn renew(shared: &Shared, lease: LeaseId) -> Result<Option<LeaseId>, CatalogError> {
+    shared.metrics.count_store_call("renew");
+    if (shared.catalog.renew)(lease).await? {
+        if shared.links.lock().feed().is_reading() {
+            note_answer(shared);
         }
+        return Ok(Some(lease));
     }
-    shared.follow(&followed, "store");
-    changes.revision
+    tracing::warn!(lease, "lease: it has ended.");
+    Ok(None)
+}
+
+fn note_answer(shared: &Shared) {
+    shared.links.lock().feed().note_answer(Instant::now());
+}
+
+fn should_read(shared: &Shared) -> bool {
+    let now = Instant::now();
+    let mut links = shared.links.lock();
+    let is_hub = links.is_hub(now);
+    let rank = links.planner().rank();
+    links.feed().should_read(is_hub, rank, now)
 }
 
 /// A pause that doubles up to a second, drawn between a half and the whole of it.
@@ -95,7 +193,12 @@
         .mul_f64(0.5 + rand::random::<f64>() / 2.0)
 }
 
-/// How long a watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// How long a watch waits for a change; the renewals in between tell that the store lives.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// A reader answers for the freshness of its reading by its renewals.
+const READER_RENEWAL: Duration = Duration::from_millis(800);
+const RENEWAL: Duration = Duration::from_secs(3);
+const IDLE_CHECK: Duration = Duration::from_millis(100);
+const NEED_CHECK: Duration = Duration::from_millis(500);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MOST_PAUSE: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/wingspur-edge/src/feed_view.rs
@@ -0,0 +1,113 @@
+//! How fresh this box's view of the catalog is, and who keeps it so.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use wingspur_coordination::LinkId;
+use wingspur_protocol::{FeedState, Revision};
+use wingspur_state::BoxId;
+
+/// What is known of the catalog's freshness.
+#[derive(Debug)]
+pub struct FeedView {
+    own: BoxId,
+    revision: Revision,
+    /// When this box itself last had an answer of the store; none when it does not read.
+    own_fresh: Option<Instant>,
+    /// What each link says: who reads, and when it last had an answer.
+    links: BTreeMap<LinkId, (BoxId, Instant)>,
+    /// Since when nobody is known to read.
+    unfed_since: Instant,
+}
+
+impl FeedView {
+    /// Nothing known yet.
+    pub fn new(own: BoxId, now: Instant) -> Self {
+        Self {
+            own,
+            revision: 0,
+            own_fresh: None,
+            links: BTreeMap::new(),
+            unfed_since: now,
+        }
+    }
+
+    /// The newest revision that this box knows.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Notes that all changes up to a revision are known.
+    pub fn reach(&mut self, revision: Revision) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Notes an answer of the store to this box.
+    pub fn note_answer(&mut self, now: Instant) {
+        self.own_fresh = Some(now);
+    }
+
+    /// Notes that this box does not read any more.
+    pub fn stop_reading(&mut self) {
+        self.own_fresh = None;
+    }
+
+    /// Whether this box reads the store, and had an answer.
+    pub fn is_reading(&self) -> bool {
+        self.own_fresh.is_some()
+    }
+
+    /// Notes what the other side of a link says.
+    pub fn note(&mut self, link: LinkId, state: &FeedState, now: Instant) {
+        let Some(reader) = &state.reader else {
+            self.links.remove(&link);
+            return;
+        };
+        if *reader == self.own {
+            // Our own reading comes back to us.
+            self.links.remove(&link);
+            return;
+        }
+        let age = Duration::from_millis(u64::from(state.age_ms));
+        let fresh = now.checked_sub(age).unwrap_or(now);
+        self.links.insert(link, (reader.clone(), fresh));
+    }
+
+    /// Forgets a link.
+    pub fn forget(&mut self, link: LinkId) {
+        self.links.remove(&link);
+    }
+
+    /// What this box says of itself.
+    pub fn state(&self, now: Instant) -> FeedState {
+        let own = self.own_fresh.map(|at| (&self.own, at));
+        let theirs = self.links.values().map(|(reader, at)| (reader, *at));
+        let best = own.into_iter().chain(theirs).max_by_key(|(_, at)| *at);
+        let Some((reader, at)) = best else {
+            return FeedState::default();
+        };
+        let age = now.saturating_duration_since(at).as_millis();
+        FeedState {
+            reader: Some(reader.clone()),
+            age_ms: age.min(u128::from(u32::MAX)) as u32,
+        }
+    }
+
+    /// Whether this box should read the store itself: the hub always does, another box when
+    /// nobody's reading has reached it for a while, each a little later than the one before
+    /// it in rank.
+    pub fn should_read(&mut self, is_hub: bool, rank: usize, now: Instant) -> bool {
+        let freshest = self.links.values().map(|(_, at)| *at).max();
+        if let Some(at) = freshest {
+            self.unfed_since = self.unfed_since.max(at);
+        }
+        let stagger = RANK_STAGGER * (rank.min(MOST_STAGGERED) as u32);
+        is_hub || now.saturating_duration_since(self.unfed_since) >= STALE + stagger
+    }
+}
+
+/// A reader answers for its reading each second; a feed that is older has broken off.
+const STALE: Duration = Duration::from_millis(1300);
+/// Boxes step in one after the other, so that one call, not forty, finds out.
+const RANK_STAGGER: Duration = Duration::from_millis(60);
+const MOST_STAGGERED: usize = 10;
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -3,9 +3,14 @@
 mod answer_body;
 mod attempt;
 mod attempts;
+mod bell;
+mod catalog_state;
 mod edge_box;
+mod exchange;
 mod feed;
+mod feed_view;
 mod in_force;
+mod links;
 mod locks;
 mod metrics;
 mod operator;
--- /dev/null
+++ b/crates/wingspur-edge/src/links.rs
@@ -0,0 +1,284 @@
+//! The links of this box: whom it hears, what it tells whom.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use wingspur_coordination::{
+    LinkId, LinkKind, LinkPlanner, NewsReader, OWN_LINK, PlannedLink, Rollup, SourceNews,
+};
+use wingspur_protocol::{
+    BoxRecord, CatalogUpdate, Digest, FeedState, Frame, LinkRole, Revision,
+};
+use wingspur_state::{BoxId, SourceId};
+use wingspur_transport::LinkSender;
+
+use crate::feed_view::FeedView;
+
+/// The links of this box, with what is still to be told on each.
+#[derive(Debug)]
+pub struct Links {
+    own: BoxRecord,
+    rollup: Rollup,
+    news: NewsReader,
+    planner: LinkPlanner,
+    feed: FeedView,
+    active: BTreeMap<LinkId, ActiveLink>,
+    next_id: LinkId,
+}
+
+/// A link that stands.
+#[derive(Debug)]
+struct ActiveLink {
+    peer: BoxRecord,
+    kind: LinkKind,
+    /// Whether this box opened it, and as what.
+    opened_as: Option<LinkRole>,
+    sender: LinkSender,
+    catalog: Vec<CatalogUpdate>,
+    wants_listing: bool,
+    sent: Instant,
+}
+
+/// What a tick has to say on one link.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// The link.
+    pub link: LinkId,
+    /// Where it goes.
+    pub sender: LinkSender,
+    /// What it says.
+    pub frame: Frame,
+}
+
+impl Links {
+    /// No links yet.
+    pub fn new(own: BoxRecord, now: Instant) -> Self {
+        Self {
+            rollup: Rollup::new(own.incarnation),
+            news: NewsReader::default(),
+            planner: LinkPlanner::new(own.clone()),
+            feed: FeedView::new(own.id.clone(), now),
+            active: BTreeMap::new(),
+            next_id: OWN_LINK + 1,
+            own,
+        }
+    }
+
+    /// This box as it announces itself.
+    pub fn own(&self) -> &BoxRecord {
+        &self.own
+    }
+
+    /// Whom the box should keep links with.
+    pub fn planner(&mut self) -> &mut LinkPlanner {
+        &mut self.planner
+    }
+
+    /// How the box stands with the store.
+    pub fn feed(&mut self) -> &mut FeedView {
+        &mut self.feed
+    }
+
+    /// Whether this box is the hub of its data centre, as far as it knows.
+    pub fn is_hub(&self, now: Instant) -> bool {
+        let plan = self.planner.plan(now);
+        !plan.iter().any(|link| link.role == LinkRole::Member)
+    }
+
+    /// Takes up a link; `opened_as` where this box opened it.
+    pub fn add(
+        &mut self,
+        peer: BoxRecord,
+        opened_as: Option<LinkRole>,
+        peer_role: Option<LinkRole>,
+        sender: LinkSender,
+        now: Instant,
+    ) -> LinkId {
+        let id = self.next_id;
+        self.next_id += 1;
+        let kind = match peer_role {
+            Some(LinkRole::Member) => LinkKind::Member,
+            Some(LinkRole::Hub) | None => LinkKind::Hub,
+        };
+        self.rollup.add_link(id, kind);
+        self.planner.reached(&peer.id);
+        let link = ActiveLink {
+            peer,
+            kind,
+            opened_as,
+            sender,
+            catalog: Vec::new(),
+            wants_listing: false,
+            sent: now,
+        };
+        self.active.insert(id, link);
+        id
+    }
+
+    /// Gives up a link; returns the sources that are not heard any more.
+    pub fn remove(&mut self, id: LinkId) -> Vec<SourceId> {
+        let Some(link) = self.active.remove(&id) else {
+            return Vec::new();
+        };
+        link.sender.close();
+        self.feed.forget(id);
+        let lost = self.rollup.drop_link(id);
+        for source in &lost {
+            self.news.forget(*source);
+        }
+        lost
+    }
+
+    /// Planned links that do not stand yet, and links opened here that are not planned any
+    /// more, once the planned ones stand.
+    pub fn differences(&self, now: Instant) -> (Vec<PlannedLink>, Vec<LinkId>) {
+        let plan = self.planner.plan(now);
+        let stands =
+            |planned: &PlannedLink| self.active.values().any(|link| link.serves(planned));
+        let missing: Vec<PlannedLink> = plan
+            .iter()
+            .filter(|planned| !stands(planned))
+            .cloned()
+            .collect();
+        if !missing.is_empty() {
+            return (missing, Vec::new());
+        }
+        let unplanned = self.active.iter().filter(|(_, link)| {
+            let planned = plan.iter().any(|planned| link.serves(planned));
+            link.opened_as.is_some() && !planned
+        });
+        (missing, unplanned.map(|(id, _)| *id).collect())
+    }
+
+    /// Takes in what this box itself has seen.
+    pub fn hear_own(&mut self, digest: &Digest) {
+        self.rollup.hear(OWN_LINK, digest);
+    }
+
+    /// Takes in digests that came by a link; returns the news for this box's own tables.
+    pub fn hear(&mut self, id: LinkId, digests: &[Digest]) -> Vec<SourceNews> {
+        for digest in digests {
+            self.rollup.hear(id, digest);
+        }
+        let own = self.rollup.compose(OWN_LINK);
+        own.iter().map(|digest| self.news.read(digest)).collect()
+    }
+
+    /// News that came about without a digest, as when a member went.
+    pub fn own_news(&mut self) -> Vec<SourceNews> {
+        self.hear(OWN_LINK, &[])
+    }
+
+    /// Queues news of the catalog for all links but the one that it came by.
+    pub fn spread(&mut self, update: &CatalogUpdate, from: Option<LinkId>) {
+        for (id, link) in &mut self.active {
+            if Some(*id) != from {
+                link.catalog.push(update.clone());
+            }
+        }
+    }
+
+    /// Queues news of the catalog for one link.
+    pub fn tell(&mut self, id: LinkId, update: CatalogUpdate) {
+        if let Some(link) = self.active.get_mut(&id) {
+            link.catalog.push(update);
+        }
+    }
+
+    /// Asks the other side of a link for a listing.
+    pub fn ask_for_listing(&mut self, id: LinkId) {
+        if let Some(link) = self.active.get_mut(&id) {
+            link.wants_listing = true;
+        }
+    }
+
+    /// What is to be sent now: news, and a sign of life where there was none for long.
+    pub fn take_frames(&mut self, now: Instant) -> Vec<Outgoing> {
+        let feed = self.feed.state(now);
+        let mut frames = Vec::new();
+        for (id, link) in &mut self.active {
+            let age = now.saturating_duration_since(link.sent);
+            let away = link.peer.data_centre != self.own.data_centre;
+            let gap = if away { AWAY_GAP } else { HOME_GAP };
+            let due = age >= gap && self.rollup.has_news(*id);
+            let urgent = !link.catalog.is_empty() || link.wants_listing;
+            if !due && !urgent && age < HEARTBEAT {
+                continue;
+            }
+            link.sent = now;
+            let digests = if due {
+                self.rollup.compose(*id)
+            } else {
+                Vec::new()
+            };
+            frames.push(Outgoing {
+                link: *id,
+                sender: link.sender.clone(),
+                frame: Frame {
+                    digests,
+                    catalog: std::mem::take(&mut link.catalog),
+                    feed: feed.clone(),
+                    wants_listing: std::mem::take(&mut link.wants_listing),
+                },
+            });
+        }
+        frames
+    }
+
+    /// When `take_frames` should be called again, if nothing happens before.
+    pub fn next_tick(&self, now: Instant) -> Duration {
+        let due = |(id, link): (&LinkId, &ActiveLink)| {
+            let away = link.peer.data_centre != self.own.data_centre;
+            let news_gap = if away { AWAY_GAP } else { HOME_GAP };
+            let gap = if self.rollup.has_news(*id) {
+                news_gap
+            } else {
+                HEARTBEAT
+            };
+            (link.sent + gap).saturating_duration_since(now)
+        };
+        let next = self.active.iter().map(due).min();
+        next.unwrap_or(HEARTBEAT).max(LEAST_TICK)
+    }
+
+    /// Notes how the other side of a link stands with the store.
+    pub fn note_feed(&mut self, id: LinkId, state: &FeedState, now: Instant) {
+        self.feed.note(id, state, now);
+    }
+
+    /// Who is linked, for logs.
+    pub fn peer(&self, id: LinkId) -> Option<&BoxId> {
+        self.active.get(&id).map(|link| &link.peer.id)
+    }
+
+    /// The number of links, and of members among them.
+    pub fn counts(&self) -> (usize, usize) {
+        let members = self
+            .active
+            .values()
+            .filter(|link| link.kind == LinkKind::Member);
+        (self.active.len(), members.count())
+    }
+
+    /// The newest revision that this box knows.
+    pub fn revision(&self) -> Revision {
+        self.feed.revision()
+    }
+}
+
+impl ActiveLink {
+    fn serves(&self, planned: &PlannedLink) -> bool {
+        self.peer.id == planned.to.id
+            && self.peer.incarnation == planned.to.incarnation
+            && self.opened_as == Some(planned.role)
+    }
+}
+
+/// How often news may go to a box of the same data centre: a request takes several times as
+/// long, so a view that old still tells who is busy.
+const HOME_GAP: Duration = Duration::from_millis(50);
+/// How often news may go to another data centre, where each byte is priced.
+const AWAY_GAP: Duration = Duration::from_millis(100);
+/// A link without news is heard so often.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+const LEAST_TICK: Duration = Duration::from_millis(10);
--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -11,6 +11,10 @@
 pub enum Rank {
     /// The bundle in force.
     InForce,
+    /// The links to other boxes.
+    Links,
+    /// The lease of this box.
+    Lease,
     /// The announced backend servers.
     Directory,
     /// The services by name.
@@ -19,6 +23,8 @@
     Budget,
     /// A service's backend servers.
     Balancer,
+    /// The service of each server.
+    ServersByKey,
     /// The connections by server.
     Backends,
     /// Who lives.
--- a/crates/wingspur-edge/src/metrics.rs
+++ b/crates/wingspur-edge/src/metrics.rs
@@ -39,6 +39,8 @@
     pub bundle_version: IntGauge,
     /// Second attempts begun beside a slow first one.
     pub hedges: IntCounter,
+    frames: IntCounter,
+    frame_bytes: IntCounter,
 }
 
 impl Metrics {
@@ -57,10 +59,16 @@
         let bundle_version = version.expect("the name is a constant");
         let boxed = Box::new(bundle_version.clone());
         registry.register(boxed).expect("each name is used once");
-        let hedges = IntCounter::new("wingspur_hedges_total", "Second attempts.");
-        let hedges = hedges.expect("the name is a constant");
-        let boxed = Box::new(hedges.clone());
-        registry.register(boxed).expect("each name is used once");
+        let plain = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("the names are constants");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("each name is used once");
+            counter
+        };
+        let hedges = plain("wingspur_hedges_total", "Second attempts.");
+        let frames = plain("wingspur_frames_total", "Frames sent to other boxes.");
+        let frame_bytes = plain("wingspur_frame_bytes_total", "Bytes of those frames.");
         let opts = Opts::new("wingspur_exchanges", "Exchanges begun, by part and kind.");
         let exchanges = IntGaugeVec::new(opts, &["part", "kind"]);
         let exchanges = exchanges.expect("the name is a constant");
@@ -120,6 +128,8 @@
             exchanges,
             bundle_version,
             hedges,
+            frames,
+            frame_bytes,
             registry,
         };
         metrics.touch_all();
@@ -133,6 +143,22 @@
             .inc();
     }
 
+    /// Counts a peer's message that was refused.
+    pub fn refuse_peer(&self, reason: &str) {
+        self.peer_refusals.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn count_store_call(&self, kind: &str) {
+        self.store_calls.with_label_values(&[kind]).inc();
+    }
+
+    /// Counts a frame sent to another box.
+    pub fn count_frame(&self, bytes: usize) {
+        self.frames.inc();
+        self.frame_bytes.inc_by(bytes as u64);
+    }
+
     /// Counts a request sent again.
     pub fn retry(&self, reason: RetryReason) {
         self.retries.with_label_values(&[reason.as_str()]).inc();
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -30,6 +30,8 @@
     home: DataCentreId,
     budget: BudgetSettings,
     by_name: Ranked<HashMap<String, Arc<ServiceState>>>,
+    /// The service of each announced server.
+    by_server: Ranked<HashMap<ServerKey, Arc<ServiceState>>>,
     backends: Ranked<HashMap<SocketAddr, Arc<Backend>>>,
 }
 
@@ -40,6 +42,7 @@
             home,
             budget,
             by_name: Ranked::new(Rank::Services, HashMap::new()),
+            by_server: Ranked::new(Rank::ServersByKey, HashMap::new()),
             backends: Ranked::new(Rank::Backends, HashMap::new()),
         }
     }
@@ -65,6 +68,11 @@
         self.by_name.lock().values().cloned().collect()
     }
 
+    /// The service of a server; none for a server that is not announced.
+    pub fn of_server(&self, key: ServerKey) -> Option<Arc<ServiceState>> {
+        self.by_server.lock().get(&key).cloned()
+    }
+
     /// The connections to a server's address.
     pub fn backend(&self, address: SocketAddr) -> Arc<Backend> {
         let mut backends = self.backends.lock();
@@ -80,10 +88,12 @@
                 DirectoryChange::Put(record) => {
                     let service = self.get(&record.service);
                     service.balancer.lock().put(record.clone(), now);
+                    self.by_server.lock().insert(record.key(), service);
                 }
                 DirectoryChange::Gone(record) => {
                     let service = self.get(&record.service);
                     service.balancer.lock().remove(record.key());
+                    self.by_server.lock().remove(&record.key());
                     self.backends.lock().remove(&record.address);
                 }
             }
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -4,11 +4,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
-use wingspur_protocol::HeaderNames;
+use wingspur_protocol::{BoxRecord, HeaderNames};
 use wingspur_state::{Bundle, Directory, DirectoryChange};
-use wingspur_transport::Catalog;
+use wingspur_transport::{Catalog, Connector, LeaseId, Spawner};
 
+use crate::bell::Bell;
 use crate::in_force::InForce;
+use crate::links::Links;
 use crate::locks::{Rank, Ranked};
 use crate::metrics::Metrics;
 use crate::services::Services;
@@ -29,6 +31,18 @@
     pub services: Services,
     /// The announced servers.
     pub directory: Ranked<Directory>,
+    /// The links to other boxes.
+    pub links: Ranked<Links>,
+    /// The lease under which this box is announced.
+    pub lease: Ranked<Option<LeaseId>>,
+    /// Opens connections to other boxes.
+    pub connector: Connector,
+    /// Starts tasks.
+    pub spawner: Spawner,
+    /// Rung when there is something to tell other boxes.
+    pub news: Bell,
+    /// Rung when links may have to change.
+    pub replan: Bell,
     /// Whether the box is stopping.
     pub leaving: AtomicBool,
     in_force: Ranked<Option<Arc<InForce>>>,
@@ -36,7 +50,19 @@
 
 impl Shared {
     /// A box that knows nothing yet.
-    pub fn new(settings: Settings, names: HeaderNames, catalog: Catalog) -> Self {
+    pub fn new(
+        settings: Settings,
+        names: HeaderNames,
+        catalog: Catalog,
+        spawner: Spawner,
+    ) -> Self {
+        let own = BoxRecord {
+            id: settings.box_id.clone(),
+            data_centre: settings.data_centre.clone(),
+            peer_address: settings.peer_address,
+            // Drawn, not read from a clock that may jump.
+            incarnation: rand::random(),
+        };
         let services = Services::new(settings.data_centre.clone(), settings.retry_budget);
         Self {
             metrics: Metrics::new(),
@@ -44,6 +70,12 @@
             catalog,
             services,
             directory: Ranked::new(Rank::Directory, Directory::default()),
+            links: Ranked::new(Rank::Links, Links::new(own, Instant::now())),
+            lease: Ranked::new(Rank::Lease, None),
+            connector: Connector::new(spawner.clone(), None),
+            spawner,
+            news: Bell::new(),
+            replan: Bell::new(),
             leaving: AtomicBool::new(false),
             in_force: Ranked::new(Rank::InForce, None),
             settings,
@@ -98,6 +130,14 @@
             && !self.directory.lock().is_empty()
     }
 
+    /// Divides connections and budgets among the boxes that are announced now.
+    pub fn share_out(&self) {
+        let boxes = self.links.lock().planner().size();
+        if let Some(in_force) = self.in_force() {
+            self.services.share(&in_force.bundle, boxes);
+        }
+    }
+
     /// Drops servers that have not come back after an outage of the store.
     pub fn settle(&self, now: Instant) {
         let changes = self.directory.lock().settle(now);
--- a/crates/wingspur-protocol/src/lib.rs
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -5,6 +5,7 @@
 mod catalog;
 mod codes;
 mod headers;
+mod link;
 mod load_report;
 mod operation;
 mod peer;
@@ -16,6 +17,10 @@
 pub use catalog::{BoxRecord, CatalogChange, CatalogChanges, CatalogListing, Revision};
 pub use codes::ResultCode;
 pub use headers::{HeaderNames, LoadForm};
+pub use link::{
+    CatalogUpdate, Digest, FeedState, Frame, FrameError, Hello, LINK_PROTOCOL_VERSION,
+    LinkRole, encode_frame, take_frame,
+};
 pub use load_report::parse_load_hint;
 pub use operation::{LogEntry, LogSegment, OperationId, OperationOutcome};
 pub use peer::{
--- /dev/null
+++ b/crates/wingspur-protocol/src/link.rs
@@ -0,0 +1,132 @@
+//! What two boxes tell each other on a long exchange, frame by frame.
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use wingspur_state::{BoxId, KeyedTally, ServiceTally, SourceId};
+
+use crate::{BoxRecord, CatalogChanges, CatalogListing, Revision};
+
+/// The version of the frames; boxes refuse any other.
+pub const LINK_PROTOCOL_VERSION: u16 = 1;
+
+/// The first frame of either side.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The protocol's version.
+    pub protocol: u16,
+    /// The fleet, so that fleets do not mix.
+    pub fleet: String,
+    /// Who speaks.
+    pub from: BoxRecord,
+    /// What the speaker wants of the other.
+    pub role: LinkRole,
+    /// The newest revision of the catalog that the speaker knows; 0 for none.
+    pub revision: Revision,
+}
+
+/// What the opener of a link is to the other side.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LinkRole {
+    /// A box that reports to the other as the hub of its data centre.
+    Member,
+    /// A hub like the other.
+    Hub,
+}
+
+/// Any later frame.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Frame {
+    /// What the sender, and at a hub its members, have seen; changes only.
+    pub digests: Vec<Digest>,
+    /// What is news of the catalog, oldest first.
+    pub catalog: Vec<CatalogUpdate>,
+    /// How the sender stands with the store.
+    pub feed: FeedState,
+    /// Whether the sender lacks changes and wants a listing.
+    pub wants_listing: bool,
+}
+
+/// Tallies that have changed, as told by one source.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Who told them.
+    pub source: SourceId,
+    /// Whether these are all tallies of the source, not changes only.
+    pub whole: bool,
+    /// Of backend servers.
+    pub servers: Vec<KeyedTally>,
+    /// Of services, by the key of the name.
+    pub services: Vec<(u64, ServiceTally)>,
+}
+
+/// News of the catalog.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum CatalogUpdate {
+    /// All there is.
+    Listing {
+        /// What is listed.
+        listing: CatalogListing,
+        /// For how long servers that it lacks may only seem gone, in milliseconds.
+        doubtful_ms: u32,
+    },
+    /// What has changed.
+    Changes {
+        /// The changes.
+        changes: CatalogChanges,
+        /// For how long servers that vanish in it may only seem gone, in milliseconds.
+        doubtful_ms: u32,
+    },
+}
+
+/// How fresh a box's view of the catalog is.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedState {
+    /// The box that reads the store for it; none when nobody does.
+    pub reader: Option<BoxId>,
+    /// How long ago that box last had an answer of the store, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Why a frame cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum FrameError {
+    /// The bytes are no frame of this protocol.
+    #[error("the frame cannot be read: {0}")]
+    Unreadable(#[from] rmp_serde::decode::Error),
+    /// It is longer than any frame should be.
+    #[error("a frame of {0} bytes is over the limit")]
+    TooLong(usize),
+}
+
+/// Writes a frame with its length before it.
+pub fn encode_frame<T: Serialize>(frame: &T) -> Vec<u8> {
+    let mut bytes = vec![0; LENGTH_BYTES];
+    rmp_serde::encode::write(&mut bytes, frame).expect("frames always serialise");
+    let length = (bytes.len() - LENGTH_BYTES) as u32;
+    bytes[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
+    bytes
+}
+
+/// Takes the first whole frame off the bytes; none while it is not all in.
+pub fn take_frame<T: DeserializeOwned>(
+    bytes: &mut Vec<u8>,
+) -> Result<Option<T>, FrameError> {
+    let Some(head) = bytes.first_chunk::<LENGTH_BYTES>() else {
+        return Ok(None);
+    };
+    let length = u32::from_be_bytes(*head) as usize;
+    if length > MOST_FRAME_BYTES {
+        return Err(FrameError::TooLong(length));
+    }
+    let end = LENGTH_BYTES + length;
+    if bytes.len() < end {
+        return Ok(None);
+    }
+    let frame = rmp_serde::from_slice(&bytes[LENGTH_BYTES..end])?;
+    bytes.drain(..end);
+    Ok(Some(frame))
+}
+
+const LENGTH_BYTES: usize = 4;
+/// A listing of the largest fleet that is planned for stays well below.
+const MOST_FRAME_BYTES: usize = 64 << 20;
--- a/crates/wingspur-state/src/directory.rs
+++ b/crates/wingspur-state/src/directory.rs
@@ -39,7 +39,7 @@
     #[default]
     Sound,
     Away,
-    ReturnedAt(Instant),
+    DoubtfulUntil(Instant),
 }
 
 impl Directory {
@@ -51,7 +51,29 @@
     /// Notes that the store answers again; changes nothing while it was not lost.
     pub fn store_returned(&mut self, now: Instant) {
         if self.store == StoreStanding::Away {
-            self.store = StoreStanding::ReturnedAt(now);
+            self.store = StoreStanding::DoubtfulUntil(now + RETURN_GRACE);
+        }
+    }
+
+    /// Notes that another box read the store, and for how long what it found may be
+    /// doubted.
+    pub fn read_by_another(&mut self, doubtful: Duration, now: Instant) {
+        let until = now + doubtful;
+        match self.store {
+            StoreStanding::DoubtfulUntil(held) if held >= until => {}
+            _ if doubtful.is_zero() && self.missing().next().is_none() => {
+                self.store = StoreStanding::Sound;
+            }
+            _ => self.store = StoreStanding::DoubtfulUntil(until),
+        }
+    }
+
+    /// For how long a vanished entry may still mean nothing.
+    pub fn doubtful_for(&self, now: Instant) -> Duration {
+        match self.store {
+            StoreStanding::Sound => Duration::ZERO,
+            StoreStanding::Away => RETURN_GRACE,
+            StoreStanding::DoubtfulUntil(until) => until.saturating_duration_since(now),
         }
     }
 
@@ -109,25 +131,17 @@
             return Vec::new();
         }
         self.store = StoreStanding::Sound;
-        let missing = |entry: &Entry| entry.missing;
-        let gone: Vec<ServerId> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| missing(entry))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let gone: Vec<ServerId> = self.missing().cloned().collect();
         gone.iter()
             .filter_map(|id| self.entries.remove(id))
             .map(|entry| DirectoryChange::Gone(entry.record))
             .collect()
     }
 
-    /// When `settle` has something to do; none while nothing is missing.
-    pub fn settles_at(&self) -> Option<Instant> {
-        let StoreStanding::ReturnedAt(at) = self.store else {
-            return None;
-        };
-        Some(at + RETURN_GRACE)
+    /// Servers whose entries have vanished in or around an outage.
+    fn missing(&self) -> impl Iterator<Item = &ServerId> {
+        let missing = self.entries.iter().filter(|(_, entry)| entry.missing);
+        missing.map(|(id, _)| id)
     }
 
     /// All servers, missing ones included.
@@ -135,12 +149,6 @@
         self.entries.values().map(|entry| &entry.record)
     }
 
-    /// The servers whose entries stand in the store as far as is known.
-    pub fn listed(&self) -> impl Iterator<Item = &ServerRecord> {
-        let listed = self.entries.values().filter(|entry| !entry.missing);
-        listed.map(|entry| &entry.record)
-    }
-
     /// The number of servers, missing ones included.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -156,9 +164,7 @@
         match self.store {
             StoreStanding::Sound => true,
             StoreStanding::Away => false,
-            StoreStanding::ReturnedAt(at) => {
-                now.saturating_duration_since(at) >= RETURN_GRACE
-            }
+            StoreStanding::DoubtfulUntil(until) => now >= until,
         }
     }
 }
--- a/crates/wingspur-transport/src/catalog.rs
+++ b/crates/wingspur-transport/src/catalog.rs
@@ -13,8 +13,9 @@
 /// The calls of a catalog.
 #[derive(Clone)]
 pub struct Catalog {
-    /// Lists all there is; it may be some seconds old, a watch from its revision is not.
-    pub list: Arc<dyn Fn() -> CatalogFuture<CatalogListing> + Send + Sync>,
+    /// Lists all there is, as it stands now or, cheaper, as it may have stood some seconds
+    /// ago.
+    pub list: Arc<dyn Fn(bool) -> CatalogFuture<CatalogListing> + Send + Sync>,
     /// Waits for changes after a revision, at most for the time given.
     pub watch:
         Arc<dyn Fn(Revision, Duration) -> CatalogFuture<CatalogChanges> + Send + Sync>,
--- a/crates/wingspur-transport/src/exchange.rs
+++ b/crates/wingspur-transport/src/exchange.rs
@@ -9,7 +9,7 @@
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use futures_rustls::rustls::pki_types::ServerName;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Bytes;
+use hyper::body::{Body, Bytes};
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{ETAG, HOST, HeaderValue, IF_NONE_MATCH};
 use hyper::http::response::Parts;
@@ -22,15 +22,21 @@
 /// Exchanges small messages with the store, the box list and peers.
 #[derive(Debug)]
 pub struct Exchange {
-    spawner: Spawner,
+    connector: Connector,
     faults: LinkFaults,
-    identity: Option<Arc<TlsIdentity>>,
     idle: Mutex<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>,
     sent_bytes: AtomicU64,
     received_bytes: AtomicU64,
     calls: AtomicU64,
 }
 
+/// Opens connections, by mutual TLS where the box has an identity.
+#[derive(Debug, Clone)]
+pub struct Connector {
+    spawner: Spawner,
+    identity: Option<Arc<TlsIdentity>>,
+}
+
 /// What was exchanged; bytes are those of bodies, without heads.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ExchangeTotals {
@@ -66,9 +72,8 @@
     /// Starts with no connections.
     pub fn new(spawner: Spawner, faults: LinkFaults) -> Self {
         Self {
-            spawner,
+            connector: Connector::new(spawner, None),
             faults,
-            identity: None,
             idle: Mutex::default(),
             sent_bytes: AtomicU64::new(0),
             received_bytes: AtomicU64::new(0),
@@ -77,8 +82,9 @@
     }
 
     /// Exchanges by mutual TLS from now on, and with nobody else.
-    pub fn with_identity(self, identity: Option<Arc<TlsIdentity>>) -> Self {
-        Self { identity, ..self }
+    pub fn with_identity(mut self, identity: Option<Arc<TlsIdentity>>) -> Self {
+        self.connector.identity = identity;
+        self
     }
 
     /// Posts a body and returns the reply's, within `timeout`.
@@ -167,7 +173,7 @@
     ) -> Result<Response<hyper::body::Incoming>, ExchangeError> {
         let opening = async {
             self.apply_request_fault(to).await;
-            let mut sender = self.connect(to).await?;
+            let mut sender = self.connector.connect(to).await?;
             let request = Request::post(path).header("host", to.to_string());
             let request = request.body(Full::new(Bytes::from(body)));
             self.calls.fetch_add(1, Ordering::Relaxed);
@@ -223,7 +229,7 @@
         let sent = request.body().size_hint_bytes();
         let mut sender = match self.take_idle(to) {
             Some(sender) => sender,
-            None => self.connect(to).await?,
+            None => self.connector.connect(to).await?,
         };
         self.sent_bytes.fetch_add(sent, Ordering::Relaxed);
         let response = sender.send_request(request).await?;
@@ -255,12 +261,44 @@
         fault
     }
 
-    async fn connect(
+    fn take_idle(&self, to: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+        let mut idle = self.idle.lock().expect("no holder panics");
+        let senders = idle.get_mut(&to)?;
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn keep_idle(&self, to: SocketAddr, sender: SendRequest<Full<Bytes>>) {
+        let mut idle = self.idle.lock().expect("no holder panics");
+        let senders = idle.entry(to).or_default();
+        if senders.len() < MOST_IDLE {
+            senders.push(sender);
+        }
+    }
+}
+
+impl Connector {
+    /// Opens connections; by mutual TLS, and with nobody else, where there is an identity.
+    pub fn new(spawner: Spawner, identity: Option<Arc<TlsIdentity>>) -> Self {
+        Self { spawner, identity }
+    }
+
+    /// Opens a connection for requests with one kind of body.
+    pub async fn connect<B>(
         &self,
         to: SocketAddr,
-    ) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
+    ) -> Result<SendRequest<B>, ExchangeError>
+    where
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
         let stream = TcpStream::connect(to).await?;
         stream.set_nodelay(true)?;
+        give_up_soon(&stream)?;
         match &self.identity {
             None => self.handshake(stream).await,
             Some(identity) => {
@@ -271,12 +309,11 @@
         }
     }
 
-    async fn handshake<S>(
-        &self,
-        stream: S,
-    ) -> Result<SendRequest<Full<Bytes>>, ExchangeError>
+    async fn handshake<S, B>(&self, stream: S) -> Result<SendRequest<B>, ExchangeError>
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let io = FuturesIo::new(stream);
         let (sender, connection) = hyper::client::conn::http1::handshake(io).await?;
@@ -286,25 +323,20 @@
         });
         Ok(sender)
     }
+}
 
-    fn take_idle(&self, to: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
-        let mut idle = self.idle.lock().expect("no holder panics");
-        let senders = idle.get_mut(&to)?;
-        while let Some(sender) = senders.pop() {
-            if sender.is_ready() {
-                return Some(sender);
-            }
-        }
-        None
-    }
-
-    fn keep_idle(&self, to: SocketAddr, sender: SendRequest<Full<Bytes>>) {
-        let mut idle = self.idle.lock().expect("no holder panics");
-        let senders = idle.entry(to).or_default();
-        if senders.len() < MOST_IDLE {
-            senders.push(sender);
-        }
-    }
+/// Lets a connection fail when the other side is cut off: without this, one that only
+/// waits to read would wait for ever.
+fn give_up_soon(stream: &TcpStream) -> std::io::Result<()> {
+    let socket = socket2::SockRef::from(stream);
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(PROBE_EVERY)
+        .with_interval(PROBE_EVERY)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    #[cfg(target_os = "linux")]
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    Ok(())
 }
 
 trait SizeHintBytes {
@@ -324,5 +356,10 @@
 
 /// Replies are at most a few values of a megabyte, in base64.
 const MOST_REPLY_BYTES: usize = 64 << 20;
+/// A silent connection is probed so often, and given up after so many probes in vain.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+const PROBES: u32 = 2;
+/// Bytes may stay unacknowledged for so long.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
 /// Connections kept to one receiver.
 const MOST_IDLE: usize = 4;
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -5,6 +5,7 @@
 mod catalog;
 mod exchange;
 mod faults;
+mod link;
 mod listener;
 mod pool;
 mod publish;
@@ -17,8 +18,12 @@
 };
 pub use body::{BodyError, SendBody};
 pub use catalog::{Catalog, CatalogError, CatalogFuture, LeaseId};
-pub use exchange::{Exchange, ExchangeError, ExchangeTotals};
+pub use exchange::{Connector, Exchange, ExchangeError, ExchangeTotals};
 pub use faults::{LinkFault, LinkFaults};
+pub use link::{
+    LinkBody, LinkError, LinkReceiver, LinkSender, accept_link, empty_link_body,
+    open_link,
+};
 pub use listener::{HttpListener, ListenerCounts, ListenerOptions};
 pub use pool::{BackendPool, Lease, SendFailure};
 pub use publish::{
