Settings are taken up on SIGHUP and when the file changes

Change: the box reads the file again, checks it whole, takes up what can change and names the fields that need a restart; the file is also looked at each five seconds.

--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -90,10 +90,20 @@
         })
     }
 
+    /// Takes up changed settings while it runs.
+    pub fn reload(&self, settings: Settings) {
+        let fixed = self.shared.reload(settings);
+        if fixed.is_empty() {
+            tracing::info!("settings: reloaded.");
+        } else {
+            tracing::warn!(?fixed, "settings: reloaded; these fields need a restart.");
+        }
+    }
+
     /// Stops as planned: no new callers, all requests in flight to their end; returns
     /// how many were cut.
     pub async fn close(self) -> usize {
-        let settings = &self.shared.settings;
+        let settings = self.shared.settings();
         let (lag, limit) = (settings.balancer_lag(), settings.drain_limit());
         tracing::info!(
             lag_ms = lag.as_millis() as u64,
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -247,7 +247,7 @@
     let links = shared.links.lock();
     Hello {
         protocol: LINK_PROTOCOL_VERSION,
-        fleet: shared.settings.fleet.clone(),
+        fleet: shared.settings().fleet.clone(),
         from: links.own().clone(),
         role,
         revision: links.revision(),
@@ -256,7 +256,7 @@
 
 fn check(shared: &Shared, hello: &Hello) -> Result<(), LinkError> {
     let ours = hello.protocol == LINK_PROTOCOL_VERSION;
-    match ours && hello.fleet == shared.settings.fleet {
+    match ours && hello.fleet == shared.settings().fleet {
         true => Ok(()),
         false => Err(LinkError::Gone),
     }
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -76,7 +76,7 @@
 }
 
 /// How far this box is in reading the catalog.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Reading {
     active: bool,
     failures: u32,
@@ -93,16 +93,6 @@
     Fresh,
 }
 
-impl Default for Reading {
-    fn default() -> Self {
-        Self {
-            active: false,
-            failures: 0,
-            lists: None,
-        }
-    }
-}
-
 impl Reading {
     fn note_success(&mut self, shared: &Shared) {
         if self.failures > 0 {
--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -9,6 +9,8 @@
 /// The order in which locks are taken, first to last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rank {
+    /// The settings.
+    Settings,
     /// The bundle in force.
     InForce,
     /// The links to other boxes.
@@ -19,6 +21,8 @@
     Directory,
     /// The services by name.
     Services,
+    /// The settings of retry budgets.
+    BudgetSettings,
     /// A service's retry budget.
     Budget,
     /// A service's backend servers.
--- a/crates/wingspur-edge/src/operator.rs
+++ b/crates/wingspur-edge/src/operator.rs
@@ -41,8 +41,8 @@
     out.sort();
     let in_force = shared.in_force().map(|bundle| bundle.since.elapsed());
     BoxStatus {
-        id: shared.settings.box_id.clone(),
-        data_centre: shared.settings.data_centre.clone(),
+        id: shared.settings().box_id.clone(),
+        data_centre: shared.settings().data_centre.clone(),
         bundle_version: shared.bundle_version(),
         in_force_ms: in_force.map_or(0, |time| time.as_millis() as u64),
         ready: shared.is_ready(),
--- a/crates/wingspur-edge/src/request.rs
+++ b/crates/wingspur-edge/src/request.rs
@@ -55,7 +55,7 @@
     let route = route.ok_or(plain(ResultCode::NoRoute))?.clone();
     let limit = arrived + time_allowed(shared, &route, &parts.headers);
     let limits = in_force.bundle.caller_limits;
-    let kept_bytes = shared.settings.kept_body_bytes;
+    let kept_bytes = shared.settings().kept_body_bytes;
     let body = receive_body(body, limits.max_body_bytes, kept_bytes, limit);
     let body = body.await.map_err(plain)?;
     let service = route.next_service().clone();
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 pub struct Services {
     home: DataCentreId,
-    budget: BudgetSettings,
+    budget: Ranked<BudgetSettings>,
     by_name: Ranked<HashMap<String, Arc<ServiceState>>>,
     /// The service of each announced server.
     by_server: Ranked<HashMap<ServerKey, Arc<ServiceState>>>,
@@ -40,7 +40,7 @@
     pub fn new(home: DataCentreId, budget: BudgetSettings) -> Self {
         Self {
             home,
-            budget,
+            budget: Ranked::new(Rank::BudgetSettings, budget),
             by_name: Ranked::new(Rank::Services, HashMap::new()),
             by_server: Ranked::new(Rank::ServersByKey, HashMap::new()),
             backends: Ranked::new(Rank::Backends, HashMap::new()),
@@ -53,16 +53,25 @@
         if let Some(service) = services.get(name) {
             return service.clone();
         }
+        let budget = *self.budget.lock();
         let balancer = Balancer::new(self.home.clone(), Instant::now());
         let service = Arc::new(ServiceState {
             name: name.to_owned(),
             balancer: Ranked::new(Rank::Balancer, balancer),
-            budget: Ranked::new(Rank::Budget, FleetBudget::new(self.budget)),
+            budget: Ranked::new(Rank::Budget, FleetBudget::new(budget)),
         });
         services.insert(name.to_owned(), service.clone());
         service
     }
 
+    /// Takes up changed settings of the retry budget.
+    pub fn set_budget(&self, settings: BudgetSettings) {
+        *self.budget.lock() = settings;
+        for service in self.all() {
+            service.budget.lock().set_settings(settings);
+        }
+    }
+
     /// All services.
     pub fn all(&self) -> Vec<Arc<ServiceState>> {
         self.by_name.lock().values().cloned().collect()
--- a/crates/wingspur-edge/src/settings.rs
+++ b/crates/wingspur-edge/src/settings.rs
@@ -185,6 +185,32 @@
         Duration::from_millis(self.drain.balancer_lag_ms)
     }
 
+    /// Fields that differ and that only a restart can change.
+    pub fn fixed_differences(&self, other: &Self) -> Vec<&'static str> {
+        let store = |settings: &Self| settings.catalog.as_ref().map(|c| c.store_address);
+        let pairs = [
+            ("box_id", self.box_id != other.box_id),
+            ("data_centre", self.data_centre != other.data_centre),
+            ("fleet", self.fleet != other.fleet),
+            (
+                "caller_address",
+                self.caller_address != other.caller_address,
+            ),
+            ("peer_address", self.peer_address != other.peer_address),
+            (
+                "operator_address",
+                self.operator_address != other.operator_address,
+            ),
+            ("catalog.store_address", store(self) != store(other)),
+            (
+                "worker_threads",
+                self.worker_threads != other.worker_threads,
+            ),
+        ];
+        let differs = pairs.into_iter().filter(|(_, differs)| *differs);
+        differs.map(|(name, _)| name).collect()
+    }
+
     /// How long requests in flight may take to finish.
     pub fn drain_limit(&self) -> Duration {
         Duration::from_millis(self.drain.limit_ms)
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -19,8 +19,6 @@
 /// What all parts of an entry box share.
 #[derive(Debug)]
 pub struct Shared {
-    /// The box's settings.
-    pub settings: Settings,
     /// Counters and gauges.
     pub metrics: Metrics,
     /// The header names of callers and servers.
@@ -46,6 +44,7 @@
     /// Whether the box is stopping.
     pub leaving: AtomicBool,
     in_force: Ranked<Option<Arc<InForce>>>,
+    settings: Ranked<Arc<Settings>>,
 }
 
 impl Shared {
@@ -78,10 +77,24 @@
             replan: Bell::new(),
             leaving: AtomicBool::new(false),
             in_force: Ranked::new(Rank::InForce, None),
-            settings,
+            settings: Ranked::new(Rank::Settings, Arc::new(settings)),
         }
     }
 
+    /// The box's settings as they stand now.
+    pub fn settings(&self) -> Arc<Settings> {
+        self.settings.lock().clone()
+    }
+
+    /// Takes up changed settings; returns the fields that only a restart can change.
+    pub fn reload(&self, new: Settings) -> Vec<&'static str> {
+        let old = self.settings();
+        let fixed = old.fixed_differences(&new);
+        self.services.set_budget(new.retry_budget);
+        *self.settings.lock() = Arc::new(new);
+        fixed
+    }
+
     /// The bundle in force.
     pub fn in_force(&self) -> Option<Arc<InForce>> {
         self.in_force.lock().clone()
--- a/crates/wingspur/src/run.rs
+++ b/crates/wingspur/src/run.rs
@@ -2,9 +2,12 @@
 
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
+use std::path::Path;
 use std::time::Duration;
 
-use wingspur_edge::{EdgeBox, LogFormat, LogSettings, Settings, load_settings};
+use wingspur_edge::{
+    EdgeBox, LogFormat, LogSettings, Settings, load_settings, parse_settings,
+};
 use wingspur_entry::EntryBox;
 use wingspur_platform::{catalog, header_names};
 use wingspur_transport::{Exchange, LinkFaults, Spawner, Workers};
@@ -22,16 +25,20 @@
         return Ok(());
     }
     start_logs(&settings.log)?;
-    let mut signals =
-        Signals::new([Signal::Term, Signal::Int]).map_err(Failure::failed)?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+        .map_err(Failure::failed)?;
     let workers = Workers::start(settings.worker_threads);
     let spawner = workers.spawner();
     let ended = smol::block_on(async {
         let running = Running::start(settings, &spawner).await?;
-        signals.next().await;
+        run_until_stop(&running, &args.settings, &mut signals).await;
         let stopping = async { Some(running.close().await) };
         let second = async {
-            signals.next().await;
+            while signals
+                .next()
+                .await
+                .is_some_and(|signal| is_reload(&signal))
+            {}
             None
         };
         Ok(stopping.or(second).await)
@@ -46,6 +53,44 @@
     }
 }
 
+/// Runs until a signal to stop; takes up the settings at each SIGHUP, and whenever the
+/// file has changed.
+async fn run_until_stop(running: &Running, path: &Path, signals: &mut Signals) {
+    let mut text = std::fs::read_to_string(path).unwrap_or_default();
+    loop {
+        let signalled = async { signals.next().await };
+        let elapsed = async {
+            smol::Timer::after(FILE_CHECK).await;
+            Some(Ok(Signal::Hup))
+        };
+        match signalled.or(elapsed).await {
+            Some(signal) if is_reload(&signal) => {}
+            Some(_) | None => return,
+        }
+        let new = match std::fs::read_to_string(path) {
+            Ok(new) => new,
+            Err(error) => {
+                tracing::warn!(%error, "settings: cannot be read, the old ones stay.");
+                continue;
+            }
+        };
+        if new == text {
+            continue;
+        }
+        text = new;
+        match parse_settings(&path.display().to_string(), &text) {
+            Ok(settings) => running.reload(settings),
+            Err(error) => {
+                tracing::warn!(%error, "settings: not sound, the old ones stay.");
+            }
+        }
+    }
+}
+
+fn is_reload(signal: &std::io::Result<Signal>) -> bool {
+    matches!(signal, Ok(Signal::Hup))
+}
+
 /// A box over whichever sources its settings name.
 enum Running {
     Own(Box<EntryBox>),
@@ -66,6 +111,13 @@
         Ok(Self::Edge(Box::new(started.map_err(Failure::failed)?)))
     }
 
+    fn reload(&self, settings: Settings) {
+        match self {
+            Self::Own(_) => tracing::info!("settings: a restart takes them up."),
+            Self::Edge(running) => running.reload(settings),
+        }
+    }
+
     /// Stops as planned; returns how many requests were cut.
     async fn close(self) -> usize {
         match self {
@@ -93,3 +145,5 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// How long a box counts as there when it does not renew.
 const LEASE_TTL: Duration = Duration::from_secs(10);
+/// The file may change without a signal.
+const FILE_CHECK: Duration = Duration::from_secs(5);
