Health of servers as a two-state filter

Ruled out: late sharing, the failures were known to other boxes within 0.1 s. Change: each outcome shifts the odds of being sick against the service's usual failures, odds drift back over 6 s; failures weigh more in the cost.

--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -71,6 +71,8 @@
     pub answer: Option<HeldAnswer>,
     /// What happened, for the log.
     pub reason: String,
+    /// The server, and why it was picked.
+    pub pick: Pick,
 }
 
 /// An attempt that is out; dropping it counts it as abandoned.
@@ -105,7 +107,7 @@
             Ok(connection) => connection,
             Err(error) => {
                 guard.end(Ended::Unreached);
-                return failed(AttemptEnd::NotSent, ResultCode::NotSent, &error);
+                return self.failed(AttemptEnd::NotSent, ResultCode::NotSent, &error);
             }
         };
         let began = Instant::now();
@@ -118,11 +120,11 @@
             None => {
                 guard.end(Ended::Abandoned);
                 let code = ResultCode::DeadlineInDoubt;
-                return failed(AttemptEnd::InDoubt, code, &"no answer in time");
+                return self.failed(AttemptEnd::InDoubt, code, &"no answer in time");
             }
             Some(Err(error)) => {
                 guard.end(Ended::Failed);
-                return failed(AttemptEnd::InDoubt, ResultCode::InDoubt, &error);
+                return self.failed(AttemptEnd::InDoubt, ResultCode::InDoubt, &error);
             }
             Some(Ok(answered)) => answered,
         };
@@ -181,7 +183,7 @@
                 self.shared.services.close_server(server);
             }
             let end = AttemptEnd::RefusedBeforeRunning;
-            return failed(end, ResultCode::NotSent, &status);
+            return self.failed(end, ResultCode::NotSent, &status);
         }
         if status.is_server_error() {
             guard.end(Ended::Failed);
@@ -191,9 +193,18 @@
                 code: ResultCode::InDoubt,
                 answer: Some(answer),
                 reason: status.to_string(),
+                pick: self.pick.clone(),
             });
         }
         let bytes = answer.body.len() as u64;
+        tracing::debug!(
+            server = %self.pick.server.id,
+            status = status.as_u16(),
+            took_ms = began.elapsed().as_millis() as u64,
+            in_flight = self.pick.in_flight,
+            share = self.pick.failure_share,
+            "attempt: answered."
+        );
         self.route.learned.learn(began.elapsed(), bytes);
         guard.close_good(connection);
         AttemptResult::Answered(answer)
@@ -240,6 +251,21 @@
         Reuse::RestedAtMost(SURELY_ALIVE)
     }
 
+    fn failed(
+        &self,
+        end: AttemptEnd,
+        code: ResultCode,
+        reason: &dyn std::fmt::Display,
+    ) -> AttemptResult {
+        AttemptResult::Failed(FailedAttempt {
+            end,
+            code,
+            answer: None,
+            reason: reason.to_string(),
+            pick: self.pick.clone(),
+        })
+    }
+
     fn remaining(&self) -> Duration {
         self.outgoing
             .limit
@@ -328,19 +354,6 @@
     }
 }
 
-fn failed(
-    end: AttemptEnd,
-    code: ResultCode,
-    reason: &dyn std::fmt::Display,
-) -> AttemptResult {
-    AttemptResult::Failed(FailedAttempt {
-        end,
-        code,
-        answer: None,
-        reason: reason.to_string(),
-    })
-}
-
 fn takes_body(method: &Method) -> bool {
     matches!(*method, Method::POST | Method::PUT | Method::PATCH)
 }
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -221,6 +221,10 @@
         tracing::info!(
             id = ?self.outgoing.id,
             route = %self.route.route.name,
+            server = %failed.pick.server.id,
+            in_flight = failed.pick.in_flight,
+            share = failed.pick.failure_share,
+            candidates = failed.pick.candidates,
             end = ?failed.end,
             reason = %failed.reason,
             tried = self.tried.len(),
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -54,7 +54,7 @@
             return service.clone();
         }
         let budget = *self.budget.lock();
-        let balancer = Balancer::new(self.home.clone(), Instant::now());
+        let balancer = Balancer::new(self.home.clone());
         let service = Arc::new(ServiceState {
             name: name.to_owned(),
             balancer: Ranked::new(Rank::Balancer, balancer),
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -13,7 +13,7 @@
 use rand::Rng;
 use rand::RngExt;
 
-use crate::evidence_window::RecentOutcomes;
+use crate::health::{Health, UsualFailures};
 use crate::{
     AttemptId, DataCentreId, KeyedTally, ServerKey, ServerRecord, ServerTally, SourceId,
 };
@@ -25,8 +25,8 @@
     servers: BTreeMap<ServerKey, Server>,
     attempts: HashMap<AttemptId, Attempt>,
     next_attempt: AttemptId,
-    /// All servers' outcomes together.
-    service: RecentOutcomes,
+    /// What fails at well servers.
+    usual: UsualFailures,
     /// Requests that this box may have out at one server.
     most_in_flight: u32,
 }
@@ -86,10 +86,10 @@
     changed: bool,
     /// What other boxes have out there, by who told it.
     remote: BTreeMap<SourceId, ServerTally>,
-    /// All boxes' outcomes.
-    outcomes: RecentOutcomes,
-    /// This box's own, with requests that did not reach the server.
-    path: RecentOutcomes,
+    /// What all boxes' outcomes say.
+    health: Health,
+    /// What this box's own say, with requests that did not reach the server.
+    path: Health,
 }
 
 #[derive(Debug)]
@@ -102,13 +102,13 @@
 
 impl Balancer {
     /// No servers yet; `home` is the box's data centre.
-    pub fn new(home: DataCentreId, now: Instant) -> Self {
+    pub fn new(home: DataCentreId) -> Self {
         Self {
             home,
             servers: BTreeMap::new(),
             attempts: HashMap::new(),
             next_attempt: 1,
-            service: RecentOutcomes::new(now),
+            usual: UsualFailures::new(),
             most_in_flight: u32::MAX,
         }
     }
@@ -124,8 +124,8 @@
             own: ServerTally::default(),
             changed: false,
             remote: BTreeMap::new(),
-            outcomes: RecentOutcomes::new(now),
-            path: RecentOutcomes::new(now),
+            health: Health::new(now),
+            path: Health::new(now),
         };
         let server = self.servers.entry(key).or_insert_with(fresh);
         server.record = record;
@@ -162,7 +162,7 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Pick> {
-        let prior = self.prior_failure_share(now);
+        let usual = self.usual.share();
         let mut best: Option<(f64, Pick)> = None;
         let mut candidates = 0;
         for (key, server) in &self.servers {
@@ -171,7 +171,7 @@
                 continue;
             }
             candidates += 1;
-            let pick = self.weigh(server, want, prior, now);
+            let pick = self.weigh(server, want, usual, now);
             let noise = 1.0 + NOISE * random.random::<f64>();
             let cost =
                 pick.expected_ms * noise + self.penalty_ms(server, want, &pick, now);
@@ -220,9 +220,10 @@
         }
         let seen = attempt.outcome(ended, now);
         server.own = server.own.plus(&seen);
-        server.outcomes.add(&seen, now);
-        server.path.add(&path_outcome(ended, &seen), now);
-        self.service.add(&seen, now);
+        let usual = self.usual.share();
+        server.health.add(&seen, usual, now);
+        server.path.add(&path_outcome(ended, &seen), usual, now);
+        self.usual.add(&seen, 1.0 - server.health.sickness());
     }
 
     /// Takes in what other boxes have seen, as told by a source; `news` are the outcomes
@@ -238,8 +239,8 @@
             return;
         };
         server.remote.insert(source, tally);
-        server.outcomes.add(news, now);
-        self.service.add(news, now);
+        server.health.add(news, self.usual.share(), now);
+        self.usual.add(news, 1.0 - server.health.sickness());
     }
 
     /// Forgets what a source has out: it is not heard any more.
@@ -293,15 +294,15 @@
 
     /// Servers that are likelier than not to fail, by id, for the box's status.
     pub fn suspects(&self, now: Instant) -> Vec<String> {
-        let prior = self.prior_failure_share(now);
+        let usual = self.usual.share();
         let suspected = |server: &&Server| {
-            server.failure_share(prior, now) >= SUSPECT_SHARE || !server.is_open()
+            server.failure_share(usual, now) >= SUSPECT_SHARE || !server.is_open()
         };
         let suspects = self.servers.values().filter(suspected);
         suspects.map(|server| server.record.id.clone()).collect()
     }
 
-    fn weigh(&self, server: &Server, want: &Want<'_>, prior: f64, now: Instant) -> Pick {
+    fn weigh(&self, server: &Server, want: &Want<'_>, usual: f64, now: Instant) -> Pick {
         let in_flight = server.in_flight();
         let slots = f64::from(server.record.slots.max(1));
         let cold = if now < server.cold_until {
@@ -309,7 +310,7 @@
         } else {
             1.0
         };
-        let slowness = server.outcomes.at(now).slowness().max(cold);
+        let slowness = server.health.at(now).slowness().max(cold);
         let work_ms = want.typical.as_secs_f64() * 1000.0 * slowness;
         // The queue before the request, in rounds of all slots.
         let ahead = (f64::from(in_flight) + 1.0 - slots).max(0.0);
@@ -319,7 +320,7 @@
             server: server.record.clone(),
             expected_ms: work_ms + wait_ms + crowding,
             wait_ms,
-            failure_share: server.failure_share(prior, now),
+            failure_share: server.failure_share(usual, now),
             in_flight,
             candidates: 0,
         }
@@ -337,7 +338,7 @@
         } else {
             LOST_FAILURE_MS
         };
-        let refusals = server.outcomes.at(now).refusal_share();
+        let refusals = server.health.at(now).refusal_share();
         let away = server.record.data_centre != self.home;
         let crossing_ms = if away {
             want.crossing.as_secs_f64() * 1000.0
@@ -346,13 +347,6 @@
         };
         pick.failure_share * failure_ms + refusals * REFUSAL_MS + crossing_ms
     }
-
-    /// What is taken for granted of a server that little is known about.
-    fn prior_failure_share(&self, now: Instant) -> f64 {
-        let service = self.service.at(now);
-        let share = (service.failed() + 1.0) / (service.weight() + SERVICE_PRIOR);
-        share.clamp(LEAST_PRIOR, MOST_PRIOR)
-    }
 }
 
 impl Server {
@@ -371,9 +365,9 @@
     }
 
     /// The worse of what the fleet and what this box alone makes of the server.
-    fn failure_share(&self, prior: f64, now: Instant) -> f64 {
-        let fleet = self.outcomes.at(now).failure_share(prior, self.overdue());
-        let path = self.path.at(now).failure_share(prior, self.own.overdue);
+    fn failure_share(&self, usual: f64, now: Instant) -> f64 {
+        let fleet = self.health.at(now).failure_share(usual, self.overdue());
+        let path = self.path.at(now).failure_share(usual, self.own.overdue);
         fleet.max(path)
     }
 }
@@ -414,19 +408,14 @@
 /// A server that has just started takes about twice as long.
 const COLD_FACTOR: f64 = 2.0;
 /// What a failure costs a request that can be sent again: another attempt.
-const REPEATABLE_FAILURE_MS: f64 = 800.0;
-/// What a failure costs a request that cannot: it is worth about as much as an answer that
-/// comes three seconds late.
-const LOST_FAILURE_MS: f64 = 3000.0;
+const REPEATABLE_FAILURE_MS: f64 = 1500.0;
+/// What a failure costs a request that cannot: it weighs as much as several late answers.
+const LOST_FAILURE_MS: f64 = 5000.0;
 /// What a refusal costs: a round trip and a resend from the budget.
 const REFUSAL_MS: f64 = 300.0;
 /// A request is overdue after so many times the usual, and never before a second.
 const OVERDUE_FACTOR: u32 = 4;
 const LEAST_OVERDUE: Duration = Duration::from_millis(1000);
-/// The service's own outcomes weigh as one failure in so many before any came.
-const SERVICE_PRIOR: f64 = 50.0;
-const LEAST_PRIOR: f64 = 0.01;
-const MOST_PRIOR: f64 = 0.3;
 /// A box may always have so many requests out at a server.
 const LEAST_CONNECTIONS: u32 = 4;
 /// From here on a server is named as suspect in the status.
