--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -57,7 +57,7 @@
         guard: AttemptGuard,
     },
     /// Nothing to pass on, or a failure of the server's own.
-    Failed(FailedAttempt),
+    Failed(Box<FailedAttempt>),
 }
 
 /// An attempt that brought no good answer.
@@ -188,13 +188,13 @@
         if status.is_server_error() {
             guard.end(Ended::Failed);
             guard.backend.keep(connection);
-            return AttemptResult::Failed(FailedAttempt {
+            return AttemptResult::Failed(Box::new(FailedAttempt {
                 end: AttemptEnd::ServerError,
                 code: ResultCode::InDoubt,
                 answer: Some(answer),
                 reason: status.to_string(),
                 pick: self.pick.clone(),
-            });
+            }));
         }
         let bytes = answer.body.len() as u64;
         tracing::debug!(
@@ -257,13 +257,13 @@
         code: ResultCode,
         reason: &dyn std::fmt::Display,
     ) -> AttemptResult {
-        AttemptResult::Failed(FailedAttempt {
+        AttemptResult::Failed(Box::new(FailedAttempt {
             end,
             code,
             answer: None,
             reason: reason.to_string(),
             pick: self.pick.clone(),
-        })
+        }))
     }
 
     fn remaining(&self) -> Duration {
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -33,7 +33,7 @@
     /// Whether an attempt that is over may have run.
     in_doubt: bool,
     /// What the caller is told if nothing better comes.
-    last: Option<FailedAttempt>,
+    last: Option<Box<FailedAttempt>>,
 }
 
 /// Why a request got no answer.
@@ -234,7 +234,7 @@
     }
 
     /// Keeps what tells the caller most: a server's own answer before none.
-    fn keep_worst(&mut self, failed: FailedAttempt) {
+    fn keep_worst(&mut self, failed: Box<FailedAttempt>) {
         let keeps = self.last.as_ref().is_some_and(|last| last.answer.is_some());
         if !keeps || failed.answer.is_some() {
             self.last = Some(failed);
