--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -205,7 +205,12 @@
             share = self.pick.failure_share,
             "attempt: answered."
         );
-        self.route.learned.learn(began.elapsed(), bytes);
+        // What the queue took is not the route's own time.
+        let typical_ms = self.route.learned.typical().as_secs_f64() * 1000.0;
+        let queue = (self.pick.usual_ms / typical_ms).max(1.0);
+        self.route
+            .learned
+            .learn(began.elapsed().div_f64(queue), bytes);
         guard.close_good(connection);
         AttemptResult::Answered(answer)
     }
@@ -315,9 +320,9 @@
 impl AttemptGuard {
     fn begin(plan: &AttemptPlan, backend: Arc<Backend>) -> Self {
         let server: &ServerRecord = &plan.pick.server;
-        let typical = plan.route.learned.typical();
+        let usual_ms = plan.pick.usual_ms;
         let mut balancer = plan.service.balancer.lock();
-        let id = balancer.begin(server.key(), typical, Instant::now());
+        let id = balancer.begin(server.key(), usual_ms, Instant::now());
         drop(balancer);
         plan.shared.news.poke();
         Self {
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -51,6 +51,8 @@
     pub server: Arc<ServerRecord>,
     /// When its answer should be there, in milliseconds.
     pub expected_ms: f64,
+    /// The same for a server that takes the usual time.
+    pub usual_ms: f64,
     /// Of them, the wait for a slot.
     pub wait_ms: f64,
     /// How likely it is to fail.
@@ -96,7 +98,8 @@
 struct Attempt {
     server: ServerKey,
     since: Instant,
-    typical: Duration,
+    /// When its answer should be there at a server that takes the usual time.
+    usual_ms: f64,
     overdue: bool,
 }
 
@@ -183,12 +186,7 @@
     }
 
     /// Counts an attempt as begun.
-    pub fn begin(
-        &mut self,
-        key: ServerKey,
-        typical: Duration,
-        now: Instant,
-    ) -> AttemptId {
+    pub fn begin(&mut self, key: ServerKey, usual_ms: f64, now: Instant) -> AttemptId {
         let id = self.next_attempt;
         self.next_attempt += 1;
         if let Some(server) = self.servers.get_mut(&key) {
@@ -198,7 +196,7 @@
         let attempt = Attempt {
             server: key,
             since: now,
-            typical,
+            usual_ms,
             overdue: false,
         };
         self.attempts.insert(id, attempt);
@@ -257,7 +255,8 @@
             .values_mut()
             .filter(|attempt| !attempt.overdue)
         {
-            let patience = (attempt.typical * OVERDUE_FACTOR).max(LEAST_OVERDUE);
+            let patience = Duration::from_secs_f64(attempt.usual_ms / 1000.0);
+            let patience = (patience * OVERDUE_FACTOR).max(LEAST_OVERDUE);
             if now.saturating_duration_since(attempt.since) < patience {
                 continue;
             }
@@ -311,15 +310,16 @@
             1.0
         };
         let slowness = server.health.at(now).slowness().max(cold);
-        let work_ms = want.typical.as_secs_f64() * 1000.0 * slowness;
+        let typical_ms = want.typical.as_secs_f64() * 1000.0;
         // The queue before the request, in rounds of all slots.
-        let ahead = (f64::from(in_flight) + 1.0 - slots).max(0.0);
-        let wait_ms = work_ms * ahead / slots;
-        let crowding = CROWDING * work_ms * f64::from(in_flight) / slots;
+        let ahead = (f64::from(in_flight) + 1.0 - slots).max(0.0) / slots;
+        let crowding = CROWDING * f64::from(in_flight) / slots;
+        let usual_ms = typical_ms * (1.0 + ahead + crowding);
         Pick {
             server: server.record.clone(),
-            expected_ms: work_ms + wait_ms + crowding,
-            wait_ms,
+            expected_ms: usual_ms * slowness,
+            usual_ms,
+            wait_ms: typical_ms * slowness * ahead,
             failure_share: server.failure_share(usual, now),
             in_flight,
             candidates: 0,
@@ -379,8 +379,8 @@
             Ended::Good => {
                 seen.good = 1;
                 let took = now.saturating_duration_since(self.since).as_secs_f64();
-                let typical = self.typical.as_secs_f64().max(LEAST_TYPICAL_S);
-                seen.slowness_percent = (took / typical * 100.0).min(MOST_PERCENT) as u32;
+                let ratio = took * 1000.0 / self.usual_ms.max(LEAST_USUAL_MS);
+                seen.slowness_percent = (ratio * 100.0).min(MOST_PERCENT) as u32;
             }
             Ended::Failed => seen.failed = 1,
             Ended::Refused | Ended::Unreached => seen.refused = 1,
@@ -420,5 +420,5 @@
 const LEAST_CONNECTIONS: u32 = 4;
 /// From here on a server is named as suspect in the status.
 const SUSPECT_SHARE: f64 = 0.35;
-const LEAST_TYPICAL_S: f64 = 0.001;
+const LEAST_USUAL_MS: f64 = 1.0;
 const MOST_PERCENT: f64 = 1200.0;
