A box that joins is told the health of servers; seeds; leaving hubs say so

Change: notes on health with a new link, seeds, a leaving flag, the greeting's record is taken over, members look only now and then while the hub tries.

--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -110,6 +110,8 @@
             "stop: not ready from now on."
         );
         self.shared.leaving.store(true, Ordering::Release);
+        self.shared.links.lock().note_leaving(None);
+        self.shared.news.poke();
         self.withdraw().await;
         // The balancer learns of it late, and sends callers until then.
         smol::Timer::after(lag).await;
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Keeps the links that should stand, and the news going over them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,7 @@
 use wingspur_protocol::{
     CatalogUpdate, Digest, Frame, Hello, LINK_PROTOCOL_VERSION, LinkRole,
 };
-use wingspur_state::{SourceId, server_key};
+use wingspur_state::{HealthNote, ServerKey, SourceId, server_key};
 use wingspur_transport::{
     LinkBody, LinkError, LinkReceiver, LinkSender, StopSignal, accept_link,
     empty_link_body, open_link,
@@ -25,10 +26,31 @@
         for id in unplanned {
             drop_link(&shared, id, "another hub took its place");
         }
+        let mut all_stand = true;
         for planned in missing {
-            keep_link(&shared, planned).await;
+            all_stand &= keep_link(&shared, planned).await;
+        }
+        if shared.links.lock().is_alone() {
+            ask_seeds(&shared).await;
+        }
+        // The next best box may do at once.
+        let pause = if all_stand { REPLAN_EVERY } else { REPLAN_SOON };
+        shared.replan.wait(pause).await;
+    }
+}
+
+/// Asks the seeds who else is there, until one answers.
+async fn ask_seeds(shared: &Arc<Shared>) {
+    let settings = shared.settings();
+    let seeds = settings.catalog.iter().flat_map(|catalog| &catalog.seeds);
+    for seed in seeds.filter(|seed| **seed != settings.peer_address) {
+        match open(shared, *seed, LinkRole::Member).await {
+            Ok(opened) => {
+                tracing::info!(%seed, "peer: a seed answers.");
+                return take_up(shared, opened, LinkRole::Member);
+            }
+            Err(error) => tracing::info!(%seed, %error, "peer: a seed is silent."),
         }
-        shared.replan.wait(REPLAN_EVERY).await;
     }
 }
 
@@ -62,39 +84,48 @@
     response
 }
 
-/// Opens a planned link and reads it in a task of its own.
-async fn keep_link(shared: &Arc<Shared>, planned: PlannedLink) {
-    let to = planned.to.clone();
-    match open(shared, &planned).await {
-        Ok((sender, receiver, hello)) => {
+/// Opens a planned link; whether it stands.
+async fn keep_link(shared: &Arc<Shared>, planned: PlannedLink) -> bool {
+    let to = planned.to;
+    match open(shared, to.peer_address, planned.role).await {
+        Ok(opened) => {
             tracing::info!(peer = %to.id, role = ?planned.role, "peer: linked.");
-            let opened_as = Some(planned.role);
-            let (peer, now) = (hello.from.clone(), Instant::now());
-            let id = shared.links.lock().add(peer, opened_as, None, sender, now);
-            greet(shared, id, &hello);
-            let reading = read_link(shared.clone(), id, receiver);
-            shared.spawner.detach(reading);
+            take_up(shared, opened, planned.role);
+            true
         }
         Err(error) => {
             tracing::info!(peer = %to.id, %error, "peer: cannot be reached.");
             shared.links.lock().planner().avoid(&to.id, Instant::now());
+            false
         }
     }
 }
 
+/// A link that this box has opened, with the other side's greeting.
+type Opened = (LinkSender, LinkReceiver, Hello);
+
 async fn open(
     shared: &Shared,
-    planned: &PlannedLink,
-) -> Result<(LinkSender, LinkReceiver, Hello), LinkError> {
-    let to = planned.to.peer_address;
+    to: SocketAddr,
+    role: LinkRole,
+) -> Result<Opened, LinkError> {
     let opened = open_link(&shared.connector, to, LINK_PATH, OPEN_TIMEOUT).await;
     let (sender, mut receiver) = opened?;
-    sender.send(&own_hello(shared, planned.role))?;
+    sender.send(&own_hello(shared, role))?;
     let hello: Hello = receiver.next(OPEN_TIMEOUT).await?;
     check(shared, &hello)?;
     Ok((sender, receiver, hello))
 }
 
+/// Takes up a link that was opened here, and reads it in a task of its own.
+fn take_up(shared: &Arc<Shared>, opened: Opened, role: LinkRole) {
+    let (sender, receiver, hello) = opened;
+    let (peer, now) = (hello.from.clone(), Instant::now());
+    let id = shared.links.lock().add(peer, Some(role), None, sender, now);
+    greet(shared, id, &hello);
+    shared.spawner.detach(read_link(shared.clone(), id, receiver));
+}
+
 /// Serves a link that another box opened.
 async fn serve_link(shared: Arc<Shared>, sender: LinkSender, mut receiver: LinkReceiver) {
     let hello = match receiver.next::<Hello>(OPEN_TIMEOUT).await {
@@ -118,7 +149,6 @@
 
 fn admit(shared: &Shared, hello: &Hello, sender: LinkSender) -> LinkId {
     let mut links = shared.links.lock();
-    links.planner().put(hello.from.clone());
     let role = Some(hello.role);
     links.add(hello.from.clone(), None, role, sender, Instant::now())
 }
@@ -130,9 +160,26 @@
         let listing = listing_of(shared, Instant::now());
         shared.links.lock().tell(id, listing);
     }
+    let notes = health_notes(shared);
+    shared.links.lock().tell_health(id, notes);
     shared.news.poke();
 }
 
+fn health_notes(shared: &Shared) -> Vec<(ServerKey, HealthNote)> {
+    let now = Instant::now();
+    let services = shared.services.all();
+    let noted = services.iter().flat_map(|s| s.balancer.lock().health_notes(now));
+    noted.collect()
+}
+
+fn adopt_health(shared: &Shared, notes: &[(ServerKey, HealthNote)], now: Instant) {
+    for (key, note) in notes {
+        if let Some(service) = shared.services.of_server(*key) {
+            service.balancer.lock().adopt_health(*key, note, now);
+        }
+    }
+}
+
 async fn read_link(shared: Arc<Shared>, id: LinkId, mut receiver: LinkReceiver) {
     loop {
         match receiver.next::<Frame>(SILENCE).await {
@@ -159,6 +206,11 @@
     let passes_on = links.counts().0 > 1;
     drop(links);
     apply_news(shared, &news, now);
+    adopt_health(shared, &frame.health, now);
+    if frame.leaving {
+        shared.links.lock().note_leaving(Some(id));
+        shared.replan.poke();
+    }
     if frame.wants_listing {
         let listing = listing_of(shared, now);
         shared.links.lock().tell(id, listing);
@@ -274,5 +326,6 @@
 /// Three signs of life in a row are missing.
 const SILENCE: Duration = Duration::from_millis(1000);
 const REPLAN_EVERY: Duration = Duration::from_millis(500);
+const REPLAN_SOON: Duration = Duration::from_millis(10);
 /// A frame waits at most so long for more to put into it.
 const GATHER: Duration = Duration::from_millis(50);
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -1,6 +1,7 @@
 //! Reads the catalog where this box should: a listing first, then changes.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
@@ -37,7 +38,12 @@
             }
             Err(error) => {
                 reading.note_failure(&shared, &error);
-                smol::Timer::after(pause(reading.failures)).await;
+                // While another box tries all the time, now and then is enough here: the
+                // store may turn away some boxes only.
+                let tried_for = shared.links.lock().feed().is_tried_for();
+                let least = if tried_for { HELPER_PAUSE } else { Duration::ZERO };
+                let wait = pause(reading.failures).max(jittered(least));
+                smol::Timer::after(wait).await;
             }
         }
         shared.settle(Instant::now());
@@ -48,7 +54,7 @@
 pub async fn run_announcement(shared: Arc<Shared>, stop: StopSignal) {
     let mut lease: Option<LeaseId> = None;
     let mut failures = 0u32;
-    while !stop.is_given() {
+    while !stop.is_given() && !shared.leaving.load(Ordering::Acquire) {
         let result = match lease {
             None => announce(&shared).await.map(Some),
             Some(held) => renew(&shared, held).await,
@@ -107,6 +113,7 @@
             tracing::warn!(%error, "store: lost.");
         }
         self.failures += 1;
+        shared.links.lock().feed().note_no_answer();
         shared.directory.lock().store_lost();
     }
 }
@@ -175,12 +182,15 @@
     links.feed().should_read(is_hub, rank, now)
 }
 
-/// A pause that doubles up to a second, drawn between a half and the whole of it.
+/// A pause that doubles up to a second.
 fn pause(failures: u32) -> Duration {
     let whole = FIRST_PAUSE * 2u32.pow(failures.min(4));
-    whole
-        .min(MOST_PAUSE)
-        .mul_f64(0.5 + rand::random::<f64>() / 2.0)
+    jittered(whole.min(MOST_PAUSE))
+}
+
+/// Draws between a half and the whole of a time.
+fn jittered(whole: Duration) -> Duration {
+    whole.mul_f64(0.5 + rand::random::<f64>() / 2.0)
 }
 
 /// How long a watch waits for a change; the renewals in between tell that the store lives.
@@ -192,3 +202,6 @@
 const NEED_CHECK: Duration = Duration::from_millis(500);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const MOST_PAUSE: Duration = Duration::from_secs(1);
+/// Forty boxes that look every few seconds find within a tenth of one that the store serves
+/// some of them.
+const HELPER_PAUSE: Duration = Duration::from_secs(4);
--- a/crates/wingspur-edge/src/feed_view.rs
+++ b/crates/wingspur-edge/src/feed_view.rs
@@ -1,6 +1,6 @@
 //! How fresh this box's view of the catalog is, and who keeps it so.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use wingspur_coordination::LinkId;
@@ -14,8 +14,12 @@
     revision: Revision,
     /// When this box itself last had an answer of the store; none when it does not read.
     own_fresh: Option<Instant>,
+    /// Whether this box tries to read, and has no answer.
+    own_tries: bool,
     /// What each link says: who reads, and when it last had an answer.
     links: BTreeMap<LinkId, (BoxId, Instant)>,
+    /// Links whose other side tries to read, and has no answer.
+    trying: BTreeSet<LinkId>,
     /// Since when nobody is known to read.
     unfed_since: Instant,
 }
@@ -27,7 +31,9 @@
             own,
             revision: 0,
             own_fresh: None,
+            own_tries: false,
             links: BTreeMap::new(),
+            trying: BTreeSet::new(),
             unfed_since: now,
         }
     }
@@ -45,11 +51,23 @@
     /// Notes an answer of the store to this box.
     pub fn note_answer(&mut self, now: Instant) {
         self.own_fresh = Some(now);
+        self.own_tries = false;
+    }
+
+    /// Notes that the store did not answer this box.
+    pub fn note_no_answer(&mut self) {
+        self.own_tries = true;
+    }
+
+    /// Whether another box tries to read for this one, in vain.
+    pub fn is_tried_for(&self) -> bool {
+        !self.trying.is_empty()
     }
 
     /// Notes that this box does not read any more.
     pub fn stop_reading(&mut self) {
         self.own_fresh = None;
+        self.own_tries = false;
     }
 
     /// Whether this box reads the store, and had an answer.
@@ -59,6 +77,10 @@
 
     /// Notes what the other side of a link says.
     pub fn note(&mut self, link: LinkId, state: &FeedState, now: Instant) {
+        match state.tries {
+            true => self.trying.insert(link),
+            false => self.trying.remove(&link),
+        };
         let Some(reader) = &state.reader else {
             self.links.remove(&link);
             return;
@@ -76,6 +98,7 @@
     /// Forgets a link.
     pub fn forget(&mut self, link: LinkId) {
         self.links.remove(&link);
+        self.trying.remove(&link);
     }
 
     /// What this box says of itself.
@@ -84,12 +107,16 @@
         let theirs = self.links.values().map(|(reader, at)| (reader, *at));
         let best = own.into_iter().chain(theirs).max_by_key(|(_, at)| *at);
         let Some((reader, at)) = best else {
-            return FeedState::default();
+            return FeedState {
+                tries: self.own_tries,
+                ..FeedState::default()
+            };
         };
         let age = now.saturating_duration_since(at).as_millis();
         FeedState {
             reader: Some(reader.clone()),
             age_ms: age.min(u128::from(u32::MAX)) as u32,
+            tries: self.own_tries,
         }
     }
 
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -9,7 +9,7 @@
 use wingspur_protocol::{
     BoxRecord, CatalogUpdate, Digest, FeedState, Frame, LinkRole, Revision,
 };
-use wingspur_state::{BoxId, SourceId};
+use wingspur_state::{BoxId, HealthNote, ServerKey, SourceId};
 use wingspur_transport::LinkSender;
 
 use crate::feed_view::FeedView;
@@ -24,6 +24,8 @@
     feed: FeedView,
     active: BTreeMap<LinkId, ActiveLink>,
     next_id: LinkId,
+    /// Whether this box is stopping.
+    leaving: bool,
 }
 
 /// A link that stands.
@@ -36,6 +38,8 @@
     sender: LinkSender,
     catalog: Vec<CatalogUpdate>,
     wants_listing: bool,
+    health: Vec<(ServerKey, HealthNote)>,
+    told_leaving: bool,
     sent: Instant,
 }
 
@@ -60,10 +64,16 @@
             feed: FeedView::new(own.id.clone(), now),
             active: BTreeMap::new(),
             next_id: OWN_LINK + 1,
+            leaving: false,
             own,
         }
     }
 
+    /// Whether this box knows no other, linked or announced.
+    pub fn is_alone(&self) -> bool {
+        self.active.is_empty() && self.planner.size() == 1
+    }
+
     /// This box as it announces itself.
     pub fn own(&self) -> &BoxRecord {
         &self.own
@@ -101,6 +111,7 @@
             Some(LinkRole::Hub) | None => LinkKind::Hub,
         };
         self.rollup.add_link(id, kind);
+        self.planner.put(peer.clone());
         self.planner.reached(&peer.id);
         let link = ActiveLink {
             peer,
@@ -109,6 +120,8 @@
             sender,
             catalog: Vec::new(),
             wants_listing: false,
+            health: Vec::new(),
+            told_leaving: false,
             sent: now,
         };
         self.active.insert(id, link);
@@ -185,6 +198,21 @@
         }
     }
 
+    /// Queues what the other side of a new link should know of backend servers.
+    pub fn tell_health(&mut self, id: LinkId, notes: Vec<(ServerKey, HealthNote)>) {
+        if let Some(link) = self.active.get_mut(&id) {
+            link.health = notes;
+        }
+    }
+
+    /// Notes that this box is stopping, or the other side of a link is.
+    pub fn note_leaving(&mut self, id: Option<LinkId>) {
+        match id.and_then(|id| self.active.get(&id)) {
+            Some(link) => self.planner.remove(&link.peer.id.clone()),
+            None => self.leaving = true,
+        }
+    }
+
     /// Asks the other side of a link for a listing.
     pub fn ask_for_listing(&mut self, id: LinkId) {
         if let Some(link) = self.active.get_mut(&id) {
@@ -201,11 +229,15 @@
             let away = link.peer.data_centre != self.own.data_centre;
             let gap = if away { AWAY_GAP } else { HOME_GAP };
             let due = age >= gap && self.rollup.has_news(*id);
-            let urgent = !link.catalog.is_empty() || link.wants_listing;
+            let urgent = !link.catalog.is_empty()
+                || link.wants_listing
+                || !link.health.is_empty()
+                || (self.leaving && !link.told_leaving);
             if !due && !urgent && age < HEARTBEAT {
                 continue;
             }
             link.sent = now;
+            link.told_leaving = self.leaving;
             let digests = if due {
                 self.rollup.compose(*id)
             } else {
@@ -219,6 +251,8 @@
                     catalog: std::mem::take(&mut link.catalog),
                     feed: feed.clone(),
                     wants_listing: std::mem::take(&mut link.wants_listing),
+                    leaving: self.leaving,
+                    health: std::mem::take(&mut link.health),
                 },
             });
         }
--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -2,7 +2,9 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use wingspur_state::{BoxId, KeyedTally, ServiceTally, SourceId};
+use wingspur_state::{
+    BoxId, HealthNote, KeyedTally, ServerKey, ServiceTally, SourceId,
+};
 
 use crate::{BoxRecord, CatalogChanges, CatalogListing, Revision};
 
@@ -44,6 +46,10 @@
     pub feed: FeedState,
     /// Whether the sender lacks changes and wants a listing.
     pub wants_listing: bool,
+    /// Whether the sender is stopping: it should not be taken for a hub any more.
+    pub leaving: bool,
+    /// What the sender makes of backend servers; told once, when a link is new.
+    pub health: Vec<(ServerKey, HealthNote)>,
 }
 
 /// Tallies that have changed, as told by one source.
@@ -85,6 +91,8 @@
     pub reader: Option<BoxId>,
     /// How long ago that box last had an answer of the store, in milliseconds.
     pub age_ms: u32,
+    /// Whether the sender itself tries to read, and has no answer.
+    pub tries: bool,
 }
 
 /// Why a frame cannot be read.
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -13,7 +13,7 @@
 use rand::Rng;
 use rand::RngExt;
 
-use crate::health::{Health, UsualFailures};
+use crate::health::{Health, HealthNote, UsualFailures};
 use crate::{
     AttemptId, DataCentreId, KeyedTally, ServerKey, ServerRecord, ServerTally, SourceId,
 };
@@ -241,6 +241,21 @@
         self.usual.add(news, 1.0 - server.health.sickness());
     }
 
+    /// What a box that has just come should know of the servers.
+    pub fn health_notes(&self, now: Instant) -> Vec<(ServerKey, HealthNote)> {
+        let noted = self.servers.iter();
+        noted
+            .filter_map(|(key, server)| Some((*key, server.health.note(now)?)))
+            .collect()
+    }
+
+    /// Takes over what another box knows of a server.
+    pub fn adopt_health(&mut self, key: ServerKey, note: &HealthNote, now: Instant) {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.health.adopt(note, now);
+        }
+    }
+
     /// Forgets what a source has out: it is not heard any more.
     pub fn forget_source(&mut self, source: SourceId) {
         for server in self.servers.values_mut() {
--- a/crates/wingspur-state/src/health.rs
+++ b/crates/wingspur-state/src/health.rs
@@ -8,8 +8,23 @@
 
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 use crate::ServerTally;
 
+/// What a box makes of a server, for one that has just come and knows nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct HealthNote {
+    /// How likely the server fails most of its work.
+    pub failing: f64,
+    /// How likely it refuses most of its work.
+    pub refusing: f64,
+    /// How many recent answers the next figure rests on.
+    pub answers: f64,
+    /// The sum of how many times the usual time each of them took.
+    pub lateness: f64,
+}
+
 /// What recent outcomes say of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Health {
@@ -46,6 +61,31 @@
         self.lateness += f64::from(counts.slowness_percent) / 100.0;
     }
 
+    /// What another box should know of the server; none where that is nothing special.
+    pub fn note(&self, now: Instant) -> Option<HealthNote> {
+        let health = self.at(now);
+        let note = HealthNote {
+            failing: health.failing,
+            refusing: health.refusing,
+            answers: health.answers,
+            lateness: health.lateness,
+        };
+        let late = health.slowness() >= NOTED_SLOWNESS;
+        let sick = health.failing.max(health.refusing) >= NOTED_SICKNESS;
+        (late || sick).then_some(note)
+    }
+
+    /// Takes over from a note what is worse than what is known here.
+    pub fn adopt(&mut self, note: &HealthNote, now: Instant) {
+        *self = self.at(now);
+        self.failing = self.failing.max(note.failing.clamp(0.0, MOST_NOTED));
+        self.refusing = self.refusing.max(note.refusing.clamp(0.0, MOST_NOTED));
+        if note.answers > self.answers {
+            self.answers = note.answers;
+            self.lateness = note.lateness;
+        }
+    }
+
     /// The same at a later time, without outcomes in between.
     pub fn at(&self, now: Instant) -> Self {
         let age = now.saturating_duration_since(self.at).as_secs_f64();
@@ -143,11 +183,16 @@
 /// take 40 to 75 in 100.
 const SICK_SHARE: f64 = 0.6;
 /// A gray failure lasts five to ten seconds.
-const MEAN_SICKNESS: Duration = Duration::from_secs(6);
+const MEAN_SICKNESS: Duration = Duration::from_secs(10);
 /// How likely a server is sick when nothing is known of it.
 const USUAL_SICK: f64 = 0.04;
 /// Odds beyond e^5 would take too many good answers to clear.
 const MOST_LN_ODDS: f64 = 5.0;
+/// Worth telling a box that knows nothing.
+const NOTED_SICKNESS: f64 = 0.15;
+const NOTED_SLOWNESS: f64 = 1.5;
+/// A note alone never makes a server surely sick.
+const MOST_NOTED: f64 = 0.99;
 const OVERDUE_WEIGHT: f64 = 0.5;
 const HALF_LIFE: Duration = Duration::from_secs(3);
 /// How many answers the usual time is worth.
@@ -157,7 +202,7 @@
 const MOST_SLOWNESS: f64 = 12.0;
 /// One or two requests in a hundred fail at a well server.
 const LEAST_USUAL: f64 = 0.015;
-const MOST_USUAL: f64 = 0.2;
+const MOST_USUAL: f64 = 0.04;
 /// Outcomes that the least usual share is worth at the start.
 const USUAL_PRIOR: f64 = 50.0;
 /// About ten seconds of a service's outcomes.
