Floor over neglected servers; counts of a member that comes back are not added twice

Change: the first digest of a link is a baseline, a new link carries the window's history, a process whose history nobody knows earns its slack over the window. Change: while more than 7 in 100 are lost, neglected servers are tried at a rate that keeps 85 in 100 in use.

--- a/crates/wingspur-coordination/src/rollup.rs
+++ b/crates/wingspur-coordination/src/rollup.rs
@@ -111,7 +111,7 @@
         let mut changed = Vec::new();
         for (key, told) in &link.told.servers {
             let total = self.total.servers.entry(*key).or_default();
-            *total = total.minus(told).plus(&told.without_gauges());
+            *total = total.without_stale(told);
             changed.push(*key);
         }
         self.mark(None, &changed, &[]);
@@ -182,14 +182,21 @@
         let mut servers = Vec::new();
         for (key, tally) in &digest.servers {
             let told = link.told.servers.entry(*key).or_default();
+            if digest.whole {
+                // What a member counted before it came has been told elsewhere.
+                *told = tally.without_gauges();
+            }
             let total = self.total.servers.entry(*key).or_default();
-            *total = total.minus(told).plus(tally);
+            *total = total.plus(&tally.since(told)).without_stale(told);
             *told = *tally;
             servers.push(*key);
         }
         let mut services = Vec::new();
         for (key, tally) in &digest.services {
             let told = link.told.services.entry(*key).or_default();
+            if digest.whole {
+                *told = *tally;
+            }
             let total = self.total.services.entry(*key).or_default();
             *total = total.plus(&tally.since(told));
             *told = *tally;
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -136,14 +136,17 @@
 
     fn pick(&self) -> Option<Pick> {
         let learned = &self.route.learned;
+        let now = Instant::now();
+        let present = self.service.budget.lock().present(now);
         let want = Want {
             repeatable: self.is_repeatable(),
             typical: learned.typical(),
             crossing: crossing_cost(learned.answer_bytes()),
             tried: &self.tried,
+            present,
         };
         let balancer = self.service.balancer.lock();
-        balancer.pick(&want, Instant::now(), &mut rand::rng())
+        balancer.pick(&want, now, &mut rand::rng())
     }
 
     /// Waits for the first of the running attempts, or for the time to hedge.
@@ -242,6 +245,7 @@
     }
 
     fn give_up(&mut self, code: ResultCode) -> GivenUp {
+        self.service.budget.lock().count_lost(Instant::now());
         let answer = self.last.take().and_then(|last| last.answer);
         let code = match code {
             ResultCode::DeadlineInDoubt | ResultCode::InDoubt => code,
--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -14,12 +14,12 @@
 /// Takes in news of the catalog that came by a link, and passes on what was news here.
 pub fn apply_update(
     shared: &Arc<Shared>,
-    update: CatalogUpdate,
+    update: &CatalogUpdate,
     from: Option<LinkId>,
     now: Instant,
 ) {
     let known = shared.links.lock().revision();
-    let (after, revision, doubtful_ms) = match &update {
+    let (after, revision, doubtful_ms) = match update {
         CatalogUpdate::Listing {
             listing,
             doubtful_ms,
@@ -42,8 +42,8 @@
     }
     let doubtful = Duration::from_millis(u64::from(doubtful_ms));
     shared.directory.lock().read_by_another(doubtful, now);
-    spread(shared, &update, from);
-    match update {
+    spread(shared, update, from);
+    match update.clone() {
         CatalogUpdate::Listing { listing, .. } => {
             apply_listing(shared, listing, "peer", now);
         }
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -10,13 +10,14 @@
 use wingspur_protocol::{
     CatalogUpdate, Digest, Frame, Hello, LINK_PROTOCOL_VERSION, LinkRole,
 };
-use wingspur_state::{HealthNote, ServerKey, SourceId, server_key};
+use wingspur_state::{SourceId, server_key};
 use wingspur_transport::{
     LinkBody, LinkError, LinkReceiver, LinkSender, StopSignal, accept_link,
     empty_link_body, open_link,
 };
 
 use crate::catalog_state::{apply_update, listing_of};
+use crate::links::Greeting;
 use crate::shared::Shared;
 
 /// Opens and closes links until the box stops.
@@ -123,7 +124,9 @@
     let (peer, now) = (hello.from.clone(), Instant::now());
     let id = shared.links.lock().add(peer, Some(role), None, sender, now);
     greet(shared, id, &hello);
-    shared.spawner.detach(read_link(shared.clone(), id, receiver));
+    shared
+        .spawner
+        .detach(read_link(shared.clone(), id, receiver));
 }
 
 /// Serves a link that another box opened.
@@ -160,24 +163,43 @@
         let listing = listing_of(shared, Instant::now());
         shared.links.lock().tell(id, listing);
     }
-    let notes = health_notes(shared);
-    shared.links.lock().tell_health(id, notes);
+    let greeting = greeting(shared);
+    shared.links.lock().greet(id, greeting);
     shared.news.poke();
 }
 
-fn health_notes(shared: &Shared) -> Vec<(ServerKey, HealthNote)> {
+fn greeting(shared: &Shared) -> Greeting {
     let now = Instant::now();
-    let services = shared.services.all();
-    let noted = services.iter().flat_map(|s| s.balancer.lock().health_notes(now));
-    noted.collect()
+    let mut greeting = Greeting::default();
+    for service in shared.services.all() {
+        greeting
+            .health
+            .extend(service.balancer.lock().health_notes(now));
+        let history = service.budget.lock().history(now);
+        greeting
+            .sent_lately
+            .push((server_key(&service.name), history));
+    }
+    greeting
 }
 
-fn adopt_health(shared: &Shared, notes: &[(ServerKey, HealthNote)], now: Instant) {
-    for (key, note) in notes {
+/// Takes over what the other side of a new link knows.
+fn adopt_greeting(shared: &Shared, frame: &Frame, now: Instant) {
+    for (key, note) in &frame.health {
         if let Some(service) = shared.services.of_server(*key) {
             service.balancer.lock().adopt_health(*key, note, now);
         }
     }
+    if frame.sent_lately.is_empty() {
+        return;
+    }
+    for service in shared.services.all() {
+        let key = server_key(&service.name);
+        let told = frame.sent_lately.iter().find(|(other, _)| *other == key);
+        if let Some((_, history)) = told {
+            service.budget.lock().adopt_history(history, now);
+        }
+    }
 }
 
 async fn read_link(shared: Arc<Shared>, id: LinkId, mut receiver: LinkReceiver) {
@@ -197,7 +219,7 @@
 
 fn take_frame(shared: &Arc<Shared>, id: LinkId, frame: Frame) {
     let now = Instant::now();
-    for update in frame.catalog {
+    for update in &frame.catalog {
         apply_update(shared, update, Some(id), now);
     }
     let mut links = shared.links.lock();
@@ -206,7 +228,7 @@
     let passes_on = links.counts().0 > 1;
     drop(links);
     apply_news(shared, &news, now);
-    adopt_health(shared, &frame.health, now);
+    adopt_greeting(shared, &frame, now);
     if frame.leaving {
         shared.links.lock().note_leaving(Some(id));
         shared.replan.poke();
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -41,7 +41,11 @@
                 // While another box tries all the time, now and then is enough here: the
                 // store may turn away some boxes only.
                 let tried_for = shared.links.lock().feed().is_tried_for();
-                let least = if tried_for { HELPER_PAUSE } else { Duration::ZERO };
+                let least = if tried_for {
+                    HELPER_PAUSE
+                } else {
+                    Duration::ZERO
+                };
                 let wait = pause(reading.failures).max(jittered(least));
                 smol::Timer::after(wait).await;
             }
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -9,7 +9,7 @@
 use wingspur_protocol::{
     BoxRecord, CatalogUpdate, Digest, FeedState, Frame, LinkRole, Revision,
 };
-use wingspur_state::{BoxId, HealthNote, ServerKey, SourceId};
+use wingspur_state::{AgedTally, BoxId, HealthNote, ServerKey, SourceId};
 use wingspur_transport::LinkSender;
 
 use crate::feed_view::FeedView;
@@ -38,11 +38,20 @@
     sender: LinkSender,
     catalog: Vec<CatalogUpdate>,
     wants_listing: bool,
-    health: Vec<(ServerKey, HealthNote)>,
+    greeting: Option<Greeting>,
     told_leaving: bool,
     sent: Instant,
 }
 
+/// What the other side of a new link should know.
+#[derive(Debug, Default)]
+pub struct Greeting {
+    /// Of backend servers.
+    pub health: Vec<(ServerKey, HealthNote)>,
+    /// Of what was sent to each service lately.
+    pub sent_lately: Vec<(u64, Vec<AgedTally>)>,
+}
+
 /// What a tick has to say on one link.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -120,7 +129,7 @@
             sender,
             catalog: Vec::new(),
             wants_listing: false,
-            health: Vec::new(),
+            greeting: None,
             told_leaving: false,
             sent: now,
         };
@@ -198,10 +207,10 @@
         }
     }
 
-    /// Queues what the other side of a new link should know of backend servers.
-    pub fn tell_health(&mut self, id: LinkId, notes: Vec<(ServerKey, HealthNote)>) {
+    /// Queues what the other side of a new link should know.
+    pub fn greet(&mut self, id: LinkId, greeting: Greeting) {
         if let Some(link) = self.active.get_mut(&id) {
-            link.health = notes;
+            link.greeting = Some(greeting);
         }
     }
 
@@ -231,13 +240,14 @@
             let due = age >= gap && self.rollup.has_news(*id);
             let urgent = !link.catalog.is_empty()
                 || link.wants_listing
-                || !link.health.is_empty()
+                || link.greeting.is_some()
                 || (self.leaving && !link.told_leaving);
             if !due && !urgent && age < HEARTBEAT {
                 continue;
             }
             link.sent = now;
             link.told_leaving = self.leaving;
+            let greeting = link.greeting.take().unwrap_or_default();
             let digests = if due {
                 self.rollup.compose(*id)
             } else {
@@ -252,7 +262,8 @@
                     feed: feed.clone(),
                     wants_listing: std::mem::take(&mut link.wants_listing),
                     leaving: self.leaving,
-                    health: std::mem::take(&mut link.health),
+                    health: greeting.health,
+                    sent_lately: greeting.sent_lately,
                 },
             });
         }
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -58,7 +58,7 @@
         let service = Arc::new(ServiceState {
             name: name.to_owned(),
             balancer: Ranked::new(Rank::Balancer, balancer),
-            budget: Ranked::new(Rank::Budget, FleetBudget::new(budget)),
+            budget: Ranked::new(Rank::Budget, FleetBudget::new(budget, Instant::now())),
         });
         services.insert(name.to_owned(), service.clone());
         service
--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -3,7 +3,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wingspur_state::{
-    BoxId, HealthNote, KeyedTally, ServerKey, ServiceTally, SourceId,
+    AgedTally, BoxId, HealthNote, KeyedTally, ServerKey, ServiceTally, SourceId,
 };
 
 use crate::{BoxRecord, CatalogChanges, CatalogListing, Revision};
@@ -50,6 +50,8 @@
     pub leaving: bool,
     /// What the sender makes of backend servers; told once, when a link is new.
     pub health: Vec<(ServerKey, HealthNote)>,
+    /// What the fleet has sent to each service lately; told once, when a link is new.
+    pub sent_lately: Vec<(u64, Vec<AgedTally>)>,
 }
 
 /// Tallies that have changed, as told by one source.
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -15,7 +15,8 @@
 
 use crate::health::{Health, HealthNote, UsualFailures};
 use crate::{
-    AttemptId, DataCentreId, KeyedTally, ServerKey, ServerRecord, ServerTally, SourceId,
+    AttemptId, DataCentreId, KeyedTally, ServerKey, ServerRecord, ServerTally,
+    ServicePresent, SourceId,
 };
 
 /// The backend servers of a service, as one box picks among them.
@@ -42,6 +43,8 @@
     pub crossing: Duration,
     /// Servers that it was sent to before.
     pub tried: &'a [ServerKey],
+    /// How the service fares.
+    pub present: ServicePresent,
 }
 
 /// A server that was picked, and why.
@@ -92,6 +95,10 @@
     health: Health,
     /// What this box's own say, with requests that did not reach the server.
     path: Health,
+    /// When a box last sent it a request, as far as is known.
+    sent: Instant,
+    /// When it last failed one.
+    failed: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -129,6 +136,8 @@
             remote: BTreeMap::new(),
             health: Health::new(now),
             path: Health::new(now),
+            sent: now,
+            failed: None,
         };
         let server = self.servers.entry(key).or_insert_with(fresh);
         server.record = record;
@@ -165,6 +174,9 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Pick> {
+        if let Some(pick) = self.pick_neglected(want, now, random) {
+            return Some(pick);
+        }
         let usual = self.usual.share();
         let mut best: Option<(f64, Pick)> = None;
         let mut candidates = 0;
@@ -192,6 +204,7 @@
         if let Some(server) = self.servers.get_mut(&key) {
             server.own.in_flight += 1;
             server.changed = true;
+            server.sent = now;
         }
         let attempt = Attempt {
             server: key,
@@ -218,6 +231,9 @@
         }
         let seen = attempt.outcome(ended, now);
         server.own = server.own.plus(&seen);
+        if seen.failed > 0 {
+            server.failed = Some(now);
+        }
         let usual = self.usual.share();
         server.health.add(&seen, usual, now);
         server.path.add(&path_outcome(ended, &seen), usual, now);
@@ -236,7 +252,15 @@
         let Some(server) = self.servers.get_mut(&key) else {
             return;
         };
-        server.remote.insert(source, tally);
+        let before = server.remote.insert(source, tally).unwrap_or_default();
+        if tally.in_flight > before.in_flight
+            || news.good + news.failed + news.refused > 0
+        {
+            server.sent = now;
+        }
+        if news.failed > 0 {
+            server.failed = Some(now);
+        }
         server.health.add(news, self.usual.share(), now);
         self.usual.add(news, 1.0 - server.health.sickness());
     }
@@ -316,6 +340,54 @@
         suspects.map(|server| server.record.id.clone()).collect()
     }
 
+    /// Keeps the floor: while a good part of a service's requests is lost, most of its
+    /// servers must be in use, also those that failed a while ago.
+    ///
+    /// One that nobody has used for a while is tried, at a rate that brings back enough of
+    /// them over all boxes.
+    fn pick_neglected(
+        &self,
+        want: &Want<'_>,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<Pick> {
+        if want.present.lost_share < FLOOR_LOST_SHARE {
+            return None;
+        }
+        let may_be_well = |server: &&Server| {
+            let failed = server
+                .failed
+                .is_some_and(|at| now < at + FLOOR_AFTER_FAILURE);
+            server.is_open() && !failed
+        };
+        let sound = self.servers.values().filter(may_be_well);
+        let (mut all, mut neglected) = (0u32, Vec::new());
+        for server in sound {
+            all += 1;
+            if now >= server.sent + NEGLECT && !want.tried.contains(&server.record.key())
+            {
+                neglected.push(server);
+            }
+        }
+        let used = f64::from(all) - neglected.len() as f64;
+        let missing = f64::from(all) * FLOOR_USED_SHARE - used;
+        let rate = missing / FLOOR_WITHIN.as_secs_f64();
+        if missing <= 0.0 || random.random::<f64>() > rate / want.present.requests_per_s {
+            return None;
+        }
+        let usual = self.usual.share();
+        let least_sick = |a: &&Server, b: &&Server| {
+            let share = |server: &Server| server.failure_share(usual, now);
+            share(a).total_cmp(&share(b))
+        };
+        let server = neglected.into_iter().min_by(least_sick)?;
+        let pick = self.weigh(server, want, usual, now);
+        Some(Pick {
+            candidates: all as usize,
+            ..pick
+        })
+    }
+
     fn weigh(&self, server: &Server, want: &Want<'_>, usual: f64, now: Instant) -> Pick {
         let in_flight = server.in_flight();
         let slots = f64::from(server.record.slots.max(1));
@@ -431,6 +503,18 @@
 /// A request is overdue after so many times the usual, and never before a second.
 const OVERDUE_FACTOR: u32 = 4;
 const LEAST_OVERDUE: Duration = Duration::from_millis(1000);
+/// The floor is held from here on; the users' rule begins at a tenth.
+const FLOOR_LOST_SHARE: f64 = 0.07;
+/// So many of the servers that may be well must be in use; the users' rule says 0.7.
+const FLOOR_USED_SHARE: f64 = 0.85;
+/// A server that failed counts as one that may be well after this; the users say two
+/// seconds.
+const FLOOR_AFTER_FAILURE: Duration = Duration::from_millis(1500);
+/// A server is neglected when no box has used it for so long: half of the span in which the
+/// users' rule wants it used.
+const NEGLECT: Duration = Duration::from_millis(1000);
+/// Enough of the neglected are tried within this.
+const FLOOR_WITHIN: Duration = Duration::from_millis(500);
 /// A box may always have so many requests out at a server.
 const LEAST_CONNECTIONS: u32 = 4;
 /// From here on a server is named as suspect in the status.
--- a/crates/wingspur-state/src/fleet_budget.rs
+++ b/crates/wingspur-state/src/fleet_budget.rs
@@ -40,6 +40,20 @@
     /// When each source was last heard.
     heard: BTreeMap<SourceId, Instant>,
     boxes: usize,
+    /// Since when the counts are whole: others may have spent before.
+    whole_since: Instant,
+}
+
+/// What was counted so long ago, in milliseconds; for a box that has just come.
+pub type AgedTally = (u32, ServiceTally);
+
+/// How a service fares at present.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServicePresent {
+    /// Requests of callers a second.
+    pub requests_per_s: f64,
+    /// The share of them that get no good answer.
+    pub lost_share: f64,
 }
 
 /// How sure a resend is to help; the surer ones may use more of the budget.
@@ -60,7 +74,7 @@
 
 impl FleetBudget {
     /// Nothing counted yet.
-    pub fn new(settings: BudgetSettings) -> Self {
+    pub fn new(settings: BudgetSettings, now: Instant) -> Self {
         Self {
             settings,
             own: ServiceTally::default(),
@@ -69,6 +83,7 @@
             fleet_window: Window::default(),
             heard: BTreeMap::new(),
             boxes: 1,
+            whole_since: now,
         }
     }
 
@@ -86,7 +101,7 @@
     pub fn count_request(&mut self, now: Instant) {
         let one = ServiceTally {
             requests: 1,
-            resends: 0,
+            ..ServiceTally::default()
         };
         self.count_own(one, now);
     }
@@ -94,12 +109,32 @@
     /// Counts a resend.
     pub fn count_resend(&mut self, now: Instant) {
         let one = ServiceTally {
-            requests: 0,
             resends: 1,
+            ..ServiceTally::default()
+        };
+        self.count_own(one, now);
+    }
+
+    /// Counts a caller's request that got no good answer.
+    pub fn count_lost(&mut self, now: Instant) {
+        let one = ServiceTally {
+            lost: 1,
+            ..ServiceTally::default()
         };
         self.count_own(one, now);
     }
 
+    /// How the service fares at present, over all boxes.
+    pub fn present(&self, now: Instant) -> ServicePresent {
+        let own = self.own_window.since(PRESENT, now);
+        let sum = own.plus(&self.fleet_window.since(PRESENT, now));
+        let requests = f64::from(sum.requests);
+        ServicePresent {
+            requests_per_s: requests / PRESENT.as_secs_f64(),
+            lost_share: f64::from(sum.lost) / requests.max(1.0),
+        }
+    }
+
     /// Takes in what a source's boxes have counted since it was last heard.
     pub fn count_remote(&mut self, source: SourceId, news: ServiceTally, now: Instant) {
         self.heard.insert(source, now);
@@ -111,6 +146,41 @@
         self.heard.insert(source, now);
     }
 
+    /// What the fleet has counted in the window, for a box that has just come.
+    pub fn history(&mut self, now: Instant) -> Vec<AgedTally> {
+        self.forget(now);
+        let mut history: Vec<AgedTally> = Vec::new();
+        for (at, counts) in self
+            .own_window
+            .buckets
+            .iter()
+            .chain(&self.fleet_window.buckets)
+        {
+            let age = now.saturating_duration_since(*at).as_secs() as u32 * 1000;
+            match history.iter_mut().find(|(known, _)| *known == age) {
+                Some((_, sum)) => *sum = sum.plus(counts),
+                None => history.push((age, *counts)),
+            }
+        }
+        history
+    }
+
+    /// Takes over what the fleet has counted before this box came.
+    pub fn adopt_history(&mut self, history: &[AgedTally], now: Instant) {
+        if !self.fleet_window.buckets.is_empty() || self.own.requests > 0 {
+            return;
+        }
+        let mut history = history.to_vec();
+        history.sort_by_key(|(age_ms, _)| std::cmp::Reverse(*age_ms));
+        for (age_ms, counts) in history {
+            let age = Duration::from_millis(u64::from(age_ms));
+            self.fleet_window
+                .add(counts, now.checked_sub(age).unwrap_or(now));
+        }
+        let span = self.span();
+        self.whole_since = now.checked_sub(span).unwrap_or(now);
+    }
+
     /// Whether one more resend is allowed.
     pub fn allows(&mut self, use_: ResendUse, now: Instant) -> bool {
         let share = match use_ {
@@ -123,13 +193,12 @@
 
     /// Resends in the window, and those that are allowed there.
     pub fn standing(&mut self, now: Instant) -> (u32, f64) {
-        let span = Duration::from_millis(self.settings.window_ms);
-        self.own_window.forget(span, now);
-        self.fleet_window.forget(span, now);
+        self.forget(now);
+        let slack = self.settings.slack * self.known_share(now);
         if self.is_connected(now) {
             let sum = self.own_window.sum.plus(&self.fleet_window.sum);
             let allowed = self.settings.ratio * f64::from(sum.requests);
-            return (sum.resends, allowed + self.settings.slack);
+            return (sum.resends, allowed + slack);
         }
         let own = self.own_window.sum;
         let allowed = self.settings.ratio * f64::from(own.requests);
@@ -149,6 +218,24 @@
         self.own
     }
 
+    fn forget(&mut self, now: Instant) {
+        let span = self.span();
+        self.own_window.forget(span, now);
+        self.fleet_window.forget(span, now);
+    }
+
+    fn span(&self) -> Duration {
+        Duration::from_millis(self.settings.window_ms)
+    }
+
+    /// The share of the window whose counts are known: what was spent in the rest is not.
+    fn known_share(&self, now: Instant) -> f64 {
+        let known = now
+            .saturating_duration_since(self.whole_since)
+            .as_secs_f64();
+        (known / self.span().as_secs_f64()).min(1.0)
+    }
+
     fn count_own(&mut self, one: ServiceTally, now: Instant) {
         self.own = self.own.plus(&one);
         self.own_window.add(one, now);
@@ -173,6 +260,14 @@
         }
     }
 
+    /// The counts of the last while.
+    fn since(&self, span: Duration, now: Instant) -> ServiceTally {
+        let newest_first = self.buckets.iter().rev();
+        let recent =
+            newest_first.take_while(|(at, _)| now.saturating_duration_since(*at) <= span);
+        recent.fold(ServiceTally::default(), |sum, (_, counts)| sum.plus(counts))
+    }
+
     fn forget(&mut self, span: Duration, now: Instant) {
         let past = |at: Instant| now.saturating_duration_since(at) > span + BUCKET;
         while let Some((at, counts)) = self.buckets.front()
@@ -188,7 +283,9 @@
 /// that this box is cut off.
 const FRESH: Duration = Duration::from_millis(1500);
 const BUCKET: Duration = Duration::from_millis(250);
+/// What counts as the present: the span over which the floor is held.
+const PRESENT: Duration = Duration::from_secs(2);
 /// Other boxes spend from the same budget while their counts are on the way.
-const SURE_SHARE: f64 = 0.85;
+const SURE_SHARE: f64 = 0.9;
 /// Hedges leave the greater part to resends that are sure to help.
 const HEDGE_SHARE: f64 = 0.4;
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -31,7 +31,9 @@
 pub use check::{Finding, check_bundle};
 pub use directory::{Directory, DirectoryChange, RETURN_GRACE};
 pub use evidence::{EvidenceEntry, EvidenceReport, Reference, threshold, well_evidence};
-pub use fleet_budget::{BudgetSettings, FleetBudget, ResendUse};
+pub use fleet_budget::{
+    AgedTally, BudgetSettings, FleetBudget, ResendUse, ServicePresent,
+};
 pub use health::HealthNote;
 pub use host_routes::HostRoutes;
 pub use ids::{
--- a/crates/wingspur-state/src/tally.rs
+++ b/crates/wingspur-state/src/tally.rs
@@ -31,6 +31,8 @@
     pub requests: u32,
     /// Requests sent to a server after their first.
     pub resends: u32,
+    /// Requests of callers that got no good answer.
+    pub lost: u32,
 }
 
 /// A server's tally with its key.
@@ -73,6 +75,15 @@
         }
     }
 
+    /// A sum without the gauges of one of its parts, whose counts stay.
+    pub fn without_stale(&self, part: &Self) -> Self {
+        Self {
+            in_flight: self.in_flight.saturating_sub(part.in_flight),
+            overdue: self.overdue.saturating_sub(part.overdue),
+            ..*self
+        }
+    }
+
     /// The counts alone: what stays of a sender that is gone.
     pub fn without_gauges(&self) -> Self {
         Self {
@@ -89,6 +100,7 @@
         Self {
             requests: self.requests.wrapping_sub(earlier.requests),
             resends: self.resends.wrapping_sub(earlier.resends),
+            lost: self.lost.wrapping_sub(earlier.lost),
         }
     }
 
@@ -97,6 +109,7 @@
         Self {
             requests: self.requests.wrapping_add(other.requests),
             resends: self.resends.wrapping_add(other.resends),
+            lost: self.lost.wrapping_add(other.lost),
         }
     }
 }
