Last attempts pick safely; hubs that have gone are forgotten by all; stops fit the platform's limit

Ruled out: the servers, their other callers saw 0 to 2. Change: a digest that says that a source is over. Test: a_hub_that_has_gone_is_forgotten.

Losses of the last one and of the last two seconds are both looked at. Unreached servers: eight instead of four, and given up after eight times what the last connection took.

Settings: the stop's spans fit `drain.kill_after_s`, the budget's window may have a fraction, figures that a deployment does not state have defaults; metrics on a port of their own.

--- a/crates/wingspur-coordination/src/rollup.rs
+++ b/crates/wingspur-coordination/src/rollup.rs
@@ -17,6 +17,8 @@
     links: BTreeMap<LinkId, Link>,
     /// What other hubs told, by source, with the link that it came by.
     foreign: HashMap<SourceId, (LinkId, Tallies)>,
+    /// Sources that have gone and that this box's own tables should forget.
+    lost: Vec<SourceId>,
 }
 
 /// Names a link of this box.
@@ -60,6 +62,8 @@
     unheard: Unheard,
     /// What it has not heard yet of other hubs.
     unheard_foreign: BTreeMap<SourceId, Unheard>,
+    /// Other hubs that it should forget: what they had out is out no more, or told by others.
+    gone: Vec<SourceId>,
 }
 
 /// Keys that have changed since a link was told; all of them for a new link.
@@ -78,6 +82,7 @@
             total: Tallies::default(),
             links: BTreeMap::new(),
             foreign: HashMap::new(),
+            lost: Vec::new(),
         };
         rollup.add_link(OWN_LINK, LinkKind::Member);
         rollup
@@ -98,15 +103,15 @@
             told: Tallies::default(),
             unheard: whole(),
             unheard_foreign,
+            gone: Vec::new(),
         };
         self.links.insert(id, link);
     }
 
-    /// Gives up a link; returns the sources that are not heard any more. What a member has
-    /// counted stays counted, what it had out does not.
-    pub fn drop_link(&mut self, id: LinkId) -> Vec<SourceId> {
+    /// Gives up a link. What a member has counted stays counted, what it had out does not.
+    pub fn drop_link(&mut self, id: LinkId) {
         let Some(link) = self.links.remove(&id) else {
-            return Vec::new();
+            return;
         };
         let mut changed = Vec::new();
         for (key, told) in &link.told.servers {
@@ -117,13 +122,12 @@
         self.mark(None, &changed, &[]);
         let by_link = self.foreign.iter().filter(|(_, (by, _))| *by == id);
         let lost: Vec<SourceId> = by_link.map(|(source, _)| *source).collect();
-        for source in &lost {
-            self.foreign.remove(source);
-            for link in self.links.values_mut() {
-                link.unheard_foreign.remove(source);
-            }
-        }
-        lost
+        lost.into_iter().for_each(|source| self.lose(source));
+    }
+
+    /// The sources that have gone since this was last asked.
+    pub fn take_lost(&mut self) -> Vec<SourceId> {
+        std::mem::take(&mut self.lost)
     }
 
     /// Takes in a digest that came by a link.
@@ -140,7 +144,8 @@
         let Some(link) = self.links.get_mut(&id) else {
             return Vec::new();
         };
-        let mut digests = Vec::new();
+        let gone = std::mem::take(&mut link.gone).into_iter();
+        let mut digests: Vec<Digest> = gone.map(nothing_left).collect();
         let unheard = std::mem::take(&mut link.unheard);
         if !unheard.is_empty() {
             let digest = self.total.without(&link.told, &unheard);
@@ -172,7 +177,7 @@
         };
         let foreign = link.unheard_foreign.values();
         let any_foreign = foreign.into_iter().any(|unheard| !unheard.is_empty());
-        !link.unheard.is_empty() || any_foreign
+        !link.unheard.is_empty() || !link.gone.is_empty() || any_foreign
     }
 
     fn hear_member(&mut self, id: LinkId, digest: &Digest) {
@@ -209,6 +214,13 @@
         if digest.source == self.source {
             return;
         }
+        if is_nothing_left(digest) {
+            let from_here = self.foreign.get(&digest.source);
+            if from_here.is_some_and(|(by, _)| *by == id) {
+                self.lose(digest.source);
+            }
+            return;
+        }
         let fresh = || (id, Tallies::default());
         let entry = self.foreign.entry(digest.source).or_insert_with(fresh);
         if digest.whole {
@@ -230,6 +242,20 @@
         }
     }
 
+    /// Forgets a source, and tells the members to.
+    fn lose(&mut self, source: SourceId) {
+        self.foreign.remove(&source);
+        self.lost.push(source);
+        let others = self.links.iter_mut().filter(|(id, _)| **id != OWN_LINK);
+        for (_, link) in others.filter(|(_, link)| link.kind == LinkKind::Member) {
+            link.unheard_foreign.remove(&source);
+            link.gone.push(source);
+        }
+        if let Some(own) = self.links.get_mut(&OWN_LINK) {
+            own.unheard_foreign.remove(&source);
+        }
+    }
+
     /// Notes for all links but one that parts of the total have changed.
     fn mark(&mut self, but: Option<LinkId>, servers: &[ServerKey], services: &[u64]) {
         for (id, link) in &mut self.links {
@@ -273,6 +299,19 @@
     }
 }
 
+/// The digest that tells of a source's end: all of its tallies, and there are none.
+fn nothing_left(source: SourceId) -> Digest {
+    Digest {
+        source,
+        whole: true,
+        ..Digest::default()
+    }
+}
+
+fn is_nothing_left(digest: &Digest) -> bool {
+    digest.whole && digest.servers.is_empty() && digest.services.is_empty()
+}
+
 impl Unheard {
     fn is_empty(&self) -> bool {
         !self.whole && self.servers.is_empty() && self.services.is_empty()
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -140,7 +140,8 @@
     fn want(&self, now: Instant) -> Want<'_> {
         let learned = &self.route.learned;
         Want {
-            repeatable: self.is_repeatable(),
+            // The last attempt is as good as the only one: a failure is lost.
+            repeatable: self.is_repeatable() && self.has_attempts_beyond_next(),
             typical: learned.typical(),
             crossing: crossing_cost(learned.answer_bytes()),
             tried: &self.tried,
@@ -311,6 +312,11 @@
         self.route.route.class != RouteClass::OnceOnly
     }
 
+    /// Whether the request may go to more servers than one.
+    fn has_attempts_beyond_next(&self) -> bool {
+        self.tried.len() + 1 < usize::from(self.route.route.max_attempts)
+    }
+
     fn remaining(&self) -> Duration {
         self.outgoing
             .limit
@@ -343,8 +349,9 @@
 
 /// A second attempt starts when the first takes so many times longer than usual.
 const HEDGE_FACTOR: u32 = 3;
-/// Servers that may turn out unreachable for one request.
-const MOST_UNREACHED: u32 = 4;
+/// Servers that may turn out unreachable for one request: a box that is cut off from half
+/// of them fails one request in 256.
+const MOST_UNREACHED: u32 = 8;
 /// When a caller whose request was not run may ask again, at the least and at the most: it
 /// has a few tries, and honours no more than a third of its time.
 const LEAST_COME_BACK: Duration = Duration::from_millis(100);
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -27,6 +27,7 @@
     callers: HttpListener,
     peers: HttpListener,
     operators: HttpListener,
+    collectors: Option<HttpListener>,
     stop: StopTrigger,
     tasks: Vec<smol::Task<()>>,
 }
@@ -57,6 +58,10 @@
         let caller_port = bind("caller_address", settings.caller_address).await?;
         let peer_port = bind("peer_address", settings.peer_address).await?;
         let operator_port = bind("operator_address", settings.operator_address).await?;
+        let collector_port = match settings.metrics_address {
+            Some(address) => Some(bind("metrics_address", address).await?),
+            None => None,
+        };
         let mut settings = settings;
         // Other boxes are told the port that was found, where any would do.
         if let Ok(address) = peer_port.local_addr() {
@@ -76,8 +81,13 @@
         let peers = peers.map_err(|error| lost("peer_address", error))?;
         let operator_shared = shared.clone();
         let handler = move |request, _| answer_operator(operator_shared.clone(), request);
-        let operators = HttpListener::start(operator_port, spawner, options, handler);
+        let operators =
+            HttpListener::start(operator_port, spawner, options.clone(), handler.clone());
         let operators = operators.map_err(|error| lost("operator_address", error))?;
+        let collectors = collector_port
+            .map(|port| HttpListener::start(port, spawner, options, handler))
+            .transpose();
+        let collectors = collectors.map_err(|error| lost("metrics_address", error))?;
         let (stop, signal) = stop_pair();
         let tasks = vec![
             spawner.spawn(run_feed(shared.clone(), signal.clone())),
@@ -91,6 +101,7 @@
             callers,
             peers,
             operators,
+            collectors,
             stop,
             tasks,
         })
@@ -163,6 +174,9 @@
         }
         self.peers.close(Duration::ZERO).await;
         self.operators.close(PORT_LIMIT).await;
+        if let Some(collectors) = self.collectors {
+            collectors.close(PORT_LIMIT).await;
+        }
         tracing::info!(cut, "stop: done.");
         cut
     }
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -227,8 +227,10 @@
     let mut links = shared.links.lock();
     links.note_feed(id, &frame.feed, now);
     let news = links.hear(id, &frame.digests);
+    let lost = links.take_lost();
     let passes_on = links.counts().0 > 1;
     drop(links);
+    forget_sources(shared, &lost);
     apply_news(shared, &news, now);
     adopt_greeting(shared, &frame, now);
     if frame.leaving {
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -146,7 +146,13 @@
         };
         link.sender.close();
         self.feed.forget(id);
-        let lost = self.rollup.drop_link(id);
+        self.rollup.drop_link(id);
+        self.take_lost()
+    }
+
+    /// The sources that are not heard any more, forgotten here.
+    pub fn take_lost(&mut self) -> Vec<SourceId> {
+        let lost = self.rollup.take_lost();
         for source in &lost {
             self.news.forget(*source);
         }
--- a/crates/wingspur-edge/src/settings.rs
+++ b/crates/wingspur-edge/src/settings.rs
@@ -29,6 +29,9 @@
     pub peer_address: SocketAddr,
     /// Where operators read `/ready`, `/status` and `/metrics`.
     pub operator_address: SocketAddr,
+    /// Where `/metrics` is read besides, if that has a place of its own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub metrics_address: Option<SocketAddr>,
     /// The product's own sources; none where there is a catalog.
     #[serde(flatten)]
     pub own: Option<OwnSources>,
@@ -80,8 +83,6 @@
     pub form: String,
     /// The store that holds it.
     pub store_address: SocketAddr,
-    /// For how long the store remembers changes.
-    pub history_s: u64,
     /// Peers to ask while the store is away; they may be gone.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -117,6 +118,8 @@
     pub balancer_lag_ms: u64,
     /// How long requests in flight may take to finish.
     pub limit_ms: u64,
+    /// When the platform kills a process that was told to stop; none where it never does.
+    pub kill_after_s: Option<f64>,
 }
 
 impl Default for DrainSettings {
@@ -124,6 +127,7 @@
         Self {
             balancer_lag_ms: 2_000,
             limit_ms: 60_000,
+            kill_after_s: None,
         }
     }
 }
@@ -180,9 +184,11 @@
 }
 
 impl Settings {
-    /// How long the balancer may still send callers.
+    /// How long the balancer may still send callers; half of a stop at most, so that what
+    /// comes last can still be answered.
     pub fn balancer_lag(&self) -> Duration {
-        Duration::from_millis(self.drain.balancer_lag_ms)
+        let lag = Duration::from_millis(self.drain.balancer_lag_ms);
+        self.stop_span().map_or(lag, |span| lag.min(span / 2))
     }
 
     /// Fields that differ and that only a restart can change.
@@ -211,12 +217,23 @@
         differs.map(|(name, _)| name).collect()
     }
 
-    /// How long requests in flight may take to finish.
+    /// How long requests in flight may take to finish after that.
     pub fn drain_limit(&self) -> Duration {
-        Duration::from_millis(self.drain.limit_ms)
+        let limit = Duration::from_millis(self.drain.limit_ms);
+        let lag = self.balancer_lag();
+        self.stop_span().map_or(limit, |span| limit.min(span - lag))
+    }
+
+    /// How long a stop may take, where the platform sets an end to it.
+    fn stop_span(&self) -> Option<Duration> {
+        let kill_after = Duration::from_secs_f64(self.drain.kill_after_s?);
+        Some(kill_after.saturating_sub(KILL_MARGIN))
     }
 }
 
+/// A box ends this long before it would be killed: timers and the last answers are late.
+const KILL_MARGIN: Duration = Duration::from_millis(500);
+
 /// Why settings were refused.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -322,6 +339,7 @@
     must("caller_address", Kind::Address),
     must("peer_address", Kind::Address),
     must("operator_address", Kind::Address),
+    may("metrics_address", Kind::Address),
     may("store_address", Kind::Address),
     may("box_list_address", Kind::Address),
     may("keyring", Kind::Texts),
@@ -330,7 +348,6 @@
         Kind::Object(&[
             must("form", Kind::OneOf(&["kv"])),
             must("store_address", Kind::Address),
-            must("history_s", Kind::Number(1, 86_400)),
             may("seeds", Kind::Addresses),
         ]),
     ),
@@ -338,7 +355,7 @@
         "retry_budget",
         Kind::Object(&[
             must("ratio", Kind::Fraction),
-            must("window_ms", Kind::Number(100, 600_000)),
+            must("window_s", Kind::Amount),
             must("slack", Kind::Amount),
         ]),
     ),
@@ -350,6 +367,7 @@
         Kind::Object(&[
             may("balancer_lag_ms", Kind::Number(0, 600_000)),
             may("limit_ms", Kind::Number(1, 3_600_000)),
+            may("kill_after_s", Kind::Amount),
         ]),
     ),
     may(
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -37,7 +37,7 @@
 /// What a request wants of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Want<'a> {
-    /// Whether it may run more than once.
+    /// Whether it may be sent again if the server fails.
     pub repeatable: bool,
     /// How long an answer usually takes.
     pub typical: Duration,
--- a/crates/wingspur-state/src/fleet_budget.rs
+++ b/crates/wingspur-state/src/fleet_budget.rs
@@ -14,7 +14,7 @@
     /// Resends allowed as a share of the requests of callers.
     pub ratio: f64,
     /// The span over which both are counted.
-    pub window_ms: u64,
+    pub window_s: f64,
     /// Resends allowed in any window whatever the requests.
     pub slack: f64,
 }
@@ -23,7 +23,7 @@
     fn default() -> Self {
         Self {
             ratio: 0.1,
-            window_ms: 10_000,
+            window_s: 10.0,
             slack: 10.0,
         }
     }
@@ -135,12 +135,16 @@
 
     /// How the service fares at present, over all boxes.
     pub fn present(&self, now: Instant) -> ServicePresent {
-        let own = self.own_window.since(PRESENT, now);
-        let sum = own.plus(&self.fleet_window.since(PRESENT, now));
-        let requests = f64::from(sum.requests);
+        let since = |span: Duration| {
+            let own = self.own_window.since(span, now);
+            own.plus(&self.fleet_window.since(span, now))
+        };
+        let lost_share =
+            |sum: ServiceTally| f64::from(sum.lost) / f64::from(sum.requests).max(1.0);
+        let (last, both) = (since(PRESENT), since(2 * PRESENT));
         ServicePresent {
-            requests_per_s: requests / PRESENT.as_secs_f64(),
-            lost_share: f64::from(sum.lost) / requests.max(1.0),
+            requests_per_s: f64::from(last.requests) / PRESENT.as_secs_f64(),
+            lost_share: lost_share(last).max(lost_share(both)),
         }
     }
 
@@ -257,7 +261,7 @@
     }
 
     fn span(&self) -> Duration {
-        Duration::from_millis(self.settings.window_ms)
+        Duration::from_secs_f64(self.settings.window_s)
     }
 
     /// The share of the window whose counts are known: what was spent in the rest is not.
@@ -315,7 +319,8 @@
 /// that this box is cut off.
 const FRESH: Duration = Duration::from_millis(1500);
 const BUCKET: Duration = Duration::from_millis(250);
-/// What counts as the present: the span over which the floor is held.
+/// What counts as the present: half of the span over which the floor is held, so that a
+/// loss shows early, and the whole of it, so that it shows to its end.
 const PRESENT: Duration = Duration::from_secs(1);
 /// Other boxes spend from the same budget while their counts are on the way, and boxes that
 /// change hubs count some requests twice: up to a tenth was seen in hunted days.
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
@@ -30,6 +30,8 @@
     address: SocketAddr,
     idle: Mutex<Vec<IdleConnection>>,
     opened: AtomicUsize,
+    /// How long the last connection took to come up, in microseconds; 0 before any has.
+    took_us: AtomicU64,
 }
 
 /// A connection in use for one request.
@@ -118,10 +120,12 @@
             address,
             idle: Mutex::default(),
             opened: AtomicUsize::new(0),
+            took_us: AtomicU64::new(0),
         }
     }
 
-    /// Takes a kept connection, or opens one within `timeout`.
+    /// Takes a kept connection, or opens one within `timeout`, or within less where the last
+    /// one came up fast.
     pub async fn connect(
         &self,
         reuse: Reuse,
@@ -133,6 +137,8 @@
                 return Ok(connection);
             }
         }
+        let timeout = timeout.min(self.patience());
+        let began = Instant::now();
         let connecting = async { Some(TcpStream::connect(self.address).await) };
         let expired = async {
             smol::Timer::after(timeout).await;
@@ -143,6 +149,8 @@
             None => return Err(ConnectError::Silent(timeout)),
         };
         stream.set_nodelay(true).map_err(ConnectError::Refused)?;
+        let took_us = began.elapsed().as_micros().max(1) as u64;
+        self.took_us.store(took_us, Ordering::Relaxed);
         self.opened.fetch_add(1, Ordering::Relaxed);
         Ok(BackendConnection::new(stream))
     }
@@ -172,6 +180,14 @@
         self.opened.load(Ordering::Relaxed)
     }
 
+    /// How long a connection may take, by how long the last one took.
+    fn patience(&self) -> Duration {
+        match self.took_us.load(Ordering::Relaxed) {
+            0 => Duration::MAX,
+            took => (Duration::from_micros(took) * PATIENCE_FACTOR).max(LEAST_PATIENCE),
+        }
+    }
+
     /// The newest kept connection that may still be used.
     fn take_idle(&self, reuse: Reuse, now: Instant) -> Option<BackendConnection> {
         let mut idle = self.idle.lock().expect("no holder panics");
@@ -597,6 +613,11 @@
     AnswerError::Broken(io::ErrorKind::UnexpectedEof.into())
 }
 
+/// A connection that takes so many times as long as the last one is given up: its opening
+/// packet was lost, and would only be sent again after a second.
+const PATIENCE_FACTOR: u32 = 8;
+/// A busy server or box may take this long without any packet lost.
+const LEAST_PATIENCE: Duration = Duration::from_millis(100);
 /// Read at once from a server; more makes fewer system calls of a long answer.
 const READ_BYTES: usize = 16 << 10;
 /// The longest head of an answer.
--- a/crates/wingspur/src/run.rs
+++ b/crates/wingspur/src/run.rs
@@ -143,7 +143,8 @@
 
 /// Tells what starts, with which settings.
 fn log_start(settings: &Settings, path: &Path) {
-    let form = settings.catalog.as_ref().map(|catalog| &catalog.form);
+    let catalog = settings.catalog.as_ref();
+    let sources = catalog.map_or("own", |catalog| catalog.form.as_str());
     tracing::info!(
         program = env!("CARGO_PKG_VERSION"),
         box_id = %settings.box_id,
@@ -151,7 +152,7 @@
         caller_address = %settings.caller_address,
         peer_address = %settings.peer_address,
         operator_address = %settings.operator_address,
-        catalog = ?form,
+        sources,
         settings = %path.display(),
         "start: the box is coming up."
     );
--- a/tests/tests/budgets.rs
+++ b/tests/tests/budgets.rs
@@ -8,7 +8,7 @@
 
 const SETTINGS: BudgetSettings = BudgetSettings {
     ratio: 0.2,
-    window_ms: 10_000,
+    window_s: 10.0,
     slack: 60.0,
 };
 
@@ -133,3 +133,23 @@
     assert!((20..=24).contains(&hedges), "{hedges}");
     assert!(budget.allows(ResendUse::Sure, now));
 }
+
+#[test]
+fn a_loss_shows_at_once_and_as_long_as_the_floor_is_held() {
+    let start = Instant::now();
+    let mut budget = FleetBudget::new(SETTINGS, start);
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let counts = |requests, lost| ServiceTally {
+        requests,
+        resends: 0,
+        lost,
+    };
+    budget.count_remote(1, counts(50, 0), at(0));
+    budget.count_remote(1, counts(50, 5), at(1_500));
+    let early = budget.present(at(1_500)).lost_share;
+    assert!(early >= 0.1, "five of fifty in the last second: {early}");
+    budget.count_remote(1, counts(50, 0), at(2_800));
+    let late = budget.present(at(2_800)).lost_share;
+    assert!(late >= 0.05, "five of a hundred in two seconds: {late}");
+    assert_eq!(budget.present(at(9_000)).lost_share, 0.0);
+}
--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -127,6 +127,11 @@
     smol::block_on(starting).expect("the ports are free")
 }
 
+/// An address that nobody is asked at.
+pub fn any_address() -> SocketAddr {
+    "127.0.0.1:9".parse().expect("it is a constant")
+}
+
 /// Settings of a box on loopback, with a short stop.
 pub fn settings(id: &str, store: SocketAddr) -> Settings {
     let text = json!({
@@ -136,10 +141,10 @@
         "caller_address": "127.0.0.1:0",
         "peer_address": "127.0.0.1:0",
         "operator_address": "127.0.0.1:0",
-        "catalog": {"form": "kv", "store_address": store, "history_s": 20},
+        "catalog": {"form": "kv", "store_address": store},
         "drain": {"balancer_lag_ms": 100, "limit_ms": 5000},
         // A box that has just come earns its slack over the window: here it has plenty.
-        "retry_budget": {"ratio": 1.0, "window_ms": 1000, "slack": 1000.0},
+        "retry_budget": {"ratio": 1.0, "window_s": 1.0, "slack": 1000.0},
     });
     parse_settings("test", &text.to_string()).expect("the settings are sound")
 }
--- a/tests/tests/sharing.rs
+++ b/tests/tests/sharing.rs
@@ -98,6 +98,44 @@
     assert!(!sources(hub.compose(3)).contains(&200));
 }
 
+#[test]
+fn a_hub_that_has_gone_is_forgotten_by_the_members_of_other_hubs() {
+    let mut hub = Rollup::new(100);
+    hub.add_link(1, LinkKind::Member);
+    hub.add_link(2, LinkKind::Hub);
+    let mut member = Rollup::new(300);
+    member.add_link(5, LinkKind::Hub);
+    hub.hear(2, &digest(200, true, 4, 26));
+    for told in hub.compose(1) {
+        member.hear(5, &told);
+    }
+    let sources = |digests: &[Digest]| -> Vec<u64> {
+        digests.iter().map(|digest| digest.source).collect()
+    };
+    assert!(sources(&member.compose(OWN_LINK)).contains(&200));
+    hub.drop_link(2);
+    assert_eq!(hub.take_lost(), [200]);
+    assert!(hub.has_news(1));
+    for told in hub.compose(1) {
+        member.hear(5, &told);
+    }
+    assert_eq!(member.take_lost(), [200], "what it had out is out no more");
+    assert!(!hub.has_news(1) || !sources(&hub.compose(1)).contains(&200));
+}
+
+#[test]
+fn a_source_that_moved_to_another_link_is_not_lost_with_the_old_one() {
+    let mut member = Rollup::new(300);
+    member.add_link(5, LinkKind::Hub);
+    member.add_link(6, LinkKind::Hub);
+    member.hear(5, &digest(200, true, 4, 2));
+    member.hear(6, &digest(200, true, 4, 2));
+    member.drop_link(5);
+    assert_eq!(member.take_lost(), Vec::<u64>::new());
+    member.drop_link(6);
+    assert_eq!(member.take_lost(), [200]);
+}
+
 #[test]
 fn a_reader_of_news_takes_the_first_digest_as_the_baseline() {
     let mut reader = NewsReader::default();
