--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -99,10 +99,7 @@
             if !self.running.is_empty() {
                 continue;
             }
-            if !self.may_resend(end) {
-                return Err(self.give_up(code));
-            }
-            if let Err(code) = self.send_next() {
+            if let Err(code) = self.resend(end, code) {
                 return Err(self.give_up(code));
             }
         }
@@ -201,14 +198,37 @@
             && self.tried.len() < usize::from(self.route.route.max_attempts)
     }
 
-    /// Decides whether the request is sent again, and counts it.
-    fn may_resend(&mut self, end: AttemptEnd) -> bool {
+    /// Sends the request again if it may be, and counts that; else tells what to say.
+    fn resend(&mut self, end: AttemptEnd, code: ResultCode) -> Result<(), ResultCode> {
         if end == AttemptEnd::NotSent {
             // It has reached nobody: neither an attempt nor a resend.
             self.tried.pop();
             self.unreached += 1;
-            return self.unreached < MOST_UNREACHED && self.can_send_again();
+            let may = self.unreached < MOST_UNREACHED && self.can_send_again();
+            return if may { self.send_next() } else { Err(code) };
+        }
+        let (decision, spent, limit) = self.decide_resend(end);
+        let tried = self.tried.len();
+        match decision {
+            RetryDecision::Retry(reason) => {
+                self.send_next()?;
+                self.service.budget.lock().count_resend(Instant::now());
+                self.shared.metrics.retry(reason);
+                let (id, reason) = (id_text(self.outgoing.id.as_ref()), reason.as_str());
+                tracing::info!(id, reason, tried, spent, limit, "retry: sent again.");
+                Ok(())
+            }
+            RetryDecision::Stop(reason) => {
+                self.shared.metrics.stop(reason);
+                let (id, reason) = (id_text(self.outgoing.id.as_ref()), reason.as_str());
+                tracing::info!(id, reason, tried, spent, limit, "retry: not sent again.");
+                Err(code)
+            }
         }
+    }
+
+    /// Whether the request may be sent again, with the budget's standing for the log.
+    fn decide_resend(&self, end: AttemptEnd) -> (RetryDecision, u32, f64) {
         let now = Instant::now();
         let mut budget = self.service.budget.lock();
         let decision = decide_retry(
@@ -221,24 +241,7 @@
             budget.allows(ResendUse::Sure, now),
         );
         let (spent, limit) = budget.standing(now);
-        let (id, tried) = (id_text(self.outgoing.id.as_ref()), self.tried.len());
-        match decision {
-            RetryDecision::Retry(reason) => {
-                budget.count_resend(now);
-                drop(budget);
-                self.shared.metrics.retry(reason);
-                let reason = reason.as_str();
-                tracing::info!(id, reason, tried, spent, limit, "retry: sent again.");
-                true
-            }
-            RetryDecision::Stop(reason) => {
-                drop(budget);
-                self.shared.metrics.stop(reason);
-                let reason = reason.as_str();
-                tracing::info!(id, reason, tried, spent, limit, "retry: not sent again.");
-                false
-            }
-        }
+        (decision, spent, limit)
     }
 
     fn note_failure(&mut self, failed: &FailedAttempt) {
@@ -266,15 +269,17 @@
 
     fn give_up(&mut self, code: ResultCode) -> GivenUp {
         self.service.budget.lock().count_lost(Instant::now());
-        let answer = self.last.take().and_then(|last| last.answer);
         let code = match code {
             ResultCode::DeadlineInDoubt | ResultCode::InDoubt => code,
             ResultCode::DeadlineBeforeSend if self.in_doubt => {
                 ResultCode::DeadlineInDoubt
             }
             _ if self.in_doubt => ResultCode::InDoubt,
+            // There were servers: all that may be asked have refused.
+            ResultCode::NoServer if self.last.is_some() => ResultCode::NotSent,
             code => code,
         };
+        let answer = self.last.take().and_then(|last| last.answer);
         let not_run = !self.in_doubt;
         let (id, left) = (self.outgoing.id.as_ref(), self.remaining());
         log_give_up(id, code, self.tried.len(), self.in_doubt, left);
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod edge_box;
 mod exchange;
 mod feed;
+mod heads;
 mod in_force;
 mod links;
 mod locks;
@@ -21,8 +22,10 @@
 mod shared;
 
 pub use edge_box::{EdgeBox, EdgeError};
+pub use heads::{check_framing, strip_hop_by_hop};
 pub use locks::{Rank, Ranked, RankedGuard};
 pub use metrics::Metrics;
+pub use operator::{answer_bytes, answer_text};
 pub use refusal::{RESULT_HEADER, refusal};
 pub use settings::{
     CatalogSettings, DrainSettings, LogFormat, LogSettings, OnceOnlySettings, OwnSources,
--- a/crates/wingspur-edge/src/operator.rs
+++ b/crates/wingspur-edge/src/operator.rs
@@ -16,17 +16,17 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     if request.method() != Method::GET {
-        return text(StatusCode::METHOD_NOT_ALLOWED, "This port only reads.\n");
+        return answer_text(StatusCode::METHOD_NOT_ALLOWED, "This port only reads.\n");
     }
     match request.uri().path() {
-        "/ready" if shared.is_ready() => text(StatusCode::OK, "ready\n"),
-        "/ready" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-        "/metrics" => bytes(StatusCode::OK, shared.metrics.render()),
+        "/ready" if shared.is_ready() => answer_text(StatusCode::OK, "ready\n"),
+        "/ready" => answer_text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/metrics" => answer_bytes(StatusCode::OK, shared.metrics.render()),
         "/status" => {
             let status = serde_json::to_vec(&status(&shared));
-            bytes(StatusCode::OK, status.expect("a status serialises"))
+            answer_bytes(StatusCode::OK, status.expect("a status serialises"))
         }
-        _ => text(StatusCode::NOT_FOUND, "Try /ready, /status or /metrics.\n"),
+        _ => answer_text(StatusCode::NOT_FOUND, "Try /ready, /status or /metrics.\n"),
     }
 }
 
@@ -50,11 +50,13 @@
     }
 }
 
-fn text(status: StatusCode, body: &'static str) -> Response<Full<Bytes>> {
-    bytes(status, body.as_bytes().to_vec())
+/// A short text for whoever reads the operator port.
+pub fn answer_text(status: StatusCode, body: &'static str) -> Response<Full<Bytes>> {
+    answer_bytes(status, body.as_bytes().to_vec())
 }
 
-fn bytes(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
+/// The same with any bytes.
+pub fn answer_bytes(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
     response
--- a/crates/wingspur-edge/src/request.rs
+++ b/crates/wingspur-edge/src/request.rs
@@ -8,9 +8,7 @@
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
-};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Version};
 use wingspur_protocol::ResultCode;
@@ -19,6 +17,7 @@
 use crate::answer_body::{AnswerBody, StreamBody};
 use crate::attempt::{AttemptResult, HeldAnswer, Outgoing};
 use crate::attempts::{Forwarding, GivenUp};
+use crate::heads::{check_framing, strip_hop_by_hop};
 use crate::in_force::ActiveRoute;
 use crate::refusal::refusal;
 use crate::request_log::RequestLog;
@@ -170,32 +169,6 @@
     authority.or(header)
 }
 
-/// Refuses what two readers could frame differently.
-fn check_framing(headers: &HeaderMap) -> Result<(), ResultCode> {
-    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
-    let chunked = headers.contains_key(hyper::header::TRANSFER_ENCODING);
-    if lengths > 1 || (chunked && lengths > 0) {
-        return Err(ResultCode::BadFraming);
-    }
-    Ok(())
-}
-
-fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in HOP_BY_HOP {
-        headers.remove(*name);
-    }
-}
-
 fn whole(answer: HeldAnswer) -> Response<AnswerBody> {
     let body = AnswerBody::Whole(Full::new(answer.body));
     with_head(answer.head, body)
@@ -217,15 +190,3 @@
         answer: None,
     }
 }
-
-const HOP_BY_HOP: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
--- a/crates/wingspur-entry/src/operator.rs
+++ b/crates/wingspur-entry/src/operator.rs
@@ -6,6 +6,7 @@
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
+use wingspur_edge::{answer_bytes, answer_text};
 use wingspur_protocol::BoxStatus;
 use wingspur_state::Standing;
 
@@ -17,23 +18,23 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     if request.method() != Method::GET {
-        return text(StatusCode::METHOD_NOT_ALLOWED, "This port only reads.\n");
+        return answer_text(StatusCode::METHOD_NOT_ALLOWED, "This port only reads.\n");
     }
     match request.uri().path() {
-        "/ready" if shared.is_ready() => text(StatusCode::OK, "ready\n"),
-        "/ready" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/ready" if shared.is_ready() => answer_text(StatusCode::OK, "ready\n"),
+        "/ready" => answer_text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         "/metrics" => {
             shared.metrics.set_exchanges("peers", shared.peers.totals());
             shared
                 .metrics
                 .set_exchanges("store", shared.store_exchange.totals());
-            bytes(StatusCode::OK, shared.metrics.render())
+            answer_bytes(StatusCode::OK, shared.metrics.render())
         }
         "/status" => {
             let status = serde_json::to_vec(&status(&shared));
-            bytes(StatusCode::OK, status.expect("a status serialises"))
+            answer_bytes(StatusCode::OK, status.expect("a status serialises"))
         }
-        _ => text(StatusCode::NOT_FOUND, "Try /ready, /status or /metrics.\n"),
+        _ => answer_text(StatusCode::NOT_FOUND, "Try /ready, /status or /metrics.\n"),
     }
 }
 
@@ -60,13 +61,3 @@
         out,
     }
 }
-
-fn text(status: StatusCode, body: &'static str) -> Response<Full<Bytes>> {
-    bytes(status, body.as_bytes().to_vec())
-}
-
-fn bytes(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(body)));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -9,9 +9,7 @@
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
-};
+use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Uri, Version};
 use wingspur_protocol::{OperationId, OperationOutcome, ResultCode, parse_load_hint};
@@ -25,7 +23,7 @@
 use crate::in_force::ServiceHandle;
 use crate::relay::{AnswerBody, AttemptGuard, CutRule, RelayBody};
 use crate::shared::Shared;
-use wingspur_edge::refusal;
+use wingspur_edge::{check_framing, refusal, strip_hop_by_hop};
 
 /// Answers callers' requests.
 #[derive(Debug, Clone)]
@@ -431,16 +429,6 @@
     }
 }
 
-/// Refuses what two readers could frame differently.
-fn check_framing(headers: &HeaderMap) -> Result<(), ResultCode> {
-    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
-    let chunked = headers.contains_key(hyper::header::TRANSFER_ENCODING);
-    if lengths > 1 || (chunked && lengths > 0) {
-        return Err(ResultCode::BadFraming);
-    }
-    Ok(())
-}
-
 /// Turns a caller's head into what a backend server gets.
 fn prepare_head(parts: &mut Parts, from: SocketAddr) {
     strip_hop_by_hop(&mut parts.headers);
@@ -474,22 +462,6 @@
     }
 }
 
-fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(hyper::header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in HOP_BY_HOP {
-        headers.remove(*name);
-    }
-}
-
 /// The key of a once-only operation: 1 to 128 visible ASCII characters.
 fn operation_key<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str, ResultCode> {
     let mut values = headers.get_all(name).iter();
@@ -503,17 +475,6 @@
     Ok(key)
 }
 
-const HOP_BY_HOP: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
 const FORWARDED_FOR_HEADER: &str = "x-forwarded-for";
 const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Tells a backend server how much time is left, in milliseconds.
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -14,6 +14,7 @@
 use rand::RngExt;
 
 use crate::health::{Health, HealthNote, UsualFailures};
+use crate::tracked::{Attempt, Ended, Server, path_outcome};
 use crate::{
     AttemptId, DataCentreId, KeyedTally, ServerKey, ServerRecord, ServerTally,
     ServicePresent, SourceId,
@@ -83,67 +84,6 @@
     pub sent: Duration,
 }
 
-/// How an attempt ended, as far as it tells of the server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ended {
-    /// A good answer.
-    Good,
-    /// An error, or a broken, spoiled or missing answer.
-    Failed,
-    /// The server refused it before running it.
-    Refused,
-    /// This box could not reach the server.
-    Unreached,
-    /// It was given up, or its time was over: a failure only if it took far too long.
-    Abandoned,
-}
-
-impl Ended {
-    /// The end as a metric label.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Good => "good",
-            Self::Failed => "failed",
-            Self::Refused => "refused",
-            Self::Unreached => "unreached",
-            Self::Abandoned => "abandoned",
-        }
-    }
-}
-
-#[derive(Debug)]
-struct Server {
-    record: Arc<ServerRecord>,
-    cold_until: Instant,
-    /// This box's own tally.
-    own: ServerTally,
-    /// Whether it has changed since it was last reported.
-    changed: bool,
-    /// What other boxes have out there, by who told it.
-    remote: BTreeMap<SourceId, ServerTally>,
-    /// What all boxes' outcomes say.
-    health: Health,
-    /// What this box's own say, with requests that did not reach the server.
-    path: Health,
-    /// When a box last sent it a request, as far as is known.
-    sent: Instant,
-    /// When it last failed one.
-    failed: Option<Instant>,
-    /// When another box last told of it.
-    heard: Option<Instant>,
-    /// Whether it was a suspect when this was last reviewed.
-    suspect: bool,
-}
-
-#[derive(Debug)]
-struct Attempt {
-    server: ServerKey,
-    since: Instant,
-    /// When its answer should be there at a server that takes the usual time.
-    usual_ms: f64,
-    overdue: bool,
-}
-
 impl Balancer {
     /// No servers yet; `home` is the box's data centre.
     pub fn new(home: DataCentreId) -> Self {
@@ -509,73 +449,6 @@
     }
 }
 
-impl Server {
-    fn is_open(&self) -> bool {
-        !self.record.leaving
-    }
-
-    /// Takes in outcomes; whether they have made a suspect of it.
-    fn hear(&mut self, outcomes: &ServerTally, usual: f64, now: Instant) -> bool {
-        let before = self.health.at(now).sickness();
-        self.health.add(outcomes, usual, now);
-        self.health.sickness() - before >= ALARMING
-    }
-
-    fn in_flight(&self) -> u32 {
-        let remote: u32 = self.remote.values().map(|tally| tally.in_flight).sum();
-        self.own.in_flight + remote
-    }
-
-    fn overdue(&self) -> u32 {
-        let remote: u32 = self.remote.values().map(|tally| tally.overdue).sum();
-        self.own.overdue + remote
-    }
-
-    /// The worse of what the fleet and what this box alone makes of the server.
-    fn failure_share(&self, usual: f64, now: Instant) -> f64 {
-        let fleet = self.health.at(now).failure_share(usual, self.overdue());
-        let path = self.path.at(now).failure_share(usual, self.own.overdue);
-        fleet.max(path)
-    }
-}
-
-impl Attempt {
-    /// Whether it is out for so much longer than usual that the server must be at fault.
-    fn took_too_long(&self, now: Instant) -> bool {
-        let usual = Duration::from_secs_f64(self.usual_ms / 1000.0);
-        let patience = (usual * OVERDUE_FACTOR).max(LEAST_OVERDUE);
-        now.saturating_duration_since(self.since) >= patience
-    }
-
-    fn outcome(&self, ended: Ended, now: Instant) -> ServerTally {
-        let mut seen = ServerTally::default();
-        match ended {
-            Ended::Good => {
-                seen.good = 1;
-                let took = now.saturating_duration_since(self.since).as_secs_f64();
-                let ratio = took * 1000.0 / self.usual_ms.max(LEAST_USUAL_MS);
-                seen.slowness_percent = (ratio * 100.0).min(MOST_PERCENT) as u32;
-            }
-            Ended::Failed => seen.failed = 1,
-            Ended::Refused | Ended::Unreached => seen.refused = 1,
-            Ended::Abandoned if self.took_too_long(now) => seen.failed = 1,
-            Ended::Abandoned => {}
-        }
-        seen
-    }
-}
-
-/// What an outcome says about this box's way to the server.
-fn path_outcome(ended: Ended, seen: &ServerTally) -> ServerTally {
-    match ended {
-        Ended::Unreached => ServerTally {
-            failed: 1,
-            ..ServerTally::default()
-        },
-        _ => *seen,
-    }
-}
-
 /// Costs are blurred by up to this share, so that boxes with the same view spread.
 const NOISE: f64 = 0.2;
 /// Servers slow down as they fill: this share of the work's time for full slots.
@@ -588,9 +461,6 @@
 const LOST_FAILURE_MS: f64 = 5000.0;
 /// What a refusal costs: a round trip and a resend from the budget.
 const REFUSAL_MS: f64 = 300.0;
-/// A request is overdue after so many times the usual, and never before a second.
-const OVERDUE_FACTOR: u32 = 4;
-const LEAST_OVERDUE: Duration = Duration::from_millis(1000);
 /// The floor is held strictly from here on; the users' rule begins at a tenth.
 const FLOOR_LOST_SHARE: f64 = 0.08;
 /// All servers that may be well must be in use then: some of them are cut off, and do not
@@ -612,10 +482,5 @@
 const TRIED_WITHIN: Duration = Duration::from_millis(500);
 /// A box may always have so many requests out at a server.
 const LEAST_CONNECTIONS: u32 = 4;
-/// News that make a server's sickness so much likelier do not wait for the next tick: what
-/// comes on top of a server known to be sick does.
-const ALARMING: f64 = 0.1;
 /// From here on a server is named as suspect in the status.
 const SUSPECT_SHARE: f64 = 0.35;
-const LEAST_USUAL_MS: f64 = 1.0;
-const MOST_PERCENT: f64 = 1200.0;
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -21,9 +21,10 @@
 mod server;
 mod service_table;
 mod tally;
+mod tracked;
 mod unease;
 
-pub use balancer::{Balancer, Ended, Pick, Turned, Want};
+pub use balancer::{Balancer, Pick, Turned, Want};
 pub use bundle::{
     BackendServer, Bundle, CallerLimits, Detection, Floor, HostRoute, Limits, RetryRules,
     Route, RouteClass, RouteTarget, Service,
@@ -50,3 +51,4 @@
 pub use server::{ServerRecord, server_key};
 pub use service_table::{AttemptOutcome, ServiceTable, TICK, VERDICT_TTL};
 pub use tally::{KeyedTally, ServerTally, ServiceTally};
+pub use tracked::Ended;
--- /dev/null
+++ b/crates/wingspur-state/src/tracked.rs
@@ -0,0 +1,156 @@
+//! One backend server as a box tracks it, and the requests that are out there.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::health::Health;
+use crate::{ServerKey, ServerRecord, ServerTally, SourceId};
+
+/// A backend server with all that a box knows of it.
+#[derive(Debug)]
+pub struct Server {
+    /// As it announces itself.
+    pub record: Arc<ServerRecord>,
+    /// Until when it is slow from its start.
+    pub cold_until: Instant,
+    /// This box's own tally.
+    pub own: ServerTally,
+    /// Whether it has changed since it was last reported.
+    pub changed: bool,
+    /// What other boxes have out there, by who told it.
+    pub remote: BTreeMap<SourceId, ServerTally>,
+    /// What all boxes' outcomes say.
+    pub health: Health,
+    /// What this box's own say, with requests that did not reach the server.
+    pub path: Health,
+    /// When a box last sent it a request, as far as is known.
+    pub sent: Instant,
+    /// When it last failed one.
+    pub failed: Option<Instant>,
+    /// When another box last told of it.
+    pub heard: Option<Instant>,
+    /// Whether it was a suspect when this was last reviewed.
+    pub suspect: bool,
+}
+
+/// A request that is out at a server.
+#[derive(Debug)]
+pub struct Attempt {
+    /// The server.
+    pub server: ServerKey,
+    /// Since when.
+    pub since: Instant,
+    /// When its answer should be there at a server that takes the usual time.
+    pub usual_ms: f64,
+    /// Whether it was counted as overdue.
+    pub overdue: bool,
+}
+
+/// How an attempt ended, as far as it tells of the server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// A good answer.
+    Good,
+    /// An error, or a broken, spoiled or missing answer.
+    Failed,
+    /// The server refused it before running it.
+    Refused,
+    /// This box could not reach the server.
+    Unreached,
+    /// It was given up, or its time was over: a failure only if it took far too long.
+    Abandoned,
+}
+
+impl Ended {
+    /// The end as a metric label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Good => "good",
+            Self::Failed => "failed",
+            Self::Refused => "refused",
+            Self::Unreached => "unreached",
+            Self::Abandoned => "abandoned",
+        }
+    }
+}
+
+impl Server {
+    /// Whether it takes new work.
+    pub fn is_open(&self) -> bool {
+        !self.record.leaving
+    }
+
+    /// Takes in outcomes; whether they have made a suspect of it.
+    pub fn hear(&mut self, outcomes: &ServerTally, usual: f64, now: Instant) -> bool {
+        let before = self.health.at(now).sickness();
+        self.health.add(outcomes, usual, now);
+        self.health.sickness() - before >= ALARMING
+    }
+
+    /// Requests that the fleet has out there.
+    pub fn in_flight(&self) -> u32 {
+        let remote: u32 = self.remote.values().map(|tally| tally.in_flight).sum();
+        self.own.in_flight + remote
+    }
+
+    /// Those of them that take far too long.
+    pub fn overdue(&self) -> u32 {
+        let remote: u32 = self.remote.values().map(|tally| tally.overdue).sum();
+        self.own.overdue + remote
+    }
+
+    /// The worse of what the fleet and what this box alone makes of the server.
+    pub fn failure_share(&self, usual: f64, now: Instant) -> f64 {
+        let fleet = self.health.at(now).failure_share(usual, self.overdue());
+        let path = self.path.at(now).failure_share(usual, self.own.overdue);
+        fleet.max(path)
+    }
+}
+
+impl Attempt {
+    /// Whether it is out for so much longer than usual that the server must be at fault.
+    pub fn took_too_long(&self, now: Instant) -> bool {
+        let usual = Duration::from_secs_f64(self.usual_ms / 1000.0);
+        let patience = (usual * OVERDUE_FACTOR).max(LEAST_OVERDUE);
+        now.saturating_duration_since(self.since) >= patience
+    }
+
+    /// What its end tells of the server.
+    pub fn outcome(&self, ended: Ended, now: Instant) -> ServerTally {
+        let mut seen = ServerTally::default();
+        match ended {
+            Ended::Good => {
+                seen.good = 1;
+                let took = now.saturating_duration_since(self.since).as_secs_f64();
+                let ratio = took * 1000.0 / self.usual_ms.max(LEAST_USUAL_MS);
+                seen.slowness_percent = (ratio * 100.0).min(MOST_PERCENT) as u32;
+            }
+            Ended::Failed => seen.failed = 1,
+            Ended::Refused | Ended::Unreached => seen.refused = 1,
+            Ended::Abandoned if self.took_too_long(now) => seen.failed = 1,
+            Ended::Abandoned => {}
+        }
+        seen
+    }
+}
+
+/// What an outcome says about this box's way to the server.
+pub fn path_outcome(ended: Ended, seen: &ServerTally) -> ServerTally {
+    match ended {
+        Ended::Unreached => ServerTally {
+            failed: 1,
+            ..ServerTally::default()
+        },
+        _ => *seen,
+    }
+}
+
+/// A request is overdue after so many times the usual, and never before a second.
+const OVERDUE_FACTOR: u32 = 4;
+const LEAST_OVERDUE: Duration = Duration::from_millis(1000);
+/// News that make a server's sickness so much likelier do not wait for the next tick: what
+/// comes on top of a server known to be sick does.
+const ALARMING: f64 = 0.1;
+const LEAST_USUAL_MS: f64 = 1.0;
+const MOST_PERCENT: f64 = 1200.0;
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -16,13 +16,14 @@
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use http_body_util::BodyExt;
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
-};
+use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
 use smol::net::TcpStream;
 
 use crate::SendBody;
+use crate::answer_head::{
+    Framing, ParsedHead, framing_of, parse_head, rest_of, unreadable,
+};
 
 /// The connections of this box to one backend server.
 #[derive(Debug)]
@@ -103,16 +104,6 @@
     since: Instant,
 }
 
-/// How a body ends, and how much of it is still to come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Framing {
-    Length(u64),
-    /// Bytes left of the present chunk; none between chunks.
-    Chunked(Option<u64>),
-    UntilClose,
-    Done,
-}
-
 impl Backend {
     /// Starts with no connections.
     pub fn new(address: SocketAddr) -> Self {
@@ -467,13 +458,6 @@
     }
 }
 
-struct ParsedHead {
-    status: StatusCode,
-    headers: HeaderMap,
-    /// Whether the server keeps the connection.
-    keeps: bool,
-}
-
 async fn send(
     mut stream: TcpStream,
     head: Vec<u8>,
@@ -524,76 +508,6 @@
     Ok(())
 }
 
-/// Reads a head at the start of the bytes, with its length; none while it is not all in.
-fn parse_head(bytes: &[u8]) -> Result<Option<(ParsedHead, usize)>, AnswerError> {
-    let mut space = [httparse::EMPTY_HEADER; MOST_HEADERS];
-    let mut parsed = httparse::Response::new(&mut space);
-    let length = match parsed.parse(bytes) {
-        Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(error) => return Err(unreadable(&error.to_string())),
-    };
-    let status = StatusCode::from_u16(parsed.code.unwrap_or_default());
-    let status = status.map_err(|_| unreadable("a status out of range"))?;
-    let mut headers = HeaderMap::with_capacity(parsed.headers.len());
-    for header in parsed.headers.iter() {
-        let name = HeaderName::from_bytes(header.name.as_bytes());
-        let name = name.map_err(|_| unreadable("a header's name"))?;
-        let value = HeaderValue::from_bytes(header.value);
-        let value = value.map_err(|_| unreadable("a header's value"))?;
-        headers.append(name, value);
-    }
-    let keeps = parsed.version == Some(1) && !has_token(&headers, &CONNECTION, "close");
-    let head = ParsedHead {
-        status,
-        headers,
-        keeps,
-    };
-    Ok(Some((head, length)))
-}
-
-fn framing_of(headers: &HeaderMap) -> Result<Framing, AnswerError> {
-    let lengths = headers.get_all(CONTENT_LENGTH);
-    let mut lengths = lengths
-        .iter()
-        .map(|value| value.to_str().ok()?.parse().ok());
-    let length: Option<Option<u64>> = lengths.next();
-    if headers.contains_key(TRANSFER_ENCODING) {
-        if length.is_some() || !has_token(headers, &TRANSFER_ENCODING, "chunked") {
-            return Err(unreadable("two readers could frame it differently"));
-        }
-        return Ok(Framing::Chunked(None));
-    }
-    match length {
-        None => Ok(Framing::UntilClose),
-        Some(Some(length)) if lengths.all(|other| other == Some(length)) => {
-            Ok(Framing::Length(length))
-        }
-        Some(_) => Err(unreadable("its length")),
-    }
-}
-
-/// For how long the server says that it keeps a resting connection, with a margin.
-fn rest_of(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get("keep-alive")?.to_str().ok()?;
-    let seconds = text.split(',').find_map(|part| {
-        let (name, value) = part.trim().split_once('=')?;
-        name.eq_ignore_ascii_case("timeout")
-            .then(|| value.trim().parse().ok())?
-    });
-    let whole = Duration::from_secs(seconds?);
-    Some(whole.mul_f64(REST_SHARE))
-}
-
-fn has_token(headers: &HeaderMap, name: &HeaderName, token: &str) -> bool {
-    let values = headers.get_all(name);
-    let mut texts = values.iter().filter_map(|value| value.to_str().ok());
-    texts.any(|text| {
-        text.split(',')
-            .any(|part| part.trim().eq_ignore_ascii_case(token))
-    })
-}
-
 fn join(mut pieces: Vec<Bytes>, length: usize) -> Bytes {
     if pieces.len() == 1 {
         return pieces.remove(0);
@@ -605,10 +519,6 @@
     whole.freeze()
 }
 
-fn unreadable(reason: &str) -> AnswerError {
-    AnswerError::Unreadable(reason.to_owned())
-}
-
 fn ended_early() -> AnswerError {
     AnswerError::Broken(io::ErrorKind::UnexpectedEof.into())
 }
@@ -623,9 +533,5 @@
 /// The longest head of an answer.
 const MOST_HEAD_BYTES: usize = 64 << 10;
 const MOST_LINE_BYTES: usize = 8 << 10;
-const MOST_HEADERS: usize = 96;
 /// How long a connection may rest when its server does not say.
 const REST_BY_DEFAULT: Duration = Duration::from_secs(4);
-/// Used up to this share of the time that the server gives: its clock runs ahead of ours by
-/// what the answer took to arrive.
-const REST_SHARE: f64 = 0.75;
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -1,5 +1,6 @@
 //! Sockets: listeners, backend connections, the store client and the peer client.
 
+mod answer_head;
 mod backend;
 mod body;
 mod catalog;
