--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -30,6 +30,8 @@
     tried: Vec<ServerKey>,
     /// Attempts that did not reach a server.
     unreached: u32,
+    /// Whether a second attempt beside a slow one was found not to help.
+    hedging_is_over: bool,
     running: Vec<Running>,
     /// Whether an attempt that is over may have run.
     in_doubt: bool,
@@ -73,6 +75,7 @@
             body: Some(body),
             tried: Vec::new(),
             unreached: 0,
+            hedging_is_over: false,
             running: Vec::new(),
             in_doubt: false,
             last: None,
@@ -93,9 +96,13 @@
                 Event::Ended(answered) => return Ok(answered),
             };
             self.note_failure(&failed);
-            let code = failed.code;
-            let end = failed.end;
+            let (code, end, server) = (failed.code, failed.end, failed.pick.server.key());
             self.keep_worst(failed);
+            if end == AttemptEnd::NotSent {
+                // It has reached nobody: neither an attempt nor a resend.
+                self.tried.retain(|tried| *tried != server);
+                self.unreached += 1;
+            }
             if !self.running.is_empty() {
                 continue;
             }
@@ -187,12 +194,13 @@
                 self.start(pick);
             }
             // Once is enough: what does not help now will not help later.
-            _ => self.body = None,
+            _ => self.hedging_is_over = true,
         }
     }
 
     fn may_hedge(&self) -> bool {
         self.is_repeatable()
+            && !self.hedging_is_over
             && self.running.len() == 1
             && self.can_send_again()
             && self.tried.len() < usize::from(self.route.route.max_attempts)
@@ -201,9 +209,6 @@
     /// Sends the request again if it may be, and counts that; else tells what to say.
     fn resend(&mut self, end: AttemptEnd, code: ResultCode) -> Result<(), ResultCode> {
         if end == AttemptEnd::NotSent {
-            // It has reached nobody: neither an attempt nor a resend.
-            self.tried.pop();
-            self.unreached += 1;
             let may = self.unreached < MOST_UNREACHED && self.can_send_again();
             return if may { self.send_next() } else { Err(code) };
         }
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -128,6 +128,11 @@
         reading.lists = None;
         note_answer(shared);
         take_listing(shared, listing, Instant::now());
+        if revision == 0 {
+            // Boxes that start together announce themselves together: one watch later hears
+            // of all, and by then another box may read for this one.
+            smol::Timer::after(jittered(FIRST_WATCH_AFTER)).await;
+        }
         return Ok(());
     }
     shared.metrics.count_store_call("watch");
@@ -214,6 +219,8 @@
 /// A reader answers for the freshness of its reading by its renewals.
 const READER_RENEWAL: Duration = Duration::from_millis(800);
 const RENEWAL: Duration = Duration::from_secs(3);
+/// Changes are in force within two seconds also at a box that has just started.
+const FIRST_WATCH_AFTER: Duration = Duration::from_millis(800);
 const IDLE_CHECK: Duration = Duration::from_millis(100);
 const NEED_CHECK: Duration = Duration::from_millis(500);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -388,11 +388,17 @@
         let used = f64::from(all) - neglected.len() as f64;
         let missing = f64::from(all) * wanted_share - used;
         let rate = missing / TRIED_WITHIN.as_secs_f64();
-        if missing <= 0.0 || random.random::<f64>() > rate / want.present.requests_per_s {
+        if missing <= 0.0
+            || neglected.is_empty()
+            || random.random::<f64>() > rate / want.present.requests_per_s
+        {
             return None;
         }
-        let by_share = |a: &(f64, &Server), b: &(f64, &Server)| a.0.total_cmp(&b.0);
-        let (_, server) = neglected.into_iter().min_by(by_share)?;
+        // One of the less doubtful half: were it the least doubtful, all boxes would try the
+        // same one before they hear of each other.
+        neglected.sort_by(|a, b| a.0.total_cmp(&b.0));
+        neglected.truncate(neglected.len().div_ceil(2));
+        let (_, server) = neglected[random.random_range(0..neglected.len())];
         let pick = self.weigh(server, want, usual, now);
         Some(Pick {
             candidates: all as usize,
--- a/tests/src/backend_server.rs
+++ b/tests/src/backend_server.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::{Head, listen};
 
@@ -12,7 +12,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     ran: Arc<Mutex<Vec<String>>>,
-    heads: Arc<Mutex<Vec<Head>>>,
+    heads: Arc<Mutex<Vec<(Instant, Head)>>>,
 }
 
 /// What a request meets.
@@ -53,7 +53,7 @@
         let address = listen(move |head, stream| {
             let mut heads = heads_here.lock().expect("no holder panics");
             let reply = reply(heads.len());
-            heads.push(head.clone());
+            heads.push((Instant::now(), head.clone()));
             drop(heads);
             if !matches!(reply, Reply::Shed | Reply::Misdirected) {
                 let id = head.headers.get("x-wingspur-request-id").cloned();
@@ -76,7 +76,18 @@
 
     /// The requests that arrived, in order.
     pub fn heads(&self) -> Vec<Head> {
-        self.heads.lock().expect("no holder panics").clone()
+        let heads = self.heads.lock().expect("no holder panics");
+        heads.iter().map(|(_, head)| head.clone()).collect()
+    }
+
+    /// When each request arrived, with its id, in order.
+    pub fn arrivals(&self) -> Vec<(Instant, String)> {
+        let heads = self.heads.lock().expect("no holder panics");
+        let id_of = |head: &Head| head.headers.get("x-wingspur-request-id").cloned();
+        let named = heads
+            .iter()
+            .map(|(at, head)| (*at, id_of(head).unwrap_or_default()));
+        named.collect()
     }
 }
 
--- a/tests/src/http.rs
+++ b/tests/src/http.rs
@@ -58,7 +58,18 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> Answer {
-    let mut stream = TcpStream::connect(to).expect("the listener is up");
+    try_call(to, method, path, headers, body).expect("the listener is up")
+}
+
+/// The same; none where nobody listens.
+pub fn try_call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<Answer> {
+    let mut stream = TcpStream::connect(to).ok()?;
     let limit = Some(Duration::from_secs(20));
     stream.set_read_timeout(limit).expect("it is a constant");
     let mut head = format!("{method} {path} HTTP/1.1\r\nconnection: close\r\n");
@@ -67,7 +78,7 @@
     }
     head.push_str(&format!("content-length: {}\r\n\r\n", body.len()));
     let _ = stream.write_all(&[head.as_bytes(), body].concat());
-    read_answer(&mut BufReader::new(stream))
+    Some(read_answer(&mut BufReader::new(stream)))
 }
 
 fn serve_connection(
--- a/tests/tests/balancing.rs
+++ b/tests/tests/balancing.rs
@@ -242,3 +242,16 @@
     balancer.remove(key(1));
     assert_eq!(balancer.least_wait(&want, now), None);
 }
+
+#[test]
+fn boxes_with_the_same_view_try_different_neglected_servers() {
+    let now = Instant::now();
+    let mut balancer = balancer(20, now);
+    let later = now + Duration::from_secs(3);
+    for n in 10..20 {
+        one(&mut balancer, n, Ended::Good, TYPICAL, later - TYPICAL);
+    }
+    let counts = picks(&balancer, &want(false, 0.2), later, 20);
+    let tried = counts[..10].iter().filter(|count| **count > 0).count();
+    assert!(tried >= 4, "half of ten: {counts:?}");
+}
--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -10,6 +10,9 @@
 use wingspur_tests::{Answer, BackendServer, PlatformStore, call};
 use wingspur_transport::{Exchange, LinkFaults, Workers};
 
+/// Resends that never run out.
+const PLENTY: f64 = 1000.0;
+
 /// One box, its store, and what calls it.
 pub struct Deployment {
     /// The store.
@@ -44,6 +47,15 @@
 impl Deployment {
     /// Starts a box before some servers and waits until it takes callers.
     pub fn start(servers: &[BackendServer], routes: &[Route]) -> Self {
+        Self::start_with_slack(servers, routes, PLENTY)
+    }
+
+    /// The same with so many resends allowed whatever the requests.
+    pub fn start_with_slack(
+        servers: &[BackendServer],
+        routes: &[Route],
+        slack: f64,
+    ) -> Self {
         let store = PlatformStore::start(500);
         store.put("op/config", &configuration(1, routes));
         for (n, server) in servers.iter().enumerate() {
@@ -51,7 +63,8 @@
             store.put(&format!("servers/i-{n}"), &entry);
         }
         let workers = Workers::start(2);
-        let running = start_box("box-1", &store, &workers);
+        let settings = settings_with_slack("box-1", store.address, slack);
+        let running = start_box_with(settings, &store, &workers);
         wait_until("the box is ready", || running.is_ready());
         Self {
             store,
@@ -117,12 +130,19 @@
 
 /// Starts a box that reads a store.
 pub fn start_box(id: &str, store: &PlatformStore, workers: &Workers) -> EdgeBox {
+    start_box_with(settings(id, store.address), store, workers)
+}
+
+fn start_box_with(
+    settings: Settings,
+    store: &PlatformStore,
+    workers: &Workers,
+) -> EdgeBox {
     let spawner = workers.spawner();
     let exchange = Exchange::new(spawner.clone(), LinkFaults::default());
     let timeout = Duration::from_millis(1500);
     let lease = Duration::from_secs(10);
     let catalog = catalog(store.address, exchange.into(), timeout, lease);
-    let settings = settings(id, store.address);
     let starting = EdgeBox::start(settings, header_names(), catalog, &spawner);
     smol::block_on(starting).expect("the ports are free")
 }
@@ -134,6 +154,10 @@
 
 /// Settings of a box on loopback, with a short stop.
 pub fn settings(id: &str, store: SocketAddr) -> Settings {
+    settings_with_slack(id, store, PLENTY)
+}
+
+fn settings_with_slack(id: &str, store: SocketAddr, slack: f64) -> Settings {
     let text = json!({
         "box_id": id,
         "data_centre": "dc-1",
@@ -144,7 +168,7 @@
         "catalog": {"form": "kv", "store_address": store},
         "drain": {"balancer_lag_ms": 100, "limit_ms": 5000},
         // A box that has just come earns its slack over the window: here it has plenty.
-        "retry_budget": {"ratio": 1.0, "window_s": 1.0, "slack": 1000.0},
+        "retry_budget": {"ratio": 1.0, "window_s": 1.0, "slack": slack},
     });
     parse_settings("test", &text.to_string()).expect("the settings are sound")
 }
--- a/tests/tests/edge_path.rs
+++ b/tests/tests/edge_path.rs
@@ -250,3 +250,30 @@
     assert_eq!(deployment.close(), 0, "no request is cut");
     assert_eq!(calling.join().unwrap().status, 200);
 }
+
+#[test]
+fn a_read_that_was_too_slow_to_be_hedged_is_still_sent_again_when_it_fails() {
+    let met = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let server = || {
+        let met = met.clone();
+        BackendServer::start(move |_| {
+            match met.fetch_add(1, std::sync::atomic::Ordering::SeqCst) {
+                0 => {
+                    // Beyond three times the usual, when a second attempt is thought of.
+                    std::thread::sleep(std::time::Duration::from_millis(1500));
+                    Reply::Error
+                }
+                _ => Reply::Whole,
+            }
+        })
+    };
+    let servers = [server(), server()];
+    // Hedges may spend four tenths of the budget, resends that are sure to help more.
+    let deployment = Deployment::start_with_slack(&servers, &[Route::new("read")], 1.3);
+    let answer = deployment.call("read", "id-1");
+    assert_eq!(
+        (answer.status, answer.body.as_slice()),
+        (200, &b"own body"[..])
+    );
+    deployment.close();
+}
