The strongest box of a data centre is its hub; a hub of many tells each of them less often

The hub was a box with a link of ten megabits; twenty frames a second of three to four kilobytes to each of 27 members are more than that, frames waited. Ruled out: processor time (the same without; at most half of a core's tenth was used), the store, the links between hubs. A hub sends at most 320 frames a second, and urgent news a fifth of the gap apart.

--- a/crates/wingspur-coordination/src/link_plan.rs
+++ b/crates/wingspur-coordination/src/link_plan.rs
@@ -1,5 +1,6 @@
 //! Whom a box should keep links with: the hub of its data centre, or other hubs.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -149,10 +150,11 @@
     }
 }
 
-/// Rendezvous: the smallest hash of data centre and box goes first.
-fn rank_of(record: &BoxRecord) -> (u64, &BoxId) {
+/// The strongest goes first, and among equals, by rendezvous, the one with the smallest hash
+/// of data centre and box.
+fn rank_of(record: &BoxRecord) -> (Reverse<u32>, u64, &BoxId) {
     let name = format!("{}/{}", record.data_centre, record.id);
-    (hash_of(&name), &record.id)
+    (Reverse(record.capacity), hash_of(&name), &record.id)
 }
 
 /// A box that could not be reached is tried again after this.
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -246,12 +246,14 @@
     pub fn take_frames(&mut self, now: Instant) -> Vec<Outgoing> {
         let feed = self.feed.state(now);
         let hurry = std::mem::take(&mut self.urgent);
+        let home_gap = self.home_gap();
         let mut frames = Vec::new();
         for (id, link) in &mut self.active {
             let age = now.saturating_duration_since(link.sent);
             let away = link.peer.data_centre != self.own.data_centre;
-            let gap = if away { AWAY_GAP } else { HOME_GAP };
-            let due = (age >= gap || hurry) && self.rollup.has_news(*id);
+            let gap = if away { AWAY_GAP } else { home_gap };
+            let gap = if hurry { gap / HURRY } else { gap };
+            let due = age >= gap && self.rollup.has_news(*id);
             let urgent = !link.catalog.is_empty()
                 || link.wants_listing
                 || link.greeting.is_some()
@@ -286,9 +288,10 @@
 
     /// When `take_frames` should be called again, if nothing happens before.
     pub fn next_tick(&self, now: Instant) -> Duration {
+        let home_gap = self.home_gap();
         let due = |(id, link): (&LinkId, &ActiveLink)| {
             let away = link.peer.data_centre != self.own.data_centre;
-            let news_gap = if away { AWAY_GAP } else { HOME_GAP };
+            let news_gap = if away { AWAY_GAP } else { home_gap };
             let gap = if self.rollup.has_news(*id) {
                 news_gap
             } else {
@@ -300,6 +303,13 @@
         next.unwrap_or(HEARTBEAT).max(LEAST_TICK)
     }
 
+    /// How often news goes to a box of the same data centre: a hub of many tells each of
+    /// them less often, so that its link and processor bear them all.
+    fn home_gap(&self) -> Duration {
+        let links = self.active.len() as u32;
+        HOME_GAP.max(Duration::from_secs(1) * links / MOST_FRAMES_PER_S)
+    }
+
     /// Notes how the other side of a link stands with the store.
     pub fn note_feed(&mut self, id: LinkId, state: &FeedState, now: Instant) {
         self.feed.note(id, state, now);
@@ -336,6 +346,11 @@
 /// How often news may go to a box of the same data centre: a request takes several times as
 /// long, so a view that old still tells who is busy.
 const HOME_GAP: Duration = Duration::from_millis(50);
+/// Frames that a hub sends in a second: with four kilobytes each, a tenth of a link of a
+/// hundred megabits.
+const MOST_FRAMES_PER_S: u32 = 320;
+/// News that should not wait goes out after so small a part of the usual gap.
+const HURRY: u32 = 5;
 /// How often news may go to another data centre, where each byte is priced.
 const AWAY_GAP: Duration = Duration::from_millis(100);
 /// A link without news is heard so often.
--- a/crates/wingspur-edge/src/settings.rs
+++ b/crates/wingspur-edge/src/settings.rs
@@ -41,6 +41,13 @@
     /// What resends a service may be asked to bear.
     #[serde(default)]
     pub retry_budget: BudgetSettings,
+    /// The box's share of a processor core, 1 for a whole one; its part in what boxes do
+    /// together follows from this and its link.
+    #[serde(default = "default_cpu_share")]
+    pub cpu_share: f64,
+    /// The bandwidth of the box's link, in megabits a second.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
     /// Threads for the request path.
     #[serde(default = "default_worker_threads")]
     pub worker_threads: usize,
@@ -119,6 +126,7 @@
     /// How long requests in flight may take to finish.
     pub limit_ms: u64,
     /// When the platform kills a process that was told to stop; none where it never does.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub kill_after_s: Option<f64>,
 }
 
@@ -184,6 +192,14 @@
 }
 
 impl Settings {
+    /// How much the box can carry for others: in shares of the least box that is planned
+    /// for, by whichever of processor and link is scarcer.
+    pub fn capacity(&self) -> u32 {
+        let shares = (self.cpu_share / LEAST_CPU_SHARE).min(self.link_mbps / LEAST_MBPS);
+        // A little more, since a share like 0.3 has no exact form.
+        (shares + 0.01) as u32
+    }
+
     /// How long the balancer may still send callers; half of a stop at most, so that what
     /// comes last can still be answered.
     pub fn balancer_lag(&self) -> Duration {
@@ -231,6 +247,9 @@
     }
 }
 
+/// The least box: a tenth of a core, and a link of ten megabits a second.
+const LEAST_CPU_SHARE: f64 = 0.1;
+const LEAST_MBPS: f64 = 10.0;
 /// A box ends this long before it would be killed: timers and the last answers are late.
 const KILL_MARGIN: Duration = Duration::from_millis(500);
 
@@ -359,6 +378,8 @@
             must("slack", Kind::Amount),
         ]),
     ),
+    may("cpu_share", Kind::Amount),
+    may("link_mbps", Kind::Amount),
     may("worker_threads", Kind::Number(1, 256)),
     may("max_body_bytes", Kind::Number(0, u64::MAX)),
     may("kept_body_bytes", Kind::Number(0, 16 << 20)),
@@ -520,6 +541,14 @@
     text.chars().take(40).chain("...".chars()).collect()
 }
 
+fn default_cpu_share() -> f64 {
+    1.0
+}
+
+fn default_link_mbps() -> f64 {
+    1000.0
+}
+
 fn default_worker_threads() -> usize {
     2
 }
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -63,6 +63,7 @@
             peer_address: settings.peer_address,
             // Drawn, not read from a clock that may jump.
             incarnation: rand::random(),
+            capacity: settings.capacity(),
         };
         let services = Services::new(settings.data_centre.clone(), settings.retry_budget);
         Self {
--- a/crates/wingspur-protocol/src/catalog.rs
+++ b/crates/wingspur-protocol/src/catalog.rs
@@ -59,4 +59,7 @@
     pub peer_address: SocketAddr,
     /// Drawn anew at each start.
     pub incarnation: u64,
+    /// How much it can carry for other boxes; the strongest of a data centre is its hub.
+    #[serde(default)]
+    pub capacity: u32,
 }
--- a/tests/soak/src/boxes.rs
+++ b/tests/soak/src/boxes.rs
@@ -6,6 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use rand::RngExt;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
@@ -127,11 +128,19 @@
     }
 }
 
+/// A port that is free now, and that the kernel gives to no connection while the box is down.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
-    listener.local_addr().expect("it is bound")
+    loop {
+        let port = rand::rng().random_range(BELOW_EPHEMERAL);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
+const BELOW_EPHEMERAL: std::ops::Range<u16> = 12_000..32_000;
+
 /// The retry budget of the service, as the boxes are told.
 pub const RETRY_RATIO: f64 = 0.2;
 /// The budget's window.
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -63,6 +63,7 @@
 /// Plays a seed; when a promise breaks, looks for the shortest plan that breaks one.
 fn play_seed(setup: &Setup, seed: u64) -> bool {
     let plan = Plan::draw(seed, setup.boxes, setup.span);
+    plan.faults.iter().for_each(|fault| println!("  {fault}"));
     let report = play(setup, &plan);
     println!("seed {seed}: {}", report.summary());
     if report.broken.is_empty() {
--- a/tests/tests/platform_catalog.rs
+++ b/tests/tests/platform_catalog.rs
@@ -31,6 +31,7 @@
         data_centre: "dc-1".into(),
         peer_address: "127.0.0.1:9".parse().unwrap(),
         incarnation: 3,
+        capacity: 1,
     }
 }
 
--- a/tests/tests/sharing.rs
+++ b/tests/tests/sharing.rs
@@ -32,6 +32,7 @@
         data_centre: data_centre.into(),
         peer_address: "127.0.0.1:1".parse().unwrap(),
         incarnation: 1,
+        capacity: 1,
     }
 }
 
@@ -235,3 +236,22 @@
     feed.note(1, &echo, now + Duration::from_secs(2));
     assert!(feed.should_read(false, 0, now + Duration::from_secs(2)));
 }
+
+#[test]
+fn the_strongest_box_of_a_data_centre_is_its_hub() {
+    let now = Instant::now();
+    let names = ["a", "b", "c", "d", "e"];
+    for strongest in names {
+        let all = names.map(|id| BoxRecord {
+            capacity: if id == strongest { 5 } else { 1 },
+            ..record(id, "dc-1")
+        });
+        for own in &all {
+            let mut planner = LinkPlanner::new(own.clone());
+            planner.replace(all.to_vec());
+            let plan = planner.plan(now);
+            let hub = plan.first().map_or(&own.id, |link| &link.to.id);
+            assert_eq!(**hub, *strongest);
+        }
+    }
+}
--- a/tests/tests/stopping.rs
+++ b/tests/tests/stopping.rs
@@ -33,3 +33,20 @@
         assert_eq!(spans(drain), (ms(lag_ms), ms(limit_ms)), "{kill_after_s} s");
     }
 }
+
+#[test]
+fn a_box_carries_for_others_by_whichever_of_processor_and_link_is_scarcer() {
+    let capacity = |cpu_share: f64, link_mbps: f64| {
+        let mut value =
+            serde_json::to_value(edge::settings("box-1", edge::any_address()));
+        let value = value.as_mut().unwrap();
+        value["cpu_share"] = json!(cpu_share);
+        value["link_mbps"] = json!(link_mbps);
+        let settings = parse_settings("test", &value.to_string()).unwrap();
+        settings.capacity()
+    };
+    assert_eq!(capacity(0.2, 1000.0), 2);
+    assert_eq!(capacity(0.5, 10.0), 1);
+    assert_eq!(capacity(0.3, 200.0), 3);
+    assert_eq!(capacity(0.05, 5.0), 0);
+}
