--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -387,6 +387,10 @@
         }
         let used = f64::from(all) - neglected.len() as f64;
         let missing = f64::from(all) * wanted_share - used;
+        if !strict && want.crossing >= DEAR_CROSSING {
+            // The boxes of its own data centre can try a server for less.
+            neglected.retain(|(_, server)| server.record.data_centre == self.home);
+        }
         let rate = missing / TRIED_WITHIN.as_secs_f64();
         if missing <= 0.0
             || neglected.is_empty()
@@ -486,6 +490,9 @@
 const FLOOR_NEGLECT: Duration = Duration::from_millis(1000);
 /// Enough of the neglected are tried within this.
 const TRIED_WITHIN: Duration = Duration::from_millis(500);
+/// An answer that costs this much to fetch from another data centre, as a download does, is
+/// not spent on trying a server there.
+const DEAR_CROSSING: Duration = Duration::from_millis(300);
 /// A box may always have so many requests out at a server.
 const LEAST_CONNECTIONS: u32 = 4;
 /// From here on a server is named as suspect in the status.
--- a/tests/tests/balancing.rs
+++ b/tests/tests/balancing.rs
@@ -255,3 +255,31 @@
     let tried = counts[..10].iter().filter(|count| **count > 0).count();
     assert!(tried >= 4, "half of ten: {counts:?}");
 }
+
+#[test]
+fn downloads_try_neglected_servers_of_their_own_data_centre_only() {
+    let now = Instant::now();
+    let mut balancer = Balancer::new("dc-1".into());
+    for n in 0..6 {
+        let data_centre = if n < 3 { "dc-1" } else { "dc-2" };
+        balancer.put(record(&format!("i-{n}"), data_centre), now);
+    }
+    let later = now + Duration::from_secs(3);
+    one(&mut balancer, 0, Ended::Good, TYPICAL, later - TYPICAL);
+    let dear = Want {
+        crossing: Duration::from_millis(1300),
+        ..want(true, 0.0)
+    };
+    let counts = picks(&balancer, &dear, later, 6);
+    assert!(counts[1] > 0 && counts[2] > 0, "{counts:?}");
+    assert_eq!(counts[3..], [0, 0, 0], "{counts:?}");
+    let lost = Want {
+        present: want(true, 0.2).present,
+        ..dear
+    };
+    let strict = picks(&balancer, &lost, later, 6);
+    assert!(
+        strict[3..].iter().any(|count| *count > 0),
+        "the floor: {strict:?}"
+    );
+}
