Feed: a store that loses its history time and again is not flooded with listings

Cause (found reading the code): since an empty answer at a newer revision is taken for a gap, a store that gave such answers all the time would be listed as fast as it answers.

--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -33,8 +33,14 @@
         match step(&shared, &mut reading).await {
             Ok(()) => reading.note_success(&shared),
             Err(CatalogError::HistoryLost) => {
-                tracing::info!("store: its history is lost, listing anew.");
+                let gaps = reading.gaps;
+                tracing::info!(gaps, "store: its history is lost, listing anew.");
                 reading.lists = Some(Listing::Fresh);
+                if gaps > 0 {
+                    // Listing did not help: a store that does so all the time is not flooded.
+                    smol::Timer::after(pause(gaps)).await;
+                }
+                reading.gaps += 1;
             }
             Err(error) => {
                 reading.note_failure(&shared, &error);
@@ -81,6 +87,8 @@
 struct Reading {
     active: bool,
     failures: u32,
+    /// Listings made anew in a row, without a watch that told anything in between.
+    gaps: u32,
     /// The listing that is due; none while changes are followed.
     lists: Option<Listing>,
 }
@@ -145,6 +153,7 @@
     };
     let watched = async { watching.await.map(Some) };
     if let Some(changes) = watched.or(unneeded).await? {
+        reading.gaps = 0;
         note_answer(shared);
         take_changes(shared, changes, Instant::now());
     }
