Dead code out: an unread flag of connections, two unread results, an unused count

Cause (reading the whole change): BackendConnection kept a flag that nothing read, applying the catalog returned revisions that no caller took, and a count of open servers had no user. Ruled out: any effect, the compiler and lints find no reader. No behaviour changed; all assertions as before.

--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -4,9 +4,7 @@
 use std::time::{Duration, Instant};
 
 use wingspur_coordination::LinkId;
-use wingspur_protocol::{
-    CatalogChange, CatalogChanges, CatalogListing, CatalogUpdate, Revision,
-};
+use wingspur_protocol::{CatalogChange, CatalogChanges, CatalogListing, CatalogUpdate};
 
 use crate::exchange::spread;
 use crate::shared::Shared;
@@ -105,7 +103,7 @@
     listing: CatalogListing,
     source: &str,
     now: Instant,
-) -> Revision {
+) {
     if let Some(bundle) = listing.bundle {
         shared.put_in_force(bundle, source);
     }
@@ -117,7 +115,6 @@
     drop(links);
     shared.share_out();
     shared.replan.poke();
-    listing.revision
 }
 
 fn apply_changes(
@@ -125,7 +122,7 @@
     changes: CatalogChanges,
     source: &str,
     now: Instant,
-) -> Revision {
+) {
     let mut followed = Vec::new();
     let mut boxes_changed = false;
     for change in changes.changes {
@@ -156,7 +153,6 @@
         shared.share_out();
         shared.replan.poke();
     }
-    changes.revision
 }
 
 fn doubtful_ms(shared: &Shared, now: Instant) -> u32 {
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -131,14 +131,6 @@
         self.most_in_flight = (connections / boxes).max(LEAST_CONNECTIONS);
     }
 
-    /// Servers that take new work.
-    pub fn open_servers(&self) -> usize {
-        self.servers
-            .values()
-            .filter(|server| server.is_open())
-            .count()
-    }
-
     /// Whether a server is known and takes new work.
     pub fn is_open(&self, key: ServerKey) -> bool {
         self.servers.get(&key).is_some_and(Server::is_open)
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -49,8 +49,6 @@
     reusable: bool,
     /// For how long it may rest before the server closes it.
     rest_for: Duration,
-    /// Whether it has served a request before.
-    used: bool,
 }
 
 /// Which connection a request may take.
@@ -153,7 +151,6 @@
         }
         // An idle connection holds no buffer.
         connection.buffer = BytesMut::new();
-        connection.used = true;
         let since = Instant::now();
         let idle = IdleConnection { connection, since };
         self.idle.lock().expect("no holder panics").push(idle);
@@ -208,15 +205,9 @@
             framing: Framing::Done,
             reusable: true,
             rest_for: REST_BY_DEFAULT,
-            used: false,
         }
     }
 
-    /// Whether it has served a request before this one.
-    pub fn is_used(&self) -> bool {
-        self.used
-    }
-
     /// Sends a request and reads the head of what comes back.
     ///
     /// An answer that comes before the request is in ends the sending, and the connection
