Silence as evidence, hedges by doubt and target, request bytes in the price of crossing

Cause: on the further deployment most of what is lost is requests at servers that hang now and then. Route time-outs are about a second there, and silence counted only after a second (looked at each 250 ms), so a hang was seen when the request was lost; a second attempt was sent at three times the usual, after the target.

Hedges that are not made are logged and counted with their reason.

--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode};
 use wingspur_protocol::ResultCode;
-use wingspur_state::{AttemptEnd, AttemptId, Ended, Pick, ServerRecord};
+use wingspur_state::{AttemptEnd, AttemptId, Ended, Expected, Pick, ServerRecord};
 use wingspur_transport::{
     AnswerError, AnswerHead, Backend, BackendConnection, Reuse, SendBody,
 };
@@ -30,7 +30,9 @@
     pub headers: HeaderMap,
     /// The request's id, if the caller gave one.
     pub id: Option<HeaderValue>,
-    /// When the request is given up.
+    /// When it came.
+    pub arrived: Instant,
+    /// When it is given up.
     pub limit: Instant,
 }
 
@@ -114,6 +116,7 @@
         };
         let began = Instant::now();
         let answering = async { Some(self.converse(&mut connection, body).await) };
+        let answering = answering.or(guard.watch_silence(self.expected()));
         let expired = async {
             smol::Timer::at(self.outgoing.limit + LATE_ANSWER).await;
             None
@@ -230,6 +233,8 @@
         self.route
             .learned
             .learn(began.elapsed().div_f64(queue), bytes);
+        let took_ms = began.elapsed().as_secs_f64() * 1000.0;
+        self.route.learned.learn_ratio(took_ms / self.pick.well_ms);
         guard.close_good(connection);
         AttemptResult::Answered(answer)
     }
@@ -290,6 +295,15 @@
         }))
     }
 
+    /// When the answer should be there.
+    fn expected(&self) -> Expected {
+        Expected {
+            usual_ms: self.pick.usual_ms,
+            well_ms: self.pick.well_ms,
+            service_time: self.route.learned.service_time(),
+        }
+    }
+
     fn remaining(&self) -> Duration {
         self.outgoing
             .limit
@@ -339,9 +353,8 @@
 impl AttemptGuard {
     fn begin(plan: &AttemptPlan, backend: Arc<Backend>) -> Self {
         let server: &ServerRecord = &plan.pick.server;
-        let usual_ms = plan.pick.usual_ms;
         let mut balancer = plan.service.balancer.lock();
-        let id = balancer.begin(server.key(), usual_ms, Instant::now());
+        let id = balancer.begin(server.key(), plan.expected(), Instant::now());
         drop(balancer);
         plan.shared.news.poke();
         Self {
@@ -352,6 +365,27 @@
         }
     }
 
+    /// Counts the attempt's silence against its server as soon as it tells more; never
+    /// ends.
+    async fn watch_silence<T>(&self, expected: Expected) -> T {
+        let began = Instant::now();
+        for quarters in 1.. {
+            let Some(ratio) = expected.service_time.ratio_at_quarters(quarters) else {
+                break;
+            };
+            let age = Duration::from_secs_f64(ratio * expected.well_ms / 1000.0);
+            smol::Timer::at(began + age + SILENCE_MARGIN).await;
+            let Some(id) = self.id else { break };
+            let mut balancer = self.service.balancer.lock();
+            let told = balancer.note_silence(id, Instant::now());
+            drop(balancer);
+            if told {
+                self.shared.news.poke();
+            }
+        }
+        futures_lite::future::pending().await
+    }
+
     /// Ends the attempt by a good answer, and keeps its connection.
     pub fn close_good(mut self, connection: BackendConnection) {
         self.end(Ended::Good);
@@ -411,5 +445,7 @@
 const SURELY_ALIVE: Duration = Duration::from_millis(200);
 /// A server's own 504 with no more than this left came at the time that it was given.
 const TIMEOUT_MARGIN: Duration = Duration::from_millis(50);
+/// Timers fire late rather than early; a moment more makes sure that the age is reached.
+const SILENCE_MARGIN: Duration = Duration::from_millis(2);
 /// An answer on its way at the limit is still passed on.
 const LATE_ANSWER: Duration = Duration::from_millis(20);
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -6,9 +6,11 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
+use hyper::body::Body;
 use wingspur_protocol::ResultCode;
 use wingspur_state::{
-    AttemptEnd, Pick, ResendUse, RetryDecision, RouteClass, ServerKey, Want, decide_retry,
+    AttemptEnd, HedgeInputs, Pick, ResendUse, RetryDecision, RouteClass, ServerKey, Want,
+    decide_retry, hedge_after,
 };
 use wingspur_transport::SendBody;
 
@@ -33,6 +35,8 @@
     /// Whether a second attempt beside a slow one was found not to help.
     hedging_is_over: bool,
     running: Vec<Running>,
+    /// When the last attempt began, and why at its server.
+    begun: Option<(Instant, Pick)>,
     /// Whether an attempt that is over may have run.
     in_doubt: bool,
     /// What the caller is told if nothing better comes.
@@ -77,6 +81,7 @@
             unreached: 0,
             hedging_is_over: false,
             running: Vec::new(),
+            begun: None,
             in_doubt: false,
             last: None,
         }
@@ -131,6 +136,7 @@
         let id = self.outgoing.id.as_ref();
         log_pick(id, &pick, self.tried.len(), self.remaining());
         let body = self.take_body();
+        self.begun = Some((Instant::now(), pick.clone()));
         let plan = AttemptPlan {
             shared: self.shared.clone(),
             route: self.route.clone(),
@@ -147,7 +153,7 @@
             // The last attempt is as good as the only one: a failure is lost.
             repeatable: self.is_repeatable() && self.has_attempts_beyond_next(),
             typical: learned.typical(),
-            crossing: crossing_cost(learned.answer_bytes()),
+            crossing: crossing_cost(self.body_bytes() + learned.answer_bytes()),
             tried: &self.tried,
             present: self.service.budget.lock().present(now),
         }
@@ -162,40 +168,63 @@
 
     /// Waits for the first of the running attempts, or for the time to hedge.
     async fn next_event(&mut self) -> Event {
-        let may_hedge = self.may_hedge();
-        let patience = self.route.learned.typical() * HEDGE_FACTOR;
+        let hedge_at = self.hedge_at();
         let ended = Any(&mut self.running);
         let ended = async { Event::Ended(ended.await) };
         let hedge = async {
-            if !may_hedge {
-                futures_lite::future::pending::<()>().await;
-            }
-            smol::Timer::after(patience).await;
+            match hedge_at {
+                Some(at) => smol::Timer::at(at).await,
+                None => futures_lite::future::pending().await,
+            };
             Event::TimeToHedge
         };
         ended.or(hedge).await
     }
 
+    /// When a second attempt is sent, if the first is silent until then.
+    fn hedge_at(&self) -> Option<Instant> {
+        let (began, first) = self.begun.as_ref().filter(|_| self.may_hedge())?;
+        let (spent, limit) = self.service.budget.lock().standing(Instant::now());
+        let target = Duration::from_millis(self.route.route.target_latency_ms);
+        let on_target_until = self.outgoing.arrived + target;
+        let after = hedge_after(&HedgeInputs {
+            failure_share: first.failure_share,
+            expected: Duration::from_secs_f64(first.well_ms / 1000.0),
+            service_time: self.route.learned.service_time(),
+            target_left: on_target_until.saturating_duration_since(*began),
+            spent_share: f64::from(spent) / limit.max(1.0),
+        });
+        Some(*began + after)
+    }
+
     /// Starts a second attempt beside one that takes long, if that is likely to help.
     fn hedge(&mut self) {
-        let allowed = self
-            .service
-            .budget
-            .lock()
-            .allows(ResendUse::Hedge, Instant::now());
-        let pick = if allowed { self.pick() } else { None };
+        // Once is enough: what does not help now will not help later.
+        self.hedging_is_over = true;
+        let (allowed, spent, limit) = {
+            let (now, mut budget) = (Instant::now(), self.service.budget.lock());
+            let allowed = budget.allows(ResendUse::Hedge, now);
+            let (spent, limit) = budget.standing(now);
+            (allowed, spent, limit)
+        };
         let left_ms = self.remaining().as_secs_f64() * 1000.0;
-        match pick {
-            Some(pick) if pick.expected_ms < left_ms => {
-                self.service.budget.lock().count_resend(Instant::now());
-                self.shared.metrics.hedges.inc();
-                let id = id_text(self.outgoing.id.as_ref());
-                tracing::info!(id, server = %pick.server.id, "retry: hedged.");
-                self.start(pick);
-            }
-            // Once is enough: what does not help now will not help later.
-            _ => self.hedging_is_over = true,
-        }
+        let pick = if allowed { self.pick() } else { None };
+        let hedged = pick.filter(|pick| pick.expected_ms < left_ms);
+        let id = id_text(self.outgoing.id.as_ref());
+        let Some(pick) = hedged else {
+            let reason = if allowed {
+                "no_server_in_time"
+            } else {
+                "budget_spent"
+            };
+            self.shared.metrics.count_unhedged(reason);
+            tracing::info!(id, reason, spent, limit, left_ms, "retry: not hedged.");
+            return;
+        };
+        tracing::info!(id, server = %pick.server.id, spent, limit, "retry: hedged.");
+        self.service.budget.lock().count_resend(Instant::now());
+        self.shared.metrics.hedges.inc();
+        self.start(pick);
     }
 
     fn may_hedge(&self) -> bool {
@@ -314,6 +343,12 @@
         body
     }
 
+    /// The length of the request's body, as far as it is known.
+    fn body_bytes(&self) -> u64 {
+        let body = self.body.as_ref();
+        body.map_or(0, |body| body.size_hint().lower())
+    }
+
     fn can_send_again(&self) -> bool {
         self.body.is_some()
     }
@@ -357,8 +392,6 @@
     CROSSING_LEAST + CROSSING_PER_KB.mul_f64(kilobytes)
 }
 
-/// A second attempt starts when the first takes so many times longer than usual.
-const HEDGE_FACTOR: u32 = 3;
 /// Servers that may turn out unreachable for one request: a box that is cut off from half
 /// of them fails one request in 256.
 const MOST_UNREACHED: u32 = 8;
@@ -371,4 +404,4 @@
 /// What a request that crosses to another data centre is charged, and more for each
 /// kilobyte that comes back: bytes between data centres are the dearest of the prices.
 const CROSSING_LEAST: Duration = Duration::from_millis(30);
-const CROSSING_PER_KB: Duration = Duration::from_millis(15);
+const CROSSING_PER_KB: Duration = Duration::from_millis(30);
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -197,14 +197,14 @@
     }
 }
 
-/// Marks overdue attempts and closes connections that have rested, until the box stops.
+/// Logs which servers are suspected and closes connections that have rested, until the box
+/// stops.
 async fn tidy(shared: Arc<Shared>, stop: StopSignal) {
     let mut closed = Instant::now();
     while !stop.is_given() {
         smol::Timer::after(TIDY_EVERY).await;
         let now = Instant::now();
         for service in shared.services.all() {
-            service.balancer.lock().mark_overdue(now);
             review(&service);
         }
         if now.saturating_duration_since(closed) >= CLOSE_EVERY {
--- a/crates/wingspur-edge/src/in_force.rs
+++ b/crates/wingspur-edge/src/in_force.rs
@@ -5,8 +5,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use wingspur_state::{Bundle, HostRoute, HostRoutes, RouteClass};
+use wingspur_state::{Bundle, HostRoute, HostRoutes, RouteClass, ServiceTime};
 
+use crate::locks::{Rank, Ranked};
 use crate::services::{ServiceState, Services};
 
 /// A bundle in force; swapped whole for the next one.
@@ -36,6 +37,7 @@
 pub struct RouteFigures {
     typical_us: AtomicU64,
     answer_bytes: AtomicU64,
+    service_time: Ranked<ServiceTime>,
     /// Where the next request falls among the targets.
     turn: AtomicU64,
 }
@@ -105,6 +107,7 @@
         Self {
             typical_us: AtomicU64::new(typical.as_micros() as u64),
             answer_bytes: AtomicU64::new(bytes),
+            service_time: Ranked::new(Rank::ServiceTime, ServiceTime::new()),
             // Boxes begin at different points, so that few requests of each still add up.
             turn: AtomicU64::new(rand::random()),
         }
@@ -120,6 +123,16 @@
         self.answer_bytes.load(Ordering::Relaxed)
     }
 
+    /// How good answers spread around the time expected of them.
+    pub fn service_time(&self) -> ServiceTime {
+        *self.service_time.lock()
+    }
+
+    /// Takes in that a good answer took `ratio` times what was expected of its server.
+    pub fn learn_ratio(&self, ratio: f64) {
+        self.service_time.lock().learn(ratio);
+    }
+
     /// Takes in a good answer.
     pub fn learn(&self, took: Duration, bytes: u64) {
         // Stragglers must not stretch what counts as usual.
--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -27,6 +27,8 @@
     Budget,
     /// A service's backend servers.
     Balancer,
+    /// How a route's answers spread.
+    ServiceTime,
     /// The service of each server.
     ServersByKey,
     /// The connections by server.
--- a/crates/wingspur-edge/src/metrics.rs
+++ b/crates/wingspur-edge/src/metrics.rs
@@ -56,6 +56,8 @@
     pub dropped_log_lines: IntGauge,
     /// Second attempts begun beside a slow first one.
     pub hedges: IntCounter,
+    /// Slow first ones that none was begun beside, by the reason.
+    unhedged: IntCounterVec,
     frames: IntCounter,
     frame_bytes: IntCounter,
 }
@@ -163,6 +165,11 @@
             ),
             callers_gone,
             dropped_log_lines,
+            unhedged: counter(
+                "wingspur_unhedged_total",
+                "Slow attempts that no second one was begun beside, by reason.",
+                &["reason"],
+            ),
             peer_refusals: counter(
                 "wingspur_peer_refusals_total",
                 "Peer messages refused, by reason.",
@@ -206,6 +213,11 @@
             .inc();
     }
 
+    /// Counts a slow attempt that no second one was begun beside.
+    pub fn count_unhedged(&self, reason: &str) {
+        self.unhedged.with_label_values(&[reason]).inc();
+    }
+
     /// Counts a peer's message that was refused.
     pub fn refuse_peer(&self, reason: &str) {
         self.peer_refusals.with_label_values(&[reason]).inc();
--- a/crates/wingspur-edge/src/request.rs
+++ b/crates/wingspur-edge/src/request.rs
@@ -70,7 +70,7 @@
     let class = route.route.class.as_str();
     let labels = [service.name.as_str(), class];
     shared.metrics.requests.with_label_values(&labels).inc();
-    let outgoing = outgoing(shared, parts, limit);
+    let outgoing = outgoing(shared, parts, arrived, limit);
     let forwarding = Forwarding::new(shared.clone(), route, service, outgoing, body);
     match forwarding.run().await? {
         AttemptResult::Answered(answer) => Ok(whole(answer)),
@@ -106,7 +106,7 @@
 }
 
 /// Turns a caller's head into what every attempt sends.
-fn outgoing(shared: &Shared, parts: Parts, limit: Instant) -> Outgoing {
+fn outgoing(shared: &Shared, parts: Parts, arrived: Instant, limit: Instant) -> Outgoing {
     let names = &shared.names;
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
@@ -122,6 +122,7 @@
         target: target.map_or("/", |target| target.as_str()).to_owned(),
         headers,
         id,
+        arrived,
         limit,
     }
 }
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -14,7 +14,7 @@
 use rand::RngExt;
 
 use crate::health::{Health, HealthNote, UsualFailures};
-use crate::tracked::{Attempt, Ended, Server, path_outcome};
+use crate::tracked::{Attempt, Ended, Expected, Server, path_outcome};
 use crate::{
     AttemptId, DataCentreId, KeyedTally, ServerKey, ServerRecord, ServerTally,
     ServicePresent, SourceId,
@@ -59,6 +59,8 @@
     pub expected_ms: f64,
     /// The same for a server that takes the usual time.
     pub usual_ms: f64,
+    /// The same for this one while it is well.
+    pub well_ms: f64,
     /// Of them, the wait for a slot.
     pub wait_ms: f64,
     /// How likely it is to fail.
@@ -176,7 +178,12 @@
     }
 
     /// Counts an attempt as begun.
-    pub fn begin(&mut self, key: ServerKey, usual_ms: f64, now: Instant) -> AttemptId {
+    pub fn begin(
+        &mut self,
+        key: ServerKey,
+        expected: Expected,
+        now: Instant,
+    ) -> AttemptId {
         let id = self.next_attempt;
         self.next_attempt += 1;
         if let Some(server) = self.servers.get_mut(&key) {
@@ -187,8 +194,8 @@
         let attempt = Attempt {
             server: key,
             since: now,
-            usual_ms,
-            overdue: false,
+            expected,
+            silence_quarters: 0,
         };
         self.attempts.insert(id, attempt);
         id
@@ -204,9 +211,8 @@
         };
         server.changed = true;
         server.own.in_flight = server.own.in_flight.saturating_sub(1);
-        if attempt.overdue {
-            server.own.overdue = server.own.overdue.saturating_sub(1);
-        }
+        let silence = attempt.silence_quarters;
+        server.own.silence_quarters = server.own.silence_quarters.saturating_sub(silence);
         let seen = attempt.outcome(ended, now);
         server.own = server.own.plus(&seen);
         if seen.failed > 0 {
@@ -272,22 +278,22 @@
         }
     }
 
-    /// Marks the attempts that are out for much longer than usual.
-    pub fn mark_overdue(&mut self, now: Instant) {
-        for attempt in self
-            .attempts
-            .values_mut()
-            .filter(|attempt| !attempt.overdue)
-        {
-            if !attempt.took_too_long(now) {
-                continue;
-            }
-            attempt.overdue = true;
-            if let Some(server) = self.servers.get_mut(&attempt.server) {
-                server.own.overdue += 1;
-                server.changed = true;
-            }
+    /// Counts the silence of an attempt as it stands now; whether it tells more than before.
+    pub fn note_silence(&mut self, id: AttemptId, now: Instant) -> bool {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return false;
+        };
+        let quarters = attempt.silence_at(now);
+        let more = quarters.saturating_sub(attempt.silence_quarters);
+        if more == 0 {
+            return false;
+        }
+        attempt.silence_quarters = quarters;
+        if let Some(server) = self.servers.get_mut(&attempt.server) {
+            server.own.silence_quarters += more;
+            server.changed = true;
         }
+        true
     }
 
     /// This box's tallies that have changed since they were last taken.
@@ -420,6 +426,7 @@
             server: server.record.clone(),
             expected_ms: usual_ms * slowness,
             usual_ms,
+            well_ms: usual_ms * slowness.clamp(1.0, MOST_WELL_SLOWNESS),
             wait_ms: typical_ms * slowness * ahead,
             failure_share: server.failure_share(usual, now),
             in_flight,
@@ -455,6 +462,9 @@
 const NOISE: f64 = 0.2;
 /// Servers slow down as they fill: this share of the work's time for full slots.
 const CROWDING: f64 = 0.3;
+/// A server that takes longer than so many times the usual is not well: its silence counts
+/// from there.
+const MOST_WELL_SLOWNESS: f64 = 2.0;
 /// A server that has just started takes about twice as long.
 const COLD_FACTOR: f64 = 2.0;
 /// What a failure costs a request that can be sent again: another attempt.
--- a/crates/wingspur-state/src/fleet_budget.rs
+++ b/crates/wingspur-state/src/fleet_budget.rs
@@ -326,4 +326,4 @@
 /// change hubs count some requests twice: up to a tenth was seen in hunted days.
 const SURE_SHARE: f64 = 0.87;
 /// Hedges leave the greater part to resends that are sure to help.
-const HEDGE_SHARE: f64 = 0.4;
+const HEDGE_SHARE: f64 = 0.7;
--- a/crates/wingspur-state/src/health.rs
+++ b/crates/wingspur-state/src/health.rs
@@ -104,11 +104,11 @@
         }
     }
 
-    /// The share of requests that should fail now; each overdue request speaks against
-    /// the server as half a failure does.
-    pub fn failure_share(&self, usual: f64, overdue: u32) -> f64 {
-        let halves = f64::from(overdue) * OVERDUE_WEIGHT;
-        let failing = shift(self.failing, halves, 0.0, usual);
+    /// The share of requests that should fail now; the silence of those that are out speaks
+    /// against the server as so many quarters of a failure.
+    pub fn failure_share(&self, usual: f64, silence_quarters: u32) -> f64 {
+        let silent = f64::from(silence_quarters) / 4.0;
+        let failing = shift(self.failing, silent, 0.0, usual);
         failing * SICK_SHARE + (1.0 - failing) * usual
     }
 
@@ -193,7 +193,6 @@
 const NOTED_SLOWNESS: f64 = 1.5;
 /// A note alone never makes a server surely sick.
 const MOST_NOTED: f64 = 0.99;
-const OVERDUE_WEIGHT: f64 = 0.5;
 const HALF_LIFE: Duration = Duration::from_secs(3);
 /// How many answers the usual time is worth.
 const PRIOR_ANSWERS: f64 = 3.0;
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -10,6 +10,7 @@
 mod evidence;
 mod fleet_budget;
 mod health;
+mod hedge;
 mod history;
 mod host_routes;
 mod ids;
@@ -20,6 +21,7 @@
 mod route;
 mod server;
 mod service_table;
+mod service_time;
 mod tally;
 mod tracked;
 mod unease;
@@ -36,6 +38,7 @@
     AgedTally, BudgetHistory, BudgetSettings, FleetBudget, ResendUse, ServicePresent,
 };
 pub use health::HealthNote;
+pub use hedge::{HedgeInputs, hedge_after};
 pub use host_routes::HostRoutes;
 pub use ids::{
     AttemptId, BoxId, BundleVersion, DataCentreId, ServerId, ServerIndex, ServerKey,
@@ -50,5 +53,6 @@
 pub use route::{RouteClash, RouteMatch, RouteTable};
 pub use server::{ServerRecord, server_key};
 pub use service_table::{AttemptOutcome, ServiceTable, TICK, VERDICT_TTL};
+pub use service_time::ServiceTime;
 pub use tally::{KeyedTally, ServerTally, ServiceTally};
-pub use tracked::Ended;
+pub use tracked::{Ended, Expected};
--- a/crates/wingspur-state/src/tally.rs
+++ b/crates/wingspur-state/src/tally.rs
@@ -12,8 +12,8 @@
 pub struct ServerTally {
     /// Requests that are out now.
     pub in_flight: u32,
-    /// Of them, those that are out for much longer than usual.
-    pub overdue: u32,
+    /// What the silence of those tells, in quarters of a failure.
+    pub silence_quarters: u32,
     /// Good answers.
     pub good: u32,
     /// Errors, broken and spoiled answers, and no answers at all.
@@ -43,7 +43,7 @@
     pub fn since(&self, earlier: &Self) -> Self {
         Self {
             in_flight: self.in_flight,
-            overdue: self.overdue,
+            silence_quarters: self.silence_quarters,
             good: self.good.wrapping_sub(earlier.good),
             failed: self.failed.wrapping_sub(earlier.failed),
             refused: self.refused.wrapping_sub(earlier.refused),
@@ -57,7 +57,7 @@
     pub fn plus(&self, other: &Self) -> Self {
         Self {
             in_flight: self.in_flight + other.in_flight,
-            overdue: self.overdue + other.overdue,
+            silence_quarters: self.silence_quarters + other.silence_quarters,
             good: self.good.wrapping_add(other.good),
             failed: self.failed.wrapping_add(other.failed),
             refused: self.refused.wrapping_add(other.refused),
@@ -70,7 +70,7 @@
         let counts = self.since(part);
         Self {
             in_flight: self.in_flight.saturating_sub(part.in_flight),
-            overdue: self.overdue.saturating_sub(part.overdue),
+            silence_quarters: self.silence_quarters.saturating_sub(part.silence_quarters),
             ..counts
         }
     }
@@ -79,7 +79,7 @@
     pub fn without_stale(&self, part: &Self) -> Self {
         Self {
             in_flight: self.in_flight.saturating_sub(part.in_flight),
-            overdue: self.overdue.saturating_sub(part.overdue),
+            silence_quarters: self.silence_quarters.saturating_sub(part.silence_quarters),
             ..*self
         }
     }
@@ -88,7 +88,7 @@
     pub fn without_gauges(&self) -> Self {
         Self {
             in_flight: 0,
-            overdue: 0,
+            silence_quarters: 0,
             ..*self
         }
     }
--- a/crates/wingspur-state/src/tracked.rs
+++ b/crates/wingspur-state/src/tracked.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::health::Health;
-use crate::{ServerKey, ServerRecord, ServerTally, SourceId};
+use crate::{ServerKey, ServerRecord, ServerTally, ServiceTime, SourceId};
 
 /// A backend server with all that a box knows of it.
 #[derive(Debug)]
@@ -41,10 +41,21 @@
     pub server: ServerKey,
     /// Since when.
     pub since: Instant,
-    /// When its answer should be there at a server that takes the usual time.
+    /// When its answer should be there.
+    pub expected: Expected,
+    /// How many quarters of a failure its silence was counted as.
+    pub silence_quarters: u32,
+}
+
+/// When the answer of an attempt should be there.
+#[derive(Debug, Clone, Copy)]
+pub struct Expected {
+    /// At a server that takes the usual time, in milliseconds.
     pub usual_ms: f64,
-    /// Whether it was counted as overdue.
-    pub overdue: bool,
+    /// At this server while it is well, in milliseconds.
+    pub well_ms: f64,
+    /// How good answers spread around that.
+    pub service_time: ServiceTime,
 }
 
 /// How an attempt ended, as far as it tells of the server.
@@ -58,7 +69,7 @@
     Refused,
     /// This box could not reach the server.
     Unreached,
-    /// It was given up, or its time was over: a failure only if it took far too long.
+    /// It was given up, or its time was over: a failure only if good answers come sooner.
     Abandoned,
 }
 
@@ -94,26 +105,34 @@
         self.own.in_flight + remote
     }
 
-    /// Those of them that take far too long.
-    pub fn overdue(&self) -> u32 {
-        let remote: u32 = self.remote.values().map(|tally| tally.overdue).sum();
-        self.own.overdue + remote
+    /// What the silence of those tells, in quarters of a failure.
+    pub fn silence_quarters(&self) -> u32 {
+        let told = self.remote.values().map(|tally| tally.silence_quarters);
+        self.own.silence_quarters + told.sum::<u32>()
     }
 
     /// The worse of what the fleet and what this box alone makes of the server.
     pub fn failure_share(&self, usual: f64, now: Instant) -> f64 {
-        let fleet = self.health.at(now).failure_share(usual, self.overdue());
-        let path = self.path.at(now).failure_share(usual, self.own.overdue);
+        let fleet = self
+            .health
+            .at(now)
+            .failure_share(usual, self.silence_quarters());
+        let path = self
+            .path
+            .at(now)
+            .failure_share(usual, self.own.silence_quarters);
         fleet.max(path)
     }
 }
 
 impl Attempt {
-    /// Whether it is out for so much longer than usual that the server must be at fault.
-    pub fn took_too_long(&self, now: Instant) -> bool {
-        let usual = Duration::from_secs_f64(self.usual_ms / 1000.0);
-        let patience = (usual * OVERDUE_FACTOR).max(LEAST_OVERDUE);
-        now.saturating_duration_since(self.since) >= patience
+    /// How many quarters of a failure its silence tells of now.
+    pub fn silence_at(&self, now: Instant) -> u32 {
+        let out_ms = now.saturating_duration_since(self.since).as_secs_f64() * 1000.0;
+        let ratio = out_ms / self.expected.well_ms.max(LEAST_USUAL_MS);
+        let service_time = &self.expected.service_time;
+        let known = UNKNOWN_ROUTE_QUARTERS.saturating_add(service_time.answers());
+        service_time.silence_quarters(ratio).min(known)
     }
 
     /// What its end tells of the server.
@@ -123,12 +142,14 @@
             Ended::Good => {
                 seen.good = 1;
                 let took = now.saturating_duration_since(self.since).as_secs_f64();
-                let ratio = took * 1000.0 / self.usual_ms.max(LEAST_USUAL_MS);
+                let ratio = took * 1000.0 / self.expected.usual_ms.max(LEAST_USUAL_MS);
                 seen.slowness_percent = (ratio * 100.0).min(MOST_PERCENT) as u32;
             }
             Ended::Failed => seen.failed = 1,
             Ended::Refused | Ended::Unreached => seen.refused = 1,
-            Ended::Abandoned if self.took_too_long(now) => seen.failed = 1,
+            Ended::Abandoned if self.silence_at(now) >= ABANDONED_FAILED => {
+                seen.failed = 1;
+            }
             Ended::Abandoned => {}
         }
         seen
@@ -146,9 +167,12 @@
     }
 }
 
-/// A request is overdue after so many times the usual, and never before a second.
-const OVERDUE_FACTOR: u32 = 4;
-const LEAST_OVERDUE: Duration = Duration::from_millis(1000);
+/// A route of which no answer has been seen may be one whose work never ends in its time:
+/// its silence alone makes no failure. Each answer adds a quarter.
+const UNKNOWN_ROUTE_QUARTERS: u32 = 2;
+/// An attempt that was given up is a failure where its silence told of three quarters of
+/// one: fewer than 4 in 100 good answers take as long.
+const ABANDONED_FAILED: u32 = 3;
 /// News that make a server's sickness so much likelier do not wait for the next tick: what
 /// comes on top of a server known to be sick does.
 const ALARMING: f64 = 0.1;
