The floor by sure tries: trusted servers all, doubtful ones as few as it needs

Change: while 8 in 100 are lost, each trusted server that has not been used for a second is tried with a chance that doubles each quarter of a second (one in 24,000 is left out); doubtful ones are tried as seldom as before, up to nine in ten in use.

--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -13,6 +13,7 @@
 use rand::Rng;
 use rand::RngExt;
 
+use crate::floor::{FloorInputs, Unused, holds_strictly, try_unused};
 use crate::health::{Health, HealthNote, UsualFailures};
 use crate::tracked::{Attempt, Ended, Expected, Server, path_outcome};
 use crate::{
@@ -145,7 +146,7 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Pick> {
-        if let Some(pick) = self.pick_neglected(want, now, random) {
+        if let Some(pick) = self.pick_unused(want, now, random) {
             return Some(pick);
         }
         let usual = self.usual.share();
@@ -351,59 +352,41 @@
     }
 
     /// Tries a server that no box has used for a while.
-    ///
-    /// The floor wants most servers used whenever a good part of the requests is lost, also
-    /// those that failed a while ago; and a loss may come at once, so most are in use at
-    /// all times. The rate is such that over all boxes the wanted number comes back within
-    /// `TRIED_WITHIN`.
-    fn pick_neglected(
+    fn pick_unused(
         &self,
         want: &Want<'_>,
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Pick> {
-        let strict = want.present.lost_share >= FLOOR_LOST_SHARE;
-        let (wanted_share, neglect) = match (strict, want.repeatable) {
-            (true, _) => (FLOOR_USED_SHARE, FLOOR_NEGLECT),
-            (false, true) => (USED_SHARE_BY_READS, NEGLECT),
-            (false, false) => (USED_SHARE, NEGLECT),
-        };
         let may_be_well = |server: &&Server| {
             let failed = server
                 .failed
                 .is_some_and(|at| now < at + FLOOR_AFTER_FAILURE);
             server.is_open() && !failed
         };
+        // The boxes of its own data centre can try a server for less.
+        let at_home = want.crossing >= DEAR_CROSSING && !holds_strictly(&want.present);
         let usual = self.usual.share();
-        let (mut all, mut neglected) = (0u32, Vec::new());
-        for server in self.servers.values().filter(may_be_well) {
-            all += 1;
-            if now >= server.sent + neglect && !want.tried.contains(&server.record.key())
-            {
-                neglected.push((server.failure_share(usual, now), server));
+        let unused = |server: &Server| {
+            let key = server.record.key();
+            let away = at_home && server.record.data_centre != self.home;
+            Unused {
+                key,
+                unused_for: now.saturating_duration_since(server.sent),
+                failure_share: server.failure_share(usual, now),
+                in_reach: !away && !want.tried.contains(&key),
             }
-        }
-        let used = f64::from(all) - neglected.len() as f64;
-        let missing = f64::from(all) * wanted_share - used;
-        if !strict && want.crossing >= DEAR_CROSSING {
-            // The boxes of its own data centre can try a server for less.
-            neglected.retain(|(_, server)| server.record.data_centre == self.home);
-        }
-        let rate = missing / TRIED_WITHIN.as_secs_f64();
-        if missing <= 0.0
-            || neglected.is_empty()
-            || random.random::<f64>() > rate / want.present.requests_per_s
-        {
-            return None;
-        }
-        // One of the less doubtful half: were it the least doubtful, all boxes would try the
-        // same one before they hear of each other.
-        neglected.sort_by(|a, b| a.0.total_cmp(&b.0));
-        neglected.truncate(neglected.len().div_ceil(2));
-        let (_, server) = neglected[random.random_range(0..neglected.len())];
-        let pick = self.weigh(server, want, usual, now);
+        };
+        let servers = self.servers.values().filter(may_be_well);
+        let servers: Vec<_> = servers.map(unused).collect();
+        let inputs = FloorInputs {
+            repeatable: want.repeatable,
+            present: want.present,
+        };
+        let key = try_unused(&servers, &inputs, random)?;
+        let pick = self.weigh(self.servers.get(&key)?, want, usual, now);
         Some(Pick {
-            candidates: all as usize,
+            candidates: servers.len(),
             ..pick
         })
     }
@@ -473,25 +456,9 @@
 const LOST_FAILURE_MS: f64 = 5000.0;
 /// What a refusal costs: a round trip and a resend from the budget.
 const REFUSAL_MS: f64 = 300.0;
-/// The floor is held strictly from here on; the users' rule begins at a tenth.
-const FLOOR_LOST_SHARE: f64 = 0.08;
-/// All servers that may be well must be in use then: some of them are cut off, and do not
-/// count for the users' 0.7.
-const FLOOR_USED_SHARE: f64 = 1.0;
-/// So many are in use at all times, so that a sudden loss finds the users' 0.7 held.
-const USED_SHARE: f64 = 0.74;
-/// Requests that can be sent again try more of them: a failure costs them little.
-const USED_SHARE_BY_READS: f64 = 0.85;
 /// A server that failed counts as one that may be well after this; the users say two
 /// seconds.
 const FLOOR_AFTER_FAILURE: Duration = Duration::from_millis(1500);
-/// A server is neglected when no box has used it for so long: a little less than the span
-/// in which the users' rule wants it used.
-const NEGLECT: Duration = Duration::from_millis(1800);
-/// The same while the floor is held strictly.
-const FLOOR_NEGLECT: Duration = Duration::from_millis(1000);
-/// Enough of the neglected are tried within this.
-const TRIED_WITHIN: Duration = Duration::from_millis(500);
 /// An answer that costs this much to fetch from another data centre, as a download does, is
 /// not spent on trying a server there.
 const DEAR_CROSSING: Duration = Duration::from_millis(300);
--- /dev/null
+++ b/crates/wingspur-state/src/floor.rs
@@ -0,0 +1,136 @@
+//! Which unused server a request tries, so that enough of a service's servers are in use.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::ServicePresent;
+
+/// A server that may be well, and for how long no box has used it.
+#[derive(Debug, Clone, Copy)]
+pub struct Unused<K> {
+    /// The server.
+    pub key: K,
+    /// For how long.
+    pub unused_for: Duration,
+    /// The share of requests that should fail there.
+    pub failure_share: f64,
+    /// Whether this request may try it.
+    pub in_reach: bool,
+}
+
+/// What a request finds.
+#[derive(Debug, Clone, Copy)]
+pub struct FloorInputs {
+    /// Whether it may be sent again if the server fails.
+    pub repeatable: bool,
+    /// How the service fares.
+    pub present: ServicePresent,
+}
+
+/// The unused server that the request tries, if it is to try one.
+///
+/// Only so many are tried as must be in use in case of a sudden loss: a server that rests
+/// costs nothing when it turns sick. While a good part of the requests is lost, those that
+/// are trusted are all tried, and soon; of the doubtful ones still no more than the floor
+/// needs, since each of their failures adds to the loss.
+pub fn try_unused<K: Copy>(
+    servers: &[Unused<K>],
+    inputs: &FloorInputs,
+    random: &mut impl Rng,
+) -> Option<K> {
+    let mut tries = Vec::new();
+    if holds_strictly(&inputs.present) {
+        tries = tries_of_trusted(servers);
+    }
+    tries.extend(try_of_missing(servers, inputs, random));
+    // One draw decides whether to try one, and which.
+    let requests_per_s = inputs.present.requests_per_s.max(1.0);
+    let sum: f64 = tries.iter().map(|(rate, _)| rate).sum();
+    let mut draw = random.random::<f64>() * requests_per_s.max(sum);
+    for (rate, key) in tries {
+        if draw < rate {
+            return Some(key);
+        }
+        draw -= rate;
+    }
+    None
+}
+
+/// Whether so much is lost that all servers that may be well must be in use.
+pub fn holds_strictly(present: &ServicePresent) -> bool {
+    present.lost_share >= STRICT_LOST_SHARE
+}
+
+/// The trusted servers that are neglected, with how often each is tried a second by all
+/// boxes together.
+fn tries_of_trusted<K: Copy>(servers: &[Unused<K>]) -> Vec<(f64, K)> {
+    let neglected = servers.iter().filter(|server| {
+        let trusted = server.failure_share < TRUSTED_SHARE;
+        trusted && server.unused_for >= NEGLECT && server.in_reach
+    });
+    let tries = neglected.map(|server| (tries_per_s(server.unused_for), server.key));
+    tries.collect()
+}
+
+/// A server that is missing from the share wanted in use, with the tries a second that
+/// bring the missing ones back.
+fn try_of_missing<K: Copy>(
+    servers: &[Unused<K>],
+    inputs: &FloorInputs,
+    random: &mut impl Rng,
+) -> Option<(f64, K)> {
+    let strict = holds_strictly(&inputs.present);
+    let (wanted_share, rested_for) = match (strict, inputs.repeatable) {
+        (true, _) => (STRICT_USED_SHARE, NEGLECT),
+        (false, true) => (USED_SHARE_BY_READS, RESTED),
+        (false, false) => (USED_SHARE, RESTED),
+    };
+    let is_rested = |server: &&Unused<K>| server.unused_for >= rested_for;
+    let mut rested: Vec<_> = servers.iter().filter(is_rested).collect();
+    let used = servers.len() - rested.len();
+    let missing = servers.len() as f64 * wanted_share - used as f64;
+    rested.retain(|server| server.in_reach);
+    if missing <= 0.0 || rested.is_empty() {
+        return None;
+    }
+    // One of the less doubtful half: were it the least doubtful, all boxes would try the
+    // same one before they hear of each other.
+    rested.sort_by(|a, b| a.failure_share.total_cmp(&b.failure_share));
+    let at = random.random_range(0..rested.len().div_ceil(2));
+    Some((missing / TRIED_WITHIN.as_secs_f64(), rested[at].key))
+}
+
+/// How often a neglected server is tried by all boxes together.
+fn tries_per_s(unused_for: Duration) -> f64 {
+    let over = unused_for.saturating_sub(NEGLECT);
+    let doublings = over.as_secs_f64() / TRIES_DOUBLE_IN.as_secs_f64();
+    FIRST_TRIES_PER_S * doublings.min(MOST_DOUBLINGS).exp2()
+}
+
+/// Where the floor is held strictly, a server is neglected when no box has used it for half
+/// of the two seconds over which it is judged: the other half is for the try and its news.
+const NEGLECT: Duration = Duration::from_secs(1);
+/// A server that has just become neglected is tried about once until all have heard of it,
+/// a fifth of a second later.
+const FIRST_TRIES_PER_S: f64 = 4.0;
+/// In three quarters of a second that makes ten tries: one in 24,000 servers gets none.
+const TRIES_DOUBLE_IN: Duration = Duration::from_millis(250);
+/// A try for each two hundred and fiftieth of a second is sure enough.
+const MOST_DOUBLINGS: f64 = 6.0;
+/// The floor is held strictly from here on; it is judged from a tenth on.
+const STRICT_LOST_SHARE: f64 = 0.08;
+/// So many are in use then: some of them are cut off, and do not count for the floor.
+const STRICT_USED_SHARE: f64 = 0.9;
+/// A server that fails no more than this is as good a pick as any: the usual failures are
+/// 1.5 to 6 in 100.
+const TRUSTED_SHARE: f64 = 0.1;
+/// So many are in use at all times, so that a sudden loss finds the floor of 0.7 held.
+const USED_SHARE: f64 = 0.74;
+/// Requests that can be sent again try more of them: a failure costs them little.
+const USED_SHARE_BY_READS: f64 = 0.85;
+/// A server rests when no box has used it for a little less than the two seconds.
+const RESTED: Duration = Duration::from_millis(1800);
+/// Enough of those that rest are tried within this.
+const TRIED_WITHIN: Duration = Duration::from_millis(500);
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod evidence;
 mod fleet_budget;
+mod floor;
 mod health;
 mod hedge;
 mod history;
--- /dev/null
+++ b/tests/tests/floor.rs
@@ -0,0 +1,233 @@
+//! Enough servers are in use while a good part of the requests is lost: played over whole
+//! fleets whose boxes hear of each other late.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use wingspur_state::{
+    AttemptId, Balancer, Ended, Expected, ServerKey, ServerRecord, ServerTally,
+    ServicePresent, ServiceTime, Want,
+};
+
+/// A fleet of boxes before one service.
+#[derive(Debug, Clone, Copy)]
+struct Plan {
+    boxes: usize,
+    servers: usize,
+    /// Servers that join after two seconds, and are cold for three.
+    joining: usize,
+    /// The share of the others that fails most of its work.
+    sick_share: f64,
+    requests_per_s: f64,
+    seed: u64,
+}
+
+/// What is under way in a fleet.
+struct Fleet {
+    plan: Plan,
+    start: Instant,
+    random: StdRng,
+    boxes: Vec<Balancer>,
+    ends: VecDeque<(u64, usize, usize, AttemptId)>,
+    news: VecDeque<(u64, usize, Vec<(ServerKey, ServerTally)>)>,
+    told: Vec<Vec<ServerTally>>,
+    /// When each server was sent requests, in milliseconds.
+    sent_ms: Vec<Vec<u64>>,
+}
+
+const WORK_MS: u64 = 150;
+const NEWS_MS: u64 = 150;
+const STEP_MS: u64 = 5;
+const JOIN_MS: u64 = 2_000;
+const END_MS: u64 = 9_000;
+/// The span over which the floor is judged, and from when: two seconds after the joining.
+const WINDOW_MS: u64 = 2_000;
+const JUDGED_MS: u64 = JOIN_MS + WINDOW_MS;
+const FLOOR_SHARE: f64 = 0.7;
+
+fn record(n: usize, cold_ms: u64) -> ServerRecord {
+    ServerRecord {
+        id: format!("i-{n}").into(),
+        service: "svc".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "dc-1".into(),
+        slots: 2,
+        leaving: false,
+        cold_ms,
+    }
+}
+
+fn key(n: usize) -> ServerKey {
+    record(n, 0).key()
+}
+
+impl Fleet {
+    fn new(plan: Plan) -> Self {
+        let start = Instant::now();
+        let all = plan.servers + plan.joining;
+        let mut boxes = Vec::new();
+        for _ in 0..plan.boxes {
+            let mut balancer = Balancer::new("dc-1".into());
+            for n in 0..plan.servers {
+                balancer.put(record(n, 0), start);
+            }
+            boxes.push(balancer);
+        }
+        Self {
+            plan,
+            start,
+            random: StdRng::seed_from_u64(plan.seed),
+            boxes,
+            ends: VecDeque::new(),
+            news: VecDeque::new(),
+            told: vec![vec![ServerTally::default(); all]; plan.boxes],
+            sent_ms: vec![Vec::new(); all],
+        }
+    }
+
+    fn at(&self, ms: u64) -> Instant {
+        self.start + Duration::from_millis(ms)
+    }
+
+    fn is_sick(&self, server: usize) -> bool {
+        let sick = (self.plan.servers as f64 * self.plan.sick_share) as usize;
+        server < sick
+    }
+
+    fn play(mut self) -> Self {
+        for ms in (0..END_MS).step_by(STEP_MS as usize) {
+            if ms == JOIN_MS {
+                self.join(ms);
+            }
+            self.end_attempts(ms);
+            self.deliver(ms);
+            let mean = self.plan.requests_per_s * STEP_MS as f64 / 1000.0;
+            let more = self.random.random::<f64>() < mean.fract();
+            for _ in 0..mean as usize + usize::from(more) {
+                self.send(ms);
+            }
+            if ms % 50 == 0 {
+                self.tell(ms);
+            }
+        }
+        self
+    }
+
+    fn join(&mut self, ms: u64) {
+        let (first, now) = (self.plan.servers, self.at(ms));
+        for n in first..first + self.plan.joining {
+            for balancer in &mut self.boxes {
+                balancer.put(record(n, 3_000), now);
+            }
+        }
+    }
+
+    fn send(&mut self, ms: u64) {
+        let (now, at) = (self.at(ms), self.random.random_range(0..self.boxes.len()));
+        let want = Want {
+            repeatable: self.random.random(),
+            typical: Duration::from_millis(WORK_MS),
+            crossing: Duration::from_millis(30),
+            tried: &[],
+            present: ServicePresent {
+                requests_per_s: self.plan.requests_per_s,
+                lost_share: 0.12,
+            },
+        };
+        let pick = self.boxes[at].pick(&want, now, &mut self.random).unwrap();
+        let server = (0..self.sent_ms.len())
+            .find(|n| key(*n) == pick.server.key())
+            .unwrap();
+        let expected = Expected {
+            usual_ms: pick.usual_ms,
+            well_ms: pick.well_ms,
+            service_time: ServiceTime::new(),
+        };
+        let id = self.boxes[at].begin(key(server), expected, now);
+        self.sent_ms[server].push(ms);
+        self.ends.push_back((ms + WORK_MS, at, server, id));
+    }
+
+    fn end_attempts(&mut self, ms: u64) {
+        while self.ends.front().is_some_and(|(due, ..)| *due <= ms) {
+            let (_, at, server, id) = self.ends.pop_front().unwrap();
+            let fails = self.is_sick(server) && self.random.random_bool(0.6);
+            let ended = if fails { Ended::Failed } else { Ended::Good };
+            let now = self.at(ms);
+            self.boxes[at].end(id, ended, now);
+        }
+    }
+
+    fn tell(&mut self, ms: u64) {
+        for at in 0..self.boxes.len() {
+            let changes = self.boxes[at].take_changes();
+            if !changes.is_empty() {
+                self.news.push_back((ms + NEWS_MS, at, changes));
+            }
+        }
+    }
+
+    fn deliver(&mut self, ms: u64) {
+        while self.news.front().is_some_and(|(due, ..)| *due <= ms) {
+            let (_, from, changes) = self.news.pop_front().unwrap();
+            for (told, tally) in changes {
+                let n = (0..self.sent_ms.len()).find(|n| key(*n) == told).unwrap();
+                let news = tally.since(&self.told[from][n]);
+                self.told[from][n] = tally;
+                let now = self.at(ms);
+                for to in (0..self.boxes.len()).filter(|to| *to != from) {
+                    let source = from as u64 + 1;
+                    self.boxes[to].apply_remote(source, (told, tally), &news, now);
+                }
+            }
+        }
+    }
+
+    /// The least share of some servers that was sent requests in any two seconds.
+    fn least_used(&self, servers: &[usize]) -> f64 {
+        let windows = (JUDGED_MS..=END_MS).step_by(50);
+        let used_in = |end: u64| {
+            let used = servers.iter().filter(|n| {
+                let sent = &self.sent_ms[**n];
+                sent.iter().any(|ms| (end - WINDOW_MS..end).contains(ms))
+            });
+            used.count() as f64 / servers.len() as f64
+        };
+        windows.map(used_in).fold(1.0, f64::min)
+    }
+}
+
+#[test]
+fn most_of_any_group_of_well_servers_is_used_in_any_two_seconds() {
+    let plan = |boxes, servers, joining, requests_per_s| Plan {
+        boxes,
+        servers,
+        joining,
+        sick_share: 0.25,
+        requests_per_s,
+        seed: 0,
+    };
+    let plans = [
+        plan(12, 30, 4, 60.0),
+        plan(36, 31, 6, 100.0),
+        plan(40, 119, 6, 360.0),
+        plan(24, 119, 20, 200.0),
+    ];
+    for plan in plans {
+        for seed in 1..=4 {
+            let fleet = Fleet::new(Plan { seed, ..plan }).play();
+            let all = plan.servers + plan.joining;
+            let well: Vec<usize> = (0..all).filter(|n| !fleet.is_sick(*n)).collect();
+            let joined: Vec<usize> = (plan.servers..all).collect();
+            for (name, group) in [("well", well), ("joined", joined)] {
+                let least = fleet.least_used(&group);
+                assert!(
+                    least >= FLOOR_SHARE,
+                    "{name}: {least}, {plan:?} seed {seed}"
+                );
+            }
+        }
+    }
+}
