--- a/tests/tests/floor.rs
+++ b/tests/tests/floor.rs
@@ -7,8 +7,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use wingspur_state::{
-    AttemptId, Balancer, Ended, Expected, ServerKey, ServerRecord, ServerTally,
-    ServicePresent, ServiceTime, Want,
+    AttemptId, Balancer, Ended, Expected, KeyedTally, ServerKey, ServerRecord,
+    ServerTally, ServicePresent, ServiceTime, Want,
 };
 
 /// A fleet of boxes before one service.
@@ -24,6 +24,13 @@
     seed: u64,
 }
 
+/// What a box tells the others, and when they hear it.
+struct News {
+    due_ms: u64,
+    from: usize,
+    changes: Vec<KeyedTally>,
+}
+
 /// What is under way in a fleet.
 struct Fleet {
     plan: Plan,
@@ -31,7 +38,7 @@
     random: StdRng,
     boxes: Vec<Balancer>,
     ends: VecDeque<(u64, usize, usize, AttemptId)>,
-    news: VecDeque<(u64, usize, Vec<(ServerKey, ServerTally)>)>,
+    news: VecDeque<News>,
     told: Vec<Vec<ServerTally>>,
     /// When each server was sent requests, in milliseconds.
     sent_ms: Vec<Vec<u64>>,
@@ -49,7 +56,7 @@
 
 fn record(n: usize, cold_ms: u64) -> ServerRecord {
     ServerRecord {
-        id: format!("i-{n}").into(),
+        id: format!("i-{n}"),
         service: "svc".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "dc-1".into(),
@@ -164,14 +171,18 @@
         for at in 0..self.boxes.len() {
             let changes = self.boxes[at].take_changes();
             if !changes.is_empty() {
-                self.news.push_back((ms + NEWS_MS, at, changes));
+                self.news.push_back(News {
+                    due_ms: ms + NEWS_MS,
+                    from: at,
+                    changes,
+                });
             }
         }
     }
 
     fn deliver(&mut self, ms: u64) {
-        while self.news.front().is_some_and(|(due, ..)| *due <= ms) {
-            let (_, from, changes) = self.news.pop_front().unwrap();
+        while self.news.front().is_some_and(|news| news.due_ms <= ms) {
+            let News { from, changes, .. } = self.news.pop_front().unwrap();
             for (told, tally) in changes {
                 let n = (0..self.sent_ms.len()).find(|n| key(*n) == told).unwrap();
                 let news = tally.since(&self.told[from][n]);
