An answer that has begun is not silent; a hedge that failed leaves room for the next

Found in reading the change: a long answer that was under way for three times the usual and whose caller then left counted as its server's failure, sooner since silence counts from less than a second; and after one hedge no second was made where a route allows three attempts. Tests: a_long_answer_that_its_caller_leaves_is_no_failure_of_the_server (fails without note_answering: three such make a suspect), and the test of silence taken back.

--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -135,12 +135,15 @@
         };
         match answered {
             Conversed::Whole(answer) => self.weigh(answer, connection, guard, began),
-            Conversed::Longer { head, first } => AttemptResult::Streaming {
-                head,
-                first,
-                connection: Box::new(connection),
-                guard,
-            },
+            Conversed::Longer { head, first } => {
+                guard.note_answering();
+                AttemptResult::Streaming {
+                    head,
+                    first,
+                    connection: Box::new(connection),
+                    guard,
+                }
+            }
         }
     }
 
@@ -386,6 +389,13 @@
         futures_lite::future::pending().await
     }
 
+    /// Notes that the beginning of the answer is here.
+    fn note_answering(&self) {
+        if let Some(id) = self.id {
+            self.service.balancer.lock().note_answering(id);
+        }
+    }
+
     /// Ends the attempt by a good answer, and keeps its connection.
     pub fn close_good(mut self, connection: BackendConnection) {
         self.end(Ended::Good);
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -199,8 +199,6 @@
 
     /// Starts a second attempt beside one that takes long, if that is likely to help.
     fn hedge(&mut self) {
-        // Once is enough: what does not help now will not help later.
-        self.hedging_is_over = true;
         let (allowed, spent, limit) = {
             let (now, mut budget) = (Instant::now(), self.service.budget.lock());
             let allowed = budget.allows(ResendUse::Hedge, now);
@@ -219,6 +217,8 @@
             };
             self.shared.metrics.count_unhedged(reason);
             tracing::info!(id, reason, spent, limit, left_ms, "retry: not hedged.");
+            // Once is enough: what does not help now will not help later.
+            self.hedging_is_over = true;
             return;
         };
         tracing::info!(id, server = %pick.server.id, spent, limit, "retry: hedged.");
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -197,6 +197,7 @@
             since: now,
             expected,
             silence_quarters: 0,
+            answering: false,
         };
         self.attempts.insert(id, attempt);
         id
@@ -212,8 +213,7 @@
         };
         server.changed = true;
         server.own.in_flight = server.own.in_flight.saturating_sub(1);
-        let silence = attempt.silence_quarters;
-        server.own.silence_quarters = server.own.silence_quarters.saturating_sub(silence);
+        server.take_back_silence(attempt.silence_quarters);
         let seen = attempt.outcome(ended, now);
         server.own = server.own.plus(&seen);
         if seen.failed > 0 {
@@ -297,6 +297,19 @@
         true
     }
 
+    /// Notes that the answer of an attempt has begun: how long the rest takes, and whether
+    /// its caller waits for it, tells nothing of the server.
+    pub fn note_answering(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return;
+        };
+        attempt.answering = true;
+        let silence = std::mem::take(&mut attempt.silence_quarters);
+        if let Some(server) = self.servers.get_mut(&attempt.server) {
+            server.take_back_silence(silence);
+        }
+    }
+
     /// This box's tallies that have changed since they were last taken.
     pub fn take_changes(&mut self) -> Vec<KeyedTally> {
         let changed = self.servers.iter_mut().filter(|(_, server)| server.changed);
--- a/crates/wingspur-state/src/tracked.rs
+++ b/crates/wingspur-state/src/tracked.rs
@@ -45,6 +45,8 @@
     pub expected: Expected,
     /// How many quarters of a failure its silence was counted as.
     pub silence_quarters: u32,
+    /// Whether the beginning of its answer is here.
+    pub answering: bool,
 }
 
 /// When the answer of an attempt should be there.
@@ -111,6 +113,13 @@
         self.own.silence_quarters + told.sum::<u32>()
     }
 
+    /// Takes back what the silence of an attempt told that is over.
+    pub fn take_back_silence(&mut self, quarters: u32) {
+        let told = &mut self.own.silence_quarters;
+        *told = told.saturating_sub(quarters);
+        self.changed |= quarters > 0;
+    }
+
     /// The worse of what the fleet and what this box alone makes of the server.
     pub fn failure_share(&self, usual: f64, now: Instant) -> f64 {
         let fleet = self
@@ -128,6 +137,9 @@
 impl Attempt {
     /// How many quarters of a failure its silence tells of now.
     pub fn silence_at(&self, now: Instant) -> u32 {
+        if self.answering {
+            return 0;
+        }
         let out_ms = now.saturating_duration_since(self.since).as_secs_f64() * 1000.0;
         let ratio = out_ms / self.expected.well_ms.max(LEAST_USUAL_MS);
         let service_time = &self.expected.service_time;
--- a/tests/tests/balancing.rs
+++ b/tests/tests/balancing.rs
@@ -180,10 +180,30 @@
     assert!(!balancer.note_silence(id, later), "nothing new");
     let told = balancer.take_changes();
     assert_eq!(told[0].1.silence_quarters, 4);
+    balancer.note_answering(id);
+    assert_eq!(balancer.take_changes()[0].1.silence_quarters, 0);
+    assert!(!balancer.note_silence(id, later), "it is answering");
     balancer.end(id, Ended::Good, later);
     assert_eq!(balancer.take_changes()[0].1.silence_quarters, 0);
 }
 
+#[test]
+fn a_long_answer_that_its_caller_leaves_is_no_failure_of_the_server() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(20);
+    for (answering, suspect) in [(true, false), (false, true)] {
+        let mut balancer = balancer(2, now);
+        for _ in 0..3 {
+            let id = balancer.begin(key(0), expected(200.0), now);
+            if answering {
+                balancer.note_answering(id);
+            }
+            balancer.end(id, Ended::Abandoned, later);
+        }
+        assert_eq!(balancer.suspects(later) == ["i-0"], suspect, "{answering}");
+    }
+}
+
 #[test]
 fn the_first_failures_raise_an_alarm_and_later_ones_do_not() {
     let now = Instant::now();
