The slack of the retry budget is shared by how many data centres are heard

Change: of the slack a box counts the share of the data centres whose counts it hears, its own included if it adds them up.

--- a/crates/wingspur-coordination/src/link_plan.rs
+++ b/crates/wingspur-coordination/src/link_plan.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use wingspur_protocol::{BoxRecord, LinkRole};
-use wingspur_state::{BoxId, DataCentreId};
+use wingspur_state::{BoxId, DataCentreId, FleetDivision};
 
 use crate::hash_of;
 
@@ -71,6 +71,15 @@
         self.boxes.len() + 1
     }
 
+    /// How the fleet is divided, as far as its counts are concerned.
+    pub fn division(&self, now: Instant) -> FleetDivision {
+        FleetDivision {
+            boxes: self.size(),
+            data_centres: self.other_data_centres().len() + 1,
+            adds_up_its_own: self.hub_of(&self.own.data_centre, now).is_none(),
+        }
+    }
+
     /// Passes a box over for a while, longer each time in a row.
     pub fn avoid(&mut self, id: &BoxId, now: Instant) {
         let (_, before) = self.avoided.get(id).copied().unwrap_or((now, 0));
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -36,6 +36,7 @@
         if shared.links.lock().is_alone() {
             ask_seeds(&shared).await;
         }
+        shared.share_out();
         // The next best box may do at once.
         let pause = if all_stand { REPLAN_EVERY } else { REPLAN_SOON };
         shared.replan.wait(pause).await;
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -7,7 +7,7 @@
 
 use wingspur_state::{
     Balancer, BudgetSettings, Bundle, DataCentreId, DirectoryChange, FleetBudget,
-    ServerKey, ServerRecord,
+    FleetDivision, ServerKey, ServerRecord,
 };
 use wingspur_transport::Backend;
 
@@ -110,16 +110,16 @@
     }
 
     /// Divides each service's connections and budget among the boxes.
-    pub fn share(&self, bundle: &Bundle, boxes: usize) {
+    pub fn share(&self, bundle: &Bundle, division: FleetDivision) {
         for declared in &bundle.services {
             let service = self.get(&declared.name);
             if let Some(connections) = declared.server_connections {
                 service
                     .balancer
                     .lock()
-                    .share_connections(connections, boxes);
+                    .share_connections(connections, division.boxes);
             }
-            service.budget.lock().set_boxes(boxes);
+            service.budget.lock().set_division(division);
         }
     }
 
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -149,9 +149,9 @@
 
     /// Divides connections and budgets among the boxes that are announced now.
     pub fn share_out(&self) {
-        let boxes = self.links.lock().planner().size();
+        let division = self.links.lock().planner().division(Instant::now());
         if let Some(in_force) = self.in_force() {
-            self.services.share(&in_force.bundle, boxes);
+            self.services.share(&in_force.bundle, division);
         }
     }
 
--- a/crates/wingspur-state/src/fleet_budget.rs
+++ b/crates/wingspur-state/src/fleet_budget.rs
@@ -39,7 +39,7 @@
     fleet_window: Window,
     /// When each source was last heard.
     heard: BTreeMap<SourceId, Instant>,
-    boxes: usize,
+    division: FleetDivision,
     /// Since when the counts are whole: others may have spent before.
     whole_since: Instant,
 }
@@ -56,6 +56,17 @@
     pub counts: Vec<AgedTally>,
 }
 
+/// How the fleet is divided among data centres, each of which adds up its boxes' counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetDivision {
+    /// All boxes, this one included.
+    pub boxes: usize,
+    /// The data centres that have boxes.
+    pub data_centres: usize,
+    /// Whether this box adds up the counts of its own data centre.
+    pub adds_up_its_own: bool,
+}
+
 /// How a service fares at present.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServicePresent {
@@ -74,6 +85,17 @@
     Hedge,
 }
 
+impl Default for FleetDivision {
+    /// A box alone.
+    fn default() -> Self {
+        Self {
+            boxes: 1,
+            data_centres: 1,
+            adds_up_its_own: true,
+        }
+    }
+}
+
 /// Counts in buckets, so that a window can slide.
 #[derive(Debug, Default)]
 struct Window {
@@ -91,7 +113,7 @@
             own_window: Window::default(),
             fleet_window: Window::default(),
             heard: BTreeMap::new(),
-            boxes: 1,
+            division: FleetDivision::default(),
             whole_since: now,
         }
     }
@@ -101,9 +123,9 @@
         self.settings = settings;
     }
 
-    /// Notes how many boxes share the budget.
-    pub fn set_boxes(&mut self, boxes: usize) {
-        self.boxes = boxes.max(1);
+    /// Notes among whom the budget is divided.
+    pub fn set_division(&mut self, division: FleetDivision) {
+        self.division = division;
     }
 
     /// Counts a caller's request for the service.
@@ -234,13 +256,13 @@
         if self.is_connected(now) {
             let sum = self.own_window.sum.plus(&self.fleet_window.sum);
             let allowed = self.settings.ratio * f64::from(sum.requests);
-            return (sum.resends, allowed + slack);
+            return (sum.resends, allowed + slack * self.heard_share(now));
         }
         let own = self.own_window.sum;
         let allowed = self.settings.ratio * f64::from(own.requests);
         (
             own.resends,
-            allowed + self.settings.slack / self.boxes as f64,
+            allowed + self.settings.slack / self.division.boxes.max(1) as f64,
         )
     }
 
@@ -280,8 +302,21 @@
 
     /// Whether the fleet's counts are known well enough to spend by them.
     fn is_connected(&self, now: Instant) -> bool {
-        let fresh = |at: &Instant| now.saturating_duration_since(*at) < FRESH;
-        self.boxes <= 1 || self.heard.values().any(fresh)
+        self.division.boxes <= 1 || self.fresh_sources(now) > 0
+    }
+
+    /// The share of the data centres whose counts are known. The others may spend the rest
+    /// of the slack unseen: without this, two halves of a fleet that do not hear each other
+    /// spend it twice.
+    fn heard_share(&self, now: Instant) -> f64 {
+        let own = usize::from(self.division.adds_up_its_own);
+        let heard = (self.fresh_sources(now) + own) as f64;
+        (heard / self.division.data_centres.max(1) as f64).min(1.0)
+    }
+
+    fn fresh_sources(&self, now: Instant) -> usize {
+        let fresh = |at: &&Instant| now.saturating_duration_since(**at) < FRESH;
+        self.heard.values().filter(fresh).count()
     }
 }
 
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -36,7 +36,8 @@
 pub use directory::{Directory, DirectoryChange, RETURN_GRACE};
 pub use evidence::{EvidenceEntry, EvidenceReport, Reference, threshold, well_evidence};
 pub use fleet_budget::{
-    AgedTally, BudgetHistory, BudgetSettings, FleetBudget, ResendUse, ServicePresent,
+    AgedTally, BudgetHistory, BudgetSettings, FleetBudget, FleetDivision, ResendUse,
+    ServicePresent,
 };
 pub use health::HealthNote;
 pub use hedge::{HedgeInputs, hedge_after};
--- a/tests/tests/budgets.rs
+++ b/tests/tests/budgets.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use wingspur_state::{
-    BudgetHistory, BudgetSettings, FleetBudget, ResendUse, ServiceTally,
+    BudgetHistory, BudgetSettings, FleetBudget, FleetDivision, ResendUse, ServiceTally,
 };
 
 const SETTINGS: BudgetSettings = BudgetSettings {
@@ -114,12 +114,42 @@
     let start = Instant::now();
     let now = start + seconds(20);
     let mut budget = FleetBudget::new(SETTINGS, start);
-    budget.set_boxes(40);
+    budget.set_division(FleetDivision {
+        boxes: 40,
+        data_centres: 1,
+        adds_up_its_own: false,
+    });
     assert!(spend(&mut budget, now) <= 2, "60 over 40 boxes");
     budget.note_heard(3, now);
     assert!(spend(&mut budget, now) > 40, "connected again");
 }
 
+#[test]
+fn halves_of_a_fleet_that_do_not_hear_each_other_share_the_slack() {
+    let start = Instant::now();
+    let now = start + seconds(20);
+    let division = FleetDivision {
+        boxes: 40,
+        data_centres: 4,
+        adds_up_its_own: false,
+    };
+    let spent_by = |sources: u64, division| {
+        let mut budget = FleetBudget::new(SETTINGS, start);
+        budget.set_division(division);
+        (1..=sources).for_each(|source| budget.note_heard(source, now));
+        spend(&mut budget, now)
+    };
+    let (half, whole) = (spent_by(2, division), spent_by(4, division));
+    assert!(2 * half <= whole, "{half} of {whole}");
+    assert!(whole > 40, "{whole}");
+    let hub = FleetDivision {
+        adds_up_its_own: true,
+        ..division
+    };
+    assert_eq!(spent_by(3, hub), whole, "it knows its own data centre");
+    assert_eq!(spent_by(7, hub), whole, "more sources are no more slack");
+}
+
 #[test]
 fn hedges_leave_a_part_of_the_budget_to_surer_resends() {
     let start = Instant::now();
