Counts that go back are no news

A release build took that as billions of good answers. Change: a difference beyond an eighth of the range counts as nothing new. Test: counts_that_go_back_are_no_news (before: good = 2^32 - 2).

--- a/crates/wingspur-coordination/src/rollup.rs
+++ b/crates/wingspur-coordination/src/rollup.rs
@@ -333,9 +333,9 @@
         for (key, tally) in &digest.servers {
             let before = known.servers.insert(*key, *tally);
             let news = match before {
-                Some(before) => tally.since(&before),
+                Some(before) => tally.news_since(&before),
                 None if first => ServerTally::default(),
-                None => *tally,
+                None => tally.news_since(&ServerTally::default()),
             };
             servers.push(((*key, *tally), news));
         }
--- a/crates/wingspur-state/src/tally.rs
+++ b/crates/wingspur-state/src/tally.rs
@@ -53,6 +53,26 @@
         }
     }
 
+    /// What is new since an earlier tally; nothing where a count went back, as it does when
+    /// its sender begins anew.
+    pub fn news_since(&self, earlier: &Self) -> Self {
+        let news = self.since(earlier);
+        let counts = [news.good, news.failed, news.refused, news.slowness_percent];
+        if counts.iter().all(|count| *count <= MOST_NEWS) {
+            return news;
+        }
+        self.without_counts()
+    }
+
+    /// The gauges alone.
+    fn without_counts(&self) -> Self {
+        Self {
+            in_flight: self.in_flight,
+            silence_quarters: self.silence_quarters,
+            ..Self::default()
+        }
+    }
+
     /// The sum of two tallies.
     pub fn plus(&self, other: &Self) -> Self {
         Self {
@@ -113,3 +133,6 @@
         }
     }
 }
+
+/// Counts that wrap around make a step back look like one of billions.
+const MOST_NEWS: u32 = u32::MAX / 8;
--- a/tests/tests/sharing.rs
+++ b/tests/tests/sharing.rs
@@ -255,3 +255,14 @@
         }
     }
 }
+
+#[test]
+fn counts_that_go_back_are_no_news() {
+    let mut reader = NewsReader::default();
+    reader.read(&digest(3, false, 7, 0));
+    let news = reader.read(&digest(3, false, 5, 2));
+    let (_, told) = news.servers[0];
+    assert_eq!((told.good, told.in_flight), (0, 2));
+    let next = reader.read(&digest(3, false, 6, 0));
+    assert_eq!(next.servers[0].1.good, 1);
+}
