--- a/crates/wingspur-state/src/fleet_budget.rs
+++ b/crates/wingspur-state/src/fleet_budget.rs
@@ -358,7 +358,7 @@
 /// loss shows early, and the whole of it, so that it shows to its end.
 const PRESENT: Duration = Duration::from_secs(1);
 /// Other boxes spend from the same budget while their counts are on the way, and boxes that
-/// change hubs count some requests twice: up to a tenth was seen in hunted days.
+/// change hubs count some requests twice: up to a tenth more was counted.
 const SURE_SHARE: f64 = 0.87;
 /// Hedges leave a part to resends that are sure to help.
 const HEDGE_SHARE: f64 = 0.7;
