Requests go to any of as many cheap servers as are unheard; sure tries end

Cause: boxes that hear late all see the same server as the cheapest.

Change: a request goes to any of as many of the cheapest servers as requests were likely placed since this box last heard (requests a second of its data centre x the mean gap of news), none dearer by half a service time; tries of a trusted unused server end once a dozen are to be expected, and go on at 4 a second.

--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -15,6 +15,7 @@
 
 use crate::floor::{FloorInputs, Unused, holds_strictly, try_unused};
 use crate::health::{Health, HealthNote, UsualFailures};
+use crate::placement::place_among;
 use crate::tracked::{Attempt, Ended, Expected, Server, path_outcome};
 use crate::{
     AttemptId, DataCentreId, KeyedTally, ServerKey, ServerRecord, ServerTally,
@@ -150,23 +151,29 @@
             return Some(pick);
         }
         let usual = self.usual.share();
-        let mut best: Option<(f64, Pick)> = None;
-        let mut candidates = 0;
+        let mut costs = Vec::with_capacity(self.servers.len());
         for (key, server) in &self.servers {
             let saturated = server.own.in_flight >= self.most_in_flight;
             if !server.is_open() || want.tried.contains(key) || saturated {
                 continue;
             }
-            candidates += 1;
-            let pick = self.weigh(server, want, usual, now);
+            let weight = self.weigh(server, want, usual, now);
             let noise = 1.0 + NOISE * random.random::<f64>();
             let cost =
-                pick.expected_ms * noise + self.penalty_ms(server, want, &pick, now);
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, pick));
-            }
+                weight.expected_ms * noise + self.penalty_ms(server, want, &weight, now);
+            costs.push((cost, server, weight));
         }
-        best.map(|(_, pick)| Pick { candidates, ..pick })
+        let candidates = costs.len();
+        let typical_ms = want.typical.as_secs_f64() * 1000.0;
+        let place = place_among(
+            &mut costs,
+            |(cost, ..)| *cost,
+            want.present.unheard,
+            typical_ms,
+            random,
+        )?;
+        let (_, server, weight) = &costs[place];
+        Some(weight.pick(server, candidates, now))
     }
 
     /// The shortest wait for a slot at any open server; none when there is no server.
@@ -397,14 +404,18 @@
             present: want.present,
         };
         let key = try_unused(&servers, &inputs, random)?;
-        let pick = self.weigh(self.servers.get(&key)?, want, usual, now);
-        Some(Pick {
-            candidates: servers.len(),
-            ..pick
-        })
+        let server = self.servers.get(&key)?;
+        let weight = self.weigh(server, want, usual, now);
+        Some(weight.pick(server, servers.len(), now))
     }
 
-    fn weigh(&self, server: &Server, want: &Want<'_>, usual: f64, now: Instant) -> Pick {
+    fn weigh(
+        &self,
+        server: &Server,
+        want: &Want<'_>,
+        usual: f64,
+        now: Instant,
+    ) -> Weight {
         let in_flight = server.in_flight();
         let slots = f64::from(server.record.slots.max(1));
         let cold = if now < server.cold_until {
@@ -418,16 +429,13 @@
         let ahead = (f64::from(in_flight) + 1.0 - slots).max(0.0) / slots;
         let crowding = CROWDING * f64::from(in_flight) / slots;
         let usual_ms = typical_ms * (1.0 + ahead + crowding);
-        Pick {
-            server: server.record.clone(),
+        Weight {
             expected_ms: usual_ms * slowness,
             usual_ms,
             well_ms: usual_ms * slowness.clamp(1.0, MOST_WELL_SLOWNESS),
             wait_ms: typical_ms * slowness * ahead,
             failure_share: server.failure_share(usual, now),
             in_flight,
-            candidates: 0,
-            heard: server.heard.map(|at| now.saturating_duration_since(at)),
         }
     }
 
@@ -435,7 +443,7 @@
         &self,
         server: &Server,
         want: &Want<'_>,
-        pick: &Pick,
+        weight: &Weight,
         now: Instant,
     ) -> f64 {
         let failure_ms = if want.repeatable {
@@ -450,7 +458,34 @@
         } else {
             0.0
         };
-        pick.failure_share * failure_ms + refusals * REFUSAL_MS + crossing_ms
+        weight.failure_share * failure_ms + refusals * REFUSAL_MS + crossing_ms
+    }
+}
+
+/// What a request may expect of a server.
+#[derive(Debug, Clone, Copy)]
+struct Weight {
+    expected_ms: f64,
+    usual_ms: f64,
+    well_ms: f64,
+    wait_ms: f64,
+    failure_share: f64,
+    in_flight: u32,
+}
+
+impl Weight {
+    fn pick(&self, server: &Server, candidates: usize, now: Instant) -> Pick {
+        Pick {
+            server: server.record.clone(),
+            expected_ms: self.expected_ms,
+            usual_ms: self.usual_ms,
+            well_ms: self.well_ms,
+            wait_ms: self.wait_ms,
+            failure_share: self.failure_share,
+            in_flight: self.in_flight,
+            candidates,
+            heard: server.heard.map(|at| now.saturating_duration_since(at)),
+        }
     }
 }
 
--- a/crates/wingspur-state/src/fleet_budget.rs
+++ b/crates/wingspur-state/src/fleet_budget.rs
@@ -39,6 +39,8 @@
     fleet_window: Window,
     /// When each source was last heard.
     heard: BTreeMap<SourceId, Instant>,
+    /// When any was, and how long it takes from one to the next on average.
+    news: NewsGap,
     division: FleetDivision,
     /// Since when the counts are whole: others may have spent before.
     whole_since: Instant,
@@ -74,6 +76,9 @@
     pub requests_per_s: f64,
     /// The share of them that get no good answer.
     pub lost_share: f64,
+    /// Requests that boxes of this data centre are likely to have sent since this box last
+    /// heard of any.
+    pub unheard: f64,
 }
 
 /// How sure a resend is to help; the surer ones may use more of the budget.
@@ -113,6 +118,7 @@
             own_window: Window::default(),
             fleet_window: Window::default(),
             heard: BTreeMap::new(),
+            news: NewsGap::default(),
             division: FleetDivision::default(),
             whole_since: now,
         }
@@ -164,21 +170,25 @@
         let lost_share =
             |sum: ServiceTally| f64::from(sum.lost) / f64::from(sum.requests).max(1.0);
         let (last, both) = (since(PRESENT), since(2 * PRESENT));
+        let requests_per_s = f64::from(last.requests) / PRESENT.as_secs_f64();
+        let here_per_s = requests_per_s / self.division.data_centres.max(1) as f64;
         ServicePresent {
-            requests_per_s: f64::from(last.requests) / PRESENT.as_secs_f64(),
+            requests_per_s,
             lost_share: lost_share(last).max(lost_share(both)),
+            unheard: here_per_s * self.news.gap.as_secs_f64(),
         }
     }
 
     /// Takes in what a source's boxes have counted since it was last heard.
     pub fn count_remote(&mut self, source: SourceId, news: ServiceTally, now: Instant) {
-        self.heard.insert(source, now);
+        self.note_heard(source, now);
         self.fleet_window.add(news, now);
     }
 
     /// Notes that a source has been heard, though nothing was counted.
     pub fn note_heard(&mut self, source: SourceId, now: Instant) {
         self.heard.insert(source, now);
+        self.news.follow(now);
     }
 
     /// What the fleet has counted in the window, for a box that has just come.
@@ -320,6 +330,27 @@
     }
 }
 
+/// How long it takes from one piece of news to the next.
+#[derive(Debug, Default)]
+struct NewsGap {
+    last: Option<Instant>,
+    gap: Duration,
+}
+
+impl NewsGap {
+    /// Takes in that news came; several pieces at the same time are one.
+    fn follow(&mut self, now: Instant) {
+        let before = self.last.replace(now);
+        let Some(gap) = before.map(|before| now.saturating_duration_since(before)) else {
+            return;
+        };
+        if !gap.is_zero() {
+            let gap = gap.min(MOST_NEWS_GAP);
+            self.gap = self.gap.mul_f64(1.0 - GAP_WEIGHT) + gap.mul_f64(GAP_WEIGHT);
+        }
+    }
+}
+
 impl Window {
     fn add(&mut self, news: ServiceTally, now: Instant) {
         self.sum = self.sum.plus(&news);
@@ -354,6 +385,10 @@
 /// that this box is cut off.
 const FRESH: Duration = Duration::from_millis(1500);
 const BUCKET: Duration = Duration::from_millis(250);
+/// Ten gaps make the mean.
+const GAP_WEIGHT: f64 = 0.1;
+/// A link that was silent for longer is taken for broken.
+const MOST_NEWS_GAP: Duration = Duration::from_secs(1);
 /// What counts as the present: half of the span over which the floor is held, so that a
 /// loss shows early, and the whole of it, so that it shows to its end.
 const PRESENT: Duration = Duration::from_secs(1);
--- a/crates/wingspur-state/src/floor.rs
+++ b/crates/wingspur-state/src/floor.rs
@@ -38,8 +38,9 @@
 ///
 /// Prevents that servers which no pick takes, like cold ones, stay unused for two seconds:
 /// with the same chance at any age half of six that had just joined did (36 boxes with
-/// news 150 ms late); trying all doubtful ones as surely lost 7.7 instead of 6.5 in 100
-/// once-only requests (means of 20 plays of 32 s each).
+/// news 150 ms late). Trying all doubtful ones as surely lost 7.7 instead of 6.5 in 100
+/// once-only requests (means of 20 plays of 32 s each), and 8.0 instead of 5.7 in 100 of
+/// all where 443 boxes hear of each other late (one play).
 pub fn try_unused<K: Copy>(
     servers: &[Unused<K>],
     inputs: &FloorInputs,
@@ -107,11 +108,19 @@
     Some((missing / TRIED_WITHIN.as_secs_f64(), rested[at].key))
 }
 
-/// How often a neglected server is tried by all boxes together.
+/// How often a server is tried by all boxes together, by how long it has rested.
+///
+/// Purpose: once several tries are to be expected, what is missing is the news of them and
+/// not a try. Where the rate went on doubling while news was three seconds late, one server
+/// got 270 requests a second, which its queue turned away (443 boxes, 720 servers, logs of
+/// one play).
 fn tries_per_s(unused_for: Duration) -> f64 {
+    if unused_for >= SURELY_TRIED {
+        return TRIES_PER_S_WITHOUT_NEWS;
+    }
     let over = unused_for.saturating_sub(NEGLECT);
     let doublings = over.as_secs_f64() / TRIES_DOUBLE_IN.as_secs_f64();
-    FIRST_TRIES_PER_S * doublings.min(MOST_DOUBLINGS).exp2()
+    FIRST_TRIES_PER_S * doublings.exp2()
 }
 
 /// Where the floor is held strictly, a server is neglected when no box has used it for half
@@ -120,10 +129,13 @@
 /// A server that has just become neglected is tried about once until all have heard of it,
 /// a fifth of a second later.
 const FIRST_TRIES_PER_S: f64 = 4.0;
-/// In three quarters of a second that makes ten tries: one in 24,000 servers gets none.
+/// In 0.8 s that makes 12 tries: one in 160,000 servers gets none.
 const TRIES_DOUBLE_IN: Duration = Duration::from_millis(250);
-/// A try for each two hundred and fiftieth of a second is sure enough.
-const MOST_DOUBLINGS: f64 = 6.0;
+/// From here on a try has been made; the rest of the two seconds is for what is late.
+const SURELY_TRIED: Duration = Duration::from_millis(1800);
+/// What goes on without news: one in 3,000 servers gets no try in two seconds, and a server
+/// of three slots that works a fifth of a second bears three times as much.
+const TRIES_PER_S_WITHOUT_NEWS: f64 = 4.0;
 /// The floor is held strictly from here on; it is judged from a tenth on.
 const STRICT_LOST_SHARE: f64 = 0.08;
 /// So many are in use then: some of them are cut off, and do not count for the floor.
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -18,6 +18,7 @@
 mod judge;
 mod limit;
 mod pick;
+mod placement;
 mod retry;
 mod route;
 mod server;
@@ -39,6 +40,7 @@
     AgedTally, BudgetHistory, BudgetSettings, FleetBudget, FleetDivision, ResendUse,
     ServicePresent,
 };
+pub use floor::{FloorInputs, Unused, try_unused};
 pub use health::HealthNote;
 pub use hedge::{HedgeInputs, hedge_after};
 pub use host_routes::HostRoutes;
--- /dev/null
+++ b/crates/wingspur-state/src/placement.rs
@@ -0,0 +1,45 @@
+//! Which of the cheap servers a request goes to, where many boxes choose at once.
+
+use rand::Rng;
+use rand::RngExt;
+
+/// The place of the server that a request goes to, after `servers` were put in some order;
+/// none where there is no server.
+///
+/// `unheard` requests are likely to have been placed since this box last heard of any, and
+/// each of them saw the same servers as the cheapest. So the request goes to any of as many
+/// of the cheapest, as far as they are not much dearer than the best.
+///
+/// The load pattern that it answers: many boxes with late news and more than half of all
+/// slots in use. Of 88 boxes that hear each other each 290 ms, before 60 servers of three
+/// slots of which 63 in 100 are in use, 5.7 in 100 requests found a queue full when each
+/// went to the cheapest, and one in ten waited over 545 ms; so it is none, and 175 ms. With
+/// 80 in 100 in use it is 0.5 instead of 14 in 100 (means of three plays of 8 s).
+pub fn place_among<S>(
+    servers: &mut [S],
+    cost_ms: impl Fn(&S) -> f64,
+    unheard: f64,
+    typical_ms: f64,
+    random: &mut impl Rng,
+) -> Option<usize> {
+    if servers.is_empty() {
+        return None;
+    }
+    let by_cost = |a: &S, b: &S| cost_ms(a).total_cmp(&cost_ms(b));
+    let alike = (unheard as usize).clamp(1, servers.len());
+    servers.select_nth_unstable_by(alike - 1, by_cost);
+    let cheapest = servers[..alike].iter().map(&cost_ms);
+    let best = cheapest.fold(f64::INFINITY, f64::min);
+    let limit = best + typical_ms * MOST_DEARER;
+    let good = |server: &S| cost_ms(server) <= limit;
+    let count = servers[..alike]
+        .iter()
+        .filter(|server| good(server))
+        .count();
+    let drawn = random.random_range(0..count);
+    (0..alike).filter(|at| good(&servers[*at])).nth(drawn)
+}
+
+/// A server that costs more by this part of the usual service time is left to the time when
+/// the cheaper ones are known to be busy: it is what half a request in each slot costs.
+const MOST_DEARER: f64 = 0.5;
--- a/tests/tests/floor.rs
+++ b/tests/tests/floor.rs
@@ -7,8 +7,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use wingspur_state::{
-    AttemptId, Balancer, Ended, Expected, KeyedTally, ServerKey, ServerRecord,
-    ServerTally, ServicePresent, ServiceTime, Want,
+    AttemptId, Balancer, Ended, Expected, FloorInputs, KeyedTally, ServerKey,
+    ServerRecord, ServerTally, ServicePresent, ServiceTime, Unused, Want, try_unused,
 };
 
 /// A fleet of boxes before one service.
@@ -141,6 +141,7 @@
             present: ServicePresent {
                 requests_per_s: self.plan.requests_per_s,
                 lost_share: 0.12,
+                unheard: 0.0,
             },
         };
         let pick = self.boxes[at].pick(&want, now, &mut self.random).unwrap();
@@ -242,3 +243,90 @@
         }
     }
 }
+
+/// A service that loses an eighth of its requests.
+fn losing(requests_per_s: f64) -> FloorInputs {
+    FloorInputs {
+        repeatable: false,
+        present: ServicePresent {
+            requests_per_s,
+            lost_share: 0.12,
+            unheard: 0.0,
+        },
+    }
+}
+
+/// Servers by number; those from `rested` on were unused for `unused_for`.
+fn servers(count: usize, rested: usize, unused_for: Duration) -> Vec<Unused<usize>> {
+    let server = |n: usize| Unused {
+        key: n,
+        unused_for: if n < rested {
+            Duration::ZERO
+        } else {
+            unused_for
+        },
+        failure_share: 0.05,
+        in_reach: true,
+    };
+    (0..count).map(server).collect()
+}
+
+#[test]
+fn a_server_of_which_no_news_comes_is_tried_surely_and_then_not_flooded() {
+    const REQUESTS_PER_S: f64 = 1_000.0;
+    const DRAWS: usize = 2_000;
+    let mut random = StdRng::seed_from_u64(5);
+    let mut tries_per_s = |unused_ms: u64| {
+        let servers = servers(100, 99, Duration::from_millis(unused_ms));
+        let tries = (0..DRAWS).filter(|_| {
+            try_unused(&servers, &losing(REQUESTS_PER_S), &mut random) == Some(99)
+        });
+        tries.count() as f64 / DRAWS as f64 * REQUESTS_PER_S
+    };
+    let until_sure: f64 = (1_000..1_800).step_by(50).map(&mut tries_per_s).sum();
+    let tries = until_sure * 0.05;
+    assert!(tries >= 7.0, "{tries} tries within 0.8 s");
+    for unused_ms in (1_850..10_000).step_by(200) {
+        let tries = tries_per_s(unused_ms);
+        assert!(tries <= 10.0, "{tries} a second after {unused_ms} ms");
+    }
+}
+
+#[test]
+fn also_the_most_doubtful_servers_are_in_use_while_a_good_part_is_lost() {
+    const REQUESTS_PER_MS: usize = 1;
+    const DOUBTED: usize = 80;
+    let mut random = StdRng::seed_from_u64(6);
+    let mut servers = servers(100, 100, Duration::ZERO);
+    for (n, server) in servers.iter_mut().enumerate().take(DOUBTED) {
+        server.failure_share = 0.6 - n as f64 / 200.0;
+    }
+    let mut sent_ms = vec![vec![0u64]; servers.len()];
+    for ms in 0..END_MS {
+        for _ in 0..REQUESTS_PER_MS {
+            let tried = try_unused(&servers, &losing(1_000.0), &mut random);
+            // Those that are not doubted are picked all the time.
+            let n = tried.unwrap_or(random.random_range(DOUBTED..servers.len()));
+            servers[n].unused_for = Duration::ZERO;
+            sent_ms[n].push(ms);
+        }
+        for server in &mut servers {
+            server.unused_for += Duration::from_millis(1);
+        }
+    }
+    let most_doubted = &sent_ms[..20];
+    for end in (JUDGED_MS..END_MS).step_by(50) {
+        let in_window = |ms: &u64| (end - WINDOW_MS..end).contains(ms);
+        let used = most_doubted
+            .iter()
+            .filter(|sent| sent.iter().any(in_window));
+        let used = used.count() as f64 / most_doubted.len() as f64;
+        assert!(used >= FLOOR_SHARE, "{used} in use before {end} ms");
+    }
+    let tries: usize = sent_ms[..DOUBTED].iter().map(Vec::len).sum();
+    let most = DOUBTED * 5 * END_MS as usize / 1_000 / 5;
+    assert!(
+        tries <= most,
+        "{tries} tries of doubtful servers, at most {most}"
+    );
+}
