Placement spreads over as many servers as unheard requests fill

Change: as many servers as those requests fill by their slots; limit a whole service time. Figures, tests/placing.rs (three plays of 8 s): one in ten waits 175 -> 133 ms at 63 in 100 slots in use; at 80 in 100 refused 0.5 in 100 -> none, one in ten waits 463 -> 253 ms. Tried: limits of 0.12, 0.25, 0.35, 0.7 (more refused below 0.5); a tenth and a fifth of the unheard requests (as good within 0.3 in 100).

--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -164,11 +164,13 @@
             costs.push((cost, server, weight));
         }
         let candidates = costs.len();
+        let slots: u32 = costs.iter().map(|(_, server, _)| server.record.slots).sum();
+        let mean_slots = f64::from(slots.max(1)) / candidates.max(1) as f64;
         let typical_ms = want.typical.as_secs_f64() * 1000.0;
         let place = place_among(
             &mut costs,
             |(cost, ..)| *cost,
-            want.present.unheard,
+            want.present.unheard / mean_slots,
             typical_ms,
             random,
         )?;
@@ -185,6 +187,19 @@
         Some(Duration::from_secs_f64(least / 1000.0))
     }
 
+    /// Requests that the open servers can answer in a second, as likely as they are well.
+    pub fn capacity_per_s(&self, typical: Duration, now: Instant) -> f64 {
+        let usual = self.usual.share();
+        let open = self.servers.values().filter(|server| server.is_open());
+        let slots = open.map(|server| {
+            let health = server.health.at(now);
+            let answered = 1.0 - server.failure_share(usual, now);
+            let accepted = 1.0 - health.refusal_share();
+            f64::from(server.record.slots) * answered * accepted / health.slowness()
+        });
+        slots.sum::<f64>() / typical.as_secs_f64().max(LEAST_TYPICAL_S)
+    }
+
     /// Counts an attempt as begun.
     pub fn begin(
         &mut self,
@@ -489,6 +504,8 @@
     }
 }
 
+/// No work takes less than a millisecond.
+const LEAST_TYPICAL_S: f64 = 0.001;
 /// Costs are blurred by up to this share, so that boxes with the same view spread.
 const NOISE: f64 = 0.2;
 /// Servers slow down as they fill: this share of the work's time for full slots.
--- a/crates/wingspur-state/src/placement.rs
+++ b/crates/wingspur-state/src/placement.rs
@@ -6,19 +6,20 @@
 /// The place of the server that a request goes to, after `servers` were put in some order;
 /// none where there is no server.
 ///
-/// `unheard` requests are likely to have been placed since this box last heard of any, and
-/// each of them saw the same servers as the cheapest. So the request goes to any of as many
-/// of the cheapest, as far as they are not much dearer than the best.
+/// The requests that were placed since this box last heard of any, each of which saw the
+/// same servers as the cheapest, fill the slots of `taken` servers. So the request goes to
+/// any of as many of the cheapest, as far as they are not much dearer than the best. No
+/// more than that: servers that are used often are the first known to be well.
 ///
 /// The load pattern that it answers: many boxes with late news and more than half of all
 /// slots in use. Of 88 boxes that hear each other each 290 ms, before 60 servers of three
 /// slots of which 63 in 100 are in use, 5.7 in 100 requests found a queue full when each
-/// went to the cheapest, and one in ten waited over 545 ms; so it is none, and 175 ms. With
-/// 80 in 100 in use it is 0.5 instead of 14 in 100 (means of three plays of 8 s).
+/// went to the cheapest, and one in ten waited over 545 ms; so it is none, and 133 ms. With
+/// 80 in 100 in use it is none instead of 14 in 100 (means of three plays of 8 s).
 pub fn place_among<S>(
     servers: &mut [S],
     cost_ms: impl Fn(&S) -> f64,
-    unheard: f64,
+    taken: f64,
     typical_ms: f64,
     random: &mut impl Rng,
 ) -> Option<usize> {
@@ -26,7 +27,7 @@
         return None;
     }
     let by_cost = |a: &S, b: &S| cost_ms(a).total_cmp(&cost_ms(b));
-    let alike = (unheard as usize).clamp(1, servers.len());
+    let alike = (taken as usize).clamp(1, servers.len());
     servers.select_nth_unstable_by(alike - 1, by_cost);
     let cheapest = servers[..alike].iter().map(&cost_ms);
     let best = cheapest.fold(f64::INFINITY, f64::min);
@@ -41,5 +42,6 @@
 }
 
 /// A server that costs more by this part of the usual service time is left to the time when
-/// the cheaper ones are known to be busy: it is what half a request in each slot costs.
-const MOST_DEARER: f64 = 0.5;
+/// the cheaper ones are known to be busy: it is what a whole queue of slots costs. At half of
+/// it 0.7 in 100 find a queue full in the plays above with 80 in 100 slots in use.
+const MOST_DEARER: f64 = 1.0;
--- a/tests/tests/placing.rs
+++ b/tests/tests/placing.rs
@@ -257,6 +257,6 @@
             outcome.busiest
         );
         assert!(refused * 1_000 <= sent, "{refused} of {sent} were refused");
-        assert!(late <= 220, "one in ten waited more than {late} ms");
+        assert!(late <= 180, "one in ten waited more than {late} ms");
     }
 }
