Refused callers get a place in the capacity to come

Cause: all who were refused were told the shortest wait, between 0.1 and 1 s, and came back together. Change: each box promises its refused callers places of their own, behind those that are as urgent or more, as far apart as its part of the service's spare capacity allows; asking sooner gains nothing.

--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -9,8 +9,8 @@
 use hyper::body::Body;
 use wingspur_protocol::ResultCode;
 use wingspur_state::{
-    AttemptEnd, HedgeInputs, Pick, ResendUse, RetryDecision, RouteClass, ServerKey, Want,
-    decide_retry, hedge_after,
+    AttemptEnd, HedgeInputs, Pick, ResendUse, RetryDecision, ReturnInputs, RouteClass,
+    ServerKey, Want, decide_retry, hedge_after, spare_per_s,
 };
 use wingspur_transport::SendBody;
 
@@ -324,17 +324,25 @@
         }
     }
 
-    /// When a slot should be free for the request: at once where servers refuse though they
-    /// have free ones, else when the shortest queue is through.
+    /// A place in the capacity to come.
     fn come_back(&self) -> Duration {
         let now = Instant::now();
         let want = Want {
             tried: &[],
             ..self.want(now)
         };
-        let least_wait = self.service.balancer.lock().least_wait(&want, now);
-        let wait = least_wait.unwrap_or(NO_SERVER_COME_BACK);
-        wait.clamp(LEAST_COME_BACK, MOST_COME_BACK)
+        let boxes = self.service.budget.lock().boxes();
+        let balancer = self.service.balancer.lock();
+        let least_wait = balancer.least_wait(&want, now);
+        let capacity_per_s = balancer.capacity_per_s(want.typical, now);
+        drop(balancer);
+        let inputs = ReturnInputs {
+            priority: self.route.route.priority,
+            least_wait: least_wait.unwrap_or(NO_SERVER_COME_BACK),
+            spare_per_s: spare_per_s(capacity_per_s, want.present.requests_per_s, boxes),
+        };
+        let mut returns = self.service.returns.lock();
+        returns.promise(&inputs, now, &mut rand::rng())
     }
 
     fn take_body(&mut self) -> SendBody {
@@ -395,10 +403,6 @@
 /// Servers that may turn out unreachable for one request: a box that is cut off from half
 /// of them fails one request in 256.
 const MOST_UNREACHED: u32 = 8;
-/// When a caller whose request was not run may ask again, at the least and at the most: it
-/// has a few tries, and honours no more than a third of its time.
-const LEAST_COME_BACK: Duration = Duration::from_millis(100);
-const MOST_COME_BACK: Duration = Duration::from_millis(1000);
 /// Servers of a service without any should be back, or announced, within this.
 const NO_SERVER_COME_BACK: Duration = Duration::from_millis(500);
 /// What a request that crosses to another data centre is charged, and more for each
--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -27,6 +27,8 @@
     Budget,
     /// A service's backend servers.
     Balancer,
+    /// What a service's refused callers were promised.
+    Returns,
     /// How a route's answers spread.
     ServiceTime,
     /// The service of each server.
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -7,7 +7,7 @@
 
 use wingspur_state::{
     Balancer, BudgetSettings, Bundle, DataCentreId, DirectoryChange, FleetBudget,
-    FleetDivision, ServerKey, ServerRecord,
+    FleetDivision, ReturnQueue, ServerKey, ServerRecord,
 };
 use wingspur_transport::Backend;
 
@@ -22,6 +22,8 @@
     pub balancer: Ranked<Balancer>,
     /// Its retry budget.
     pub budget: Ranked<FleetBudget>,
+    /// What refused callers were promised.
+    pub returns: Ranked<ReturnQueue>,
 }
 
 /// All services, and the connections to their servers.
@@ -59,6 +61,7 @@
             name: name.to_owned(),
             balancer: Ranked::new(Rank::Balancer, balancer),
             budget: Ranked::new(Rank::Budget, FleetBudget::new(budget, Instant::now())),
+            returns: Ranked::new(Rank::Returns, ReturnQueue::default()),
         });
         services.insert(name.to_owned(), service.clone());
         service
--- a/crates/wingspur-state/src/fleet_budget.rs
+++ b/crates/wingspur-state/src/fleet_budget.rs
@@ -276,6 +276,11 @@
         )
     }
 
+    /// The boxes among whom the budget is divided.
+    pub fn boxes(&self) -> usize {
+        self.division.boxes
+    }
+
     /// This box's counts, if they have changed since they were last taken.
     pub fn take_change(&mut self) -> Option<ServiceTally> {
         std::mem::take(&mut self.changed).then_some(self.own)
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -20,6 +20,7 @@
 mod pick;
 mod placement;
 mod retry;
+mod returning;
 mod route;
 mod server;
 mod service_table;
@@ -54,6 +55,7 @@
 pub use retry::{
     AttemptEnd, RetryBudget, RetryDecision, RetryReason, StopReason, decide_retry,
 };
+pub use returning::{ReturnInputs, ReturnQueue, spare_per_s};
 pub use route::{RouteClash, RouteMatch, RouteTable};
 pub use server::{ServerRecord, server_key};
 pub use service_table::{AttemptOutcome, ServiceTable, TICK, VERDICT_TTL};
