A late listing of the boxes does not undo what is known

Cause, read in the change: the cheap listing of the boxes may be seconds old; taken over after a newer listing of everything it dropped boxes that were announced in between, of which no watch tells again, so that a box could choose another hub than the rest. Change: it is taken only if its revision is no older than what is known; whether a box lists at its start is a decision of its own, tested without I/O.

--- a/crates/wingspur-coordination/src/announcement.rs
+++ b/crates/wingspur-coordination/src/announcement.rs
@@ -49,6 +49,13 @@
     AnnouncementStep::AnnounceWithin(span / inputs.capacity.max(1))
 }
 
+/// Whether a box that starts lists the whole catalog at once, rather than wait for its hub
+/// to tell it: it may be the hub that others wait for. `was_announced` tells whether it
+/// still is from its last run, `before` how many boxes go before it as the hub.
+pub fn lists_at_start(was_announced: bool, before: usize) -> bool {
+    was_announced || before < CANDIDATES
+}
+
 /// Boxes of a data centre that may become its hub: the loss of two at once still leaves one
 /// that the others know.
 const CANDIDATES: usize = 3;
--- a/crates/wingspur-coordination/src/lib.rs
+++ b/crates/wingspur-coordination/src/lib.rs
@@ -10,7 +10,9 @@
 mod rollup;
 mod shard_log;
 
-pub use announcement::{AnnouncementInputs, AnnouncementStep, announcement_step};
+pub use announcement::{
+    AnnouncementInputs, AnnouncementStep, announcement_step, lists_at_start,
+};
 pub use catalog_queue::CatalogQueue;
 pub use feed_view::FeedView;
 pub use fleet_count::FleetCount;
--- a/crates/wingspur-coordination/src/link_plan.rs
+++ b/crates/wingspur-coordination/src/link_plan.rs
@@ -71,11 +71,6 @@
         self.boxes.len() + 1
     }
 
-    /// Announced boxes of the own data centre that go before this one as its hub.
-    pub fn announced_before(&self) -> usize {
-        self.rank()
-    }
-
     /// The greatest size of the fleet that an announced box tells of; 0 for unknown.
     pub fn announced_fleet(&self) -> usize {
         let told = self.boxes.values().map(|record| record.fleet_boxes);
@@ -133,7 +128,7 @@
         links
     }
 
-    /// This box's place among the boxes of its data centre, 0 for the first.
+    /// Announced boxes of this box's data centre that go before it as the hub.
     pub fn rank(&self) -> usize {
         let own = rank_of(&self.own);
         let inside = self.inside(&self.own.data_centre);
--- a/crates/wingspur-edge/src/announce.rs
+++ b/crates/wingspur-edge/src/announce.rs
@@ -56,7 +56,7 @@
         return AnnouncementStep::Stay;
     }
     announcement_step(&AnnouncementInputs {
-        before: links.planner().announced_before(),
+        before: links.planner().rank(),
         capacity: links.own().capacity,
         announced,
     })
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
+use wingspur_coordination::lists_at_start;
 use wingspur_protocol::BoxRecord;
 use wingspur_transport::{CatalogError, StopSignal};
 
@@ -59,11 +60,12 @@
 /// logs of one play).
 async fn wait_for_hub(shared: &Arc<Shared>) {
     let boxes = find_boxes(shared).await;
-    let own_id = shared.links.lock().own().id.clone();
+    let (own_id, before) = {
+        let mut links = shared.links.lock();
+        (links.own().id.clone(), links.planner().rank())
+    };
     let was_announced = boxes.iter().any(|record| record.id == own_id);
-    let before = shared.links.lock().planner().announced_before();
-    let may_be_hub = was_announced || before < LISTED_BY_ALL_BEFORE;
-    let hold = match may_be_hub {
+    let hold = match lists_at_start(was_announced, before) {
         true => Duration::ZERO,
         false => jittered(HUB_HOLD),
     };
@@ -80,14 +82,17 @@
     tracing::info!(boxes, before, hold_ms, revision, "catalog: {outcome}.");
 }
 
-/// Learns from the store which boxes are announced.
+/// Learns from the store which boxes are announced, unless more is known here already.
 async fn find_boxes(shared: &Arc<Shared>) -> Vec<BoxRecord> {
     shared.metrics.count_store_call("list_boxes");
     match (shared.catalog.list_boxes)().await {
-        Ok(boxes) => {
-            shared.links.lock().planner().replace(boxes.clone());
-            shared.replan.poke();
-            boxes
+        Ok(listing) => {
+            let mut links = shared.links.lock();
+            if listing.revision >= links.revision() {
+                links.planner().replace(listing.boxes.clone());
+                shared.replan.poke();
+            }
+            listing.boxes
         }
         Err(error) => {
             tracing::info!(%error, "catalog: the boxes are not known.");
@@ -238,8 +243,6 @@
 /// not follow changes yet.
 const HUB_HOLD: Duration = Duration::from_millis(1000);
 const HOLD_CHECK: Duration = Duration::from_millis(20);
-/// Boxes with fewer announced before them may be the hub that the others wait for.
-const LISTED_BY_ALL_BEFORE: usize = 3;
 const IDLE_CHECK: Duration = Duration::from_millis(100);
 const NEED_CHECK: Duration = Duration::from_millis(500);
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/wingspur-transport/src/catalog.rs
+++ b/crates/wingspur-transport/src/catalog.rs
@@ -16,8 +16,8 @@
     /// Lists all there is, as it stands now or, cheaper, as it may have stood some seconds
     /// ago.
     pub list: Arc<dyn Fn(bool) -> CatalogFuture<CatalogListing> + Send + Sync>,
-    /// Lists the boxes that are announced, as they may have been some seconds ago.
-    pub list_boxes: Arc<dyn Fn() -> CatalogFuture<Vec<BoxRecord>> + Send + Sync>,
+    /// Lists the boxes alone, as they may have been announced some seconds ago.
+    pub list_boxes: Arc<dyn Fn() -> CatalogFuture<CatalogListing> + Send + Sync>,
     /// Waits for changes after a revision, at most for the time given.
     pub watch:
         Arc<dyn Fn(Revision, Duration) -> CatalogFuture<CatalogChanges> + Send + Sync>,
--- a/tests/tests/platform_catalog.rs
+++ b/tests/tests/platform_catalog.rs
@@ -138,3 +138,34 @@
         assert!(smol::block_on((catalog.list)(true)).unwrap_err().is_away());
     });
 }
+
+#[test]
+fn the_boxes_alone_are_listed_with_their_revision() {
+    let store = PlatformStore::start(2);
+    put_server(&store, "i-0");
+    with_sound_catalog(&store, |catalog| {
+        smol::block_on((catalog.announce)(own_record(), None)).unwrap();
+        let listing = smol::block_on((catalog.list_boxes)()).unwrap();
+        assert_eq!(listing.boxes, [own_record()]);
+        assert!(listing.servers.is_empty() && listing.revision > 0);
+    });
+}
+
+#[test]
+fn an_announcement_is_told_anew_under_the_lease_that_stands() {
+    let store = PlatformStore::start(2);
+    let larger = BoxRecord {
+        fleet_boxes: 40,
+        ..own_record()
+    };
+    with_sound_catalog(&store, |catalog| {
+        let lease = smol::block_on((catalog.announce)(own_record(), None)).unwrap();
+        let told = (catalog.announce)(larger.clone(), Some(lease));
+        assert_eq!(smol::block_on(told).unwrap(), lease);
+        let listing = smol::block_on((catalog.list_boxes)()).unwrap();
+        assert_eq!(listing.boxes, [larger]);
+        store.end_lease(lease);
+        let listing = smol::block_on((catalog.list_boxes)()).unwrap();
+        assert!(listing.boxes.is_empty());
+    });
+}
--- a/tests/tests/sharing.rs
+++ b/tests/tests/sharing.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use wingspur_coordination::{
     AnnouncementInputs, AnnouncementStep, CatalogQueue, FeedView, FleetCount, LinkKind,
-    LinkPlanner, NewsReader, OWN_LINK, Rollup, announcement_step,
+    LinkPlanner, NewsReader, OWN_LINK, Rollup, announcement_step, lists_at_start,
 };
 use wingspur_protocol::{
     BoxRecord, CatalogChange, CatalogChanges, CatalogUpdate, Digest, FeedState, LinkRole,
@@ -419,6 +419,13 @@
     assert!(alone < with_hub);
 }
 
+#[test]
+fn only_boxes_that_may_be_the_hub_list_at_their_start() {
+    assert!(lists_at_start(false, 2), "nobody may stand before it");
+    assert!(lists_at_start(true, 5), "others wait for it");
+    assert!(!lists_at_start(false, 3), "its hub tells it");
+}
+
 #[test]
 fn the_size_of_the_fleet_falls_only_after_a_while() {
     let start = Instant::now();
