The budget is asked in one place; placement and promised returns are logged

Cause: the pair of allowance and standing stood twice in the request path, and two new decisions had no line. Change: one question to the budget with its figures; attempt: sent tells among how many servers it was drawn, return: place promised tells its inputs. No other behaviour changes; the test of log lines holds the new one.

--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -9,8 +9,8 @@
 use hyper::body::Body;
 use wingspur_protocol::ResultCode;
 use wingspur_state::{
-    AttemptEnd, HedgeInputs, Pick, ResendUse, RetryDecision, ReturnInputs, RouteClass,
-    ServerKey, Want, decide_retry, hedge_after, spare_per_s,
+    AttemptEnd, BudgetAnswer, HedgeInputs, Pick, ResendUse, RetryDecision, ReturnInputs,
+    RouteClass, ServerKey, Want, decide_retry, hedge_after, spare_per_s,
 };
 use wingspur_transport::SendBody;
 
@@ -199,12 +199,11 @@
 
     /// Starts a second attempt beside one that takes long, if that is likely to help.
     fn hedge(&mut self) {
-        let (allowed, spent, limit) = {
-            let (now, mut budget) = (Instant::now(), self.service.budget.lock());
-            let allowed = budget.allows(ResendUse::Hedge, now);
-            let (spent, limit) = budget.standing(now);
-            (allowed, spent, limit)
-        };
+        let BudgetAnswer {
+            allowed,
+            spent,
+            limit,
+        } = self.ask_budget(ResendUse::Hedge);
         let left_ms = self.remaining().as_secs_f64() * 1000.0;
         let pick = if allowed { self.pick() } else { None };
         let hedged = pick.filter(|pick| pick.expected_ms < left_ms);
@@ -241,8 +240,18 @@
             let may = self.unreached < MOST_UNREACHED && self.can_send_again();
             return if may { self.send_next() } else { Err(code) };
         }
-        let (decision, spent, limit) = self.decide_resend(end);
+        let budget = self.ask_budget(ResendUse::Sure);
+        let BudgetAnswer { spent, limit, .. } = budget;
         let tried = self.tried.len();
+        let decision = decide_retry(
+            end,
+            self.route.route.class,
+            self.route.route.max_attempts,
+            self.remaining(),
+            tried,
+            self.can_send_again(),
+            budget.allowed,
+        );
         match decision {
             RetryDecision::Retry(reason) => {
                 self.send_next()?;
@@ -261,21 +270,8 @@
         }
     }
 
-    /// Whether the request may be sent again, with the budget's standing for the log.
-    fn decide_resend(&self, end: AttemptEnd) -> (RetryDecision, u32, f64) {
-        let now = Instant::now();
-        let mut budget = self.service.budget.lock();
-        let decision = decide_retry(
-            end,
-            self.route.route.class,
-            self.route.route.max_attempts,
-            self.remaining(),
-            self.tried.len(),
-            self.can_send_again(),
-            budget.allows(ResendUse::Sure, now),
-        );
-        let (spent, limit) = budget.standing(now);
-        (decision, spent, limit)
+    fn ask_budget(&self, use_: ResendUse) -> BudgetAnswer {
+        self.service.budget.lock().ask(use_, Instant::now())
     }
 
     fn note_failure(&mut self, failed: &FailedAttempt) {
@@ -342,7 +338,18 @@
             spare_per_s: spare_per_s(capacity_per_s, want.present.requests_per_s, boxes),
         };
         let mut returns = self.service.returns.lock();
-        returns.promise(&inputs, now, &mut rand::rng())
+        let wait = returns.promise(&inputs, now, &mut rand::rng());
+        drop(returns);
+        tracing::info!(
+            id = id_text(self.outgoing.id.as_ref()),
+            priority = inputs.priority,
+            least_wait_ms = inputs.least_wait.as_millis() as u64,
+            spare_per_s = rounded(inputs.spare_per_s),
+            boxes,
+            wait_ms = wait.as_millis() as u64,
+            "return: place promised."
+        );
+        wait
     }
 
     fn take_body(&mut self) -> SendBody {
--- a/crates/wingspur-edge/src/request_log.rs
+++ b/crates/wingspur-edge/src/request_log.rs
@@ -130,6 +130,7 @@
         server = %pick.server.id,
         attempt,
         candidates = pick.candidates,
+        drawn_among = pick.drawn_among,
         in_flight = pick.in_flight,
         failure_share = rounded(pick.failure_share),
         expected_ms = pick.expected_ms as u64,
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -71,6 +71,8 @@
     pub in_flight: u32,
     /// Servers that it was picked from.
     pub candidates: usize,
+    /// How many of the cheapest it was drawn among; 0 for a try of an unused one.
+    pub drawn_among: usize,
     /// How long ago another box last told of it; none if none ever did.
     pub heard: Option<Duration>,
 }
@@ -167,15 +169,19 @@
         let slots: u32 = costs.iter().map(|(_, server, _)| server.record.slots).sum();
         let mean_slots = f64::from(slots.max(1)) / candidates.max(1) as f64;
         let typical_ms = want.typical.as_secs_f64() * 1000.0;
+        let drawn_among = ((want.present.unheard / mean_slots) as usize).max(1);
         let place = place_among(
             &mut costs,
             |(cost, ..)| *cost,
-            want.present.unheard / mean_slots,
+            drawn_among,
             typical_ms,
             random,
         )?;
         let (_, server, weight) = &costs[place];
-        Some(weight.pick(server, candidates, now))
+        Some(Pick {
+            drawn_among,
+            ..weight.pick(server, candidates, now)
+        })
     }
 
     /// The shortest wait for a slot at any open server; none when there is no server.
@@ -499,6 +505,7 @@
             failure_share: self.failure_share,
             in_flight: self.in_flight,
             candidates,
+            drawn_among: 0,
             heard: server.heard.map(|at| now.saturating_duration_since(at)),
         }
     }
--- a/crates/wingspur-state/src/fleet_budget.rs
+++ b/crates/wingspur-state/src/fleet_budget.rs
@@ -90,6 +90,17 @@
     Hedge,
 }
 
+/// What the budget says to one more resend.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetAnswer {
+    /// Whether it is allowed.
+    pub allowed: bool,
+    /// Resends in the window.
+    pub spent: u32,
+    /// Resends that are allowed there.
+    pub limit: f64,
+}
+
 impl Default for FleetDivision {
     /// A box alone.
     fn default() -> Self {
@@ -249,6 +260,17 @@
         self.fleet_window.add(missed, now);
     }
 
+    /// Whether one more resend is allowed, with the figures that decide it.
+    pub fn ask(&mut self, use_: ResendUse, now: Instant) -> BudgetAnswer {
+        let allowed = self.allows(use_, now);
+        let (spent, limit) = self.standing(now);
+        BudgetAnswer {
+            allowed,
+            spent,
+            limit,
+        }
+    }
+
     /// Whether one more resend is allowed.
     pub fn allows(&mut self, use_: ResendUse, now: Instant) -> bool {
         let share = match use_ {
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -38,8 +38,8 @@
 pub use directory::{Directory, DirectoryChange, RETURN_GRACE};
 pub use evidence::{EvidenceEntry, EvidenceReport, Reference, threshold, well_evidence};
 pub use fleet_budget::{
-    AgedTally, BudgetHistory, BudgetSettings, FleetBudget, FleetDivision, ResendUse,
-    ServicePresent,
+    AgedTally, BudgetAnswer, BudgetHistory, BudgetSettings, FleetBudget, FleetDivision,
+    ResendUse, ServicePresent,
 };
 pub use floor::{FloorInputs, Unused, try_unused};
 pub use health::HealthNote;
--- a/crates/wingspur-state/src/placement.rs
+++ b/crates/wingspur-state/src/placement.rs
@@ -19,7 +19,7 @@
 pub fn place_among<S>(
     servers: &mut [S],
     cost_ms: impl Fn(&S) -> f64,
-    taken: f64,
+    taken: usize,
     typical_ms: f64,
     random: &mut impl Rng,
 ) -> Option<usize> {
@@ -27,7 +27,7 @@
         return None;
     }
     let by_cost = |a: &S, b: &S| cost_ms(a).total_cmp(&cost_ms(b));
-    let alike = (taken as usize).clamp(1, servers.len());
+    let alike = taken.clamp(1, servers.len());
     servers.select_nth_unstable_by(alike - 1, by_cost);
     let cheapest = servers[..alike].iter().map(&cost_ms);
     let best = cheapest.fold(f64::INFINITY, f64::min);
--- a/tests/tests/log_lines.rs
+++ b/tests/tests/log_lines.rs
@@ -107,6 +107,8 @@
         for line in ["attempt: failed.", "request: given up."] {
             assert_eq!(told.contains(&line), failed, "{met:?}: {told:?}");
         }
+        let promised = told.contains(&"return: place promised.");
+        assert_eq!(promised, status == 503, "{met:?}: {told:?}");
         assert!(
             !told.contains(&"retry: sent again."),
             "one server: {told:?}"
