--- a/crates/wingspur-state/src/floor.rs
+++ b/crates/wingspur-state/src/floor.rs
@@ -39,7 +39,7 @@
 /// Prevents that servers which no pick takes, like cold ones, stay unused for two seconds:
 /// with the same chance at any age half of six that had just joined did (36 boxes with
 /// news 150 ms late). Trying all doubtful ones as surely lost 7.7 instead of 6.5 in 100
-/// once-only requests (means of 20 plays of 32 s each), and 8.0 instead of 5.7 in 100 of
+/// once-only requests (means of 20 plays of 32 s each), and 8.0 instead of 5.8 in 100 of
 /// all where 443 boxes hear of each other late (one play).
 pub fn try_unused<K: Copy>(
     servers: &[Unused<K>],
