--- a/crates/wingspur-edge/src/announce.rs
+++ b/crates/wingspur-edge/src/announce.rs
@@ -37,7 +37,8 @@
             Err(error) => {
                 failures += 1;
                 tracing::info!(%error, failures, "lease: not renewed.");
-                if held_lease(&shared).is_some() {
+                let holds = held_lease(&shared).is_some();
+                if holds {
                     renewal_gap(&shared)
                 } else {
                     pause(failures)
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -335,25 +335,31 @@
 
     /// The boxes of the fleet, as far as this one knows.
     pub fn fleet_boxes(&mut self, now: Instant) -> usize {
-        let hub = self.active.values().find(|link| link.is_to_own_hub());
-        let counted = match hub {
-            Some(hub) => hub.boxes as usize,
-            None => {
-                let hubs = self.active.values();
-                let hubs = hubs.filter(|link| link.kind == LinkKind::Hub);
-                let others: u32 = hubs.map(|link| link.boxes).sum();
-                (self.boxes_here() + others) as usize
-            }
-        };
-        let announced = self.planner.announced_fleet().max(self.planner.size());
-        // A box without a link knows no more than what was announced.
-        let counted = match self.active.is_empty() {
-            true => counted.max(announced),
-            false => counted.max(self.planner.size()),
-        };
+        let counted = self.counted_boxes();
         self.fleet.follow(counted, now)
     }
 
+    /// How many boxes links and announcements tell of now.
+    fn counted_boxes(&self) -> usize {
+        let announced = self.planner.size();
+        if self.active.is_empty() {
+            return announced.max(self.planner.announced_fleet());
+        }
+        let own_hub = self.active.values().find(|link| link.is_to_own_hub());
+        let linked = match own_hub {
+            Some(hub) => hub.boxes,
+            None => self.boxes_here() + self.boxes_elsewhere(),
+        };
+        announced.max(linked as usize)
+    }
+
+    /// The boxes that the hubs of other data centres count.
+    fn boxes_elsewhere(&self) -> u32 {
+        let links = self.active.values();
+        let hubs = links.filter(|link| link.kind == LinkKind::Hub);
+        hubs.map(|link| link.boxes).sum()
+    }
+
     /// How many boxes this one counts for its data centre.
     fn boxes_here(&self) -> u32 {
         let members = self.active.values();
