A source that was forgotten and goes on is no news for a whole life

A source that a box forgets (its link ended, another still tells of it) goes on with changes only; its first such digest was taken for the baseline, but a service that was not in it counted with all it had ever counted. Ruled out: resends themselves (each box's own count fits), the number of boxes, links to two hubs at once (half a second of requests at the most).

Change: until a source has told everything, the first tally of each server and each service only sets what later ones are compared with. Test: a_source_that_was_forgotten_and_goes_on_tells_no_life_long_counts_as_news; it fails on the code before.

--- a/crates/wingspur-coordination/src/rollup.rs
+++ b/crates/wingspur-coordination/src/rollup.rs
@@ -321,31 +321,46 @@
 /// Turns digests into news: tallies as they stand with the counts that are new.
 #[derive(Debug, Default)]
 pub struct NewsReader {
-    known: HashMap<SourceId, Tallies>,
+    known: HashMap<SourceId, KnownSource>,
+}
+
+/// What a reader knows of a source.
+#[derive(Debug, Default)]
+struct KnownSource {
+    tallies: Tallies,
+    /// Whether the source has told all of its tallies, so that one that it has not told
+    /// began at nothing.
+    told_whole: bool,
 }
 
 impl NewsReader {
     /// Reads a digest; the first of a source only sets what later ones are compared with.
+    ///
+    /// So does the first that tells of a server or a service at all, while the source has
+    /// never told everything: it was forgotten and goes on where it was. Its counts of a
+    /// whole life would be news otherwise, and a service's requests earn a retry budget: 450
+    /// that were counted twice let 40 boxes make 299 resends where 296 were allowed.
     pub fn read(&mut self, digest: &Digest) -> SourceNews {
-        let first = !self.known.contains_key(&digest.source);
         let known = self.known.entry(digest.source).or_default();
+        let begins_at_nothing = known.told_whole;
+        known.told_whole |= digest.whole;
         let mut servers = Vec::with_capacity(digest.servers.len());
         for (key, tally) in &digest.servers {
-            let before = known.servers.insert(*key, *tally);
+            let before = known.tallies.servers.insert(*key, *tally);
             let news = match before {
                 Some(before) => tally.news_since(&before),
-                None if first => ServerTally::default(),
-                None => tally.news_since(&ServerTally::default()),
+                None if begins_at_nothing => tally.news_since(&ServerTally::default()),
+                None => ServerTally::default(),
             };
             servers.push(((*key, *tally), news));
         }
         let mut services = Vec::with_capacity(digest.services.len());
         for (key, tally) in &digest.services {
-            let before = known.services.insert(*key, *tally);
+            let before = known.tallies.services.insert(*key, *tally);
             let news = match before {
                 Some(before) => tally.news_since(&before),
-                None if first => ServiceTally::default(),
-                None => *tally,
+                None if begins_at_nothing => *tally,
+                None => ServiceTally::default(),
             };
             services.push((*key, news));
         }
--- a/tests/tests/sharing.rs
+++ b/tests/tests/sharing.rs
@@ -295,6 +295,41 @@
     assert_eq!(reader.read(&counted(51)).services[0].1.requests, 1);
 }
 
+#[test]
+fn a_source_that_was_forgotten_and_goes_on_tells_no_life_long_counts_as_news() {
+    let told = |whole, keys: &[u64], requests| Digest {
+        source: 3,
+        whole,
+        services: keys
+            .iter()
+            .map(|key| {
+                let tally = ServiceTally {
+                    requests,
+                    ..ServiceTally::default()
+                };
+                (*key, tally)
+            })
+            .collect(),
+        ..Digest::default()
+    };
+    let mut reader = NewsReader::default();
+    reader.read(&told(true, &[8, 9], 400));
+    reader.forget(3);
+    // It goes on with what has changed: first one service, then the other.
+    reader.read(&told(false, &[8], 410));
+    let other = reader.read(&told(false, &[9], 420));
+    assert_eq!(
+        other.services[0].1.requests, 0,
+        "counted before it was forgotten"
+    );
+    let next = reader.read(&told(false, &[9], 423));
+    assert_eq!(next.services[0].1.requests, 3);
+    // A source that has told everything begins anew with each service.
+    reader.read(&told(true, &[8, 9], 430));
+    let new = reader.read(&told(false, &[10], 5));
+    assert_eq!(new.services[0].1.requests, 5);
+}
+
 /// A change of the catalog after a revision.
 fn change(after: u64, id: &str) -> CatalogUpdate {
     CatalogUpdate::Changes {
