--- a/crates/wingspur-coordination/src/link_plan.rs
+++ b/crates/wingspur-coordination/src/link_plan.rs
@@ -80,7 +80,7 @@
     /// How a fleet of `boxes` is divided, as far as its counts are concerned.
     pub fn division(&self, boxes: usize, now: Instant) -> FleetDivision {
         FleetDivision {
-            boxes: boxes.max(self.size()),
+            boxes,
             data_centres: self.other_data_centres().len() + 1,
             adds_up_its_own: self.hub_of(&self.own.data_centre, now).is_none(),
         }
--- a/crates/wingspur-edge/src/announce.rs
+++ b/crates/wingspur-edge/src/announce.rs
@@ -53,7 +53,7 @@
 fn next_step(shared: &Shared) -> AnnouncementStep {
     let announced = held_lease(shared).is_some();
     let mut links = shared.links.lock();
-    if links.revision() == 0 {
+    if links.is_starting() {
         return AnnouncementStep::Stay;
     }
     announcement_step(&AnnouncementInputs {
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -28,7 +28,7 @@
     let started = Instant::now();
     while !stop.is_given() {
         let (mut missing, unplanned) = shared.links.lock().differences(Instant::now());
-        if shared.links.lock().revision() == 0 {
+        if shared.links.lock().is_starting() {
             // Nothing is known yet: only a hub has something to tell.
             missing.retain(|planned| planned.role == LinkRole::Member);
         }
@@ -112,8 +112,7 @@
         Err(error) => {
             tracing::info!(peer = %to.id, %error, "peer: cannot be reached.");
             let mut links = shared.links.lock();
-            let starting = links.revision() == 0;
-            match starting {
+            match links.is_starting() {
                 true => links.planner().avoid_briefly(&to.id, Instant::now()),
                 false => links.planner().avoid(&to.id, Instant::now()),
             }
@@ -130,7 +129,7 @@
     to: SocketAddr,
     role: LinkRole,
 ) -> Result<Opened, LinkError> {
-    let starting = shared.links.lock().revision() == 0;
+    let starting = shared.links.lock().is_starting();
     let patience = LinkPatience {
         connect: if starting {
             START_CONNECT_TIMEOUT
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -222,7 +222,7 @@
 }
 
 /// Draws between a half and the whole of a time.
-pub fn jittered(whole: Duration) -> Duration {
+fn jittered(whole: Duration) -> Duration {
     whole.mul_f64(0.5 + rand::random::<f64>() / 2.0)
 }
 
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -88,7 +88,12 @@
 
     /// Whether this box knows no other, linked or announced.
     pub fn is_alone(&self) -> bool {
-        self.active.is_empty() && self.planner.size() == 1
+        self.is_unlinked() && self.planner.size() == 1
+    }
+
+    /// Whether this box has just started and knows nothing of the catalog.
+    pub fn is_starting(&self) -> bool {
+        self.revision() == 0
     }
 
     /// Whether no link stands.
@@ -342,7 +347,7 @@
     /// How many boxes links and announcements tell of now.
     fn counted_boxes(&self) -> usize {
         let announced = self.planner.size();
-        if self.active.is_empty() {
+        if self.is_unlinked() {
             return announced.max(self.planner.announced_fleet());
         }
         let own_hub = self.active.values().find(|link| link.is_to_own_hub());
