The operator port is answered in one place, whole bodies are polled in one

Cause: both kinds of box routed the operator port's pages by a copy of the same function, and polled an answer that is held whole by the same three lines. Change: OperatorPages (wingspur-edge) routes for both, each page made by a closure when asked for; poll_whole (wingspur-transport) polls for both. No behaviour changed. Ruled out: one body type for all three; they differ in where the bytes come from.

--- a/crates/wingspur-edge/src/answer_body.rs
+++ b/crates/wingspur-edge/src/answer_body.rs
@@ -6,7 +6,7 @@
 use futures_lite::Stream;
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
-use wingspur_transport::{BackendConnection, BodyError};
+use wingspur_transport::{BackendConnection, BodyError, poll_whole};
 
 use crate::attempt::AttemptGuard;
 
@@ -75,11 +75,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            Self::Whole(body) => {
-                let polled = Pin::new(body).poll_frame(context);
-                polled
-                    .map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
-            }
+            Self::Whole(body) => poll_whole(body, context),
             Self::Stream(body) => {
                 let polled = body.pieces.as_mut().poll_next(context);
                 polled.map(|piece| piece.map(|piece| piece.map(Frame::data)))
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -26,7 +26,7 @@
 pub use heads::{check_framing, strip_hop_by_hop};
 pub use locks::{Rank, Ranked, RankedGuard};
 pub use metrics::Metrics;
-pub use operator::{answer_bytes, answer_text};
+pub use operator::OperatorPages;
 pub use refusal::{RESULT_HEADER, refusal};
 pub use settings::{
     CatalogSettings, DrainSettings, LogFormat, LogSettings, OnceOnlySettings, OwnSources,
--- a/crates/wingspur-edge/src/operator.rs
+++ b/crates/wingspur-edge/src/operator.rs
@@ -10,24 +10,54 @@
 
 use crate::shared::Shared;
 
-/// Answers a request on the operator port.
+/// What the operator port shows; each page is made when it is asked for.
+pub struct OperatorPages<Metrics, Status> {
+    /// Whether the box takes callers.
+    pub is_ready: bool,
+    /// Makes the counters, as text.
+    pub metrics: Metrics,
+    /// Makes what the box says of itself.
+    pub status: Status,
+}
+
+impl<Metrics, Status> OperatorPages<Metrics, Status>
+where
+    Metrics: FnOnce() -> Vec<u8>,
+    Status: FnOnce() -> BoxStatus,
+{
+    /// Answers a request on the operator port.
+    pub fn answer(self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        if request.method() != Method::GET {
+            let hint = "This port only reads.\n";
+            return answer_text(StatusCode::METHOD_NOT_ALLOWED, hint);
+        }
+        match request.uri().path() {
+            "/ready" if self.is_ready => answer_text(StatusCode::OK, "ready\n"),
+            "/ready" => answer_text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            "/metrics" => answer_bytes(StatusCode::OK, (self.metrics)()),
+            "/status" => {
+                let status = serde_json::to_vec(&(self.status)());
+                answer_bytes(StatusCode::OK, status.expect("a status serialises"))
+            }
+            _ => {
+                let hint = "Try /ready, /status or /metrics.\n";
+                answer_text(StatusCode::NOT_FOUND, hint)
+            }
+        }
+    }
+}
+
+/// Answers a request on the operator port of an edge box.
 pub async fn answer_operator(
     shared: Arc<Shared>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    if request.method() != Method::GET {
-        return answer_text(StatusCode::METHOD_NOT_ALLOWED, "This port only reads.\n");
-    }
-    match request.uri().path() {
-        "/ready" if shared.is_ready() => answer_text(StatusCode::OK, "ready\n"),
-        "/ready" => answer_text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-        "/metrics" => answer_bytes(StatusCode::OK, shared.metrics.render()),
-        "/status" => {
-            let status = serde_json::to_vec(&status(&shared));
-            answer_bytes(StatusCode::OK, status.expect("a status serialises"))
-        }
-        _ => answer_text(StatusCode::NOT_FOUND, "Try /ready, /status or /metrics.\n"),
-    }
+    let pages = OperatorPages {
+        is_ready: shared.is_ready(),
+        metrics: || shared.metrics.render(),
+        status: || status(&shared),
+    };
+    pages.answer(&request)
 }
 
 /// What the box says of itself.
@@ -51,12 +81,12 @@
 }
 
 /// A short text for whoever reads the operator port.
-pub fn answer_text(status: StatusCode, body: &'static str) -> Response<Full<Bytes>> {
+fn answer_text(status: StatusCode, body: &'static str) -> Response<Full<Bytes>> {
     answer_bytes(status, body.as_bytes().to_vec())
 }
 
 /// The same with any bytes.
-pub fn answer_bytes(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
+fn answer_bytes(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
     response
--- a/crates/wingspur-entry/src/operator.rs
+++ b/crates/wingspur-entry/src/operator.rs
@@ -5,8 +5,8 @@
 
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
-use hyper::{Method, Request, Response, StatusCode};
-use wingspur_edge::{answer_bytes, answer_text};
+use hyper::{Request, Response};
+use wingspur_edge::OperatorPages;
 use wingspur_protocol::BoxStatus;
 use wingspur_state::Standing;
 
@@ -17,25 +17,17 @@
     shared: Arc<Shared>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    if request.method() != Method::GET {
-        return answer_text(StatusCode::METHOD_NOT_ALLOWED, "This port only reads.\n");
-    }
-    match request.uri().path() {
-        "/ready" if shared.is_ready() => answer_text(StatusCode::OK, "ready\n"),
-        "/ready" => answer_text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-        "/metrics" => {
+    let pages = OperatorPages {
+        is_ready: shared.is_ready(),
+        metrics: || {
             shared.metrics.set_exchanges("peers", shared.peers.totals());
-            shared
-                .metrics
-                .set_exchanges("store", shared.store_exchange.totals());
-            answer_bytes(StatusCode::OK, shared.metrics.render())
-        }
-        "/status" => {
-            let status = serde_json::to_vec(&status(&shared));
-            answer_bytes(StatusCode::OK, status.expect("a status serialises"))
-        }
-        _ => answer_text(StatusCode::NOT_FOUND, "Try /ready, /status or /metrics.\n"),
-    }
+            let store = shared.store_exchange.totals();
+            shared.metrics.set_exchanges("store", store);
+            shared.metrics.render()
+        },
+        status: || status(&shared),
+    };
+    pages.answer(&request)
 }
 
 /// What the box says of itself.
--- a/crates/wingspur-entry/src/relay.rs
+++ b/crates/wingspur-entry/src/relay.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use prometheus::IntCounter;
 use wingspur_state::{AttemptId, AttemptOutcome, ServerIndex};
-use wingspur_transport::{BodyError, Lease};
+use wingspur_transport::{BodyError, Lease, poll_whole};
 
 use crate::concern::Place;
 use crate::in_force::ServiceHandle;
@@ -40,11 +40,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            Self::Own(body) => {
-                let polled = Pin::new(body).poll_frame(context);
-                polled
-                    .map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
-            }
+            Self::Own(body) => poll_whole(body, context),
             Self::Relay(body) => body.poll(context),
         }
     }
--- a/crates/wingspur-transport/src/body.rs
+++ b/crates/wingspur-transport/src/body.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
+use http_body_util::Full;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 
 /// A request body: kept whole for repeats, or streamed through.
@@ -48,6 +49,15 @@
     Stalled,
 }
 
+/// Polls a body that is held whole as one that could break off.
+pub fn poll_whole(
+    body: &mut Full<Bytes>,
+    context: &mut Context<'_>,
+) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    let polled = Pin::new(body).poll_frame(context);
+    polled.map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
+}
+
 impl Body for SendBody {
     type Data = Bytes;
     type Error = BodyError;
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -17,7 +17,7 @@
 pub use backend::{
     AnswerError, AnswerHead, Backend, BackendConnection, ConnectError, Reuse,
 };
-pub use body::{BodyError, SendBody};
+pub use body::{BodyError, SendBody, poll_whole};
 pub use catalog::{Catalog, CatalogError, CatalogFuture, LeaseId};
 pub use exchange::{Connector, Exchange, ExchangeError, ExchangeTotals};
 pub use faults::{LinkFault, LinkFaults};
