--- /dev/null
+++ b/tests/tests/budget_bound.rs
@@ -0,0 +1,577 @@
+//! The retry budget's bound, over every span of its window and whatever befalls the boxes.
+//!
+//! A service of 40 boxes got 208 resends in ten seconds for 698 requests, where a fifth of
+//! the requests and 60 are allowed: 200. Before all boxes were lost at 32.0 s they had made
+//! 120 of these, a fifth of some 400 requests and 40 of the 60. The boxes that started after
+//! it knew nothing of that, took the time before their start for one in which nothing was
+//! spent, and made 88 more in 5.6 s, a fifth of 300 requests and 28. The 60 were had once by
+//! the lost boxes and once more by the new ones.
+//!
+//! The play here is of the decisions alone, in virtual time, with seeds: boxes of four data
+//! centres, requests, resends that they ask for, and news on the way from box to box.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use wingspur_coordination::{Announced, FleetView, LinkWith, OWN_LINK};
+use wingspur_protocol::FleetNote;
+use wingspur_state::{
+    BudgetSettings, DataCentreId, FleetBudget, FleetStanding, ResendUse,
+};
+
+const SETTINGS: BudgetSettings = BudgetSettings {
+    ratio: 0.2,
+    window_s: 10.0,
+    slack: 60.0,
+};
+const SPAN_MS: i64 = 10_000;
+const STEP_MS: u64 = 50;
+const DATA_CENTRES: usize = 4;
+/// Fleets of many boxes with few requests each, and of few with many.
+const FLEETS: [usize; 2] = [40, 8];
+/// The fleet that the scenarios' rates are for.
+const RATED_BOXES: usize = 40;
+/// From a box to another, and to a server at the most.
+const NEWS_MS: u64 = 100;
+/// How often each side of a link is heard.
+const SIGN_OF_LIFE_MS: u64 = 300;
+const LONGEST_ARRIVAL_MS: u64 = 400;
+
+/// What happens in a play.
+struct Scenario {
+    name: &'static str,
+    /// Requests a second of a box.
+    rate: fn(place: usize, ms: u64) -> f64,
+    /// How likely a request asks for a resend, and how often in a row.
+    failing: fn(ms: u64) -> f64,
+    /// Whether a box runs.
+    runs: fn(place: usize, ms: u64) -> bool,
+    /// Whether two data centres hear each other.
+    hears: fn(one: usize, other: usize, ms: u64) -> bool,
+}
+
+fn steady(_: usize, _: u64) -> f64 {
+    1.75
+}
+
+fn always(_: usize, _: u64) -> bool {
+    true
+}
+
+fn all_hear(_: usize, _: usize, _: u64) -> bool {
+    true
+}
+
+fn within(ms: u64, from_s: u64, until_s: u64) -> bool {
+    (from_s * 1000..until_s * 1000).contains(&ms)
+}
+
+const SCENARIOS: [Scenario; 6] = [
+    Scenario {
+        name: "all boxes lost in the middle of a window",
+        rate: steady,
+        failing: |ms| if ms > 27_500 { 0.6 } else { 0.05 },
+        runs: |_, ms| !within(ms, 32, 33),
+        hears: all_hear,
+    },
+    Scenario {
+        name: "boxes and hubs stopped in turn",
+        rate: steady,
+        failing: |ms| if ms > 27_500 { 0.6 } else { 0.05 },
+        runs: |place, ms| {
+            let from_ms = 28_000 + 300 * place as u64;
+            !(place < 24 && (from_ms..from_ms + 1_200).contains(&ms))
+        },
+        hears: all_hear,
+    },
+    Scenario {
+        name: "many resends asked for at once",
+        rate: |_, ms| if ms % 10_000 < 50 { 150.0 } else { 1.2 },
+        failing: |ms| if ms > 25_000 { 0.9 } else { 0.0 },
+        runs: always,
+        hears: all_hear,
+    },
+    Scenario {
+        name: "halves that do not hear each other while boxes join",
+        rate: steady,
+        failing: |ms| if ms > 20_000 { 0.5 } else { 0.05 },
+        runs: |place, ms| place % 4 != 3 || ms > 30_000,
+        hears: |one, other, ms| one / 2 == other / 2 || !within(ms, 27, 47),
+    },
+    Scenario {
+        name: "single boxes killed again and again",
+        rate: steady,
+        failing: |ms| if ms > 20_000 { 0.6 } else { 0.05 },
+        runs: |place, ms| {
+            let phase_ms = ms + 400 * (place as u64 / 4);
+            place % 4 != 1 || ms < 20_000 || phase_ms % 4_000 > 700
+        },
+        hears: all_hear,
+    },
+    Scenario {
+        name: "traffic moves from one data centre to another",
+        rate: |place, ms| {
+            let turn = (ms / 10_000) as usize % DATA_CENTRES;
+            if place % DATA_CENTRES == turn {
+                7.0
+            } else {
+                0.0
+            }
+        },
+        failing: |ms| if ms > 20_000 { 0.7 } else { 0.05 },
+        runs: always,
+        hears: all_hear,
+    },
+];
+
+/// A run of a box, from its start to its end.
+type Life = u64;
+
+/// A box that runs.
+struct SimBox {
+    budget: FleetBudget,
+    fleet: FleetView,
+    life: Life,
+}
+
+/// A link between two runs of boxes, by place and run.
+#[derive(Clone, Copy, PartialEq)]
+struct SimLink {
+    one: (usize, Life),
+    other: (usize, Life),
+    /// Whether the first is a member of the other.
+    of_member: bool,
+}
+
+/// News on the way.
+struct Sent {
+    due_ms: u64,
+    sent: Instant,
+    link: u64,
+    to: usize,
+    told: FleetNote,
+}
+
+/// A request that asks for a resend.
+struct Asking {
+    at_ms: u64,
+    place: usize,
+    life: Life,
+    resends: u32,
+}
+
+/// A request that ends, with its resends.
+struct Ending {
+    at_ms: u64,
+    place: usize,
+    life: Life,
+    resends: u32,
+}
+
+struct Play<'a> {
+    scenario: &'a Scenario,
+    fleet: usize,
+    start: Instant,
+    now_ms: u64,
+    random: StdRng,
+    boxes: BTreeMap<usize, SimBox>,
+    hubs: [Option<usize>; DATA_CENTRES],
+    links: BTreeMap<u64, SimLink>,
+    next_link: u64,
+    lives: Life,
+    sent: Vec<Sent>,
+    asking: Vec<Asking>,
+    ending: Vec<Ending>,
+    requests_ms: Vec<u64>,
+    arrivals_ms: Vec<u64>,
+}
+
+impl<'a> Play<'a> {
+    fn new(scenario: &'a Scenario, fleet: usize, seed: u64) -> Self {
+        Self {
+            scenario,
+            fleet,
+            start: Instant::now() + Duration::from_secs(100),
+            now_ms: 0,
+            random: StdRng::seed_from_u64(seed),
+            boxes: BTreeMap::new(),
+            hubs: [None; DATA_CENTRES],
+            links: BTreeMap::new(),
+            next_link: OWN_LINK + 1,
+            lives: 0,
+            sent: Vec::new(),
+            asking: Vec::new(),
+            ending: Vec::new(),
+            requests_ms: Vec::new(),
+            arrivals_ms: Vec::new(),
+        }
+    }
+
+    /// Plays a minute.
+    fn run(&mut self) {
+        while self.now_ms < 60_000 {
+            self.follow_boxes();
+            self.follow_links();
+            self.tell();
+            self.hear();
+            self.take_requests();
+            self.ask();
+            self.end();
+            self.now_ms += STEP_MS;
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.start + Duration::from_millis(self.now_ms)
+    }
+
+    fn follow_boxes(&mut self) {
+        for place in 0..self.fleet {
+            if !(self.scenario.runs)(place, self.now_ms) {
+                self.boxes.remove(&place);
+            } else if !self.boxes.contains_key(&place) {
+                self.lives += 1;
+                let life = SimBox {
+                    budget: FleetBudget::new(SETTINGS),
+                    fleet: FleetView::new(name_of(place % DATA_CENTRES)),
+                    life: self.lives,
+                };
+                self.boxes.insert(place, life);
+            }
+        }
+        // The first box that runs in a data centre is its hub.
+        self.hubs = std::array::from_fn(|data_centre| {
+            let here = self.boxes.keys().copied();
+            here.filter(|place| place % DATA_CENTRES == data_centre)
+                .min()
+        });
+    }
+
+    fn wanted_links(&self) -> Vec<SimLink> {
+        let run = |place: usize| (place, self.boxes[&place].life);
+        let mut wanted = Vec::new();
+        for place in self.boxes.keys().copied() {
+            let hub = self.hubs[place % DATA_CENTRES].expect("it runs itself");
+            if hub != place {
+                wanted.push(SimLink {
+                    one: run(place),
+                    other: run(hub),
+                    of_member: true,
+                });
+            }
+        }
+        for one in 0..DATA_CENTRES {
+            for other in 0..one {
+                let hubs = self.hubs[one].zip(self.hubs[other]);
+                let heard = (self.scenario.hears)(one, other, self.now_ms);
+                if let Some((one, other)) = hubs.filter(|_| heard) {
+                    wanted.push(SimLink {
+                        one: run(one),
+                        other: run(other),
+                        of_member: false,
+                    });
+                }
+            }
+        }
+        wanted
+    }
+
+    fn follow_links(&mut self) {
+        let wanted = self.wanted_links();
+        let gone = self.links.iter().filter(|(_, link)| !wanted.contains(link));
+        let gone: Vec<(u64, SimLink)> = gone.map(|(id, link)| (*id, *link)).collect();
+        for (id, link) in gone {
+            self.links.remove(&id);
+            self.sent.retain(|sent| sent.link != id);
+            for run in [link.one, link.other] {
+                self.end_link(run, id);
+            }
+        }
+        for link in wanted {
+            if !self.links.values().any(|known| *known == link) {
+                self.begin_link(link);
+            }
+        }
+    }
+
+    fn end_link(&mut self, (place, life): (usize, Life), id: u64) {
+        let same = self.boxes.get_mut(&place).filter(|run| run.life == life);
+        if let Some(run) = same {
+            run.fleet.drop_link(id);
+        }
+    }
+
+    fn begin_link(&mut self, link: SimLink) {
+        let id = self.next_link;
+        self.next_link += 1;
+        self.links.insert(id, link);
+        let with = match link.of_member {
+            true => [LinkWith::OwnHub, LinkWith::Member],
+            false => [LinkWith::Hub, LinkWith::Hub],
+        };
+        let now = self.now();
+        let ends = [(link.one, link.other), (link.other, link.one)];
+        for (((place, _), (peer, _)), with) in ends.into_iter().zip(with) {
+            let run = self.boxes.get_mut(&place).expect("it runs");
+            let there = name_of(peer % DATA_CENTRES);
+            run.fleet.add_link(id, there, with, now);
+        }
+    }
+
+    /// Each box tells what it knows of the fleet on each of its links.
+    fn tell(&mut self) {
+        if !self.now_ms.is_multiple_of(SIGN_OF_LIFE_MS) {
+            return;
+        }
+        let links: Vec<(u64, SimLink)> =
+            self.links.iter().map(|(id, link)| (*id, *link)).collect();
+        for (id, link) in links {
+            self.send(id, link.one.0, link.other.0);
+            self.send(id, link.other.0, link.one.0);
+        }
+    }
+
+    fn send(&mut self, link: u64, from: usize, to: usize) {
+        let (known, now) = (self.announced(from), self.now());
+        let run = self.boxes.get_mut(&from).expect("it runs");
+        self.sent.push(Sent {
+            due_ms: self.now_ms + NEWS_MS,
+            sent: now,
+            link,
+            to,
+            told: run.fleet.tell(link, &known, now),
+        });
+    }
+
+    /// What the store tells a box: all hear it, also while they do not hear each other.
+    fn announced(&self, place: usize) -> Announced {
+        let here = place % DATA_CENTRES;
+        let elsewhere = (0..DATA_CENTRES).filter(|other| *other != here);
+        let elsewhere = elsewhere.filter(|other| self.hubs[*other].is_some());
+        Announced {
+            boxes: 1,
+            data_centres: elsewhere.map(name_of).collect(),
+            is_hub: self.is_hub(place),
+            stands_in: false,
+            age: Some(Duration::ZERO),
+        }
+    }
+
+    fn is_hub(&self, place: usize) -> bool {
+        self.hubs[place % DATA_CENTRES] == Some(place)
+    }
+
+    fn hear(&mut self) {
+        let (now, now_ms) = (self.now(), self.now_ms);
+        let due = |sent: &mut Sent| sent.due_ms <= now_ms;
+        let arrived: Vec<Sent> = self.sent.extract_if(.., due).collect();
+        for sent in arrived {
+            let known = self.announced(sent.to);
+            let run = self.boxes.get_mut(&sent.to).expect("its link stands");
+            let vouched = Some(sent.sent);
+            run.fleet.hear(sent.link, sent.told, &known, vouched, now);
+        }
+    }
+
+    fn take_requests(&mut self) {
+        let (now, now_ms) = (self.now(), self.now_ms);
+        let rate_factor = RATED_BOXES as f64 / self.fleet as f64;
+        for (place, run) in &mut self.boxes {
+            let rate = (self.scenario.rate)(*place, now_ms) * rate_factor;
+            let mut due = rate * STEP_MS as f64 / 1000.0;
+            while self.random.random_bool(due.clamp(0.0, 1.0)) {
+                due -= 1.0;
+                run.budget.count_request(now);
+                self.requests_ms.push(now_ms);
+                if self.random.random_bool((self.scenario.failing)(now_ms)) {
+                    self.asking.push(Asking {
+                        at_ms: now_ms + STEP_MS * self.random.random_range(0..4),
+                        place: *place,
+                        life: run.life,
+                        resends: 0,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Makes the resends that are due and allowed.
+    fn ask(&mut self) {
+        let (now, now_ms) = (self.now(), self.now_ms);
+        let due = |asking: &mut Asking| asking.at_ms <= now_ms;
+        let asking: Vec<Asking> = self.asking.extract_if(.., due).collect();
+        let window = Duration::from_secs_f64(SETTINGS.window_s);
+        for mut asking in asking {
+            let place = asking.place;
+            let same = self.boxes.get(&place);
+            if same.is_none_or(|run| run.life != asking.life) {
+                continue;
+            }
+            let known = self.announced(place);
+            let run = self.boxes.get_mut(&place).expect("it runs");
+            let standing = run.fleet.standing(window, &known, now);
+            let allowed = run.budget.take(ResendUse::Sure, standing, now).allowed;
+            let mut ends_ms = now_ms;
+            if allowed {
+                asking.resends += 1;
+                let steps = self.random.random_range(0..=LONGEST_ARRIVAL_MS / STEP_MS);
+                let arrives_ms = now_ms + STEP_MS * steps;
+                self.arrivals_ms.push(arrives_ms);
+                ends_ms = arrives_ms + STEP_MS;
+            }
+            if allowed && asking.resends < MOST_RESENDS {
+                asking.at_ms = ends_ms;
+                self.asking.push(asking);
+            } else {
+                self.ending.push(Ending {
+                    at_ms: ends_ms,
+                    place,
+                    life: asking.life,
+                    resends: asking.resends,
+                });
+            }
+        }
+    }
+
+    fn end(&mut self) {
+        let (now, now_ms) = (self.now(), self.now_ms);
+        let due = |ending: &mut Ending| ending.at_ms <= now_ms;
+        let ending: Vec<Ending> = self.ending.extract_if(.., due).collect();
+        for ending in ending {
+            let same = self.boxes.get_mut(&ending.place);
+            if let Some(run) = same.filter(|run| run.life == ending.life) {
+                run.budget.end(ending.resends, now);
+            }
+        }
+    }
+
+    /// The worst span of the window's length, with the slack.
+    fn worst(&self) -> (usize, f64, u64) {
+        let spans = worst_span(&self.requests_ms, &self.arrivals_ms, self.now_ms);
+        let (arrived, credit, from_ms) = spans;
+        (arrived, credit + SETTINGS.slack, from_ms)
+    }
+}
+
+/// The worst span of the window's length: resends, what the requests allow, its beginning.
+///
+/// Spans end within the play: requests that come after it would count for later ones.
+fn worst_span(
+    requests_ms: &[u64],
+    arrivals_ms: &[u64],
+    until_ms: u64,
+) -> (usize, f64, u64) {
+    let requests = CountBySteps::new(requests_ms, until_ms);
+    let arrivals = CountBySteps::new(arrivals_ms, until_ms);
+    let of = |from_ms: i64| {
+        let most = [0, SPAN_MS, SPAN_MS / 2]
+            .map(|back| requests.within(from_ms - back, from_ms - back + SPAN_MS))
+            .into_iter()
+            .max();
+        let most = most.expect("there are three");
+        let arrived = arrivals.within(from_ms, from_ms + SPAN_MS);
+        (arrived, SETTINGS.ratio * most as f64, from_ms.max(0) as u64)
+    };
+    let starts = (-SPAN_MS..until_ms as i64 - SPAN_MS).step_by(STEP_MS as usize);
+    let all = starts.map(of);
+    all.max_by(|a, b| (a.0 as f64 - a.1).total_cmp(&(b.0 as f64 - b.1)))
+        .expect("there are spans")
+}
+
+fn name_of(data_centre: usize) -> DataCentreId {
+    format!("dc-{data_centre}").as_str().into()
+}
+
+/// How many moments lie before each step.
+struct CountBySteps(Vec<usize>);
+
+impl CountBySteps {
+    fn new(moments_ms: &[u64], until_ms: u64) -> Self {
+        let steps = (until_ms / STEP_MS) as usize + 2;
+        let mut before = vec![0; steps + 1];
+        for moment in moments_ms {
+            let step = (moment / STEP_MS) as usize;
+            before[(step + 1).min(steps)] += 1;
+        }
+        for step in 0..steps {
+            before[step + 1] += before[step];
+        }
+        Self(before)
+    }
+
+    /// The moments of a span, both of its ends included.
+    fn within(&self, from_ms: i64, until_ms: i64) -> usize {
+        let step =
+            |ms: i64| (ms.max(0) as usize / STEP_MS as usize).min(self.0.len() - 1);
+        if until_ms < 0 {
+            return 0;
+        }
+        self.0[(step(until_ms) + 1).min(self.0.len() - 1)] - self.0[step(from_ms)]
+    }
+}
+
+/// The scenarios whose bound does not hold, with the figures.
+fn broken(scenarios: &[Scenario]) -> Vec<String> {
+    let mut broken = Vec::new();
+    for scenario in scenarios {
+        for (fleet, seed) in FLEETS
+            .into_iter()
+            .flat_map(|fleet| (0..SEEDS).map(move |seed| (fleet, seed)))
+        {
+            let mut play = Play::new(scenario, fleet, seed);
+            play.run();
+            let (arrived, allowed, from_ms) = play.worst();
+            let all = play.arrivals_ms.len();
+            let told = format!(
+                "{}, {fleet} boxes, seed {seed}: {arrived} resends of {allowed:.1} \
+                 from {from_ms} ms, {all} in all",
+                scenario.name
+            );
+            eprintln!("{told}");
+            if arrived as f64 > allowed {
+                broken.push(told);
+            }
+        }
+    }
+    broken
+}
+
+const SEEDS: u64 = 3;
+/// Of one request.
+const MOST_RESENDS: u32 = 2;
+
+#[test]
+fn no_window_holds_more_resends_than_allowed() {
+    let broken = broken(&SCENARIOS);
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+/// The most that boxes spend in any window beyond a fifth of what the fleet was asked for,
+/// each spending all that it may at all times.
+#[test]
+fn callers_that_move_from_one_box_to_another_are_not_counted_twice() {
+    let start = Instant::now() + Duration::from_secs(100);
+    let alone = FleetStanding::unknown();
+    let mut boxes = [(); 2].map(|()| FleetBudget::new(SETTINGS));
+    let (mut requests_ms, mut arrivals_ms) = (Vec::new(), Vec::new());
+    for now_ms in (0..60_000u64).step_by(STEP_MS as usize) {
+        let now = start + Duration::from_millis(now_ms);
+        let asked = &mut boxes[(now_ms / 10_000 % 2) as usize];
+        (0..2).for_each(|_| asked.count_request(now));
+        requests_ms.extend([now_ms; 2]);
+        for budget in &mut boxes {
+            while budget.take(ResendUse::Sure, alone, now).allowed {
+                budget.end(1, now);
+                arrivals_ms.push(now_ms);
+            }
+        }
+    }
+    let (arrived, credit, from_ms) = worst_span(&requests_ms, &arrivals_ms, 60_000);
+    assert!(
+        arrived as f64 <= credit,
+        "{arrived} of {credit} from {from_ms} ms"
+    );
+    assert!(arrivals_ms.len() > 200, "{} of 480", arrivals_ms.len());
+}
