A box that is a little behind is told the changes that it lacks, not everything

Cause: whoever links with a hub that has just taken over and is a revision behind was told a whole listing, of 312 servers; 36 members at once keep a hub of ten megabits busy. Ruled out: leaving it to the changes that follow; they need the ones before. Change: RecentChanges keeps the newest changes, up to a thousand; a greeting sends those that the other side lacks, and a listing only where they are not all at hand. Tests: a_box_that_is_a_little_behind_is_told_the_changes_that_it_lacks, changes_that_do_not_follow_on_those_before_begin_anew.

--- a/crates/wingspur-coordination/src/lib.rs
+++ b/crates/wingspur-coordination/src/lib.rs
@@ -10,6 +10,7 @@
 mod link_plan;
 mod membership;
 mod placement;
+mod recent_changes;
 mod rollup;
 mod shard_log;
 
@@ -25,6 +26,7 @@
 pub use link_plan::{LinkPlanner, PlannedLink};
 pub use membership::{HeardRefusal, Membership, MembershipSettings, PeerView};
 pub use placement::{Roster, hash_of};
+pub use recent_changes::RecentChanges;
 pub use rollup::{LinkId, LinkKind, NewsReader, OWN_LINK, Rollup, SourceNews};
 pub use shard_log::{
     ClaimTicket, ClaimVerdict, LogCommand, SegmentWrite, ShardLog, ShardLogSettings,
--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use wingspur_coordination::LinkId;
-use wingspur_protocol::{CatalogChange, CatalogChanges, CatalogListing, CatalogUpdate};
+use wingspur_protocol::{
+    CatalogChange, CatalogChanges, CatalogListing, CatalogUpdate, Revision,
+};
 use wingspur_state::BundlePatch;
 
 use crate::exchange::spread;
@@ -90,6 +92,18 @@
     apply_changes(shared, changes, "store", now);
 }
 
+/// What a peer that knows a revision lacks: the changes since, or all there is.
+pub fn update_since(shared: &Shared, revision: Revision, now: Instant) -> CatalogUpdate {
+    let changes = shared.links.lock().changes_since(revision);
+    match changes {
+        Some(changes) => CatalogUpdate::Changes {
+            changes,
+            doubtful_ms: doubtful_ms(shared, now),
+        },
+        None => listing_of(shared, now),
+    }
+}
+
 /// All that this box knows, for a peer that is behind.
 pub fn listing_of(shared: &Shared, now: Instant) -> CatalogUpdate {
     let announced = shared.lease.lock().is_some();
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -17,7 +17,7 @@
     empty_link_body, open_link,
 };
 
-use crate::catalog_state::{apply_update, listing_of};
+use crate::catalog_state::{apply_update, listing_of, update_since};
 use crate::links::Greeting;
 use crate::request_log::rounded;
 use crate::services::ServiceState;
@@ -188,8 +188,8 @@
 fn greet(shared: &Shared, id: LinkId, hello: &Hello) {
     let ours = shared.links.lock().revision();
     if ours > hello.revision {
-        let listing = listing_of(shared, Instant::now());
-        shared.links.lock().tell(id, listing);
+        let update = update_since(shared, hello.revision, Instant::now());
+        shared.links.lock().tell(id, update);
     }
     let greeting = greeting(shared);
     shared.links.lock().greet(id, greeting);
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -5,9 +5,12 @@
 
 use wingspur_coordination::{
     Announced, CatalogQueue, FeedView, FleetView, LinkClock, LinkId, LinkKind,
-    LinkPlanner, LinkWith, NewsReader, OWN_LINK, PlannedLink, Rollup, SourceNews,
+    LinkPlanner, LinkWith, NewsReader, OWN_LINK, PlannedLink, RecentChanges, Rollup,
+    SourceNews,
+};
+use wingspur_protocol::{
+    BoxRecord, CatalogChanges, CatalogUpdate, Digest, Frame, LinkRole, Revision,
 };
-use wingspur_protocol::{BoxRecord, CatalogUpdate, Digest, Frame, LinkRole, Revision};
 use wingspur_state::{
     BoxId, BundleVersion, FleetDivision, FleetStanding, HealthNote, ServerKey, SourceId,
 };
@@ -21,6 +24,7 @@
     news: NewsReader,
     planner: LinkPlanner,
     feed: FeedView,
+    recent: RecentChanges,
     active: BTreeMap<LinkId, ActiveLink>,
     fleet: FleetView,
     next_id: LinkId,
@@ -74,6 +78,7 @@
             news: NewsReader::default(),
             planner: LinkPlanner::new(own.clone()),
             feed: FeedView::new(own.id.clone(), now),
+            recent: RecentChanges::default(),
             active: BTreeMap::new(),
             fleet: FleetView::new(own.data_centre.clone()),
             next_id: OWN_LINK + 1,
@@ -223,6 +228,7 @@
     /// Queues news of the catalog for all links but the one that it came by; `urgent` where
     /// it changes anything.
     pub fn spread(&mut self, update: &CatalogUpdate, urgent: bool, from: Option<LinkId>) {
+        self.recent.put(update);
         for (id, link) in &mut self.active {
             if Some(*id) != from {
                 link.catalog.push(update, urgent);
@@ -237,6 +243,11 @@
         }
     }
 
+    /// The changes of the catalog after a revision, where they are all at hand.
+    pub fn changes_since(&self, revision: Revision) -> Option<CatalogChanges> {
+        self.recent.since(revision)
+    }
+
     /// Queues what the other side of a new link should know.
     pub fn greet(&mut self, id: LinkId, greeting: Greeting) {
         if let Some(link) = self.active.get_mut(&id) {
--- a/tests/tests/sharing.rs
+++ b/tests/tests/sharing.rs
@@ -6,7 +6,8 @@
 use rand::{RngExt, SeedableRng};
 use wingspur_coordination::{
     AnnouncementInputs, AnnouncementStep, CatalogQueue, FeedView, FleetCount, LinkKind,
-    LinkPlanner, NewsReader, OWN_LINK, Rollup, announcement_step, lists_at_start,
+    LinkPlanner, NewsReader, OWN_LINK, RecentChanges, Rollup, announcement_step,
+    lists_at_start,
 };
 use wingspur_protocol::{
     BoxRecord, CatalogChange, CatalogChanges, CatalogUpdate, Digest, FeedState, LinkRole,
@@ -262,6 +263,53 @@
     }
 }
 
+fn changes(after: u64, revision: u64, gone: &[&str]) -> CatalogUpdate {
+    let gone = gone
+        .iter()
+        .map(|id| CatalogChange::ServerGone(id.to_string()));
+    let changes = CatalogChanges {
+        after,
+        revision,
+        changes: gone.collect(),
+    };
+    CatalogUpdate::Changes {
+        changes,
+        doubtful_ms: 0,
+    }
+}
+
+#[test]
+fn a_box_that_is_a_little_behind_is_told_the_changes_that_it_lacks() {
+    let mut recent = RecentChanges::default();
+    recent.put(&changes(10, 12, &["a"]));
+    recent.put(&changes(12, 12, &[]));
+    recent.put(&changes(11, 15, &["b", "c"]));
+    let CatalogUpdate::Changes { changes: all, .. } = changes(10, 15, &["a", "b", "c"])
+    else {
+        unreachable!()
+    };
+    assert_eq!(recent.since(10), Some(all));
+    let of = |revision| recent.since(revision).map(|told| told.changes.len());
+    assert_eq!(of(12), Some(2));
+    assert_eq!(of(9), None, "some of what it lacks is not kept");
+    assert_eq!(of(15), None, "it lacks nothing");
+}
+
+#[test]
+fn changes_that_do_not_follow_on_those_before_begin_anew() {
+    let mut recent = RecentChanges::default();
+    recent.put(&changes(10, 12, &["a"]));
+    recent.put(&changes(14, 15, &["c"]));
+    assert_eq!(recent.since(10), None);
+    assert_eq!(recent.since(12), None);
+    assert_eq!(recent.since(14).map(|told| told.changes.len()), Some(1));
+    for revision in 15..2000 {
+        recent.put(&changes(revision, revision + 1, &["d"]));
+    }
+    assert_eq!(recent.since(14), None);
+    assert_eq!(recent.since(1500).map(|told| told.changes.len()), Some(500));
+}
+
 #[test]
 fn counts_that_go_back_are_no_news() {
     let mut reader = NewsReader::default();
