A failing test: a request that outlasts a planned stop is told so

Cause: the limit of a stop (3.0 s after the listener closed, 5.5 s after the signal) is shorter than callers wait (4 s); what is out then is dropped with its connection, neither answered nor logged.

The test fails on the code as it is: status 0 instead of 504.

--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -55,6 +55,30 @@
         servers: &[BackendServer],
         routes: &[Route],
         slack: f64,
+    ) -> Self {
+        Self::start_with(servers, routes, |store| {
+            settings_with_slack("box-1", store, slack)
+        })
+    }
+
+    /// The same with how the box stops.
+    pub fn start_with_drain(
+        servers: &[BackendServer],
+        routes: &[Route],
+        drain: Value,
+    ) -> Self {
+        Self::start_with(servers, routes, |store| {
+            let settings = settings("box-1", store);
+            let mut changed = serde_json::to_value(settings).expect("they serialise");
+            changed["drain"] = drain;
+            parse_settings("test", &changed.to_string()).expect("they are sound")
+        })
+    }
+
+    fn start_with(
+        servers: &[BackendServer],
+        routes: &[Route],
+        settings: impl FnOnce(SocketAddr) -> Settings,
     ) -> Self {
         let store = PlatformStore::start(500);
         store.put("op/config", &configuration(1, routes));
@@ -63,7 +87,7 @@
             store.put(&format!("servers/i-{n}"), &entry);
         }
         let workers = Workers::start(2);
-        let settings = settings_with_slack("box-1", store.address, slack);
+        let settings = settings(store.address);
         let running = start_box_with(settings, &store, &workers);
         wait_until("the box is ready", || running.is_ready());
         Self {
--- a/tests/tests/stopping.rs
+++ b/tests/tests/stopping.rs
@@ -1,11 +1,13 @@
-//! How long a planned stop takes, by the settings.
+//! What a planned stop does to the requests that are out, and how long it takes.
 
 mod edge;
 
 use std::time::Duration;
 
+use edge::{Deployment, Route};
 use serde_json::json;
 use wingspur_edge::{Settings, parse_settings};
+use wingspur_tests::{Answer, BackendServer, Reply};
 
 fn settings(drain: serde_json::Value) -> Settings {
     let mut value = serde_json::to_value(edge::settings("box-1", edge::any_address()));
@@ -18,6 +20,43 @@
     (settings.balancer_lag(), settings.drain_limit())
 }
 
+/// A box goes on accepting for 2.5 s after it was told to stop, since the balancer hears of
+/// it late, and ends 5.5 s after it. A request that comes last is held for 3 s at most, but
+/// its caller waits for up to 4 s. Such requests at servers that hung were still out when the
+/// box ended, and their connections closed with neither an answer nor a refusal: in three
+/// plays of planned work on 106 boxes, 13 requests in 675 stops, one logged as
+///
+/// ```text
+/// 2.225 s  attempt: sent.          server=i-7135f08479 left_ms=3992
+/// 3.090 s  retry: not hedged.      reason=budget_spent
+/// 5.508 s  stop: done.             cut=1
+/// ```
+///
+/// (seconds after the signal; no other line tells of that request).
+#[test]
+fn a_request_that_outlasts_the_stop_is_answered_before_the_box_ends() {
+    for class in ["read", "once_only"] {
+        let (answer, cut) = stop_with_a_silent_server(class);
+        assert_eq!(answer.status, 504, "{class}");
+        assert!(answer.whole, "{class}");
+        assert_eq!(cut, 0, "{class}");
+    }
+}
+
+/// Stops a box while its only server is silent on a request; what the caller was told, and
+/// how many requests the box says that it cut.
+fn stop_with_a_silent_server(class: &'static str) -> (Answer, usize) {
+    let servers = [BackendServer::start(|_| Reply::Silent)];
+    let drain = json!({"balancer_lag_ms": 100, "kill_after_s": 2.0});
+    let route = Route::new(class);
+    let deployment = Deployment::start_with_drain(&servers, &[route], drain);
+    let caller = deployment.caller();
+    let calling = std::thread::spawn(move || caller.call(class, "id-1"));
+    edge::wait_until("the server has it", || !servers[0].ran().is_empty());
+    let cut = deployment.close();
+    (calling.join().expect("the caller ends"), cut)
+}
+
 #[test]
 fn a_stop_ends_half_a_second_before_the_platform_kills() {
     let ms = Duration::from_millis;
