Sight: why a connection ended without an answer, and what a stop waits for

Cause: of requests that a stop cut there was no line at all, and a caller's close looked like any other end of a request's task.

Change: the box keeps a list of the requests that are not over (id, route, last server, stage). A stop tells of it at each of its steps and each second, and names what it cuts, long answers under way included (they were not counted as cut). A connection that ends under a request has a line with the error and whether the box was stopping. A panic is told from a caller that has gone.

The suite's log reader moved from log_lines.rs to kept_log/, its test unchanged.

--- a/crates/wingspur-edge/src/answer_body.rs
+++ b/crates/wingspur-edge/src/answer_body.rs
@@ -1,6 +1,7 @@
 //! The body of an answer to a caller: held whole, or passed on as it comes.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use futures_lite::Stream;
@@ -9,6 +10,7 @@
 use wingspur_transport::{BackendConnection, BodyError};
 
 use crate::attempt::AttemptGuard;
+use crate::requests_out::Ticket;
 
 /// The body of any answer to a caller.
 pub enum AnswerBody {
@@ -23,6 +25,8 @@
     pieces: Pin<Box<dyn Stream<Item = Result<Bytes, BodyError>> + Send>>,
     /// The length, where the head told it.
     length: Option<u64>,
+    /// The request is not over before its answer is.
+    _ticket: Arc<Ticket>,
 }
 
 impl StreamBody {
@@ -32,7 +36,9 @@
         connection: BackendConnection,
         guard: AttemptGuard,
         length: Option<u64>,
+        ticket: Arc<Ticket>,
     ) -> Self {
+        ticket.answering();
         let state = (first.into_iter(), Some((connection, guard)));
         let pieces =
             futures_lite::stream::unfold(state, |(mut first, rest)| async move {
@@ -62,6 +68,7 @@
         Self {
             pieces: Box::pin(pieces),
             length,
+            _ticket: ticket,
         }
     }
 }
--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::exchange::pass_alarm_on;
 use crate::in_force::ActiveRoute;
 use crate::request_log::id_text;
+use crate::requests_out::Ticket;
 use crate::services::ServiceState;
 use crate::shared::Shared;
 
@@ -34,6 +35,8 @@
     pub arrived: Instant,
     /// When it is given up.
     pub limit: Instant,
+    /// Its place among the requests that are not over.
+    pub ticket: Arc<Ticket>,
 }
 
 /// An answer that is here whole.
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -135,6 +135,7 @@
         self.tried.push(pick.server.key());
         let id = self.outgoing.id.as_ref();
         log_pick(id, &pick, self.tried.len(), self.remaining());
+        self.outgoing.ticket.sent(&pick.server.id);
         let body = self.take_body();
         self.begun = Some((Instant::now(), pick.clone()));
         let plan = AttemptPlan {
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
@@ -155,20 +155,25 @@
 
     /// Stops as planned: no new callers, all requests in flight to their end; returns
     /// how many were cut.
-    pub async fn close(self) -> usize {
+    pub async fn close(mut self) -> usize {
         let settings = self.shared.settings();
         let (lag, limit) = (settings.balancer_lag(), settings.drain_limit());
         tracing::info!(
             lag_ms = lag.as_millis() as u64,
+            limit_ms = limit.as_millis() as u64,
             "stop: not ready from now on."
         );
+        self.log_out("not ready");
         self.shared.leaving.store(true, Ordering::Release);
         self.shared.links.lock().note_leaving(None);
         self.shared.news.poke();
         self.withdraw().await;
         // The balancer learns of it late, and sends callers until then.
         smol::Timer::after(lag).await;
-        let cut = self.callers.close(limit).await;
+        self.callers.stop_accepting().await;
+        self.log_out("listener closed");
+        self.finish(Instant::now() + limit).await;
+        let cut = self.note_cut();
         self.stop.close();
         for task in self.tasks {
             task.cancel().await;
@@ -182,6 +187,49 @@
         cut
     }
 
+    /// Waits until all requests are over, or some time, and tells each second which are not.
+    async fn finish(&self, end: Instant) {
+        loop {
+            let until = end.min(Instant::now() + TELL_EVERY);
+            if self.callers.drain(until).await || Instant::now() >= end {
+                return;
+            }
+            self.log_out("waiting");
+        }
+    }
+
+    /// Tells which requests have no whole answer now that the box ends; returns how many.
+    fn note_cut(&self) -> usize {
+        self.log_out("end");
+        let requests = &self.shared.requests_out;
+        for row in requests.oldest(MOST_CUT_LINES) {
+            tracing::warn!(
+                id = row.id,
+                route = row.route,
+                server = row.server,
+                stage = ?row.stage,
+                took_ms = row.began.elapsed().as_millis() as u64,
+                "stop: a request is cut."
+            );
+        }
+        requests.count()
+    }
+
+    /// Tells how many requests and connections are out at a step of the stop.
+    fn log_out(&self, step: &str) {
+        let counts = self.callers.counts();
+        let read = |count: &AtomicUsize| count.load(Ordering::Acquire);
+        tracing::info!(
+            step,
+            requests = self.shared.requests_out.count(),
+            connections = read(&counts.connections),
+            closed_idle = read(&counts.closed_idle),
+            broken = read(&counts.broken),
+            oldest = self.shared.requests_out.oldest_text(Instant::now()),
+            "stop: what is out."
+        );
+    }
+
     /// Ends the announcement, so that the others look for another hub in time.
     async fn withdraw(&self) {
         let Some(lease) = self.shared.lease.lock().take() else {
@@ -239,4 +287,8 @@
 
 const TIDY_EVERY: Duration = Duration::from_millis(250);
 const CLOSE_EVERY: Duration = Duration::from_secs(1);
+/// How often a stop tells what it waits for.
+const TELL_EVERY: Duration = Duration::from_secs(1);
+/// So many requests that are cut have a line each; more than two were not seen.
+const MOST_CUT_LINES: usize = 20;
 const PORT_LIMIT: Duration = Duration::from_millis(200);
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod refusal;
 mod request;
 mod request_log;
+mod requests_out;
 mod services;
 mod settings;
 mod shared;
--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -45,6 +45,8 @@
     Shards,
     /// The buckets of caller accounts.
     Accounts,
+    /// The requests that are not over.
+    RequestsOut,
 }
 
 /// A mutex with a rank.
--- a/crates/wingspur-edge/src/request.rs
+++ b/crates/wingspur-edge/src/request.rs
@@ -21,6 +21,7 @@
 use crate::in_force::ActiveRoute;
 use crate::refusal::refusal;
 use crate::request_log::RequestLog;
+use crate::requests_out::Ticket;
 use crate::shared::Shared;
 
 /// Answers a caller: a backend server's whole answer, or an honest refusal.
@@ -32,7 +33,7 @@
     let old_version = request.version() < Version::HTTP_11;
     let arrived = Instant::now();
     let id = request.headers().get(shared.names.request_id);
-    let mut log = RequestLog::begin(id, &shared.metrics, arrived);
+    let mut log = RequestLog::begin(id, &shared, arrived);
     let mut response = match forward(&shared, request, arrived, &mut log).await {
         Ok(response) => {
             log.passed_on(&response);
@@ -70,7 +71,8 @@
     let class = route.route.class.as_str();
     let labels = [service.name.as_str(), class];
     shared.metrics.requests.with_label_values(&labels).inc();
-    let outgoing = outgoing(shared, parts, arrived, limit);
+    let ticket = log.ticket().clone();
+    let outgoing = outgoing(shared, parts, arrived, limit, ticket.clone());
     let forwarding = Forwarding::new(shared.clone(), route, service, outgoing, body);
     match forwarding.run().await? {
         AttemptResult::Answered(answer) => Ok(whole(answer)),
@@ -81,7 +83,7 @@
             guard,
         } => {
             let length = head.body_bytes;
-            let body = StreamBody::new(first, *connection, guard, length);
+            let body = StreamBody::new(first, *connection, guard, length, ticket);
             Ok(with_head(head, AnswerBody::Stream(body)))
         }
         AttemptResult::Failed(failed) => Err(plain(failed.code)),
@@ -106,7 +108,13 @@
 }
 
 /// Turns a caller's head into what every attempt sends.
-fn outgoing(shared: &Shared, parts: Parts, arrived: Instant, limit: Instant) -> Outgoing {
+fn outgoing(
+    shared: &Shared,
+    parts: Parts,
+    arrived: Instant,
+    limit: Instant,
+    ticket: Arc<Ticket>,
+) -> Outgoing {
     let names = &shared.names;
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
@@ -124,6 +132,7 @@
         id,
         arrived,
         limit,
+        ticket,
     }
 }
 
--- a/crates/wingspur-edge/src/request_log.rs
+++ b/crates/wingspur-edge/src/request_log.rs
@@ -12,12 +12,15 @@
 use crate::in_force::ActiveRoute;
 use crate::metrics::Metrics;
 use crate::refusal::RESULT_HEADER;
+use crate::requests_out::Ticket;
+use crate::shared::Shared;
 
 /// One request, from its head to its outcome.
 ///
-/// A request that is dropped without one was left by its caller.
+/// A request that is dropped without one was left by its caller, or its task panicked.
 pub struct RequestLog {
     metrics: Metrics,
+    ticket: Arc<Ticket>,
     id: String,
     began: Instant,
     routed: Option<Routed>,
@@ -33,10 +36,12 @@
 
 impl RequestLog {
     /// A request whose head has come.
-    pub fn begin(id: Option<&HeaderValue>, metrics: &Metrics, began: Instant) -> Self {
+    pub fn begin(id: Option<&HeaderValue>, shared: &Shared, began: Instant) -> Self {
+        let id = id_text(id).to_owned();
         Self {
-            metrics: metrics.clone(),
-            id: id_text(id).to_owned(),
+            metrics: shared.metrics.clone(),
+            ticket: shared.requests_out.enter(&id, began),
+            id,
             began,
             routed: None,
             told: false,
@@ -50,6 +55,7 @@
         service: &str,
         version: BundleVersion,
     ) {
+        self.ticket.routed(&route.route.name);
         self.routed = Some(Routed {
             route: route.clone(),
             service: service.to_owned(),
@@ -57,6 +63,11 @@
         });
     }
 
+    /// The request's place among those that are not over.
+    pub fn ticket(&self) -> &Arc<Ticket> {
+        &self.ticket
+    }
+
     /// Tells that a server's answer is passed on; a long one may still break off.
     pub fn passed_on<B>(mut self, response: &Response<B>) {
         self.end("passed on", response.status(), None);
@@ -110,6 +121,10 @@
         }
         let took_ms = self.began.elapsed().as_millis() as u64;
         let (route, service, class, version) = self.labels();
+        let reason = match std::thread::panicking() {
+            true => "its task panicked",
+            false => "its caller has gone",
+        };
         self.metrics.callers_gone.inc();
         tracing::info!(
             id = self.id,
@@ -117,8 +132,10 @@
             service,
             class,
             version,
+            sent = self.ticket.was_sent(),
+            server = self.ticket.server(),
             took_ms,
-            "request: its caller has gone."
+            "request: {reason}."
         );
     }
 }
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::links::Links;
 use crate::locks::{Rank, Ranked};
 use crate::metrics::Metrics;
+use crate::requests_out::RequestsOut;
 use crate::services::Services;
 use crate::settings::Settings;
 
@@ -43,6 +44,8 @@
     pub alarm: Bell,
     /// Rung when links may have to change.
     pub replan: Bell,
+    /// The requests that are not over.
+    pub requests_out: Arc<RequestsOut>,
     /// Whether the box is stopping.
     pub leaving: AtomicBool,
     in_force: Ranked<Option<Arc<InForce>>>,
@@ -80,6 +83,7 @@
             news: Bell::new(),
             alarm: Bell::new(),
             replan: Bell::new(),
+            requests_out: RequestsOut::new(),
             leaving: AtomicBool::new(false),
             in_force: Ranked::new(Rank::InForce, None),
             settings: Ranked::new(Rank::Settings, Arc::new(settings)),
--- a/crates/wingspur-transport/src/listener.rs
+++ b/crates/wingspur-transport/src/listener.rs
@@ -23,7 +23,8 @@
 pub struct HttpListener {
     address: SocketAddr,
     stop: StopTrigger,
-    accepting: smol::Task<()>,
+    /// None once it has stopped accepting.
+    accepting: Option<smol::Task<()>>,
     counts: Arc<ListenerCounts>,
 }
 
@@ -34,6 +35,10 @@
     pub connections: AtomicUsize,
     /// Requests being answered now.
     pub requests: AtomicUsize,
+    /// Connections that ended while a request on them was being answered.
+    pub broken: AtomicUsize,
+    /// Connections that the stop closed while no request was on them.
+    pub closed_idle: AtomicUsize,
 }
 
 /// How a listener treats its connections.
@@ -85,7 +90,7 @@
         Ok(Self {
             address,
             stop,
-            accepting,
+            accepting: Some(accepting),
             counts,
         })
     }
@@ -97,17 +102,30 @@
 
     /// Stops accepting, lets requests in flight finish, and returns how many were
     /// still unfinished after `limit`.
-    pub async fn close(self, limit: Duration) -> usize {
+    pub async fn close(mut self, limit: Duration) -> usize {
+        self.stop_accepting().await;
+        self.drain(Instant::now() + limit).await;
+        self.counts.requests.load(Ordering::Acquire)
+    }
+
+    /// Takes no more connections, closes those without a request, and lets the others end
+    /// with the answer that is due on them.
+    pub async fn stop_accepting(&mut self) {
         self.stop.close();
-        self.accepting.await;
-        let end = Instant::now() + limit;
+        if let Some(accepting) = self.accepting.take() {
+            accepting.await;
+        }
+    }
+
+    /// Waits until all connections have ended; false where some are left at `end`.
+    pub async fn drain(&self, end: Instant) -> bool {
         while self.counts.connections.load(Ordering::Acquire) > 0 {
             if Instant::now() >= end {
-                break;
+                return false;
             }
             smol::Timer::after(DRAIN_POLL).await;
         }
-        self.counts.requests.load(Ordering::Acquire)
+        true
     }
 
     /// What the listener holds open.
@@ -153,7 +171,7 @@
             let counts = self.counts.clone();
             let _open = CountGuard(&counts.connections);
             if let Err(error) = self.serve(stream, from).await {
-                tracing::debug!("listen: connection from {from} ended: {error}.");
+                tracing::debug!(%from, error, "listen: a connection failed.");
             }
         });
     }
@@ -198,20 +216,25 @@
         builder.timer(SmolTimer::new());
         builder.header_read_timeout(self.options.head_timeout);
         builder.max_buf_size(self.options.max_head_bytes.max(8 << 10));
+        let carried = Carried::default();
         let service = service_fn(|mut request: Request<Incoming>| {
             if let Some(certificate) = &certificate {
                 request.extensions_mut().insert(certificate.clone());
             }
-            self.answer(request, from)
+            self.answer(request, from, &carried)
         });
         let mut connection = pin!(builder.serve_connection(io, service));
-        match self.until_stop(connection.as_mut()).await {
-            Some(ended) => Ok(ended?),
+        let ended = match self.until_stop(connection.as_mut()).await {
+            Some(ended) => ended,
             None => {
+                self.note_stop(&carried);
                 connection.as_mut().graceful_shutdown();
-                Ok(connection.await?)
+                connection.as_mut().await
             }
-        }
+        };
+        // The connection still holds the request that it ended under.
+        self.note_end(from, &carried, &ended);
+        Ok(ended?)
     }
 
     async fn serve_http2(
@@ -224,31 +247,71 @@
         builder.timer(SmolTimer::new());
         builder.max_header_list_size(self.options.max_head_bytes as u32);
         let server = self.clone();
+        let carried = Arc::new(Carried::default());
+        let carried_here = carried.clone();
         // Each stream is a task of its own, so its answer owns all it needs.
         let service = service_fn(move |request| {
-            let server = server.clone();
-            async move { server.answer(request, from).await }
+            let (server, carried) = (server.clone(), carried_here.clone());
+            async move { server.answer(request, from, &carried).await }
         });
         let mut connection = pin!(builder.serve_connection(io, service));
-        match self.until_stop(connection.as_mut()).await {
-            Some(ended) => Ok(ended?),
+        let ended = match self.until_stop(connection.as_mut()).await {
+            Some(ended) => ended,
             None => {
+                self.note_stop(&carried);
                 connection.as_mut().graceful_shutdown();
-                Ok(connection.await?)
+                connection.as_mut().await
             }
-        }
+        };
+        self.note_end(from, &carried, &ended);
+        Ok(ended?)
     }
 
     async fn answer(
         &self,
         request: Request<Incoming>,
         from: SocketAddr,
+        carried: &Carried,
     ) -> Result<Response<B>, Infallible> {
         self.counts.requests.fetch_add(1, Ordering::AcqRel);
         let _running = CountGuard(&self.counts.requests);
+        carried.begun.fetch_add(1, Ordering::AcqRel);
+        carried.running.fetch_add(1, Ordering::AcqRel);
+        let _carried = CountGuard(&carried.running);
         Ok((self.handler)(request, from).await)
     }
 
+    /// Counts a connection that the stop closes while nothing is asked on it: a request
+    /// that is on its way then is never read.
+    fn note_stop(&self, carried: &Carried) {
+        if carried.running.load(Ordering::Acquire) == 0 {
+            self.counts.closed_idle.fetch_add(1, Ordering::AcqRel);
+        }
+    }
+
+    /// Tells of a connection that ended before the answers that were due on it.
+    fn note_end(
+        &self,
+        from: SocketAddr,
+        carried: &Carried,
+        ended: &Result<(), hyper::Error>,
+    ) {
+        let running = carried.running.load(Ordering::Acquire);
+        if running == 0 {
+            return;
+        }
+        self.counts.broken.fetch_add(1, Ordering::AcqRel);
+        let error = ended.as_ref().err().map(ToString::to_string);
+        tracing::info!(
+            %from,
+            running,
+            begun = carried.begun.load(Ordering::Acquire),
+            stopping = self.signal.is_given(),
+            error = error.unwrap_or_default(),
+            "listen: a connection ended under a request."
+        );
+    }
+
     /// A handshake takes no longer than a head may.
     async fn in_time<T>(
         &self,
@@ -272,6 +335,15 @@
     }
 }
 
+/// What one connection has carried.
+#[derive(Debug, Default)]
+struct Carried {
+    /// Requests whose heads have come.
+    begun: AtomicUsize,
+    /// Requests that are being answered.
+    running: AtomicUsize,
+}
+
 /// The certificate that the other side has proved to hold.
 fn peer_certificate(stream: &TlsStream<TcpStream>) -> Option<PeerCertificate> {
     let (_, connection) = stream.get_ref();
--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -133,6 +133,11 @@
 }
 
 impl Caller {
+    /// Where the box takes callers.
+    pub fn address(self) -> SocketAddr {
+        self.0
+    }
+
     /// Calls a route of a class.
     pub fn call(self, class: &str, id: &str) -> Answer {
         let method = match class {
--- a/tests/tests/log_lines.rs
+++ b/tests/tests/log_lines.rs
@@ -1,53 +1,15 @@
 //! What the log tells of a request: one outcome, and the decisions on the way to it.
 
 mod edge;
+mod kept_log;
 
-use std::io::Write;
 use std::sync::{Arc, Mutex};
 
 use edge::{Deployment, Route};
+use kept_log::KeptLog;
 use serde_json::Value;
-use tracing_subscriber::fmt::MakeWriter;
 use wingspur_tests::{BackendServer, Reply};
 
-/// Keeps what is logged.
-#[derive(Clone, Default)]
-struct Kept(Arc<Mutex<Vec<u8>>>);
-
-impl Write for Kept {
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        self.0.lock().unwrap().extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> std::io::Result<()> {
-        Ok(())
-    }
-}
-
-impl<'a> MakeWriter<'a> for Kept {
-    type Writer = Self;
-
-    fn make_writer(&'a self) -> Self {
-        self.clone()
-    }
-}
-
-impl Kept {
-    /// The lines that name a request, as their fields.
-    fn of_request(&self, id: &str) -> Vec<Value> {
-        let bytes = self.0.lock().unwrap().clone();
-        let text = String::from_utf8(bytes).unwrap();
-        let lines = text
-            .lines()
-            .map(|line| serde_json::from_str::<Value>(line).unwrap());
-        lines
-            .map(|line| line["fields"].clone())
-            .filter(|fields| fields["id"] == id)
-            .collect()
-    }
-}
-
 fn messages(lines: &[Value]) -> Vec<&str> {
     lines
         .iter()
@@ -58,9 +20,7 @@
 /// The one test of this file: the subscriber is the process's.
 #[test]
 fn each_request_has_one_outcome_in_the_log_and_its_decisions_before_it() {
-    let kept = Kept::default();
-    let builder = tracing_subscriber::fmt().json().with_writer(kept.clone());
-    builder.init();
+    let kept = KeptLog::start();
     let reply = Arc::new(Mutex::new(Reply::Whole));
     let shown = reply.clone();
     let servers = [BackendServer::start(move |_| *shown.lock().unwrap())];
