A stop answers every request that it has read before the box ends

Cause: the end of a stop was a limit on waiting, with nothing for what was still out then. Root cause of its class: a bound (the platform's kill) was met by dropping work without its last step, the answer.

Change: all moments of a stop are counted from the signal (accept until, answer by, end), so that a slow step (the lease's withdrawal, up to 0.2 s) no longer moves the end: 2.5, 5.3 and 5.5 s after it before a kill at 6.0 s, then ports for 0.2 s at once instead of one after the other. At 'answer by' each request that is out ends with 504 if a server was sent it (it may have run) and 503 if none was, from one place that covers every wait on the way: body, connection, server, hedge. Requests that come during a stop have no more time than that, so servers and hedges are told the truth.

Why no request that was read can miss its answer: from 'answer by' on no request waits for anything but the writing of its answer, and 0.2 s are left for that.

--- a/crates/wingspur-edge/src/announce.rs
+++ b/crates/wingspur-edge/src/announce.rs
@@ -1,7 +1,6 @@
 //! Keeps this box announced in the store while it may become a hub.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use wingspur_coordination::{AnnouncementInputs, AnnouncementStep, announcement_step};
@@ -14,7 +13,7 @@
 pub async fn run_announcement(shared: Arc<Shared>, stop: StopSignal) {
     let mut told_boxes = 0;
     let mut failures = 0u32;
-    while !stop.is_given() && !shared.leaving.load(Ordering::Acquire) {
+    while !stop.is_given() && !shared.stopping.has_begun() {
         let done = match (next_step(&shared), held_lease(&shared)) {
             (AnnouncementStep::AnnounceWithin(span), _) => {
                 announce_within(&shared, span, &mut told_boxes).await
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
+use futures_lite::future::zip;
 use smol::net::TcpListener;
 use wingspur_protocol::HeaderNames;
 use wingspur_transport::{
@@ -33,6 +34,41 @@
     tasks: Vec<smol::Task<()>>,
 }
 
+/// When a planned stop does what. All is counted from the signal, so that no step that takes
+/// long moves the end: that is half a second before the platform kills, and the ports that are
+/// closed after it take 0.2 s.
+struct StopPlan {
+    /// Until then callers are accepted.
+    accept_until: Instant,
+    /// Then all requests that are not over are answered as they stand.
+    answer_by: Instant,
+    /// Then what is still not written is cut.
+    end: Instant,
+}
+
+impl StopPlan {
+    fn new(settings: &Settings, told: Instant) -> Self {
+        let accept_until = told + settings.balancer_lag();
+        let end = accept_until + settings.drain_limit();
+        Self {
+            accept_until,
+            answer_by: end - settings.last_answers(),
+            end,
+        }
+    }
+
+    fn log(&self) {
+        let now = Instant::now();
+        let ms = |at: Instant| at.saturating_duration_since(now).as_millis() as u64;
+        tracing::info!(
+            accept_ms = ms(self.accept_until),
+            answer_by_ms = ms(self.answer_by),
+            end_ms = ms(self.end),
+            "stop: not ready from now on."
+        );
+    }
+}
+
 /// Why a box could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum EdgeError {
@@ -156,33 +192,32 @@
     /// Stops as planned: no new callers, all requests in flight to their end; returns
     /// how many were cut.
     pub async fn close(mut self) -> usize {
-        let settings = self.shared.settings();
-        let (lag, limit) = (settings.balancer_lag(), settings.drain_limit());
-        tracing::info!(
-            lag_ms = lag.as_millis() as u64,
-            limit_ms = limit.as_millis() as u64,
-            "stop: not ready from now on."
-        );
+        let plan = StopPlan::new(&self.shared.settings(), Instant::now());
+        plan.log();
         self.log_out("not ready");
-        self.shared.leaving.store(true, Ordering::Release);
+        self.shared.stopping.begin(plan.answer_by);
         self.shared.links.lock().note_leaving(None);
         self.shared.news.poke();
-        self.withdraw().await;
         // The balancer learns of it late, and sends callers until then.
-        smol::Timer::after(lag).await;
+        let accepting = smol::Timer::at(plan.accept_until);
+        zip(self.withdraw(), accepting).await;
         self.callers.stop_accepting().await;
         self.log_out("listener closed");
-        self.finish(Instant::now() + limit).await;
+        self.finish(plan.answer_by).await;
+        self.shared.stopping.end_requests();
+        self.callers.drain(plan.end).await;
         let cut = self.note_cut();
         self.stop.close();
         for task in self.tasks {
             task.cancel().await;
         }
+        let collectors = async {
+            if let Some(collectors) = self.collectors {
+                collectors.close(PORT_LIMIT).await;
+            }
+        };
         self.peers.close(Duration::ZERO).await;
-        self.operators.close(PORT_LIMIT).await;
-        if let Some(collectors) = self.collectors {
-            collectors.close(PORT_LIMIT).await;
-        }
+        zip(self.operators.close(PORT_LIMIT), collectors).await;
         tracing::info!(cut, "stop: done.");
         cut
     }
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod services;
 mod settings;
 mod shared;
+mod stopping;
 
 pub use edge_box::{EdgeBox, EdgeError};
 pub use heads::{check_framing, strip_hop_by_hop};
--- a/crates/wingspur-edge/src/request.rs
+++ b/crates/wingspur-edge/src/request.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
@@ -34,14 +33,25 @@
     let arrived = Instant::now();
     let id = request.headers().get(shared.names.request_id);
     let mut log = RequestLog::begin(id, &shared, arrived);
-    let mut response = match forward(&shared, request, arrived, &mut log).await {
-        Ok(response) => {
+    let forwarded = async { Some(forward(&shared, request, arrived, &mut log).await) };
+    let stopped = async {
+        shared.stopping.out_of_time().await;
+        None
+    };
+    let forwarded = forwarded.or(stopped).await;
+    let mut response = match forwarded {
+        Some(Ok(response)) => {
             log.passed_on(&response);
             response
         }
-        Err(given_up) => refuse(&shared, given_up, log),
+        Some(Err(given_up)) => refuse(&shared, given_up, log),
+        None => {
+            // Whatever it waits for, it has its answer before the box ends.
+            let sent = log.ticket().was_sent();
+            refuse(&shared, plain(out_of_time(sent)), log)
+        }
     };
-    if shared.leaving.load(Ordering::Acquire) || old_version {
+    if shared.stopping.has_begun() || old_version {
         // The connection ends with this answer, not under the caller's next request.
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -64,6 +74,7 @@
     let service = route.next_service().clone();
     log.routed(&route, &service.name, in_force.version());
     let limit = arrived + time_allowed(shared, &route, &parts.headers);
+    let limit = shared.stopping.limit(limit);
     let limits = in_force.bundle.caller_limits;
     let kept_bytes = shared.settings().kept_body_bytes;
     let body = receive_body(body, limits.max_body_bytes, kept_bytes, limit);
@@ -193,6 +204,14 @@
     response
 }
 
+/// What a caller is told when the box ends before its request is over.
+fn out_of_time(sent: bool) -> ResultCode {
+    match sent {
+        true => ResultCode::DeadlineInDoubt,
+        false => ResultCode::DeadlineBeforeSend,
+    }
+}
+
 fn plain(code: ResultCode) -> GivenUp {
     GivenUp {
         code,
--- a/crates/wingspur-edge/src/settings.rs
+++ b/crates/wingspur-edge/src/settings.rs
@@ -240,6 +240,11 @@
         self.stop_span().map_or(limit, |span| limit.min(span - lag))
     }
 
+    /// How much of that is for writing the answers to requests that were not over by then.
+    pub fn last_answers(&self) -> Duration {
+        LAST_ANSWERS.min(self.drain_limit() / 2)
+    }
+
     /// How long a stop may take, where the platform sets an end to it.
     fn stop_span(&self) -> Option<Duration> {
         let kill_after = Duration::from_secs_f64(self.drain.kill_after_s?);
@@ -252,6 +257,9 @@
 const LEAST_MBPS: f64 = 10.0;
 /// A box ends this long before it would be killed: timers and the last answers are late.
 const KILL_MARGIN: Duration = Duration::from_millis(500);
+/// Time to write the last answers, a few hundred bytes each: a box that has used up its share
+/// of a core stands still for up to a tenth of a second, here twice.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
 /// Why settings were refused.
 #[derive(Debug, thiserror::Error)]
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -1,7 +1,6 @@
 //! What all parts of an entry box share.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use wingspur_protocol::{BoxRecord, HeaderNames};
@@ -16,6 +15,7 @@
 use crate::requests_out::RequestsOut;
 use crate::services::Services;
 use crate::settings::Settings;
+use crate::stopping::Stopping;
 
 /// What all parts of an entry box share.
 #[derive(Debug)]
@@ -46,8 +46,8 @@
     pub replan: Bell,
     /// The requests that are not over.
     pub requests_out: Arc<RequestsOut>,
-    /// Whether the box is stopping.
-    pub leaving: AtomicBool,
+    /// Whether the box is stopping, and by when.
+    pub stopping: Stopping,
     in_force: Ranked<Option<Arc<InForce>>>,
     settings: Ranked<Arc<Settings>>,
 }
@@ -84,7 +84,7 @@
             alarm: Bell::new(),
             replan: Bell::new(),
             requests_out: RequestsOut::new(),
-            leaving: AtomicBool::new(false),
+            stopping: Stopping::new(),
             in_force: Ranked::new(Rank::InForce, None),
             settings: Ranked::new(Rank::Settings, Arc::new(settings)),
         }
@@ -153,7 +153,7 @@
 
     /// Whether the box takes callers.
     pub fn is_ready(&self) -> bool {
-        !self.leaving.load(Ordering::Acquire)
+        !self.stopping.has_begun()
             && self.bundle_version() > 0
             && !self.directory.lock().is_empty()
     }
