Tests: a stop under callers that have sent nothing, a part, or all of a request

Seven states at the moment of the stop, at servers that answer and that are silent: whoever's request was read whole is answered, a body that never comes gets 503, and a connection on which no head came whole closes.

--- a/tests/tests/stopping.rs
+++ b/tests/tests/stopping.rs
@@ -2,6 +2,8 @@
 
 mod edge;
 
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 
 use edge::{Deployment, Route};
@@ -89,3 +91,117 @@
     assert_eq!(capacity(0.3, 200.0), 3);
     assert_eq!(capacity(0.05, 5.0), 0);
 }
+
+/// How far a caller has come when the box is told to stop, and what it must be told.
+struct Caught {
+    name: &'static str,
+    reply: Reply,
+    /// What it has sent before the stop, and what it sends during it.
+    before: &'static str,
+    during: &'static str,
+    /// The status; 0 where its connection just closes.
+    status: u16,
+}
+
+const CAUGHT: &[Caught] = &[
+    Caught {
+        name: "nothing sent",
+        reply: Reply::Whole,
+        before: "",
+        during: "",
+        status: 0,
+    },
+    Caught {
+        name: "all sent during the stop",
+        reply: Reply::Whole,
+        before: "",
+        during: concat!(
+            "GET /read/a HTTP/1.1\r\n",
+            "host: site.example\r\nx-wingspur-request-id: id-1\r\n\r\n"
+        ),
+        status: 200,
+    },
+    Caught {
+        name: "all sent during the stop, the server silent",
+        reply: Reply::Silent,
+        before: "",
+        during: concat!(
+            "GET /read/a HTTP/1.1\r\n",
+            "host: site.example\r\nx-wingspur-request-id: id-1\r\n\r\n"
+        ),
+        status: 504,
+    },
+    Caught {
+        name: "half a head sent",
+        reply: Reply::Whole,
+        before: "GET /read/a HTTP/1.1\r\n",
+        during: "host: site.example\r\nx-wingspur-request-id: id-1\r\n\r\n",
+        status: 200,
+    },
+    Caught {
+        name: "half a head sent, and no more",
+        reply: Reply::Whole,
+        before: "GET /read/a HTTP/1.1\r\n",
+        during: "",
+        status: 0,
+    },
+    Caught {
+        name: "half a body sent",
+        reply: Reply::Whole,
+        before: concat!(
+            "POST /once_only/a HTTP/1.1\r\n",
+            "host: site.example\r\nx-wingspur-request-id: id-1\r\n",
+            "content-length: 8\r\n\r\nhalf"
+        ),
+        during: "more",
+        status: 200,
+    },
+    Caught {
+        name: "half a body sent, and no more",
+        reply: Reply::Whole,
+        before: concat!(
+            "POST /once_only/a HTTP/1.1\r\n",
+            "host: site.example\r\nx-wingspur-request-id: id-1\r\n",
+            "content-length: 8\r\n\r\nhalf"
+        ),
+        during: "",
+        status: 503,
+    },
+];
+
+#[test]
+fn whatever_a_caller_has_sent_when_the_box_stops_it_is_answered_once_all_was_read() {
+    std::thread::scope(|scope| {
+        for caught in CAUGHT {
+            scope.spawn(|| {
+                let (told, cut) = stop_under(caught);
+                assert_eq!(told, caught.status, "{}", caught.name);
+                assert_eq!(cut, 0, "{}", caught.name);
+            });
+        }
+    });
+}
+
+/// Stops a box while a caller has come so far; the status that it was told, 0 for none.
+fn stop_under(caught: &Caught) -> (u16, usize) {
+    let reply = caught.reply;
+    let servers = [BackendServer::start(move |_| reply)];
+    // Time enough to send the rest while it goes on accepting.
+    let drain = json!({"balancer_lag_ms": 1000, "kill_after_s": 3.0});
+    let routes = [Route::new("read"), Route::new("once_only")];
+    let deployment = Deployment::start_with_drain(&servers, &routes, drain);
+    let mut stream = TcpStream::connect(deployment.caller().address()).unwrap();
+    // Longer than the stop: what has not come by then never comes.
+    let limit = Some(Duration::from_secs(6));
+    stream.set_read_timeout(limit).unwrap();
+    stream.write_all(caught.before.as_bytes()).unwrap();
+    let stopping = std::thread::spawn(move || deployment.close());
+    std::thread::sleep(Duration::from_millis(200));
+    stream.write_all(caught.during.as_bytes()).unwrap();
+    let mut line = String::new();
+    // A connection that is reset tells as little as one that closes.
+    let read = BufReader::new(stream).read_line(&mut line).unwrap_or(0);
+    let status = line.split(' ').nth(1).and_then(|text| text.parse().ok());
+    let status = if read > 0 { status } else { None };
+    (status.unwrap_or(0), stopping.join().expect("the box stops"))
+}
