The box over its own sources answers what it has read before a stop ends, too

Same cause, same mechanism: the plan of a stop and its signal to the requests that are out are shared by both boxes. A once-only request that ends so is recorded as of unknown outcome, as for any caller that leaves. Left: after the end this box waits up to 2 s for such records and up to 1 s for each of two ports, which may pass the kill; no request is out by then.

--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -21,6 +21,7 @@
 use crate::request::answer_caller;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::stopping::StopPlan;
 
 /// A running entry box.
 #[derive(Debug)]
@@ -34,41 +35,6 @@
     tasks: Vec<smol::Task<()>>,
 }
 
-/// When a planned stop does what. All is counted from the signal, so that no step that takes
-/// long moves the end: that is half a second before the platform kills, and the ports that are
-/// closed after it take 0.2 s.
-struct StopPlan {
-    /// Until then callers are accepted.
-    accept_until: Instant,
-    /// Then all requests that are not over are answered as they stand.
-    answer_by: Instant,
-    /// Then what is still not written is cut.
-    end: Instant,
-}
-
-impl StopPlan {
-    fn new(settings: &Settings, told: Instant) -> Self {
-        let accept_until = told + settings.balancer_lag();
-        let end = accept_until + settings.drain_limit();
-        Self {
-            accept_until,
-            answer_by: end - settings.last_answers(),
-            end,
-        }
-    }
-
-    fn log(&self) {
-        let now = Instant::now();
-        let ms = |at: Instant| at.saturating_duration_since(now).as_millis() as u64;
-        tracing::info!(
-            accept_ms = ms(self.accept_until),
-            answer_by_ms = ms(self.answer_by),
-            end_ms = ms(self.end),
-            "stop: not ready from now on."
-        );
-    }
-}
-
 /// Why a box could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum EdgeError {
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -34,3 +34,4 @@
     CatalogSettings, DrainSettings, LogFormat, LogSettings, OnceOnlySettings, OwnSources,
     Settings, SettingsError, TlsSettings, load_settings, parse_settings,
 };
+pub use stopping::{StopPlan, Stopping, out_of_time};
--- a/crates/wingspur-edge/src/request.rs
+++ b/crates/wingspur-edge/src/request.rs
@@ -22,6 +22,7 @@
 use crate::request_log::RequestLog;
 use crate::requests_out::Ticket;
 use crate::shared::Shared;
+use crate::stopping::out_of_time;
 
 /// Answers a caller: a backend server's whole answer, or an honest refusal.
 pub async fn answer_caller(
@@ -204,14 +205,6 @@
     response
 }
 
-/// What a caller is told when the box ends before its request is over.
-fn out_of_time(sent: bool) -> ResultCode {
-    match sent {
-        true => ResultCode::DeadlineInDoubt,
-        false => ResultCode::DeadlineBeforeSend,
-    }
-}
-
 fn plain(code: ResultCode) -> GivenUp {
     GivenUp {
         code,
--- a/crates/wingspur-edge/src/stopping.rs
+++ b/crates/wingspur-edge/src/stopping.rs
@@ -3,8 +3,11 @@
 use std::sync::OnceLock;
 use std::time::Instant;
 
+use wingspur_protocol::ResultCode;
 use wingspur_transport::{StopSignal, StopTrigger, stop_pair};
 
+use crate::settings::Settings;
+
 /// Whether the box is stopping, and by when all requests must have their answers.
 #[derive(Debug)]
 pub struct Stopping {
@@ -53,3 +56,55 @@
         self.signal.wait().await;
     }
 }
+
+impl Default for Stopping {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// When a planned stop does what. All is counted from the signal, so that no step that takes
+/// long moves the end: that is half a second before the platform kills, and the ports that are
+/// closed after it take 0.2 s.
+#[derive(Debug, Clone, Copy)]
+pub struct StopPlan {
+    /// Until then callers are accepted.
+    pub accept_until: Instant,
+    /// Then all requests that are not over are answered as they stand.
+    pub answer_by: Instant,
+    /// Then what is still not written is cut.
+    pub end: Instant,
+}
+
+impl StopPlan {
+    /// The plan of a stop that the box was told of just now.
+    pub fn new(settings: &Settings, told: Instant) -> Self {
+        let accept_until = told + settings.balancer_lag();
+        let end = accept_until + settings.drain_limit();
+        Self {
+            accept_until,
+            answer_by: end - settings.last_answers(),
+            end,
+        }
+    }
+
+    /// Tells the plan.
+    pub fn log(&self) {
+        let now = Instant::now();
+        let ms = |at: Instant| at.saturating_duration_since(now).as_millis() as u64;
+        tracing::info!(
+            accept_ms = ms(self.accept_until),
+            answer_by_ms = ms(self.answer_by),
+            end_ms = ms(self.end),
+            "stop: not ready from now on."
+        );
+    }
+}
+
+/// What a caller is told when the box ends before its request is over.
+pub fn out_of_time(sent: bool) -> ResultCode {
+    match sent {
+        true => ResultCode::DeadlineInDoubt,
+        false => ResultCode::DeadlineBeforeSend,
+    }
+}
--- a/crates/wingspur-entry/src/entry_box.rs
+++ b/crates/wingspur-entry/src/entry_box.rs
@@ -7,7 +7,7 @@
 
 use smol::net::TcpListener;
 use wingspur_coordination::MembershipSettings;
-use wingspur_edge::{Metrics, Settings};
+use wingspur_edge::{Metrics, Settings, StopPlan};
 use wingspur_transport::{
     HttpListener, LinkFaults, ListenerOptions, Spawner, StopTrigger, TlsError, TlsFiles,
     TlsIdentity, stop_pair,
@@ -161,15 +161,18 @@
     }
 
     /// Stops as planned: no new callers, all requests in flight to their end.
-    pub async fn close(self) -> StopReport {
-        let settings = &self.shared.settings;
-        let (lag, limit) = (settings.balancer_lag(), settings.drain_limit());
-        tracing::info!("stop: not ready from now on.");
-        self.shared.leaving.store(true, Ordering::Release);
+    pub async fn close(mut self) -> StopReport {
+        let plan = StopPlan::new(&self.shared.settings, Instant::now());
+        plan.log();
+        self.shared.stopping.begin(plan.answer_by);
         beat(&self.shared);
         // The balancer learns of it late, and sends callers until then.
-        smol::Timer::after(lag).await;
-        let cut_requests = self.callers.close(limit).await;
+        smol::Timer::at(plan.accept_until).await;
+        self.callers.stop_accepting().await;
+        self.callers.drain(plan.answer_by).await;
+        self.shared.stopping.end_requests();
+        self.callers.drain(plan.end).await;
+        let cut_requests = self.callers.counts().requests.load(Ordering::Acquire);
         settle(&self.shared, SETTLE_LIMIT).await;
         self.stop.close();
         for task in self.tasks {
--- a/crates/wingspur-entry/src/peers.rs
+++ b/crates/wingspur-entry/src/peers.rs
@@ -1,7 +1,6 @@
 //! Messages of peers: heartbeats sent, and all that comes in answered.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use http_body_util::{BodyExt, Full, Limited};
@@ -187,7 +186,7 @@
     Heartbeat {
         bundle_version: shared.bundle_version(),
         heard_sequence,
-        leaving: shared.leaving.load(Ordering::Acquire),
+        leaving: shared.stopping.has_begun(),
         suspicions,
     }
 }
--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -3,7 +3,7 @@
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
@@ -23,7 +23,7 @@
 use crate::in_force::ServiceHandle;
 use crate::relay::{AnswerBody, AttemptGuard, CutRule, RelayBody};
 use crate::shared::Shared;
-use wingspur_edge::{check_framing, refusal, strip_hop_by_hop};
+use wingspur_edge::{check_framing, out_of_time, refusal, strip_hop_by_hop};
 
 /// Answers callers' requests.
 #[derive(Debug, Clone)]
@@ -38,6 +38,8 @@
     route: usize,
     parts: Parts,
     deadline: Instant,
+    /// Whether any server was sent it, so that it may have run.
+    sent: Arc<AtomicBool>,
 }
 
 impl Pending {
@@ -90,14 +92,21 @@
         from: SocketAddr,
     ) -> Response<AnswerBody> {
         let http1 = request.version() == Version::HTTP_11;
-        let mut response = match self.try_answer(request, from).await {
+        let sent = Arc::new(AtomicBool::new(false));
+        let answering = self.try_answer(request, from, sent.clone());
+        let stopped = async {
+            self.shared.stopping.out_of_time().await;
+            // Whatever it waits for, it has its answer before the box ends.
+            Err(out_of_time(sent.load(Ordering::Acquire)))
+        };
+        let mut response = match answering.or(stopped).await {
             Ok(response) => response,
             Err(code) => {
                 self.shared.metrics.refuse(code);
                 refusal(code, None).map(AnswerBody::own)
             }
         };
-        if http1 && self.shared.leaving.load(Ordering::Acquire) {
+        if http1 && self.shared.stopping.has_begun() {
             // The connection ends with this answer, not under the caller's next request.
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
@@ -109,6 +118,7 @@
         &self,
         request: Request<Incoming>,
         from: SocketAddr,
+        sent: Arc<AtomicBool>,
     ) -> Result<Response<AnswerBody>, ResultCode> {
         let arrived = Instant::now();
         let bundle = self.shared.in_force().ok_or(ResultCode::NotReady)?;
@@ -119,7 +129,7 @@
         let target = target.ok_or(ResultCode::MethodNotAllowed)?;
         let handle = bundle.services[target.service].clone();
         let route = &handle.service.routes[target.route];
-        let deadline = arrived + route.deadline();
+        let deadline = self.shared.stopping.limit(arrived + route.deadline());
         let class = route.class;
         let labels = [handle.service.name.as_str(), class.as_str()];
         self.shared
@@ -134,6 +144,7 @@
             route: target.route,
             parts,
             deadline,
+            sent,
         };
         let body = self.receive_body(body, pending.remaining()).await?;
         prepare_head(&mut pending.parts, from);
@@ -190,6 +201,7 @@
             let sent = body.take().unwrap_or(SendBody::empty());
             let attempt = AttemptGuard::begin(pending.handle.clone(), server);
             tried.push(server);
+            pending.sent.store(true, Ordering::Release);
             let failed = match self.send(pending, attempt, sent).await {
                 Ok(answered) => return Ok(answered),
                 Err(failed) => failed,
--- a/crates/wingspur-entry/src/shared.rs
+++ b/crates/wingspur-entry/src/shared.rs
@@ -12,7 +12,7 @@
 use wingspur_state::{AccountLimiter, BoxId};
 use wingspur_transport::{Exchange, LinkFaults, Spawner, StoreClient, TlsIdentity};
 
-use wingspur_edge::{Metrics, OwnSources, Rank, Ranked, Settings};
+use wingspur_edge::{Metrics, OwnSources, Rank, Ranked, Settings, Stopping};
 
 use crate::in_force::InForce;
 use crate::judges::Judges;
@@ -53,8 +53,8 @@
     pub incarnation: u64,
     /// Ends of once-only operations that no owner has taken yet.
     pub untold: AtomicUsize,
-    /// Whether the box is stopping.
-    pub leaving: AtomicBool,
+    /// Whether the box is stopping, and by when.
+    pub stopping: Stopping,
     /// Whether the box has started up.
     pub started: AtomicBool,
     in_force: Ranked<Option<Arc<InForce>>>,
@@ -103,7 +103,7 @@
             accounts: Ranked::new(Rank::Accounts, AccountLimiter::default()),
             incarnation,
             untold: AtomicUsize::new(0),
-            leaving: AtomicBool::new(false),
+            stopping: Stopping::new(),
             started: AtomicBool::new(false),
             in_force: Ranked::new(Rank::InForce, None),
             sequence: AtomicU64::new(0),
@@ -158,7 +158,7 @@
     /// Whether the box takes callers.
     pub fn is_ready(&self) -> bool {
         self.started.load(Ordering::Acquire)
-            && !self.leaving.load(Ordering::Acquire)
+            && !self.stopping.has_begun()
             && self.bundle_version() > 0
     }
 
