A second order to stop changes nothing; only an interrupt ends a stop at once

Cause: any second signal dropped the stop that was under way. Change: SIGTERM after the first is logged and ignored, SIGINT (a person at a terminal) ends it as before.

--- a/crates/wingspur/src/run.rs
+++ b/crates/wingspur/src/run.rs
@@ -15,7 +15,7 @@
 use crate::logs::Logs;
 use crate::report::Failure;
 
-/// Runs a box; the first signal stops it as planned, a second one at once.
+/// Runs a box; the first signal stops it as planned, an interrupt after that at once.
 pub fn run(args: &RunArgs) -> CommandResult {
     let settings = load_settings(&args.settings);
     let settings = settings.map_err(|error| Failure::WrongInput(error.to_string()))?;
@@ -33,15 +33,11 @@
         let running = Running::start(settings, &spawner).await?;
         run_until_stop(&running, &args.settings, &mut signals, &mut logs).await;
         let stopping = async { Some(running.close().await) };
-        let second = async {
-            while signals
-                .next()
-                .await
-                .is_some_and(|signal| is_reload(&signal))
-            {}
+        let interrupted = async {
+            until_interrupted(&mut signals).await;
             None
         };
-        Ok(stopping.or(second).await)
+        Ok(stopping.or(interrupted).await)
     });
     workers.close();
     logs.close();
@@ -49,7 +45,7 @@
         Some(0) => Ok(()),
         Some(cut) => Err(Failure::Failed(format!("{cut} requests were cut"))),
         None => Err(Failure::Failed(
-            "stopped at once by a second signal".to_owned(),
+            "stopped at once by an interrupt".to_owned(),
         )),
     }
 }
@@ -94,6 +90,19 @@
     }
 }
 
+/// Waits for a person who does not want to wait for a stop. A second order to stop is no
+/// such thing: two rollouts may both give one, and callers are still to be answered.
+async fn until_interrupted(signals: &mut Signals) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Int) => return,
+            Ok(Signal::Hup) => {}
+            Ok(signal) => tracing::info!(?signal, "stop: told again, it goes on."),
+            Err(error) => tracing::warn!(%error, "stop: a signal was not read."),
+        }
+    }
+}
+
 fn is_reload(signal: &std::io::Result<Signal>) -> bool {
     matches!(signal, Ok(Signal::Hup))
 }
--- a/tests/soak/src/boxes.rs
+++ b/tests/soak/src/boxes.rs
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Tells the process to stop; a second signal would end it at once.
+    /// Tells the process to stop, once.
     pub fn stop(&mut self) {
         if !self.stopping {
             self.signal(Signal::TERM);
