--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -18,9 +18,11 @@
 mod refusal;
 mod request;
 mod request_log;
+mod requests_out;
 mod services;
 mod settings;
 mod shared;
+mod stopping;
 
 pub use edge_box::{EdgeBox, EdgeError};
 pub use heads::{check_framing, strip_hop_by_hop};
@@ -32,3 +34,4 @@
     CatalogSettings, DrainSettings, LogFormat, LogSettings, OnceOnlySettings, OwnSources,
     Settings, SettingsError, TlsSettings, load_settings, parse_settings,
 };
+pub use stopping::{StopPlan, Stopping, out_of_time};
--- a/crates/wingspur-edge/src/request.rs
+++ b/crates/wingspur-edge/src/request.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
@@ -21,7 +20,9 @@
 use crate::in_force::ActiveRoute;
 use crate::refusal::refusal;
 use crate::request_log::RequestLog;
+use crate::requests_out::Ticket;
 use crate::shared::Shared;
+use crate::stopping::out_of_time;
 
 /// Answers a caller: a backend server's whole answer, or an honest refusal.
 pub async fn answer_caller(
@@ -32,15 +33,26 @@
     let old_version = request.version() < Version::HTTP_11;
     let arrived = Instant::now();
     let id = request.headers().get(shared.names.request_id);
-    let mut log = RequestLog::begin(id, &shared.metrics, arrived);
-    let mut response = match forward(&shared, request, arrived, &mut log).await {
-        Ok(response) => {
+    let mut log = RequestLog::begin(id, &shared, arrived);
+    let forwarded = async { Some(forward(&shared, request, arrived, &mut log).await) };
+    let stopped = async {
+        shared.stopping.out_of_time().await;
+        None
+    };
+    let forwarded = forwarded.or(stopped).await;
+    let mut response = match forwarded {
+        Some(Ok(response)) => {
             log.passed_on(&response);
             response
         }
-        Err(given_up) => refuse(&shared, given_up, log),
+        Some(Err(given_up)) => refuse(&shared, given_up, log),
+        None => {
+            // Whatever it waits for, it has its answer before the box ends.
+            let sent = log.ticket().was_sent();
+            refuse(&shared, plain(out_of_time(sent)), log)
+        }
     };
-    if shared.leaving.load(Ordering::Acquire) || old_version {
+    if shared.stopping.has_begun() || old_version {
         // The connection ends with this answer, not under the caller's next request.
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -63,6 +75,7 @@
     let service = route.next_service().clone();
     log.routed(&route, &service.name, in_force.version());
     let limit = arrived + time_allowed(shared, &route, &parts.headers);
+    let limit = shared.stopping.limit(limit);
     let limits = in_force.bundle.caller_limits;
     let kept_bytes = shared.settings().kept_body_bytes;
     let body = receive_body(body, limits.max_body_bytes, kept_bytes, limit);
@@ -70,7 +83,8 @@
     let class = route.route.class.as_str();
     let labels = [service.name.as_str(), class];
     shared.metrics.requests.with_label_values(&labels).inc();
-    let outgoing = outgoing(shared, parts, arrived, limit);
+    let ticket = log.ticket().clone();
+    let outgoing = outgoing(shared, parts, arrived, limit, ticket.clone());
     let forwarding = Forwarding::new(shared.clone(), route, service, outgoing, body);
     match forwarding.run().await? {
         AttemptResult::Answered(answer) => Ok(whole(answer)),
@@ -81,7 +95,7 @@
             guard,
         } => {
             let length = head.body_bytes;
-            let body = StreamBody::new(first, *connection, guard, length);
+            let body = StreamBody::new(first, *connection, guard, length, ticket);
             Ok(with_head(head, AnswerBody::Stream(body)))
         }
         AttemptResult::Failed(failed) => Err(plain(failed.code)),
@@ -106,7 +120,13 @@
 }
 
 /// Turns a caller's head into what every attempt sends.
-fn outgoing(shared: &Shared, parts: Parts, arrived: Instant, limit: Instant) -> Outgoing {
+fn outgoing(
+    shared: &Shared,
+    parts: Parts,
+    arrived: Instant,
+    limit: Instant,
+    ticket: Arc<Ticket>,
+) -> Outgoing {
     let names = &shared.names;
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
@@ -124,6 +144,7 @@
         id,
         arrived,
         limit,
+        ticket,
     }
 }
 
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -1,7 +1,6 @@
 //! What all parts of an entry box share.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use wingspur_protocol::{BoxRecord, HeaderNames};
@@ -13,8 +12,10 @@
 use crate::links::Links;
 use crate::locks::{Rank, Ranked};
 use crate::metrics::Metrics;
+use crate::requests_out::RequestsOut;
 use crate::services::Services;
 use crate::settings::Settings;
+use crate::stopping::Stopping;
 
 /// What all parts of an entry box share.
 #[derive(Debug)]
@@ -43,8 +44,10 @@
     pub alarm: Bell,
     /// Rung when links may have to change.
     pub replan: Bell,
-    /// Whether the box is stopping.
-    pub leaving: AtomicBool,
+    /// The requests that are not over.
+    pub requests_out: Arc<RequestsOut>,
+    /// Whether the box is stopping, and by when.
+    pub stopping: Stopping,
     in_force: Ranked<Option<Arc<InForce>>>,
     settings: Ranked<Arc<Settings>>,
 }
@@ -80,7 +83,8 @@
             news: Bell::new(),
             alarm: Bell::new(),
             replan: Bell::new(),
-            leaving: AtomicBool::new(false),
+            requests_out: RequestsOut::new(),
+            stopping: Stopping::new(),
             in_force: Ranked::new(Rank::InForce, None),
             settings: Ranked::new(Rank::Settings, Arc::new(settings)),
         }
@@ -149,7 +153,7 @@
 
     /// Whether the box takes callers.
     pub fn is_ready(&self) -> bool {
-        !self.leaving.load(Ordering::Acquire)
+        !self.stopping.has_begun()
             && self.bundle_version() > 0
             && !self.directory.lock().is_empty()
     }
--- a/tests/tests/stopping.rs
+++ b/tests/tests/stopping.rs
@@ -1,11 +1,15 @@
-//! How long a planned stop takes, by the settings.
+//! What a planned stop does to the requests that are out, and how long it takes.
 
 mod edge;
 
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 
+use edge::{Deployment, Route};
 use serde_json::json;
 use wingspur_edge::{Settings, parse_settings};
+use wingspur_tests::{Answer, BackendServer, Reply};
 
 fn settings(drain: serde_json::Value) -> Settings {
     let mut value = serde_json::to_value(edge::settings("box-1", edge::any_address()));
@@ -18,6 +22,43 @@
     (settings.balancer_lag(), settings.drain_limit())
 }
 
+/// A box goes on accepting for 2.5 s after it was told to stop, since the balancer hears of
+/// it late, and ends 5.5 s after it. A request that comes last is held for 3 s at most, but
+/// its caller waits for up to 4 s. Such requests at servers that hung were still out when the
+/// box ended, and their connections closed with neither an answer nor a refusal: in three
+/// plays of planned work on 106 boxes, 13 requests in 675 stops, one logged as
+///
+/// ```text
+/// 2.225 s  attempt: sent.          server=i-7135f08479 left_ms=3992
+/// 3.090 s  retry: not hedged.      reason=budget_spent
+/// 5.508 s  stop: done.             cut=1
+/// ```
+///
+/// (seconds after the signal; no other line tells of that request).
+#[test]
+fn a_request_that_outlasts_the_stop_is_answered_before_the_box_ends() {
+    for class in ["read", "once_only"] {
+        let (answer, cut) = stop_with_a_silent_server(class);
+        assert_eq!(answer.status, 504, "{class}");
+        assert!(answer.whole, "{class}");
+        assert_eq!(cut, 0, "{class}");
+    }
+}
+
+/// Stops a box while its only server is silent on a request; what the caller was told, and
+/// how many requests the box says that it cut.
+fn stop_with_a_silent_server(class: &'static str) -> (Answer, usize) {
+    let servers = [BackendServer::start(|_| Reply::Silent)];
+    let drain = json!({"balancer_lag_ms": 100, "kill_after_s": 2.0});
+    let route = Route::new(class);
+    let deployment = Deployment::start_with_drain(&servers, &[route], drain);
+    let caller = deployment.caller();
+    let calling = std::thread::spawn(move || caller.call(class, "id-1"));
+    edge::wait_until("the server has it", || !servers[0].ran().is_empty());
+    let cut = deployment.close();
+    (calling.join().expect("the caller ends"), cut)
+}
+
 #[test]
 fn a_stop_ends_half_a_second_before_the_platform_kills() {
     let ms = Duration::from_millis;
@@ -50,3 +91,117 @@
     assert_eq!(capacity(0.3, 200.0), 3);
     assert_eq!(capacity(0.05, 5.0), 0);
 }
+
+/// How far a caller has come when the box is told to stop, and what it must be told.
+struct Caught {
+    name: &'static str,
+    reply: Reply,
+    /// What it has sent before the stop, and what it sends during it.
+    before: &'static str,
+    during: &'static str,
+    /// The status; 0 where its connection just closes.
+    status: u16,
+}
+
+const CAUGHT: &[Caught] = &[
+    Caught {
+        name: "nothing sent",
+        reply: Reply::Whole,
+        before: "",
+        during: "",
+        status: 0,
+    },
+    Caught {
+        name: "all sent during the stop",
+        reply: Reply::Whole,
+        before: "",
+        during: concat!(
+            "GET /read/a HTTP/1.1\r\n",
+            "host: site.example\r\nx-wingspur-request-id: id-1\r\n\r\n"
+        ),
+        status: 200,
+    },
+    Caught {
+        name: "all sent during the stop, the server silent",
+        reply: Reply::Silent,
+        before: "",
+        during: concat!(
+            "GET /read/a HTTP/1.1\r\n",
+            "host: site.example\r\nx-wingspur-request-id: id-1\r\n\r\n"
+        ),
+        status: 504,
+    },
+    Caught {
+        name: "half a head sent",
+        reply: Reply::Whole,
+        before: "GET /read/a HTTP/1.1\r\n",
+        during: "host: site.example\r\nx-wingspur-request-id: id-1\r\n\r\n",
+        status: 200,
+    },
+    Caught {
+        name: "half a head sent, and no more",
+        reply: Reply::Whole,
+        before: "GET /read/a HTTP/1.1\r\n",
+        during: "",
+        status: 0,
+    },
+    Caught {
+        name: "half a body sent",
+        reply: Reply::Whole,
+        before: concat!(
+            "POST /once_only/a HTTP/1.1\r\n",
+            "host: site.example\r\nx-wingspur-request-id: id-1\r\n",
+            "content-length: 8\r\n\r\nhalf"
+        ),
+        during: "more",
+        status: 200,
+    },
+    Caught {
+        name: "half a body sent, and no more",
+        reply: Reply::Whole,
+        before: concat!(
+            "POST /once_only/a HTTP/1.1\r\n",
+            "host: site.example\r\nx-wingspur-request-id: id-1\r\n",
+            "content-length: 8\r\n\r\nhalf"
+        ),
+        during: "",
+        status: 503,
+    },
+];
+
+#[test]
+fn whatever_a_caller_has_sent_when_the_box_stops_it_is_answered_once_all_was_read() {
+    std::thread::scope(|scope| {
+        for caught in CAUGHT {
+            scope.spawn(|| {
+                let (told, cut) = stop_under(caught);
+                assert_eq!(told, caught.status, "{}", caught.name);
+                assert_eq!(cut, 0, "{}", caught.name);
+            });
+        }
+    });
+}
+
+/// Stops a box while a caller has come so far; the status that it was told, 0 for none.
+fn stop_under(caught: &Caught) -> (u16, usize) {
+    let reply = caught.reply;
+    let servers = [BackendServer::start(move |_| reply)];
+    // Time enough to send the rest while it goes on accepting.
+    let drain = json!({"balancer_lag_ms": 1000, "kill_after_s": 3.0});
+    let routes = [Route::new("read"), Route::new("once_only")];
+    let deployment = Deployment::start_with_drain(&servers, &routes, drain);
+    let mut stream = TcpStream::connect(deployment.caller().address()).unwrap();
+    // Longer than the stop: what has not come by then never comes.
+    let limit = Some(Duration::from_secs(6));
+    stream.set_read_timeout(limit).unwrap();
+    stream.write_all(caught.before.as_bytes()).unwrap();
+    let stopping = std::thread::spawn(move || deployment.close());
+    std::thread::sleep(Duration::from_millis(200));
+    stream.write_all(caught.during.as_bytes()).unwrap();
+    let mut line = String::new();
+    // A connection that is reset tells as little as one that closes.
+    let read = BufReader::new(stream).read_line(&mut line).unwrap_or(0);
+    let status = line.split(' ').nth(1).and_then(|text| text.parse().ok());
+    let status = if read > 0 { status } else { None };
+    (status.unwrap_or(0), stopping.join().expect("the box stops"))
+}
