--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -164,7 +164,8 @@
     start_box_with(settings, store, workers)
 }
 
-fn start_box_with(
+/// Starts a box that reads a store, by settings of its own.
+pub fn start_box_with(
     settings: Settings,
     store: &PlatformStore,
     workers: &Workers,
