Only the box that stops takes itself for it, and none is announced while it stops

Cause: see the tests' first lines; root cause a call with an optional link whose absence meant this box itself. Class: two meanings in one missing value. The withdrawal may take as long as callers are accepted anyway, not 0.2 s. Tests besides: a_run_that_stops_does_not_come_back_by_a_listing_and_the_next_run_counts.

--- a/crates/wingspur-coordination/src/link_plan.rs
+++ b/crates/wingspur-coordination/src/link_plan.rs
@@ -17,6 +17,9 @@
     /// Boxes that could not be reached, until when they are passed over, and how often
     /// in a row.
     avoided: HashMap<BoxId, (Instant, u32)>,
+    /// The runs of boxes that said that they stop, by incarnation. Prevents that whoever has
+    /// not heard of it yet brings one back by a listing.
+    stopping: HashMap<BoxId, u64>,
 }
 
 /// A link that should stand.
@@ -35,12 +38,14 @@
             own,
             boxes: BTreeMap::new(),
             avoided: HashMap::new(),
+            stopping: HashMap::new(),
         }
     }
 
     /// Takes in an announced box.
     pub fn put(&mut self, record: BoxRecord) {
-        if record.id == self.own.id {
+        let stops = self.stopping.get(&record.id) == Some(&record.incarnation);
+        if record.id == self.own.id || stops {
             return;
         }
         let before = self.boxes.insert(record.id.clone(), record.clone());
@@ -54,10 +59,20 @@
         self.boxes.remove(id);
     }
 
+    /// Takes in that a box said that it stops; its next run is another matter.
+    pub fn note_stopping(&mut self, record: &BoxRecord) {
+        let known = self.boxes.get(&record.id);
+        if known.is_some_and(|known| known.incarnation == record.incarnation) {
+            self.boxes.remove(&record.id);
+        }
+        self.stopping.insert(record.id.clone(), record.incarnation);
+    }
+
     /// Takes in a whole listing.
     pub fn replace(&mut self, listing: Vec<BoxRecord>) {
         let listed: HashSet<&BoxId> = listing.iter().map(|r| &r.id).collect();
         self.boxes.retain(|id, _| listed.contains(id));
+        self.stopping.retain(|id, _| listed.contains(id));
         listing.into_iter().for_each(|record| self.put(record));
     }
 
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use futures_lite::FutureExt;
 use futures_lite::future::zip;
 use smol::net::TcpListener;
 use wingspur_protocol::HeaderNames;
@@ -13,7 +12,7 @@
     Catalog, HttpListener, ListenerOptions, Spawner, StopSignal, StopTrigger, stop_pair,
 };
 
-use crate::announce::run_announcement;
+use crate::announce::{run_announcement, withdraw};
 use crate::exchange::{answer_peer, review, run_exchange, run_links};
 use crate::feed::run_feed;
 use crate::metrics::Metrics;
@@ -162,11 +161,12 @@
         plan.log();
         self.log_out("not ready");
         self.shared.stopping.begin(plan.answer_by);
-        self.shared.links.lock().note_leaving(None);
+        self.shared.links.lock().note_own_stop();
         self.shared.news.poke();
         // The balancer learns of it late, and sends callers until then.
         let accepting = smol::Timer::at(plan.accept_until);
-        zip(self.withdraw(), accepting).await;
+        let limit = plan.accept_until.saturating_duration_since(Instant::now());
+        zip(withdraw(&self.shared, limit.max(PORT_LIMIT)), accepting).await;
         self.callers.stop_accepting().await;
         self.log_out("listener closed");
         self.finish(plan.answer_by).await;
@@ -230,21 +230,6 @@
             "stop: what is out."
         );
     }
-
-    /// Ends the announcement, so that the others look for another hub in time.
-    async fn withdraw(&self) {
-        let Some(lease) = self.shared.lease.lock().take() else {
-            return;
-        };
-        let withdrawing = async { (self.shared.catalog.withdraw)(lease).await };
-        let expired = async {
-            smol::Timer::after(PORT_LIMIT).await;
-            Ok(())
-        };
-        if let Err(error) = withdrawing.or(expired).await {
-            tracing::info!(%error, "lease: not ended, it will lapse.");
-        }
-    }
 }
 
 /// Logs which servers are suspected and closes connections that have rested, until the box
--- a/tests/tests/sharing.rs
+++ b/tests/tests/sharing.rs
@@ -244,6 +244,37 @@
     assert!(feed.should_read(false, 0, now + Duration::from_secs(2)));
 }
 
+#[test]
+fn a_run_that_stops_does_not_come_back_by_a_listing_and_the_next_run_counts() {
+    let now = Instant::now();
+    let hub = |incarnation| BoxRecord {
+        capacity: 5,
+        incarnation,
+        ..record("hub", "dc-1")
+    };
+    let linked_with =
+        |planner: &LinkPlanner| planner.plan(now).first().map(|link| link.to.incarnation);
+    let mut planner = LinkPlanner::new(record("own", "dc-1"));
+    planner.put(hub(1));
+    assert_eq!(linked_with(&planner), Some(1));
+    planner.note_stopping(&hub(1));
+    assert_eq!(linked_with(&planner), None);
+    planner.replace(vec![hub(1)]);
+    assert_eq!(
+        linked_with(&planner),
+        None,
+        "told by one who has not heard of it"
+    );
+    planner.put(hub(2));
+    assert_eq!(linked_with(&planner), Some(2));
+    planner.note_stopping(&hub(1));
+    assert_eq!(
+        linked_with(&planner),
+        Some(2),
+        "a late word of its former run"
+    );
+}
+
 #[test]
 fn the_strongest_box_of_a_data_centre_is_its_hub() {
     let now = Instant::now();
