A box joins after 15 s instead of 18; windows too long for the held counts have no slack

A contact holds 2 s instead of 3: a hub that falls silent is noticed after one second. A hub's view of the announcements may be 7 s old instead of 8, as follows from the shorter wait.

Also: a window of more than 55 s would divide the slack by counts that are not held for as long as it takes to join; now it has none.

--- a/crates/wingspur-coordination/src/fleet_contact.rs
+++ b/crates/wingspur-coordination/src/fleet_contact.rs
@@ -8,18 +8,18 @@
 /// When a box was in touch with the whole fleet.
 ///
 /// A box is in touch at a moment if it is linked with its hub, and that hub with the hubs of
-/// all other data centres; so all others count it. The slack of a retry budget is divided by
-/// the number of boxes, and only boxes that have been in touch for `JOIN` use their parts.
+/// all other data centres; so all others count it, or do within `NEWS`. The slack of a retry
+/// budget is divided by the number of boxes, and only boxes that have been in touch for
+/// `join_after` use their parts.
 ///
 /// Why the parts that are used in a window never add up to more than the slack: let the
 /// window begin at t and be W long. Who uses its part in it sends between t - `ON_WAY` and
-/// t + W, has then been in touch for at least W + `ON_WAY` + `TOUCH` + `NEWS`, and was last
-/// in touch at most `TOUCH` before it sent. So all of them were in touch from
-/// t - `ON_WAY` - `TOUCH` - `NEWS` to t - `ON_WAY` - `TOUCH`: none of them has started or
-/// ended in between, and a run that took the place of another is not among them beside it.
-/// That is `NEWS` long, in which their number reaches every one of them. Each holds the
-/// largest number of the last `JOIN`, which goes back to then. So each part is at most the
-/// slack divided by how many use one.
+/// t + W, has then been in touch for W + `ON_WAY` + `TOUCH`, and was last in touch at most
+/// `TOUCH` before it sent. So all of them were in touch at t - `ON_WAY` - `TOUCH`; a run that
+/// took the place of another is not among them beside it. `NEWS` later, still before any of
+/// them sends, each has been told how many they are, since hubs count who has left them for
+/// longer than that; and each holds the largest number that it was told in the time that it
+/// was in touch. So each part is at most the slack divided by how many use one.
 #[derive(Debug, Clone, Default)]
 pub struct FleetContact {
     /// Since when the box has been in touch, and when it last was.
@@ -61,15 +61,17 @@
 
 /// For how long a box must have been in touch, and how long the number of boxes is held.
 pub fn join_after(window: Duration) -> Duration {
-    window + ON_WAY + TOUCH + NEWS
+    window + ON_WAY + TOUCH + MARGIN
 }
 
 /// A change of hubs takes less: 70 ms where the hub says that it stops, a second of silence
-/// and a connection where it does not.
-const TOUCH: Duration = Duration::from_secs(3);
-/// A resend reaches its server within this, or never: a lost packet is sent again after 0.2,
-/// 0.6 and 1.4 s.
+/// and the time of a connection where it does not.
+const TOUCH: Duration = Duration::from_secs(2);
+/// A resend reaches its server within this, or never.
 const ON_WAY: Duration = wingspur_state::RESEND_ON_WAY;
-/// A number of boxes reaches every box within this: on each of the two links to it, a sign
-/// of life comes each 0.3 s, and one that is silent for a second is given up.
-const NEWS: Duration = Duration::from_secs(3);
+/// A number of boxes reaches every box within this: on each of the two links to it a sign of
+/// life comes each 0.3 s, and one that is silent for a second is given up.
+const NEWS: Duration = Duration::from_millis(2600);
+const _: () = assert!(NEWS.as_millis() < ON_WAY.as_millis() + TOUCH.as_millis());
+/// For what frames take on their way, and for clocks that are read late.
+const MARGIN: Duration = Duration::from_secs(1);
--- a/crates/wingspur-coordination/src/fleet_count.rs
+++ b/crates/wingspur-coordination/src/fleet_count.rs
@@ -86,4 +86,4 @@
 /// A box that has no hub for longer is out of touch, and spends no slack.
 const HUB_CHANGE: Duration = Duration::from_secs(4);
 /// Counts are kept for so long: several times the usual window of a retry budget.
-const LONGEST_HOLD: Duration = Duration::from_secs(60);
+pub const LONGEST_HOLD: Duration = Duration::from_secs(60);
--- a/crates/wingspur-coordination/src/fleet_view.rs
+++ b/crates/wingspur-coordination/src/fleet_view.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use wingspur_protocol::FleetNote;
-use wingspur_state::{DataCentreId, FleetStanding};
+use wingspur_state::{Contact, DataCentreId, FleetStanding};
 
+use crate::fleet_count::LONGEST_HOLD;
 use crate::{DataCentreCounts, FleetContact, FleetCount, LinkId, join_after};
 
 /// What a box knows of the fleet by its links and the announcements.
@@ -151,9 +152,15 @@
     ) -> FleetStanding {
         self.note_contact(known, now);
         self.boxes(known, now);
+        let span = join_after(window);
+        // Counts that are not held for the span would divide the slack by too few.
+        let contact = match span <= LONGEST_HOLD {
+            true => self.contact.standing(window, now),
+            false => Contact::OutOfTouch,
+        };
         FleetStanding {
-            boxes: self.count.most(join_after(window), now),
-            contact: self.contact.standing(window, now),
+            boxes: self.count.most(span, now),
+            contact,
         }
     }
 
@@ -203,7 +210,7 @@
 ///
 /// Of a fleet that is cut in two, one part may keep the store, and lose sight of the other
 /// when its leases end, 7 s after the cut at the earliest (10 s after a renewal each 3 s).
-/// Boxes that start there then may spend slack 25 s after the cut. The other part stops 8 s
-/// after it and the time that a contact holds, so its last resends arrive 13 s after the cut,
-/// a window and 2 s before.
-const MOST_FEED_AGE: Duration = Duration::from_secs(8);
+/// Boxes that start there then may spend slack 15 s later, 22 s after the cut. The other part
+/// stops 7 s after it and the 2 s that a contact holds, so its last resends arrive 11 s after
+/// the cut: a window and a second before.
+const MOST_FEED_AGE: Duration = Duration::from_secs(7);
--- a/tests/tests/budgets.rs
+++ b/tests/tests/budgets.rs
@@ -294,6 +294,27 @@
     assert_eq!(fleet.most(seconds(9), now), 5);
 }
 
+#[test]
+fn a_window_longer_than_counts_are_held_has_no_slack() {
+    let start = Instant::now();
+    let known = hub_of(&[]);
+    let mut view = FleetView::new(centre("here"));
+    let contact_after = |view: &mut FleetView, window, until| {
+        let mut now = start;
+        while now <= start + until {
+            view.standing(window, &known, now);
+            now += Duration::from_secs(1);
+        }
+        view.standing(window, &known, start + until).contact
+    };
+    let (long, longer) = (seconds(50), seconds(60));
+    assert_eq!(contact_after(&mut view, long, seconds(70)), Contact::Joined);
+    assert_eq!(
+        contact_after(&mut view, longer, seconds(200)),
+        Contact::OutOfTouch
+    );
+}
+
 #[test]
 fn members_between_two_hubs_are_still_counted() {
     let start = Instant::now();
