--- a/crates/wingspur-coordination/src/fleet_view.rs
+++ b/crates/wingspur-coordination/src/fleet_view.rs
@@ -4,8 +4,9 @@
 use std::time::{Duration, Instant};
 
 use wingspur_protocol::FleetNote;
-use wingspur_state::{DataCentreId, FleetStanding};
+use wingspur_state::{Contact, DataCentreId, FleetStanding};
 
+use crate::fleet_count::LONGEST_HOLD;
 use crate::{DataCentreCounts, FleetContact, FleetCount, LinkId, join_after};
 
 /// What a box knows of the fleet by its links and the announcements.
@@ -44,6 +45,13 @@
     pub age: Option<Duration>,
 }
 
+/// What a box tells of the fleet, by what the other side is to it.
+#[derive(Debug, Clone, Copy)]
+pub struct ToldOfFleet {
+    to_member: FleetNote,
+    to_hub: FleetNote,
+}
+
 #[derive(Debug)]
 struct HeardLink {
     data_centre: DataCentreId,
@@ -52,6 +60,20 @@
     heard: Instant,
 }
 
+impl ToldOfFleet {
+    /// What one link is told.
+    pub fn on(&self, with: LinkWith) -> FleetNote {
+        match with {
+            LinkWith::Member => self.to_member,
+            LinkWith::Hub => self.to_hub,
+            LinkWith::OwnHub => FleetNote {
+                boxes: 1,
+                ..FleetNote::default()
+            },
+        }
+    }
+}
+
 impl FleetView {
     /// A box that knows of no other.
     pub fn new(own: DataCentreId) -> Self {
@@ -102,6 +124,9 @@
         let Some(link) = self.links.get_mut(&id) else {
             return;
         };
+        let counts = |note: &FleetNote| (note.boxes, note.counted);
+        // A hub of a hundred members hears thousands of frames a second.
+        let changed = counts(&link.told) != counts(&told);
         link.told = told;
         link.heard = vouched.unwrap_or(link.heard);
         if link.with == LinkWith::OwnHub
@@ -111,31 +136,27 @@
         {
             self.contact.note(at);
         }
-        self.boxes(known, now);
+        if changed {
+            self.boxes(known, now);
+        }
     }
 
-    /// What the other side of a link should be told.
-    pub fn tell(&mut self, id: LinkId, known: &Announced, now: Instant) -> FleetNote {
+    /// What the other sides of links should be told now.
+    pub fn tell(&mut self, known: &Announced, now: Instant) -> ToldOfFleet {
         self.note_contact(known, now);
-        let boxes = self.boxes(known, now) as u32;
-        let counted = self.counted_by_links(now) as u32;
         let age = self.contact.age(now).filter(|_| known.is_hub);
         let touch_ms = age.map(|age| age.as_millis().min(u128::from(u32::MAX)) as u32);
-        match self.links.get(&id).map(|link| link.with) {
-            Some(LinkWith::Member) => FleetNote {
-                boxes,
+        ToldOfFleet {
+            to_member: FleetNote {
+                boxes: self.boxes(known, now) as u32,
                 counted: 0,
                 touch_ms,
             },
-            Some(LinkWith::Hub) => FleetNote {
+            to_hub: FleetNote {
                 boxes: self.boxes_here() as u32,
-                counted,
+                counted: self.counted_by_links(now) as u32,
                 touch_ms,
             },
-            Some(LinkWith::OwnHub) | None => FleetNote {
-                boxes: 1,
-                ..FleetNote::default()
-            },
         }
     }
 
@@ -159,10 +180,16 @@
         now: Instant,
     ) -> FleetStanding {
         self.note_contact(known, now);
-        self.boxes(known, now);
+        let span = join_after(window);
+        // Counts that are not held for the span would divide the slack by too few.
+        let contact = match span <= LONGEST_HOLD {
+            true => self.contact.standing(window, now),
+            false => Contact::OutOfTouch,
+        };
         FleetStanding {
-            boxes: self.count.most(join_after(window), now),
-            contact: self.contact.standing(window, now),
+            // Each tick counts: a request need not.
+            boxes: self.count.most(span, now).max(known.boxes),
+            contact,
         }
     }
 
@@ -212,7 +239,7 @@
 ///
 /// Of a fleet that is cut in two, one part may keep the store, and lose sight of the other
 /// when its leases end, 7 s after the cut at the earliest (10 s after a renewal each 3 s).
-/// Boxes that start there then may spend slack 25 s after the cut. The other part stops 8 s
-/// after it and the time that a contact holds, so its last resends arrive 13 s after the cut,
-/// a window and 2 s before.
-const MOST_FEED_AGE: Duration = Duration::from_secs(8);
+/// Boxes that start there then may spend slack 15 s later, 22 s after the cut. The other part
+/// stops 7 s after it and the 2 s that a contact holds, so its last resends arrive 11 s after
+/// the cut: a window and a second before.
+const MOST_FEED_AGE: Duration = Duration::from_secs(7);
