Soak: a box that was started again can be told to stop again

Seen as boxes that never ended under a second series of stops. Ruled out: boxes that hang; the second signal was never sent. Change: the start clears the note.

--- a/tests/soak/src/boxes.rs
+++ b/tests/soak/src/boxes.rs
@@ -78,6 +78,7 @@
         let started = command.spawn();
         self.running =
             Some(started.unwrap_or_else(|error| panic!("{}: {error}", self.id)));
+        self.stopping = false;
     }
 
     /// Sends a signal to the process, if it runs.
