Soak: one budget check and one kind of box settings for several modes

Cause: a second mode of the soak needs boxes of other strength, data centre and budget, and the budget's windows with the users' third way to count requests. Ruled out: a second copy of either. Change: BoxSpec says what sets a box apart; Budget checks all windows that begin or end with a resend. The fault mode's budget keeps its figures and its two ways to count requests; it now looks at windows that begin with a resend as well as at those that end with one, which is stricter. Stand-ins read bodies in chunks, and answers from connections that stay.

--- a/tests/soak/src/boxes.rs
+++ b/tests/soak/src/boxes.rs
@@ -3,12 +3,27 @@
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::process::{Child, Command, ExitStatus, Stdio};
 
 use rand::RngExt;
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::json;
+use serde_json::{Value, json};
+
+use crate::budget::Budget;
+
+/// What sets one box apart.
+pub struct BoxSpec {
+    /// Its id.
+    pub id: String,
+    /// Where it stands.
+    pub data_centre: String,
+    /// Its share of a core; the strongest box of a data centre is its hub.
+    pub cpu_share: f64,
+    /// When it would be killed after it was told to stop; none for never.
+    pub kill_after_s: Option<f64>,
+    /// The retry budget that it is told.
+    pub budget: Budget,
+}
 
 /// One box, running or not.
 pub struct SoakBox {
@@ -22,43 +37,70 @@
     stopping: bool,
     id: String,
     program: PathBuf,
-    settings: PathBuf,
+    settings: Value,
+    path: PathBuf,
     log: PathBuf,
     running: Option<Child>,
+    ended: Option<ExitStatus>,
 }
 
 impl SoakBox {
     /// A box that is not started yet; its files go into `folder`.
-    pub fn new(id: &str, program: &Path, store: SocketAddr, folder: &Path) -> Self {
+    pub fn new(spec: &BoxSpec, program: &Path, store: SocketAddr, folder: &Path) -> Self {
         let (callers, operators) = (free_address(), free_address());
-        let settings = json!({
-            "box_id": id,
-            "data_centre": "dc-1",
+        let mut settings = json!({
+            "box_id": spec.id,
+            "data_centre": spec.data_centre,
             "fleet": "soak",
             "caller_address": callers,
             "peer_address": free_address(),
             "operator_address": operators,
             "worker_threads": 1,
+            "cpu_share": spec.cpu_share,
             "catalog": {"form": "kv", "store_address": store},
             "retry_budget": {
-                "ratio": RETRY_RATIO, "window_s": RETRY_WINDOW.as_secs_f64(), "slack": RETRY_SLACK,
+                "ratio": spec.budget.ratio,
+                "window_s": spec.budget.window.as_secs_f64(),
+                "slack": spec.budget.slack,
             },
             "drain": {"balancer_lag_ms": 500, "limit_ms": 8000},
             "log": {"format": "json", "filter": "info"},
         });
-        let path = folder.join(format!("{id}.json"));
-        std::fs::write(&path, settings.to_string()).expect("the folder takes files");
-        Self {
+        if let Some(kill_after_s) = spec.kill_after_s {
+            settings["drain"]["kill_after_s"] = json!(kill_after_s);
+        }
+        let created = Self {
             callers,
             operators,
             frozen: false,
             stopping: false,
-            id: id.to_owned(),
+            id: spec.id.clone(),
             program: program.to_owned(),
-            settings: path,
-            log: folder.join(format!("{id}.log")),
+            path: folder.join(format!("{}.json", spec.id)),
+            log: folder.join(format!("{}.log", spec.id)),
+            settings,
             running: None,
-        }
+            ended: None,
+        };
+        created.write_settings();
+        created
+    }
+
+    /// Writes another log filter into the settings file; the box is not told.
+    pub fn set_filter(&mut self, filter: &str) {
+        self.settings["log"]["filter"] = json!(filter);
+        self.write_settings();
+    }
+
+    /// How the process that ran last ended.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.reap();
+        self.ended
+    }
+
+    fn write_settings(&self) {
+        let written = std::fs::write(&self.path, self.settings.to_string());
+        written.expect("the folder takes files");
     }
 
     /// Starts the box, unless it runs.
@@ -70,7 +112,7 @@
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.expect("the folder takes files");
         let mut command = Command::new(&self.program);
-        command.arg("run").arg(&self.settings);
+        command.arg("run").arg(&self.path);
         command
             .stdin(Stdio::null())
             .stdout(log)
@@ -121,10 +163,19 @@
     }
 
     fn reap(&mut self) {
-        if let Some(child) = &mut self.running
-            && !matches!(child.try_wait(), Ok(None))
-        {
-            self.running = None;
+        let Some(child) = &mut self.running else {
+            return;
+        };
+        match child.try_wait() {
+            Ok(None) => {}
+            Ok(ended) => {
+                self.ended = ended;
+                self.running = None;
+            }
+            Err(error) => {
+                eprintln!("{}: its end cannot be read: {error}", self.id);
+                self.running = None;
+            }
         }
     }
 }
@@ -141,10 +192,3 @@
 }
 
 const BELOW_EPHEMERAL: std::ops::Range<u16> = 12_000..32_000;
-
-/// The retry budget of the service, as the boxes are told.
-pub const RETRY_RATIO: f64 = 0.2;
-/// The budget's window.
-pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
-/// What may be sent again in any window whatever the requests.
-pub const RETRY_SLACK: f64 = 40.0;
--- a/tests/soak/src/promises.rs
+++ b/tests/soak/src/promises.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::boxes::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW};
+use crate::budget::Budget;
 use crate::calls::Called;
 
 /// What the servers saw, and what was done to the boxes.
@@ -71,29 +71,12 @@
             again.push(*at);
         }
     }
-    let mut first = 0;
-    for (last, at) in again.iter().enumerate() {
-        while *at - again[first] > RETRY_WINDOW {
-            first += 1;
-        }
-        let spent = last - first + 1;
-        let sent_in = |from: Instant, to: Instant| {
-            called
-                .iter()
-                .filter(|one| one.sent >= from && one.sent <= to)
-                .count()
-        };
-        let from = at.checked_sub(RETRY_WINDOW).unwrap_or(*at);
-        let before = from.checked_sub(RETRY_WINDOW).unwrap_or(from);
-        let requests = sent_in(from, *at).max(sent_in(before, from));
-        let allowed = RETRY_RATIO * requests as f64 + RETRY_SLACK;
-        if spent as f64 > allowed {
-            return Some(format!(
-                "budget: {spent} resends in a window that allows {allowed}"
-            ));
-        }
-    }
-    None
+    let mut requests: Vec<Instant> = called.iter().map(|one| one.sent).collect();
+    requests.sort();
+    let fullest = RETRY_BUDGET.fullest(&requests, &again, &COUNTED_BEFORE)?;
+    let (spent, allowed) = (fullest.spent, fullest.allowed);
+    let text = format!("budget: {spent} resends in a window that allows {allowed}");
+    (fullest.share() > 1.0).then_some(text)
 }
 
 /// Once all is calm, nearly every request is served.
@@ -114,3 +97,11 @@
 /// A server that leaves gets no new work after this: the users' bound is two seconds.
 pub const LEAVING_BOUND: Duration = Duration::from_secs(2);
 const SERVED_WHEN_CALM: f64 = 0.97;
+/// The retry budget of the service, as the boxes are told.
+pub const RETRY_BUDGET: Budget = Budget {
+    ratio: 0.2,
+    window: Duration::from_secs(10),
+    slack: 40.0,
+};
+/// Requests count in the window itself or in the one before it, whichever has more.
+const COUNTED_BEFORE: [f64; 2] = [0.0, 1.0];
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -10,10 +10,10 @@
 use serde_json::{Value, json};
 use wingspur_tests::{BackendServer, PlatformStore, Reply, StoreFault, try_call};
 
-use crate::boxes::SoakBox;
+use crate::boxes::{BoxSpec, SoakBox};
 use crate::calls::{Called, Callers};
 use crate::plan::{Fault, FaultKind, Plan, SERVERS};
-use crate::promises::{LEAVING_BOUND, Seen, broken_promises};
+use crate::promises::{LEAVING_BOUND, RETRY_BUDGET, Seen, broken_promises};
 
 /// What is played.
 pub struct Setup {
@@ -118,7 +118,14 @@
             .collect();
         let mut boxes: Vec<_> = (0..setup.boxes)
             .map(|n| {
-                SoakBox::new(&format!("box-{n}"), &setup.program, store.address, folder)
+                let spec = BoxSpec {
+                    id: format!("box-{n}"),
+                    data_centre: "dc-1".to_owned(),
+                    cpu_share: 1.0,
+                    kill_after_s: None,
+                    budget: RETRY_BUDGET,
+                };
+                SoakBox::new(&spec, &setup.program, store.address, folder)
             })
             .collect();
         let mut play = Self {
--- a/tests/src/http.rs
+++ b/tests/src/http.rs
@@ -97,16 +97,13 @@
     }
 }
 
-fn read_request(reader: &mut impl BufRead) -> Option<Head> {
+/// Reads a request with its body; none where the connection ends before it is whole.
+pub fn read_request(reader: &mut impl BufRead) -> Option<Head> {
     let (line, headers) = read_head(reader)?;
     let mut words = line.split(' ');
     let (method, target) = (words.next()?, words.next()?);
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
-    let length = headers
-        .get("content-length")
-        .and_then(|text| text.parse().ok());
-    let mut body = vec![0; length.unwrap_or(0)];
-    reader.read_exact(&mut body).ok()?;
+    let body = read_body(reader, &headers)?;
     Some(Head {
         method: method.to_owned(),
         path: path.to_owned(),
@@ -116,6 +113,53 @@
     })
 }
 
+/// Reads an answer from a connection that stays; none where it ends before it is whole.
+pub fn read_kept_answer(reader: &mut impl BufRead) -> Option<Answer> {
+    let (line, headers) = read_head(reader)?;
+    let status = line.split(' ').nth(1)?.parse().ok()?;
+    let body = read_body(reader, &headers)?;
+    Some(Answer {
+        status,
+        headers,
+        body,
+        whole: true,
+    })
+}
+
+/// Reads a body that has a length or comes in chunks; without either there is none.
+fn read_body(
+    reader: &mut impl BufRead,
+    headers: &BTreeMap<String, String>,
+) -> Option<Vec<u8>> {
+    let coding = headers.get("transfer-encoding");
+    if coding.is_some_and(|coding| coding.eq_ignore_ascii_case("chunked")) {
+        return read_chunks(reader);
+    }
+    let length = headers.get("content-length");
+    let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(body)
+}
+
+fn read_chunks(reader: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let length = usize::from_str_radix(line.trim_end(), 16).ok()?;
+        let start = body.len();
+        body.resize(start + length, 0);
+        reader.read_exact(&mut body[start..]).ok()?;
+        // The line's end after the chunk, or the empty line after the last.
+        let mut end = [0; 2];
+        reader.read_exact(&mut end).ok()?;
+        if length == 0 {
+            return Some(body);
+        }
+    }
+}
+
 fn read_answer(reader: &mut impl BufRead) -> Answer {
     let Some((line, headers)) = read_head(reader) else {
         return Answer {
