--- a/tests/soak/src/planned/promises.rs
+++ b/tests/soak/src/planned/promises/mod.rs
@@ -1,14 +1,15 @@
 //! What must hold under planned work alone, checked on the record of a play.
 
+mod budgets;
+mod versions;
+
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use crate::budget::WindowUse;
 use crate::planned::operator::{LEAST_TIMEOUT_MS, ROUTES, RouteKind, SERVICES};
 use crate::planned::play::GRACE;
-use crate::planned::record::{
-    Arrival, BoxIndex, Call, Life, Outcome, Record, ServiceIndex, Work,
-};
+use crate::planned::record::{Arrival, Call, Life, Outcome, Record, ServiceIndex, Work};
 use crate::promises::LEAVING_BOUND;
 
 /// A promise that did not hold.
@@ -148,27 +149,6 @@
         }
     }
 
-    /// A box in touch handles no request as only a configuration of long ago allows.
-    fn check_route(&mut self, call: &'a Call) {
-        let record = self.record;
-        if !record.in_touch(call.box_index, call.began) {
-            return;
-        }
-        let bound = call.began.checked_sub(CONFIGURATION_BOUND);
-        let oldest = bound.map_or(0, |at| record.newest_taken(at));
-        let wrong = self.arrivals_of(call).iter().any(|arrival| {
-            let may_hold = record.versions[oldest..].iter();
-            let mut may_hold = may_hold.filter(|version| version.written <= arrival.at);
-            !may_hold
-                .any(|version| version.services[call.route].contains(&arrival.service))
-        });
-        if wrong {
-            let number = record.versions[oldest].number;
-            let text = format!("was handled by a configuration older than {number}");
-            self.find_call(CONFIGURATION, call, &text);
-        }
-    }
-
     /// A server that leaves gets no new work after a while.
     fn check_leaving(&mut self) {
         let record = self.record;
@@ -199,143 +179,6 @@
         }
     }
 
-    /// The resends of each service stay within its budget in every window.
-    fn check_budgets(&mut self) {
-        let record = self.record;
-        for service in 0..SERVICES.len() {
-            let requests = self.requests_of(service);
-            let resends = self.resends_of(service);
-            let fullest = record.budget.fullest(&requests, &resends, &COUNTED_BEFORE);
-            let Some(fullest) = fullest else { continue };
-            let most = self.margins.budget.map_or(0.0, |(_, most)| most.share());
-            if fullest.share() > most {
-                self.margins.budget = Some((service, fullest));
-            }
-            if fullest.share() > 1.0 {
-                self.find_budget(service, &fullest);
-            }
-        }
-    }
-
-    fn requests_of(&self, service: ServiceIndex) -> Vec<Instant> {
-        let record = self.record;
-        let is_for = |call: &&Call| match self.arrivals_of(call).first() {
-            Some(first) => first.service == service,
-            None => {
-                let version = &record.versions[record.newest_taken(call.began)];
-                version.services[call.route].contains(&service)
-            }
-        };
-        let requests = record.calls.iter().filter(is_for);
-        let mut began: Vec<Instant> = requests.map(|call| call.began).collect();
-        began.sort();
-        began
-    }
-
-    fn resends_of(&self, service: ServiceIndex) -> Vec<Instant> {
-        let beyond_first = self.arrivals.values().flat_map(|arrivals| &arrivals[1..]);
-        let mut at: Vec<Instant> = beyond_first
-            .filter(|arrival| arrival.service == service)
-            .map(|arrival| arrival.at)
-            .collect();
-        at.sort();
-        at
-    }
-
-    fn find_budget(&mut self, service: ServiceIndex, used: &WindowUse) {
-        let record = self.record;
-        let (from, to) = (used.from, used.from + record.budget.window);
-        let text = format!(
-            "service {}: {} resends in the window from {:.3} s, for {} requests, \
-             allowed {:.1}",
-            SERVICES[service],
-            used.spent,
-            record.seconds(from),
-            used.requests,
-            used.allowed,
-        );
-        let beyond = self.arrivals.iter().filter_map(|(id, arrivals)| {
-            let beyond = arrivals[1..].iter();
-            let in_window =
-                |a: &&&Arrival| a.service == service && a.at >= from && a.at <= to;
-            let beyond: Vec<_> = beyond.filter(in_window).collect();
-            (!beyond.is_empty()).then_some((*id, beyond))
-        });
-        let boxes: HashMap<&str, BoxIndex> = record
-            .calls
-            .iter()
-            .map(|call| (call.id.as_str(), call.box_index))
-            .collect();
-        let mut story: Vec<(Instant, String)> = beyond
-            .flat_map(|(id, arrivals)| {
-                let asked = boxes.get(id).copied().unwrap_or_default();
-                arrivals.into_iter().map(move |arrival| {
-                    let run = &arrival.run;
-                    (arrival.at, format!("{id} from box-{asked} again at {run}"))
-                })
-            })
-            .collect();
-        let started = record.lives.iter().enumerate().flat_map(|(number, lives)| {
-            let started = lives
-                .iter()
-                .filter(|life| life.started >= from - record.budget.window);
-            started.map(move |life| (life.started, format!("box-{number} is started")))
-        });
-        story.extend(started.filter(|(at, _)| *at <= to));
-        story.sort();
-        let story = story.into_iter();
-        let story = story.map(|(at, line)| format!("{:.3} s {line}", record.seconds(at)));
-        self.findings.push(Finding {
-            promise: "budget",
-            text,
-            story: story.collect(),
-        });
-    }
-
-    /// Versions never go back within a life, and each is in force in time.
-    fn check_versions(&mut self) {
-        let record = self.record;
-        let mut newest: HashMap<(BoxIndex, usize), u64> = HashMap::new();
-        for reading in &record.readings {
-            let (index, asked) = (reading.box_index, reading.asked);
-            let before = record.life_at(index, asked).map(|(life, _)| life);
-            let after = record.life_at(index, reading.told).map(|(life, _)| life);
-            let Some(life) = before.filter(|_| before == after) else {
-                continue;
-            };
-            let known = newest.entry((index, life)).or_default();
-            if reading.version < *known {
-                let text =
-                    format!("box-{index} went from {known} to {}", reading.version);
-                self.find_at("versions", asked, text);
-            }
-            let known = newest.entry((index, life)).or_default();
-            *known = reading.version.max(*known);
-            if record.in_touch(index, reading.told) {
-                self.check_behind(index, asked, reading.version);
-            }
-        }
-    }
-
-    fn check_behind(&mut self, index: BoxIndex, asked: Instant, version: u64) {
-        let newer = self
-            .record
-            .versions
-            .iter()
-            .find(|newer| newer.number > version);
-        let Some(newer) = newer.filter(|newer| newer.taken < asked) else {
-            return;
-        };
-        let behind = asked - newer.taken;
-        self.margins.behind = self.margins.behind.max(behind);
-        if behind > CONFIGURATION_BOUND {
-            let (number, ms) = (newer.number, behind.as_millis());
-            let text =
-                format!("box-{index} has {version}, {ms} ms after {number} was taken");
-            self.find_at(CONFIGURATION, asked, text);
-        }
-    }
-
     /// Processes end when they are told to, in time, and cut nothing.
     fn check_lives(&mut self) {
         let record = self.record;
@@ -453,16 +296,11 @@
 }
 
 const LOST: &str = "lost";
-const CONFIGURATION: &str = "configuration";
 /// The statuses that promise that a request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 /// A connection that ends this soon may have crossed the request: the users' figure.
 const UNREAD_WITHIN: Duration = Duration::from_millis(200);
-/// In force everywhere after this: the users' bound.
-const CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
 /// The box counts from the head's arrival, and its timers have milliseconds.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(50);
-/// Requests count in the window itself, or half a window or a window before it.
-const COUNTED_BEFORE: [f64; 3] = [0.0, 0.5, 1.0];
 /// Of the requests whose service sheds nothing; what is refused are few at a start.
 const LEAST_ANSWERED: f64 = 0.95;
