--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -48,6 +48,9 @@
     /// backend servers under planned work at first; twice as many as boxes, if not given
     #[argh(option)]
     servers: Option<usize>,
+    /// under planned work, tell each box that stops to stop once more
+    #[argh(switch)]
+    told_twice: bool,
     /// where the logs of broken seeds are kept under planned work
     #[argh(option, default = "std::env::temp_dir().join(\"wingspur-soak\")")]
     logs: PathBuf,
@@ -107,6 +110,7 @@
         servers: args.servers.unwrap_or(2 * boxes).max(LEAST_SERVERS),
         data_centres: args.data_centres.clamp(1, MOST_DATA_CENTRES),
         span: Duration::from_secs(args.seconds),
+        tells_twice: args.told_twice,
     };
     let is_one = seeds.clone().count() == 1;
     let verdicts: Vec<Verdict> = seeds
--- a/tests/soak/src/planned/play/box_work.rs
+++ b/tests/soak/src/planned/play/box_work.rs
@@ -52,6 +52,19 @@
         self.note(format!(
             "box-{index} is told to stop, {in_flight} in flight"
         ));
+        if self.setup.tells_twice {
+            let after = self.random.random_range(0..MOST_BETWEEN_SIGNALS_MS);
+            self.plan(Duration::from_millis(after), Later::TellAgain(index));
+        }
+    }
+
+    /// Tells a box to stop that is stopping already, as two operators at once would.
+    pub(super) fn tell_again(&mut self, index: BoxIndex) {
+        if !self.boxes[index].stops() {
+            return;
+        }
+        self.boxes[index].process.signal(Signal::TERM);
+        self.note(format!("box-{index} is told to stop once more"));
     }
 
     /// Notes which processes have ended; those that were told to are started again.
@@ -99,8 +112,7 @@
         let filter = filter[self.random.random_range(0..filter.len())];
         for index in 0..self.boxes.len() {
             let told = &mut self.boxes[index];
-            let stops = told.lives.last().is_some_and(|life| life.told.is_some());
-            if self.random.random_bool(0.2) || !(told.takes_callers() || stops) {
+            if self.random.random_bool(0.2) || !(told.takes_callers() || told.stops()) {
                 continue;
             }
             if changed {
@@ -151,3 +163,5 @@
 const BUSY_PATIENCE: Duration = Duration::from_millis(300);
 /// How long it waits for the box to be back, and for enough others.
 const SERIES_PATIENCE: Duration = Duration::from_secs(6);
+/// A stop takes half a second and what is in flight.
+const MOST_BETWEEN_SIGNALS_MS: u64 = 1500;
--- a/tests/soak/src/planned/play/mod.rs
+++ b/tests/soak/src/planned/play/mod.rs
@@ -37,6 +37,8 @@
     pub data_centres: usize,
     /// For how long work begins.
     pub span: Duration,
+    /// Whether a box that was told to stop is told once more while it stops.
+    pub tells_twice: bool,
 }
 
 /// A play under way.
@@ -79,6 +81,7 @@
 /// What follows from work that was begun.
 enum Later {
     Start(BoxIndex),
+    TellAgain(BoxIndex),
     Configure(Change),
     Replace(usize),
     Leave(usize),
@@ -220,6 +223,7 @@
     fn take_up(&mut self, later: Later) {
         match later {
             Later::Start(index) => self.start_box(index),
+            Later::TellAgain(index) => self.tell_again(index),
             Later::Configure(change) => {
                 self.operator.change(change, &self.store);
                 let number = self.operator.versions.last().map_or(0, |v| v.number);
@@ -290,6 +294,12 @@
 }
 
 impl PlayedBox {
+    /// Whether it was told to stop and has not ended.
+    fn stops(&self) -> bool {
+        let last = self.lives.last();
+        last.is_some_and(|life| life.told.is_some() && life.ended.is_none())
+    }
+
     fn takes_callers(&self) -> bool {
         self.view.takes_callers.load(Ordering::Relaxed)
     }
