Soak: one way to ask a box, shorter routes

Cause: both modes asked the operator port by code of their own. Change: ask() stands beside the boxes; routes are made by a function.

--- a/tests/soak/src/boxes.rs
+++ b/tests/soak/src/boxes.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
+use wingspur_tests::try_call;
 
 use crate::budget::Budget;
 
@@ -180,6 +181,13 @@
     }
 }
 
+/// Asks a box; none where it does not listen, or says no.
+pub fn ask(operators: SocketAddr, path: &str) -> Option<Value> {
+    let answer = try_call(operators, "GET", path, &[("host", "box")], b"")?;
+    let body = serde_json::from_slice(&answer.body).unwrap_or_default();
+    (answer.status == 200).then_some(body)
+}
+
 /// A port that is free now, and that the kernel gives to no connection while the box is down.
 fn free_address() -> SocketAddr {
     loop {
--- a/tests/soak/src/planned/operator.rs
+++ b/tests/soak/src/planned/operator.rs
@@ -146,33 +146,17 @@
 
 /// The routes.
 pub const ROUTES: [Route; 5] = [
-    Route {
-        name: "read",
-        kind: RouteKind::Read,
-        share: 40,
-    },
-    Route {
-        name: "once",
-        kind: RouteKind::OnceOnly,
-        share: 25,
-    },
-    Route {
-        name: "split",
-        kind: RouteKind::Read,
-        share: 14,
-    },
-    Route {
-        name: "move",
-        kind: RouteKind::Read,
-        share: 14,
-    },
-    Route {
-        name: "file",
-        kind: RouteKind::Download,
-        share: 7,
-    },
+    route("read", RouteKind::Read, 40),
+    route("once", RouteKind::OnceOnly, 25),
+    route("split", RouteKind::Read, 14),
+    route("move", RouteKind::Read, 14),
+    route("file", RouteKind::Download, 7),
 ];
 
+const fn route(name: &'static str, kind: RouteKind, share: u32) -> Route {
+    Route { name, kind, share }
+}
+
 /// The host of all routes.
 pub const HOST: &str = "site.example";
 /// How long a caller's connection may rest.
--- a/tests/soak/src/planned/watching.rs
+++ b/tests/soak/src/planned/watching.rs
@@ -5,9 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use serde_json::Value;
-use wingspur_tests::try_call;
-
+use crate::boxes::ask;
 use crate::planned::callers::BoxView;
 use crate::planned::record::Reading;
 
@@ -22,7 +20,7 @@
     let mut misses = 0;
     while !stop.load(Ordering::Relaxed) {
         let asked = Instant::now();
-        let status = ask(operators);
+        let status = ask(operators, "/status");
         let ready = status
             .as_ref()
             .is_some_and(|status| status["ready"] == true);
@@ -43,11 +41,6 @@
     }
 }
 
-fn ask(operators: SocketAddr) -> Option<Value> {
-    let answer = try_call(operators, "GET", "/status", &[("host", "box")], b"")?;
-    serde_json::from_slice(&answer.body).ok()
-}
-
 /// Well within the half second for which a stopping box still takes callers.
 const ASK_EVERY: Duration = Duration::from_millis(100);
 const MOST_MISSES: u32 = 2;
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -8,9 +8,9 @@
 use rand::RngExt;
 use rustix::process::Signal;
 use serde_json::{Value, json};
-use wingspur_tests::{BackendServer, PlatformStore, Reply, StoreFault, try_call};
+use wingspur_tests::{BackendServer, PlatformStore, Reply, StoreFault};
 
-use crate::boxes::{BoxSpec, SoakBox};
+use crate::boxes::{BoxSpec, SoakBox, ask};
 use crate::calls::{Called, Callers};
 use crate::plan::{Fault, FaultKind, Plan, SERVERS};
 use crate::promises::{LEAVING_BOUND, RETRY_BUDGET, Seen, broken_promises};
@@ -150,7 +150,10 @@
     fn wait_ready(&mut self) {
         let until = Instant::now() + MOST_WAIT;
         while Instant::now() < until {
-            let all = self.boxes.iter().all(|b| ask(b, "/ready").is_some());
+            let all = self
+                .boxes
+                .iter()
+                .all(|b| ask(b.operators, "/ready").is_some());
             if all {
                 return;
             }
@@ -225,7 +228,10 @@
         let until = Instant::now() + MOST_WAIT;
         // A box that was told to stop ends first.
         while Instant::now() < until
-            && self.boxes.iter_mut().any(|b| ask(b, "/ready").is_none())
+            && self
+                .boxes
+                .iter_mut()
+                .any(|b| ask(b.operators, "/ready").is_none())
         {
             self.boxes.iter_mut().for_each(SoakBox::start);
             std::thread::sleep(TICK);
@@ -284,7 +290,7 @@
                 self.told[n] = (0, 0);
                 continue;
             }
-            let Some(status) = ask(running, "/status") else {
+            let Some(status) = ask(running.operators, "/status") else {
                 continue;
             };
             let (version, age) = (
@@ -343,13 +349,6 @@
     })
 }
 
-/// Asks a box; none where it does not listen, or says no.
-fn ask(running: &SoakBox, path: &str) -> Option<Value> {
-    let answer = try_call(running.operators, "GET", path, &[("host", "box")], b"")?;
-    let body = serde_json::from_slice(&answer.body).unwrap_or_default();
-    (answer.status == 200).then_some(body)
-}
-
 fn configuration(version: u64) -> Value {
     let route = |class: &str| {
         json!({
