--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -133,7 +133,8 @@
     start_box_with(settings(id, store.address), store, workers)
 }
 
-fn start_box_with(
+/// Starts a box that reads a store, by settings of its own.
+pub fn start_box_with(
     settings: Settings,
     store: &PlatformStore,
     workers: &Workers,
