A box takes only its own stop for its own, and is not announced while it stops

Cause: Links::note_leaving took a link that it did not find for the word that this box stops, and a frame with a stopping hub's word is often read on a link that has just been given up. The two words are two calls now; word on a link that was given up tells nothing, of a reader's tries neither (they would have been kept for ever). And an announcement that was drawn before the stop is not made any more, or is withdrawn where the stop began while the store was written.

--- a/crates/wingspur-edge/src/announce.rs
+++ b/crates/wingspur-edge/src/announce.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use futures_lite::FutureExt;
 use wingspur_coordination::{AnnouncementInputs, AnnouncementStep, announcement_step};
 use wingspur_transport::{CatalogError, LeaseId, StopSignal};
 
@@ -49,11 +50,27 @@
     }
 }
 
-/// What this box should do about its announcement now; nothing before it knows any other.
+/// Ends the announcement, so that the others look for another hub in time.
+pub async fn withdraw(shared: &Shared) {
+    let Some(lease) = shared.lease.lock().take() else {
+        return;
+    };
+    let withdrawing = async { (shared.catalog.withdraw)(lease).await };
+    let expired = async {
+        smol::Timer::after(WITHDRAWAL_LIMIT).await;
+        Ok(())
+    };
+    if let Err(error) = withdrawing.or(expired).await {
+        tracing::info!(%error, "lease: not ended, it will lapse.");
+    }
+}
+
+/// What this box should do about its announcement now; nothing before it knows any other, and
+/// nothing once it stops: one that is announced then is taken for a hub until its lease ends.
 fn next_step(shared: &Shared) -> AnnouncementStep {
     let announced = held_lease(shared).is_some();
     let mut links = shared.links.lock();
-    if links.is_starting() {
+    if links.is_starting() || shared.leaving.load(Ordering::Acquire) {
         return AnnouncementStep::Stay;
     }
     announcement_step(&AnnouncementInputs {
@@ -76,6 +93,10 @@
     let lease = announce(shared, None, told_boxes).await?;
     tracing::info!(lease, "lease: announced.");
     *shared.lease.lock() = Some(lease);
+    if shared.leaving.load(Ordering::Acquire) {
+        // The stop began while the store was written: it found no lease to end.
+        withdraw(shared).await;
+    }
     Ok(renewal_gap(shared))
 }
 
@@ -139,3 +160,5 @@
 const IDLE: Duration = Duration::from_millis(300);
 /// A size that is off by more than a quarter is told anew.
 const RETOLD_PART: u32 = 4;
+/// A box that stops does not wait longer for the store.
+const WITHDRAWAL_LIMIT: Duration = Duration::from_millis(200);
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -5,14 +5,13 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use futures_lite::FutureExt;
 use smol::net::TcpListener;
 use wingspur_protocol::HeaderNames;
 use wingspur_transport::{
     Catalog, HttpListener, ListenerOptions, Spawner, StopSignal, StopTrigger, stop_pair,
 };
 
-use crate::announce::run_announcement;
+use crate::announce::{run_announcement, withdraw};
 use crate::exchange::{answer_peer, review, run_exchange, run_links};
 use crate::feed::run_feed;
 use crate::metrics::Metrics;
@@ -163,9 +162,9 @@
             "stop: not ready from now on."
         );
         self.shared.leaving.store(true, Ordering::Release);
-        self.shared.links.lock().note_leaving(None);
+        self.shared.links.lock().note_own_stop();
         self.shared.news.poke();
-        self.withdraw().await;
+        withdraw(&self.shared).await;
         // The balancer learns of it late, and sends callers until then.
         smol::Timer::after(lag).await;
         let cut = self.callers.close(limit).await;
@@ -181,21 +180,6 @@
         tracing::info!(cut, "stop: done.");
         cut
     }
-
-    /// Ends the announcement, so that the others look for another hub in time.
-    async fn withdraw(&self) {
-        let Some(lease) = self.shared.lease.lock().take() else {
-            return;
-        };
-        let withdrawing = async { (self.shared.catalog.withdraw)(lease).await };
-        let expired = async {
-            smol::Timer::after(PORT_LIMIT).await;
-            Ok(())
-        };
-        if let Err(error) = withdrawing.or(expired).await {
-            tracing::info!(%error, "lease: not ended, it will lapse.");
-        }
-    }
 }
 
 /// Logs which servers are suspected and closes connections that have rested, until the box
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -261,7 +261,7 @@
     apply_news(shared, &news, now);
     adopt_greeting(shared, &frame, now);
     if frame.leaving {
-        shared.links.lock().note_leaving(Some(id));
+        shared.links.lock().note_peer_stop(id);
         shared.replan.poke();
     }
     if frame.wants_listing {
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -243,11 +243,18 @@
         }
     }
 
-    /// Notes that this box is stopping, or the other side of a link is.
-    pub fn note_leaving(&mut self, id: Option<LinkId>) {
-        match id.and_then(|id| self.active.get(&id)) {
-            Some(link) => self.planner.remove(&link.peer.id.clone()),
-            None => self.leaving = true,
+    /// Notes that this box is stopping.
+    pub fn note_own_stop(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Notes that the other side of a link is stopping.
+    ///
+    /// Its frames still arrive on a link that has been given up here; they tell nothing more,
+    /// and above all nothing of this box.
+    pub fn note_peer_stop(&mut self, id: LinkId) {
+        if let Some(link) = self.active.get(&id) {
+            self.planner.remove(&link.peer.id);
         }
     }
 
@@ -385,9 +392,12 @@
         self.planner.division(boxes, now)
     }
 
-    /// Notes how the other side of a link stands with the store.
+    /// Notes how the other side of a link stands with the store, unless the link has been
+    /// given up here: nothing would ever take that back.
     pub fn note_feed(&mut self, id: LinkId, state: &FeedState, now: Instant) {
-        self.feed.note(id, state, now);
+        if self.active.contains_key(&id) {
+            self.feed.note(id, state, now);
+        }
     }
 
     /// Who is linked, for logs.
