Sight: how old the newest news of the store is

Cause: from logs alone nobody could tell that a data centre acted on old news. Change: a gauge wingspur_news_age_milliseconds, and a line when the news becomes later than usual (1.2 s) and one when it is in time again. Test: news_age of readers and of members. Ruled out: a line for each second of lateness.

--- a/crates/wingspur-coordination/src/feed_view.rs
+++ b/crates/wingspur-coordination/src/feed_view.rs
@@ -122,6 +122,19 @@
         }
     }
 
+    /// How old the newest news is, whoever read it.
+    pub fn news_age(&self, now: Instant) -> Duration {
+        let theirs = self.links.values().map(|(_, at)| *at);
+        let known = theirs.chain(self.own_fresh).chain([self.unfed_since]);
+        let newest = known.max().unwrap_or(self.unfed_since);
+        now.saturating_duration_since(newest)
+    }
+
+    /// Whether the news is later than usual.
+    pub fn is_late(&self, now: Instant) -> bool {
+        self.news_age(now) > LATE_NEWS
+    }
+
     /// Whether this box should read the store itself: the hub always does, another box when
     /// nobody's reading has reached it for a while, each a little later than the one before
     /// it in rank.
@@ -142,6 +155,9 @@
 /// (0.33 s) and one call of the store: the age is reckoned from the sending of this
 /// box's own frame that the other side had, so no delay on the way is left out.
 const STALE: Duration = Duration::from_millis(1300);
+/// Later than news is while all is well, and half of the 2.4 s or so within which changes
+/// must be in force: where this is usual, hubs are overloaded.
+const LATE_NEWS: Duration = Duration::from_millis(1200);
 /// Boxes step in one after the other, so that one call, not forty, finds out: those that may
 /// be the hub first, and the others drawn out by their names. What one reads it tells its
 /// hub, and that the others, in some 50 ms; of 36 members without news 27 listed at the same
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -236,9 +236,11 @@
 /// stops.
 async fn tidy(shared: Arc<Shared>, stop: StopSignal) {
     let mut closed = Instant::now();
+    let mut news_is_late = false;
     while !stop.is_given() {
         smol::Timer::after(TIDY_EVERY).await;
         let now = Instant::now();
+        news_is_late = watch_news(&shared, news_is_late, now);
         for service in shared.services.all() {
             review(&service);
         }
@@ -250,6 +252,32 @@
     }
 }
 
+/// Shows how old the newest news of the store is, and tells when it becomes late; whether it
+/// is.
+fn watch_news(shared: &Shared, was_late: bool, now: Instant) -> bool {
+    let mut links = shared.links.lock();
+    let (age, is_late) = (links.feed().news_age(now), links.feed().is_late(now));
+    let (revision, is_hub) = (links.revision(), links.is_hub(now));
+    drop(links);
+    let age_ms = age.as_millis() as u64;
+    shared.metrics.news_age_ms.set(age_ms as i64);
+    match (was_late, is_late) {
+        (false, true) => {
+            tracing::warn!(age_ms, revision, is_hub, "store: its news is late.");
+        }
+        (true, false) => {
+            tracing::info!(
+                age_ms,
+                revision,
+                is_hub,
+                "store: its news is in time again."
+            );
+        }
+        _ => {}
+    }
+    is_late
+}
+
 async fn bind(
     field: &'static str,
     address: SocketAddr,
--- a/crates/wingspur-edge/src/metrics.rs
+++ b/crates/wingspur-edge/src/metrics.rs
@@ -40,6 +40,8 @@
     pub exchanges: IntGaugeVec,
     /// The bundle in force.
     pub bundle_version: IntGauge,
+    /// How old the newest news of the store is, in milliseconds.
+    pub news_age_ms: IntGauge,
     /// Requests that were not sent again, by reason.
     stops: IntCounterVec,
     /// Answers of backend servers, by service and how they ended.
@@ -91,6 +93,10 @@
             histogram
         };
         let bundle_version = gauge("wingspur_bundle_version", "Bundle in force.");
+        let news_age_ms = gauge(
+            "wingspur_news_age_milliseconds",
+            "Age of the newest news of the store.",
+        );
         let dropped_log_lines =
             gauge("wingspur_dropped_log_lines", "Log lines that nobody read.");
         let plain = |name: &str, help: &str| {
@@ -197,6 +203,7 @@
             ),
             exchanges,
             bundle_version,
+            news_age_ms,
             hedges,
             frames,
             frame_bytes,
--- a/tests/tests/news_age.rs
+++ b/tests/tests/news_age.rs
@@ -103,6 +103,23 @@
     assert_eq!(ours.waits_for(start + ms(4_000)), ms(3_600));
 }
 
+#[test]
+fn the_age_of_the_newest_news_shows_whoever_read_it() {
+    let start = Instant::now();
+    let mut feed = FeedView::new(BoxId::from("own"), start);
+    let told = FeedState {
+        reader: Some(BoxId::from("hub")),
+        age_ms: 300,
+        tries: false,
+    };
+    feed.note(1, &told, start + ms(1_000));
+    assert_eq!(feed.news_age(start + ms(1_500)), ms(800));
+    assert!(!feed.is_late(start + ms(1_900)));
+    assert!(feed.is_late(start + ms(2_000)));
+    feed.note_answer(start + ms(2_000));
+    assert_eq!(feed.news_age(start + ms(2_050)), ms(50));
+}
+
 fn route(number: usize, timeout_ms: u64) -> HostRoute {
     HostRoute {
         name: format!("route-{number}"),
