--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -62,6 +62,10 @@
 /// Takes in a listing that this box read itself, and spreads it.
 pub fn take_listing(shared: &Arc<Shared>, listing: CatalogListing, now: Instant) {
     let known = shared.links.lock().revision();
+    if listing.revision < known {
+        // Links have told more while it was on its way: what stood before stays past.
+        return;
+    }
     if listing.revision > known {
         let update = CatalogUpdate::Listing {
             listing: listing.clone(),
@@ -75,6 +79,10 @@
 /// Takes in changes that this box read itself, and spreads them; those that change nothing
 /// are told as a revision only.
 pub fn take_changes(shared: &Arc<Shared>, mut changes: CatalogChanges, now: Instant) {
+    if changes.revision < shared.links.lock().revision() {
+        // As with a listing: links were faster.
+        return;
+    }
     let directory = shared.directory.lock();
     changes.changes.retain(|change| match change {
         CatalogChange::Server(record) => !directory.stands(record),
