--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -310,18 +310,20 @@
             let away = link.peer.data_centre != self.own.data_centre;
             let gap = if away { AWAY_GAP } else { home_gap };
             let gap = if hurry { gap / HURRY } else { gap };
-            let due = age >= gap && self.rollup.has_news(*id);
+            // A full link still says what it has had: else two full sides wait for each other.
+            let full = link.is_full();
+            let due = !full && age >= gap && self.rollup.has_news(*id);
             let catalog_due = link.catalog.due_in(now).is_some_and(|due| due.is_zero());
             let urgent = catalog_due
                 || link.wants_listing
                 || link.greeting.is_some()
                 || (self.leaving && !link.told_leaving);
-            if (!due && !urgent && age < HEARTBEAT) || link.is_full() {
+            if !due && (!urgent || full) && age < HEARTBEAT {
                 continue;
             }
             link.sent = now;
             link.told_leaving = self.leaving;
-            let greeting = link.greeting.take().unwrap_or_default();
+            let greeting = link.greeting.take_if(|_| !full).unwrap_or_default();
             let digests = if due {
                 self.rollup.compose(*id)
             } else {
@@ -334,10 +336,13 @@
                     stamps: link.clock.send(now),
                     bundle_version,
                     digests,
-                    catalog: link.take_catalog(now),
+                    catalog: match full {
+                        true => Vec::new(),
+                        false => link.take_catalog(now),
+                    },
                     feed: feed.clone(),
                     fleet: fleet.on(link.with()),
-                    wants_listing: std::mem::take(&mut link.wants_listing),
+                    wants_listing: !full && std::mem::take(&mut link.wants_listing),
                     leaving: self.leaving,
                     health: greeting.health,
                 },
