--- a/tests/tests/budget_bound.rs
+++ b/tests/tests/budget_bound.rs
@@ -50,6 +50,8 @@
     runs: fn(place: usize, ms: u64) -> bool,
     /// Whether two data centres hear each other.
     hears: fn(one: usize, other: usize, ms: u64) -> bool,
+    /// When what is sent to a server can reach it.
+    passes: fn(ms: u64) -> u64,
 }
 
 fn steady(_: usize, _: u64) -> f64 {
@@ -64,6 +66,10 @@
     true
 }
 
+fn at_once(ms: u64) -> u64 {
+    ms
+}
+
 fn within(ms: u64, from_s: u64, until_s: u64) -> bool {
     (from_s * 1000..until_s * 1000).contains(&ms)
 }
@@ -75,6 +81,7 @@
         failing: |ms| if ms > 27_500 { 0.6 } else { 0.05 },
         runs: |_, ms| !within(ms, 32, 33),
         hears: all_hear,
+        passes: at_once,
     },
     Scenario {
         name: "boxes and hubs stopped in turn",
@@ -85,6 +92,7 @@
             !(place < 24 && (from_ms..from_ms + 1_200).contains(&ms))
         },
         hears: all_hear,
+        passes: at_once,
     },
     Scenario {
         name: "many resends asked for at once",
@@ -92,6 +100,7 @@
         failing: |ms| if ms > 25_000 { 0.9 } else { 0.0 },
         runs: always,
         hears: all_hear,
+        passes: at_once,
     },
     Scenario {
         name: "halves that do not hear each other while boxes join",
@@ -99,6 +108,7 @@
         failing: |ms| if ms > 20_000 { 0.5 } else { 0.05 },
         runs: |place, ms| place % 4 != 3 || ms > 30_000,
         hears: |one, other, ms| one / 2 == other / 2 || !within(ms, 27, 47),
+        passes: at_once,
     },
     Scenario {
         name: "single boxes killed again and again",
@@ -109,6 +119,7 @@
             place % 4 != 1 || ms < 20_000 || phase_ms % 4_000 > 700
         },
         hears: all_hear,
+        passes: at_once,
     },
     Scenario {
         name: "traffic moves from one data centre to another",
@@ -123,6 +134,7 @@
         failing: |ms| if ms > 20_000 { 0.7 } else { 0.05 },
         runs: always,
         hears: all_hear,
+        passes: at_once,
     },
 ];
 
@@ -423,7 +435,8 @@
                 asking.resends += 1;
                 let steps = self.random.random_range(0..=LONGEST_ARRIVAL_MS / STEP_MS);
                 let arrives_ms = now_ms + STEP_MS * steps;
-                self.arrivals_ms.push(arrives_ms);
+                let reaches_ms = (self.scenario.passes)(arrives_ms);
+                self.arrivals_ms.push(reaches_ms);
                 ends_ms = arrives_ms + STEP_MS;
             }
             if allowed && asking.resends < MOST_RESENDS {
@@ -553,6 +566,23 @@
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
+/// The links to the servers stand still for three seconds. Requests are given up meanwhile,
+/// and what was written to the servers still reaches them when the links go on: a connection
+/// that is closed sends what it holds first. The ledger takes what a request had sent for
+/// arrived a quarter of a second after its end, and so lets more go in the ten seconds after.
+#[test]
+fn resends_that_reach_servers_after_their_requests_have_ended_count_when_they_do() {
+    let broken = broken(&[Scenario {
+        name: "links to servers stand still",
+        rate: steady,
+        failing: |ms| if ms > 27_500 { 0.6 } else { 0.05 },
+        runs: always,
+        hears: all_hear,
+        passes: |ms| if within(ms, 28, 31) { 31_000 } else { ms },
+    }]);
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
 /// The most that boxes spend in any window beyond a fifth of what the fleet was asked for,
 /// each spending all that it may at all times.
 #[test]
