One link and one request's part of the budget have files of their own

Change: ActiveLink with its greeting goes to active_link.rs; TakenResends to taken_resends.rs, which alone counts the attempts and gives back what was not sent. No behaviour changed.

--- /dev/null
+++ b/crates/wingspur-edge/src/active_link.rs
@@ -0,0 +1,88 @@
+//! One link that stands, with what is still to be told on it.
+
+use std::time::Instant;
+
+use wingspur_coordination::{CatalogQueue, LinkClock, LinkKind, LinkWith, PlannedLink};
+use wingspur_protocol::{BoxRecord, CatalogUpdate, LinkRole};
+use wingspur_state::{BundleVersion, HealthNote, ServerKey};
+use wingspur_transport::LinkSender;
+
+/// A link that stands.
+#[derive(Debug)]
+pub struct ActiveLink {
+    /// The box at the other side.
+    pub peer: BoxRecord,
+    /// What it is to this one.
+    pub kind: LinkKind,
+    /// Whether this box opened it, and as what.
+    pub opened_as: Option<LinkRole>,
+    /// Where frames go.
+    pub sender: LinkSender,
+    /// What was sent when, and what the other side had of that.
+    pub clock: LinkClock,
+    /// What it has not been told yet of the catalog.
+    pub catalog: CatalogQueue,
+    /// Whether it is to be asked for a listing.
+    pub wants_listing: bool,
+    /// The version that is in force at the other side, as far as it has told.
+    pub bundle_version: BundleVersion,
+    /// What it is to be told once.
+    pub greeting: Option<Greeting>,
+    /// Whether it was told that this box stops.
+    pub told_leaving: bool,
+    /// When the last frame was sent.
+    pub sent: Instant,
+}
+
+/// What the other side of a new link should know.
+#[derive(Debug, Default)]
+pub struct Greeting {
+    /// Of backend servers.
+    pub health: Vec<(ServerKey, HealthNote)>,
+}
+
+impl ActiveLink {
+    /// Whether so much is on its way that more would only wait behind it.
+    pub fn is_full(&self) -> bool {
+        self.clock.unanswered() >= MOST_UNANSWERED
+    }
+
+    /// What the other side is to this box, as far as the fleet's view goes.
+    pub fn with(&self) -> LinkWith {
+        match (self.opened_as, self.kind) {
+            (Some(LinkRole::Member), _) => LinkWith::OwnHub,
+            (_, LinkKind::Member) => LinkWith::Member,
+            (_, LinkKind::Hub) => LinkWith::Hub,
+        }
+    }
+
+    /// What is to be told of the catalog; a listing leaves out a bundle that the other side
+    /// has.
+    ///
+    /// Prevents that a hub which has just taken over owes each member the whole bundle: with
+    /// 1,420 routes and 36 members that is 3.1 MB, or 2.5 s of a link of ten megabits, and
+    /// so late was all other news of such a hub (logs of one play).
+    pub fn take_catalog(&mut self, now: Instant) -> Vec<CatalogUpdate> {
+        let mut updates = self.catalog.take(now);
+        for update in &mut updates {
+            if let CatalogUpdate::Listing { listing, .. } = update {
+                let known = self.bundle_version;
+                listing.bundle.take_if(|bundle| bundle.version <= known);
+            }
+        }
+        updates
+    }
+
+    /// Whether it is the link that was planned.
+    pub fn serves(&self, planned: &PlannedLink) -> bool {
+        self.peer.id == planned.to.id
+            && self.peer.incarnation == planned.to.incarnation
+            && self.opened_as == Some(planned.role)
+    }
+}
+
+/// Frames on their way to a side that has not said to have them. With one each 50 ms and
+/// answers with each heartbeat at the latest, four are usual; beyond eight a link is slower
+/// than what it is told. Prevents that news waits in the connection behind older news, and
+/// tells what was true seconds ago: tallies and the catalog are put together when they go.
+const MOST_UNANSWERED: usize = 8;
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -9,9 +9,9 @@
 use hyper::body::Body;
 use wingspur_protocol::ResultCode;
 use wingspur_state::{
-    AttemptEnd, BudgetAnswer, FleetStanding, HedgeInputs, Pick, ResendUse, RetryDecision,
-    RetryReason, ReturnInputs, RouteClass, ServerKey, StopReason, Want, decide_retry,
-    hedge_after, spare_per_s,
+    AttemptEnd, BudgetAnswer, HedgeInputs, Pick, ResendUse, RetryDecision, RetryReason,
+    ReturnInputs, RouteClass, ServerKey, StopReason, Want, decide_retry, hedge_after,
+    spare_per_s,
 };
 use wingspur_transport::SendBody;
 
@@ -20,6 +20,7 @@
 use crate::request_log::{id_text, log_give_up, log_pick, rounded};
 use crate::services::ServiceState;
 use crate::shared::Shared;
+use crate::taken_resends::TakenResends;
 
 /// A request under way.
 pub struct Forwarding {
@@ -31,8 +32,6 @@
     body: Option<SendBody>,
     /// Servers that were sent the request.
     tried: Vec<ServerKey>,
-    /// Attempts that reached a server, or may have.
-    sent: u32,
     /// Attempts that did not reach a server.
     unreached: u32,
     /// Whether a second attempt beside a slow one was found not to help.
@@ -84,7 +83,6 @@
             outgoing: Arc::new(outgoing),
             body: Some(body),
             tried: Vec::new(),
-            sent: 0,
             unreached: 0,
             hedging_is_over: false,
             running: Vec::new(),
@@ -118,9 +116,8 @@
                 // It has reached nobody: neither an attempt nor a resend.
                 self.tried.retain(|tried| *tried != server);
                 self.unreached += 1;
-                self.sent -= 1;
-                self.resends.sent = self.sent;
-                self.resends.keep(self.sent.saturating_sub(1));
+                self.resends.sent -= 1;
+                self.resends.give_back_unsent();
             }
             if !self.running.is_empty() {
                 continue;
@@ -147,8 +144,7 @@
 
     fn start(&mut self, pick: Pick) {
         self.tried.push(pick.server.key());
-        self.sent += 1;
-        self.resends.sent = self.sent;
+        self.resends.sent += 1;
         let id = self.outgoing.id.as_ref();
         log_pick(id, &pick, self.tried.len(), self.remaining());
         self.outgoing.ticket.sent(&pick.server.id);
@@ -228,7 +224,7 @@
             } else {
                 "budget_spent"
             };
-            self.resends.keep(self.sent.saturating_sub(1));
+            self.resends.give_back_unsent();
             self.shared.metrics.count_unhedged(reason);
             self.log_decision("not hedged", reason, self.tried.len(), &budget);
             // Once is enough: what does not help now will not help later.
@@ -255,7 +251,7 @@
             if !may {
                 return Err(code);
             }
-            if self.sent == 0 {
+            if self.resends.sent == 0 {
                 // The next one will be the first that reaches a server.
                 return self.send_next();
             }
@@ -288,7 +284,7 @@
             return self.stop(reason, &budget, code);
         }
         if let Err(code) = self.send_next() {
-            self.resends.keep(self.sent.saturating_sub(1));
+            self.resends.give_back_unsent();
             self.log_decision("not sent again", code.name(), tried, &budget);
             return Err(code);
         }
@@ -458,48 +454,6 @@
     }
 }
 
-/// What a request has taken from the retry budget; counts as arrived when it is dropped.
-struct TakenResends {
-    service: Arc<ServiceState>,
-    count: u32,
-    /// Attempts that were sent, and those of them that a server has answered.
-    sent: u32,
-    answered: u32,
-}
-
-impl TakenResends {
-    fn none(service: Arc<ServiceState>) -> Self {
-        Self {
-            service,
-            count: 0,
-            sent: 0,
-            answered: 0,
-        }
-    }
-
-    fn take(&mut self, use_: ResendUse, standing: FleetStanding) -> BudgetAnswer {
-        let mut budget = self.service.budget.lock();
-        let answer = budget.take(use_, standing, Instant::now());
-        self.count += u32::from(answer.allowed);
-        answer
-    }
-
-    /// Gives back what reached no server.
-    fn keep(&mut self, count: u32) {
-        let unused = self.count.saturating_sub(count);
-        self.count -= unused;
-        self.service.budget.lock().take_back(unused);
-    }
-}
-
-impl Drop for TakenResends {
-    fn drop(&mut self) {
-        let mut budget = self.service.budget.lock();
-        let unanswered = self.sent.saturating_sub(self.answered);
-        budget.end(self.count, unanswered, Instant::now());
-    }
-}
-
 /// Waits for the first of some futures and takes it out.
 struct Any<'a>(&'a mut Vec<Running>);
 
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -17,8 +17,8 @@
     empty_link_body, open_link,
 };
 
+use crate::active_link::Greeting;
 use crate::catalog_state::{apply_update, listing_of, update_since};
-use crate::links::Greeting;
 use crate::request_log::rounded;
 use crate::services::ServiceState;
 use crate::shared::Shared;
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -1,5 +1,6 @@
 //! An entry box over a catalog: the request path and the tasks around it.
 
+mod active_link;
 mod announce;
 mod answer_body;
 mod attempt;
@@ -23,6 +24,7 @@
 mod settings;
 mod shared;
 mod stopping;
+mod taken_resends;
 
 pub use edge_box::{EdgeBox, EdgeError};
 pub use heads::{check_framing, strip_hop_by_hop};
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -5,18 +5,17 @@
 
 use wingspur_coordination::{
     Announced, CatalogQueue, FeedView, FleetView, LinkClock, LinkId, LinkKind,
-    LinkPlanner, LinkWith, NewsReader, OWN_LINK, PlannedLink, RecentChanges, Rollup,
-    SourceNews,
+    LinkPlanner, NewsReader, OWN_LINK, PlannedLink, RecentChanges, Rollup, SourceNews,
 };
 use wingspur_protocol::{
     BoxRecord, CatalogChanges, CatalogUpdate, Digest, FeedState, Frame, LinkRole,
     Revision,
 };
-use wingspur_state::{
-    BoxId, BundleVersion, FleetDivision, FleetStanding, HealthNote, ServerKey, SourceId,
-};
+use wingspur_state::{BoxId, BundleVersion, FleetDivision, FleetStanding, SourceId};
 use wingspur_transport::LinkSender;
 
+use crate::active_link::{ActiveLink, Greeting};
+
 /// The links of this box, with what is still to be told on each.
 #[derive(Debug)]
 pub struct Links {
@@ -37,31 +36,6 @@
     urgent: bool,
 }
 
-/// A link that stands.
-#[derive(Debug)]
-struct ActiveLink {
-    peer: BoxRecord,
-    kind: LinkKind,
-    /// Whether this box opened it, and as what.
-    opened_as: Option<LinkRole>,
-    sender: LinkSender,
-    clock: LinkClock,
-    catalog: CatalogQueue,
-    wants_listing: bool,
-    /// The version that is in force at the other side, as far as it has told.
-    bundle_version: BundleVersion,
-    greeting: Option<Greeting>,
-    told_leaving: bool,
-    sent: Instant,
-}
-
-/// What the other side of a new link should know.
-#[derive(Debug, Default)]
-pub struct Greeting {
-    /// Of backend servers.
-    pub health: Vec<(ServerKey, HealthNote)>,
-}
-
 /// What a tick has to say on one link.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -469,44 +443,6 @@
     }
 }
 
-impl ActiveLink {
-    /// Whether so much is on its way that more would only wait behind it.
-    fn is_full(&self) -> bool {
-        self.clock.unanswered() >= MOST_UNANSWERED
-    }
-
-    fn with(&self) -> LinkWith {
-        match (self.opened_as, self.kind) {
-            (Some(LinkRole::Member), _) => LinkWith::OwnHub,
-            (_, LinkKind::Member) => LinkWith::Member,
-            (_, LinkKind::Hub) => LinkWith::Hub,
-        }
-    }
-
-    /// What is to be told of the catalog; a listing leaves out a bundle that the other side
-    /// has.
-    ///
-    /// Prevents that a hub which has just taken over owes each member the whole bundle: with
-    /// 1,420 routes and 36 members that is 3.1 MB, or 2.5 s of a link of ten megabits, and
-    /// so late was all other news of such a hub (logs of one play).
-    fn take_catalog(&mut self, now: Instant) -> Vec<CatalogUpdate> {
-        let mut updates = self.catalog.take(now);
-        for update in &mut updates {
-            if let CatalogUpdate::Listing { listing, .. } = update {
-                let known = self.bundle_version;
-                listing.bundle.take_if(|bundle| bundle.version <= known);
-            }
-        }
-        updates
-    }
-
-    fn serves(&self, planned: &PlannedLink) -> bool {
-        self.peer.id == planned.to.id
-            && self.peer.incarnation == planned.to.incarnation
-            && self.opened_as == Some(planned.role)
-    }
-}
-
 /// How often news may go to a box of the same data centre: a request takes several times as
 /// long, so a view that old still tells who is busy.
 const HOME_GAP: Duration = Duration::from_millis(50);
@@ -521,11 +457,6 @@
 /// if the reader's last answer is at most 0.7 s old: a way there and one back may each wait
 /// for a heartbeat.
 const HEARTBEAT: Duration = Duration::from_millis(200);
-/// Frames on their way to a side that has not said to have them. With one each 50 ms and
-/// answers with each heartbeat at the latest, four are usual; beyond eight a link is slower
-/// than what it is told. Prevents that news waits in the connection behind older news, and
-/// tells what was true seconds ago: tallies and the catalog are put together when they go.
-const MOST_UNANSWERED: usize = 8;
 /// How soon a full link is looked at again.
 const FULL_CHECK: Duration = Duration::from_millis(50);
 /// A side that has not answered for so long does not read, or is not reached.
