A full link's frame is put together in one place; news is copied once less

Cause (read of the whole change): whether a link is full was asked at five fields of a frame; an update that came by a link was copied twice; what announcements tell was copied for each frame and each request that may be hedged. Change: a frame begins as a sign of life, and a link that is not full adds the rest; the update is taken by value after it was passed on; the announcements are shared, not copied. Ruled out: sharing the steps of the two boxes' stops, which would touch the stop's order. Behaviour as it was.

--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -33,8 +33,8 @@
     if revision <= known {
         return;
     }
-    let update = &whole(shared, update);
-    if after > known || lacks_base(shared, update) {
+    let update = whole(shared, update);
+    if after > known || lacks_base(shared, &update) {
         // Changes in between never came this way.
         if let Some(link) = from {
             shared.links.lock().ask_for_listing(link);
@@ -44,12 +44,12 @@
     }
     let doubtful = Duration::from_millis(u64::from(doubtful_ms));
     shared.directory.lock().read_by_another(doubtful, now);
-    let urgent = match update {
+    let urgent = match &update {
         CatalogUpdate::Listing { .. } => true,
         CatalogUpdate::Changes { changes, .. } => !changes.changes.is_empty(),
     };
-    spread(shared, update, urgent, from);
-    match update.clone() {
+    spread(shared, &update, urgent, from);
+    match update {
         CatalogUpdate::Listing { listing, .. } => {
             apply_listing(shared, listing, "peer", now);
         }
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -1,6 +1,7 @@
 //! The links of this box: whom it hears, what it tells whom.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use wingspur_coordination::{
@@ -8,8 +9,7 @@
     LinkPlanner, NewsReader, OWN_LINK, PlannedLink, RecentChanges, Rollup, SourceNews,
 };
 use wingspur_protocol::{
-    BoxRecord, CatalogChanges, CatalogUpdate, Digest, FeedState, Frame, LinkRole,
-    Revision,
+    BoxRecord, CatalogChanges, CatalogUpdate, Digest, Frame, LinkRole, Revision,
 };
 use wingspur_state::{BoxId, BundleVersion, FleetDivision, FleetStanding, SourceId};
 use wingspur_transport::LinkSender;
@@ -28,7 +28,7 @@
     active: BTreeMap<LinkId, ActiveLink>,
     fleet: FleetView,
     /// What announcements told of the fleet, and when that was read.
-    announced: Option<(Instant, Announced)>,
+    announced: Option<(Instant, Arc<Announced>)>,
     next_id: LinkId,
     /// Whether this box is stopping.
     leaving: bool,
@@ -285,7 +285,6 @@
             let away = link.peer.data_centre != self.own.data_centre;
             let gap = if away { AWAY_GAP } else { home_gap };
             let gap = if hurry { gap / HURRY } else { gap };
-            // A full link still says what it has had: else two full sides wait for each other.
             let full = link.is_full();
             let due = !full && age >= gap && self.rollup.has_news(*id);
             let catalog_due = link.catalog.due_in(now).is_some_and(|due| due.is_zero());
@@ -298,34 +297,28 @@
             }
             link.sent = now;
             link.told_leaving = self.leaving;
-            let greeting = link.greeting.take_if(|_| !full).unwrap_or_default();
-            let digests = if due {
-                self.rollup.compose(*id)
-            } else {
-                Vec::new()
+            // A full link still says what it has had: else two full sides wait for each other.
+            let mut frame = Frame {
+                stamps: link.clock.send(now),
+                bundle_version,
+                fleet: fleet.on(link.with()),
+                leaving: self.leaving,
+                ..Frame::default()
             };
+            if due {
+                frame.digests = self.rollup.compose(*id);
+            }
+            if !full {
+                // What is held back does not count as told.
+                frame.feed = feed.clone();
+                frame.catalog = link.take_catalog(now);
+                frame.wants_listing = std::mem::take(&mut link.wants_listing);
+                frame.health = link.greeting.take().unwrap_or_default().health;
+            }
             frames.push(Outgoing {
                 link: *id,
                 sender: link.sender.clone(),
-                frame: Frame {
-                    stamps: link.clock.send(now),
-                    bundle_version,
-                    digests,
-                    catalog: match full {
-                        true => Vec::new(),
-                        false => link.take_catalog(now),
-                    },
-                    // What is held back does not count as told.
-                    feed: if full {
-                        FeedState::default()
-                    } else {
-                        feed.clone()
-                    },
-                    fleet: fleet.on(link.with()),
-                    wants_listing: !full && std::mem::take(&mut link.wants_listing),
-                    leaving: self.leaving,
-                    health: greeting.health,
-                },
+                frame,
             });
         }
         frames
@@ -372,13 +365,13 @@
     }
 
     /// What announcements tell of the fleet, as it was a moment ago.
-    fn announced(&mut self, now: Instant) -> Announced {
+    fn announced(&mut self, now: Instant) -> Arc<Announced> {
         if let Some((at, known)) = &self.announced
             && now.saturating_duration_since(*at) < ANNOUNCED_FOR
         {
             return known.clone();
         }
-        let known = self.read_announced(now);
+        let known = Arc::new(self.read_announced(now));
         self.announced = Some((now, known.clone()));
         known
     }
