No server rests for long while a good part is lost

Cause: the floor was held by a share of all servers in use; of 100 servers with 80 doubtful the 20 most doubtful got nothing for seconds, and a trace of 106 boxes showed well servers untried for 4 to 6.5 s after a single failure, since nine in ten of the others were in use. Ruled out: tries assigned to boxes beforehand. With few requests a box (0.7 to 4 a second) an assigned box has none in its time as often as a drawn one, so that as many must be assigned as tries are drawn. Change: while the floor is held strictly each neglected server has a rate of its own, a doubtful one 2 a second from one second of rest on; the share of all in use stays for calm times.

--- a/crates/wingspur-state/src/floor.rs
+++ b/crates/wingspur-state/src/floor.rs
@@ -32,25 +32,28 @@
 /// The unused server that the request tries, if it is to try one.
 ///
 /// Only so many are tried as must be in use in case of a sudden loss: a server that rests
-/// costs nothing when it turns sick. While a good part of the requests is lost, those that
-/// are trusted are all tried, and soon; of the doubtful ones still no more than the floor
-/// needs, since each of their failures adds to the loss.
+/// costs nothing when it turns sick. While a good part of the requests is lost, no server
+/// rests for long: those that are trusted are tried soon and surely, the doubtful ones at a
+/// steady rate that leaves one in eight untried after two seconds, since each of their
+/// failures adds to the loss.
 ///
 /// Prevents that servers which no pick takes, like cold ones, stay unused for two seconds:
 /// with the same chance at any age half of six that had just joined did (36 boxes with
-/// news 150 ms late). Trying all doubtful ones as surely lost 7.7 instead of 6.5 in 100
-/// once-only requests (means of 20 plays of 32 s each), and 8.0 instead of 5.8 in 100 of
-/// all where 443 boxes hear of each other late (one play).
+/// news 150 ms late). A share of all in use bounds no part of them: with nine in ten in use
+/// the 20 most doubtful of 100 got nothing for seconds, some of them well after a single
+/// failure. Trying the doubtful as surely as the trusted lost 7.7 instead of 6.5 in 100
+/// once-only requests (means of 20 plays of 32 s each).
 pub fn try_unused<K: Copy>(
     servers: &[Unused<K>],
     inputs: &FloorInputs,
     random: &mut impl Rng,
 ) -> Option<K> {
-    let mut tries = Vec::new();
-    if holds_strictly(&inputs.present) {
-        tries = tries_of_trusted(servers);
-    }
-    tries.extend(try_of_missing(servers, inputs, random));
+    let tries = match holds_strictly(&inputs.present) {
+        true => tries_of_neglected(servers),
+        false => try_of_missing(servers, inputs, random)
+            .into_iter()
+            .collect(),
+    };
     // One draw decides whether to try one, and which.
     let requests_per_s = inputs.present.requests_per_s.max(1.0);
     let sum: f64 = tries.iter().map(|(rate, _)| rate).sum();
@@ -69,14 +72,13 @@
     present.lost_share >= STRICT_LOST_SHARE
 }
 
-/// The trusted servers that are neglected, with how often each is tried a second by all
-/// boxes together.
-fn tries_of_trusted<K: Copy>(servers: &[Unused<K>]) -> Vec<(f64, K)> {
-    let neglected = servers.iter().filter(|server| {
-        let trusted = server.failure_share < TRUSTED_SHARE;
-        trusted && server.unused_for >= NEGLECT && server.in_reach
-    });
-    let tries = neglected.map(|server| (tries_per_s(server.unused_for), server.key));
+/// The servers that are neglected, with how often each is tried a second by all boxes
+/// together.
+fn tries_of_neglected<K: Copy>(servers: &[Unused<K>]) -> Vec<(f64, K)> {
+    let neglected = servers
+        .iter()
+        .filter(|server| server.unused_for >= NEGLECT && server.in_reach);
+    let tries = neglected.map(|server| (tries_per_s(server), server.key));
     tries.collect()
 }
 
@@ -87,13 +89,11 @@
     inputs: &FloorInputs,
     random: &mut impl Rng,
 ) -> Option<(f64, K)> {
-    let strict = holds_strictly(&inputs.present);
-    let (wanted_share, rested_for) = match (strict, inputs.repeatable) {
-        (true, _) => (STRICT_USED_SHARE, NEGLECT),
-        (false, true) => (USED_SHARE_BY_READS, RESTED),
-        (false, false) => (USED_SHARE, RESTED),
+    let wanted_share = match inputs.repeatable {
+        true => USED_SHARE_BY_READS,
+        false => USED_SHARE,
     };
-    let is_rested = |server: &&Unused<K>| server.unused_for >= rested_for;
+    let is_rested = |server: &&Unused<K>| server.unused_for >= RESTED;
     let mut rested: Vec<_> = servers.iter().filter(is_rested).collect();
     let used = servers.len() - rested.len();
     let missing = servers.len() as f64 * wanted_share - used as f64;
@@ -108,17 +108,21 @@
     Some((missing / TRIED_WITHIN.as_secs_f64(), rested[at].key))
 }
 
-/// How often a server is tried by all boxes together, by how long it has rested.
+/// How often a neglected server is tried by all boxes together: a trusted one by how long
+/// it has rested.
 ///
 /// Purpose: once several tries are to be expected, what is missing is the news of them and
 /// not a try. Where the rate went on doubling while news was three seconds late, one server
 /// got 270 requests a second, which its queue turned away (443 boxes, 720 servers, logs of
 /// one play).
-fn tries_per_s(unused_for: Duration) -> f64 {
-    if unused_for >= SURELY_TRIED {
+fn tries_per_s<K>(server: &Unused<K>) -> f64 {
+    if server.failure_share >= TRUSTED_SHARE {
+        return TRIES_PER_S_OF_DOUBTFUL;
+    }
+    if server.unused_for >= SURELY_TRIED {
         return TRIES_PER_S_WITHOUT_NEWS;
     }
-    let over = unused_for.saturating_sub(NEGLECT);
+    let over = server.unused_for.saturating_sub(NEGLECT);
     let doublings = over.as_secs_f64() / TRIES_DOUBLE_IN.as_secs_f64();
     FIRST_TRIES_PER_S * doublings.exp2()
 }
@@ -136,10 +140,11 @@
 /// What goes on without news: one in 3,000 servers gets no try in two seconds, and a server
 /// of three slots that works a fifth of a second bears three times as much.
 const TRIES_PER_S_WITHOUT_NEWS: f64 = 4.0;
+/// A doubtful server is tried within the second after it became neglected with a chance of
+/// seven in eight. With news 0.3 s late that makes 1.6 tries at most on average.
+const TRIES_PER_S_OF_DOUBTFUL: f64 = 2.0;
 /// The floor is held strictly from here on; it is judged from a tenth on.
 const STRICT_LOST_SHARE: f64 = 0.08;
-/// So many are in use then: some of them are cut off, and do not count for the floor.
-const STRICT_USED_SHARE: f64 = 0.9;
 /// A server that fails no more than this is as good a pick as any: the usual failures are
 /// 1.5 to 6 in 100.
 const TRUSTED_SHARE: f64 = 0.1;
