Client accounts by key, servers that start again, entries of other writers

Cause: nothing on the platform's path knew an account. A server that started again under its id kept the standing, connections and counts of its former run. Change: the bundle (the product's own as well) holds client accounts with digests of keys; boxes know no key. A request's key is looked up on arrival and once more right before each attempt; the account's header is ours alone. A cheap listing, which may be seconds old, vouches for nothing any more. Each run of a server has a key of its own among boxes, so news of a former run finds no server. The account's rank goes before the route's for returning callers. Ruled out: constant-time comparison over all keys (a hash of the digest is flat in their number, and its time tells nothing of the key).

--- a/crates/wingspur-bench/src/bin/wingspur-bench-decisions.rs
+++ b/crates/wingspur-bench/src/bin/wingspur-bench-decisions.rs
@@ -244,6 +244,7 @@
         account_header: "x-account".to_owned(),
         services: (0..services).map(service).collect(),
         host_routes: Vec::new(),
+        client_accounts: None,
         caller_limits: CallerLimits::default(),
     }
 }
--- a/crates/wingspur-bench/src/fleet.rs
+++ b/crates/wingspur-bench/src/fleet.rs
@@ -412,6 +412,7 @@
         account_header: "x-account".to_owned(),
         services: services.collect(),
         host_routes: Vec::new(),
+        client_accounts: None,
         caller_limits: CallerLimits::default(),
     }
 }
--- a/crates/wingspur-coordination/src/feed_view.rs
+++ b/crates/wingspur-coordination/src/feed_view.rs
@@ -130,6 +130,14 @@
         now.saturating_duration_since(newest)
     }
 
+    /// How old the newest reading of the store is that has reached this box; none before
+    /// any has.
+    pub fn vouched_age(&self, now: Instant) -> Option<Duration> {
+        let theirs = self.links.values().map(|(_, at)| *at);
+        let newest = theirs.chain(self.own_fresh).max()?;
+        Some(now.saturating_duration_since(newest))
+    }
+
     /// Whether the news is later than usual.
     pub fn is_late(&self, now: Instant) -> bool {
         self.news_age(now) > LATE_NEWS
--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -8,11 +8,14 @@
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode};
 use wingspur_protocol::ResultCode;
-use wingspur_state::{AttemptEnd, AttemptId, Ended, Expected, Pick, ServerRecord};
+use wingspur_state::{
+    AttemptEnd, AttemptId, ClientAccount, Ended, Expected, Pick, ServerRecord,
+};
 use wingspur_transport::{
     AnswerError, AnswerHead, Backend, BackendConnection, Reuse, SendBody,
 };
 
+use crate::admission::Admitted;
 use crate::exchange::pass_alarm_on;
 use crate::in_force::ActiveRoute;
 use crate::request_log::id_text;
@@ -35,6 +38,8 @@
     pub arrived: Instant,
     /// When it is given up.
     pub limit: Instant,
+    /// Whom it is sent for.
+    pub admitted: Admitted,
     /// Its place among the requests that are not over.
     pub ticket: Arc<Ticket>,
 }
@@ -124,8 +129,21 @@
                 return self.failed(AttemptEnd::NotSent, ResultCode::NotSent, &error);
             }
         };
+        let Ok(account) = self
+            .outgoing
+            .admitted
+            .account_now(&self.shared, &self.route)
+        else {
+            guard.end(Ended::Abandoned);
+            guard.backend.keep(connection);
+            let reason = &"the key was taken away";
+            return self.failed(AttemptEnd::NotSent, ResultCode::UnknownKey, reason);
+        };
         let began = Instant::now();
-        let answering = async { Some(self.converse(&mut connection, body).await) };
+        let answering = async {
+            let account = account.as_deref();
+            Some(self.converse(&mut connection, account, body).await)
+        };
         let answering = answering.or(guard.watch_silence(self.expected()));
         let expired = async {
             smol::Timer::at(self.outgoing.limit + LATE_ANSWER).await;
@@ -161,10 +179,11 @@
     async fn converse(
         &self,
         connection: &mut BackendConnection,
+        account: Option<&ClientAccount>,
         body: SendBody,
     ) -> Result<Conversed, AnswerError> {
         let method = &self.outgoing.method;
-        let request = self.head_bytes(&body);
+        let request = self.head_bytes(account, &body);
         let mut head = connection.exchange(request, body, method).await?;
         while self.belongs_to_another(&head) {
             // A second answer to an earlier request; ours may follow it.
@@ -324,7 +343,7 @@
     }
 
     /// The request's head in bytes.
-    fn head_bytes(&self, body: &SendBody) -> Vec<u8> {
+    fn head_bytes(&self, account: Option<&ClientAccount>, body: &SendBody) -> Vec<u8> {
         let outgoing = &self.outgoing;
         let names = &self.shared.names;
         let mut head = Vec::with_capacity(512);
@@ -343,6 +362,9 @@
         if let Some(name) = names.expected_incarnation {
             push(&mut head, &[name, ": ", &self.pick.server.id, "\r\n"]);
         }
+        if let Some(account) = account {
+            push(&mut head, &[names.account, ": ", &account.name, "\r\n"]);
+        }
         match hyper::body::Body::size_hint(body).exact() {
             Some(0) if outgoing.headers.contains_key(CONTENT_LENGTH) => {}
             Some(0) if !takes_body(&outgoing.method) => {}
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -9,9 +9,9 @@
 use hyper::body::Body;
 use wingspur_protocol::ResultCode;
 use wingspur_state::{
-    AttemptEnd, BudgetAnswer, HedgeInputs, Pick, ResendUse, RetryDecision, RetryReason,
-    ReturnInputs, RouteClass, ServerKey, StopReason, Want, decide_retry, hedge_after,
-    spare_per_s,
+    AttemptEnd, BudgetAnswer, HedgeInputs, Pick, Priority, ResendUse, RetryDecision,
+    RetryReason, ReturnInputs, RouteClass, ServerKey, StopReason, Want, decide_retry,
+    hedge_after, priority_of, spare_per_s,
 };
 use wingspur_transport::SendBody;
 
@@ -58,6 +58,17 @@
     pub answer: Option<HeldAnswer>,
 }
 
+impl GivenUp {
+    /// A refusal of the box's own, to come back after the code's usual time.
+    pub fn plain(code: ResultCode) -> Self {
+        Self {
+            code,
+            retry_after: None,
+            answer: None,
+        }
+    }
+}
+
 type Running = Pin<Box<dyn Future<Output = AttemptResult> + Send>>;
 
 /// What happened next.
@@ -133,6 +144,10 @@
         if self.remaining().is_zero() {
             return Err(ResultCode::DeadlineBeforeSend);
         }
+        let admitted = &self.outgoing.admitted;
+        if admitted.account_now(&self.shared, &self.route).is_err() {
+            return Err(ResultCode::UnknownKey);
+        }
         let pick = self.pick().ok_or(ResultCode::NoServer)?;
         let left_ms = self.remaining().as_secs_f64() * 1000.0;
         if pick.wait_ms > left_ms {
@@ -251,7 +266,7 @@
             if !may {
                 return Err(code);
             }
-            if self.resends.sent == 0 {
+            if self.resends.sent == 0 && code != ResultCode::UnknownKey {
                 // The next one will be the first that reaches a server.
                 return self.send_next();
             }
@@ -403,7 +418,7 @@
         let capacity_per_s = balancer.capacity_per_s(want.typical, now);
         drop(balancer);
         let inputs = ReturnInputs {
-            priority: self.route.route.priority,
+            priority: self.rank(),
             least_wait: least_wait.unwrap_or(NO_SERVER_COME_BACK),
             spare_per_s: spare_per_s(capacity_per_s, want.present.requests_per_s, boxes),
         };
@@ -422,6 +437,13 @@
         wait
     }
 
+    /// The rank of the request: its account's goes before its route's.
+    fn rank(&self) -> Priority {
+        let account = self.outgoing.admitted.account.as_ref();
+        let account = account.map_or(0, |account| account.priority);
+        priority_of(account, self.route.route.priority)
+    }
+
     fn take_body(&mut self) -> SendBody {
         let body = self.body.take().unwrap_or(SendBody::empty());
         self.body = body.copy();
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -154,7 +154,9 @@
         shared.metrics.time_store("list", began.elapsed());
         reading.lists = None;
         take_listing(shared, listing, Instant::now());
-        note_answer(shared);
+        if due == Listing::Fresh {
+            note_answer(shared);
+        }
         if revision == 0 {
             // Boxes that start together announce themselves together: one watch later hears
             // of all, and by then another box may read for this one.
@@ -189,7 +191,8 @@
 }
 
 /// Notes that all that the store had told by now is in. Only the answer of a watch or a
-/// listing says so: another call may be answered while the watch is deaf.
+/// fresh listing says so: a cheap listing may be seconds old, and another call may be
+/// answered while the watch is deaf.
 fn note_answer(shared: &Shared) {
     shared.links.lock().feed().note_answer(Instant::now());
 }
--- a/crates/wingspur-edge/src/in_force.rs
+++ b/crates/wingspur-edge/src/in_force.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use wingspur_state::{Bundle, HostRoute, HostRoutes, RouteClass, ServiceTime};
+use wingspur_state::{
+    AccountTable, Bundle, ClientAccount, HostRoute, HostRoutes, RouteClass, ServiceTime,
+};
 
 use crate::locks::{Rank, Ranked};
 use crate::services::{ServiceState, Services};
@@ -17,6 +19,8 @@
     pub bundle: Arc<Bundle>,
     /// Since when it is in force.
     pub since: Instant,
+    /// The client accounts by their keys; none where callers need none.
+    pub accounts: Option<Arc<AccountTable>>,
     hosts: HostRoutes,
     routes: Vec<Arc<ActiveRoute>>,
 }
@@ -61,6 +65,7 @@
             })
         };
         Self {
+            accounts: accounts(&bundle, before),
             hosts: HostRoutes::new(&bundle.host_routes),
             routes: bundle.host_routes.iter().map(active).collect(),
             bundle,
@@ -148,6 +153,22 @@
     }
 }
 
+/// The table of the bundle's accounts; the one before where none has changed, as with most
+/// bundles: it is long where accounts are many.
+fn accounts(bundle: &Bundle, before: Option<&InForce>) -> Option<Arc<AccountTable>> {
+    let new = bundle.client_accounts.as_ref()?;
+    let known = before.and_then(|before| {
+        let old = before.bundle.client_accounts.as_ref()?;
+        is_same_list(old, new).then(|| before.accounts.clone())?
+    });
+    known.or_else(|| Some(Arc::new(AccountTable::new(new))))
+}
+
+fn is_same_list(old: &[Arc<ClientAccount>], new: &[Arc<ClientAccount>]) -> bool {
+    let mut pairs = old.iter().zip(new);
+    old.len() == new.len() && pairs.all(|(old, new)| Arc::ptr_eq(old, new))
+}
+
 fn targets(route: &HostRoute, services: &Services) -> Vec<(u32, Arc<ServiceState>)> {
     let mut sum = 0;
     let weighty = route.targets.iter().filter(|target| target.weight > 0);
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -1,6 +1,7 @@
 //! An entry box over a catalog: the request path and the tasks around it.
 
 mod active_link;
+mod admission;
 mod announce;
 mod answer_body;
 mod attempt;
--- a/crates/wingspur-edge/src/refusal.rs
+++ b/crates/wingspur-edge/src/refusal.rs
@@ -4,7 +4,7 @@
 
 use http_body_util::Full;
 use hyper::body::Bytes;
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
 use wingspur_protocol::{RefusalBody, ResultCode};
 
@@ -25,6 +25,9 @@
     let headers = response.headers_mut();
     headers.insert(RESULT_HEADER, HeaderValue::from(code.number()));
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if code == ResultCode::UnknownKey {
+        headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    }
     if let Some(seconds) = seconds {
         let text = HeaderValue::from_str(&format!("{seconds}"));
         headers.insert(RETRY_AFTER, text.expect("a number is visible characters"));
--- a/crates/wingspur-edge/src/request.rs
+++ b/crates/wingspur-edge/src/request.rs
@@ -13,11 +13,11 @@
 use wingspur_protocol::ResultCode;
 use wingspur_transport::{AnswerHead, SendBody};
 
+use crate::admission::{Admitted, Asking, admit, find_route, strip_credentials};
 use crate::answer_body::{AnswerBody, StreamBody};
 use crate::attempt::{AttemptResult, HeldAnswer, Outgoing};
 use crate::attempts::{Forwarding, GivenUp};
 use crate::heads::{check_framing, strip_hop_by_hop};
-use crate::in_force::ActiveRoute;
 use crate::refusal::refusal;
 use crate::request_log::RequestLog;
 use crate::requests_out::Ticket;
@@ -49,7 +49,7 @@
         None => {
             // Whatever it waits for, it has its answer before the box ends.
             let sent = log.ticket().was_sent();
-            refuse(&shared, plain(out_of_time(sent)), log)
+            refuse(&shared, GivenUp::plain(out_of_time(sent)), log)
         }
     };
     if shared.stopping.has_begun() || old_version {
@@ -67,24 +67,32 @@
     log: &mut RequestLog,
 ) -> Result<Response<AnswerBody>, GivenUp> {
     let (parts, body) = request.into_parts();
-    let in_force = shared.in_force().ok_or(plain(ResultCode::NotReady))?;
-    check_framing(&parts.headers).map_err(plain)?;
-    let host = host_of(&parts).ok_or(plain(ResultCode::BadFraming))?;
-    let route = in_force.find(host, parts.uri.path());
-    let route = route.ok_or(plain(ResultCode::NoRoute))?.clone();
+    check_framing(&parts.headers).map_err(GivenUp::plain)?;
+    let host = host_of(&parts).ok_or(GivenUp::plain(ResultCode::BadFraming))?;
+    let patience = patience(shared, &parts.headers);
+    let asking = Asking {
+        id: log.id(),
+        arrived,
+        patience,
+    };
+    let route = find_route(shared, &asking, host, parts.uri.path()).await?;
+    let admitted = admit(shared, &asking, &route, &parts.headers).await?;
+    let in_force = shared.in_force();
+    let in_force = in_force.ok_or(GivenUp::plain(ResultCode::NotReady))?;
     let service = route.next_service().clone();
     log.routed(&route, &service.name, in_force.version());
-    let limit = arrived + time_allowed(shared, &route, &parts.headers);
+    log.admitted(&admitted);
+    let limit = arrived + patience.min(route.timeout());
     let limit = shared.stopping.limit(limit);
     let limits = in_force.bundle.caller_limits;
     let kept_bytes = shared.settings().kept_body_bytes;
     let body = receive_body(body, limits.max_body_bytes, kept_bytes, limit);
-    let body = body.await.map_err(plain)?;
+    let body = body.await.map_err(GivenUp::plain)?;
     let class = route.route.class.as_str();
     let labels = [service.name.as_str(), class];
     shared.metrics.requests.with_label_values(&labels).inc();
     let ticket = log.ticket().clone();
-    let outgoing = outgoing(shared, parts, arrived, limit, ticket.clone());
+    let outgoing = outgoing(shared, parts, admitted, arrived, limit, ticket.clone());
     let forwarding = Forwarding::new(shared.clone(), route, service, outgoing, body);
     match forwarding.run().await? {
         AttemptResult::Answered(answer) => Ok(whole(answer)),
@@ -98,7 +106,7 @@
             let body = StreamBody::new(first, *connection, guard, length, ticket);
             Ok(with_head(head, AnswerBody::Stream(body)))
         }
-        AttemptResult::Failed(failed) => Err(plain(failed.code)),
+        AttemptResult::Failed(failed) => Err(GivenUp::plain(failed.code)),
     }
 }
 
@@ -123,6 +131,7 @@
 fn outgoing(
     shared: &Shared,
     parts: Parts,
+    admitted: Admitted,
     arrived: Instant,
     limit: Instant,
     ticket: Arc<Ticket>,
@@ -131,6 +140,9 @@
     let mut headers = parts.headers;
     strip_hop_by_hop(&mut headers);
     let id = headers.get(names.request_id).cloned();
+    let in_force = shared.in_force();
+    let has_keys = in_force.is_some_and(|in_force| in_force.accounts.is_some());
+    strip_credentials(&mut headers, names.account, has_keys);
     headers.remove(names.deadline_ms);
     headers.remove(CONTENT_LENGTH);
     if let Some(name) = names.expected_incarnation {
@@ -144,16 +156,16 @@
         id,
         arrived,
         limit,
+        admitted,
         ticket,
     }
 }
 
-/// The smaller of what the caller and the route allow.
-fn time_allowed(shared: &Shared, route: &ActiveRoute, headers: &HeaderMap) -> Duration {
+/// How long the caller says that it waits.
+fn patience(shared: &Shared, headers: &HeaderMap) -> Duration {
     let told = headers.get(shared.names.deadline_ms);
     let told = told.and_then(|value| value.to_str().ok()?.parse().ok());
-    let callers = told.map_or(Duration::MAX, Duration::from_millis);
-    callers.min(route.timeout())
+    told.map_or(Duration::MAX, Duration::from_millis)
 }
 
 /// Keeps a small body whole, so that it can be sent again; streams a large one.
@@ -204,11 +216,3 @@
     *response.headers_mut() = headers;
     response
 }
-
-fn plain(code: ResultCode) -> GivenUp {
-    GivenUp {
-        code,
-        retry_after: None,
-        answer: None,
-    }
-}
--- a/crates/wingspur-edge/src/request_log.rs
+++ b/crates/wingspur-edge/src/request_log.rs
@@ -6,8 +6,9 @@
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 use wingspur_protocol::ResultCode;
-use wingspur_state::{BundleVersion, Pick};
+use wingspur_state::{BundleVersion, ClientAccount, Pick};
 
+use crate::admission::Admitted;
 use crate::attempts::GivenUp;
 use crate::in_force::ActiveRoute;
 use crate::metrics::Metrics;
@@ -24,6 +25,7 @@
     id: String,
     began: Instant,
     routed: Option<Routed>,
+    account: Option<Arc<ClientAccount>>,
     told: bool,
 }
 
@@ -44,6 +46,7 @@
             id,
             began,
             routed: None,
+            account: None,
             told: false,
         }
     }
@@ -63,6 +66,16 @@
         });
     }
 
+    /// Notes whom the request is counted for.
+    pub fn admitted(&mut self, admitted: &Admitted) {
+        self.account = admitted.account.clone();
+    }
+
+    /// The request's id as text.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
     /// The request's place among those that are not over.
     pub fn ticket(&self) -> &Arc<Ticket> {
         &self.ticket
@@ -94,6 +107,7 @@
             route,
             service,
             class,
+            account = self.account_name(),
             version,
             status = status.as_u16(),
             code,
@@ -104,6 +118,10 @@
         );
     }
 
+    fn account_name(&self) -> &str {
+        self.account.as_ref().map_or("", |account| &account.name)
+    }
+
     fn labels(&self) -> (&str, &str, &'static str, BundleVersion) {
         let Some(routed) = &self.routed else {
             return ("", "", "", 0);
@@ -131,6 +149,7 @@
             route,
             service,
             class,
+            account = self.account_name(),
             version,
             sent = self.ticket.was_sent(),
             server = self.ticket.server(),
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -97,21 +97,30 @@
         let now = Instant::now();
         for change in changes {
             match change {
-                DirectoryChange::Put(record) => {
-                    let service = self.get(&record.service);
-                    service.balancer.lock().put(record.clone(), now);
-                    self.by_server.lock().insert(record.key(), service);
-                }
-                DirectoryChange::Gone(record) => {
-                    let service = self.get(&record.service);
-                    service.balancer.lock().remove(record.key());
-                    self.by_server.lock().remove(&record.key());
-                    self.backends.lock().remove(&record.address);
+                DirectoryChange::Put(record) => self.put(record, now),
+                DirectoryChange::Restarted { before, record } => {
+                    self.forget(before);
+                    self.put(record, now);
                 }
+                DirectoryChange::Gone(record) => self.forget(record),
             }
         }
     }
 
+    fn put(&self, record: &ServerRecord, now: Instant) {
+        let service = self.get(&record.service);
+        service.balancer.lock().put(record.clone(), now);
+        self.by_server.lock().insert(record.key(), service);
+    }
+
+    /// Forgets a run of a server, with the connections to it.
+    fn forget(&self, record: &ServerRecord) {
+        let service = self.get(&record.service);
+        service.balancer.lock().remove(record.key());
+        self.by_server.lock().remove(&record.key());
+        self.backends.lock().remove(&record.address);
+    }
+
     /// Divides each service's connections and budget among the boxes.
     pub fn share(&self, bundle: &Bundle, division: FleetDivision) {
         for declared in &bundle.services {
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -143,6 +143,7 @@
             let (event, record) = match change {
                 DirectoryChange::Put(record) if record.leaving => ("leaving", record),
                 DirectoryChange::Put(record) => ("takes work", record),
+                DirectoryChange::Restarted { record, .. } => ("started again", record),
                 DirectoryChange::Gone(record) => ("gone", record),
             };
             let (server, service) = (&record.id, &record.service);
--- a/crates/wingspur-protocol/src/codes.rs
+++ b/crates/wingspur-protocol/src/codes.rs
@@ -17,6 +17,8 @@
     BadFraming,
     /// A once-only request has no key, or one of the wrong form.
     BadKey,
+    /// The request carries no key that belongs to a client account.
+    UnknownKey,
     /// The caller account is over its rate.
     AccountLimit,
     /// The concern's places and queue are full.
@@ -43,16 +45,19 @@
     KeyTooOld,
     /// The box has no bundle yet.
     NotReady,
+    /// The box's news is too old to say that a route or a key does not exist.
+    NewsLate,
 }
 
 impl ResultCode {
     /// All codes, in the order of their numbers.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 20] = [
         Self::NoRoute,
         Self::MethodNotAllowed,
         Self::TooLarge,
         Self::BadFraming,
         Self::BadKey,
+        Self::UnknownKey,
         Self::AccountLimit,
         Self::ConcernFull,
         Self::DeadlineBeforeSend,
@@ -66,6 +71,7 @@
         Self::OutcomeUnknown,
         Self::KeyTooOld,
         Self::NotReady,
+        Self::NewsLate,
     ];
 
     /// The number in the `wingspur-result` header.
@@ -76,6 +82,7 @@
             Self::TooLarge => 1003,
             Self::BadFraming => 1004,
             Self::BadKey => 1005,
+            Self::UnknownKey => 1006,
             Self::AccountLimit => 2001,
             Self::ConcernFull => 2002,
             Self::DeadlineBeforeSend => 2003,
@@ -89,6 +96,7 @@
             Self::OutcomeUnknown => 4004,
             Self::KeyTooOld => 4005,
             Self::NotReady => 5001,
+            Self::NewsLate => 5002,
         }
     }
 
@@ -99,9 +107,10 @@
             Self::MethodNotAllowed => 405,
             Self::TooLarge => 413,
             Self::BadFraming | Self::BadKey => 400,
+            Self::UnknownKey => 401,
             Self::AccountLimit => 429,
             Self::ConcernFull | Self::NoServer | Self::ClaimUnavailable => 503,
-            Self::DeadlineBeforeSend | Self::NotReady => 503,
+            Self::DeadlineBeforeSend | Self::NotReady | Self::NewsLate => 503,
             // A caller may trust a 503 to mean that nothing ran.
             Self::NotSent => 503,
             Self::InDoubt => 502,
@@ -119,6 +128,7 @@
             Self::TooLarge => "too_large",
             Self::BadFraming => "bad_framing",
             Self::BadKey => "bad_key",
+            Self::UnknownKey => "unknown_key",
             Self::AccountLimit => "account_limit",
             Self::ConcernFull => "concern_full",
             Self::DeadlineBeforeSend => "deadline_before_send",
@@ -132,6 +142,7 @@
             Self::OutcomeUnknown => "outcome_unknown",
             Self::KeyTooOld => "key_too_old",
             Self::NotReady => "not_ready",
+            Self::NewsLate => "news_late",
         }
     }
 
@@ -152,7 +163,7 @@
         match self {
             Self::AccountLimit | Self::ConcernFull => Some(1),
             Self::DeadlineBeforeSend | Self::NoServer | Self::NotSent => Some(1),
-            Self::InProgress | Self::NotReady => Some(1),
+            Self::InProgress | Self::NotReady | Self::NewsLate => Some(1),
             Self::ClaimUnavailable => Some(5),
             _ => None,
         }
--- a/crates/wingspur-protocol/src/headers.rs
+++ b/crates/wingspur-protocol/src/headers.rs
@@ -17,6 +17,8 @@
     pub load: &'static str,
     /// How the load is written.
     pub load_form: LoadForm,
+    /// Tells a server the client account of a request.
+    pub account: &'static str,
     /// Says that a server is leaving, where servers say so by a header.
     pub draining: Option<&'static str>,
 }
@@ -40,6 +42,7 @@
         not_run: None,
         load: "endpoint-load-metrics",
         load_form: LoadForm::EndpointLoadMetrics,
+        account: "wingspur-account",
         draining: Some("wingspur-draining"),
     };
 }
--- a/crates/wingspur-protocol/src/store.rs
+++ b/crates/wingspur-protocol/src/store.rs
@@ -1,8 +1,12 @@
 //! Records in the platform's key-value service.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use wingspur_state::{Bundle, BundleVersion, CallerLimits, HostRoute, Service};
+use wingspur_state::{
+    Bundle, BundleVersion, CallerLimits, ClientAccount, HostRoute, Service,
+};
 
 /// The one key whose move is the acceptance of a bundle.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,6 +38,9 @@
     /// What callers may send.
     #[serde(default)]
     pub caller_limits: CallerLimits,
+    /// The client accounts; none where callers need no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub client_accounts: Option<Vec<Arc<ClientAccount>>>,
 }
 
 /// A part by name and content.
@@ -79,6 +86,7 @@
             parts: references,
             host_routes: bundle.host_routes.clone(),
             caller_limits: bundle.caller_limits,
+            client_accounts: bundle.client_accounts.clone(),
         };
         Ok((manifest, parts))
     }
@@ -92,6 +100,7 @@
             services,
             host_routes: self.host_routes.clone(),
             caller_limits: self.caller_limits,
+            client_accounts: self.client_accounts.clone(),
         }
     }
 }
--- a/crates/wingspur-state/src/bundle.rs
+++ b/crates/wingspur-state/src/bundle.rs
@@ -1,10 +1,11 @@
 //! The bundle: what operators declare about services, servers and routes.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{BundleVersion, DataCentreId};
+use crate::{BundleVersion, ClientAccount, DataCentreId};
 
 /// A versioned description of everything a fleet proxies.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -22,6 +23,9 @@
     /// What callers may send, and how long they may take.
     #[serde(default)]
     pub caller_limits: CallerLimits,
+    /// The client accounts; none where callers need no key.
+    #[serde(default)]
+    pub client_accounts: Option<Vec<Arc<ClientAccount>>>,
     /// Routes by host and path prefix, which may divide their requests among services.
     ///
     /// It stays the last field: boxes tell each other fields by their place, and one that is
@@ -54,6 +58,9 @@
     pub max_attempts: u8,
     /// The rank where a service is short of room; 0 goes first.
     pub priority: u8,
+    /// Whether callers need no key here.
+    #[serde(default)]
+    pub open_to_all: bool,
 }
 
 /// A service's part of a route's requests.
--- a/crates/wingspur-state/src/check.rs
+++ b/crates/wingspur-state/src/check.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{HashMap, HashSet};
 use std::fmt::{self, Display, Formatter};
+use std::sync::Arc;
 
-use crate::{Bundle, RouteClass, RouteTable, Service};
+use crate::{Bundle, ClientAccount, KeyDigest, RouteClass, RouteTable, Service};
 
 /// One thing wrong with a bundle.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -59,9 +60,59 @@
         check_service(&mut findings, &at, service);
     }
     check_route_clashes(&mut findings, bundle);
+    let accounts = bundle.client_accounts.as_deref().unwrap_or_default();
+    findings.extend(check_accounts(accounts));
     findings
 }
 
+/// Checks the client accounts and returns all findings at once.
+pub fn check_accounts(accounts: &[Arc<ClientAccount>]) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    let mut names = HashSet::new();
+    let mut owners: HashMap<&KeyDigest, &str> = HashMap::new();
+    for (index, account) in accounts.iter().enumerate() {
+        let at = format!("client_accounts[{index}]");
+        check_account(&mut findings, &at, account);
+        if !names.insert(account.name.as_str()) {
+            let found = format!("`{}` stands twice", account.name);
+            let fix = "rename one of them";
+            report(&mut findings, &format!("{at}.name"), &found, fix);
+        }
+        for key in &account.keys_sha256 {
+            let owner = owners.insert(key, &account.name);
+            if let Some(owner) = owner.filter(|owner| *owner != account.name) {
+                let found =
+                    format!("a key of `{}` as well as of `{owner}`", account.name);
+                let fix = "give each key to one account";
+                report(&mut findings, &format!("{at}.keys_sha256"), &found, fix);
+            }
+        }
+    }
+    findings
+}
+
+fn check_account(findings: &mut Vec<Finding>, at: &str, account: &ClientAccount) {
+    let is_visible = |byte: u8| byte.is_ascii_graphic();
+    let length = account.name.len();
+    let fits = (1..=MOST_NAME_BYTES).contains(&length);
+    if !fits || !account.name.bytes().all(is_visible) {
+        // It goes into a header.
+        let found = format!("`{}`", account.name.escape_debug());
+        let fix = "use 1 to 128 visible ASCII characters without blanks";
+        report(findings, &format!("{at}.name"), &found, fix);
+    }
+    let limits = [
+        ("requests_per_s", account.requests_per_s),
+        ("burst", account.burst),
+    ];
+    for (field, value) in limits {
+        if !value.is_finite() || value < 0.0 {
+            let fix = "use 0, for no limit, or more";
+            report(findings, &format!("{at}.{field}"), &value.to_string(), fix);
+        }
+    }
+}
+
 fn check_service(findings: &mut Vec<Finding>, at: &str, service: &Service) {
     if service.name.is_empty() || service.name.contains('/') {
         let found = format!("`{}`", service.name);
@@ -217,3 +268,6 @@
     let (field, found, fix) = (field.to_owned(), found.to_owned(), fix.to_owned());
     findings.push(Finding { field, found, fix });
 }
+
+/// Headers of backend servers take more, but nobody needs a longer name.
+const MOST_NAME_BYTES: usize = 128;
--- a/crates/wingspur-state/src/directory.rs
+++ b/crates/wingspur-state/src/directory.rs
@@ -22,6 +22,13 @@
 pub enum DirectoryChange {
     /// It is new, or its record has changed.
     Put(ServerRecord),
+    /// It has started again under its id: nothing of the run before holds any more.
+    Restarted {
+        /// The run that is over.
+        before: ServerRecord,
+        /// The run that has begun.
+        record: ServerRecord,
+    },
     /// It is gone.
     Gone(ServerRecord),
 }
@@ -78,21 +85,36 @@
     }
 
     /// Takes in an entry as it stands in the store; what is left of a cold start is no
-    /// change, since it was known from the first entry.
+    /// change, since it was known from the first entry. An entry of an earlier run than the
+    /// one that is known is old news.
     pub fn put(&mut self, record: ServerRecord) -> Option<DirectoryChange> {
+        let known_born_ms = self.entries.get(&record.id).map(|e| e.record.born_ms);
+        if known_born_ms.is_some_and(|known| record.born_ms < known) {
+            return None;
+        }
         let entry = Entry {
             record: record.clone(),
             missing: false,
         };
-        let before = self.entries.insert(record.id.clone(), entry);
-        let known = before.is_some_and(|entry| entry.record.stands_as(&record));
-        (!known).then_some(DirectoryChange::Put(record))
+        match self.entries.insert(record.id.clone(), entry) {
+            Some(entry) if entry.record.born_ms < record.born_ms => {
+                Some(DirectoryChange::Restarted {
+                    before: entry.record,
+                    record,
+                })
+            }
+            Some(entry) if entry.record.stands_as(&record) => None,
+            _ => Some(DirectoryChange::Put(record)),
+        }
     }
 
     /// Whether a record would change nothing but what is left of a cold start.
     pub fn stands(&self, record: &ServerRecord) -> bool {
         let entry = self.entries.get(&record.id);
-        entry.is_some_and(|entry| !entry.missing && entry.record.stands_as(record))
+        entry.is_some_and(|entry| {
+            let is_old = record.born_ms < entry.record.born_ms;
+            is_old || (!entry.missing && entry.record.stands_as(record))
+        })
     }
 
     /// Takes in that an entry has vanished.
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O, reads a clock or draws random numbers of its own, so
 //! every decision can be replayed from a trace.
 
+mod account;
 mod balancer;
 mod bundle;
 mod bundle_patch;
@@ -31,13 +32,14 @@
 mod tracked;
 mod unease;
 
+pub use account::{AccountTable, ClientAccount, KeyDigest};
 pub use balancer::{Balancer, Pick, Turned, Want};
 pub use bundle::{
     BackendServer, Bundle, CallerLimits, Detection, Floor, HostRoute, Limits, RetryRules,
     Route, RouteClass, RouteTarget, Service,
 };
 pub use bundle_patch::BundlePatch;
-pub use check::{Finding, check_bundle};
+pub use check::{Finding, check_accounts, check_bundle};
 pub use directory::{Directory, DirectoryChange, RETURN_GRACE};
 pub use evidence::{EvidenceEntry, EvidenceReport, Reference, threshold, well_evidence};
 pub use fleet_budget::{
@@ -59,7 +61,7 @@
 pub use retry::{
     AttemptEnd, RetryBudget, RetryDecision, RetryReason, StopReason, decide_retry,
 };
-pub use returning::{ReturnInputs, ReturnQueue, spare_per_s};
+pub use returning::{Priority, ReturnInputs, ReturnQueue, priority_of, spare_per_s};
 pub use route::{RouteClash, RouteMatch, RouteTable};
 pub use server::{ServerRecord, server_key};
 pub use service_table::{AttemptOutcome, ServiceTable, TICK, VERDICT_TTL};
--- a/crates/wingspur-state/src/returning.rs
+++ b/crates/wingspur-state/src/returning.rs
@@ -10,14 +10,17 @@
 #[derive(Debug, Default)]
 pub struct ReturnQueue {
     /// When the next caller of each priority may come.
-    next: BTreeMap<u8, Instant>,
+    next: BTreeMap<Priority, Instant>,
 }
 
+/// A caller's rank: its account's, and among equals its route's; 0 goes first.
+pub type Priority = u16;
+
 /// What a refusal finds.
 #[derive(Debug, Clone, Copy)]
 pub struct ReturnInputs {
     /// The caller's rank; 0 goes first.
-    pub priority: u8,
+    pub priority: Priority,
     /// The shortest wait for a slot now.
     pub least_wait: Duration,
     /// Callers that the service can take back from this box in a second.
@@ -57,6 +60,11 @@
     }
 }
 
+/// The rank of a caller by those of its account and its route.
+pub fn priority_of(account: u8, route: u8) -> Priority {
+    Priority::from_be_bytes([account, route])
+}
+
 /// How many callers a box's part of a service has room for in a second.
 ///
 /// `capacity_per_s` is what the service's servers do in a second, `asked_per_s` what is
--- a/tests/tests/balancing.rs
+++ b/tests/tests/balancing.rs
@@ -14,6 +14,7 @@
 fn record(id: &str, data_centre: &str) -> ServerRecord {
     ServerRecord {
         id: id.into(),
+        born_ms: 0,
         service: "svc".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: data_centre.into(),
--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -76,13 +76,28 @@
         })
     }
 
+    /// Starts a box before some servers, by what the operator wrote.
+    pub fn start_configured(servers: &[BackendServer], configuration: &Value) -> Self {
+        Self::start_by(servers, configuration, |store| {
+            with_resends(settings("box-1", store), PLENTY)
+        })
+    }
+
     fn start_with(
         servers: &[BackendServer],
         routes: &[Route],
         settings: impl FnOnce(SocketAddr) -> Settings,
+    ) -> Self {
+        Self::start_by(servers, &configuration(1, routes), settings)
+    }
+
+    fn start_by(
+        servers: &[BackendServer],
+        configuration: &Value,
+        settings: impl FnOnce(SocketAddr) -> Settings,
     ) -> Self {
         let store = PlatformStore::start(500);
-        store.put("op/config", &configuration(1, routes));
+        store.put("op/config", configuration);
         for (n, server) in servers.iter().enumerate() {
             let entry = server_entry(server.address, "ready");
             store.put(&format!("servers/i-{n}"), &entry);
@@ -105,6 +120,14 @@
         self.wait_for_news();
     }
 
+    /// Puts what the operator writes next, and waits until the box has it in force.
+    pub fn roll_out(&self, configuration: &Value) {
+        self.store.put("op/config", configuration);
+        let version = configuration["version"].as_u64().expect("it has one");
+        let reached = || self.running.bundle_version() >= version;
+        wait_until("the box has the news", reached);
+    }
+
     /// Waits until the box has taken in all changes so far.
     pub fn wait_for_news(&self) {
         let version = self.running.bundle_version() + 1;
@@ -239,6 +262,14 @@
     })
 }
 
+/// The configuration with client accounts, each by its name and keys.
+pub fn with_accounts(mut configuration: Value, accounts: &[(&str, &[&str])]) -> Value {
+    let row = |(name, keys): &(&str, &[&str])| json!({"name": name, "keys": keys});
+    let rows: Vec<Value> = accounts.iter().map(row).collect();
+    configuration["client_accounts"] = rows.into();
+    configuration
+}
+
 /// An entry as a server writes it.
 pub fn server_entry(address: SocketAddr, state: &str) -> Value {
     json!({
--- a/tests/tests/floor.rs
+++ b/tests/tests/floor.rs
@@ -57,6 +57,7 @@
 fn record(n: usize, cold_ms: u64) -> ServerRecord {
     ServerRecord {
         id: format!("i-{n}"),
+        born_ms: 0,
         service: "svc".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "dc-1".into(),
--- a/tests/tests/news_age.rs
+++ b/tests/tests/news_age.rs
@@ -131,6 +131,7 @@
         target_latency_ms: 800,
         max_attempts: 2,
         priority: 1,
+        open_to_all: false,
     }
 }
 
@@ -141,6 +142,7 @@
         account_header: "account".to_owned(),
         services: Vec::new(),
         host_routes,
+        client_accounts: None,
         caller_limits: Default::default(),
     }
 }
--- a/tests/tests/placing.rs
+++ b/tests/tests/placing.rs
@@ -58,6 +58,7 @@
 fn record(n: usize) -> ServerRecord {
     ServerRecord {
         id: format!("i-{n}"),
+        born_ms: 0,
         service: "svc".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "dc-1".into(),
--- a/tests/tests/returning.rs
+++ b/tests/tests/returning.rs
@@ -18,7 +18,7 @@
     for n in 0..callers {
         let refused_at = Duration::from_millis(random.random_range(0..100));
         let inputs = ReturnInputs {
-            priority: (n % 2) as u8,
+            priority: (n % 2) as u16,
             least_wait: Duration::ZERO,
             spare_per_s: spare_per_s(1_000.0, 1_000.0 - ROOM_PER_S, BOXES),
         };
--- a/tests/tests/server_list.rs
+++ b/tests/tests/server_list.rs
@@ -7,6 +7,7 @@
 fn record(id: &str) -> ServerRecord {
     ServerRecord {
         id: id.into(),
+        born_ms: 0,
         service: "svc".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "dc-1".into(),
