--- a/crates/wingspur-edge/src/lending.rs
+++ b/crates/wingspur-edge/src/lending.rs
@@ -23,7 +23,7 @@
 
 /// What this box has lent and borrowed.
 #[derive(Debug)]
-pub struct LendingBook {
+pub struct LendingState {
     clock: PartClock,
     pools: HashMap<AllowanceKey, Pool>,
     borrowers: HashMap<AllowanceKey, Borrower>,
@@ -62,12 +62,12 @@
     until: Instant,
 }
 
-/// What is to be sent after the book is closed.
-pub type Letters = Vec<Letter>;
+/// What is to be sent once the state is unlocked.
+pub type LendingMessages = Vec<LendingMessage>;
 
 /// What is asked of another box, or answered.
 #[derive(Debug)]
-pub struct Letter {
+pub struct LendingMessage {
     /// Where it goes.
     pub link: LinkId,
     /// What it says.
@@ -149,17 +149,17 @@
     if heard_age.is_none_or(|age| age > FREE_BY_NEWS_OF) {
         return false;
     }
-    let mut book = shared.lending.lock();
+    let mut state = shared.lending.lock();
     let fresh = || AccountUse::unknown(account, now);
-    let used = book.uses.entry(account.allowance()).or_insert_with(fresh);
+    let used = state.uses.entry(account.allowance()).or_insert_with(fresh);
     used.is_far_beneath(account, now)
 }
 
 /// Takes in what other boxes have let through of accounts.
 pub fn note_elsewhere(shared: &Shared, counts: &[(u64, ServiceTally)]) {
-    let mut book = shared.lending.lock();
+    let mut state = shared.lending.lock();
     for (key, tally) in counts {
-        if let Some(used) = book.uses.get_mut(key) {
+        if let Some(used) = state.uses.get_mut(key) {
             used.count(tally.requests);
         }
     }
@@ -167,8 +167,8 @@
 
 /// What this box has let through of accounts, where that has changed since it was last told.
 pub fn own_counts(shared: &Shared) -> Vec<(u64, ServiceTally)> {
-    let mut book = shared.lending.lock();
-    let changed = book.own.iter_mut().filter(|(_, count)| count.changed);
+    let mut state = shared.lending.lock();
+    let changed = state.own.iter_mut().filter(|(_, count)| count.changed);
     let told = changed.map(|(key, count)| {
         count.changed = false;
         let tally = ServiceTally {
@@ -187,24 +187,24 @@
     }
     let now = Instant::now();
     let (standing, terms) = (standing(shared, now), TermsTable::now(shared));
-    let mut book = shared.lending.lock();
-    book.clock.note(standing.part, now);
-    let mut letters = Letters::new();
+    let mut state = shared.lending.lock();
+    state.clock.note(standing.part, now);
+    let mut messages = LendingMessages::new();
     for request in &lending.asks {
         if let Lendable::Account(key) = request.of {
             let asked = (key, link, request);
-            letters.extend(book.answer(asked, &standing, &terms, now));
+            messages.extend(state.answer(asked, &standing, &terms, now));
         }
     }
     for answer in &lending.answers {
         if let Lendable::Account(key) = answer.of {
-            letters.extend(book.take_answer(key, answer, &standing, &terms, now));
+            messages.extend(state.take_answer(key, answer, &standing, &terms, now));
         }
     }
-    let searches = !book.searches.is_empty();
-    drop(book);
-    letters.extend(take_resend_loans(shared, link, lending));
-    send(shared, letters);
+    let searches = !state.searches.is_empty();
+    drop(state);
+    messages.extend(take_resend_loans(shared, link, lending));
+    send(shared, messages);
     if searches {
         shared.lending_bell.poke();
     }
@@ -229,23 +229,23 @@
                 "allowance: this box has another part."
             );
         }
-        let mut book = shared.lending.lock();
-        book.clock.note(standing.part, now);
-        let mut letters = book.end_searches(&standing, &terms, now);
-        letters.extend(book.renew_stocks(&standing, now));
+        let mut state = shared.lending.lock();
+        state.clock.note(standing.part, now);
+        let mut messages = state.end_searches(&standing, &terms, now);
+        messages.extend(state.renew_stocks(&standing, now));
         if now.saturating_duration_since(tidied) >= TIDY_EVERY {
             tidied = now;
-            book.tidy(&terms, now);
+            state.tidy(&terms, now);
         }
-        drop(book);
-        send(&shared, letters);
+        drop(state);
+        send(&shared, messages);
     }
 }
 
 /// Sends what there is to ask and to answer.
-pub fn send(shared: &Shared, letters: Letters) {
-    for letter in letters {
-        let outgoing = shared.links.lock().lending_frame(letter);
+pub fn send(shared: &Shared, messages: LendingMessages) {
+    for message in messages {
+        let outgoing = shared.links.lock().lending_frame(message);
         let Some(outgoing) = outgoing else { continue };
         match outgoing.sender.send(&outgoing.frame) {
             Ok(bytes) => shared.metrics.count_frame(bytes),
@@ -255,7 +255,7 @@
     }
 }
 
-impl LendingBook {
+impl LendingState {
     /// A box that starts now.
     pub fn new(now: Instant) -> Self {
         Self {
@@ -301,7 +301,10 @@
         key: AllowanceKey,
         hub: LinkId,
         now: Instant,
-    ) -> (Result<Borrowed, async_channel::Receiver<Borrowed>>, Letters) {
+    ) -> (
+        Result<Borrowed, async_channel::Receiver<Borrowed>>,
+        LendingMessages,
+    ) {
         let borrower = self.borrowers.entry(key).or_default();
         let outcome = borrower.want(now);
         let outcome = match outcome {
@@ -318,19 +321,22 @@
         standing: &Standing,
         terms: &TermsTable,
         now: Instant,
-    ) -> (Result<Borrowed, async_channel::Receiver<Borrowed>>, Letters) {
+    ) -> (
+        Result<Borrowed, async_channel::Receiver<Borrowed>>,
+        LendingMessages,
+    ) {
         let terms = self.terms_left(key, terms, now);
         let terms = terms.filter(|_| standing.part > 0.0);
         let Some(terms) = &terms else {
-            return (Ok(Borrowed::Unknown), Letters::new());
+            return (Ok(Borrowed::Unknown), LendingMessages::new());
         };
         let pool = self.pools.entry(key).or_default();
         if pool.take(terms, &self.clock, now) {
-            return (Ok(Borrowed::Taken), Letters::new());
+            return (Ok(Borrowed::Taken), LendingMessages::new());
         }
         let more_in = pool.next_in(terms, &self.clock);
         if !self.may_search(key, standing, now) {
-            return (Ok(Borrowed::Refused(more_in)), Letters::new());
+            return (Ok(Borrowed::Refused(more_in)), LendingMessages::new());
         }
         let told = self.wait_for(key);
         let search = Search::new(key, None, 0, 1, standing, now);
@@ -338,12 +344,17 @@
     }
 
     /// Asks the hub for what is short.
-    fn ask_hub(&mut self, key: AllowanceKey, hub: LinkId, now: Instant) -> Letters {
+    fn ask_hub(
+        &mut self,
+        key: AllowanceKey,
+        hub: LinkId,
+        now: Instant,
+    ) -> LendingMessages {
         let waiting = self
             .waiting
             .get(&key)
             .map_or(0, |waiting| waiting.len() as u32);
-        let mut letters = Letters::new();
+        let mut messages = LendingMessages::new();
         // What is urgent first, then the stock.
         for waiting in [waiting, 0] {
             let number = self.number();
@@ -366,9 +377,9 @@
                     ..request
                 },
             };
-            letters.push(Letter::asking(hub, request));
+            messages.push(LendingMessage::asking(hub, request));
         }
-        letters
+        messages
     }
 
     /// Answers the question of another box, at once or after other hubs were asked.
@@ -378,7 +389,7 @@
         standing: &Standing,
         terms: &TermsTable,
         now: Instant,
-    ) -> Letters {
+    ) -> LendingMessages {
         let mut answer = LoanAnswer {
             number: request.number,
             of: request.of,
@@ -391,7 +402,7 @@
         let terms = self.terms_left(key, terms, now);
         let terms = terms.filter(|_| standing.part > 0.0);
         let Some(terms) = &terms else {
-            return vec![Letter::answering(link, answer, is_urgent)];
+            return vec![LendingMessage::answering(link, answer, is_urgent)];
         };
         let pool = self.pools.entry(key).or_default();
         if !is_urgent {
@@ -403,14 +414,14 @@
             let stocked = pool.stock(&ask, terms, &self.clock, now);
             answer.stock = stocked.amount;
             answer.renewed = stocked.renewed;
-            return vec![Letter::answering(link, answer, is_urgent)];
+            return vec![LendingMessage::answering(link, answer, is_urgent)];
         }
         answer.urgent = pool.lend_at_once(request.urgent, terms, &self.clock, now);
         answer.more_in_ms = Some(millis(pool.next_in(terms, &self.clock)));
         let missing = request.urgent - answer.urgent;
         let is_hubs = standing.other_hubs.contains(&link);
         if missing == 0 || is_hubs || !self.may_search(key, standing, now) {
-            return vec![Letter::answering(link, answer, is_urgent)];
+            return vec![LendingMessage::answering(link, answer, is_urgent)];
         }
         let asker = Some((link, request.number));
         let search = Search::new(key, asker, answer.urgent, missing, standing, now);
@@ -425,7 +436,7 @@
         standing: &Standing,
         terms: &TermsTable,
         now: Instant,
-    ) -> Letters {
+    ) -> LendingMessages {
         if let Some(mut search) = self.searches.remove(&answer.number) {
             search.take(answer.urgent);
             return match search.missing {
@@ -434,7 +445,7 @@
             };
         }
         let Some(borrower) = self.borrowers.get_mut(&key) else {
-            return Letters::new();
+            return LendingMessages::new();
         };
         let stocked = Stocked {
             amount: answer.stock,
@@ -448,7 +459,7 @@
         self.tell_waiting(key, granted, refusal);
         match standing.own_hub {
             Some(hub) => self.ask_hub(key, hub, now),
-            None => Letters::new(),
+            None => LendingMessages::new(),
         }
     }
 
@@ -480,9 +491,9 @@
     }
 
     /// Asks the next hub.
-    fn search_on(&mut self, mut search: Search, now: Instant) -> Letters {
+    fn search_on(&mut self, mut search: Search, now: Instant) -> LendingMessages {
         let Some(hub) = search.hubs.pop() else {
-            return Letters::new();
+            return LendingMessages::new();
         };
         let number = self.number();
         search.until = now + HUB_ANSWER_LOST;
@@ -494,7 +505,7 @@
             wanted: 0.0,
         };
         self.searches.insert(number, search);
-        vec![Letter::asking(hub, request)]
+        vec![LendingMessage::asking(hub, request)]
     }
 
     /// Asks the next hub, or ends a search in vain when there is none.
@@ -504,7 +515,7 @@
         standing: &Standing,
         terms: &TermsTable,
         now: Instant,
-    ) -> Letters {
+    ) -> LendingMessages {
         search.hubs.retain(|hub| standing.other_hubs.contains(hub));
         if search.hubs.is_empty() {
             self.quiet.insert(search.key, now + QUIET_AFTER_NONE);
@@ -514,7 +525,7 @@
     }
 
     /// Tells who asked what was found.
-    fn end_search(&mut self, search: Search, terms: &TermsTable) -> Letters {
+    fn end_search(&mut self, search: Search, terms: &TermsTable) -> LendingMessages {
         let key = search.key;
         let terms = terms
             .account(key)
@@ -525,7 +536,7 @@
             let refusal = more_in.map_or(Borrowed::Unknown, Borrowed::Refused);
             let rest = (search.missing > 0).then_some(refusal);
             self.tell_waiting(key, search.found, rest);
-            return Letters::new();
+            return LendingMessages::new();
         };
         let answer = LoanAnswer {
             number,
@@ -535,7 +546,7 @@
             renewed: false,
             more_in_ms: more_in.map(millis),
         };
-        vec![Letter::answering(link, answer, true)]
+        vec![LendingMessage::answering(link, answer, true)]
     }
 
     /// Goes on with searches whose last question was not answered.
@@ -544,7 +555,7 @@
         standing: &Standing,
         terms: &TermsTable,
         now: Instant,
-    ) -> Letters {
+    ) -> LendingMessages {
         let is_late = |_: &u32, search: &mut Search| search.until <= now;
         let late: Vec<_> = self.searches.extract_if(is_late).collect();
         let ended = late
@@ -554,9 +565,9 @@
     }
 
     /// Asks the hub for what is about to end, or short.
-    fn renew_stocks(&mut self, standing: &Standing, now: Instant) -> Letters {
+    fn renew_stocks(&mut self, standing: &Standing, now: Instant) -> LendingMessages {
         let Some(hub) = standing.own_hub else {
-            return Letters::new();
+            return LendingMessages::new();
         };
         let keys: Vec<_> = self.borrowers.keys().copied().collect();
         let asks = keys.into_iter().map(|key| self.ask_hub(key, hub, now));
@@ -645,15 +656,15 @@
 ) -> Result<Borrowed, async_channel::Receiver<Borrowed>> {
     let now = Instant::now();
     let (standing, terms) = (standing(shared, now), TermsTable::now(shared));
-    let mut book = shared.lending.lock();
-    book.clock.note(standing.part, now);
-    let (outcome, letters) = match standing.own_hub {
-        Some(hub) => book.want_of_hub(key, hub, now),
-        None => book.want_of_pool(key, &standing, &terms, now),
+    let mut state = shared.lending.lock();
+    state.clock.note(standing.part, now);
+    let (outcome, messages) = match standing.own_hub {
+        Some(hub) => state.want_of_hub(key, hub, now),
+        None => state.want_of_pool(key, &standing, &terms, now),
     };
-    let searches = !book.searches.is_empty();
-    drop(book);
-    send(shared, letters);
+    let searches = !state.searches.is_empty();
+    drop(state);
+    send(shared, messages);
     if searches {
         shared.lending_bell.poke();
     }
@@ -661,7 +672,11 @@
 }
 
 /// Takes in what is asked and answered of resends.
-fn take_resend_loans(shared: &Shared, link: LinkId, lending: &Lending) -> Letters {
+fn take_resend_loans(
+    shared: &Shared,
+    link: LinkId,
+    lending: &Lending,
+) -> LendingMessages {
     let of_resends = |of: &Lendable| !matches!(of, Lendable::Account(_));
     let asks = lending.asks.iter().filter(|ask| of_resends(&ask.of));
     let answers = lending.answers.iter();
@@ -686,7 +701,7 @@
     more_in.max(SOONEST_COME_BACK) + spread
 }
 
-impl Letter {
+impl LendingMessage {
     /// A question.
     pub fn asking(link: LinkId, request: LoanRequest) -> Self {
         let lending = Lending {
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -16,7 +16,7 @@
 use wingspur_transport::LinkSender;
 
 use crate::active_link::{ActiveLink, Greeting};
-use crate::lending::Letter;
+use crate::lending::LendingMessage;
 use crate::resend_loans::{Lenders, ToldRooms};
 
 /// The links of this box, with what is still to be told on each.
@@ -450,20 +450,20 @@
     ///
     /// It goes out beside the others and is none of those that the other side must answer:
     /// requests wait for it.
-    pub fn lending_frame(&mut self, letter: Letter) -> Option<Outgoing> {
-        let link = self.active.get_mut(&letter.link)?;
-        if !letter.urgent {
-            link.lending.asks.extend(letter.lending.asks);
-            link.lending.answers.extend(letter.lending.answers);
+    pub fn lending_frame(&mut self, message: LendingMessage) -> Option<Outgoing> {
+        let link = self.active.get_mut(&message.link)?;
+        if !message.urgent {
+            link.lending.asks.extend(message.lending.asks);
+            link.lending.answers.extend(message.lending.answers);
             return None;
         }
         let frame = Frame {
-            lending: letter.lending,
+            lending: message.lending,
             only_lending: true,
             ..Frame::default()
         };
         Some(Outgoing {
-            link: letter.link,
+            link: message.link,
             sender: link.sender.clone(),
             frame,
         })
--- a/crates/wingspur-edge/src/resend_loans.rs
+++ b/crates/wingspur-edge/src/resend_loans.rs
@@ -12,7 +12,7 @@
 use wingspur_protocol::{Lendable, LoanAnswer, LoanRequest, ResendRoom};
 use wingspur_state::{LENT_FOR, ResendUse, ServerKey, server_key};
 
-use crate::lending::{Letter, Letters, send};
+use crate::lending::{LendingMessage, LendingMessages, send};
 use crate::services::ServiceState;
 use crate::shared::Shared;
 
@@ -185,12 +185,16 @@
         urgent: 1,
         wanted: 0.0,
     };
-    send(shared, vec![Letter::asking(to, request)]);
+    send(shared, vec![LendingMessage::asking(to, request)]);
     Some((number, answered))
 }
 
 /// Answers another box's question for a resend: lends, passes the question on, or declines.
-pub fn answer_resend(shared: &Shared, link: LinkId, request: &LoanRequest) -> Letters {
+pub fn answer_resend(
+    shared: &Shared,
+    link: LinkId,
+    request: &LoanRequest,
+) -> LendingMessages {
     let now = Instant::now();
     if lends_itself(shared, request.of, now) {
         return vec![answering(link, request.number, request.of, true)];
@@ -214,22 +218,22 @@
         .retain(|_, passed| passed.at + KEPT_FOR > now);
     loans.passed_on.insert(number, passed);
     let request = LoanRequest { number, ..*request };
-    vec![Letter::asking(to, request)]
+    vec![LendingMessage::asking(to, request)]
 }
 
 /// Takes in the answer to a question for a resend: this box's own, or one passed on.
-pub fn take_resend_answer(shared: &Shared, answer: &LoanAnswer) -> Letters {
+pub fn take_resend_answer(shared: &Shared, answer: &LoanAnswer) -> LendingMessages {
     let lent = answer.urgent > 0;
     let mut loans = shared.resend_loans.lock();
     if let Some(asked) = loans.asked.remove(&answer.number) {
         // One that has given up does not listen any more.
         let _ = asked.try_send(lent);
-        return Letters::new();
+        return LendingMessages::new();
     }
     let passed = loans.passed_on.remove(&answer.number);
-    let letter =
+    let message =
         |passed: PassedOn| answering(passed.from, passed.number, answer.of, lent);
-    passed.map(letter).into_iter().collect()
+    passed.map(message).into_iter().collect()
 }
 
 /// How the retry budgets stand at this box, and over it and its members.
@@ -290,7 +294,7 @@
     }
 }
 
-fn answering(link: LinkId, number: u32, of: Lendable, lent: bool) -> Letter {
+fn answering(link: LinkId, number: u32, of: Lendable, lent: bool) -> LendingMessage {
     let answer = LoanAnswer {
         number,
         of,
@@ -299,7 +303,7 @@
         renewed: false,
         more_in_ms: None,
     };
-    Letter::answering(link, answer, true)
+    LendingMessage::answering(link, answer, true)
 }
 
 /// How long what is told of the budgets counts as new: each frame asks for it.
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -9,7 +9,7 @@
 
 use crate::bell::Bell;
 use crate::in_force::InForce;
-use crate::lending::LendingBook;
+use crate::lending::LendingState;
 use crate::links::Links;
 use crate::locks::{Rank, Ranked};
 use crate::metrics::Metrics;
@@ -35,7 +35,7 @@
     /// The links to other boxes.
     pub links: Ranked<Links>,
     /// What is lent and borrowed of client accounts' allowances.
-    pub lending: Ranked<LendingBook>,
+    pub lending: Ranked<LendingState>,
     /// Who has room for resends, and what is lent of them.
     pub resend_loans: Ranked<ResendLoans>,
     /// Rung when a question of another box waits for an answer.
@@ -88,7 +88,7 @@
                 Rank::Links,
                 Links::new(own, settings.first_start, Instant::now()),
             ),
-            lending: Ranked::new(Rank::Lending, LendingBook::new(Instant::now())),
+            lending: Ranked::new(Rank::Lending, LendingState::new(Instant::now())),
             resend_loans: Ranked::new(Rank::ResendLoans, ResendLoans::default()),
             lending_bell: Bell::new(),
             lease: Ranked::new(Rank::Lease, None),
--- a/crates/wingspur-state/src/lending.rs
+++ b/crates/wingspur-state/src/lending.rs
@@ -1,8 +1,8 @@
-//! Parts of a fleet-wide allowance, minted where boxes add up and lent where they are needed.
+//! Parts of a fleet-wide allowance, refilled where boxes add up and lent where they are needed.
 //!
 //! An allowance grants so much a second over all boxes, and so much at once on top. Nobody
 //! holds the whole: each box has a part of it, and a hub those of the boxes that leave theirs
-//! to it. A part mints what its share of the rate earns, holds no more than its share of the
+//! to it. A part refills what its share of the rate earns, holds no more than its share of the
 //! depth, and lends of that. Why no span holds more than the rate earns and the depth, with
 //! what befalls boxes and links, is proved in `docs/design/allowances.md`.
 
@@ -41,7 +41,7 @@
 
 /// For how long a box has had which part of all allowances.
 ///
-/// Purpose: pools are looked at when they are asked only; each then mints by what this box's
+/// Purpose: pools are looked at when they are asked only; each then refills by what this box's
 /// part was in the meantime, moment by moment, and not by what it happens to be.
 #[derive(Debug, Clone)]
 pub struct PartClock {
@@ -55,8 +55,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Pool {
     level: f64,
-    /// Up to where on the part's clock it has minted.
-    minted_whole_s: f64,
+    /// Up to where on the part's clock it has refilled.
+    refilled_whole_s: f64,
     /// What borrowers hold in stock, or may.
     loans: HashMap<BorrowerId, Loan>,
 }
@@ -172,7 +172,7 @@
         clock: &PartClock,
         now: Instant,
     ) -> bool {
-        self.mint(terms, clock, now);
+        self.refill(terms, clock, now);
         let is_there = self.level >= 1.0;
         self.level -= f64::from(u8::from(is_there));
         is_there
@@ -186,7 +186,7 @@
         clock: &PartClock,
         now: Instant,
     ) -> u32 {
-        self.mint(terms, clock, now);
+        self.refill(terms, clock, now);
         let lent = urgent.min(self.level as u32);
         self.level -= f64::from(lent);
         lent
@@ -194,7 +194,7 @@
 
     /// Lends to a box for its stock.
     ///
-    /// Stocks leave a part of the room to what is minted: with all of it lent to boxes that
+    /// Stocks leave a part of the room to what is refilled: with all of it lent to boxes that
     /// had asked once, accounts far beneath their limits were refused 58 of 100 requests
     /// (113 boxes, one play).
     pub fn stock(
@@ -208,7 +208,7 @@
             // It has spent the rest: that is no longer held by anybody.
             loan.amount = loan.amount.min(ask.held);
         }
-        self.mint(terms, clock, now);
+        self.refill(terms, clock, now);
         let depth = terms.part(clock.part()).depth;
         let room = (depth * MOST_STOCKED_SHARE - self.lent()).max(0.0);
         let amount = ask.wanted.min(self.level * MOST_AT_ONCE_SHARE).min(room);
@@ -246,16 +246,16 @@
         clock: &PartClock,
         now: Instant,
     ) -> bool {
-        self.mint(terms, clock, now);
+        self.refill(terms, clock, now);
         self.loans.is_empty() && self.level >= terms.part(clock.part()).depth
     }
 
-    /// Mints what the part has earned, as far as there is room for it: what is lent and may
+    /// Refills what the part has earned, as far as there is room for it: what is lent and may
     /// not be spent yet takes room.
-    fn mint(&mut self, terms: &AllowanceTerms, clock: &PartClock, now: Instant) {
+    fn refill(&mut self, terms: &AllowanceTerms, clock: &PartClock, now: Instant) {
         self.loans.retain(|_, loan| loan.ends > now);
-        let earned = terms.per_s * (clock.whole_s - self.minted_whole_s);
-        self.minted_whole_s = clock.whole_s;
+        let earned = terms.per_s * (clock.whole_s - self.refilled_whole_s);
+        self.refilled_whole_s = clock.whole_s;
         let room = (terms.part(clock.part()).depth - self.lent()).max(0.0);
         self.level = (self.level + earned).min(room);
     }
