Sight: the log tells which tries are the same request

Change: a fingerprint (a digest of method, host, path and query, caller and body) stands in the lines of failed attempts and of a request's outcome. It decides nothing.

--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -9,7 +9,8 @@
 use hyper::{Method, StatusCode};
 use wingspur_protocol::ResultCode;
 use wingspur_state::{
-    AttemptEnd, AttemptId, ClientAccount, Ended, Expected, Pick, ServerRecord,
+    AttemptEnd, AttemptId, ClientAccount, Ended, Expected, Pick, RequestFingerprint,
+    ServerRecord,
 };
 use wingspur_transport::{
     AnswerError, AnswerHead, Backend, BackendConnection, Reuse, SendBody,
@@ -32,6 +33,8 @@
     pub target: String,
     /// All headers but those that concern one connection or one attempt.
     pub headers: HeaderMap,
+    /// What tells it from any other request, whichever try of its caller this is.
+    pub fingerprint: RequestFingerprint,
     /// The request's id, if the caller gave one.
     pub id: Option<HeaderValue>,
     /// When it came.
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -436,6 +436,7 @@
         self.in_doubt |= !failed.end.surely_not_run();
         tracing::info!(
             id = id_text(self.outgoing.id.as_ref()),
+            fingerprint = %self.outgoing.fingerprint,
             route = %self.route.route.name,
             server = %failed.pick.server.id,
             in_flight = failed.pick.in_flight,
--- a/crates/wingspur-edge/src/request.rs
+++ b/crates/wingspur-edge/src/request.rs
@@ -7,10 +7,13 @@
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use hyper::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, COOKIE, HOST, HeaderMap, HeaderValue,
+};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Version};
 use wingspur_protocol::ResultCode;
+use wingspur_state::{RequestFingerprint, RequestParts};
 use wingspur_transport::{AnswerHead, SendBody};
 
 use crate::admission::{Admitted, Asking, admit, find_route, strip_credentials};
@@ -98,7 +101,14 @@
     let labels = [service.name.as_str(), class];
     shared.metrics.requests.with_label_values(&labels).inc();
     let ticket = log.ticket().clone();
-    let outgoing = outgoing(shared, parts, admitted, arrived, limit, ticket.clone());
+    let fingerprint = fingerprint(&parts, &admitted, &body);
+    log.recognised(fingerprint);
+    let taken = Taken {
+        arrived,
+        limit,
+        fingerprint,
+    };
+    let outgoing = outgoing(shared, parts, admitted, taken, ticket.clone());
     let forwarding = Forwarding::new(shared.clone(), route, service, outgoing, body);
     match forwarding.run().await? {
         AttemptResult::Answered(answer) => Ok(whole(answer)),
@@ -142,13 +152,19 @@
     response
 }
 
+/// When a request came, until when it is held, and which it is.
+struct Taken {
+    arrived: Instant,
+    limit: Instant,
+    fingerprint: RequestFingerprint,
+}
+
 /// Turns a caller's head into what every attempt sends.
 fn outgoing(
     shared: &Shared,
     parts: Parts,
     admitted: Admitted,
-    arrived: Instant,
-    limit: Instant,
+    taken: Taken,
     ticket: Arc<Ticket>,
 ) -> Outgoing {
     let names = &shared.names;
@@ -167,15 +183,48 @@
     Outgoing {
         method: parts.method,
         target: target.map_or("/", |target| target.as_str()).to_owned(),
+        fingerprint: taken.fingerprint,
         headers,
         id,
-        arrived,
-        limit,
+        arrived: taken.arrived,
+        limit: taken.limit,
         admitted,
         ticket,
     }
 }
 
+/// What tells a request from any other, by what its server is given to work on.
+///
+/// The address that it comes from is no part of it: callers come again from others.
+fn fingerprint(
+    parts: &Parts,
+    admitted: &Admitted,
+    body: &SendBody,
+) -> RequestFingerprint {
+    let target = parts.uri.path_and_query();
+    let account = admitted.account.as_ref();
+    let caller = match account {
+        Some(account) => account.name.clone().into_bytes(),
+        None => caller_headers(&parts.headers),
+    };
+    RequestFingerprint::of(&RequestParts {
+        method: parts.method.as_str(),
+        host: host_of(parts).unwrap_or_default(),
+        target: target.map_or("/", |target| target.as_str()),
+        caller: &caller,
+        body: body.held().unwrap_or_default(),
+        body_bytes: body.size_hint().exact(),
+    })
+}
+
+/// What a caller without an account says of itself.
+fn caller_headers(headers: &HeaderMap) -> Vec<u8> {
+    let names = [AUTHORIZATION, COOKIE];
+    let values = names.iter().flat_map(|name| headers.get_all(name));
+    let values: Vec<&[u8]> = values.map(HeaderValue::as_bytes).collect();
+    values.join(&b'\n')
+}
+
 /// How long the caller says that it waits.
 fn patience(shared: &Shared, headers: &HeaderMap) -> Duration {
     let told = headers.get(shared.names.deadline_ms);
--- a/crates/wingspur-edge/src/request_log.rs
+++ b/crates/wingspur-edge/src/request_log.rs
@@ -6,7 +6,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 use wingspur_protocol::ResultCode;
-use wingspur_state::{BundleVersion, ClientAccount, Pick};
+use wingspur_state::{BundleVersion, ClientAccount, Pick, RequestFingerprint};
 
 use crate::admission::Admitted;
 use crate::attempts::GivenUp;
@@ -26,6 +26,7 @@
     began: Instant,
     routed: Option<Routed>,
     account: Option<Arc<ClientAccount>>,
+    fingerprint: Option<RequestFingerprint>,
     told: bool,
 }
 
@@ -47,6 +48,7 @@
             began,
             routed: None,
             account: None,
+            fingerprint: None,
             told: false,
         }
     }
@@ -71,6 +73,11 @@
         self.account = admitted.account.clone();
     }
 
+    /// Notes what tells the request from any other.
+    pub fn recognised(&mut self, fingerprint: RequestFingerprint) {
+        self.fingerprint = Some(fingerprint);
+    }
+
     /// The request's id as text.
     pub fn id(&self) -> &str {
         &self.id
@@ -104,6 +111,7 @@
         self.metrics.count_answer(service, status, took);
         tracing::info!(
             id = self.id,
+            fingerprint = self.fingerprint_text(),
             route,
             service,
             class,
@@ -122,6 +130,12 @@
         self.account.as_ref().map_or("", |account| &account.name)
     }
 
+    /// Empty for a request whose body never came.
+    fn fingerprint_text(&self) -> String {
+        let fingerprint = self.fingerprint.as_ref();
+        fingerprint.map_or(String::new(), ToString::to_string)
+    }
+
     fn labels(&self) -> (&str, &str, &'static str, BundleVersion) {
         let Some(routed) = &self.routed else {
             return ("", "", "", 0);
@@ -146,6 +160,7 @@
         self.metrics.callers_gone.inc();
         tracing::info!(
             id = self.id,
+            fingerprint = self.fingerprint_text(),
             route,
             service,
             class,
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -12,6 +12,7 @@
 mod check;
 mod directory;
 mod evidence;
+mod fingerprint;
 mod fleet_budget;
 mod floor;
 mod health;
@@ -47,6 +48,7 @@
 pub use check::{Finding, check_accounts, check_bundle};
 pub use directory::{Directory, DirectoryChange, RETURN_GRACE};
 pub use evidence::{EvidenceEntry, EvidenceReport, Reference, threshold, well_evidence};
+pub use fingerprint::{RequestFingerprint, RequestParts};
 pub use fleet_budget::{
     BudgetAnswer, BudgetSettings, Contact, FleetBudget, FleetDivision, FleetStanding,
     ResendUse, ServicePresent,
--- a/crates/wingspur-transport/src/body.rs
+++ b/crates/wingspur-transport/src/body.rs
@@ -29,6 +29,14 @@
         }
     }
 
+    /// The bytes of a body that is held in memory; none of a streamed one.
+    pub fn held(&self) -> Option<&[u8]> {
+        match self {
+            Self::Whole(bytes) => Some(bytes.as_deref().unwrap_or_default()),
+            Self::Stream(..) => None,
+        }
+    }
+
     /// No body.
     pub fn empty() -> Self {
         Self::Whole(None)
