--- a/crates/wingspur-coordination/src/lib.rs
+++ b/crates/wingspur-coordination/src/lib.rs
@@ -11,6 +11,7 @@
 mod link_plan;
 mod membership;
 mod placement;
+mod quarantine_desk;
 mod recent_changes;
 mod rollup;
 mod shard_log;
@@ -28,6 +29,9 @@
 pub use link_plan::{LinkPlanner, PlannedLink};
 pub use membership::{HeardRefusal, Membership, MembershipSettings, PeerView};
 pub use placement::{Roster, hash_of};
+pub use quarantine_desk::{
+    CountOutcome, DeskStep, MOST_TRIES, QuarantineCount, QuarantineDesk, TRY_LASTS,
+};
 pub use recent_changes::RecentChanges;
 pub use rollup::{LinkId, LinkKind, NewsReader, OWN_LINK, Rollup, SourceNews};
 pub use shard_log::{
--- /dev/null
+++ b/crates/wingspur-coordination/src/quarantine_desk.rs
@@ -0,0 +1,265 @@
+//! Who may send a request that is in quarantine, and when.
+//!
+//! A box lets one through only after it has counted that in the store, under the condition
+//! that nobody else has counted meanwhile. So all boxes together let through no more than
+//! `MOST_TRIES`, whatever became of the ones before and of the news between them: the store
+//! takes only one write for each revision of a key. A box that cannot have the store asks its
+//! hub, and only a hub lets something through on its own account while nobody has the store.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use wingspur_state::{
+    KnownQuarantine, REMEMBERED, RequestFingerprint, SourceId, SuspectRequests,
+};
+
+/// What a box has let through of requests in quarantine.
+#[derive(Debug)]
+pub struct QuarantineDesk {
+    /// Under which name this box counts.
+    own: SourceId,
+    cases: HashMap<RequestFingerprint, Case>,
+}
+
+/// What is to be done about a request in quarantine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DeskStep {
+    /// It may be sent to one server.
+    Lend,
+    /// That has to be counted in the store first.
+    Count(QuarantineCount),
+    /// The store cannot be had: the hub is to be asked.
+    AskHub,
+    /// It may not, and may ask again after this.
+    Later(Duration),
+}
+
+/// What is written to the store, and on top of what.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuarantineCount {
+    /// How often the request has been let through then.
+    pub tries: u32,
+    /// Who counts.
+    pub counted_by: SourceId,
+    /// The revision that must stand there; 0 for none.
+    pub revision: u64,
+}
+
+/// What came of the write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CountOutcome {
+    /// It stands.
+    Stands,
+    /// Something else stands there: what is known was old.
+    Overtaken,
+    /// Nobody can tell: the store is away, for this box at least.
+    Unknown,
+}
+
+#[derive(Debug)]
+struct Case {
+    /// Let through while the store could not be had.
+    uncounted: u32,
+    /// What was written last; the store may hold it though its answer was lost.
+    last_count: Option<QuarantineCount>,
+    is_counting: bool,
+    touched: Instant,
+}
+
+impl QuarantineDesk {
+    /// The desk of a box that counts under a name of its own.
+    pub fn new(own: SourceId) -> Self {
+        Self {
+            own,
+            cases: HashMap::new(),
+        }
+    }
+
+    /// Decides on a request that is in quarantine.
+    ///
+    /// One that only ran beside another keeps away from it: out at one server, the other would
+    /// end that under it again.
+    pub fn ask(
+        &mut self,
+        request: RequestFingerprint,
+        suspects: &SuspectRequests,
+        now: Instant,
+    ) -> DeskStep {
+        let known = suspects.quarantine(request);
+        let out_for = self.out_for(request, suspects, now);
+        let own = self.own;
+        let case = self.case(request, now);
+        if case.is_counting {
+            return DeskStep::Later(COUNTING_TAKES);
+        }
+        case.note_counted(known.as_ref(), own);
+        let tries = known.map_or(0, |known| known.tries) + case.uncounted;
+        if !out_for.is_zero() {
+            // Also the last one may yet clear it.
+            return DeskStep::Later(out_for.min(LOOK_AGAIN));
+        }
+        if tries >= MOST_TRIES {
+            return DeskStep::Later(ends_in(known.as_ref(), now));
+        }
+        DeskStep::Count(case.count(tries + 1, own, known.as_ref()))
+    }
+
+    /// Whether the quarantine of a request has to be written to the store, so that boxes that
+    /// start know of it; it is counted as being written from now on.
+    pub fn open(
+        &mut self,
+        request: RequestFingerprint,
+        known: Option<&KnownQuarantine>,
+        now: Instant,
+    ) -> Option<QuarantineCount> {
+        let own = self.own;
+        let case = self.case(request, now);
+        if known.is_some() || case.is_counting {
+            return None;
+        }
+        Some(case.count(case.uncounted, own, None))
+    }
+
+    /// Takes in what came of the write that opens a quarantine.
+    pub fn opened(
+        &mut self,
+        request: RequestFingerprint,
+        outcome: CountOutcome,
+        now: Instant,
+    ) {
+        let case = self.case(request, now);
+        case.is_counting = false;
+        if outcome == CountOutcome::Stands {
+            case.uncounted = 0;
+        }
+    }
+
+    /// Takes in what came of the write that a request waits for; `nobody_else` where no other
+    /// box can be asked.
+    pub fn counted(
+        &mut self,
+        request: RequestFingerprint,
+        outcome: CountOutcome,
+        nobody_else: bool,
+        now: Instant,
+    ) -> DeskStep {
+        let case = self.case(request, now);
+        case.is_counting = false;
+        match outcome {
+            CountOutcome::Stands => {
+                case.uncounted = 0;
+                DeskStep::Lend
+            }
+            CountOutcome::Overtaken => DeskStep::Later(COUNTING_TAKES),
+            CountOutcome::Unknown if !nobody_else => DeskStep::AskHub,
+            CountOutcome::Unknown if case.uncounted < MOST_UNCOUNTED => {
+                // Without it, a request that only ran beside the one that ends servers would
+                // be refused until the store is back.
+                case.uncounted += 1;
+                DeskStep::Lend
+            }
+            CountOutcome::Unknown => DeskStep::Later(STORE_AWAY),
+        }
+    }
+
+    /// Forgets a request that is in quarantine no more.
+    pub fn forget(&mut self, request: RequestFingerprint) {
+        self.cases.remove(&request);
+    }
+
+    /// Forgets what nobody has asked for in a long time.
+    pub fn tidy(&mut self, now: Instant) {
+        self.cases.retain(|_, case| {
+            now.saturating_duration_since(case.touched) < REMEMBERED || case.is_counting
+        });
+    }
+
+    /// For how long the request itself, or one that has likelier ended the servers that it
+    /// was out at, may still be out at one.
+    fn out_for(
+        &self,
+        request: RequestFingerprint,
+        suspects: &SuspectRequests,
+        now: Instant,
+    ) -> Duration {
+        let likelier = suspects.likelier(request);
+        let is_counting = |other: &RequestFingerprint| {
+            self.cases.get(other).is_some_and(|case| case.is_counting)
+        };
+        if likelier.iter().any(is_counting) {
+            return COUNTING_TAKES;
+        }
+        let others = likelier
+            .iter()
+            .filter_map(|other| suspects.is_out_until(*other, ENDS_SERVERS_IN));
+        let own = suspects.is_out_until(request, TRY_LASTS);
+        let until = others.chain(own).max();
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    fn case(&mut self, request: RequestFingerprint, now: Instant) -> &mut Case {
+        let case = self.cases.entry(request).or_insert(Case {
+            uncounted: 0,
+            last_count: None,
+            is_counting: false,
+            touched: now,
+        });
+        case.touched = now;
+        case
+    }
+}
+
+impl Case {
+    /// Begins to count on top of what the store holds.
+    fn count(
+        &mut self,
+        tries: u32,
+        counted_by: SourceId,
+        known: Option<&KnownQuarantine>,
+    ) -> QuarantineCount {
+        let count = QuarantineCount {
+            tries,
+            counted_by,
+            revision: known.map_or(0, |known| known.revision),
+        };
+        self.is_counting = true;
+        self.last_count = Some(count);
+        count
+    }
+
+    /// Takes in that a write whose answer was lost stands in the store after all: what was
+    /// let through on it is counted there.
+    fn note_counted(&mut self, known: Option<&KnownQuarantine>, own: SourceId) {
+        let (Some(last), Some(known)) = (self.last_count, known) else {
+            return;
+        };
+        if known.counted_by == own && known.tries == last.tries {
+            self.uncounted = 0;
+        }
+    }
+}
+
+/// When the store forgets a request in quarantine.
+fn ends_in(known: Option<&KnownQuarantine>, now: Instant) -> Duration {
+    known.map_or(REMEMBERED, |known| {
+        (known.heard + REMEMBERED).saturating_duration_since(now)
+    })
+}
+
+/// How often a request in quarantine is let through over all boxes. A request that ran beside
+/// another is answered whole at the first; each that meets a server's end beyond that is one
+/// server more that the request may have ended.
+pub const MOST_TRIES: u32 = 3;
+/// What a hub lets through of one request on its own account while the store is away.
+const MOST_UNCOUNTED: u32 = 2;
+/// So long a request that was let through is taken to be out, if nothing is heard of it: it
+/// takes a third of a second where nothing waits.
+pub const TRY_LASTS: Duration = Duration::from_millis(1500);
+/// A server that runs a request which ends it does so within this.
+const ENDS_SERVERS_IN: Duration = Duration::from_millis(300);
+/// A write takes some milliseconds.
+const COUNTING_TAKES: Duration = Duration::from_millis(25);
+/// How soon one that waits for an outcome asks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// When to ask again while the store is away.
+const STORE_AWAY: Duration = Duration::from_secs(5);
--- a/crates/wingspur-edge/src/active_link.rs
+++ b/crates/wingspur-edge/src/active_link.rs
@@ -4,7 +4,7 @@
 
 use wingspur_coordination::{CatalogQueue, LinkClock, LinkKind, LinkWith, PlannedLink};
 use wingspur_protocol::{BoxRecord, CatalogUpdate, Lending, LinkRole};
-use wingspur_state::{BundleVersion, HealthNote, ServerKey};
+use wingspur_state::{BundleVersion, HealthNote, ServerKey, SuspectNews};
 use wingspur_transport::LinkSender;
 
 /// A link that stands.
@@ -28,6 +28,8 @@
     pub bundle_version: BundleVersion,
     /// What it is asked and answered of loans that nobody waits for.
     pub lending: Lending,
+    /// What it has not been told yet of requests under which servers ended.
+    pub suspects: Vec<SuspectNews>,
     /// What it is to be told once.
     pub greeting: Option<Greeting>,
     /// Whether it was told that this box stops.
@@ -41,6 +43,8 @@
 pub struct Greeting {
     /// Of backend servers.
     pub health: Vec<(ServerKey, HealthNote)>,
+    /// Of requests under which servers ended.
+    pub suspects: Vec<SuspectNews>,
 }
 
 impl ActiveLink {
--- a/crates/wingspur-edge/src/answer_body.rs
+++ b/crates/wingspur-edge/src/answer_body.rs
@@ -34,7 +34,7 @@
     pub fn new(
         first: Vec<Bytes>,
         connection: BackendConnection,
-        guard: AttemptGuard,
+        guard: Box<AttemptGuard>,
         length: Option<u64>,
         ticket: Arc<Ticket>,
     ) -> Self {
--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -23,6 +23,7 @@
 use crate::requests_out::Ticket;
 use crate::services::ServiceState;
 use crate::shared::Shared;
+use crate::suspects::{BrokenOff, note_answered, note_broken_off};
 
 /// A request as every attempt sends it, but for the body.
 #[derive(Debug)]
@@ -69,14 +70,13 @@
         /// Where the rest comes from.
         connection: Box<BackendConnection>,
         /// Ends the attempt with the body.
-        guard: AttemptGuard,
+        guard: Box<AttemptGuard>,
     },
     /// Nothing to pass on, or a failure of the server's own.
     Failed(Box<FailedAttempt>),
 }
 
 /// An attempt that brought no good answer.
-#[derive(Debug)]
 pub struct FailedAttempt {
     /// What is known about the request at the server.
     pub end: AttemptEnd,
@@ -86,6 +86,8 @@
     pub answer: Option<HeldAnswer>,
     /// What happened, for the log.
     pub reason: String,
+    /// The connection ended before the answer was whole; the server may have ended.
+    pub broken_off: Option<BrokenOff>,
     /// The server, and why it was picked.
     pub pick: Pick,
 }
@@ -102,6 +104,8 @@
     shared: Arc<Shared>,
     service: Arc<ServiceState>,
     backend: Arc<Backend>,
+    server: Arc<ServerRecord>,
+    request: RequestFingerprint,
     id: Option<AttemptId>,
 }
 
@@ -160,7 +164,7 @@
             }
             Some(Err(error)) => {
                 guard.end(Ended::Failed);
-                return self.failed(AttemptEnd::InDoubt, ResultCode::InDoubt, &error);
+                return self.broken(&error, backend);
             }
             Some(Ok(answered)) => answered,
         };
@@ -172,7 +176,7 @@
                     head,
                     first,
                     connection: Box::new(connection),
-                    guard,
+                    guard: Box::new(guard),
                 }
             }
         }
@@ -248,6 +252,7 @@
                 code: ResultCode::InDoubt,
                 answer: Some(answer),
                 reason: status.to_string(),
+                broken_off: None,
                 pick: self.pick.clone(),
             }));
         }
@@ -326,6 +331,24 @@
             code,
             answer: None,
             reason: reason.to_string(),
+            broken_off: None,
+            pick: self.pick.clone(),
+        }))
+    }
+
+    /// An attempt without an answer; the server may have ended under it.
+    fn broken(&self, error: &AnswerError, backend: Arc<Backend>) -> AttemptResult {
+        let broken_off = error.is_broken_off().then(|| BrokenOff {
+            request: self.outgoing.fingerprint,
+            server: self.pick.server.clone(),
+            backend,
+        });
+        AttemptResult::Failed(Box::new(FailedAttempt {
+            end: AttemptEnd::InDoubt,
+            code: ResultCode::InDoubt,
+            answer: None,
+            reason: error.to_string(),
+            broken_off,
             pick: self.pick.clone(),
         }))
     }
@@ -390,7 +413,7 @@
 
 impl AttemptGuard {
     fn begin(plan: &AttemptPlan, backend: Arc<Backend>) -> Self {
-        let server: &ServerRecord = &plan.pick.server;
+        let server: &Arc<ServerRecord> = &plan.pick.server;
         let mut balancer = plan.service.balancer.lock();
         let id = balancer.begin(server.key(), plan.expected(), Instant::now());
         drop(balancer);
@@ -399,6 +422,8 @@
             shared: plan.shared.clone(),
             service: plan.service.clone(),
             backend,
+            server: server.clone(),
+            request: plan.outgoing.fingerprint,
             id: Some(id),
         }
     }
@@ -434,6 +459,7 @@
     /// Ends the attempt by a good answer, and keeps its connection.
     pub fn close_good(mut self, connection: BackendConnection) {
         self.end(Ended::Good);
+        note_answered(&self.shared, self.request);
         self.backend.keep(connection);
     }
 
@@ -441,6 +467,17 @@
     pub fn close_failed(mut self, error: &AnswerError) {
         tracing::info!(%error, "attempt: an answer under way broke off.");
         self.end(Ended::Failed);
+        if !error.is_broken_off() {
+            return;
+        }
+        let broken = BrokenOff {
+            request: self.request,
+            server: self.server.clone(),
+            backend: self.backend.clone(),
+        };
+        let shared = self.shared.clone();
+        let spawner = shared.spawner.clone();
+        spawner.detach(async move { note_broken_off(&shared, &broken).await });
     }
 
     fn end(&mut self, ended: Ended) {
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -17,10 +17,12 @@
 
 use crate::attempt::{AttemptPlan, AttemptResult, FailedAttempt, HeldAnswer, Outgoing};
 use crate::in_force::ActiveRoute;
+use crate::quarantine::{SendPermission, is_quarantined, permission_to_send};
 use crate::request_log::{id_text, log_give_up, log_pick, rounded};
 use crate::resend_loans::borrow_resend;
 use crate::services::ServiceState;
 use crate::shared::Shared;
+use crate::suspects::{BrokenOff, note_broken_off};
 use crate::taken_resends::TakenResends;
 
 /// A request under way.
@@ -46,6 +48,10 @@
     in_doubt: bool,
     /// What the caller is told if nothing better comes.
     last: Option<Box<FailedAttempt>>,
+    /// Whether a request in quarantine may be sent once more.
+    permit: Permit,
+    /// When a request in quarantine may be let through again.
+    quarantined_for: Option<Duration>,
     /// Dropped after the attempts, so that none goes out once they are counted as arrived.
     resends: TakenResends,
 }
@@ -75,6 +81,32 @@
 type Borrowing = Pin<Box<dyn Future<Output = bool> + Send>>;
 type Running = Pin<Box<dyn Future<Output = AttemptResult> + Send>>;
 
+/// Whether a request in quarantine may be sent: each permit is for one server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Permit {
+    None,
+    /// It may be sent.
+    Held,
+    /// It was sent, and counts unless it turns out to have reached nobody.
+    Used,
+}
+
+impl Permit {
+    fn used(self) -> Self {
+        match self {
+            Self::Held => Self::Used,
+            Self::None | Self::Used => Self::None,
+        }
+    }
+
+    fn given_back(self) -> Self {
+        match self {
+            Self::Used => Self::Held,
+            Self::None | Self::Held => self,
+        }
+    }
+}
+
 /// What happened next.
 enum Event {
     Ended(AttemptResult),
@@ -107,15 +139,19 @@
             begun: None,
             in_doubt: false,
             last: None,
+            permit: Permit::None,
+            quarantined_for: None,
         }
     }
 
     /// Tries servers until one answers, the rules forbid more, or time is up.
     pub async fn run(mut self) -> Result<AttemptResult, GivenUp> {
         self.service.budget.lock().count_request(Instant::now());
-        self.send_next().map_err(|code| self.give_up(code))?;
+        if let Err(code) = self.send_first().await {
+            return Err(self.give_up(code));
+        }
         loop {
-            let failed = match self.next_event().await {
+            let mut failed = match self.next_event().await {
                 Event::TimeToHedge => {
                     self.hedge();
                     continue;
@@ -132,6 +168,7 @@
             };
             self.resends.answered += u32::from(failed.was_answered());
             self.note_failure(&failed);
+            self.look_for_server(failed.broken_off.take()).await;
             let (code, end, server) = (failed.code, failed.end, failed.pick.server.key());
             self.keep_worst(failed);
             if end == AttemptEnd::NotSent {
@@ -140,6 +177,7 @@
                 self.unreached += 1;
                 self.resends.sent -= 1;
                 self.resends.give_back_unsent();
+                self.permit = self.permit.given_back();
             }
             if !self.running.is_empty() {
                 continue;
@@ -150,6 +188,65 @@
         }
     }
 
+    async fn send_first(&mut self) -> Result<(), ResultCode> {
+        self.wait_for_permission().await?;
+        self.send_next()
+    }
+
+    /// Waits until the request may be sent, where servers have ended under it.
+    async fn wait_for_permission(&mut self) -> Result<(), ResultCode> {
+        if !self.needs_permit() {
+            return Ok(());
+        }
+        self.wait_for_slot().await?;
+        let id = id_text(self.outgoing.id.as_ref());
+        let request = self.outgoing.fingerprint;
+        let limit = self.outgoing.limit;
+        match permission_to_send(&self.shared, id, request, limit).await {
+            SendPermission::Free => Ok(()),
+            SendPermission::Once => {
+                self.permit = Permit::Held;
+                Ok(())
+            }
+            SendPermission::Refused(after) => {
+                self.quarantined_for = Some(after);
+                Err(ResultCode::Quarantined)
+            }
+        }
+    }
+
+    /// Waits until a server has a slot free: a permit is lost on one that refuses, and a
+    /// request that waits in a queue is out there when another ends the server.
+    async fn wait_for_slot(&mut self) -> Result<(), ResultCode> {
+        loop {
+            let pick = self.pick().ok_or(ResultCode::NoServer)?;
+            if pick.wait_ms < 1.0 {
+                return Ok(());
+            }
+            if self.remaining() < SLOT_CHECK {
+                return Err(ResultCode::DeadlineBeforeSend);
+            }
+            smol::Timer::after(SLOT_CHECK).await;
+        }
+    }
+
+    fn needs_permit(&self) -> bool {
+        let request = self.outgoing.fingerprint;
+        self.permit != Permit::Held && is_quarantined(&self.shared, request)
+    }
+
+    /// Looks whether the server has ended under an attempt that broke off. A request that
+    /// may be sent again waits for that: it must not end the next one unseen.
+    async fn look_for_server(&mut self, broken: Option<BrokenOff>) {
+        let Some(broken) = broken else { return };
+        if self.is_repeatable() {
+            return note_broken_off(&self.shared, &broken).await;
+        }
+        let shared = self.shared.clone();
+        let spawner = shared.spawner.clone();
+        spawner.detach(async move { note_broken_off(&shared, &broken).await });
+    }
+
     /// Starts an attempt at the best server.
     fn send_next(&mut self) -> Result<(), ResultCode> {
         if self.remaining().is_zero() {
@@ -169,11 +266,13 @@
     }
 
     fn start(&mut self, pick: Pick) {
+        self.permit = self.permit.used();
         self.tried.push(pick.server.key());
         self.resends.sent += 1;
         let id = self.outgoing.id.as_ref();
         log_pick(id, &pick, self.tried.len(), self.remaining());
-        self.outgoing.ticket.sent(&pick.server.id);
+        let ticket = &self.outgoing.ticket;
+        ticket.sent(&pick.server.id, self.outgoing.fingerprint);
         let body = self.take_body();
         self.begun = Some((Instant::now(), pick.clone()));
         let plan = AttemptPlan {
@@ -320,6 +419,7 @@
             && self.running.len() == 1
             && self.can_send_again()
             && self.tried.len() < usize::from(self.route.route.max_attempts)
+            && !self.needs_permit()
     }
 
     /// Sends the request again if it may be, and counts that; else tells what to say.
@@ -335,9 +435,13 @@
             }
             if self.resends.sent == 0 && code != ResultCode::UnknownKey {
                 // The next one will be the first that reaches a server.
-                return self.send_next();
+                return self.send_first().await;
             }
         }
+        if self.needs_permit() {
+            let figures = self.ask_budget(ResendUse::Sure);
+            return self.stop(StopReason::Quarantined, &figures, code);
+        }
         match self.decide(end, true) {
             RetryDecision::Retry(reason) => {
                 self.resend_in_budget(reason, end, code).await
@@ -474,13 +578,18 @@
         log_give_up(id, code, self.tried.len(), self.in_doubt, left);
         GivenUp {
             code,
-            retry_after: not_run.then(|| self.come_back()),
+            retry_after: not_run.then(|| self.come_back(code)),
             answer,
         }
     }
 
     /// A place in the capacity to come.
-    fn come_back(&self) -> Duration {
+    fn come_back(&self, code: ResultCode) -> Duration {
+        if let Some(after) = self.quarantined_for
+            && code == ResultCode::Quarantined
+        {
+            return after;
+        }
         let now = Instant::now();
         let want = Want {
             tried: &[],
@@ -573,6 +682,8 @@
     CROSSING_LEAST + CROSSING_PER_KB.mul_f64(kilobytes)
 }
 
+/// How soon a request that waits for a free slot looks again.
+const SLOT_CHECK: Duration = Duration::from_millis(25);
 /// Servers that may turn out unreachable for one request: a box that is cut off from half
 /// of them fails one request in 256.
 const MOST_UNREACHED: u32 = 8;
--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -10,6 +10,9 @@
 use wingspur_state::BundlePatch;
 
 use crate::exchange::spread;
+use crate::quarantine::{
+    end_quarantine, put_quarantine, quarantine_records, replace_quarantines,
+};
 use crate::shared::Shared;
 
 /// Takes in news of the catalog that came by a link, and passes on what was news here.
@@ -123,11 +126,13 @@
         (links.revision(), boxes)
     };
     let in_force = shared.in_force();
+    let quarantines = quarantine_records(shared);
     let listing = CatalogListing {
         revision,
         bundle: in_force.map(|in_force| in_force.bundle.clone()),
         servers: shared.directory.lock().records().cloned().collect(),
         boxes,
+        quarantines,
     };
     CatalogUpdate::Listing {
         listing,
@@ -146,6 +151,7 @@
     }
     let changes = shared.directory.lock().replace(listing.servers, now);
     shared.follow(&changes, source);
+    replace_quarantines(shared, &listing.quarantines);
     let mut links = shared.links.lock();
     links.planner().replace(listing.boxes);
     links.feed().reach(listing.revision);
@@ -189,6 +195,8 @@
                 shared.links.lock().planner().remove(&id);
                 boxes_changed = true;
             }
+            CatalogChange::Quarantine(record) => put_quarantine(shared, &record),
+            CatalogChange::QuarantineEnded(request) => end_quarantine(shared, request),
         }
     }
     shared.follow(&followed, source);
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -18,6 +18,7 @@
 use crate::lending::run_lending;
 use crate::metrics::Metrics;
 use crate::operator::answer_operator;
+use crate::quarantine::run_quarantine;
 use crate::request::answer_caller;
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -98,6 +99,7 @@
             spawner.spawn(run_links(shared.clone(), signal.clone())),
             spawner.spawn(run_exchange(shared.clone(), signal.clone())),
             spawner.spawn(run_lending(shared.clone(), signal.clone())),
+            spawner.spawn(run_quarantine(shared.clone(), signal.clone())),
             spawner.spawn(tidy(shared.clone(), signal)),
         ];
         Ok(Self {
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -24,6 +24,7 @@
 use crate::resend_loans::told_rooms;
 use crate::services::ServiceState;
 use crate::shared::Shared;
+use crate::suspects::{greeting_notes, take_notes};
 
 /// Opens and closes links until the box stops.
 pub async fn run_links(shared: Arc<Shared>, stop: StopSignal) {
@@ -200,7 +201,10 @@
 
 fn greeting(shared: &Shared) -> Greeting {
     let now = Instant::now();
-    let mut greeting = Greeting::default();
+    let mut greeting = Greeting {
+        suspects: greeting_notes(shared),
+        ..Greeting::default()
+    };
     for service in shared.services.all() {
         greeting
             .health
@@ -252,6 +256,7 @@
     forget_sources(shared, &lost);
     apply_news(shared, &news, now);
     adopt_greeting(shared, &frame, now);
+    take_notes(shared, id, &frame.suspects);
     if frame.leaving {
         shared.links.lock().note_peer_stop(id);
         shared.replan.poke();
--- a/crates/wingspur-edge/src/lending.rs
+++ b/crates/wingspur-edge/src/lending.rs
@@ -17,6 +17,7 @@
 
 use crate::attempts::GivenUp;
 use crate::in_force::InForce;
+use crate::quarantine::{answer_permit, take_permit_answer};
 use crate::request_log::rounded;
 use crate::resend_loans::{answer_resend, take_resend_answer};
 use crate::shared::Shared;
@@ -181,7 +182,7 @@
 }
 
 /// Takes in what another box asks for and answers.
-pub fn take_lending(shared: &Shared, link: LinkId, lending: &Lending) {
+pub fn take_lending(shared: &Arc<Shared>, link: LinkId, lending: &Lending) {
     if lending.asks.is_empty() && lending.answers.is_empty() {
         return;
     }
@@ -203,6 +204,7 @@
     }
     let searches = !state.searches.is_empty();
     drop(state);
+    take_permits(shared, link, lending);
     messages.extend(take_resend_loans(shared, link, lending));
     send(shared, messages);
     if searches {
@@ -677,7 +679,8 @@
     link: LinkId,
     lending: &Lending,
 ) -> LendingMessages {
-    let of_resends = |of: &Lendable| !matches!(of, Lendable::Account(_));
+    let of_resends =
+        |of: &Lendable| matches!(of, Lendable::Resend(_) | Lendable::Hedge(_));
     let asks = lending.asks.iter().filter(|ask| of_resends(&ask.of));
     let answers = lending.answers.iter();
     let answers = answers.filter(|answer| of_resends(&answer.of));
@@ -686,6 +689,18 @@
     answered.chain(passed).collect()
 }
 
+/// Takes in what is asked and answered of requests in quarantine.
+fn take_permits(shared: &Arc<Shared>, link: LinkId, lending: &Lending) {
+    let of_permits = |of: &Lendable| matches!(of, Lendable::Permit(_));
+    for ask in lending.asks.iter().filter(|ask| of_permits(&ask.of)) {
+        answer_permit(shared, link, ask);
+    }
+    let answers = lending.answers.iter();
+    for answer in answers.filter(|answer| of_permits(&answer.of)) {
+        take_permit_answer(shared, answer);
+    }
+}
+
 fn standing(shared: &Shared, now: Instant) -> Standing {
     let mut links = shared.links.lock();
     Standing {
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod locks;
 mod metrics;
 mod operator;
+mod quarantine;
 mod refusal;
 mod request;
 mod request_log;
@@ -27,6 +28,7 @@
 mod settings;
 mod shared;
 mod stopping;
+mod suspects;
 mod taken_resends;
 
 pub use edge_box::{EdgeBox, EdgeError};
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -12,7 +12,9 @@
 use wingspur_protocol::{
     BoxRecord, CatalogChanges, CatalogUpdate, Digest, Frame, Lending, LinkRole, Revision,
 };
-use wingspur_state::{BoxId, BundleVersion, FleetDivision, FleetStanding, SourceId};
+use wingspur_state::{
+    BoxId, BundleVersion, FleetDivision, FleetStanding, SourceId, SuspectNews,
+};
 use wingspur_transport::LinkSender;
 
 use crate::active_link::{ActiveLink, Greeting};
@@ -139,6 +141,7 @@
             catalog: CatalogQueue::new(),
             wants_listing: false,
             bundle_version: 0,
+            suspects: Vec::new(),
             greeting: None,
             lending: Lending::default(),
             told_leaving: false,
@@ -235,12 +238,29 @@
     }
 
     /// Queues what the other side of a new link should know.
-    pub fn greet(&mut self, id: LinkId, greeting: Greeting) {
+    pub fn greet(&mut self, id: LinkId, mut greeting: Greeting) {
         if let Some(link) = self.active.get_mut(&id) {
+            link.suspects.append(&mut greeting.suspects);
             link.greeting = Some(greeting);
         }
     }
 
+    /// Queues what was seen of a request under which a server ended, for all links that do
+    /// not hear it otherwise; whether it came from this box or a member of its own.
+    ///
+    /// What another hub tells, that one tells all other hubs as well.
+    pub fn spread_suspect(&mut self, news: &SuspectNews, from: Option<LinkId>) -> bool {
+        let teller = from.and_then(|id| self.active.get(&id));
+        let is_own = teller.is_none_or(|link| link.with() == LinkWith::Member);
+        for (id, link) in &mut self.active {
+            let hears = is_own || link.with() == LinkWith::Member;
+            if hears && Some(*id) != from && link.suspects.len() < MOST_SUSPECT_NEWS {
+                link.suspects.push(*news);
+            }
+        }
+        is_own
+    }
+
     /// Notes that this box is stopping.
     pub fn note_own_stop(&mut self) {
         self.leaving = true;
@@ -295,11 +315,13 @@
             let gap = if away { AWAY_GAP } else { home_gap };
             let gap = if hurry { gap / HURRY } else { gap };
             let full = link.is_full();
-            let due = !full && age >= gap && self.rollup.has_news(*id);
+            let has_news = self.rollup.has_news(*id) || !link.suspects.is_empty();
+            let due = !full && age >= gap && has_news;
             let catalog_due = link.catalog.due_in(now).is_some_and(|due| due.is_zero());
             let urgent = catalog_due
                 || link.wants_listing
                 || link.greeting.is_some()
+                || (hurry && !link.suspects.is_empty())
                 || (self.leaving && !link.told_leaving);
             if !due && (!urgent || full) && age < HEARTBEAT {
                 continue;
@@ -328,6 +350,8 @@
                 frame.catalog = link.take_catalog(now);
                 frame.wants_listing = std::mem::take(&mut link.wants_listing);
                 frame.health = link.greeting.take().unwrap_or_default().health;
+                let suspects = link.suspects.drain(..);
+                frame.suspects = suspects.map(|news| news.told(now)).collect();
             }
             frames.push(Outgoing {
                 link: *id,
@@ -347,7 +371,7 @@
             }
             let away = link.peer.data_centre != self.own.data_centre;
             let news_gap = if away { AWAY_GAP } else { home_gap };
-            let gap = if self.rollup.has_news(*id) {
+            let gap = if self.rollup.has_news(*id) || !link.suspects.is_empty() {
                 news_gap
             } else {
                 HEARTBEAT
@@ -522,6 +546,9 @@
 const HURRY: u32 = 5;
 /// How often news may go to another data centre, where each byte is priced.
 const AWAY_GAP: Duration = Duration::from_millis(100);
+/// What waits for one link at most; what does not fit is known by the store's record, or is
+/// one ending of many. 400 requests are out at 40 servers that end at once.
+const MOST_SUSPECT_NEWS: usize = 1024;
 /// A link without news is heard so often. News of the store is known to be of the last 1.3 s
 /// if the reader's last answer is at most 0.7 s old: a way there and one back may each wait
 /// for a heartbeat.
--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -19,6 +19,10 @@
     Lending,
     /// Who has room for resends.
     ResendLoans,
+    /// The requests under which servers have ended.
+    Suspects,
+    /// What is let through of requests in quarantine.
+    Quarantine,
     /// The lease of this box.
     Lease,
     /// The announced backend servers.
--- a/crates/wingspur-edge/src/metrics.rs
+++ b/crates/wingspur-edge/src/metrics.rs
@@ -8,9 +8,11 @@
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use wingspur_protocol::ResultCode;
-use wingspur_state::{RetryReason, StopReason};
+use wingspur_state::{RetryReason, StopReason, SuspectEvent};
 use wingspur_transport::ExchangeTotals;
 
+use crate::quarantine::SendPermission;
+
 /// The metrics of one box.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -60,6 +62,12 @@
     pub hedges: IntCounter,
     /// Slow first ones that none was begun beside, by the reason.
     unhedged: IntCounterVec,
+    /// What was seen of requests under which servers ended, by this box.
+    suspect_events: IntCounterVec,
+    /// Requests under which servers ended, as far as this box knows.
+    pub suspects: IntGauge,
+    /// Answers to whether a request in quarantine may be sent.
+    permits: IntCounterVec,
     frames: IntCounter,
     frame_bytes: IntCounter,
 }
@@ -97,6 +105,10 @@
             "wingspur_news_age_milliseconds",
             "Age of the newest news of the store.",
         );
+        let suspects = gauge(
+            "wingspur_suspect_requests",
+            "Requests under which servers ended.",
+        );
         let dropped_log_lines =
             gauge("wingspur_dropped_log_lines", "Log lines that nobody read.");
         let plain = |name: &str, help: &str| {
@@ -201,6 +213,17 @@
                 "Outcomes of once-only operations that no owner took.",
                 &["outcome"],
             ),
+            suspect_events: counter(
+                "wingspur_suspect_events_total",
+                "Servers that ended under requests, and such requests answered whole.",
+                &["event"],
+            ),
+            permits: counter(
+                "wingspur_quarantine_permits_total",
+                "Whether requests in quarantine were let through, by outcome.",
+                &["outcome"],
+            ),
+            suspects,
             exchanges,
             bundle_version,
             news_age_ms,
@@ -225,6 +248,25 @@
         self.unhedged.with_label_values(&[reason]).inc();
     }
 
+    /// Counts what this box saw of a request under which a server ended.
+    pub fn count_suspect(&self, seen: SuspectEvent) {
+        let event = match seen {
+            SuspectEvent::ServerEnded(_) => "server_ended",
+            SuspectEvent::AnsweredWhole => "answered_whole",
+        };
+        self.suspect_events.with_label_values(&[event]).inc();
+    }
+
+    /// Counts an answer to whether a request in quarantine may be sent.
+    pub fn count_permit(&self, permission: SendPermission) {
+        let outcome = match permission {
+            SendPermission::Free => "free",
+            SendPermission::Once => "once",
+            SendPermission::Refused(_) => "refused",
+        };
+        self.permits.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a peer's message that was refused.
     pub fn refuse_peer(&self, reason: &str) {
         self.peer_refusals.with_label_values(&[reason]).inc();
--- /dev/null
+++ b/crates/wingspur-edge/src/quarantine.rs
@@ -0,0 +1,434 @@
+//! Requests in quarantine: who may send one, and what the store holds of them.
+//!
+//! A box counts in the store each time that it lets such a request through, before it does; one
+//! that cannot have the store asks its hub.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use wingspur_coordination::{
+    CountOutcome, DeskStep, LinkId, QuarantineCount, QuarantineDesk,
+};
+use wingspur_protocol::{Lendable, LoanAnswer, LoanRequest, QuarantineRecord};
+use wingspur_state::{KnownQuarantine, REMEMBERED, RequestFingerprint, SourceId};
+use wingspur_transport::{CatalogError, StopSignal, TryCounted};
+
+use crate::lending::{LendingMessage, send};
+use crate::shared::Shared;
+
+/// This box's part in what is let through of requests in quarantine.
+#[derive(Debug)]
+pub struct QuarantineState {
+    desk: QuarantineDesk,
+    /// This box's own questions, with who waits for each answer.
+    asked: HashMap<u32, async_channel::Sender<LoanAnswer>>,
+    last_number: u32,
+}
+
+impl QuarantineState {
+    /// A box that starts now, and counts under a name of its own.
+    pub fn new(own: SourceId) -> Self {
+        Self {
+            desk: QuarantineDesk::new(own),
+            asked: HashMap::new(),
+            last_number: 0,
+        }
+    }
+}
+
+/// Whether a request may be sent now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendPermission {
+    /// As any other: it is not in quarantine.
+    Free,
+    /// To one server.
+    Once,
+    /// No: there may be another permit after this.
+    Refused(Duration),
+}
+
+/// Waits until a request may be sent, or it is known that it may not before `limit`.
+///
+/// While another box tries it, the outcome is worth waiting for: a request that is well is
+/// answered in a third of a second, and all that wait go on. Where no try is left it is
+/// refused at once.
+pub async fn permission_to_send(
+    shared: &Arc<Shared>,
+    id: &str,
+    request: RequestFingerprint,
+    limit: Instant,
+) -> SendPermission {
+    let began = Instant::now();
+    loop {
+        if !is_quarantined(shared, request) {
+            return SendPermission::Free;
+        }
+        let step = decide(shared, request).await;
+        let now = Instant::now();
+        let left = limit.saturating_duration_since(now);
+        let permission = match step {
+            Step::Lend => SendPermission::Once,
+            Step::Later(after) if after >= left => SendPermission::Refused(after),
+            Step::Later(after) => {
+                wait_for_news(shared, request, now + after).await;
+                continue;
+            }
+        };
+        shared.metrics.count_permit(permission);
+        tracing::info!(
+            id,
+            fingerprint = %request,
+            outcome = ?permission,
+            waited_ms = began.elapsed().as_millis() as u64,
+            left_ms = left.as_millis() as u64,
+            "quarantine: asked whether it may be sent."
+        );
+        return permission;
+    }
+}
+
+/// Whether a request may be sent with a permit only.
+pub fn is_quarantined(shared: &Shared, request: RequestFingerprint) -> bool {
+    let suspects = shared.suspects.lock();
+    !suspects.is_empty() && suspects.is_quarantined(request, Instant::now())
+}
+
+/// Writes to the store that a request is in quarantine, where this box is the hub of the one
+/// that has seen it, so that boxes that start know it.
+pub fn open_quarantine(shared: &Arc<Shared>, request: RequestFingerprint) {
+    if shared.links.lock().own_hub().is_some() || !is_quarantined(shared, request) {
+        return;
+    }
+    let known = shared.suspects.lock().quarantine(request);
+    let mut state = shared.quarantine.lock();
+    let due = state.desk.open(request, known.as_ref(), Instant::now());
+    drop(state);
+    let Some(count) = due else { return };
+    let shared = shared.clone();
+    let spawner = shared.spawner.clone();
+    spawner.detach(async move {
+        let outcome = write(&shared, request, count).await;
+        let mut state = shared.quarantine.lock();
+        state.desk.opened(request, outcome, Instant::now());
+    });
+}
+
+/// Takes in what the catalog says of a request in quarantine.
+pub fn put_quarantine(shared: &Shared, record: &QuarantineRecord) {
+    let known = KnownQuarantine {
+        revision: record.revision,
+        tries: record.tries,
+        counted_by: record.counted_by,
+        heard: Instant::now(),
+    };
+    let mut suspects = shared.suspects.lock();
+    suspects.put_quarantine(record.request, known);
+    tracing::info!(
+        fingerprint = %record.request,
+        tries = record.tries,
+        revision = record.revision,
+        "quarantine: known."
+    );
+}
+
+/// Takes in that a request is in quarantine no more.
+pub fn end_quarantine(shared: &Shared, request: RequestFingerprint) {
+    shared.suspects.lock().remove_quarantine(request);
+    shared.quarantine.lock().desk.forget(request);
+    tracing::info!(fingerprint = %request, "quarantine: ended.");
+}
+
+/// Takes in all requests that are in quarantine.
+pub fn replace_quarantines(shared: &Shared, records: &[QuarantineRecord]) {
+    let listed = |request: &RequestFingerprint| {
+        records.iter().any(|record| record.request == *request)
+    };
+    let known: Vec<_> = shared.suspects.lock().quarantines().collect();
+    for (request, _) in known {
+        if !listed(&request) {
+            end_quarantine(shared, request);
+        }
+    }
+    for record in records {
+        put_quarantine(shared, record);
+    }
+}
+
+/// All requests that are in quarantine, for a box that is behind.
+pub fn quarantine_records(shared: &Shared) -> Vec<QuarantineRecord> {
+    let suspects = shared.suspects.lock();
+    let records = suspects
+        .quarantines()
+        .map(|(request, known)| QuarantineRecord {
+            request,
+            tries: known.tries,
+            counted_by: known.counted_by,
+            revision: known.revision,
+        });
+    records.collect()
+}
+
+/// Answers another box that asks whether it may send a request, once that is decided.
+pub fn answer_permit(shared: &Arc<Shared>, link: LinkId, asked: &LoanRequest) {
+    let Lendable::Permit(request) = asked.of else {
+        return;
+    };
+    let (number, of) = (asked.number, asked.of);
+    let shared = shared.clone();
+    let spawner = shared.spawner.clone();
+    spawner.detach(async move {
+        let (urgent, more_in) = match decide_here(&shared, request, true).await {
+            DeskStep::Lend => (1, Duration::ZERO),
+            DeskStep::Later(after) => (0, after),
+            DeskStep::AskHub | DeskStep::Count(_) => (0, ASK_AGAIN),
+        };
+        let answer = LoanAnswer {
+            number,
+            of,
+            urgent,
+            stock: 0.0,
+            renewed: false,
+            more_in_ms: Some(more_in.as_millis() as u32),
+        };
+        send(&shared, vec![LendingMessage::answering(link, answer, true)]);
+    });
+}
+
+/// Takes in the hub's answer to a question of this box.
+pub fn take_permit_answer(shared: &Shared, answer: &LoanAnswer) {
+    let asked = shared.quarantine.lock().asked.remove(&answer.number);
+    if let Some(asked) = asked {
+        // One that has given up does not listen any more.
+        let _ = asked.try_send(*answer);
+    }
+}
+
+/// Ends in the store what whole answers have cleared, and forgets what is too old, until the
+/// box stops.
+pub async fn run_quarantine(shared: Arc<Shared>, stop: StopSignal) {
+    while !stop.is_given() {
+        smol::Timer::after(TIDY_EVERY).await;
+        let now = Instant::now();
+        let outlived = tidy(&shared, now);
+        if shared.links.lock().own_hub().is_some() {
+            continue;
+        }
+        for (request, known) in outlived {
+            end_in_store(&shared, request, known).await;
+        }
+    }
+}
+
+/// Forgets what is too old; returns what the store still holds of cleared requests.
+fn tidy(shared: &Shared, now: Instant) -> Vec<(RequestFingerprint, KnownQuarantine)> {
+    let mut suspects = shared.suspects.lock();
+    suspects.tidy(now);
+    let outlived = suspects.outlived_quarantines();
+    shared.metrics.suspects.set(suspects.len() as i64);
+    drop(suspects);
+    shared.quarantine.lock().desk.tidy(now);
+    outlived
+}
+
+/// What a box is told that asks.
+enum Step {
+    Lend,
+    Later(Duration),
+}
+
+/// Decides here, after counting in the store what is let through; where the store cannot be
+/// had, the hub decides.
+async fn decide(shared: &Arc<Shared>, request: RequestFingerprint) -> Step {
+    let hub = shared.links.lock().own_hub();
+    match (decide_here(shared, request, hub.is_none()).await, hub) {
+        (DeskStep::Lend, _) => Step::Lend,
+        (DeskStep::Later(after), _) => Step::Later(after),
+        (DeskStep::AskHub, Some(hub)) => ask_hub(shared, request, hub).await,
+        (DeskStep::AskHub | DeskStep::Count(_), _) => Step::Later(ASK_AGAIN),
+    }
+}
+
+async fn ask_hub(shared: &Arc<Shared>, request: RequestFingerprint, hub: LinkId) -> Step {
+    let (tell, told) = async_channel::bounded(1);
+    let number = {
+        let mut state = shared.quarantine.lock();
+        state.last_number = state.last_number.wrapping_add(1);
+        let number = state.last_number;
+        state.asked.insert(number, tell);
+        number
+    };
+    let question = LoanRequest {
+        number,
+        of: Lendable::Permit(request),
+        held: 0.0,
+        urgent: 1,
+        wanted: 0.0,
+    };
+    send(shared, vec![LendingMessage::asking(hub, question)]);
+    let told = async { told.recv().await.ok() };
+    let expired = async {
+        smol::Timer::after(ANSWER_LOST).await;
+        None
+    };
+    let answer = told.or(expired).await;
+    shared.quarantine.lock().asked.remove(&number);
+    match answer {
+        Some(answer) if answer.urgent > 0 => Step::Lend,
+        Some(answer) => {
+            let after = answer.more_in_ms.unwrap_or_default();
+            Step::Later(Duration::from_millis(after.into()))
+        }
+        // The hub is lost: its successor is asked.
+        None => Step::Later(ASK_AGAIN),
+    }
+}
+
+/// Decides after counting in the store what is let through.
+async fn decide_here(
+    shared: &Arc<Shared>,
+    request: RequestFingerprint,
+    nobody_else: bool,
+) -> DeskStep {
+    if !is_quarantined(shared, request) {
+        return DeskStep::Lend;
+    }
+    let (known, step) = {
+        let suspects = shared.suspects.lock();
+        let mut state = shared.quarantine.lock();
+        let step = state.desk.ask(request, &suspects, Instant::now());
+        (suspects.quarantine(request), step)
+    };
+    let step = match step {
+        DeskStep::Count(count) => {
+            let outcome = write(shared, request, count).await;
+            let mut state = shared.quarantine.lock();
+            let now = Instant::now();
+            state.desk.counted(request, outcome, nobody_else, now)
+        }
+        step => step,
+    };
+    tracing::info!(
+        fingerprint = %request,
+        tries = known.map(|known| known.tries),
+        revision = known.map(|known| known.revision),
+        outcome = ?step,
+        "quarantine: decided."
+    );
+    step
+}
+
+/// Writes how often a request was let through, and takes in what stands then.
+async fn write(
+    shared: &Arc<Shared>,
+    request: RequestFingerprint,
+    count: QuarantineCount,
+) -> CountOutcome {
+    let record = QuarantineRecord {
+        request,
+        tries: count.tries,
+        counted_by: count.counted_by,
+        revision: count.revision,
+    };
+    shared.metrics.count_store_call("quarantine");
+    let written = (shared.catalog.count_try)(record, REMEMBERED).await;
+    log_write(&record, &written);
+    match written {
+        Ok(TryCounted::Stands(revision)) => {
+            put_quarantine(shared, &QuarantineRecord { revision, ..record });
+            CountOutcome::Stands
+        }
+        Ok(TryCounted::Overtaken(Some(found))) => {
+            put_quarantine(shared, &found);
+            CountOutcome::Overtaken
+        }
+        Ok(TryCounted::Overtaken(None)) => {
+            shared.suspects.lock().remove_quarantine(request);
+            CountOutcome::Overtaken
+        }
+        Err(_) => look_whether_written(shared, &record).await,
+    }
+}
+
+/// What became of a write whose answer is lost: it may have been done, and a try that is
+/// counted but not made is one less for a request that is well.
+async fn look_whether_written(
+    shared: &Arc<Shared>,
+    record: &QuarantineRecord,
+) -> CountOutcome {
+    shared.metrics.count_store_call("read_quarantine");
+    let read = (shared.catalog.read_quarantine)(record.request).await;
+    let (fingerprint, tries) = (record.request, record.tries);
+    match read {
+        Ok(Some(found)) => {
+            put_quarantine(shared, &found);
+            match (found.tries, found.counted_by) == (tries, record.counted_by) {
+                true => CountOutcome::Stands,
+                false => CountOutcome::Overtaken,
+            }
+        }
+        Ok(None) => {
+            shared.suspects.lock().remove_quarantine(record.request);
+            CountOutcome::Overtaken
+        }
+        Err(error) => {
+            tracing::warn!(%fingerprint, tries, %error, "quarantine: not known.");
+            CountOutcome::Unknown
+        }
+    }
+}
+
+/// Ends in the store the quarantine of a request that was answered whole.
+async fn end_in_store(
+    shared: &Arc<Shared>,
+    request: RequestFingerprint,
+    known: KnownQuarantine,
+) {
+    let record = QuarantineRecord {
+        request,
+        tries: known.tries,
+        counted_by: known.counted_by,
+        revision: known.revision,
+    };
+    shared.metrics.count_store_call("end_quarantine");
+    let ended = (shared.catalog.end_quarantine)(record).await;
+    log_write(&record, &ended);
+    match ended {
+        Ok(TryCounted::Stands(_) | TryCounted::Overtaken(None)) => {
+            end_quarantine(shared, request);
+        }
+        // Someone else has written since: the catalog tells.
+        Ok(TryCounted::Overtaken(Some(found))) => put_quarantine(shared, &found),
+        // It is tried again with the next round.
+        Err(_) => {}
+    }
+}
+
+fn log_write(record: &QuarantineRecord, written: &Result<TryCounted, CatalogError>) {
+    let (fingerprint, tries, on) = (record.request, record.tries, record.revision);
+    match written {
+        Ok(outcome) => {
+            tracing::info!(%fingerprint, tries, on, ?outcome, "quarantine: written.");
+        }
+        Err(error) => {
+            tracing::warn!(%fingerprint, tries, on, %error, "quarantine: not written.");
+        }
+    }
+}
+
+/// Waits until a request is cleared, at most until `until`.
+async fn wait_for_news(shared: &Shared, request: RequestFingerprint, until: Instant) {
+    while Instant::now() < until && is_quarantined(shared, request) {
+        smol::Timer::after(LOOK_AGAIN).await;
+    }
+}
+
+/// The hub answers after one call of the store, which takes milliseconds, and a quarter of a
+/// second where it is slow.
+const ANSWER_LOST: Duration = Duration::from_millis(700);
+/// A member links with its next hub in less.
+const ASK_AGAIN: Duration = Duration::from_millis(200);
+/// How soon one that waits sees that the request is cleared.
+const LOOK_AGAIN: Duration = Duration::from_millis(25);
+const TIDY_EVERY: Duration = Duration::from_secs(1);
--- a/crates/wingspur-edge/src/requests_out.rs
+++ b/crates/wingspur-edge/src/requests_out.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Instant;
 
+use wingspur_state::RequestFingerprint;
+
 use crate::locks::{Rank, Ranked};
 
 /// All requests that were taken and are not over.
@@ -43,6 +45,8 @@
     pub route: String,
     /// The server that was sent it last; empty before that.
     pub server: String,
+    /// What tells it from other requests, once it was sent.
+    pub fingerprint: Option<RequestFingerprint>,
     /// How far it has come.
     pub stage: Stage,
     /// When its head came.
@@ -65,6 +69,7 @@
             id: id.to_owned(),
             route: String::new(),
             server: String::new(),
+            fingerprint: None,
             stage: Stage::Taken,
             began,
         };
@@ -86,6 +91,15 @@
         self.rows.lock().values().take(most).cloned().collect()
     }
 
+    /// The requests that were sent to a server last, and are not over.
+    pub fn sent_to(&self, server: &str) -> Vec<RequestFingerprint> {
+        let rows = self.rows.lock();
+        let there = rows
+            .values()
+            .filter(|row| row.server == server && row.stage != Stage::Taken);
+        there.filter_map(|row| row.fingerprint).collect()
+    }
+
     /// The oldest few as one field of a log line.
     pub fn oldest_text(&self, now: Instant) -> String {
         let mut text = String::new();
@@ -112,10 +126,11 @@
     }
 
     /// Notes that a server is sent the request.
-    pub fn sent(&self, server: &str) {
+    pub fn sent(&self, server: &str, fingerprint: RequestFingerprint) {
         self.was_sent.store(true, Ordering::Release);
         self.change(|row| {
             row.stage = Stage::Sent;
+            row.fingerprint = Some(fingerprint);
             row.server = server.to_owned();
         });
     }
--- a/crates/wingspur-edge/src/resend_loans.rs
+++ b/crates/wingspur-edge/src/resend_loans.rs
@@ -290,7 +290,7 @@
     match of {
         Lendable::Resend(service) => Some((service, ResendUse::Sure)),
         Lendable::Hedge(service) => Some((service, ResendUse::Hedge)),
-        Lendable::Account(_) => None,
+        Lendable::Account(_) | Lendable::Permit(_) => None,
     }
 }
 
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use wingspur_protocol::{BoxRecord, HeaderNames};
-use wingspur_state::{Bundle, Directory, DirectoryChange, FleetStanding};
+use wingspur_state::{
+    Bundle, Directory, DirectoryChange, FleetStanding, SuspectRequests,
+};
 use wingspur_transport::{Catalog, Connector, LeaseId, Spawner};
 
 use crate::bell::Bell;
@@ -13,11 +15,13 @@
 use crate::links::Links;
 use crate::locks::{Rank, Ranked};
 use crate::metrics::Metrics;
+use crate::quarantine::QuarantineState;
 use crate::requests_out::RequestsOut;
 use crate::resend_loans::ResendLoans;
 use crate::services::Services;
 use crate::settings::Settings;
 use crate::stopping::Stopping;
+use crate::suspects::note_gone;
 
 /// What all parts of an entry box share.
 #[derive(Debug)]
@@ -38,6 +42,10 @@
     pub lending: Ranked<LendingState>,
     /// Who has room for resends, and what is lent of them.
     pub resend_loans: Ranked<ResendLoans>,
+    /// The requests under which servers have ended.
+    pub suspects: Ranked<SuspectRequests>,
+    /// What is let through of those that are in quarantine.
+    pub quarantine: Ranked<QuarantineState>,
     /// Rung when a question of another box waits for an answer.
     pub lending_bell: Bell,
     /// The lease under which this box is announced.
@@ -68,12 +76,13 @@
         catalog: Catalog,
         spawner: Spawner,
     ) -> Self {
+        // Drawn, not read from a clock that may jump.
+        let incarnation = rand::random();
         let own = BoxRecord {
             id: settings.box_id.clone(),
             data_centre: settings.data_centre.clone(),
             peer_address: settings.peer_address,
-            // Drawn, not read from a clock that may jump.
-            incarnation: rand::random(),
+            incarnation,
             capacity: settings.capacity(),
             fleet_boxes: 0,
         };
@@ -90,6 +99,8 @@
             ),
             lending: Ranked::new(Rank::Lending, LendingState::new(Instant::now())),
             resend_loans: Ranked::new(Rank::ResendLoans, ResendLoans::default()),
+            suspects: Ranked::new(Rank::Suspects, SuspectRequests::default()),
+            quarantine: Ranked::new(Rank::Quarantine, QuarantineState::new(incarnation)),
             lending_bell: Bell::new(),
             lease: Ranked::new(Rank::Lease, None),
             connector: Connector::new(spawner.clone(), None),
@@ -146,7 +157,8 @@
     }
 
     /// Lets the services follow what became of servers.
-    pub fn follow(&self, changes: &[DirectoryChange], source: &str) {
+    pub fn follow(self: &Arc<Self>, changes: &[DirectoryChange], source: &str) {
+        note_gone(self, changes);
         if changes.len() > MOST_SINGLE_LINES {
             // A box that starts would write one for each server that there is.
             let servers = changes.len();
@@ -200,7 +212,7 @@
     }
 
     /// Drops servers that have not come back after an outage of the store.
-    pub fn settle(&self, now: Instant) {
+    pub fn settle(self: &Arc<Self>, now: Instant) {
         let changes = self.directory.lock().settle(now);
         self.follow(&changes, "settled");
     }
--- /dev/null
+++ b/crates/wingspur-edge/src/suspects.rs
@@ -0,0 +1,179 @@
+//! What this box sees, tells and hears of requests under which servers end.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use wingspur_coordination::LinkId;
+use wingspur_state::{
+    DirectoryChange, RequestFingerprint, ServerRecord, SuspectEvent, SuspectNews,
+    SuspectNote,
+};
+use wingspur_transport::{Backend, ConnectError};
+
+use crate::quarantine::open_quarantine;
+use crate::shared::Shared;
+
+/// An attempt that broke off before its answer was whole.
+pub struct BrokenOff {
+    /// The request.
+    pub request: RequestFingerprint,
+    /// The server.
+    pub server: Arc<ServerRecord>,
+    /// The connections to it.
+    pub backend: Arc<Backend>,
+}
+
+/// Finds out whether the server has ended under an attempt that broke off there: nobody
+/// listens at its address any more, or its entry goes within some seconds.
+pub async fn note_broken_off(shared: &Arc<Shared>, broken: &BrokenOff) {
+    let (request, server) = (broken.request, broken.server.key());
+    let at = Instant::now();
+    let checked = broken.backend.check(CHECK_TIMEOUT).await;
+    let has_ended = checked
+        .as_ref()
+        .is_err_and(ConnectError::says_that_nobody_listens);
+    tracing::info!(
+        fingerprint = %request,
+        server = %broken.server.id,
+        address = %broken.server.address,
+        has_ended,
+        error = checked.err().map(|error| error.to_string()),
+        "server: looked for after an answer broke off."
+    );
+    if !has_ended {
+        return shared.suspects.lock().note_broken(request, server, at);
+    }
+    let seen = SuspectEvent::ServerEnded(server);
+    take_in_own(shared, SuspectNews { request, seen, at });
+}
+
+/// Notes that a request was answered whole, which clears it where servers have ended under
+/// it.
+pub fn note_answered(shared: &Arc<Shared>, request: RequestFingerprint) {
+    let at = Instant::now();
+    if !shared.suspects.lock().note_answered(request, at) {
+        return;
+    }
+    let seen = SuspectEvent::AnsweredWhole;
+    take_in_own(shared, SuspectNews { request, seen, at });
+}
+
+/// Takes in which servers have ended, as the catalog tells: what was out there, or broke off
+/// there a moment ago, was out when they did.
+pub fn note_gone(shared: &Arc<Shared>, changes: &[DirectoryChange]) {
+    let now = Instant::now();
+    for change in changes {
+        let ended = match change {
+            DirectoryChange::Gone(record) => record,
+            DirectoryChange::Restarted { before, .. } => before,
+            DirectoryChange::Put(_) => continue,
+        };
+        if ended.leaving {
+            continue;
+        }
+        let server = ended.key();
+        let mut news = shared.suspects.lock().take_broken(server, now);
+        let out = shared.requests_out.sent_to(&ended.id);
+        news.extend(out.into_iter().map(|request| SuspectNews {
+            request,
+            seen: SuspectEvent::ServerEnded(server),
+            at: now,
+        }));
+        for news in news {
+            take_in_own(shared, news);
+        }
+    }
+}
+
+/// Takes in what another box tells, and passes on what was news here.
+pub fn take_notes(shared: &Arc<Shared>, link: LinkId, notes: &[SuspectNote]) {
+    let now = Instant::now();
+    for note in notes {
+        let news = note.heard(now);
+        if !shared.suspects.lock().take_in(&news, now) {
+            continue;
+        }
+        log_news(shared, &news, "peer");
+        let is_members = shared.links.lock().spread_suspect(&news, Some(link));
+        shared.news.poke();
+        if is_members {
+            open_quarantine(shared, news.request);
+        }
+        vouch_soon(shared, news.request);
+    }
+}
+
+/// What a box that has just linked with this one should hear.
+pub fn greeting_notes(shared: &Shared) -> Vec<SuspectNews> {
+    shared.suspects.lock().greeting(Instant::now())
+}
+
+/// Takes in what this box has seen, and tells the others without delay.
+fn take_in_own(shared: &Arc<Shared>, news: SuspectNews) {
+    let now = Instant::now();
+    if !shared.suspects.lock().take_in(&news, now) {
+        return;
+    }
+    shared.metrics.count_suspect(news.seen);
+    log_news(shared, &news, "own");
+    let mut links = shared.links.lock();
+    links.spread_suspect(&news, None);
+    links.note_urgent();
+    drop(links);
+    shared.alarm.poke();
+    shared.news.poke();
+    open_quarantine(shared, news.request);
+    vouch_soon(shared, news.request);
+}
+
+/// Tells the others that this box has answered a request in quarantine a moment before, at
+/// some time in the next moments: where many boxes could, the first ones spare the rest.
+fn vouch_soon(shared: &Arc<Shared>, request: RequestFingerprint) {
+    let due = shared
+        .suspects
+        .lock()
+        .answered_before(request, Instant::now());
+    if due.is_none() {
+        return;
+    }
+    let shared = shared.clone();
+    let spawner = shared.spawner.clone();
+    spawner.detach(async move {
+        smol::Timer::after(VOUCH_WITHIN.mul_f64(rand::random())).await;
+        let answered = shared
+            .suspects
+            .lock()
+            .answered_before(request, Instant::now());
+        let Some(at) = answered else { return };
+        let seen = SuspectEvent::AnsweredWhole;
+        take_in_own(&shared, SuspectNews { request, seen, at });
+    });
+}
+
+fn log_news(shared: &Shared, news: &SuspectNews, source: &str) {
+    let now = Instant::now();
+    let suspects = shared.suspects.lock();
+    let endings = suspects.endings(news.request, now);
+    let is_quarantined = suspects.is_quarantined(news.request, now);
+    let known = suspects.len();
+    drop(suspects);
+    let age_ms = now.saturating_duration_since(news.at).as_millis() as u64;
+    let outcome = match news.seen {
+        SuspectEvent::ServerEnded(_) => "a server has ended under it",
+        SuspectEvent::AnsweredWhole => "answered whole, cleared",
+    };
+    tracing::info!(
+        fingerprint = %news.request,
+        endings,
+        is_quarantined,
+        known,
+        age_ms,
+        source,
+        "suspect: {outcome}."
+    );
+}
+
+/// News of a box reaches most others within this.
+const VOUCH_WITHIN: Duration = Duration::from_millis(200);
+/// A server refuses in one trip if nobody listens there; longer tells of the way to it.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
--- a/crates/wingspur-protocol/src/catalog.rs
+++ b/crates/wingspur-protocol/src/catalog.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use wingspur_state::{BoxId, Bundle, BundlePatch, DataCentreId, ServerId, ServerRecord};
+use wingspur_state::{
+    BoxId, Bundle, BundlePatch, DataCentreId, RequestFingerprint, ServerId, ServerRecord,
+    SourceId,
+};
 
 /// The store's count of changes; grows with each.
 pub type Revision = u64;
@@ -21,6 +24,8 @@
     pub servers: Vec<ServerRecord>,
     /// The boxes.
     pub boxes: Vec<BoxRecord>,
+    /// The requests in quarantine.
+    pub quarantines: Vec<QuarantineRecord>,
 }
 
 /// Changes after one revision and up to another, in order.
@@ -49,6 +54,23 @@
     Box(BoxRecord),
     /// A box's entry has vanished.
     BoxGone(BoxId),
+    /// A request is in quarantine, or was let through once more.
+    Quarantine(QuarantineRecord),
+    /// A request is in quarantine no more.
+    QuarantineEnded(RequestFingerprint),
+}
+
+/// A request that may be sent with a permit only, since servers have ended under it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineRecord {
+    /// The request.
+    pub request: RequestFingerprint,
+    /// How often it was let through since it is in quarantine.
+    pub tries: u32,
+    /// The box that has counted that, by its start.
+    pub counted_by: SourceId,
+    /// The revision at which this was written.
+    pub revision: Revision,
 }
 
 /// An entry box as it announces itself.
--- a/crates/wingspur-protocol/src/codes.rs
+++ b/crates/wingspur-protocol/src/codes.rs
@@ -23,6 +23,8 @@
     AccountLimit,
     /// Whether the client account is over its rate could not be found out.
     AllowanceUnknown,
+    /// Servers have ended under the request, and it is let through no more for now.
+    Quarantined,
     /// The concern's places and queue are full.
     ConcernFull,
     /// The deadline would pass, or passed, before the request was sent.
@@ -53,7 +55,7 @@
 
 impl ResultCode {
     /// All codes, in the order of their numbers.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::NoRoute,
         Self::MethodNotAllowed,
         Self::TooLarge,
@@ -64,6 +66,7 @@
         Self::ConcernFull,
         Self::DeadlineBeforeSend,
         Self::AllowanceUnknown,
+        Self::Quarantined,
         Self::NoServer,
         Self::NotSent,
         Self::DeadlineInDoubt,
@@ -90,6 +93,7 @@
             Self::ConcernFull => 2002,
             Self::DeadlineBeforeSend => 2003,
             Self::AllowanceUnknown => 2004,
+            Self::Quarantined => 2005,
             Self::NoServer => 3001,
             Self::NotSent => 3002,
             Self::DeadlineInDoubt => 3003,
@@ -114,7 +118,7 @@
             Self::UnknownKey => 401,
             Self::AccountLimit => 429,
             Self::ConcernFull | Self::NoServer | Self::ClaimUnavailable => 503,
-            Self::AllowanceUnknown => 503,
+            Self::AllowanceUnknown | Self::Quarantined => 503,
             Self::DeadlineBeforeSend | Self::NotReady | Self::NewsLate => 503,
             // A caller may trust a 503 to mean that nothing ran.
             Self::NotSent => 503,
@@ -136,6 +140,7 @@
             Self::UnknownKey => "unknown_key",
             Self::AccountLimit => "account_limit",
             Self::AllowanceUnknown => "allowance_unknown",
+            Self::Quarantined => "quarantined",
             Self::ConcernFull => "concern_full",
             Self::DeadlineBeforeSend => "deadline_before_send",
             Self::NoServer => "no_server",
@@ -171,7 +176,7 @@
             Self::AllowanceUnknown => Some(1),
             Self::DeadlineBeforeSend | Self::NoServer | Self::NotSent => Some(1),
             Self::InProgress | Self::NotReady | Self::NewsLate => Some(1),
-            Self::ClaimUnavailable => Some(5),
+            Self::ClaimUnavailable | Self::Quarantined => Some(5),
             _ => None,
         }
     }
--- a/crates/wingspur-protocol/src/lib.rs
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -14,7 +14,9 @@
 
 pub use answer::{RefusalBody, RunState};
 pub use box_list::{BoxList, BoxState, ListedBox, ListedServer};
-pub use catalog::{BoxRecord, CatalogChange, CatalogChanges, CatalogListing, Revision};
+pub use catalog::{
+    BoxRecord, CatalogChange, CatalogChanges, CatalogListing, QuarantineRecord, Revision,
+};
 pub use codes::ResultCode;
 pub use headers::{HeaderNames, LoadForm};
 pub use link::{
--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -3,14 +3,14 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wingspur_state::{
-    AllowanceKey, BoxId, BundleVersion, HealthNote, KeyedTally, ServerKey, ServiceTally,
-    SourceId,
+    AllowanceKey, BoxId, BundleVersion, HealthNote, KeyedTally, RequestFingerprint,
+    ServerKey, ServiceTally, SourceId, SuspectNote,
 };
 
 use crate::{BoxRecord, CatalogChanges, CatalogListing, Revision};
 
 /// The version of the frames; boxes refuse any other.
-pub const LINK_PROTOCOL_VERSION: u16 = 5;
+pub const LINK_PROTOCOL_VERSION: u16 = 6;
 
 /// The first frame of either side.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -64,7 +64,10 @@
     /// What is lent and asked for.
     #[serde(default)]
     pub lending: Lending,
-    /// Whether nothing but that stands here: such frames go out at once, beside the others,
+    /// What was seen of requests under which servers ended.
+    #[serde(default)]
+    pub suspects: Vec<SuspectNote>,
+    /// Whether nothing but what is lent and asked for stands here: such frames go out at once, beside the others,
     /// and carry no news.
     #[serde(default)]
     pub only_lending: bool,
@@ -103,6 +106,8 @@
     Resend(ServerKey),
     /// A second attempt beside a silent one, which leaves a part to surer resends.
     Hedge(ServerKey),
+    /// That a request in quarantine may be sent to one server.
+    Permit(RequestFingerprint),
 }
 
 /// How a service's retry budget stands at a box, or over the boxes of a hub.
--- a/crates/wingspur-state/src/fingerprint.rs
+++ b/crates/wingspur-state/src/fingerprint.rs
@@ -1,6 +1,7 @@
 //! Tells one request from another across its caller's tries and over all boxes.
 
 use std::fmt::{self, Debug, Display, Formatter};
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -13,6 +14,11 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestFingerprint(u128);
 
+/// The text is no fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("not a fingerprint; give 32 hexadecimal digits")]
+pub struct ParseFingerprintError;
+
 /// What makes a request the one that it is.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestParts<'a> {
@@ -51,6 +57,19 @@
     }
 }
 
+impl FromStr for RequestFingerprint {
+    type Err = ParseFingerprintError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.len() != TEXT_DIGITS || !is_hex {
+            return Err(ParseFingerprintError);
+        }
+        let number = u128::from_str_radix(text, 16);
+        number.map(Self).map_err(|_| ParseFingerprintError)
+    }
+}
+
 impl Display for RequestFingerprint {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
@@ -62,3 +81,6 @@
         Display::fmt(self, f)
     }
 }
+
+/// A number of 128 bits.
+const TEXT_DIGITS: usize = 32;
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -32,6 +32,7 @@
 mod server;
 mod service_table;
 mod service_time;
+mod suspects;
 mod tally;
 mod tracked;
 mod unease;
@@ -48,7 +49,7 @@
 pub use check::{Finding, check_accounts, check_bundle};
 pub use directory::{Directory, DirectoryChange, RETURN_GRACE};
 pub use evidence::{EvidenceEntry, EvidenceReport, Reference, threshold, well_evidence};
-pub use fingerprint::{RequestFingerprint, RequestParts};
+pub use fingerprint::{ParseFingerprintError, RequestFingerprint, RequestParts};
 pub use fleet_budget::{
     BudgetAnswer, BudgetSettings, Contact, FleetBudget, FleetDivision, FleetStanding,
     ResendUse, ServicePresent,
@@ -77,5 +78,9 @@
 pub use server::{ServerRecord, server_key};
 pub use service_table::{AttemptOutcome, ServiceTable, TICK, VERDICT_TTL};
 pub use service_time::ServiceTime;
+pub use suspects::{
+    KnownQuarantine, QUARANTINED_FROM, REMEMBERED, SuspectEvent, SuspectNews,
+    SuspectNote, SuspectRequests,
+};
 pub use tally::{KeyedTally, ServerTally, ServiceTally};
 pub use tracked::{Ended, Expected};
--- a/crates/wingspur-state/src/retry.rs
+++ b/crates/wingspur-state/src/retry.rs
@@ -77,17 +77,20 @@
     TimeSpent,
     /// The service's retry budget is spent.
     BudgetSpent,
+    /// Servers have ended under it: each time that it is sent again is decided anew.
+    Quarantined,
 }
 
 impl StopReason {
     /// All reasons.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Answered,
         Self::MayHaveRun,
         Self::BodyGone,
         Self::AttemptsSpent,
         Self::TimeSpent,
         Self::BudgetSpent,
+        Self::Quarantined,
     ];
 
     /// The reason as a metric label.
@@ -99,6 +102,7 @@
             Self::AttemptsSpent => "attempts_spent",
             Self::TimeSpent => "time_spent",
             Self::BudgetSpent => "budget_spent",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -84,6 +84,23 @@
     Refused(io::Error),
 }
 
+impl ConnectError {
+    /// Whether the machine answered that nobody listens at the port.
+    pub fn says_that_nobody_listens(&self) -> bool {
+        match self {
+            Self::Silent(_) => false,
+            Self::Refused(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+        }
+    }
+}
+
+impl AnswerError {
+    /// Whether the connection ended, as it does when the server's process does.
+    pub fn is_broken_off(&self) -> bool {
+        matches!(self, Self::Broken(_))
+    }
+}
+
 /// Why an answer is missing or of no use: the request may have run.
 #[derive(Debug, thiserror::Error)]
 pub enum AnswerError {
@@ -128,7 +145,18 @@
                 return Ok(connection);
             }
         }
-        let timeout = timeout.min(self.patience());
+        self.open(timeout.min(self.patience())).await
+    }
+
+    /// Whether anybody listens at the server's address now; a connection that comes up is
+    /// kept for the next request.
+    pub async fn check(&self, timeout: Duration) -> Result<(), ConnectError> {
+        let connection = self.open(timeout).await?;
+        self.keep(connection);
+        Ok(())
+    }
+
+    async fn open(&self, timeout: Duration) -> Result<BackendConnection, ConnectError> {
         let began = Instant::now();
         let connecting = async { Some(TcpStream::connect(self.address).await) };
         let expired = async {
--- a/crates/wingspur-transport/src/catalog.rs
+++ b/crates/wingspur-transport/src/catalog.rs
@@ -8,7 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use wingspur_protocol::{BoxRecord, CatalogChanges, CatalogListing, Revision};
+use wingspur_protocol::{
+    BoxRecord, CatalogChanges, CatalogListing, QuarantineRecord, Revision,
+};
+use wingspur_state::RequestFingerprint;
 
 /// The calls of a catalog.
 #[derive(Clone)]
@@ -29,11 +32,34 @@
     pub renew: Arc<dyn Fn(LeaseId) -> CatalogFuture<bool> + Send + Sync>,
     /// Ends the lease of this box, and with it its announcement.
     pub withdraw: Arc<dyn Fn(LeaseId) -> CatalogFuture<()> + Send + Sync>,
+    /// Writes how often a request in quarantine was let through, if what stands there is of
+    /// the revision that is told (0 for nothing); it stands for the time given.
+    pub count_try: Arc<
+        dyn Fn(QuarantineRecord, Duration) -> CatalogFuture<TryCounted> + Send + Sync,
+    >,
+    /// Reads what stands there of a request in quarantine now.
+    pub read_quarantine: Arc<
+        dyn Fn(RequestFingerprint) -> CatalogFuture<Option<QuarantineRecord>>
+            + Send
+            + Sync,
+    >,
+    /// Ends the quarantine of a request, if what stands there is of that revision.
+    pub end_quarantine:
+        Arc<dyn Fn(QuarantineRecord) -> CatalogFuture<TryCounted> + Send + Sync>,
 }
 
 /// A call of a catalog under way.
 pub type CatalogFuture<T> = Pin<Box<dyn Future<Output = Result<T, CatalogError>> + Send>>;
 
+/// What came of a write that depends on a revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TryCounted {
+    /// It stands, at this revision.
+    Stands(Revision),
+    /// Something else stands there, or nothing.
+    Overtaken(Option<QuarantineRecord>),
+}
+
 /// Names a lease in the store.
 pub type LeaseId = u64;
 
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -18,7 +18,7 @@
     AnswerError, AnswerHead, Backend, BackendConnection, ConnectError, Reuse,
 };
 pub use body::{BodyError, SendBody, poll_whole};
-pub use catalog::{Catalog, CatalogError, CatalogFuture, LeaseId};
+pub use catalog::{Catalog, CatalogError, CatalogFuture, LeaseId, TryCounted};
 pub use exchange::{Connector, Exchange, ExchangeError, ExchangeTotals};
 pub use faults::{LinkFault, LinkFaults};
 pub use link::{
--- /dev/null
+++ b/tests/tests/suspects.rs
@@ -0,0 +1,246 @@
+//! What is held against a request under which servers ended, by one box and at its hub.
+
+use std::time::{Duration, Instant};
+
+use wingspur_coordination::{CountOutcome, DeskStep, MOST_TRIES, QuarantineDesk};
+use wingspur_state::{
+    KnownQuarantine, REMEMBERED, RequestFingerprint, RequestParts, SuspectEvent,
+    SuspectNews, SuspectRequests,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn request(name: &str) -> RequestFingerprint {
+    RequestFingerprint::of(&RequestParts {
+        method: "GET",
+        host: "site.example",
+        target: name,
+        caller: b"",
+        body: b"",
+        body_bytes: None,
+    })
+}
+
+fn ended(name: &str, server: u64, at: Instant) -> SuspectNews {
+    SuspectNews {
+        request: request(name),
+        seen: SuspectEvent::ServerEnded(server),
+        at,
+    }
+}
+
+fn answered(name: &str, at: Instant) -> SuspectNews {
+    SuspectNews {
+        request: request(name),
+        seen: SuspectEvent::AnsweredWhole,
+        at,
+    }
+}
+
+fn known(revision: u64, tries: u32, heard: Instant) -> KnownQuarantine {
+    KnownQuarantine {
+        revision,
+        tries,
+        counted_by: 7,
+        heard,
+    }
+}
+
+/// A box that knows of two servers that ended under a request.
+fn quarantined(name: &str, now: Instant) -> SuspectRequests {
+    let mut suspects = SuspectRequests::default();
+    suspects.take_in(&ended(name, 1, now), now);
+    suspects.take_in(&ended(name, 2, now), now);
+    suspects
+}
+
+#[test]
+fn two_servers_quarantine_a_request_and_one_whole_answer_clears_it() {
+    let now = Instant::now();
+    let mut suspects = SuspectRequests::default();
+    assert!(suspects.take_in(&ended("a", 1, now), now));
+    assert!(
+        !suspects.take_in(&ended("a", 1, now), now),
+        "the same server"
+    );
+    assert!(!suspects.is_quarantined(request("a"), now));
+    assert!(suspects.take_in(&ended("a", 2, now), now));
+    assert!(suspects.is_quarantined(request("a"), now));
+    assert!(!suspects.is_quarantined(request("b"), now));
+    assert!(suspects.take_in(&answered("a", now + SECOND), now + SECOND));
+    assert!(!suspects.is_quarantined(request("a"), now + SECOND));
+    // News of what was before comes late, and changes nothing.
+    assert!(!suspects.take_in(&ended("a", 3, now), now + SECOND));
+    // What comes after counts anew.
+    let later = now + 10 * SECOND;
+    suspects.take_in(&ended("a", 4, later), later);
+    assert!(!suspects.is_quarantined(request("a"), later));
+    suspects.take_in(&ended("a", 5, later), later);
+    assert!(suspects.is_quarantined(request("a"), later));
+}
+
+#[test]
+fn a_popular_request_is_cleared_by_an_answer_of_a_moment_before() {
+    let now = Instant::now();
+    let mut suspects = SuspectRequests::default();
+    assert!(!suspects.note_answered(request("popular"), now));
+    for server in 0..5 {
+        suspects.take_in(&ended("popular", server, now + SECOND), now + SECOND);
+    }
+    let heard = now + SECOND;
+    let before = suspects.answered_before(request("popular"), heard);
+    assert_eq!(before, Some(now), "others should hear of it");
+    suspects.take_in(&answered("popular", now), heard);
+    assert!(!suspects.is_quarantined(request("popular"), heard));
+    // Long before, it tells nothing: servers were replaced since, maybe.
+    let later = now + 20 * SECOND;
+    suspects.tidy(later);
+    suspects.take_in(&ended("popular", 8, later), later);
+    suspects.take_in(&ended("popular", 9, later), later);
+    assert_eq!(suspects.answered_before(request("popular"), later), None);
+    assert!(suspects.is_quarantined(request("popular"), later));
+}
+
+#[test]
+fn what_the_store_holds_is_known_to_a_box_that_starts() {
+    let now = Instant::now();
+    let mut suspects = SuspectRequests::default();
+    suspects.put_quarantine(request("a"), known(5, 1, now));
+    assert!(suspects.is_quarantined(request("a"), now));
+    // An older revision is old news.
+    suspects.put_quarantine(request("a"), known(4, 0, now));
+    assert_eq!(suspects.quarantine(request("a")).map(|q| q.tries), Some(1));
+    suspects.take_in(&answered("a", now + SECOND), now + SECOND);
+    assert!(!suspects.is_quarantined(request("a"), now + SECOND));
+    assert_eq!(
+        suspects.outlived_quarantines().len(),
+        1,
+        "it is to be ended"
+    );
+    suspects.remove_quarantine(request("a"));
+    assert!(suspects.outlived_quarantines().is_empty());
+}
+
+#[test]
+fn memory_and_news_are_bounded_and_the_worst_are_kept() {
+    let now = Instant::now();
+    let mut suspects = quarantined("worst", now);
+    for n in 0..10_000 {
+        let at = now + Duration::from_millis(n);
+        suspects.take_in(&ended(&format!("page-{n}"), 100 + n, at), at);
+    }
+    assert!(suspects.len() <= 2_048, "{}", suspects.len());
+    let later = now + 10 * SECOND;
+    assert!(suspects.is_quarantined(request("worst"), later));
+    let greeting = suspects.greeting(later);
+    assert!(greeting.len() <= 64, "{}", greeting.len());
+    assert_eq!(greeting[0].request, request("worst"));
+    suspects.tidy(now + REMEMBERED + 10 * SECOND);
+    assert!(suspects.is_empty());
+}
+
+#[test]
+fn a_broken_attempt_counts_once_its_server_has_gone() {
+    let now = Instant::now();
+    let mut suspects = SuspectRequests::default();
+    suspects.note_broken(request("a"), 1, now);
+    suspects.note_broken(request("b"), 2, now);
+    let news = suspects.take_broken(1, now + 5 * SECOND);
+    assert_eq!(news, [ended("a", 1, now)]);
+    assert!(suspects.take_broken(1, now + 5 * SECOND).is_empty(), "once");
+    let late = suspects.take_broken(2, now + 60 * SECOND);
+    assert!(late.is_empty(), "it ended for another reason");
+}
+
+/// Whatever hubs know of each other, the store takes one count for each revision.
+#[test]
+fn all_boxes_together_let_a_request_through_three_times() {
+    let now = Instant::now();
+    let a = request("a");
+    let mut stands: Option<KnownQuarantine> = None;
+    let mut lent = 0;
+    let mut desks: Vec<_> = (0..5).map(QuarantineDesk::new).collect();
+    for round in 0..20 {
+        let at = now + round * 2 * SECOND;
+        for (n, desk) in desks.iter_mut().enumerate() {
+            let mut suspects = quarantined("a", now);
+            // Every other box has heard nothing of what the others did.
+            if let Some(known) = stands.filter(|_| n % 2 == 0) {
+                suspects.put_quarantine(a, known);
+            }
+            let DeskStep::Count(count) = desk.ask(a, &suspects, at) else {
+                continue;
+            };
+            let revision = stands.map_or(0, |known| known.revision);
+            let outcome = match count.revision == revision {
+                true => CountOutcome::Stands,
+                false => CountOutcome::Overtaken,
+            };
+            if outcome == CountOutcome::Stands {
+                stands = Some(known(revision + 1, count.tries, at));
+            }
+            if desk.counted(a, outcome, true, at) == DeskStep::Lend {
+                lent += 1;
+            }
+        }
+    }
+    assert_eq!(lent, MOST_TRIES);
+}
+
+#[test]
+fn without_the_store_only_who_has_no_hub_lets_through_and_twice() {
+    let now = Instant::now();
+    let a = request("a");
+    let suspects = quarantined("a", now);
+    let mut member = QuarantineDesk::new(1);
+    let mut hub = QuarantineDesk::new(2);
+    let mut lent = 0;
+    for round in 0..20 {
+        let at = now + round * 10 * SECOND;
+        if let DeskStep::Count(_) = member.ask(a, &suspects, at) {
+            let step = member.counted(a, CountOutcome::Unknown, false, at);
+            assert_eq!(step, DeskStep::AskHub);
+        }
+        if let DeskStep::Count(_) = hub.ask(a, &suspects, at) {
+            let step = hub.counted(a, CountOutcome::Unknown, true, at);
+            lent += u32::from(step == DeskStep::Lend);
+        }
+    }
+    assert_eq!(lent, 2);
+}
+
+#[test]
+fn a_write_that_stands_though_its_answer_was_lost_counts_once() {
+    let now = Instant::now();
+    let a = request("a");
+    let mut suspects = quarantined("a", now);
+    let mut desk = QuarantineDesk::new(7);
+    assert!(matches!(desk.ask(a, &suspects, now), DeskStep::Count(_)));
+    let step = desk.counted(a, CountOutcome::Unknown, true, now);
+    assert_eq!(step, DeskStep::Lend, "on its own account");
+    // The store held it after all, and tells so.
+    suspects.put_quarantine(a, known(1, 1, now));
+    let DeskStep::Count(count) = desk.ask(a, &suspects, now + 5 * SECOND) else {
+        panic!("there are two more");
+    };
+    assert_eq!(count.tries, 2);
+}
+
+#[test]
+fn one_that_ran_beside_another_keeps_away_from_it() {
+    let now = Instant::now();
+    let mut suspects = quarantined("beside", now);
+    for server in 1..4 {
+        suspects.take_in(&ended("fatal", server, now), now);
+    }
+    let tried = now + SECOND;
+    suspects.put_quarantine(request("fatal"), known(3, 1, tried));
+    let mut desk = QuarantineDesk::new(7);
+    let step = desk.ask(request("beside"), &suspects, tried);
+    assert!(
+        matches!(step, DeskStep::Later(_)),
+        "the other is out: {step:?}"
+    );
+    let step = desk.ask(request("beside"), &suspects, tried + SECOND);
+    assert!(matches!(step, DeskStep::Count(_)), "{step:?}");
+}
