A request that only ran beside another waits until news of the other's try is in

Ruled out: a longer time before endings within which a whole answer clears them (a request that ends servers since a release would be found later). Change: of two that share a server that ended, the likelier goes first; as many endings are decided by their fingerprints. The plays place what has a permit at any free server, not always at the first.

--- a/crates/wingspur-coordination/src/quarantine_desk.rs
+++ b/crates/wingspur-coordination/src/quarantine_desk.rs
@@ -60,6 +60,8 @@
 struct Case {
     /// Let through while the store could not be had.
     uncounted: u32,
+    /// Since when this box knows that another may rather have ended the servers.
+    keeps_away: Option<Instant>,
     /// What was written last; the store may hold it though its answer was lost.
     last_count: Option<QuarantineCount>,
     is_counting: bool,
@@ -78,7 +80,8 @@
     /// Decides on a request that is in quarantine.
     ///
     /// One that only ran beside another keeps away from it: out at one server, the other would
-    /// end that under it again.
+    /// end that under it again. Both are often let through at the same moment, when a server
+    /// comes back; so one waits for as long as news of the other takes.
     pub fn ask(
         &mut self,
         request: RequestFingerprint,
@@ -86,7 +89,9 @@
         now: Instant,
     ) -> DeskStep {
         let known = suspects.quarantine(request);
-        let out_for = self.out_for(request, suspects, now);
+        let likelier = suspects.likelier(request);
+        let has_likelier = !likelier.is_empty();
+        let out_for = self.out_for(request, &likelier, suspects, now);
         let own = self.own;
         let case = self.case(request, now);
         if case.is_counting {
@@ -101,6 +106,10 @@
         if tries >= MOST_TRIES {
             return DeskStep::Later(ends_in(known.as_ref(), now));
         }
+        if has_likelier && !case.has_kept_away(now) {
+            return DeskStep::Later(NEWS_TAKES);
+        }
+        case.keeps_away = None;
         DeskStep::Count(case.count(tries + 1, own, known.as_ref()))
     }
 
@@ -179,10 +188,10 @@
     fn out_for(
         &self,
         request: RequestFingerprint,
+        likelier: &[RequestFingerprint],
         suspects: &SuspectRequests,
         now: Instant,
     ) -> Duration {
-        let likelier = suspects.likelier(request);
         let is_counting = |other: &RequestFingerprint| {
             self.cases.get(other).is_some_and(|case| case.is_counting)
         };
@@ -200,6 +209,7 @@
     fn case(&mut self, request: RequestFingerprint, now: Instant) -> &mut Case {
         let case = self.cases.entry(request).or_insert(Case {
             uncounted: 0,
+            keeps_away: None,
             last_count: None,
             is_counting: false,
             touched: now,
@@ -227,6 +237,12 @@
         count
     }
 
+    /// Whether it has kept away from another for as long as news takes.
+    fn has_kept_away(&mut self, now: Instant) -> bool {
+        let since = *self.keeps_away.get_or_insert(now);
+        now.saturating_duration_since(since) >= NEWS_TAKES
+    }
+
     /// Takes in that a write whose answer was lost stands in the store after all: what was
     /// let through on it is counted there.
     fn note_counted(&mut self, known: Option<&KnownQuarantine>, own: SourceId) {
@@ -257,6 +273,8 @@
 pub const TRY_LASTS: Duration = Duration::from_millis(1500);
 /// A server that runs a request which ends it does so within this.
 const ENDS_SERVERS_IN: Duration = Duration::from_millis(300);
+/// What the store holds is known to most boxes within this.
+const NEWS_TAKES: Duration = Duration::from_millis(150);
 /// A write takes some milliseconds.
 const COUNTING_TAKES: Duration = Duration::from_millis(25);
 /// How soon one that waits for an outcome asks again.
--- a/crates/wingspur-state/src/suspects.rs
+++ b/crates/wingspur-state/src/suspects.rs
@@ -202,15 +202,16 @@
         self.suspects.get(&request)?.standing().copied()
     }
 
-    /// Requests that have likelier ended the servers that this one was out at: one of them is
-    /// the same, and there are more of them.
+    /// Requests that may rather have ended the servers that this one was out at: one of them is
+    /// the same, and there are more of them, or as many and chance decides.
     pub fn likelier(&self, request: RequestFingerprint) -> Vec<RequestFingerprint> {
         let Some(suspect) = self.suspects.get(&request) else {
             return Vec::new();
         };
         let endings = suspect.counted().count();
-        let others = self.suspects.iter().filter(|(_, other)| {
-            other.counted().count() > endings && suspect.shares_an_ending(other)
+        let others = self.suspects.iter().filter(|(name, other)| {
+            let order = (other.counted().count(), **name);
+            order > (endings, request) && suspect.shares_an_ending(other)
         });
         others.map(|(other, _)| *other).collect()
     }
--- a/tests/tests/quarantine/mod.rs
+++ b/tests/tests/quarantine/mod.rs
@@ -703,6 +703,13 @@
         }
     }
 
+    fn free_server(&self, up: &[usize]) -> Option<usize> {
+        let has_room = |n: &&usize| self.servers[**n].running.len() < SLOTS;
+        let free: Vec<usize> = up.iter().filter(has_room).copied().collect();
+        let drawn = self.now as usize * 7919 % free.len().max(1);
+        free.get(drawn).copied()
+    }
+
     fn has_free_slot(&self) -> bool {
         let has_room = |server: &PlayedServer| server.up && server.running.len() < SLOTS;
         self.servers.iter().any(has_room)
@@ -855,13 +862,9 @@
         let one = up[self.rng.random_range(0..up.len())];
         let other = up[self.rng.random_range(0..up.len())];
         let load = |n: usize| self.servers[n].running.len() + self.servers[n].queue.len();
-        // A permit goes where there is most room.
+        // A permit goes where there is room.
         let server = match request.permit {
-            true => up
-                .iter()
-                .copied()
-                .min_by_key(|n| load(*n))
-                .expect("some are up"),
+            true => self.free_server(&up).unwrap_or(one),
             false if load(one) <= load(other) => one,
             false => other,
         };
