--- a/crates/wingspur-edge/src/admission.rs
+++ b/crates/wingspur-edge/src/admission.rs
@@ -123,7 +123,7 @@
         if let Some(found) = find(&in_force) {
             return Ok(found);
         }
-        let now = Instant::now();
+        let now = wingspur_clock::now();
         let age = shared.links.lock().feed().vouched_age(now);
         let is_vouched = age.is_some_and(|age| age <= VOUCHED_FOR);
         if is_vouched || now >= until {
@@ -141,7 +141,7 @@
             );
             return Err(GivenUp::plain(code));
         }
-        smol::Timer::after(LOOK_AGAIN).await;
+        wingspur_clock::sleep(LOOK_AGAIN).await;
     }
 }
 
--- a/crates/wingspur-edge/src/announce.rs
+++ b/crates/wingspur-edge/src/announce.rs
@@ -1,7 +1,7 @@
 //! Keeps this box announced in the store while it may become a hub.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::FutureExt;
 use wingspur_coordination::{AnnouncementInputs, AnnouncementStep, announcement_step};
@@ -41,7 +41,7 @@
                 if holds { RENEWAL } else { pause(failures) }
             }
         };
-        smol::Timer::after(wait).await;
+        wingspur_clock::sleep(wait).await;
     }
 }
 
@@ -52,7 +52,7 @@
     };
     let withdrawing = async { (shared.catalog.withdraw)(lease).await };
     let expired = async {
-        smol::Timer::after(limit).await;
+        wingspur_clock::sleep(limit).await;
         Ok(())
     };
     if let Err(error) = withdrawing.or(expired).await {
@@ -81,7 +81,7 @@
     span: Duration,
     told_boxes: &mut u32,
 ) -> Result<Duration, CatalogError> {
-    smol::Timer::after(span.mul_f64(rand::random())).await;
+    wingspur_clock::sleep(span.mul_f64(rand::random())).await;
     if !matches!(next_step(shared), AnnouncementStep::AnnounceWithin(_)) {
         return Ok(IDLE);
     }
@@ -101,15 +101,17 @@
     lease: LeaseId,
     told_boxes: &mut u32,
 ) -> Result<Duration, CatalogError> {
-    let boxes = shared.links.lock().fleet_boxes(Instant::now()) as u32;
+    let boxes = shared.links.lock().fleet_boxes(wingspur_clock::now()) as u32;
     if boxes.abs_diff(*told_boxes) > *told_boxes / RETOLD_PART {
         announce(shared, Some(lease), told_boxes).await?;
         tracing::info!(lease, boxes, "lease: another size of the fleet told.");
     }
     shared.metrics.count_store_call("renew");
-    let began = Instant::now();
+    let began = wingspur_clock::now();
     let stands = (shared.catalog.renew)(lease).await?;
-    shared.metrics.time_store("renew", began.elapsed());
+    shared
+        .metrics
+        .time_store("renew", wingspur_clock::since(began));
     if !stands {
         tracing::warn!(lease, "lease: it has ended.");
         *shared.lease.lock() = None;
@@ -125,7 +127,7 @@
 ) -> Result<LeaseId, CatalogError> {
     let record = {
         let mut links = shared.links.lock();
-        let boxes = links.fleet_boxes(Instant::now()) as u32;
+        let boxes = links.fleet_boxes(wingspur_clock::now()) as u32;
         let mut record = links.own().clone();
         record.fleet_boxes = boxes;
         record
--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -107,6 +107,8 @@
     server: Arc<ServerRecord>,
     request: RequestFingerprint,
     id: Option<AttemptId>,
+    /// For how long the machine had been suspended when the attempt began.
+    suspended: Duration,
 }
 
 /// What an attempt needs to know.
@@ -146,14 +148,14 @@
             let reason = &"the key was taken away";
             return self.failed(AttemptEnd::NotSent, ResultCode::UnknownKey, reason);
         };
-        let began = Instant::now();
+        let began = wingspur_clock::now();
         let answering = async {
             let account = account.as_deref();
             Some(self.converse(&mut connection, account, body).await)
         };
         let answering = answering.or(guard.watch_silence(self.expected()));
         let expired = async {
-            smol::Timer::at(self.outgoing.limit + LATE_ANSWER).await;
+            wingspur_clock::sleep_until(self.outgoing.limit + LATE_ANSWER).await;
             None
         };
         let answered = match answering.or(expired).await {
@@ -261,24 +263,27 @@
             id = id_text(self.outgoing.id.as_ref()),
             server = %self.pick.server.id,
             status = status.as_u16(),
-            took_ms = began.elapsed().as_millis() as u64,
+            took_ms = wingspur_clock::since(began).as_millis() as u64,
             "attempt: answered."
         );
-        self.shared
-            .metrics
-            .time_server(&self.service.name, began.elapsed());
-        // What the queue took is not the route's own time.
-        let typical_ms = self.route.learned.typical().as_secs_f64() * 1000.0;
-        let queue = (self.pick.usual_ms / typical_ms).max(1.0);
-        self.route
-            .learned
-            .learn(began.elapsed().div_f64(queue), bytes);
-        let took_ms = began.elapsed().as_secs_f64() * 1000.0;
-        self.route.learned.learn_ratio(took_ms / self.pick.well_ms);
+        if !guard.machine_stood_still() {
+            self.learn_from(wingspur_clock::since(began), bytes);
+        }
         guard.close_good(connection);
         AttemptResult::Answered(answer)
     }
 
+    /// Learns how long the route's answers take.
+    fn learn_from(&self, took: Duration, bytes: u64) {
+        let (metrics, learned) = (&self.shared.metrics, &self.route.learned);
+        metrics.time_server(&self.service.name, took);
+        // What the queue took is not the route's own time.
+        let typical_ms = learned.typical().as_secs_f64() * 1000.0;
+        let queue = (self.pick.usual_ms / typical_ms).max(1.0);
+        learned.learn(took.div_f64(queue), bytes);
+        learned.learn_ratio(took.as_secs_f64() * 1000.0 / self.pick.well_ms);
+    }
+
     /// Checks what an answer must have to be the server's own.
     fn check_own(&self, head: &AnswerHead) -> Result<(), AnswerError> {
         if !head.status.is_success() {
@@ -365,7 +370,7 @@
     fn remaining(&self) -> Duration {
         self.outgoing
             .limit
-            .saturating_duration_since(Instant::now())
+            .saturating_duration_since(wingspur_clock::now())
     }
 
     /// The request's head in bytes.
@@ -415,7 +420,7 @@
     fn begin(plan: &AttemptPlan, backend: Arc<Backend>) -> Self {
         let server: &Arc<ServerRecord> = &plan.pick.server;
         let mut balancer = plan.service.balancer.lock();
-        let id = balancer.begin(server.key(), plan.expected(), Instant::now());
+        let id = balancer.begin(server.key(), plan.expected(), wingspur_clock::now());
         drop(balancer);
         plan.shared.news.poke();
         Self {
@@ -425,22 +430,26 @@
             server: server.clone(),
             request: plan.outgoing.fingerprint,
             id: Some(id),
+            suspended: wingspur_clock::suspended(),
         }
     }
 
     /// Counts the attempt's silence against its server as soon as it tells more; never
     /// ends.
     async fn watch_silence<T>(&self, expected: Expected) -> T {
-        let began = Instant::now();
+        let began = wingspur_clock::now();
         for quarters in 1.. {
             let Some(ratio) = expected.service_time.ratio_at_quarters(quarters) else {
                 break;
             };
             let age = Duration::from_secs_f64(ratio * expected.well_ms / 1000.0);
-            smol::Timer::at(began + age + SILENCE_MARGIN).await;
+            wingspur_clock::sleep_until(began + age + SILENCE_MARGIN).await;
             let Some(id) = self.id else { break };
+            if self.machine_stood_still() {
+                break;
+            }
             let mut balancer = self.service.balancer.lock();
-            let told = balancer.note_silence(id, Instant::now());
+            let told = balancer.note_silence(id, wingspur_clock::now());
             drop(balancer);
             if told {
                 self.shared.news.poke();
@@ -449,6 +458,12 @@
         futures_lite::future::pending().await
     }
 
+    /// Whether the machine was suspended while the attempt was out: how long that took, and
+    /// that it broke off, then tells nothing of the server.
+    fn machine_stood_still(&self) -> bool {
+        wingspur_clock::was_suspended_since(self.suspended)
+    }
+
     /// Notes that the beginning of the answer is here.
     fn note_answering(&self) {
         if let Some(id) = self.id {
@@ -481,10 +496,17 @@
     }
 
     fn end(&mut self, ended: Ended) {
+        let ended = match ended {
+            Ended::Failed if self.machine_stood_still() => Ended::Abandoned,
+            ended => ended,
+        };
         if let Some(id) = self.id.take() {
             let (metrics, service) = (&self.shared.metrics, &self.service);
             metrics.count_attempt(&service.name, ended.as_str());
-            service.balancer.lock().end(id, ended, Instant::now());
+            service
+                .balancer
+                .lock()
+                .end(id, ended, wingspur_clock::now());
             self.shared.news.poke();
             pass_alarm_on(&self.shared, &self.service);
         }
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -146,7 +146,10 @@
 
     /// Tries servers until one answers, the rules forbid more, or time is up.
     pub async fn run(mut self) -> Result<AttemptResult, GivenUp> {
-        self.service.budget.lock().count_request(Instant::now());
+        self.service
+            .budget
+            .lock()
+            .count_request(wingspur_clock::now());
         if let Err(code) = self.send_first().await {
             return Err(self.give_up(code));
         }
@@ -226,7 +229,7 @@
             if self.remaining() < SLOT_CHECK {
                 return Err(ResultCode::DeadlineBeforeSend);
             }
-            smol::Timer::after(SLOT_CHECK).await;
+            wingspur_clock::sleep(SLOT_CHECK).await;
         }
     }
 
@@ -274,7 +277,7 @@
         let ticket = &self.outgoing.ticket;
         ticket.sent(&pick.server.id, self.outgoing.fingerprint);
         let body = self.take_body();
-        self.begun = Some((Instant::now(), pick.clone()));
+        self.begun = Some((wingspur_clock::now(), pick.clone()));
         let plan = AttemptPlan {
             shared: self.shared.clone(),
             route: self.route.clone(),
@@ -298,7 +301,7 @@
     }
 
     fn pick(&self) -> Option<Pick> {
-        let now = Instant::now();
+        let now = wingspur_clock::now();
         let want = self.want(now);
         let balancer = self.service.balancer.lock();
         balancer.pick(&want, now, &mut rand::rng())
@@ -318,7 +321,7 @@
         let ended = async { Event::Ended(ended.await) };
         let hedge = async {
             match hedge_at {
-                Some(at) => smol::Timer::at(at).await,
+                Some(at) => wingspur_clock::sleep_until(at).await,
                 None => futures_lite::future::pending().await,
             };
             Event::TimeToHedge
@@ -360,7 +363,7 @@
     fn ask_budget(&self, use_: ResendUse) -> BudgetAnswer {
         let standing = self.shared.fleet_standing();
         let mut budget = self.service.budget.lock();
-        budget.ask(use_, standing, Instant::now())
+        budget.ask(use_, standing, wingspur_clock::now())
     }
 
     /// Starts a second attempt beside one that takes long, if that is likely to help, and
@@ -561,7 +564,7 @@
     }
 
     fn give_up(&mut self, code: ResultCode) -> GivenUp {
-        self.service.budget.lock().count_lost(Instant::now());
+        self.service.budget.lock().count_lost(wingspur_clock::now());
         let code = match code {
             ResultCode::DeadlineInDoubt | ResultCode::InDoubt => code,
             ResultCode::DeadlineBeforeSend if self.in_doubt => {
@@ -590,7 +593,7 @@
         {
             return after;
         }
-        let now = Instant::now();
+        let now = wingspur_clock::now();
         let want = Want {
             tried: &[],
             ..self.want(now)
@@ -655,7 +658,7 @@
     fn remaining(&self) -> Duration {
         self.outgoing
             .limit
-            .saturating_duration_since(Instant::now())
+            .saturating_duration_since(wingspur_clock::now())
     }
 }
 
--- a/crates/wingspur-edge/src/bell.rs
+++ b/crates/wingspur-edge/src/bell.rs
@@ -28,7 +28,7 @@
     pub async fn wait(&self, patience: Duration) -> bool {
         let rung = async { self.heard.recv().await.is_ok() };
         let expired = async {
-            smol::Timer::after(patience).await;
+            wingspur_clock::sleep(patience).await;
             false
         };
         rung.or(expired).await
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -161,15 +161,17 @@
     /// Stops as planned: no new callers, all requests in flight to their end; returns
     /// how many were cut.
     pub async fn close(mut self) -> usize {
-        let plan = StopPlan::new(&self.shared.settings(), Instant::now());
+        let plan = StopPlan::new(&self.shared.settings(), wingspur_clock::now());
         plan.log();
         self.log_out("not ready");
         self.shared.stopping.begin(plan.answer_by);
         self.shared.links.lock().note_own_stop();
         self.shared.news.poke();
         // The balancer learns of it late, and sends callers until then.
-        let accepting = smol::Timer::at(plan.accept_until);
-        let limit = plan.accept_until.saturating_duration_since(Instant::now());
+        let accepting = wingspur_clock::sleep_until(plan.accept_until);
+        let limit = plan
+            .accept_until
+            .saturating_duration_since(wingspur_clock::now());
         zip(withdraw(&self.shared, limit.max(PORT_LIMIT)), accepting).await;
         self.callers.stop_accepting().await;
         self.log_out("listener closed");
@@ -195,8 +197,8 @@
     /// Waits until all requests are over, or some time, and tells each second which are not.
     async fn finish(&self, end: Instant) {
         loop {
-            let until = end.min(Instant::now() + TELL_EVERY);
-            if self.callers.drain(until).await || Instant::now() >= end {
+            let until = end.min(wingspur_clock::now() + TELL_EVERY);
+            if self.callers.drain(until).await || wingspur_clock::now() >= end {
                 return;
             }
             self.log_out("waiting");
@@ -213,7 +215,7 @@
                 route = row.route,
                 server = row.server,
                 stage = ?row.stage,
-                took_ms = row.began.elapsed().as_millis() as u64,
+                took_ms = wingspur_clock::since(row.began).as_millis() as u64,
                 "stop: a request is cut."
             );
         }
@@ -230,7 +232,7 @@
             connections = read(&counts.connections),
             closed_idle = read(&counts.closed_idle),
             broken = read(&counts.broken),
-            oldest = self.shared.requests_out.oldest_text(Instant::now()),
+            oldest = self.shared.requests_out.oldest_text(wingspur_clock::now()),
             "stop: what is out."
         );
     }
@@ -239,11 +241,11 @@
 /// Logs which servers are suspected and closes connections that have rested, until the box
 /// stops.
 async fn tidy(shared: Arc<Shared>, stop: StopSignal) {
-    let mut closed = Instant::now();
+    let mut closed = wingspur_clock::now();
     let mut news_is_late = false;
     while !stop.is_given() {
-        smol::Timer::after(TIDY_EVERY).await;
-        let now = Instant::now();
+        wingspur_clock::sleep(TIDY_EVERY).await;
+        let now = wingspur_clock::now();
         news_is_late = watch_news(&shared, news_is_late, now);
         for service in shared.services.all() {
             review(&service);
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -28,9 +28,10 @@
 
 /// Opens and closes links until the box stops.
 pub async fn run_links(shared: Arc<Shared>, stop: StopSignal) {
-    let started = Instant::now();
+    let started = wingspur_clock::now();
     while !stop.is_given() {
-        let (mut missing, unplanned) = shared.links.lock().differences(Instant::now());
+        let (mut missing, unplanned) =
+            shared.links.lock().differences(wingspur_clock::now());
         if shared.links.lock().is_starting() {
             // Nothing is known yet: only a hub has something to tell.
             missing.retain(|planned| planned.role == LinkRole::Member);
@@ -42,7 +43,8 @@
         for planned in missing {
             all_stand &= keep_link(&shared, planned).await;
         }
-        if shared.links.lock().is_alone() && started.elapsed() >= SEEDS_AFTER {
+        if shared.links.lock().is_alone() && wingspur_clock::since(started) >= SEEDS_AFTER
+        {
             ask_seeds(&shared).await;
         }
         shared.share_out();
@@ -76,10 +78,10 @@
 /// Sends news over the links until the box stops.
 pub async fn run_exchange(shared: Arc<Shared>, stop: StopSignal) {
     while !stop.is_given() {
-        let pause = shared.links.lock().next_tick(Instant::now());
+        let pause = shared.links.lock().next_tick(wingspur_clock::now());
         if shared.news.wait(pause).await {
             // What happens at about the same time goes in one frame.
-            let gap = shared.links.lock().next_tick(Instant::now());
+            let gap = shared.links.lock().next_tick(wingspur_clock::now());
             shared.alarm.wait(gap.min(GATHER)).await;
         }
         tick(&shared);
@@ -116,8 +118,8 @@
             tracing::info!(peer = %to.id, %error, "peer: cannot be reached.");
             let mut links = shared.links.lock();
             match links.is_starting() {
-                true => links.planner().avoid_briefly(&to.id, Instant::now()),
-                false => links.planner().avoid(&to.id, Instant::now()),
+                true => links.planner().avoid_briefly(&to.id, wingspur_clock::now()),
+                false => links.planner().avoid(&to.id, wingspur_clock::now()),
             }
             false
         }
@@ -152,7 +154,7 @@
 /// Takes up a link that was opened here, and reads it in a task of its own.
 fn take_up(shared: &Arc<Shared>, opened: Opened, role: LinkRole) {
     let (sender, receiver, hello) = opened;
-    let (peer, now) = (hello.from.clone(), Instant::now());
+    let (peer, now) = (hello.from.clone(), wingspur_clock::now());
     let id = shared.links.lock().add(peer, Some(role), None, sender, now);
     greet(shared, id, &hello);
     shared
@@ -184,14 +186,20 @@
 fn admit(shared: &Shared, hello: &Hello, sender: LinkSender) -> LinkId {
     let mut links = shared.links.lock();
     let role = Some(hello.role);
-    links.add(hello.from.clone(), None, role, sender, Instant::now())
+    links.add(
+        hello.from.clone(),
+        None,
+        role,
+        sender,
+        wingspur_clock::now(),
+    )
 }
 
 /// Brings the other side up to date, if it is behind.
 fn greet(shared: &Shared, id: LinkId, hello: &Hello) {
     let ours = shared.links.lock().revision();
     if ours > hello.revision {
-        let update = update_since(shared, hello.revision, Instant::now());
+        let update = update_since(shared, hello.revision, wingspur_clock::now());
         shared.links.lock().tell(id, update);
     }
     let greeting = greeting(shared);
@@ -200,7 +208,7 @@
 }
 
 fn greeting(shared: &Shared) -> Greeting {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     let mut greeting = Greeting {
         suspects: greeting_notes(shared),
         ..Greeting::default()
@@ -229,7 +237,11 @@
             Err(error) => {
                 let opened_here = shared.links.lock().peer(id).cloned();
                 if let (Some(peer), LinkError::Silent(_)) = (opened_here, &error) {
-                    shared.links.lock().planner().avoid(&peer, Instant::now());
+                    shared
+                        .links
+                        .lock()
+                        .planner()
+                        .avoid(&peer, wingspur_clock::now());
                 }
                 return drop_link(&shared, id, &error.to_string());
             }
@@ -242,7 +254,7 @@
     if frame.only_lending {
         return;
     }
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     for update in &frame.catalog {
         apply_update(shared, update, Some(id), now);
     }
@@ -281,14 +293,14 @@
         tracing::info!(%peer, reason, "peer: link ended.");
     }
     forget_sources(shared, &lost);
-    apply_news(shared, &news, Instant::now());
+    apply_news(shared, &news, wingspur_clock::now());
     shared.replan.poke();
     shared.news.poke();
 }
 
 /// Gathers what this box has seen, and sends what is due.
 fn tick(shared: &Arc<Shared>) {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     let digest = own_digest(shared);
     let bundle_version = shared.bundle_version();
     let rooms = told_rooms(shared, now);
@@ -361,7 +373,7 @@
 
 /// Logs which servers of a service this box has begun, or ceased, to suspect.
 pub fn review(service: &ServiceState) {
-    for turned in service.balancer.lock().review(Instant::now()) {
+    for turned in service.balancer.lock().review(wingspur_clock::now()) {
         let outcome = if turned.suspect {
             "suspected"
         } else {
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -1,7 +1,7 @@
 //! Reads the catalog where this box should: a listing first, then changes.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::FutureExt;
 use wingspur_coordination::lists_at_start;
@@ -22,7 +22,7 @@
                 shared.links.lock().feed().stop_reading();
             }
             reading = Reading::default();
-            smol::Timer::after(IDLE_CHECK).await;
+            wingspur_clock::sleep(IDLE_CHECK).await;
             continue;
         }
         if !reading.active {
@@ -40,16 +40,16 @@
                 reading.lists = Some(Listing::Fresh);
                 if gaps > 0 {
                     // Listing did not help: a store that does so all the time is not flooded.
-                    smol::Timer::after(pause(gaps)).await;
+                    wingspur_clock::sleep(pause(gaps)).await;
                 }
                 reading.gaps += 1;
             }
             Err(error) => {
                 reading.note_failure(&shared, &error);
-                smol::Timer::after(retry_pause(&shared, reading.failures)).await;
+                wingspur_clock::sleep(retry_pause(&shared, reading.failures)).await;
             }
         }
-        shared.settle(Instant::now());
+        shared.settle(wingspur_clock::now());
     }
 }
 
@@ -70,9 +70,9 @@
         false => jittered(HUB_HOLD),
     };
     let (boxes, hold_ms) = (boxes.len(), hold.as_millis() as u64);
-    let until = Instant::now() + hold;
-    while Instant::now() < until && shared.links.lock().revision() == 0 {
-        smol::Timer::after(HOLD_CHECK).await;
+    let until = wingspur_clock::now() + hold;
+    while wingspur_clock::now() < until && shared.links.lock().revision() == 0 {
+        wingspur_clock::sleep(HOLD_CHECK).await;
     }
     let revision = shared.links.lock().revision();
     let outcome = match revision {
@@ -127,7 +127,10 @@
             tracing::info!(failures = self.failures, "store: it answers again.");
         }
         self.failures = 0;
-        shared.directory.lock().store_returned(Instant::now());
+        shared
+            .directory
+            .lock()
+            .store_returned(wingspur_clock::now());
     }
 
     fn note_failure(&mut self, shared: &Shared, error: &CatalogError) {
@@ -149,19 +152,21 @@
     };
     if let Some(due) = due {
         shared.metrics.count_store_call("list");
-        let began = Instant::now();
+        let began = wingspur_clock::now();
         let listing = (shared.catalog.list)(due == Listing::Fresh).await?;
-        shared.metrics.time_store("list", began.elapsed());
+        shared
+            .metrics
+            .time_store("list", wingspur_clock::since(began));
         reading.lists = None;
-        take_listing(shared, listing, Instant::now());
+        take_listing(shared, listing, wingspur_clock::now());
         note_listing(shared, due);
         if revision == 0 {
             // Boxes that start together announce themselves together: one watch later hears
             // of all, and by then another box may read for this one.
-            smol::Timer::after(jittered(FIRST_WATCH_AFTER)).await;
+            wingspur_clock::sleep(jittered(FIRST_WATCH_AFTER)).await;
             if shared.links.lock().is_unlinked() {
                 find_boxes(shared).await;
-                smol::Timer::after(LINK_TIME).await;
+                wingspur_clock::sleep(LINK_TIME).await;
             }
         }
         return Ok(());
@@ -170,7 +175,7 @@
     let watching = (shared.catalog.watch)(revision, WATCH_WAIT);
     let unneeded = async {
         while should_read(shared) {
-            smol::Timer::after(NEED_CHECK).await;
+            wingspur_clock::sleep(NEED_CHECK).await;
         }
         Ok(None)
     };
@@ -178,11 +183,11 @@
     if let Some(changes) = watched.or(unneeded).await? {
         reading.gaps = 0;
         let brought_any = changes.revision > changes.after;
-        take_changes(shared, changes, Instant::now());
+        take_changes(shared, changes, wingspur_clock::now());
         note_answer(shared);
         if brought_any {
             // What follows at once is read by the same next call.
-            smol::Timer::after(WATCH_GATHER).await;
+            wingspur_clock::sleep(WATCH_GATHER).await;
         }
     }
     Ok(())
@@ -191,12 +196,16 @@
 /// Notes that all that the store had told by now is in. Only the answer of a watch or a
 /// fresh listing says so: another call may be answered while the watch is deaf.
 fn note_answer(shared: &Shared) {
-    shared.links.lock().feed().note_answer(Instant::now());
+    shared
+        .links
+        .lock()
+        .feed()
+        .note_answer(wingspur_clock::now());
 }
 
 /// Notes a listing's answer, a cheap one by what it may lack.
 fn note_listing(shared: &Shared, listing: Listing) {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     let as_of = match listing {
         Listing::Fresh => Some(now),
         Listing::Cheap => now.checked_sub(CHEAP_IS_OLD),
@@ -205,7 +214,7 @@
 }
 
 fn should_read(shared: &Shared) -> bool {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     let mut links = shared.links.lock();
     let is_hub = links.is_hub(now);
     let rank = links.planner().rank();
@@ -219,7 +228,7 @@
 /// would both be late.
 fn retry_pause(shared: &Shared, failures: u32) -> Duration {
     let mut links = shared.links.lock();
-    let is_hub = links.is_hub(Instant::now());
+    let is_hub = links.is_hub(wingspur_clock::now());
     match links.feed().may_leave_it(is_hub) {
         true => pause(failures).max(jittered(HELPER_PAUSE)),
         false => pause(failures),
--- a/crates/wingspur-edge/src/in_force.rs
+++ b/crates/wingspur-edge/src/in_force.rs
@@ -72,7 +72,7 @@
             hosts: HostRoutes::new(&bundle.host_routes),
             routes: bundle.host_routes.iter().map(active).collect(),
             bundle,
-            since: Instant::now(),
+            since: wingspur_clock::now(),
         }
     }
 
--- a/crates/wingspur-edge/src/lending.rs
+++ b/crates/wingspur-edge/src/lending.rs
@@ -100,7 +100,7 @@
     if !account.is_limited() {
         return Ok(());
     }
-    let began = Instant::now();
+    let began = wingspur_clock::now();
     let key = account.allowance();
     let wanted = match is_let_through_freely(shared, account, began) {
         true => Ok(Borrowed::Taken),
@@ -111,7 +111,7 @@
         Err(told) => {
             let told = async { told.recv().await.unwrap_or(Borrowed::Unknown) };
             let expired = async {
-                smol::Timer::after(LONGEST_WAIT).await;
+                wingspur_clock::sleep(LONGEST_WAIT).await;
                 Borrowed::Unknown
             };
             told.or(expired).await
@@ -132,7 +132,7 @@
     tracing::info!(
         id,
         account = account.name,
-        waited_ms = began.elapsed().as_millis() as u64,
+        waited_ms = wingspur_clock::since(began).as_millis() as u64,
         more_in_ms = more_in.as_millis() as u64,
         retry_after_ms = retry_after.as_millis() as u64,
         result = code.name(),
@@ -186,7 +186,7 @@
     if lending.asks.is_empty() && lending.answers.is_empty() {
         return;
     }
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     let (standing, terms) = (standing(shared, now), TermsTable::now(shared));
     let mut state = shared.lending.lock();
     state.clock.note(standing.part, now);
@@ -214,14 +214,14 @@
 
 /// Keeps the part's clock, and ends what was asked for in vain, until the box stops.
 pub async fn run_lending(shared: Arc<Shared>, stop: StopSignal) {
-    let (mut tidied, mut told_part) = (Instant::now(), 0.0);
+    let (mut tidied, mut told_part) = (wingspur_clock::now(), 0.0);
     while !stop.is_given() {
         if shared.lending.lock().searches.is_empty() {
             shared.lending_bell.wait(CLOCK_EVERY).await;
         } else {
-            smol::Timer::after(HUB_ANSWER_LOST / 3).await;
+            wingspur_clock::sleep(HUB_ANSWER_LOST / 3).await;
         }
-        let now = Instant::now();
+        let now = wingspur_clock::now();
         let (standing, terms) = (standing(&shared, now), TermsTable::now(&shared));
         if (standing.part - told_part).abs() > told_part / TOLD_PART {
             told_part = standing.part;
@@ -656,7 +656,7 @@
     shared: &Shared,
     key: AllowanceKey,
 ) -> Result<Borrowed, async_channel::Receiver<Borrowed>> {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     let (standing, terms) = (standing(shared, now), TermsTable::now(shared));
     let mut state = shared.lending.lock();
     state.clock.note(standing.part, now);
--- a/crates/wingspur-edge/src/operator.rs
+++ b/crates/wingspur-edge/src/operator.rs
@@ -1,7 +1,6 @@
 //! The operator port, read-only: `/ready`, `/status` and `/metrics`.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -62,14 +61,16 @@
 
 /// What the box says of itself.
 pub fn status(shared: &Shared) -> BoxStatus {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     let mut out = Vec::new();
     for service in shared.services.all() {
         let suspects = service.balancer.lock().suspects(now);
         out.extend(suspects.iter().map(|id| format!("{}/{id}", service.name)));
     }
     out.sort();
-    let in_force = shared.in_force().map(|bundle| bundle.since.elapsed());
+    let in_force = shared
+        .in_force()
+        .map(|bundle| wingspur_clock::since(bundle.since));
     BoxStatus {
         id: shared.settings().box_id.clone(),
         data_centre: shared.settings().data_centre.clone(),
--- a/crates/wingspur-edge/src/quarantine.rs
+++ b/crates/wingspur-edge/src/quarantine.rs
@@ -60,13 +60,13 @@
     request: RequestFingerprint,
     limit: Instant,
 ) -> SendPermission {
-    let began = Instant::now();
+    let began = wingspur_clock::now();
     loop {
         if !is_quarantined(shared, request) {
             return SendPermission::Free;
         }
         let step = decide(shared, request).await;
-        let now = Instant::now();
+        let now = wingspur_clock::now();
         let left = limit.saturating_duration_since(now);
         let permission = match step {
             Step::Lend => SendPermission::Once,
@@ -81,7 +81,7 @@
             id,
             fingerprint = %request,
             outcome = ?permission,
-            waited_ms = began.elapsed().as_millis() as u64,
+            waited_ms = wingspur_clock::since(began).as_millis() as u64,
             left_ms = left.as_millis() as u64,
             "quarantine: asked whether it may be sent."
         );
@@ -92,7 +92,7 @@
 /// Whether a request may be sent with a permit only.
 pub fn is_quarantined(shared: &Shared, request: RequestFingerprint) -> bool {
     let suspects = shared.suspects.lock();
-    !suspects.is_empty() && suspects.is_quarantined(request, Instant::now())
+    !suspects.is_empty() && suspects.is_quarantined(request, wingspur_clock::now())
 }
 
 /// Writes to the store that a request is in quarantine, where this box is the hub of the one
@@ -103,7 +103,9 @@
     }
     let known = shared.suspects.lock().quarantine(request);
     let mut state = shared.quarantine.lock();
-    let due = state.desk.open(request, known.as_ref(), Instant::now());
+    let due = state
+        .desk
+        .open(request, known.as_ref(), wingspur_clock::now());
     drop(state);
     let Some(count) = due else { return };
     let shared = shared.clone();
@@ -111,7 +113,7 @@
     spawner.detach(async move {
         let outcome = write(&shared, request, count).await;
         let mut state = shared.quarantine.lock();
-        state.desk.opened(request, outcome, Instant::now());
+        state.desk.opened(request, outcome, wingspur_clock::now());
     });
 }
 
@@ -121,7 +123,7 @@
         revision: record.revision,
         tries: record.tries,
         counted_by: record.counted_by,
-        heard: Instant::now(),
+        heard: wingspur_clock::now(),
     };
     let mut suspects = shared.suspects.lock();
     suspects.put_quarantine(record.request, known);
@@ -209,8 +211,8 @@
 /// box stops.
 pub async fn run_quarantine(shared: Arc<Shared>, stop: StopSignal) {
     while !stop.is_given() {
-        smol::Timer::after(TIDY_EVERY).await;
-        let now = Instant::now();
+        wingspur_clock::sleep(TIDY_EVERY).await;
+        let now = wingspur_clock::now();
         let outlived = tidy(&shared, now);
         if shared.links.lock().own_hub().is_some() {
             continue;
@@ -269,7 +271,7 @@
     send(shared, vec![LendingMessage::asking(hub, question)]);
     let told = async { told.recv().await.ok() };
     let expired = async {
-        smol::Timer::after(ANSWER_LOST).await;
+        wingspur_clock::sleep(ANSWER_LOST).await;
         None
     };
     let answer = told.or(expired).await;
@@ -297,14 +299,14 @@
     let (known, step) = {
         let suspects = shared.suspects.lock();
         let mut state = shared.quarantine.lock();
-        let step = state.desk.ask(request, &suspects, Instant::now());
+        let step = state.desk.ask(request, &suspects, wingspur_clock::now());
         (suspects.quarantine(request), step)
     };
     let step = match step {
         DeskStep::Count(count) => {
             let outcome = write(shared, request, count).await;
             let mut state = shared.quarantine.lock();
-            let now = Instant::now();
+            let now = wingspur_clock::now();
             state.desk.counted(request, outcome, nobody_else, now)
         }
         step => step,
@@ -419,8 +421,8 @@
 
 /// Waits until a request is cleared, at most until `until`.
 async fn wait_for_news(shared: &Shared, request: RequestFingerprint, until: Instant) {
-    while Instant::now() < until && is_quarantined(shared, request) {
-        smol::Timer::after(LOOK_AGAIN).await;
+    while wingspur_clock::now() < until && is_quarantined(shared, request) {
+        wingspur_clock::sleep(LOOK_AGAIN).await;
     }
 }
 
--- a/crates/wingspur-edge/src/request.rs
+++ b/crates/wingspur-edge/src/request.rs
@@ -36,7 +36,7 @@
     _from: SocketAddr,
 ) -> Response<AnswerBody> {
     let old_version = request.version() < Version::HTTP_11;
-    let arrived = Instant::now();
+    let arrived = wingspur_clock::now();
     let id = request.headers().get(shared.names.request_id);
     let mut log = RequestLog::begin(id, &shared, arrived);
     let forwarded = async { Some(forward(&shared, request, arrived, &mut log).await) };
@@ -129,7 +129,7 @@
 /// Counts a request that is refused for its account's sake: to its service, too, it is one
 /// that is not served, and while many are, all servers must be in use.
 fn count_unserved(route: &ActiveRoute) {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     let mut budget = route.next_service().budget.lock();
     budget.count_request(now);
     budget.count_lost(now);
@@ -248,7 +248,7 @@
             let whole = Limited::new(body, length as usize).collect();
             let received = async { whole.await.map_err(|_| ResultCode::BadFraming) };
             let expired = async {
-                smol::Timer::at(limit).await;
+                wingspur_clock::sleep_until(limit).await;
                 Err(ResultCode::DeadlineBeforeSend)
             };
             let whole = received.or(expired).await?;
--- a/crates/wingspur-edge/src/request_log.rs
+++ b/crates/wingspur-edge/src/request_log.rs
@@ -102,7 +102,7 @@
 
     fn end(&mut self, outcome: &str, status: StatusCode, given_up: Option<&GivenUp>) {
         self.told = true;
-        let took = self.began.elapsed();
+        let took = wingspur_clock::since(self.began);
         let (route, service, class, version) = self.labels();
         let code = given_up.map_or(0, |given_up| given_up.code.number());
         let result = given_up.map_or("", |given_up| given_up.code.name());
@@ -151,7 +151,7 @@
         if self.told {
             return;
         }
-        let took_ms = self.began.elapsed().as_millis() as u64;
+        let took_ms = wingspur_clock::since(self.began).as_millis() as u64;
         let (route, service, class, version) = self.labels();
         let reason = match std::thread::panicking() {
             true => "its task panicked",
--- a/crates/wingspur-edge/src/resend_loans.rs
+++ b/crates/wingspur-edge/src/resend_loans.rs
@@ -153,7 +153,7 @@
     };
     let lent = async { answered.recv().await.unwrap_or(false) };
     let expired = async {
-        smol::Timer::after(LENT_FOR).await;
+        wingspur_clock::sleep(LENT_FOR).await;
         false
     };
     let lent = lent.or(expired).await;
@@ -195,7 +195,7 @@
     link: LinkId,
     request: &LoanRequest,
 ) -> LendingMessages {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     if lends_itself(shared, request.of, now) {
         return vec![answering(link, request.number, request.of, true)];
     }
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -94,7 +94,7 @@
 
     /// Takes in what became of servers.
     pub fn follow(&self, changes: &[DirectoryChange]) {
-        let now = Instant::now();
+        let now = wingspur_clock::now();
         for change in changes {
             match change {
                 DirectoryChange::Put(record) => self.put(record, now),
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -95,9 +95,9 @@
             directory: Ranked::new(Rank::Directory, Directory::default()),
             links: Ranked::new(
                 Rank::Links,
-                Links::new(own, settings.first_start, Instant::now()),
+                Links::new(own, settings.first_start, wingspur_clock::now()),
             ),
-            lending: Ranked::new(Rank::Lending, LendingState::new(Instant::now())),
+            lending: Ranked::new(Rank::Lending, LendingState::new(wingspur_clock::now())),
             resend_loans: Ranked::new(Rank::ResendLoans, ResendLoans::default()),
             suspects: Ranked::new(Rank::Suspects, SuspectRequests::default()),
             quarantine: Ranked::new(Rank::Quarantine, QuarantineState::new(incarnation)),
@@ -192,13 +192,13 @@
     fn can_count(&self) -> bool {
         let in_force = self.in_force();
         let must = in_force.is_some_and(|now| now.has_limited_accounts);
-        let heard_age = self.links.lock().heard_age(Instant::now());
+        let heard_age = self.links.lock().heard_age(wingspur_clock::now());
         !must || heard_age.is_some_and(|age| age <= CUT_OFF)
     }
 
     /// Divides connections and budgets among the boxes that are announced now.
     pub fn share_out(&self) {
-        let division = self.links.lock().division(Instant::now());
+        let division = self.links.lock().division(wingspur_clock::now());
         if let Some(in_force) = self.in_force() {
             self.services.share(&in_force.bundle, division);
         }
@@ -208,7 +208,7 @@
     pub fn fleet_standing(&self) -> FleetStanding {
         let window_s = self.settings().retry_budget.window_s;
         let window = Duration::from_secs_f64(window_s);
-        self.links.lock().standing(window, Instant::now())
+        self.links.lock().standing(window, wingspur_clock::now())
     }
 
     /// Drops servers that have not come back after an outage of the store.
--- a/crates/wingspur-edge/src/stopping.rs
+++ b/crates/wingspur-edge/src/stopping.rs
@@ -90,7 +90,7 @@
 
     /// Tells the plan.
     pub fn log(&self) {
-        let now = Instant::now();
+        let now = wingspur_clock::now();
         let ms = |at: Instant| at.saturating_duration_since(now).as_millis() as u64;
         tracing::info!(
             accept_ms = ms(self.accept_until),
--- a/crates/wingspur-edge/src/suspects.rs
+++ b/crates/wingspur-edge/src/suspects.rs
@@ -1,7 +1,7 @@
 //! What this box sees, tells and hears of requests under which servers end.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use wingspur_coordination::LinkId;
 use wingspur_state::{
@@ -10,7 +10,7 @@
 };
 use wingspur_transport::{Backend, ConnectError};
 
-use crate::quarantine::open_quarantine;
+use crate::quarantine::{is_quarantined, open_quarantine};
 use crate::shared::Shared;
 
 /// An attempt that broke off before its answer was whole.
@@ -27,7 +27,7 @@
 /// listens at its address any more, or its entry goes within some seconds.
 pub async fn note_broken_off(shared: &Arc<Shared>, broken: &BrokenOff) {
     let (request, server) = (broken.request, broken.server.key());
-    let at = Instant::now();
+    let at = wingspur_clock::now();
     let checked = broken.backend.check(CHECK_TIMEOUT).await;
     let has_ended = checked
         .as_ref()
@@ -50,7 +50,7 @@
 /// Notes that a request was answered whole, which clears it where servers have ended under
 /// it.
 pub fn note_answered(shared: &Arc<Shared>, request: RequestFingerprint) {
-    let at = Instant::now();
+    let at = wingspur_clock::now();
     if !shared.suspects.lock().note_answered(request, at) {
         return;
     }
@@ -61,7 +61,7 @@
 /// Takes in which servers have ended, as the catalog tells: what was out there, or broke off
 /// there a moment ago, was out when they did.
 pub fn note_gone(shared: &Arc<Shared>, changes: &[DirectoryChange]) {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     for change in changes {
         let ended = match change {
             DirectoryChange::Gone(record) => record,
@@ -87,13 +87,17 @@
 
 /// Takes in what another box tells, and passes on what was news here.
 pub fn take_notes(shared: &Arc<Shared>, link: LinkId, notes: &[SuspectNote]) {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     for note in notes {
         let news = note.heard(now);
+        let was_quarantined = is_quarantined(shared, news.request);
         if !shared.suspects.lock().take_in(&news, now) {
             continue;
         }
-        log_news(shared, &news, "peer");
+        if is_quarantined(shared, news.request) != was_quarantined {
+            // Who has seen it tells of each: this box tells what it changes here.
+            log_news(shared, &news, "peer");
+        }
         let is_members = shared.links.lock().spread_suspect(&news, Some(link));
         shared.news.poke();
         if is_members {
@@ -105,12 +109,12 @@
 
 /// What a box that has just linked with this one should hear.
 pub fn greeting_notes(shared: &Shared) -> Vec<SuspectNews> {
-    shared.suspects.lock().greeting(Instant::now())
+    shared.suspects.lock().greeting(wingspur_clock::now())
 }
 
 /// Takes in what this box has seen, and tells the others without delay.
 fn take_in_own(shared: &Arc<Shared>, news: SuspectNews) {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     if !shared.suspects.lock().take_in(&news, now) {
         return;
     }
@@ -132,18 +136,18 @@
     let due = shared
         .suspects
         .lock()
-        .answered_before(request, Instant::now());
+        .answered_before(request, wingspur_clock::now());
     if due.is_none() {
         return;
     }
     let shared = shared.clone();
     let spawner = shared.spawner.clone();
     spawner.detach(async move {
-        smol::Timer::after(VOUCH_WITHIN.mul_f64(rand::random())).await;
+        wingspur_clock::sleep(VOUCH_WITHIN.mul_f64(rand::random())).await;
         let answered = shared
             .suspects
             .lock()
-            .answered_before(request, Instant::now());
+            .answered_before(request, wingspur_clock::now());
         let Some(at) = answered else { return };
         let seen = SuspectEvent::AnsweredWhole;
         take_in_own(&shared, SuspectNews { request, seen, at });
@@ -151,7 +155,7 @@
 }
 
 fn log_news(shared: &Shared, news: &SuspectNews, source: &str) {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     let suspects = shared.suspects.lock();
     let endings = suspects.endings(news.request, now);
     let is_quarantined = suspects.is_quarantined(news.request, now);
--- a/crates/wingspur-edge/src/taken_resends.rs
+++ b/crates/wingspur-edge/src/taken_resends.rs
@@ -1,7 +1,6 @@
 //! What one request has taken from its service's retry budget.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use wingspur_state::{BudgetAnswer, FleetStanding, ResendUse};
 
@@ -37,7 +36,7 @@
     /// Takes one more of this box's own part, if that has room.
     pub fn take(&mut self, use_: ResendUse, standing: FleetStanding) -> BudgetAnswer {
         let mut budget = self.service.budget.lock();
-        let answer = budget.take(use_, standing, Instant::now());
+        let answer = budget.take(use_, standing, wingspur_clock::now());
         self.count += u32::from(answer.allowed);
         self.last_is_borrowed &= !answer.allowed;
         answer
@@ -71,6 +70,6 @@
     fn drop(&mut self) {
         let mut budget = self.service.budget.lock();
         let unanswered = self.sent.saturating_sub(self.answered);
-        budget.end(self.count, unanswered, Instant::now());
+        budget.end(self.count, unanswered, wingspur_clock::now());
     }
 }
--- a/crates/wingspur-entry/src/bundles.rs
+++ b/crates/wingspur-entry/src/bundles.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use rand::seq::IndexedRandom;
 use wingspur_coordination::{PeerView, Roster};
@@ -125,7 +125,7 @@
             ask_peers(shared).await;
         }
         if shared.bundle_version() == 0 {
-            smol::Timer::after(FIRST_RETRY).await;
+            wingspur_clock::sleep(FIRST_RETRY).await;
         }
     }
 }
@@ -135,7 +135,7 @@
     let mut failures = 0u32;
     while !stop.is_given() {
         if !is_reader(&shared) {
-            smol::Timer::after(READER_CHECK).await;
+            wingspur_clock::sleep(READER_CHECK).await;
             continue;
         }
         match watch_once(&shared, &stop).await {
@@ -143,7 +143,7 @@
             Err(error) => {
                 failures = failures.saturating_add(1);
                 tracing::debug!("bundle: the watch is lost: {error}.");
-                smol::Timer::after(backoff(failures)).await;
+                wingspur_clock::sleep(backoff(failures)).await;
             }
         }
     }
@@ -164,8 +164,8 @@
     let mut watch = shared.store.watch(&key, revision + 1).await?;
     // A watch can go dead without a word: it is opened anew after a while, and the pointer
     // read, whatever it says.
-    let end = Instant::now() + WATCH_AT_MOST;
-    while !stop.is_given() && is_reader(shared) && Instant::now() < end {
+    let end = wingspur_clock::now() + WATCH_AT_MOST;
+    while !stop.is_given() && is_reader(shared) && wingspur_clock::now() < end {
         let events = watch.next(WATCH_PATIENCE).await?;
         if events.is_some_and(|events| !events.is_empty()) {
             fetch_from_store(shared).await?;
@@ -177,7 +177,10 @@
 fn is_reader(shared: &Shared) -> bool {
     let home = &shared.settings.data_centre;
     let own = &shared.settings.box_id;
-    let others = shared.membership.lock().live_in(home, Instant::now());
+    let others = shared
+        .membership
+        .lock()
+        .live_in(home, wingspur_clock::now());
     let ids = others.into_iter().map(|peer| peer.id);
     let inside = Roster::new(ids.chain([own.clone()]));
     inside.is_among(&format!("reader/{home}"), READERS, own)
--- a/crates/wingspur-entry/src/claims.rs
+++ b/crates/wingspur-entry/src/claims.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::FutureExt;
 use wingspur_protocol::{
@@ -28,7 +28,7 @@
     };
     let asking = ask_owner(shared, request);
     let expired = async {
-        smol::Timer::after(CLAIM_PATIENCE.min(remaining)).await;
+        wingspur_clock::sleep(CLAIM_PATIENCE.min(remaining)).await;
         ClaimReply::Unavailable
     };
     match asking.or(expired).await {
@@ -75,11 +75,11 @@
 
 /// Waits until the ends of all operations are told and written, at most so long.
 pub async fn settle(shared: &Shared, patience: Duration) {
-    let end = Instant::now() + patience;
+    let end = wingspur_clock::now() + patience;
     let open =
         || shared.untold.load(Ordering::Acquire) > 0 || shared.shards.has_pending();
-    while open() && Instant::now() < end {
-        smol::Timer::after(SETTLE_POLL).await;
+    while open() && wingspur_clock::now() < end {
+        wingspur_clock::sleep(SETTLE_POLL).await;
     }
 }
 
@@ -97,7 +97,7 @@
         if taken {
             return;
         }
-        smol::Timer::after(pause).await;
+        wingspur_clock::sleep(pause).await;
     }
     let outcome = match note.outcome {
         OperationOutcome::Ran => "ran",
--- a/crates/wingspur-entry/src/concern.rs
+++ b/crates/wingspur-entry/src/concern.rs
@@ -42,7 +42,7 @@
         let _waiting = Waiting(&self.waiting);
         let acquired = async { Ok(self.places.acquire_arc().await) };
         let expired = async {
-            smol::Timer::after(patience).await;
+            wingspur_clock::sleep(patience).await;
             Err(ResultCode::DeadlineBeforeSend)
         };
         acquired.or(expired).await
--- a/crates/wingspur-entry/src/detection.rs
+++ b/crates/wingspur-entry/src/detection.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use wingspur_coordination::PeerView;
 use wingspur_protocol::{PeerMessage, PeerReply};
@@ -21,7 +21,7 @@
     let mut idle = true;
     while !stop.is_given() {
         // Waking up is what an idle box spends most on.
-        smol::Timer::after(if idle { IDLE_TICK } else { TICK }).await;
+        wingspur_clock::sleep(if idle { IDLE_TICK } else { TICK }).await;
         let Some(bundle) = shared.in_force() else {
             continue;
         };
@@ -46,7 +46,7 @@
     let Some(bundle) = shared.in_force() else {
         return;
     };
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     for handle in &bundle.services {
         let mut table = handle.table.lock();
         let tag = table.tag();
@@ -59,7 +59,7 @@
 /// Sends what was seen to each service's judge, one message a box; true when no service
 /// had any work.
 fn report(shared: &Arc<Shared>, bundle: &InForce) -> bool {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     let mut idle = true;
     let mut by_judge: HashMap<BoxId, Vec<EvidenceReport>> = HashMap::new();
     let mut live = None;
@@ -102,7 +102,7 @@
     from: &BoxId,
     data_centre: &DataCentreId,
 ) -> Vec<Verdict> {
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     let mut judges = shared.judges.lock();
     let mut verdicts = Vec::with_capacity(reports.len());
     for report in reports {
@@ -131,7 +131,7 @@
     if shared.judges.lock().seats.is_empty() {
         return true;
     }
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     let mut to_sync = Vec::new();
     let mut changed = Vec::new();
     let data_centres = shared
@@ -177,7 +177,7 @@
             backoff(seat.failures)
         }
     };
-    smol::Timer::after(pause).await;
+    wingspur_clock::sleep(pause).await;
     if let Some(seat) = shared.judges.lock().seats.get_mut(&tag) {
         seat.syncing = false;
     }
@@ -211,7 +211,7 @@
     if let Some(seat) = judges.seats.get_mut(&tag) {
         seat.failures = 0;
         seat.revision = Some(revision);
-        seat.judge.adopt(record, Instant::now());
+        seat.judge.adopt(record, wingspur_clock::now());
     }
     Ok(())
 }
@@ -229,7 +229,7 @@
         let peers = shared
             .membership
             .lock()
-            .live_in(&data_centre, Instant::now());
+            .live_in(&data_centre, wingspur_clock::now());
         for peer in peers {
             let (telling, message) =
                 (shared.clone(), PeerMessage::Verdicts(verdicts.clone()));
--- a/crates/wingspur-entry/src/entry_box.rs
+++ b/crates/wingspur-entry/src/entry_box.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use smol::net::TcpListener;
 use wingspur_coordination::MembershipSettings;
@@ -145,12 +145,12 @@
 
     /// Waits until the box takes callers; false when `patience` is over before.
     pub async fn wait_ready(&self, patience: Duration) -> bool {
-        let end = Instant::now() + patience;
+        let end = wingspur_clock::now() + patience;
         while !self.is_ready() {
-            if Instant::now() >= end {
+            if wingspur_clock::now() >= end {
                 return false;
             }
-            smol::Timer::after(READY_POLL).await;
+            wingspur_clock::sleep(READY_POLL).await;
         }
         true
     }
@@ -162,12 +162,12 @@
 
     /// Stops as planned: no new callers, all requests in flight to their end.
     pub async fn close(mut self) -> StopReport {
-        let plan = StopPlan::new(&self.shared.settings, Instant::now());
+        let plan = StopPlan::new(&self.shared.settings, wingspur_clock::now());
         plan.log();
         self.shared.stopping.begin(plan.answer_by);
         beat(&self.shared);
         // The balancer learns of it late, and sends callers until then.
-        smol::Timer::at(plan.accept_until).await;
+        wingspur_clock::sleep_until(plan.accept_until).await;
         self.callers.stop_accepting().await;
         self.callers.drain(plan.answer_by).await;
         self.shared.stopping.end_requests();
@@ -228,7 +228,7 @@
 
 async fn keep_warm(shared: Arc<Shared>) {
     loop {
-        smol::Timer::after(WARM_EVERY).await;
+        wingspur_clock::sleep(WARM_EVERY).await;
         warm(&shared).await;
     }
 }
@@ -239,7 +239,7 @@
         return;
     };
     loop {
-        smol::Timer::after(IDENTITY_EVERY).await;
+        wingspur_clock::sleep(IDENTITY_EVERY).await;
         match identity.refresh() {
             Ok(true) => tracing::info!("peer: a new certificate is in use."),
             Ok(false) => {}
@@ -254,7 +254,8 @@
     };
     for handle in &bundle.services {
         for pool in &handle.pools {
-            pool.keep_warm(WARM_CONNECTIONS, Instant::now()).await;
+            pool.keep_warm(WARM_CONNECTIONS, wingspur_clock::now())
+                .await;
         }
     }
 }
--- a/crates/wingspur-entry/src/in_force.rs
+++ b/crates/wingspur-entry/src/in_force.rs
@@ -71,7 +71,7 @@
             account_header: bundle.account_header,
             routes,
             services,
-            since: Instant::now(),
+            since: wingspur_clock::now(),
         })
     }
 
--- a/crates/wingspur-entry/src/operator.rs
+++ b/crates/wingspur-entry/src/operator.rs
@@ -1,7 +1,6 @@
 //! The operator port, read-only: `/ready`, `/status` and `/metrics`.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -33,7 +32,7 @@
 /// What the box says of itself.
 pub fn status(shared: &Shared) -> BoxStatus {
     let bundle = shared.in_force();
-    let now = Instant::now();
+    let now = wingspur_clock::now();
     let mut out = Vec::new();
     for handle in bundle.iter().flat_map(|bundle| &bundle.services) {
         let table = handle.table.lock();
@@ -43,7 +42,9 @@
             }
         }
     }
-    let in_force = bundle.as_ref().map(|bundle| bundle.since.elapsed());
+    let in_force = bundle
+        .as_ref()
+        .map(|bundle| wingspur_clock::since(bundle.since));
     BoxStatus {
         id: shared.settings.box_id.clone(),
         data_centre: shared.settings.data_centre.clone(),
--- a/crates/wingspur-entry/src/peers.rs
+++ b/crates/wingspur-entry/src/peers.rs
@@ -1,7 +1,7 @@
 //! Messages of peers: heartbeats sent, and all that comes in answered.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -53,7 +53,7 @@
             ..
         } = &envelope;
         let mut membership = shared.membership.lock();
-        let heard = membership.hear(from, *incarnation, *sequence, Instant::now());
+        let heard = membership.hear(from, *incarnation, *sequence, wingspur_clock::now());
         drop(membership);
         if let Err(refusal) = heard {
             tracing::debug!("peer: {from} refused: {refusal}.");
@@ -109,14 +109,17 @@
 pub async fn run_heartbeats(shared: Arc<Shared>, every: Duration, stop: StopSignal) {
     while !stop.is_given() {
         beat(&shared);
-        smol::Timer::after(every).await;
+        wingspur_clock::sleep(every).await;
     }
 }
 
 /// Sends one round of heartbeats.
 pub fn beat(shared: &Arc<Shared>) {
     let lot = rand::random();
-    let targets = shared.membership.lock().begin_round(lot, Instant::now());
+    let targets = shared
+        .membership
+        .lock()
+        .begin_round(lot, wingspur_clock::now());
     for peer in targets {
         let shared = shared.clone();
         let spawner = shared.spawner.clone();
@@ -135,7 +138,7 @@
     let mut validator = None;
     while !stop.is_given() {
         read_box_list(&shared, &mut validator).await;
-        smol::Timer::after(LIST_EVERY).await;
+        wingspur_clock::sleep(LIST_EVERY).await;
     }
 }
 
@@ -181,7 +184,7 @@
 fn own_heartbeat(shared: &Shared, to: &PeerView) -> Heartbeat {
     let membership = shared.membership.lock();
     let heard_sequence = membership.heard_sequence(&to.id);
-    let suspicions = membership.suspicions(Instant::now());
+    let suspicions = membership.suspicions(wingspur_clock::now());
     drop(membership);
     Heartbeat {
         bundle_version: shared.bundle_version(),
@@ -194,7 +197,7 @@
 fn take_heartbeat(shared: &Arc<Shared>, heartbeat: Heartbeat, peer: &PeerView) {
     let mut membership = shared.membership.lock();
     membership.set_leaving(&peer.id, heartbeat.leaving);
-    membership.hear_suspicions(&heartbeat.suspicions, Instant::now());
+    membership.hear_suspicions(&heartbeat.suspicions, wingspur_clock::now());
     drop(membership);
     fetch_newer(shared, heartbeat.bundle_version, peer.clone());
 }
--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -48,7 +48,8 @@
     }
 
     fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline
+            .saturating_duration_since(wingspur_clock::now())
     }
 }
 
@@ -120,7 +121,7 @@
         from: SocketAddr,
         sent: Arc<AtomicBool>,
     ) -> Result<Response<AnswerBody>, ResultCode> {
-        let arrived = Instant::now();
+        let arrived = wingspur_clock::now();
         let bundle = self.shared.in_force().ok_or(ResultCode::NotReady)?;
         let (parts, body) = request.into_parts();
         check_framing(&parts.headers)?;
@@ -217,7 +218,7 @@
     fn pick(&self, pending: &Pending, tried: &[usize]) -> Option<usize> {
         let class = pending.route().class;
         let table = pending.handle.table.lock();
-        table.pick(class, tried, Instant::now(), &mut rand::rng())
+        table.pick(class, tried, wingspur_clock::now(), &mut rand::rng())
     }
 
     /// Makes one attempt; on failure tells how it ended and gives an unsent body back.
@@ -231,7 +232,7 @@
         let pool = pending.handle.pools[attempt.server].clone();
         let sending = async { Some(pool.send(request).await) };
         let expired = async {
-            smol::Timer::at(pending.deadline).await;
+            wingspur_clock::sleep_until(pending.deadline).await;
             None
         };
         match sending.or(expired).await {
@@ -411,7 +412,7 @@
                 let whole = Limited::new(body, length as usize).collect();
                 let received = async { whole.await.map_err(|_| ResultCode::BadFraming) };
                 let expired = async {
-                    smol::Timer::after(patience).await;
+                    wingspur_clock::sleep(patience).await;
                     Err(ResultCode::DeadlineBeforeSend)
                 };
                 let whole = received.or(expired).await?;
--- a/crates/wingspur-entry/src/relay.rs
+++ b/crates/wingspur-entry/src/relay.rs
@@ -5,10 +5,10 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use futures_lite::Stream;
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use prometheus::IntCounter;
+use wingspur_clock::Timer;
 use wingspur_state::{AttemptId, AttemptOutcome, ServerIndex};
 use wingspur_transport::{BodyError, Lease, poll_whole};
 
@@ -72,7 +72,7 @@
 impl AttemptGuard {
     /// Begins an attempt.
     pub fn begin(handle: Arc<ServiceHandle>, server: ServerIndex) -> Self {
-        let id = handle.table.lock().begin(server, Instant::now());
+        let id = handle.table.lock().begin(server, wingspur_clock::now());
         Self {
             handle,
             server,
@@ -83,14 +83,20 @@
     /// Notes that the answer's head came.
     pub fn head(&self, outcome: AttemptOutcome) {
         if let Some(id) = self.id {
-            self.handle.table.lock().head(id, outcome, Instant::now());
+            self.handle
+                .table
+                .lock()
+                .head(id, outcome, wingspur_clock::now());
         }
     }
 
     /// Ends the attempt.
     pub fn finish(&mut self, outcome: AttemptOutcome) {
         if let Some(id) = self.id.take() {
-            self.handle.table.lock().finish(id, outcome, Instant::now());
+            self.handle
+                .table
+                .lock()
+                .finish(id, outcome, wingspur_clock::now());
         }
     }
 
@@ -101,7 +107,7 @@
 
     fn progress(&self) {
         if let Some(id) = self.id {
-            self.handle.table.lock().progress(id, Instant::now());
+            self.handle.table.lock().progress(id, wingspur_clock::now());
         }
     }
 }
@@ -118,7 +124,7 @@
     incoming: Incoming,
     attempt: AttemptGuard,
     lease: Option<Lease>,
-    timer: smol::Timer,
+    timer: Timer,
     /// For downloads: the longest standstill; the timer starts anew with each byte.
     standstill: Option<Duration>,
     cuts: IntCounter,
@@ -146,8 +152,8 @@
         place: Place,
     ) -> Self {
         let (timer, standstill) = match rule {
-            CutRule::At(instant) => (smol::Timer::at(instant), None),
-            CutRule::Standstill(limit) => (smol::Timer::after(limit), Some(limit)),
+            CutRule::At(instant) => (Timer::at(instant), None),
+            CutRule::Standstill(limit) => (Timer::after(limit), Some(limit)),
         };
         let lease = Some(lease);
         Self {
@@ -168,7 +174,7 @@
         match Pin::new(&mut self.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(limit) = self.standstill {
-                    self.timer.set_after(limit);
+                    self.timer = Timer::after(limit);
                     self.attempt.progress();
                 }
                 Poll::Ready(Some(Ok(frame)))
@@ -181,7 +187,7 @@
                 self.finish();
                 Poll::Ready(None)
             }
-            Poll::Pending => match Pin::new(&mut self.timer).poll_next(context) {
+            Poll::Pending => match Pin::new(&mut self.timer).poll(context) {
                 Poll::Ready(_) => {
                     self.attempt.finish(AttemptOutcome::Abandoned);
                     self.cut(BodyError::Stalled)
--- a/crates/wingspur-entry/src/shard_driver.rs
+++ b/crates/wingspur-entry/src/shard_driver.rs
@@ -1,7 +1,7 @@
 //! Drives the logs of once-only shards: what they want of the store, carried out.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::FutureExt;
 use wingspur_coordination::{ClaimVerdict, LogCommand, SegmentWrite};
@@ -19,7 +19,7 @@
         let due = async {
             // A write is due when the commit interval is over; else only a wake counts.
             match pending {
-                true => smol::Timer::after(BUSY_TICK).await,
+                true => wingspur_clock::sleep(BUSY_TICK).await,
                 false => futures_lite::future::pending().await,
             };
         };
@@ -33,7 +33,7 @@
     let unix_ms = unix_time().as_millis() as u64;
     let (command, expired) = {
         let mut state = seat.state.lock();
-        let now = Instant::now();
+        let now = wingspur_clock::now();
         let expired = state.log.expire(now);
         let command = state.log.next_command(now, unix_ms);
         (command, expired)
@@ -83,7 +83,7 @@
     }
     tracing::warn!("claims: shard {shard} cannot be owned now.");
     let verdicts = seat.state.lock().log.failed();
-    smol::Timer::after(OWNERSHIP_PAUSE).await;
+    wingspur_clock::sleep(OWNERSHIP_PAUSE).await;
     verdicts
 }
 
@@ -134,10 +134,10 @@
     let value = rmp_serde::to_vec(&write.segment).expect("a segment serialises");
     let guard = (owner.as_str(), write.owner_revision);
     match shared.store.put_if_guarded(&key, &value, guard).await {
-        Ok(WriteOutcome::Written) => seat.state.lock().log.written(Instant::now()),
+        Ok(WriteOutcome::Written) => seat.state.lock().log.written(wingspur_clock::now()),
         Ok(WriteOutcome::Refused(Some(present))) if present.value == value => {
             // Our own: the reply to an earlier try was lost.
-            seat.state.lock().log.written(Instant::now())
+            seat.state.lock().log.written(wingspur_clock::now())
         }
         Ok(WriteOutcome::Refused(_)) => {
             tracing::info!("claims: shard {shard} has another owner now.");
@@ -150,7 +150,7 @@
         Err(error) => {
             tracing::debug!("claims: a write to shard {shard} is in doubt: {error}.");
             seat.state.lock().log.unanswered();
-            smol::Timer::after(UNANSWERED_PAUSE).await;
+            wingspur_clock::sleep(UNANSWERED_PAUSE).await;
             Vec::new()
         }
     }
--- a/crates/wingspur-entry/src/shards.rs
+++ b/crates/wingspur-entry/src/shards.rs
@@ -1,7 +1,7 @@
 //! The once-only shards of a box: their logs, and the claims that wait.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use wingspur_coordination::{ClaimTicket, ClaimVerdict, ShardLog, ShardLogSettings};
 use wingspur_protocol::{ClaimReply, ClaimRequest, OutcomeNote};
@@ -91,7 +91,7 @@
     pub async fn claim(&self, request: ClaimRequest) -> ClaimReply {
         let seat = self.seat(request.operation.shard(self.count()));
         let (sender, receiver) = async_channel::bounded(1);
-        let now = Instant::now();
+        let now = wingspur_clock::now();
         {
             let mut state = seat.state.lock();
             let ticket = state.next_ticket;
--- a/crates/wingspur-entry/src/shared.rs
+++ b/crates/wingspur-entry/src/shared.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use wingspur_coordination::{Membership, MembershipSettings, PeerView, Roster};
 use wingspur_protocol::{
@@ -180,7 +180,9 @@
             .await;
         match reply {
             Ok(bytes) => {
-                self.membership.lock().answered(&peer.id, Instant::now());
+                self.membership
+                    .lock()
+                    .answered(&peer.id, wingspur_clock::now());
                 rmp_serde::from_slice(&bytes).ok()
             }
             Err(error) => {
@@ -192,7 +194,7 @@
 
     /// Boxes that count as living.
     pub fn live(&self) -> Arc<Roster> {
-        self.membership.lock().live(Instant::now())
+        self.membership.lock().live(wingspur_clock::now())
     }
 
     /// A peer by its id; none for this box itself.
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -139,7 +139,7 @@
         reuse: Reuse,
         timeout: Duration,
     ) -> Result<BackendConnection, ConnectError> {
-        let now = Instant::now();
+        let now = wingspur_clock::now();
         while let Some(mut connection) = self.take_idle(reuse, now) {
             if connection.is_quiet().await {
                 return Ok(connection);
@@ -157,10 +157,10 @@
     }
 
     async fn open(&self, timeout: Duration) -> Result<BackendConnection, ConnectError> {
-        let began = Instant::now();
+        let began = wingspur_clock::now();
         let connecting = async { Some(TcpStream::connect(self.address).await) };
         let expired = async {
-            smol::Timer::after(timeout).await;
+            wingspur_clock::sleep(timeout).await;
             None
         };
         let stream = match connecting.or(expired).await {
@@ -171,7 +171,7 @@
         let socket = SockRef::from(&stream);
         let limited = socket.set_tcp_user_timeout(Some(unacknowledged_for()));
         limited.map_err(ConnectError::Refused)?;
-        let took_us = began.elapsed().as_micros().max(1) as u64;
+        let took_us = wingspur_clock::since(began).as_micros().max(1) as u64;
         self.took_us.store(took_us, Ordering::Relaxed);
         self.opened.fetch_add(1, Ordering::Relaxed);
         Ok(BackendConnection::new(stream))
@@ -184,7 +184,7 @@
         }
         // An idle connection holds no buffer.
         connection.buffer = BytesMut::new();
-        let since = Instant::now();
+        let since = wingspur_clock::now();
         let idle = IdleConnection { connection, since };
         self.idle.lock().expect("no holder panics").push(idle);
     }
--- a/crates/wingspur-transport/src/exchange.rs
+++ b/crates/wingspur-transport/src/exchange.rs
@@ -254,7 +254,7 @@
         match fault {
             LinkFault::DropRequest => futures_lite::future::pending::<()>().await,
             LinkFault::Delay(time) => {
-                smol::Timer::after(time).await;
+                wingspur_clock::sleep(time).await;
             }
             LinkFault::None | LinkFault::DropReply => {}
         }
@@ -350,7 +350,7 @@
 }
 
 async fn expire<T>(timeout: Duration) -> Result<T, ExchangeError> {
-    smol::Timer::after(timeout).await;
+    wingspur_clock::sleep(timeout).await;
     Err(ExchangeError::Timeout)
 }
 
--- a/crates/wingspur-transport/src/link.rs
+++ b/crates/wingspur-transport/src/link.rs
@@ -73,7 +73,7 @@
     let opening = async {
         let connecting = async { Ok(connector.connect::<LinkBody>(to).await?) };
         let hanging = async {
-            smol::Timer::after(patience.connect).await;
+            wingspur_clock::sleep(patience.connect).await;
             Err(LinkError::Silent(patience.connect))
         };
         let mut connection = connecting.or(hanging).await?;
@@ -87,7 +87,7 @@
         Ok(LinkReceiver::new(response.into_body()))
     };
     let expired = async {
-        smol::Timer::after(patience.answer).await;
+        wingspur_clock::sleep(patience.answer).await;
         Err(LinkError::Silent(patience.answer))
     };
     Ok((sender, opening.or(expired).await?))
@@ -144,7 +144,7 @@
             }
             let arriving = async { Some(self.body.frame().await) };
             let expired = async {
-                smol::Timer::after(patience).await;
+                wingspur_clock::sleep(patience).await;
                 None
             };
             let frame = arriving.or(expired).await;
--- a/crates/wingspur-transport/src/listener.rs
+++ b/crates/wingspur-transport/src/listener.rs
@@ -104,7 +104,7 @@
     /// still unfinished after `limit`.
     pub async fn close(mut self, limit: Duration) -> usize {
         self.stop_accepting().await;
-        self.drain(Instant::now() + limit).await;
+        self.drain(wingspur_clock::now() + limit).await;
         self.counts.requests.load(Ordering::Acquire)
     }
 
@@ -120,10 +120,10 @@
     /// Waits until all connections have ended; false where some are left at `end`.
     pub async fn drain(&self, end: Instant) -> bool {
         while self.counts.connections.load(Ordering::Acquire) > 0 {
-            if Instant::now() >= end {
+            if wingspur_clock::now() >= end {
                 return false;
             }
-            smol::Timer::after(DRAIN_POLL).await;
+            wingspur_clock::sleep(DRAIN_POLL).await;
         }
         true
     }
@@ -158,7 +158,7 @@
                 Some(Ok((stream, from))) => self.clone().spawn_connection(stream, from),
                 Some(Err(error)) => {
                     tracing::warn!("listen: cannot accept: {error}.");
-                    smol::Timer::after(ACCEPT_PAUSE).await;
+                    wingspur_clock::sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
@@ -318,7 +318,7 @@
         future: impl Future<Output = std::io::Result<T>>,
     ) -> std::io::Result<T> {
         let expired = async {
-            smol::Timer::after(self.options.head_timeout).await;
+            wingspur_clock::sleep(self.options.head_timeout).await;
             Err(std::io::ErrorKind::TimedOut.into())
         };
         future.or(expired).await
--- a/crates/wingspur-transport/src/pool.rs
+++ b/crates/wingspur-transport/src/pool.rs
@@ -94,7 +94,7 @@
     pub fn finish(&self, lease: Lease) {
         let idle = IdleConnection {
             sender: lease.sender,
-            since: Instant::now(),
+            since: wingspur_clock::now(),
         };
         self.idle.lock().expect("no holder panics").push(idle);
     }
@@ -136,7 +136,7 @@
     async fn connect(&self) -> Result<SendRequest<SendBody>, String> {
         let connecting = async { TcpStream::connect(self.address).await };
         let expired = async {
-            smol::Timer::after(CONNECT_TIMEOUT).await;
+            wingspur_clock::sleep(CONNECT_TIMEOUT).await;
             Err(std::io::ErrorKind::TimedOut.into())
         };
         let stream = connecting
--- a/crates/wingspur-transport/src/store.rs
+++ b/crates/wingspur-transport/src/store.rs
@@ -222,7 +222,7 @@
     ) -> Result<Option<Vec<KeyValue>>, StoreError> {
         let waiting = async { self.next_message().await.map(Some) };
         let expired = async {
-            smol::Timer::after(patience).await;
+            wingspur_clock::sleep(patience).await;
             Ok(None)
         };
         let Some(message) = waiting.or(expired).await? else {
--- a/crates/wingspur/src/run.rs
+++ b/crates/wingspur/src/run.rs
@@ -29,6 +29,7 @@
         .map_err(Failure::failed)?;
     let workers = Workers::start(settings.worker_threads);
     let spawner = workers.spawner();
+    spawner.detach(wingspur_clock::watch());
     let ended = smol::block_on(async {
         let running = Running::start(settings, &spawner).await?;
         run_until_stop(&running, &args.settings, &mut signals, &mut logs).await;
@@ -62,7 +63,7 @@
     loop {
         let signalled = async { signals.next().await };
         let elapsed = async {
-            smol::Timer::after(FILE_CHECK).await;
+            wingspur_clock::sleep(FILE_CHECK).await;
             Some(Ok(Signal::Hup))
         };
         match signalled.or(elapsed).await {
--- a/crates/wingspur/tests/program/mod.rs
+++ b/crates/wingspur/tests/program/mod.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -90,9 +90,12 @@
 
 /// Waits for something that must come; a minute is for ever here.
 pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
-    let started = Instant::now();
+    let started = wingspur_clock::now();
     while !holds() {
-        assert!(started.elapsed() < Duration::from_secs(60), "never: {what}");
+        assert!(
+            wingspur_clock::since(started) < Duration::from_secs(60),
+            "never: {what}"
+        );
         std::thread::sleep(Duration::from_millis(20));
     }
 }
