The fleet is counted box by box, not hub by hub

Ruled out: the larger number of two hubs of a data centre (too few while its members are split between them). Change: hubs tell each other the keys of whom they count, and then what has changed; one that has left stays counted for four seconds, as before. A box that starts again counts once: its part is used by one run at a time. Tests that spoke of numbers of hubs speak of keys now, with their figures; new ones hold that members which move are counted once.

--- a/crates/wingspur-coordination/src/fleet_count.rs
+++ b/crates/wingspur-coordination/src/fleet_count.rs
@@ -1,10 +1,8 @@
 //! How many boxes the fleet has.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use wingspur_state::DataCentreId;
-
 /// The number of boxes, slow to fall.
 ///
 /// Purpose: a hub that has just taken over has few members yet. What boxes share by their
@@ -13,12 +11,6 @@
 #[derive(Debug, Clone, Default)]
 pub struct FleetCount(Peaks);
 
-/// The boxes that the hubs of each data centre count, over the time of a change of hubs.
-///
-/// Purpose: members that are between two hubs are counted by neither, but still spend.
-#[derive(Debug, Clone, Default)]
-pub struct DataCentreCounts(BTreeMap<DataCentreId, Peaks>);
-
 /// Counts that may still be the largest of some span, the largest first.
 #[derive(Debug, Clone, Default)]
 struct Peaks(VecDeque<(Instant, usize)>);
@@ -36,28 +28,6 @@
     }
 }
 
-impl DataCentreCounts {
-    /// Takes in how many boxes the hubs of each data centre count now; returns their sum, a
-    /// data centre's count falling only after the time that a change of hubs may take.
-    pub fn follow(
-        &mut self,
-        counted: &BTreeMap<DataCentreId, usize>,
-        now: Instant,
-    ) -> usize {
-        for (data_centre, boxes) in counted {
-            let peaks = self.0.entry(data_centre.clone()).or_default();
-            peaks.follow(*boxes, now);
-        }
-        for (data_centre, peaks) in &mut self.0 {
-            if !counted.contains_key(data_centre) {
-                peaks.follow(0, now);
-            }
-        }
-        let most = self.0.values().map(|peaks| peaks.most(HUB_CHANGE, now));
-        most.sum()
-    }
-}
-
 impl Peaks {
     fn follow(&mut self, counted: usize, now: Instant) {
         while self.0.back().is_some_and(|(_, other)| *other <= counted) {
@@ -83,7 +53,5 @@
 
 /// Members of a hub that has gone are linked with the next one well within this.
 const HOLD: Duration = Duration::from_secs(10);
-/// A box that has no hub for longer is out of touch, and spends no slack.
-const HUB_CHANGE: Duration = Duration::from_secs(4);
 /// Counts are kept for so long: several times the usual window of a retry budget.
 pub const LONGEST_HOLD: Duration = Duration::from_secs(60);
--- a/crates/wingspur-coordination/src/fleet_view.rs
+++ b/crates/wingspur-coordination/src/fleet_view.rs
@@ -3,22 +3,20 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use wingspur_protocol::FleetNote;
-use wingspur_state::{Contact, DataCentreId, FleetStanding};
+use wingspur_protocol::{CensusNote, FleetNote};
+use wingspur_state::{BoxKey, Contact, DataCentreId, FleetStanding};
 
 use crate::fleet_count::LONGEST_HOLD;
 use crate::{
-    DELEGATED_FOR, DataCentreCounts, Delegation, FleetContact, FleetCount, LinkId,
-    join_after,
+    DELEGATED_FOR, Delegation, FleetCensus, FleetContact, FleetCount, LinkId, join_after,
 };
 
 /// What a box knows of the fleet by its links and the announcements.
 #[derive(Debug)]
 pub struct FleetView {
-    own: DataCentreId,
     links: BTreeMap<LinkId, HeardLink>,
     count: FleetCount,
-    by_data_centre: DataCentreCounts,
+    census: FleetCensus,
     contact: FleetContact,
     delegation: Delegation,
 }
@@ -34,6 +32,15 @@
     Hub,
 }
 
+/// The box at the other side of a link.
+#[derive(Debug, Clone)]
+pub struct LinkPeer {
+    /// Where it stands.
+    pub data_centre: DataCentreId,
+    /// Its key.
+    pub key: BoxKey,
+}
+
 /// What is announced, and what this box is by it.
 #[derive(Debug, Clone)]
 pub struct Announced {
@@ -76,29 +83,25 @@
         match with {
             LinkWith::Member => self.to_member,
             LinkWith::Hub => self.to_hub,
-            LinkWith::OwnHub => FleetNote {
-                boxes: 1,
-                ..FleetNote::default()
-            },
+            LinkWith::OwnHub => FleetNote::default(),
         }
     }
 }
 
 impl FleetView {
-    /// A box that knows of no other.
-    pub fn new(own: DataCentreId, now: Instant) -> Self {
+    /// A box that knows of no other, by its own key.
+    pub fn new(own: BoxKey, now: Instant) -> Self {
         Self {
             delegation: Delegation::new(now),
-            own,
             links: BTreeMap::new(),
             count: FleetCount::default(),
-            by_data_centre: DataCentreCounts::default(),
+            census: FleetCensus::new(own),
             contact: FleetContact::default(),
         }
     }
 
     /// The same for a box that starts with the whole fleet, for the first time.
-    pub fn at_first_start(own: DataCentreId, now: Instant) -> Self {
+    pub fn at_first_start(own: BoxKey, now: Instant) -> Self {
         Self {
             contact: FleetContact::at_first_start(now),
             ..Self::new(own, now)
@@ -106,20 +109,15 @@
     }
 
     /// Takes up a link with a box of a data centre.
-    pub fn add_link(
-        &mut self,
-        id: LinkId,
-        data_centre: DataCentreId,
-        with: LinkWith,
-        now: Instant,
-    ) {
+    pub fn add_link(&mut self, id: LinkId, peer: LinkPeer, with: LinkWith, now: Instant) {
+        match with {
+            LinkWith::Member => self.census.add_member(id, peer.key),
+            LinkWith::Hub | LinkWith::OwnHub => self.census.add_hub(id),
+        }
         let link = HeardLink {
-            data_centre,
+            data_centre: peer.data_centre,
             with,
-            told: FleetNote {
-                boxes: 1,
-                ..FleetNote::default()
-            },
+            told: FleetNote::default(),
             heard: now,
             vouched: None,
             delegated: None,
@@ -128,8 +126,31 @@
     }
 
     /// Gives up a link.
-    pub fn drop_link(&mut self, id: LinkId) {
+    pub fn drop_link(&mut self, id: LinkId, now: Instant) {
         self.links.remove(&id);
+        self.census.drop_link(id, now);
+    }
+
+    /// Takes in whom another hub counts.
+    pub fn hear_census(
+        &mut self,
+        id: LinkId,
+        note: &CensusNote,
+        known: &Announced,
+        now: Instant,
+    ) {
+        if *note != CensusNote::default() {
+            self.census.hear(id, note, now);
+            self.boxes(known, now);
+        }
+    }
+
+    /// What another hub has not been told yet of whom this one counts.
+    pub fn census_for(&mut self, id: LinkId) -> CensusNote {
+        match self.links.get(&id).map(|link| link.with) {
+            Some(LinkWith::Hub) => self.census.news_for(id),
+            Some(LinkWith::Member | LinkWith::OwnHub) | None => CensusNote::default(),
+        }
     }
 
     /// Takes in what the other side of a link tells, which was true at a moment or later;
@@ -178,8 +199,8 @@
                 ..FleetNote::default()
             },
             to_hub: FleetNote {
-                boxes: self.boxes_here() as u32,
-                counted: self.counted_by_links(now) as u32,
+                boxes: 0,
+                counted: self.census.count(now) as u32,
                 touch_ms,
                 delegates: false,
             },
@@ -188,7 +209,7 @@
 
     /// The boxes of the fleet, as far as this one knows.
     pub fn boxes(&mut self, known: &Announced, now: Instant) -> usize {
-        let linked = self.counted_by_links(now);
+        let linked = self.census.count(now);
         let own_hub = self.with(LinkWith::OwnHub);
         let told_here = own_hub.map(|link| link.told.boxes).max();
         // Another hub may count a hub of this data centre that this one does not hear.
@@ -286,22 +307,6 @@
         }
     }
 
-    /// How many boxes this one counts by its links with hubs and members.
-    fn counted_by_links(&mut self, now: Instant) -> usize {
-        let mut counted: BTreeMap<DataCentreId, usize> = BTreeMap::new();
-        counted.insert(self.own.clone(), self.boxes_here());
-        for hub in self.with(LinkWith::Hub) {
-            let sum = counted.entry(hub.data_centre.clone()).or_default();
-            *sum += hub.told.boxes as usize;
-        }
-        self.by_data_centre.follow(&counted, now)
-    }
-
-    /// How many boxes this one counts for its data centre.
-    fn boxes_here(&self) -> usize {
-        self.with(LinkWith::Member).count() + 1
-    }
-
     fn with(&self, with: LinkWith) -> impl Iterator<Item = &HeardLink> {
         self.links.values().filter(move |link| link.with == with)
     }
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use wingspur_coordination::{
-    Announced, CatalogQueue, FeedView, FleetView, LinkClock, LinkId, LinkKind,
+    Announced, CatalogQueue, FeedView, FleetView, LinkClock, LinkId, LinkKind, LinkPeer,
     LinkPlanner, LinkWith, NewsReader, OWN_LINK, PlannedLink, RecentChanges, Rollup,
-    SourceNews,
+    SourceNews, hash_of,
 };
 use wingspur_protocol::{
     BoxRecord, CatalogChanges, CatalogUpdate, Digest, Frame, Lending, LinkRole, Revision,
@@ -66,7 +66,7 @@
             feed: FeedView::new(own.id.clone(), now),
             recent: RecentChanges::default(),
             active: BTreeMap::new(),
-            fleet: fleet(own.data_centre.clone(), now),
+            fleet: fleet(hash_of(&own.id), now),
             announced: None,
             next_id: OWN_LINK + 1,
             leaving: false,
@@ -147,8 +147,11 @@
             told_leaving: false,
             sent: now,
         };
-        self.fleet
-            .add_link(id, link.peer.data_centre.clone(), link.with(), now);
+        let at_other_side = LinkPeer {
+            data_centre: link.peer.data_centre.clone(),
+            key: hash_of(&link.peer.id),
+        };
+        self.fleet.add_link(id, at_other_side, link.with(), now);
         self.active.insert(id, link);
         id
     }
@@ -160,7 +163,7 @@
         };
         link.sender.close();
         self.feed.forget(id);
-        self.fleet.drop_link(id);
+        self.fleet.drop_link(id, wingspur_clock::now());
         self.rollup.drop_link(id);
         self.take_lost()
     }
@@ -350,6 +353,7 @@
                 frame.catalog = link.take_catalog(now);
                 frame.wants_listing = std::mem::take(&mut link.wants_listing);
                 frame.health = link.greeting.take().unwrap_or_default().health;
+                frame.census = self.fleet.census_for(*id);
                 let suspects = link.suspects.drain(..);
                 frame.suspects = suspects.map(|news| news.told(now)).collect();
             }
@@ -513,6 +517,7 @@
             self.feed.note(id, &frame.feed, vouched);
         }
         let known = self.announced(now);
+        self.fleet.hear_census(id, &frame.census, &known, now);
         self.fleet.hear(id, frame.fleet, &known, vouched, now);
     }
 
--- a/crates/wingspur-protocol/src/lib.rs
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -20,7 +20,7 @@
 pub use codes::ResultCode;
 pub use headers::{HeaderNames, LoadForm};
 pub use link::{
-    CatalogUpdate, Digest, FeedState, FleetNote, Frame, FrameError, Hello,
+    CatalogUpdate, CensusNote, Digest, FeedState, FleetNote, Frame, FrameError, Hello,
     LINK_PROTOCOL_VERSION, Lendable, Lending, LinkRole, LoanAnswer, LoanRequest,
     ResendRoom, Stamps, encode_frame, take_frame,
 };
--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -3,8 +3,8 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wingspur_state::{
-    AllowanceKey, BoxId, BundleVersion, HealthNote, KeyedTally, RequestFingerprint,
-    ServerKey, ServiceTally, SourceId, SuspectNote,
+    AllowanceKey, BoxId, BoxKey, BundleVersion, HealthNote, KeyedTally,
+    RequestFingerprint, ServerKey, ServiceTally, SourceId, SuspectNote,
 };
 
 use crate::{BoxRecord, CatalogChanges, CatalogListing, Revision};
@@ -52,6 +52,8 @@
     pub feed: FeedState,
     /// What the sender knows of the fleet.
     pub fleet: FleetNote,
+    /// Whom the sender counts, from one hub to another.
+    pub census: CensusNote,
     /// Whether the sender lacks changes and wants a listing.
     pub wants_listing: bool,
     /// Whether the sender is stopping: it should not be taken for a hub any more.
@@ -142,8 +144,7 @@
 /// What a box tells another of the fleet.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetNote {
-    /// From a hub to a member the boxes of the fleet, to another hub those of its own data
-    /// centre; from a member 1.
+    /// From a hub to a member the boxes of the fleet; else 0.
     pub boxes: u32,
     /// From a hub to another, the boxes that it counts in all data centres; else 0.
     pub counted: u32,
@@ -155,6 +156,17 @@
     pub delegates: bool,
 }
 
+/// Whom a hub counts, as far as another hub has not been told yet.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CensusNote {
+    /// Whether those that have joined are all.
+    pub whole: bool,
+    /// Boxes that it counts: itself, and its members.
+    pub joined: Vec<BoxKey>,
+    /// Boxes that it does not count any more.
+    pub left: Vec<BoxKey>,
+}
+
 /// When a frame was sent, by its sender's clock on the link, which begins with it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stamps {
--- a/crates/wingspur-state/src/ids.rs
+++ b/crates/wingspur-state/src/ids.rs
@@ -16,5 +16,7 @@
 pub type ServerId = String;
 /// Stands for a `ServerId` in tables and between boxes; see `server_key`.
 pub type ServerKey = u64;
+/// Stands for a `BoxId` between boxes: the hash of it.
+pub type BoxKey = u64;
 /// Names who tells of other boxes' work: a hub's start.
 pub type SourceId = u64;
--- a/tests/tests/allowance_bound.rs
+++ b/tests/tests/allowance_bound.rs
@@ -9,8 +9,8 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use wingspur_coordination::{Announced, FleetView, LinkWith};
-use wingspur_protocol::FleetNote;
+use wingspur_coordination::{Announced, FleetView, LinkPeer, LinkWith};
+use wingspur_protocol::{CensusNote, FleetNote};
 use wingspur_state::{
     AccountUse, AllowanceTerms, Borrowed, Borrower, BorrowerAsk, ClientAccount,
     DataCentreId, PartClock, Pool, QuotaSettings, StockAsk, Stocked,
@@ -214,10 +214,11 @@
 
 type Run = (usize, u64);
 
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 enum What {
     Note {
         told: FleetNote,
+        census: CensusNote,
         sent: Instant,
         echo: Option<Instant>,
     },
@@ -344,7 +345,7 @@
                 let fresh = SimBox {
                     life: self.lives,
                     since_ms: self.now_ms,
-                    view: FleetView::new(centre(place), now),
+                    view: FleetView::new(key_of(place), now),
                     clock: PartClock::new(now),
                     pool: Pool::default(),
                     borrower: Borrower::default(),
@@ -415,7 +416,11 @@
                 let end = self.boxes.get_mut(&from.0).expect("it runs");
                 if !end.links.contains_key(to) {
                     end.links.insert(*to, None);
-                    end.view.add_link(to.1, centre(to.0), *with, now);
+                    let peer = LinkPeer {
+                        data_centre: centre(to.0),
+                        key: key_of(to.0),
+                    };
+                    end.view.add_link(to.1, peer, *with, now);
                 }
             }
         }
@@ -430,7 +435,7 @@
                 links.filter(|to| !pairs.contains(&(own, *to))).collect();
             for to in gone {
                 end.links.remove(&to);
-                end.view.drop_link(to.1);
+                end.view.drop_link(to.1, now);
             }
         }
     }
@@ -473,10 +478,12 @@
             let links: Vec<_> = run.links.iter().map(|(to, echo)| (*to, *echo)).collect();
             let notes = links.into_iter().map(|(to, echo)| {
                 let told = run.view.tell_on(to.1, &told, now);
+                let census = run.view.census_for(to.1);
                 (
                     to,
                     What::Note {
                         told,
+                        census,
                         sent: now,
                         echo,
                     },
@@ -545,8 +552,14 @@
         let terms = terms.with_burst_left(&account, run.used.left(&account, now));
         match what {
             What::Counts(counts) => run.used.count(counts),
-            What::Note { told, sent, echo } => {
+            What::Note {
+                told,
+                census,
+                sent,
+                echo,
+            } => {
                 run.links.insert(from, Some(sent));
+                run.view.hear_census(from.1, &census, &known, now);
                 run.view.hear(from.1, told, &known, echo, now);
             }
             What::Ask { number, ask } => {
@@ -697,6 +710,11 @@
     }
 }
 
+/// A box that starts again keeps its key.
+fn key_of(place: usize) -> u64 {
+    place as u64 + 1
+}
+
 fn centre(place: usize) -> DataCentreId {
     format!("dc-{}", place % DATA_CENTRES)
 }
--- a/tests/tests/budget_bound.rs
+++ b/tests/tests/budget_bound.rs
@@ -15,8 +15,8 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use wingspur_coordination::{Announced, FleetView, LinkWith, OWN_LINK};
-use wingspur_protocol::FleetNote;
+use wingspur_coordination::{Announced, FleetView, LinkPeer, LinkWith, OWN_LINK};
+use wingspur_protocol::{CensusNote, FleetNote};
 use wingspur_state::{
     BudgetSettings, DataCentreId, FleetBudget, FleetStanding, ResendUse,
 };
@@ -164,6 +164,7 @@
     link: u64,
     to: usize,
     told: FleetNote,
+    census: CensusNote,
 }
 
 /// A request that asks for a resend.
@@ -251,7 +252,7 @@
                 self.lives += 1;
                 let life = SimBox {
                     budget: FleetBudget::new(SETTINGS),
-                    fleet: FleetView::new(name_of(place % DATA_CENTRES), now),
+                    fleet: FleetView::new(key_of(place), now),
                     life: self.lives,
                 };
                 self.boxes.insert(place, life);
@@ -313,9 +314,10 @@
     }
 
     fn end_link(&mut self, (place, life): (usize, Life), id: u64) {
+        let now = self.now();
         let same = self.boxes.get_mut(&place).filter(|run| run.life == life);
         if let Some(run) = same {
-            run.fleet.drop_link(id);
+            run.fleet.drop_link(id, now);
         }
     }
 
@@ -331,7 +333,10 @@
         let ends = [(link.one, link.other), (link.other, link.one)];
         for (((place, _), (peer, _)), with) in ends.into_iter().zip(with) {
             let run = self.boxes.get_mut(&place).expect("it runs");
-            let there = name_of(peer % DATA_CENTRES);
+            let there = LinkPeer {
+                data_centre: name_of(peer % DATA_CENTRES),
+                key: key_of(peer),
+            };
             run.fleet.add_link(id, there, with, now);
         }
     }
@@ -363,6 +368,7 @@
             link,
             to,
             told: run.fleet.tell(&known, now).on(with),
+            census: run.fleet.census_for(link),
         });
     }
 
@@ -393,6 +399,7 @@
             let known = self.announced(sent.to);
             let run = self.boxes.get_mut(&sent.to).expect("its link stands");
             let vouched = Some(sent.sent);
+            run.fleet.hear_census(sent.link, &sent.census, &known, now);
             run.fleet.hear(sent.link, sent.told, &known, vouched, now);
         }
     }
@@ -506,6 +513,11 @@
         .expect("there are spans")
 }
 
+/// A box that starts again keeps its key.
+fn key_of(place: usize) -> u64 {
+    place as u64 + 1
+}
+
 fn name_of(data_centre: usize) -> DataCentreId {
     format!("dc-{data_centre}").as_str().into()
 }
--- a/tests/tests/budgets.rs
+++ b/tests/tests/budgets.rs
@@ -1,15 +1,14 @@
 //! The fleet's retry budget: what boxes may spend, whoever comes, goes or is cut off.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use wingspur_coordination::{
-    Announced, DataCentreCounts, FleetContact, FleetCount, FleetView, LinkWith,
-    join_after,
+    Announced, FleetCensus, FleetContact, FleetCount, FleetView, LinkId, LinkPeer,
+    LinkWith, join_after,
 };
-use wingspur_protocol::FleetNote;
+use wingspur_protocol::{CensusNote, FleetNote};
 use wingspur_state::{
-    BudgetSettings, Contact, DataCentreId, FleetBudget, FleetStanding, ResendUse,
+    BoxKey, BudgetSettings, Contact, DataCentreId, FleetBudget, FleetStanding, ResendUse,
     ServiceTally,
 };
 
@@ -58,17 +57,34 @@
     }
 }
 
+const OWN_KEY: BoxKey = 1;
+
+fn peer(data_centre: &str, key: BoxKey) -> LinkPeer {
+    LinkPeer {
+        data_centre: centre(data_centre),
+        key,
+    }
+}
+
+/// What a hub tells that counts so many boxes, itself among them.
+fn census(hub: LinkId, boxes: u64) -> CensusNote {
+    CensusNote {
+        whole: true,
+        joined: (0..boxes).map(|n| hub * 100 + n).collect(),
+        left: Vec::new(),
+    }
+}
+
 /// A hub's standing after it has heard the hubs of some data centres for a while.
 fn standing_after(known: &Announced, heard: &[&str], span: Duration) -> FleetStanding {
     let start = Instant::now();
-    let mut view = FleetView::new(centre("here"), Instant::now());
+    let mut view = FleetView::new(OWN_KEY, Instant::now());
     for (id, name) in heard.iter().enumerate() {
-        view.add_link(id as u64 + 1, centre(name), LinkWith::Hub, start);
+        let id = id as u64 + 1;
+        view.add_link(id, peer(name, id * 100), LinkWith::Hub, start);
+        view.hear_census(id, &census(id, 10), known, start);
     }
-    let told = FleetNote {
-        boxes: 10,
-        ..FleetNote::default()
-    };
+    let told = FleetNote::default();
     for tick in 0..=(span.as_millis() / 300) as u32 {
         let now = start + Duration::from_millis(300) * tick;
         for id in 1..=heard.len() as u64 {
@@ -241,8 +257,8 @@
     };
     let after_join = |touch_ms| {
         let start = Instant::now() + seconds(100);
-        let mut view = FleetView::new(centre("here"), Instant::now());
-        view.add_link(1, centre("here"), LinkWith::OwnHub, start);
+        let mut view = FleetView::new(OWN_KEY, Instant::now());
+        view.add_link(1, peer("here", 100), LinkWith::OwnHub, start);
         let mut now = start;
         while now <= start + join_after(WINDOW) {
             view.hear(1, told(touch_ms), &member, Some(now), now);
@@ -300,7 +316,7 @@
 fn a_window_longer_than_counts_are_held_has_no_slack() {
     let start = Instant::now();
     let known = hub_of(&[]);
-    let mut view = FleetView::new(centre("here"), Instant::now());
+    let mut view = FleetView::new(OWN_KEY, Instant::now());
     let contact_after = |view: &mut FleetView, window, until| {
         let mut now = start;
         while now <= start + until {
@@ -320,23 +336,72 @@
 #[test]
 fn members_between_two_hubs_are_still_counted() {
     let start = Instant::now();
-    let mut counts = DataCentreCounts::default();
-    let told = |boxes| BTreeMap::from([(centre("a"), boxes), (centre("b"), 10)]);
-    assert_eq!(counts.follow(&told(10), start), 20);
-    assert_eq!(counts.follow(&told(1), start + seconds(3)), 20);
-    let only_b = BTreeMap::from([(centre("b"), 10)]);
-    assert_eq!(counts.follow(&only_b, start + seconds(3)), 20);
-    assert_eq!(counts.follow(&told(1), start + seconds(8)), 11);
+    let mut fleet = FleetCensus::new(OWN_KEY);
+    fleet.add_hub(1);
+    fleet.add_hub(2);
+    fleet.hear(1, &census(1, 10), start);
+    fleet.hear(2, &census(2, 9), start);
+    assert_eq!(fleet.count(start), 20);
+    // The members of the first have lost it, and have no other yet.
+    fleet.hear(1, &census(1, 1), start + seconds(3));
+    assert_eq!(fleet.count(start + seconds(3)), 20);
+    fleet.drop_link(1, start + seconds(3));
+    assert_eq!(fleet.count(start + seconds(3)), 20);
+    assert_eq!(fleet.count(start + seconds(8)), 10);
+}
+
+#[test]
+fn members_that_move_from_one_hub_to_another_are_counted_once() {
+    let start = Instant::now();
+    let mut fleet = FleetCensus::new(OWN_KEY);
+    fleet.add_hub(1);
+    fleet.hear(1, &census(1, 30), start);
+    assert_eq!(fleet.count(start), 31);
+    // A second hub of the same data centre takes over, one member after the other, while
+    // the first has not noticed that they have gone.
+    fleet.add_hub(2);
+    for n in 0..30 {
+        let joined = CensusNote {
+            whole: n == 0,
+            joined: vec![100 + n],
+            left: Vec::new(),
+        };
+        fleet.hear(2, &joined, start + seconds(1));
+        assert_eq!(fleet.count(start + seconds(1)), 31);
+    }
+    fleet.drop_link(1, start + seconds(2));
+    assert_eq!(fleet.count(start + seconds(10)), 31);
+}
+
+#[test]
+fn hubs_tell_each_other_whom_they_count_once_and_then_what_has_changed() {
+    let now = Instant::now();
+    let mut fleet = FleetCensus::new(OWN_KEY);
+    fleet.add_hub(1);
+    fleet.add_member(2, 50);
+    let first = fleet.news_for(1);
+    assert_eq!((first.whole, first.joined), (true, vec![OWN_KEY, 50]));
+    assert_eq!(fleet.news_for(1), CensusNote::default());
+    fleet.add_member(3, 60);
+    fleet.drop_link(2, now);
+    let next = fleet.news_for(1);
+    assert_eq!(
+        (next.whole, next.joined, next.left),
+        (false, vec![60], vec![50])
+    );
+    fleet.add_hub(4);
+    assert_eq!(fleet.news_for(4).joined, [OWN_KEY, 60]);
 }
 
 #[test]
 fn a_hub_counts_what_another_hub_counts_and_it_does_not_hear() {
     let now = Instant::now();
     let known = hub_of(&["b"]);
-    let mut view = FleetView::new(centre("a"), Instant::now());
-    view.add_link(1, centre("b"), LinkWith::Hub, now);
+    let mut view = FleetView::new(OWN_KEY, Instant::now());
+    view.add_link(1, peer("b", 100), LinkWith::Hub, now);
+    view.hear_census(1, &census(1, 10), &known, now);
     let told = FleetNote {
-        boxes: 10,
+        boxes: 0,
         counted: 35,
         touch_ms: None,
         delegates: false,
