Sight: the log tells what servers name as their limits

The logs could not tell what a server had named, nor when a box heard it, so that "nobody takes notice" and "each box for itself" looked alike. Change: every answer's header is read, also of errors, rejections and surplus answers; a line and a counter a change, with what it was before; odd values are counted and say nothing. No decision hangs on it yet.

--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::in_force::ActiveRoute;
 use crate::request_log::id_text;
 use crate::requests_out::Ticket;
+use crate::server_limits::note_answer;
 use crate::services::ServiceState;
 use crate::shared::Shared;
 use crate::suspects::{BrokenOff, note_answered, note_broken_off};
@@ -194,6 +195,7 @@
         let method = &self.outgoing.method;
         let request = self.head_bytes(account, &body);
         let mut head = connection.exchange(request, body, method).await?;
+        self.note_limit(&head);
         while self.belongs_to_another(&head) {
             // A second answer to an earlier request; ours may follow it.
             tracing::info!(server = %self.pick.server.id, "attempt: skipped an answer to another request.");
@@ -203,6 +205,7 @@
                 return Err(AnswerError::Unreadable("of another request".to_owned()));
             }
             head = connection.read_head(method).await?;
+            self.note_limit(&head);
         }
         self.check_own(&head)?;
         match connection.read_whole(HELD_BYTES).await? {
@@ -211,6 +214,12 @@
         }
     }
 
+    /// Takes in the limit that any answer of the server names, whatever becomes of it here.
+    fn note_limit(&self, head: &AnswerHead) {
+        let (server, headers) = (&self.pick.server, &head.headers);
+        note_answer(&self.shared, server, headers, wingspur_clock::now());
+    }
+
     /// Weighs an answer that is here whole.
     fn weigh(
         &self,
--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -37,6 +37,8 @@
     Balancer,
     /// What a service's refused callers were promised.
     Returns,
+    /// The limits that servers name.
+    ServerLimits,
     /// How a route's answers spread.
     ServiceTime,
     /// The service of each server.
--- a/crates/wingspur-edge/src/metrics.rs
+++ b/crates/wingspur-edge/src/metrics.rs
@@ -68,6 +68,8 @@
     pub suspects: IntGauge,
     /// Answers to whether a request in quarantine may be sent.
     permits: IntCounterVec,
+    /// What servers said of their limits, as far as it was news here.
+    server_limits: IntCounterVec,
     frames: IntCounter,
     frame_bytes: IntCounter,
 }
@@ -223,6 +225,11 @@
                 "Whether requests in quarantine were let through, by outcome.",
                 &["outcome"],
             ),
+            server_limits: counter(
+                "wingspur_server_limits_total",
+                "Limits of servers that were named, changed, ended or not readable.",
+                &["event"],
+            ),
             suspects,
             exchanges,
             bundle_version,
@@ -267,6 +274,11 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts what a server said of its limit.
+    pub fn count_limit(&self, event: &str) {
+        self.server_limits.with_label_values(&[event]).inc();
+    }
+
     /// Counts a peer's message that was refused.
     pub fn refuse_peer(&self, reason: &str) {
         self.peer_refusals.with_label_values(&[reason]).inc();
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -5,7 +5,7 @@
 
 use wingspur_protocol::{BoxRecord, HeaderNames};
 use wingspur_state::{
-    Bundle, Directory, DirectoryChange, FleetStanding, SuspectRequests,
+    Bundle, Directory, DirectoryChange, FleetStanding, ServerLimits, SuspectRequests,
 };
 use wingspur_transport::{Catalog, Connector, LeaseId, Spawner};
 
@@ -42,6 +42,8 @@
     pub lending: Ranked<LendingState>,
     /// Who has room for resends, and what is lent of them.
     pub resend_loans: Ranked<ResendLoans>,
+    /// The limits that servers name.
+    pub server_limits: Ranked<ServerLimits>,
     /// The requests under which servers have ended.
     pub suspects: Ranked<SuspectRequests>,
     /// What is let through of those that are in quarantine.
@@ -99,6 +101,7 @@
             ),
             lending: Ranked::new(Rank::Lending, LendingState::new(wingspur_clock::now())),
             resend_loans: Ranked::new(Rank::ResendLoans, ResendLoans::default()),
+            server_limits: Ranked::new(Rank::ServerLimits, ServerLimits::default()),
             suspects: Ranked::new(Rank::Suspects, SuspectRequests::default()),
             quarantine: Ranked::new(Rank::Quarantine, QuarantineState::new(incarnation)),
             lending_bell: Bell::new(),
--- a/crates/wingspur-protocol/src/headers.rs
+++ b/crates/wingspur-protocol/src/headers.rs
@@ -17,6 +17,9 @@
     pub load: &'static str,
     /// How the load is written.
     pub load_form: LoadForm,
+    /// Names the requests a second that a server takes from all boxes together, for as long
+    /// as its answers say so; none where servers name no such limit.
+    pub server_limit: Option<&'static str>,
     /// Tells a server the client account of a request.
     pub account: &'static str,
     /// Says that a server is leaving, where servers say so by a header.
@@ -42,6 +45,7 @@
         not_run: None,
         load: "endpoint-load-metrics",
         load_form: LoadForm::EndpointLoadMetrics,
+        server_limit: None,
         account: "wingspur-account",
         draining: Some("wingspur-draining"),
     };
--- a/crates/wingspur-protocol/src/lib.rs
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -9,6 +9,7 @@
 mod load_report;
 mod operation;
 mod peer;
+mod server_limit;
 mod signing;
 mod store;
 
@@ -31,6 +32,7 @@
     PEER_PROTOCOL_VERSION, PeerEnvelope, PeerError, PeerMessage, PeerReply, Suspicion,
     decode_peer, encode_peer,
 };
+pub use server_limit::{UnreadableLimit, parse_server_limit};
 pub use signing::{Keyring, SigningError, sign_bundle, verify_bundle};
 pub use store::{
     BundlePointer, Manifest, PartReference, SignedBundle, StoreKeys, digest_of,
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -30,6 +30,7 @@
 mod returning;
 mod route;
 mod server;
+mod server_limits;
 mod service_table;
 mod service_time;
 mod suspects;
@@ -76,6 +77,7 @@
 pub use returning::{Priority, ReturnInputs, ReturnQueue, priority_of, spare_per_s};
 pub use route::{RouteClash, RouteMatch, RouteTable};
 pub use server::{ServerRecord, server_key};
+pub use server_limits::{LimitChange, ServerLimits};
 pub use service_table::{AttemptOutcome, ServiceTable, TICK, VERDICT_TTL};
 pub use service_time::ServiceTime;
 pub use suspects::{
--- a/tests/src/backend_server.rs
+++ b/tests/src/backend_server.rs
@@ -13,6 +13,7 @@
     pub address: SocketAddr,
     ran: Arc<Mutex<Vec<String>>>,
     heads: Arc<Mutex<Vec<(Instant, Head)>>>,
+    says: Arc<Mutex<String>>,
 }
 
 /// What a request meets.
@@ -49,7 +50,9 @@
     pub fn start(reply: impl Fn(usize) -> Reply + Send + Sync + 'static) -> Self {
         let ran = Arc::new(Mutex::new(Vec::new()));
         let heads = Arc::new(Mutex::new(Vec::new()));
+        let says = Arc::new(Mutex::new(String::new()));
         let (ran_here, heads_here) = (ran.clone(), heads.clone());
+        let says_here = says.clone();
         let address = listen(move |head, stream| {
             let mut heads = heads_here.lock().expect("no holder panics");
             let reply = reply(heads.len());
@@ -60,15 +63,22 @@
                 let mut ran = ran_here.lock().expect("no holder panics");
                 ran.push(id.unwrap_or_default());
             }
-            answer(reply, &head, stream)
+            let said = says_here.lock().expect("no holder panics").clone();
+            answer(reply, &head, &said, stream)
         });
         Self {
             address,
             ran,
             heads,
+            says,
         }
     }
 
+    /// Puts header lines into all answers from now on, each with its line break.
+    pub fn say(&self, lines: &str) {
+        *self.says.lock().expect("no holder panics") = lines.to_owned();
+    }
+
     /// The ids of the requests that ran, in order.
     pub fn ran(&self) -> Vec<String> {
         self.ran.lock().expect("no holder panics").clone()
@@ -92,20 +102,23 @@
 }
 
 /// Writes what a request meets; whether the connection stays.
-fn answer(reply: Reply, head: &Head, stream: &mut TcpStream) -> bool {
+fn answer(reply: Reply, head: &Head, said: &str, stream: &mut TcpStream) -> bool {
     let id = head.headers.get("x-wingspur-request-id");
     let id = id.map_or("", String::as_str);
-    let own = whole(id, "200 OK", "own body");
-    let foreign = whole("of-another", "200 OK", "not yours");
+    let own = whole(id, "200 OK", said, "own body");
+    let foreign = whole("of-another", "200 OK", said, "not yours");
     match reply {
         Reply::Whole => write(stream, &own),
-        Reply::Error => write(stream, &whole(id, "500 Internal Server Error", "failed")),
+        Reply::Error => write(
+            stream,
+            &whole(id, "500 Internal Server Error", said, "failed"),
+        ),
         Reply::Shed => {
-            let mark = "x-wingspur-not-executed: 1\r\n";
-            write(stream, &plain(id, "503 Service Unavailable", mark))
+            let mark = format!("x-wingspur-not-executed: 1\r\n{said}");
+            write(stream, &plain(id, "503 Service Unavailable", &mark))
         }
-        Reply::Unmarked => write(stream, &plain(id, "503 Service Unavailable", "")),
-        Reply::Misdirected => write(stream, &plain(id, "421 Misdirected Request", "")),
+        Reply::Unmarked => write(stream, &plain(id, "503 Service Unavailable", said)),
+        Reply::Misdirected => write(stream, &plain(id, "421 Misdirected Request", said)),
         Reply::Close => false,
         Reply::Cut => {
             write(stream, &own[..own.len() - 3]);
@@ -115,7 +128,7 @@
             write(stream, "\u{1}\u{2} no protocol at all\r\n\r\n");
             false
         }
-        Reply::NoStamp => write(stream, &plain(id, "200 OK", "")),
+        Reply::NoStamp => write(stream, &plain(id, "200 OK", said)),
         Reply::SurplusFirst => write(stream, &format!("{foreign}{own}")),
         Reply::SurplusAfter => write(stream, &format!("{own}{foreign}")),
         Reply::Silent => {
@@ -126,10 +139,10 @@
 }
 
 /// An answer with the server's stamp.
-fn whole(id: &str, status: &str, body: &str) -> String {
+fn whole(id: &str, status: &str, said: &str, body: &str) -> String {
     format!(
         "HTTP/1.1 {status}\r\nx-wingspur-request-id: {id}\r\n\
-         x-wingspur-server-stamp: stamp\r\ncontent-length: {}\r\n\r\n{body}",
+         x-wingspur-server-stamp: stamp\r\n{said}content-length: {}\r\n\r\n{body}",
         body.len()
     )
 }
