--- a/tests/tests/fleet_play/mod.rs
+++ b/tests/tests/fleet_play/mod.rs
@@ -308,6 +308,8 @@
     /// When a box last knew of a limit while the server named none, and for how long at most.
     pub longest_unheard_ms: u64,
     named_none_since_ms: Option<u64>,
+    /// The most that the parts of a server's allowance added up to, over all boxes.
+    pub most_parts: f64,
 }
 
 impl Play {
@@ -362,6 +364,7 @@
             refused: 0,
             longest_unheard_ms: 0,
             named_none_since_ms: None,
+            most_parts: 0.0,
         }
     }
 
@@ -382,6 +385,9 @@
             }
             self.tell_callers();
             self.note_unheard();
+            if self.now_ms.is_multiple_of(LINKS_EVERY_MS) {
+                self.add_up_parts();
+            }
             self.now_ms += STEP_MS;
         }
         self
@@ -836,6 +842,21 @@
         }
     }
 
+    /// Adds up the parts of the server's allowance that boxes would use now.
+    fn add_up_parts(&mut self) {
+        if !matches!(self.subject, Subject::Server(_)) {
+            return;
+        }
+        let (now, place_name) = (self.now(), centre(SERVER_PLACE));
+        let mut sum = 0.0;
+        for place in self.awake() {
+            let known = self.announced(place);
+            let run = self.boxes.get_mut(&place).expect("it runs");
+            sum += run.view.part_for(&place_name, &known, now);
+        }
+        self.most_parts = self.most_parts.max(sum);
+    }
+
     /// Notes for how long boxes go by a limit that the server does not name any more.
     fn note_unheard(&mut self) {
         let Subject::Server(server) = &self.subject else {
--- a/tests/tests/server_limit_bound.rs
+++ b/tests/tests/server_limit_bound.rs
@@ -182,6 +182,33 @@
     assert!(broken.is_empty(), "{summary}: {broken:#?}");
 }
 
+/// While no box is lost, parts never add up to more than the whole, whoever holds them.
+#[test]
+fn each_part_is_used_by_one_hub_at_a_time() {
+    let faults = faults();
+    let lost = [
+        "all lost twice",
+        "hubs stopped in series",
+        "boxes killed one by one",
+    ];
+    let mut kept = faults.iter().filter(|fault| !lost.contains(&fault.name));
+    let mut planned = Vec::new();
+    while let Some(one) = kept.next() {
+        for other in std::iter::once(one).chain(kept.clone()) {
+            planned.extend(plans().into_iter().map(|plan| (*one, *other, plan)));
+        }
+    }
+    let played = play_all(&planned, |(one, other, (boxes, seed))| {
+        let server = one_of_sixteen(three);
+        let play = Play::of_server(both(one, other), *boxes, server, *seed).run();
+        let sum = play.most_parts;
+        (sum > 1.0 + 1e-6)
+            .then(|| format!("{} and {}, {boxes} boxes: {sum}", one.name, other.name))
+    });
+    let over: Vec<_> = played.into_iter().flatten().collect();
+    assert!(over.is_empty(), "{over:#?}");
+}
+
 #[test]
 fn what_a_server_takes_is_used_while_there_is_work() {
     for (boxes, seed) in plans() {
