Lending desk: what a box holds is looked up in one place

Found in the reading of the change: the part, its clock and the missing allowance were looked up alike in four places. No behaviour; also no count of servers where none names a limit. Tests of the desk, pools and placing pass as before.

--- a/crates/wingspur-coordination/src/lending_desk.rs
+++ b/crates/wingspur-coordination/src/lending_desk.rs
@@ -225,10 +225,10 @@
         standing: &Standing,
         now: Instant,
     ) -> Borrowed {
-        let Some(found) = found.filter(|found| standing.part_of(found) > 0.0) else {
+        let (clock, places) = (&self.clock, &self.place_clocks);
+        let Some((found, clock)) = held(found, standing, clock, places) else {
             return Borrowed::Unknown;
         };
-        let clock = clock_of(&self.clock, &self.place_clocks, &found.held_by);
         let pool = self.pools.entry(of).or_default();
         if pool.lend_at_once(1, reserve.into(), &found.terms, clock, now) == 1 {
             return Borrowed::Taken;
@@ -316,11 +316,11 @@
         now: Instant,
     ) -> LoanAnswer {
         let answer = LoanAnswer::none(request);
-        let found = found.filter(|found| standing.part_of(found) > 0.0);
-        let Some(found) = found.filter(|_| may_be_stocked(request.of)) else {
+        let found = found.filter(|_| may_be_stocked(request.of));
+        let (clock, places) = (&self.clock, &self.place_clocks);
+        let Some((found, clock)) = held(found, standing, clock, places) else {
             return answer;
         };
-        let clock = clock_of(&self.clock, &self.place_clocks, &found.held_by);
         let ask = StockAsk {
             borrower: link,
             held: request.held,
@@ -344,10 +344,10 @@
         now: Instant,
     ) -> LoanAnswer {
         let answer = LoanAnswer::none(request);
-        let Some(found) = found.filter(|found| standing.part_of(found) > 0.0) else {
+        let (clock, places) = (&self.clock, &self.place_clocks);
+        let Some((found, clock)) = held(found, standing, clock, places) else {
             return answer;
         };
-        let clock = clock_of(&self.clock, &self.place_clocks, &found.held_by);
         let (urgent, reserve) = (request.urgent, request.reserve.into());
         let pool = self.pools.entry(request.of).or_default();
         let lent = pool.lend_at_once(urgent, reserve, &found.terms, clock, now);
@@ -369,8 +369,8 @@
         standing: &Standing,
         found: Option<&Allowance>,
     ) -> Option<Duration> {
-        let found = found.filter(|found| standing.part_of(found) > 0.0)?;
-        let clock = clock_of(&self.clock, &self.place_clocks, &found.held_by);
+        let (clock, places) = (&self.clock, &self.place_clocks);
+        let (found, clock) = held(found, standing, clock, places)?;
         if clock.is_young(&found.terms) {
             return None;
         }
@@ -708,6 +708,17 @@
     }
 }
 
+/// An allowance that this box holds a part of, with the clock by which the part earns.
+fn held<'a>(
+    found: Option<&'a Allowance>,
+    standing: &Standing,
+    clock: &'a PartClock,
+    place_clocks: &'a BTreeMap<DataCentreId, PartClock>,
+) -> Option<(&'a Allowance, &'a PartClock)> {
+    let found = found.filter(|found| standing.part_of(found) > 0.0)?;
+    Some((found, clock_of(clock, place_clocks, &found.held_by)))
+}
+
 /// The clock by which the parts of an allowance earn.
 fn clock_of<'a>(
     clock: &'a PartClock,
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -211,12 +211,12 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Vec<Pick> {
-        let open = self
-            .servers
-            .values()
-            .filter(|server| server.is_open())
-            .count();
         let mut due = self.limited(want, now);
+        if due.is_empty() {
+            return Vec::new();
+        }
+        let open = self.servers.values();
+        let open = open.filter(|server| server.is_open()).count();
         due.retain(|(per_s, pick)| {
             let share = due_share(*per_s, want.present.requests_per_s, open);
             let is_well = pick.failure_share < SUSPECT_SHARE && pick.wait_ms < 1.0;
