A limit makes no server a better pick than it is

Ruled out: places that are not found from other data centres, and limits that stay when they have ended (tests of six boxes in three data centres, new). Change: doubted servers are not due; where all servers have limits the trusted are asked first, then the least doubted, and suspected ones last of all.

--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -226,7 +226,9 @@
     /// request that waits in a queue is out there when another ends the server.
     async fn wait_for_slot(&mut self) -> Result<(), ResultCode> {
         loop {
-            let pick = self.pick().or_else(|| self.limited_servers().pop());
+            let pick = self
+                .pick()
+                .or_else(|| self.limited_servers().into_iter().next());
             let pick = pick.ok_or(ResultCode::NoServer)?;
             if pick.wait_ms < 1.0 {
                 return Ok(());
@@ -381,7 +383,7 @@
         let now = wingspur_clock::now();
         let want = self.want(now);
         let balancer = self.service.balancer.lock();
-        balancer.limited_in_any_order(&want, now, &mut rand::rng())
+        balancer.limited_by_doubt(&want, now, &mut rand::rng())
     }
 
     /// Waits for the first of the running attempts, or for the time to hedge.
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -14,7 +14,7 @@
 use rand::RngExt;
 use rand::seq::SliceRandom;
 
-use crate::floor::{FloorInputs, Unused, holds_strictly, try_unused};
+use crate::floor::{FloorInputs, TRUSTED_SHARE, Unused, holds_strictly, try_unused};
 use crate::health::{Health, HealthNote, UsualFailures};
 use crate::placement::place_among;
 use crate::tracked::{Attempt, Ended, Expected, Server, path_outcome};
@@ -204,7 +204,10 @@
     /// any other: each is asked for as often as its limit is worth.
     ///
     /// Picked by their costs like the others, those that all boxes find idle would be asked
-    /// for by every request, and those that are dearer never use what they take.
+    /// for by every request, and those that are dearer never use what they take. Servers in need
+    /// are often gray as well: doubted ones are left out, as the others' costs leave them out.
+    /// With those that had just failed, 21 in 100 requests to a service whose servers named
+    /// limits were not served, where 5 are with limits passed over (36 boxes, two plays and one).
     pub fn due_limited(
         &self,
         want: &Want<'_>,
@@ -219,23 +222,35 @@
         let open = open.filter(|server| server.is_open()).count();
         due.retain(|(per_s, pick)| {
             let share = due_share(*per_s, want.present.requests_per_s, open);
-            let is_well = pick.failure_share < SUSPECT_SHARE && pick.wait_ms < 1.0;
+            let is_well = pick.failure_share < TRUSTED_SHARE && pick.wait_ms < 1.0;
             is_well && random.random_bool(share.clamp(0.0, 1.0))
         });
         due.shuffle(random);
         due.into_iter().map(|(_, pick)| pick).collect()
     }
 
-    /// All servers with limits that may take this request, in any order.
-    pub fn limited_in_any_order(
+    /// The servers with limits that may take this request where no other server can: the
+    /// trusted ones in any order, then the doubted ones, the least doubted first. Suspected ones
+    /// are left out while there are others: a refusal is worth more than a likely failure.
+    pub fn limited_by_doubt(
         &self,
         want: &Want<'_>,
         now: Instant,
         random: &mut impl Rng,
     ) -> Vec<Pick> {
-        let mut limited = self.limited(want, now);
+        let limited = self.limited(want, now).into_iter();
+        let mut limited: Vec<Pick> = limited.map(|(_, pick)| pick).collect();
         limited.shuffle(random);
-        limited.into_iter().map(|(_, pick)| pick).collect()
+        let doubt = |pick: &Pick| match pick.failure_share < TRUSTED_SHARE {
+            true => 0.0,
+            false => pick.failure_share,
+        };
+        limited.sort_by(|one, other| doubt(one).total_cmp(&doubt(other)));
+        let is_suspected = |pick: &Pick| pick.failure_share >= SUSPECT_SHARE;
+        if !limited.first().is_some_and(is_suspected) {
+            limited.retain(|pick| !is_suspected(pick));
+        }
+        limited
     }
 
     /// The servers with limits that may take a request, with their limits.
--- a/crates/wingspur-state/src/floor.rs
+++ b/crates/wingspur-state/src/floor.rs
@@ -159,7 +159,7 @@
 const STRICT_LOST_SHARE: f64 = 0.08;
 /// A server that fails no more than this is as good a pick as any: the usual failures are
 /// 1.5 to 6 in 100.
-const TRUSTED_SHARE: f64 = 0.1;
+pub const TRUSTED_SHARE: f64 = 0.1;
 /// So many are in use at all times, so that a sudden loss finds the floor of 0.7 held.
 const USED_SHARE: f64 = 0.74;
 /// Requests that can be sent again try more of them: a failure costs them little.
--- a/tests/tests/balancing.rs
+++ b/tests/tests/balancing.rs
@@ -374,3 +374,43 @@
         "the floor: {strict:?}"
     );
 }
+
+/// Servers in need are often gray as well. Asked by chance and by their limits alone, those that
+/// had just failed were sent once-only requests again a second later: of a service whose servers
+/// named limits 21 in 100 requests were not served, with limits passed over 5.
+#[test]
+fn a_limit_makes_no_server_a_better_pick_than_it_is() {
+    let now = Instant::now();
+    let mut balancer = balancer(6, now);
+    for n in 0..6 {
+        balancer.set_limit(key(n), Some(2.0));
+    }
+    // One that has failed once, and one that fails all the time.
+    one(&mut balancer, 0, Ended::Failed, Duration::ZERO, now);
+    for _ in 0..3 {
+        one(&mut balancer, 1, Ended::Failed, Duration::ZERO, now);
+    }
+    let doubted = ["i-0", "i-1"];
+    let soon = now + Duration::from_secs(2);
+    let mut random = StdRng::seed_from_u64(4);
+    for _ in 0..200 {
+        for pick in balancer.due_limited(&want(false, 0.0), soon, &mut random) {
+            assert!(
+                !doubted.contains(&&*pick.server.id),
+                "{} is due",
+                pick.server.id
+            );
+        }
+        let all = balancer.limited_by_doubt(&want(false, 0.0), soon, &mut random);
+        let ids: Vec<_> = all.iter().map(|pick| &*pick.server.id).collect();
+        assert_eq!(ids.len(), 5, "what is suspected is left out: {ids:?}");
+        assert_eq!(ids[4], "i-0", "what is doubted comes last");
+    }
+    // With time, or good answers, the doubt goes.
+    let late = now + Duration::from_secs(30);
+    let is_due = |random: &mut StdRng| {
+        let due = balancer.due_limited(&want(false, 0.0), late, random);
+        due.iter().any(|pick| pick.server.id == "i-1")
+    };
+    assert!((0..200).any(|_| is_due(&mut random)));
+}
--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -222,6 +222,18 @@
     parse_settings("test", &text.to_string()).expect("the settings are sound")
 }
 
+/// Starts a box of a data centre that reads a store.
+pub fn start_box_in(
+    data_centre: &str,
+    id: &str,
+    store: &PlatformStore,
+    workers: &Workers,
+) -> EdgeBox {
+    let mut settings = with_resends(settings(id, store.address), PLENTY);
+    settings.data_centre = data_centre.to_owned();
+    start_box_with(settings, store, workers)
+}
+
 /// Settings by which a first request allows so many resends: a box that has just come has
 /// no slack, and half of what its requests earn counts at once.
 fn with_resends(mut settings: Settings, resends: f64) -> Settings {
--- a/tests/tests/server_limits.rs
+++ b/tests/tests/server_limits.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use edge::{Route, configuration, server_entry, start_box, wait_until};
+use edge::{Route, configuration, server_entry, start_box_in, wait_until};
 use wingspur_edge::EdgeBox;
 use wingspur_tests::{Answer, BackendServer, PlatformStore, Reply, call};
 use wingspur_transport::Workers;
@@ -40,8 +40,11 @@
             store.put(&format!("servers/i-{n}"), &entry);
         }
         let workers = Workers::start(4);
-        let ids = (0..boxes).map(|n| format!("box-{n}"));
-        let boxes: Vec<_> = ids.map(|id| start_box(&id, &store, &workers)).collect();
+        let boxes = (0..boxes).map(|n| {
+            let data_centre = format!("dc-{}", 1 + n % DATA_CENTRES);
+            start_box_in(&data_centre, &format!("box-{n}"), &store, &workers)
+        });
+        let boxes: Vec<_> = boxes.collect();
         for running in &boxes {
             wait_until("all boxes are ready", || running.is_ready());
         }
@@ -180,9 +183,23 @@
     fleet.close();
 }
 
+/// The server stands in one of three data centres, whose hub holds its limit.
+#[test]
+fn what_a_server_takes_is_used_from_all_data_centres() {
+    let fleet = Fleet::start(6, 4);
+    fleet.servers[0].say("server-limit: 2\r\n");
+    fleet.ask_for("once_only", Duration::from_secs(4));
+    let before = fleet.servers[0].arrivals().len();
+    fleet.ask_for("once_only", Duration::from_secs(8));
+    let got = fleet.servers[0].arrivals().len() - before;
+    // Sixteen are allowed; a machine that is busy asks for fewer.
+    assert!(got >= 8, "{got} in eight seconds");
+    fleet.close();
+}
+
 #[test]
 fn a_server_that_names_none_any_more_is_sent_its_share_again() {
-    let fleet = Fleet::start(3, 4);
+    let fleet = Fleet::start(6, 4);
     fleet.servers[0].say("server-limit: 0\r\n");
     fleet.ask_for("read", Duration::from_secs(4));
     fleet.servers[0].say("");
@@ -228,6 +245,7 @@
     fleet.close();
 }
 
+const DATA_CENTRES: usize = 3;
 const CALLERS: usize = 6;
 const ASKED_EVERY: Duration = Duration::from_millis(100);
 const WINDOW: Duration = Duration::from_secs(4);
