Test of an unreachable server: a port that nobody else can get

Cause: its "closed" port had been given back, and a server of another test got it and answered, with its stamp and each request's id. Not the program: nothing of it is changed. Now the port is the own end of a connection that stands, which nobody can bind.

--- a/tests/tests/edge_path.rs
+++ b/tests/tests/edge_path.rs
@@ -2,7 +2,7 @@
 
 mod edge;
 
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 
 use edge::{Deployment, Route};
 use wingspur_tests::{BackendServer, Reply};
@@ -203,9 +203,11 @@
 
 #[test]
 fn a_server_that_cannot_be_reached_costs_a_once_only_request_nothing() {
-    let free = TcpListener::bind("127.0.0.1:0").unwrap();
-    let closed = free.local_addr().unwrap();
-    drop(free);
+    // The port of a connection's own end: nobody listens there, and nobody else can get it while
+    // the connection stands, as another test's server could a port that was given back.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let connection = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let closed = connection.local_addr().unwrap();
     let servers = [BackendServer::start(|_| Reply::Whole)];
     let deployment = Deployment::start(&servers, &[Route::new("once_only")]);
     deployment.announce("i-dead", closed, "ready");
