Sight: one place hears every head of a server's answer, and tells what it says

AnswerHead::words decodes a head once (leaving, rest in seconds or as a date, limit, not run, another run) and wingspur-edge/server_words.rs::hear_head takes it in for every head that is read: first attempts, resends, second attempts, errors, refusals, surplus answers. What is news has a log line and a counter (wingspur_server_words_total), and so has what cannot be read. Nothing is decided by it yet but the limit, as before.

Standings holds what runs of servers said, by run.

--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -7,7 +7,7 @@
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode};
-use wingspur_protocol::ResultCode;
+use wingspur_protocol::{ResultCode, ServerWords};
 use wingspur_state::{
     AttemptEnd, AttemptId, ClientAccount, Ended, Expected, Pick, RequestFingerprint,
     ServerRecord,
@@ -21,7 +21,7 @@
 use crate::in_force::ActiveRoute;
 use crate::request_log::id_text;
 use crate::requests_out::Ticket;
-use crate::server_limits::note_answer;
+use crate::server_words::hear_head;
 use crate::services::ServiceState;
 use crate::shared::Shared;
 use crate::suspects::{BrokenOff, note_answered, note_broken_off};
@@ -172,7 +172,9 @@
             Some(Ok(answered)) => answered,
         };
         match answered {
-            Conversed::Whole(answer) => self.weigh(answer, connection, guard, began),
+            Conversed::Whole(answer, words) => {
+                self.weigh(answer, &words, connection, guard, began)
+            }
             Conversed::Longer { head, first } => {
                 guard.note_answering();
                 AttemptResult::Streaming {
@@ -195,7 +197,7 @@
         let method = &self.outgoing.method;
         let request = self.head_bytes(account, &body);
         let mut head = connection.exchange(request, body, method).await?;
-        self.note_limit(&head);
+        let mut words = self.hear(&head);
         while self.belongs_to_another(&head) {
             // A second answer to an earlier request; ours may follow it.
             tracing::info!(server = %self.pick.server.id, "attempt: skipped an answer to another request.");
@@ -205,41 +207,41 @@
                 return Err(AnswerError::Unreadable("of another request".to_owned()));
             }
             head = connection.read_head(method).await?;
-            self.note_limit(&head);
+            words = self.hear(&head);
         }
         self.check_own(&head)?;
         match connection.read_whole(HELD_BYTES).await? {
-            Ok(body) => Ok(Conversed::Whole(HeldAnswer { head, body })),
+            Ok(body) => Ok(Conversed::Whole(HeldAnswer { head, body }, words)),
             Err(first) => Ok(Conversed::Longer { head, first }),
         }
     }
 
-    /// Takes in the limit that any answer of the server names, whatever becomes of it here.
-    fn note_limit(&self, head: &AnswerHead) {
-        let (server, headers) = (&self.pick.server, &head.headers);
-        note_answer(&self.shared, server, headers, wingspur_clock::now());
+    fn hear(&self, head: &AnswerHead) -> ServerWords {
+        let id = id_text(self.outgoing.id.as_ref());
+        hear_head(&self.shared, id, &self.pick.server, head)
     }
 
     /// Weighs an answer that is here whole.
     fn weigh(
         &self,
         answer: HeldAnswer,
+        words: &ServerWords,
         connection: BackendConnection,
         mut guard: AttemptGuard,
         began: Instant,
     ) -> AttemptResult {
         let status = answer.head.status;
-        if self.was_not_run(&answer.head) {
+        if words.not_run {
             // A server in need that turns one away is as well as before: its limit tells how
             // much it takes.
-            let at_limit = self.names_limit(&answer.head);
+            let at_limit = words.limit_per_s != Ok(None);
             guard.end(if at_limit {
                 Ended::Abandoned
             } else {
                 Ended::Refused
             });
             guard.backend.keep(connection);
-            if status == StatusCode::MISDIRECTED_REQUEST {
+            if words.is_other_run {
                 let server = &self.pick.server;
                 tracing::warn!(server = %server.id, address = %server.address, "server: its address is another's now.");
                 self.shared.services.close_server(server);
@@ -319,19 +321,6 @@
         Ok(())
     }
 
-    fn was_not_run(&self, head: &AnswerHead) -> bool {
-        if head.status == StatusCode::MISDIRECTED_REQUEST {
-            return self.shared.names.expected_incarnation.is_some();
-        }
-        let marker = self.shared.names.not_run;
-        marker.is_some_and(|name| head.headers.contains_key(name))
-    }
-
-    fn names_limit(&self, head: &AnswerHead) -> bool {
-        let name = self.shared.names.server_limit;
-        name.is_some_and(|name| head.headers.contains_key(name))
-    }
-
     fn belongs_to_another(&self, head: &AnswerHead) -> bool {
         let echoed = head.headers.get(self.shared.names.request_id);
         echoed.is_some_and(|id| Some(id) != self.outgoing.id.as_ref())
@@ -433,7 +422,7 @@
 
 /// What came back on the connection.
 enum Conversed {
-    Whole(HeldAnswer),
+    Whole(HeldAnswer, ServerWords),
     Longer { head: AnswerHead, first: Vec<Bytes> },
 }
 
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -20,7 +20,7 @@
 use crate::quarantine::{SendPermission, is_quarantined, permission_to_send};
 use crate::request_log::{id_text, log_give_up, log_pick, rounded};
 use crate::resend_loans::borrow_resend;
-use crate::server_limits::take_place;
+use crate::server_words::take_place;
 use crate::services::ServiceState;
 use crate::shared::Shared;
 use crate::suspects::{BrokenOff, note_broken_off};
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -22,7 +22,7 @@
 use crate::lending::take_lending;
 use crate::request_log::rounded;
 use crate::resend_loans::told_rooms;
-use crate::server_limits::take_limits;
+use crate::server_words::take_limits;
 use crate::services::ServiceState;
 use crate::shared::Shared;
 use crate::suspects::{greeting_notes, take_notes};
@@ -212,7 +212,7 @@
     let now = wingspur_clock::now();
     let mut greeting = Greeting {
         suspects: greeting_notes(shared),
-        limits: shared.server_limits.lock().named(),
+        limits: shared.standings.lock().limits.named(),
         ..Greeting::default()
     };
     for service in shared.services.all() {
--- a/crates/wingspur-edge/src/lending.rs
+++ b/crates/wingspur-edge/src/lending.rs
@@ -246,7 +246,7 @@
 
 /// What a server takes, held by the hub of its data centre.
 fn of_server(shared: &Shared, server: ServerKey) -> Option<Allowance> {
-    let limit_per_s = shared.server_limits.lock().limit(server)?;
+    let limit_per_s = shared.standings.lock().limits.limit(server)?;
     let service = shared.services.of_server(server)?;
     let balancer = service.balancer.lock();
     let data_centre = balancer.record(server)?.data_centre.clone();
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -24,7 +24,7 @@
 mod request_log;
 mod requests_out;
 mod resend_loans;
-mod server_limits;
+mod server_words;
 mod services;
 mod settings;
 mod shared;
--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -37,8 +37,8 @@
     Balancer,
     /// What a service's refused callers were promised.
     Returns,
-    /// The limits that servers name.
-    ServerLimits,
+    /// What servers have said of themselves.
+    Standings,
     /// How a route's answers spread.
     ServiceTime,
     /// The service of each server.
--- a/crates/wingspur-edge/src/metrics.rs
+++ b/crates/wingspur-edge/src/metrics.rs
@@ -70,6 +70,8 @@
     permits: IntCounterVec,
     /// What servers said of their limits, as far as it was news here.
     server_limits: IntCounterVec,
+    /// What else servers said of themselves.
+    server_words: IntCounterVec,
     frames: IntCounter,
     frame_bytes: IntCounter,
 }
@@ -225,6 +227,11 @@
                 "Whether requests in quarantine were let through, by outcome.",
                 &["outcome"],
             ),
+            server_words: counter(
+                "wingspur_server_words_total",
+                "What servers said of themselves in answers, and what could not be read.",
+                &["word"],
+            ),
             server_limits: counter(
                 "wingspur_server_limits_total",
                 "Limits of servers that were named, changed, ended or not readable.",
@@ -279,6 +286,11 @@
         self.server_limits.with_label_values(&[event]).inc();
     }
 
+    /// Counts what else a server said of itself.
+    pub fn count_server_word(&self, word: &str) {
+        self.server_words.with_label_values(&[word]).inc();
+    }
+
     /// Counts a peer's message that was refused.
     pub fn refuse_peer(&self, reason: &str) {
         self.peer_refusals.with_label_values(&[reason]).inc();
--- a/crates/wingspur-edge/src/server_limits.rs
+++ b/crates/wingspur-edge/src/server_words.rs
@@ -1,52 +1,110 @@
-//! The limits that servers name in their answers: heard, told, and kept to.
+//! What servers say of themselves in their answers: heard, told, and kept to.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
-use hyper::header::HeaderMap;
 use wingspur_coordination::{LinkId, Reserve};
-use wingspur_protocol::{Lendable, LimitNote, parse_server_limit};
+use wingspur_protocol::{Lendable, LimitNote, ServerWords};
 use wingspur_state::{Borrowed, DirectoryChange, LimitChange, Priority, ServerRecord};
+use wingspur_transport::AnswerHead;
 
 use crate::lending::want;
 use crate::shared::Shared;
 
-/// Takes in what an answer of a server says of its limit, whatever else it says.
-pub fn note_answer(
+/// Takes in what the head of an answer says of the server that was asked, whatever becomes
+/// of the answer.
+///
+/// All heads of servers' answers come by here, so that no path of a request can miss a word.
+pub fn hear_head(
     shared: &Shared,
+    id: &str,
+    server: &ServerRecord,
+    head: &AnswerHead,
+) -> ServerWords {
+    let now = wingspur_clock::now();
+    let words = head.words(&shared.names, SystemTime::now());
+    if words.is_other_run {
+        // It has said nothing of the run that was asked.
+        return words;
+    }
+    note_unreadable(shared, id, server, &words);
+    if let Ok(per_s) = words.limit_per_s {
+        hear_limit(shared, server, per_s, now);
+    }
+    if words.leaving == Ok(true) {
+        hear_leaving(shared, id, server, now);
+    }
+    if let Ok(Some(rest)) = words.rest {
+        hear_rest(shared, id, server, rest, now);
+    }
+    words
+}
+
+fn note_unreadable(
+    shared: &Shared,
+    id: &str,
     server: &ServerRecord,
-    headers: &HeaderMap,
-    at: Instant,
+    words: &ServerWords,
 ) {
-    let Some(name) = shared.names.server_limit else {
-        return;
+    let note = |word: &str, error: &dyn std::fmt::Display| {
+        shared.metrics.count_server_word(word);
+        tracing::info!(id, server = %server.id, %error, "server: a word is not read.");
     };
-    let values = headers.get_all(name).iter();
-    let values = values.map(hyper::header::HeaderValue::as_bytes);
-    let per_s = match parse_server_limit(values) {
-        Ok(per_s) => per_s,
-        Err(error) => {
-            tracing::debug!(server = %server.id, %error, "limit: not read.");
-            return shared.metrics.count_limit("unreadable");
-        }
-    };
-    let change = shared
-        .server_limits
-        .lock()
-        .hear_answer(server.key(), per_s, at);
+    if let Err(error) = &words.leaving {
+        note("unreadable_leaving", error);
+    }
+    if let Err(error) = &words.rest {
+        note("unreadable_rest", error);
+    }
+    if let Err(error) = &words.limit_per_s {
+        shared.metrics.count_limit("unreadable");
+        note("unreadable_limit", error);
+    }
+}
+
+fn hear_limit(shared: &Shared, server: &ServerRecord, per_s: Option<f64>, at: Instant) {
+    let mut standings = shared.standings.lock();
+    let change = standings.limits.hear_answer(server.key(), per_s, at);
+    drop(standings);
     if let Some(change) = change {
         apply(shared, &change, "own", None);
     }
 }
 
+fn hear_leaving(shared: &Shared, id: &str, server: &ServerRecord, now: Instant) {
+    let is_news = shared.standings.lock().hear_leaving(server.key(), now);
+    if is_news {
+        shared.metrics.count_server_word("leaving");
+        tracing::info!(id, server = %server.id, service = %server.service, source = "own", "server: says that it leaves.");
+    }
+}
+
+fn hear_rest(
+    shared: &Shared,
+    id: &str,
+    server: &ServerRecord,
+    rest: Duration,
+    now: Instant,
+) {
+    let is_news = shared.standings.lock().hear_rest(server.key(), now + rest);
+    shared.metrics.count_server_word("rest");
+    let outcome = if is_news {
+        "asked for"
+    } else {
+        "asked for less"
+    };
+    let rest_ms = rest.as_millis() as u64;
+    tracing::info!(id, server = %server.id, rest_ms, "rest: {outcome}.");
+}
+
 /// Takes in what another box tells of servers' limits.
 pub fn take_limits(shared: &Shared, link: LinkId, notes: &[LimitNote]) {
     let now = wingspur_clock::now();
     for note in notes {
         let age = Duration::from_millis(note.age_ms.into());
         let told = shared.links.lock().told_between(link, age, now);
-        let mut limits = shared.server_limits.lock();
-        let change = limits.hear_news(note.server, note.per_s, told);
-        drop(limits);
+        let mut standings = shared.standings.lock();
+        let change = standings.limits.hear_news(note.server, note.per_s, told);
+        drop(standings);
         if let Some(change) = change {
             apply(shared, &change, "peer", Some(link));
         }
@@ -60,19 +118,19 @@
         match change {
             DirectoryChange::Put(record) => adopt(shared, record),
             DirectoryChange::Restarted { before, record } => {
-                shared.server_limits.lock().forget(before.key());
+                shared.standings.lock().forget(before.key());
                 adopt(shared, record);
             }
             DirectoryChange::Gone(record) => {
-                shared.server_limits.lock().forget(record.key());
+                shared.standings.lock().forget(record.key());
             }
         }
     }
-    shared.server_limits.lock().tidy(wingspur_clock::now());
+    shared.standings.lock().limits.tidy(wingspur_clock::now());
 }
 
 fn adopt(shared: &Shared, record: &ServerRecord) {
-    let per_s = shared.server_limits.lock().limit(record.key());
+    let per_s = shared.standings.lock().limits.limit(record.key());
     if let Some(service) = shared.services.of_server(record.key()) {
         service.balancer.lock().set_limit(record.key(), per_s);
     }
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -6,7 +6,7 @@
 use wingspur_coordination::LendingDesk;
 use wingspur_protocol::{BoxRecord, HeaderNames};
 use wingspur_state::{
-    Bundle, Directory, DirectoryChange, FleetStanding, ServerLimits, SuspectRequests,
+    Bundle, Directory, DirectoryChange, FleetStanding, Standings, SuspectRequests,
 };
 use wingspur_transport::{Catalog, Connector, LeaseId, Spawner};
 
@@ -18,7 +18,7 @@
 use crate::quarantine::QuarantineState;
 use crate::requests_out::RequestsOut;
 use crate::resend_loans::ResendLoans;
-use crate::server_limits::follow as follow_limits;
+use crate::server_words::follow as follow_words;
 use crate::services::Services;
 use crate::settings::Settings;
 use crate::stopping::Stopping;
@@ -43,8 +43,8 @@
     pub lending: Ranked<LendingDesk>,
     /// Who has room for resends, and what is lent of them.
     pub resend_loans: Ranked<ResendLoans>,
-    /// The limits that servers name.
-    pub server_limits: Ranked<ServerLimits>,
+    /// What servers have said of themselves.
+    pub standings: Ranked<Standings>,
     /// The requests under which servers have ended.
     pub suspects: Ranked<SuspectRequests>,
     /// What is let through of those that are in quarantine.
@@ -102,7 +102,7 @@
             ),
             lending: Ranked::new(Rank::Lending, LendingDesk::new(wingspur_clock::now())),
             resend_loans: Ranked::new(Rank::ResendLoans, ResendLoans::default()),
-            server_limits: Ranked::new(Rank::ServerLimits, ServerLimits::default()),
+            standings: Ranked::new(Rank::Standings, Standings::default()),
             suspects: Ranked::new(Rank::Suspects, SuspectRequests::default()),
             quarantine: Ranked::new(Rank::Quarantine, QuarantineState::new(incarnation)),
             lending_bell: Bell::new(),
@@ -168,7 +168,7 @@
             let servers = changes.len();
             tracing::info!(servers, source, "server: many have changed.");
             self.services.follow(changes);
-            return follow_limits(self, changes);
+            return follow_words(self, changes);
         }
         for change in changes {
             let (event, record) = match change {
@@ -181,7 +181,7 @@
             tracing::info!(%server, %service, address = %record.address, source, "server: {event}.");
         }
         self.services.follow(changes);
-        follow_limits(self, changes);
+        follow_words(self, changes);
     }
 
     /// Whether the box takes callers.
--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -12,7 +12,9 @@
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Uri, Version};
-use wingspur_protocol::{OperationId, OperationOutcome, ResultCode, parse_load_hint};
+use wingspur_protocol::{
+    HeaderNames, OperationId, OperationOutcome, ResultCode, parse_load_hint,
+};
 use wingspur_state::{
     AttemptEnd, AttemptOutcome, RetryDecision, Route, RouteClass, decide_retry,
 };
@@ -292,8 +294,9 @@
     /// Takes in what a server says of its own load and plans.
     fn take_hints(&self, pending: &Pending, server: usize, headers: &HeaderMap) {
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-        let hint = text(LOAD_HEADER).and_then(parse_load_hint);
-        let drains = text(DRAIN_HEADER).is_some();
+        let hint = text(HeaderNames::OWN.load).and_then(parse_load_hint);
+        let leaving = HeaderNames::OWN.leaving;
+        let drains = leaving.is_some_and(|name| headers.contains_key(name));
         if hint.is_none() && !drains {
             return;
         }
@@ -492,10 +495,6 @@
 const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Tells a backend server how much time is left, in milliseconds.
 const DEADLINE_HEADER: &str = "wingspur-deadline-ms";
-/// The published header of load reports.
-const LOAD_HEADER: &str = "endpoint-load-metrics";
-/// By this header a backend server says that it is leaving.
-const DRAIN_HEADER: &str = "wingspur-draining";
 const MOST_KEY_BYTES: usize = 128;
 /// A download that stands still for longer is cut.
 const DOWNLOAD_STANDSTILL: Duration = Duration::from_secs(15);
--- a/crates/wingspur-protocol/src/headers.rs
+++ b/crates/wingspur-protocol/src/headers.rs
@@ -23,7 +23,7 @@
     /// Tells a server the client account of a request.
     pub account: &'static str,
     /// Says that a server is leaving, where servers say so by a header.
-    pub draining: Option<&'static str>,
+    pub leaving: Option<&'static str>,
 }
 
 /// How servers write their load.
@@ -47,6 +47,6 @@
         load_form: LoadForm::EndpointLoadMetrics,
         server_limit: None,
         account: "wingspur-account",
-        draining: Some("wingspur-draining"),
+        leaving: Some("wingspur-draining"),
     };
 }
--- a/crates/wingspur-protocol/src/lib.rs
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -10,6 +10,7 @@
 mod operation;
 mod peer;
 mod server_limit;
+mod server_words;
 mod signing;
 mod store;
 
@@ -33,6 +34,9 @@
     decode_peer, encode_peer,
 };
 pub use server_limit::{UnreadableLimit, parse_server_limit};
+pub use server_words::{
+    ServerWords, UnreadableLeaving, UnreadableRest, parse_leaving, parse_rest,
+};
 pub use signing::{Keyring, SigningError, sign_bundle, verify_bundle};
 pub use store::{
     BundlePointer, Manifest, PartReference, SignedBundle, StoreKeys, digest_of,
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -33,6 +33,7 @@
 mod server_limits;
 mod service_table;
 mod service_time;
+mod standing;
 mod suspects;
 mod tally;
 mod tracked;
@@ -80,6 +81,7 @@
 pub use server_limits::{LimitChange, ServerLimits, due_share};
 pub use service_table::{AttemptOutcome, ServiceTable, TICK, VERDICT_TTL};
 pub use service_time::ServiceTime;
+pub use standing::{Access, ServerStanding, Standings};
 pub use suspects::{
     KnownQuarantine, QUARANTINED_FROM, REMEMBERED, SuspectEvent, SuspectNews,
     SuspectNote, SuspectRequests,
--- /dev/null
+++ b/crates/wingspur-state/src/standing.rs
@@ -0,0 +1,165 @@
+//! How runs of backend servers stand: what each has said of itself, and what binds by it.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Instant;
+
+use crate::{ServerKey, ServerLimits};
+
+/// What this box knows of what runs of servers have said.
+///
+/// What a run says ends by its own end or with the next run, which has another key: neither
+/// when its entry vanishes and comes back nor when anything else changes at the box.
+#[derive(Debug, Default)]
+pub struct Standings {
+    /// What they take from all boxes together.
+    pub limits: ServerLimits,
+    words: HashMap<ServerKey, RunWords>,
+    /// Runs with words that are not announced, those that are so for longest first.
+    unannounced: VecDeque<ServerKey>,
+}
+
+/// What one run has said that binds until its end, or until a moment.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct RunWords {
+    /// Until when it takes what nothing else can serve, if it leaves.
+    leaves: Option<Instant>,
+    /// Until when it wants nothing of this box.
+    rests_until: Option<Instant>,
+    /// Whether another run answers at its address.
+    is_replaced: bool,
+}
+
+/// How a run stands with this box, by all that is known of it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ServerStanding {
+    words: RunWords,
+    limit_per_s: Option<f64>,
+}
+
+/// Whether a request may go to a run of a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Access {
+    /// It may.
+    Open,
+    /// It may if it has a place within what the server takes, in requests a second.
+    WithPlace(f64),
+    /// It may if nothing else can serve it, and its answer should be there by then.
+    LastResort(Instant),
+    /// Not before then, by this box.
+    NotBefore(Instant),
+    /// Not any more.
+    Closed,
+}
+
+impl Standings {
+    /// Takes in that a run leaves, and until when it takes what nothing else can serve;
+    /// whether that was not known.
+    pub fn hear_leaving(&mut self, server: ServerKey, until: Instant) -> bool {
+        let words = self.words_of(server);
+        let known = words.leaves;
+        words.leaves = Some(known.map_or(until, |known| known.min(until)));
+        known.is_none()
+    }
+
+    /// Takes in that a run wants nothing of this box until a moment; whether that is later
+    /// than what was known. A shorter rest, or none, takes nothing back of a longer one.
+    pub fn hear_rest(&mut self, server: ServerKey, until: Instant) -> bool {
+        let words = self.words_of(server);
+        let is_longer = words.rests_until.is_none_or(|known| known < until);
+        if is_longer {
+            words.rests_until = Some(until);
+        }
+        is_longer
+    }
+
+    /// Takes in that another run answers at the address of this one.
+    pub fn hear_replaced(&mut self, server: ServerKey) {
+        self.words_of(server).is_replaced = true;
+    }
+
+    /// How a run stands.
+    pub fn standing(&self, server: ServerKey) -> ServerStanding {
+        ServerStanding {
+            words: self.words.get(&server).copied().unwrap_or_default(),
+            limit_per_s: self.limits.limit(server),
+        }
+    }
+
+    /// The runs that leave, with until when they take what nothing else can serve, for a box
+    /// that has just linked with this one.
+    pub fn leaving(&self) -> Vec<(ServerKey, Instant)> {
+        let leaving = self.words.iter();
+        leaving
+            .filter_map(|(server, words)| Some((*server, words.leaves?)))
+            .collect()
+    }
+
+    /// Notes that a run is announced.
+    pub fn announce(&mut self, server: ServerKey) {
+        self.unannounced.retain(|known| *known != server);
+    }
+
+    /// Notes that a run is not announced any more: its entry may come back, and what it said
+    /// binds then as before.
+    pub fn withdraw(&mut self, server: ServerKey) {
+        let says_any =
+            self.words.contains_key(&server) || self.limits.limit(server).is_some();
+        if !says_any {
+            return;
+        }
+        self.unannounced.retain(|known| *known != server);
+        self.unannounced.push_back(server);
+        if self.unannounced.len() > MOST_UNANNOUNCED
+            && let Some(first) = self.unannounced.pop_front()
+        {
+            self.forget(first);
+        }
+    }
+
+    /// Forgets a run: it has ended, and another has begun.
+    pub fn forget(&mut self, server: ServerKey) {
+        self.words.remove(&server);
+        self.limits.forget(server);
+        self.unannounced.retain(|known| *known != server);
+    }
+
+    fn words_of(&mut self, server: ServerKey) -> &mut RunWords {
+        self.words.entry(server).or_default()
+    }
+}
+
+impl ServerStanding {
+    /// Whether a request of this box may go to the run now.
+    pub fn access(&self, now: Instant) -> Access {
+        let rest = self.words.rests_until.filter(|until| now < *until);
+        if self.words.is_replaced {
+            return Access::Closed;
+        }
+        if let Some(until) = self.words.leaves {
+            // A run in need as well is spared what little it could still do.
+            let may_help = now < until && rest.is_none() && self.limit_per_s.is_none();
+            return match may_help {
+                true => Access::LastResort(until),
+                false => Access::Closed,
+            };
+        }
+        if let Some(until) = rest {
+            return Access::NotBefore(until);
+        }
+        self.limit_per_s.map_or(Access::Open, Access::WithPlace)
+    }
+
+    /// Notes that the catalog says that the run leaves: that closes it at once.
+    pub fn note_announced_leaving(&mut self, now: Instant) {
+        let known = self.words.leaves;
+        self.words.leaves = Some(known.map_or(now, |known| known.min(now)));
+    }
+
+    /// Takes up a limit; none for no limit.
+    pub fn set_limit(&mut self, per_s: Option<f64>) {
+        self.limit_per_s = per_s;
+    }
+}
+
+/// Whoever was withdrawn before so many others has ended: a run lives for seconds then.
+const MOST_UNANNOUNCED: usize = 8192;
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -10,6 +10,7 @@
 mod listener;
 mod pool;
 mod publish;
+mod server_words;
 mod store;
 mod tls;
 mod workers;
