A server that says that it leaves gets no new work, whatever its entry says

Callers' requests were sent to a server for 13 s after all its answers had said that it was about to end: its entry in the store, away just then, was the only word that boxes went by. Cause: no code took up the answers' word; the class is a word of another party that nobody hears.

Now a run of a server has one standing (wingspur-state/standing.rs), which joins what the catalog says, what the server says and that its address is another's, and one function, access, answers whether a request may go there now; picks, due limits, waits, capacity and tries of unused servers all ask it, and the attempt asks it once more when its connection is there. The word stands by run: it survives the entry's going and coming back, listings, outages and changes, and ends with the run's key. Other boxes are told, with the limits. For a second, a first attempt that would wait longer elsewhere than its rank bears may still go there.

Why it holds: no head is written to a run whose standing is closed, and the standing closes in the same call that reads the head.

--- a/crates/wingspur-edge/src/active_link.rs
+++ b/crates/wingspur-edge/src/active_link.rs
@@ -33,6 +33,8 @@
     pub suspects: Vec<SuspectNews>,
     /// What it has not been told yet of servers' limits.
     pub limits: BTreeMap<ServerKey, LimitChange>,
+    /// The servers that leave of which it has not been told yet, with since when.
+    pub leaving_servers: BTreeMap<ServerKey, Instant>,
     /// What it is to be told once.
     pub greeting: Option<Greeting>,
     /// Whether it was told that this box stops.
@@ -50,6 +52,8 @@
     pub suspects: Vec<SuspectNews>,
     /// Of servers' limits.
     pub limits: Vec<LimitChange>,
+    /// Of servers that leave, with since when.
+    pub leaving_servers: Vec<(ServerKey, Instant)>,
 }
 
 impl ActiveLink {
@@ -60,7 +64,9 @@
 
     /// Whether something is to be told that no digest tells.
     pub fn has_own_news(&self) -> bool {
-        !self.suspects.is_empty() || !self.limits.is_empty()
+        !self.suspects.is_empty()
+            || !self.limits.is_empty()
+            || !self.leaving_servers.is_empty()
     }
 
     /// What the other side is to this box, as far as the fleet's view goes.
--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -150,6 +150,12 @@
             return self.failed(AttemptEnd::NotSent, ResultCode::UnknownKey, reason);
         };
         let began = wingspur_clock::now();
+        if !guard.may_send(began) {
+            guard.end(Ended::Abandoned);
+            guard.backend.keep(connection);
+            let reason = &"the server wants nothing any more";
+            return self.failed(AttemptEnd::NotSent, ResultCode::NotSent, reason);
+        }
         let answering = async {
             let account = account.as_deref();
             Some(self.converse(&mut connection, account, body).await)
@@ -241,11 +247,6 @@
                 Ended::Refused
             });
             guard.backend.keep(connection);
-            if words.is_other_run {
-                let server = &self.pick.server;
-                tracing::warn!(server = %server.id, address = %server.address, "server: its address is another's now.");
-                self.shared.services.close_server(server);
-            }
             let end = AttemptEnd::RefusedBeforeRunning;
             return self.failed(end, ResultCode::NotSent, &status);
         }
@@ -444,6 +445,12 @@
         }
     }
 
+    /// Whether the server may still be sent the request, now that there is a connection.
+    fn may_send(&self, now: Instant) -> bool {
+        let balancer = self.service.balancer.lock();
+        balancer.may_send(self.server.key(), now)
+    }
+
     /// Counts the attempt's silence against its server as soon as it tells more; never
     /// ends.
     async fn watch_silence<T>(&self, expected: Expected) -> T {
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -20,7 +20,7 @@
 use crate::quarantine::{SendPermission, is_quarantined, permission_to_send};
 use crate::request_log::{id_text, log_give_up, log_pick, rounded};
 use crate::resend_loans::borrow_resend;
-use crate::server_words::take_place;
+use crate::server_words::{RANKS_APART, take_place};
 use crate::services::ServiceState;
 use crate::shared::Shared;
 use crate::suspects::{BrokenOff, note_broken_off};
@@ -317,17 +317,46 @@
     /// Picks a server; one that has named a limit only once that has a place.
     ///
     /// Each request to such a server has a place of its own, also when it is sent again, so
-    /// that all boxes together send what the server takes: three boxes, each by itself, had
-    /// sent 80 in four seconds to one that names 1.5 a second.
+    /// that all boxes together send what the server takes. A server that leaves gets what
+    /// the others cannot carry, while it may.
     async fn pick_within_limits(&mut self) -> Result<Pick, ResultCode> {
         let due = self.due_servers().into_iter().take(MOST_DUE_ASKED);
         if let Some(pick) = self.first_with_place(due.collect()).await {
             return Ok(pick);
         }
-        if let Some(pick) = self.pick() {
-            return Ok(pick);
+        let pick = self.pick();
+        if pick.as_ref().is_none_or(|pick| self.waits_long(pick))
+            && let Some(leaving) = self.pick_leaving(pick.as_ref())
+        {
+            return Ok(leaving);
+        }
+        match pick {
+            Some(pick) => Ok(pick),
+            None => self.wait_for_place().await,
         }
-        self.wait_for_place().await
+    }
+
+    /// Whether a pick's wait for a slot is worth a server that leaves: the more urgent the
+    /// request, the shorter.
+    fn waits_long(&self, pick: &Pick) -> bool {
+        let rank = f64::from(self.rank().min(RANKS_APART));
+        let typical_ms = self.route.learned.typical().as_secs_f64() * 1000.0;
+        pick.wait_ms > typical_ms * (1.0 + rank)
+    }
+
+    /// A server that leaves and may still take the request, if it answers sooner than the
+    /// other pick. A request that was sent before has had its chance: to a server that leaves
+    /// it is new work.
+    fn pick_leaving(&self, other: Option<&Pick>) -> Option<Pick> {
+        if !self.tried.is_empty() {
+            return None;
+        }
+        let now = wingspur_clock::now();
+        let want = self.want(now);
+        let balancer = self.service.balancer.lock();
+        let leaving = balancer.pick_leaving(&want, now, &mut rand::rng())?;
+        let is_sooner = other.is_none_or(|pick| leaving.expected_ms < pick.expected_ms);
+        is_sooner.then_some(leaving)
     }
 
     /// Waits a little for a place where all servers have limits: what comes soon is worth
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -22,7 +22,7 @@
 use crate::lending::take_lending;
 use crate::request_log::rounded;
 use crate::resend_loans::told_rooms;
-use crate::server_words::take_limits;
+use crate::server_words::{take_leaving, take_limits};
 use crate::services::ServiceState;
 use crate::shared::Shared;
 use crate::suspects::{greeting_notes, take_notes};
@@ -212,9 +212,12 @@
     let now = wingspur_clock::now();
     let mut greeting = Greeting {
         suspects: greeting_notes(shared),
-        limits: shared.standings.lock().limits.named(),
         ..Greeting::default()
     };
+    let standings = shared.standings.lock();
+    greeting.limits = standings.limits.named();
+    greeting.leaving_servers = standings.leaving();
+    drop(standings);
     for service in shared.services.all() {
         greeting
             .health
@@ -276,6 +279,7 @@
     adopt_greeting(shared, &frame, now);
     take_notes(shared, id, &frame.suspects);
     take_limits(shared, id, &frame.limits);
+    take_leaving(shared, id, &frame.leaving_servers);
     if frame.leaving {
         shared.links.lock().note_peer_stop(id);
         shared.replan.poke();
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -10,11 +10,11 @@
     PlannedLink, RecentChanges, Rollup, SourceNews, Standing, hash_of,
 };
 use wingspur_protocol::{
-    BoxRecord, CatalogChanges, CatalogUpdate, Digest, Frame, Lending, LimitNote,
-    LinkRole, Revision,
+    BoxRecord, CatalogChanges, CatalogUpdate, Digest, Frame, LeavingNote, Lending,
+    LimitNote, LinkRole, Revision,
 };
 use wingspur_state::{
-    BoxId, BundleVersion, FleetDivision, FleetStanding, LimitChange, SourceId,
+    BoxId, BundleVersion, FleetDivision, FleetStanding, LimitChange, ServerKey, SourceId,
     SuspectNews,
 };
 use wingspur_transport::LinkSender;
@@ -145,6 +145,7 @@
             bundle_version: 0,
             suspects: Vec::new(),
             limits: BTreeMap::new(),
+            leaving_servers: BTreeMap::new(),
             greeting: None,
             lending: Lending::default(),
             told_leaving: false,
@@ -254,39 +255,61 @@
             let limits = greeting.limits.drain(..);
             link.limits
                 .extend(limits.map(|limit| (limit.server, limit)));
+            link.leaving_servers
+                .extend(greeting.leaving_servers.drain(..));
             link.greeting = Some(greeting);
         }
     }
 
     /// Queues what was seen of a request under which a server ended, for all links that do
     /// not hear it otherwise; whether it came from this box or a member of its own.
-    ///
-    /// What another hub tells, that one tells all other hubs as well.
     pub fn spread_suspect(&mut self, news: &SuspectNews, from: Option<LinkId>) -> bool {
-        let teller = from.and_then(|id| self.active.get(&id));
-        let is_own = teller.is_none_or(|link| link.with() == LinkWith::Member);
-        for (id, link) in &mut self.active {
-            let hears = is_own || link.with() == LinkWith::Member;
-            if hears && Some(*id) != from && link.suspects.len() < MOST_SUSPECT_NEWS {
+        for link in self.hearers(from) {
+            if link.suspects.len() < MOST_SUSPECT_NEWS {
                 link.suspects.push(*news);
             }
         }
-        is_own
+        self.is_own_news(from)
     }
 
     /// Queues a changed limit of a server for all links that do not hear it otherwise; the
     /// newest change of a server replaces those before.
-    ///
-    /// What another hub tells, that one tells all other hubs as well.
     pub fn spread_limit(&mut self, limit: &LimitChange, from: Option<LinkId>) {
+        for link in self.hearers(from) {
+            link.limits.insert(limit.server, *limit);
+        }
+    }
+
+    /// Queues that a server leaves for all links that do not hear it otherwise.
+    pub fn spread_leaving(
+        &mut self,
+        server: ServerKey,
+        since: Instant,
+        from: Option<LinkId>,
+    ) {
+        for link in self.hearers(from) {
+            link.leaving_servers.insert(server, since);
+        }
+    }
+
+    /// Whether news came from this box or a member of its own.
+    fn is_own_news(&self, from: Option<LinkId>) -> bool {
         let teller = from.and_then(|id| self.active.get(&id));
-        let is_own = teller.is_none_or(|link| link.with() == LinkWith::Member);
-        for (id, link) in &mut self.active {
+        teller.is_none_or(|link| link.with() == LinkWith::Member)
+    }
+
+    /// The links that do not hear news otherwise: what another hub tells, that one tells all
+    /// other hubs as well.
+    fn hearers(&mut self, from: Option<LinkId>) -> impl Iterator<Item = &mut ActiveLink> {
+        let is_own = self.is_own_news(from);
+        let others = self
+            .active
+            .iter_mut()
+            .filter(move |(id, _)| Some(**id) != from);
+        others.filter_map(move |(_, link)| {
             let hears = is_own || link.with() == LinkWith::Member;
-            if hears && Some(*id) != from {
-                link.limits.insert(limit.server, *limit);
-            }
-        }
+            hears.then_some(link)
+        })
     }
 
     /// Notes that this box is stopping.
@@ -384,6 +407,9 @@
                 frame.suspects = suspects.map(|news| news.told(now)).collect();
                 let limits = std::mem::take(&mut link.limits).into_values();
                 frame.limits = limits.map(|limit| note_of(&limit, now)).collect();
+                let leaving = std::mem::take(&mut link.leaving_servers).into_iter();
+                let note = |(server, since)| leaving_note(server, since, now);
+                frame.leaving_servers = leaving.map(note).collect();
             }
             frames.push(Outgoing {
                 link: *id,
@@ -608,14 +634,25 @@
 
 /// A server's limit as it is told now.
 fn note_of(limit: &LimitChange, now: Instant) -> LimitNote {
-    let age = now.saturating_duration_since(limit.at);
     LimitNote {
         server: limit.server,
         per_s: limit.per_s,
-        age_ms: age.as_millis().min(u128::from(u32::MAX)) as u32,
+        age_ms: age_ms(limit.at, now),
+    }
+}
+
+fn leaving_note(server: ServerKey, since: Instant, now: Instant) -> LeavingNote {
+    LeavingNote {
+        server,
+        age_ms: age_ms(since, now),
     }
 }
 
+fn age_ms(at: Instant, now: Instant) -> u32 {
+    let age = now.saturating_duration_since(at);
+    age.as_millis().min(u128::from(u32::MAX)) as u32
+}
+
 /// How often news may go to a box of the same data centre: a request takes several times as
 /// long, so a view that old still tells who is busy.
 const HOME_GAP: Duration = Duration::from_millis(50);
--- a/crates/wingspur-edge/src/server_words.rs
+++ b/crates/wingspur-edge/src/server_words.rs
@@ -1,10 +1,13 @@
 //! What servers say of themselves in their answers: heard, told, and kept to.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use wingspur_coordination::{LinkId, Reserve};
-use wingspur_protocol::{Lendable, LimitNote, ServerWords};
-use wingspur_state::{Borrowed, DirectoryChange, LimitChange, Priority, ServerRecord};
+use wingspur_protocol::{LeavingNote, Lendable, LimitNote, ServerWords};
+use wingspur_state::{
+    Borrowed, DirectoryChange, LimitChange, Priority, ServerKey, ServerRecord,
+};
 use wingspur_transport::AnswerHead;
 
 use crate::lending::want;
@@ -23,7 +26,8 @@
     let now = wingspur_clock::now();
     let words = head.words(&shared.names, SystemTime::now());
     if words.is_other_run {
-        // It has said nothing of the run that was asked.
+        // What it says of itself is not of the run that was asked.
+        hear_replaced(shared, id, server);
         return words;
     }
     note_unreadable(shared, id, server, &words);
@@ -39,6 +43,14 @@
     words
 }
 
+/// Stops sending to a run whose address is another's now.
+fn hear_replaced(shared: &Shared, id: &str, server: &ServerRecord) {
+    shared.standings.lock().hear_replaced(server.key());
+    adopt(shared, server.key());
+    shared.metrics.count_server_word("replaced");
+    tracing::warn!(id, server = %server.id, address = %server.address, "server: its address is another's now.");
+}
+
 fn note_unreadable(
     shared: &Shared,
     id: &str,
@@ -73,8 +85,7 @@
 fn hear_leaving(shared: &Shared, id: &str, server: &ServerRecord, now: Instant) {
     let is_news = shared.standings.lock().hear_leaving(server.key(), now);
     if is_news {
-        shared.metrics.count_server_word("leaving");
-        tracing::info!(id, server = %server.id, service = %server.service, source = "own", "server: says that it leaves.");
+        apply_leaving(shared, id, server.key(), now, None);
     }
 }
 
@@ -111,40 +122,81 @@
     }
 }
 
-/// Takes up what servers have named before they were announced, and forgets those that are
-/// gone.
-pub fn follow(shared: &Shared, changes: &[DirectoryChange]) {
+/// Takes in that other boxes have heard servers say that they leave.
+pub fn take_leaving(shared: &Shared, link: LinkId, notes: &[LeavingNote]) {
+    let now = wingspur_clock::now();
+    for note in notes {
+        let age = Duration::from_millis(note.age_ms.into());
+        let (earliest, _) = shared.links.lock().told_between(link, age, now);
+        let is_news = shared.standings.lock().hear_leaving(note.server, earliest);
+        if is_news {
+            apply_leaving(shared, "", note.server, earliest, Some(link));
+        }
+    }
+}
+
+/// Notes what the catalog says of servers before their services follow it: what they have
+/// said stands for as long as their run does, also while it is not announced.
+pub fn note_announced(shared: &Shared, changes: &[DirectoryChange]) {
+    let now = wingspur_clock::now();
+    let mut standings = shared.standings.lock();
+    let mut note_put = |record: &ServerRecord| {
+        standings.announce(record.key());
+        if record.leaving {
+            standings.hear_announced_leaving(record.key(), now);
+        }
+    };
+    for change in changes {
+        match change {
+            DirectoryChange::Put(record) => note_put(record),
+            DirectoryChange::Restarted { record, .. } => note_put(record),
+            DirectoryChange::Gone(_) => {}
+        }
+    }
     for change in changes {
         match change {
-            DirectoryChange::Put(record) => adopt(shared, record),
-            DirectoryChange::Restarted { before, record } => {
-                shared.standings.lock().forget(before.key());
-                adopt(shared, record);
-            }
-            DirectoryChange::Gone(record) => {
-                shared.standings.lock().forget(record.key());
-            }
+            DirectoryChange::Put(_) => {}
+            DirectoryChange::Restarted { before, .. } => standings.forget(before.key()),
+            DirectoryChange::Gone(record) => standings.withdraw(record.key()),
         }
     }
-    shared.standings.lock().limits.tidy(wingspur_clock::now());
+    standings.limits.tidy(now);
 }
 
-fn adopt(shared: &Shared, record: &ServerRecord) {
-    let per_s = shared.standings.lock().limits.limit(record.key());
-    if let Some(service) = shared.services.of_server(record.key()) {
-        service.balancer.lock().set_limit(record.key(), per_s);
-    }
+/// Lets this box's picks go by how a server stands now; the server, if it is announced.
+fn adopt(shared: &Shared, server: ServerKey) -> Option<Arc<ServerRecord>> {
+    let service = shared.services.of_server(server)?;
+    let mut balancer = service.balancer.lock();
+    let standing = shared.standings.lock().standing(server);
+    balancer.set_standing(server, standing);
+    balancer.record(server).cloned()
+}
+
+/// Lets this box's picks go by a server that leaves, and tells the others.
+fn apply_leaving(
+    shared: &Shared,
+    id: &str,
+    key: ServerKey,
+    since: Instant,
+    from: Option<LinkId>,
+) {
+    let record = adopt(shared, key);
+    shared.links.lock().spread_leaving(key, since, from);
+    shared.news.poke();
+    shared.metrics.count_server_word("leaving");
+    tracing::info!(
+        id,
+        server = record.as_ref().map_or("", |record| &record.id),
+        service = record.as_ref().map_or("", |record| &record.service),
+        age_ms = wingspur_clock::since(since).as_millis() as u64,
+        source = if from.is_some() { "peer" } else { "own" },
+        "server: says that it leaves."
+    );
 }
 
 /// Lets this box's picks go by a changed limit, and tells the others.
 fn apply(shared: &Shared, change: &LimitChange, source: &str, from: Option<LinkId>) {
-    let service = shared.services.of_server(change.server);
-    let mut server = None;
-    if let Some(service) = &service {
-        let mut balancer = service.balancer.lock();
-        balancer.set_limit(change.server, change.per_s);
-        server = balancer.record(change.server).cloned();
-    }
+    let record = adopt(shared, change.server);
     shared.links.lock().spread_limit(change, from);
     shared.news.poke();
     let outcome = match (change.before, change.per_s) {
@@ -153,10 +205,9 @@
         (Some(_), Some(_)) => "changed",
     };
     shared.metrics.count_limit(outcome);
-    let server = server.as_ref().map_or("", |server| &server.id);
     tracing::info!(
-        server,
-        service = service.map(|service| service.name.clone()),
+        server = record.as_ref().map_or("", |record| &record.id),
+        service = record.as_ref().map_or("", |record| &record.service),
         before_per_s = change.before,
         per_s = change.per_s,
         age_ms = wingspur_clock::since(change.at).as_millis() as u64,
@@ -205,6 +256,6 @@
 /// The holder of a server's limit answers within some milliseconds; meanwhile a request could
 /// go elsewhere.
 const PLACE_PATIENCE: Duration = Duration::from_millis(40);
-/// Ranks beyond this leave as much as this one, three quarters of the room.
-const RANKS_APART: Priority = 3;
+/// Ranks beyond this count as this one.
+pub const RANKS_APART: Priority = 3;
 const RESERVE_PER_RANK: f32 = 0.25;
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -7,7 +7,7 @@
 
 use wingspur_state::{
     Balancer, BudgetSettings, Bundle, DataCentreId, DirectoryChange, FleetBudget,
-    FleetDivision, ReturnQueue, ServerKey, ServerRecord,
+    FleetDivision, ReturnQueue, ServerKey, ServerRecord, Standings,
 };
 use wingspur_transport::Backend;
 
@@ -92,27 +92,30 @@
         backends.entry(address).or_insert_with(fresh).clone()
     }
 
-    /// Takes in what became of servers.
-    pub fn follow(&self, changes: &[DirectoryChange]) {
+    /// Takes in what became of servers, each with how it stands by what it has said.
+    pub fn follow(&self, changes: &[DirectoryChange], standings: &Ranked<Standings>) {
         let now = wingspur_clock::now();
+        let put = |record: &ServerRecord| {
+            let service = self.get(&record.service);
+            let mut balancer = service.balancer.lock();
+            balancer.put(record.clone(), now);
+            let standing = standings.lock().standing(record.key());
+            balancer.set_standing(record.key(), standing);
+            drop(balancer);
+            self.by_server.lock().insert(record.key(), service);
+        };
         for change in changes {
             match change {
-                DirectoryChange::Put(record) => self.put(record, now),
+                DirectoryChange::Put(record) => put(record),
                 DirectoryChange::Restarted { before, record } => {
                     self.forget(before);
-                    self.put(record, now);
+                    put(record);
                 }
                 DirectoryChange::Gone(record) => self.forget(record),
             }
         }
     }
 
-    fn put(&self, record: &ServerRecord, now: Instant) {
-        let service = self.get(&record.service);
-        service.balancer.lock().put(record.clone(), now);
-        self.by_server.lock().insert(record.key(), service);
-    }
-
     /// Forgets a run of a server, with the connections to it.
     fn forget(&self, record: &ServerRecord) {
         let service = self.get(&record.service);
@@ -142,10 +145,4 @@
             backend.close_rested(now);
         }
     }
-
-    /// Stops sending to a run of a server whose address is another's now.
-    pub fn close_server(&self, record: &ServerRecord) {
-        let key: ServerKey = record.key();
-        self.get(&record.service).balancer.lock().remove(key);
-    }
 }
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -18,7 +18,7 @@
 use crate::quarantine::QuarantineState;
 use crate::requests_out::RequestsOut;
 use crate::resend_loans::ResendLoans;
-use crate::server_words::follow as follow_words;
+use crate::server_words::note_announced;
 use crate::services::Services;
 use crate::settings::Settings;
 use crate::stopping::Stopping;
@@ -163,12 +163,12 @@
     /// Lets the services follow what became of servers.
     pub fn follow(self: &Arc<Self>, changes: &[DirectoryChange], source: &str) {
         note_gone(self, changes);
+        note_announced(self, changes);
         if changes.len() > MOST_SINGLE_LINES {
             // A box that starts would write one for each server that there is.
             let servers = changes.len();
             tracing::info!(servers, source, "server: many have changed.");
-            self.services.follow(changes);
-            return follow_words(self, changes);
+            return self.services.follow(changes, &self.standings);
         }
         for change in changes {
             let (event, record) = match change {
@@ -180,8 +180,7 @@
             let (server, service) = (&record.id, &record.service);
             tracing::info!(%server, %service, address = %record.address, source, "server: {event}.");
         }
-        self.services.follow(changes);
-        follow_words(self, changes);
+        self.services.follow(changes, &self.standings);
     }
 
     /// Whether the box takes callers.
--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -10,7 +10,7 @@
 use crate::{BoxRecord, CatalogChanges, CatalogListing, Revision};
 
 /// The version of the frames; boxes refuse any other.
-pub const LINK_PROTOCOL_VERSION: u16 = 7;
+pub const LINK_PROTOCOL_VERSION: u16 = 8;
 
 /// The first frame of either side.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -72,6 +72,9 @@
     /// Limits of servers that have changed.
     #[serde(default)]
     pub limits: Vec<LimitNote>,
+    /// Servers that have said that they leave.
+    #[serde(default)]
+    pub leaving_servers: Vec<LeavingNote>,
     /// From one hub to another, the parts that are left to it.
     #[serde(default)]
     pub left_parts: Vec<LeftPart>,
@@ -145,6 +148,15 @@
     pub age_ms: u32,
 }
 
+/// That a server has said that it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingNote {
+    /// The server.
+    pub server: ServerKey,
+    /// How long ago a box first heard so, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// A hub leaves to another its part, with those of its members, of what the servers of one
 /// data centre take.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -19,8 +19,8 @@
 use crate::placement::place_among;
 use crate::tracked::{Attempt, Ended, Expected, Server, path_outcome};
 use crate::{
-    AttemptId, DataCentreId, KeyedTally, ServerKey, ServerRecord, ServerTally,
-    ServicePresent, SourceId, due_share,
+    Access, AttemptId, DataCentreId, KeyedTally, ServerKey, ServerRecord, ServerStanding,
+    ServerTally, ServicePresent, SourceId, due_share,
 };
 
 /// The backend servers of a service, as one box picks among them.
@@ -121,10 +121,13 @@
             sent: now,
             failed: None,
             heard: None,
-            limit_per_s: None,
+            standing: ServerStanding::default(),
             suspect: false,
         };
         let server = self.servers.entry(key).or_insert_with(fresh);
+        if record.leaving {
+            server.standing.note_announced_leaving(now);
+        }
         server.record = record;
     }
 
@@ -139,10 +142,17 @@
         self.most_in_flight = (connections / boxes).max(LEAST_CONNECTIONS);
     }
 
+    /// Takes in how a server stands by what it has said.
+    pub fn set_standing(&mut self, key: ServerKey, standing: ServerStanding) {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.standing = standing;
+        }
+    }
+
     /// Takes in what a server takes from all boxes together; none for no limit.
     pub fn set_limit(&mut self, key: ServerKey, per_s: Option<f64>) {
         if let Some(server) = self.servers.get_mut(&key) {
-            server.limit_per_s = per_s;
+            server.standing.set_limit(per_s);
         }
     }
 
@@ -151,13 +161,19 @@
         Some(&self.servers.get(&key)?.record)
     }
 
-    /// Whether a server is known and takes new work.
-    pub fn is_open(&self, key: ServerKey) -> bool {
-        self.servers.get(&key).is_some_and(Server::is_open)
+    /// Whether a request that was to go to a server may still be sent there: what the server
+    /// says may come while a connection is made.
+    pub fn may_send(&self, key: ServerKey, now: Instant) -> bool {
+        let server = self.servers.get(&key);
+        let access = server.map(|server| server.standing.access(now));
+        access.is_some_and(|access| match access {
+            Access::Open | Access::WithPlace(_) | Access::LastResort(_) => true,
+            Access::NotBefore(_) | Access::Closed => false,
+        })
     }
 
-    /// Picks the server with the least cost among those that have named no limit; none when
-    /// there is none.
+    /// Picks the server with the least cost among those that any request may go to; none
+    /// when there is none.
     pub fn pick(
         &self,
         want: &Want<'_>,
@@ -167,15 +183,43 @@
         if let Some(pick) = self.pick_unused(want, now, random) {
             return Some(pick);
         }
+        self.cheapest(want, |access, _| access == Access::Open, now, random)
+    }
+
+    /// Picks a server that leaves, for a request that nothing else can serve as soon: one
+    /// whose answer should be there before its time is over.
+    pub fn pick_leaving(
+        &self,
+        want: &Want<'_>,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<Pick> {
+        let is_in_time = |access, expected: Duration| match access {
+            Access::LastResort(until) => now + expected < until,
+            _ => false,
+        };
+        self.cheapest(want, is_in_time, now, random)
+    }
+
+    /// The server with the least cost among those that may take the request, by whether a
+    /// request may go there and when its answer should be there.
+    fn cheapest(
+        &self,
+        want: &Want<'_>,
+        may_take: impl Fn(Access, Duration) -> bool,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<Pick> {
         let usual = self.usual.share();
         let mut costs = Vec::with_capacity(self.servers.len());
-        for (key, server) in &self.servers {
-            let saturated = server.own.in_flight >= self.most_in_flight;
-            let is_limited = server.limit_per_s.is_some();
-            if !server.is_open() || want.tried.contains(key) || saturated || is_limited {
+        for server in self.servers.values() {
+            let Some(access) = self.access(server, want, now) else {
                 continue;
-            }
+            };
             let weight = self.weigh(server, want, usual, now);
+            if !may_take(access, weight.expected()) {
+                continue;
+            }
             let noise = 1.0 + NOISE * random.random::<f64>();
             let cost =
                 weight.expected_ms * noise + self.penalty_ms(server, want, &weight, now);
@@ -205,9 +249,8 @@
     ///
     /// Picked by their costs like the others, those that all boxes find idle would be asked
     /// for by every request, and those that are dearer never use what they take. Servers in need
-    /// are often gray as well: doubted ones are left out, as the others' costs leave them out.
-    /// With those that had just failed, 21 in 100 requests to a service whose servers named
-    /// limits were not served, where 5 are with limits passed over (36 boxes, two plays and one).
+    /// are often gray as well: doubted ones are left out, as the others' costs leave them out,
+    /// so that a limit makes no server a better pick than it is.
     pub fn due_limited(
         &self,
         want: &Want<'_>,
@@ -218,8 +261,11 @@
         if due.is_empty() {
             return Vec::new();
         }
-        let open = self.servers.values();
-        let open = open.filter(|server| server.is_open()).count();
+        let open = self.servers.values().filter(|server| {
+            let access = server.standing.access(now);
+            matches!(access, Access::Open | Access::WithPlace(_))
+        });
+        let open = open.count();
         due.retain(|(per_s, pick)| {
             let share = due_share(*per_s, want.present.requests_per_s, open);
             let is_well = pick.failure_share < MOST_DUE_DOUBT && pick.wait_ms < 1.0;
@@ -261,11 +307,11 @@
     /// The servers with limits that may take a request, with their limits.
     fn limited(&self, want: &Want<'_>, now: Instant) -> Vec<(f64, Pick)> {
         let usual = self.usual.share();
-        let limited = self.servers.iter().filter_map(|(key, server)| {
-            let per_s = server.limit_per_s?;
-            let saturated = server.own.in_flight >= self.most_in_flight;
-            let may = server.is_open() && !want.tried.contains(key) && !saturated;
-            may.then_some((per_s, server))
+        let limited = self.servers.values().filter_map(|server| {
+            match self.access(server, want, now)? {
+                Access::WithPlace(per_s) => Some((per_s, server)),
+                _ => None,
+            }
         });
         let limited: Vec<_> = limited.collect();
         let candidates = limited.len();
@@ -276,15 +322,28 @@
         weighed.collect()
     }
 
+    /// Whether a request may go to a server; none where it was sent there before, or where
+    /// this box has as many out there as it may.
+    fn access(&self, server: &Server, want: &Want<'_>, now: Instant) -> Option<Access> {
+        let saturated = server.own.in_flight >= self.most_in_flight;
+        let was_tried = want.tried.contains(&server.record.key());
+        let may = !saturated && !was_tried;
+        may.then(|| server.standing.access(now))
+    }
+
     /// The shortest wait for a slot at any open server without a limit; none when there is no
     /// such server.
     pub fn least_wait(&self, want: &Want<'_>, now: Instant) -> Option<Duration> {
         let usual = self.usual.share();
-        let open = self.servers.values();
-        let open = open.filter(|server| server.is_open() && server.limit_per_s.is_none());
-        let waits = open.map(|server| self.weigh(server, want, usual, now).wait_ms);
-        let least = waits.min_by(f64::total_cmp)?;
-        Some(Duration::from_secs_f64(least / 1000.0))
+        let waits = self.servers.values().filter_map(|server| {
+            let wait_ms = self.weigh(server, want, usual, now).wait_ms;
+            match server.standing.access(now) {
+                Access::Open => Some(Duration::from_secs_f64(wait_ms / 1000.0)),
+                Access::WithPlace(_) | Access::LastResort(_) => None,
+                Access::NotBefore(_) | Access::Closed => None,
+            }
+        });
+        waits.min()
     }
 
     /// Requests that the open servers can answer in a second, as likely as they are well, and
@@ -292,14 +351,18 @@
     pub fn capacity_per_s(&self, typical: Duration, now: Instant) -> f64 {
         let usual = self.usual.share();
         let typical_s = typical.as_secs_f64().max(LEAST_TYPICAL_S);
-        let open = self.servers.values().filter(|server| server.is_open());
-        let rates = open.map(|server| {
+        let rates = self.servers.values().map(|server| {
+            let most_per_s = match server.standing.access(now) {
+                Access::Open => f64::INFINITY,
+                Access::WithPlace(per_s) => per_s,
+                Access::LastResort(_) | Access::NotBefore(_) | Access::Closed => 0.0,
+            };
             let health = server.health.at(now);
             let answered = 1.0 - server.failure_share(usual, now);
             let accepted = 1.0 - health.refusal_share();
             let slots = f64::from(server.record.slots) / health.slowness();
             let per_s = slots * answered * accepted / typical_s;
-            per_s.min(server.limit_per_s.unwrap_or(f64::INFINITY))
+            per_s.min(most_per_s)
         });
         rates.sum()
     }
@@ -484,7 +547,8 @@
     pub fn suspects(&self, now: Instant) -> Vec<String> {
         let usual = self.usual.share();
         let suspected = |server: &&Server| {
-            server.failure_share(usual, now) >= SUSPECT_SHARE || !server.is_open()
+            let is_closed = server.standing.access(now) == Access::Closed;
+            server.failure_share(usual, now) >= SUSPECT_SHARE || is_closed
         };
         let suspects = self.servers.values().filter(suspected);
         suspects.map(|server| server.record.id.clone()).collect()
@@ -501,8 +565,9 @@
             let failed = server
                 .failed
                 .is_some_and(|at| now < at + FLOOR_AFTER_FAILURE);
-            // What has named a limit does not count as in use or not: it is sent what that allows.
-            server.is_open() && !failed && server.limit_per_s.is_none()
+            // What has named a limit does not count as in use or not: it is sent what that
+            // allows, and what leaves or rests nothing.
+            !failed && server.standing.access(now) == Access::Open
         };
         // The boxes of its own data centre can try a server for less.
         let at_home = want.crossing >= DEAR_CROSSING && !holds_strictly(&want.present);
@@ -594,6 +659,10 @@
 }
 
 impl Weight {
+    fn expected(&self) -> Duration {
+        Duration::from_secs_f64(self.expected_ms / 1000.0)
+    }
+
     fn pick(&self, server: &Server, candidates: usize, now: Instant) -> Pick {
         Pick {
             server: server.record.clone(),
@@ -635,9 +704,8 @@
 const DEAR_CROSSING: Duration = Duration::from_millis(300);
 /// A box may always have so many requests out at a server.
 const LEAST_CONNECTIONS: u32 = 4;
-/// A server with a limit that is doubted more is left to those without: with 4 of 16 gray, 0.74
-/// to 0.81 of all limits are used, and a tenth (`TRUSTED_SHARE`) leaves 0.59 to 0.71; a third sends twice
-/// as many to gray ones where all have limits (16 instead of 8 in 100 of what is sent fails).
+/// A server with a limit that is doubted more is left to those without: less leaves much of
+/// the limits unused, more sends gray servers what fails.
 const MOST_DUE_DOUBT: f64 = 0.2;
 /// From here on a server is named as suspect in the status.
 pub const SUSPECT_SHARE: f64 = 0.35;
--- a/crates/wingspur-state/src/standing.rs
+++ b/crates/wingspur-state/src/standing.rs
@@ -1,7 +1,7 @@
 //! How runs of backend servers stand: what each has said of itself, and what binds by it.
 
 use std::collections::{HashMap, VecDeque};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::{ServerKey, ServerLimits};
 
@@ -21,14 +21,21 @@
 /// What one run has said that binds until its end, or until a moment.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 struct RunWords {
-    /// Until when it takes what nothing else can serve, if it leaves.
-    leaves: Option<Instant>,
+    /// Since when it is known to leave, and until when it takes what nothing else can serve.
+    leaves: Option<Leaving>,
     /// Until when it wants nothing of this box.
     rests_until: Option<Instant>,
     /// Whether another run answers at its address.
     is_replaced: bool,
 }
 
+/// That a run leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Leaving {
+    since: Instant,
+    works_until: Instant,
+}
+
 /// How a run stands with this box, by all that is known of it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ServerStanding {
@@ -52,13 +59,24 @@
 }
 
 impl Standings {
-    /// Takes in that a run leaves, and until when it takes what nothing else can serve;
-    /// whether that was not known.
-    pub fn hear_leaving(&mut self, server: ServerKey, until: Instant) -> bool {
+    /// Takes in that a run has said that it leaves; whether that was not known.
+    pub fn hear_leaving(&mut self, server: ServerKey, since: Instant) -> bool {
         let words = self.words_of(server);
-        let known = words.leaves;
-        words.leaves = Some(known.map_or(until, |known| known.min(until)));
-        known.is_none()
+        let is_news = words.leaves.is_none();
+        words.note_leaving(Leaving {
+            since,
+            works_until: since + WORKS_ON_FOR,
+        });
+        is_news
+    }
+
+    /// Takes in that the catalog says that a run leaves: that closes it at once. The catalog
+    /// may have known it for as long as its news takes.
+    pub fn hear_announced_leaving(&mut self, server: ServerKey, now: Instant) {
+        self.words_of(server).note_leaving(Leaving {
+            since: now,
+            works_until: now,
+        });
     }
 
     /// Takes in that a run wants nothing of this box until a moment; whether that is later
@@ -85,13 +103,13 @@
         }
     }
 
-    /// The runs that leave, with until when they take what nothing else can serve, for a box
-    /// that has just linked with this one.
+    /// The runs that leave, with since when that is known, for a box that has just linked
+    /// with this one.
     pub fn leaving(&self) -> Vec<(ServerKey, Instant)> {
         let leaving = self.words.iter();
-        leaving
-            .filter_map(|(server, words)| Some((*server, words.leaves?)))
-            .collect()
+        let leaving =
+            leaving.filter_map(|(server, words)| Some((*server, words.leaves?.since)));
+        leaving.collect()
     }
 
     /// Notes that a run is announced.
@@ -128,6 +146,17 @@
     }
 }
 
+impl RunWords {
+    /// Takes in that the run leaves; what was known sooner, or ends sooner, counts.
+    fn note_leaving(&mut self, told: Leaving) {
+        let known = self.leaves.unwrap_or(told);
+        self.leaves = Some(Leaving {
+            since: known.since.min(told.since),
+            works_until: known.works_until.min(told.works_until),
+        });
+    }
+}
+
 impl ServerStanding {
     /// Whether a request of this box may go to the run now.
     pub fn access(&self, now: Instant) -> Access {
@@ -135,11 +164,11 @@
         if self.words.is_replaced {
             return Access::Closed;
         }
-        if let Some(until) = self.words.leaves {
+        if let Some(leaving) = self.words.leaves {
             // A run in need as well is spared what little it could still do.
-            let may_help = now < until && rest.is_none() && self.limit_per_s.is_none();
-            return match may_help {
-                true => Access::LastResort(until),
+            let is_in_need = rest.is_some() || self.limit_per_s.is_some();
+            return match now < leaving.works_until && !is_in_need {
+                true => Access::LastResort(leaving.works_until),
                 false => Access::Closed,
             };
         }
@@ -151,8 +180,10 @@
 
     /// Notes that the catalog says that the run leaves: that closes it at once.
     pub fn note_announced_leaving(&mut self, now: Instant) {
-        let known = self.words.leaves;
-        self.words.leaves = Some(known.map_or(now, |known| known.min(now)));
+        self.words.note_leaving(Leaving {
+            since: now,
+            works_until: now,
+        });
     }
 
     /// Takes up a limit; none for no limit.
@@ -161,5 +192,8 @@
     }
 }
 
+/// For so long a run that has said that it leaves takes what nothing else can serve; it may
+/// not get any new work a few seconds later, and what it was sent has to end before it does.
+const WORKS_ON_FOR: Duration = Duration::from_secs(1);
 /// Whoever was withdrawn before so many others has ended: a run lives for seconds then.
 const MOST_UNANNOUNCED: usize = 8192;
--- a/crates/wingspur-state/src/tracked.rs
+++ b/crates/wingspur-state/src/tracked.rs
@@ -5,7 +5,9 @@
 use std::time::Instant;
 
 use crate::health::Health;
-use crate::{ServerKey, ServerRecord, ServerTally, ServiceTime, SourceId};
+use crate::{
+    ServerKey, ServerRecord, ServerStanding, ServerTally, ServiceTime, SourceId,
+};
 
 /// A backend server with all that a box knows of it.
 #[derive(Debug)]
@@ -30,8 +32,8 @@
     pub failed: Option<Instant>,
     /// When another box last told of it.
     pub heard: Option<Instant>,
-    /// What it takes from all boxes together, in requests a second; none for no limit.
-    pub limit_per_s: Option<f64>,
+    /// What it has said of itself, and what binds by that.
+    pub standing: ServerStanding,
     /// Whether it was a suspect when this was last reviewed.
     pub suspect: bool,
 }
@@ -91,11 +93,6 @@
 }
 
 impl Server {
-    /// Whether it takes new work.
-    pub fn is_open(&self) -> bool {
-        !self.record.leaving
-    }
-
     /// Takes in outcomes; whether they have made a suspect of it.
     pub fn hear(&mut self, outcomes: &ServerTally, usual: f64, now: Instant) -> bool {
         let before = self.health.at(now).sickness();
