A server that asks a box for rest gets nothing from it until then

A server that had turned a request away by 503 and asked for seconds of rest was sent more by the same box: a single refusal hardly counts against a server that has answered well.

Where all servers rest, a request waits for the first one if that is back within 300 ms, apart from others that wait; else it is refused at once (2007, servers_rest) with the first one's return in Retry-After, and capacity that is back within the 2 s that a caller can be told counts as there.

--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -229,7 +229,10 @@
             let pick = self
                 .pick()
                 .or_else(|| self.limited_servers().into_iter().next());
-            let pick = pick.ok_or(ResultCode::NoServer)?;
+            let pick = pick.ok_or_else(|| match self.soonest_back() {
+                Some(_) => ResultCode::ServersRest,
+                None => ResultCode::NoServer,
+            })?;
             if pick.wait_ms < 1.0 {
                 return Ok(());
             }
@@ -359,28 +362,45 @@
         is_sooner.then_some(leaving)
     }
 
-    /// Waits a little for a place where all servers have limits: what comes soon is worth
-    /// more than a refusal, and what does not come soon is refused at once.
+    /// Waits a little where all servers have limits or rest: what comes soon is worth more
+    /// than a refusal, and what does not come soon is refused at once.
     async fn wait_for_place(&mut self) -> Result<Pick, ResultCode> {
         let until = wingspur_clock::now() + MOST_PLACE_WAIT.min(self.remaining() / 4);
         loop {
             let limited = self.limited_servers();
-            if limited.is_empty() {
-                return self.pick().ok_or(ResultCode::NoServer);
-            }
-            self.place_in = None;
-            let asked = limited.into_iter().take(MOST_LIMITED_ASKED).collect();
-            if let Some(pick) = self.first_with_place(asked).await {
-                return Ok(pick);
-            }
-            let pause = self.place_in.unwrap_or(PLACE_CHECK).max(PLACE_CHECK);
+            let pause = if limited.is_empty() {
+                // Those that wait for the same moment do not all go at once.
+                let back_in = self.soonest_back().ok_or(ResultCode::NoServer)?;
+                back_in + PLACE_CHECK.mul_f64(rand::random())
+            } else {
+                self.place_in = None;
+                let asked = limited.iter().take(MOST_LIMITED_ASKED).cloned().collect();
+                if let Some(pick) = self.first_with_place(asked).await {
+                    return Ok(pick);
+                }
+                self.place_in.unwrap_or(PLACE_CHECK).max(PLACE_CHECK)
+            };
             if wingspur_clock::now() + pause > until {
-                return Err(ResultCode::ServersAtLimit);
+                return Err(match limited.is_empty() {
+                    true => ResultCode::ServersRest,
+                    false => ResultCode::ServersAtLimit,
+                });
             }
             wingspur_clock::sleep(pause).await;
+            if let Some(pick) = self.pick() {
+                return Ok(pick);
+            }
         }
     }
 
+    /// When the first server that rests may take the request.
+    fn soonest_back(&self) -> Option<Duration> {
+        let now = wingspur_clock::now();
+        let want = self.want(now);
+        let balancer = self.service.balancer.lock();
+        balancer.soonest_back(&want, now)
+    }
+
     /// The first of some servers whose limit has a place for this request.
     async fn first_with_place(&mut self, servers: Vec<Pick>) -> Option<Pick> {
         let rank = self.rank();
@@ -803,7 +823,8 @@
 /// Where all servers have limits, so many are asked for a place in a row, some milliseconds
 /// each; the others are mostly known to have none.
 const MOST_LIMITED_ASKED: usize = 4;
-/// A place that is this far off is named to the caller as the time to come back.
+/// A place, or the end of a rest, that is this far off is named to the caller as the time to
+/// come back.
 const MOST_PLACE_WAIT: Duration = Duration::from_millis(300);
 const PLACE_CHECK: Duration = Duration::from_millis(50);
 /// Servers of a service without any should be back, or announced, within this.
--- a/crates/wingspur-edge/src/server_words.rs
+++ b/crates/wingspur-edge/src/server_words.rs
@@ -97,6 +97,9 @@
     now: Instant,
 ) {
     let is_news = shared.standings.lock().hear_rest(server.key(), now + rest);
+    if is_news {
+        adopt(shared, server.key());
+    }
     shared.metrics.count_server_word("rest");
     let outcome = if is_news {
         "asked for"
--- a/crates/wingspur-protocol/src/codes.rs
+++ b/crates/wingspur-protocol/src/codes.rs
@@ -27,6 +27,8 @@
     Quarantined,
     /// All servers that may take the request have named limits that are used up.
     ServersAtLimit,
+    /// All servers that may take the request have asked for rest.
+    ServersRest,
     /// The concern's places and queue are full.
     ConcernFull,
     /// The deadline would pass, or passed, before the request was sent.
@@ -57,7 +59,7 @@
 
 impl ResultCode {
     /// All codes, in the order of their numbers.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::NoRoute,
         Self::MethodNotAllowed,
         Self::TooLarge,
@@ -70,6 +72,7 @@
         Self::AllowanceUnknown,
         Self::Quarantined,
         Self::ServersAtLimit,
+        Self::ServersRest,
         Self::NoServer,
         Self::NotSent,
         Self::DeadlineInDoubt,
@@ -98,6 +101,7 @@
             Self::AllowanceUnknown => 2004,
             Self::Quarantined => 2005,
             Self::ServersAtLimit => 2006,
+            Self::ServersRest => 2007,
             Self::NoServer => 3001,
             Self::NotSent => 3002,
             Self::DeadlineInDoubt => 3003,
@@ -122,7 +126,8 @@
             Self::UnknownKey => 401,
             Self::AccountLimit => 429,
             Self::ConcernFull | Self::NoServer | Self::ClaimUnavailable => 503,
-            Self::AllowanceUnknown | Self::Quarantined | Self::ServersAtLimit => 503,
+            Self::AllowanceUnknown | Self::Quarantined => 503,
+            Self::ServersAtLimit | Self::ServersRest => 503,
             Self::DeadlineBeforeSend | Self::NotReady | Self::NewsLate => 503,
             // A caller may trust a 503 to mean that nothing ran.
             Self::NotSent => 503,
@@ -146,6 +151,7 @@
             Self::AllowanceUnknown => "allowance_unknown",
             Self::Quarantined => "quarantined",
             Self::ServersAtLimit => "servers_at_limit",
+            Self::ServersRest => "servers_rest",
             Self::ConcernFull => "concern_full",
             Self::DeadlineBeforeSend => "deadline_before_send",
             Self::NoServer => "no_server",
@@ -178,7 +184,8 @@
     pub fn retry_after_s(self) -> Option<u32> {
         match self {
             Self::AccountLimit | Self::ConcernFull => Some(1),
-            Self::AllowanceUnknown | Self::ServersAtLimit => Some(1),
+            Self::AllowanceUnknown => Some(1),
+            Self::ServersAtLimit | Self::ServersRest => Some(1),
             Self::DeadlineBeforeSend | Self::NoServer | Self::NotSent => Some(1),
             Self::InProgress | Self::NotReady | Self::NewsLate => Some(1),
             Self::ClaimUnavailable | Self::Quarantined => Some(5),
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -17,6 +17,7 @@
 use crate::floor::{FloorInputs, TRUSTED_SHARE, Unused, holds_strictly, try_unused};
 use crate::health::{Health, HealthNote, UsualFailures};
 use crate::placement::place_among;
+use crate::returning::LONGEST_RETURN;
 use crate::tracked::{Attempt, Ended, Expected, Server, path_outcome};
 use crate::{
     Access, AttemptId, DataCentreId, KeyedTally, ServerKey, ServerRecord, ServerStanding,
@@ -331,21 +332,32 @@
         may.then(|| server.standing.access(now))
     }
 
-    /// The shortest wait for a slot at any open server without a limit; none when there is no
-    /// such server.
+    /// The shortest wait for a slot at any open server without a limit, or for the end of a
+    /// server's rest; none when there is no such server.
     pub fn least_wait(&self, want: &Want<'_>, now: Instant) -> Option<Duration> {
         let usual = self.usual.share();
         let waits = self.servers.values().filter_map(|server| {
             let wait_ms = self.weigh(server, want, usual, now).wait_ms;
             match server.standing.access(now) {
                 Access::Open => Some(Duration::from_secs_f64(wait_ms / 1000.0)),
-                Access::WithPlace(_) | Access::LastResort(_) => None,
-                Access::NotBefore(_) | Access::Closed => None,
+                Access::NotBefore(until) => Some(until.saturating_duration_since(now)),
+                Access::WithPlace(_) | Access::LastResort(_) | Access::Closed => None,
             }
         });
         waits.min()
     }
 
+    /// When the first server that rests may take the request again; none where none rests.
+    pub fn soonest_back(&self, want: &Want<'_>, now: Instant) -> Option<Duration> {
+        let resting = self.servers.values().filter_map(|server| {
+            match self.access(server, want, now)? {
+                Access::NotBefore(until) => Some(until.saturating_duration_since(now)),
+                _ => None,
+            }
+        });
+        resting.min()
+    }
+
     /// Requests that the open servers can answer in a second, as likely as they are well, and
     /// as far as their limits allow.
     pub fn capacity_per_s(&self, typical: Duration, now: Instant) -> f64 {
@@ -355,7 +367,11 @@
             let most_per_s = match server.standing.access(now) {
                 Access::Open => f64::INFINITY,
                 Access::WithPlace(per_s) => per_s,
-                Access::LastResort(_) | Access::NotBefore(_) | Access::Closed => 0.0,
+                // Who is told now when to come back finds it there.
+                Access::NotBefore(until) if until <= now + LONGEST_RETURN => {
+                    f64::INFINITY
+                }
+                Access::NotBefore(_) | Access::LastResort(_) | Access::Closed => 0.0,
             };
             let health = server.health.at(now);
             let answered = 1.0 - server.failure_share(usual, now);
--- a/crates/wingspur-state/src/returning.rs
+++ b/crates/wingspur-state/src/returning.rs
@@ -77,7 +77,7 @@
 /// Sooner than this nothing has changed: a request takes a few tenths of a second.
 const SOONEST_RETURN: Duration = Duration::from_millis(100);
 /// Callers wait no longer than a third of their time, which is a few seconds.
-const LONGEST_RETURN: Duration = Duration::from_secs(2);
+pub const LONGEST_RETURN: Duration = Duration::from_secs(2);
 /// Also a service that is asked for more than it can do ends some work all the time: this
 /// part of its capacity goes to those who come back.
 const LEAST_SPARE_SHARE: f64 = 0.1;
