Callers wait a moment for an allowance that comes soon, or comes back after a loss

Accounts far beneath their limits were refused in the seconds after boxes were lost.

Now a request waits up to 250 ms for one that comes within that; while the part has shrunk or grown within 2.5 s an empty pool tells nothing, and callers wait their 1.2 s; who waits there is measured by half of the whole. What is told counts those ahead. The bound is untouched: only who waits has changed, nothing more is minted.

--- a/crates/wingspur-coordination/src/lending_desk.rs
+++ b/crates/wingspur-coordination/src/lending_desk.rs
@@ -37,6 +37,15 @@
 struct Waiting {
     tell: async_channel::Sender<Borrowed>,
     reserve: Reserve,
+    since: Instant,
+}
+
+impl Waiting {
+    /// Whether it is worth its while to wait on for what comes after a time.
+    fn may_wait_for(&self, more_in: Duration, now: Instant) -> bool {
+        let waited = now.saturating_duration_since(self.since);
+        comes_soon(more_in) && waited < SOON
+    }
 }
 
 /// Where somebody who waits is told what came of it.
@@ -179,7 +188,10 @@
     ) -> (Result<Borrowed, Told>, LendingMessages) {
         let borrower = self.borrowers.entry(of).or_default();
         let outcome = match borrower.want(now) {
-            Borrowed::Waits | Borrowed::Unknown => Err(self.wait_for(of, reserve)),
+            Borrowed::Waits | Borrowed::Unknown => Err(self.wait_for(of, reserve, now)),
+            Borrowed::Refused(more_in) if comes_soon(more_in) => {
+                Err(self.wait_for(of, reserve, now))
+            }
             outcome => Ok(outcome),
         };
         (outcome, self.ask_hub(of, hub, now))
@@ -204,14 +216,13 @@
             return (Ok(outcome), LendingMessages::new());
         }
         if lenders.is_empty() || self.is_quiet(of, now) {
-            let is_sure = matches!(outcome, Borrowed::Refused(_));
-            let outcome = match is_sure {
-                true => Ok(outcome),
-                false => Err(self.wait_for(of, reserve)),
+            let outcome = match outcome {
+                Borrowed::Refused(more_in) if !comes_soon(more_in) => Ok(outcome),
+                _ => Err(self.wait_for(of, reserve, now)),
             };
             return (outcome, LendingMessages::new());
         }
-        let told = self.wait_for(of, reserve);
+        let told = self.wait_for(of, reserve, now);
         let search = Search::new(of, None, (0, 1), reserve, now);
         (Err(told), self.begin_search(search, lenders, now))
     }
@@ -233,9 +244,9 @@
         if pool.lend_at_once(1, reserve.into(), &found.terms, clock, now) == 1 {
             return Borrowed::Taken;
         }
-        match clock.is_young(&found.terms) && !is_behind_too_many(ahead, found, clock) {
-            true => Borrowed::Unknown,
-            false => Borrowed::Refused(pool.next_in(&found.terms, clock)),
+        match may_tell(found, clock) || is_behind_too_many(ahead, found, clock) {
+            false => Borrowed::Unknown,
+            true => Borrowed::Refused(comes_in(pool, found, clock, ahead)),
         }
     }
 
@@ -352,9 +363,13 @@
         let pool = self.pools.entry(request.of).or_default();
         let lent = pool.lend_at_once(urgent, reserve, &found.terms, clock, now);
         let missing = (urgent - lent) as usize;
-        let is_sure =
-            !clock.is_young(&found.terms) || is_behind_too_many(missing, found, clock);
-        let more_in = is_sure.then(|| millis(pool.next_in(&found.terms, clock)));
+        let more_in = match is_behind_too_many(missing, found, clock) {
+            true => Some(millis(comes_in(pool, found, clock, missing))),
+            false if may_tell(found, clock) => {
+                Some(millis(comes_in(pool, found, clock, 0)))
+            }
+            false => None,
+        };
         LoanAnswer {
             urgent: lent,
             more_in_ms: more_in,
@@ -371,7 +386,7 @@
     ) -> Option<Duration> {
         let (clock, places) = (&self.clock, &self.place_clocks);
         let (found, clock) = held(found, standing, clock, places)?;
-        if clock.is_young(&found.terms) {
+        if !may_tell(found, clock) {
             return None;
         }
         let pool = self.pools.entry(of).or_default();
@@ -391,7 +406,7 @@
         if let Some(mut search) = self.searches.remove(&answer.number) {
             search.take(answer.urgent);
             if search.missing == 0 {
-                return self.end_search(search, more_in, standing, find);
+                return self.end_search(search, more_in, standing, find, now);
             }
             return self.search_on_or_end(search, more_in, standing, find, now);
         }
@@ -407,7 +422,7 @@
         let granted = borrower.take_urgent(number, urgent, more_in, now);
         let refusal = borrower.refusal(now);
         let (granted, ends) = granted.unwrap_or((0, now));
-        let spare = granted - self.tell_waiting(of, granted, refusal);
+        let spare = granted - self.tell_waiting(of, granted, refusal, now);
         if spare > 0 {
             let borrower = self.borrowers.entry(of).or_default();
             borrower.keep_spare(spare, ends);
@@ -425,6 +440,7 @@
         of: Lendable,
         granted: u32,
         rest: Option<Borrowed>,
+        now: Instant,
     ) -> u32 {
         let Some(waiting) = self.waiting.get_mut(&of) else {
             return 0;
@@ -438,10 +454,14 @@
             // One that gives up at this moment does not listen: what it was lent is void.
             let _ = waiting.tell.try_send(Borrowed::Taken);
         }
-        if let Some(outcome @ Borrowed::Refused(_)) = rest {
-            for waiting in waiting.drain(..) {
-                let _ = waiting.tell.try_send(outcome);
-            }
+        if let Some(outcome @ Borrowed::Refused(more_in)) = rest {
+            waiting.retain(|waiting| {
+                let waits_on = waiting.may_wait_for(more_in, now);
+                if !waits_on {
+                    let _ = waiting.tell.try_send(outcome);
+                }
+                waits_on
+            });
         }
         if waiting.is_empty() {
             self.waiting.remove(&of);
@@ -499,7 +519,7 @@
         search.hubs.retain(|hub| standing.hears_hub(*hub));
         if search.hubs.is_empty() || search.ends <= now {
             self.quiet.insert(search.of, now + QUIET_AFTER_NONE);
-            return self.end_search(search, more_in, standing, find);
+            return self.end_search(search, more_in, standing, find, now);
         }
         self.search_on(search, now)
     }
@@ -512,6 +532,7 @@
         more_in: Option<Duration>,
         standing: &Standing,
         find: FindAllowance<'_>,
+        now: Instant,
     ) -> LendingMessages {
         let of = search.of;
         let found = find(of);
@@ -520,7 +541,8 @@
         let more_in = here.or(more_in);
         let Some((link, number)) = search.asker else {
             let rest = more_in.filter(|_| search.missing > 0);
-            let told = self.tell_waiting(of, search.found, rest.map(Borrowed::Refused));
+            let rest = rest.map(Borrowed::Refused);
+            let told = self.tell_waiting(of, search.found, rest, now);
             if search.found > told && found.is_some() {
                 let pool = self.pools.entry(of).or_default();
                 pool.give_back(search.found - told);
@@ -582,10 +604,10 @@
             let asked = (of, reserve, 0);
             match self.take_of_pool(asked, found.as_ref(), standing, now) {
                 Borrowed::Taken => {
-                    self.tell_waiting(of, 1, None);
+                    self.tell_waiting(of, 1, None, now);
                 }
                 outcome => {
-                    self.tell_waiting(of, 0, Some(outcome));
+                    self.tell_waiting(of, 0, Some(outcome), now);
                     return;
                 }
             }
@@ -609,11 +631,15 @@
         });
     }
 
-    fn wait_for(&mut self, of: Lendable, reserve: Reserve) -> Told {
+    fn wait_for(&mut self, of: Lendable, reserve: Reserve, now: Instant) -> Told {
         let (tell, told) = async_channel::bounded(1);
         let waiting = self.waiting.entry(of).or_default();
         waiting.retain(|waiting| !waiting.tell.is_closed());
-        waiting.push_back(Waiting { tell, reserve });
+        waiting.push_back(Waiting {
+            tell,
+            reserve,
+            since: now,
+        });
         told
     }
 
@@ -732,13 +758,37 @@
     }
 }
 
+/// Whether an empty pool tells that the account has used what it may: not while parts are
+/// under way, as after losses of boxes. Who asks then waits for what comes with them.
+fn may_tell(found: &Allowance, clock: &PartClock) -> bool {
+    !clock.is_young(&found.terms) && !clock.has_shrunk(&found.terms)
+}
+
+/// When there should be one for who comes behind so many others.
+fn comes_in(pool: &Pool, found: &Allowance, clock: &PartClock, ahead: usize) -> Duration {
+    let next_in = pool.next_in(&found.terms, clock);
+    let minted_per_s = found.terms.per_s * clock.part();
+    let queue_s = ahead as f64 / minted_per_s.max(LEAST_MINTED_PER_S);
+    next_in + Duration::from_secs_f64(queue_s).min(LONGEST_QUEUE)
+}
+
+/// Whether what is there after a time is worth a wait rather than a refusal: parts mint moment
+/// by moment, and hubs divide them unevenly for as long.
+fn comes_soon(more_in: Duration) -> bool {
+    more_in <= SOON
+}
+
 /// Whether more wait than a part mints while who waits is patient: the last of them are
 /// refused at once, whatever the account has used before.
 ///
-/// After a loss of all boxes callers of accounts over their limits waited 1.2 s for
-/// nothing: 468 in four seconds at the third of the boxes whose logs were kept (113 boxes).
+/// A part that is only coming, as after losses of boxes, says little of what it will mint:
+/// then those of an account beneath its limit may all wait.
 fn is_behind_too_many(waiting: usize, found: &Allowance, clock: &PartClock) -> bool {
-    let minted = found.terms.per_s * clock.part() * PATIENCE.as_secs_f64();
+    let part = match may_tell(found, clock) {
+        true => clock.part(),
+        false => clock.most_lately().max(PART_TO_COME),
+    };
+    let minted = found.terms.per_s * part * PATIENCE.as_secs_f64();
     waiting as f64 >= minted.max(1.0)
 }
 
@@ -755,6 +805,15 @@
 /// Another data centre's hub answers within some milliseconds, or some tens where it is busy;
 /// what comes later is lost to the allowance.
 const HUB_ANSWER_LOST: Duration = Duration::from_millis(60);
+/// A request waits so long for one that is sure to come, a small part of the time in which
+/// an answer is wanted; a caller over its limit is refused no later.
+const SOON: Duration = Duration::from_millis(250);
+/// A part that mints less than this is no part to wait for.
+const LEAST_MINTED_PER_S: f64 = 0.01;
+/// Nobody waits for longer; the figure is told only.
+const LONGEST_QUEUE: Duration = Duration::from_secs(10);
+/// The part that a hub may come to have, of a few data centres.
+const PART_TO_COME: f64 = 0.5;
 /// Who waits for an account's allowance does so a little longer than this.
 const PATIENCE: Duration = Duration::from_secs(1);
 /// What is found is void where it comes later than `URGENT_LASTS` after it was asked for.
--- a/crates/wingspur-state/src/part_clock.rs
+++ b/crates/wingspur-state/src/part_clock.rs
@@ -140,6 +140,28 @@
         terms.stocked && self.lasting < self.part * SETTLED_SHARE
     }
 
+    /// Whether the part has shrunk so lately that an empty pool says nothing of the account:
+    /// what is missing is minted by nobody, or by another box, and may have just come back.
+    pub fn has_shrunk(&self, terms: &AllowanceTerms) -> bool {
+        let least = self.lately().fold(self.part, f64::min);
+        terms.stocked && least < self.most_lately() * SETTLED_SHARE
+    }
+
+    /// The greatest part that the box has had lately.
+    pub fn most_lately(&self) -> f64 {
+        self.lately().fold(self.part, f64::max)
+    }
+
+    /// The parts that the box has had lately.
+    fn lately(&self) -> impl Iterator<Item = f64> {
+        let spans = self.spans.iter().rev();
+        let is_late = |span: &&Span| {
+            let age = self.seen.saturating_duration_since(span.began);
+            age < COMES_BACK_WITHIN
+        };
+        spans.take_while(is_late).map(|span| span.part)
+    }
+
     /// This moment.
     pub fn mark(&self) -> Mark {
         Mark {
@@ -175,6 +197,10 @@
 const STOCK_SHARE: f64 = 0.6;
 /// A part has grown lately if the box has had less than this share of it for long.
 const SETTLED_SHARE: f64 = 0.5;
+/// A part that was lost with its box, or with the hub that had it, is in use again within
+/// this: 0.8 s until nobody else can use it, a second until a lost hub is given up, and the
+/// time of a start or of a link.
+const COMES_BACK_WITHIN: Duration = Duration::from_millis(2500);
 /// The last time is remembered in spans of at least this: the part of all 40 boxes of a fleet
 /// changes some times a second while boxes come and go.
 const SPAN: Duration = Duration::from_millis(250);
