Callers wait 1.8 s where nobody can tell of an allowance

After six in ten boxes were killed at once 546 requests of accounts beneath their limits were refused as unknown: a box that starts again uses its part 0.8 s later, since its former run may have left it to a hub just before, and hubs are linked by then; who had come in between gave up at 1.2 s, as the parts began to mint.

--- a/crates/wingspur-edge/src/lending.rs
+++ b/crates/wingspur-edge/src/lending.rs
@@ -263,8 +263,8 @@
 }
 
 /// An answer takes some milliseconds; a hub that is lost has a successor after about a second,
-/// and one that has just taken over has minted some by then.
-const LONGEST_WAIT: Duration = Duration::from_millis(1200);
+/// a box that starts again uses its part 0.8 s later, and what waits by then is minted soon after.
+const LONGEST_WAIT: Duration = Duration::from_millis(1800);
 /// How often what waits is looked at.
 const GO_ON_EVERY: Duration = Duration::from_millis(20);
 /// How often the part's clock is set while nobody asks.
