--- a/crates/wingspur-coordination/src/catalog_queue.rs
+++ b/crates/wingspur-coordination/src/catalog_queue.rs
@@ -7,10 +7,9 @@
 
 /// What one link has not been told yet of the catalog.
 ///
-/// Purpose: when 129 servers join within five seconds, each of the 115 writes of their first
-/// half second goes to 92 links of a hub. One frame for each made all news up to three
-/// seconds late, and boxes sent up to 270 requests a second to a server that they took for
-/// idle (443 boxes before 720 servers, logs of one play).
+/// Purpose: when many servers join at once, each of their writes goes to all links of a hub.
+/// One frame for each would make all news seconds late, and boxes would go on sending to a
+/// server that they take for idle.
 #[derive(Debug)]
 pub struct CatalogQueue {
     updates: Vec<CatalogUpdate>,
--- a/crates/wingspur-coordination/src/feed_view.rs
+++ b/crates/wingspur-coordination/src/feed_view.rs
@@ -168,8 +168,7 @@
 const LATE_NEWS: Duration = Duration::from_millis(1200);
 /// Boxes step in one after the other, so that one call, not forty, finds out: those that may
 /// be the hub first, and the others drawn out by their names. What one reads it tells its
-/// hub, and that the others, in some 50 ms; of 36 members without news 27 listed at the same
-/// time before (logs of one play).
+/// hub, and that the others, in some 50 ms.
 const RANK_STAGGER: Duration = Duration::from_millis(20);
 const MOST_STAGGERED: usize = 4;
 const SAME_RANK_STAGGER: Duration = Duration::from_millis(250);
--- a/crates/wingspur-coordination/src/fleet_census.rs
+++ b/crates/wingspur-coordination/src/fleet_census.rs
@@ -11,9 +11,9 @@
 /// The boxes that this one is linked with or is told of by other hubs.
 ///
 /// Purpose: while a hub takes another's place, both count the members that move. By numbers
-/// alone a fleet of 113 was taken for 184 for a minute, and a third of what it shares by its
-/// number was used by nobody (logs of one play). A box that starts again keeps its key: its
-/// new run uses its part only once its former one cannot any more.
+/// alone the fleet is taken for larger than it is, and a part of what it shares by its number
+/// is used by nobody. A box that starts again keeps its key: its new run uses its part only
+/// once its former one cannot any more.
 #[derive(Debug)]
 pub struct FleetCensus {
     links: BTreeMap<LinkId, LinkCensus>,
--- a/crates/wingspur-coordination/src/link_plan.rs
+++ b/crates/wingspur-coordination/src/link_plan.rs
@@ -64,9 +64,8 @@
     /// Takes in that a box is not announced any more.
     ///
     /// One that is linked with this box counts on for a while: it is there, and has lost the
-    /// store only. Purpose: where the two strongest boxes of a data centre were cut off from
-    /// the store, a box of a tenth of a core was the hub of 36 for seven seconds, and could
-    /// answer no question of theirs in time: 2,434 requests were refused (113 boxes, one play).
+    /// store only. Purpose: the strongest boxes of a data centre stay its hubs where they are
+    /// cut off from the store; a weak box in their place could answer few questions in time.
     pub fn remove(&mut self, id: &BoxId, now: Instant) {
         let Some(record) = self.boxes.remove(id) else {
             return;
--- a/crates/wingspur-edge/src/active_link.rs
+++ b/crates/wingspur-edge/src/active_link.rs
@@ -83,9 +83,8 @@
     /// What is to be told of the catalog; a listing leaves out a bundle that the other side
     /// has.
     ///
-    /// Prevents that a hub which has just taken over owes each member the whole bundle: with
-    /// 1,420 routes and 36 members that is 3.1 MB, or 2.5 s of a link of ten megabits, and
-    /// so late was all other news of such a hub (logs of one play).
+    /// Prevents that a hub which has just taken over owes each member the whole bundle: that
+    /// would fill a weak hub's link for seconds, and all its other news would be as late.
     pub fn take_catalog(&mut self, now: Instant) -> Vec<CatalogUpdate> {
         let mut updates = self.catalog.take(now);
         for update in &mut updates {
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -831,7 +831,6 @@
 const NO_SERVER_COME_BACK: Duration = Duration::from_millis(500);
 /// What a request that crosses to another data centre is charged, and more for each
 /// kilobyte of the request's and the answer's body: bytes between data centres are the
-/// dearest of the prices. Half as much a kilobyte, and none for the request's, let
-/// four tenths more bytes cross (means of 20 plays of 32 s each).
+/// dearest of the prices.
 const CROSSING_LEAST: Duration = Duration::from_millis(30);
 const CROSSING_PER_KB: Duration = Duration::from_millis(30);
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -451,8 +451,8 @@
 /// A connection within a region is up in milliseconds; a lost opening packet is only sent
 /// again after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Boxes that start together meet hubs whose machines have no power yet: of 443, 186 waited
-/// 0.7 s for one, and were ready 0.6 s after the others (logs of one play).
+/// Boxes that start together meet hubs whose machines have no power yet; those that wait for
+/// one are ready later than the others.
 const START_CONNECT_TIMEOUT: Duration = Duration::from_millis(80);
 const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
 /// The store tells who is there; seeds are for when it is silent.
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -55,9 +55,8 @@
 
 /// Gives a hub the time to tell this box all there is, before it lists that itself.
 ///
-/// Purpose: boxes that start together are bound by the store's link. Of 443 boxes that lost
-/// power, each listed 0.4 MB, and the last knew a bundle 1.2 s after its start (1 Gbit/s,
-/// logs of one play).
+/// Purpose: boxes that start together are bound by the store's link; the last to list would
+/// know a bundle late.
 async fn wait_for_hub(shared: &Arc<Shared>) {
     let boxes = find_boxes(shared).await;
     let (own_id, before) = {
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -685,7 +685,7 @@
 /// A side that has not answered for so long does not read, or is not reached.
 const MOST_WAIT: Duration = Duration::from_secs(3);
 const LEAST_TICK: Duration = Duration::from_millis(10);
-/// Reading the announcements ranks all boxes, and each frame and request asks for them: read
-/// anew each time, boxes took 1.1 to 1.5 times their processor time (12 plays). A box that
-/// is a tenth of a second late to know of another is within the margin that joining has.
+/// Reading the announcements ranks all boxes, and each frame and request asks for them: that
+/// would be a good part of a box's processor time. A box that is a tenth of a second late to
+/// know of another is within the margin that joining has.
 const ANNOUNCED_FOR: Duration = Duration::from_millis(100);
--- a/crates/wingspur-state/src/borrowing.rs
+++ b/crates/wingspur-state/src/borrowing.rs
@@ -204,9 +204,7 @@
 pub const URGENT_LASTS: Duration = Duration::from_millis(200);
 /// The stock is for so long: a hub that is lost has a successor after about a second.
 const STOCKED_S: f64 = 1.0;
-/// A smaller stock is not worth it: what one box holds no other can use. With one for each
-/// account that a box had seen, an account was let through 51 times where 420 were allowed, and
-/// 1 in 100 requests of accounts beneath their limits were refused (113 boxes, one play).
+/// A smaller stock is not worth it: what one box holds no other can use.
 const LEAST_STOCK: f64 = 2.0;
 /// Less than this is not asked for.
 const LEAST_WANTED: f64 = 0.5;
@@ -222,8 +220,8 @@
 /// account far over its limit costs each box a few questions a second, not one a request.
 const LEAST_REFUSED: Duration = Duration::from_millis(30);
 const MOST_REFUSED: Duration = Duration::from_millis(100);
-/// A stock that was not wanted for so long ends. Stocks that ended after three seconds were
-/// most of what accounts of a few requests a second were lent: each box sees one now and then.
+/// A stock that was not wanted for so long ends; each box sees some accounts now and then
+/// only.
 const STOCK_KEPT_FOR: Duration = Duration::from_secs(6);
 /// A stock is renewed before it ends: an answer may take half a second.
 const RENEWED_BEFORE: Duration = Duration::from_millis(1200);
--- a/crates/wingspur-state/src/floor.rs
+++ b/crates/wingspur-state/src/floor.rs
@@ -38,12 +38,10 @@
 /// steady rate that leaves one in eight untried after two seconds, since each of their
 /// failures adds to the loss.
 ///
-/// Prevents that servers which no pick takes, like cold ones, stay unused for two seconds:
-/// with the same chance at any age half of six that had just joined did (36 boxes with
-/// news 150 ms late). A share of all in use bounds no part of them: with nine in ten in use
-/// the 20 most doubtful of 100 got nothing for seconds, some of them well after a single
-/// failure. Trying the doubtful as surely as the trusted lost 7.7 instead of 6.5 in 100
-/// once-only requests (means of 20 plays of 32 s each).
+/// Prevents that servers which no pick takes, like cold ones, stay unused for two seconds,
+/// as they would with the same chance at any age. A share of all in use bounds no part of
+/// them: the most doubtful would get nothing for seconds, some of them well after a single
+/// failure. Trying the doubtful as surely as the trusted would lose more requests.
 pub fn try_unused<K: Copy>(
     servers: &[Unused<K>],
     inputs: &FloorInputs,
@@ -77,8 +75,8 @@
 ///
 /// The others are tried in calm times as well: a sudden loss, as of all boxes, makes the two
 /// seconds before it ones in which many requests were not served, and what was out then counts
-/// as failed at its server, so that the sound servers are those that had nothing out. Of 15 such
-/// ones 7 had rested for two to ten seconds after a failure or two (113 boxes, 121 servers).
+/// as failed at its server, so that the sound servers are those that had nothing out: of them
+/// many may have rested for seconds after a failure or two.
 fn tries_of_neglected<K: Copy>(servers: &[Unused<K>], strict: bool) -> Vec<(f64, K)> {
     let neglected = servers.iter().filter(|server| {
         let may_be_tried = strict || server.failure_share < SUSPECT_SHARE;
@@ -118,9 +116,7 @@
 /// it has rested.
 ///
 /// Purpose: once several tries are to be expected, what is missing is the news of them and
-/// not a try. Where the rate went on doubling while news was three seconds late, one server
-/// got 270 requests a second, which its queue turned away (443 boxes, 720 servers, logs of
-/// one play).
+/// not a try: a rate that went on doubling would fill one server's queue.
 fn tries_per_s<K>(server: &Unused<K>, strict: bool) -> f64 {
     if server.failure_share >= TRUSTED_SHARE {
         return match strict {
--- a/crates/wingspur-state/src/hedge.rs
+++ b/crates/wingspur-state/src/hedge.rs
@@ -24,9 +24,8 @@
 /// That is when the first has likelier failed than is slow, and later while the budget is
 /// scarce. While it is ample, the second is sent in time to be on target itself.
 ///
-/// Gain over a second attempt at three times the usual: of reads with a target of 600 ms
-/// and a time-out of a second, 6.3 in 100 are lost instead of 6.9 (means of 20 plays of
-/// 32 s each).
+/// Gain: fewer reads are lost than with a second attempt at a fixed multiple of the usual
+/// time.
 pub fn hedge_after(inputs: &HedgeInputs) -> Duration {
     let spent = inputs.spent_share.clamp(0.0, 1.0);
     let doubt = LEAST_DOUBT + (MOST_DOUBT - LEAST_DOUBT) * spent;
--- a/crates/wingspur-state/src/part_clock.rs
+++ b/crates/wingspur-state/src/part_clock.rs
@@ -191,9 +191,8 @@
     }
 }
 
-/// The share of a part of the depth that stocks may take. With all of it lent to boxes that
-/// had asked once, accounts far beneath their limits were refused 58 of 100 requests (113
-/// boxes, one play).
+/// The share of a part of the depth that stocks may take: what is lent to boxes that have
+/// asked once is missing where callers come.
 const STOCK_SHARE: f64 = 0.6;
 /// A part has grown lately if the box has had less than this share of it for long.
 const SETTLED_SHARE: f64 = 0.5;
--- a/crates/wingspur-state/src/placement.rs
+++ b/crates/wingspur-state/src/placement.rs
@@ -12,10 +12,8 @@
 /// more than that: servers that are used often are the first known to be well.
 ///
 /// The load pattern that it answers: many boxes with late news and more than half of all
-/// slots in use. Of 88 boxes that hear each other each 290 ms, before 60 servers of three
-/// slots of which 63 in 100 are in use, 5.7 in 100 requests found a queue full when each
-/// went to the cheapest, and one in ten waited over 545 ms; so it is none, and 133 ms. With
-/// 80 in 100 in use it is none instead of 14 in 100 (means of three plays of 8 s).
+/// slots in use. Were each request sent to the cheapest, some would find its queue full while
+/// others had slots free.
 pub fn place_among<S>(
     servers: &mut [S],
     cost_ms: impl Fn(&S) -> f64,
--- a/crates/wingspur-state/src/returning.rs
+++ b/crates/wingspur-state/src/returning.rs
@@ -33,10 +33,7 @@
     /// The load pattern that it answers: many callers are refused at once, come back
     /// together and are refused again. Each gets a place of its own behind those that are as
     /// urgent or more, as far apart as the service has room for them; asking again sooner
-    /// gains nothing, since a new refusal names a later place. Of 240 callers that 40 boxes
-    /// refuse within a tenth of a second, before a service with room for 200 a second, no
-    /// tenth of a second sees more than 26 again; told the shortest wait, all came within
-    /// two (five plays with fixed seeds).
+    /// gains nothing, since a new refusal names a later place.
     pub fn promise(
         &mut self,
         inputs: &ReturnInputs,
--- a/crates/wingspur-state/src/service_time.rs
+++ b/crates/wingspur-state/src/service_time.rs
@@ -7,9 +7,7 @@
 /// the few requests that take five times as long as the rest.
 ///
 /// Purpose: a server that hangs is found before its requests are lost, whatever the
-/// route's time-out. Where three servers in ten hang now and then and time-outs are a
-/// second, 6.1 in 100 requests are lost, and 11.0 if silence tells nothing (means of ten
-/// plays of 32 s each).
+/// route's time-out.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServiceTime {
     /// The mean of the ratios' logarithms.
