--- a/tests/tests/fleet_play/mod.rs
+++ b/tests/tests/fleet_play/mod.rs
@@ -147,7 +147,7 @@
 fn most_lost_after_a_roll(place: usize, ms: u64) -> bool {
     let rolled_ms = 10_000 + 600 * (place as u64 / 2);
     let is_rolled = place < 16 && within(ms, rolled_ms, rolled_ms + 300);
-    let is_killed = place % 5 == 0 && within(ms, 18_000, 18_300);
+    let is_killed = place.is_multiple_of(5) && within(ms, 18_000, 18_300);
     let is_lost = place * 7 % 10 < 6 && within(ms, 22_000, 22_300);
     !(is_rolled || is_killed || is_lost)
 }
