Words of runs that are not announced are bounded, whoever told them

A note of another box on a run that this one does not know, or knows no more, would have been kept for ever: a run a time. Standings knows who is announced and keeps words of the last 8,192 others. Found by reading; tests/standing.rs tells 20,000 such runs (8,193 kept with the announced one), which were all kept before.

--- a/crates/wingspur-state/src/standing.rs
+++ b/crates/wingspur-state/src/standing.rs
@@ -1,6 +1,6 @@
 //! How runs of backend servers stand: what each has said of itself, and what binds by it.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use crate::{ServerKey, ServerLimits};
@@ -14,6 +14,7 @@
     /// What they take from all boxes together.
     pub limits: ServerLimits,
     words: HashMap<ServerKey, RunWords>,
+    announced: HashSet<ServerKey>,
     /// Runs with words that are not announced, those that are so for longest first.
     unannounced: VecDeque<ServerKey>,
 }
@@ -114,23 +115,18 @@
 
     /// Notes that a run is announced.
     pub fn announce(&mut self, server: ServerKey) {
-        self.unannounced.retain(|known| *known != server);
+        let is_new = self.announced.insert(server);
+        if is_new && self.says_any(server) {
+            self.unannounced.retain(|known| *known != server);
+        }
     }
 
     /// Notes that a run is not announced any more: its entry may come back, and what it said
     /// binds then as before.
     pub fn withdraw(&mut self, server: ServerKey) {
-        let says_any =
-            self.words.contains_key(&server) || self.limits.limit(server).is_some();
-        if !says_any {
-            return;
-        }
-        self.unannounced.retain(|known| *known != server);
-        self.unannounced.push_back(server);
-        if self.unannounced.len() > MOST_UNANNOUNCED
-            && let Some(first) = self.unannounced.pop_front()
-        {
-            self.forget(first);
+        self.announced.remove(&server);
+        if self.says_any(server) {
+            self.note_unannounced(server);
         }
     }
 
@@ -138,12 +134,32 @@
     pub fn forget(&mut self, server: ServerKey) {
         self.words.remove(&server);
         self.limits.forget(server);
+        self.announced.remove(&server);
         self.unannounced.retain(|known| *known != server);
     }
 
     fn words_of(&mut self, server: ServerKey) -> &mut RunWords {
+        let is_new = !self.says_any(server);
+        if is_new && !self.announced.contains(&server) {
+            // Told by another box, before this one knows the run or after its end.
+            self.note_unannounced(server);
+        }
         self.words.entry(server).or_default()
     }
+
+    fn says_any(&self, server: ServerKey) -> bool {
+        self.words.contains_key(&server) || self.limits.limit(server).is_some()
+    }
+
+    fn note_unannounced(&mut self, server: ServerKey) {
+        self.unannounced.retain(|known| *known != server);
+        self.unannounced.push_back(server);
+        if self.unannounced.len() > MOST_UNANNOUNCED
+            && let Some(first) = self.unannounced.pop_front()
+        {
+            self.forget(first);
+        }
+    }
 }
 
 impl RunWords {
--- a/tests/tests/standing.rs
+++ b/tests/tests/standing.rs
@@ -162,6 +162,11 @@
     let later = now + Duration::from_secs(2);
     assert_eq!(standings.standing(RUN).access(later), Access::Closed);
     assert_eq!(standings.standing(19_999).access(later), Access::Closed);
+    // Others tell of runs that this box never knew.
+    for run in 30_000..50_000 {
+        standings.hear_leaving(run, now);
+    }
+    assert_eq!(standings.leaving().len(), 8_192 + 1);
 }
 
 fn record(n: usize) -> ServerRecord {
