--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -65,7 +65,16 @@
 /// Takes in a listing that this box read itself, and spreads it.
 pub fn take_listing(shared: &Arc<Shared>, listing: CatalogListing, now: Instant) {
     let known = shared.links.lock().revision();
-    if listing.revision < known {
+    let is_older = listing.revision < known;
+    tracing::info!(
+        known,
+        revision = listing.revision,
+        bundle_version = listing.bundle.as_ref().map_or(0, |bundle| bundle.version),
+        servers = listing.servers.len(),
+        outcome = if is_older { "passed over" } else { "taken" },
+        "catalog: listed."
+    );
+    if is_older {
         // Links have told more while it was on its way: what stood before stays past.
         return;
     }
@@ -82,8 +91,11 @@
 /// Takes in changes that this box read itself, and spreads them; those that change nothing
 /// are told as a revision only.
 pub fn take_changes(shared: &Arc<Shared>, mut changes: CatalogChanges, now: Instant) {
-    if changes.revision < shared.links.lock().revision() {
+    let known = shared.links.lock().revision();
+    if changes.revision < known {
         // As with a listing: links were faster.
+        let revision = changes.revision;
+        tracing::info!(known, revision, "catalog: changes passed over.");
         return;
     }
     let directory = shared.directory.lock();
--- a/crates/wingspur-transport/src/exchange.rs
+++ b/crates/wingspur-transport/src/exchange.rs
@@ -13,7 +13,7 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{ETAG, HOST, HeaderValue, IF_NONE_MATCH};
 use hyper::http::response::Parts;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
@@ -37,6 +37,17 @@
     identity: Option<Arc<TlsIdentity>>,
 }
 
+/// A whole reply.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
 /// What was exchanged; bytes are those of bodies, without heads.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ExchangeTotals {
@@ -143,7 +154,7 @@
         Ok(Some((body, validator.map(str::to_owned))))
     }
 
-    /// Sends a request and returns the reply's status and body, whatever the status.
+    /// Sends a request and returns the reply, whatever its status.
     pub async fn request(
         &self,
         to: SocketAddr,
@@ -151,7 +162,7 @@
         path: &str,
         body: Vec<u8>,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), ExchangeError> {
+    ) -> Result<Reply, ExchangeError> {
         let mut request = Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = method;
         *request.uri_mut() = path.parse().map_err(|_| ExchangeError::Reply)?;
@@ -160,7 +171,11 @@
             .headers_mut()
             .insert(HOST, host.expect("addresses are visible characters"));
         let (parts, body) = self.call_for_head(to, request, timeout).await?;
-        Ok((parts.status, body))
+        Ok(Reply {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        })
     }
 
     /// Opens a stream of replies, such as a watch; its connection is not reused.
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -20,7 +20,7 @@
 };
 pub use body::{BodyError, SendBody, poll_whole};
 pub use catalog::{Catalog, CatalogError, CatalogFuture, LeaseId, TryCounted};
-pub use exchange::{Connector, Exchange, ExchangeError, ExchangeTotals};
+pub use exchange::{Connector, Exchange, ExchangeError, ExchangeTotals, Reply};
 pub use faults::{LinkFault, LinkFaults};
 pub use link::{
     LinkBody, LinkError, LinkPatience, LinkReceiver, LinkSender, accept_link,
