Red: changes after the store has come back from an older copy are not heard of

The stand-in of the store learns copies and restores: revisions and lease ids are given out again, its era rises in each answer, a watch from a revision that it does not have gets 410. Three tests with three boxes fail on this code: a new version never comes into force, a server that drains keeps its requests, and where the new history has passed the known revision meanwhile, 10 of 30 requests reach a server whose draining stands at a revision that was given out before.

--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -10,4 +10,4 @@
     Answer, Head, call, read_body, read_kept_answer, read_request_head, try_call,
 };
 pub use mortal_server::{MortalServer, ServerRun};
-pub use platform_store::{PlatformStore, StoreFault};
+pub use platform_store::{PlatformStore, StoreCopy, StoreFault};
--- a/tests/src/platform_store.rs
+++ b/tests/src/platform_store.rs
@@ -20,6 +20,10 @@
     state: Arc<(Mutex<State>, Condvar)>,
 }
 
+/// What the store held at a moment.
+#[derive(Clone)]
+pub struct StoreCopy(State);
+
 /// What is wrong with the store.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -34,8 +38,10 @@
     Silent,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
+    /// How often it has come back from an older copy.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
     history: Vec<(u64, String)>,
@@ -59,6 +65,7 @@
     /// Starts an empty store with pages of `page` items.
     pub fn start(page: usize) -> Self {
         let state = State {
+            era: 1,
             page,
             ..State::default()
         };
@@ -99,6 +106,31 @@
         state.history.clear();
     }
 
+    /// A copy of all that it holds, as a backup would have it.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().clone())
+    }
+
+    /// Comes back from an older copy: what was written since is lost, its revisions and
+    /// lease ids are given out again, and its era rises.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.lock();
+        let copied = copy.0.clone();
+        *state = State {
+            era: state.era + 1,
+            fault: state.fault,
+            calls: std::mem::take(&mut state.calls),
+            ..copied
+        };
+        drop(state);
+        self.state.1.notify_all();
+    }
+
+    /// The revision of its newest change.
+    pub fn revision(&self) -> u64 {
+        self.lock().revision
+    }
+
     /// Sets what is wrong from now on.
     pub fn set_fault(&self, fault: StoreFault) {
         self.lock().fault = fault;
@@ -175,18 +207,21 @@
     *state.calls.entry(head.path.clone()).or_default() += 1;
     let fault = state.fault;
     if let StoreFault::Refuses(status) = fault {
-        return reply(stream, status, &Value::Null);
+        return reply(stream, state.era, status, &Value::Null);
     }
     if fault == StoreFault::Silent {
         drop(state);
         std::thread::sleep(Duration::from_secs(30));
         return false;
     }
+    let mut era = state.era;
     let (status, body) = match (head.method.as_str(), head.path.as_str()) {
         ("GET", "/-/kv-range") => range(&state, head),
         ("GET", "/-/kv-watch") => {
             drop(state);
-            watch(shared, head)
+            let (ended_in, answer) = watch(shared, head);
+            era = ended_in;
+            answer
         }
         ("POST", "/-/kv-txn") => transaction(&mut state, head),
         ("POST", "/-/kv-lease") => {
@@ -201,7 +236,7 @@
     if fault == StoreFault::LosesReplies {
         return false;
     }
-    reply(stream, status, &body)
+    reply(stream, era, status, &body)
 }
 
 fn range(state: &State, head: &Head) -> (u16, Value) {
@@ -220,7 +255,8 @@
     )
 }
 
-fn watch(shared: &Arc<(Mutex<State>, Condvar)>, head: &Head) -> (u16, Value) {
+/// Waits for changes; answers with the era that the wait ended in.
+fn watch(shared: &Arc<(Mutex<State>, Condvar)>, head: &Head) -> (u64, (u16, Value)) {
     let number = |name: &str| head.query.get(name).and_then(|text| text.parse().ok());
     let after: u64 = number("after").unwrap_or(0);
     let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
@@ -228,17 +264,18 @@
     let until = Instant::now() + wait;
     let mut state = shared.0.lock().expect("no holder panics");
     loop {
-        if after < state.forgotten {
-            return (410, Value::Null);
+        let era = state.era;
+        if after < state.forgotten || after > state.revision {
+            return (era, (410, Value::Null));
         }
         if let StoreFault::Refuses(status) = state.fault {
-            return (status, Value::Null);
+            return (era, (status, Value::Null));
         }
         let events = state.events(prefix, after);
         let left = until.saturating_duration_since(Instant::now());
         if !events.is_empty() || left.is_zero() {
-            let revision = state.revision;
-            return (200, json!({"events": events, "store_revision": revision}));
+            let body = json!({"events": events, "store_revision": state.revision});
+            return (era, (200, body));
         }
         let waited = shared.1.wait_timeout(state, left);
         state = waited.expect("no holder panics").0;
@@ -252,7 +289,8 @@
         let key = condition["key"].as_str().unwrap_or_default();
         let stands = state.items.get(key).map_or(0, |item| item.revision);
         if condition["revision"].as_u64() != Some(stands) {
-            return (412, json!({"items": []}));
+            let found = state.items.get(key).map(|item| item_json(key, item));
+            return (412, json!({"items": Vec::from_iter(found)}));
         }
     }
     for put in rows("puts") {
@@ -291,11 +329,11 @@
     })
 }
 
-fn reply(stream: &mut TcpStream, status: u16, body: &Value) -> bool {
+fn reply(stream: &mut TcpStream, era: u64, status: u16, body: &Value) -> bool {
     let body = body.to_string();
+    let length = body.len();
     let head = format!(
-        "HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n\r\n",
-        body.len()
+        "HTTP/1.1 {status} Status\r\nstore-era: {era}\r\ncontent-length: {length}\r\n\r\n"
     );
     stream.write_all(format!("{head}{body}").as_bytes()).is_ok()
 }
--- /dev/null
+++ b/tests/tests/store_restore.rs
@@ -0,0 +1,138 @@
+//! The store comes back from an older copy, and its revisions are given out again.
+
+mod edge;
+
+use edge::{Route, configuration, server_entry, start_box, start_box_in, wait_until};
+use wingspur_edge::EdgeBox;
+use wingspur_tests::{BackendServer, PlatformStore, Reply, StoreCopy, StoreFault, call};
+use wingspur_transport::Workers;
+
+/// A hub with a member and a hub of another data centre, before two servers.
+struct Fleet {
+    store: PlatformStore,
+    boxes: Vec<EdgeBox>,
+    servers: [BackendServer; 2],
+    workers: Workers,
+    version: u64,
+}
+
+impl Fleet {
+    fn start() -> Self {
+        let store = PlatformStore::start(500);
+        let workers = Workers::start(2);
+        let servers = [(); 2].map(|()| BackendServer::start(|_| Reply::Whole));
+        let fleet = Self {
+            boxes: vec![
+                start_box("box-1", &store, &workers),
+                start_box("box-2", &store, &workers),
+                start_box_in("dc-2", "box-3", &store, &workers),
+            ],
+            store,
+            servers,
+            workers,
+            version: 1,
+        };
+        fleet.write_configuration();
+        fleet.write_server(0, "ready");
+        fleet.write_server(1, "ready");
+        wait_until("all boxes are ready", || {
+            fleet.boxes.iter().all(EdgeBox::is_ready)
+        });
+        fleet
+    }
+
+    fn write_configuration(&self) {
+        let routes = [Route::new("read")];
+        self.store
+            .put("op/config", &configuration(self.version, &routes));
+    }
+
+    fn write_server(&self, number: usize, state: &str) {
+        let entry = server_entry(self.servers[number].address, state);
+        self.store.put(&format!("servers/i-{number}"), &entry);
+    }
+
+    /// Rolls out another version, and waits until it is in force on all boxes.
+    fn roll_out(&mut self) {
+        self.version += 1;
+        self.write_configuration();
+        let version = self.version;
+        wait_until("the version is in force on all boxes", || {
+            self.boxes.iter().all(|b| b.bundle_version() >= version)
+        });
+    }
+
+    /// Makes changes that all boxes know.
+    fn advance(&mut self, versions: usize) {
+        (0..versions).for_each(|_| self.roll_out());
+    }
+
+    /// Comes back from a copy; the operator and the servers write again what the copy lacks.
+    fn restore(&self, copy: &StoreCopy) {
+        self.store.restore(copy);
+        self.write_configuration();
+    }
+
+    /// How many of some requests to each box reach a server.
+    fn count_at(&self, number: usize) -> usize {
+        let before = self.servers[number].ran().len();
+        for (n, running) in self.boxes.iter().enumerate() {
+            for m in 0..10 {
+                let id = format!("r-{n}-{m}");
+                let headers = [("host", "site.example"), ("x-wingspur-request-id", &*id)];
+                call(running.caller_address(), "GET", "/read/a", &headers, b"");
+            }
+        }
+        self.servers[number].ran().len() - before
+    }
+
+    fn close(self) {
+        for running in self.boxes {
+            smol::block_on(running.close());
+        }
+        self.workers.close();
+    }
+}
+
+#[test]
+fn config_change_is_applied_after_store_restore() {
+    let mut fleet = Fleet::start();
+    let copy = fleet.store.copy();
+    fleet.advance(10);
+    fleet.restore(&copy);
+    fleet.roll_out();
+    fleet.close();
+}
+
+#[test]
+fn server_that_drains_after_store_restore_gets_no_requests() {
+    let mut fleet = Fleet::start();
+    let copy = fleet.store.copy();
+    fleet.advance(10);
+    fleet.restore(&copy);
+    fleet.write_server(0, "draining");
+    fleet.roll_out();
+    let sent = fleet.count_at(0);
+    fleet.close();
+    assert_eq!(sent, 0, "of 30 requests");
+}
+
+#[test]
+fn change_under_a_reused_revision_is_not_missed() {
+    let mut fleet = Fleet::start();
+    let copy = fleet.store.copy();
+    fleet.advance(5);
+    let known = fleet.store.revision();
+    // Nobody reads while the new history overtakes what the boxes know of the old one.
+    fleet.store.set_fault(StoreFault::Refuses(503));
+    fleet.restore(&copy);
+    fleet.write_server(0, "draining");
+    while fleet.store.revision() <= known {
+        fleet.write_server(1, "ready");
+    }
+    fleet.store.set_fault(StoreFault::None);
+    fleet.roll_out();
+    let sent = fleet.count_at(0);
+    fleet.close();
+    assert_eq!(sent, 0, "of 30 requests");
+}
