Red tests of a restored store: the state as entries name it

`leaving` is the word that entries carry here; `draining` was refused as unreadable and counted as gone.

--- a/tests/tests/store_restore.rs
+++ b/tests/tests/store_restore.rs
@@ -110,7 +110,7 @@
     let copy = fleet.store.copy();
     fleet.advance(10);
     fleet.restore(&copy);
-    fleet.write_server(0, "draining");
+    fleet.write_server(0, "leaving");
     fleet.roll_out();
     let sent = fleet.count_at(0);
     fleet.close();
@@ -126,7 +126,7 @@
     // Nobody reads while the new history overtakes what the boxes know of the old one.
     fleet.store.set_fault(StoreFault::Refuses(503));
     fleet.restore(&copy);
-    fleet.write_server(0, "draining");
+    fleet.write_server(0, "leaving");
     while fleet.store.revision() <= known {
         fleet.write_server(1, "ready");
     }
