--- a/crates/wingspur-coordination/src/feed_view.rs
+++ b/crates/wingspur-coordination/src/feed_view.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use wingspur_protocol::{FeedState, Revision};
-use wingspur_state::BoxId;
+use wingspur_protocol::FeedState;
+use wingspur_state::{BoxId, StoreEra, StorePosition};
 
 use crate::{LinkId, hash_of};
 
@@ -12,7 +12,10 @@
 #[derive(Debug)]
 pub struct FeedView {
     own: BoxId,
-    revision: Revision,
+    /// Up to where the store's history is known.
+    position: StorePosition,
+    /// The newest era that the store, or a peer, has named; 0 for none.
+    era: StoreEra,
     /// When this box itself last had an answer of the store; none when it does not read.
     own_fresh: Option<Instant>,
     /// Whether this box tries to read, and has no answer.
@@ -28,6 +31,22 @@
     own_stagger: Duration,
 }
 
+/// How an era that was named stands to the newest that was known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EraChange {
+    /// It is the same.
+    Same,
+    /// It is the first that this box sees.
+    First,
+    /// The store has come back from an older copy since.
+    Restored {
+        /// The era that was known before.
+        before: StoreEra,
+    },
+    /// It was over already.
+    Older,
+}
+
 impl FeedView {
     /// Nothing known yet.
     pub fn new(own: BoxId, now: Instant) -> Self {
@@ -35,7 +54,8 @@
         Self {
             own_stagger: SAME_RANK_STAGGER.mul_f64(place),
             own,
-            revision: 0,
+            position: StorePosition::default(),
+            era: 0,
             own_fresh: None,
             own_tries: false,
             links: BTreeMap::new(),
@@ -44,14 +64,40 @@
         }
     }
 
-    /// The newest revision that this box knows.
-    pub fn revision(&self) -> Revision {
-        self.revision
+    /// Up to where this box knows the store's history.
+    pub fn position(&self) -> StorePosition {
+        self.position
+    }
+
+    /// The newest era that is known of; this box may have no listing of it yet.
+    pub fn era(&self) -> StoreEra {
+        self.era
     }
 
-    /// Notes that all changes up to a revision are known.
-    pub fn reach(&mut self, revision: Revision) {
-        self.revision = self.revision.max(revision);
+    /// Notes an era that the store or a peer has named.
+    pub fn note_era(&mut self, era: StoreEra) -> EraChange {
+        if era < self.era {
+            return EraChange::Older;
+        }
+        if era == self.era {
+            return EraChange::Same;
+        }
+        let before = std::mem::replace(&mut self.era, era);
+        if before == 0 && self.position.is_start() {
+            return EraChange::First;
+        }
+        EraChange::Restored { before }
+    }
+
+    /// Whether the store has been restored since what this box knows was read.
+    pub fn is_of_older_era(&self) -> bool {
+        self.position.era() < self.era
+    }
+
+    /// Notes that all changes up to a position are known.
+    pub fn reach(&mut self, position: StorePosition) {
+        self.position = self.position.max(position);
+        self.era = self.era.max(position.era());
     }
 
     /// Notes an answer of the store to this box.
@@ -92,11 +138,20 @@
             self.links.remove(&link);
             return;
         }
+        if !self.covers(state.position) {
+            // How fresh that is says nothing of what is known here.
+            return;
+        }
         let age = Duration::from_millis(u64::from(state.age_ms));
         let fresh = now.checked_sub(age).unwrap_or(now);
         self.links.insert(link, (reader.clone(), fresh));
     }
 
+    /// Whether all is known here that stands up to a position of the newest era.
+    fn covers(&self, position: StorePosition) -> bool {
+        position.era() == self.era && position <= self.position
+    }
+
     /// Forgets a link.
     pub fn forget(&mut self, link: LinkId) {
         self.links.remove(&link);
@@ -111,6 +166,8 @@
         let Some((reader, at)) = best else {
             return FeedState {
                 tries: self.own_tries,
+                position: self.position,
+                era: self.era,
                 ..FeedState::default()
             };
         };
@@ -119,6 +176,8 @@
             reader: Some(reader.clone()),
             age_ms: age.min(u128::from(u32::MAX)) as u32,
             tries: self.own_tries,
+            position: self.position,
+            era: self.era,
         }
     }
 
--- a/crates/wingspur-coordination/src/lib.rs
+++ b/crates/wingspur-coordination/src/lib.rs
@@ -24,7 +24,7 @@
 };
 pub use catalog_queue::CatalogQueue;
 pub use delegation::{DELEGATED_FOR, Delegation};
-pub use feed_view::FeedView;
+pub use feed_view::{EraChange, FeedView};
 pub use fleet_census::FleetCensus;
 pub use fleet_contact::{FleetContact, join_after};
 pub use fleet_count::FleetCount;
--- a/crates/wingspur-coordination/src/quarantine_desk.rs
+++ b/crates/wingspur-coordination/src/quarantine_desk.rs
@@ -10,7 +10,8 @@
 use std::time::{Duration, Instant};
 
 use wingspur_state::{
-    KnownQuarantine, REMEMBERED, RequestFingerprint, SourceId, SuspectRequests,
+    KnownQuarantine, REMEMBERED, RequestFingerprint, SourceId, StoreEra, StorePosition,
+    SuspectRequests,
 };
 
 /// What a box has let through of requests in quarantine.
@@ -18,6 +19,8 @@
 pub struct QuarantineDesk {
     /// Under which name this box counts.
     own: SourceId,
+    /// The store's era.
+    era: StoreEra,
     cases: HashMap<RequestFingerprint, Case>,
 }
 
@@ -41,8 +44,8 @@
     pub tries: u32,
     /// Who counts.
     pub counted_by: SourceId,
-    /// The revision that must stand there; 0 for none.
-    pub revision: u64,
+    /// What it is written on top of.
+    pub position: StorePosition,
 }
 
 /// What came of the write.
@@ -73,10 +76,16 @@
     pub fn new(own: SourceId) -> Self {
         Self {
             own,
+            era: 0,
             cases: HashMap::new(),
         }
     }
 
+    /// Notes the store's era: what was known of the one before is no condition to write on.
+    pub fn note_era(&mut self, era: StoreEra) {
+        self.era = era;
+    }
+
     /// Decides on a request that is in quarantine.
     ///
     /// One that only ran beside another keeps away from it: out at one server, the other would
@@ -92,11 +101,15 @@
         let likelier = suspects.likelier(request);
         let has_likelier = !likelier.is_empty();
         let out_for = self.out_for(request, &likelier, suspects, now);
-        let own = self.own;
+        let (own, era) = (self.own, self.era);
         let case = self.case(request, now);
         if case.is_counting {
             return DeskStep::Later(COUNTING_TAKES);
         }
+        if known.is_some_and(|known| known.position.era() != era) {
+            // What the restored store holds of it has yet to be read.
+            return DeskStep::Later(LOOK_AGAIN);
+        }
         case.note_counted(known.as_ref(), own);
         let tries = known.map_or(0, |known| known.tries) + case.uncounted;
         if !out_for.is_zero() {
@@ -110,7 +123,8 @@
             return DeskStep::Later(NEWS_TAKES);
         }
         case.keeps_away = None;
-        DeskStep::Count(case.count(tries + 1, own, known.as_ref()))
+        let on = known.map_or(StorePosition::start_of(era), |known| known.position);
+        DeskStep::Count(case.count(tries + 1, own, on))
     }
 
     /// Whether the quarantine of a request has to be written to the store, so that boxes that
@@ -121,12 +135,12 @@
         known: Option<&KnownQuarantine>,
         now: Instant,
     ) -> Option<QuarantineCount> {
-        let own = self.own;
+        let (own, on) = (self.own, StorePosition::start_of(self.era));
         let case = self.case(request, now);
         if known.is_some() || case.is_counting {
             return None;
         }
-        Some(case.count(case.uncounted, own, None))
+        Some(case.count(case.uncounted, own, on))
     }
 
     /// Takes in what came of the write that opens a quarantine.
@@ -225,12 +239,12 @@
         &mut self,
         tries: u32,
         counted_by: SourceId,
-        known: Option<&KnownQuarantine>,
+        position: StorePosition,
     ) -> QuarantineCount {
         let count = QuarantineCount {
             tries,
             counted_by,
-            revision: known.map_or(0, |known| known.revision),
+            position,
         };
         self.is_counting = true;
         self.last_count = Some(count);
--- a/crates/wingspur-coordination/src/recent_changes.rs
+++ b/crates/wingspur-coordination/src/recent_changes.rs
@@ -2,12 +2,12 @@
 
 use std::collections::VecDeque;
 
-use wingspur_protocol::{CatalogChange, CatalogChanges, CatalogUpdate, Revision};
+use wingspur_protocol::{CatalogChange, CatalogChanges, CatalogUpdate};
+use wingspur_state::StorePosition;
 
 /// The newest changes that this box has told on, each following on the one before.
 ///
-/// Purpose: members that link with a hub which has just taken over are often some revisions
-/// behind it. Told all there is, each of them is owed a listing of every server.
+/// Members that link with a hub which has just taken over are often some changes behind it. Told all there is, each of them is owed a listing of every server.
 #[derive(Debug, Default)]
 pub struct RecentChanges {
     /// Oldest first; none begins later than the one before it ends.
@@ -22,11 +22,11 @@
         let CatalogUpdate::Changes { changes, .. } = update else {
             return self.clear();
         };
-        let newest = self.kept.back().map(|last| last.revision);
+        let newest = self.kept.back().map(|last| last.position);
         if newest.is_some_and(|newest| changes.after > newest) {
             self.clear();
         }
-        if newest.is_some_and(|newest| changes.revision <= newest) {
+        if newest.is_some_and(|newest| changes.position <= newest) {
             return;
         }
         self.count += changes.changes.len();
@@ -37,17 +37,17 @@
         }
     }
 
-    /// All changes after a revision, in one; none if they are not all kept.
-    pub fn since(&self, revision: Revision) -> Option<CatalogChanges> {
-        let newest = self.kept.back()?.revision;
-        let first = self.kept.iter().position(|kept| kept.revision > revision)?;
+    /// All changes after a position, in one; none if they are not all kept.
+    pub fn since(&self, position: StorePosition) -> Option<CatalogChanges> {
+        let newest = self.kept.back()?.position;
+        let first = self.kept.iter().position(|kept| kept.position > position)?;
         let after = self.kept[first].after;
         let changes = self.kept.range(first..);
         let changes = changes.flat_map(|kept| &kept.changes);
         let changes: Vec<CatalogChange> = changes.cloned().collect();
-        (after <= revision).then_some(CatalogChanges {
-            after: revision,
-            revision: newest,
+        (after <= position).then_some(CatalogChanges {
+            after: position,
+            position: newest,
             changes,
         })
     }
--- a/crates/wingspur-edge/src/active_link.rs
+++ b/crates/wingspur-edge/src/active_link.rs
@@ -5,7 +5,9 @@
 
 use wingspur_coordination::{CatalogQueue, LinkClock, LinkKind, LinkWith, PlannedLink};
 use wingspur_protocol::{BoxRecord, CatalogUpdate, Lending, LinkRole};
-use wingspur_state::{BundleVersion, HealthNote, LimitChange, ServerKey, SuspectNews};
+use wingspur_state::{
+    BundleVersion, HealthNote, LimitChange, ServerKey, StoreEra, SuspectNews,
+};
 use wingspur_transport::LinkSender;
 
 /// A link that stands.
@@ -39,6 +41,8 @@
     pub greeting: Option<Greeting>,
     /// Whether it was told that this box stops.
     pub told_leaving: bool,
+    /// The newest era of the store that it was told.
+    pub told_era: StoreEra,
     /// When the last frame was sent.
     pub sent: Instant,
     /// When the last one with news of servers and services was.
--- a/crates/wingspur-edge/src/announce.rs
+++ b/crates/wingspur-edge/src/announce.rs
@@ -5,26 +5,28 @@
 
 use futures_lite::FutureExt;
 use wingspur_coordination::{AnnouncementInputs, AnnouncementStep, announcement_step};
-use wingspur_transport::{CatalogError, LeaseId, StopSignal};
+use wingspur_transport::{Announcement, CatalogError, StopSignal};
 
 use crate::feed::pause;
 use crate::shared::Shared;
+use crate::store_calls::call_store;
 
 /// Announces this box when it should be, and renews its lease, until it stops.
 pub async fn run_announcement(shared: Arc<Shared>, stop: StopSignal) {
     let mut told_boxes = 0;
     let mut failures = 0u32;
     while !stop.is_given() && !shared.stopping.has_begun() {
-        let done = match (next_step(&shared), held_lease(&shared)) {
+        let done = match (next_step(&shared), announcement(&shared)) {
             (AnnouncementStep::AnnounceWithin(span), _) => {
                 announce_within(&shared, span, &mut told_boxes).await
             }
-            (AnnouncementStep::Stay, Some(lease)) => {
-                renew(&shared, lease, &mut told_boxes).await
+            (AnnouncementStep::Stay, Some(held)) => {
+                renew(&shared, held, &mut told_boxes).await
             }
-            (AnnouncementStep::Lapse, Some(lease)) => {
+            (AnnouncementStep::Lapse, Some(held)) => {
+                let lease = held.lease.id;
                 tracing::info!(lease, "lease: not needed any more, it will lapse.");
-                *shared.lease.lock() = None;
+                *shared.announcement.lock() = None;
                 Ok(IDLE)
             }
             (AnnouncementStep::Stay | AnnouncementStep::Lapse, None) => Ok(IDLE),
@@ -37,33 +39,41 @@
             Err(error) => {
                 failures += 1;
                 tracing::info!(%error, failures, "lease: not renewed.");
-                let holds = held_lease(&shared).is_some();
+                let holds = announcement(&shared).is_some();
                 if holds { RENEWAL } else { pause(failures) }
             }
         };
-        wingspur_clock::sleep(wait).await;
+        shared.announcement_due.wait(wait).await;
     }
 }
 
 /// Ends the announcement, so that the others look for another hub in time.
-pub async fn withdraw(shared: &Shared, limit: Duration) {
-    let Some(lease) = shared.lease.lock().take() else {
+///
+/// Removes the announcement itself: the lease's id may be another box's since a restore of the
+/// store that this box has not heard of.
+pub async fn withdraw(shared: &Arc<Shared>, limit: Duration) {
+    let Some(held) = shared.announcement.lock().take() else {
         return;
     };
-    let withdrawing = async { (shared.catalog.withdraw)(lease).await };
+    let own_id = shared.settings().box_id.clone();
+    let call = (shared.catalog.withdraw)(own_id, held.position);
+    let withdrawing = async { call_store(shared, "withdraw", call).await.map(Some) };
     let expired = async {
         wingspur_clock::sleep(limit).await;
-        Ok(())
+        Ok(None)
     };
-    if let Err(error) = withdrawing.or(expired).await {
-        tracing::info!(%error, "lease: not ended, it will lapse.");
+    match withdrawing.or(expired).await {
+        Ok(Some(true)) => {}
+        Ok(Some(false)) => tracing::info!("lease: written anew since, it will lapse."),
+        Ok(None) => tracing::info!("lease: no answer in time, it will lapse."),
+        Err(error) => tracing::info!(%error, "lease: not ended, it will lapse."),
     }
 }
 
 /// What this box should do about its announcement now; nothing before it knows any other, and
 /// nothing once it stops: one that is announced then is taken for a hub until its lease ends.
 fn next_step(shared: &Shared) -> AnnouncementStep {
-    let announced = held_lease(shared).is_some();
+    let announced = announcement(shared).is_some();
     let mut links = shared.links.lock();
     if links.is_starting() || shared.stopping.has_begun() {
         return AnnouncementStep::Stay;
@@ -77,7 +87,7 @@
 
 /// Announces this box at some time within a span, unless it is not needed any more by then.
 async fn announce_within(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     span: Duration,
     told_boxes: &mut u32,
 ) -> Result<Duration, CatalogError> {
@@ -85,9 +95,8 @@
     if !matches!(next_step(shared), AnnouncementStep::AnnounceWithin(_)) {
         return Ok(IDLE);
     }
-    let lease = announce(shared, None, told_boxes).await?;
-    tracing::info!(lease, "lease: announced.");
-    *shared.lease.lock() = Some(lease);
+    announce(shared, None, told_boxes).await?;
+    tracing::info!("lease: announced.");
     if shared.stopping.has_begun() {
         // The stop began while the store was written: it found no lease to end.
         withdraw(shared, WITHDRAWAL_LIMIT).await;
@@ -97,34 +106,30 @@
 
 /// Renews the lease, and tells the fleet's size anew where it has changed.
 async fn renew(
-    shared: &Shared,
-    lease: LeaseId,
+    shared: &Arc<Shared>,
+    held: Announcement,
     told_boxes: &mut u32,
 ) -> Result<Duration, CatalogError> {
+    let lease = held.lease.id;
     let boxes = shared.links.lock().fleet_boxes(wingspur_clock::now()) as u32;
     if boxes.abs_diff(*told_boxes) > *told_boxes / RETOLD_PART {
-        announce(shared, Some(lease), told_boxes).await?;
+        announce(shared, Some(held), told_boxes).await?;
         tracing::info!(lease, boxes, "lease: another size of the fleet told.");
     }
-    shared.metrics.count_store_call("renew");
-    let began = wingspur_clock::now();
-    let stands = (shared.catalog.renew)(lease).await?;
-    shared
-        .metrics
-        .time_store("renew", wingspur_clock::since(began));
-    if !stands {
+    let call = (shared.catalog.renew)(held.lease);
+    if !call_store(shared, "renew", call).await? {
         tracing::warn!(lease, "lease: it has ended.");
-        *shared.lease.lock() = None;
+        *shared.announcement.lock() = None;
         return Ok(Duration::ZERO);
     }
     Ok(RENEWAL)
 }
 
 async fn announce(
-    shared: &Shared,
-    lease: Option<LeaseId>,
+    shared: &Arc<Shared>,
+    held: Option<Announcement>,
     told_boxes: &mut u32,
-) -> Result<LeaseId, CatalogError> {
+) -> Result<(), CatalogError> {
     let record = {
         let mut links = shared.links.lock();
         let boxes = links.fleet_boxes(wingspur_clock::now()) as u32;
@@ -132,13 +137,18 @@
         record.fleet_boxes = boxes;
         record
     };
-    shared.metrics.count_store_call("announce");
     *told_boxes = record.fleet_boxes;
-    (shared.catalog.announce)(record, lease).await
+    let call = (shared.catalog.announce)(record, held.map(|held| held.lease));
+    let written = call_store(shared, "announce", call).await?;
+    *shared.announcement.lock() = Some(written);
+    Ok(())
 }
 
-fn held_lease(shared: &Shared) -> Option<LeaseId> {
-    *shared.lease.lock()
+/// How this box is announced in the store's present era.
+fn announcement(shared: &Shared) -> Option<Announcement> {
+    let era = shared.links.lock().feed().era();
+    let held = *shared.announcement.lock();
+    held.filter(|held| held.lease.era == era)
 }
 
 /// Two renewals may be lost before the lease of ten seconds ends.
--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -4,10 +4,8 @@
 use std::time::{Duration, Instant};
 
 use wingspur_coordination::LinkId;
-use wingspur_protocol::{
-    CatalogChange, CatalogChanges, CatalogListing, CatalogUpdate, Revision,
-};
-use wingspur_state::BundlePatch;
+use wingspur_protocol::{CatalogChange, CatalogChanges, CatalogListing, CatalogUpdate};
+use wingspur_state::{BundlePatch, StorePosition};
 
 use crate::exchange::spread;
 use crate::quarantine::{
@@ -22,18 +20,18 @@
     from: Option<LinkId>,
     now: Instant,
 ) {
-    let known = shared.links.lock().revision();
-    let (after, revision, doubtful_ms) = match update {
+    let known = shared.links.lock().position();
+    let (after, position, doubtful_ms) = match update {
         CatalogUpdate::Listing {
             listing,
             doubtful_ms,
-        } => (0, listing.revision, *doubtful_ms),
+        } => (StorePosition::default(), listing.position, *doubtful_ms),
         CatalogUpdate::Changes {
             changes,
             doubtful_ms,
-        } => (changes.after, changes.revision, *doubtful_ms),
+        } => (changes.after, changes.position, *doubtful_ms),
     };
-    if revision <= known {
+    if position <= known {
         return;
     }
     let update = whole(shared, update);
@@ -62,23 +60,23 @@
     }
 }
 
-/// Takes in a listing that this box read itself, and spreads it.
-pub fn take_listing(shared: &Arc<Shared>, listing: CatalogListing, now: Instant) {
-    let known = shared.links.lock().revision();
-    let is_older = listing.revision < known;
+/// Applies a listing that this box read itself, and spreads it; false where links have told
+/// more while it was on its way.
+pub fn take_listing(shared: &Arc<Shared>, listing: CatalogListing, now: Instant) -> bool {
+    let known = shared.links.lock().position();
+    let is_older = listing.position < known;
     tracing::info!(
-        known,
-        revision = listing.revision,
+        %known,
+        position = %listing.position,
         bundle_version = listing.bundle.as_ref().map_or(0, |bundle| bundle.version),
         servers = listing.servers.len(),
         outcome = if is_older { "passed over" } else { "taken" },
         "catalog: listed."
     );
     if is_older {
-        // Links have told more while it was on its way: what stood before stays past.
-        return;
+        return false;
     }
-    if listing.revision > known {
+    if listing.position > known {
         let update = CatalogUpdate::Listing {
             listing: listing.clone(),
             doubtful_ms: doubtful_ms(shared, now),
@@ -86,17 +84,21 @@
         spread(shared, &update, true, None);
     }
     apply_listing(shared, listing, "store", now);
+    true
 }
 
-/// Takes in changes that this box read itself, and spreads them; those that change nothing
-/// are told as a revision only.
-pub fn take_changes(shared: &Arc<Shared>, mut changes: CatalogChanges, now: Instant) {
-    let known = shared.links.lock().revision();
-    if changes.revision < known {
-        // As with a listing: links were faster.
-        let revision = changes.revision;
-        tracing::info!(known, revision, "catalog: changes passed over.");
-        return;
+/// Applies changes that this box read itself, and spreads them, those that change nothing as
+/// a position only; false where links have told more while they were on their way.
+pub fn take_changes(
+    shared: &Arc<Shared>,
+    mut changes: CatalogChanges,
+    now: Instant,
+) -> bool {
+    let known = shared.links.lock().position();
+    if changes.position < known {
+        let position = changes.position;
+        tracing::info!(%known, %position, "catalog: changes passed over.");
+        return false;
     }
     let directory = shared.directory.lock();
     changes.changes.retain(|change| match change {
@@ -104,7 +106,7 @@
         _ => true,
     });
     drop(directory);
-    if changes.revision > changes.after {
+    if changes.position > changes.after {
         let urgent = !changes.changes.is_empty();
         let update = CatalogUpdate::Changes {
             changes: with_patches(shared, &changes),
@@ -113,11 +115,16 @@
         spread(shared, &update, urgent, None);
     }
     apply_changes(shared, changes, "store", now);
+    true
 }
 
-/// What a peer that knows a revision lacks: the changes since, or all there is.
-pub fn update_since(shared: &Shared, revision: Revision, now: Instant) -> CatalogUpdate {
-    let changes = shared.links.lock().changes_since(revision);
+/// What a peer lacks that knows all up to a position: the changes since, or all there is.
+pub fn update_since(
+    shared: &Shared,
+    position: StorePosition,
+    now: Instant,
+) -> CatalogUpdate {
+    let changes = shared.links.lock().changes_since(position);
     match changes {
         Some(changes) => CatalogUpdate::Changes {
             changes,
@@ -129,18 +136,18 @@
 
 /// All that this box knows, for a peer that is behind.
 pub fn listing_of(shared: &Shared, now: Instant) -> CatalogUpdate {
-    let announced = shared.lease.lock().is_some();
-    let (revision, boxes) = {
+    let announced = shared.announcement.lock().is_some();
+    let (position, boxes) = {
         let mut links = shared.links.lock();
         let own = announced.then(|| links.own().clone());
         let known = links.planner().boxes().cloned();
         let boxes = known.chain(own).collect();
-        (links.revision(), boxes)
+        (links.position(), boxes)
     };
     let in_force = shared.in_force();
     let quarantines = quarantine_records(shared);
     let listing = CatalogListing {
-        revision,
+        position,
         bundle: in_force.map(|in_force| in_force.bundle.clone()),
         servers: shared.directory.lock().records().cloned().collect(),
         boxes,
@@ -166,7 +173,7 @@
     replace_quarantines(shared, &listing.quarantines);
     let mut links = shared.links.lock();
     links.planner().replace(listing.boxes, now);
-    links.feed().reach(listing.revision);
+    links.feed().reach(listing.position);
     drop(links);
     shared.share_out();
     shared.replan.poke();
@@ -212,7 +219,7 @@
         }
     }
     shared.follow(&followed, source);
-    shared.links.lock().feed().reach(changes.revision);
+    shared.links.lock().feed().reach(changes.position);
     if boxes_changed {
         shared.share_out();
         shared.replan.poke();
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -263,18 +263,18 @@
 fn watch_news(shared: &Shared, was_late: bool, now: Instant) -> bool {
     let mut links = shared.links.lock();
     let (age, is_late) = (links.feed().news_age(now), links.feed().is_late(now));
-    let (revision, is_hub) = (links.revision(), links.is_hub(now));
+    let (position, is_hub) = (links.position(), links.is_hub(now));
     drop(links);
     let age_ms = age.as_millis() as u64;
     shared.metrics.news_age_ms.set(age_ms as i64);
     match (was_late, is_late) {
         (false, true) => {
-            tracing::warn!(age_ms, revision, is_hub, "store: its news is late.");
+            tracing::warn!(age_ms, %position, is_hub, "store: its news is late.");
         }
         (true, false) => {
             tracing::info!(
                 age_ms,
-                revision,
+                %position,
                 is_hub,
                 "store: its news is in time again."
             );
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -25,6 +25,7 @@
 use crate::server_words::{take_leaving, take_limits};
 use crate::services::ServiceState;
 use crate::shared::Shared;
+use crate::store_calls::observe_era;
 use crate::suspects::{greeting_notes, take_notes};
 
 /// Opens and closes links until the box stops.
@@ -197,13 +198,17 @@
 }
 
 /// Brings the other side up to date, if it is behind.
-fn greet(shared: &Shared, id: LinkId, hello: &Hello) {
-    let ours = shared.links.lock().revision();
-    if ours > hello.revision {
-        let update = update_since(shared, hello.revision, wingspur_clock::now());
+fn greet(shared: &Arc<Shared>, id: LinkId, hello: &Hello) {
+    let theirs = hello.position;
+    if theirs.era() > 0 {
+        observe_era(shared, theirs.era(), "peer");
+    }
+    let ours = shared.links.lock().position();
+    if ours > theirs {
+        let update = update_since(shared, theirs, wingspur_clock::now());
         shared.links.lock().tell(id, update);
     }
-    let has_started = hello.revision == 0;
+    let has_started = theirs.is_start();
     let greeting = greeting(shared, has_started);
     shared.links.lock().greet(id, greeting);
     shared.news.poke();
@@ -271,6 +276,9 @@
         return;
     }
     let now = wingspur_clock::now();
+    if frame.feed.era > 0 {
+        observe_era(shared, frame.feed.era, "peer");
+    }
     for update in &frame.catalog {
         apply_update(shared, update, Some(id), now);
     }
@@ -421,7 +429,7 @@
         fleet,
         from: links.own().clone(),
         role,
-        revision: links.revision(),
+        position: links.position(),
     }
 }
 
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -10,6 +10,7 @@
 
 use crate::catalog_state::{take_changes, take_listing};
 use crate::shared::Shared;
+use crate::store_calls::call_store;
 
 /// Reads the catalog whenever this box should, until it stops.
 pub async fn run_feed(shared: Arc<Shared>, stop: StopSignal) {
@@ -26,17 +27,15 @@
             continue;
         }
         if !reading.active {
-            tracing::info!(
-                revision = shared.links.lock().revision(),
-                "store: reading it."
-            );
+            let position = shared.links.lock().position();
+            tracing::info!(%position, "store: reading it.");
             reading.active = true;
         }
         match step(&shared, &mut reading).await {
             Ok(()) => reading.note_success(&shared),
-            Err(CatalogError::HistoryLost) => {
+            Err(error @ (CatalogError::HistoryLost | CatalogError::OlderEra { .. })) => {
                 let gaps = reading.gaps;
-                tracing::info!(gaps, "store: its history is lost, listing anew.");
+                tracing::info!(gaps, %error, "store: listing anew.");
                 reading.lists = Some(Listing::Fresh);
                 if gaps > 0 {
                     // Listing did not help: a store that does so all the time is not flooded.
@@ -46,7 +45,8 @@
             }
             Err(error) => {
                 reading.note_failure(&shared, &error);
-                wingspur_clock::sleep(retry_pause(&shared, reading.failures)).await;
+                let pause = retry_pause(&shared, reading.failures);
+                shared.store_restored.wait(pause).await;
             }
         }
         shared.settle(wingspur_clock::now());
@@ -70,24 +70,23 @@
     };
     let (boxes, hold_ms) = (boxes.len(), hold.as_millis() as u64);
     let until = wingspur_clock::now() + hold;
-    while wingspur_clock::now() < until && shared.links.lock().revision() == 0 {
+    while wingspur_clock::now() < until && shared.links.lock().is_starting() {
         wingspur_clock::sleep(HOLD_CHECK).await;
     }
-    let revision = shared.links.lock().revision();
-    let outcome = match revision {
-        0 => "this box lists",
-        _ => "a hub told it",
+    let position = shared.links.lock().position();
+    let outcome = match position.is_start() {
+        true => "this box lists",
+        false => "a hub told it",
     };
-    tracing::info!(boxes, before, hold_ms, revision, "catalog: {outcome}.");
+    tracing::info!(boxes, before, hold_ms, %position, "catalog: {outcome}.");
 }
 
 /// Learns from the store which boxes are announced, unless more is known here already.
 async fn find_boxes(shared: &Arc<Shared>) -> Vec<BoxRecord> {
-    shared.metrics.count_store_call("list_boxes");
-    match (shared.catalog.list_boxes)().await {
+    match call_store(shared, "list_boxes", (shared.catalog.list_boxes)()).await {
         Ok(listing) => {
             let mut links = shared.links.lock();
-            if listing.revision >= links.revision() {
+            if listing.position >= links.position() {
                 links
                     .planner()
                     .replace(listing.boxes.clone(), wingspur_clock::now());
@@ -146,22 +145,20 @@
 
 /// Lists, or waits for changes.
 async fn step(shared: &Arc<Shared>, reading: &mut Reading) -> Result<(), CatalogError> {
-    let revision = shared.links.lock().revision();
+    let position = shared.links.lock().position();
     let due = match reading.lists {
-        None if revision == 0 => Some(Listing::Cheap),
+        None if position.is_start() => Some(Listing::Cheap),
+        None if is_of_older_era(shared) => Some(Listing::Fresh),
         due => due,
     };
     if let Some(due) = due {
-        shared.metrics.count_store_call("list");
-        let began = wingspur_clock::now();
-        let listing = (shared.catalog.list)(due == Listing::Fresh).await?;
-        shared
-            .metrics
-            .time_store("list", wingspur_clock::since(began));
+        let call = (shared.catalog.list)(due == Listing::Fresh);
+        let listing = call_store(shared, "list", call).await?;
         reading.lists = None;
-        take_listing(shared, listing, wingspur_clock::now());
-        note_listing(shared, due);
-        if revision == 0 {
+        if take_listing(shared, listing, wingspur_clock::now()) {
+            note_listing(shared, due);
+        }
+        if position.is_start() {
             // Boxes that start together announce themselves together: one watch later hears
             // of all, and by then another box may read for this one.
             wingspur_clock::sleep(jittered(FIRST_WATCH_AFTER)).await;
@@ -172,20 +169,22 @@
         }
         return Ok(());
     }
-    shared.metrics.count_store_call("watch");
-    let watching = (shared.catalog.watch)(revision, WATCH_WAIT);
+    let call = (shared.catalog.watch)(position, WATCH_WAIT);
+    let watching = call_store(shared, "watch", call);
     let unneeded = async {
-        while should_read(shared) {
-            wingspur_clock::sleep(NEED_CHECK).await;
+        // A watch from a position of an era that is over tells nothing.
+        while should_read(shared) && !is_of_older_era(shared) {
+            shared.store_restored.wait(NEED_CHECK).await;
         }
         Ok(None)
     };
     let watched = async { watching.await.map(Some) };
     if let Some(changes) = watched.or(unneeded).await? {
         reading.gaps = 0;
-        let brought_any = changes.revision > changes.after;
-        take_changes(shared, changes, wingspur_clock::now());
-        note_answer(shared);
+        let brought_any = changes.position > changes.after;
+        if take_changes(shared, changes, wingspur_clock::now()) {
+            note_answer(shared);
+        }
         if brought_any {
             // What follows at once is read by the same next call.
             wingspur_clock::sleep(WATCH_GATHER).await;
@@ -214,6 +213,11 @@
     shared.links.lock().feed().note_answer(as_of.unwrap_or(now));
 }
 
+/// Whether the store has been restored since what is known here was read.
+fn is_of_older_era(shared: &Shared) -> bool {
+    shared.links.lock().feed().is_of_older_era()
+}
+
 fn should_read(shared: &Shared) -> bool {
     let now = wingspur_clock::now();
     let mut links = shared.links.lock();
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -29,6 +29,7 @@
 mod settings;
 mod shared;
 mod stopping;
+mod store_calls;
 mod suspects;
 mod taken_resends;
 
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -11,11 +11,11 @@
 };
 use wingspur_protocol::{
     BoxRecord, CatalogChanges, CatalogUpdate, Digest, Frame, LeavingNote, Lending,
-    LimitNote, LinkRole, Revision,
+    LimitNote, LinkRole,
 };
 use wingspur_state::{
     BoxId, BundleVersion, FleetDivision, FleetStanding, LimitChange, ServerKey, SourceId,
-    SuspectNews,
+    StorePosition, SuspectNews,
 };
 use wingspur_transport::LinkSender;
 
@@ -86,7 +86,7 @@
 
     /// Whether this box has just started and knows nothing of the catalog.
     pub fn is_starting(&self) -> bool {
-        self.revision() == 0
+        self.position().is_start()
     }
 
     /// Whether no link stands.
@@ -152,6 +152,7 @@
             greeting: None,
             lending: Lending::default(),
             told_leaving: false,
+            told_era: 0,
             sent: now,
             told: now,
         };
@@ -247,9 +248,9 @@
         }
     }
 
-    /// The changes of the catalog after a revision, where they are all at hand.
-    pub fn changes_since(&self, revision: Revision) -> Option<CatalogChanges> {
-        self.recent.since(revision)
+    /// The changes of the catalog after a position, where they are all at hand.
+    pub fn changes_since(&self, position: StorePosition) -> Option<CatalogChanges> {
+        self.recent.since(position)
     }
 
     /// Queues what the other side of a new link should know.
@@ -382,7 +383,8 @@
                 || link.wants_listing
                 || link.greeting.is_some()
                 || (hurry && !link.suspects.is_empty())
-                || (self.leaving && !link.told_leaving);
+                || (self.leaving && !link.told_leaving)
+                || link.told_era < feed.era;
             if !due && (!urgent || full) && age < HEARTBEAT {
                 continue;
             }
@@ -410,6 +412,7 @@
             if !full {
                 // What is held back does not count as told.
                 frame.feed = feed.clone();
+                link.told_era = feed.era;
                 frame.catalog = link.take_catalog(now);
                 frame.wants_listing = std::mem::take(&mut link.wants_listing);
                 frame.health = link.greeting.take().unwrap_or_default().health;
@@ -489,7 +492,7 @@
         };
         let is_hub = self.is_hub(now);
         let feed = self.feed.state(now);
-        let known = feed.reader.is_some() && self.revision() > 0;
+        let known = feed.reader.is_some() && !self.is_starting();
         Announced {
             boxes: self.planner.size().max(told),
             told_boxes: self.planner.announced_fleet(),
@@ -636,9 +639,9 @@
         (self.active.len(), members.count())
     }
 
-    /// The newest revision that this box knows.
-    pub fn revision(&self) -> Revision {
-        self.feed.revision()
+    /// Up to where this box knows the store's history.
+    pub fn position(&self) -> StorePosition {
+        self.feed.position()
     }
 }
 
--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -23,8 +23,8 @@
     Suspects,
     /// What is let through of requests in quarantine.
     Quarantine,
-    /// The lease of this box.
-    Lease,
+    /// How this box is announced.
+    Announcement,
     /// The announced backend servers.
     Directory,
     /// The services by name.
--- a/crates/wingspur-edge/src/metrics.rs
+++ b/crates/wingspur-edge/src/metrics.rs
@@ -72,6 +72,8 @@
     server_limits: IntCounterVec,
     /// What else servers said of themselves.
     server_words: IntCounterVec,
+    /// Eras of the store that were not the expected one, by what was wrong.
+    store_eras: IntCounterVec,
     frames: IntCounter,
     frame_bytes: IntCounter,
 }
@@ -227,6 +229,11 @@
                 "Whether requests in quarantine were let through, by outcome.",
                 &["outcome"],
             ),
+            store_eras: counter(
+                "wingspur_store_eras_total",
+                "Restores of the store, and answers without a present era.",
+                &["kind"],
+            ),
             server_words: counter(
                 "wingspur_server_words_total",
                 "What servers said of themselves in answers, and what could not be read.",
@@ -341,8 +348,16 @@
         seconds.observe(took.as_secs_f64());
     }
 
+    /// Counts an era of the store that was not the expected one.
+    pub fn count_era(&self, kind: &str) {
+        self.store_eras.with_label_values(&[kind]).inc();
+    }
+
     /// Notes how long a call of the store took; a watch waits for news and is not timed.
     pub fn time_store(&self, kind: &str, took: Duration) {
+        if kind == "watch" {
+            return;
+        }
         let seconds = self.store_seconds.with_label_values(&[kind]);
         seconds.observe(took.as_secs_f64());
     }
--- a/crates/wingspur-edge/src/quarantine.rs
+++ b/crates/wingspur-edge/src/quarantine.rs
@@ -12,11 +12,14 @@
     CountOutcome, DeskStep, LendingMessage, LinkId, QuarantineCount, QuarantineDesk,
 };
 use wingspur_protocol::{Lendable, LoanAnswer, LoanRequest, QuarantineRecord};
-use wingspur_state::{KnownQuarantine, REMEMBERED, RequestFingerprint, SourceId};
+use wingspur_state::{
+    KnownQuarantine, REMEMBERED, RequestFingerprint, SourceId, StoreEra,
+};
 use wingspur_transport::{CatalogError, StopSignal, TryCounted};
 
 use crate::lending::send;
 use crate::shared::Shared;
+use crate::store_calls::call_store;
 
 /// This box's part in what is let through of requests in quarantine.
 #[derive(Debug)]
@@ -36,6 +39,11 @@
             last_number: 0,
         }
     }
+
+    /// Notes the store's era.
+    pub fn note_era(&mut self, era: StoreEra) {
+        self.desk.note_era(era);
+    }
 }
 
 /// Whether a request may be sent now.
@@ -120,7 +128,7 @@
 /// Takes in what the catalog says of a request in quarantine.
 pub fn put_quarantine(shared: &Shared, record: &QuarantineRecord) {
     let known = KnownQuarantine {
-        revision: record.revision,
+        position: record.position,
         tries: record.tries,
         counted_by: record.counted_by,
         heard: wingspur_clock::now(),
@@ -130,7 +138,7 @@
     tracing::info!(
         fingerprint = %record.request,
         tries = record.tries,
-        revision = record.revision,
+        position = %record.position,
         "quarantine: known."
     );
 }
@@ -167,7 +175,7 @@
             request,
             tries: known.tries,
             counted_by: known.counted_by,
-            revision: known.revision,
+            position: known.position,
         });
     records.collect()
 }
@@ -315,7 +323,7 @@
     tracing::info!(
         fingerprint = %request,
         tries = known.map(|known| known.tries),
-        revision = known.map(|known| known.revision),
+        position = known.map(|known| known.position.to_string()),
         outcome = ?step,
         "quarantine: decided."
     );
@@ -332,14 +340,14 @@
         request,
         tries: count.tries,
         counted_by: count.counted_by,
-        revision: count.revision,
+        position: count.position,
     };
-    shared.metrics.count_store_call("quarantine");
-    let written = (shared.catalog.count_try)(record, REMEMBERED).await;
+    let call = (shared.catalog.count_try)(record, REMEMBERED);
+    let written = call_store(shared, "quarantine", call).await;
     log_write(&record, &written);
     match written {
-        Ok(TryCounted::Stands(revision)) => {
-            put_quarantine(shared, &QuarantineRecord { revision, ..record });
+        Ok(TryCounted::Stands(position)) => {
+            put_quarantine(shared, &QuarantineRecord { position, ..record });
             CountOutcome::Stands
         }
         Ok(TryCounted::Overtaken(Some(found))) => {
@@ -360,8 +368,8 @@
     shared: &Arc<Shared>,
     record: &QuarantineRecord,
 ) -> CountOutcome {
-    shared.metrics.count_store_call("read_quarantine");
-    let read = (shared.catalog.read_quarantine)(record.request).await;
+    let call = (shared.catalog.read_quarantine)(record.request);
+    let read = call_store(shared, "read_quarantine", call).await;
     let (fingerprint, tries) = (record.request, record.tries);
     match read {
         Ok(Some(found)) => {
@@ -392,10 +400,10 @@
         request,
         tries: known.tries,
         counted_by: known.counted_by,
-        revision: known.revision,
+        position: known.position,
     };
-    shared.metrics.count_store_call("end_quarantine");
-    let ended = (shared.catalog.end_quarantine)(record).await;
+    let call = (shared.catalog.end_quarantine)(record);
+    let ended = call_store(shared, "end_quarantine", call).await;
     log_write(&record, &ended);
     match ended {
         Ok(TryCounted::Stands(_) | TryCounted::Overtaken(None)) => {
@@ -409,13 +417,14 @@
 }
 
 fn log_write(record: &QuarantineRecord, written: &Result<TryCounted, CatalogError>) {
-    let (fingerprint, tries, on) = (record.request, record.tries, record.revision);
+    let (fingerprint, tries) = (record.request, record.tries);
+    let on = record.position;
     match written {
         Ok(outcome) => {
-            tracing::info!(%fingerprint, tries, on, ?outcome, "quarantine: written.");
+            tracing::info!(%fingerprint, tries, %on, ?outcome, "quarantine: written.");
         }
         Err(error) => {
-            tracing::warn!(%fingerprint, tries, on, %error, "quarantine: not written.");
+            tracing::warn!(%fingerprint, tries, %on, %error, "quarantine: not written.");
         }
     }
 }
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -8,7 +8,7 @@
 use wingspur_state::{
     Bundle, Directory, DirectoryChange, FleetStanding, Standings, SuspectRequests,
 };
-use wingspur_transport::{Catalog, Connector, LeaseId, Spawner};
+use wingspur_transport::{Announcement, Catalog, Connector, Spawner};
 
 use crate::bell::Bell;
 use crate::in_force::InForce;
@@ -51,8 +51,12 @@
     pub quarantine: Ranked<QuarantineState>,
     /// Rung when a question of another box waits for an answer.
     pub lending_bell: Bell,
-    /// The lease under which this box is announced.
-    pub lease: Ranked<Option<LeaseId>>,
+    /// How this box is announced, if it is.
+    pub announcement: Ranked<Option<Announcement>>,
+    /// Rung when that may have to change.
+    pub announcement_due: Bell,
+    /// Rung when the store has come back from an older copy.
+    pub store_restored: Bell,
     /// Opens connections to other boxes.
     pub connector: Connector,
     /// Starts tasks.
@@ -106,7 +110,9 @@
             suspects: Ranked::new(Rank::Suspects, SuspectRequests::default()),
             quarantine: Ranked::new(Rank::Quarantine, QuarantineState::new(incarnation)),
             lending_bell: Bell::new(),
-            lease: Ranked::new(Rank::Lease, None),
+            announcement: Ranked::new(Rank::Announcement, None),
+            announcement_due: Bell::new(),
+            store_restored: Bell::new(),
             connector: Connector::new(spawner.clone(), None),
             spawner,
             news: Bell::new(),
--- /dev/null
+++ b/crates/wingspur-edge/src/store_calls.rs
@@ -0,0 +1,99 @@
+//! Calls of the store, and the era that their answers and other boxes name.
+
+use std::sync::Arc;
+
+use wingspur_coordination::EraChange;
+use wingspur_state::StoreEra;
+use wingspur_transport::{CatalogError, CatalogFuture, EraReading};
+
+use crate::shared::Shared;
+
+/// Awaits a call of the store, and takes in the era that its answer names.
+///
+/// An answer of an era that is over is an error, however late it comes.
+pub async fn call_store<T>(
+    shared: &Arc<Shared>,
+    kind: &'static str,
+    call: CatalogFuture<T>,
+) -> Result<T, CatalogError> {
+    shared.metrics.count_store_call(kind);
+    let began = wingspur_clock::now();
+    let answer = call.await;
+    if answer.outcome.is_ok() {
+        shared
+            .metrics
+            .time_store(kind, wingspur_clock::since(began));
+    }
+    check_era(shared, kind, &answer.era)?;
+    answer.outcome
+}
+
+/// Takes in what an answer of the store says of its era; an error where the answer cannot be
+/// of the store's present history.
+fn check_era(
+    shared: &Arc<Shared>,
+    kind: &'static str,
+    reading: &EraReading,
+) -> Result<(), CatalogError> {
+    let known = shared.links.lock().feed().era();
+    let outcome = match reading {
+        EraReading::NoAnswer => return Ok(()),
+        EraReading::Named(era) => match observe_era(shared, *era, kind) {
+            EraChange::Older => {
+                shared.metrics.count_era("older");
+                tracing::info!(era, known, kind, "store: an answer of an older era.");
+                return Err(CatalogError::OlderEra {
+                    answer: *era,
+                    known,
+                });
+            }
+            EraChange::Same | EraChange::First | EraChange::Restored { .. } => {
+                return Ok(());
+            }
+        },
+        EraReading::Missing => "missing",
+        EraReading::Unreadable(_) => "unreadable",
+    };
+    if outcome == "missing" && known == 0 {
+        // A store that has never named an era has the one.
+        return Ok(());
+    }
+    shared.metrics.count_era(outcome);
+    tracing::warn!(known, ?reading, kind, "store: no era in its answer.");
+    Err(CatalogError::NoEra { known })
+}
+
+/// Takes in an era of the store that an answer or another box has named.
+///
+/// Every era comes by here. When the store has been restored, what was held in the era
+/// before by a lease or a revision is given up, and a listing is due.
+pub fn observe_era(shared: &Arc<Shared>, era: StoreEra, source: &str) -> EraChange {
+    let change = shared.links.lock().feed().note_era(era);
+    match change {
+        EraChange::Same | EraChange::Older => {}
+        EraChange::First => {
+            shared.quarantine.lock().note_era(era);
+            tracing::info!(era, source, "store: its era is known.");
+        }
+        EraChange::Restored { before } => {
+            shared.quarantine.lock().note_era(era);
+            let announcement = shared.announcement.lock().take();
+            shared
+                .directory
+                .lock()
+                .store_restored(wingspur_clock::now());
+            shared.metrics.count_era("restored");
+            tracing::warn!(
+                era,
+                before,
+                source,
+                announced_before = announcement.is_some(),
+                "store: it has come back from an older copy."
+            );
+            shared.store_restored.poke();
+            shared.announcement_due.poke();
+            shared.news.poke();
+        }
+    }
+    change
+}
--- a/crates/wingspur-protocol/src/catalog.rs
+++ b/crates/wingspur-protocol/src/catalog.rs
@@ -6,17 +6,14 @@
 use serde::{Deserialize, Serialize};
 use wingspur_state::{
     BoxId, Bundle, BundlePatch, DataCentreId, RequestFingerprint, ServerId, ServerRecord,
-    SourceId,
+    SourceId, StorePosition,
 };
 
-/// The store's count of changes; grows with each.
-pub type Revision = u64;
-
-/// All that a catalog announces, as of a revision.
+/// All that a catalog announces, as of a point in the store's history.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct CatalogListing {
     /// Changes up to this one are in.
-    pub revision: Revision,
+    pub position: StorePosition,
     /// The bundle in force, if there is a sound one; between boxes none as well where the
     /// other side has it.
     pub bundle: Option<Arc<Bundle>>,
@@ -28,13 +25,14 @@
     pub quarantines: Vec<QuarantineRecord>,
 }
 
-/// Changes after one revision and up to another, in order.
+/// Changes after one point in the store's history and up to another of the same era, in
+/// order.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct CatalogChanges {
     /// What the changes come on top of.
-    pub after: Revision,
+    pub after: StorePosition,
     /// Changes up to this one are in.
-    pub revision: Revision,
+    pub position: StorePosition,
     /// The changes.
     pub changes: Vec<CatalogChange>,
 }
@@ -69,8 +67,8 @@
     pub tries: u32,
     /// The box that has counted that, by its start.
     pub counted_by: SourceId,
-    /// The revision at which this was written.
-    pub revision: Revision,
+    /// Where in the store's history this was written.
+    pub position: StorePosition,
 }
 
 /// An entry box as it announces itself.
--- a/crates/wingspur-protocol/src/lib.rs
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -17,7 +17,7 @@
 pub use answer::{RefusalBody, RunState};
 pub use box_list::{BoxList, BoxState, ListedBox, ListedServer};
 pub use catalog::{
-    BoxRecord, CatalogChange, CatalogChanges, CatalogListing, QuarantineRecord, Revision,
+    BoxRecord, CatalogChange, CatalogChanges, CatalogListing, QuarantineRecord,
 };
 pub use codes::ResultCode;
 pub use headers::{HeaderNames, LoadForm};
--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -4,13 +4,14 @@
 use serde::{Deserialize, Serialize};
 use wingspur_state::{
     AllowanceKey, BoxId, BoxKey, BundleVersion, DataCentreId, HealthNote, KeyedTally,
-    RequestFingerprint, ServerKey, ServiceTally, SourceId, SuspectNote,
+    RequestFingerprint, ServerKey, ServiceTally, SourceId, StoreEra, StorePosition,
+    SuspectNote,
 };
 
-use crate::{BoxRecord, CatalogChanges, CatalogListing, Revision};
+use crate::{BoxRecord, CatalogChanges, CatalogListing};
 
 /// The version of the frames; boxes refuse any other.
-pub const LINK_PROTOCOL_VERSION: u16 = 8;
+pub const LINK_PROTOCOL_VERSION: u16 = 9;
 
 /// The first frame of either side.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -23,8 +24,8 @@
     pub from: BoxRecord,
     /// What the speaker wants of the other.
     pub role: LinkRole,
-    /// The newest revision of the catalog that the speaker knows; 0 for none.
-    pub revision: Revision,
+    /// Up to where the speaker knows the store's history.
+    pub position: StorePosition,
 }
 
 /// What the opener of a link is to the other side.
@@ -283,10 +284,10 @@
         else {
             return false;
         };
-        if next.after != changes.revision {
+        if next.after != changes.position {
             return false;
         }
-        changes.revision = next.revision;
+        changes.position = next.position;
         changes.changes.extend(next.changes.iter().cloned());
         *doubtful_ms = (*doubtful_ms).max(*next_doubtful_ms);
         true
@@ -302,6 +303,10 @@
     pub age_ms: u32,
     /// Whether the sender itself tries to read, and has no answer.
     pub tries: bool,
+    /// Up to where the sender knows the store's history; the age is that of this knowledge.
+    pub position: StorePosition,
+    /// The newest era of the store that the sender has seen; it may know nothing of it yet.
+    pub era: StoreEra,
 }
 
 /// Why a frame cannot be read.
--- a/crates/wingspur-state/src/directory.rs
+++ b/crates/wingspur-state/src/directory.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Notes that the store has come back from an older copy: servers write again what it
+    /// lacks.
+    pub fn store_restored(&mut self, now: Instant) {
+        self.store = StoreStanding::DoubtfulUntil(now + RETURN_GRACE);
+    }
+
     /// Notes that another box read the store, and for how long what it found may be
     /// doubted.
     pub fn read_by_another(&mut self, doubtful: Duration, now: Instant) {
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -34,6 +34,7 @@
 mod service_table;
 mod service_time;
 mod standing;
+mod store_position;
 mod suspects;
 mod tally;
 mod tracked;
@@ -82,6 +83,7 @@
 pub use service_table::{AttemptOutcome, ServiceTable, TICK, VERDICT_TTL};
 pub use service_time::ServiceTime;
 pub use standing::{Access, ServerStanding, Standings};
+pub use store_position::{StoreEra, StorePosition};
 pub use suspects::{
     KnownQuarantine, QUARANTINED_FROM, REMEMBERED, SuspectEvent, SuspectNews,
     SuspectNote, SuspectRequests,
--- a/crates/wingspur-state/src/suspects.rs
+++ b/crates/wingspur-state/src/suspects.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{RequestFingerprint, ServerKey, SourceId};
+use crate::{RequestFingerprint, ServerKey, SourceId, StorePosition};
 
 /// The requests under which servers have ended.
 #[derive(Debug, Default)]
@@ -64,8 +64,8 @@
 /// What the store holds of a request that is in quarantine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct KnownQuarantine {
-    /// The store's revision at which this was written.
-    pub revision: u64,
+    /// Where in the store's history this was written.
+    pub position: StorePosition,
     /// How often it was let through since it is in quarantine.
     pub tries: u32,
     /// Who has counted that.
@@ -229,7 +229,7 @@
         (!is_over).then(|| known.heard + lasts)
     }
 
-    /// Takes in what the store holds of a request; an older revision than the known one
+    /// Takes in what the store holds of a request; what is older than the known
     /// changes nothing.
     pub fn put_quarantine(
         &mut self,
@@ -237,8 +237,8 @@
         known: KnownQuarantine,
     ) {
         let suspect = self.suspects.entry(request).or_default();
-        let newest = suspect.quarantine.map(|known| known.revision);
-        if newest.is_none_or(|newest| newest < known.revision) {
+        let newest = suspect.quarantine.map(|known| known.position);
+        if newest.is_none_or(|newest| newest < known.position) {
             suspect.quarantine = Some(known);
         }
     }
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -19,7 +19,10 @@
     AnswerError, AnswerHead, Backend, BackendConnection, ConnectError, Reuse,
 };
 pub use body::{BodyError, SendBody, poll_whole};
-pub use catalog::{Catalog, CatalogError, CatalogFuture, LeaseId, TryCounted};
+pub use catalog::{
+    Announcement, Catalog, CatalogAnswer, CatalogError, CatalogFuture, EraReading,
+    LeaseId, StoreLease, TryCounted,
+};
 pub use exchange::{Connector, Exchange, ExchangeError, ExchangeTotals, Reply};
 pub use faults::{LinkFault, LinkFaults};
 pub use link::{
--- a/tests/tests/foreign_entries.rs
+++ b/tests/tests/foreign_entries.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 use wingspur_platform::{catalog, read_box, read_bundle, read_server};
 use wingspur_protocol::CatalogChange;
-use wingspur_state::{Directory, DirectoryChange};
+use wingspur_state::{Directory, DirectoryChange, StorePosition};
 use wingspur_tests::{BackendServer, PlatformStore, Reply};
 use wingspur_transport::{Exchange, LinkFaults, Workers};
 
@@ -146,7 +146,7 @@
     let exchange = Exchange::new(workers.spawner(), LinkFaults::default());
     let wait = Duration::from_secs(20);
     let catalog = catalog(store.address, exchange.into(), wait, wait);
-    let listing = smol::block_on((catalog.list)(true)).unwrap();
+    let listing = smol::block_on((catalog.list)(true)).outcome.unwrap();
     assert_eq!(listing.servers.len(), 270);
     workers.close();
 }
@@ -266,8 +266,8 @@
     let exchange = Exchange::new(workers.spawner(), LinkFaults::default());
     let wait = Duration::from_secs(20);
     let catalog = catalog(store.address, exchange.into(), wait, wait);
-    let watched = (catalog.watch)(1, Duration::from_millis(50));
-    let changes = smol::block_on(watched).unwrap().changes;
+    let watched = (catalog.watch)(StorePosition::new(1, 1), Duration::from_millis(50));
+    let changes = smol::block_on(watched).outcome.unwrap().changes;
     let gone = [
         CatalogChange::ServerGone("i-1".into()),
         CatalogChange::BoxGone("box-9".into()),
--- a/tests/tests/full_links.rs
+++ b/tests/tests/full_links.rs
@@ -17,6 +17,7 @@
 use wingspur_protocol::{
     BoxRecord, Frame, Hello, LINK_PROTOCOL_VERSION, LinkRole, Stamps,
 };
+use wingspur_state::StorePosition;
 use wingspur_tests::PlatformStore;
 use wingspur_transport::{
     HttpListener, LinkReceiver, LinkSender, ListenerOptions, Workers, accept_link,
@@ -36,7 +37,7 @@
         fleet: "test".into(),
         from: record,
         role: LinkRole::Hub,
-        revision: 0,
+        position: StorePosition::default(),
     };
     sender.send(&hello).ok()?;
     for count in 1..=MOST_UNANSWERED {
--- a/tests/tests/hubs.rs
+++ b/tests/tests/hubs.rs
@@ -20,6 +20,7 @@
 use wingspur_protocol::{
     BoxRecord, Frame, Hello, LINK_PROTOCOL_VERSION, LinkRole, Stamps,
 };
+use wingspur_state::StorePosition;
 use wingspur_tests::PlatformStore;
 use wingspur_transport::{
     HttpListener, LinkReceiver, LinkSender, ListenerOptions, Spawner, Workers,
@@ -82,7 +83,7 @@
             fleet: "test".into(),
             from: self.record.clone(),
             role: LinkRole::Hub,
-            revision: 0,
+            position: StorePosition::default(),
         };
         sender.send(&hello).expect("the link has just come up");
         while let Ok(frame) = receiver.next::<Frame>(PATIENCE).await {
--- a/tests/tests/late_answers.rs
+++ b/tests/tests/late_answers.rs
@@ -16,7 +16,9 @@
 use wingspur_edge::{EdgeBox, Settings};
 use wingspur_platform::{catalog, header_names};
 use wingspur_tests::{BackendServer, PlatformStore, Reply, call};
-use wingspur_transport::{Catalog, CatalogError, Exchange, LinkFaults, Workers};
+use wingspur_transport::{
+    Catalog, CatalogAnswer, CatalogError, EraReading, Exchange, LinkFaults, Workers,
+};
 
 /// Two boxes, each the hub of its data centre; the answers to the first may be late.
 struct TwoHubs {
@@ -54,23 +56,27 @@
     catalog.list = Arc::new(move |fresh| {
         let (listing, calls) = (list(fresh), of_list.clone());
         Box::pin(async move {
-            let listing = listing.await?;
+            let listing = listing.await;
             calls.listings.fetch_add(1, Ordering::AcqRel);
             calls.hold_up().await;
-            Ok(listing)
+            listing
         })
     });
     catalog.watch = Arc::new(move |after, wait| {
         let (watching, calls) = (watch(after, wait), of_watch.clone());
         Box::pin(async move {
             if calls.history_is_lost.swap(false, Ordering::AcqRel) {
-                return Err(CatalogError::HistoryLost);
+                return CatalogAnswer {
+                    era: EraReading::NoAnswer,
+                    outcome: Err(CatalogError::HistoryLost),
+                };
             }
-            let changes = watching.await?;
-            if changes.revision > after {
+            let changes = watching.await;
+            let told = changes.outcome.as_ref();
+            if told.is_ok_and(|told| told.position > after) {
                 calls.hold_up().await;
             }
-            Ok(changes)
+            changes
         })
     });
     catalog
--- a/tests/tests/news_age.rs
+++ b/tests/tests/news_age.rs
@@ -35,6 +35,7 @@
         reader: Some(BoxId::from("hub")),
         age_ms: 0,
         tries: false,
+        ..FeedState::default()
     };
     let (mut hub_clock, mut own_clock) = (LinkClock::new(start), LinkClock::new(start));
     let mut on_the_way: Vec<(Duration, Duration, Stamps)> = Vec::new();
@@ -111,6 +112,7 @@
         reader: Some(BoxId::from("hub")),
         age_ms: 300,
         tries: false,
+        ..FeedState::default()
     };
     feed.note(1, &told, start + ms(1_000));
     assert_eq!(feed.news_age(start + ms(1_500)), ms(800));
--- a/tests/tests/platform_catalog.rs
+++ b/tests/tests/platform_catalog.rs
@@ -7,8 +7,11 @@
 use edge::{Route, configuration, server_entry};
 use wingspur_platform::catalog;
 use wingspur_protocol::{BoxRecord, CatalogChange};
+use wingspur_state::StorePosition;
 use wingspur_tests::{PlatformStore, StoreFault};
-use wingspur_transport::{Catalog, CatalogError, Exchange, LinkFaults, Workers};
+use wingspur_transport::{
+    Catalog, CatalogError, CatalogFuture, Exchange, LinkFaults, Workers,
+};
 
 const WAIT: Duration = Duration::from_millis(50);
 
@@ -25,6 +28,14 @@
     with_catalog(store, Duration::from_secs(20), test);
 }
 
+fn asked<T>(call: CatalogFuture<T>) -> Result<T, CatalogError> {
+    smol::block_on(call).outcome
+}
+
+fn at(revision: u64) -> StorePosition {
+    StorePosition::new(1, revision)
+}
+
 fn own_record() -> BoxRecord {
     BoxRecord {
         id: "box-1".into(),
@@ -49,10 +60,10 @@
         put_server(&store, &format!("i-{n}"));
     }
     with_sound_catalog(&store, |catalog| {
-        let listing = smol::block_on((catalog.list)(true)).unwrap();
+        let listing = asked((catalog.list)(true)).unwrap();
         assert_eq!(listing.servers.len(), 10);
         assert_eq!(listing.bundle.unwrap().version, 1);
-        assert_eq!(listing.revision, 11);
+        assert_eq!(listing.position, at(11));
         assert_eq!(store.calls("/-/kv-range"), 4);
     });
 }
@@ -65,15 +76,15 @@
     store.remove("servers/i-1");
     store.put_bytes("someone/elses", b"\xff");
     with_sound_catalog(&store, |catalog| {
-        let changes = smol::block_on((catalog.watch)(1, WAIT)).unwrap();
-        assert_eq!((changes.after, changes.revision), (1, 4));
+        let changes = asked((catalog.watch)(at(1), WAIT)).unwrap();
+        assert_eq!((changes.after, changes.position), (at(1), at(4)));
         assert!(
             matches!(&changes.changes[0], CatalogChange::Server(r) if &*r.id == "i-2")
         );
         assert_eq!(changes.changes[1], CatalogChange::ServerGone("i-1".into()));
         assert_eq!(changes.changes.len(), 2);
-        let quiet = smol::block_on((catalog.watch)(4, WAIT)).unwrap();
-        assert_eq!((quiet.revision, quiet.changes.len()), (4, 0));
+        let quiet = asked((catalog.watch)(at(4), WAIT)).unwrap();
+        assert_eq!((quiet.position, quiet.changes.len()), (at(4), 0));
     });
 }
 
@@ -84,11 +95,11 @@
     put_server(&store, "i-2");
     store.forget_history();
     with_sound_catalog(&store, |catalog| {
-        let lost = smol::block_on((catalog.watch)(1, WAIT)).unwrap_err();
+        let lost = asked((catalog.watch)(at(1), WAIT)).unwrap_err();
         assert!(matches!(lost, CatalogError::HistoryLost));
         for status in [429, 500, 503] {
             store.set_fault(StoreFault::Refuses(status));
-            let away = smol::block_on((catalog.watch)(2, WAIT)).unwrap_err();
+            let away = asked((catalog.watch)(at(2), WAIT)).unwrap_err();
             assert!(away.is_away(), "{status}: {away}");
         }
     });
@@ -101,7 +112,7 @@
     store.put_bytes("op/config", b"{\"version\": 1");
     put_server(&store, "i-1");
     with_sound_catalog(&store, |catalog| {
-        let listing = smol::block_on((catalog.list)(true)).unwrap();
+        let listing = asked((catalog.list)(true)).unwrap();
         assert_eq!(listing.servers.len(), 1);
         assert!(listing.bundle.is_none());
     });
@@ -111,14 +122,14 @@
 fn a_box_is_announced_under_a_lease_that_can_end() {
     let store = PlatformStore::start(500);
     with_sound_catalog(&store, |catalog| {
-        let lease = smol::block_on((catalog.announce)(own_record(), None)).unwrap();
-        let listing = smol::block_on((catalog.list)(true)).unwrap();
+        let lease = asked((catalog.announce)(own_record(), None)).unwrap().lease;
+        let listing = asked((catalog.list)(true)).unwrap();
         assert_eq!(listing.boxes, [own_record()]);
-        assert!(smol::block_on((catalog.renew)(lease)).unwrap());
-        store.end_lease(lease);
-        assert!(!smol::block_on((catalog.renew)(lease)).unwrap());
-        let again = smol::block_on((catalog.announce)(own_record(), None)).unwrap();
-        smol::block_on((catalog.withdraw)(again)).unwrap();
+        assert!(asked((catalog.renew)(lease)).unwrap());
+        store.end_lease(lease.id);
+        assert!(!asked((catalog.renew)(lease)).unwrap());
+        let again = asked((catalog.announce)(own_record(), None)).unwrap();
+        assert!(asked((catalog.withdraw)("box-1".into(), again.position)).unwrap());
         assert_eq!(store.keys("wingspur/"), Vec::<String>::new());
     });
 }
@@ -129,13 +140,13 @@
     put_server(&store, "i-1");
     store.set_fault(StoreFault::LosesReplies);
     with_sound_catalog(&store, |catalog| {
-        assert!(smol::block_on((catalog.list)(true)).unwrap_err().is_away());
-        let lost = smol::block_on((catalog.announce)(own_record(), None));
+        assert!(asked((catalog.list)(true)).unwrap_err().is_away());
+        let lost = asked((catalog.announce)(own_record(), None));
         assert!(lost.unwrap_err().is_away());
     });
     store.set_fault(StoreFault::Silent);
     with_catalog(&store, Duration::from_millis(100), |catalog| {
-        assert!(smol::block_on((catalog.list)(true)).unwrap_err().is_away());
+        assert!(asked((catalog.list)(true)).unwrap_err().is_away());
     });
 }
 
@@ -144,10 +155,10 @@
     let store = PlatformStore::start(2);
     put_server(&store, "i-0");
     with_sound_catalog(&store, |catalog| {
-        smol::block_on((catalog.announce)(own_record(), None)).unwrap();
-        let listing = smol::block_on((catalog.list_boxes)()).unwrap();
+        asked((catalog.announce)(own_record(), None)).unwrap();
+        let listing = asked((catalog.list_boxes)()).unwrap();
         assert_eq!(listing.boxes, [own_record()]);
-        assert!(listing.servers.is_empty() && listing.revision > 0);
+        assert!(listing.servers.is_empty() && listing.position > at(0));
     });
 }
 
@@ -159,13 +170,13 @@
         ..own_record()
     };
     with_sound_catalog(&store, |catalog| {
-        let lease = smol::block_on((catalog.announce)(own_record(), None)).unwrap();
+        let lease = asked((catalog.announce)(own_record(), None)).unwrap().lease;
         let told = (catalog.announce)(larger.clone(), Some(lease));
-        assert_eq!(smol::block_on(told).unwrap(), lease);
-        let listing = smol::block_on((catalog.list_boxes)()).unwrap();
+        assert_eq!(asked(told).unwrap().lease, lease);
+        let listing = asked((catalog.list_boxes)()).unwrap();
         assert_eq!(listing.boxes, [larger]);
-        store.end_lease(lease);
-        let listing = smol::block_on((catalog.list_boxes)()).unwrap();
+        store.end_lease(lease.id);
+        let listing = asked((catalog.list_boxes)()).unwrap();
         assert!(listing.boxes.is_empty());
     });
 }
--- a/tests/tests/quarantine/mod.rs
+++ b/tests/tests/quarantine/mod.rs
@@ -12,8 +12,8 @@
 use rand::{RngExt, SeedableRng};
 use wingspur_coordination::{CountOutcome, DeskStep, QuarantineDesk};
 use wingspur_state::{
-    KnownQuarantine, RequestFingerprint, RequestParts, SuspectEvent, SuspectNews,
-    SuspectNote, SuspectRequests,
+    KnownQuarantine, RequestFingerprint, RequestParts, StorePosition, SuspectEvent,
+    SuspectNews, SuspectNote, SuspectRequests,
 };
 
 pub type Ms = u64;
@@ -1211,7 +1211,7 @@
         match record {
             Some(record) => {
                 let known = KnownQuarantine {
-                    revision: record.revision,
+                    position: StorePosition::new(0, record.revision),
                     tries: record.tries,
                     counted_by: record.counted_by,
                     heard,
@@ -1262,7 +1262,8 @@
             return (CountOutcome::Unknown, 300);
         }
         let stands = self.store.records.get(&print).copied();
-        if stands.map_or(0, |record| record.revision) != count.revision {
+        let expected = count.position.wire_revision();
+        if stands.map_or(0, |record| record.revision) != expected {
             self.learn(hub, print, stands);
             return (CountOutcome::Overtaken, 5);
         }
@@ -1328,7 +1329,8 @@
         for (print, known) in outlived {
             self.outcome.writes += 1;
             let stands = self.store.records.get(&print).copied();
-            if stands.map(|record| record.revision) == Some(known.revision) {
+            let expected = known.position.wire_revision();
+            if stands.map(|record| record.revision) == Some(expected) {
                 self.store.records.remove(&print);
                 self.tell_all(print, None);
                 self.learn(place, print, None);
--- a/tests/tests/sharing.rs
+++ b/tests/tests/sharing.rs
@@ -12,7 +12,7 @@
 use wingspur_protocol::{
     BoxRecord, CatalogChange, CatalogChanges, CatalogUpdate, Digest, FeedState, LinkRole,
 };
-use wingspur_state::{BoxId, ServerTally, ServiceTally};
+use wingspur_state::{BoxId, ServerTally, ServiceTally, StorePosition};
 
 fn digest(source: u64, whole: bool, good: u32, in_flight: u32) -> Digest {
     let tally = ServerTally {
@@ -257,6 +257,7 @@
         reader: None,
         age_ms: 0,
         tries: true,
+        ..FeedState::default()
     };
     feed.note(1, &other_tries, now);
     assert!(!feed.may_leave_it(true), "a hub tries all the time");
@@ -273,6 +274,7 @@
         reader: Some(BoxId::from("hub")),
         age_ms: 100,
         tries: false,
+        ..FeedState::default()
     };
     feed.note(1, &fresh, now);
     assert!(!feed.should_read(false, 0, now + Duration::from_millis(500)));
@@ -306,6 +308,7 @@
         reader: Some(BoxId::from("own")),
         age_ms: 0,
         tries: false,
+        ..FeedState::default()
     };
     feed.note(1, &echo, now + Duration::from_secs(2));
     assert!(feed.should_read(false, 0, now + Duration::from_secs(2)));
@@ -361,13 +364,17 @@
     }
 }
 
+fn at(revision: u64) -> StorePosition {
+    StorePosition::new(1, revision)
+}
+
 fn changes(after: u64, revision: u64, gone: &[&str]) -> CatalogUpdate {
     let gone = gone
         .iter()
         .map(|id| CatalogChange::ServerGone(id.to_string()));
     let changes = CatalogChanges {
-        after,
-        revision,
+        after: at(after),
+        position: at(revision),
         changes: gone.collect(),
     };
     CatalogUpdate::Changes {
@@ -386,8 +393,8 @@
     else {
         unreachable!()
     };
-    assert_eq!(recent.since(10), Some(all));
-    let of = |revision| recent.since(revision).map(|told| told.changes.len());
+    assert_eq!(recent.since(at(10)), Some(all));
+    let of = |revision| recent.since(at(revision)).map(|told| told.changes.len());
     assert_eq!(of(12), Some(2));
     assert_eq!(of(9), None, "some of what it lacks is not kept");
     assert_eq!(of(15), None, "it lacks nothing");
@@ -398,14 +405,17 @@
     let mut recent = RecentChanges::default();
     recent.put(&changes(10, 12, &["a"]));
     recent.put(&changes(14, 15, &["c"]));
-    assert_eq!(recent.since(10), None);
-    assert_eq!(recent.since(12), None);
-    assert_eq!(recent.since(14).map(|told| told.changes.len()), Some(1));
+    assert_eq!(recent.since(at(10)), None);
+    assert_eq!(recent.since(at(12)), None);
+    assert_eq!(recent.since(at(14)).map(|told| told.changes.len()), Some(1));
     for revision in 15..2000 {
         recent.put(&changes(revision, revision + 1, &["d"]));
     }
-    assert_eq!(recent.since(14), None);
-    assert_eq!(recent.since(1500).map(|told| told.changes.len()), Some(500));
+    assert_eq!(recent.since(at(14)), None);
+    assert_eq!(
+        recent.since(at(1500)).map(|told| told.changes.len()),
+        Some(500)
+    );
 }
 
 #[test]
@@ -511,8 +521,8 @@
 fn change(after: u64, id: &str) -> CatalogUpdate {
     CatalogUpdate::Changes {
         changes: CatalogChanges {
-            after,
-            revision: after + 1,
+            after: at(after),
+            position: at(after + 1),
             changes: vec![CatalogChange::ServerGone(id.into())],
         },
         doubtful_ms: 0,
@@ -530,7 +540,7 @@
             let CatalogUpdate::Changes { changes, .. } = update else {
                 panic!("nothing was listed");
             };
-            assert_eq!(changes.after, told.len() as u64);
+            assert_eq!(changes.after, at(told.len() as u64));
             told.extend(changes.changes);
         }
     };
--- a/tests/tests/suspects.rs
+++ b/tests/tests/suspects.rs
@@ -4,8 +4,8 @@
 
 use wingspur_coordination::{CountOutcome, DeskStep, MOST_TRIES, QuarantineDesk};
 use wingspur_state::{
-    KnownQuarantine, REMEMBERED, RequestFingerprint, RequestParts, SuspectEvent,
-    SuspectNews, SuspectRequests,
+    KnownQuarantine, REMEMBERED, RequestFingerprint, RequestParts, StorePosition,
+    SuspectEvent, SuspectNews, SuspectRequests,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -39,7 +39,7 @@
 
 fn known(revision: u64, tries: u32, heard: Instant) -> KnownQuarantine {
     KnownQuarantine {
-        revision,
+        position: StorePosition::new(0, revision),
         tries,
         counted_by: 7,
         heard,
@@ -171,8 +171,8 @@
             let DeskStep::Count(count) = desk.ask(a, &suspects, at) else {
                 continue;
             };
-            let revision = stands.map_or(0, |known| known.revision);
-            let outcome = match count.revision == revision {
+            let revision = stands.map_or(0, |known| known.position.wire_revision());
+            let outcome = match count.position.wire_revision() == revision {
                 true => CountOutcome::Stands,
                 false => CountOutcome::Overtaken,
             };
