Red: what a restore of the store takes away or brings back

Four failures beside the recorded ones, from the table of what the store holds: an entry that the copy brings back of a server that was gone is used (30 of 30 requests); a box that starts takes the copy's older configuration for the newest, and its peers, which know the same position, tell it nothing; tries of a request in quarantine that the copy lacks are uncounted; a quarantine that the copy lacks ends.

--- a/tests/tests/ending_requests.rs
+++ b/tests/tests/ending_requests.rs
@@ -192,6 +192,25 @@
     fleet.close();
 }
 
+#[test]
+fn quarantine_lost_by_a_store_restore_is_written_again() {
+    let fleet = Fleet::start(3, 6);
+    let copy = fleet.store.copy();
+    let is_known = || !fleet.store.keys("wingspur/quarantine/").is_empty();
+    let mut turn = 0;
+    while !is_known() {
+        fleet.ask(turn, FATAL);
+        turn += 1;
+        fleet.bring_back();
+    }
+    fleet.store.restore(&copy);
+    for (n, server) in fleet.servers.iter().enumerate() {
+        announce(&fleet.store, n, server);
+    }
+    wait_until("the store holds the quarantine again", is_known);
+    fleet.close();
+}
+
 /// The request that ends servers.
 const FATAL: &str = "/read/fatal";
 /// How long a server takes for a request.
--- a/tests/tests/store_restore.rs
+++ b/tests/tests/store_restore.rs
@@ -136,3 +136,35 @@
     fleet.close();
     assert_eq!(sent, 0, "of 30 requests");
 }
+
+#[test]
+fn server_that_was_gone_before_the_restore_gets_no_requests() {
+    let mut fleet = Fleet::start();
+    let copy = fleet.store.copy();
+    fleet.store.remove("servers/i-0");
+    fleet.advance(2);
+    assert_eq!(fleet.count_at(0), 0, "it is gone");
+    // The copy holds its entry, which nobody writes again.
+    fleet.restore(&copy);
+    fleet.write_server(1, "leaving");
+    fleet.roll_out();
+    let sent = fleet.count_at(0);
+    fleet.close();
+    assert_eq!(sent, 0, "of 30 requests");
+}
+
+#[test]
+fn box_that_starts_on_a_restored_store_gets_the_newest_configuration() {
+    let mut fleet = Fleet::start();
+    let copy = fleet.store.copy();
+    fleet.roll_out();
+    // The operator has not written the newest version again yet.
+    fleet.store.restore(&copy);
+    let starts = start_box_in("dc-3", "box-4", &fleet.store, &fleet.workers);
+    let version = fleet.version;
+    wait_until("the newest version is in force", || {
+        starts.bundle_version() >= version
+    });
+    fleet.boxes.push(starts);
+    fleet.close();
+}
--- a/tests/tests/suspects.rs
+++ b/tests/tests/suspects.rs
@@ -121,6 +121,26 @@
     assert!(suspects.outlived_quarantines().is_empty());
 }
 
+#[test]
+fn tries_counted_before_a_store_restore_still_count() {
+    let now = Instant::now();
+    let mut suspects = SuspectRequests::default();
+    let at = |era, revision, tries| KnownQuarantine {
+        position: StorePosition::new(era, revision),
+        ..known(revision, tries, now)
+    };
+    suspects.put_quarantine(request("a"), at(1, 9, 2));
+    // The copy is of before the second try.
+    suspects.put_quarantine(request("a"), at(2, 7, 1));
+    let stands = suspects
+        .quarantine(request("a"))
+        .expect("it is in quarantine");
+    assert_eq!(
+        (stands.tries, stands.position),
+        (2, StorePosition::new(2, 7))
+    );
+}
+
 #[test]
 fn memory_and_news_are_bounded_and_the_worst_are_kept() {
     let now = Instant::now();
