Entries that a restore brings back of servers that were gone are held back

Cause: the directory forgot a run with its entry. Now it remembers runs that are gone, with the era in which they went (4,096 at most); an entry of one that a listing of a later era brings back is used only once a change tells that it was written, or after 5 s: the store drops an entry that is not written for three heartbeats of 1.5 s, so one that still stands has been written since. A server that had only seemed gone is unused for so long at most.

Listings between boxes carry what the teller knows beyond the store: servers that the store lacks and that may only seem gone, and listed ones that were gone before. Before, a box that linked while servers were missing was told them as listed, and would have kept those that never came back. A listing is spread after it was applied, as what the box knows then.

--- a/crates/wingspur-coordination/src/catalog_queue.rs
+++ b/crates/wingspur-coordination/src/catalog_queue.rs
@@ -33,7 +33,7 @@
     /// another reason to speak.
     pub fn push(&mut self, update: &CatalogUpdate, urgent: bool) {
         self.urgent |= urgent;
-        if matches!(update, CatalogUpdate::Listing { .. }) {
+        if matches!(update, CatalogUpdate::Listing(_)) {
             // It tells all that the ones before it do.
             self.updates.clear();
         }
--- a/crates/wingspur-edge/src/active_link.rs
+++ b/crates/wingspur-edge/src/active_link.rs
@@ -92,9 +92,11 @@
     pub fn take_catalog(&mut self, now: Instant) -> Vec<CatalogUpdate> {
         let mut updates = self.catalog.take(now);
         for update in &mut updates {
-            if let CatalogUpdate::Listing { listing, .. } = update {
+            if let CatalogUpdate::Listing(told) = update {
                 let known = self.bundle_version;
-                listing.bundle.take_if(|bundle| bundle.version <= known);
+                told.listing
+                    .bundle
+                    .take_if(|bundle| bundle.version <= known);
             }
         }
         updates
--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use wingspur_coordination::LinkId;
-use wingspur_protocol::{CatalogChange, CatalogChanges, CatalogListing, CatalogUpdate};
+use wingspur_protocol::{
+    CatalogChange, CatalogChanges, CatalogListing, CatalogUpdate, ListingUpdate,
+};
 use wingspur_state::{BundlePatch, StorePosition};
 
 use crate::exchange::spread;
@@ -20,22 +22,41 @@
     from: Option<LinkId>,
     now: Instant,
 ) {
-    let known = shared.links.lock().position();
-    let (after, position, doubtful_ms) = match update {
-        CatalogUpdate::Listing {
-            listing,
-            doubtful_ms,
-        } => (StorePosition::default(), listing.position, *doubtful_ms),
+    match update {
+        CatalogUpdate::Listing(told) => apply_told_listing(shared, told, from, now),
         CatalogUpdate::Changes {
             changes,
             doubtful_ms,
-        } => (changes.after, changes.position, *doubtful_ms),
-    };
-    if position <= known {
+        } => apply_told_changes(shared, changes, *doubtful_ms, from, now),
+    }
+}
+
+fn apply_told_listing(
+    shared: &Arc<Shared>,
+    told: &ListingUpdate,
+    from: Option<LinkId>,
+    now: Instant,
+) {
+    if told.listing.position <= shared.links.lock().position() {
         return;
     }
-    let update = whole(shared, update);
-    if after > known || lacks_base(shared, &update) {
+    read_by_another(shared, told.doubtful_ms, now);
+    apply_listing(shared, told.clone(), "peer", now);
+    spread(shared, &listing_of(shared, now), true, from);
+}
+
+fn apply_told_changes(
+    shared: &Arc<Shared>,
+    changes: &CatalogChanges,
+    doubtful_ms: u32,
+    from: Option<LinkId>,
+    now: Instant,
+) {
+    let known = shared.links.lock().position();
+    if changes.position <= known {
+        return;
+    }
+    if changes.after > known || lacks_base(shared, changes) {
         // Changes in between never came this way.
         if let Some(link) = from {
             shared.links.lock().ask_for_listing(link);
@@ -43,31 +64,31 @@
         }
         return;
     }
-    let doubtful = Duration::from_millis(u64::from(doubtful_ms));
-    shared.directory.lock().read_by_another(doubtful, now);
-    let urgent = match &update {
-        CatalogUpdate::Listing { .. } => true,
-        CatalogUpdate::Changes { changes, .. } => !changes.changes.is_empty(),
+    read_by_another(shared, doubtful_ms, now);
+    let urgent = !changes.changes.is_empty();
+    let update = CatalogUpdate::Changes {
+        changes: changes.clone(),
+        doubtful_ms,
     };
     spread(shared, &update, urgent, from);
-    match update {
-        CatalogUpdate::Listing { listing, .. } => {
-            apply_listing(shared, listing, "peer", now);
-        }
-        CatalogUpdate::Changes { changes, .. } => {
-            apply_changes(shared, changes, "peer", now);
-        }
-    }
+    apply_changes(shared, changes.clone(), "peer", now);
+}
+
+/// Notes for how long what another box has read may be doubted.
+fn read_by_another(shared: &Shared, doubtful_ms: u32, now: Instant) {
+    let doubtful = Duration::from_millis(doubtful_ms.into());
+    shared.directory.lock().read_by_another(doubtful, now);
 }
 
 /// Applies a listing that this box read itself, and spreads it; false where links have told
 /// more while it was on its way.
 pub fn take_listing(shared: &Arc<Shared>, listing: CatalogListing, now: Instant) -> bool {
     let known = shared.links.lock().position();
-    let is_older = listing.position < known;
+    let position = listing.position;
+    let is_older = position < known;
     tracing::info!(
         %known,
-        position = %listing.position,
+        %position,
         bundle_version = listing.bundle.as_ref().map_or(0, |bundle| bundle.version),
         servers = listing.servers.len(),
         outcome = if is_older { "passed over" } else { "taken" },
@@ -76,14 +97,16 @@
     if is_older {
         return false;
     }
-    if listing.position > known {
-        let update = CatalogUpdate::Listing {
-            listing: listing.clone(),
-            doubtful_ms: doubtful_ms(shared, now),
-        };
-        spread(shared, &update, true, None);
+    let read = ListingUpdate {
+        listing,
+        doubtful_ms: 0,
+        missing: Vec::new(),
+        returned: Vec::new(),
+    };
+    apply_listing(shared, read, "store", now);
+    if position > known {
+        spread(shared, &listing_of(shared, now), true, None);
     }
-    apply_listing(shared, listing, "store", now);
     true
 }
 
@@ -146,29 +169,36 @@
     };
     let in_force = shared.in_force();
     let quarantines = quarantine_records(shared);
+    let directory = shared.directory.lock();
+    let doubtful = directory.doubtful_for(now);
     let listing = CatalogListing {
         position,
         bundle: in_force.map(|in_force| in_force.bundle.clone()),
-        servers: shared.directory.lock().records().cloned().collect(),
+        servers: directory.listed().cloned().collect(),
         boxes,
         quarantines,
     };
-    CatalogUpdate::Listing {
+    CatalogUpdate::Listing(ListingUpdate {
         listing,
-        doubtful_ms: doubtful_ms(shared, now),
-    }
+        doubtful_ms: as_ms(doubtful),
+        missing: directory.missing().cloned().collect(),
+        returned: directory
+            .returned()
+            .map(|record| record.id.clone())
+            .collect(),
+    })
 }
 
-fn apply_listing(
-    shared: &Arc<Shared>,
-    listing: CatalogListing,
-    source: &str,
-    now: Instant,
-) {
+fn apply_listing(shared: &Arc<Shared>, told: ListingUpdate, source: &str, now: Instant) {
+    let listing = told.listing;
     if let Some(bundle) = listing.bundle {
         shared.put_in_force(bundle, source);
     }
-    let changes = shared.directory.lock().replace(listing.servers, now);
+    let mut directory = shared.directory.lock();
+    let mut changes = directory.replace_restored(listing.servers, &told.returned, now);
+    let missing = told.missing.into_iter();
+    changes.extend(missing.filter_map(|record| directory.put_missing(record, now)));
+    drop(directory);
     shared.follow(&changes, source);
     replace_quarantines(shared, &listing.quarantines);
     let mut links = shared.links.lock();
@@ -226,23 +256,8 @@
     }
 }
 
-/// The update with the bundle that its sender left out because this box has it: what is
-/// passed on goes to boxes that may not.
-fn whole(shared: &Shared, update: &CatalogUpdate) -> CatalogUpdate {
-    let mut update = update.clone();
-    if let CatalogUpdate::Listing { listing, .. } = &mut update
-        && listing.bundle.is_none()
-    {
-        listing.bundle = shared.in_force().map(|in_force| in_force.bundle.clone());
-    }
-    update
-}
-
-/// Whether an update changes a bundle that this box does not have, and needs.
-fn lacks_base(shared: &Shared, update: &CatalogUpdate) -> bool {
-    let CatalogUpdate::Changes { changes, .. } = update else {
-        return false;
-    };
+/// Whether changes are of a bundle that this box does not have, and needs.
+fn lacks_base(shared: &Shared, changes: &CatalogChanges) -> bool {
     let mut version = shared.bundle_version();
     for change in &changes.changes {
         match change {
@@ -277,6 +292,9 @@
 }
 
 fn doubtful_ms(shared: &Shared, now: Instant) -> u32 {
-    let doubtful = shared.directory.lock().doubtful_for(now);
-    doubtful.as_millis().min(u128::from(u32::MAX)) as u32
+    as_ms(shared.directory.lock().doubtful_for(now))
+}
+
+fn as_ms(time: Duration) -> u32 {
+    time.as_millis().min(u128::from(u32::MAX)) as u32
 }
--- a/crates/wingspur-edge/src/store_calls.rs
+++ b/crates/wingspur-edge/src/store_calls.rs
@@ -81,7 +81,7 @@
             shared
                 .directory
                 .lock()
-                .store_restored(wingspur_clock::now());
+                .store_restored(era, wingspur_clock::now());
             shared.metrics.count_era("restored");
             tracing::warn!(
                 era,
--- a/crates/wingspur-protocol/src/lib.rs
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -24,7 +24,7 @@
 pub use link::{
     CatalogUpdate, CensusNote, Digest, FeedState, FleetNote, Frame, FrameError, Hello,
     LINK_PROTOCOL_VERSION, LeavingNote, LeftPart, Lendable, Lending, LimitNote, LinkRole,
-    LoanAnswer, LoanRequest, ResendRoom, Stamps, encode_frame, take_frame,
+    ListingUpdate, LoanAnswer, LoanRequest, ResendRoom, Stamps, encode_frame, take_frame,
 };
 pub use load_report::parse_load_hint;
 pub use operation::{LogEntry, LogSegment, OperationId, OperationOutcome};
--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -4,8 +4,8 @@
 use serde::{Deserialize, Serialize};
 use wingspur_state::{
     AllowanceKey, BoxId, BoxKey, BundleVersion, DataCentreId, HealthNote, KeyedTally,
-    RequestFingerprint, ServerKey, ServiceTally, SourceId, StoreEra, StorePosition,
-    SuspectNote,
+    RequestFingerprint, ServerId, ServerKey, ServerRecord, ServiceTally, SourceId,
+    StoreEra, StorePosition, SuspectNote,
 };
 
 use crate::{BoxRecord, CatalogChanges, CatalogListing};
@@ -253,12 +253,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum CatalogUpdate {
     /// All there is.
-    Listing {
-        /// What is listed.
-        listing: CatalogListing,
-        /// For how long servers that it lacks may only seem gone, in milliseconds.
-        doubtful_ms: u32,
-    },
+    Listing(ListingUpdate),
     /// What has changed.
     Changes {
         /// The changes.
@@ -268,6 +263,19 @@
     },
 }
 
+/// All that a box knows of the catalog.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ListingUpdate {
+    /// What the store holds.
+    pub listing: CatalogListing,
+    /// For how long servers that it lacks may only seem gone, in milliseconds.
+    pub doubtful_ms: u32,
+    /// Servers that it lacks and that may only seem gone.
+    pub missing: Vec<ServerRecord>,
+    /// Listed servers that were gone before the store was restored, and may be still.
+    pub returned: Vec<ServerId>,
+}
+
 impl CatalogUpdate {
     /// Adds changes that follow on these; false where they do not.
     pub fn append(&mut self, other: &Self) -> bool {
--- a/crates/wingspur-state/src/directory.rs
+++ b/crates/wingspur-state/src/directory.rs
@@ -3,18 +3,23 @@
 //! An entry of a server that cannot reach the store lapses, and while the store is away
 //! entries lapse that nobody could renew. So an entry that vanishes around an outage is kept
 //! until the store has been back for `RETURN_GRACE`: a living server has written anew by
-//! then.
+//! then. A restored store brings back entries of servers that were gone; those are used only
+//! once they must have been written since.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use crate::{ServerId, ServerRecord};
+use crate::{ServerId, ServerRecord, StoreEra};
 
 /// The announced backend servers of all services.
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<ServerId, Entry>,
     store: StoreStanding,
+    era: StoreEra,
+    gone: GoneRuns,
+    /// Entries that a restored store has brought back of runs that were gone.
+    returned: BTreeMap<ServerId, ReturnedEntry>,
 }
 
 /// What became of a server, for the tables that follow the directory.
@@ -40,6 +45,23 @@
     missing: bool,
 }
 
+/// An entry whose server was gone before the store was restored.
+#[derive(Debug)]
+struct ReturnedEntry {
+    record: ServerRecord,
+    /// The store drops the entry before then unless a server has written it.
+    trusted_at: Instant,
+}
+
+/// The runs of servers whose entries have gone.
+#[derive(Debug, Default)]
+struct GoneRuns {
+    /// When the run began, and the era in which its entry went.
+    runs: HashMap<ServerId, (u64, StoreEra)>,
+    /// Oldest first.
+    order: VecDeque<ServerId>,
+}
+
 /// Whether the store's silence about a server means anything.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum StoreStanding {
@@ -64,7 +86,8 @@
 
     /// Notes that the store has come back from an older copy: servers write again what it
     /// lacks.
-    pub fn store_restored(&mut self, now: Instant) {
+    pub fn store_restored(&mut self, era: StoreEra, now: Instant) {
+        self.era = era;
         self.store = StoreStanding::DoubtfulUntil(now + RETURN_GRACE);
     }
 
@@ -102,6 +125,8 @@
             record: record.clone(),
             missing: false,
         };
+        self.returned.remove(&record.id);
+        self.gone.forget(&record.id);
         match self.entries.insert(record.id.clone(), entry) {
             Some(entry) if entry.record.born_ms < record.born_ms => {
                 Some(DirectoryChange::Restarted {
@@ -125,6 +150,7 @@
 
     /// Takes in that an entry has vanished.
     pub fn remove(&mut self, id: &str, now: Instant) -> Option<DirectoryChange> {
+        self.returned.remove(id);
         let trusted = self.is_trusted(now);
         let entry = self.entries.get_mut(id)?;
         // A server that said that it leaves has no need to come back.
@@ -132,9 +158,7 @@
             entry.missing = true;
             return None;
         }
-        self.entries
-            .remove(id)
-            .map(|entry| DirectoryChange::Gone(entry.record))
+        self.drop_entry(id)
     }
 
     /// Takes in a whole listing: what it lacks has vanished.
@@ -142,8 +166,20 @@
         &mut self,
         listing: Vec<ServerRecord>,
         now: Instant,
+    ) -> Vec<DirectoryChange> {
+        self.replace_restored(listing, &[], now)
+    }
+
+    /// The same, where another box knows of servers that were gone before the store was
+    /// restored.
+    pub fn replace_restored(
+        &mut self,
+        listing: Vec<ServerRecord>,
+        gone_before: &[ServerId],
+        now: Instant,
     ) -> Vec<DirectoryChange> {
         let listed: HashSet<&ServerId> = listing.iter().map(|r| &r.id).collect();
+        self.returned.retain(|id, _| listed.contains(id));
         let unlisted = self.entries.keys().filter(|id| !listed.contains(id));
         let unlisted: Vec<ServerId> = unlisted.cloned().collect();
         let mut changes = Vec::new();
@@ -151,33 +187,87 @@
             changes.extend(self.remove(&id, now));
         }
         for record in listing {
-            changes.extend(self.put(record));
+            let is_held = self.returned.contains_key(&record.id);
+            let was_gone = is_held || gone_before.contains(&record.id);
+            match was_gone || self.gone.was_before(&record, self.era) {
+                true => changes.extend(self.hold_back(record, now)),
+                false => changes.extend(self.put(record)),
+            }
         }
         changes
     }
 
-    /// Drops the servers that have not come back in time after an outage.
+    /// Takes in a server that a listing lacks, and that another box takes for missing only.
+    pub fn put_missing(
+        &mut self,
+        record: ServerRecord,
+        now: Instant,
+    ) -> Option<DirectoryChange> {
+        let is_known = self.entries.contains_key(&record.id);
+        if self.is_trusted(now) || is_known || self.gone.holds(&record) {
+            return None;
+        }
+        let entry = Entry {
+            record: record.clone(),
+            missing: true,
+        };
+        self.entries.insert(record.id.clone(), entry);
+        Some(DirectoryChange::Put(record))
+    }
+
+    /// Drops the servers that have not come back in time after an outage, and takes up those
+    /// whose entries a restored store has brought back, if they are still there.
     pub fn settle(&mut self, now: Instant) -> Vec<DirectoryChange> {
+        let mut changes = self.take_returned(now);
         if !self.is_trusted(now) {
-            return Vec::new();
+            return changes;
         }
         self.store = StoreStanding::Sound;
-        let gone: Vec<ServerId> = self.missing().cloned().collect();
-        gone.iter()
-            .filter_map(|id| self.entries.remove(id))
-            .map(|entry| DirectoryChange::Gone(entry.record))
-            .collect()
+        let gone: Vec<ServerId> =
+            self.missing().map(|record| record.id.clone()).collect();
+        changes.extend(gone.iter().filter_map(|id| self.drop_entry(id)));
+        changes
+    }
+
+    /// Holds a listed entry back that nobody may have written since the restore.
+    fn hold_back(
+        &mut self,
+        record: ServerRecord,
+        now: Instant,
+    ) -> Option<DirectoryChange> {
+        let id = record.id.clone();
+        let trusted_at = now + ENTRY_LAPSE;
+        let returned = ReturnedEntry { record, trusted_at };
+        self.returned.entry(id.clone()).or_insert(returned);
+        self.drop_entry(&id)
+    }
+
+    fn take_returned(&mut self, now: Instant) -> Vec<DirectoryChange> {
+        let returned = std::mem::take(&mut self.returned);
+        let (trusted, held): (BTreeMap<_, _>, _) = returned
+            .into_iter()
+            .partition(|(_, returned)| returned.trusted_at <= now);
+        self.returned = held;
+        let records = trusted.into_values().map(|returned| returned.record);
+        records.filter_map(|record| self.put(record)).collect()
+    }
+
+    fn drop_entry(&mut self, id: &str) -> Option<DirectoryChange> {
+        let entry = self.entries.remove(id)?;
+        self.gone.put(&entry.record, self.era);
+        Some(DirectoryChange::Gone(entry.record))
     }
 
     /// Servers whose entries have vanished in or around an outage.
-    fn missing(&self) -> impl Iterator<Item = &ServerId> {
-        let missing = self.entries.iter().filter(|(_, entry)| entry.missing);
-        missing.map(|(id, _)| id)
+    pub fn missing(&self) -> impl Iterator<Item = &ServerRecord> {
+        let missing = self.entries.values().filter(|entry| entry.missing);
+        missing.map(|entry| &entry.record)
     }
 
-    /// All servers, missing ones included.
-    pub fn records(&self) -> impl Iterator<Item = &ServerRecord> {
-        self.entries.values().map(|entry| &entry.record)
+    /// All entries that the store holds, those that are held back included.
+    pub fn listed(&self) -> impl Iterator<Item = &ServerRecord> {
+        let listed = self.entries.values().filter(|entry| !entry.missing);
+        listed.map(|entry| &entry.record).chain(self.returned())
     }
 
     /// The number of servers, missing ones included.
@@ -190,6 +280,12 @@
         self.entries.is_empty()
     }
 
+    /// Listed entries that are held back, since their servers were gone before the store was
+    /// restored.
+    pub fn returned(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.returned.values().map(|returned| &returned.record)
+    }
+
     /// Whether a vanished entry means that the server is gone.
     fn is_trusted(&self, now: Instant) -> bool {
         match self.store {
@@ -200,6 +296,47 @@
     }
 }
 
-/// How long servers have to write anew after the store's return: the users' figure of
-/// about two seconds.
+impl GoneRuns {
+    fn put(&mut self, record: &ServerRecord, era: StoreEra) {
+        let id = record.id.clone();
+        if self
+            .runs
+            .insert(id.clone(), (record.born_ms, era))
+            .is_none()
+        {
+            self.order.push_back(id);
+        }
+        while self.order.len() > MOST_GONE {
+            if let Some(oldest) = self.order.pop_front() {
+                self.runs.remove(&oldest);
+            }
+        }
+    }
+
+    fn forget(&mut self, id: &str) {
+        if self.runs.remove(id).is_some() {
+            self.order.retain(|known| known != id);
+        }
+    }
+
+    fn holds(&self, record: &ServerRecord) -> bool {
+        let gone = self.runs.get(&record.id);
+        gone.is_some_and(|(born_ms, _)| *born_ms >= record.born_ms)
+    }
+
+    /// Whether a run was gone in an era before this one.
+    fn was_before(&self, record: &ServerRecord, era: StoreEra) -> bool {
+        let gone = self.runs.get(&record.id);
+        gone.is_some_and(|(born_ms, went_in)| {
+            *born_ms == record.born_ms && *went_in < era
+        })
+    }
+}
+
+/// How long servers have to write anew after the store's return. They write once a heartbeat
+/// of 1.5 s.
 pub const RETURN_GRACE: Duration = Duration::from_secs(2);
+/// The store drops an entry that is not written for three heartbeats.
+pub const ENTRY_LAPSE: Duration = Duration::from_secs(5);
+/// A store comes back from a copy that is seconds old; in that time fewer servers end.
+const MOST_GONE: usize = 4096;
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -49,7 +49,7 @@
 };
 pub use bundle_patch::BundlePatch;
 pub use check::{Finding, check_accounts, check_bundle};
-pub use directory::{Directory, DirectoryChange, RETURN_GRACE};
+pub use directory::{Directory, DirectoryChange, ENTRY_LAPSE, RETURN_GRACE};
 pub use evidence::{EvidenceEntry, EvidenceReport, Reference, threshold, well_evidence};
 pub use fingerprint::{ParseFingerprintError, RequestFingerprint, RequestParts};
 pub use fleet_budget::{
--- a/tests/tests/foreign_entries.rs
+++ b/tests/tests/foreign_entries.rs
@@ -195,10 +195,10 @@
     assert!(directory.stands(&first), "old news changes nothing");
     assert_eq!(directory.put(first), None);
     assert_eq!(directory.put(second.clone()), None);
-    assert_eq!(directory.records().collect::<Vec<_>>(), [&second]);
+    assert_eq!(directory.listed().collect::<Vec<_>>(), [&second]);
     let listed = directory.replace(vec![run(1_500)], now);
     assert_eq!(listed, []);
-    assert_eq!(directory.records().collect::<Vec<_>>(), [&second]);
+    assert_eq!(directory.listed().collect::<Vec<_>>(), [&second]);
 }
 
 /// Something else in place of a field, or the field left out.
--- a/tests/tests/server_list.rs
+++ b/tests/tests/server_list.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use wingspur_state::{Directory, DirectoryChange, RETURN_GRACE, ServerRecord};
+use wingspur_state::{
+    Directory, DirectoryChange, ENTRY_LAPSE, RETURN_GRACE, ServerRecord,
+};
 
 fn record(id: &str) -> ServerRecord {
     ServerRecord {
@@ -113,3 +115,64 @@
     assert!(!directory.stands(&leaving));
     assert!(directory.put(leaving).is_some());
 }
+
+/// A directory whose server was gone before the store was restored, and is listed again.
+fn restored_with_gone(id: &str, now: Instant) -> Directory {
+    let mut directory = with(&[id]);
+    assert_eq!(directory.remove(id, now), Some(gone(id)));
+    directory.store_restored(2, now);
+    assert_eq!(directory.replace(vec![record(id)], now), []);
+    directory
+}
+
+#[test]
+fn entry_of_a_gone_server_that_a_restore_brings_back_is_not_used() {
+    let now = Instant::now();
+    let mut directory = restored_with_gone("a", now);
+    assert!(directory.is_empty());
+    let almost = now + ENTRY_LAPSE - Duration::from_millis(1);
+    assert_eq!(directory.settle(almost), []);
+    // Another listing of the same era does not make it newer.
+    assert_eq!(directory.replace(vec![record("a")], almost), []);
+    assert_eq!(directory.remove("a", almost), None, "the entry has lapsed");
+    assert_eq!(directory.settle(now + ENTRY_LAPSE), []);
+}
+
+#[test]
+fn server_that_a_restore_brings_back_is_used_once_it_must_have_been_written() {
+    let now = Instant::now();
+    let mut directory = restored_with_gone("a", now);
+    let put = DirectoryChange::Put(record("a"));
+    assert_eq!(directory.settle(now + ENTRY_LAPSE), [put.clone()]);
+    let mut directory = restored_with_gone("a", now);
+    assert_eq!(
+        directory.put(record("a")),
+        Some(put),
+        "it was written since"
+    );
+}
+
+#[test]
+fn server_announced_in_the_seconds_that_a_restore_loses_stays_in_use() {
+    let now = Instant::now();
+    let mut directory = with(&["kept", "lost"]);
+    directory.store_restored(2, now);
+    assert_eq!(directory.replace(vec![record("kept")], now), []);
+    assert_eq!(directory.len(), 2);
+    assert_eq!(directory.put(record("lost")), None, "it was never gone");
+    assert_eq!(directory.settle(now + RETURN_GRACE), []);
+    assert_eq!(directory.len(), 2);
+}
+
+#[test]
+fn box_that_starts_after_a_restore_is_told_of_missing_and_of_gone_servers() {
+    let now = Instant::now();
+    let mut starts = Directory::default();
+    starts.read_by_another(RETURN_GRACE, now);
+    let listing = vec![record("kept"), record("gone")];
+    let changes = starts.replace_restored(listing, &["gone".into()], now);
+    assert_eq!(changes, [DirectoryChange::Put(record("kept"))]);
+    let missing = starts.put_missing(record("missing"), now);
+    assert_eq!(missing, Some(DirectoryChange::Put(record("missing"))));
+    assert_eq!(starts.settle(now + RETURN_GRACE), [gone("missing")]);
+}
