A box that starts on a restored store gets the newest configuration from its peers

What callers saw: a box that started before the operator had written the newest version again kept the copy's older one, also when linked with boxes that had the newer in force: they knew the same position and told nothing (red test: never within a minute). Cause: that a peer lacks a bundle was read off its position alone, and a listing was dropped whole where its position was known. Now a greeting names the version in force; who knows a newer one that no change since brings tells a listing, and its bundle counts by its version whatever the position. Versions cannot go back by that: put_in_force compares under its lock.

--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -7,7 +7,7 @@
 use wingspur_protocol::{
     CatalogChange, CatalogChanges, CatalogListing, CatalogUpdate, ListingUpdate,
 };
-use wingspur_state::{BundlePatch, StorePosition};
+use wingspur_state::{BundlePatch, BundleVersion, StorePosition};
 
 use crate::exchange::spread;
 use crate::quarantine::{
@@ -37,12 +37,17 @@
     from: Option<LinkId>,
     now: Instant,
 ) {
-    if told.listing.position <= shared.links.lock().position() {
-        return;
+    if told.listing.position > shared.links.lock().position() {
+        read_by_another(shared, told.doubtful_ms, now);
+        apply_listing(shared, told.clone(), "peer", now);
+        return spread(shared, &listing_of(shared, now), true, from);
+    }
+    // A newer version counts whatever the store holds: a restored one may lack it.
+    let bundle = told.listing.bundle.clone();
+    if bundle.is_some_and(|bundle| shared.put_in_force(bundle, "peer")) {
+        shared.share_out();
+        spread(shared, &listing_of(shared, now), true, from);
     }
-    read_by_another(shared, told.doubtful_ms, now);
-    apply_listing(shared, told.clone(), "peer", now);
-    spread(shared, &listing_of(shared, now), true, from);
 }
 
 fn apply_told_changes(
@@ -141,12 +146,41 @@
     true
 }
 
-/// What a peer lacks that knows all up to a position: the changes since, or all there is.
-pub fn update_since(
+/// What a peer lacks that knows all up to a position and has a version in force.
+pub fn update_for(
     shared: &Shared,
     position: StorePosition,
+    bundle_version: BundleVersion,
     now: Instant,
-) -> CatalogUpdate {
+) -> Option<CatalogUpdate> {
+    let is_behind = shared.links.lock().position() > position;
+    let update = is_behind.then(|| update_since(shared, position, now));
+    let newest = shared.bundle_version();
+    let told = update
+        .as_ref()
+        .is_some_and(|update| brings_bundle(update, newest));
+    match newest > bundle_version && !told {
+        // A restored store may lack the newest version, so that no change brings it.
+        true => Some(listing_of(shared, now)),
+        false => update,
+    }
+}
+
+fn brings_bundle(update: &CatalogUpdate, version: BundleVersion) -> bool {
+    match update {
+        CatalogUpdate::Listing(_) => true,
+        CatalogUpdate::Changes { changes, .. } => {
+            changes.changes.iter().any(|change| match change {
+                CatalogChange::Bundle(bundle) => bundle.version == version,
+                CatalogChange::BundlePatch(patch) => patch.version() == version,
+                _ => false,
+            })
+        }
+    }
+}
+
+/// The changes since a position, or all there is.
+fn update_since(shared: &Shared, position: StorePosition, now: Instant) -> CatalogUpdate {
     let changes = shared.links.lock().changes_since(position);
     match changes {
         Some(changes) => CatalogUpdate::Changes {
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::active_link::Greeting;
-use crate::catalog_state::{apply_update, listing_of, update_since};
+use crate::catalog_state::{apply_update, listing_of, update_for};
 use crate::lending::take_lending;
 use crate::request_log::rounded;
 use crate::resend_loans::told_rooms;
@@ -203,9 +203,8 @@
     if theirs.era() > 0 {
         observe_era(shared, theirs.era(), "peer");
     }
-    let ours = shared.links.lock().position();
-    if ours > theirs {
-        let update = update_since(shared, theirs, wingspur_clock::now());
+    let now = wingspur_clock::now();
+    if let Some(update) = update_for(shared, theirs, hello.bundle_version, now) {
         shared.links.lock().tell(id, update);
     }
     let has_started = theirs.is_start();
@@ -423,6 +422,7 @@
 
 fn own_hello(shared: &Shared, role: LinkRole) -> Hello {
     let fleet = shared.settings().fleet.clone();
+    let bundle_version = shared.bundle_version();
     let links = shared.links.lock();
     Hello {
         protocol: LINK_PROTOCOL_VERSION,
@@ -430,6 +430,7 @@
         from: links.own().clone(),
         role,
         position: links.position(),
+        bundle_version,
     }
 }
 
--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -26,6 +26,8 @@
     pub role: LinkRole,
     /// Up to where the speaker knows the store's history.
     pub position: StorePosition,
+    /// The version of the bundle that is in force at the speaker; 0 for none.
+    pub bundle_version: BundleVersion,
 }
 
 /// What the opener of a link is to the other side.
--- a/tests/tests/full_links.rs
+++ b/tests/tests/full_links.rs
@@ -38,6 +38,7 @@
         from: record,
         role: LinkRole::Hub,
         position: StorePosition::default(),
+        bundle_version: 0,
     };
     sender.send(&hello).ok()?;
     for count in 1..=MOST_UNANSWERED {
--- a/tests/tests/hubs.rs
+++ b/tests/tests/hubs.rs
@@ -84,6 +84,7 @@
             from: self.record.clone(),
             role: LinkRole::Hub,
             position: StorePosition::default(),
+            bundle_version: 0,
         };
         sender.send(&hello).expect("the link has just come up");
         while let Ok(frame) = receiver.next::<Frame>(PATIENCE).await {
--- a/tests/tests/server_list.rs
+++ b/tests/tests/server_list.rs
@@ -143,7 +143,10 @@
     let now = Instant::now();
     let mut directory = restored_with_gone("a", now);
     let put = DirectoryChange::Put(record("a"));
-    assert_eq!(directory.settle(now + ENTRY_LAPSE), [put.clone()]);
+    assert_eq!(
+        directory.settle(now + ENTRY_LAPSE),
+        std::slice::from_ref(&put)
+    );
     let mut directory = restored_with_gone("a", now);
     assert_eq!(
         directory.put(record("a")),
