A quarantine and its tries outlive a restore of the store

What callers saw: a request that ends servers could be sent to more of them than three, since the copy lacked permits that had been counted, and boxes that started did not know a quarantine that the copy lacked (both red before). Cause: what the store holds was taken for all that counts. Now the greater number of tries is kept where a record of a later era follows; a quarantine that the restored store lacks goes on and is written again by a hub, on top of what the new era holds; one that was cleared before stays cleared when the copy brings it back; and no box counts on a position of an era that is over. Found with it: a record that was heard again long after a whole answer would have stood again.

--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -234,7 +234,7 @@
     changes.extend(missing.filter_map(|record| directory.put_missing(record, now)));
     drop(directory);
     shared.follow(&changes, source);
-    replace_quarantines(shared, &listing.quarantines);
+    replace_quarantines(shared, listing.position, &listing.quarantines);
     let mut links = shared.links.lock();
     links.planner().replace(listing.boxes, now);
     links.feed().reach(listing.position);
--- a/crates/wingspur-edge/src/quarantine.rs
+++ b/crates/wingspur-edge/src/quarantine.rs
@@ -13,7 +13,7 @@
 };
 use wingspur_protocol::{Lendable, LoanAnswer, LoanRequest, QuarantineRecord};
 use wingspur_state::{
-    KnownQuarantine, REMEMBERED, RequestFingerprint, SourceId, StoreEra,
+    KnownQuarantine, REMEMBERED, RequestFingerprint, SourceId, StoreEra, StorePosition,
 };
 use wingspur_transport::{CatalogError, StopSignal, TryCounted};
 
@@ -127,14 +127,8 @@
 
 /// Takes in what the catalog says of a request in quarantine.
 pub fn put_quarantine(shared: &Shared, record: &QuarantineRecord) {
-    let known = KnownQuarantine {
-        position: record.position,
-        tries: record.tries,
-        counted_by: record.counted_by,
-        heard: wingspur_clock::now(),
-    };
-    let mut suspects = shared.suspects.lock();
-    suspects.put_quarantine(record.request, known);
+    let known = known_at(record, wingspur_clock::now());
+    shared.suspects.lock().put_quarantine(record.request, known);
     tracing::info!(
         fingerprint = %record.request,
         tries = record.tries,
@@ -150,8 +144,15 @@
     tracing::info!(fingerprint = %request, "quarantine: ended.");
 }
 
-/// Takes in all requests that are in quarantine.
-pub fn replace_quarantines(shared: &Shared, records: &[QuarantineRecord]) {
+/// Takes in all requests that are in quarantine, as a listing at a position has them.
+pub fn replace_quarantines(
+    shared: &Arc<Shared>,
+    position: StorePosition,
+    records: &[QuarantineRecord],
+) {
+    if shared.links.lock().position().era() < position.era() {
+        return take_restored(shared, position.era(), records);
+    }
     let listed = |request: &RequestFingerprint| {
         records.iter().any(|record| record.request == *request)
     };
@@ -166,6 +167,46 @@
     }
 }
 
+/// Takes in what a restored store holds; a hub writes again what it has lost.
+fn take_restored(shared: &Arc<Shared>, era: StoreEra, records: &[QuarantineRecord]) {
+    let now = wingspur_clock::now();
+    let listed: Vec<_> = records
+        .iter()
+        .map(|r| (r.request, known_at(r, now)))
+        .collect();
+    let lost = shared.suspects.lock().take_restored(era, &listed);
+    tracing::info!(
+        era,
+        listed = listed.len(),
+        lost = lost.len(),
+        "quarantine: read from a restored store."
+    );
+    if lost.is_empty() || shared.links.lock().own_hub().is_some() {
+        return;
+    }
+    let shared = shared.clone();
+    let spawner = shared.spawner.clone();
+    spawner.detach(async move {
+        for (request, known) in lost {
+            let count = QuarantineCount {
+                tries: known.tries,
+                counted_by: known.counted_by,
+                position: known.position,
+            };
+            write(&shared, request, count).await;
+        }
+    });
+}
+
+fn known_at(record: &QuarantineRecord, heard: Instant) -> KnownQuarantine {
+    KnownQuarantine {
+        position: record.position,
+        tries: record.tries,
+        counted_by: record.counted_by,
+        heard,
+    }
+}
+
 /// All requests that are in quarantine, for a box that is behind.
 pub fn quarantine_records(shared: &Shared) -> Vec<QuarantineRecord> {
     let suspects = shared.suspects.lock();
--- a/crates/wingspur-state/src/suspects.rs
+++ b/crates/wingspur-state/src/suspects.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{RequestFingerprint, ServerKey, SourceId, StorePosition};
+use crate::{RequestFingerprint, ServerKey, SourceId, StoreEra, StorePosition};
 
 /// The requests under which servers have ended.
 #[derive(Debug, Default)]
@@ -237,10 +237,47 @@
         known: KnownQuarantine,
     ) {
         let suspect = self.suspects.entry(request).or_default();
-        let newest = suspect.quarantine.map(|known| known.position);
-        if newest.is_none_or(|newest| newest < known.position) {
-            suspect.quarantine = Some(known);
+        suspect.quarantine = Some(match suspect.quarantine {
+            Some(before) if before.position >= known.position => before,
+            Some(before) => before.followed_by(known),
+            None => known,
+        });
+    }
+
+    /// Takes in what a restored store holds of the requests in quarantine; returns what it has
+    /// lost, to be written again.
+    ///
+    /// Tries that were counted stay counted, and a quarantine that it lacks goes on.
+    pub fn take_restored(
+        &mut self,
+        era: StoreEra,
+        listed: &[(RequestFingerprint, KnownQuarantine)],
+    ) -> Vec<(RequestFingerprint, KnownQuarantine)> {
+        for (request, known) in listed {
+            let suspect = self.suspects.entry(*request).or_default();
+            // One that was cleared since the copy was made is only known as answered.
+            let heard = match (suspect.quarantine, suspect.answered) {
+                (None, Some(answered)) => answered,
+                _ => known.heard,
+            };
+            self.put_quarantine(*request, KnownQuarantine { heard, ..*known });
+        }
+        let nothing = StorePosition::start_of(era);
+        for suspect in self.suspects.values_mut() {
+            if let Some(known) = &mut suspect.quarantine {
+                known.position = known.position.max(nothing);
+            }
         }
+        let held = |request: &RequestFingerprint, tries: u32| {
+            let mut listed = listed.iter();
+            listed.any(|(other, known)| other == request && known.tries >= tries)
+        };
+        let known = self.suspects.iter();
+        let known =
+            known.filter_map(|(request, suspect)| Some((*request, *suspect.standing()?)));
+        known
+            .filter(|(request, known)| !held(request, known.tries))
+            .collect()
     }
 
     /// Takes in that the store holds nothing of a request any more.
@@ -325,6 +362,21 @@
     }
 }
 
+impl KnownQuarantine {
+    /// What is known after a newer record. A restored store may have lost tries that were
+    /// counted.
+    fn followed_by(self, newer: Self) -> Self {
+        let is_restored = self.position.era() < newer.position.era();
+        match is_restored && newer.tries < self.tries {
+            true => Self {
+                position: newer.position,
+                ..self
+            },
+            false => newer,
+        }
+    }
+}
+
 impl Suspect {
     /// Takes in an ending; whether it is a server that is not counted yet.
     fn add(&mut self, ending: Ending) -> bool {
--- a/tests/tests/suspects.rs
+++ b/tests/tests/suspects.rs
@@ -141,6 +141,79 @@
     );
 }
 
+#[test]
+fn quarantine_that_a_restored_store_lacks_goes_on_and_is_written_again() {
+    let now = Instant::now();
+    let mut suspects = SuspectRequests::default();
+    let at = |revision, tries| KnownQuarantine {
+        position: StorePosition::new(1, revision),
+        ..known(revision, tries, now)
+    };
+    for (name, tries) in [("lost", 2), ("behind", 3), ("held", 1)] {
+        suspects.put_quarantine(request(name), at(9, tries));
+    }
+    let held = |name: &str, tries| {
+        let position = StorePosition::new(2, 5);
+        let listed = known(5, tries, now + SECOND);
+        (request(name), KnownQuarantine { position, ..listed })
+    };
+    let lost = suspects.take_restored(2, &[held("behind", 1), held("held", 1)]);
+    let mut lost: Vec<_> = lost
+        .into_iter()
+        .map(|(request, known)| (request, known.tries, known.position))
+        .collect();
+    lost.sort();
+    let mut expected = [
+        (request("lost"), 2, StorePosition::start_of(2)),
+        (request("behind"), 3, StorePosition::new(2, 5)),
+    ];
+    expected.sort();
+    assert_eq!(lost, expected);
+}
+
+#[test]
+fn request_cleared_before_a_store_restore_stays_cleared() {
+    let now = Instant::now();
+    let mut suspects = quarantined("a", now);
+    suspects.put_quarantine(request("a"), known(5, 3, now));
+    suspects.take_in(&answered("a", now + SECOND), now + SECOND);
+    suspects.remove_quarantine(request("a"));
+    // The copy still holds it, and comes long after the answer.
+    let later = now + 20 * SECOND;
+    let listed = KnownQuarantine {
+        position: StorePosition::new(1, 5),
+        ..known(5, 3, later)
+    };
+    assert_eq!(suspects.take_restored(1, &[(request("a"), listed)]), []);
+    assert!(!suspects.is_quarantined(request("a"), later));
+    assert_eq!(
+        suspects.outlived_quarantines().len(),
+        1,
+        "it is to be ended"
+    );
+}
+
+#[test]
+fn condition_of_an_era_that_is_over_is_not_written_on() {
+    let now = Instant::now();
+    let mut suspects = quarantined("a", now);
+    let of_era = |era| KnownQuarantine {
+        position: StorePosition::new(era, 5),
+        ..known(5, 1, now - 10 * SECOND)
+    };
+    suspects.put_quarantine(request("a"), of_era(1));
+    let mut desk = QuarantineDesk::new(7);
+    desk.note_era(2);
+    let step = desk.ask(request("a"), &suspects, now);
+    assert!(matches!(step, DeskStep::Later(_)), "{step:?}");
+    suspects.take_restored(2, &[(request("a"), of_era(2))]);
+    let step = desk.ask(request("a"), &suspects, now);
+    assert!(
+        matches!(step, DeskStep::Count(count) if count.tries == 2),
+        "{step:?}"
+    );
+}
+
 #[test]
 fn memory_and_news_are_bounded_and_the_worst_are_kept() {
     let now = Instant::now();
