--- a/tests/tests/quarantine/mod.rs
+++ b/tests/tests/quarantine/mod.rs
@@ -47,11 +47,13 @@
     Suspended,
     /// Callers of the request that ends servers come all at once.
     Burst,
+    /// The store comes back twice from a copy of 2.5 seconds before.
+    StoreRestored,
 }
 
 impl Fault {
     /// All that can befall a fleet.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::BoxesRestart,
         Self::AllLost,
         Self::HubsStop,
@@ -64,6 +66,7 @@
         Self::ServersEnd,
         Self::Suspended,
         Self::Burst,
+        Self::StoreRestored,
     ];
 }
 
@@ -172,6 +175,8 @@
     frozen_until: Ms,
     /// When anything last befell it.
     disturbed: Ms,
+    /// The newest era of the store that it has read a listing of.
+    era: u64,
     suspects: SuspectRequests,
     desk: QuarantineDesk,
 }
@@ -193,8 +198,10 @@
 
 #[derive(Default)]
 struct Store {
+    era: u64,
     revision: u64,
     records: BTreeMap<RequestFingerprint, Record>,
+    copy: Option<(u64, BTreeMap<RequestFingerprint, Record>)>,
 }
 
 /// A try of a caller at one box.
@@ -276,8 +283,18 @@
         to: usize,
         life: u32,
         print: RequestFingerprint,
+        era: u64,
         record: Option<Record>,
     },
+    CopyStore,
+    RestoreStore,
+    /// A box hears of a restore, with what the store held right after it.
+    Restored {
+        to: usize,
+        life: u32,
+        era: u64,
+        records: Vec<(RequestFingerprint, Record)>,
+    },
     BoxDown {
         place: usize,
         back: bool,
@@ -495,6 +512,12 @@
                 self.after(FAULT_MS + 4_000, Event::ServerEnds { server });
             }
         }
+        if self.has(Fault::StoreRestored) {
+            for at in [FAULT_MS, FAULT_MS + 3_500] {
+                self.after(at - 2_500, Event::CopyStore);
+                self.after(at, Event::RestoreStore);
+            }
+        }
         if self.has(Fault::ServersEnd) {
             for n in 0..20 {
                 let server = self.rng.random_range(0..self.servers.len());
@@ -572,10 +595,22 @@
                 to,
                 life,
                 print,
+                era,
                 record,
             } => {
-                self.record(to, life, print, record);
+                self.record(to, life, print, era, record);
+            }
+            Event::CopyStore => {
+                let records = self.store.records.clone();
+                self.store.copy = Some((self.store.revision, records));
             }
+            Event::RestoreStore => self.restore_store(),
+            Event::Restored {
+                to,
+                life,
+                era,
+                records,
+            } => self.hear_restored(to, life, era, records),
             Event::BoxDown { place, back } => self.box_down(place, back),
             Event::BoxUp { place } => self.box_up(place),
             Event::NewHub { data_centre } => self.new_hub(data_centre),
@@ -1186,11 +1221,16 @@
         to: usize,
         life: u32,
         print: RequestFingerprint,
+        era: u64,
         record: Option<Record>,
     ) {
         if self.boxes[to].life != life || !self.boxes[to].alive {
             return;
         }
+        if era != self.boxes[to].era {
+            // Of an older era, or of one whose listing it has not had: that has it as well.
+            return;
+        }
         if self.is_frozen(to) {
             return self.after(
                 50,
@@ -1198,6 +1238,7 @@
                     to,
                     life,
                     print,
+                    era,
                     record,
                 },
             );
@@ -1211,7 +1252,7 @@
         match record {
             Some(record) => {
                 let known = KnownQuarantine {
-                    position: StorePosition::new(0, record.revision),
+                    position: StorePosition::new(self.store.era, record.revision),
                     tries: record.tries,
                     counted_by: record.counted_by,
                     heard,
@@ -1261,6 +1302,11 @@
         if self.has_now(Fault::StoreAway) {
             return (CountOutcome::Unknown, 300);
         }
+        if count.position.era() != self.store.era {
+            // The answer to the call before it names the new era.
+            self.hear_restored_now(hub);
+            return (CountOutcome::Overtaken, 5);
+        }
         let stands = self.store.records.get(&print).copied();
         let expected = count.position.wire_revision();
         if stands.map_or(0, |record| record.revision) != expected {
@@ -1299,18 +1345,112 @@
                 };
             }
             let life = self.boxes[to].life;
+            let era = self.store.era;
             self.after(
                 late,
                 Event::Record {
                     to,
                     life,
                     print,
+                    era,
                     record,
                 },
             );
         }
     }
 
+    fn restore_store(&mut self) {
+        let Some((revision, records)) = self.store.copy.clone() else {
+            return;
+        };
+        self.store.era += 1;
+        self.store.revision = revision;
+        self.store.records = records;
+        let records: Vec<_> = self.store.records.clone().into_iter().collect();
+        for to in 0..self.boxes.len() {
+            if !self.boxes[to].alive {
+                continue;
+            }
+            let hub = self.hub_of(to);
+            // A hub's watch ends within 0.65 s, and a listing follows.
+            let mut late = self.rng.random_range(5..700);
+            if hub != to {
+                late += match self.way(hub, to) {
+                    Some(way) => way + self.rng.random_range(1..60),
+                    None => 1_800,
+                };
+            }
+            let (life, era) = (self.boxes[to].life, self.store.era);
+            let records = records.clone();
+            self.after(
+                late,
+                Event::Restored {
+                    to,
+                    life,
+                    era,
+                    records,
+                },
+            );
+        }
+    }
+
+    /// Lets a box list what the store holds now.
+    fn hear_restored_now(&mut self, to: usize) {
+        let (life, era) = (self.boxes[to].life, self.store.era);
+        let records = self.store.records.clone().into_iter().collect();
+        self.hear_restored(to, life, era, records);
+    }
+
+    fn hear_restored(
+        &mut self,
+        to: usize,
+        life: u32,
+        era: u64,
+        records: Vec<(RequestFingerprint, Record)>,
+    ) {
+        let heard = self.instant();
+        let played = &mut self.boxes[to];
+        if played.life != life || !played.alive || era <= played.era {
+            return;
+        }
+        if self.is_frozen(to) {
+            return self.after(
+                50,
+                Event::Restored {
+                    to,
+                    life,
+                    era,
+                    records,
+                },
+            );
+        }
+        let played = &mut self.boxes[to];
+        played.era = era;
+        played.desk.note_era(era);
+        let listed = records.iter().map(|(print, record)| {
+            let known = KnownQuarantine {
+                position: StorePosition::new(era, record.revision),
+                tries: record.tries,
+                counted_by: record.counted_by,
+                heard,
+            };
+            (*print, known)
+        });
+        let listed: Vec<_> = listed.collect();
+        let lost = played.suspects.take_restored(era, &listed);
+        if self.hub_of(to) != to {
+            return;
+        }
+        for (print, known) in lost {
+            let count = wingspur_coordination::QuarantineCount {
+                tries: known.tries,
+                counted_by: known.counted_by,
+                position: known.position,
+            };
+            self.write(to, print, count);
+        }
+    }
+
     fn tidy(&mut self, place: usize) {
         self.after(1_000, Event::Tidy { place });
         if !self.boxes[place].alive || self.is_frozen(place) {
@@ -1330,6 +1470,9 @@
             self.outcome.writes += 1;
             let stands = self.store.records.get(&print).copied();
             let expected = known.position.wire_revision();
+            if known.position.era() != self.store.era {
+                continue;
+            }
             if stands.map(|record| record.revision) == Some(expected) {
                 self.store.records.remove(&print);
                 self.tell_all(print, None);
@@ -1362,6 +1505,8 @@
         let mut fresh = PlayedBox::new(place, life);
         fresh.ready_at = self.now + READY_AFTER_MS;
         fresh.disturbed = self.now;
+        fresh.era = self.store.era;
+        fresh.desk.note_era(self.store.era);
         self.boxes[place] = fresh;
         // It has what the store holds before it is ready, from its hub or by itself.
         let records: Vec<_> = self.store.records.clone().into_iter().collect();
@@ -1482,6 +1627,7 @@
             ready_at: 0,
             frozen_until: 0,
             disturbed: 0,
+            era: 0,
             suspects: SuspectRequests::default(),
             desk: QuarantineDesk::new(name),
         }
