--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -224,7 +224,11 @@
 
     /// Drops servers that have not come back after an outage of the store.
     pub fn settle(self: &Arc<Self>, now: Instant) {
-        let changes = self.directory.lock().settle(now);
+        let age = self.links.lock().feed().vouched_age(now);
+        let Some(as_of) = age.and_then(|age| now.checked_sub(age)) else {
+            return;
+        };
+        let changes = self.directory.lock().settle(as_of);
         self.follow(&changes, "settled");
     }
 }
--- a/crates/wingspur-state/src/directory.rs
+++ b/crates/wingspur-state/src/directory.rs
@@ -43,12 +43,16 @@
     record: ServerRecord,
     /// Its entry in the store has vanished in or around an outage.
     missing: bool,
+    /// A change told that it was written in the store's present era.
+    is_written: bool,
 }
 
 /// An entry whose server was gone before the store was restored.
 #[derive(Debug)]
 struct ReturnedEntry {
     record: ServerRecord,
+    /// The era whose listing brought it back.
+    era: StoreEra,
     /// The store drops the entry before then unless a server has written it.
     trusted_at: Instant,
 }
@@ -89,6 +93,9 @@
     pub fn store_restored(&mut self, era: StoreEra, now: Instant) {
         self.era = era;
         self.store = StoreStanding::DoubtfulUntil(now + RETURN_GRACE);
+        for entry in self.entries.values_mut() {
+            entry.is_written = false;
+        }
     }
 
     /// Notes that another box read the store, and for how long what it found may be
@@ -97,6 +104,8 @@
         let until = now + doubtful;
         match self.store {
             StoreStanding::DoubtfulUntil(held) if held >= until => {}
+            // A doubt that is over for the other box ends here with what is known as of then.
+            StoreStanding::DoubtfulUntil(_) if doubtful.is_zero() => {}
             _ if doubtful.is_zero() && self.missing().next().is_none() => {
                 self.store = StoreStanding::Sound;
             }
@@ -117,13 +126,23 @@
     /// change, since it was known from the first entry. An entry of an earlier run than the
     /// one that is known is old news.
     pub fn put(&mut self, record: ServerRecord) -> Option<DirectoryChange> {
+        self.put_entry(record, true)
+    }
+
+    fn put_entry(
+        &mut self,
+        record: ServerRecord,
+        is_written: bool,
+    ) -> Option<DirectoryChange> {
         let known_born_ms = self.entries.get(&record.id).map(|e| e.record.born_ms);
         if known_born_ms.is_some_and(|known| record.born_ms < known) {
             return None;
         }
+        let before = self.entries.get(&record.id);
         let entry = Entry {
             record: record.clone(),
             missing: false,
+            is_written: is_written || before.is_some_and(|entry| entry.is_written),
         };
         self.returned.remove(&record.id);
         self.gone.forget(&record.id);
@@ -191,12 +210,29 @@
             let was_gone = is_held || gone_before.contains(&record.id);
             match was_gone || self.gone.was_before(&record, self.era) {
                 true => changes.extend(self.hold_back(record, now)),
-                false => changes.extend(self.put(record)),
+                false => changes.extend(self.put_entry(record, false)),
             }
         }
         changes
     }
 
+    /// Takes in which listed servers were gone before the store was restored, as another box
+    /// knows.
+    pub fn hold_back_gone(
+        &mut self,
+        gone_before: &[ServerId],
+        now: Instant,
+    ) -> Vec<DirectoryChange> {
+        let held = gone_before.iter().filter_map(|id| {
+            let entry = self.entries.get(id)?;
+            (!entry.is_written && !entry.missing).then(|| entry.record.clone())
+        });
+        let held: Vec<ServerRecord> = held.collect();
+        held.into_iter()
+            .filter_map(|record| self.hold_back(record, now))
+            .collect()
+    }
+
     /// Takes in a server that a listing lacks, and that another box takes for missing only.
     pub fn put_missing(
         &mut self,
@@ -210,16 +246,18 @@
         let entry = Entry {
             record: record.clone(),
             missing: true,
+            is_written: false,
         };
         self.entries.insert(record.id.clone(), entry);
         Some(DirectoryChange::Put(record))
     }
 
     /// Drops the servers that have not come back in time after an outage, and takes up those
-    /// whose entries a restored store has brought back, if they are still there.
-    pub fn settle(&mut self, now: Instant) -> Vec<DirectoryChange> {
-        let mut changes = self.take_returned(now);
-        if !self.is_trusted(now) {
+    /// whose entries a restored store has brought back, if they are still there; `as_of` is
+    /// the moment up to which the store's changes are known.
+    pub fn settle(&mut self, as_of: Instant) -> Vec<DirectoryChange> {
+        let mut changes = self.take_returned(as_of);
+        if !self.is_trusted(as_of) {
             return changes;
         }
         self.store = StoreStanding::Sound;
@@ -236,20 +274,28 @@
         now: Instant,
     ) -> Option<DirectoryChange> {
         let id = record.id.clone();
-        let trusted_at = now + ENTRY_LAPSE;
-        let returned = ReturnedEntry { record, trusted_at };
-        self.returned.entry(id.clone()).or_insert(returned);
+        let returned = ReturnedEntry {
+            record,
+            era: self.era,
+            trusted_at: now + ENTRY_LAPSE,
+        };
+        let held = self.returned.get(&id);
+        if held.is_none_or(|held| held.era < self.era) {
+            self.returned.insert(id.clone(), returned);
+        }
         self.drop_entry(&id)
     }
 
-    fn take_returned(&mut self, now: Instant) -> Vec<DirectoryChange> {
+    fn take_returned(&mut self, as_of: Instant) -> Vec<DirectoryChange> {
         let returned = std::mem::take(&mut self.returned);
         let (trusted, held): (BTreeMap<_, _>, _) = returned
             .into_iter()
-            .partition(|(_, returned)| returned.trusted_at <= now);
+            .partition(|(_, returned)| returned.trusted_at <= as_of);
         self.returned = held;
         let records = trusted.into_values().map(|returned| returned.record);
-        records.filter_map(|record| self.put(record)).collect()
+        records
+            .filter_map(|record| self.put_entry(record, true))
+            .collect()
     }
 
     fn drop_entry(&mut self, id: &str) -> Option<DirectoryChange> {
