Boxes tell each other which entries only a restored store's copy holds

Now whoever is told a listing answers by its own where it holds entries back that the teller does not, a listing counts for that also at a known position, and a new link is told one while any is held. An entry that a change has told of in this era is not held back.

--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -40,14 +40,43 @@
     if told.listing.position > shared.links.lock().position() {
         read_by_another(shared, told.doubtful_ms, now);
         apply_listing(shared, told.clone(), "peer", now);
-        return spread(shared, &listing_of(shared, now), true, from);
+        spread(shared, &listing_of(shared, now), true, from);
+    } else if merge_listing(shared, told, now) {
+        spread(shared, &listing_of(shared, now), true, from);
+    }
+    if let Some(link) = from.filter(|_| knows_more(shared, told)) {
+        let listing = listing_of(shared, now);
+        shared.links.lock().tell(link, listing);
+        shared.news.poke();
     }
-    // A newer version counts whatever the store holds: a restored one may lack it.
+}
+
+/// Takes in what counts of a listing whatever its position: what a restored store has lost.
+/// Whether any of it was news.
+fn merge_listing(shared: &Arc<Shared>, told: &ListingUpdate, now: Instant) -> bool {
     let bundle = told.listing.bundle.clone();
-    if bundle.is_some_and(|bundle| shared.put_in_force(bundle, "peer")) {
+    let is_newer = bundle.is_some_and(|bundle| shared.put_in_force(bundle, "peer"));
+    if is_newer {
         shared.share_out();
-        spread(shared, &listing_of(shared, now), true, from);
     }
+    let is_of_this_era =
+        told.listing.position.era() == shared.links.lock().position().era();
+    let gone = match is_of_this_era {
+        true => shared.directory.lock().hold_back_gone(&told.returned, now),
+        false => Vec::new(),
+    };
+    shared.follow(&gone, "peer");
+    is_newer || !gone.is_empty()
+}
+
+/// Whether this box knows of what a restored store has lost, and the teller of a listing does
+/// not.
+fn knows_more(shared: &Shared, told: &ListingUpdate) -> bool {
+    let bundle = told.listing.bundle.as_ref();
+    let has_newer = bundle.is_some_and(|bundle| bundle.version < shared.bundle_version());
+    let directory = shared.directory.lock();
+    let mut returned = directory.returned();
+    has_newer || returned.any(|record| !told.returned.contains(&record.id))
 }
 
 fn apply_told_changes(
@@ -156,11 +185,12 @@
     let is_behind = shared.links.lock().position() > position;
     let update = is_behind.then(|| update_since(shared, position, now));
     let newest = shared.bundle_version();
-    let told = update
+    let brought = update
         .as_ref()
         .is_some_and(|update| brings_bundle(update, newest));
-    match newest > bundle_version && !told {
-        // A restored store may lack the newest version, so that no change brings it.
+    let knows_gone = shared.directory.lock().returned().next().is_some();
+    // No change brings what a restored store has lost.
+    match knows_gone || (newest > bundle_version && !brought) {
         true => Some(listing_of(shared, now)),
         false => update,
     }
