Test: fleets whose store comes back from older copies, in virtual time, for both errors

1 to 113 boxes; one restore or two, away for 0 to 5 s, from copies of 0.3 to 10 s before; waiting watches cut, told 410 or going on in the new history; listings of two pages; lagging reads; hubs killed, frozen or without the store; boxes that start; late and lost answers; writing again at once to after 1.9 s; changes right before and right after. Excused, each by a condition in Setting: what was acknowledged within a second before the store went (two where hubs have no store), entries that vanish around a restore until 2 s after contact, lost answers.

Also real boxes: the version in force does not fall, and a lease id that is given out again is neither renewed nor ended.

--- a/tests/src/platform_store.rs
+++ b/tests/src/platform_store.rs
@@ -93,6 +93,17 @@
         self.state.1.notify_all();
     }
 
+    /// Writes a key under a lease of its own, as another box does; returns the lease.
+    pub fn put_leased(&self, key: &str, value: &Value) -> u64 {
+        let bytes = serde_json::to_vec(value).expect("values serialise");
+        let mut state = self.lock();
+        let lease = state.grant_lease();
+        state.put(key, bytes, lease);
+        drop(state);
+        self.state.1.notify_all();
+        lease
+    }
+
     /// Ends a lease, as when it runs out.
     pub fn end_lease(&self, lease: u64) {
         self.lock().end_lease(lease);
@@ -144,6 +155,11 @@
         keys.cloned().collect()
     }
 
+    /// The lease that a key is under; none where there is no such key.
+    pub fn lease_of(&self, key: &str) -> Option<u64> {
+        self.lock().items.get(key).map(|item| item.lease)
+    }
+
     /// How many calls of a path have come.
     pub fn calls(&self, path: &str) -> usize {
         self.lock().calls.get(path).copied().unwrap_or(0)
@@ -176,6 +192,12 @@
         }
     }
 
+    fn grant_lease(&mut self) -> u64 {
+        let lease = 1 + self.leases.iter().max().copied().unwrap_or(0);
+        self.leases.push(lease);
+        lease
+    }
+
     fn end_lease(&mut self, lease: u64) {
         self.leases.retain(|held| *held != lease);
         let under = self.items.iter().filter(|(_, item)| item.lease == lease);
@@ -225,8 +247,7 @@
         }
         ("POST", "/-/kv-txn") => transaction(&mut state, head),
         ("POST", "/-/kv-lease") => {
-            let lease = 1 + state.leases.iter().max().copied().unwrap_or(0);
-            state.leases.push(lease);
+            let lease = state.grant_lease();
             let asked: Value = serde_json::from_slice(&head.body).unwrap_or_default();
             (200, json!({"lease": lease, "ttl_ms": asked["ttl_ms"]}))
         }
--- /dev/null
+++ b/tests/tests/restore_play/store.rs
@@ -0,0 +1,135 @@
+//! The store, its copies, and who writes to it.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use wingspur_protocol::{CatalogChange, CatalogChanges, CatalogListing};
+use wingspur_state::{Bundle, CallerLimits, ServerId, ServerRecord, StorePosition};
+
+use super::Ms;
+
+/// The store's content, with the changes that led to it.
+#[derive(Clone, Default)]
+pub struct Content {
+    pub revision: u64,
+    pub version: u64,
+    pub servers: BTreeMap<ServerId, ServerRecord>,
+    changes: Vec<(u64, CatalogChange)>,
+}
+
+#[derive(Default)]
+pub struct Store {
+    pub era: u64,
+    pub now: Content,
+    /// What it held at earlier moments, and in which era, oldest first.
+    copies: VecDeque<(Ms, u64, Content)>,
+}
+
+impl Store {
+    pub fn new() -> Self {
+        Self {
+            era: 1,
+            ..Self::default()
+        }
+    }
+
+    pub fn position(&self) -> StorePosition {
+        StorePosition::new(self.era, self.now.revision)
+    }
+
+    pub fn write_version(&mut self, version: u64) {
+        self.now.version = version;
+        self.log(CatalogChange::Bundle(bundle(version)));
+    }
+
+    pub fn write_server(&mut self, record: ServerRecord) {
+        self.now.servers.insert(record.id.clone(), record.clone());
+        self.log(CatalogChange::Server(record));
+    }
+
+    pub fn remove_server(&mut self, id: &str) {
+        if self.now.servers.remove(id).is_some() {
+            self.log(CatalogChange::ServerGone(id.into()));
+        }
+    }
+
+    fn log(&mut self, change: CatalogChange) {
+        self.now.revision += 1;
+        self.now.changes.push((self.now.revision, change));
+    }
+
+    /// Keeps a copy of what it holds now.
+    pub fn copy(&mut self, now: Ms) {
+        self.copies.push_back((now, self.era, self.now.clone()));
+    }
+
+    /// Comes back from the newest copy that is no newer than a moment.
+    pub fn restore(&mut self, copied_ms: Ms) {
+        let copies = self.copies.iter().rev();
+        let copy = copies.clone().find(|(at, _, _)| *at <= copied_ms);
+        self.now = copy
+            .map(|(_, _, content)| content.clone())
+            .unwrap_or_default();
+        self.era += 1;
+    }
+
+    /// What a read finds that may be served by a replica which lags.
+    pub fn lagging(&self, as_of_ms: Ms) -> Self {
+        let mut copies = self.copies.iter().rev();
+        let copy = copies.find(|(at, _, _)| *at <= as_of_ms);
+        let (era, now) = copy
+            .map_or((self.era, self.now.clone()), |(_, era, content)| {
+                (*era, content.clone())
+            });
+        Self {
+            era,
+            now,
+            copies: VecDeque::new(),
+        }
+    }
+
+    /// One of the two pages of a listing: the configuration with one half of the servers, or
+    /// the other half.
+    pub fn page(&self, first: bool) -> CatalogListing {
+        let is_here = |id: &ServerId| {
+            let last = id.bytes().last().unwrap_or_default();
+            last.is_multiple_of(2) == first
+        };
+        let servers = self.now.servers.iter();
+        let servers = servers.filter(|(id, _)| is_here(id));
+        let has_bundle = first && self.now.version > 0;
+        CatalogListing {
+            position: self.position(),
+            bundle: has_bundle.then(|| bundle(self.now.version)),
+            servers: servers.map(|(_, record)| record.clone()).collect(),
+            ..CatalogListing::default()
+        }
+    }
+
+    /// The changes after a revision, whatever era it is of; none where there is no such.
+    pub fn changes(&self, after: StorePosition) -> Option<CatalogChanges> {
+        let revision = after.wire_revision();
+        if revision > self.now.revision {
+            return None;
+        }
+        let changes = self.now.changes.iter();
+        let changes = changes.filter(|(at, _)| *at > revision);
+        Some(CatalogChanges {
+            after: StorePosition::new(self.era, revision),
+            position: self.position(),
+            changes: changes.map(|(_, change)| change.clone()).collect(),
+        })
+    }
+}
+
+fn bundle(version: u64) -> Arc<Bundle> {
+    Arc::new(Bundle {
+        version,
+        fleet: "play".into(),
+        account_header: "account".into(),
+        services: Vec::new(),
+        caller_limits: CallerLimits::default(),
+        client_accounts: None,
+        host_routes: Vec::new(),
+    })
+}
--- a/tests/tests/store_restore.rs
+++ b/tests/tests/store_restore.rs
@@ -3,6 +3,7 @@
 mod edge;
 
 use edge::{Route, configuration, server_entry, start_box, start_box_in, wait_until};
+use serde_json::json;
 use wingspur_edge::EdgeBox;
 use wingspur_tests::{BackendServer, PlatformStore, Reply, StoreCopy, StoreFault, call};
 use wingspur_transport::Workers;
@@ -168,3 +169,47 @@
     fleet.boxes.push(starts);
     fleet.close();
 }
+
+#[test]
+fn version_in_force_does_not_fall_after_a_store_restore() {
+    let mut fleet = Fleet::start();
+    let copy = fleet.store.copy();
+    fleet.advance(3);
+    // The operator writes nothing again; the servers do.
+    fleet.store.restore(&copy);
+    fleet.write_server(0, "leaving");
+    wait_until("all boxes have read the restored store", || {
+        fleet.count_at(0) == 0
+    });
+    let versions = fleet.boxes.iter().map(EdgeBox::bundle_version);
+    let versions: Vec<u64> = versions.collect();
+    let version = fleet.version;
+    fleet.close();
+    assert_eq!(versions, [version; 3]);
+}
+
+#[test]
+fn lease_id_given_out_again_after_a_store_restore_is_not_acted_on() {
+    let store = PlatformStore::start(500);
+    let workers = Workers::start(2);
+    store.put("op/config", &configuration(1, &[Route::new("read")]));
+    let copy = store.copy();
+    let running = start_box("box-1", &store, &workers);
+    let is_announced = || {
+        store
+            .keys("wingspur/boxes/")
+            .contains(&ANNOUNCED.to_owned())
+    };
+    wait_until("it is announced", is_announced);
+    store.restore(&copy);
+    // Another box gets the lease that this one had.
+    let stranger = store.put_leased("wingspur/boxes/box-9", &json!({}));
+    wait_until("it is announced again", is_announced);
+    assert_ne!(store.lease_of(ANNOUNCED), Some(stranger));
+    smol::block_on(running.close());
+    let keys = store.keys("wingspur/boxes/");
+    workers.close();
+    assert_eq!(keys, ["wingspur/boxes/box-9"], "the other's stays");
+}
+
+const ANNOUNCED: &str = "wingspur/boxes/box-1";
--- /dev/null
+++ b/tests/tests/store_restore_play.rs
@@ -0,0 +1,31 @@
+//! Fleets whose store comes back from older copies: what was acknowledged is in force in time
+//! and stays so, and no server is left unused meanwhile.
+//!
+//! By hand: `WINGSPUR_SEEDS=500 cargo test --release -p wingspur-tests --test
+//! store_restore_play -- --nocapture`.
+
+mod restore_play;
+
+use restore_play::{Outcome, Play, Setting};
+
+fn seeds() -> u64 {
+    let told = std::env::var("WINGSPUR_SEEDS").unwrap_or("12".to_owned());
+    told.parse().expect("WINGSPUR_SEEDS holds a number")
+}
+
+#[test]
+fn changes_around_store_restores_are_in_force_and_no_server_is_left_out() {
+    let mut sum = Outcome::default();
+    for seed in 0..seeds() {
+        let outcome = Play::run(Setting::drawn(seed));
+        assert!(outcome.checks > 100, "seed {seed}: {outcome:?}");
+        sum.checks += outcome.checks;
+        sum.listings += outcome.listings;
+        for (what, (count, case)) in outcome.broken {
+            println!("seed {seed}: {what}, {count} times, {case}");
+            sum.broken.entry(what).or_insert((0, case)).0 += count;
+        }
+    }
+    println!("{} checks, {} listings", sum.checks, sum.listings);
+    assert!(sum.broken.is_empty(), "{:#?}", sum.broken);
+}
