--- a/tests/tests/words_table.rs
+++ b/tests/tests/words_table.rs
@@ -139,6 +139,31 @@
     }
 }
 
+#[test]
+fn each_promise_names_code_that_leans_on_it_and_what_follows_if_it_fails() {
+    let page = read("docs/PLATFORM.md");
+    let section = page.split("## What the code leans on").nth(1);
+    let section = section.and_then(|rest| rest.split("\n## ").next());
+    let rows = section.expect("the section is there").lines();
+    let rows = rows.filter(|line| line.starts_with("| ")).skip(2);
+    let mut count = 0;
+    for row in rows {
+        let cells: Vec<_> = row.trim_matches('|').split(" | ").collect();
+        let [_, promise, leaned_on_by, read_as, fails] = cells[..] else {
+            panic!("five cells: {row}");
+        };
+        count += 1;
+        assert!(fails.trim().len() > 20, "{promise}: what if it fails?");
+        if leaned_on_by.trim() == "-" {
+            continue;
+        }
+        let source = read(leaned_on_by.trim());
+        let word = read_as.trim();
+        assert!(has_word(&source, word), "{leaned_on_by}: {word}");
+    }
+    assert!(count > 20, "the table is there: {count}");
+}
+
 #[test]
 fn each_header_of_the_adapter_is_in_the_table_and_read() {
     let adapter = read("platform/src/headers.rs");
