--- a/crates/wingspur-coordination/src/lending_desk.rs
+++ b/crates/wingspur-coordination/src/lending_desk.rs
@@ -899,7 +899,7 @@
 /// The part that a hub may come to have, of a few data centres.
 const PART_TO_COME: f64 = 0.5;
 /// Who waits for an account's allowance does so a little longer than this.
-const PATIENCE: Duration = Duration::from_millis(1400);
+const PATIENCE: Duration = Duration::from_secs(1);
 /// What is found is void where it comes later than `URGENT_LASTS` after it was asked for.
 const SEARCH_LASTS: Duration = Duration::from_millis(120);
 /// For how long it is not asked anew what no hub had.
