Edge: the circle of files around Shared is opened

15 files of wingspur-edge used each other in a circle: state, the calls on it and the errors stood in the same files. Now state stands in files that use no others of the circle (quarantine_state, resend_loans, given_up), what acts on it beside them (resending, server_changes, lending_frames). No behaviour changes; the circle holds no file any more.

--- a/crates/wingspur-edge/src/admission.rs
+++ b/crates/wingspur-edge/src/admission.rs
@@ -11,7 +11,7 @@
 use wingspur_protocol::ResultCode;
 use wingspur_state::{ClientAccount, KeyDigest};
 
-use crate::attempts::GivenUp;
+use crate::given_up::GivenUp;
 use crate::in_force::{ActiveRoute, InForce};
 use crate::shared::Shared;
 
--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -18,6 +18,7 @@
 
 use crate::admission::Admitted;
 use crate::exchange::pass_alarm_on;
+use crate::given_up::HeldAnswer;
 use crate::in_force::ActiveRoute;
 use crate::request_log::id_text;
 use crate::requests_out::Ticket;
@@ -49,15 +50,6 @@
     pub ticket: Arc<Ticket>,
 }
 
-/// An answer that is here whole.
-#[derive(Debug, Clone)]
-pub struct HeldAnswer {
-    /// The status and headers.
-    pub head: AnswerHead,
-    /// The body.
-    pub body: Bytes,
-}
-
 /// How an attempt ended.
 pub enum AttemptResult {
     /// The server's answer, whole.
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -15,11 +15,13 @@
 };
 use wingspur_transport::SendBody;
 
-use crate::attempt::{AttemptPlan, AttemptResult, FailedAttempt, HeldAnswer, Outgoing};
+use crate::attempt::{AttemptPlan, AttemptResult, FailedAttempt, Outgoing};
+use crate::given_up::GivenUp;
 use crate::in_force::ActiveRoute;
-use crate::quarantine::{SendPermission, is_quarantined, permission_to_send};
+use crate::quarantine::{is_quarantined, permission_to_send};
+use crate::quarantine_state::SendPermission;
 use crate::request_log::{id_text, log_give_up, log_pick, rounded};
-use crate::resend_loans::borrow_resend;
+use crate::resending::borrow_resend;
 use crate::server_words::{RANKS_APART, take_place};
 use crate::services::ServiceState;
 use crate::shared::Shared;
@@ -59,28 +61,6 @@
     resends: TakenResends,
 }
 
-/// Why a request got no answer.
-#[derive(Debug)]
-pub struct GivenUp {
-    /// What the caller is told.
-    pub code: ResultCode,
-    /// When it may ask again.
-    pub retry_after: Option<Duration>,
-    /// The server's own failure, if it is to be passed on instead.
-    pub answer: Option<HeldAnswer>,
-}
-
-impl GivenUp {
-    /// A refusal of the box's own, to come back after the code's usual time.
-    pub fn plain(code: ResultCode) -> Self {
-        Self {
-            code,
-            retry_after: None,
-            answer: None,
-        }
-    }
-}
-
 type Borrowing = Pin<Box<dyn Future<Output = bool> + Send>>;
 type Running = Pin<Box<dyn Future<Output = AttemptResult> + Send>>;
 
--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -9,10 +9,10 @@
 };
 use wingspur_state::{BundlePatch, BundleVersion, StorePosition};
 
-use crate::exchange::spread;
 use crate::quarantine::{
     end_quarantine, put_quarantine, quarantine_records, replace_quarantines,
 };
+use crate::server_changes::follow;
 use crate::shared::Shared;
 
 /// Takes in news of the catalog that came by a link, and passes on what was news here.
@@ -65,7 +65,7 @@
         true => shared.directory.lock().hold_back_gone(&told.returned, now),
         false => Vec::new(),
     };
-    shared.follow(&gone, "peer");
+    follow(shared, &gone, "peer");
     is_newer || !gone.is_empty()
 }
 
@@ -263,7 +263,7 @@
     let missing = told.missing.into_iter();
     changes.extend(missing.filter_map(|record| directory.put_missing(record, now)));
     drop(directory);
-    shared.follow(&changes, source);
+    follow(shared, &changes, source);
     replace_quarantines(shared, listing.position, &listing.quarantines);
     let mut links = shared.links.lock();
     links.planner().replace(listing.boxes, now);
@@ -312,7 +312,7 @@
             CatalogChange::QuarantineEnded(request) => end_quarantine(shared, request),
         }
     }
-    shared.follow(&followed, source);
+    follow(shared, &followed, source);
     shared.links.lock().feed().reach(changes.position);
     if boxes_changed {
         shared.share_out();
@@ -355,6 +355,14 @@
     told
 }
 
+/// Tells the other boxes news of the catalog, soon where it changes anything.
+fn spread(shared: &Shared, update: &CatalogUpdate, urgent: bool, from: Option<LinkId>) {
+    shared.links.lock().spread(update, urgent, from);
+    if urgent {
+        shared.news.poke();
+    }
+}
+
 fn doubtful_ms(shared: &Shared, now: Instant) -> u32 {
     as_ms(shared.directory.lock().doubtful_for(now))
 }
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -20,6 +20,7 @@
 use crate::operator::answer_operator;
 use crate::quarantine::run_quarantine;
 use crate::request::answer_caller;
+use crate::server_changes::settle;
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::stopping::StopPlan;
@@ -254,7 +255,7 @@
             closed = now;
             shared.services.close_rested(now);
         }
-        shared.settle(now);
+        settle(&shared, now);
     }
 }
 
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -8,9 +8,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use rand::seq::SliceRandom;
 use wingspur_coordination::{LinkId, PlannedLink, SourceNews};
-use wingspur_protocol::{
-    CatalogUpdate, Digest, Frame, Hello, LINK_PROTOCOL_VERSION, LinkRole,
-};
+use wingspur_protocol::{Digest, Frame, Hello, LINK_PROTOCOL_VERSION, LinkRole};
 use wingspur_state::{SourceId, server_key};
 use wingspur_transport::{
     LinkBody, LinkError, LinkPatience, LinkReceiver, LinkSender, StopSignal, accept_link,
@@ -21,7 +19,7 @@
 use crate::catalog_state::{apply_update, listing_of, update_for};
 use crate::lending::take_lending;
 use crate::request_log::rounded;
-use crate::resend_loans::told_rooms;
+use crate::resending::told_rooms;
 use crate::server_words::{take_leaving, take_limits};
 use crate::services::ServiceState;
 use crate::shared::Shared;
@@ -442,19 +440,6 @@
     }
 }
 
-/// Tells the other boxes news of the catalog, soon where it changes anything.
-pub fn spread(
-    shared: &Shared,
-    update: &CatalogUpdate,
-    urgent: bool,
-    from: Option<LinkId>,
-) {
-    shared.links.lock().spread(update, urgent, from);
-    if urgent {
-        shared.news.poke();
-    }
-}
-
 /// Where boxes open links.
 const LINK_PATH: &str = "/link";
 /// A connection within a region is up in milliseconds; a lost opening packet is only sent
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -9,6 +9,7 @@
 use wingspur_transport::{CatalogError, StopSignal};
 
 use crate::catalog_state::{take_changes, take_listing};
+use crate::server_changes::settle;
 use crate::shared::Shared;
 use crate::store_calls::call_store;
 
@@ -48,7 +49,7 @@
                 wait_to_retry(&shared, reading.failures).await;
             }
         }
-        shared.settle(wingspur_clock::now());
+        settle(&shared, wingspur_clock::now());
     }
 }
 
--- /dev/null
+++ b/crates/wingspur-edge/src/given_up.rs
@@ -0,0 +1,38 @@
+//! Why a request got no answer of a server.
+
+use std::time::Duration;
+
+use hyper::body::Bytes;
+use wingspur_protocol::ResultCode;
+use wingspur_transport::AnswerHead;
+
+/// Why a request got no answer.
+#[derive(Debug)]
+pub struct GivenUp {
+    /// What the caller is told.
+    pub code: ResultCode,
+    /// When it may ask again.
+    pub retry_after: Option<Duration>,
+    /// The server's own failure, if it is to be passed on instead.
+    pub answer: Option<HeldAnswer>,
+}
+
+impl GivenUp {
+    /// A refusal of the box's own, to come back after the code's usual time.
+    pub fn plain(code: ResultCode) -> Self {
+        Self {
+            code,
+            retry_after: None,
+            answer: None,
+        }
+    }
+}
+
+/// An answer that is here whole.
+#[derive(Debug, Clone)]
+pub struct HeldAnswer {
+    /// The status and headers.
+    pub head: AnswerHead,
+    /// The body.
+    pub body: Bytes,
+}
--- a/crates/wingspur-edge/src/lending.rs
+++ b/crates/wingspur-edge/src/lending.rs
@@ -6,7 +6,7 @@
 use futures_lite::FutureExt;
 use rand::RngExt;
 use wingspur_coordination::{
-    Allowance, HeldBy, LendingMessage, LendingMessages, LinkId, Reserve, Standing, Told,
+    Allowance, HeldBy, LendingMessages, LinkId, Reserve, Standing, Told,
 };
 use wingspur_protocol::{Lendable, Lending, ResultCode};
 use wingspur_state::{
@@ -14,10 +14,11 @@
 };
 use wingspur_transport::StopSignal;
 
-use crate::attempts::GivenUp;
+use crate::given_up::GivenUp;
+use crate::lending_frames::send;
 use crate::quarantine::{answer_permit, take_permit_answer};
 use crate::request_log::rounded;
-use crate::resend_loans::{answer_resend, take_resend_answer};
+use crate::resending::{answer_resend, take_resend_answer};
 use crate::shared::Shared;
 
 /// Lets a request of an account through, or refuses it: by 429 what is over its limit, by 503
@@ -127,19 +128,6 @@
     }
 }
 
-/// Sends what there is to ask and to answer.
-pub fn send(shared: &Shared, messages: impl IntoIterator<Item = LendingMessage>) {
-    for message in messages {
-        let outgoing = shared.links.lock().lending_frame(message);
-        let Some(outgoing) = outgoing else { continue };
-        match outgoing.sender.send(&outgoing.frame) {
-            Ok(bytes) => shared.metrics.count_frame(bytes),
-            // The link's own task notices that it has ended.
-            Err(error) => tracing::debug!(%error, "lending: not sent."),
-        }
-    }
-}
-
 /// Wants one of an allowance; what came of it within a time.
 pub async fn want(
     shared: &Shared,
--- /dev/null
+++ b/crates/wingspur-edge/src/lending_frames.rs
@@ -0,0 +1,18 @@
+//! Sends what boxes ask and answer of loans.
+
+use wingspur_coordination::LendingMessage;
+
+use crate::shared::Shared;
+
+/// Sends what there is to ask and to answer.
+pub fn send(shared: &Shared, messages: impl IntoIterator<Item = LendingMessage>) {
+    for message in messages {
+        let outgoing = shared.links.lock().lending_frame(message);
+        let Some(outgoing) = outgoing else { continue };
+        match outgoing.sender.send(&outgoing.frame) {
+            Ok(bytes) => shared.metrics.count_frame(bytes),
+            // The link's own task notices that it has ended.
+            Err(error) => tracing::debug!(%error, "lending: not sent."),
+        }
+    }
+}
--- a/crates/wingspur-edge/src/metrics.rs
+++ b/crates/wingspur-edge/src/metrics.rs
@@ -11,7 +11,7 @@
 use wingspur_state::{RetryReason, StopReason, SuspectEvent};
 use wingspur_transport::ExchangeTotals;
 
-use crate::quarantine::SendPermission;
+use crate::quarantine_state::SendPermission;
 
 /// The metrics of one box.
 #[derive(Debug, Clone)]
--- a/crates/wingspur-edge/src/quarantine.rs
+++ b/crates/wingspur-edge/src/quarantine.rs
@@ -3,60 +3,24 @@
 //! A box counts in the store each time that it lets such a request through, before it does; one
 //! that cannot have the store asks its hub.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
 use wingspur_coordination::{
-    CountOutcome, DeskStep, LendingMessage, LinkId, QuarantineCount, QuarantineDesk,
+    CountOutcome, DeskStep, LendingMessage, LinkId, QuarantineCount,
 };
 use wingspur_protocol::{Lendable, LoanAnswer, LoanRequest, QuarantineRecord};
 use wingspur_state::{
-    KnownQuarantine, REMEMBERED, RequestFingerprint, SourceId, StoreEra, StorePosition,
+    KnownQuarantine, REMEMBERED, RequestFingerprint, StoreEra, StorePosition,
 };
 use wingspur_transport::{CatalogError, StopSignal, TryCounted};
 
-use crate::lending::send;
+use crate::lending_frames::send;
+use crate::quarantine_state::SendPermission;
 use crate::shared::Shared;
 use crate::store_calls::call_store;
 
-/// This box's part in what is let through of requests in quarantine.
-#[derive(Debug)]
-pub struct QuarantineState {
-    desk: QuarantineDesk,
-    /// This box's own questions, with who waits for each answer.
-    asked: HashMap<u32, async_channel::Sender<LoanAnswer>>,
-    last_number: u32,
-}
-
-impl QuarantineState {
-    /// A box that starts now, and counts under a name of its own.
-    pub fn new(own: SourceId) -> Self {
-        Self {
-            desk: QuarantineDesk::new(own),
-            asked: HashMap::new(),
-            last_number: 0,
-        }
-    }
-
-    /// Notes the store's era.
-    pub fn note_era(&mut self, era: StoreEra) {
-        self.desk.note_era(era);
-    }
-}
-
-/// Whether a request may be sent now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SendPermission {
-    /// As any other: it is not in quarantine.
-    Free,
-    /// To one server.
-    Once,
-    /// No: there may be another permit after this.
-    Refused(Duration),
-}
-
 /// Waits until a request may be sent, or it is known that it may not before `limit`.
 ///
 /// While another box tries it, the outcome is worth waiting for: a request that is well is
--- a/crates/wingspur-edge/src/request.rs
+++ b/crates/wingspur-edge/src/request.rs
@@ -18,8 +18,9 @@
 
 use crate::admission::{Admitted, Asking, admit, find_route, strip_credentials};
 use crate::answer_body::{AnswerBody, StreamBody};
-use crate::attempt::{AttemptResult, HeldAnswer, Outgoing};
-use crate::attempts::{Forwarding, GivenUp};
+use crate::attempt::{AttemptResult, Outgoing};
+use crate::attempts::Forwarding;
+use crate::given_up::{GivenUp, HeldAnswer};
 use crate::heads::{check_framing, strip_hop_by_hop};
 use crate::in_force::ActiveRoute;
 use crate::lending::admit_within_limit;
--- a/crates/wingspur-edge/src/request_log.rs
+++ b/crates/wingspur-edge/src/request_log.rs
@@ -9,7 +9,7 @@
 use wingspur_state::{BundleVersion, ClientAccount, Pick, RequestFingerprint};
 
 use crate::admission::Admitted;
-use crate::attempts::GivenUp;
+use crate::given_up::GivenUp;
 use crate::in_force::ActiveRoute;
 use crate::metrics::Metrics;
 use crate::refusal::RESULT_HEADER;
--- /dev/null
+++ b/crates/wingspur-edge/src/resending.rs
@@ -0,0 +1,178 @@
+//! Asks other boxes for resends, and answers their questions.
+
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use wingspur_coordination::{LendingMessage, LendingMessages, LinkId};
+use wingspur_protocol::{Lendable, LoanAnswer, LoanRequest, ResendRoom};
+use wingspur_state::{LENT_FOR, ResendUse, server_key};
+
+use crate::lending_frames::send;
+use crate::resend_loans::{PassedOn, ToldRooms, resend_of};
+use crate::services::ServiceState;
+use crate::shared::Shared;
+
+/// Asks other boxes for a resend; whether one has lent it.
+///
+/// Gain: a box sees few requests of a service, so its part is a resend or two, used up by the
+/// first trouble while the parts of the others lie idle.
+pub async fn borrow_resend(
+    shared: &Shared,
+    service: &ServiceState,
+    use_: ResendUse,
+) -> bool {
+    let Some((number, answered)) = ask_for_resend(shared, service, use_) else {
+        return false;
+    };
+    let lent = async { answered.recv().await.unwrap_or(false) };
+    let expired = async {
+        wingspur_clock::sleep(LENT_FOR).await;
+        false
+    };
+    let lent = lent.or(expired).await;
+    shared.resend_loans.lock().asked.remove(&number);
+    lent
+}
+
+/// Sends the question to whoever should have room; its number, and where the answer comes.
+fn ask_for_resend(
+    shared: &Shared,
+    service: &ServiceState,
+    use_: ResendUse,
+) -> Option<(u32, async_channel::Receiver<bool>)> {
+    let of = lendable(service, use_);
+    let lenders = shared.links.lock().lenders();
+    let mut loans = shared.resend_loans.lock();
+    let to = match lenders.own_hub {
+        Some(hub) => hub,
+        None => loans.choose(&lenders, of, None)?,
+    };
+    let number = loans.number();
+    let (told, answered) = async_channel::bounded(1);
+    loans.asked.insert(number, told);
+    drop(loans);
+    let request = LoanRequest {
+        number,
+        of,
+        held: 0.0,
+        urgent: 1,
+        reserve: 0.0,
+        wanted: 0.0,
+    };
+    send(shared, vec![LendingMessage::asking(to, request)]);
+    Some((number, answered))
+}
+
+/// Answers another box's question for a resend: lends, passes the question on, or declines.
+pub fn answer_resend(
+    shared: &Shared,
+    link: LinkId,
+    request: &LoanRequest,
+) -> LendingMessages {
+    let now = wingspur_clock::now();
+    if lends_itself(shared, request.of, now) {
+        return vec![answering(link, request.number, request.of, true)];
+    }
+    let lenders = shared.links.lock().lenders();
+    if lenders.own_hub == Some(link) {
+        return vec![answering(link, request.number, request.of, false)];
+    }
+    let mut loans = shared.resend_loans.lock();
+    let Some(to) = loans.choose(&lenders, request.of, Some(link)) else {
+        return vec![answering(link, request.number, request.of, false)];
+    };
+    let number = loans.number();
+    let passed = PassedOn {
+        from: link,
+        number: request.number,
+        at: now,
+    };
+    loans
+        .passed_on
+        .retain(|_, passed| passed.at + KEPT_FOR > now);
+    loans.passed_on.insert(number, passed);
+    let request = LoanRequest { number, ..*request };
+    vec![LendingMessage::asking(to, request)]
+}
+
+/// Takes in the answer to a question for a resend: this box's own, or one passed on.
+pub fn take_resend_answer(shared: &Shared, answer: &LoanAnswer) -> LendingMessages {
+    let lent = answer.urgent > 0;
+    let mut loans = shared.resend_loans.lock();
+    if let Some(asked) = loans.asked.remove(&answer.number) {
+        // One that has given up does not listen any more.
+        let _ = asked.try_send(lent);
+        return LendingMessages::new();
+    }
+    let passed = loans.passed_on.remove(&answer.number);
+    let message =
+        |passed: PassedOn| answering(passed.from, passed.number, answer.of, lent);
+    passed.map(message).into_iter().collect()
+}
+
+/// How the retry budgets stand at this box, and over it and its members.
+pub fn told_rooms(shared: &Shared, now: Instant) -> ToldRooms {
+    if let Some((at, told)) = &shared.resend_loans.lock().told
+        && now.saturating_duration_since(*at) < TOLD_FOR
+    {
+        return told.clone();
+    }
+    let standing = shared.fleet_standing();
+    let room = |service: &ServiceState| {
+        let mut budget = service.budget.lock();
+        let answer = budget.ask(ResendUse::Sure, standing, now);
+        ResendRoom {
+            service: server_key(&service.name),
+            spent: answer.spent as f32,
+            limit: answer.limit() as f32,
+        }
+    };
+    let services = shared.services.all();
+    let own: Vec<_> = services.iter().map(|service| room(service)).collect();
+    let members = shared.links.lock().lenders().members;
+    let mut loans = shared.resend_loans.lock();
+    let sums = loans.sums(&own, &members);
+    let told = ToldRooms { own, sums };
+    loans.told = Some((now, told.clone()));
+    told
+}
+
+/// Whether this box's own part has room for the resend of another; counts it.
+fn lends_itself(shared: &Shared, of: Lendable, now: Instant) -> bool {
+    let Some((key, use_)) = resend_of(of) else {
+        return false;
+    };
+    let services = shared.services.all();
+    let mut named = services.iter();
+    let service = named.find(|service| server_key(&service.name) == key);
+    let standing = shared.fleet_standing();
+    service.is_some_and(|service| {
+        let mut budget = service.budget.lock();
+        budget.lend(use_, standing, now).allowed
+    })
+}
+
+fn lendable(service: &ServiceState, use_: ResendUse) -> Lendable {
+    let key = server_key(&service.name);
+    match use_ {
+        ResendUse::Sure => Lendable::Resend(key),
+        ResendUse::Hedge => Lendable::Hedge(key),
+    }
+}
+
+fn answering(link: LinkId, number: u32, of: Lendable, lent: bool) -> LendingMessage {
+    let answer = LoanAnswer {
+        number,
+        of,
+        urgent: u32::from(lent),
+        stock: 0.0,
+        renewed: false,
+        more_in_ms: None,
+    };
+    LendingMessage::answering(link, answer, true)
+}
+
+/// How long what is told of the budgets counts as new: each frame asks for it.
+const TOLD_FOR: Duration = Duration::from_millis(100);
+/// Whoever asked has given up by then.
+const KEPT_FOR: Duration = Duration::from_millis(500);
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -1,13 +1,11 @@
 //! What all parts of an entry box share.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use wingspur_coordination::LendingDesk;
 use wingspur_protocol::{BoxRecord, HeaderNames};
-use wingspur_state::{
-    Bundle, Directory, DirectoryChange, FleetStanding, Standings, SuspectRequests,
-};
+use wingspur_state::{Bundle, Directory, FleetStanding, Standings, SuspectRequests};
 use wingspur_transport::{Announcement, Catalog, Connector, Spawner};
 
 use crate::bell::Bell;
@@ -15,14 +13,12 @@
 use crate::links::Links;
 use crate::locks::{Rank, Ranked};
 use crate::metrics::Metrics;
-use crate::quarantine::QuarantineState;
+use crate::quarantine_state::QuarantineState;
 use crate::requests_out::RequestsOut;
 use crate::resend_loans::ResendLoans;
-use crate::server_words::note_announced;
 use crate::services::Services;
 use crate::settings::Settings;
 use crate::stopping::Stopping;
-use crate::suspects::note_gone;
 
 /// What all parts of an entry box share.
 #[derive(Debug)]
@@ -166,29 +162,6 @@
         true
     }
 
-    /// Lets the services follow what became of servers.
-    pub fn follow(self: &Arc<Self>, changes: &[DirectoryChange], source: &str) {
-        note_gone(self, changes);
-        note_announced(self, changes);
-        if changes.len() > MOST_SINGLE_LINES {
-            // A box that starts would write one for each server that there is.
-            let servers = changes.len();
-            tracing::info!(servers, source, "server: many have changed.");
-            return self.services.follow(changes, &self.standings);
-        }
-        for change in changes {
-            let (event, record) = match change {
-                DirectoryChange::Put(record) if record.leaving => ("leaving", record),
-                DirectoryChange::Put(record) => ("takes work", record),
-                DirectoryChange::Restarted { record, .. } => ("started again", record),
-                DirectoryChange::Gone(record) => ("gone", record),
-            };
-            let (server, service) = (&record.id, &record.service);
-            tracing::info!(%server, %service, address = %record.address, source, "server: {event}.");
-        }
-        self.services.follow(changes, &self.standings);
-    }
-
     /// Whether the box takes callers.
     pub fn is_ready(&self) -> bool {
         !self.stopping.has_begun()
@@ -221,19 +194,7 @@
         let window = Duration::from_secs_f64(window_s);
         self.links.lock().standing(window, wingspur_clock::now())
     }
-
-    /// Drops servers that have not come back after an outage of the store.
-    pub fn settle(self: &Arc<Self>, now: Instant) {
-        let age = self.links.lock().feed().vouched_age(now);
-        let Some(as_of) = age.and_then(|age| now.checked_sub(age)) else {
-            return;
-        };
-        let changes = self.directory.lock().settle(as_of);
-        self.follow(&changes, "settled");
-    }
 }
 
 /// A change of hubs takes less.
 const CUT_OFF: Duration = Duration::from_millis(2500);
-/// So many servers that change at once have a log line each; a rack has fewer.
-const MOST_SINGLE_LINES: usize = 40;
