Routes of the kind upload are served

Cause: the adapter read kinds straight into RouteClass, which has no such kind. Test: uploads_run_at_most_once (refused before).

--- a/tests/tests/platform_records.rs
+++ b/tests/tests/platform_records.rs
@@ -25,6 +25,12 @@
     assert_eq!(bundle.caller_limits.max_head_bytes, 16384);
 }
 
+#[test]
+fn uploads_run_at_most_once() {
+    let bundle = bundle(|value| value["host_routes"][0]["class"] = json!("upload"));
+    assert_eq!(bundle.unwrap().host_routes[0].class, RouteClass::OnceOnly);
+}
+
 #[test]
 fn weights_become_targets() {
     let split = bundle(|value| {
