Evacuated data centres get nothing, and cold servers no more than they bear

Cause: nothing read the operator's evacuations, nor what cold servers bear. An evacuation is now an entry of the catalog: read by the adapter, told in listings and changes, held with the services, and asked wherever a server is picked and once more before a head is written (Balancer::access_now). A box that starts has it with its listing. A cold server's rate is one more source of the limit that places are handed out for: the lower of it and the named one counts, so the allowance and its proof are those that stand. Servers may turn cold at any time: an entry that tells more of a cold start than was known is a change, and so is the end of it. Ruled out: a list of its own for evacuations beside the catalog (news would need its own way, age and greeting); a rate a box (37,000 x boxes parts of 5.5 a second are nothing). Sight: a line where an evacuation begins and ends, wingspur_evacuated_data_centres.

--- a/crates/wingspur-bench/src/fleet.rs
+++ b/crates/wingspur-bench/src/fleet.rs
@@ -404,6 +404,7 @@
                 key_header: None,
             }],
             server_connections: None,
+            cold_requests_per_s: None,
         }
     });
     Bundle {
--- a/crates/wingspur-bench/src/replay.rs
+++ b/crates/wingspur-bench/src/replay.rs
@@ -82,6 +82,7 @@
         servers: (0..scenario.servers).map(server).collect(),
         routes: Vec::new(),
         server_connections: None,
+        cold_requests_per_s: None,
     }
 }
 
--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -9,6 +9,7 @@
 };
 use wingspur_state::{BundlePatch, BundleVersion, StorePosition};
 
+use crate::evacuation::{begin_evacuation, end_evacuation, replace_evacuations};
 use crate::quarantine::{
     end_quarantine, put_quarantine, quarantine_records, replace_quarantines,
 };
@@ -157,9 +158,13 @@
         tracing::info!(%known, %position, "catalog: changes passed over.");
         return false;
     }
-    let directory = shared.directory.lock();
+    let mut directory = shared.directory.lock();
     changes.changes.retain(|change| match change {
-        CatalogChange::Server(record) => !directory.stands(record),
+        CatalogChange::Server(record) if directory.stands(record) => {
+            // What is left of a cold start is kept, so that a later one is told from it.
+            directory.put(record.clone());
+            false
+        }
         _ => true,
     });
     drop(directory);
@@ -233,6 +238,7 @@
     };
     let in_force = shared.in_force();
     let quarantines = quarantine_records(shared);
+    let evacuated = shared.services.evacuated().iter().cloned().collect();
     let directory = shared.directory.lock();
     let doubtful = directory.doubtful_for(now);
     let listing = CatalogListing {
@@ -241,6 +247,7 @@
         servers: directory.listed().cloned().collect(),
         boxes,
         quarantines,
+        evacuated,
     };
     CatalogUpdate::Listing(ListingUpdate {
         listing,
@@ -265,6 +272,7 @@
     drop(directory);
     follow(shared, &changes, source);
     replace_quarantines(shared, listing.position, &listing.quarantines);
+    replace_evacuations(shared, listing.evacuated, source);
     let mut links = shared.links.lock();
     links.planner().replace(listing.boxes, now);
     links.feed().reach(listing.position);
@@ -310,6 +318,12 @@
             }
             CatalogChange::Quarantine(record) => put_quarantine(shared, &record),
             CatalogChange::QuarantineEnded(request) => end_quarantine(shared, request),
+            CatalogChange::Evacuated(data_centre) => {
+                begin_evacuation(shared, data_centre, source);
+            }
+            CatalogChange::EvacuationEnded(data_centre) => {
+                end_evacuation(shared, &data_centre, source);
+            }
         }
     }
     follow(shared, &followed, source);
--- a/crates/wingspur-edge/src/lending.rs
+++ b/crates/wingspur-edge/src/lending.rs
@@ -234,9 +234,9 @@
 
 /// What a server takes, held by the hub of its data centre.
 fn of_server(shared: &Shared, server: ServerKey) -> Option<Allowance> {
-    let limit_per_s = shared.standings.lock().limits.limit(server)?;
     let service = shared.services.of_server(server)?;
     let balancer = service.balancer.lock();
+    let limit_per_s = balancer.limit(server, wingspur_clock::now())?;
     let data_centre = balancer.record(server)?.data_centre.clone();
     Some(Allowance {
         terms: AllowanceTerms::of_server(limit_per_s),
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod bell;
 mod catalog_state;
 mod edge_box;
+mod evacuation;
 mod exchange;
 mod feed;
 mod given_up;
--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -45,6 +45,8 @@
     ServersByKey,
     /// The connections by server.
     Backends,
+    /// The data centres that are evacuated.
+    Evacuated,
     /// Who lives.
     Membership,
     /// The judges that this box holds.
--- a/crates/wingspur-edge/src/metrics.rs
+++ b/crates/wingspur-edge/src/metrics.rs
@@ -42,6 +42,8 @@
     pub exchanges: IntGaugeVec,
     /// The bundle in force.
     pub bundle_version: IntGauge,
+    /// Data centres that are evacuated.
+    pub evacuated_data_centres: IntGauge,
     /// How old the newest news of the store is, in milliseconds.
     pub news_age_ms: IntGauge,
     /// Requests that were not sent again, by reason.
@@ -107,6 +109,10 @@
             histogram
         };
         let bundle_version = gauge("wingspur_bundle_version", "Bundle in force.");
+        let evacuated_data_centres = gauge(
+            "wingspur_evacuated_data_centres",
+            "Data centres whose servers get nothing.",
+        );
         let news_age_ms = gauge(
             "wingspur_news_age_milliseconds",
             "Age of the newest news of the store.",
@@ -247,6 +253,7 @@
             suspects,
             exchanges,
             bundle_version,
+            evacuated_data_centres,
             news_age_ms,
             hedges,
             frames,
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -1,6 +1,6 @@
 //! The services that this box sends work to, with what it knows of each.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -35,6 +35,8 @@
     /// The service of each announced server.
     by_server: Ranked<HashMap<ServerKey, Arc<ServiceState>>>,
     backends: Ranked<HashMap<SocketAddr, Arc<Backend>>>,
+    /// The data centres whose servers get nothing more.
+    evacuated: Ranked<Arc<BTreeSet<DataCentreId>>>,
 }
 
 impl Services {
@@ -46,6 +48,7 @@
             by_name: Ranked::new(Rank::Services, HashMap::new()),
             by_server: Ranked::new(Rank::ServersByKey, HashMap::new()),
             backends: Ranked::new(Rank::Backends, HashMap::new()),
+            evacuated: Ranked::new(Rank::Evacuated, Arc::default()),
         }
     }
 
@@ -56,7 +59,8 @@
             return service.clone();
         }
         let budget = *self.budget.lock();
-        let balancer = Balancer::new(self.home.clone());
+        let mut balancer = Balancer::new(self.home.clone());
+        balancer.set_evacuated(self.evacuated());
         let service = Arc::new(ServiceState {
             name: name.to_owned(),
             balancer: Ranked::new(Rank::Balancer, balancer),
@@ -67,6 +71,30 @@
         service
     }
 
+    /// The data centres that are evacuated.
+    pub fn evacuated(&self) -> Arc<BTreeSet<DataCentreId>> {
+        self.evacuated.lock().clone()
+    }
+
+    /// Changes which data centres are evacuated: their servers get nothing more. Returns
+    /// which were evacuated before.
+    pub fn change_evacuated(
+        &self,
+        change: impl FnOnce(&mut BTreeSet<DataCentreId>),
+    ) -> Arc<BTreeSet<DataCentreId>> {
+        // Held throughout, so that a service that is made meanwhile has the change too.
+        let services = self.by_name.lock();
+        let before = self.evacuated();
+        let mut evacuated = (*before).clone();
+        change(&mut evacuated);
+        let evacuated = Arc::new(evacuated);
+        *self.evacuated.lock() = evacuated.clone();
+        for service in services.values() {
+            service.balancer.lock().set_evacuated(evacuated.clone());
+        }
+        before
+    }
+
     /// Takes up changed settings of the retry budget.
     pub fn set_budget(&self, settings: BudgetSettings) {
         *self.budget.lock() = settings;
@@ -128,12 +156,12 @@
     pub fn share(&self, bundle: &Bundle, division: FleetDivision) {
         for declared in &bundle.services {
             let service = self.get(&declared.name);
+            let mut balancer = service.balancer.lock();
             if let Some(connections) = declared.server_connections {
-                service
-                    .balancer
-                    .lock()
-                    .share_connections(connections, division.boxes);
+                balancer.share_connections(connections, division.boxes);
             }
+            balancer.set_cold_rate(declared.cold_requests_per_s);
+            drop(balancer);
             service.budget.lock().set_division(division);
         }
     }
--- a/crates/wingspur-protocol/src/catalog.rs
+++ b/crates/wingspur-protocol/src/catalog.rs
@@ -23,6 +23,9 @@
     pub boxes: Vec<BoxRecord>,
     /// The requests in quarantine.
     pub quarantines: Vec<QuarantineRecord>,
+    /// The data centres that are evacuated.
+    #[serde(default)]
+    pub evacuated: Vec<DataCentreId>,
 }
 
 /// Changes after one point in the store's history and up to another of the same era, in
@@ -56,6 +59,10 @@
     Quarantine(QuarantineRecord),
     /// A request is in quarantine no more.
     QuarantineEnded(RequestFingerprint),
+    /// Nothing more may be sent to the backend servers of a data centre.
+    Evacuated(DataCentreId),
+    /// The backend servers of a data centre may be used again.
+    EvacuationEnded(DataCentreId),
 }
 
 /// A request that may be sent with a permit only, since servers have ended under it.
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -6,7 +6,7 @@
 //! its failures age or the others fill up, so that no decision can take the last capacity
 //! away.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -29,6 +29,10 @@
 pub struct Balancer {
     home: DataCentreId,
     servers: BTreeMap<ServerKey, Server>,
+    /// The data centres whose servers get nothing more.
+    evacuated: Arc<BTreeSet<DataCentreId>>,
+    /// Requests a second that a cold server bears; none where it is not limited.
+    cold_requests_per_s: Option<f64>,
     attempts: HashMap<AttemptId, Attempt>,
     next_attempt: AttemptId,
     /// What fails at well servers.
@@ -98,6 +102,8 @@
         Self {
             home,
             servers: BTreeMap::new(),
+            evacuated: Arc::default(),
+            cold_requests_per_s: None,
             attempts: HashMap::new(),
             next_attempt: 1,
             usual: UsualFailures::new(),
@@ -130,6 +136,10 @@
         if record.leaving {
             server.standing.note_announced_leaving(now);
         }
+        server.cold_until = match record.cold_ms {
+            0 => now,
+            _ => server.cold_until.max(cold_until),
+        };
         server.record = record;
     }
 
@@ -158,6 +168,24 @@
         }
     }
 
+    /// Takes in which data centres are evacuated: their servers get nothing more.
+    pub fn set_evacuated(&mut self, evacuated: Arc<BTreeSet<DataCentreId>>) {
+        self.evacuated = evacuated;
+    }
+
+    /// Takes in how many requests a second a cold server bears; none for no limit.
+    pub fn set_cold_rate(&mut self, per_s: Option<f64>) {
+        self.cold_requests_per_s = per_s;
+    }
+
+    /// What a server takes from all boxes together, in requests a second, by what it has
+    /// named and while it is cold; none for no limit.
+    pub fn limit(&self, key: ServerKey, now: Instant) -> Option<f64> {
+        let server = self.servers.get(&key)?;
+        let limits = [server.standing.limit(), self.cold_limit(server, now)];
+        limits.into_iter().flatten().min_by(f64::total_cmp)
+    }
+
     /// A server as it announces itself.
     pub fn record(&self, key: ServerKey) -> Option<&Arc<ServerRecord>> {
         Some(&self.servers.get(&key)?.record)
@@ -167,7 +195,7 @@
     /// says may come while a connection is made.
     pub fn may_send(&self, key: ServerKey, now: Instant) -> bool {
         let server = self.servers.get(&key);
-        let access = server.map(|server| server.standing.access(now));
+        let access = server.map(|server| self.access_now(server, now));
         access.is_some_and(|access| match access {
             Access::Open | Access::WithPlace(_) | Access::LastResort(_) => true,
             Access::NotBefore(_) | Access::Closed => false,
@@ -264,7 +292,7 @@
             return Vec::new();
         }
         let open = self.servers.values().filter(|server| {
-            let access = server.standing.access(now);
+            let access = self.access_now(server, now);
             matches!(access, Access::Open | Access::WithPlace(_))
         });
         let open = open.count();
@@ -324,13 +352,29 @@
         weighed.collect()
     }
 
+    /// Whether any request may go to a server now.
+    fn access_now(&self, server: &Server, now: Instant) -> Access {
+        if self.evacuated.contains(&server.record.data_centre) {
+            return Access::Closed;
+        }
+        match (server.standing.access(now), self.cold_limit(server, now)) {
+            (Access::Open, Some(cold)) => Access::WithPlace(cold),
+            (Access::WithPlace(named), Some(cold)) => Access::WithPlace(named.min(cold)),
+            (access, _) => access,
+        }
+    }
+
+    fn cold_limit(&self, server: &Server, now: Instant) -> Option<f64> {
+        self.cold_requests_per_s.filter(|_| now < server.cold_until)
+    }
+
     /// Whether a request may go to a server; none where it was sent there before, or where
     /// this box has as many out there as it may.
     fn access(&self, server: &Server, want: &Want<'_>, now: Instant) -> Option<Access> {
         let saturated = server.own.in_flight >= self.most_in_flight;
         let was_tried = want.tried.contains(&server.record.key());
         let may = !saturated && !was_tried;
-        may.then(|| server.standing.access(now))
+        may.then(|| self.access_now(server, now))
     }
 
     /// The shortest wait for a slot at any open server without a limit, or for the end of a
@@ -339,7 +383,7 @@
         let usual = self.usual.share();
         let waits = self.servers.values().filter_map(|server| {
             let wait_ms = self.weigh(server, want, usual, now).wait_ms;
-            match server.standing.access(now) {
+            match self.access_now(server, now) {
                 Access::Open => Some(Duration::from_secs_f64(wait_ms / 1000.0)),
                 Access::NotBefore(until) => Some(until.saturating_duration_since(now)),
                 Access::WithPlace(_) | Access::LastResort(_) | Access::Closed => None,
@@ -365,7 +409,7 @@
         let usual = self.usual.share();
         let typical_s = typical.as_secs_f64().max(LEAST_TYPICAL_S);
         let rates = self.servers.values().map(|server| {
-            let most_per_s = match server.standing.access(now) {
+            let most_per_s = match self.access_now(server, now) {
                 Access::Open => f64::INFINITY,
                 Access::WithPlace(per_s) => per_s,
                 // Who is told now when to come back finds it there.
@@ -558,7 +602,7 @@
     pub fn suspects(&self, now: Instant) -> Vec<String> {
         let usual = self.usual.share();
         let suspected = |server: &&Server| {
-            let is_closed = server.standing.access(now) == Access::Closed;
+            let is_closed = self.access_now(server, now) == Access::Closed;
             server.failure_share(usual, now) >= SUSPECT_SHARE || is_closed
         };
         let suspects = self.servers.values().filter(suspected);
@@ -583,7 +627,7 @@
                     .is_some_and(|at| now < at + FLOOR_AFTER_SICKNESS);
             // What has named a limit does not count as in use or not: it is sent what that
             // allows, and what leaves or rests nothing.
-            !failed && !was_sick && server.standing.access(now) == Access::Open
+            !failed && !was_sick && self.access_now(server, now) == Access::Open
         };
         // The boxes of its own data centre can try a server for less.
         let at_home = want.crossing >= DEAR_CROSSING && !holds_strictly(&want.present);
--- a/crates/wingspur-state/src/bundle.rs
+++ b/crates/wingspur-state/src/bundle.rs
@@ -127,8 +127,11 @@
     /// The routes that lead to this service.
     pub routes: Vec<Route>,
     /// Connections that each server accepts, where servers announce themselves.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub server_connections: Option<u32>,
+    /// Requests a second that a server bears while it is cold; none where it is not limited.
+    #[serde(default)]
+    pub cold_requests_per_s: Option<f64>,
 }
 
 impl Service {
--- a/crates/wingspur-state/src/directory.rs
+++ b/crates/wingspur-state/src/directory.rs
@@ -122,7 +122,7 @@
         }
     }
 
-    /// Takes in an entry as it stands in the store; what is left of a cold start is no
+    /// Takes in an entry as it stands in the store; that less is left of a cold start is no
     /// change, since it was known from the first entry. An entry of an earlier run than the
     /// one that is known is old news.
     pub fn put(&mut self, record: ServerRecord) -> Option<DirectoryChange> {
@@ -153,7 +153,10 @@
                     record,
                 })
             }
-            Some(entry) if entry.record.stands_as(&record) => None,
+            Some(entry) if entry.record.stands_as(&record) => {
+                let is_news = tells_of_cold(&entry.record, &record, is_written);
+                is_news.then_some(DirectoryChange::Put(record))
+            }
             _ => Some(DirectoryChange::Put(record)),
         }
     }
@@ -163,7 +166,8 @@
         let entry = self.entries.get(&record.id);
         entry.is_some_and(|entry| {
             let is_old = record.born_ms < entry.record.born_ms;
-            is_old || (!entry.missing && entry.record.stands_as(record))
+            let tells_of_cold = tells_of_cold(&entry.record, record, true);
+            is_old || (!entry.missing && entry.record.stands_as(record) && !tells_of_cold)
         })
     }
 
@@ -379,6 +383,15 @@
     }
 }
 
+/// Whether a record tells that a server has turned cold again, or is cold no more. A listing
+/// may repeat what was told before; an entry that is written tells only what has changed.
+fn tells_of_cold(known: &ServerRecord, record: &ServerRecord, is_written: bool) -> bool {
+    match record.cold_ms {
+        0 => known.cold_ms > 0,
+        left => left > known.cold_ms || (is_written && left == known.cold_ms),
+    }
+}
+
 /// How long servers have to write anew after the store's return. They write once a heartbeat
 /// of 1.5 s.
 pub const RETURN_GRACE: Duration = Duration::from_secs(2);
--- a/crates/wingspur-state/src/standing.rs
+++ b/crates/wingspur-state/src/standing.rs
@@ -55,7 +55,8 @@
     LastResort(Instant),
     /// Not before then, by this box.
     NotBefore(Instant),
-    /// Not any more.
+    /// Not at present, whatever the box waits for: it leaves, is replaced, or stands in an
+    /// evacuated data centre.
     Closed,
 }
 
@@ -202,6 +203,11 @@
         });
     }
 
+    /// The limit that the run has named, in requests a second; none for no limit.
+    pub fn limit(&self) -> Option<f64> {
+        self.limit_per_s
+    }
+
     /// Takes up a limit; none for no limit.
     pub fn set_limit(&mut self, per_s: Option<f64>) {
         self.limit_per_s = per_s;
--- a/tests/tests/platform_records.rs
+++ b/tests/tests/platform_records.rs
@@ -31,6 +31,20 @@
     assert_eq!(bundle.unwrap().host_routes[0].class, RouteClass::OnceOnly);
 }
 
+#[test]
+fn cold_rate_of_a_service_is_read_and_checked() {
+    let rate = |value: Value| {
+        let bundle = bundle(|b| b["services"][0]["cold_requests_per_s"] = value)?;
+        Ok::<_, String>(bundle.services[0].cold_requests_per_s)
+    };
+    assert_eq!(rate(json!(5.5)), Ok(Some(5.5)));
+    assert_eq!(rate(Value::Null), Ok(None));
+    for wrong in [json!(0), json!(-1.0)] {
+        let error = rate(wrong).unwrap_err();
+        assert!(error.contains("cold_requests_per_s"), "{error}");
+    }
+}
+
 #[test]
 fn weights_become_targets() {
     let split = bundle(|value| {
--- a/tests/tests/server_list.rs
+++ b/tests/tests/server_list.rs
@@ -116,6 +116,28 @@
     assert!(directory.put(leaving).is_some());
 }
 
+#[test]
+fn server_that_turns_cold_again_is_a_change() {
+    let mut directory = with(&[]);
+    let cold = |cold_ms| ServerRecord {
+        cold_ms,
+        ..record("a")
+    };
+    let put = |cold_ms| Some(DirectoryChange::Put(cold(cold_ms)));
+    assert_eq!(directory.put(cold(3_000)), put(3_000));
+    assert_eq!(directory.put(cold(1_500)), None);
+    assert!(
+        !directory.stands(&cold(3_000)),
+        "in the middle of its start"
+    );
+    assert_eq!(directory.put(cold(3_000)), put(3_000));
+    assert_eq!(directory.put(cold(0)), put(0), "cold no more");
+    assert_eq!(directory.put(cold(0)), None);
+    assert_eq!(directory.put(cold(3_000)), put(3_000), "once it was warm");
+    let listed = vec![cold(3_000)];
+    assert_eq!(directory.replace(listed, Instant::now()), []);
+}
+
 /// A directory whose server was gone before the store was restored, and is listed again.
 fn restored_with_gone(id: &str, now: Instant) -> Directory {
     let mut directory = with(&[id]);
