The floor is tried for only where requests suffice to hold it

Cause: the floor keeps 74 in 100 servers in use, each within two seconds. That holds only while a service gets more requests in two seconds than that: here 1,059 a second are to hold 4,430 servers, so each request was a try of a server that nobody had lately found well. Ruled out: a lower share or a cap on tries (the floor would not be held by it either). Now a service whose requests cannot hold the floor has no tries: they go by cost, which prefers servers that lately answered.

--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -14,7 +14,9 @@
 use rand::RngExt;
 use rand::seq::SliceRandom;
 
-use crate::floor::{FloorInputs, TRUSTED_SHARE, Unused, holds_strictly, try_unused};
+use crate::floor::{
+    FloorInputs, TRUSTED_SHARE, Unused, holds_strictly, is_in_reach, try_unused,
+};
 use crate::health::{Health, HealthNote, UsualFailures};
 use crate::placement::place_among;
 use crate::returning::LONGEST_RETURN;
@@ -616,6 +618,9 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Pick> {
+        if !is_in_reach(self.servers.len(), &want.present) {
+            return None;
+        }
         let spares_sick = !want.repeatable && !holds_strictly(&want.present);
         let may_be_well = |server: &&Server| {
             let failed = server
--- a/crates/wingspur-state/src/floor.rs
+++ b/crates/wingspur-state/src/floor.rs
@@ -65,6 +65,16 @@
     None
 }
 
+/// Whether the requests of a service are enough to keep as many servers in use as the floor
+/// wants: each holds one in use for two seconds.
+///
+/// Where they are not, all of them would be tries of servers that nobody has lately found
+/// well, and the floor would still not be held: they go to those that are known instead.
+pub fn is_in_reach(servers: usize, present: &ServicePresent) -> bool {
+    let held = present.requests_per_s.max(1.0) * FLOOR_WINDOW.as_secs_f64();
+    held >= servers as f64 * USED_SHARE
+}
+
 /// Whether so much is lost that all servers that may be well must be in use.
 pub fn holds_strictly(present: &ServicePresent) -> bool {
     present.lost_share >= STRICT_LOST_SHARE
@@ -132,6 +142,8 @@
     FIRST_TRIES_PER_S * doublings.exp2()
 }
 
+/// A server counts as in use for so long after a request.
+const FLOOR_WINDOW: Duration = Duration::from_secs(2);
 /// Where the floor is held strictly, a server is neglected when no box has used it for half
 /// of the two seconds over which it is judged: the other half is for the try and its news.
 const NEGLECT: Duration = Duration::from_secs(1);
--- a/tests/tests/balancing.rs
+++ b/tests/tests/balancing.rs
@@ -441,3 +441,18 @@
     };
     assert!((0..200).any(|_| is_due(&mut random)));
 }
+
+#[test]
+fn requests_too_few_for_the_floor_go_to_servers_lately_found_well() {
+    let start = Instant::now();
+    let mut balancer = balancer(1_000, start);
+    let now = start + Duration::from_secs(10);
+    for server in 0..20 {
+        one(&mut balancer, server, Ended::Good, TYPICAL, now - TYPICAL);
+    }
+    for lost_share in [0.0, 0.2] {
+        let counts = picks(&balancer, &want(false, lost_share), now, 1_000);
+        let proven: usize = counts[..20].iter().sum();
+        assert!(proven >= 900, "{proven} of 1000 at {lost_share} lost");
+    }
+}
