Hubs hold one listing for all links, and send them one after the other

Each link was owed a listing of its own, as records (2.5 MB) and encoded (0.6 MB): members times servers. Ruled out: shorter entries alone (half of it at this size, the same at twice the size). Now listings are shared: the records by all queues, the encoded bytes by all links, and the listing that was put together last for 100 ms. They go out as frames of their own, spaced by seven tenths of the hub's link, so that the first boxes are told early and signs of life do not wait behind 126 MB. What is made of servers is told once the other side knows them; a listing that the other side has meanwhile read itself is dropped. The frames' version rises to 10.

--- a/crates/wingspur-coordination/src/catalog_queue.rs
+++ b/crates/wingspur-coordination/src/catalog_queue.rs
@@ -1,9 +1,11 @@
 //! News of the catalog on its way to one link: gathered, so that a wave of changes is told
 //! in few frames.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use wingspur_protocol::CatalogUpdate;
+use wingspur_protocol::{CatalogUpdate, ListingUpdate};
+use wingspur_state::StorePosition;
 
 /// What one link has not been told yet of the catalog.
 ///
@@ -53,6 +55,38 @@
         self.urgent.then_some(gap)
     }
 
+    /// Whether a listing is queued.
+    pub fn owes_listing(&self) -> bool {
+        matches!(self.updates.first(), Some(CatalogUpdate::Listing(_)))
+    }
+
+    /// Drops a queued listing that tells the other side nothing: it knows the store's history
+    /// up to a position by now, and a version of the bundle.
+    pub fn drop_known_listing(&mut self, position: StorePosition, bundle_version: u64) {
+        let Some(CatalogUpdate::Listing(told)) = self.updates.first() else {
+            return;
+        };
+        let bundle = told.listing.bundle.as_ref();
+        let is_known = told.listing.position <= position
+            && bundle.is_none_or(|bundle| bundle.version <= bundle_version)
+            && told.returned.is_empty();
+        if is_known {
+            self.updates.remove(0);
+            self.urgent &= !self.updates.is_empty();
+        }
+    }
+
+    /// Takes the listing that is queued, which goes before all else.
+    pub fn take_listing(&mut self) -> Option<Arc<ListingUpdate>> {
+        if !self.owes_listing() {
+            return None;
+        }
+        match self.updates.remove(0) {
+            CatalogUpdate::Listing(listing) => Some(listing),
+            CatalogUpdate::Changes { .. } => None,
+        }
+    }
+
     /// Takes all that is queued, to be told now.
     pub fn take(&mut self, now: Instant) -> Vec<CatalogUpdate> {
         if !self.updates.is_empty() {
--- a/crates/wingspur-coordination/src/lib.rs
+++ b/crates/wingspur-coordination/src/lib.rs
@@ -11,6 +11,7 @@
 mod lending_desk;
 mod link_clock;
 mod link_plan;
+mod listing_frames;
 mod membership;
 mod news_pacer;
 mod placement;
@@ -35,6 +36,7 @@
 };
 pub use link_clock::LinkClock;
 pub use link_plan::{LinkPlanner, PlannedLink};
+pub use listing_frames::{ListingFrames, OwedListing};
 pub use membership::{HeardRefusal, Membership, MembershipSettings, PeerView};
 pub use news_pacer::NewsPacer;
 pub use placement::{Roster, hash_of};
--- /dev/null
+++ b/crates/wingspur-coordination/src/listing_frames.rs
@@ -0,0 +1,91 @@
+//! Listings of the catalog as links are sent them: encoded once for all links.
+
+use std::sync::{Arc, Weak};
+
+use wingspur_protocol::{
+    CatalogUpdate, EncodedFrame, Frame, FrameContent, ListingUpdate,
+};
+use wingspur_state::BundleVersion;
+
+/// Encoded listings, for as long as a link is still owed one.
+///
+/// A listing grows with the servers, and the links of a hub with the boxes; one copy for each
+/// link would grow with their product.
+#[derive(Debug, Default)]
+pub struct ListingFrames {
+    kept: Vec<Kept>,
+    /// How many were encoded so far.
+    encoded: usize,
+}
+
+/// A listing that one link is owed.
+#[derive(Debug, Clone)]
+pub struct OwedListing {
+    /// The listing.
+    pub listing: Arc<ListingUpdate>,
+    /// The version of the bundle that is in force at the other side; one that it has is left
+    /// out.
+    pub bundle_version: BundleVersion,
+}
+
+#[derive(Debug)]
+struct Kept {
+    listing: Weak<ListingUpdate>,
+    with_bundle: bool,
+    frame: EncodedFrame,
+}
+
+impl ListingFrames {
+    /// The frame that tells a listing.
+    pub fn frame(&mut self, owed: &OwedListing) -> EncodedFrame {
+        let with_bundle = owed.with_bundle();
+        let is_same = |kept: &&Kept| {
+            let is_listing = std::ptr::eq(kept.listing.as_ptr(), &*owed.listing);
+            is_listing && kept.with_bundle == with_bundle
+        };
+        if let Some(kept) = self.kept.iter().find(is_same) {
+            return kept.frame.clone();
+        }
+        let frame = owed.encode();
+        self.encoded += 1;
+        self.kept.push(Kept {
+            listing: Arc::downgrade(&owed.listing),
+            with_bundle,
+            frame: frame.clone(),
+        });
+        frame
+    }
+
+    /// Forgets the listings that no link is owed any more.
+    pub fn tidy(&mut self) {
+        self.kept.retain(|kept| kept.listing.strong_count() > 0);
+    }
+
+    /// How many listings were encoded so far.
+    pub fn encoded(&self) -> usize {
+        self.encoded
+    }
+}
+
+impl OwedListing {
+    fn with_bundle(&self) -> bool {
+        let bundle = self.listing.listing.bundle.as_ref();
+        bundle.is_some_and(|bundle| bundle.version > self.bundle_version)
+    }
+
+    fn encode(&self) -> EncodedFrame {
+        let listing = match self.with_bundle() {
+            true => self.listing.clone(),
+            false => {
+                let mut listing = (*self.listing).clone();
+                listing.listing.bundle = None;
+                Arc::new(listing)
+            }
+        };
+        EncodedFrame::new(&Frame {
+            catalog: vec![CatalogUpdate::Listing(listing)],
+            content: FrameContent::Listing,
+            ..Frame::default()
+        })
+    }
+}
--- a/crates/wingspur-coordination/src/news_pacer.rs
+++ b/crates/wingspur-coordination/src/news_pacer.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use wingspur_protocol::Digest;
+use wingspur_protocol::{Digest, ListingUpdate};
 
 /// Spaces frames with news by their size.
 ///
@@ -11,15 +11,25 @@
 #[derive(Debug, Clone)]
 pub struct NewsPacer {
     bytes_per_s: f64,
+    list_bytes_per_s: f64,
     free_at: Instant,
+    /// When the next listing may go out.
+    list_free_at: Instant,
 }
 
 impl NewsPacer {
     /// A box of so many shares of the least one that is planned for.
     pub fn new(capacity: u32, now: Instant) -> Self {
+        Self::with_link(capacity, LEAST_LINK_MBPS * f64::from(capacity.max(1)), now)
+    }
+
+    /// The same with a link of so many megabits a second: listings cost little but that.
+    pub fn with_link(capacity: u32, link_mbps: f64, now: Instant) -> Self {
         Self {
             bytes_per_s: f64::from(capacity.max(1)) * BYTES_PER_S_OF_LEAST,
+            list_bytes_per_s: link_mbps.max(1.0) * BYTES_PER_S_OF_MBPS * LIST_SHARE,
             free_at: now,
+            list_free_at: now,
         }
     }
 
@@ -28,6 +38,22 @@
         self.free_at.saturating_duration_since(now + AHEAD)
     }
 
+    /// How long until the next listing may go out: they go one after the other, so that the
+    /// first boxes that are owed one have it early and frames do not wait behind many.
+    pub fn list_free_in(&self, now: Instant) -> Duration {
+        self.list_free_at.saturating_duration_since(now)
+    }
+
+    /// Counts a listing that goes out now.
+    pub fn count_listing(&mut self, listing: &ListingUpdate, now: Instant) {
+        let servers = listing.listing.servers.len() + listing.missing.len();
+        let routes = listing.listing.bundle.as_ref();
+        let routes = routes.map_or(0, |bundle| bundle.host_routes.len());
+        let bytes = servers * BYTES_OF_ENTRY + routes * BYTES_OF_ROUTE;
+        let takes = Duration::from_secs_f64(bytes as f64 / self.list_bytes_per_s);
+        self.list_free_at = self.list_free_at.max(now) + takes;
+    }
+
     /// Counts the news of a frame that goes out now.
     pub fn count(&mut self, digests: &[Digest], now: Instant) {
         let sizes = digests.iter().map(|digest| {
@@ -45,6 +71,14 @@
 const AHEAD: Duration = Duration::from_millis(20);
 /// Four tenths of a link of ten megabits a second.
 const BYTES_PER_S_OF_LEAST: f64 = 500_000.0;
+const LEAST_LINK_MBPS: f64 = 10.0;
+const BYTES_PER_S_OF_MBPS: f64 = 125_000.0;
+/// The part of a link that listings may take while many are owed.
+const LIST_SHARE: f64 = 0.7;
 /// A key, and six counts of a byte or some.
 const BYTES_OF_SERVER: usize = 26;
 const BYTES_OF_SERVICE: usize = 18;
+/// A server's entry in a listing.
+const BYTES_OF_ENTRY: usize = 64;
+/// A route of a bundle.
+const BYTES_OF_ROUTE: usize = 90;
--- a/crates/wingspur-edge/src/active_link.rs
+++ b/crates/wingspur-edge/src/active_link.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use wingspur_coordination::{CatalogQueue, LinkClock, LinkKind, LinkWith, PlannedLink};
-use wingspur_protocol::{BoxRecord, CatalogUpdate, Lending, LinkRole};
+use wingspur_coordination::{
+    CatalogQueue, LinkClock, LinkKind, LinkWith, OwedListing, PlannedLink,
+};
+use wingspur_protocol::{BoxRecord, Lending, LinkRole};
 use wingspur_state::{
     BundleVersion, HealthNote, LimitChange, ServerKey, StoreEra, SuspectNews,
 };
@@ -39,6 +41,8 @@
     pub leaving_servers: BTreeMap<ServerKey, Instant>,
     /// What it is to be told once.
     pub greeting: Option<Greeting>,
+    /// Whether it knows the servers, so that what is told of them means something there.
+    pub knows_servers: bool,
     /// Whether it was told that this box stops.
     pub told_leaving: bool,
     /// The newest era of the store that it was told.
@@ -52,6 +56,8 @@
 /// What the other side of a new link should know.
 #[derive(Debug, Default)]
 pub struct Greeting {
+    /// Whether the other side has just started and knows no server yet.
+    pub has_started: bool,
     /// Of backend servers.
     pub health: Vec<(ServerKey, HealthNote)>,
     /// Of requests under which servers ended.
@@ -84,22 +90,15 @@
         }
     }
 
-    /// What is to be told of the catalog; a listing leaves out a bundle that the other side
-    /// has.
-    ///
-    /// Prevents that a hub which has just taken over owes each member the whole bundle: that
-    /// would fill a weak hub's link for seconds, and all its other news would be as late.
-    pub fn take_catalog(&mut self, now: Instant) -> Vec<CatalogUpdate> {
-        let mut updates = self.catalog.take(now);
-        for update in &mut updates {
-            if let CatalogUpdate::Listing(told) = update {
-                let known = self.bundle_version;
-                told.listing
-                    .bundle
-                    .take_if(|bundle| bundle.version <= known);
-            }
-        }
-        updates
+    /// The listing that the other side is owed. It leaves out a bundle that the other side
+    /// has: a hub that has just taken over would owe each member the whole bundle.
+    pub fn take_listing(&mut self) -> Option<OwedListing> {
+        let listing = self.catalog.take_listing()?;
+        self.knows_servers = true;
+        Some(OwedListing {
+            listing,
+            bundle_version: self.bundle_version,
+        })
     }
 
     /// Whether it is the link that was planned.
--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -7,7 +7,7 @@
 use wingspur_protocol::{
     CatalogChange, CatalogChanges, CatalogListing, CatalogUpdate, ListingUpdate,
 };
-use wingspur_state::{BundlePatch, BundleVersion, StorePosition};
+use wingspur_state::{BundlePatch, BundleVersion, ServerId, StorePosition};
 
 use crate::evacuation::{begin_evacuation, end_evacuation, replace_evacuations};
 use crate::quarantine::{
@@ -19,7 +19,7 @@
 /// Takes in news of the catalog that came by a link, and passes on what was news here.
 pub fn apply_update(
     shared: &Arc<Shared>,
-    update: &CatalogUpdate,
+    update: CatalogUpdate,
     from: Option<LinkId>,
     now: Instant,
 ) {
@@ -28,24 +28,28 @@
         CatalogUpdate::Changes {
             changes,
             doubtful_ms,
-        } => apply_told_changes(shared, changes, *doubtful_ms, from, now),
+        } => apply_told_changes(shared, changes, doubtful_ms, from, now),
     }
 }
 
 fn apply_told_listing(
     shared: &Arc<Shared>,
-    told: &ListingUpdate,
+    told: Arc<ListingUpdate>,
     from: Option<LinkId>,
     now: Instant,
 ) {
+    let bundle = told.listing.bundle.as_ref();
+    let bundle_version = bundle.map(|bundle| bundle.version);
+    let returned = told.returned.clone();
     if told.listing.position > shared.links.lock().position() {
         read_by_another(shared, told.doubtful_ms, now);
-        apply_listing(shared, told.clone(), "peer", now);
-        spread(shared, &listing_of(shared, now), true, from);
-    } else if merge_listing(shared, told, now) {
-        spread(shared, &listing_of(shared, now), true, from);
+        apply_listing(shared, Arc::unwrap_or_clone(told), "peer", now);
+        spread_listing(shared, from, now);
+    } else if merge_listing(shared, &told, now) {
+        spread_listing(shared, from, now);
     }
-    if let Some(link) = from.filter(|_| knows_more(shared, told)) {
+    let knows_more = knows_more(shared, bundle_version, &returned);
+    if let Some(link) = from.filter(|_| knows_more) {
         let listing = listing_of(shared, now);
         shared.links.lock().tell(link, listing);
         shared.news.poke();
@@ -72,17 +76,20 @@
 
 /// Whether this box knows of what a restored store has lost, and the teller of a listing does
 /// not.
-fn knows_more(shared: &Shared, told: &ListingUpdate) -> bool {
-    let bundle = told.listing.bundle.as_ref();
-    let has_newer = bundle.is_some_and(|bundle| bundle.version < shared.bundle_version());
+fn knows_more(
+    shared: &Shared,
+    told_version: Option<BundleVersion>,
+    told_returned: &[ServerId],
+) -> bool {
+    let has_newer = told_version.is_some_and(|told| told < shared.bundle_version());
     let directory = shared.directory.lock();
     let mut returned = directory.returned();
-    has_newer || returned.any(|record| !told.returned.contains(&record.id))
+    has_newer || returned.any(|record| !told_returned.contains(&record.id))
 }
 
 fn apply_told_changes(
     shared: &Arc<Shared>,
-    changes: &CatalogChanges,
+    changes: CatalogChanges,
     doubtful_ms: u32,
     from: Option<LinkId>,
     now: Instant,
@@ -91,7 +98,7 @@
     if changes.position <= known {
         return;
     }
-    if changes.after > known || lacks_base(shared, changes) {
+    if changes.after > known || lacks_base(shared, &changes) {
         // Changes in between never came this way.
         if let Some(link) = from {
             shared.links.lock().ask_for_listing(link);
@@ -106,7 +113,7 @@
         doubtful_ms,
     };
     spread(shared, &update, urgent, from);
-    apply_changes(shared, changes.clone(), "peer", now);
+    apply_changes(shared, changes, "peer", now);
 }
 
 /// Notes for how long what another box has read may be doubted.
@@ -140,7 +147,7 @@
     };
     apply_listing(shared, read, "store", now);
     if position > known {
-        spread(shared, &listing_of(shared, now), true, None);
+        spread_listing(shared, None, now);
     }
     true
 }
@@ -228,6 +235,18 @@
 
 /// All that this box knows, for a peer that is behind.
 pub fn listing_of(shared: &Shared, now: Instant) -> CatalogUpdate {
+    let version = shared.bundle_version();
+    let known = shared.links.lock().listing(version, now);
+    known.unwrap_or_else(|| fresh_listing(shared, now))
+}
+
+/// Tells the other boxes all that this one knows.
+fn spread_listing(shared: &Shared, from: Option<LinkId>, now: Instant) {
+    let listing = fresh_listing(shared, now);
+    spread(shared, &listing, true, from);
+}
+
+fn fresh_listing(shared: &Shared, now: Instant) -> CatalogUpdate {
     let announced = shared.announcement.lock().is_some();
     let (position, boxes) = {
         let mut links = shared.links.lock();
@@ -249,15 +268,16 @@
         quarantines,
         evacuated,
     };
-    CatalogUpdate::Listing(ListingUpdate {
+    let returned = directory.returned().map(|record| record.id.clone());
+    let listing = Arc::new(ListingUpdate {
         listing,
         doubtful_ms: as_ms(doubtful),
         missing: directory.missing().cloned().collect(),
-        returned: directory
-            .returned()
-            .map(|record| record.id.clone())
-            .collect(),
-    })
+        returned: returned.collect(),
+    });
+    drop(directory);
+    shared.links.lock().keep_listing(listing.clone(), now);
+    CatalogUpdate::Listing(listing)
 }
 
 fn apply_listing(shared: &Arc<Shared>, told: ListingUpdate, source: &str, now: Instant) {
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -7,8 +7,10 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use rand::seq::SliceRandom;
-use wingspur_coordination::{LinkId, PlannedLink, SourceNews};
-use wingspur_protocol::{Digest, Frame, Hello, LINK_PROTOCOL_VERSION, LinkRole};
+use wingspur_coordination::{LinkId, ListingFrames, PlannedLink, SourceNews};
+use wingspur_protocol::{
+    CatalogUpdate, Digest, Frame, FrameContent, Hello, LINK_PROTOCOL_VERSION, LinkRole,
+};
 use wingspur_state::{SourceId, server_key};
 use wingspur_transport::{
     LinkBody, LinkError, LinkPatience, LinkReceiver, LinkSender, StopSignal, accept_link,
@@ -18,6 +20,7 @@
 use crate::active_link::Greeting;
 use crate::catalog_state::{apply_update, listing_of, update_for};
 use crate::lending::take_lending;
+use crate::links::Outgoing;
 use crate::request_log::rounded;
 use crate::resending::told_rooms;
 use crate::server_words::{take_leaving, take_limits};
@@ -77,6 +80,7 @@
 
 /// Sends news over the links until the box stops.
 pub async fn run_exchange(shared: Arc<Shared>, stop: StopSignal) {
+    let mut listings = ListingFrames::default();
     while !stop.is_given() {
         let pause = shared.links.lock().next_tick(wingspur_clock::now());
         if shared.news.wait(pause).await {
@@ -84,7 +88,7 @@
             let gap = shared.links.lock().next_tick(wingspur_clock::now());
             shared.alarm.wait(gap.min(GATHER)).await;
         }
-        tick(&shared);
+        tick(&shared, &mut listings);
     }
 }
 
@@ -216,6 +220,7 @@
 fn greeting(shared: &Shared, has_started: bool) -> Greeting {
     let now = wingspur_clock::now();
     let mut greeting = Greeting {
+        has_started,
         suspects: greeting_notes(shared),
         ..Greeting::default()
     };
@@ -267,18 +272,18 @@
     }
 }
 
-fn take_frame(shared: &Arc<Shared>, id: LinkId, frame: Frame) {
-    take_lending(shared, id, &frame.lending);
-    if frame.only_lending {
-        return;
-    }
+fn take_frame(shared: &Arc<Shared>, id: LinkId, mut frame: Frame) {
     let now = wingspur_clock::now();
+    let updates = std::mem::take(&mut frame.catalog);
+    match frame.content {
+        FrameContent::Listing => return apply_updates(shared, id, updates, now),
+        FrameContent::Lending => return take_lending(shared, id, &frame.lending),
+        FrameContent::All => take_lending(shared, id, &frame.lending),
+    }
     if frame.feed.era > 0 {
         observe_era(shared, frame.feed.era, "peer");
     }
-    for update in &frame.catalog {
-        apply_update(shared, update, Some(id), now);
-    }
+    apply_updates(shared, id, updates, now);
     shared.resend_loans.lock().hear(id, &frame.rooms);
     let mut links = shared.links.lock();
     links.note_frame(id, &frame, now);
@@ -305,6 +310,17 @@
     }
 }
 
+fn apply_updates(
+    shared: &Arc<Shared>,
+    id: LinkId,
+    updates: Vec<CatalogUpdate>,
+    now: Instant,
+) {
+    for update in updates {
+        apply_update(shared, update, Some(id), now);
+    }
+}
+
 fn drop_link(shared: &Arc<Shared>, id: LinkId, reason: &str) {
     let mut links = shared.links.lock();
     let peer = links.peer(id).cloned();
@@ -322,7 +338,7 @@
 }
 
 /// Gathers what this box has seen, and sends what is due.
-fn tick(shared: &Arc<Shared>) {
+fn tick(shared: &Arc<Shared>, listings: &mut ListingFrames) {
     let now = wingspur_clock::now();
     let digest = own_digest(shared);
     let bundle_version = shared.bundle_version();
@@ -333,16 +349,33 @@
     }
     let frames = links.take_frames(bundle_version, &rooms, now);
     let stuck = links.stuck(now);
+    links.tidy_listing(now);
     drop(links);
     for id in stuck {
         drop_link(shared, id, &LinkError::Stuck.to_string());
     }
     for outgoing in frames {
-        match outgoing.sender.send(&outgoing.frame) {
-            Ok(bytes) => shared.metrics.count_frame(bytes),
-            Err(error) => drop_link(shared, outgoing.link, &error.to_string()),
+        if let Err(error) = send(shared, &outgoing, listings) {
+            drop_link(shared, outgoing.link, &error.to_string());
         }
     }
+    listings.tidy();
+}
+
+/// Sends a frame, and the listing that goes before it.
+fn send(
+    shared: &Shared,
+    outgoing: &Outgoing,
+    listings: &mut ListingFrames,
+) -> Result<(), LinkError> {
+    if let Some(owed) = &outgoing.listing {
+        let listing = listings.frame(owed);
+        let bytes = outgoing.sender.send_encoded(&listing)?;
+        shared.metrics.count_frame(bytes);
+    }
+    let bytes = outgoing.sender.send(&outgoing.frame)?;
+    shared.metrics.count_frame(bytes);
+    Ok(())
 }
 
 fn own_digest(shared: &Shared) -> Digest {
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -7,11 +7,12 @@
 use wingspur_coordination::{
     Announced, CatalogQueue, FeedView, FleetView, LendingMessage, LinkClock, LinkId,
     LinkKind, LinkPeer, LinkPlanner, LinkWith, NewsPacer, NewsReader, OWN_LINK,
-    PlaceStanding, PlannedLink, RecentChanges, Rollup, SourceNews, Standing, hash_of,
+    OwedListing, PlaceStanding, PlannedLink, RecentChanges, Rollup, SourceNews, Standing,
+    hash_of,
 };
 use wingspur_protocol::{
-    BoxRecord, CatalogChanges, CatalogUpdate, Digest, Frame, LeavingNote, Lending,
-    LimitNote, LinkRole,
+    BoxRecord, CatalogChanges, CatalogUpdate, Digest, Frame, FrameContent, LeavingNote,
+    Lending, LimitNote, LinkRole, ListingUpdate,
 };
 use wingspur_state::{
     BoxId, BundleVersion, FleetDivision, FleetStanding, LimitChange, ServerKey, SourceId,
@@ -36,6 +37,8 @@
     /// What announcements told of the fleet, and when that was read.
     announced: Option<(Instant, Arc<Announced>)>,
     next_id: LinkId,
+    /// The listing that was put together last, and when.
+    listing: Option<(Instant, Arc<ListingUpdate>)>,
     /// Spaces what is told.
     pacer: NewsPacer,
     /// Whether this box is stopping.
@@ -51,13 +54,15 @@
     pub link: LinkId,
     /// Where it goes.
     pub sender: LinkSender,
+    /// The listing that goes before the frame, if one is owed.
+    pub listing: Option<OwedListing>,
     /// What it says.
     pub frame: Frame,
 }
 
 impl Links {
     /// No links yet.
-    pub fn new(own: BoxRecord, first_start: bool, now: Instant) -> Self {
+    pub fn new(own: BoxRecord, link_mbps: f64, first_start: bool, now: Instant) -> Self {
         let fleet = match first_start {
             true => FleetView::at_first_start,
             false => FleetView::new,
@@ -72,7 +77,8 @@
             fleet: fleet(hash_of(&own.id), now).in_data_centre(own.data_centre.clone()),
             announced: None,
             next_id: OWN_LINK + 1,
-            pacer: NewsPacer::new(own.capacity, now),
+            listing: None,
+            pacer: NewsPacer::with_link(own.capacity, link_mbps, now),
             leaving: false,
             urgent: false,
             own,
@@ -150,6 +156,7 @@
             limits: BTreeMap::new(),
             leaving_servers: BTreeMap::new(),
             greeting: None,
+            knows_servers: true,
             lending: Lending::default(),
             told_leaving: false,
             told_era: 0,
@@ -230,6 +237,29 @@
         self.hear(OWN_LINK, &[])
     }
 
+    /// The listing that was put together last, if it is still the present one: many boxes
+    /// that link at once are owed the same.
+    pub fn listing(&self, version: BundleVersion, now: Instant) -> Option<CatalogUpdate> {
+        let (at, listing) = self.listing.as_ref()?;
+        let listed = &listing.listing;
+        let listed_version = listed.bundle.as_ref().map_or(0, |bundle| bundle.version);
+        let is_present = listed.position == self.position()
+            && listed_version == version
+            && now.saturating_duration_since(*at) < LISTING_FOR;
+        is_present.then(|| CatalogUpdate::Listing(listing.clone()))
+    }
+
+    /// Keeps a listing that was just put together.
+    pub fn keep_listing(&mut self, listing: Arc<ListingUpdate>, now: Instant) {
+        self.listing = Some((now, listing));
+    }
+
+    /// Lets go of a listing that is not the present one any more.
+    pub fn tidy_listing(&mut self, now: Instant) {
+        self.listing
+            .take_if(|(at, _)| now.saturating_duration_since(*at) >= LISTING_FOR);
+    }
+
     /// Queues news of the catalog for all links but the one that it came by; `urgent` where
     /// it changes anything.
     pub fn spread(&mut self, update: &CatalogUpdate, urgent: bool, from: Option<LinkId>) {
@@ -262,6 +292,7 @@
                 .extend(limits.map(|limit| (limit.server, limit)));
             link.leaving_servers
                 .extend(greeting.leaving_servers.drain(..));
+            link.knows_servers = !greeting.has_started;
             link.greeting = Some(greeting);
         }
     }
@@ -365,6 +396,7 @@
         let known = self.announced(now);
         let fleet = self.fleet.tell(&known, now);
         let mut frames = Vec::new();
+        let list_free = |pacer: &NewsPacer| pacer.list_free_in(now).is_zero();
         // Who was told longest ago goes first, where not all can be told at once.
         let mut links: Vec<_> = self.active.iter_mut().collect();
         links.sort_by_key(|(_, link)| link.told);
@@ -377,11 +409,14 @@
             let full = link.is_full();
             let has_news = self.rollup.has_news(*id) || link.has_own_news();
             let is_free = self.pacer.free_in(now).is_zero();
-            let due = !full && told_age >= gap && has_news && is_free;
-            let catalog_due = link.catalog.due_in(now).is_some_and(|due| due.is_zero());
+            let waits_to_list = link.catalog.owes_listing() && !list_free(&self.pacer);
+            let hears = link.knows_servers || !waits_to_list;
+            let due = !full && told_age >= gap && has_news && is_free && hears;
+            let catalog_due = link.catalog.due_in(now).is_some_and(|due| due.is_zero())
+                && !waits_to_list;
             let urgent = catalog_due
                 || link.wants_listing
-                || link.greeting.is_some()
+                || (link.greeting.is_some() && hears)
                 || (hurry && !link.suspects.is_empty())
                 || (self.leaving && !link.told_leaving)
                 || link.told_era < feed.era;
@@ -391,6 +426,7 @@
             link.sent = now;
             link.told_leaving = self.leaving;
             // A full link still says what it has had: else two full sides wait for each other.
+            let mut listing = None;
             let mut frame = Frame {
                 stamps: link.clock.send(now),
                 bundle_version,
@@ -413,9 +449,16 @@
                 // What is held back does not count as told.
                 frame.feed = feed.clone();
                 link.told_era = feed.era;
-                frame.catalog = link.take_catalog(now);
+                if !waits_to_list {
+                    listing = link.take_listing();
+                    frame.catalog = link.catalog.take(now);
+                }
+                if let Some(owed) = &listing {
+                    self.pacer.count_listing(&owed.listing, now);
+                }
                 frame.wants_listing = std::mem::take(&mut link.wants_listing);
-                frame.health = link.greeting.take().unwrap_or_default().health;
+                let greeting = link.greeting.take_if(|_| hears);
+                frame.health = greeting.unwrap_or_default().health;
                 frame.census = self.fleet.census_for(*id);
                 let suspects = link.suspects.drain(..);
                 frame.suspects = suspects.map(|news| news.told(now)).collect();
@@ -428,6 +471,7 @@
             frames.push(Outgoing {
                 link: *id,
                 sender: link.sender.clone(),
+                listing,
                 frame,
             });
         }
@@ -448,7 +492,14 @@
                 let told_due = (link.told + news_gap).saturating_duration_since(now);
                 due = due.min(told_due.max(self.pacer.free_in(now)));
             }
-            due.min(link.catalog.due_in(now).unwrap_or(due))
+            let catalog_due =
+                link.catalog
+                    .due_in(now)
+                    .map(|due| match link.catalog.owes_listing() {
+                        true => due.max(self.pacer.list_free_in(now)),
+                        false => due,
+                    });
+            due.min(catalog_due.unwrap_or(due))
         };
         let next = self.active.iter().map(due).min();
         next.unwrap_or(HEARTBEAT).max(LEAST_TICK)
@@ -584,12 +635,13 @@
         }
         let frame = Frame {
             lending: message.lending,
-            only_lending: true,
+            content: FrameContent::Lending,
             ..Frame::default()
         };
         Some(Outgoing {
             link: message.link,
             sender: link.sender.clone(),
+            listing: None,
             frame,
         })
     }
@@ -608,6 +660,9 @@
             return;
         };
         link.bundle_version = frame.bundle_version;
+        let known = frame.feed.position;
+        link.knows_servers |= !known.is_start();
+        link.catalog.drop_known_listing(known, frame.bundle_version);
         link.clock.hear(&frame.stamps);
         let vouched = link.clock.vouched();
         if let Some(vouched) = vouched {
@@ -679,6 +734,8 @@
 /// What waits for one link at most; what does not fit is known by the store's record, or is
 /// one ending of many. 400 requests are out at 40 servers that end at once.
 const MOST_SUSPECT_NEWS: usize = 1024;
+/// A listing tells for how long its entries are doubtful, which shrinks as it waits.
+const LISTING_FOR: Duration = Duration::from_millis(100);
 /// A link without news is heard so often. News of the store is known to be of the last 1.3 s
 /// if the reader's last answer is at most 0.7 s old: a way there and one back may each wait
 /// for a heartbeat.
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -98,7 +98,12 @@
             directory: Ranked::new(Rank::Directory, Directory::default()),
             links: Ranked::new(
                 Rank::Links,
-                Links::new(own, settings.first_start, wingspur_clock::now()),
+                Links::new(
+                    own,
+                    settings.link_mbps,
+                    settings.first_start,
+                    wingspur_clock::now(),
+                ),
             ),
             lending: Ranked::new(Rank::Lending, LendingDesk::new(wingspur_clock::now())),
             resend_loans: Ranked::new(Rank::ResendLoans, ResendLoans::default()),
--- a/crates/wingspur-protocol/src/lib.rs
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -22,9 +22,10 @@
 pub use codes::ResultCode;
 pub use headers::{HeaderNames, LoadForm};
 pub use link::{
-    CatalogUpdate, CensusNote, Digest, FeedState, FleetNote, Frame, FrameError, Hello,
-    LINK_PROTOCOL_VERSION, LeavingNote, LeftPart, Lendable, Lending, LimitNote, LinkRole,
-    ListingUpdate, LoanAnswer, LoanRequest, ResendRoom, Stamps, encode_frame, take_frame,
+    CatalogUpdate, CensusNote, Digest, EncodedFrame, FeedState, FleetNote, Frame,
+    FrameContent, FrameError, Hello, LINK_PROTOCOL_VERSION, LeavingNote, LeftPart,
+    Lendable, Lending, LimitNote, LinkRole, ListingUpdate, LoanAnswer, LoanRequest,
+    ResendRoom, Stamps, encode_frame, take_frame,
 };
 pub use load_report::parse_load_hint;
 pub use operation::{LogEntry, LogSegment, OperationId, OperationOutcome};
--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -1,5 +1,8 @@
 //! What two boxes tell each other on a long exchange, frame by frame.
 
+use std::sync::Arc;
+
+use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wingspur_state::{
@@ -11,7 +14,7 @@
 use crate::{BoxRecord, CatalogChanges, CatalogListing};
 
 /// The version of the frames; boxes refuse any other.
-pub const LINK_PROTOCOL_VERSION: u16 = 9;
+pub const LINK_PROTOCOL_VERSION: u16 = 10;
 
 /// The first frame of either side.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -81,10 +84,22 @@
     /// From one hub to another, the parts that are left to it.
     #[serde(default)]
     pub left_parts: Vec<LeftPart>,
-    /// Whether nothing but what is lent and asked for stands here: such frames go out at once, beside the others,
-    /// and carry no news.
+    /// What stands here.
     #[serde(default)]
-    pub only_lending: bool,
+    pub content: FrameContent,
+}
+
+/// What a frame holds. Frames with one part only go out beside the others, and the other
+/// side does not answer them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FrameContent {
+    /// All parts.
+    #[default]
+    All,
+    /// What is lent and asked for.
+    Lending,
+    /// A listing of the catalog.
+    Listing,
 }
 
 /// What boxes lend each other of the fleet's allowances.
@@ -254,8 +269,8 @@
 /// News of the catalog.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum CatalogUpdate {
-    /// All there is.
-    Listing(ListingUpdate),
+    /// All there is; shared, since a hub owes the same listing to many boxes at once.
+    Listing(Arc<ListingUpdate>),
     /// What has changed.
     Changes {
         /// The changes.
@@ -330,6 +345,22 @@
     TooLong(usize),
 }
 
+/// A frame as it is sent; cheap to copy.
+#[derive(Debug, Clone)]
+pub struct EncodedFrame(Bytes);
+
+impl EncodedFrame {
+    /// Encodes a frame.
+    pub fn new<T: Serialize>(frame: &T) -> Self {
+        Self(Bytes::from(encode_frame(frame)))
+    }
+
+    /// The frame with its length before it.
+    pub fn bytes(&self) -> &Bytes {
+        &self.0
+    }
+}
+
 /// Writes a frame with its length before it.
 pub fn encode_frame<T: Serialize>(frame: &T) -> Vec<u8> {
     let mut bytes = vec![0; LENGTH_BYTES];
--- a/crates/wingspur-transport/src/link.rs
+++ b/crates/wingspur-transport/src/link.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Bytes, Frame as BodyFrame, Incoming};
 use hyper::{Request, Response};
 use serde::de::DeserializeOwned;
-use wingspur_protocol::{FrameError, encode_frame, take_frame};
+use wingspur_protocol::{EncodedFrame, FrameError, take_frame};
 
 use crate::exchange::{Connector, ExchangeError};
 
@@ -113,7 +113,12 @@
 impl LinkSender {
     /// Sends a frame, unless the other side has stopped reading.
     pub fn send<T: serde::Serialize>(&self, frame: &T) -> Result<usize, LinkError> {
-        let bytes = Bytes::from(encode_frame(frame));
+        self.send_encoded(&EncodedFrame::new(frame))
+    }
+
+    /// The same for a frame that goes to many.
+    pub fn send_encoded(&self, frame: &EncodedFrame) -> Result<usize, LinkError> {
+        let bytes = frame.bytes().clone();
         let length = bytes.len();
         match self.frames.try_send(bytes) {
             Ok(()) => Ok(length),
--- a/tests/tests/restore_play/fleet.rs
+++ b/tests/tests/restore_play/fleet.rs
@@ -1004,7 +1004,7 @@
             CatalogUpdate::Listing(told) if told.listing.position > known => {
                 let doubtful = Duration::from_millis(told.doubtful_ms.into());
                 played.directory.read_by_another(doubtful, now);
-                self.apply_listing(place, told.clone());
+                self.apply_listing(place, (*told).clone());
                 let own = self.boxes[place].listing(now);
                 self.spread(place, &own, true, Some(from));
                 self.tell_more(place, &told, from);
@@ -1112,7 +1112,8 @@
             for update in &mut updates {
                 if let CatalogUpdate::Listing(told) = update {
                     let known = link.bundle_version;
-                    told.listing
+                    Arc::make_mut(told)
+                        .listing
                         .bundle
                         .take_if(|bundle| bundle.version <= known);
                 }
@@ -1489,12 +1490,12 @@
             servers: self.directory.listed().cloned().collect(),
             ..CatalogListing::default()
         };
-        CatalogUpdate::Listing(ListingUpdate {
+        CatalogUpdate::Listing(Arc::new(ListingUpdate {
             listing,
             doubtful_ms: self.doubtful_ms(now),
             missing: self.directory.missing().cloned().collect(),
             returned: self.directory.returned().map(|r| r.id.clone()).collect(),
-        })
+        }))
     }
 
     fn update_for(
