Failures of servers are told before all else, the rest as far as the link bears it

Seen: what hubs tell of servers grows with the requests of the whole fleet, 3,300 changes a second at 987 boxes; told to 197 members that is seven times what half a core may send, so each round took seconds, and a failure was as late as every good answer. Now tallies in which a server failed, refused or kept silent go out with the next frame whatever the pacer says, and the others fill what is left of a frame, each in its turn. A first digest of a new link goes in parts as well. Ruled out: sums by service alone (nobody hears which server fails). No change where all that has changed fits a frame, which is so on all smaller deployments.

--- a/crates/wingspur-coordination/src/news_pacer.rs
+++ b/crates/wingspur-coordination/src/news_pacer.rs
@@ -54,6 +54,12 @@
         self.list_free_at = self.list_free_at.max(now) + takes;
     }
 
+    /// Servers whose tallies a frame may tell, where so many frames go out in a second.
+    pub fn servers_a_frame(&self, frames_per_s: f64) -> usize {
+        let bytes = self.bytes_per_s / frames_per_s.max(1.0);
+        (bytes as usize / BYTES_OF_SERVER).max(LEAST_SERVERS_A_FRAME)
+    }
+
     /// Counts the news of a frame that goes out now.
     pub fn count(&mut self, digests: &[Digest], now: Instant) {
         let sizes = digests.iter().map(|digest| {
@@ -75,6 +81,8 @@
 const BYTES_PER_S_OF_MBPS: f64 = 125_000.0;
 /// The part of a link that listings may take while many are owed.
 const LIST_SHARE: f64 = 0.7;
+/// Fewer would spend most of a frame on its head.
+const LEAST_SERVERS_A_FRAME: usize = 32;
 /// A key, and six counts of a byte or some.
 const BYTES_OF_SERVER: usize = 26;
 const BYTES_OF_SERVICE: usize = 18;
--- a/crates/wingspur-coordination/src/rollup.rs
+++ b/crates/wingspur-coordination/src/rollup.rs
@@ -70,10 +70,24 @@
 #[derive(Debug, Default)]
 struct Unheard {
     whole: bool,
+    /// Servers that have failed, refused or kept silent: each request that goes there before
+    /// the link is told may be lost.
+    failing: BTreeSet<ServerKey>,
+    /// Servers of which only good answers and requests that are out have changed.
     servers: BTreeSet<ServerKey>,
+    /// Which of those is told next, so that each has its turn.
+    next: ServerKey,
     services: BTreeSet<u64>,
 }
 
+/// A server whose tally has changed.
+#[derive(Debug, Clone, Copy)]
+struct Changed {
+    key: ServerKey,
+    /// Whether it has failed, refused or kept silent.
+    is_failing: bool,
+}
+
 impl Rollup {
     /// A rollup that speaks as `source`.
     pub fn new(source: SourceId) -> Self {
@@ -117,7 +131,10 @@
         for (key, told) in &link.told.servers {
             let total = self.total.servers.entry(*key).or_default();
             *total = total.without_stale(told);
-            changed.push(*key);
+            changed.push(Changed {
+                key: *key,
+                is_failing: told.silence_quarters > 0,
+            });
         }
         self.mark(None, &changed, &[]);
         let by_link = self.foreign.iter().filter(|(_, (by, _))| *by == id);
@@ -141,12 +158,22 @@
 
     /// What a link should be told now; empty when it has heard all.
     pub fn compose(&mut self, id: LinkId) -> Vec<Digest> {
+        self.compose_within(id, usize::MAX)
+    }
+
+    /// The same with tallies of `most_servers` servers at most; those that fail are told
+    /// whatever their number, and what does not fit waits for the next time.
+    ///
+    /// A link has room for so much a second, and what has changed grows with the servers:
+    /// told all of it, each link hears of failures as late as of everything else.
+    pub fn compose_within(&mut self, id: LinkId, most_servers: usize) -> Vec<Digest> {
         let Some(link) = self.links.get_mut(&id) else {
             return Vec::new();
         };
         let gone = std::mem::take(&mut link.gone).into_iter();
         let mut digests: Vec<Digest> = gone.map(nothing_left).collect();
-        let unheard = std::mem::take(&mut link.unheard);
+        let mut room = most_servers;
+        let unheard = link.unheard.take_within(&mut room, &self.total);
         if !unheard.is_empty() {
             let digest = self.total.without(&link.told, &unheard);
             digests.push(Digest {
@@ -155,10 +182,11 @@
             });
         }
         for (source, unheard) in &mut link.unheard_foreign {
-            let unheard = std::mem::take(unheard);
             let Some((_, tallies)) = self.foreign.get(source) else {
+                *unheard = Unheard::default();
                 continue;
             };
+            let unheard = unheard.take_within(&mut room, tallies);
             if !unheard.is_empty() {
                 let digest = tallies.without(&Tallies::default(), &unheard);
                 digests.push(Digest {
@@ -180,6 +208,16 @@
         !link.unheard.is_empty() || !link.gone.is_empty() || any_foreign
     }
 
+    /// Whether a link has to hear of servers that have failed, refused or kept silent.
+    pub fn has_failures(&self, id: LinkId) -> bool {
+        let Some(link) = self.links.get(&id) else {
+            return false;
+        };
+        let mut foreign = link.unheard_foreign.values();
+        !link.unheard.failing.is_empty()
+            || foreign.any(|unheard| !unheard.failing.is_empty())
+    }
+
     fn hear_member(&mut self, id: LinkId, digest: &Digest) {
         let Some(link) = self.links.get_mut(&id) else {
             return;
@@ -193,8 +231,11 @@
             }
             let total = self.total.servers.entry(*key).or_default();
             *total = total.plus(&tally.since(told)).without_stale(told);
+            servers.push(Changed {
+                key: *key,
+                is_failing: tally.has_failed_since(told),
+            });
             *told = *tally;
-            servers.push(*key);
         }
         let mut services = Vec::new();
         for (key, tally) in &digest.services {
@@ -227,15 +268,20 @@
             entry.1 = Tallies::default();
         }
         entry.0 = id;
-        entry.1.servers.extend(digest.servers.iter().copied());
+        let mut changed = Vec::with_capacity(digest.servers.len());
+        for (key, tally) in &digest.servers {
+            let before = entry.1.servers.insert(*key, *tally).unwrap_or_default();
+            changed.push(Changed {
+                key: *key,
+                is_failing: !digest.whole && tally.has_failed_since(&before),
+            });
+        }
         entry.1.services.extend(digest.services.iter().copied());
         let members = self.links.iter_mut();
         for (_, link) in members.filter(|(_, link)| link.kind == LinkKind::Member) {
             let unheard = link.unheard_foreign.entry(digest.source).or_default();
             unheard.whole |= digest.whole;
-            unheard
-                .servers
-                .extend(digest.servers.iter().map(|(key, _)| *key));
+            unheard.mark(&changed);
             unheard
                 .services
                 .extend(digest.services.iter().map(|(key, _)| *key));
@@ -257,10 +303,10 @@
     }
 
     /// Notes for all links but one that parts of the total have changed.
-    fn mark(&mut self, but: Option<LinkId>, servers: &[ServerKey], services: &[u64]) {
+    fn mark(&mut self, but: Option<LinkId>, servers: &[Changed], services: &[u64]) {
         for (id, link) in &mut self.links {
             if Some(*id) != but {
-                link.unheard.servers.extend(servers);
+                link.unheard.mark(servers);
                 link.unheard.services.extend(services);
             }
         }
@@ -280,21 +326,13 @@
             let total = self.services.get(key).copied().unwrap_or_default();
             (*key, total.since(&own))
         };
-        let (servers, services) = match unheard.whole {
-            true => (
-                self.servers.keys().map(of_server).collect(),
-                self.services.keys().map(of_service).collect(),
-            ),
-            false => (
-                unheard.servers.iter().map(of_server).collect(),
-                unheard.services.iter().map(of_service).collect(),
-            ),
-        };
+        let servers = unheard.failing.iter().chain(&unheard.servers);
+        let services = unheard.services.iter();
         Digest {
             source: 0,
             whole: unheard.whole,
-            servers,
-            services,
+            servers: servers.map(of_server).collect(),
+            services: services.map(of_service).collect(),
         }
     }
 }
@@ -314,8 +352,66 @@
 
 impl Unheard {
     fn is_empty(&self) -> bool {
-        !self.whole && self.servers.is_empty() && self.services.is_empty()
+        let has_servers = !self.servers.is_empty() || !self.failing.is_empty();
+        !self.whole && !has_servers && self.services.is_empty()
+    }
+
+    fn mark(&mut self, servers: &[Changed]) {
+        for changed in servers {
+            if changed.is_failing {
+                self.servers.remove(&changed.key);
+                self.failing.insert(changed.key);
+            } else if !self.failing.contains(&changed.key) {
+                self.servers.insert(changed.key);
+            }
+        }
+    }
+
+    /// Takes what is told now, and takes it off the room for servers.
+    fn take_within(&mut self, room: &mut usize, tallies: &Tallies) -> Self {
+        if self.whole && *room == 0 {
+            // A digest of all tallies without any tells of its source's end.
+            return Self::default();
+        }
+        if self.whole {
+            // All is to be told, whatever has changed.
+            let failing = &self.failing;
+            let others = tallies.servers.keys();
+            let others = others.filter(|key| !failing.contains(key)).copied();
+            self.servers = others.collect();
+            self.services = tallies.services.keys().copied().collect();
+        }
+        let failing = std::mem::take(&mut self.failing);
+        *room = room.saturating_sub(failing.len());
+        let servers = take_from(&mut self.servers, &mut self.next, *room);
+        *room -= servers.len();
+        Self {
+            whole: std::mem::take(&mut self.whole),
+            failing,
+            servers,
+            next: 0,
+            services: std::mem::take(&mut self.services),
+        }
+    }
+}
+
+/// Takes keys of a set, at most so many, from `next` on and around; moves `next` on.
+fn take_from(
+    keys: &mut BTreeSet<ServerKey>,
+    next: &mut ServerKey,
+    most: usize,
+) -> BTreeSet<ServerKey> {
+    if keys.len() <= most {
+        return std::mem::take(keys);
+    }
+    let around = keys.range(*next..).chain(keys.range(..*next));
+    let mut taken: Vec<ServerKey> = around.copied().take(most + 1).collect();
+    // One more than fits, which is the next.
+    *next = taken.pop().unwrap_or_default();
+    for key in &taken {
+        keys.remove(key);
     }
+    taken.into_iter().collect()
 }
 
 /// Turns digests into news: tallies as they stand with the counts that are new.
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -395,6 +395,7 @@
         let home_gap = self.home_gap();
         let known = self.announced(now);
         let fleet = self.fleet.tell(&known, now);
+        let frames_per_s = self.active.len() as f64 / home_gap.as_secs_f64();
         let mut frames = Vec::new();
         let list_free = |pacer: &NewsPacer| pacer.list_free_in(now).is_zero();
         // Who was told longest ago goes first, where not all can be told at once.
@@ -411,6 +412,8 @@
             let is_free = self.pacer.free_in(now).is_zero();
             let waits_to_list = link.catalog.owes_listing() && !list_free(&self.pacer);
             let hears = link.knows_servers || !waits_to_list;
+            // What fails is told in any case: it is little, whatever the number of servers.
+            let is_free = is_free || self.rollup.has_failures(*id);
             let due = !full && told_age >= gap && has_news && is_free && hears;
             let catalog_due = link.catalog.due_in(now).is_some_and(|due| due.is_zero())
                 && !waits_to_list;
@@ -441,7 +444,11 @@
             frame.lending = std::mem::take(&mut link.lending);
             frame.left_parts = self.fleet.leave_parts(*id, &known, now);
             if due {
-                frame.digests = self.rollup.compose(*id);
+                let most_servers = match self.pacer.free_in(now).is_zero() {
+                    true => self.pacer.servers_a_frame(frames_per_s),
+                    false => 0,
+                };
+                frame.digests = self.rollup.compose_within(*id, most_servers);
                 self.pacer.count(&frame.digests, now);
                 link.told = now;
             }
--- a/crates/wingspur-state/src/tally.rs
+++ b/crates/wingspur-state/src/tally.rs
@@ -53,6 +53,12 @@
         }
     }
 
+    /// Whether the server has failed, refused or kept silent since an earlier tally.
+    pub fn has_failed_since(&self, earlier: &Self) -> bool {
+        let faults = |tally: &Self| (tally.failed, tally.refused, tally.silence_quarters);
+        faults(self) != faults(earlier)
+    }
+
     /// What is new since an earlier tally; nothing where a count went back, as it does when
     /// its sender begins anew.
     pub fn news_since(&self, earlier: &Self) -> Self {
--- a/tests/tests/sharing.rs
+++ b/tests/tests/sharing.rs
@@ -6,8 +6,8 @@
 use rand::{RngExt, SeedableRng};
 use wingspur_coordination::{
     AnnouncementInputs, AnnouncementStep, CatalogQueue, FeedView, FleetCount, LinkKind,
-    LinkPlanner, NewsReader, OWN_LINK, RecentChanges, Rollup, announcement_step,
-    lists_at_start,
+    LinkPlanner, NewsPacer, NewsReader, OWN_LINK, RecentChanges, Rollup,
+    announcement_step, lists_at_start,
 };
 use wingspur_protocol::{
     BoxRecord, CatalogChange, CatalogChanges, CatalogUpdate, Digest, FeedState, LinkRole,
@@ -529,6 +529,147 @@
     }
 }
 
+/// News of servers that only answer well, and of one that fails.
+fn busy_digest(servers: std::ops::Range<u64>, good: u32, failing: Option<u64>) -> Digest {
+    let tally = |failed| ServerTally {
+        good,
+        failed,
+        ..ServerTally::default()
+    };
+    let mut told: Vec<_> = servers.map(|key| (key, tally(0))).collect();
+    told.extend(failing.map(|key| (key, tally(1))));
+    Digest {
+        servers: told,
+        ..Digest::default()
+    }
+}
+
+#[test]
+fn failing_servers_are_told_before_all_others_and_nothing_is_left_out() {
+    let mut hub = Rollup::new(100);
+    for link in [1, 2] {
+        hub.add_link(link, LinkKind::Member);
+        hub.compose(link);
+    }
+    hub.hear(1, &busy_digest(0..1_000, 3, Some(5_000)));
+    assert!(hub.has_failures(2));
+    let told = hub.compose_within(2, 10);
+    let keys: Vec<u64> = told[0].servers.iter().map(|(key, _)| *key).collect();
+    assert_eq!(keys.len(), 10);
+    assert!(keys.contains(&5_000));
+    assert!(!hub.has_failures(2));
+    let mut heard = keys;
+    while hub.has_news(2) {
+        for digest in hub.compose_within(2, 100) {
+            assert!(digest.servers.len() <= 100);
+            heard.extend(digest.servers.iter().map(|(key, _)| *key));
+        }
+    }
+    heard.sort_unstable();
+    let all: Vec<u64> = (0..1_000).chain([5_000]).collect();
+    assert_eq!(heard, all);
+}
+
+#[test]
+fn servers_that_change_all_the_time_each_have_their_turn() {
+    let mut hub = Rollup::new(100);
+    hub.add_link(1, LinkKind::Member);
+    hub.add_link(2, LinkKind::Member);
+    hub.compose(2);
+    let mut heard = std::collections::BTreeSet::new();
+    for round in 0..10 {
+        hub.hear(1, &busy_digest(0..1_000, round + 1, None));
+        for digest in hub.compose_within(2, 100) {
+            heard.extend(digest.servers.iter().map(|(key, _)| *key));
+        }
+    }
+    assert_eq!(heard.len(), 1_000);
+}
+
+#[test]
+fn first_digest_of_a_link_in_parts_does_not_tell_of_the_end_of_its_source() {
+    let mut hub = Rollup::new(100);
+    hub.add_link(1, LinkKind::Member);
+    hub.hear(1, &busy_digest(0..50, 1, Some(7_000)));
+    hub.add_link(2, LinkKind::Member);
+    assert!(hub.compose_within(2, 0).is_empty());
+    let first = hub.compose_within(2, 20);
+    assert!(first[0].whole && first[0].servers.len() == 20);
+    let rest = hub.compose_within(2, 100);
+    assert!(!rest[0].whole && rest[0].servers.len() == 31);
+    assert!(!hub.has_news(2));
+}
+
+/// How long news of a failing server takes to the last of a hub's members, in milliseconds,
+/// while requests begin and end at all servers; looked at each 10 ms.
+fn failure_news_ms(members: u64, servers: u64, changes_per_s: u64) -> u64 {
+    const FAILS_AT_MS: u64 = 5_000;
+    let start = Instant::now();
+    let mut hub = Rollup::new(100);
+    let mut pacer = NewsPacer::new(5, start);
+    let gap_ms = (members * 1_000 / 320).max(50);
+    (1..=members).for_each(|id| hub.add_link(id, LinkKind::Member));
+    let mut told_ms: Vec<u64> = vec![0; members as usize];
+    let mut heard = std::collections::BTreeSet::new();
+    let mut random = StdRng::seed_from_u64(1);
+    let mut counts = vec![ServerTally::default(); servers as usize + 1];
+    for ms in (0..20_000).step_by(10) {
+        let now = start + Duration::from_millis(ms);
+        let changed: Vec<u64> = (0..changes_per_s / 100)
+            .map(|_| random.random_range(0..servers))
+            .collect();
+        changed
+            .iter()
+            .for_each(|key| counts[*key as usize].good += 1);
+        let mut digest = Digest {
+            servers: changed
+                .iter()
+                .map(|key| (*key, counts[*key as usize]))
+                .collect(),
+            ..Digest::default()
+        };
+        if ms == FAILS_AT_MS {
+            counts[servers as usize].failed = 1;
+            digest.servers.push((servers, counts[servers as usize]));
+        }
+        hub.hear(OWN_LINK, &digest);
+        let mut links: Vec<u64> = (1..=members).collect();
+        links.sort_by_key(|id| told_ms[*id as usize - 1]);
+        for id in links {
+            let is_free = pacer.free_in(now).is_zero();
+            let is_due = ms >= told_ms[id as usize - 1] + gap_ms;
+            if !is_due || !(is_free || hub.has_failures(id)) {
+                continue;
+            }
+            let frames_per_s = members as f64 * 1_000.0 / gap_ms as f64;
+            let most = if is_free {
+                pacer.servers_a_frame(frames_per_s)
+            } else {
+                0
+            };
+            let digests = hub.compose_within(id, most);
+            pacer.count(&digests, now);
+            told_ms[id as usize - 1] = ms;
+            let told = digests.iter().flat_map(|digest| &digest.servers);
+            if told.filter(|(_, tally)| tally.failed > 0).count() > 0 {
+                heard.insert(id);
+            }
+        }
+        if ms >= FAILS_AT_MS && heard.len() as u64 == members {
+            return ms - FAILS_AT_MS;
+        }
+    }
+    u64::MAX
+}
+
+/// Told with everything that has changed, it reached the last of 200 members after 7 s.
+#[test]
+fn failure_is_told_to_all_members_of_a_large_hub_within_a_gap() {
+    assert!(failure_news_ms(10, 300, 100) <= 60);
+    assert!(failure_news_ms(200, 2_000, 660) <= 640);
+    assert!(failure_news_ms(200, 4_000, 660) <= 640, "twice the servers");
+}
+
 #[test]
 fn a_wave_of_catalog_changes_is_told_in_few_frames_and_whole() {
     let start = Instant::now();
