A box that lists the catalog leaves off where a hub has come up meanwhile

Boxes that start together find nobody announced, so each of 987 lists 10,001 entries, 51 pages. Now a box that still lists after half a second looks who is announced; once it has linked with a hub it stops, and waits until the hub tells it, for as long as that link stands (8 s at most). Listings of a few pages are over by then: small deployments start as before.

--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -73,6 +73,7 @@
     while wingspur_clock::now() < until && shared.links.lock().is_starting() {
         wingspur_clock::sleep(HOLD_CHECK).await;
     }
+    wait_to_be_told(shared).await;
     let position = shared.links.lock().position();
     let outcome = match position.is_start() {
         true => "this box lists",
@@ -81,6 +82,41 @@
     tracing::info!(boxes, before, hold_ms, %position, "catalog: {outcome}.");
 }
 
+/// Waits until this box has linked with a hub that came up while it lists.
+///
+/// Boxes that all start at once find nobody announced, and each would list all there is: with
+/// hundreds of boxes and thousands of servers that takes the store longer than the strongest
+/// boxes need to list and tell the others.
+async fn wait_for_new_hub(shared: &Arc<Shared>, may_give_way: bool) {
+    while may_give_way {
+        wingspur_clock::sleep(jittered(HUB_LOOK)).await;
+        if shared.links.lock().own_hub().is_some() {
+            tracing::info!("catalog: left to a hub.");
+            return;
+        }
+        find_boxes(shared).await;
+    }
+    futures_lite::future::pending().await
+}
+
+/// Gives the hub that this box has linked with the time to tell it all there is.
+async fn wait_to_be_told(shared: &Shared) {
+    let until = wingspur_clock::now() + jittered(LISTING_WAIT);
+    while wingspur_clock::now() < until {
+        if !is_told_soon(shared) {
+            return;
+        }
+        wingspur_clock::sleep(HOLD_CHECK).await;
+    }
+    tracing::info!("catalog: the hub has told nothing in time.");
+}
+
+/// Whether this box knows nothing yet, and has a hub that will tell it.
+fn is_told_soon(shared: &Shared) -> bool {
+    let links = shared.links.lock();
+    links.is_starting() && links.own_hub().is_some()
+}
+
 /// Learns from the store which boxes are announced, unless more is known here already.
 async fn find_boxes(shared: &Arc<Shared>) -> Vec<BoxRecord> {
     match call_store(shared, "list_boxes", (shared.catalog.list_boxes)()).await {
@@ -110,6 +146,8 @@
     gaps: u32,
     /// The listing that is due; none while changes are followed.
     lists: Option<Listing>,
+    /// Whether this box has left its first listing to a hub.
+    has_given_way: bool,
 }
 
 /// Which listing is due.
@@ -153,7 +191,17 @@
     };
     if let Some(due) = due {
         let call = (shared.catalog.list)(due == Listing::Fresh);
-        let listing = call_store(shared, "list", call).await?;
+        let listing = async { call_store(shared, "list", call).await.map(Some) };
+        let may_give_way = position.is_start() && !reading.has_given_way;
+        let hub = async {
+            wait_for_new_hub(shared, may_give_way).await;
+            Ok(None)
+        };
+        let Some(listing) = listing.or(hub).await? else {
+            reading.has_given_way = true;
+            wait_to_be_told(shared).await;
+            return Ok(());
+        };
         reading.lists = None;
         if take_listing(shared, listing, wingspur_clock::now()) {
             note_listing(shared, due);
@@ -280,6 +328,11 @@
 /// not follow changes yet.
 const HUB_HOLD: Duration = Duration::from_millis(1000);
 const HOLD_CHECK: Duration = Duration::from_millis(20);
+/// How often a box that lists looks for a hub: listings of few servers take less.
+const HUB_LOOK: Duration = Duration::from_millis(500);
+/// A hub tells its members one after the other, at 200 megabits a second some thirty a second
+/// before 10,000 servers.
+const LISTING_WAIT: Duration = Duration::from_secs(8);
 /// A cheap listing may be some seconds old.
 const CHEAP_IS_OLD: Duration = Duration::from_secs(4);
 const IDLE_CHECK: Duration = Duration::from_millis(100);
