--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -87,8 +87,8 @@
 /// Boxes that all start at once find nobody announced, and each would list all there is: with
 /// hundreds of boxes and thousands of servers that takes the store longer than the strongest
 /// boxes need to list and tell the others.
-async fn wait_for_new_hub(shared: &Arc<Shared>, may_give_way: bool) {
-    while may_give_way {
+async fn wait_for_new_hub(shared: &Arc<Shared>) {
+    loop {
         wingspur_clock::sleep(jittered(HUB_LOOK)).await;
         if shared.links.lock().own_hub().is_some() {
             tracing::info!("catalog: left to a hub.");
@@ -96,7 +96,6 @@
         }
         find_boxes(shared).await;
     }
-    futures_lite::future::pending().await
 }
 
 /// Gives the hub that this box has linked with the time to tell it all there is.
@@ -194,7 +193,10 @@
         let listing = async { call_store(shared, "list", call).await.map(Some) };
         let may_give_way = position.is_start() && !reading.has_given_way;
         let hub = async {
-            wait_for_new_hub(shared, may_give_way).await;
+            match may_give_way {
+                true => wait_for_new_hub(shared).await,
+                false => futures_lite::future::pending().await,
+            }
             Ok(None)
         };
         let Some(listing) = listing.or(hub).await? else {
--- a/tests/tests/listings.rs
+++ b/tests/tests/listings.rs
@@ -19,7 +19,7 @@
 
 fn record(n: usize) -> ServerRecord {
     ServerRecord {
-        id: format!("i-{n:08x}").into(),
+        id: format!("i-{n:08x}"),
         born_ms: 1_700_000_000_000,
         service: "svc".into(),
         address: "10.0.0.1:80".parse().unwrap(),
