Requests leave their region only where waiting or failing there costs more

Cause: boxes did not know of regions; a server 30 ms away cost what one next door does. The settings now name the region of each data centre. A server of another region costs the way there and back, 60 ms, and twice what a crossing costs; it is not tried for the floor's sake. By the cost of a wait: a request goes there once the nearer ones' queues cost more. Test: requests_leave_their_region_only_where_waiting_there_costs_more.

--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -7,7 +7,7 @@
 
 use wingspur_state::{
     Balancer, BudgetSettings, Bundle, DataCentreId, DirectoryChange, FleetBudget,
-    FleetDivision, ReturnQueue, ServerKey, ServerRecord, Standings,
+    FleetDivision, Regions, ReturnQueue, ServerKey, ServerRecord, Standings,
 };
 use wingspur_transport::Backend;
 
@@ -30,6 +30,7 @@
 #[derive(Debug)]
 pub struct Services {
     home: DataCentreId,
+    regions: Arc<Regions>,
     budget: Ranked<BudgetSettings>,
     by_name: Ranked<HashMap<String, Arc<ServiceState>>>,
     /// The service of each announced server.
@@ -41,9 +42,10 @@
 
 impl Services {
     /// No services yet.
-    pub fn new(home: DataCentreId, budget: BudgetSettings) -> Self {
+    pub fn new(home: DataCentreId, regions: Regions, budget: BudgetSettings) -> Self {
         Self {
             home,
+            regions: Arc::new(regions),
             budget: Ranked::new(Rank::BudgetSettings, budget),
             by_name: Ranked::new(Rank::Services, HashMap::new()),
             by_server: Ranked::new(Rank::ServersByKey, HashMap::new()),
@@ -59,7 +61,8 @@
             return service.clone();
         }
         let budget = *self.budget.lock();
-        let mut balancer = Balancer::new(self.home.clone());
+        let regions = self.regions.clone();
+        let mut balancer = Balancer::with_regions(self.home.clone(), regions);
         balancer.set_evacuated(self.evacuated());
         let service = Arc::new(ServiceState {
             name: name.to_owned(),
--- a/crates/wingspur-edge/src/settings.rs
+++ b/crates/wingspur-edge/src/settings.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use wingspur_protocol::Keyring;
-use wingspur_state::{BoxId, BudgetSettings, DataCentreId, QuotaSettings};
+use wingspur_state::{BoxId, BudgetSettings, DataCentreId, QuotaSettings, Regions};
 use wingspur_transport::TlsFiles;
 
 /// The settings of one box.
@@ -21,6 +21,9 @@
     pub box_id: BoxId,
     /// Where the box stands.
     pub data_centre: DataCentreId,
+    /// The region of each data centre; those that are left out are all near each other.
+    #[serde(default, skip_serializing_if = "Regions::is_empty")]
+    pub regions: Regions,
     /// The fleet it belongs to.
     pub fleet: String,
     /// Where callers come in, behind the platform's balancer.
@@ -220,6 +223,7 @@
         let pairs = [
             ("box_id", self.box_id != other.box_id),
             ("data_centre", self.data_centre != other.data_centre),
+            ("regions", self.regions != other.regions),
             ("fleet", self.fleet != other.fleet),
             (
                 "caller_address",
@@ -371,6 +375,7 @@
 const FIELDS: &[Field] = &[
     must("box_id", Kind::Text),
     must("data_centre", Kind::Text),
+    may("regions", Kind::Texts),
     must("fleet", Kind::Text),
     must("caller_address", Kind::Address),
     must("peer_address", Kind::Address),
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -89,7 +89,8 @@
             capacity: settings.capacity(),
             fleet_boxes: 0,
         };
-        let services = Services::new(settings.data_centre.clone(), settings.retry_budget);
+        let (home, regions) = (settings.data_centre.clone(), settings.regions.clone());
+        let services = Services::new(home, regions, settings.retry_budget);
         Self {
             metrics: Metrics::new(),
             names,
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -20,16 +20,17 @@
 use crate::health::{Health, HealthNote, UsualFailures};
 use crate::placement::place_among;
 use crate::returning::LONGEST_RETURN;
-use crate::tracked::{Attempt, Ended, Expected, Server, path_outcome};
+use crate::tracked::{Attempt, Distance, Ended, Expected, Server, path_outcome};
 use crate::{
-    Access, AttemptId, DataCentreId, KeyedTally, ServerKey, ServerRecord, ServerStanding,
-    ServerTally, ServicePresent, SourceId, due_share,
+    Access, AttemptId, DataCentreId, KeyedTally, Regions, ServerKey, ServerRecord,
+    ServerStanding, ServerTally, ServicePresent, SourceId, due_share,
 };
 
 /// The backend servers of a service, as one box picks among them.
 #[derive(Debug)]
 pub struct Balancer {
     home: DataCentreId,
+    regions: Arc<Regions>,
     servers: BTreeMap<ServerKey, Server>,
     /// The data centres whose servers get nothing more.
     evacuated: Arc<BTreeSet<DataCentreId>>,
@@ -101,8 +102,14 @@
 impl Balancer {
     /// No servers yet; `home` is the box's data centre.
     pub fn new(home: DataCentreId) -> Self {
+        Self::with_regions(home, Arc::default())
+    }
+
+    /// The same where data centres stand in different regions.
+    pub fn with_regions(home: DataCentreId, regions: Arc<Regions>) -> Self {
         Self {
             home,
+            regions,
             servers: BTreeMap::new(),
             evacuated: Arc::default(),
             cold_requests_per_s: None,
@@ -119,8 +126,10 @@
         let key = record.key();
         let cold_until = now + Duration::from_millis(record.cold_ms);
         let record = Arc::new(record);
+        let distance = self.distance(&record.data_centre);
         let fresh = || Server {
             record: record.clone(),
+            distance,
             cold_until,
             own: ServerTally::default(),
             changed: false,
@@ -143,6 +152,18 @@
             _ => server.cold_until.max(cold_until),
         };
         server.record = record;
+        server.distance = distance;
+    }
+
+    fn distance(&self, data_centre: &DataCentreId) -> Distance {
+        if *data_centre == self.home {
+            return Distance::SameDataCentre;
+        }
+        let region = |of: &DataCentreId| self.regions.get(of);
+        match (region(&self.home), region(data_centre)) {
+            (Some(own), Some(other)) if own != other => Distance::OtherRegion,
+            _ => Distance::SameRegion,
+        }
     }
 
     /// Forgets a server; attempts that are out there end on their own.
@@ -639,7 +660,8 @@
         let usual = self.usual.share();
         let unused = |server: &Server| {
             let key = server.record.key();
-            let away = at_home && server.record.data_centre != self.home;
+            let is_far = server.distance == Distance::OtherRegion;
+            let away = is_far || (at_home && server.distance != Distance::SameDataCentre);
             Unused {
                 key,
                 unused_for: now.saturating_duration_since(server.sent),
@@ -702,11 +724,11 @@
             LOST_FAILURE_MS
         };
         let refusals = server.health.at(now).refusal_share();
-        let away = server.record.data_centre != self.home;
-        let crossing_ms = if away {
-            want.crossing.as_secs_f64() * 1000.0
-        } else {
-            0.0
+        let crossing_ms = want.crossing.as_secs_f64() * 1000.0;
+        let crossing_ms = match server.distance {
+            Distance::SameDataCentre => 0.0,
+            Distance::SameRegion => crossing_ms,
+            Distance::OtherRegion => REGION_WAY_MS + REGION_CROSSINGS * crossing_ms,
         };
         weight.failure_share * failure_ms + refusals * REFUSAL_MS + crossing_ms
     }
@@ -744,6 +766,11 @@
     }
 }
 
+/// The way to another region and back.
+const REGION_WAY_MS: f64 = 60.0;
+/// Bytes between regions share one line, and cost about twice as much as those between data
+/// centres of a region.
+const REGION_CROSSINGS: f64 = 2.0;
 /// No work takes less than a millisecond.
 const LEAST_TYPICAL_S: f64 = 0.001;
 /// Costs are blurred by up to this share, so that boxes with the same view spread.
--- a/crates/wingspur-state/src/ids.rs
+++ b/crates/wingspur-state/src/ids.rs
@@ -4,6 +4,10 @@
 pub type BoxId = String;
 /// Names a data centre, as the settings and the bundle spell it.
 pub type DataCentreId = String;
+/// Names a region.
+pub type RegionId = String;
+/// The region of each data centre.
+pub type Regions = std::collections::BTreeMap<DataCentreId, RegionId>;
 /// The version of a bundle; only ever grows.
 pub type BundleVersion = u64;
 /// The position of a service in the bundle in force.
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -61,8 +61,8 @@
 pub use hedge::{HedgeInputs, hedge_after};
 pub use host_routes::HostRoutes;
 pub use ids::{
-    AttemptId, BoxId, BoxKey, BundleVersion, DataCentreId, ServerId, ServerIndex,
-    ServerKey, ServiceIndex, SourceId,
+    AttemptId, BoxId, BoxKey, BundleVersion, DataCentreId, RegionId, Regions, ServerId,
+    ServerIndex, ServerKey, ServiceIndex, SourceId,
 };
 pub use judge::{EjectionRecord, Judge, JudgeEvent, Verdict, VerdictStanding};
 pub use lending::{
--- a/crates/wingspur-state/src/tracked.rs
+++ b/crates/wingspur-state/src/tracked.rs
@@ -14,6 +14,8 @@
 pub struct Server {
     /// As it announces itself.
     pub record: Arc<ServerRecord>,
+    /// How far it is from this box.
+    pub distance: Distance,
     /// Until when it is slow from its start.
     pub cold_until: Instant,
     /// This box's own tally.
@@ -40,6 +42,17 @@
     pub suspect: bool,
 }
 
+/// How far a server is from a box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Distance {
+    /// In the same data centre.
+    SameDataCentre,
+    /// In another data centre of the same region.
+    SameRegion,
+    /// In another region.
+    OtherRegion,
+}
+
 /// A request that is out at a server.
 #[derive(Debug)]
 pub struct Attempt {
--- a/tests/tests/balancing.rs
+++ b/tests/tests/balancing.rs
@@ -1,12 +1,13 @@
 //! Which server gets a request, by what all boxes have seen.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use wingspur_state::{
-    Balancer, Ended, Expected, ServerKey, ServerRecord, ServerTally, ServicePresent,
-    ServiceTime, Want,
+    Balancer, Ended, Expected, Regions, ServerKey, ServerRecord, ServerTally,
+    ServicePresent, ServiceTime, Want,
 };
 
 const TYPICAL: Duration = Duration::from_millis(200);
@@ -456,3 +457,33 @@
         assert!(proven >= 900, "{proven} of 1000 at {lost_share} lost");
     }
 }
+
+#[test]
+fn requests_leave_their_region_only_where_waiting_there_costs_more() {
+    let now = Instant::now();
+    let places = [("dc-1", "north"), ("dc-2", "north"), ("dc-3", "south")];
+    let places = places.map(|(place, region)| (place.to_owned(), region.to_owned()));
+    let regions = Arc::new(Regions::from(places));
+    let mut balancer = Balancer::with_regions("dc-1".into(), regions);
+    balancer.put(record("i-0", "dc-2"), now);
+    balancer.put(record("i-1", "dc-3"), now);
+    let mut random = StdRng::seed_from_u64(1);
+    let mut far = Vec::new();
+    for sent in 0..100 {
+        let pick = balancer
+            .pick(&want(true, 0.0), now, &mut random)
+            .expect("both are open");
+        far.extend((pick.server.data_centre == "dc-3").then_some(sent));
+        balancer.begin(pick.server.key(), expected(200.0), now);
+    }
+    let first = far.first().copied().unwrap_or(usize::MAX);
+    assert!(
+        (4..12).contains(&first),
+        "the nearer one is full first: {first}"
+    );
+    assert!(
+        (30..=50).contains(&far.len()),
+        "{} of 100 went far",
+        far.len()
+    );
+}
