A box that has counted hardly any requests still tries for the floor

Below 20 requests a second, counted over a second, it is tried for as before. Test: box_that_has_counted_hardly_any_requests_still_tries_for_the_floor (1,000 of 1,000 picks at the one known server before).

--- a/crates/wingspur-state/src/floor.rs
+++ b/crates/wingspur-state/src/floor.rs
@@ -69,10 +69,11 @@
 /// wants: each holds one in use for two seconds.
 ///
 /// Where they are not, all of them would be tries of servers that nobody has lately found
-/// well, and the floor would still not be held: they go to those that are known instead.
+/// well, and the floor would still not be held: they go to those that are known instead. A
+/// box that has counted hardly any cannot tell.
 pub fn is_in_reach(servers: usize, present: &ServicePresent) -> bool {
-    let held = present.requests_per_s.max(1.0) * FLOOR_WINDOW.as_secs_f64();
-    held >= servers as f64 * USED_SHARE
+    let held = present.requests_per_s * FLOOR_WINDOW.as_secs_f64();
+    present.requests_per_s < LEAST_COUNTED_PER_S || held >= servers as f64 * USED_SHARE
 }
 
 /// Whether so much is lost that all servers that may be well must be in use.
@@ -142,6 +143,8 @@
     FIRST_TRIES_PER_S * doublings.exp2()
 }
 
+/// Of fewer requests a second, counted over a second, half may come by chance.
+const LEAST_COUNTED_PER_S: f64 = 20.0;
 /// A server counts as in use for so long after a request.
 const FLOOR_WINDOW: Duration = Duration::from_secs(2);
 /// Where the floor is held strictly, a server is neglected when no box has used it for half
--- a/tests/tests/balancing.rs
+++ b/tests/tests/balancing.rs
@@ -458,6 +458,18 @@
     }
 }
 
+#[test]
+fn box_that_has_counted_hardly_any_requests_still_tries_for_the_floor() {
+    let start = Instant::now();
+    let mut balancer = balancer(50, start);
+    let now = start + Duration::from_secs(10);
+    one(&mut balancer, 0, Ended::Good, TYPICAL, now - TYPICAL);
+    let mut just_started = want(false, 0.2);
+    just_started.present.requests_per_s = 3.0;
+    let counts = picks(&balancer, &just_started, now, 50);
+    assert!(counts[0] < 500, "{} of 1000 at the one known", counts[0]);
+}
+
 #[test]
 fn requests_leave_their_region_only_where_waiting_there_costs_more() {
     let now = Instant::now();
