A box that starts waits for its hub only while the hub has a catalog to send

A hub that has just started itself, or that the store turns away, sends nothing meanwhile; before the change the box listed after a second. Cause: the wait asked whether there is a link, not whether the other side has a catalog, and each of two places began its own wait. Now one rule, waits_for_hub_listing, serves both: for a hub whose greeting or frames say that it knows the store's history, and for 8 s since the box's start in all. The flag that remembered the first wait is gone: the time since the start says it. Test: box_that_starts_does_not_wait_for_a_hub_that_has_nothing_to_send (the decision alone; the old rule, a link and nothing else, fails its last line).

--- a/crates/wingspur-coordination/src/announcement.rs
+++ b/crates/wingspur-coordination/src/announcement.rs
@@ -56,6 +56,16 @@
     was_announced || before < CANDIDATES
 }
 
+/// Whether a box that has just started waits for its hub's listing, rather than list the
+/// catalog itself: only for a hub that has one, and for a bounded time since its start. A
+/// hub may have just started too, or the store may turn it away.
+pub fn waits_for_hub_listing(hub_has_catalog: bool, since_start: Duration) -> bool {
+    hub_has_catalog && since_start < LISTING_WAIT
+}
+
+/// A hub sends listings one after the other: at 200 megabits a second some thirty a second
+/// before 10,000 servers.
+const LISTING_WAIT: Duration = Duration::from_secs(8);
 /// Boxes of a data centre that may become its hub: the loss of two at once still leaves one
 /// that the others know.
 const CANDIDATES: usize = 3;
--- a/crates/wingspur-coordination/src/lib.rs
+++ b/crates/wingspur-coordination/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub use announcement::{
     AnnouncementInputs, AnnouncementStep, announcement_step, lists_at_start,
+    waits_for_hub_listing,
 };
 pub use catalog_queue::CatalogQueue;
 pub use delegation::{DELEGATED_FOR, Delegation};
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -1,10 +1,10 @@
 //! Reads the catalog where this box should: a listing first, then changes.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
-use wingspur_coordination::lists_at_start;
+use wingspur_coordination::{lists_at_start, waits_for_hub_listing};
 use wingspur_protocol::BoxRecord;
 use wingspur_transport::{CatalogError, StopSignal};
 
@@ -16,7 +16,8 @@
 /// Reads the catalog whenever this box should, until it stops.
 pub async fn run_feed(shared: Arc<Shared>, stop: StopSignal) {
     let mut reading = Reading::default();
-    wait_for_hub(&shared).await;
+    let started = wingspur_clock::now();
+    wait_for_hub(&shared, started).await;
     while !stop.is_given() {
         if !should_read(&shared) {
             if reading.active {
@@ -32,7 +33,7 @@
             tracing::info!(%position, "store: reading it.");
             reading.active = true;
         }
-        match step(&shared, &mut reading).await {
+        match step(&shared, &mut reading, started).await {
             Ok(()) => reading.note_success(&shared),
             Err(error @ (CatalogError::HistoryLost | CatalogError::OlderEra { .. })) => {
                 let gaps = reading.gaps;
@@ -57,7 +58,7 @@
 ///
 /// Purpose: boxes that start together are bound by the store's link; the last to list would
 /// know a bundle late.
-async fn wait_for_hub(shared: &Arc<Shared>) {
+async fn wait_for_hub(shared: &Arc<Shared>, started: Instant) {
     let boxes = find_boxes(shared).await;
     let (own_id, before) = {
         let mut links = shared.links.lock();
@@ -73,7 +74,7 @@
     while wingspur_clock::now() < until && shared.links.lock().is_starting() {
         wingspur_clock::sleep(HOLD_CHECK).await;
     }
-    wait_to_be_told(shared).await;
+    wait_for_listing(shared, started).await;
     let position = shared.links.lock().position();
     let outcome = match position.is_start() {
         true => "this box lists",
@@ -82,38 +83,37 @@
     tracing::info!(boxes, before, hold_ms, %position, "catalog: {outcome}.");
 }
 
-/// Waits until this box has linked with a hub that came up while it lists.
+/// Waits until this box has linked with a hub that has come up while it lists, and that it
+/// may wait for.
 ///
 /// Boxes that all start at once find nobody announced, and each would list all there is: with
 /// hundreds of boxes and thousands of servers that takes the store longer than the strongest
 /// boxes need to list and tell the others.
-async fn wait_for_new_hub(shared: &Arc<Shared>) {
+async fn wait_for_new_hub(shared: &Arc<Shared>, started: Instant) {
     loop {
         wingspur_clock::sleep(jittered(HUB_LOOK)).await;
-        if shared.links.lock().own_hub().is_some() {
+        if waits_for_hub(shared, started) {
             tracing::info!("catalog: left to a hub.");
             return;
         }
-        find_boxes(shared).await;
+        if shared.links.lock().own_hub().is_none() {
+            find_boxes(shared).await;
+        }
     }
 }
 
-/// Gives the hub that this box has linked with the time to tell it all there is.
-async fn wait_to_be_told(shared: &Shared) {
-    let until = wingspur_clock::now() + jittered(LISTING_WAIT);
-    while wingspur_clock::now() < until {
-        if !is_told_soon(shared) {
-            return;
-        }
+/// Waits for the listing of this box's hub, for as long as it may be waited for.
+async fn wait_for_listing(shared: &Shared, started: Instant) {
+    while waits_for_hub(shared, started) {
         wingspur_clock::sleep(HOLD_CHECK).await;
     }
-    tracing::info!("catalog: the hub has told nothing in time.");
 }
 
-/// Whether this box knows nothing yet, and has a hub that will tell it.
-fn is_told_soon(shared: &Shared) -> bool {
+/// Whether this box knows nothing yet, and its hub should send it a listing.
+fn waits_for_hub(shared: &Shared, started: Instant) -> bool {
     let links = shared.links.lock();
-    links.is_starting() && links.own_hub().is_some()
+    let since_start = wingspur_clock::since(started);
+    links.is_starting() && waits_for_hub_listing(links.hub_has_catalog(), since_start)
 }
 
 /// Learns from the store which boxes are announced, unless more is known here already.
@@ -145,8 +145,6 @@
     gaps: u32,
     /// The listing that is due; none while changes are followed.
     lists: Option<Listing>,
-    /// Whether this box has left its first listing to a hub.
-    has_given_way: bool,
 }
 
 /// Which listing is due.
@@ -181,7 +179,11 @@
 }
 
 /// Lists, or waits for changes.
-async fn step(shared: &Arc<Shared>, reading: &mut Reading) -> Result<(), CatalogError> {
+async fn step(
+    shared: &Arc<Shared>,
+    reading: &mut Reading,
+    started: Instant,
+) -> Result<(), CatalogError> {
     let position = shared.links.lock().position();
     let due = match reading.lists {
         None if position.is_start() => Some(Listing::Cheap),
@@ -191,17 +193,15 @@
     if let Some(due) = due {
         let call = (shared.catalog.list)(due == Listing::Fresh);
         let listing = async { call_store(shared, "list", call).await.map(Some) };
-        let may_give_way = position.is_start() && !reading.has_given_way;
         let hub = async {
-            match may_give_way {
-                true => wait_for_new_hub(shared).await,
+            match position.is_start() {
+                true => wait_for_new_hub(shared, started).await,
                 false => futures_lite::future::pending().await,
             }
             Ok(None)
         };
         let Some(listing) = listing.or(hub).await? else {
-            reading.has_given_way = true;
-            wait_to_be_told(shared).await;
+            wait_for_listing(shared, started).await;
             return Ok(());
         };
         reading.lists = None;
@@ -332,9 +332,6 @@
 const HOLD_CHECK: Duration = Duration::from_millis(20);
 /// How often a box that lists looks for a hub: listings of few servers take less.
 const HUB_LOOK: Duration = Duration::from_millis(500);
-/// A hub tells its members one after the other, at 200 megabits a second some thirty a second
-/// before 10,000 servers.
-const LISTING_WAIT: Duration = Duration::from_secs(8);
 /// A cheap listing may be some seconds old.
 const CHEAP_IS_OLD: Duration = Duration::from_secs(4);
 const IDLE_CHECK: Duration = Duration::from_millis(100);
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -621,6 +621,12 @@
         own_hub.map(|(id, _)| *id)
     }
 
+    /// Whether this box reports to a hub that knows the catalog.
+    pub fn hub_has_catalog(&self) -> bool {
+        let hub = self.own_hub().and_then(|id| self.active.get(&id));
+        hub.is_some_and(|hub| hub.knows_servers)
+    }
+
     /// The links with other hubs.
     pub fn other_hubs(&self) -> Vec<LinkId> {
         let hubs = self.active.iter();
--- a/tests/tests/sharing.rs
+++ b/tests/tests/sharing.rs
@@ -7,7 +7,7 @@
 use wingspur_coordination::{
     AnnouncementInputs, AnnouncementStep, CatalogQueue, FeedView, FleetCount, LinkKind,
     LinkPlanner, NewsPacer, NewsReader, OWN_LINK, RecentChanges, Rollup,
-    announcement_step, lists_at_start,
+    announcement_step, lists_at_start, waits_for_hub_listing,
 };
 use wingspur_protocol::{
     BoxRecord, CatalogChange, CatalogChanges, CatalogUpdate, Digest, FeedState, LinkRole,
@@ -529,6 +529,22 @@
     }
 }
 
+#[test]
+fn box_that_starts_does_not_wait_for_a_hub_that_has_nothing_to_send() {
+    let wait = |has_catalog, seconds| {
+        waits_for_hub_listing(has_catalog, Duration::from_secs(seconds))
+    };
+    assert!(
+        wait(true, 0) && wait(true, 7),
+        "many boxes are owed one before it"
+    );
+    assert!(!wait(true, 8), "its hub does not get to it");
+    assert!(
+        !wait(false, 0) && !wait(false, 7),
+        "its hub knows no more than it"
+    );
+}
+
 /// News of servers that only answer well, and of one that fails.
 fn busy_digest(servers: std::ops::Range<u64>, good: u32, failing: Option<u64>) -> Digest {
     let tally = |failed| ServerTally {
