Test: an evacuation's checks do not presume which server is picked

cold_server_gets_no_more_than_it_bears_from_all_boxes failed once in the last read, and 6 of 44 plays of it beside each other did: by "the others bear more" (server 3 alone was looked at) and by "it is warm again" (of two idle servers either may be picked). Counts of the failing plays: fullest second of the four servers 4,052, 8, 798, 4; others 13, 8, 4,083, 2,038. So boxes pick one of like servers, or avoid one that has failed them, as they may; the cold one never got more than 8 where 16 are allowed, in any play. Now: any of the others bears more, and once warm the server is the only one left (its twin leaves, the other data centre is evacuated), so all requests are its own. Likewise a data centre that is taken back has to bear all while the other one is evacuated, and nothing may fail. Each says at least as much, of the mechanism and not of chance.

--- a/tests/tests/evacuation.rs
+++ b/tests/tests/evacuation.rs
@@ -56,9 +56,13 @@
         self
     }
 
-    /// Writes a server's entry.
+    /// Writes the entry of a server that takes work.
     fn announce(&self, n: usize, cold_ms: u64) {
-        let mut entry = server_entry(self.servers[n].address, "ready");
+        self.announce_as(n, "ready", cold_ms);
+    }
+
+    fn announce_as(&self, n: usize, state: &str, cold_ms: u64) {
+        let mut entry = server_entry(self.servers[n].address, state);
         entry["data_centre"] = json!(data_centre(n));
         entry["cold_ms"] = json!(cold_ms);
         self.store.put(&format!("servers/i-{n}"), &entry);
@@ -135,8 +139,9 @@
 #[test]
 fn servers_of_an_evacuated_data_centre_get_nothing_until_it_is_taken_back() {
     let fleet = Fleet::start(|_| {});
+    let begun = Instant::now();
     fleet.ask_for(Duration::from_millis(500));
-    assert!(fleet.arrived_since(0, Instant::now() - Duration::from_secs(1)) > 0);
+    assert!([0, 2].iter().any(|n| fleet.arrived_since(*n, begun) > 0));
     fleet.store.put("op/evacuate/dc-1", &json!({}));
     thread::sleep(HEARD_AFTER);
     let evacuated = Instant::now();
@@ -145,12 +150,15 @@
     for n in [0, 2] {
         assert_eq!(fleet.arrived_since(n, evacuated), 0, "server {n}");
     }
+    // Taken back, it bears all while the other one is evacuated.
     fleet.store.remove("op/evacuate/dc-1");
+    fleet.store.put("op/evacuate/dc-2", &json!({}));
     thread::sleep(HEARD_AFTER);
     let taken_back = Instant::now();
-    fleet.ask_for(Duration::from_millis(700));
-    for n in [0, 2] {
-        assert!(fleet.arrived_since(n, taken_back) > 0, "server {n}");
+    let (good, other) = fleet.ask_for(Duration::from_millis(700));
+    assert!(good > 0 && other == 0, "{good} good, {other} other");
+    for n in [1, 3] {
+        assert_eq!(fleet.arrived_since(n, taken_back), 0, "server {n}");
     }
     fleet.close();
 }
@@ -197,11 +205,16 @@
         fullest <= allowed,
         "{fullest} in a second, {allowed} allowed"
     );
+    // Which of them is a matter of what boxes make of them.
+    let others = [0, 2, 3].map(|n| fleet.fullest_second(n, told));
     assert!(
-        fleet.fullest_second(3, told) > allowed,
-        "the others bear more"
+        others.iter().any(|fullest| *fullest > allowed),
+        "the others bear more: {others:?}"
     );
+    // Once it is warm, it has to bear all alone.
     fleet.announce(1, 0);
+    fleet.announce_as(3, "leaving", 0);
+    fleet.store.put("op/evacuate/dc-1", &json!({}));
     thread::sleep(HEARD_AFTER);
     let warm = Instant::now();
     fleet.ask_for(Duration::from_millis(1_000));
