When a link is due is decided in one place

Read in the change: what holds back news and listings stood in take_frames, and half of it in next_tick. So the next look at the links came by the pacer also where failures were to be told, which do not wait for it; and a starting box that waits for its listing made its hub look every 10 ms, since news for it counted as due but was held back. news_due_in and ActiveLink::catalog_due_in say it for both; the queue's listing is found in one place (CatalogQueue::listing). Where nothing is held back, all is due as before. No test of its own: the links are private to the box; those of links, listings and hubs pass.

--- a/crates/wingspur-coordination/src/catalog_queue.rs
+++ b/crates/wingspur-coordination/src/catalog_queue.rs
@@ -56,21 +56,28 @@
     }
 
     /// Whether a listing is queued.
-    pub fn owes_listing(&self) -> bool {
-        matches!(self.updates.first(), Some(CatalogUpdate::Listing(_)))
+    pub fn has_listing(&self) -> bool {
+        self.listing().is_some()
+    }
+
+    /// The queued listing: it is the first update, since it replaces all before it.
+    fn listing(&self) -> Option<&Arc<ListingUpdate>> {
+        match self.updates.first() {
+            Some(CatalogUpdate::Listing(listing)) => Some(listing),
+            _ => None,
+        }
     }
 
     /// Drops a queued listing that tells the other side nothing: it knows the store's history
     /// up to a position by now, and a version of the bundle.
     pub fn drop_known_listing(&mut self, position: StorePosition, bundle_version: u64) {
-        let Some(CatalogUpdate::Listing(told)) = self.updates.first() else {
-            return;
+        let is_known = |update: &Arc<ListingUpdate>| {
+            let bundle = update.listing.bundle.as_ref();
+            update.listing.position <= position
+                && bundle.is_none_or(|bundle| bundle.version <= bundle_version)
+                && update.returned.is_empty()
         };
-        let bundle = told.listing.bundle.as_ref();
-        let is_known = told.listing.position <= position
-            && bundle.is_none_or(|bundle| bundle.version <= bundle_version)
-            && told.returned.is_empty();
-        if is_known {
+        if self.listing().is_some_and(is_known) {
             self.updates.remove(0);
             self.urgent &= !self.updates.is_empty();
         }
@@ -78,13 +85,9 @@
 
     /// Takes the listing that is queued, which goes before all else.
     pub fn take_listing(&mut self) -> Option<Arc<ListingUpdate>> {
-        if !self.owes_listing() {
-            return None;
-        }
-        match self.updates.remove(0) {
-            CatalogUpdate::Listing(listing) => Some(listing),
-            CatalogUpdate::Changes { .. } => None,
-        }
+        let listing = self.listing()?.clone();
+        self.updates.remove(0);
+        Some(listing)
     }
 
     /// Takes all that is queued, to be told now.
--- a/crates/wingspur-edge/src/active_link.rs
+++ b/crates/wingspur-edge/src/active_link.rs
@@ -1,10 +1,10 @@
 //! One link that stands, with what is still to be told on it.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use wingspur_coordination::{
-    CatalogQueue, LinkClock, LinkKind, LinkWith, OwedListing, PlannedLink,
+    CatalogQueue, LinkClock, LinkKind, LinkWith, NewsPacer, OwedListing, PlannedLink,
 };
 use wingspur_protocol::{BoxRecord, Lending, LinkRole};
 use wingspur_state::{
@@ -90,6 +90,26 @@
         }
     }
 
+    /// Whether a listing is queued that has to wait for its turn.
+    pub fn waits_to_list(&self, pacer: &NewsPacer, now: Instant) -> bool {
+        self.catalog.has_listing() && !pacer.list_free_in(now).is_zero()
+    }
+
+    /// Whether what is told of servers means something at the other side: it knows them, or
+    /// is sent them first.
+    pub fn hears_of_servers(&self, pacer: &NewsPacer, now: Instant) -> bool {
+        self.knows_servers || !self.waits_to_list(pacer, now)
+    }
+
+    /// How long until what is queued of the catalog may go out; none where nothing has to.
+    pub fn catalog_due_in(&self, pacer: &NewsPacer, now: Instant) -> Option<Duration> {
+        let due = self.catalog.due_in(now)?;
+        Some(match self.catalog.has_listing() {
+            true => due.max(pacer.list_free_in(now)),
+            false => due,
+        })
+    }
+
     /// The listing that the other side is owed. It leaves out a bundle that the other side
     /// has: a hub that has just taken over would owe each member the whole bundle.
     pub fn take_listing(&mut self) -> Option<OwedListing> {
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -397,26 +397,21 @@
         let fleet = self.fleet.tell(&known, now);
         let frames_per_s = self.active.len() as f64 / home_gap.as_secs_f64();
         let mut frames = Vec::new();
-        let list_free = |pacer: &NewsPacer| pacer.list_free_in(now).is_zero();
         // Who was told longest ago goes first, where not all can be told at once.
         let mut links: Vec<_> = self.active.iter_mut().collect();
         links.sort_by_key(|(_, link)| link.told);
         for (id, link) in links {
-            let told_age = now.saturating_duration_since(link.told);
             let age = now.saturating_duration_since(link.sent);
             let away = link.peer.data_centre != self.own.data_centre;
             let gap = if away { AWAY_GAP } else { home_gap };
             let gap = if hurry { gap / HURRY } else { gap };
             let full = link.is_full();
-            let has_news = self.rollup.has_news(*id) || link.has_own_news();
-            let is_free = self.pacer.free_in(now).is_zero();
-            let waits_to_list = link.catalog.owes_listing() && !list_free(&self.pacer);
-            let hears = link.knows_servers || !waits_to_list;
-            // What fails is told in any case: it is little, whatever the number of servers.
-            let is_free = is_free || self.rollup.has_failures(*id);
-            let due = !full && told_age >= gap && has_news && is_free && hears;
-            let catalog_due = link.catalog.due_in(now).is_some_and(|due| due.is_zero())
-                && !waits_to_list;
+            let waits_to_list = link.waits_to_list(&self.pacer, now);
+            let hears = link.hears_of_servers(&self.pacer, now);
+            let news_due = news_due_in(*id, link, gap, &self.rollup, &self.pacer, now);
+            let due = !full && news_due.is_some_and(|due| due.is_zero());
+            let catalog_due = link.catalog_due_in(&self.pacer, now);
+            let catalog_due = catalog_due.is_some_and(|due| due.is_zero());
             let urgent = catalog_due
                 || link.wants_listing
                 || (link.greeting.is_some() && hears)
@@ -495,18 +490,13 @@
             let away = link.peer.data_centre != self.own.data_centre;
             let news_gap = if away { AWAY_GAP } else { home_gap };
             let mut due = (link.sent + HEARTBEAT).saturating_duration_since(now);
-            if self.rollup.has_news(*id) || link.has_own_news() {
-                let told_due = (link.told + news_gap).saturating_duration_since(now);
-                due = due.min(told_due.max(self.pacer.free_in(now)));
+            let pacer = &self.pacer;
+            let news_due = news_due_in(*id, link, news_gap, &self.rollup, pacer, now);
+            let catalog_due = link.catalog_due_in(pacer, now);
+            for other in [news_due, catalog_due].into_iter().flatten() {
+                due = due.min(other);
             }
-            let catalog_due =
-                link.catalog
-                    .due_in(now)
-                    .map(|due| match link.catalog.owes_listing() {
-                        true => due.max(self.pacer.list_free_in(now)),
-                        false => due,
-                    });
-            due.min(catalog_due.unwrap_or(due))
+            due
         };
         let next = self.active.iter().map(due).min();
         next.unwrap_or(HEARTBEAT).max(LEAST_TICK)
@@ -713,6 +703,28 @@
     }
 }
 
+/// How long until a link may be told what was seen of servers and services; none where there
+/// is nothing to tell. What fails does not wait for the pacer: it is little, whatever the
+/// number of servers.
+fn news_due_in(
+    id: LinkId,
+    link: &ActiveLink,
+    gap: Duration,
+    rollup: &Rollup,
+    pacer: &NewsPacer,
+    now: Instant,
+) -> Option<Duration> {
+    let has_news = rollup.has_news(id) || link.has_own_news();
+    if !has_news || !link.hears_of_servers(pacer, now) {
+        return None;
+    }
+    let due = (link.told + gap).saturating_duration_since(now);
+    Some(match rollup.has_failures(id) {
+        true => due,
+        false => due.max(pacer.free_in(now)),
+    })
+}
+
 /// A server's limit as it is told now.
 fn note_of(limit: &LimitChange, now: Instant) -> LimitNote {
     LimitNote {
--- a/tests/tests/listings.rs
+++ b/tests/tests/listings.rs
@@ -121,11 +121,11 @@
     queue.push(&CatalogUpdate::Listing(listing(Some(bundle(3)))), true);
     queue.push(&change, true);
     queue.drop_known_listing(at(6), 3);
-    assert!(queue.owes_listing(), "an older history");
+    assert!(queue.has_listing(), "an older history");
     queue.drop_known_listing(at(7), 2);
-    assert!(queue.owes_listing(), "an older bundle");
+    assert!(queue.has_listing(), "an older bundle");
     queue.drop_known_listing(at(7), 3);
-    assert!(!queue.owes_listing());
+    assert!(!queue.has_listing());
     assert_eq!(queue.take(Instant::now()), [change]);
 }
 
@@ -136,5 +136,5 @@
     let mut queue = CatalogQueue::new();
     queue.push(&CatalogUpdate::Listing(Arc::new(told)), true);
     queue.drop_known_listing(at(9), 9);
-    assert!(queue.owes_listing());
+    assert!(queue.has_listing());
 }
