A listing that changes no evacuation touches no service

Each listing, and each box's start, set the evacuated data centres anew at every service, and what had changed was read back afterwards. change_evacuated now returns both sides, and leaves off where they are the same. No behaviour changes.

--- a/crates/wingspur-edge/src/evacuation.rs
+++ b/crates/wingspur-edge/src/evacuation.rs
@@ -32,8 +32,7 @@
     source: &str,
     change: impl FnOnce(&mut BTreeSet<DataCentreId>),
 ) {
-    let before = shared.services.change_evacuated(change);
-    let now = shared.services.evacuated();
+    let (before, now) = shared.services.change_evacuated(change);
     for data_centre in now.difference(&before) {
         tracing::info!(data_centre, source, "evacuation: begun.");
     }
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -80,22 +80,25 @@
     }
 
     /// Changes which data centres are evacuated: their servers get nothing more. Returns
-    /// which were evacuated before.
+    /// which were before and which are now.
     pub fn change_evacuated(
         &self,
         change: impl FnOnce(&mut BTreeSet<DataCentreId>),
-    ) -> Arc<BTreeSet<DataCentreId>> {
+    ) -> (Arc<BTreeSet<DataCentreId>>, Arc<BTreeSet<DataCentreId>>) {
         // Held throughout, so that a service that is made meanwhile has the change too.
         let services = self.by_name.lock();
         let before = self.evacuated();
         let mut evacuated = (*before).clone();
         change(&mut evacuated);
+        if evacuated == *before {
+            return (before.clone(), before);
+        }
         let evacuated = Arc::new(evacuated);
         *self.evacuated.lock() = evacuated.clone();
         for service in services.values() {
             service.balancer.lock().set_evacuated(evacuated.clone());
         }
-        before
+        (before, evacuated)
     }
 
     /// Takes up changed settings of the retry budget.
