Names of the new code by the field's terms

OwedListing is PendingListing, knows_servers has_catalog, tells_of_cold changes_cold_start, what came by a link peer_* instead of told_*; a test is named after what it guards. No behaviour changes, and no assertion.

--- a/crates/wingspur-coordination/src/lib.rs
+++ b/crates/wingspur-coordination/src/lib.rs
@@ -37,7 +37,7 @@
 };
 pub use link_clock::LinkClock;
 pub use link_plan::{LinkPlanner, PlannedLink};
-pub use listing_frames::{ListingFrames, OwedListing};
+pub use listing_frames::{ListingFrames, PendingListing};
 pub use membership::{HeardRefusal, Membership, MembershipSettings, PeerView};
 pub use news_pacer::NewsPacer;
 pub use placement::{Roster, hash_of};
--- a/crates/wingspur-coordination/src/listing_frames.rs
+++ b/crates/wingspur-coordination/src/listing_frames.rs
@@ -20,7 +20,7 @@
 
 /// A listing that one link is owed.
 #[derive(Debug, Clone)]
-pub struct OwedListing {
+pub struct PendingListing {
     /// The listing.
     pub listing: Arc<ListingUpdate>,
     /// The version of the bundle that is in force at the other side; one that it has is left
@@ -37,19 +37,19 @@
 
 impl ListingFrames {
     /// The frame that tells a listing.
-    pub fn frame(&mut self, owed: &OwedListing) -> EncodedFrame {
-        let with_bundle = owed.with_bundle();
+    pub fn frame(&mut self, pending: &PendingListing) -> EncodedFrame {
+        let with_bundle = pending.with_bundle();
         let is_same = |kept: &&Kept| {
-            let is_listing = std::ptr::eq(kept.listing.as_ptr(), &*owed.listing);
+            let is_listing = std::ptr::eq(kept.listing.as_ptr(), &*pending.listing);
             is_listing && kept.with_bundle == with_bundle
         };
         if let Some(kept) = self.kept.iter().find(is_same) {
             return kept.frame.clone();
         }
-        let frame = owed.encode();
+        let frame = pending.encode();
         self.encoded += 1;
         self.kept.push(Kept {
-            listing: Arc::downgrade(&owed.listing),
+            listing: Arc::downgrade(&pending.listing),
             with_bundle,
             frame: frame.clone(),
         });
@@ -67,7 +67,7 @@
     }
 }
 
-impl OwedListing {
+impl PendingListing {
     fn with_bundle(&self) -> bool {
         let bundle = self.listing.listing.bundle.as_ref();
         bundle.is_some_and(|bundle| bundle.version > self.bundle_version)
--- a/crates/wingspur-edge/src/active_link.rs
+++ b/crates/wingspur-edge/src/active_link.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use wingspur_coordination::{
-    CatalogQueue, LinkClock, LinkKind, LinkWith, NewsPacer, OwedListing, PlannedLink,
+    CatalogQueue, LinkClock, LinkKind, LinkWith, NewsPacer, PendingListing, PlannedLink,
 };
 use wingspur_protocol::{BoxRecord, Lending, LinkRole};
 use wingspur_state::{
@@ -42,7 +42,7 @@
     /// What it is to be told once.
     pub greeting: Option<Greeting>,
     /// Whether it knows the servers, so that what is told of them means something there.
-    pub knows_servers: bool,
+    pub has_catalog: bool,
     /// Whether it was told that this box stops.
     pub told_leaving: bool,
     /// The newest era of the store that it was told.
@@ -91,14 +91,14 @@
     }
 
     /// Whether a listing is queued that has to wait for its turn.
-    pub fn waits_to_list(&self, pacer: &NewsPacer, now: Instant) -> bool {
+    pub fn listing_is_delayed(&self, pacer: &NewsPacer, now: Instant) -> bool {
         self.catalog.has_listing() && !pacer.list_free_in(now).is_zero()
     }
 
     /// Whether what is told of servers means something at the other side: it knows them, or
     /// is sent them first.
-    pub fn hears_of_servers(&self, pacer: &NewsPacer, now: Instant) -> bool {
-        self.knows_servers || !self.waits_to_list(pacer, now)
+    pub fn accepts_server_news(&self, pacer: &NewsPacer, now: Instant) -> bool {
+        self.has_catalog || !self.listing_is_delayed(pacer, now)
     }
 
     /// How long until what is queued of the catalog may go out; none where nothing has to.
@@ -112,10 +112,10 @@
 
     /// The listing that the other side is owed. It leaves out a bundle that the other side
     /// has: a hub that has just taken over would owe each member the whole bundle.
-    pub fn take_listing(&mut self) -> Option<OwedListing> {
+    pub fn take_listing(&mut self) -> Option<PendingListing> {
         let listing = self.catalog.take_listing()?;
-        self.knows_servers = true;
-        Some(OwedListing {
+        self.has_catalog = true;
+        Some(PendingListing {
             listing,
             bundle_version: self.bundle_version,
         })
--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -24,15 +24,15 @@
     now: Instant,
 ) {
     match update {
-        CatalogUpdate::Listing(told) => apply_told_listing(shared, told, from, now),
+        CatalogUpdate::Listing(told) => apply_peer_listing(shared, told, from, now),
         CatalogUpdate::Changes {
             changes,
             doubtful_ms,
-        } => apply_told_changes(shared, changes, doubtful_ms, from, now),
+        } => apply_peer_changes(shared, changes, doubtful_ms, from, now),
     }
 }
 
-fn apply_told_listing(
+fn apply_peer_listing(
     shared: &Arc<Shared>,
     told: Arc<ListingUpdate>,
     from: Option<LinkId>,
@@ -78,16 +78,16 @@
 /// not.
 fn knows_more(
     shared: &Shared,
-    told_version: Option<BundleVersion>,
-    told_returned: &[ServerId],
+    peer_version: Option<BundleVersion>,
+    peer_returned: &[ServerId],
 ) -> bool {
-    let has_newer = told_version.is_some_and(|told| told < shared.bundle_version());
+    let has_newer = peer_version.is_some_and(|told| told < shared.bundle_version());
     let directory = shared.directory.lock();
     let mut returned = directory.returned();
-    has_newer || returned.any(|record| !told_returned.contains(&record.id))
+    has_newer || returned.any(|record| !peer_returned.contains(&record.id))
 }
 
-fn apply_told_changes(
+fn apply_peer_changes(
     shared: &Arc<Shared>,
     changes: CatalogChanges,
     doubtful_ms: u32,
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -368,8 +368,8 @@
     outgoing: &Outgoing,
     listings: &mut ListingFrames,
 ) -> Result<(), LinkError> {
-    if let Some(owed) = &outgoing.listing {
-        let listing = listings.frame(owed);
+    if let Some(pending) = &outgoing.listing {
+        let listing = listings.frame(pending);
         let bytes = outgoing.sender.send_encoded(&listing)?;
         shared.metrics.count_frame(bytes);
     }
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -7,8 +7,8 @@
 use wingspur_coordination::{
     Announced, CatalogQueue, FeedView, FleetView, LendingMessage, LinkClock, LinkId,
     LinkKind, LinkPeer, LinkPlanner, LinkWith, NewsPacer, NewsReader, OWN_LINK,
-    OwedListing, PlaceStanding, PlannedLink, RecentChanges, Rollup, SourceNews, Standing,
-    hash_of,
+    PendingListing, PlaceStanding, PlannedLink, RecentChanges, Rollup, SourceNews,
+    Standing, hash_of,
 };
 use wingspur_protocol::{
     BoxRecord, CatalogChanges, CatalogUpdate, Digest, Frame, FrameContent, LeavingNote,
@@ -55,7 +55,7 @@
     /// Where it goes.
     pub sender: LinkSender,
     /// The listing that goes before the frame, if one is owed.
-    pub listing: Option<OwedListing>,
+    pub listing: Option<PendingListing>,
     /// What it says.
     pub frame: Frame,
 }
@@ -156,7 +156,7 @@
             limits: BTreeMap::new(),
             leaving_servers: BTreeMap::new(),
             greeting: None,
-            knows_servers: true,
+            has_catalog: true,
             lending: Lending::default(),
             told_leaving: false,
             told_era: 0,
@@ -292,7 +292,7 @@
                 .extend(limits.map(|limit| (limit.server, limit)));
             link.leaving_servers
                 .extend(greeting.leaving_servers.drain(..));
-            link.knows_servers = !greeting.has_started;
+            link.has_catalog = !greeting.has_started;
             link.greeting = Some(greeting);
         }
     }
@@ -406,15 +406,15 @@
             let gap = if away { AWAY_GAP } else { home_gap };
             let gap = if hurry { gap / HURRY } else { gap };
             let full = link.is_full();
-            let waits_to_list = link.waits_to_list(&self.pacer, now);
-            let hears = link.hears_of_servers(&self.pacer, now);
+            let listing_is_delayed = link.listing_is_delayed(&self.pacer, now);
+            let accepts_news = link.accepts_server_news(&self.pacer, now);
             let news_due = news_due_in(*id, link, gap, &self.rollup, &self.pacer, now);
             let due = !full && news_due.is_some_and(|due| due.is_zero());
             let catalog_due = link.catalog_due_in(&self.pacer, now);
             let catalog_due = catalog_due.is_some_and(|due| due.is_zero());
             let urgent = catalog_due
                 || link.wants_listing
-                || (link.greeting.is_some() && hears)
+                || (link.greeting.is_some() && accepts_news)
                 || (hurry && !link.suspects.is_empty())
                 || (self.leaving && !link.told_leaving)
                 || link.told_era < feed.era;
@@ -451,15 +451,15 @@
                 // What is held back does not count as told.
                 frame.feed = feed.clone();
                 link.told_era = feed.era;
-                if !waits_to_list {
+                if !listing_is_delayed {
                     listing = link.take_listing();
                     frame.catalog = link.catalog.take(now);
                 }
-                if let Some(owed) = &listing {
-                    self.pacer.count_listing(&owed.listing, now);
+                if let Some(pending) = &listing {
+                    self.pacer.count_listing(&pending.listing, now);
                 }
                 frame.wants_listing = std::mem::take(&mut link.wants_listing);
-                let greeting = link.greeting.take_if(|_| hears);
+                let greeting = link.greeting.take_if(|_| accepts_news);
                 frame.health = greeting.unwrap_or_default().health;
                 frame.census = self.fleet.census_for(*id);
                 let suspects = link.suspects.drain(..);
@@ -614,7 +614,7 @@
     /// Whether this box reports to a hub that knows the catalog.
     pub fn hub_has_catalog(&self) -> bool {
         let hub = self.own_hub().and_then(|id| self.active.get(&id));
-        hub.is_some_and(|hub| hub.knows_servers)
+        hub.is_some_and(|hub| hub.has_catalog)
     }
 
     /// The links with other hubs.
@@ -664,7 +664,7 @@
         };
         link.bundle_version = frame.bundle_version;
         let known = frame.feed.position;
-        link.knows_servers |= !known.is_start();
+        link.has_catalog |= !known.is_start();
         link.catalog.drop_known_listing(known, frame.bundle_version);
         link.clock.hear(&frame.stamps);
         let vouched = link.clock.vouched();
@@ -715,7 +715,7 @@
     now: Instant,
 ) -> Option<Duration> {
     let has_news = rollup.has_news(id) || link.has_own_news();
-    if !has_news || !link.hears_of_servers(pacer, now) {
+    if !has_news || !link.accepts_server_news(pacer, now) {
         return None;
     }
     let due = (link.told + gap).saturating_duration_since(now);
--- a/crates/wingspur-state/src/directory.rs
+++ b/crates/wingspur-state/src/directory.rs
@@ -154,7 +154,7 @@
                 })
             }
             Some(entry) if entry.record.stands_as(&record) => {
-                let is_news = tells_of_cold(&entry.record, &record, is_written);
+                let is_news = changes_cold_start(&entry.record, &record, is_written);
                 is_news.then_some(DirectoryChange::Put(record))
             }
             _ => Some(DirectoryChange::Put(record)),
@@ -166,8 +166,8 @@
         let entry = self.entries.get(&record.id);
         entry.is_some_and(|entry| {
             let is_old = record.born_ms < entry.record.born_ms;
-            let tells_of_cold = tells_of_cold(&entry.record, record, true);
-            is_old || (!entry.missing && entry.record.stands_as(record) && !tells_of_cold)
+            let is_cold_news = changes_cold_start(&entry.record, record, true);
+            is_old || (!entry.missing && entry.record.stands_as(record) && !is_cold_news)
         })
     }
 
@@ -385,7 +385,11 @@
 
 /// Whether a record tells that a server has turned cold again, or is cold no more. A listing
 /// may repeat what was told before; an entry that is written tells only what has changed.
-fn tells_of_cold(known: &ServerRecord, record: &ServerRecord, is_written: bool) -> bool {
+fn changes_cold_start(
+    known: &ServerRecord,
+    record: &ServerRecord,
+    is_written: bool,
+) -> bool {
     match record.cold_ms {
         0 => known.cold_ms > 0,
         left => left > known.cold_ms || (is_written && left == known.cold_ms),
--- a/tests/tests/listings.rs
+++ b/tests/tests/listings.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use wingspur_coordination::{CatalogQueue, ListingFrames, NewsPacer, OwedListing};
+use wingspur_coordination::{CatalogQueue, ListingFrames, NewsPacer, PendingListing};
 use wingspur_protocol::{
     CatalogChange, CatalogChanges, CatalogListing, CatalogUpdate, Frame, FrameContent,
     ListingUpdate, take_frame,
@@ -49,8 +49,8 @@
     Arc::new(serde_json::from_str(&text).unwrap())
 }
 
-fn owed(listing: &Arc<ListingUpdate>, bundle_version: u64) -> OwedListing {
-    OwedListing {
+fn owed(listing: &Arc<ListingUpdate>, bundle_version: u64) -> PendingListing {
+    PendingListing {
         listing: listing.clone(),
         bundle_version,
     }
@@ -86,8 +86,8 @@
         let [CatalogUpdate::Listing(told)] = &frame.catalog[..] else {
             panic!("one listing");
         };
-        let told_version = told.listing.bundle.as_ref().map(|bundle| bundle.version);
-        assert_eq!(told_version, expected);
+        let peer_version = told.listing.bundle.as_ref().map(|bundle| bundle.version);
+        assert_eq!(peer_version, expected);
         assert_eq!(told.listing.servers.len(), SERVERS);
     }
 }
@@ -130,7 +130,7 @@
 }
 
 #[test]
-fn queued_listing_that_tells_of_returned_servers_is_never_dropped() {
+fn queued_listing_of_returned_servers_is_never_dropped() {
     let mut told = (*listing(None)).clone();
     told.returned.push("i-1".into());
     let mut queue = CatalogQueue::new();
