--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -140,7 +140,7 @@
 
     /// Something that calls the box.
     pub fn caller(&self) -> Caller {
-        Caller(self.running.caller_address())
+        Caller::of(&self.running)
     }
 
     /// Calls a route of a class.
@@ -157,6 +157,11 @@
 }
 
 impl Caller {
+    /// Something that calls a box.
+    pub fn of(running: &EdgeBox) -> Self {
+        Self(running.caller_address())
+    }
+
     /// Where the box takes callers.
     pub fn address(self) -> SocketAddr {
         self.0
--- a/tests/tests/evacuation.rs
+++ b/tests/tests/evacuation.rs
@@ -6,10 +6,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use edge::{Route, configuration, server_entry, start_box_in, wait_until};
+use edge::{Caller, Route, configuration, server_entry, start_box_in, wait_until};
 use serde_json::{Value, json};
 use wingspur_edge::EdgeBox;
-use wingspur_tests::{Answer, BackendServer, PlatformStore, Reply, call};
+use wingspur_tests::{Answer, BackendServer, PlatformStore, Reply};
 use wingspur_transport::Workers;
 
 /// Two boxes in two data centres, each with two servers.
@@ -72,13 +72,7 @@
         let turn = self.asked.fetch_add(1, Ordering::Relaxed);
         let running = &self.boxes[turn % self.boxes.len()];
         let id = format!("id-{turn}");
-        let headers = [
-            ("host", "site.example"),
-            ("x-wingspur-request-id", id.as_str()),
-            ("x-wingspur-request-deadline-ms", "4000"),
-        ];
-        let address = running.caller_address();
-        call(address, "GET", "/read/a", &headers, b"")
+        Caller::of(running).call("read", &id)
     }
 
     /// Asks for a while; returns how many answers were good, and how many were not.
--- a/tests/tests/server_limits.rs
+++ b/tests/tests/server_limits.rs
@@ -11,9 +11,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use edge::{Route, configuration, server_entry, start_box_in, wait_until};
+use edge::{Caller, Route, configuration, server_entry, start_box_in, wait_until};
 use wingspur_edge::EdgeBox;
-use wingspur_tests::{Answer, BackendServer, PlatformStore, Reply, call};
+use wingspur_tests::{Answer, BackendServer, PlatformStore, Reply};
 use wingspur_transport::Workers;
 
 /// Some boxes before some servers, all linked with each other.
@@ -63,14 +63,7 @@
         let turn = self.asked.fetch_add(1, Ordering::Relaxed);
         let running = &self.boxes[turn % self.boxes.len()];
         let id = format!("id-{turn}");
-        let headers = [
-            ("host", "site.example"),
-            ("x-wingspur-request-id", id.as_str()),
-            ("x-wingspur-request-deadline-ms", "4000"),
-        ];
-        let method = if class == "read" { "GET" } else { "POST" };
-        let path = format!("/{class}/a");
-        call(running.caller_address(), method, &path, &headers, b"")
+        Caller::of(running).call(class, &id)
     }
 
     /// Asks for a while, some callers at a time; returns the statuses.
