Links keep no copy of a listing that was sent

Cause: hyper flattens what it writes into one buffer a connection, which stays as large as the largest piece it was given, and the receiver's buffer stays as large as the largest frame. A frame was one piece, so each link kept copies of the listing for its whole life.

Ruled out: the encoded listing itself, which is shared by all links (tests/listings.rs).

Change: a link's body gives the connection pieces of 16 KB, the receiver lets go of what it has read, and connections between boxes buffer 64 KB.

--- a/crates/wingspur-transport/src/exchange.rs
+++ b/crates/wingspur-transport/src/exchange.rs
@@ -331,7 +331,9 @@
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let io = FuturesIo::new(stream);
-        let (sender, connection) = hyper::client::conn::http1::handshake(io).await?;
+        let mut builder = hyper::client::conn::http1::Builder::new();
+        builder.max_buf_size(MOST_BUFFER_BYTES);
+        let (sender, connection) = builder.handshake(io).await?;
         self.spawner.detach(async move {
             // A failed connection shows as an error of its request.
             let _ = connection.await;
@@ -369,6 +371,8 @@
     Err(ExchangeError::Timeout)
 }
 
+/// What a connection buffers each way; a buffer that has grown stays as it is.
+const MOST_BUFFER_BYTES: usize = 64 << 10;
 /// Replies are at most a few values of a megabyte, in base64.
 const MOST_REPLY_BYTES: usize = 64 << 20;
 /// A silent connection is probed so often, and given up after so many probes in vain.
--- a/crates/wingspur-transport/src/link.rs
+++ b/crates/wingspur-transport/src/link.rs
@@ -27,10 +27,15 @@
     buffer: Vec<u8>,
 }
 
-/// The body that carries frames one way.
+/// The body that carries frames one way, in pieces.
+///
+/// A connection keeps a buffer as large as the largest piece it was ever given, and a hub has
+/// a connection for each member.
 #[derive(Debug)]
 pub struct LinkBody {
     frames: Pin<Box<async_channel::Receiver<Bytes>>>,
+    /// What is left of a frame of which the beginning was given to the connection.
+    rest: Bytes,
 }
 
 /// Why a link ended.
@@ -148,6 +153,7 @@
     ) -> Result<T, LinkError> {
         loop {
             if let Some(frame) = take_frame(&mut self.buffer)? {
+                self.buffer.shrink_to(MOST_PIECE_BYTES);
                 return Ok(frame);
             }
             let arriving = async { Some(self.body.frame().await) };
@@ -176,8 +182,16 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<BodyFrame<Bytes>, Self::Error>>> {
-        let polled = self.frames.as_mut().poll_next(context);
-        polled.map(|bytes| bytes.map(|bytes| Ok(BodyFrame::data(bytes))))
+        if self.rest.is_empty() {
+            match self.frames.as_mut().poll_next(context) {
+                Poll::Ready(Some(frame)) => self.rest = frame,
+                Poll::Ready(None) => return Poll::Ready(None),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+        let length = self.rest.len().min(MOST_PIECE_BYTES);
+        let piece = self.rest.split_to(length);
+        Poll::Ready(Some(Ok(BodyFrame::data(piece))))
     }
 }
 
@@ -185,9 +199,12 @@
     let (sender, receiver) = async_channel::bounded(MOST_WAITING_FRAMES);
     let body = LinkBody {
         frames: Box::pin(receiver),
+        rest: Bytes::new(),
     };
     (LinkSender { frames: sender }, body)
 }
 
+/// The most that a connection is given at once.
+const MOST_PIECE_BYTES: usize = 16 << 10;
 /// A side that leaves so many frames unread is stuck: at twenty a second, three seconds.
 const MOST_WAITING_FRAMES: usize = 64;
--- /dev/null
+++ b/tests/tests/link_memory.rs
@@ -0,0 +1,71 @@
+//! What both sides of a link keep of a long frame once it was sent.
+
+use std::alloc::System;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use smol::net::TcpListener;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use wingspur_transport::{
+    Connector, HttpListener, LinkPatience, LinkReceiver, LinkSender, ListenerOptions,
+    Workers, accept_link, open_link,
+};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const LINKS: usize = 16;
+const FRAME_BYTES: usize = 4 << 20;
+/// What a link may keep on both sides: buffers of its connection and its receiver.
+const MOST_KEPT_BYTES: usize = 256 << 10;
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn held_bytes() -> usize {
+    let stats = ALLOCATOR.stats();
+    stats.bytes_allocated - stats.bytes_deallocated
+}
+
+/// A hub kept a copy of the listing in the connection of each member.
+#[test]
+fn links_keep_no_copy_of_a_long_frame() {
+    let workers = Workers::start(2);
+    let port = TcpListener::bind("127.0.0.1:0");
+    let port = smol::block_on(port).expect("a port is free");
+    let accepted: Arc<Mutex<Vec<(LinkSender, LinkReceiver)>>> = Arc::default();
+    let links = accepted.clone();
+    let handler = move |request, _| {
+        let links = links.clone();
+        async move {
+            let (sender, receiver, response) = accept_link(request);
+            links.lock().unwrap().push((sender, receiver));
+            response
+        }
+    };
+    let options = ListenerOptions::default();
+    let listener = HttpListener::start(port, &workers.spawner(), options, handler)
+        .expect("it is bound");
+    let connector = Connector::new(workers.spawner(), None);
+    let patience = LinkPatience {
+        connect: PATIENCE,
+        answer: PATIENCE,
+    };
+    let (_senders, mut receivers): (Vec<_>, Vec<_>) = (0..LINKS)
+        .map(|_| {
+            let opening = open_link(&connector, listener.address(), "/", patience);
+            smol::block_on(opening).expect("it is served")
+        })
+        .unzip();
+    let before = held_bytes();
+    let frame = "x".repeat(FRAME_BYTES);
+    for (sender, _) in accepted.lock().unwrap().iter() {
+        sender.send(&frame).expect("the other side reads");
+    }
+    for receiver in &mut receivers {
+        let received: String = smol::block_on(receiver.next(PATIENCE)).expect("sent");
+        assert_eq!(received, frame);
+    }
+    drop(frame);
+    let kept = held_bytes().saturating_sub(before) / LINKS;
+    assert!(kept <= MOST_KEPT_BYTES, "{kept} bytes a link");
+    workers.close();
+}
