What links have not been sent of tallies takes a bit a server

Cause: each link of a hub kept sets of server keys for each source, so a hub's memory grew with members times servers times data centres, sixteen bytes and more each.

Change: servers are numbered once for all links, and the sets are bit sets. Marking a change for a link sets a bit, where it was an insertion into a tree.

--- a/crates/wingspur-coordination/src/lib.rs
+++ b/crates/wingspur-coordination/src/lib.rs
@@ -8,6 +8,7 @@
 mod fleet_contact;
 mod fleet_count;
 mod fleet_view;
+mod key_set;
 mod lending_desk;
 mod link_clock;
 mod link_plan;
--- a/crates/wingspur-coordination/src/rollup.rs
+++ b/crates/wingspur-coordination/src/rollup.rs
@@ -9,11 +9,15 @@
 use wingspur_protocol::Digest;
 use wingspur_state::{KeyedTally, ServerKey, ServerTally, ServiceTally, SourceId};
 
+use crate::key_set::{KeyIndex, KeySet};
+
 /// What a box knows of the work of others, and what it has told whom.
 #[derive(Debug)]
 pub struct Rollup {
     source: SourceId,
     total: Tallies,
+    /// The servers that were told of, for the sets of those that a link has not heard of.
+    index: KeyIndex,
     links: BTreeMap<LinkId, Link>,
     /// What other hubs told, by source, with the link that it came by.
     foreign: HashMap<SourceId, (LinkId, Tallies)>,
@@ -66,24 +70,33 @@
     gone: Vec<SourceId>,
 }
 
-/// Keys that have changed since a link was told; all of them for a new link.
+/// What has changed since a link was told; all there is for a new link.
 #[derive(Debug, Default)]
 struct Unheard {
     whole: bool,
     /// Servers that have failed, refused or kept silent: each request that goes there before
     /// the link is told may be lost.
-    failing: BTreeSet<ServerKey>,
+    failing: KeySet,
     /// Servers of which only good answers and requests that are out have changed.
-    servers: BTreeSet<ServerKey>,
+    servers: KeySet,
     /// Which of those is told next, so that each has its turn.
-    next: ServerKey,
+    next: usize,
+    services: BTreeSet<u64>,
+}
+
+/// What a link is told now of one source.
+#[derive(Debug, Default)]
+struct Taken {
+    whole: bool,
+    servers: Vec<ServerKey>,
     services: BTreeSet<u64>,
 }
 
 /// A server whose tally has changed.
 #[derive(Debug, Clone, Copy)]
 struct Changed {
-    key: ServerKey,
+    /// Its position in the index.
+    position: usize,
     /// Whether it has failed, refused or kept silent.
     is_failing: bool,
 }
@@ -94,6 +107,7 @@
         let mut rollup = Self {
             source,
             total: Tallies::default(),
+            index: KeyIndex::default(),
             links: BTreeMap::new(),
             foreign: HashMap::new(),
             lost: Vec::new(),
@@ -132,7 +146,7 @@
             let total = self.total.servers.entry(*key).or_default();
             *total = total.without_stale(told);
             changed.push(Changed {
-                key: *key,
+                position: self.index.position(*key),
                 is_failing: told.silence_quarters > 0,
             });
         }
@@ -173,9 +187,10 @@
         let gone = std::mem::take(&mut link.gone).into_iter();
         let mut digests: Vec<Digest> = gone.map(nothing_left).collect();
         let mut room = most_servers;
-        let unheard = link.unheard.take_within(&mut room, &self.total);
-        if !unheard.is_empty() {
-            let digest = self.total.without(&link.told, &unheard);
+        let index = &mut self.index;
+        let taken = link.unheard.take_within(&mut room, &self.total, index);
+        if !taken.is_empty() {
+            let digest = self.total.without(&link.told, &taken);
             digests.push(Digest {
                 source: self.source,
                 ..digest
@@ -186,9 +201,9 @@
                 *unheard = Unheard::default();
                 continue;
             };
-            let unheard = unheard.take_within(&mut room, tallies);
-            if !unheard.is_empty() {
-                let digest = tallies.without(&Tallies::default(), &unheard);
+            let taken = unheard.take_within(&mut room, tallies, index);
+            if !taken.is_empty() {
+                let digest = tallies.without(&Tallies::default(), &taken);
                 digests.push(Digest {
                     source: *source,
                     ..digest
@@ -232,7 +247,7 @@
             let total = self.total.servers.entry(*key).or_default();
             *total = total.plus(&tally.since(told)).without_stale(told);
             servers.push(Changed {
-                key: *key,
+                position: self.index.position(*key),
                 is_failing: tally.has_failed_since(told),
             });
             *told = *tally;
@@ -272,7 +287,7 @@
         for (key, tally) in &digest.servers {
             let before = entry.1.servers.insert(*key, *tally).unwrap_or_default();
             changed.push(Changed {
-                key: *key,
+                position: self.index.position(*key),
                 is_failing: !digest.whole && tally.has_failed_since(&before),
             });
         }
@@ -314,8 +329,8 @@
 }
 
 impl Tallies {
-    /// The tallies of some keys without what one link has told of them.
-    fn without(&self, told: &Self, unheard: &Unheard) -> Digest {
+    /// The tallies that are told now, without what one link has told of them.
+    fn without(&self, told: &Self, taken: &Taken) -> Digest {
         let of_server = |key: &ServerKey| {
             let own = told.servers.get(key).copied().unwrap_or_default();
             let total = self.servers.get(key).copied().unwrap_or_default();
@@ -326,13 +341,11 @@
             let total = self.services.get(key).copied().unwrap_or_default();
             (*key, total.since(&own))
         };
-        let servers = unheard.failing.iter().chain(&unheard.servers);
-        let services = unheard.services.iter();
         Digest {
             source: 0,
-            whole: unheard.whole,
-            servers: servers.map(of_server).collect(),
-            services: services.map(of_service).collect(),
+            whole: taken.whole,
+            servers: taken.servers.iter().map(of_server).collect(),
+            services: taken.services.iter().map(of_service).collect(),
         }
     }
 }
@@ -359,59 +372,53 @@
     fn mark(&mut self, servers: &[Changed]) {
         for changed in servers {
             if changed.is_failing {
-                self.servers.remove(&changed.key);
-                self.failing.insert(changed.key);
-            } else if !self.failing.contains(&changed.key) {
-                self.servers.insert(changed.key);
+                self.servers.remove(changed.position);
+                self.failing.insert(changed.position);
+            } else if !self.failing.contains(changed.position) {
+                self.servers.insert(changed.position);
             }
         }
     }
 
     /// Takes what is told now, and takes it off the room for servers.
-    fn take_within(&mut self, room: &mut usize, tallies: &Tallies) -> Self {
+    fn take_within(
+        &mut self,
+        room: &mut usize,
+        tallies: &Tallies,
+        index: &mut KeyIndex,
+    ) -> Taken {
         if self.whole && *room == 0 {
             // A digest of all tallies without any tells of its source's end.
-            return Self::default();
+            return Taken::default();
         }
         if self.whole {
             // All is to be told, whatever has changed.
-            let failing = &self.failing;
-            let others = tallies.servers.keys();
-            let others = others.filter(|key| !failing.contains(key)).copied();
-            self.servers = others.collect();
+            for key in tallies.servers.keys() {
+                let position = index.position(*key);
+                if !self.failing.contains(position) {
+                    self.servers.insert(position);
+                }
+            }
             self.services = tallies.services.keys().copied().collect();
         }
-        let failing = std::mem::take(&mut self.failing);
-        *room = room.saturating_sub(failing.len());
-        let servers = take_from(&mut self.servers, &mut self.next, *room);
-        *room -= servers.len();
-        Self {
+        let mut positions = self.failing.take();
+        *room = room.saturating_sub(positions.len());
+        let others = self.servers.take_from(&mut self.next, *room);
+        *room -= others.len();
+        positions.extend(others);
+        let key_at = |position: &usize| index.key(*position);
+        Taken {
             whole: std::mem::take(&mut self.whole),
-            failing,
-            servers,
-            next: 0,
+            servers: positions.iter().map(key_at).collect(),
             services: std::mem::take(&mut self.services),
         }
     }
 }
 
-/// Takes keys of a set, at most so many, from `next` on and around; moves `next` on.
-fn take_from(
-    keys: &mut BTreeSet<ServerKey>,
-    next: &mut ServerKey,
-    most: usize,
-) -> BTreeSet<ServerKey> {
-    if keys.len() <= most {
-        return std::mem::take(keys);
-    }
-    let around = keys.range(*next..).chain(keys.range(..*next));
-    let mut taken: Vec<ServerKey> = around.copied().take(most + 1).collect();
-    // One more than fits, which is the next.
-    *next = taken.pop().unwrap_or_default();
-    for key in &taken {
-        keys.remove(key);
+impl Taken {
+    fn is_empty(&self) -> bool {
+        !self.whole && self.servers.is_empty() && self.services.is_empty()
     }
-    taken.into_iter().collect()
 }
 
 /// Turns digests into news: tallies as they stand with the counts that are new.
--- /dev/null
+++ b/tests/tests/hub_memory.rs
@@ -0,0 +1,60 @@
+//! What a hub keeps of changes that its members have not been sent yet.
+
+use std::alloc::System;
+
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use wingspur_coordination::{LinkKind, OWN_LINK, Rollup};
+use wingspur_protocol::Digest;
+use wingspur_state::ServerTally;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const SERVERS: u64 = 10_000;
+const OTHER_HUBS: u64 = 4;
+
+fn held_bytes() -> usize {
+    let stats = ALLOCATOR.stats();
+    stats.bytes_allocated - stats.bytes_deallocated
+}
+
+/// A digest of all servers, each with one more good answer.
+fn digest(source: u64, good: u32) -> Digest {
+    let tally = ServerTally {
+        good,
+        ..ServerTally::default()
+    };
+    Digest {
+        source,
+        servers: (0..SERVERS).map(|key| (key * 7, tally)).collect(),
+        ..Digest::default()
+    }
+}
+
+/// The bytes that a member costs its hub while it has yet to be sent changes of all servers.
+fn bytes_a_member(members: u64) -> usize {
+    let mut hub = Rollup::new(1_000);
+    (1..=OTHER_HUBS).for_each(|link| hub.add_link(link, LinkKind::Hub));
+    for good in 1..=2 {
+        hub.hear(OWN_LINK, &digest(1_000, good));
+        (1..=OTHER_HUBS).for_each(|link| hub.hear(link, &digest(link, good)));
+    }
+    let before = held_bytes();
+    for member in 100..100 + members {
+        hub.add_link(member, LinkKind::Member);
+        hub.compose(member);
+    }
+    hub.hear(OWN_LINK, &digest(1_000, 3));
+    (1..=OTHER_HUBS).for_each(|link| hub.hear(link, &digest(link, 3)));
+    held_bytes().saturating_sub(before) / members as usize
+}
+
+/// Sets of keys took 0.9 MB a member.
+#[test]
+fn changes_that_a_member_was_not_sent_take_bits() {
+    let most = (OTHER_HUBS as usize + 1) * 2 * SERVERS as usize / 8 * 2;
+    for members in [100, 200] {
+        let bytes = bytes_a_member(members);
+        assert!(bytes <= most, "{bytes} bytes a member of {members}");
+    }
+}
