Servers that lately answered are preferred where most are unknown

Cause: a server of which nothing was known counted as sick with 4 in 100, whatever is found at such servers. Where servers outnumber the requests of some seconds nearly all are unknown, so nothing told a server that had just answered from one never tried.

Change: each box learns what fails at servers that have not answered well for six seconds, and what is known of a server ages towards that. 200 presumed good outcomes keep services whose servers are all known after the first requests to what their servers tell.

--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -17,7 +17,7 @@
 use crate::floor::{
     FloorInputs, TRUSTED_SHARE, Unused, holds_strictly, is_in_reach, try_unused,
 };
-use crate::health::{Health, HealthNote, UsualFailures};
+use crate::health::{Health, HealthNote, UnknownFailures, UsualFailures};
 use crate::placement::place_among;
 use crate::returning::LONGEST_RETURN;
 use crate::tracked::{Attempt, Distance, Ended, Expected, Server, path_outcome};
@@ -40,6 +40,8 @@
     next_attempt: AttemptId,
     /// What fails at well servers.
     usual: UsualFailures,
+    /// What fails at servers of which nothing was known.
+    unknown: UnknownFailures,
     /// Requests that this box may have out at one server.
     most_in_flight: u32,
     /// Whether a server has turned suspect since this was last asked.
@@ -116,6 +118,7 @@
             attempts: HashMap::new(),
             next_attempt: 1,
             usual: UsualFailures::new(),
+            unknown: UnknownFailures::default(),
             most_in_flight: u32::MAX,
             alarmed: false,
         }
@@ -137,6 +140,7 @@
             health: Health::new(now),
             path: Health::new(now),
             sent: now,
+            answered: None,
             failed: None,
             surely_sick: None,
             heard: None,
@@ -489,6 +493,7 @@
         server.take_back_silence(attempt.silence_quarters);
         let seen = attempt.outcome(ended, now);
         server.own = server.own.plus(&seen);
+        self.unknown.add(&seen, server.unanswered_for(now));
         let usual = self.usual.share();
         self.alarmed |= server.hear(&seen, usual, now);
         server.path.add(&path_outcome(ended, &seen), usual, now);
@@ -514,6 +519,7 @@
         {
             server.sent = now;
         }
+        self.unknown.add(news, server.unanswered_for(now));
         self.alarmed |= server.hear(news, self.usual.share(), now);
         self.usual.add(news, 1.0 - server.health.sickness());
     }
@@ -701,12 +707,13 @@
         let ahead = (f64::from(in_flight) + 1.0 - slots).max(0.0) / slots;
         let crowding = CROWDING * f64::from(in_flight) / slots;
         let usual_ms = typical_ms * (1.0 + ahead + crowding);
+        let known = server.failure_share(usual, now);
         Weight {
             expected_ms: usual_ms * slowness,
             usual_ms,
             well_ms: usual_ms * slowness.clamp(1.0, MOST_WELL_SLOWNESS),
             wait_ms: typical_ms * slowness * ahead,
-            failure_share: server.failure_share(usual, now),
+            failure_share: self.unknown.aged(known, server.unanswered_for(now)),
             in_flight,
         }
     }
--- a/crates/wingspur-state/src/health.rs
+++ b/crates/wingspur-state/src/health.rs
@@ -164,6 +164,42 @@
     }
 }
 
+/// The share of requests that fail at servers of which nothing was known.
+///
+/// Where servers outnumber the requests of some seconds, most are unknown most of the time: a
+/// server that lately answered is then a better pick than its bare record tells.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct UnknownFailures {
+    failed: f64,
+    all: f64,
+}
+
+impl UnknownFailures {
+    /// Takes in outcomes of a server that had no good answer for so long; none for never.
+    pub fn add(&mut self, counts: &ServerTally, unanswered_for: Option<Duration>) {
+        if unanswered_for.is_some_and(|age| age < MEAN_SICKNESS) {
+            return;
+        }
+        self.failed += f64::from(counts.failed);
+        self.all += f64::from(counts.failed) + f64::from(counts.good);
+        if self.all > UNKNOWN_MEMORY {
+            let kept = UNKNOWN_MEMORY / self.all;
+            self.failed *= kept;
+            self.all *= kept;
+        }
+    }
+
+    /// The share that should fail at a server, by what its own outcomes tell and how long ago
+    /// it answered well: what is known of it ages towards what is found at unknown ones.
+    pub fn aged(&self, known: f64, unanswered_for: Option<Duration>) -> f64 {
+        let unknown = self.failed / (self.all + UNKNOWN_PRIOR);
+        let mean_s = MEAN_SICKNESS.as_secs_f64();
+        let changed =
+            unanswered_for.map_or(1.0, |age| 1.0 - (-age.as_secs_f64() / mean_s).exp());
+        known + (unknown - known).max(0.0) * changed
+    }
+}
+
 impl Default for UsualFailures {
     fn default() -> Self {
         Self::new()
@@ -204,5 +240,9 @@
 const MOST_USUAL: f64 = 0.04;
 /// Outcomes that the least usual share is worth at the start.
 const USUAL_PRIOR: f64 = 50.0;
+/// Good outcomes at unknown servers that are presumed: a service whose servers are all known
+/// after its first requests keeps to what they tell.
+const UNKNOWN_PRIOR: f64 = 200.0;
+const UNKNOWN_MEMORY: f64 = 2000.0;
 /// About ten seconds of a service's outcomes.
 const USUAL_MEMORY: f64 = 400.0;
--- a/crates/wingspur-state/src/tracked.rs
+++ b/crates/wingspur-state/src/tracked.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::health::Health;
 use crate::{
@@ -30,6 +30,8 @@
     pub path: Health,
     /// When a box last sent it a request, as far as is known.
     pub sent: Instant,
+    /// When it last answered one well.
+    pub answered: Option<Instant>,
     /// When it last failed one.
     pub failed: Option<Instant>,
     /// When it last failed one that left hardly a doubt that it is sick.
@@ -112,6 +114,9 @@
     pub fn hear(&mut self, outcomes: &ServerTally, usual: f64, now: Instant) -> bool {
         let before = self.health.at(now).sickness();
         self.health.add(outcomes, usual, now);
+        if outcomes.good > 0 {
+            self.answered = Some(now);
+        }
         if outcomes.failed > 0 {
             self.failed = Some(now);
             if self.health.sickness() >= SURE {
@@ -121,6 +126,12 @@
         self.health.sickness() - before >= ALARMING
     }
 
+    /// For how long it has not answered well; none where it never has.
+    pub fn unanswered_for(&self, now: Instant) -> Option<Duration> {
+        let answered = self.answered?;
+        Some(now.saturating_duration_since(answered))
+    }
+
     /// Requests that the fleet has out there.
     pub fn in_flight(&self) -> u32 {
         let remote: u32 = self.remote.values().map(|tally| tally.in_flight).sum();
