Losses of floor tries do not ask for more of them

Cause: from 8 in 100 lost on, servers that no box uses are tried so that the floor is held, the doubtful ones as well. What those tries lose counted as lost, some 5 in 100, so a loss that would have been 5 stayed at 9 and asked for the next tries.

Change: a request that only tried an unused server does not count as lost. What counts is what would be lost without the tries: below 8 in 100 they end, and what is lost then is below the tenth from which the floor is judged.

--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -672,7 +672,9 @@
     }
 
     fn give_up(&mut self, code: ResultCode) -> GivenUp {
-        self.service.budget.lock().count_lost(wingspur_clock::now());
+        if !self.was_floor_try() {
+            self.service.budget.lock().count_lost(wingspur_clock::now());
+        }
         let code = match code {
             ResultCode::DeadlineInDoubt | ResultCode::InDoubt => code,
             ResultCode::DeadlineBeforeSend if self.in_doubt => {
@@ -694,6 +696,12 @@
         }
     }
 
+    /// Whether its only attempt tried an unused server.
+    fn was_floor_try(&self) -> bool {
+        let begun = self.begun.as_ref();
+        self.tried.len() == 1 && begun.is_some_and(|(_, pick)| pick.is_floor_try)
+    }
+
     /// A place in the capacity to come.
     fn come_back(&self, code: ResultCode) -> Duration {
         if let Some(after) = self.quarantined_for
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -82,8 +82,10 @@
     pub in_flight: u32,
     /// Servers that it was picked from.
     pub candidates: usize,
-    /// How many of the cheapest it was drawn among; 0 for a try of an unused one.
+    /// How many of the cheapest it was drawn among; 0 for one that was not drawn.
     pub drawn_among: usize,
+    /// Whether it is an unused server that is tried, for the sake of the floor.
+    pub is_floor_try: bool,
     /// How long ago another box last told of it; none if none ever did.
     pub heard: Option<Duration>,
 }
@@ -684,7 +686,10 @@
         let key = try_unused(&servers, &inputs, random)?;
         let server = self.servers.get(&key)?;
         let weight = self.weigh(server, want, usual, now);
-        Some(weight.pick(server, servers.len(), now))
+        Some(Pick {
+            is_floor_try: true,
+            ..weight.pick(server, servers.len(), now)
+        })
     }
 
     fn weigh(
@@ -768,6 +773,7 @@
             in_flight: self.in_flight,
             candidates,
             drawn_among: 0,
+            is_floor_try: false,
             heard: server.heard.map(|at| now.saturating_duration_since(at)),
         }
     }
--- a/crates/wingspur-state/src/tally.rs
+++ b/crates/wingspur-state/src/tally.rs
@@ -31,7 +31,8 @@
     pub requests: u32,
     /// Requests sent to a server after their first.
     pub resends: u32,
-    /// Requests of callers that got no good answer.
+    /// Requests of callers that got no good answer, without those that tried an unused server:
+    /// counted, the tries that a loss asks for would keep it up.
     pub lost: u32,
 }
 
--- a/tests/tests/many_servers.rs
+++ b/tests/tests/many_servers.rs
@@ -1,5 +1,5 @@
-//! Once-only requests before far more servers than they can keep known: a fleet of boxes that
-//! hear of each other by one hub, in virtual time.
+//! Once-only requests before servers that turn sick for seconds, each at its own times: a fleet
+//! of boxes that hear of each other by one hub, in virtual time.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -9,8 +9,8 @@
 use wingspur_coordination::{LinkKind, NewsReader, Rollup};
 use wingspur_protocol::Digest;
 use wingspur_state::{
-    AttemptId, Balancer, Ended, Expected, ServerKey, ServerRecord, ServicePresent,
-    ServiceTime, Want,
+    AttemptId, Balancer, BudgetSettings, Ended, Expected, FleetBudget, ServerKey,
+    ServerRecord, ServicePresent, ServiceTime, Want,
 };
 
 /// A service whose servers turn sick for a while, each at its own times.
@@ -22,6 +22,10 @@
     /// The share of servers that are sick at any time, and for how long each is.
     sick_share: f64,
     sick_ms: f64,
+    /// How much of its work a sick server fails.
+    sick_fails: f64,
+    /// How often the hub tells each member.
+    hub_gap_ms: u64,
     seed: u64,
 }
 
@@ -32,6 +36,9 @@
     lost: usize,
     /// Requests that found all slots of their server in use.
     queued: usize,
+    /// The least share of the well servers that was sent requests in any two seconds in which
+    /// more than a tenth of the requests was lost; none where so much never was.
+    least_used: Option<f64>,
 }
 
 /// A request that is out.
@@ -40,6 +47,7 @@
     at: usize,
     server: usize,
     id: AttemptId,
+    is_floor_try: bool,
 }
 
 struct Play {
@@ -54,23 +62,31 @@
     sick: Vec<(bool, u64)>,
     out: VecDeque<Out>,
     in_use: Vec<u32>,
+    /// What the boxes count of the service, as if each heard of all at once.
+    budget: FleetBudget,
+    /// When each server was last sent a request, and since when it is well.
+    sent_ms: Vec<u64>,
+    well_since_ms: Vec<u64>,
+    /// The requests that have ended lately, with when, and whether they were lost.
+    ended: VecDeque<(u64, bool)>,
     outcome: Outcome,
 }
 
 const STEP_MS: u64 = 5;
 const WORK_MS: u64 = 230;
 const SLOTS: u32 = 3;
-/// How often a box tells its hub, and how often that tells each member.
+/// How often a box tells its hub.
 const TOLD_MS: u64 = 50;
-const HUB_GAP_MS: u64 = 600;
 /// Servers that a frame has room for.
 const MOST_SERVERS: usize = 300;
 const END_MS: u64 = 20_000;
 /// What is lost from here on counts: nothing is known at the start.
 const JUDGED_MS: u64 = 4_000;
-/// A sick server fails so much of its work, a well one so much.
-const SICK_FAILS: f64 = 0.75;
+/// What fails at a well server.
 const WELL_FAILS: f64 = 0.012;
+/// The span over which the floor is judged, by the servers that are well for as long.
+const FLOOR_MS: u64 = 2_000;
+const FLOOR_SHARE: f64 = 0.7;
 
 fn record(n: usize) -> ServerRecord {
     ServerRecord {
@@ -114,6 +130,10 @@
             numbers: records.iter().map(ServerRecord::key).zip(0..).collect(),
             out: VecDeque::new(),
             in_use: vec![0; plan.servers],
+            budget: FleetBudget::new(BudgetSettings::default()),
+            sent_ms: vec![0; plan.servers],
+            well_since_ms: vec![0; plan.servers],
+            ended: VecDeque::new(),
             outcome: Outcome::default(),
             random,
         }
@@ -134,6 +154,7 @@
             }
             if ms % TOLD_MS == 0 {
                 self.tell_hub();
+                self.judge_floor(ms);
             }
             self.tell_members(ms);
         }
@@ -142,14 +163,33 @@
 
     /// Servers turn sick or well as their time comes.
     fn turn(&mut self, ms: u64) {
-        for (is_sick, until) in &mut self.sick {
+        for (n, (is_sick, until)) in self.sick.iter_mut().enumerate() {
             if ms >= *until {
                 *is_sick = !*is_sick;
                 *until = ms + spell_ms(&self.plan, *is_sick, &mut self.random);
+                self.well_since_ms[n] = ms;
             }
         }
     }
 
+    /// Notes which share of the well servers is in use while much is lost.
+    fn judge_floor(&mut self, ms: u64) {
+        let from = ms.saturating_sub(FLOOR_MS);
+        while self.ended.front().is_some_and(|(at, _)| *at < from) {
+            self.ended.pop_front();
+        }
+        let lost = self.ended.iter().filter(|(_, lost)| *lost).count();
+        if ms < JUDGED_MS || lost * 10 <= self.ended.len() {
+            return;
+        }
+        let is_well = |n: &usize| !self.sick[*n].0 && self.well_since_ms[*n] <= from;
+        let well: Vec<usize> = (0..self.plan.servers).filter(is_well).collect();
+        let used = well.iter().filter(|n| self.sent_ms[**n] >= from).count();
+        let used = used as f64 / well.len().max(1) as f64;
+        let least = self.outcome.least_used.unwrap_or(1.0);
+        self.outcome.least_used = Some(least.min(used));
+    }
+
     fn send(&mut self, ms: u64) {
         let (now, at) = (self.at(ms), self.random.random_range(0..self.boxes.len()));
         let want = Want {
@@ -158,11 +198,11 @@
             crossing: Duration::from_millis(30),
             tried: &[],
             present: ServicePresent {
-                requests_per_s: self.plan.requests_per_s,
-                lost_share: 0.05,
-                unheard: self.plan.requests_per_s * HUB_GAP_MS as f64 / 1000.0,
+                unheard: self.plan.requests_per_s * self.plan.hub_gap_ms as f64 / 1000.0,
+                ..self.budget.present(now)
             },
         };
+        self.budget.count_request(now);
         let pick = self.boxes[at].pick(&want, now, &mut self.random).unwrap();
         let key = pick.server.key();
         let server = self.numbers[&key];
@@ -173,6 +213,7 @@
         };
         let id = self.boxes[at].begin(key, expected, now);
         self.in_use[server] += 1;
+        self.sent_ms[server] = ms;
         if ms >= JUDGED_MS {
             self.outcome.sent += 1;
             self.outcome.queued += usize::from(self.in_use[server] > SLOTS);
@@ -182,6 +223,7 @@
             at,
             server,
             id,
+            is_floor_try: pick.is_floor_try,
         });
     }
 
@@ -190,11 +232,19 @@
             let out = self.out.pop_front().unwrap();
             self.in_use[out.server] -= 1;
             let (is_sick, _) = self.sick[out.server];
-            let fails = if is_sick { SICK_FAILS } else { WELL_FAILS };
+            let fails = if is_sick {
+                self.plan.sick_fails
+            } else {
+                WELL_FAILS
+            };
             let fails = self.random.random_bool(fails);
             let ended = if fails { Ended::Failed } else { Ended::Good };
             let now = self.at(ms);
             self.boxes[out.at].end(out.id, ended, now);
+            if fails && !out.is_floor_try {
+                self.budget.count_lost(now);
+            }
+            self.ended.push_back((ms, fails));
             let is_judged = out.ends_ms >= JUDGED_MS + WORK_MS;
             self.outcome.lost += usize::from(fails && is_judged);
         }
@@ -218,8 +268,9 @@
     fn tell_members(&mut self, ms: u64) {
         let now = self.at(ms);
         for at in 0..self.boxes.len() {
-            let turn = at as u64 * HUB_GAP_MS / self.boxes.len() as u64;
-            if ms % HUB_GAP_MS != turn / STEP_MS * STEP_MS {
+            let gap_ms = self.plan.hub_gap_ms;
+            let turn = at as u64 * gap_ms / self.boxes.len() as u64;
+            if ms % gap_ms != turn / STEP_MS * STEP_MS {
                 continue;
             }
             for digest in self.hub.compose_within(at as u64 + 1, MOST_SERVERS) {
@@ -239,23 +290,50 @@
     (-mean_ms * (1.0 - random.random::<f64>()).ln()) as u64
 }
 
-/// Each server was as good a pick as the others until it had failed: a quarter was lost.
+/// Each server was as good a pick as the others until it had failed: a tenth was lost.
 #[test]
 fn once_only_requests_go_to_servers_that_lately_answered() {
-    for (boxes, servers, requests_per_s) in [(50, 750, 130.0), (100, 1_500, 260.0)] {
-        for sick_ms in [4_000.0, 9_000.0] {
-            let outcome = Play::new(Plan {
-                boxes,
-                servers,
-                requests_per_s,
-                sick_share: 0.3,
-                sick_ms,
-                seed: 1,
-            })
-            .play();
-            println!("{boxes} {sick_ms} {outcome:?}");
-            let lost = outcome.lost as f64 / outcome.sent as f64;
-            assert!(lost <= 0.15, "{lost} lost: {outcome:?}");
-        }
+    for (boxes, servers, requests_per_s) in [(25, 375, 65.0), (50, 750, 130.0)] {
+        let outcome = Play::new(Plan {
+            boxes,
+            servers,
+            requests_per_s,
+            sick_share: 0.3,
+            sick_ms: 9_000.0,
+            sick_fails: 0.75,
+            hub_gap_ms: 600,
+            seed: 1,
+        })
+        .play();
+        let lost = outcome.lost as f64 / outcome.sent as f64;
+        assert!(lost <= 0.07, "{lost} lost: {outcome:?}");
+    }
+}
+
+/// While much was lost unused servers were tried, and what the tries lost kept the loss up:
+/// 6.9 in 100.
+#[test]
+fn losses_of_floor_tries_do_not_ask_for_more_of_them() {
+    const SEEDS: u64 = 3;
+    let play = |seed| {
+        Play::new(Plan {
+            boxes: 39,
+            servers: 121,
+            requests_per_s: 417.0,
+            sick_share: 0.3,
+            sick_ms: 6_000.0,
+            sick_fails: 0.85,
+            hub_gap_ms: 300,
+            seed,
+        })
+        .play()
+    };
+    let plays: Vec<Outcome> = (1..=SEEDS).map(play).collect();
+    let lost: usize = plays.iter().map(|outcome| outcome.lost).sum();
+    let sent: usize = plays.iter().map(|outcome| outcome.sent).sum();
+    assert!(lost * 1_000 <= sent * 62, "{lost} of {sent}: {plays:?}");
+    let least_used = plays.iter().filter_map(|outcome| outcome.least_used);
+    for used in least_used {
+        assert!(used >= FLOOR_SHARE, "{used} in use: {plays:?}");
     }
 }
