--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -52,7 +52,7 @@
     if let Some(link) = from.filter(|_| knows_more) {
         let listing = listing_of(shared, now);
         shared.links.lock().tell(link, listing);
-        shared.news.poke();
+        shared.news.notify();
     }
 }
 
@@ -102,7 +102,7 @@
         // Changes in between never came this way.
         if let Some(link) = from {
             shared.links.lock().ask_for_listing(link);
-            shared.news.poke();
+            shared.news.notify();
         }
         return;
     }
@@ -298,7 +298,7 @@
     links.feed().reach(listing.position);
     drop(links);
     shared.share_out();
-    shared.replan.poke();
+    shared.replan.notify();
 }
 
 fn apply_changes(
@@ -350,7 +350,7 @@
     shared.links.lock().feed().reach(changes.position);
     if boxes_changed {
         shared.share_out();
-        shared.replan.poke();
+        shared.replan.notify();
     }
 }
 
@@ -393,7 +393,7 @@
 fn spread(shared: &Shared, update: &CatalogUpdate, urgent: bool, from: Option<LinkId>) {
     shared.links.lock().spread(update, urgent, from);
     if urgent {
-        shared.news.poke();
+        shared.news.notify();
     }
 }
 
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -212,7 +212,7 @@
     let has_started = theirs.is_start();
     let greeting = greeting(shared, has_started);
     shared.links.lock().greet(id, greeting);
-    shared.news.poke();
+    shared.news.notify();
 }
 
 /// What a box is told by which this one links; what is made of servers only where it has
@@ -299,14 +299,14 @@
     take_leaving(shared, id, &frame.leaving_servers);
     if frame.leaving {
         shared.links.lock().note_peer_stop(id);
-        shared.replan.poke();
+        shared.replan.notify();
     }
     if frame.wants_listing {
         let listing = listing_of(shared, now);
         shared.links.lock().tell(id, listing);
     }
     if passes_on || frame.wants_listing {
-        shared.news.poke();
+        shared.news.notify();
     }
 }
 
@@ -333,8 +333,8 @@
     }
     forget_sources(shared, &lost);
     apply_news(shared, &news, wingspur_clock::now());
-    shared.replan.poke();
-    shared.news.poke();
+    shared.replan.notify();
+    shared.news.notify();
 }
 
 /// Gathers what this box has seen, and sends what is due.
@@ -420,8 +420,8 @@
     if service.balancer.lock().take_alarm() {
         review(service);
         shared.links.lock().note_urgent();
-        shared.alarm.poke();
-        shared.news.poke();
+        shared.alarm.notify();
+        shared.news.notify();
     }
 }
 
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -125,7 +125,7 @@
                 links
                     .planner()
                     .replace(listing.boxes.clone(), wingspur_clock::now());
-                shared.replan.poke();
+                shared.replan.notify();
             }
             listing.boxes
         }
--- a/crates/wingspur-edge/src/lending.rs
+++ b/crates/wingspur-edge/src/lending.rs
@@ -91,7 +91,7 @@
     messages.extend(take_resend_loans(shared, link, lending));
     send(shared, messages);
     if is_busy {
-        shared.lending_bell.poke();
+        shared.lending_notify.notify();
     }
 }
 
@@ -102,7 +102,7 @@
         if shared.lending.lock().is_busy() {
             wingspur_clock::sleep(GO_ON_EVERY).await;
         } else {
-            shared.lending_bell.wait(CLOCK_EVERY).await;
+            shared.lending_notify.wait(CLOCK_EVERY).await;
         }
         let now = wingspur_clock::now();
         let standing = standing(&shared, now);
@@ -157,7 +157,7 @@
     drop(state);
     send(shared, messages);
     if outcome.is_err() {
-        shared.lending_bell.poke();
+        shared.lending_notify.notify();
     }
     outcome
 }
--- a/crates/wingspur-edge/src/bell.rs
+++ b/crates/wingspur-edge/src/notify.rs
@@ -6,12 +6,12 @@
 
 /// A bell that one task waits for; ringing it twice before it is heard counts once.
 #[derive(Debug, Clone)]
-pub struct Bell {
+pub struct Notify {
     ring: async_channel::Sender<()>,
     heard: async_channel::Receiver<()>,
 }
 
-impl Bell {
+impl Notify {
     /// A bell that has not been rung.
     pub fn new() -> Self {
         let (ring, heard) = async_channel::bounded(1);
@@ -19,7 +19,7 @@
     }
 
     /// Rings.
-    pub fn poke(&self) {
+    pub fn notify(&self) {
         // A bell that has been rung already needs no second ring.
         let _ = self.ring.try_send(());
     }
@@ -35,7 +35,7 @@
     }
 }
 
-impl Default for Bell {
+impl Default for Notify {
     fn default() -> Self {
         Self::new()
     }
--- a/crates/wingspur-edge/src/server_words.rs
+++ b/crates/wingspur-edge/src/server_words.rs
@@ -185,7 +185,7 @@
 ) {
     let record = adopt(shared, key);
     shared.links.lock().spread_leaving(key, since, from);
-    shared.news.poke();
+    shared.news.notify();
     shared.metrics.count_server_word("leaving");
     tracing::info!(
         id,
@@ -201,7 +201,7 @@
 fn apply(shared: &Shared, change: &LimitChange, source: &str, from: Option<LinkId>) {
     let record = adopt(shared, change.server);
     shared.links.lock().spread_limit(change, from);
-    shared.news.poke();
+    shared.news.notify();
     let outcome = match (change.before, change.per_s) {
         (_, None) => "ended",
         (None, Some(_)) => "named",
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -8,11 +8,11 @@
 use wingspur_state::{Bundle, Directory, FleetStanding, Standings, SuspectRequests};
 use wingspur_transport::{Announcement, Catalog, Connector, Spawner};
 
-use crate::bell::Bell;
 use crate::in_force::InForce;
 use crate::links::Links;
 use crate::locks::{Rank, Ranked};
 use crate::metrics::Metrics;
+use crate::notify::Notify;
 use crate::quarantine_state::QuarantineState;
 use crate::requests_out::RequestsOut;
 use crate::resend_loans::ResendLoans;
@@ -46,23 +46,23 @@
     /// What is let through of those that are in quarantine.
     pub quarantine: Ranked<QuarantineState>,
     /// Rung when a question of another box waits for an answer.
-    pub lending_bell: Bell,
+    pub lending_notify: Notify,
     /// How this box is announced, if it is.
     pub announcement: Ranked<Option<Announcement>>,
     /// Rung when that may have to change.
-    pub announcement_due: Bell,
+    pub announcement_due: Notify,
     /// Rung when the store has come back from an older copy.
-    pub store_restored: Bell,
+    pub store_restored: Notify,
     /// Opens connections to other boxes.
     pub connector: Connector,
     /// Starts tasks.
     pub spawner: Spawner,
     /// Rung when there is something to tell other boxes.
-    pub news: Bell,
+    pub news: Notify,
     /// Rung when some of that should not wait for the next tick.
-    pub alarm: Bell,
+    pub alarm: Notify,
     /// Rung when links may have to change.
-    pub replan: Bell,
+    pub replan: Notify,
     /// The requests that are not over.
     pub requests_out: Arc<RequestsOut>,
     /// Whether the box is stopping, and by when.
@@ -111,15 +111,15 @@
             standings: Ranked::new(Rank::Standings, Standings::default()),
             suspects: Ranked::new(Rank::Suspects, SuspectRequests::default()),
             quarantine: Ranked::new(Rank::Quarantine, QuarantineState::new(incarnation)),
-            lending_bell: Bell::new(),
+            lending_notify: Notify::new(),
             announcement: Ranked::new(Rank::Announcement, None),
-            announcement_due: Bell::new(),
-            store_restored: Bell::new(),
+            announcement_due: Notify::new(),
+            store_restored: Notify::new(),
             connector: Connector::new(spawner.clone(), None),
             spawner,
-            news: Bell::new(),
-            alarm: Bell::new(),
-            replan: Bell::new(),
+            news: Notify::new(),
+            alarm: Notify::new(),
+            replan: Notify::new(),
             requests_out: RequestsOut::new(),
             stopping: Stopping::new(),
             in_force: Ranked::new(Rank::InForce, None),
--- a/crates/wingspur-edge/src/store_calls.rs
+++ b/crates/wingspur-edge/src/store_calls.rs
@@ -90,9 +90,9 @@
                 announced_before = announcement.is_some(),
                 "store: it has come back from an older copy."
             );
-            shared.store_restored.poke();
-            shared.announcement_due.poke();
-            shared.news.poke();
+            shared.store_restored.notify();
+            shared.announcement_due.notify();
+            shared.news.notify();
         }
     }
     change
--- a/crates/wingspur-edge/src/suspects.rs
+++ b/crates/wingspur-edge/src/suspects.rs
@@ -99,7 +99,7 @@
             log_news(shared, &news, "peer");
         }
         let is_members = shared.links.lock().spread_suspect(&news, Some(link));
-        shared.news.poke();
+        shared.news.notify();
         if is_members {
             open_quarantine(shared, news.request);
         }
@@ -124,8 +124,8 @@
     links.spread_suspect(&news, None);
     links.note_urgent();
     drop(links);
-    shared.alarm.poke();
-    shared.news.poke();
+    shared.alarm.notify();
+    shared.news.notify();
     open_quarantine(shared, news.request);
     vouch_soon(shared, news.request);
 }
