--- a/crates/wingspur-bench/src/capacity/page.rs
+++ b/crates/wingspur-bench/src/capacity/page.rs
@@ -399,7 +399,7 @@
         page,
         format_args!(
             "- **Evidence aggregator (judge).** See the two judge rows above; messages: one a \
-         second from each box that works with the service, more when there is news."
+         second from each box that works with the service, more when there is updates."
         ),
     );
     let shards_writes = report
--- a/crates/wingspur-coordination/src/fleet_census.rs
+++ b/crates/wingspur-coordination/src/fleet_census.rs
@@ -100,7 +100,7 @@
     }
 
     /// What another hub has not been told yet of this box and its members.
-    pub fn news_for(&mut self, link: LinkId) -> CensusNote {
+    pub fn updates_for(&mut self, link: LinkId) -> CensusNote {
         let Some(census) = self.links.get_mut(&link) else {
             return CensusNote::default();
         };
--- a/crates/wingspur-coordination/src/fleet_view.rs
+++ b/crates/wingspur-coordination/src/fleet_view.rs
@@ -176,7 +176,7 @@
     /// What another hub has not been told yet of whom this one counts.
     pub fn census_for(&mut self, id: LinkId) -> CensusNote {
         match self.links.get(&id).map(|link| link.with) {
-            Some(LinkWith::Hub) => self.census.news_for(id),
+            Some(LinkWith::Hub) => self.census.updates_for(id),
             Some(LinkWith::Member | LinkWith::OwnHub) | None => CensusNote::default(),
         }
     }
--- a/crates/wingspur-coordination/src/lib.rs
+++ b/crates/wingspur-coordination/src/lib.rs
@@ -14,12 +14,12 @@
 mod link_plan;
 mod listing_frames;
 mod membership;
-mod news_pacer;
 mod placement;
 mod quarantine_desk;
 mod recent_changes;
 mod rollup;
 mod shard_log;
+mod update_pacer;
 
 pub use announcement::{
     AnnouncementInputs, AnnouncementStep, announcement_step, lists_at_start,
@@ -40,13 +40,13 @@
 pub use link_plan::{LinkPlanner, PlannedLink};
 pub use listing_frames::{ListingFrames, PendingListing};
 pub use membership::{HeardRefusal, Membership, MembershipSettings, PeerView};
-pub use news_pacer::NewsPacer;
 pub use placement::{Roster, hash_of};
 pub use quarantine_desk::{
     CountOutcome, DeskStep, MOST_TRIES, QuarantineCount, QuarantineDesk, TRY_LASTS,
 };
 pub use recent_changes::RecentChanges;
-pub use rollup::{LinkId, LinkKind, NewsReader, OWN_LINK, Rollup, SourceNews};
+pub use rollup::{LinkId, LinkKind, OWN_LINK, Rollup, SourceUpdate, UpdateReader};
 pub use shard_log::{
     ClaimTicket, ClaimVerdict, LogCommand, SegmentWrite, ShardLog, ShardLogSettings,
 };
+pub use update_pacer::UpdatePacer;
--- a/crates/wingspur-coordination/src/rollup.rs
+++ b/crates/wingspur-coordination/src/rollup.rs
@@ -42,7 +42,7 @@
 
 /// News for this box's own tables, from one source.
 #[derive(Debug, Clone, PartialEq)]
-pub struct SourceNews {
+pub struct SourceUpdate {
     /// Who told.
     pub source: SourceId,
     /// Server tallies as they stand, with the counts that are new.
@@ -214,7 +214,7 @@
     }
 
     /// Whether a link has something to hear.
-    pub fn has_news(&self, id: LinkId) -> bool {
+    pub fn has_updates(&self, id: LinkId) -> bool {
         let Some(link) = self.links.get(&id) else {
             return false;
         };
@@ -259,7 +259,7 @@
                 *told = *tally;
             }
             let total = self.total.services.entry(*key).or_default();
-            *total = total.plus(&tally.news_since(told));
+            *total = total.plus(&tally.increase_since(told));
             *told = *tally;
             services.push(*key);
         }
@@ -423,7 +423,7 @@
 
 /// Turns digests into news: tallies as they stand with the counts that are new.
 #[derive(Debug, Default)]
-pub struct NewsReader {
+pub struct UpdateReader {
     known: HashMap<SourceId, KnownSource>,
 }
 
@@ -436,39 +436,41 @@
     told_whole: bool,
 }
 
-impl NewsReader {
+impl UpdateReader {
     /// Reads a digest; the first of a source only sets what later ones are compared with.
     ///
     /// So does the first that tells of a server or a service at all, while the source has
     /// never told everything: it was forgotten and goes on where it was. Its counts of a
     /// whole life would be news otherwise, and a service's requests earn a retry budget.
-    pub fn read(&mut self, digest: &Digest) -> SourceNews {
+    pub fn read(&mut self, digest: &Digest) -> SourceUpdate {
         let known = self.known.entry(digest.source).or_default();
         let begins_at_nothing = known.told_whole;
         known.told_whole |= digest.whole;
         let mut servers = Vec::with_capacity(digest.servers.len());
         for (key, tally) in &digest.servers {
             let before = known.tallies.servers.insert(*key, *tally);
-            let news = match before {
-                Some(before) => tally.news_since(&before),
-                None if begins_at_nothing => tally.news_since(&ServerTally::default()),
+            let updates = match before {
+                Some(before) => tally.increase_since(&before),
+                None if begins_at_nothing => {
+                    tally.increase_since(&ServerTally::default())
+                }
                 None => ServerTally::default(),
             };
-            servers.push(((*key, *tally), news));
+            servers.push(((*key, *tally), updates));
         }
         let mut services = Vec::with_capacity(digest.services.len());
         for (key, tally) in &digest.services {
             let before = known.tallies.services.get(key).copied();
             let mark = before.map_or(*tally, |before| tally.mark_after(&before));
             known.tallies.services.insert(*key, mark);
-            let news = match before {
-                Some(before) => tally.news_since(&before),
+            let updates = match before {
+                Some(before) => tally.increase_since(&before),
                 None if begins_at_nothing => *tally,
                 None => ServiceTally::default(),
             };
-            services.push((*key, news));
+            services.push((*key, updates));
         }
-        SourceNews {
+        SourceUpdate {
             source: digest.source,
             servers,
             services,
--- a/crates/wingspur-coordination/src/news_pacer.rs
+++ b/crates/wingspur-coordination/src/update_pacer.rs
@@ -9,7 +9,7 @@
 /// Prevents that a weak box which has become the hub of many fills its own link: its answers
 /// to members then come seconds late, and what waits for them is refused.
 #[derive(Debug, Clone)]
-pub struct NewsPacer {
+pub struct UpdatePacer {
     bytes_per_s: f64,
     list_bytes_per_s: f64,
     free_at: Instant,
@@ -17,7 +17,7 @@
     list_free_at: Instant,
 }
 
-impl NewsPacer {
+impl UpdatePacer {
     /// A box of so many shares of the least one that is planned for.
     pub fn new(capacity: u32, now: Instant) -> Self {
         Self::with_link(capacity, LEAST_LINK_MBPS * f64::from(capacity.max(1)), now)
--- a/crates/wingspur-edge/src/active_link.rs
+++ b/crates/wingspur-edge/src/active_link.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use wingspur_coordination::{
-    CatalogQueue, LinkClock, LinkKind, LinkWith, NewsPacer, PendingListing, PlannedLink,
+    CatalogQueue, LinkClock, LinkKind, LinkWith, PendingListing, PlannedLink, UpdatePacer,
 };
 use wingspur_protocol::{BoxRecord, Lending, LinkRole};
 use wingspur_state::{
-    BundleVersion, HealthNote, LimitChange, ServerKey, StoreEra, SuspectNews,
+    BundleVersion, HealthNote, LimitChange, ServerKey, StoreEra, SuspectUpdate,
 };
 use wingspur_transport::LinkSender;
 
@@ -34,7 +34,7 @@
     /// What it is asked and answered of loans that nobody waits for.
     pub lending: Lending,
     /// What it has not been told yet of requests under which servers ended.
-    pub suspects: Vec<SuspectNews>,
+    pub suspects: Vec<SuspectUpdate>,
     /// What it has not been told yet of servers' limits.
     pub limits: BTreeMap<ServerKey, LimitChange>,
     /// The servers that leave of which it has not been told yet, with since when.
@@ -61,7 +61,7 @@
     /// Of backend servers.
     pub health: Vec<(ServerKey, HealthNote)>,
     /// Of requests under which servers ended.
-    pub suspects: Vec<SuspectNews>,
+    pub suspects: Vec<SuspectUpdate>,
     /// Of servers' limits.
     pub limits: Vec<LimitChange>,
     /// Of servers that leave, with since when.
@@ -75,7 +75,7 @@
     }
 
     /// Whether something is to be told that no digest tells.
-    pub fn has_own_news(&self) -> bool {
+    pub fn has_own_updates(&self) -> bool {
         !self.suspects.is_empty()
             || !self.limits.is_empty()
             || !self.leaving_servers.is_empty()
@@ -91,18 +91,18 @@
     }
 
     /// Whether a listing is queued that has to wait for its turn.
-    pub fn listing_is_delayed(&self, pacer: &NewsPacer, now: Instant) -> bool {
+    pub fn listing_is_delayed(&self, pacer: &UpdatePacer, now: Instant) -> bool {
         self.catalog.has_listing() && !pacer.list_free_in(now).is_zero()
     }
 
     /// Whether what is told of servers means something at the other side: it knows them, or
     /// is sent them first.
-    pub fn accepts_server_news(&self, pacer: &NewsPacer, now: Instant) -> bool {
+    pub fn accepts_server_updates(&self, pacer: &UpdatePacer, now: Instant) -> bool {
         self.has_catalog || !self.listing_is_delayed(pacer, now)
     }
 
     /// How long until what is queued of the catalog may go out; none where nothing has to.
-    pub fn catalog_due_in(&self, pacer: &NewsPacer, now: Instant) -> Option<Duration> {
+    pub fn catalog_due_in(&self, pacer: &UpdatePacer, now: Instant) -> Option<Duration> {
         let due = self.catalog.due_in(now)?;
         Some(match self.catalog.has_listing() {
             true => due.max(pacer.list_free_in(now)),
--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -425,7 +425,7 @@
         let mut balancer = plan.service.balancer.lock();
         let id = balancer.begin(server.key(), plan.expected(), wingspur_clock::now());
         drop(balancer);
-        plan.shared.news.notify();
+        plan.shared.updates.notify();
         Self {
             shared: plan.shared.clone(),
             service: plan.service.clone(),
@@ -461,7 +461,7 @@
             let told = balancer.note_silence(id, wingspur_clock::now());
             drop(balancer);
             if told {
-                self.shared.news.notify();
+                self.shared.updates.notify();
             }
         }
         futures_lite::future::pending().await
@@ -516,7 +516,7 @@
                 .balancer
                 .lock()
                 .end(id, ended, wingspur_clock::now());
-            self.shared.news.notify();
+            self.shared.updates.notify();
             pass_alarm_on(&self.shared, &self.service);
         }
     }
--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog_state.rs
@@ -52,7 +52,7 @@
     if let Some(link) = from.filter(|_| knows_more) {
         let listing = listing_of(shared, now);
         shared.links.lock().tell(link, listing);
-        shared.news.notify();
+        shared.updates.notify();
     }
 }
 
@@ -102,7 +102,7 @@
         // Changes in between never came this way.
         if let Some(link) = from {
             shared.links.lock().ask_for_listing(link);
-            shared.news.notify();
+            shared.updates.notify();
         }
         return;
     }
@@ -393,7 +393,7 @@
 fn spread(shared: &Shared, update: &CatalogUpdate, urgent: bool, from: Option<LinkId>) {
     shared.links.lock().spread(update, urgent, from);
     if urgent {
-        shared.news.notify();
+        shared.updates.notify();
     }
 }
 
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -167,7 +167,7 @@
         self.log_out("not ready");
         self.shared.stopping.begin(plan.answer_by);
         self.shared.links.lock().note_own_stop();
-        self.shared.news.notify();
+        self.shared.updates.notify();
         // The balancer learns of it late, and sends callers until then.
         let accepting = wingspur_clock::sleep_until(plan.accept_until);
         let limit = plan
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use rand::seq::SliceRandom;
-use wingspur_coordination::{LinkId, ListingFrames, PlannedLink, SourceNews};
+use wingspur_coordination::{LinkId, ListingFrames, PlannedLink, SourceUpdate};
 use wingspur_protocol::{
     CatalogUpdate, Digest, Frame, FrameContent, Hello, LINK_PROTOCOL_VERSION, LinkRole,
 };
@@ -83,7 +83,7 @@
     let mut listings = ListingFrames::default();
     while !stop.is_given() {
         let pause = shared.links.lock().next_tick(wingspur_clock::now());
-        if shared.news.wait(pause).await {
+        if shared.updates.wait(pause).await {
             // What happens at about the same time goes in one frame.
             let gap = shared.links.lock().next_tick(wingspur_clock::now());
             shared.alarm.wait(gap.min(GATHER)).await;
@@ -212,7 +212,7 @@
     let has_started = theirs.is_start();
     let greeting = greeting(shared, has_started);
     shared.links.lock().greet(id, greeting);
-    shared.news.notify();
+    shared.updates.notify();
 }
 
 /// What a box is told by which this one links; what is made of servers only where it has
@@ -287,12 +287,12 @@
     shared.resend_loans.lock().hear(id, &frame.rooms);
     let mut links = shared.links.lock();
     links.note_frame(id, &frame, now);
-    let news = links.hear(id, &frame.digests);
+    let updates = links.hear(id, &frame.digests);
     let lost = links.take_lost();
     let passes_on = links.counts().0 > 1;
     drop(links);
     forget_sources(shared, &lost);
-    apply_news(shared, &news, now);
+    apply_tallies(shared, &updates, now);
     adopt_greeting(shared, &frame, now);
     take_notes(shared, id, &frame.suspects);
     take_limits(shared, id, &frame.limits);
@@ -306,7 +306,7 @@
         shared.links.lock().tell(id, listing);
     }
     if passes_on || frame.wants_listing {
-        shared.news.notify();
+        shared.updates.notify();
     }
 }
 
@@ -325,16 +325,16 @@
     let mut links = shared.links.lock();
     let peer = links.peer(id).cloned();
     let lost = links.remove(id);
-    let news = links.own_news();
+    let updates = links.own_updates();
     drop(links);
     shared.resend_loans.lock().forget(id);
     if let Some(peer) = peer {
         tracing::info!(%peer, reason, "peer: link ended.");
     }
     forget_sources(shared, &lost);
-    apply_news(shared, &news, wingspur_clock::now());
+    apply_tallies(shared, &updates, wingspur_clock::now());
     shared.replan.notify();
-    shared.news.notify();
+    shared.updates.notify();
 }
 
 /// Gathers what this box has seen, and sends what is due.
@@ -392,8 +392,8 @@
 }
 
 /// Lets this box's tables take in what others have seen.
-fn apply_news(shared: &Shared, news: &[SourceNews], now: Instant) {
-    for source in news {
+fn apply_tallies(shared: &Shared, updates: &[SourceUpdate], now: Instant) {
+    for source in updates {
         for (keyed, counts) in &source.servers {
             if let Some(service) = shared.services.of_server(keyed.0) {
                 let mut balancer = service.balancer.lock();
@@ -421,7 +421,7 @@
         review(service);
         shared.links.lock().note_urgent();
         shared.alarm.notify();
-        shared.news.notify();
+        shared.updates.notify();
     }
 }
 
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -6,9 +6,9 @@
 
 use wingspur_coordination::{
     Announced, CatalogQueue, FeedView, FleetView, LendingMessage, LinkClock, LinkId,
-    LinkKind, LinkPeer, LinkPlanner, LinkWith, NewsPacer, NewsReader, OWN_LINK,
-    PendingListing, PlaceStanding, PlannedLink, RecentChanges, Rollup, SourceNews,
-    Standing, hash_of,
+    LinkKind, LinkPeer, LinkPlanner, LinkWith, OWN_LINK, PendingListing, PlaceStanding,
+    PlannedLink, RecentChanges, Rollup, SourceUpdate, Standing, UpdatePacer,
+    UpdateReader, hash_of,
 };
 use wingspur_protocol::{
     BoxRecord, CatalogChanges, CatalogUpdate, Digest, Frame, FrameContent, LeavingNote,
@@ -16,7 +16,7 @@
 };
 use wingspur_state::{
     BoxId, BundleVersion, FleetDivision, FleetStanding, LimitChange, ServerKey, SourceId,
-    StorePosition, SuspectNews,
+    StorePosition, SuspectUpdate,
 };
 use wingspur_transport::LinkSender;
 
@@ -28,7 +28,7 @@
 pub struct Links {
     own: BoxRecord,
     rollup: Rollup,
-    news: NewsReader,
+    updates: UpdateReader,
     planner: LinkPlanner,
     feed: FeedView,
     recent: RecentChanges,
@@ -40,7 +40,7 @@
     /// The listing that was put together last, and when.
     listing: Option<(Instant, Arc<ListingUpdate>)>,
     /// Spaces what is told.
-    pacer: NewsPacer,
+    pacer: UpdatePacer,
     /// Whether this box is stopping.
     leaving: bool,
     /// Whether there is news that should not wait for the next tick.
@@ -69,7 +69,7 @@
         };
         Self {
             rollup: Rollup::new(own.incarnation),
-            news: NewsReader::default(),
+            updates: UpdateReader::default(),
             planner: LinkPlanner::new(own.clone()),
             feed: FeedView::new(own.id.clone(), now),
             recent: RecentChanges::default(),
@@ -78,7 +78,7 @@
             announced: None,
             next_id: OWN_LINK + 1,
             listing: None,
-            pacer: NewsPacer::with_link(own.capacity, link_mbps, now),
+            pacer: UpdatePacer::with_link(own.capacity, link_mbps, now),
             leaving: false,
             urgent: false,
             own,
@@ -192,7 +192,7 @@
     pub fn take_lost(&mut self) -> Vec<SourceId> {
         let lost = self.rollup.take_lost();
         for source in &lost {
-            self.news.forget(*source);
+            self.updates.forget(*source);
         }
         lost
     }
@@ -224,16 +224,16 @@
     }
 
     /// Takes in digests that came by a link; returns the news for this box's own tables.
-    pub fn hear(&mut self, id: LinkId, digests: &[Digest]) -> Vec<SourceNews> {
+    pub fn hear(&mut self, id: LinkId, digests: &[Digest]) -> Vec<SourceUpdate> {
         for digest in digests {
             self.rollup.hear(id, digest);
         }
         let own = self.rollup.compose(OWN_LINK);
-        own.iter().map(|digest| self.news.read(digest)).collect()
+        own.iter().map(|digest| self.updates.read(digest)).collect()
     }
 
     /// News that came about without a digest, as when a member went.
-    pub fn own_news(&mut self) -> Vec<SourceNews> {
+    pub fn own_updates(&mut self) -> Vec<SourceUpdate> {
         self.hear(OWN_LINK, &[])
     }
 
@@ -299,13 +299,17 @@
 
     /// Queues what was seen of a request under which a server ended, for all links that do
     /// not hear it otherwise; whether it came from this box or a member of its own.
-    pub fn spread_suspect(&mut self, news: &SuspectNews, from: Option<LinkId>) -> bool {
+    pub fn spread_suspect(
+        &mut self,
+        updates: &SuspectUpdate,
+        from: Option<LinkId>,
+    ) -> bool {
         for link in self.hearers(from) {
-            if link.suspects.len() < MOST_SUSPECT_NEWS {
-                link.suspects.push(*news);
+            if link.suspects.len() < MOST_SUSPECT_UPDATES {
+                link.suspects.push(*updates);
             }
         }
-        self.is_own_news(from)
+        self.is_own_update(from)
     }
 
     /// Queues a changed limit of a server for all links that do not hear it otherwise; the
@@ -329,7 +333,7 @@
     }
 
     /// Whether news came from this box or a member of its own.
-    fn is_own_news(&self, from: Option<LinkId>) -> bool {
+    fn is_own_update(&self, from: Option<LinkId>) -> bool {
         let teller = from.and_then(|id| self.active.get(&id));
         teller.is_none_or(|link| link.with() == LinkWith::Member)
     }
@@ -337,7 +341,7 @@
     /// The links that do not hear news otherwise: what another hub tells, that one tells all
     /// other hubs as well.
     fn hearers(&mut self, from: Option<LinkId>) -> impl Iterator<Item = &mut ActiveLink> {
-        let is_own = self.is_own_news(from);
+        let is_own = self.is_own_update(from);
         let others = self
             .active
             .iter_mut()
@@ -407,14 +411,15 @@
             let gap = if hurry { gap / HURRY } else { gap };
             let full = link.is_full();
             let listing_is_delayed = link.listing_is_delayed(&self.pacer, now);
-            let accepts_news = link.accepts_server_news(&self.pacer, now);
-            let news_due = news_due_in(*id, link, gap, &self.rollup, &self.pacer, now);
-            let due = !full && news_due.is_some_and(|due| due.is_zero());
+            let accepts_updates = link.accepts_server_updates(&self.pacer, now);
+            let updates_due =
+                updates_due_in(*id, link, gap, &self.rollup, &self.pacer, now);
+            let due = !full && updates_due.is_some_and(|due| due.is_zero());
             let catalog_due = link.catalog_due_in(&self.pacer, now);
             let catalog_due = catalog_due.is_some_and(|due| due.is_zero());
             let urgent = catalog_due
                 || link.wants_listing
-                || (link.greeting.is_some() && accepts_news)
+                || (link.greeting.is_some() && accepts_updates)
                 || (hurry && !link.suspects.is_empty())
                 || (self.leaving && !link.told_leaving)
                 || link.told_era < feed.era;
@@ -459,11 +464,11 @@
                     self.pacer.count_listing(&pending.listing, now);
                 }
                 frame.wants_listing = std::mem::take(&mut link.wants_listing);
-                let greeting = link.greeting.take_if(|_| accepts_news);
+                let greeting = link.greeting.take_if(|_| accepts_updates);
                 frame.health = greeting.unwrap_or_default().health;
                 frame.census = self.fleet.census_for(*id);
                 let suspects = link.suspects.drain(..);
-                frame.suspects = suspects.map(|news| news.told(now)).collect();
+                frame.suspects = suspects.map(|updates| updates.told(now)).collect();
                 let limits = std::mem::take(&mut link.limits).into_values();
                 frame.limits = limits.map(|limit| note_of(&limit, now)).collect();
                 let leaving = std::mem::take(&mut link.leaving_servers).into_iter();
@@ -488,12 +493,13 @@
                 return FULL_CHECK;
             }
             let away = link.peer.data_centre != self.own.data_centre;
-            let news_gap = if away { AWAY_GAP } else { home_gap };
+            let update_gap = if away { AWAY_GAP } else { home_gap };
             let mut due = (link.sent + HEARTBEAT).saturating_duration_since(now);
             let pacer = &self.pacer;
-            let news_due = news_due_in(*id, link, news_gap, &self.rollup, pacer, now);
+            let updates_due =
+                updates_due_in(*id, link, update_gap, &self.rollup, pacer, now);
             let catalog_due = link.catalog_due_in(pacer, now);
-            for other in [news_due, catalog_due].into_iter().flatten() {
+            for other in [updates_due, catalog_due].into_iter().flatten() {
                 due = due.min(other);
             }
             due
@@ -706,16 +712,16 @@
 /// How long until a link may be told what was seen of servers and services; none where there
 /// is nothing to tell. What fails does not wait for the pacer: it is little, whatever the
 /// number of servers.
-fn news_due_in(
+fn updates_due_in(
     id: LinkId,
     link: &ActiveLink,
     gap: Duration,
     rollup: &Rollup,
-    pacer: &NewsPacer,
+    pacer: &UpdatePacer,
     now: Instant,
 ) -> Option<Duration> {
-    let has_news = rollup.has_news(id) || link.has_own_news();
-    if !has_news || !link.accepts_server_news(pacer, now) {
+    let has_updates = rollup.has_updates(id) || link.has_own_updates();
+    if !has_updates || !link.accepts_server_updates(pacer, now) {
         return None;
     }
     let due = (link.told + gap).saturating_duration_since(now);
@@ -758,7 +764,7 @@
 const AWAY_GAP: Duration = Duration::from_millis(100);
 /// What waits for one link at most; what does not fit is known by the store's record, or is
 /// one ending of many. 400 requests are out at 40 servers that end at once.
-const MOST_SUSPECT_NEWS: usize = 1024;
+const MOST_SUSPECT_UPDATES: usize = 1024;
 /// A listing tells for how long its entries are doubtful, which shrinks as it waits.
 const LISTING_FOR: Duration = Duration::from_millis(100);
 /// A link without news is heard so often. News of the store is known to be of the last 1.3 s
--- a/crates/wingspur-edge/src/quarantine.rs
+++ b/crates/wingspur-edge/src/quarantine.rs
@@ -44,7 +44,7 @@
             Step::Lend => SendPermission::Once,
             Step::Later(after) if after >= left => SendPermission::Refused(after),
             Step::Later(after) => {
-                wait_for_news(shared, request, now + after).await;
+                wait_for_updates(shared, request, now + after).await;
                 continue;
             }
         };
@@ -435,7 +435,7 @@
 }
 
 /// Waits until a request is cleared, at most until `until`.
-async fn wait_for_news(shared: &Shared, request: RequestFingerprint, until: Instant) {
+async fn wait_for_updates(shared: &Shared, request: RequestFingerprint, until: Instant) {
     while wingspur_clock::now() < until && is_quarantined(shared, request) {
         wingspur_clock::sleep(LOOK_AGAIN).await;
     }
--- a/crates/wingspur-edge/src/server_words.rs
+++ b/crates/wingspur-edge/src/server_words.rs
@@ -83,8 +83,8 @@
 }
 
 fn hear_leaving(shared: &Shared, id: &str, server: &ServerRecord, now: Instant) {
-    let is_news = shared.standings.lock().hear_leaving(server.key(), now);
-    if is_news {
+    let is_new = shared.standings.lock().hear_leaving(server.key(), now);
+    if is_new {
         apply_leaving(shared, id, server.key(), now, None);
     }
 }
@@ -96,12 +96,12 @@
     rest: Duration,
     now: Instant,
 ) {
-    let is_news = shared.standings.lock().hear_rest(server.key(), now + rest);
-    if is_news {
+    let is_new = shared.standings.lock().hear_rest(server.key(), now + rest);
+    if is_new {
         adopt(shared, server.key());
     }
     shared.metrics.count_server_word("rest");
-    let outcome = if is_news {
+    let outcome = if is_new {
         "asked for"
     } else {
         "asked for less"
@@ -117,7 +117,9 @@
         let age = Duration::from_millis(note.age_ms.into());
         let told = shared.links.lock().told_between(link, age, now);
         let mut standings = shared.standings.lock();
-        let change = standings.limits.hear_news(note.server, note.per_s, told);
+        let change = standings
+            .limits
+            .receive_updates(note.server, note.per_s, told);
         drop(standings);
         if let Some(change) = change {
             apply(shared, &change, "peer", Some(link));
@@ -131,8 +133,8 @@
     for note in notes {
         let age = Duration::from_millis(note.age_ms.into());
         let (earliest, _) = shared.links.lock().told_between(link, age, now);
-        let is_news = shared.standings.lock().hear_leaving(note.server, earliest);
-        if is_news {
+        let is_new = shared.standings.lock().hear_leaving(note.server, earliest);
+        if is_new {
             apply_leaving(shared, "", note.server, earliest, Some(link));
         }
     }
@@ -185,7 +187,7 @@
 ) {
     let record = adopt(shared, key);
     shared.links.lock().spread_leaving(key, since, from);
-    shared.news.notify();
+    shared.updates.notify();
     shared.metrics.count_server_word("leaving");
     tracing::info!(
         id,
@@ -201,7 +203,7 @@
 fn apply(shared: &Shared, change: &LimitChange, source: &str, from: Option<LinkId>) {
     let record = adopt(shared, change.server);
     shared.links.lock().spread_limit(change, from);
-    shared.news.notify();
+    shared.updates.notify();
     let outcome = match (change.before, change.per_s) {
         (_, None) => "ended",
         (None, Some(_)) => "named",
--- a/crates/wingspur-edge/src/shared.rs
+++ b/crates/wingspur-edge/src/shared.rs
@@ -58,7 +58,7 @@
     /// Starts tasks.
     pub spawner: Spawner,
     /// Rung when there is something to tell other boxes.
-    pub news: Notify,
+    pub updates: Notify,
     /// Rung when some of that should not wait for the next tick.
     pub alarm: Notify,
     /// Rung when links may have to change.
@@ -117,7 +117,7 @@
             store_restored: Notify::new(),
             connector: Connector::new(spawner.clone(), None),
             spawner,
-            news: Notify::new(),
+            updates: Notify::new(),
             alarm: Notify::new(),
             replan: Notify::new(),
             requests_out: RequestsOut::new(),
--- a/crates/wingspur-edge/src/store_calls.rs
+++ b/crates/wingspur-edge/src/store_calls.rs
@@ -92,7 +92,7 @@
             );
             shared.store_restored.notify();
             shared.announcement_due.notify();
-            shared.news.notify();
+            shared.updates.notify();
         }
     }
     change
--- a/crates/wingspur-edge/src/suspects.rs
+++ b/crates/wingspur-edge/src/suspects.rs
@@ -5,8 +5,8 @@
 
 use wingspur_coordination::LinkId;
 use wingspur_state::{
-    DirectoryChange, RequestFingerprint, ServerRecord, SuspectEvent, SuspectNews,
-    SuspectNote,
+    DirectoryChange, RequestFingerprint, ServerRecord, SuspectEvent, SuspectNote,
+    SuspectUpdate,
 };
 use wingspur_transport::{Backend, ConnectError};
 
@@ -44,7 +44,7 @@
         return shared.suspects.lock().note_broken(request, server, at);
     }
     let seen = SuspectEvent::ServerEnded(server);
-    take_in_own(shared, SuspectNews { request, seen, at });
+    take_in_own(shared, SuspectUpdate { request, seen, at });
 }
 
 /// Notes that a request was answered whole, which clears it where servers have ended under
@@ -55,7 +55,7 @@
         return;
     }
     let seen = SuspectEvent::AnsweredWhole;
-    take_in_own(shared, SuspectNews { request, seen, at });
+    take_in_own(shared, SuspectUpdate { request, seen, at });
 }
 
 /// Takes in which servers have ended, as the catalog tells: what was out there, or broke off
@@ -72,15 +72,15 @@
             continue;
         }
         let server = ended.key();
-        let mut news = shared.suspects.lock().take_broken(server, now);
+        let mut updates = shared.suspects.lock().take_broken(server, now);
         let out = shared.requests_out.sent_to(&ended.id);
-        news.extend(out.into_iter().map(|request| SuspectNews {
+        updates.extend(out.into_iter().map(|request| SuspectUpdate {
             request,
             seen: SuspectEvent::ServerEnded(server),
             at: now,
         }));
-        for news in news {
-            take_in_own(shared, news);
+        for updates in updates {
+            take_in_own(shared, updates);
         }
     }
 }
@@ -89,45 +89,45 @@
 pub fn take_notes(shared: &Arc<Shared>, link: LinkId, notes: &[SuspectNote]) {
     let now = wingspur_clock::now();
     for note in notes {
-        let news = note.heard(now);
-        let was_quarantined = is_quarantined(shared, news.request);
-        if !shared.suspects.lock().take_in(&news, now) {
+        let updates = note.heard(now);
+        let was_quarantined = is_quarantined(shared, updates.request);
+        if !shared.suspects.lock().take_in(&updates, now) {
             continue;
         }
-        if is_quarantined(shared, news.request) != was_quarantined {
+        if is_quarantined(shared, updates.request) != was_quarantined {
             // Who has seen it tells of each: this box tells what it changes here.
-            log_news(shared, &news, "peer");
+            log_update(shared, &updates, "peer");
         }
-        let is_members = shared.links.lock().spread_suspect(&news, Some(link));
-        shared.news.notify();
+        let is_members = shared.links.lock().spread_suspect(&updates, Some(link));
+        shared.updates.notify();
         if is_members {
-            open_quarantine(shared, news.request);
+            open_quarantine(shared, updates.request);
         }
-        vouch_soon(shared, news.request);
+        vouch_soon(shared, updates.request);
     }
 }
 
 /// What a box that has just linked with this one should hear.
-pub fn greeting_notes(shared: &Shared) -> Vec<SuspectNews> {
+pub fn greeting_notes(shared: &Shared) -> Vec<SuspectUpdate> {
     shared.suspects.lock().greeting(wingspur_clock::now())
 }
 
 /// Takes in what this box has seen, and tells the others without delay.
-fn take_in_own(shared: &Arc<Shared>, news: SuspectNews) {
+fn take_in_own(shared: &Arc<Shared>, updates: SuspectUpdate) {
     let now = wingspur_clock::now();
-    if !shared.suspects.lock().take_in(&news, now) {
+    if !shared.suspects.lock().take_in(&updates, now) {
         return;
     }
-    shared.metrics.count_suspect(news.seen);
-    log_news(shared, &news, "own");
+    shared.metrics.count_suspect(updates.seen);
+    log_update(shared, &updates, "own");
     let mut links = shared.links.lock();
-    links.spread_suspect(&news, None);
+    links.spread_suspect(&updates, None);
     links.note_urgent();
     drop(links);
     shared.alarm.notify();
-    shared.news.notify();
-    open_quarantine(shared, news.request);
-    vouch_soon(shared, news.request);
+    shared.updates.notify();
+    open_quarantine(shared, updates.request);
+    vouch_soon(shared, updates.request);
 }
 
 /// Tells the others that this box has answered a request in quarantine a moment before, at
@@ -150,24 +150,24 @@
             .answered_before(request, wingspur_clock::now());
         let Some(at) = answered else { return };
         let seen = SuspectEvent::AnsweredWhole;
-        take_in_own(&shared, SuspectNews { request, seen, at });
+        take_in_own(&shared, SuspectUpdate { request, seen, at });
     });
 }
 
-fn log_news(shared: &Shared, news: &SuspectNews, source: &str) {
+fn log_update(shared: &Shared, updates: &SuspectUpdate, source: &str) {
     let now = wingspur_clock::now();
     let suspects = shared.suspects.lock();
-    let endings = suspects.endings(news.request, now);
-    let is_quarantined = suspects.is_quarantined(news.request, now);
+    let endings = suspects.endings(updates.request, now);
+    let is_quarantined = suspects.is_quarantined(updates.request, now);
     let known = suspects.len();
     drop(suspects);
-    let age_ms = now.saturating_duration_since(news.at).as_millis() as u64;
-    let outcome = match news.seen {
+    let age_ms = now.saturating_duration_since(updates.at).as_millis() as u64;
+    let outcome = match updates.seen {
         SuspectEvent::ServerEnded(_) => "a server has ended under it",
         SuspectEvent::AnsweredWhole => "answered whole, cleared",
     };
     tracing::info!(
-        fingerprint = %news.request,
+        fingerprint = %updates.request,
         endings,
         is_quarantined,
         known,
--- a/crates/wingspur-entry/src/judges.rs
+++ b/crates/wingspur-entry/src/judges.rs
@@ -78,11 +78,11 @@
         for data_centre in data_centres.iter().cloned() {
             let verdict = self.judge.verdict(&data_centre);
             let sent = self.sent.get(&data_centre);
-            let news = match sent {
+            let updates = match sent {
                 Some(sent) => *sent != verdict,
                 None => !verdict.standings.is_empty(),
             };
-            if news {
+            if updates {
                 self.sent.insert(data_centre.clone(), verdict.clone());
                 changes.push((data_centre, verdict));
             }
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -502,13 +502,13 @@
         self.usual.add(&seen, 1.0 - server.health.sickness());
     }
 
-    /// Takes in what other boxes have seen, as told by a source; `news` are the outcomes
+    /// Takes in what other boxes have seen, as told by a source; `updates` are the outcomes
     /// that were not known before.
     pub fn apply_remote(
         &mut self,
         source: SourceId,
         (key, tally): KeyedTally,
-        news: &ServerTally,
+        updates: &ServerTally,
         now: Instant,
     ) {
         let Some(server) = self.servers.get_mut(&key) else {
@@ -517,13 +517,13 @@
         server.heard = Some(now);
         let before = server.remote.insert(source, tally).unwrap_or_default();
         if tally.in_flight > before.in_flight
-            || news.good + news.failed + news.refused > 0
+            || updates.good + updates.failed + updates.refused > 0
         {
             server.sent = now;
         }
-        self.unknown.add(news, server.unanswered_for(now));
-        self.alarmed |= server.hear(news, self.usual.share(), now);
-        self.usual.add(news, 1.0 - server.health.sickness());
+        self.unknown.add(updates, server.unanswered_for(now));
+        self.alarmed |= server.hear(updates, self.usual.share(), now);
+        self.usual.add(updates, 1.0 - server.health.sickness());
     }
 
     /// Whether a server has turned suspect since this was last asked: other boxes should
--- a/crates/wingspur-state/src/directory.rs
+++ b/crates/wingspur-state/src/directory.rs
@@ -154,8 +154,8 @@
                 })
             }
             Some(entry) if entry.record.stands_as(&record) => {
-                let is_news = changes_cold_start(&entry.record, &record, is_written);
-                is_news.then_some(DirectoryChange::Put(record))
+                let is_new = changes_cold_start(&entry.record, &record, is_written);
+                is_new.then_some(DirectoryChange::Put(record))
             }
             _ => Some(DirectoryChange::Put(record)),
         }
--- a/crates/wingspur-state/src/fleet_budget.rs
+++ b/crates/wingspur-state/src/fleet_budget.rs
@@ -46,7 +46,7 @@
     own_lately: Window,
     elsewhere_lately: Window,
     /// When any source was heard, and how long it takes from one to the next on average.
-    news: NewsGap,
+    updates: UpdateGap,
     division: FleetDivision,
 }
 
@@ -185,7 +185,7 @@
             ledger: ResendLedger::default(),
             own_lately: Window::default(),
             elsewhere_lately: Window::default(),
-            news: NewsGap::default(),
+            updates: UpdateGap::default(),
             division: FleetDivision::default(),
         }
     }
@@ -302,19 +302,19 @@
         ServicePresent {
             requests_per_s,
             lost_share: lost_share(last).max(lost_share(both)),
-            unheard: here_per_s * self.news.gap.as_secs_f64(),
+            unheard: here_per_s * self.updates.gap.as_secs_f64(),
         }
     }
 
     /// Takes in what a source's boxes have counted since it was last heard.
-    pub fn count_remote(&mut self, news: ServiceTally, now: Instant) {
+    pub fn count_remote(&mut self, updates: ServiceTally, now: Instant) {
         self.note_heard(now);
-        self.elsewhere_lately.add(news, now);
+        self.elsewhere_lately.add(updates, now);
     }
 
     /// Notes that a source has been heard, though nothing was counted.
     pub fn note_heard(&mut self, now: Instant) {
-        self.news.follow(now);
+        self.updates.follow(now);
     }
 
     /// The boxes of the fleet.
@@ -341,12 +341,12 @@
 
 /// How long it takes from one piece of news to the next.
 #[derive(Debug, Default)]
-struct NewsGap {
+struct UpdateGap {
     last: Option<Instant>,
     gap: Duration,
 }
 
-impl NewsGap {
+impl UpdateGap {
     /// Takes in that news came; several pieces at the same time are one.
     fn follow(&mut self, now: Instant) {
         let before = self.last.replace(now);
@@ -354,20 +354,20 @@
             return;
         };
         if !gap.is_zero() {
-            let gap = gap.min(MOST_NEWS_GAP);
+            let gap = gap.min(MOST_UPDATE_GAP);
             self.gap = self.gap.mul_f64(1.0 - GAP_WEIGHT) + gap.mul_f64(GAP_WEIGHT);
         }
     }
 }
 
 impl Window {
-    fn add(&mut self, news: ServiceTally, now: Instant) {
+    fn add(&mut self, updates: ServiceTally, now: Instant) {
         self.forget(now);
         match self.buckets.back_mut() {
             Some((at, counts)) if now.saturating_duration_since(*at) < BUCKET => {
-                *counts = counts.plus(&news);
+                *counts = counts.plus(&updates);
             }
-            _ => self.buckets.push_back((now, news)),
+            _ => self.buckets.push_back((now, updates)),
         }
     }
 
@@ -393,7 +393,7 @@
 /// Ten gaps make the mean.
 const GAP_WEIGHT: f64 = 0.1;
 /// A link that was silent for longer is taken for broken.
-const MOST_NEWS_GAP: Duration = Duration::from_secs(1);
+const MOST_UPDATE_GAP: Duration = Duration::from_secs(1);
 /// What counts as the present: half of the span over which the floor is held, so that a
 /// loss shows early, and the whole of it, so that it shows to its end.
 const PRESENT: Duration = Duration::from_secs(1);
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -85,8 +85,8 @@
 pub use standing::{Access, ServerStanding, Standings};
 pub use store_position::{StoreEra, StorePosition};
 pub use suspects::{
-    KnownQuarantine, QUARANTINED_FROM, REMEMBERED, SuspectEvent, SuspectNews,
-    SuspectNote, SuspectRequests,
+    KnownQuarantine, QUARANTINED_FROM, REMEMBERED, SuspectEvent, SuspectNote,
+    SuspectRequests, SuspectUpdate,
 };
 pub use tally::{KeyedTally, ServerTally, ServiceTally};
 pub use tracked::{Ended, Expected};
--- a/crates/wingspur-state/src/server_limits.rs
+++ b/crates/wingspur-state/src/server_limits.rs
@@ -61,7 +61,7 @@
     ///
     /// Where it may be older or newer than what is known, the lower limit counts: the next
     /// answer of the server, to whichever box, settles it.
-    pub fn hear_news(
+    pub fn receive_updates(
         &mut self,
         server: ServerKey,
         per_s: Option<f64>,
--- a/crates/wingspur-state/src/service_table.rs
+++ b/crates/wingspur-state/src/service_table.rs
@@ -274,7 +274,7 @@
         self.settle_own(now);
         let last = *self.reported.get_or_insert(now);
         let since = now.saturating_duration_since(last);
-        let telling = self.servers.iter().any(ServerEntry::has_news);
+        let telling = self.servers.iter().any(ServerEntry::has_updates);
         if since >= REPORT_EVERY || (telling && since >= REPORT_SOONEST) {
             self.reported = Some(now);
             return Some(self.take_report(since));
@@ -470,7 +470,7 @@
     }
 
     /// Whether the judge should hear of this before the next regular report.
-    fn has_news(&self) -> bool {
+    fn has_updates(&self) -> bool {
         (self.score.sum() - self.reported_sum).abs() >= NEWS
     }
 
--- a/crates/wingspur-state/src/standing.rs
+++ b/crates/wingspur-state/src/standing.rs
@@ -64,12 +64,12 @@
     /// Takes in that a run has said that it leaves; whether that was not known.
     pub fn hear_leaving(&mut self, server: ServerKey, since: Instant) -> bool {
         let words = self.words_of(server);
-        let is_news = words.leaves.is_none();
+        let is_new = words.leaves.is_none();
         words.note_leaving(Leaving {
             since,
             works_until: since + WORKS_ON_FOR,
         });
-        is_news
+        is_new
     }
 
     /// Takes in that the catalog says that a run leaves: that closes it at once. The catalog
--- a/crates/wingspur-state/src/suspects.rs
+++ b/crates/wingspur-state/src/suspects.rs
@@ -32,7 +32,7 @@
 
 /// Something that one box has seen, and others should hear.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SuspectNews {
+pub struct SuspectUpdate {
     /// The request.
     pub request: RequestFingerprint,
     /// What was seen.
@@ -113,19 +113,19 @@
     }
 
     /// Takes out what broke off a while ago at a server that is now known to have ended.
-    pub fn take_broken(&mut self, server: ServerKey, now: Instant) -> Vec<SuspectNews> {
+    pub fn take_broken(&mut self, server: ServerKey, now: Instant) -> Vec<SuspectUpdate> {
         let (ended, others): (Vec<_>, Vec<_>) = self
             .broken
             .drain(..)
             .filter(|broken| age(broken.at, now) <= ENDS_WITHIN)
             .partition(|broken| broken.server == server);
         self.broken = others.into();
-        let news = ended.into_iter().map(|broken| SuspectNews {
+        let updates = ended.into_iter().map(|broken| SuspectUpdate {
             request: broken.request,
             seen: SuspectEvent::ServerEnded(server),
             at: broken.at,
         });
-        news.collect()
+        updates.collect()
     }
 
     /// Notes that this box has answered a request whole; whether others should hear, since
@@ -149,27 +149,30 @@
         let answered = self.answered.last.get(&request).copied()?;
         let is_quarantined = self.is_quarantined(request, now);
         let suspect = self.suspects.get(&request)?;
-        let is_news = suspect.answered.is_none_or(|known| known < answered);
-        (is_quarantined && is_news && suspect.would_clear(answered)).then_some(answered)
+        let is_new = suspect.answered.is_none_or(|known| known < answered);
+        (is_quarantined && is_new && suspect.would_clear(answered)).then_some(answered)
     }
 
     /// Takes in what this box or another has seen; whether that is news here.
-    pub fn take_in(&mut self, news: &SuspectNews, now: Instant) -> bool {
-        if age(news.at, now) >= REMEMBERED {
+    pub fn take_in(&mut self, updates: &SuspectUpdate, now: Instant) -> bool {
+        if age(updates.at, now) >= REMEMBERED {
             return false;
         }
-        match news.seen {
+        match updates.seen {
             SuspectEvent::ServerEnded(server) => {
-                self.make_room(news.request, now);
+                self.make_room(updates.request, now);
                 let ending = Ending {
                     server,
-                    at: news.at,
+                    at: updates.at,
                 };
-                self.suspects.entry(news.request).or_default().add(ending)
+                self.suspects
+                    .entry(updates.request)
+                    .or_default()
+                    .add(ending)
             }
             SuspectEvent::AnsweredWhole => {
-                let suspect = self.suspects.get_mut(&news.request);
-                suspect.is_some_and(|suspect| suspect.clear(news.at))
+                let suspect = self.suspects.get_mut(&updates.request);
+                suspect.is_some_and(|suspect| suspect.clear(updates.at))
             }
         }
     }
@@ -304,21 +307,21 @@
 
     /// What a box that has just linked with this one should hear: what ended servers last,
     /// most endings first, and no more than a frame should hold.
-    pub fn greeting(&self, now: Instant) -> Vec<SuspectNews> {
+    pub fn greeting(&self, now: Instant) -> Vec<SuspectUpdate> {
         let mut suspects: Vec<_> = self.suspects.iter().collect();
         suspects.sort_by_key(|(_, suspect)| {
             let newest = suspect.endings.iter().map(|ending| ending.at).max();
             std::cmp::Reverse((suspect.endings_lately(now), newest))
         });
-        let news = suspects.into_iter().flat_map(|(request, suspect)| {
-            let endings = suspect.counted().map(|ending| SuspectNews {
+        let updates = suspects.into_iter().flat_map(|(request, suspect)| {
+            let endings = suspect.counted().map(|ending| SuspectUpdate {
                 request: *request,
                 seen: SuspectEvent::ServerEnded(ending.server),
                 at: ending.at,
             });
             endings.collect::<Vec<_>>()
         });
-        news.take(MOST_GREETING).collect()
+        updates.take(MOST_GREETING).collect()
     }
 
     /// Forgets what is too old to count.
@@ -471,7 +474,7 @@
     }
 }
 
-impl SuspectNews {
+impl SuspectUpdate {
     /// As it is told to another box now.
     pub fn told(&self, now: Instant) -> SuspectNote {
         let age_ms = age(self.at, now).as_millis().min(u128::from(u32::MAX));
@@ -486,9 +489,9 @@
 impl SuspectNote {
     /// As it is heard now. What it took on its way is taken for none: the box that tells and
     /// this one need not agree on a clock.
-    pub fn heard(&self, now: Instant) -> SuspectNews {
+    pub fn heard(&self, now: Instant) -> SuspectUpdate {
         let age = Duration::from_millis(self.age_ms.into());
-        SuspectNews {
+        SuspectUpdate {
             request: self.request,
             seen: self.seen,
             at: now.checked_sub(age).unwrap_or(now),
--- a/crates/wingspur-state/src/tally.rs
+++ b/crates/wingspur-state/src/tally.rs
@@ -62,11 +62,16 @@
 
     /// What is new since an earlier tally; nothing where a count went back, as it does when
     /// its sender begins anew.
-    pub fn news_since(&self, earlier: &Self) -> Self {
-        let news = self.since(earlier);
-        let counts = [news.good, news.failed, news.refused, news.slowness_percent];
-        if counts.iter().all(|count| *count <= MOST_NEWS) {
-            return news;
+    pub fn increase_since(&self, earlier: &Self) -> Self {
+        let updates = self.since(earlier);
+        let counts = [
+            updates.good,
+            updates.failed,
+            updates.refused,
+            updates.slowness_percent,
+        ];
+        if counts.iter().all(|count| *count <= MOST_INCREASE) {
+            return updates;
         }
         self.without_counts()
     }
@@ -135,7 +140,7 @@
     ///
     /// Prevents that a step back counts as four billion requests, which earn a retry budget
     /// without a limit.
-    pub fn news_since(&self, earlier: &Self) -> Self {
+    pub fn increase_since(&self, earlier: &Self) -> Self {
         Self {
             requests: ahead_of(self.requests, earlier.requests),
             resends: ahead_of(self.resends, earlier.resends),
@@ -171,10 +176,10 @@
 }
 
 /// Counts that wrap around make a step back look like one of billions.
-const MOST_NEWS: u32 = u32::MAX / 8;
+const MOST_INCREASE: u32 = u32::MAX / 8;
 
 /// How far a count that wraps around is ahead of another; 0 where it is behind.
 fn ahead_of(count: u32, other: u32) -> u32 {
     let ahead = count.wrapping_sub(other);
-    if ahead <= MOST_NEWS { ahead } else { 0 }
+    if ahead <= MOST_INCREASE { ahead } else { 0 }
 }
--- a/tests/tests/budgets.rs
+++ b/tests/tests/budgets.rs
@@ -379,18 +379,18 @@
     let mut fleet = FleetCensus::new(OWN_KEY);
     fleet.add_hub(1);
     fleet.add_member(2, 50);
-    let first = fleet.news_for(1);
+    let first = fleet.updates_for(1);
     assert_eq!((first.whole, first.joined), (true, vec![OWN_KEY, 50]));
-    assert_eq!(fleet.news_for(1), CensusNote::default());
+    assert_eq!(fleet.updates_for(1), CensusNote::default());
     fleet.add_member(3, 60);
     fleet.drop_link(2, now);
-    let next = fleet.news_for(1);
+    let next = fleet.updates_for(1);
     assert_eq!(
         (next.whole, next.joined, next.left),
         (false, vec![60], vec![50])
     );
     fleet.add_hub(4);
-    assert_eq!(fleet.news_for(4).joined, [OWN_KEY, 60]);
+    assert_eq!(fleet.updates_for(4).joined, [OWN_KEY, 60]);
 }
 
 #[test]
--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -117,7 +117,7 @@
     pub fn announce(&self, id: &str, address: SocketAddr, state: &str) {
         let entry = server_entry(address, state);
         self.store.put(&format!("servers/{id}"), &entry);
-        self.wait_for_news();
+        self.wait_for_updates();
     }
 
     /// Puts what the operator writes next, and waits until the box has it in force.
@@ -129,7 +129,7 @@
     }
 
     /// Waits until the box has taken in all changes so far.
-    pub fn wait_for_news(&self) {
+    pub fn wait_for_updates(&self) {
         let version = self.running.bundle_version() + 1;
         let routes = [Route::new("read"), Route::new("once_only")];
         self.store
--- a/tests/tests/fleet_play/mod.rs
+++ b/tests/tests/fleet_play/mod.rs
@@ -740,7 +740,7 @@
             What::Limit(per_s, age) => {
                 let vouched = link.vouched.unwrap_or(now);
                 let told = (vouched - age, now - age);
-                if let Some(change) = run.limits.hear_news(SERVER, per_s, told) {
+                if let Some(change) = run.limits.receive_updates(SERVER, per_s, told) {
                     self.spread(to.0, &change, Some(from));
                 }
             }
--- a/tests/tests/floor.rs
+++ b/tests/tests/floor.rs
@@ -38,7 +38,7 @@
     random: StdRng,
     boxes: Vec<Balancer>,
     ends: VecDeque<(u64, usize, usize, AttemptId)>,
-    news: VecDeque<News>,
+    updates: VecDeque<News>,
     told: Vec<Vec<ServerTally>>,
     /// When each server was sent requests, in milliseconds.
     sent_ms: Vec<Vec<u64>>,
@@ -89,7 +89,7 @@
             random: StdRng::seed_from_u64(plan.seed),
             boxes,
             ends: VecDeque::new(),
-            news: VecDeque::new(),
+            updates: VecDeque::new(),
             told: vec![vec![ServerTally::default(); all]; plan.boxes],
             sent_ms: vec![Vec::new(); all],
         }
@@ -173,7 +173,7 @@
         for at in 0..self.boxes.len() {
             let changes = self.boxes[at].take_changes();
             if !changes.is_empty() {
-                self.news.push_back(News {
+                self.updates.push_back(News {
                     due_ms: ms + NEWS_MS,
                     from: at,
                     changes,
@@ -183,16 +183,20 @@
     }
 
     fn deliver(&mut self, ms: u64) {
-        while self.news.front().is_some_and(|news| news.due_ms <= ms) {
-            let News { from, changes, .. } = self.news.pop_front().unwrap();
+        while self
+            .updates
+            .front()
+            .is_some_and(|updates| updates.due_ms <= ms)
+        {
+            let News { from, changes, .. } = self.updates.pop_front().unwrap();
             for (told, tally) in changes {
                 let n = (0..self.sent_ms.len()).find(|n| key(*n) == told).unwrap();
-                let news = tally.since(&self.told[from][n]);
+                let updates = tally.since(&self.told[from][n]);
                 self.told[from][n] = tally;
                 let now = self.at(ms);
                 for to in (0..self.boxes.len()).filter(|to| *to != from) {
                     let source = from as u64 + 1;
-                    self.boxes[to].apply_remote(source, (told, tally), &news, now);
+                    self.boxes[to].apply_remote(source, (told, tally), &updates, now);
                 }
             }
         }
--- a/tests/tests/foreign_entries.rs
+++ b/tests/tests/foreign_entries.rs
@@ -159,7 +159,7 @@
     ];
     let deployment = Deployment::start(&servers, &[Route::new("read")]);
     deployment.store.put_bytes("servers/i-0", b"\xff");
-    deployment.wait_for_news();
+    deployment.wait_for_updates();
     let before = servers[0].heads().len();
     for n in 0..20 {
         assert_eq!(deployment.call("read", &format!("id-{n}")).status, 200);
--- a/tests/tests/listings.rs
+++ b/tests/tests/listings.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use wingspur_coordination::{CatalogQueue, ListingFrames, NewsPacer, PendingListing};
+use wingspur_coordination::{CatalogQueue, ListingFrames, PendingListing, UpdatePacer};
 use wingspur_protocol::{
     CatalogChange, CatalogChanges, CatalogListing, CatalogUpdate, Frame, FrameContent,
     ListingUpdate, encode_frame, take_frame,
@@ -97,7 +97,7 @@
     let start = Instant::now();
     let listing = listing(None);
     for (capacity, least_ms, most_ms) in [(1, 88, 100), (10, 9, 10)] {
-        let mut pacer = NewsPacer::new(capacity, start);
+        let mut pacer = UpdatePacer::new(capacity, start);
         assert_eq!(pacer.list_free_in(start), Duration::ZERO);
         pacer.count_listing(&listing, start);
         let gap_ms = pacer.list_free_in(start).as_millis();
--- a/tests/tests/many_servers.rs
+++ b/tests/tests/many_servers.rs
@@ -6,7 +6,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use wingspur_coordination::{LinkKind, NewsReader, Rollup};
+use wingspur_coordination::{LinkKind, Rollup, UpdateReader};
 use wingspur_protocol::Digest;
 use wingspur_state::{
     AttemptId, Balancer, BudgetSettings, Ended, Expected, FleetBudget, ServerKey,
@@ -55,7 +55,7 @@
     start: Instant,
     random: StdRng,
     boxes: Vec<Balancer>,
-    readers: Vec<NewsReader>,
+    readers: Vec<UpdateReader>,
     hub: Rollup,
     numbers: HashMap<ServerKey, usize>,
     /// Whether each server is sick, and until when it stays as it is.
@@ -124,7 +124,7 @@
             sick: sick.collect(),
             plan,
             start,
-            readers: (0..plan.boxes).map(|_| NewsReader::default()).collect(),
+            readers: (0..plan.boxes).map(|_| UpdateReader::default()).collect(),
             boxes,
             hub,
             numbers: records.iter().map(ServerRecord::key).zip(0..).collect(),
@@ -274,9 +274,9 @@
                 continue;
             }
             for digest in self.hub.compose_within(at as u64 + 1, MOST_SERVERS) {
-                let news = self.readers[at].read(&digest);
-                for (tally, counts) in news.servers {
-                    self.boxes[at].apply_remote(news.source, tally, &counts, now);
+                let updates = self.readers[at].read(&digest);
+                for (tally, counts) in updates.servers {
+                    self.boxes[at].apply_remote(updates.source, tally, &counts, now);
                 }
             }
         }
--- a/tests/tests/news_pacer.rs
+++ b/tests/tests/news_pacer.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use wingspur_coordination::NewsPacer;
+use wingspur_coordination::UpdatePacer;
 use wingspur_protocol::Digest;
 use wingspur_state::ServerTally;
 
@@ -19,13 +19,13 @@
 /// Frames of news in ten seconds to as many members as want them.
 fn frames(capacity: u32, servers: u64) -> u32 {
     let start = Instant::now();
-    let mut pacer = NewsPacer::new(capacity, start);
-    let news = digests(servers);
+    let mut pacer = UpdatePacer::new(capacity, start);
+    let updates = digests(servers);
     let mut frames = 0;
     for ms in 0..10_000 {
         let now = start + Duration::from_millis(ms);
         if pacer.free_in(now).is_zero() {
-            pacer.count(&news, now);
+            pacer.count(&updates, now);
             frames += 1;
         }
     }
@@ -48,7 +48,7 @@
 #[test]
 fn news_without_weight_waits_for_nothing() {
     let now = Instant::now();
-    let mut pacer = NewsPacer::new(1, now);
+    let mut pacer = UpdatePacer::new(1, now);
     for _ in 0..1_000 {
         pacer.count(&digests(0), now);
         assert_eq!(pacer.free_in(now), Duration::ZERO);
@@ -60,7 +60,7 @@
 #[test]
 fn a_hub_tells_all_its_members_in_one_tick() {
     let now = Instant::now();
-    let mut pacer = NewsPacer::new(2, now);
+    let mut pacer = UpdatePacer::new(2, now);
     for _ in 0..14 {
         assert_eq!(pacer.free_in(now), Duration::ZERO);
         pacer.count(&digests(36), now);
--- a/tests/tests/placing.rs
+++ b/tests/tests/placing.rs
@@ -220,10 +220,10 @@
         let now = self.at(ms);
         for n in 0..self.keys.len() {
             let others = self.sums[0].1[n].minus(&self.own[at][n]);
-            let news = others.news_since(&self.heard[at][n]);
+            let updates = others.increase_since(&self.heard[at][n]);
             if others != self.heard[at][n] {
                 self.heard[at][n] = others;
-                self.boxes[at].apply_remote(1, (self.keys[n], others), &news, now);
+                self.boxes[at].apply_remote(1, (self.keys[n], others), &updates, now);
             }
         }
     }
--- a/tests/tests/quarantine/mod.rs
+++ b/tests/tests/quarantine/mod.rs
@@ -13,7 +13,7 @@
 use wingspur_coordination::{CountOutcome, DeskStep, QuarantineDesk};
 use wingspur_state::{
     KnownQuarantine, RequestFingerprint, RequestParts, StorePosition, SuspectEvent,
-    SuspectNews, SuspectNote, SuspectRequests,
+    SuspectNote, SuspectRequests, SuspectUpdate,
 };
 
 pub type Ms = u64;
@@ -1032,12 +1032,12 @@
             .out
             .retain(stays);
         // One trip to see that nobody listens there.
-        let news = SuspectNews {
+        let updates = SuspectUpdate {
             request: request.print,
             seen: SuspectEvent::ServerEnded(run),
             at: self.instant(),
         };
-        self.own_news(request.at, news);
+        self.own_updates(request.at, updates);
         let request = self.requests.get(&number).expect("it lives");
         if !request.out.is_empty() {
             return;
@@ -1066,12 +1066,12 @@
         let now = self.instant();
         let suspects = &mut self.boxes[request.at].suspects;
         if suspects.note_answered(request.print, now) {
-            let news = SuspectNews {
+            let updates = SuspectUpdate {
                 request: request.print,
                 seen: SuspectEvent::AnsweredWhole,
                 at: self.instant(),
             };
-            self.own_news(request.at, news);
+            self.own_updates(request.at, updates);
         }
         self.outcome.answered += 1;
     }
@@ -1109,14 +1109,14 @@
 
     // News.
 
-    fn own_news(&mut self, place: usize, news: SuspectNews) {
+    fn own_updates(&mut self, place: usize, updates: SuspectUpdate) {
         let now = self.instant();
-        if !self.boxes[place].suspects.take_in(&news, now) {
+        if !self.boxes[place].suspects.take_in(&updates, now) {
             return;
         }
-        self.spread(place, None, &news);
-        self.open(place, news.request);
-        self.vouch_soon(place, news.request);
+        self.spread(place, None, &updates);
+        self.open(place, updates.request);
+        self.vouch_soon(place, updates.request);
     }
 
     fn note(&mut self, to: usize, life: u32, from: usize, note: SuspectNote) {
@@ -1135,15 +1135,15 @@
             );
         }
         let now = self.instant();
-        let news = note.heard(now);
-        if !self.boxes[to].suspects.take_in(&news, now) {
+        let updates = note.heard(now);
+        if !self.boxes[to].suspects.take_in(&updates, now) {
             return;
         }
-        self.spread(to, Some(from), &news);
+        self.spread(to, Some(from), &updates);
         if self.hub_of(from) == to {
-            self.open(to, news.request);
+            self.open(to, updates.request);
         }
-        self.vouch_soon(to, news.request);
+        self.vouch_soon(to, updates.request);
     }
 
     fn vouch_soon(&mut self, place: usize, print: RequestFingerprint) {
@@ -1162,9 +1162,9 @@
         let suspects = &self.boxes[place].suspects;
         if let Some(at) = suspects.answered_before(print, self.instant()) {
             let seen = SuspectEvent::AnsweredWhole;
-            self.own_news(
+            self.own_updates(
                 place,
-                SuspectNews {
+                SuspectUpdate {
                     request: print,
                     seen,
                     at,
@@ -1173,19 +1173,19 @@
         }
     }
 
-    fn spread(&mut self, place: usize, from: Option<usize>, news: &SuspectNews) {
+    fn spread(&mut self, place: usize, from: Option<usize>, updates: &SuspectUpdate) {
         let is_own = from.is_none_or(|from| self.hub_of(from) == place);
         for other in self.neighbours(place) {
             let is_member = self.hub_of(other) == place;
             if Some(other) != from && (is_own || is_member) {
-                self.send_note(place, other, news);
+                self.send_note(place, other, updates);
             }
         }
     }
 
-    fn send_note(&mut self, from: usize, to: usize, news: &SuspectNews) {
+    fn send_note(&mut self, from: usize, to: usize, updates: &SuspectUpdate) {
         self.outcome.notes += 1;
-        let note = news.told(self.instant());
+        let note = updates.told(self.instant());
         let Some(way) = self.way(from, to) else {
             return;
         };
@@ -1211,8 +1211,8 @@
         if !self.boxes[one].alive {
             return;
         }
-        for news in self.boxes[one].suspects.greeting(now) {
-            self.send_note(one, other, &news);
+        for updates in self.boxes[one].suspects.greeting(now) {
+            self.send_note(one, other, &updates);
         }
     }
 
--- a/tests/tests/restore_play/fleet.rs
+++ b/tests/tests/restore_play/fleet.rs
@@ -1099,11 +1099,11 @@
         let mut frames = Vec::new();
         for (to, link) in &mut played.links {
             let due = link.queue.due_in(now).is_some_and(|due| due.is_zero());
-            let has_news = due
+            let has_updates = due
                 || link.wants_listing
                 || !link.leaving.is_empty()
                 || link.told_era < feed.era;
-            if !has_news && self.now - link.sent_ms < HEARTBEAT_FRAME_MS {
+            if !has_updates && self.now - link.sent_ms < HEARTBEAT_FRAME_MS {
                 continue;
             }
             link.sent_ms = self.now;
--- a/tests/tests/server_words.rs
+++ b/tests/tests/server_words.rs
@@ -97,11 +97,11 @@
     deployment.announce("i-0", servers[0].address, "ready");
     unsent("its entry is written anew");
     deployment.store.remove("servers/i-0");
-    deployment.wait_for_news();
+    deployment.wait_for_updates();
     deployment.announce("i-0", servers[0].address, "ready");
     unsent("its entry has gone and come back");
     deployment.store.forget_history();
-    deployment.wait_for_news();
+    deployment.wait_for_updates();
     unsent("all is listed anew");
     deployment.store.set_fault(StoreFault::Refuses(503));
     unsent("the store is away");
--- a/tests/tests/sharing.rs
+++ b/tests/tests/sharing.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use wingspur_coordination::{
     AnnouncementInputs, AnnouncementStep, CatalogQueue, FeedView, FleetCount, LinkKind,
-    LinkPlanner, NewsPacer, NewsReader, OWN_LINK, RecentChanges, Rollup,
+    LinkPlanner, OWN_LINK, RecentChanges, Rollup, UpdatePacer, UpdateReader,
     announcement_step, lists_at_start, waits_for_hub_listing,
 };
 use wingspur_protocol::{
@@ -123,12 +123,12 @@
     assert!(sources(&member.compose(OWN_LINK)).contains(&200));
     hub.drop_link(2);
     assert_eq!(hub.take_lost(), [200]);
-    assert!(hub.has_news(1));
+    assert!(hub.has_updates(1));
     for told in hub.compose(1) {
         member.hear(5, &told);
     }
     assert_eq!(member.take_lost(), [200], "what it had out is out no more");
-    assert!(!hub.has_news(1) || !sources(&hub.compose(1)).contains(&200));
+    assert!(!hub.has_updates(1) || !sources(&hub.compose(1)).contains(&200));
 }
 
 #[test]
@@ -146,7 +146,7 @@
 
 #[test]
 fn a_reader_of_news_takes_the_first_digest_as_the_baseline() {
-    let mut reader = NewsReader::default();
+    let mut reader = UpdateReader::default();
     let first = reader.read(&digest(5, true, 40, 1));
     assert_eq!(first.servers[0].1.good, 0);
     let next = reader.read(&digest(5, false, 43, 1));
@@ -420,10 +420,10 @@
 
 #[test]
 fn counts_that_go_back_are_no_news() {
-    let mut reader = NewsReader::default();
+    let mut reader = UpdateReader::default();
     reader.read(&digest(3, false, 7, 0));
-    let news = reader.read(&digest(3, false, 5, 2));
-    let (_, told) = news.servers[0];
+    let updates = reader.read(&digest(3, false, 5, 2));
+    let (_, told) = updates.servers[0];
     assert_eq!((told.good, told.in_flight), (0, 2));
     let next = reader.read(&digest(3, false, 6, 0));
     assert_eq!(next.servers[0].1.good, 1);
@@ -442,7 +442,7 @@
         )],
         ..Digest::default()
     };
-    let mut reader = NewsReader::default();
+    let mut reader = UpdateReader::default();
     reader.read(&counted(70));
     assert_eq!(
         reader.read(&counted(50)).services[0].1,
@@ -465,7 +465,7 @@
         )],
         ..Digest::default()
     };
-    let mut reader = NewsReader::default();
+    let mut reader = UpdateReader::default();
     // One way leaves out 110 requests and 10 resends; both sums begin near nothing.
     reader.read(&told(2u32.wrapping_sub(110), 2u32.wrapping_sub(10)));
     let (mut requests, mut resends) = (0, 0);
@@ -473,9 +473,9 @@
         for (less, fewer) in [(0, 0), (110, 10)] {
             let all = 3 + step;
             let digest = told(all.wrapping_sub(less), all.wrapping_sub(fewer));
-            let (_, news) = reader.read(&digest).services[0];
-            requests += news.requests;
-            resends += news.resends;
+            let (_, updates) = reader.read(&digest).services[0];
+            requests += updates.requests;
+            resends += updates.resends;
         }
     }
     assert!(requests <= 117, "{requests} requests, seven of them new");
@@ -499,7 +499,7 @@
             .collect(),
         ..Digest::default()
     };
-    let mut reader = NewsReader::default();
+    let mut reader = UpdateReader::default();
     reader.read(&told(true, &[8, 9], 400));
     reader.forget(3);
     // It goes on with what has changed: first one service, then the other.
@@ -575,7 +575,7 @@
     assert!(keys.contains(&5_000));
     assert!(!hub.has_failures(2));
     let mut heard = keys;
-    while hub.has_news(2) {
+    while hub.has_updates(2) {
         for digest in hub.compose_within(2, 100) {
             assert!(digest.servers.len() <= 100);
             heard.extend(digest.servers.iter().map(|(key, _)| *key));
@@ -613,7 +613,7 @@
     assert!(first[0].whole && first[0].servers.len() == 20);
     let rest = hub.compose_within(2, 100);
     assert!(!rest[0].whole && rest[0].servers.len() == 31);
-    assert!(!hub.has_news(2));
+    assert!(!hub.has_updates(2));
 }
 
 /// How long news of a failing server takes to the last of a hub's members, in milliseconds,
@@ -622,7 +622,7 @@
     const FAILS_AT_MS: u64 = 5_000;
     let start = Instant::now();
     let mut hub = Rollup::new(100);
-    let mut pacer = NewsPacer::new(5, start);
+    let mut pacer = UpdatePacer::new(5, start);
     let gap_ms = (members * 1_000 / 320).max(50);
     (1..=members).for_each(|id| hub.add_link(id, LinkKind::Member));
     let mut told_ms: Vec<u64> = vec![0; members as usize];
--- a/tests/tests/suspects.rs
+++ b/tests/tests/suspects.rs
@@ -5,7 +5,7 @@
 use wingspur_coordination::{CountOutcome, DeskStep, MOST_TRIES, QuarantineDesk};
 use wingspur_state::{
     KnownQuarantine, REMEMBERED, RequestFingerprint, RequestParts, StorePosition,
-    SuspectEvent, SuspectNews, SuspectRequests,
+    SuspectEvent, SuspectRequests, SuspectUpdate,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -21,16 +21,16 @@
     })
 }
 
-fn ended(name: &str, server: u64, at: Instant) -> SuspectNews {
-    SuspectNews {
+fn ended(name: &str, server: u64, at: Instant) -> SuspectUpdate {
+    SuspectUpdate {
         request: request(name),
         seen: SuspectEvent::ServerEnded(server),
         at,
     }
 }
 
-fn answered(name: &str, at: Instant) -> SuspectNews {
-    SuspectNews {
+fn answered(name: &str, at: Instant) -> SuspectUpdate {
+    SuspectUpdate {
         request: request(name),
         seen: SuspectEvent::AnsweredWhole,
         at,
@@ -238,8 +238,8 @@
     let mut suspects = SuspectRequests::default();
     suspects.note_broken(request("a"), 1, now);
     suspects.note_broken(request("b"), 2, now);
-    let news = suspects.take_broken(1, now + 5 * SECOND);
-    assert_eq!(news, [ended("a", 1, now)]);
+    let updates = suspects.take_broken(1, now + 5 * SECOND);
+    assert_eq!(updates, [ended("a", 1, now)]);
     assert!(suspects.take_broken(1, now + 5 * SECOND).is_empty(), "once");
     let late = suspects.take_broken(2, now + 60 * SECOND);
     assert!(late.is_empty(), "it ended for another reason");
--- a/tests/tests/words_play.rs
+++ b/tests/tests/words_play.rs
@@ -201,7 +201,7 @@
             self.deliver();
             self.let_callers_come();
             if self.now_ms.is_multiple_of(NEWS_EVERY_MS) {
-                self.tell_news();
+                self.send_updates();
             }
             self.now_ms += STEP_MS;
         }
@@ -518,7 +518,7 @@
     }
 
     /// Tells each box what all others have seen.
-    fn tell_news(&mut self) {
+    fn send_updates(&mut self) {
         let now = self.now();
         let mut all: BTreeMap<ServerKey, ServerTally> = BTreeMap::new();
         let own: Vec<_> = self
@@ -535,8 +535,8 @@
             for (key, sum) in &all {
                 let others = sum.minus(&own.get(key).copied().unwrap_or_default());
                 let before = sim.remote.insert(*key, others).unwrap_or_default();
-                let news = others.news_since(&before);
-                sim.balancer.apply_remote(1, (*key, others), &news, now);
+                let updates = others.increase_since(&before);
+                sim.balancer.apply_remote(1, (*key, others), &updates, now);
             }
         }
     }
