--- a/crates/wingspur-bench/src/bin/wingspur-bench-decisions.rs
+++ b/crates/wingspur-bench/src/bin/wingspur-bench-decisions.rs
@@ -161,7 +161,7 @@
     let operation_us = time_us(|| {
         index = (index + 1) % size;
         let from = format!("box-{index}");
-        judge.hear(&from, &"data-centre-0".to_owned(), &report, now);
+        judge.receive(&from, &"data-centre-0".to_owned(), &report, now);
     });
     row("judge hears a report", size, bytes, operation_us)
 }
@@ -193,7 +193,7 @@
         entries,
     };
     for index in 0..size {
-        judge.hear(
+        judge.receive(
             &format!("box-{index}"),
             &"data-centre-0".to_owned(),
             &report,
--- a/crates/wingspur-bench/src/capacity/page.rs
+++ b/crates/wingspur-bench/src/capacity/page.rs
@@ -483,7 +483,7 @@
 - **One judge hears every box.** At 88 requests/s a box touches at most 88 services a
   second, so up to 88 reports in as many messages. Reckoned, not measured: at 250 bytes
   each 22 KB/s, twice the limit. What carries it: an aggregator in each data centre that
-  takes one message a box for all services and adds sums (they add), and judges that hear
+  takes one message a box for all services and adds sums (they add), and judges that receive
   16 aggregators.
 - **The whole manifest for each change.** See the manifest row. A digest tree of two levels
   (64 groups of services under one signed root) would send about 3 KB a change; the number
--- a/crates/wingspur-bench/src/replay.rs
+++ b/crates/wingspur-bench/src/replay.rs
@@ -238,7 +238,7 @@
             self.reports += 1;
             if self.decider == Decider::Wingspur {
                 let home = &self.data_centres[index];
-                self.judge.hear(&self.box_ids[index], home, &report, now);
+                self.judge.receive(&self.box_ids[index], home, &report, now);
                 let verdict = self.judge.verdict(home);
                 self.tables[index].apply(&verdict, now);
                 self.sent[index] = verdict;
--- a/crates/wingspur-coordination/src/fleet_census.rs
+++ b/crates/wingspur-coordination/src/fleet_census.rs
@@ -79,7 +79,7 @@
     }
 
     /// Takes in whom another hub counts.
-    pub fn hear(&mut self, link: LinkId, note: &CensusNote, now: Instant) {
+    pub fn receive(&mut self, link: LinkId, note: &CensusNote, now: Instant) {
         let Some(census) = self.links.get(&link) else {
             return;
         };
--- a/crates/wingspur-coordination/src/fleet_view.rs
+++ b/crates/wingspur-coordination/src/fleet_view.rs
@@ -160,7 +160,7 @@
     }
 
     /// Takes in whom another hub counts.
-    pub fn hear_census(
+    pub fn receive_census(
         &mut self,
         id: LinkId,
         note: &CensusNote,
@@ -168,7 +168,7 @@
         now: Instant,
     ) {
         if *note != CensusNote::default() {
-            self.census.hear(id, note, now);
+            self.census.receive(id, note, now);
             self.boxes(known, now);
         }
     }
@@ -183,7 +183,7 @@
 
     /// Takes in what the other side of a link tells, which was true at a moment or later;
     /// none where it is not known at which.
-    pub fn hear(
+    pub fn receive(
         &mut self,
         id: LinkId,
         told: FleetNote,
@@ -367,7 +367,12 @@
     }
 
     /// Takes in the parts that another hub leaves to this one, as of a moment or later.
-    pub fn hear_left(&mut self, id: LinkId, left: &[LeftPart], vouched: Option<Instant>) {
+    pub fn receive_left(
+        &mut self,
+        id: LinkId,
+        left: &[LeftPart],
+        vouched: Option<Instant>,
+    ) {
         let (Some(link), Some(vouched)) = (self.links.get_mut(&id), vouched) else {
             return;
         };
--- a/crates/wingspur-coordination/src/link_clock.rs
+++ b/crates/wingspur-coordination/src/link_clock.rs
@@ -44,7 +44,7 @@
     }
 
     /// Takes in the stamps of a frame that came.
-    pub fn hear(&mut self, stamps: &Stamps) {
+    pub fn receive(&mut self, stamps: &Stamps) {
         self.heard_ms = Some(stamps.sent_ms);
         let Some(answered_ms) = stamps.heard_ms else {
             return;
--- a/crates/wingspur-coordination/src/membership.rs
+++ b/crates/wingspur-coordination/src/membership.rs
@@ -127,7 +127,7 @@
     }
 
     /// Checks a message's sender and counts it as a sign of life.
-    pub fn hear(
+    pub fn receive(
         &mut self,
         from: &BoxId,
         incarnation: u64,
@@ -160,7 +160,7 @@
     }
 
     /// Takes in suspicions that came with a heartbeat.
-    pub fn hear_suspicions(&mut self, suspicions: &[Suspicion], now: Instant) {
+    pub fn receive_suspicions(&mut self, suspicions: &[Suspicion], now: Instant) {
         for suspicion in suspicions.iter().take(MOST_SUSPICIONS) {
             if suspicion.by == self.own || !self.peers.contains_key(&suspicion.of) {
                 continue;
--- a/crates/wingspur-coordination/src/rollup.rs
+++ b/crates/wingspur-coordination/src/rollup.rs
@@ -63,16 +63,16 @@
     /// What a member has told.
     told: Tallies,
     /// What it has not heard yet of this box's total.
-    unheard: Unheard,
+    unsent: Unsent,
     /// What it has not heard yet of other hubs.
-    unheard_foreign: BTreeMap<SourceId, Unheard>,
+    unsent_foreign: BTreeMap<SourceId, Unsent>,
     /// Other hubs that it should forget: what they had out is out no more, or told by others.
     gone: Vec<SourceId>,
 }
 
 /// What has changed since a link was told; all there is for a new link.
 #[derive(Debug, Default)]
-struct Unheard {
+struct Unsent {
     whole: bool,
     /// Servers that have failed, refused or kept silent: each request that goes there before
     /// the link is told may be lost.
@@ -118,19 +118,19 @@
 
     /// Takes up a link.
     pub fn add_link(&mut self, id: LinkId, kind: LinkKind) {
-        let whole = || Unheard {
+        let whole = || Unsent {
             whole: true,
-            ..Unheard::default()
+            ..Unsent::default()
         };
-        let mut unheard_foreign = BTreeMap::new();
+        let mut unsent_foreign = BTreeMap::new();
         if kind == LinkKind::Member {
-            unheard_foreign.extend(self.foreign.keys().map(|source| (*source, whole())));
+            unsent_foreign.extend(self.foreign.keys().map(|source| (*source, whole())));
         }
         let link = Link {
             kind,
             told: Tallies::default(),
-            unheard: whole(),
-            unheard_foreign,
+            unsent: whole(),
+            unsent_foreign,
             gone: Vec::new(),
         };
         self.links.insert(id, link);
@@ -162,10 +162,10 @@
     }
 
     /// Takes in a digest that came by a link.
-    pub fn hear(&mut self, id: LinkId, digest: &Digest) {
+    pub fn receive(&mut self, id: LinkId, digest: &Digest) {
         match self.links.get(&id).map(|link| link.kind) {
-            Some(LinkKind::Member) => self.hear_member(id, digest),
-            Some(LinkKind::Hub) => self.hear_hub(id, digest),
+            Some(LinkKind::Member) => self.receive_from_member(id, digest),
+            Some(LinkKind::Hub) => self.receive_from_hub(id, digest),
             None => {}
         }
     }
@@ -188,7 +188,7 @@
         let mut digests: Vec<Digest> = gone.map(nothing_left).collect();
         let mut room = most_servers;
         let index = &mut self.index;
-        let taken = link.unheard.take_within(&mut room, &self.total, index);
+        let taken = link.unsent.take_within(&mut room, &self.total, index);
         if !taken.is_empty() {
             let digest = self.total.without(&link.told, &taken);
             digests.push(Digest {
@@ -196,12 +196,12 @@
                 ..digest
             });
         }
-        for (source, unheard) in &mut link.unheard_foreign {
+        for (source, unsent) in &mut link.unsent_foreign {
             let Some((_, tallies)) = self.foreign.get(source) else {
-                *unheard = Unheard::default();
+                *unsent = Unsent::default();
                 continue;
             };
-            let taken = unheard.take_within(&mut room, tallies, index);
+            let taken = unsent.take_within(&mut room, tallies, index);
             if !taken.is_empty() {
                 let digest = tallies.without(&Tallies::default(), &taken);
                 digests.push(Digest {
@@ -218,9 +218,9 @@
         let Some(link) = self.links.get(&id) else {
             return false;
         };
-        let foreign = link.unheard_foreign.values();
-        let any_foreign = foreign.into_iter().any(|unheard| !unheard.is_empty());
-        !link.unheard.is_empty() || !link.gone.is_empty() || any_foreign
+        let foreign = link.unsent_foreign.values();
+        let any_foreign = foreign.into_iter().any(|unsent| !unsent.is_empty());
+        !link.unsent.is_empty() || !link.gone.is_empty() || any_foreign
     }
 
     /// Whether a link has to hear of servers that have failed, refused or kept silent.
@@ -228,12 +228,12 @@
         let Some(link) = self.links.get(&id) else {
             return false;
         };
-        let mut foreign = link.unheard_foreign.values();
-        !link.unheard.failing.is_empty()
-            || foreign.any(|unheard| !unheard.failing.is_empty())
+        let mut foreign = link.unsent_foreign.values();
+        !link.unsent.failing.is_empty()
+            || foreign.any(|unsent| !unsent.failing.is_empty())
     }
 
-    fn hear_member(&mut self, id: LinkId, digest: &Digest) {
+    fn receive_from_member(&mut self, id: LinkId, digest: &Digest) {
         let Some(link) = self.links.get_mut(&id) else {
             return;
         };
@@ -266,7 +266,7 @@
         self.mark(Some(id), &servers, &services);
     }
 
-    fn hear_hub(&mut self, id: LinkId, digest: &Digest) {
+    fn receive_from_hub(&mut self, id: LinkId, digest: &Digest) {
         if digest.source == self.source {
             return;
         }
@@ -294,10 +294,10 @@
         entry.1.services.extend(digest.services.iter().copied());
         let members = self.links.iter_mut();
         for (_, link) in members.filter(|(_, link)| link.kind == LinkKind::Member) {
-            let unheard = link.unheard_foreign.entry(digest.source).or_default();
-            unheard.whole |= digest.whole;
-            unheard.mark(&changed);
-            unheard
+            let unsent = link.unsent_foreign.entry(digest.source).or_default();
+            unsent.whole |= digest.whole;
+            unsent.mark(&changed);
+            unsent
                 .services
                 .extend(digest.services.iter().map(|(key, _)| *key));
         }
@@ -309,11 +309,11 @@
         self.lost.push(source);
         let others = self.links.iter_mut().filter(|(id, _)| **id != OWN_LINK);
         for (_, link) in others.filter(|(_, link)| link.kind == LinkKind::Member) {
-            link.unheard_foreign.remove(&source);
+            link.unsent_foreign.remove(&source);
             link.gone.push(source);
         }
         if let Some(own) = self.links.get_mut(&OWN_LINK) {
-            own.unheard_foreign.remove(&source);
+            own.unsent_foreign.remove(&source);
         }
     }
 
@@ -321,8 +321,8 @@
     fn mark(&mut self, but: Option<LinkId>, servers: &[Changed], services: &[u64]) {
         for (id, link) in &mut self.links {
             if Some(*id) != but {
-                link.unheard.mark(servers);
-                link.unheard.services.extend(services);
+                link.unsent.mark(servers);
+                link.unsent.services.extend(services);
             }
         }
     }
@@ -363,7 +363,7 @@
     digest.whole && digest.servers.is_empty() && digest.services.is_empty()
 }
 
-impl Unheard {
+impl Unsent {
     fn is_empty(&self) -> bool {
         let has_servers = !self.servers.is_empty() || !self.failing.is_empty();
         !self.whole && !has_servers && self.services.is_empty()
--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -22,7 +22,7 @@
 use crate::in_force::ActiveRoute;
 use crate::request_log::id_text;
 use crate::requests_out::Ticket;
-use crate::server_words::hear_head;
+use crate::server_words::observe_response;
 use crate::services::ServiceState;
 use crate::shared::Shared;
 use crate::suspects::{BrokenOff, note_answered, note_broken_off};
@@ -195,7 +195,7 @@
         let method = &self.outgoing.method;
         let request = self.head_bytes(account, &body);
         let mut head = connection.exchange(request, body, method).await?;
-        let mut words = self.hear(&head);
+        let mut words = self.receive(&head);
         while self.belongs_to_another(&head) {
             // A second answer to an earlier request; ours may follow it.
             tracing::info!(server = %self.pick.server.id, "attempt: skipped an answer to another request.");
@@ -205,7 +205,7 @@
                 return Err(AnswerError::Unreadable("of another request".to_owned()));
             }
             head = connection.read_head(method).await?;
-            words = self.hear(&head);
+            words = self.receive(&head);
         }
         self.check_own(&head)?;
         match connection.read_whole(HELD_BYTES).await? {
@@ -214,9 +214,9 @@
         }
     }
 
-    fn hear(&self, head: &AnswerHead) -> ServerWords {
+    fn receive(&self, head: &AnswerHead) -> ServerWords {
         let id = id_text(self.outgoing.id.as_ref());
-        hear_head(&self.shared, id, &self.pick.server, head)
+        observe_response(&self.shared, id, &self.pick.server, head)
     }
 
     /// Weighs an answer that is here whole.
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -284,10 +284,10 @@
         observe_era(shared, frame.feed.era, "peer");
     }
     apply_updates(shared, id, updates, now);
-    shared.resend_loans.lock().hear(id, &frame.rooms);
+    shared.resend_loans.lock().receive(id, &frame.rooms);
     let mut links = shared.links.lock();
     links.note_frame(id, &frame, now);
-    let updates = links.hear(id, &frame.digests);
+    let updates = links.receive(id, &frame.digests);
     let lost = links.take_lost();
     let passes_on = links.counts().0 > 1;
     drop(links);
@@ -345,7 +345,7 @@
     let rooms = told_rooms(shared, now);
     let mut links = shared.links.lock();
     if !digest.servers.is_empty() || !digest.services.is_empty() {
-        links.hear_own(&digest);
+        links.receive_own(&digest);
     }
     let frames = links.take_frames(bundle_version, &rooms, now);
     let stuck = links.stuck(now);
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/links.rs
@@ -219,14 +219,14 @@
     }
 
     /// Takes in what this box itself has seen.
-    pub fn hear_own(&mut self, digest: &Digest) {
-        self.rollup.hear(OWN_LINK, digest);
+    pub fn receive_own(&mut self, digest: &Digest) {
+        self.rollup.receive(OWN_LINK, digest);
     }
 
     /// Takes in digests that came by a link; returns the news for this box's own tables.
-    pub fn hear(&mut self, id: LinkId, digests: &[Digest]) -> Vec<SourceUpdate> {
+    pub fn receive(&mut self, id: LinkId, digests: &[Digest]) -> Vec<SourceUpdate> {
         for digest in digests {
-            self.rollup.hear(id, digest);
+            self.rollup.receive(id, digest);
         }
         let own = self.rollup.compose(OWN_LINK);
         own.iter().map(|digest| self.updates.read(digest)).collect()
@@ -234,7 +234,7 @@
 
     /// News that came about without a digest, as when a member went.
     pub fn own_updates(&mut self) -> Vec<SourceUpdate> {
-        self.hear(OWN_LINK, &[])
+        self.receive(OWN_LINK, &[])
     }
 
     /// The listing that was put together last, if it is still the present one: many boxes
@@ -304,7 +304,7 @@
         updates: &SuspectUpdate,
         from: Option<LinkId>,
     ) -> bool {
-        for link in self.hearers(from) {
+        for link in self.recipients(from) {
             if link.suspects.len() < MOST_SUSPECT_UPDATES {
                 link.suspects.push(*updates);
             }
@@ -315,7 +315,7 @@
     /// Queues a changed limit of a server for all links that do not hear it otherwise; the
     /// newest change of a server replaces those before.
     pub fn spread_limit(&mut self, limit: &LimitChange, from: Option<LinkId>) {
-        for link in self.hearers(from) {
+        for link in self.recipients(from) {
             link.limits.insert(limit.server, *limit);
         }
     }
@@ -327,7 +327,7 @@
         since: Instant,
         from: Option<LinkId>,
     ) {
-        for link in self.hearers(from) {
+        for link in self.recipients(from) {
             link.leaving_servers.insert(server, since);
         }
     }
@@ -340,7 +340,10 @@
 
     /// The links that do not hear news otherwise: what another hub tells, that one tells all
     /// other hubs as well.
-    fn hearers(&mut self, from: Option<LinkId>) -> impl Iterator<Item = &mut ActiveLink> {
+    fn recipients(
+        &mut self,
+        from: Option<LinkId>,
+    ) -> impl Iterator<Item = &mut ActiveLink> {
         let is_own = self.is_own_update(from);
         let others = self
             .active
@@ -672,15 +675,15 @@
         let known = frame.feed.position;
         link.has_catalog |= !known.is_start();
         link.catalog.drop_known_listing(known, frame.bundle_version);
-        link.clock.hear(&frame.stamps);
+        link.clock.receive(&frame.stamps);
         let vouched = link.clock.vouched();
         if let Some(vouched) = vouched {
             self.feed.note(id, &frame.feed, vouched);
         }
         let known = self.announced(now);
-        self.fleet.hear_census(id, &frame.census, &known, now);
-        self.fleet.hear(id, frame.fleet, &known, vouched, now);
-        self.fleet.hear_left(id, &frame.left_parts, vouched);
+        self.fleet.receive_census(id, &frame.census, &known, now);
+        self.fleet.receive(id, frame.fleet, &known, vouched, now);
+        self.fleet.receive_left(id, &frame.left_parts, vouched);
     }
 
     /// Takes in that the other side of a link has ended it in order: it uses this box's part
--- a/crates/wingspur-edge/src/resend_loans.rs
+++ b/crates/wingspur-edge/src/resend_loans.rs
@@ -57,7 +57,7 @@
 
 impl ResendLoans {
     /// Takes in how the budgets stand at the other side of a link.
-    pub fn hear(&mut self, link: LinkId, rooms: &[ResendRoom]) {
+    pub fn receive(&mut self, link: LinkId, rooms: &[ResendRoom]) {
         if !rooms.is_empty() {
             let rooms = rooms.iter().map(|room| (room.service, *room));
             self.rooms.insert(link, rooms.collect());
--- a/crates/wingspur-edge/src/server_words.rs
+++ b/crates/wingspur-edge/src/server_words.rs
@@ -17,7 +17,7 @@
 /// of the answer.
 ///
 /// All heads of servers' answers come by here, so that no path of a request can miss a word.
-pub fn hear_head(
+pub fn observe_response(
     shared: &Shared,
     id: &str,
     server: &ServerRecord,
@@ -27,25 +27,25 @@
     let words = head.words(&shared.names, SystemTime::now());
     if words.is_other_run {
         // What it says of itself is not of the run that was asked.
-        hear_replaced(shared, id, server);
+        receive_replaced(shared, id, server);
         return words;
     }
     note_unreadable(shared, id, server, &words);
     if let Ok(per_s) = words.limit_per_s {
-        hear_limit(shared, server, per_s, now);
+        receive_limit(shared, server, per_s, now);
     }
     if words.leaving == Ok(true) {
-        hear_leaving(shared, id, server, now);
+        receive_leaving(shared, id, server, now);
     }
     if let Ok(Some(rest)) = words.rest {
-        hear_rest(shared, id, server, rest, now);
+        receive_backoff(shared, id, server, rest, now);
     }
     words
 }
 
 /// Stops sending to a run whose address is another's now.
-fn hear_replaced(shared: &Shared, id: &str, server: &ServerRecord) {
-    shared.standings.lock().hear_replaced(server.key());
+fn receive_replaced(shared: &Shared, id: &str, server: &ServerRecord) {
+    shared.standings.lock().receive_replaced(server.key());
     adopt(shared, server.key());
     shared.metrics.count_server_word("replaced");
     tracing::warn!(id, server = %server.id, address = %server.address, "server: its address is another's now.");
@@ -73,30 +73,38 @@
     }
 }
 
-fn hear_limit(shared: &Shared, server: &ServerRecord, per_s: Option<f64>, at: Instant) {
+fn receive_limit(
+    shared: &Shared,
+    server: &ServerRecord,
+    per_s: Option<f64>,
+    at: Instant,
+) {
     let mut standings = shared.standings.lock();
-    let change = standings.limits.hear_answer(server.key(), per_s, at);
+    let change = standings.limits.receive_answer(server.key(), per_s, at);
     drop(standings);
     if let Some(change) = change {
         apply(shared, &change, "own", None);
     }
 }
 
-fn hear_leaving(shared: &Shared, id: &str, server: &ServerRecord, now: Instant) {
-    let is_new = shared.standings.lock().hear_leaving(server.key(), now);
+fn receive_leaving(shared: &Shared, id: &str, server: &ServerRecord, now: Instant) {
+    let is_new = shared.standings.lock().receive_leaving(server.key(), now);
     if is_new {
         apply_leaving(shared, id, server.key(), now, None);
     }
 }
 
-fn hear_rest(
+fn receive_backoff(
     shared: &Shared,
     id: &str,
     server: &ServerRecord,
     rest: Duration,
     now: Instant,
 ) {
-    let is_new = shared.standings.lock().hear_rest(server.key(), now + rest);
+    let is_new = shared
+        .standings
+        .lock()
+        .receive_backoff(server.key(), now + rest);
     if is_new {
         adopt(shared, server.key());
     }
@@ -133,7 +141,10 @@
     for note in notes {
         let age = Duration::from_millis(note.age_ms.into());
         let (earliest, _) = shared.links.lock().told_between(link, age, now);
-        let is_new = shared.standings.lock().hear_leaving(note.server, earliest);
+        let is_new = shared
+            .standings
+            .lock()
+            .receive_leaving(note.server, earliest);
         if is_new {
             apply_leaving(shared, "", note.server, earliest, Some(link));
         }
@@ -148,7 +159,7 @@
     let mut note_put = |record: &ServerRecord| {
         standings.announce(record.key());
         if record.leaving {
-            standings.hear_announced_leaving(record.key(), now);
+            standings.receive_announced_leaving(record.key(), now);
         }
     };
     for change in changes {
--- a/crates/wingspur-entry/src/detection.rs
+++ b/crates/wingspur-entry/src/detection.rs
@@ -30,7 +30,7 @@
 }
 
 /// Adds a peer's evidence to the judges held here, and gives their verdicts.
-pub fn hear_evidence(
+pub fn receive_evidence(
     shared: &Shared,
     reports: &[EvidenceReport],
     from: &PeerView,
@@ -38,7 +38,7 @@
     let Some(bundle) = shared.in_force() else {
         return Vec::new();
     };
-    hear(shared, &bundle, reports, &from.id, &from.data_centre)
+    receive(shared, &bundle, reports, &from.id, &from.data_centre)
 }
 
 /// Puts verdicts in force here.
@@ -79,7 +79,7 @@
     for (holder, reports) in by_judge {
         let Some(peer) = shared.peer(&holder) else {
             let home = &shared.settings.data_centre;
-            let verdicts = hear(shared, bundle, &reports, &holder, home);
+            let verdicts = receive(shared, bundle, &reports, &holder, home);
             apply_verdicts(shared, &verdicts);
             continue;
         };
@@ -95,7 +95,7 @@
     idle
 }
 
-fn hear(
+fn receive(
     shared: &Shared,
     bundle: &InForce,
     reports: &[EvidenceReport],
@@ -117,7 +117,7 @@
             .entry(tag)
             .or_insert_with(|| JudgeSeat::new(handle, tag, now));
         seat.heard = now;
-        seat.judge.hear(from, data_centre, report, now);
+        seat.judge.receive(from, data_centre, report, now);
         // Without the agreed record a judge cannot say who is out, and says nothing.
         if seat.revision.is_some() {
             verdicts.push(seat.judge.verdict(data_centre));
--- a/crates/wingspur-entry/src/peers.rs
+++ b/crates/wingspur-entry/src/peers.rs
@@ -53,7 +53,8 @@
             ..
         } = &envelope;
         let mut membership = shared.membership.lock();
-        let heard = membership.hear(from, *incarnation, *sequence, wingspur_clock::now());
+        let heard =
+            membership.receive(from, *incarnation, *sequence, wingspur_clock::now());
         drop(membership);
         if let Err(refusal) = heard {
             tracing::debug!("peer: {from} refused: {refusal}.");
@@ -88,7 +89,7 @@
             PeerReply::Bundle(offer)
         }
         (PeerMessage::Evidence(reports), Some(peer)) => {
-            PeerReply::Verdicts(detection::hear_evidence(shared, &reports, &peer))
+            PeerReply::Verdicts(detection::receive_evidence(shared, &reports, &peer))
         }
         (PeerMessage::Verdicts(verdicts), Some(_)) => {
             detection::apply_verdicts(shared, &verdicts);
@@ -197,7 +198,7 @@
 fn take_heartbeat(shared: &Arc<Shared>, heartbeat: Heartbeat, peer: &PeerView) {
     let mut membership = shared.membership.lock();
     membership.set_leaving(&peer.id, heartbeat.leaving);
-    membership.hear_suspicions(&heartbeat.suspicions, wingspur_clock::now());
+    membership.receive_suspicions(&heartbeat.suspicions, wingspur_clock::now());
     drop(membership);
     fetch_newer(shared, heartbeat.bundle_version, peer.clone());
 }
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -288,7 +288,7 @@
         let slots: u32 = costs.iter().map(|(_, server, _)| server.record.slots).sum();
         let mean_slots = f64::from(slots.max(1)) / candidates.max(1) as f64;
         let typical_ms = want.typical.as_secs_f64() * 1000.0;
-        let drawn_among = ((want.present.unheard / mean_slots) as usize).max(1);
+        let drawn_among = ((want.present.unseen / mean_slots) as usize).max(1);
         let place = place_among(
             &mut costs,
             |(cost, ..)| *cost,
@@ -497,7 +497,7 @@
         server.own = server.own.plus(&seen);
         self.unknown.add(&seen, server.unanswered_for(now));
         let usual = self.usual.share();
-        self.alarmed |= server.hear(&seen, usual, now);
+        self.alarmed |= server.observe(&seen, usual, now);
         server.path.add(&path_outcome(ended, &seen), usual, now);
         self.usual.add(&seen, 1.0 - server.health.sickness());
     }
@@ -522,7 +522,7 @@
             server.sent = now;
         }
         self.unknown.add(updates, server.unanswered_for(now));
-        self.alarmed |= server.hear(updates, self.usual.share(), now);
+        self.alarmed |= server.observe(updates, self.usual.share(), now);
         self.usual.add(updates, 1.0 - server.health.sickness());
     }
 
--- a/crates/wingspur-state/src/fleet_budget.rs
+++ b/crates/wingspur-state/src/fleet_budget.rs
@@ -89,7 +89,7 @@
     pub lost_share: f64,
     /// Requests that boxes of this data centre are likely to have sent since this box last
     /// heard of any.
-    pub unheard: f64,
+    pub unseen: f64,
 }
 
 /// How sure a resend is to help; the surer ones may use more of the budget.
@@ -302,7 +302,7 @@
         ServicePresent {
             requests_per_s,
             lost_share: lost_share(last).max(lost_share(both)),
-            unheard: here_per_s * self.updates.gap.as_secs_f64(),
+            unseen: here_per_s * self.updates.gap.as_secs_f64(),
         }
     }
 
--- a/crates/wingspur-state/src/judge.rs
+++ b/crates/wingspur-state/src/judge.rs
@@ -171,7 +171,7 @@
     ///
     /// No box counts for more than a share of the threshold, so none can bring about an
     /// ejection alone where three or more report.
-    pub fn hear(
+    pub fn receive(
         &mut self,
         from: &BoxId,
         data_centre: &DataCentreId,
--- a/crates/wingspur-state/src/server_limits.rs
+++ b/crates/wingspur-state/src/server_limits.rs
@@ -37,7 +37,7 @@
 
 impl ServerLimits {
     /// Takes in what an answer to this box says; what has changed by it.
-    pub fn hear_answer(
+    pub fn receive_answer(
         &mut self,
         server: ServerKey,
         per_s: Option<f64>,
@@ -75,7 +75,7 @@
                 return None;
             }
         }
-        self.hear_answer(server, per_s, latest)
+        self.receive_answer(server, per_s, latest)
     }
 
     /// All limits that are named now, for a box that has just linked with this one.
--- a/crates/wingspur-state/src/standing.rs
+++ b/crates/wingspur-state/src/standing.rs
@@ -62,7 +62,7 @@
 
 impl Standings {
     /// Takes in that a run has said that it leaves; whether that was not known.
-    pub fn hear_leaving(&mut self, server: ServerKey, since: Instant) -> bool {
+    pub fn receive_leaving(&mut self, server: ServerKey, since: Instant) -> bool {
         let words = self.words_of(server);
         let is_new = words.leaves.is_none();
         words.note_leaving(Leaving {
@@ -74,7 +74,7 @@
 
     /// Takes in that the catalog says that a run leaves: that closes it at once. The catalog
     /// may have known it for as long as its news takes.
-    pub fn hear_announced_leaving(&mut self, server: ServerKey, now: Instant) {
+    pub fn receive_announced_leaving(&mut self, server: ServerKey, now: Instant) {
         self.words_of(server).note_leaving(Leaving {
             since: now,
             works_until: now,
@@ -83,7 +83,7 @@
 
     /// Takes in that a run wants nothing of this box until a moment; whether that is later
     /// than what was known. A shorter rest, or none, takes nothing back of a longer one.
-    pub fn hear_rest(&mut self, server: ServerKey, until: Instant) -> bool {
+    pub fn receive_backoff(&mut self, server: ServerKey, until: Instant) -> bool {
         let words = self.words_of(server);
         let is_longer = words.rests_until.is_none_or(|known| known < until);
         if is_longer {
@@ -93,7 +93,7 @@
     }
 
     /// Takes in that another run answers at the address of this one.
-    pub fn hear_replaced(&mut self, server: ServerKey) {
+    pub fn receive_replaced(&mut self, server: ServerKey) {
         self.words_of(server).is_replaced = true;
     }
 
--- a/crates/wingspur-state/src/tracked.rs
+++ b/crates/wingspur-state/src/tracked.rs
@@ -111,7 +111,7 @@
 
 impl Server {
     /// Takes in outcomes; whether they have made a suspect of it.
-    pub fn hear(&mut self, outcomes: &ServerTally, usual: f64, now: Instant) -> bool {
+    pub fn observe(&mut self, outcomes: &ServerTally, usual: f64, now: Instant) -> bool {
         let before = self.health.at(now).sickness();
         self.health.add(outcomes, usual, now);
         if outcomes.good > 0 {
--- a/tests/tests/balancing.rs
+++ b/tests/tests/balancing.rs
@@ -46,7 +46,7 @@
         present: ServicePresent {
             requests_per_s: 50.0,
             lost_share,
-            unheard: 0.0,
+            unseen: 0.0,
         },
     }
 }
--- a/tests/tests/budget_bound.rs
+++ b/tests/tests/budget_bound.rs
@@ -231,7 +231,7 @@
             self.follow_boxes();
             self.follow_links();
             self.tell();
-            self.hear();
+            self.receive();
             self.take_requests();
             self.ask();
             self.end();
@@ -391,7 +391,7 @@
         self.hubs[place % DATA_CENTRES] == Some(place)
     }
 
-    fn hear(&mut self) {
+    fn receive(&mut self) {
         let (now, now_ms) = (self.now(), self.now_ms);
         let due = |sent: &mut Sent| sent.due_ms <= now_ms;
         let arrived: Vec<Sent> = self.sent.extract_if(.., due).collect();
@@ -399,8 +399,10 @@
             let known = self.announced(sent.to);
             let run = self.boxes.get_mut(&sent.to).expect("its link stands");
             let vouched = Some(sent.sent);
-            run.fleet.hear_census(sent.link, &sent.census, &known, now);
-            run.fleet.hear(sent.link, sent.told, &known, vouched, now);
+            run.fleet
+                .receive_census(sent.link, &sent.census, &known, now);
+            run.fleet
+                .receive(sent.link, sent.told, &known, vouched, now);
         }
     }
 
--- a/tests/tests/budgets.rs
+++ b/tests/tests/budgets.rs
@@ -82,13 +82,13 @@
     for (id, name) in heard.iter().enumerate() {
         let id = id as u64 + 1;
         view.add_link(id, peer(name, id * 100), LinkWith::Hub, start);
-        view.hear_census(id, &census(id, 10), known, start);
+        view.receive_census(id, &census(id, 10), known, start);
     }
     let told = FleetNote::default();
     for tick in 0..=(span.as_millis() / 300) as u32 {
         let now = start + Duration::from_millis(300) * tick;
         for id in 1..=heard.len() as u64 {
-            view.hear(id, told, known, Some(now), now);
+            view.receive(id, told, known, Some(now), now);
         }
         view.standing(WINDOW, known, now);
     }
@@ -261,7 +261,7 @@
         view.add_link(1, peer("here", 100), LinkWith::OwnHub, start);
         let mut now = start;
         while now <= start + join_after(WINDOW) {
-            view.hear(1, told(touch_ms), &member, Some(now), now);
+            view.receive(1, told(touch_ms), &member, Some(now), now);
             now += Duration::from_millis(300);
         }
         view.standing(WINDOW, &member, now)
@@ -339,11 +339,11 @@
     let mut fleet = FleetCensus::new(OWN_KEY);
     fleet.add_hub(1);
     fleet.add_hub(2);
-    fleet.hear(1, &census(1, 10), start);
-    fleet.hear(2, &census(2, 9), start);
+    fleet.receive(1, &census(1, 10), start);
+    fleet.receive(2, &census(2, 9), start);
     assert_eq!(fleet.count(start), 20);
     // The members of the first have lost it, and have no other yet.
-    fleet.hear(1, &census(1, 1), start + seconds(3));
+    fleet.receive(1, &census(1, 1), start + seconds(3));
     assert_eq!(fleet.count(start + seconds(3)), 20);
     fleet.drop_link(1, start + seconds(3));
     assert_eq!(fleet.count(start + seconds(3)), 20);
@@ -355,7 +355,7 @@
     let start = Instant::now();
     let mut fleet = FleetCensus::new(OWN_KEY);
     fleet.add_hub(1);
-    fleet.hear(1, &census(1, 30), start);
+    fleet.receive(1, &census(1, 30), start);
     assert_eq!(fleet.count(start), 31);
     // A second hub of the same data centre takes over, one member after the other, while
     // the first has not noticed that they have gone.
@@ -366,7 +366,7 @@
             joined: vec![100 + n],
             left: Vec::new(),
         };
-        fleet.hear(2, &joined, start + seconds(1));
+        fleet.receive(2, &joined, start + seconds(1));
         assert_eq!(fleet.count(start + seconds(1)), 31);
     }
     fleet.drop_link(1, start + seconds(2));
@@ -399,14 +399,14 @@
     let known = hub_of(&["b"]);
     let mut view = FleetView::new(OWN_KEY, Instant::now());
     view.add_link(1, peer("b", 100), LinkWith::Hub, now);
-    view.hear_census(1, &census(1, 10), &known, now);
+    view.receive_census(1, &census(1, 10), &known, now);
     let told = FleetNote {
         boxes: 0,
         counted: 35,
         touch_ms: None,
         delegates: false,
     };
-    view.hear(1, told, &known, Some(now), now);
+    view.receive(1, told, &known, Some(now), now);
     assert_eq!(view.boxes(&known, now), 35);
     let told = view.tell(&known, now).on(LinkWith::Hub);
     assert_eq!(told.counted, 11, "no echo");
--- a/tests/tests/fleet_play/mod.rs
+++ b/tests/tests/fleet_play/mod.rs
@@ -720,9 +720,9 @@
             } => {
                 link.echo = Some(sent);
                 link.vouched = echo.or(link.vouched);
-                run.view.hear_census(from.1, &census, &known, now);
-                run.view.hear(from.1, told, &known, echo, now);
-                run.view.hear_left(from.1, &left, echo);
+                run.view.receive_census(from.1, &census, &known, now);
+                run.view.receive(from.1, told, &known, echo, now);
+                run.view.receive_left(from.1, &left, echo);
             }
             What::Lending(lending) => {
                 run.desk.note_parts(&standing, now);
@@ -849,7 +849,7 @@
                 Some(_) => run.told_ms.or(Some(now_ms)),
                 None => None,
             };
-            if let Some(change) = run.limits.hear_answer(SERVER, answer.per_s, now) {
+            if let Some(change) = run.limits.receive_answer(SERVER, answer.per_s, now) {
                 self.spread(place, &change, None);
             }
         }
--- a/tests/tests/floor.rs
+++ b/tests/tests/floor.rs
@@ -142,7 +142,7 @@
             present: ServicePresent {
                 requests_per_s: self.plan.requests_per_s,
                 lost_share: 0.12,
-                unheard: 0.0,
+                unseen: 0.0,
             },
         };
         let pick = self.boxes[at].pick(&want, now, &mut self.random).unwrap();
@@ -256,7 +256,7 @@
         present: ServicePresent {
             requests_per_s,
             lost_share: 0.12,
-            unheard: 0.0,
+            unseen: 0.0,
         },
     }
 }
--- a/tests/tests/hub_memory.rs
+++ b/tests/tests/hub_memory.rs
@@ -36,16 +36,16 @@
     let mut hub = Rollup::new(1_000);
     (1..=OTHER_HUBS).for_each(|link| hub.add_link(link, LinkKind::Hub));
     for good in 1..=2 {
-        hub.hear(OWN_LINK, &digest(1_000, good));
-        (1..=OTHER_HUBS).for_each(|link| hub.hear(link, &digest(link, good)));
+        hub.receive(OWN_LINK, &digest(1_000, good));
+        (1..=OTHER_HUBS).for_each(|link| hub.receive(link, &digest(link, good)));
     }
     let before = held_bytes();
     for member in 100..100 + members {
         hub.add_link(member, LinkKind::Member);
         hub.compose(member);
     }
-    hub.hear(OWN_LINK, &digest(1_000, 3));
-    (1..=OTHER_HUBS).for_each(|link| hub.hear(link, &digest(link, 3)));
+    hub.receive(OWN_LINK, &digest(1_000, 3));
+    (1..=OTHER_HUBS).for_each(|link| hub.receive(link, &digest(link, 3)));
     held_bytes().saturating_sub(before) / members as usize
 }
 
--- a/tests/tests/judging.rs
+++ b/tests/tests/judging.rs
@@ -99,7 +99,7 @@
             match happening {
                 Happening::Report { judge, from, sums } => {
                     let home = HOME.to_owned();
-                    judges[judge].hear(&box_id(from), &home, &report(&sums), now);
+                    judges[judge].receive(&box_id(from), &home, &report(&sums), now);
                 }
                 Happening::Pass { ms } => {
                     now += Duration::from_millis(ms);
@@ -153,9 +153,9 @@
         for sums in lies {
             for honest in 1..BOXES {
                 let well: Vec<(u16, u16)> = (0..10).map(|server| (server, 0)).collect();
-                judge.hear(&box_id(honest), &home, &report(&well), now);
+                judge.receive(&box_id(honest), &home, &report(&well), now);
             }
-            judge.hear(&box_id(0), &home, &report(&sums), now);
+            judge.receive(&box_id(0), &home, &report(&sums), now);
             now += Duration::from_millis(100);
             let events = judge.step(now);
             let suspected = |event: &JudgeEvent| matches!(event, JudgeEvent::Suspected(_));
@@ -199,7 +199,7 @@
         for index in 0..BOXES {
             let mut sums: Vec<(u16, u16)> = (0..10).map(|server| (server, 0)).collect();
             (sums[1].1, sums[4].1, sums[8].1) = (600, 400, 700);
-            judge.hear(&box_id(index), &home, &report(&sums), now);
+            judge.receive(&box_id(index), &home, &report(&sums), now);
         }
         now += Duration::from_millis(100);
         judge.step(now);
@@ -228,7 +228,7 @@
                 .map(|server| (server, if feels && server == 3 { 900 } else { 0 }))
                 .collect();
             let home = if feels { &cut } else { &well };
-            judge.hear(&box_id(index), home, &report(&sums), now);
+            judge.receive(&box_id(index), home, &report(&sums), now);
         }
         now += Duration::from_millis(100);
         judge.step(now);
--- a/tests/tests/limited_service.rs
+++ b/tests/tests/limited_service.rs
@@ -123,7 +123,7 @@
             present: ServicePresent {
                 requests_per_s: REQUESTS_PER_S,
                 lost_share: 0.05,
-                unheard: 0.0,
+                unseen: 0.0,
             },
         };
         self.sent += 1;
--- a/tests/tests/many_servers.rs
+++ b/tests/tests/many_servers.rs
@@ -198,7 +198,7 @@
             crossing: Duration::from_millis(30),
             tried: &[],
             present: ServicePresent {
-                unheard: self.plan.requests_per_s * self.plan.hub_gap_ms as f64 / 1000.0,
+                unseen: self.plan.requests_per_s * self.plan.hub_gap_ms as f64 / 1000.0,
                 ..self.budget.present(now)
             },
         };
@@ -259,7 +259,7 @@
                     servers,
                     ..Digest::default()
                 };
-                self.hub.hear(at as u64 + 1, &digest);
+                self.hub.receive(at as u64 + 1, &digest);
             }
         }
     }
--- a/tests/tests/membership.rs
+++ b/tests/tests/membership.rs
@@ -34,24 +34,33 @@
     let mut member = member(0, 5);
     let now = Instant::now();
     let known = "box-1".to_owned();
-    let unlisted = member.hear(&"box-9".to_owned(), 1, 1, now);
+    let unlisted = member.receive(&"box-9".to_owned(), 1, 1, now);
     assert_eq!(unlisted, Err(HeardRefusal::Unlisted));
-    assert_eq!(member.hear(&known, 7, 3, now), Ok(()));
-    assert_eq!(member.hear(&known, 7, 3, now), Err(HeardRefusal::Replayed));
+    assert_eq!(member.receive(&known, 7, 3, now), Ok(()));
     assert_eq!(
-        member.hear(&known, 7, 2, now),
+        member.receive(&known, 7, 3, now),
+        Err(HeardRefusal::Replayed)
+    );
+    assert_eq!(
+        member.receive(&known, 7, 2, now),
         Ok(()),
         "messages may overtake"
     );
-    assert_eq!(member.hear(&known, 7, 2, now), Err(HeardRefusal::Replayed));
-    assert_eq!(member.hear(&known, 7, 100, now), Ok(()));
-    assert_eq!(member.hear(&known, 7, 30, now), Err(HeardRefusal::Replayed));
     assert_eq!(
-        member.hear(&known, 6, 200, now),
+        member.receive(&known, 7, 2, now),
+        Err(HeardRefusal::Replayed)
+    );
+    assert_eq!(member.receive(&known, 7, 100, now), Ok(()));
+    assert_eq!(
+        member.receive(&known, 7, 30, now),
+        Err(HeardRefusal::Replayed)
+    );
+    assert_eq!(
+        member.receive(&known, 6, 200, now),
         Err(HeardRefusal::Replaced)
     );
     assert_eq!(
-        member.hear(&known, 8, 1, now),
+        member.receive(&known, 8, 1, now),
         Ok(()),
         "a replacement starts anew"
     );
@@ -67,9 +76,9 @@
         by: by.to_owned(),
         ttl_ms: u32::MAX,
     };
-    member.hear_suspicions(&[by("box-3")], now);
+    member.receive_suspicions(&[by("box-3")], now);
     assert!(member.is_live(&suspected, now));
-    member.hear_suspicions(&[by("box-4")], now);
+    member.receive_suspicions(&[by("box-4")], now);
     assert!(!member.is_live(&suspected, now));
     let roster = member.live(now);
     assert!(!roster.ids().any(|id| *id == suspected));
--- a/tests/tests/news_age.rs
+++ b/tests/tests/news_age.rs
@@ -44,7 +44,7 @@
         let now = ms(10) * tick;
         if tick % 10 == 0 {
             // The member's own frames reach the hub at once.
-            hub_clock.hear(&own_clock.send(start + now));
+            hub_clock.receive(&own_clock.send(start + now));
             // Frames of one connection do not overtake each other.
             let before = on_the_way.last().map_or(ms(0), |(_, arrives, _)| *arrives);
             let arrives = (now + way(now)).max(before);
@@ -53,7 +53,7 @@
         let arrived = on_the_way.iter().filter(|(_, arrives, _)| *arrives == now);
         for (written, _, stamps) in arrived {
             newest = newest.max(*written);
-            own_clock.hear(stamps);
+            own_clock.receive(stamps);
             if let Some(vouched) = own_clock.vouched() {
                 member.note(1, &fresh, vouched);
             }
@@ -91,15 +91,15 @@
     let (mut ours, mut theirs) = (LinkClock::new(start), LinkClock::new(start));
     assert_eq!(ours.vouched(), None, "nothing was answered yet");
     let first = ours.send(start + ms(100));
-    theirs.hear(&first);
+    theirs.receive(&first);
     let answer = theirs.send(start + ms(150));
     assert_eq!(ours.unanswered(), 1);
-    ours.hear(&answer);
+    ours.receive(&answer);
     assert_eq!(ours.vouched(), Some(start + ms(100)));
     assert_eq!(ours.unanswered(), 0);
     ours.send(start + ms(400));
     ours.send(start + ms(500));
-    ours.hear(&theirs.send(start + ms(4_000)));
+    ours.receive(&theirs.send(start + ms(4_000)));
     assert_eq!(ours.vouched(), Some(start + ms(100)), "neither has arrived");
     assert_eq!(ours.waits_for(start + ms(4_000)), ms(3_600));
 }
--- a/tests/tests/placing.rs
+++ b/tests/tests/placing.rs
@@ -127,7 +127,7 @@
                 // Boxes hear at different times.
                 let phase = at as u64 * STEP_MS % self.plan.news_every_ms;
                 if ms % self.plan.news_every_ms == phase {
-                    self.hear(at, ms);
+                    self.receive(at, ms);
                 }
             }
         }
@@ -148,7 +148,7 @@
             present: ServicePresent {
                 requests_per_s: self.plan.requests_per_s,
                 lost_share: 0.02,
-                unheard: self.plan.requests_per_s * self.plan.news_every_ms as f64
+                unseen: self.plan.requests_per_s * self.plan.news_every_ms as f64
                     / 1000.0,
             },
         };
@@ -216,7 +216,7 @@
         }
     }
 
-    fn hear(&mut self, at: usize, ms: u64) {
+    fn receive(&mut self, at: usize, ms: u64) {
         let now = self.at(ms);
         for n in 0..self.keys.len() {
             let others = self.sums[0].1[n].minus(&self.own[at][n]);
--- a/tests/tests/quarantine/mod.rs
+++ b/tests/tests/quarantine/mod.rs
@@ -610,7 +610,7 @@
                 life,
                 era,
                 records,
-            } => self.hear_restored(to, life, era, records),
+            } => self.receive_restored(to, life, era, records),
             Event::BoxDown { place, back } => self.box_down(place, back),
             Event::BoxUp { place } => self.box_up(place),
             Event::NewHub { data_centre } => self.new_hub(data_centre),
@@ -1304,7 +1304,7 @@
         }
         if count.position.era() != self.store.era {
             // The answer to the call before it names the new era.
-            self.hear_restored_now(hub);
+            self.receive_restored_now(hub);
             return (CountOutcome::Overtaken, 5);
         }
         let stands = self.store.records.get(&print).copied();
@@ -1395,13 +1395,13 @@
     }
 
     /// Lets a box list what the store holds now.
-    fn hear_restored_now(&mut self, to: usize) {
+    fn receive_restored_now(&mut self, to: usize) {
         let (life, era) = (self.boxes[to].life, self.store.era);
         let records = self.store.records.clone().into_iter().collect();
-        self.hear_restored(to, life, era, records);
+        self.receive_restored(to, life, era, records);
     }
 
-    fn hear_restored(
+    fn receive_restored(
         &mut self,
         to: usize,
         life: u32,
--- a/tests/tests/restore_play/fleet.rs
+++ b/tests/tests/restore_play/fleet.rs
@@ -353,14 +353,14 @@
                 life,
                 number,
                 answer,
-            } => self.hear_answer(place, life, number, answer),
+            } => self.receive_answer(place, life, number, answer),
             Event::Frame {
                 from,
                 from_life,
                 to,
                 to_life,
                 frame,
-            } => self.hear_frame(from, from_life, to, to_life, frame),
+            } => self.receive_frame(from, from_life, to, to_life, frame),
             Event::Tick { place, life } => self.tick(place, life),
             Event::Link { one, other } => self.link(one, other),
             Event::Greets {
@@ -833,7 +833,7 @@
         );
     }
 
-    fn hear_answer(&mut self, place: Place, life: u32, number: u64, answer: Answer) {
+    fn receive_answer(&mut self, place: Place, life: u32, number: u64, answer: Answer) {
         let played = &self.boxes[place];
         if !played.alive || played.life != life {
             return;
@@ -1147,7 +1147,7 @@
         1 + (one * 7 + other * 3) as Ms % 4
     }
 
-    fn hear_frame(
+    fn receive_frame(
         &mut self,
         from: Place,
         from_life: u32,
@@ -1186,12 +1186,12 @@
             return;
         };
         link.bundle_version = frame.bundle_version;
-        link.clock.hear(&frame.stamps);
+        link.clock.receive(&frame.stamps);
         if let Some(vouched) = link.clock.vouched() {
             played.feed.note(from as u64, &frame.feed, vouched);
         }
         for key in frame.leaving {
-            if played.standings.hear_leaving(key, now) {
+            if played.standings.receive_leaving(key, now) {
                 for (other, link) in &mut played.links {
                     if *other != from {
                         link.leaving.push(key);
@@ -1532,7 +1532,7 @@
                 | DirectoryChange::Restarted { record, .. } => {
                     self.standings.announce(record.key());
                     if record.leaving {
-                        self.standings.hear_announced_leaving(record.key(), now);
+                        self.standings.receive_announced_leaving(record.key(), now);
                     }
                     self.table.insert(record.id.clone(), record.clone());
                 }
--- a/tests/tests/server_limit_values.rs
+++ b/tests/tests/server_limit_values.rs
@@ -44,8 +44,8 @@
     let start = Instant::now();
     let mut limits = ServerLimits::default();
     let at = |ms| start + Duration::from_millis(ms);
-    assert_eq!(limits.hear_answer(7, None, at(0)), None);
-    let named = limits.hear_answer(7, Some(1.5), at(10));
+    assert_eq!(limits.receive_answer(7, None, at(0)), None);
+    let named = limits.receive_answer(7, Some(1.5), at(10));
     let wanted = LimitChange {
         server: 7,
         before: None,
@@ -53,13 +53,19 @@
         at: at(10),
     };
     assert_eq!(named, Some(wanted));
-    assert_eq!(limits.hear_answer(7, Some(1.5), at(20)), None, "no change");
+    assert_eq!(
+        limits.receive_answer(7, Some(1.5), at(20)),
+        None,
+        "no change"
+    );
     assert_eq!(limits.limit(7), Some(1.5));
     assert_eq!(limits.limit(8), None);
-    let ended = limits.hear_answer(7, None, at(30)).expect("it has ended");
+    let ended = limits
+        .receive_answer(7, None, at(30))
+        .expect("it has ended");
     assert_eq!((ended.before, ended.per_s), (Some(1.5), None));
     assert_eq!(limits.limit(7), None);
-    limits.hear_answer(9, Some(0.0), at(40));
+    limits.receive_answer(9, Some(0.0), at(40));
     assert_eq!(limits.limit(9), Some(0.0), "nothing is a limit as well");
     limits.forget(9);
     assert_eq!(limits.limit(9), None);
--- a/tests/tests/sharing.rs
+++ b/tests/tests/sharing.rs
@@ -50,8 +50,8 @@
     hub.add_link(2, LinkKind::Member);
     hub.compose(1);
     hub.compose(2);
-    hub.hear(1, &digest(0, false, 5, 2));
-    hub.hear(OWN_LINK, &digest(0, false, 3, 1));
+    hub.receive(1, &digest(0, false, 5, 2));
+    hub.receive(OWN_LINK, &digest(0, false, 3, 1));
     let told = hub.compose(2);
     assert_eq!(told[0].servers[0].1.good, 8);
     assert_eq!(told[0].servers[0].1.in_flight, 3);
@@ -65,7 +65,7 @@
     let mut hub = Rollup::new(100);
     hub.add_link(1, LinkKind::Member);
     hub.add_link(2, LinkKind::Member);
-    hub.hear(1, &digest(0, false, 5, 2));
+    hub.receive(1, &digest(0, false, 5, 2));
     hub.drop_link(1);
     let told = hub.compose(2);
     assert_eq!(
@@ -79,12 +79,12 @@
     let mut hub = Rollup::new(100);
     hub.add_link(9, LinkKind::Member);
     hub.add_link(1, LinkKind::Member);
-    hub.hear(1, &digest(0, true, 50, 0));
-    hub.hear(1, &digest(0, false, 52, 0));
+    hub.receive(1, &digest(0, true, 50, 0));
+    hub.receive(1, &digest(0, false, 52, 0));
     hub.drop_link(1);
     hub.add_link(2, LinkKind::Member);
-    hub.hear(2, &digest(0, true, 52, 0));
-    hub.hear(2, &digest(0, false, 53, 0));
+    hub.receive(2, &digest(0, true, 52, 0));
+    hub.receive(2, &digest(0, false, 53, 0));
     let told = hub.compose(9);
     assert_eq!(
         told[0].services[0].1.requests, 3,
@@ -98,7 +98,7 @@
     hub.add_link(1, LinkKind::Member);
     hub.add_link(2, LinkKind::Hub);
     hub.add_link(3, LinkKind::Hub);
-    hub.hear(2, &digest(200, false, 4, 0));
+    hub.receive(2, &digest(200, false, 4, 0));
     let sources = |digests: Vec<Digest>| -> Vec<u64> {
         digests.iter().map(|digest| digest.source).collect()
     };
@@ -113,9 +113,9 @@
     hub.add_link(2, LinkKind::Hub);
     let mut member = Rollup::new(300);
     member.add_link(5, LinkKind::Hub);
-    hub.hear(2, &digest(200, true, 4, 26));
+    hub.receive(2, &digest(200, true, 4, 26));
     for told in hub.compose(1) {
-        member.hear(5, &told);
+        member.receive(5, &told);
     }
     let sources = |digests: &[Digest]| -> Vec<u64> {
         digests.iter().map(|digest| digest.source).collect()
@@ -125,7 +125,7 @@
     assert_eq!(hub.take_lost(), [200]);
     assert!(hub.has_updates(1));
     for told in hub.compose(1) {
-        member.hear(5, &told);
+        member.receive(5, &told);
     }
     assert_eq!(member.take_lost(), [200], "what it had out is out no more");
     assert!(!hub.has_updates(1) || !sources(&hub.compose(1)).contains(&200));
@@ -136,8 +136,8 @@
     let mut member = Rollup::new(300);
     member.add_link(5, LinkKind::Hub);
     member.add_link(6, LinkKind::Hub);
-    member.hear(5, &digest(200, true, 4, 2));
-    member.hear(6, &digest(200, true, 4, 2));
+    member.receive(5, &digest(200, true, 4, 2));
+    member.receive(6, &digest(200, true, 4, 2));
     member.drop_link(5);
     assert_eq!(member.take_lost(), Vec::<u64>::new());
     member.drop_link(6);
@@ -567,7 +567,7 @@
         hub.add_link(link, LinkKind::Member);
         hub.compose(link);
     }
-    hub.hear(1, &busy_digest(0..1_000, 3, Some(5_000)));
+    hub.receive(1, &busy_digest(0..1_000, 3, Some(5_000)));
     assert!(hub.has_failures(2));
     let told = hub.compose_within(2, 10);
     let keys: Vec<u64> = told[0].servers.iter().map(|(key, _)| *key).collect();
@@ -594,7 +594,7 @@
     hub.compose(2);
     let mut heard = std::collections::BTreeSet::new();
     for round in 0..10 {
-        hub.hear(1, &busy_digest(0..1_000, round + 1, None));
+        hub.receive(1, &busy_digest(0..1_000, round + 1, None));
         for digest in hub.compose_within(2, 100) {
             heard.extend(digest.servers.iter().map(|(key, _)| *key));
         }
@@ -606,7 +606,7 @@
 fn first_digest_of_a_link_in_parts_does_not_tell_of_the_end_of_its_source() {
     let mut hub = Rollup::new(100);
     hub.add_link(1, LinkKind::Member);
-    hub.hear(1, &busy_digest(0..50, 1, Some(7_000)));
+    hub.receive(1, &busy_digest(0..50, 1, Some(7_000)));
     hub.add_link(2, LinkKind::Member);
     assert!(hub.compose_within(2, 0).is_empty());
     let first = hub.compose_within(2, 20);
@@ -648,7 +648,7 @@
             counts[servers as usize].failed = 1;
             digest.servers.push((servers, counts[servers as usize]));
         }
-        hub.hear(OWN_LINK, &digest);
+        hub.receive(OWN_LINK, &digest);
         let mut links: Vec<u64> = (1..=members).collect();
         links.sort_by_key(|id| told_ms[*id as usize - 1]);
         for id in links {
--- a/tests/tests/standing.rs
+++ b/tests/tests/standing.rs
@@ -52,15 +52,15 @@
         Event::Withdrawn => standings.withdraw(RUN),
         Event::Announced => standings.announce(RUN),
         Event::Limit(per_s) => {
-            standings.limits.hear_answer(RUN, per_s, now);
+            standings.limits.receive_answer(RUN, per_s, now);
         }
         Event::Rest(ms) => {
-            standings.hear_rest(RUN, now + Duration::from_millis(ms));
+            standings.receive_backoff(RUN, now + Duration::from_millis(ms));
         }
         Event::Leaves => {
-            standings.hear_leaving(RUN, now);
+            standings.receive_leaving(RUN, now);
         }
-        Event::AnnouncedLeaving => standings.hear_announced_leaving(RUN, now),
+        Event::AnnouncedLeaving => standings.receive_announced_leaving(RUN, now),
         Event::OtherForgotten => standings.forget(OTHER_RUN),
     }
 }
@@ -138,9 +138,9 @@
 fn the_next_run_is_bound_by_nothing() {
     let now = Instant::now();
     let mut standings = Standings::default();
-    standings.hear_leaving(RUN, now);
-    standings.hear_rest(RUN, now + Duration::from_secs(60));
-    standings.limits.hear_answer(RUN, Some(1.0), now);
+    standings.receive_leaving(RUN, now);
+    standings.receive_backoff(RUN, now + Duration::from_secs(60));
+    standings.limits.receive_answer(RUN, Some(1.0), now);
     standings.forget(RUN);
     assert_eq!(standings.standing(RUN), ServerStanding::default());
     assert_eq!(standings.standing(OTHER_RUN), ServerStanding::default());
@@ -152,10 +152,10 @@
 fn words_of_runs_that_are_gone_are_bounded() {
     let now = Instant::now();
     let mut standings = Standings::default();
-    standings.hear_leaving(RUN, now);
+    standings.receive_leaving(RUN, now);
     standings.announce(RUN);
     for run in 100..20_000 {
-        standings.hear_leaving(run, now);
+        standings.receive_leaving(run, now);
         standings.withdraw(run);
     }
     assert_eq!(standings.leaving().len(), 8_192 + 1);
@@ -164,7 +164,7 @@
     assert_eq!(standings.standing(19_999).access(later), Access::Closed);
     // Others tell of runs that this box never knew.
     for run in 30_000..50_000 {
-        standings.hear_leaving(run, now);
+        standings.receive_leaving(run, now);
     }
     assert_eq!(standings.leaving().len(), 8_192 + 1);
 }
@@ -191,7 +191,7 @@
         present: ServicePresent {
             requests_per_s,
             lost_share: 0.3,
-            unheard: 0.0,
+            unseen: 0.0,
         },
     }
 }
@@ -207,8 +207,8 @@
         balancer.put(record(n), start);
     }
     let (rests, leaves) = (record(0).key(), record(1).key());
-    standings.hear_rest(rests, at(start, 8_000));
-    standings.hear_announced_leaving(leaves, start);
+    standings.receive_backoff(rests, at(start, 8_000));
+    standings.receive_announced_leaving(leaves, start);
     for server in [rests, leaves] {
         balancer.set_standing(server, standings.standing(server));
     }
@@ -244,7 +244,7 @@
     let mut standings = Standings::default();
     for (n, ms) in [(0, 700), (1, 10_000)] {
         balancer.put(record(n), start);
-        standings.hear_rest(record(n).key(), at(start, ms));
+        standings.receive_backoff(record(n).key(), at(start, ms));
         let standing = standings.standing(record(n).key());
         balancer.set_standing(record(n).key(), standing);
     }
--- a/tests/tests/words_play.rs
+++ b/tests/tests/words_play.rs
@@ -330,7 +330,7 @@
             present: ServicePresent {
                 requests_per_s: 100.0,
                 lost_share: 0.0,
-                unheard: 0.0,
+                unseen: 0.0,
             },
         };
         let balancer = &self.boxes[place].balancer;
@@ -475,7 +475,7 @@
                 continue;
             }
             let key = sent.key;
-            self.hear(&answer, key);
+            self.receive(&answer, key);
             let sim = &mut self.boxes[sent.place];
             sim.balancer.end(sent.attempt, answer.ended, now);
             match answer.ended {
@@ -487,18 +487,18 @@
     }
 
     /// Takes in what an answer says, as a box does for each head that it reads.
-    fn hear(&mut self, answer: &Answer, key: ServerKey) {
+    fn receive(&mut self, answer: &Answer, key: ServerKey) {
         let (now, now_ms) = (self.now(), self.now_ms);
         let sim = &mut self.boxes[answer.sent.place];
         let heard = sim.heard.entry(key).or_insert((0, None));
         if let Some(rest_ms) = answer.rest_ms {
             heard.0 = heard.0.max(now_ms + rest_ms);
             sim.standings
-                .hear_rest(key, now + Duration::from_millis(rest_ms));
+                .receive_backoff(key, now + Duration::from_millis(rest_ms));
         }
         if answer.leaves {
             heard.1 = heard.1.or(Some(now_ms));
-            sim.standings.hear_leaving(key, now);
+            sim.standings.receive_leaving(key, now);
         }
         let standing = sim.standings.standing(key);
         sim.balancer.set_standing(key, standing);
