--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -7,7 +7,7 @@
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode};
-use wingspur_protocol::{ResultCode, ServerWords};
+use wingspur_protocol::{ResultCode, ServerHints};
 use wingspur_state::{
     AttemptEnd, AttemptId, ClientAccount, Ended, Expected, Pick, RequestFingerprint,
     ServerRecord,
@@ -22,7 +22,7 @@
 use crate::in_force::ActiveRoute;
 use crate::request_log::id_text;
 use crate::requests_out::Ticket;
-use crate::server_words::observe_response;
+use crate::server_hints::observe_response;
 use crate::services::ServiceState;
 use crate::shared::Shared;
 use crate::suspects::{BrokenOff, note_answered, note_broken_off};
@@ -170,8 +170,8 @@
             Some(Ok(answered)) => answered,
         };
         match answered {
-            Conversed::Whole(answer, words) => {
-                self.weigh(answer, &words, connection, guard, began)
+            Conversed::Whole(answer, hints) => {
+                self.weigh(answer, &hints, connection, guard, began)
             }
             Conversed::Longer { head, first } => {
                 guard.note_answering();
@@ -195,7 +195,7 @@
         let method = &self.outgoing.method;
         let request = self.head_bytes(account, &body);
         let mut head = connection.exchange(request, body, method).await?;
-        let mut words = self.receive(&head);
+        let mut hints = self.receive(&head);
         while self.belongs_to_another(&head) {
             // A second answer to an earlier request; ours may follow it.
             tracing::info!(server = %self.pick.server.id, "attempt: skipped an answer to another request.");
@@ -205,16 +205,16 @@
                 return Err(AnswerError::Unreadable("of another request".to_owned()));
             }
             head = connection.read_head(method).await?;
-            words = self.receive(&head);
+            hints = self.receive(&head);
         }
         self.check_own(&head)?;
         match connection.read_whole(HELD_BYTES).await? {
-            Ok(body) => Ok(Conversed::Whole(HeldAnswer { head, body }, words)),
+            Ok(body) => Ok(Conversed::Whole(HeldAnswer { head, body }, hints)),
             Err(first) => Ok(Conversed::Longer { head, first }),
         }
     }
 
-    fn receive(&self, head: &AnswerHead) -> ServerWords {
+    fn receive(&self, head: &AnswerHead) -> ServerHints {
         let id = id_text(self.outgoing.id.as_ref());
         observe_response(&self.shared, id, &self.pick.server, head)
     }
@@ -223,16 +223,16 @@
     fn weigh(
         &self,
         answer: HeldAnswer,
-        words: &ServerWords,
+        hints: &ServerHints,
         connection: BackendConnection,
         mut guard: AttemptGuard,
         began: Instant,
     ) -> AttemptResult {
         let status = answer.head.status;
-        if words.not_run {
+        if hints.not_run {
             // A server in need that turns one away is as well as before: its limit tells how
             // much it takes.
-            let at_limit = words.limit_per_s != Ok(None);
+            let at_limit = hints.limit_per_s != Ok(None);
             guard.end(if at_limit {
                 Ended::Abandoned
             } else {
@@ -415,7 +415,7 @@
 
 /// What came back on the connection.
 enum Conversed {
-    Whole(HeldAnswer, ServerWords),
+    Whole(HeldAnswer, ServerHints),
     Longer { head: AnswerHead, first: Vec<Bytes> },
 }
 
--- a/crates/wingspur-edge/src/attempts.rs
+++ b/crates/wingspur-edge/src/attempts.rs
@@ -22,7 +22,7 @@
 use crate::quarantine_state::SendPermission;
 use crate::request_log::{id_text, log_give_up, log_pick, rounded};
 use crate::resending::borrow_resend;
-use crate::server_words::{RANKS_APART, take_place};
+use crate::server_hints::{RANKS_APART, take_place};
 use crate::services::ServiceState;
 use crate::shared::Shared;
 use crate::suspects::{BrokenOff, note_broken_off};
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -253,7 +253,7 @@
         }
         if now.saturating_duration_since(closed) >= CLOSE_EVERY {
             closed = now;
-            shared.services.close_rested(now);
+            shared.services.close_idle(now);
         }
         settle(&shared, now);
     }
--- a/crates/wingspur-edge/src/exchange.rs
+++ b/crates/wingspur-edge/src/exchange.rs
@@ -23,7 +23,7 @@
 use crate::links::Outgoing;
 use crate::request_log::rounded;
 use crate::resending::told_rooms;
-use crate::server_words::{take_leaving, take_limits};
+use crate::server_hints::{take_leaving, take_limits};
 use crate::services::ServiceState;
 use crate::shared::Shared;
 use crate::store_calls::observe_era;
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -30,7 +30,7 @@
 mod resend_loans;
 mod resending;
 mod server_changes;
-mod server_words;
+mod server_hints;
 mod services;
 mod settings;
 mod shared;
--- a/crates/wingspur-edge/src/metrics.rs
+++ b/crates/wingspur-edge/src/metrics.rs
@@ -73,7 +73,7 @@
     /// What servers said of their limits, as far as it was news here.
     server_limits: IntCounterVec,
     /// What else servers said of themselves.
-    server_words: IntCounterVec,
+    server_hints: IntCounterVec,
     /// Eras of the store that were not the expected one, by what was wrong.
     store_eras: IntCounterVec,
     frames: IntCounter,
@@ -240,7 +240,7 @@
                 "Restores of the store, and answers without a present era.",
                 &["kind"],
             ),
-            server_words: counter(
+            server_hints: counter(
                 "wingspur_server_words_total",
                 "What servers said of themselves in answers, and what could not be read.",
                 &["word"],
@@ -301,8 +301,8 @@
     }
 
     /// Counts what else a server said of itself.
-    pub fn count_server_word(&self, word: &str) {
-        self.server_words.with_label_values(&[word]).inc();
+    pub fn count_server_hint(&self, word: &str) {
+        self.server_hints.with_label_values(&[word]).inc();
     }
 
     /// Counts a peer's message that was refused.
--- a/crates/wingspur-edge/src/server_changes.rs
+++ b/crates/wingspur-edge/src/server_changes.rs
@@ -5,7 +5,7 @@
 
 use wingspur_state::DirectoryChange;
 
-use crate::server_words::note_announced;
+use crate::server_hints::note_announced;
 use crate::shared::Shared;
 use crate::suspects::note_gone;
 
--- a/crates/wingspur-edge/src/server_words.rs
+++ b/crates/wingspur-edge/src/server_hints.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use wingspur_coordination::{LinkId, Reserve};
-use wingspur_protocol::{LeavingNote, Lendable, LimitNote, ServerWords};
+use wingspur_protocol::{LeavingNote, Lendable, LimitNote, ServerHints};
 use wingspur_state::{
     Borrowed, DirectoryChange, LimitChange, Priority, ServerKey, ServerRecord,
 };
@@ -22,32 +22,32 @@
     id: &str,
     server: &ServerRecord,
     head: &AnswerHead,
-) -> ServerWords {
+) -> ServerHints {
     let now = wingspur_clock::now();
-    let words = head.words(&shared.names, SystemTime::now());
-    if words.is_other_run {
+    let hints = head.hints(&shared.names, SystemTime::now());
+    if hints.is_other_run {
         // What it says of itself is not of the run that was asked.
         receive_replaced(shared, id, server);
-        return words;
+        return hints;
     }
-    note_unreadable(shared, id, server, &words);
-    if let Ok(per_s) = words.limit_per_s {
+    note_unreadable(shared, id, server, &hints);
+    if let Ok(per_s) = hints.limit_per_s {
         receive_limit(shared, server, per_s, now);
     }
-    if words.leaving == Ok(true) {
+    if hints.leaving == Ok(true) {
         receive_leaving(shared, id, server, now);
     }
-    if let Ok(Some(rest)) = words.rest {
+    if let Ok(Some(rest)) = hints.rest {
         receive_backoff(shared, id, server, rest, now);
     }
-    words
+    hints
 }
 
 /// Stops sending to a run whose address is another's now.
 fn receive_replaced(shared: &Shared, id: &str, server: &ServerRecord) {
     shared.standings.lock().receive_replaced(server.key());
     adopt(shared, server.key());
-    shared.metrics.count_server_word("replaced");
+    shared.metrics.count_server_hint("replaced");
     tracing::warn!(id, server = %server.id, address = %server.address, "server: its address is another's now.");
 }
 
@@ -55,19 +55,19 @@
     shared: &Shared,
     id: &str,
     server: &ServerRecord,
-    words: &ServerWords,
+    hints: &ServerHints,
 ) {
     let note = |word: &str, error: &dyn std::fmt::Display| {
-        shared.metrics.count_server_word(word);
+        shared.metrics.count_server_hint(word);
         tracing::info!(id, server = %server.id, %error, "server: a word is not read.");
     };
-    if let Err(error) = &words.leaving {
+    if let Err(error) = &hints.leaving {
         note("unreadable_leaving", error);
     }
-    if let Err(error) = &words.rest {
+    if let Err(error) = &hints.rest {
         note("unreadable_rest", error);
     }
-    if let Err(error) = &words.limit_per_s {
+    if let Err(error) = &hints.limit_per_s {
         shared.metrics.count_limit("unreadable");
         note("unreadable_limit", error);
     }
@@ -108,7 +108,7 @@
     if is_new {
         adopt(shared, server.key());
     }
-    shared.metrics.count_server_word("rest");
+    shared.metrics.count_server_hint("rest");
     let outcome = if is_new {
         "asked for"
     } else {
@@ -199,7 +199,7 @@
     let record = adopt(shared, key);
     shared.links.lock().spread_leaving(key, since, from);
     shared.updates.notify();
-    shared.metrics.count_server_word("leaving");
+    shared.metrics.count_server_hint("leaving");
     tracing::info!(
         id,
         server = record.as_ref().map_or("", |record| &record.id),
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -173,10 +173,10 @@
     }
 
     /// Closes connections that have rested too long.
-    pub fn close_rested(&self, now: Instant) {
+    pub fn close_idle(&self, now: Instant) {
         let backends: Vec<_> = self.backends.lock().values().cloned().collect();
         for backend in backends {
-            backend.close_rested(now);
+            backend.close_idle(now);
         }
     }
 }
--- a/crates/wingspur-protocol/src/lib.rs
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -10,8 +10,8 @@
 mod load_report;
 mod operation;
 mod peer;
+mod server_hints;
 mod server_limit;
-mod server_words;
 mod signing;
 mod store;
 
@@ -35,10 +35,10 @@
     PEER_PROTOCOL_VERSION, PeerEnvelope, PeerError, PeerMessage, PeerReply, Suspicion,
     decode_peer, encode_peer,
 };
-pub use server_limit::{UnreadableLimit, parse_server_limit};
-pub use server_words::{
-    ServerWords, UnreadableLeaving, UnreadableRest, parse_leaving, parse_rest,
+pub use server_hints::{
+    ServerHints, UnreadableBackoff, UnreadableLeaving, parse_backoff, parse_leaving,
 };
+pub use server_limit::{UnreadableLimit, parse_server_limit};
 pub use signing::{Keyring, SigningError, sign_bundle, verify_bundle};
 pub use store::{
     BundlePointer, Manifest, PartReference, SignedBundle, StoreKeys, digest_of,
--- a/crates/wingspur-protocol/src/server_words.rs
+++ b/crates/wingspur-protocol/src/server_hints.rs
@@ -6,12 +6,12 @@
 
 /// What the head of one answer says of the server that gave it, beside the answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ServerWords {
+pub struct ServerHints {
     /// Whether the server leaves: it is about to end and wants no new work.
     pub leaving: Result<bool, UnreadableLeaving>,
     /// For how long it wants nothing of the box that it answered; none where it asks for no
     /// rest.
-    pub rest: Result<Option<Duration>, UnreadableRest>,
+    pub rest: Result<Option<Duration>, UnreadableBackoff>,
     /// The requests a second that it takes from all boxes together; none for no limit.
     pub limit_per_s: Result<Option<f64>, UnreadableLimit>,
     /// Whether it surely did not run the request.
@@ -41,10 +41,10 @@
 ///
 /// Seconds may have fractions; `until` tells how far off a date is. Of several readable
 /// values the longest counts, and what is longer than a day is taken for a day.
-pub fn parse_rest<'a>(
+pub fn parse_backoff<'a>(
     values: impl IntoIterator<Item = &'a [u8]>,
     until: impl Fn(&str) -> Option<Duration>,
-) -> Result<Option<Duration>, UnreadableRest> {
+) -> Result<Option<Duration>, UnreadableBackoff> {
     let mut values = values.into_iter().peekable();
     if values.peek().is_none() {
         return Ok(None);
@@ -53,7 +53,7 @@
         let text = str::from_utf8(value.trim_ascii()).ok()?;
         seconds(text).or_else(|| until(text))
     });
-    let longest = readable.max().ok_or(UnreadableRest)?;
+    let longest = readable.max().ok_or(UnreadableBackoff)?;
     Ok(Some(longest.min(LONGEST_REST)).filter(|rest| !rest.is_zero()))
 }
 
@@ -65,7 +65,7 @@
 /// No value of `Retry-After` is a number of seconds or a date.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("the rest is neither a number of seconds nor a date")]
-pub struct UnreadableRest;
+pub struct UnreadableBackoff;
 
 fn flag(value: &[u8]) -> Option<bool> {
     match value.trim_ascii() {
--- a/crates/wingspur-state/src/standing.rs
+++ b/crates/wingspur-state/src/standing.rs
@@ -13,7 +13,7 @@
 pub struct Standings {
     /// What they take from all boxes together.
     pub limits: ServerLimits,
-    words: HashMap<ServerKey, RunWords>,
+    hints: HashMap<ServerKey, InstanceHints>,
     announced: HashSet<ServerKey>,
     /// Runs with words that are not announced, those that are so for longest first.
     unannounced: VecDeque<ServerKey>,
@@ -21,11 +21,11 @@
 
 /// What one run has said that binds until its end, or until a moment.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-struct RunWords {
+struct InstanceHints {
     /// Since when it is known to leave, and until when it takes what nothing else can serve.
     leaves: Option<Leaving>,
     /// Until when it wants nothing of this box.
-    rests_until: Option<Instant>,
+    backoff_until: Option<Instant>,
     /// Whether another run answers at its address.
     is_replaced: bool,
 }
@@ -40,7 +40,7 @@
 /// How a run stands with this box, by all that is known of it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ServerStanding {
-    words: RunWords,
+    hints: InstanceHints,
     limit_per_s: Option<f64>,
 }
 
@@ -63,9 +63,9 @@
 impl Standings {
     /// Takes in that a run has said that it leaves; whether that was not known.
     pub fn receive_leaving(&mut self, server: ServerKey, since: Instant) -> bool {
-        let words = self.words_of(server);
-        let is_new = words.leaves.is_none();
-        words.note_leaving(Leaving {
+        let hints = self.hints_of(server);
+        let is_new = hints.leaves.is_none();
+        hints.note_leaving(Leaving {
             since,
             works_until: since + WORKS_ON_FOR,
         });
@@ -75,7 +75,7 @@
     /// Takes in that the catalog says that a run leaves: that closes it at once. The catalog
     /// may have known it for as long as its news takes.
     pub fn receive_announced_leaving(&mut self, server: ServerKey, now: Instant) {
-        self.words_of(server).note_leaving(Leaving {
+        self.hints_of(server).note_leaving(Leaving {
             since: now,
             works_until: now,
         });
@@ -84,23 +84,23 @@
     /// Takes in that a run wants nothing of this box until a moment; whether that is later
     /// than what was known. A shorter rest, or none, takes nothing back of a longer one.
     pub fn receive_backoff(&mut self, server: ServerKey, until: Instant) -> bool {
-        let words = self.words_of(server);
-        let is_longer = words.rests_until.is_none_or(|known| known < until);
+        let hints = self.hints_of(server);
+        let is_longer = hints.backoff_until.is_none_or(|known| known < until);
         if is_longer {
-            words.rests_until = Some(until);
+            hints.backoff_until = Some(until);
         }
         is_longer
     }
 
     /// Takes in that another run answers at the address of this one.
     pub fn receive_replaced(&mut self, server: ServerKey) {
-        self.words_of(server).is_replaced = true;
+        self.hints_of(server).is_replaced = true;
     }
 
     /// How a run stands.
     pub fn standing(&self, server: ServerKey) -> ServerStanding {
         ServerStanding {
-            words: self.words.get(&server).copied().unwrap_or_default(),
+            hints: self.hints.get(&server).copied().unwrap_or_default(),
             limit_per_s: self.limits.limit(server),
         }
     }
@@ -108,9 +108,9 @@
     /// The runs that leave, with since when that is known, for a box that has just linked
     /// with this one.
     pub fn leaving(&self) -> Vec<(ServerKey, Instant)> {
-        let leaving = self.words.iter();
+        let leaving = self.hints.iter();
         let leaving =
-            leaving.filter_map(|(server, words)| Some((*server, words.leaves?.since)));
+            leaving.filter_map(|(server, hints)| Some((*server, hints.leaves?.since)));
         leaving.collect()
     }
 
@@ -133,23 +133,23 @@
 
     /// Forgets a run: it has ended, and another has begun.
     pub fn forget(&mut self, server: ServerKey) {
-        self.words.remove(&server);
+        self.hints.remove(&server);
         self.limits.forget(server);
         self.announced.remove(&server);
         self.unannounced.retain(|known| *known != server);
     }
 
-    fn words_of(&mut self, server: ServerKey) -> &mut RunWords {
+    fn hints_of(&mut self, server: ServerKey) -> &mut InstanceHints {
         let is_new = !self.says_any(server);
         if is_new && !self.announced.contains(&server) {
             // Told by another box, before this one knows the run or after its end.
             self.note_unannounced(server);
         }
-        self.words.entry(server).or_default()
+        self.hints.entry(server).or_default()
     }
 
     fn says_any(&self, server: ServerKey) -> bool {
-        self.words.contains_key(&server) || self.limits.limit(server).is_some()
+        self.hints.contains_key(&server) || self.limits.limit(server).is_some()
     }
 
     fn note_unannounced(&mut self, server: ServerKey) {
@@ -163,7 +163,7 @@
     }
 }
 
-impl RunWords {
+impl InstanceHints {
     /// Takes in that the run leaves; what was known sooner, or ends sooner, counts.
     fn note_leaving(&mut self, told: Leaving) {
         let known = self.leaves.unwrap_or(told);
@@ -177,11 +177,11 @@
 impl ServerStanding {
     /// Whether a request of this box may go to the run now.
     pub fn access(&self, now: Instant) -> Access {
-        let rest = self.words.rests_until.filter(|until| now < *until);
-        if self.words.is_replaced {
+        let rest = self.hints.backoff_until.filter(|until| now < *until);
+        if self.hints.is_replaced {
             return Access::Closed;
         }
-        if let Some(leaving) = self.words.leaves {
+        if let Some(leaving) = self.hints.leaves {
             // A run in need as well is spared what little it could still do.
             let is_in_need = rest.is_some() || self.limit_per_s.is_some();
             return match now < leaving.works_until && !is_in_need {
@@ -197,7 +197,7 @@
 
     /// Notes that the catalog says that the run leaves: that closes it at once.
     pub fn note_announced_leaving(&mut self, now: Instant) {
-        self.words.note_leaving(Leaving {
+        self.hints.note_leaving(Leaving {
             since: now,
             works_until: now,
         });
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -190,7 +190,7 @@
     }
 
     /// Closes connections that have rested too long; false when none is left.
-    pub fn close_rested(&self, now: Instant) -> bool {
+    pub fn close_idle(&self, now: Instant) -> bool {
         let mut idle = self.idle.lock().expect("no holder panics");
         idle.retain(|idle| !idle.has_rested(idle.connection.rest_for, now));
         !idle.is_empty()
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -10,7 +10,7 @@
 mod listener;
 mod pool;
 mod publish;
-mod server_words;
+mod server_hints;
 mod store;
 mod tls;
 mod workers;
--- a/crates/wingspur-transport/src/server_words.rs
+++ b/crates/wingspur-transport/src/server_hints.rs
@@ -5,7 +5,7 @@
 use hyper::StatusCode;
 use hyper::header::{DATE, HeaderMap, RETRY_AFTER};
 use wingspur_protocol::{
-    HeaderNames, ServerWords, parse_leaving, parse_rest, parse_server_limit,
+    HeaderNames, ServerHints, parse_backoff, parse_leaving, parse_server_limit,
 };
 
 use crate::AnswerHead;
@@ -13,7 +13,7 @@
 impl AnswerHead {
     /// What the server says of itself; `now` is the time of day, for a server that names a
     /// date and does not tell its own.
-    pub fn words(&self, names: &HeaderNames, now: SystemTime) -> ServerWords {
+    pub fn hints(&self, names: &HeaderNames, now: SystemTime) -> ServerHints {
         let headers = &self.headers;
         let is_other_run = self.status == StatusCode::MISDIRECTED_REQUEST
             && names.expected_incarnation.is_some();
@@ -21,12 +21,12 @@
         // Other statuses use it for other ends, as when a page has moved.
         let asks_for_rest = self.status == StatusCode::SERVICE_UNAVAILABLE;
         let rest = match asks_for_rest {
-            true => parse_rest(values(headers, Some(RETRY_AFTER.as_str())), |text| {
+            true => parse_backoff(values(headers, Some(RETRY_AFTER.as_str())), |text| {
                 until_date(text, headers, now)
             }),
             false => Ok(None),
         };
-        ServerWords {
+        ServerHints {
             leaving: parse_leaving(values(headers, names.leaving)),
             rest,
             limit_per_s: parse_server_limit(values(headers, names.server_limit)),
--- a/tests/soak/src/planned/callers.rs
+++ b/tests/soak/src/planned/callers.rs
@@ -89,7 +89,7 @@
     reader: BufReader<Counted>,
     view: Arc<BoxView>,
     used: usize,
-    rests_since: Instant,
+    backoff_since: Instant,
 }
 
 /// A stream that counts what was read.
@@ -191,7 +191,7 @@
             reader: BufReader::new(Counted { stream, bytes: 0 }),
             view,
             used: 0,
-            rests_since: Instant::now(),
+            backoff_since: Instant::now(),
         })
     }
 
@@ -224,7 +224,7 @@
     /// Sends a request and reads its answer; whether the connection stays.
     fn call(&mut self, draft: &Draft, random: &mut StdRng) -> (Call, bool) {
         self.view.in_flight.fetch_add(1, Ordering::Relaxed);
-        let rested = self.rests_since.elapsed();
+        let rested = self.backoff_since.elapsed();
         let surplus = self.has_surplus();
         let read_before = self.reader.get_ref().bytes;
         let began = Instant::now();
@@ -256,7 +256,7 @@
             read_bytes: self.reader.get_ref().bytes - read_before,
         };
         self.used += 1;
-        self.rests_since = ended;
+        self.backoff_since = ended;
         (call, written && !closes)
     }
 }
--- a/tests/src/http.rs
+++ b/tests/src/http.rs
@@ -107,8 +107,8 @@
 /// Reads a request up to its body.
 pub fn read_request_head(reader: &mut impl BufRead) -> Option<Head> {
     let (line, headers) = read_head(reader)?;
-    let mut words = line.split(' ');
-    let (method, target) = (words.next()?, words.next()?);
+    let mut hints = line.split(' ');
+    let (method, target) = (hints.next()?, hints.next()?);
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     Some(Head {
         method: method.to_owned(),
--- a/tests/tests/standing.rs
+++ b/tests/tests/standing.rs
@@ -69,18 +69,18 @@
 fn expected(history: &[(u64, Event)], now_ms: u64) -> &'static str {
     let mut leaves_since = None;
     let mut closed = false;
-    let mut rests_until = 0;
+    let mut backoff_until = 0;
     let mut limited = false;
     for (ms, event) in history {
         match event {
             Event::Leaves => leaves_since = leaves_since.or(Some(*ms)),
             Event::AnnouncedLeaving => closed = true,
-            Event::Rest(rest) => rests_until = rests_until.max(ms + rest),
+            Event::Rest(rest) => backoff_until = backoff_until.max(ms + rest),
             Event::Limit(per_s) => limited = per_s.is_some(),
             Event::Withdrawn | Event::Announced | Event::OtherForgotten => {}
         }
     }
-    let rests = now_ms < rests_until;
+    let rests = now_ms < backoff_until;
     if closed || leaves_since.is_some() {
         let works = leaves_since.is_some_and(|since| now_ms < since + 1_000);
         return match works && !closed && !rests && !limited {
--- a/tests/tests/words_play.rs
+++ b/tests/tests/words_play.rs
@@ -87,7 +87,7 @@
     running: Vec<(u64, Sent)>,
     waiting: VecDeque<Sent>,
     /// When the last rest that it asked for ends, and when it was first of use after that.
-    rests_until_ms: u64,
+    backoff_until_ms: u64,
     used_again_ms: Option<u64>,
 }
 
@@ -366,8 +366,8 @@
     /// Whether a box may use a run by what it has heard.
     fn is_free(&self, place: usize, run: ServerKey) -> bool {
         let heard = self.boxes[place].heard.get(&run);
-        heard.is_none_or(|(rests_until_ms, leaves)| {
-            *rests_until_ms <= self.now_ms && leaves.is_none()
+        heard.is_none_or(|(backoff_until_ms, leaves)| {
+            *backoff_until_ms <= self.now_ms && leaves.is_none()
         })
     }
 
@@ -375,8 +375,8 @@
         let now = self.now();
         let key = pick.server.key();
         let heard = self.boxes[place].heard.get(&key).copied();
-        if let Some((rests_until_ms, leaves)) = heard {
-            self.outcome.sent_to_resting += u64::from(self.now_ms < rests_until_ms);
+        if let Some((backoff_until_ms, leaves)) = heard {
+            self.outcome.sent_to_resting += u64::from(self.now_ms < backoff_until_ms);
             let late = leaves.is_some_and(|ms| self.now_ms >= ms + LAST_RESORT_MS);
             self.outcome.sent_to_leaving_late += u64::from(late);
             let idle = self.setting.load < 0.5 && self.setting.speakers < SERVERS;
@@ -447,10 +447,10 @@
         let server = &mut self.servers[sent.server];
         let leaves = server.leaves_since.is_some();
         if let Some(rest_ms) = rest_ms {
-            server.rests_until_ms = server.rests_until_ms.max(due_ms + rest_ms);
+            server.backoff_until_ms = server.backoff_until_ms.max(due_ms + rest_ms);
             server.used_again_ms = None;
         }
-        if ended == Ended::Good && self.now_ms >= server.rests_until_ms {
+        if ended == Ended::Good && self.now_ms >= server.backoff_until_ms {
             server.used_again_ms.get_or_insert(self.now_ms);
         }
         self.answers.push(Answer {
@@ -509,10 +509,10 @@
         let spoke = self
             .servers
             .iter()
-            .filter(|server| server.rests_until_ms > 0);
+            .filter(|server| server.backoff_until_ms > 0);
         let idle = spoke.map(|server| {
             let used_ms = server.used_again_ms.unwrap_or(END_MS);
-            used_ms.saturating_sub(server.rests_until_ms)
+            used_ms.saturating_sub(server.backoff_until_ms)
         });
         idle.max().unwrap_or(0)
     }
--- a/tests/tests/words_table.rs
+++ b/tests/tests/words_table.rs
@@ -12,7 +12,7 @@
     "crates/wingspur-edge/src/request.rs",
     "crates/wingspur-transport/src/answer_head.rs",
     "crates/wingspur-transport/src/backend.rs",
-    "crates/wingspur-transport/src/server_words.rs",
+    "crates/wingspur-transport/src/server_hints.rs",
     "platform/src/store.rs",
 ];
 
@@ -197,10 +197,10 @@
     let rows = table();
     for path in READERS {
         let source = read(path);
-        let mut words = imported_headers(&source);
-        words.extend(constants_after(&source, "StatusCode::"));
-        words.remove("OK");
-        for word in words {
+        let mut hints = imported_headers(&source);
+        hints.extend(constants_after(&source, "StatusCode::"));
+        hints.remove("OK");
+        for word in hints {
             let known = rows.iter().any(|row| row.read_as == word);
             assert!(known, "{path} reads {word}");
         }
