--- a/crates/wingspur-coordination/src/catalog_queue.rs
+++ b/crates/wingspur-coordination/src/catalog_queue.rs
@@ -9,7 +9,7 @@
 
 /// What one link has not been told yet of the catalog.
 ///
-/// Purpose: when many servers join at once, each of their writes goes to all links of a hub.
+/// When many servers join at once, each of their writes goes to all links of a hub.
 /// One frame for each would make all news seconds late, and boxes would go on sending to a
 /// server that they take for idle.
 #[derive(Debug)]
--- a/crates/wingspur-coordination/src/fleet_census.rs
+++ b/crates/wingspur-coordination/src/fleet_census.rs
@@ -10,7 +10,7 @@
 
 /// The boxes that this one is linked with or is told of by other hubs.
 ///
-/// Purpose: while a hub takes another's place, both count the members that move. By numbers
+/// While a hub takes another's place, both count the members that move. By numbers
 /// alone the fleet is taken for larger than it is, and a part of what it shares by its number
 /// is used by nobody. A box that starts again keeps its key: its new run uses its part only
 /// once its former one cannot any more.
--- a/crates/wingspur-coordination/src/fleet_count.rs
+++ b/crates/wingspur-coordination/src/fleet_count.rs
@@ -5,7 +5,7 @@
 
 /// The number of boxes, slow to fall.
 ///
-/// Purpose: a hub that has just taken over has few members yet. What boxes share by their
+/// A hub that has just taken over has few members yet. What boxes share by their
 /// number, the connections to a server and the slack of the retry budget, would be dealt out
 /// several times until all have linked with it.
 #[derive(Debug, Clone, Default)]
--- a/crates/wingspur-coordination/src/link_plan.rs
+++ b/crates/wingspur-coordination/src/link_plan.rs
@@ -21,8 +21,8 @@
     /// Boxes that could not be reached, until when they are passed over, and how often
     /// in a row.
     avoided: HashMap<BoxId, (Instant, u32)>,
-    /// The runs of boxes that said that they stop, by incarnation. Prevents that whoever has
-    /// not heard of it yet brings one back by a listing.
+    /// Boxes that have announced their stop, by incarnation: a listing from a box that has
+    /// not received it yet does not bring one back.
     stopping: HashMap<BoxId, u64>,
 }
 
@@ -64,7 +64,7 @@
     /// Takes in that a box is not announced any more.
     ///
     /// One that is linked with this box counts on for a while: it is there, and has lost the
-    /// store only. Purpose: the strongest boxes of a data centre stay its hubs where they are
+    /// store only. The strongest boxes of a data centre stay its hubs where they are
     /// cut off from the store; a weak box in their place could answer few questions in time.
     pub fn remove(&mut self, id: &BoxId, now: Instant) {
         let Some(record) = self.boxes.remove(id) else {
--- a/crates/wingspur-coordination/src/rollup.rs
+++ b/crates/wingspur-coordination/src/rollup.rs
@@ -1,8 +1,8 @@
-//! Adds up what boxes have seen, and says what each link should hear of it.
+//! Aggregates the tallies of boxes, and composes the updates of each link.
 //!
 //! Every box has a rollup. Its own tallies and those of its members, if it is a hub, add up
-//! to its total. A link is told the total without what came from that link itself, so
-//! nobody hears its own voice. Digests of other hubs are passed on to members as they are.
+//! to its total. A link is sent the total without what it reported itself. Digests of other
+//! hubs are forwarded to members unchanged.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -11,17 +11,17 @@
 
 use crate::key_set::{KeyIndex, KeySet};
 
-/// What a box knows of the work of others, and what it has told whom.
+/// The tallies that a box knows, and what each link has yet to be sent of them.
 #[derive(Debug)]
 pub struct Rollup {
     source: SourceId,
     total: Tallies,
-    /// The servers that were told of, for the sets of those that a link has not heard of.
+    /// The servers of all tallies, for the sets of those that a link has yet to be sent.
     index: KeyIndex,
     links: BTreeMap<LinkId, Link>,
-    /// What other hubs told, by source, with the link that it came by.
+    /// The tallies of other hubs by source, with the link that reported them.
     foreign: HashMap<SourceId, (LinkId, Tallies)>,
-    /// Sources that have gone and that this box's own tables should forget.
+    /// Sources that are lost and that this box's own tables should forget.
     lost: Vec<SourceId>,
 }
 
@@ -34,16 +34,16 @@
 /// What a link is to this box.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkKind {
-    /// Its tallies add to this box's total, and it hears everything.
+    /// Its tallies add to this box's total, and it is sent all sources.
     Member,
-    /// Its tallies are another hub's, and it hears this box's total only.
+    /// Its tallies are another hub's, and it is sent this box's total only.
     Hub,
 }
 
-/// News for this box's own tables, from one source.
+/// Changes for this box's own tables, from one source.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SourceUpdate {
-    /// Who told.
+    /// Who reported them.
     pub source: SourceId,
     /// Server tallies as they stand, with the counts that are new.
     pub servers: Vec<(KeyedTally, ServerTally)>,
@@ -60,31 +60,31 @@
 #[derive(Debug)]
 struct Link {
     kind: LinkKind,
-    /// What a member has told.
+    /// What a member has reported.
     told: Tallies,
-    /// What it has not heard yet of this box's total.
+    /// Changes of this box's total.
     unsent: Unsent,
-    /// What it has not heard yet of other hubs.
+    /// Changes of other hubs' tallies.
     unsent_foreign: BTreeMap<SourceId, Unsent>,
-    /// Other hubs that it should forget: what they had out is out no more, or told by others.
+    /// Other hubs that it should forget: their requests have ended, or others report them.
     gone: Vec<SourceId>,
 }
 
-/// What has changed since a link was told; all there is for a new link.
+/// What has changed since a link was last sent an update; everything for a new link.
 #[derive(Debug, Default)]
 struct Unsent {
     whole: bool,
     /// Servers that have failed, refused or kept silent: each request that goes there before
-    /// the link is told may be lost.
+    /// the update arrives may be lost.
     failing: KeySet,
     /// Servers of which only good answers and requests that are out have changed.
     servers: KeySet,
-    /// Which of those is told next, so that each has its turn.
+    /// Where the next update begins among those, so that each has its turn.
     next: usize,
     services: BTreeSet<u64>,
 }
 
-/// What a link is told now of one source.
+/// What an update takes of one source.
 #[derive(Debug, Default)]
 struct Taken {
     whole: bool,
@@ -102,7 +102,7 @@
 }
 
 impl Rollup {
-    /// A rollup that speaks as `source`.
+    /// A rollup that reports as `source`.
     pub fn new(source: SourceId) -> Self {
         let mut rollup = Self {
             source,
@@ -116,7 +116,7 @@
         rollup
     }
 
-    /// Takes up a link.
+    /// Adds a link.
     pub fn add_link(&mut self, id: LinkId, kind: LinkKind) {
         let whole = || Unsent {
             whole: true,
@@ -136,7 +136,7 @@
         self.links.insert(id, link);
     }
 
-    /// Gives up a link. What a member has counted stays counted, what it had out does not.
+    /// Removes a link. The counts of a member stay, its requests in flight do not.
     pub fn drop_link(&mut self, id: LinkId) {
         let Some(link) = self.links.remove(&id) else {
             return;
@@ -156,12 +156,12 @@
         lost.into_iter().for_each(|source| self.lose(source));
     }
 
-    /// The sources that have gone since this was last asked.
+    /// The sources that were lost since the last call.
     pub fn take_lost(&mut self) -> Vec<SourceId> {
         std::mem::take(&mut self.lost)
     }
 
-    /// Takes in a digest that came by a link.
+    /// Applies a digest that a link sent.
     pub fn receive(&mut self, id: LinkId, digest: &Digest) {
         match self.links.get(&id).map(|link| link.kind) {
             Some(LinkKind::Member) => self.receive_from_member(id, digest),
@@ -170,16 +170,16 @@
         }
     }
 
-    /// What a link should be told now; empty when it has heard all.
+    /// The update of a link; empty when it has been sent everything.
     pub fn compose(&mut self, id: LinkId) -> Vec<Digest> {
         self.compose_within(id, usize::MAX)
     }
 
-    /// The same with tallies of `most_servers` servers at most; those that fail are told
-    /// whatever their number, and what does not fit waits for the next time.
+    /// The same with tallies of `most_servers` servers at most. Those that fail are included
+    /// whatever their number; what does not fit waits for the next update.
     ///
-    /// A link has room for so much a second, and what has changed grows with the servers:
-    /// told all of it, each link hears of failures as late as of everything else.
+    /// Changes grow with the servers, and the bandwidth of a link does not: sent all of them,
+    /// each link would receive failures as late as everything else.
     pub fn compose_within(&mut self, id: LinkId, most_servers: usize) -> Vec<Digest> {
         let Some(link) = self.links.get_mut(&id) else {
             return Vec::new();
@@ -213,7 +213,7 @@
         digests
     }
 
-    /// Whether a link has something to hear.
+    /// Whether a link has yet to be sent anything.
     pub fn has_updates(&self, id: LinkId) -> bool {
         let Some(link) = self.links.get(&id) else {
             return false;
@@ -223,7 +223,7 @@
         !link.unsent.is_empty() || !link.gone.is_empty() || any_foreign
     }
 
-    /// Whether a link has to hear of servers that have failed, refused or kept silent.
+    /// Whether a link has yet to be sent servers that have failed, refused or kept silent.
     pub fn has_failures(&self, id: LinkId) -> bool {
         let Some(link) = self.links.get(&id) else {
             return false;
@@ -241,7 +241,7 @@
         for (key, tally) in &digest.servers {
             let told = link.told.servers.entry(*key).or_default();
             if digest.whole {
-                // What a member counted before it came has been told elsewhere.
+                // Another hub has reported what a member counted before it linked here.
                 *told = tally.without_gauges();
             }
             let total = self.total.servers.entry(*key).or_default();
@@ -303,7 +303,7 @@
         }
     }
 
-    /// Forgets a source, and tells the members to.
+    /// Forgets a source, and has the members forget it.
     fn lose(&mut self, source: SourceId) {
         self.foreign.remove(&source);
         self.lost.push(source);
@@ -317,7 +317,7 @@
         }
     }
 
-    /// Notes for all links but one that parts of the total have changed.
+    /// Marks parts of the total as changed for all links but one.
     fn mark(&mut self, but: Option<LinkId>, servers: &[Changed], services: &[u64]) {
         for (id, link) in &mut self.links {
             if Some(*id) != but {
@@ -329,7 +329,7 @@
 }
 
 impl Tallies {
-    /// The tallies that are told now, without what one link has told of them.
+    /// The tallies of an update, without what its link has reported of them.
     fn without(&self, told: &Self, taken: &Taken) -> Digest {
         let of_server = |key: &ServerKey| {
             let own = told.servers.get(key).copied().unwrap_or_default();
@@ -350,7 +350,7 @@
     }
 }
 
-/// The digest that tells of a source's end: all of its tallies, and there are none.
+/// The digest that ends a source: all of its tallies, and there are none.
 fn nothing_left(source: SourceId) -> Digest {
     Digest {
         source,
@@ -380,7 +380,7 @@
         }
     }
 
-    /// Takes what is told now, and takes it off the room for servers.
+    /// Takes what an update has room for, and takes it off the room for servers.
     fn take_within(
         &mut self,
         room: &mut usize,
@@ -388,11 +388,11 @@
         index: &mut KeyIndex,
     ) -> Taken {
         if self.whole && *room == 0 {
-            // A digest of all tallies without any tells of its source's end.
+            // A whole digest without tallies would end its source.
             return Taken::default();
         }
         if self.whole {
-            // All is to be told, whatever has changed.
+            // Everything is sent, whatever has changed.
             for key in tallies.servers.keys() {
                 let position = index.position(*key);
                 if !self.failing.contains(position) {
@@ -421,7 +421,7 @@
     }
 }
 
-/// Turns digests into news: tallies as they stand with the counts that are new.
+/// Turns digests into updates: current tallies with the increase since the last ones.
 #[derive(Debug, Default)]
 pub struct UpdateReader {
     known: HashMap<SourceId, KnownSource>,
@@ -431,17 +431,16 @@
 #[derive(Debug, Default)]
 struct KnownSource {
     tallies: Tallies,
-    /// Whether the source has told all of its tallies, so that one that it has not told
-    /// began at nothing.
+    /// Whether the source has sent a whole digest, so that an unknown tally began at zero.
     told_whole: bool,
 }
 
 impl UpdateReader {
-    /// Reads a digest; the first of a source only sets what later ones are compared with.
+    /// Reads a digest; the first of a source is only the baseline of later ones.
     ///
-    /// So does the first that tells of a server or a service at all, while the source has
-    /// never told everything: it was forgotten and goes on where it was. Its counts of a
-    /// whole life would be news otherwise, and a service's requests earn a retry budget.
+    /// So is the first tally of a server or a service while the source has never sent a whole
+    /// digest: it was forgotten, and goes on where it was. Its lifetime counts would be an
+    /// increase otherwise, and the requests of a service earn a retry budget.
     pub fn read(&mut self, digest: &Digest) -> SourceUpdate {
         let known = self.known.entry(digest.source).or_default();
         let begins_at_nothing = known.told_whole;
@@ -477,7 +476,7 @@
         }
     }
 
-    /// Forgets a source that is not heard any more.
+    /// Forgets a source that is lost.
     pub fn forget(&mut self, source: SourceId) {
         self.known.remove(&source);
     }
--- a/crates/wingspur-coordination/src/update_pacer.rs
+++ b/crates/wingspur-coordination/src/update_pacer.rs
@@ -1,13 +1,13 @@
-//! How much news a box sends: what its link and processor bear beside requests.
+//! How many updates a box sends: what its link and processor bear beside requests.
 
 use std::time::{Duration, Instant};
 
 use wingspur_protocol::{Digest, ListingUpdate};
 
-/// Spaces frames with news by their size.
+/// Spaces frames with updates by their size.
 ///
-/// Prevents that a weak box which has become the hub of many fills its own link: its answers
-/// to members then come seconds late, and what waits for them is refused.
+/// Limits the outgoing updates of a hub to a share of its link, so that its responses to
+/// members still fit.
 #[derive(Debug, Clone)]
 pub struct UpdatePacer {
     bytes_per_s: f64,
--- a/crates/wingspur-edge/src/active_link.rs
+++ b/crates/wingspur-edge/src/active_link.rs
@@ -129,8 +129,7 @@
     }
 }
 
-/// Frames on their way to a side that has not said to have them. With one each 50 ms and
-/// answers with each heartbeat at the latest, four are usual; beyond eight a link is slower
-/// than what it is told. Prevents that news waits in the connection behind older news, and
-/// tells what was true seconds ago: tallies and the catalog are put together when they go.
+/// Frames in flight that the other side has not acknowledged. With one each 50 ms and an
+/// acknowledgement with each heartbeat at the latest, four are usual. Further frames would
+/// queue in the connection and be stale on arrival: a frame is composed when it is sent.
 const MOST_UNANSWERED: usize = 8;
--- a/crates/wingspur-edge/src/feed.rs
+++ b/crates/wingspur-edge/src/feed.rs
@@ -56,7 +56,7 @@
 
 /// Gives a hub the time to tell this box all there is, before it lists that itself.
 ///
-/// Purpose: boxes that start together are bound by the store's link; the last to list would
+/// Boxes that start together are bound by the store's link; the last to list would
 /// know a bundle late.
 async fn wait_for_hub(shared: &Arc<Shared>, started: Instant) {
     let boxes = find_boxes(shared).await;
--- a/crates/wingspur-edge/src/notify.rs
+++ b/crates/wingspur-edge/src/notify.rs
@@ -4,34 +4,34 @@
 
 use futures_lite::FutureExt;
 
-/// A bell that one task waits for; ringing it twice before it is heard counts once.
+/// A notification that one task waits for; several before it looks count as one.
 #[derive(Debug, Clone)]
 pub struct Notify {
-    ring: async_channel::Sender<()>,
-    heard: async_channel::Receiver<()>,
+    sender: async_channel::Sender<()>,
+    receiver: async_channel::Receiver<()>,
 }
 
 impl Notify {
-    /// A bell that has not been rung.
+    /// Without a notification.
     pub fn new() -> Self {
-        let (ring, heard) = async_channel::bounded(1);
-        Self { ring, heard }
+        let (sender, receiver) = async_channel::bounded(1);
+        Self { sender, receiver }
     }
 
-    /// Rings.
+    /// Wakes the task that waits, or lets its next wait end at once.
     pub fn notify(&self) {
-        // A bell that has been rung already needs no second ring.
-        let _ = self.ring.try_send(());
+        // A full channel holds a notification that the task has not seen yet.
+        let _ = self.sender.try_send(());
     }
 
-    /// Waits until the bell is rung, at most `patience`; whether it was.
+    /// Waits for a notification, at most `patience`; whether there was one.
     pub async fn wait(&self, patience: Duration) -> bool {
-        let rung = async { self.heard.recv().await.is_ok() };
+        let notified = async { self.receiver.recv().await.is_ok() };
         let expired = async {
             wingspur_clock::sleep(patience).await;
             false
         };
-        rung.or(expired).await
+        notified.or(expired).await
     }
 }
 
--- a/crates/wingspur-state/src/floor.rs
+++ b/crates/wingspur-state/src/floor.rs
@@ -38,10 +38,10 @@
 /// steady rate that leaves one in eight untried after two seconds, since each of their
 /// failures adds to the loss.
 ///
-/// Prevents that servers which no pick takes, like cold ones, stay unused for two seconds,
-/// as they would with the same chance at any age. A share of all in use bounds no part of
-/// them: the most doubtful would get nothing for seconds, some of them well after a single
-/// failure. Trying the doubtful as surely as the trusted would lose more requests.
+/// The rate of tries rises with the time unused: at a constant rate servers that no pick
+/// takes, like cold ones, could stay unused for two seconds. A share of all in use bounds no
+/// part of them: the most suspected would get nothing for seconds, some of them well after a
+/// single failure. Trying the suspected as often as the trusted would lose more requests.
 pub fn try_unused<K: Copy>(
     servers: &[Unused<K>],
     inputs: &FloorInputs,
@@ -126,7 +126,7 @@
 /// How often a neglected server is tried by all boxes together: a trusted one by how long
 /// it has rested.
 ///
-/// Purpose: once several tries are to be expected, what is missing is the news of them and
+/// Once several tries are to be expected, what is missing is the news of them and
 /// not a try: a rate that went on doubling would fill one server's queue.
 fn tries_per_s<K>(server: &Unused<K>, strict: bool) -> f64 {
     if server.failure_share >= TRUSTED_SHARE {
--- a/crates/wingspur-state/src/part_clock.rs
+++ b/crates/wingspur-state/src/part_clock.rs
@@ -7,7 +7,7 @@
 
 /// For how long a box has had which part of all allowances.
 ///
-/// Purpose: pools are looked at when they are asked only; each then refills by what this box's
+/// Pools are looked at when they are asked only; each then refills by what this box's
 /// part was in the meantime, moment by moment, and not by what it happens to be.
 #[derive(Debug, Clone)]
 pub struct PartClock {
--- a/crates/wingspur-state/src/service_time.rs
+++ b/crates/wingspur-state/src/service_time.rs
@@ -6,7 +6,7 @@
 /// logarithms are taken to follow the logistic distribution: its tail is heavy enough for
 /// the few requests that take five times as long as the rest.
 ///
-/// Purpose: a server that hangs is found before its requests are lost, whatever the
+/// A server that hangs is found before its requests are lost, whatever the
 /// route's time-out.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ServiceTime {
--- a/crates/wingspur-state/src/suspects.rs
+++ b/crates/wingspur-state/src/suspects.rs
@@ -138,7 +138,7 @@
     /// When this box answered a request whole that is in quarantine, so shortly before
     /// servers ended under it that others should hear.
     ///
-    /// Purpose: pages that many ask for are out at several servers at any time. When servers
+    /// Pages that many ask for are out at several servers at any time. When servers
     /// end together, all that is out of such a page may be lost, and nothing is left that
     /// could clear it.
     pub fn answered_before(
--- a/crates/wingspur-state/src/tally.rs
+++ b/crates/wingspur-state/src/tally.rs
@@ -138,8 +138,7 @@
 
     /// What is new since an earlier tally; nothing of a count that went back.
     ///
-    /// Prevents that a step back counts as four billion requests, which earn a retry budget
-    /// without a limit.
+    /// A step back would count as four billion requests, which earn an unlimited retry budget.
     pub fn increase_since(&self, earlier: &Self) -> Self {
         Self {
             requests: ahead_of(self.requests, earlier.requests),
