Requests before many servers do not gather at the best of them

The tallies of a server that refuses are sent before all others, with its good answers, so the crowded servers were the best known ones. A box drew among 5 to 9 of the cheapest: the unseen requests of its own data centre since any update, while all data centres went to the same servers.

Change: where requests are too few for the floor, so slots are to spare everywhere, a request is drawn among all servers whose cost is within a quarter of the service time of the best, and one that refused within a second is passed over.

--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -18,7 +18,7 @@
     FloorInputs, TRUSTED_SHARE, Unused, holds_strictly, is_in_reach, try_unused,
 };
 use crate::health::{Health, HealthNote, UnknownFailures, UsualFailures};
-use crate::placement::place_among;
+use crate::placement::{MOST_DEARER, MOST_DEARER_WITH_ROOM, place_among};
 use crate::returning::LONGEST_RETURN;
 use crate::tracked::{Attempt, Distance, Ended, Expected, Server, path_outcome};
 use crate::{
@@ -144,6 +144,7 @@
             sent: now,
             answered: None,
             failed: None,
+            refused: None,
             surely_sick: None,
             heard: None,
             standing: ServerStanding::default(),
@@ -270,6 +271,8 @@
         random: &mut impl Rng,
     ) -> Option<Pick> {
         let usual = self.usual.share();
+        let typical_ms = want.typical.as_secs_f64() * 1000.0;
+        let has_room = !is_in_reach(self.servers.len(), &want.present);
         let mut costs = Vec::with_capacity(self.servers.len());
         for server in self.servers.values() {
             let Some(access) = self.access(server, want, now) else {
@@ -280,20 +283,28 @@
                 continue;
             }
             let noise = 1.0 + NOISE * random.random::<f64>();
-            let cost =
+            let mut cost =
                 weight.expected_ms * noise + self.penalty_ms(server, want, &weight, now);
+            if has_room && server.refused.is_some_and(|at| now < at + CROWDED_FOR) {
+                cost += typical_ms;
+            }
             costs.push((cost, server, weight));
         }
         let candidates = costs.len();
         let slots: u32 = costs.iter().map(|(_, server, _)| server.record.slots).sum();
         let mean_slots = f64::from(slots.max(1)) / candidates.max(1) as f64;
         let typical_ms = want.typical.as_secs_f64() * 1000.0;
-        let drawn_among = ((want.present.unseen / mean_slots) as usize).max(1);
+        let (drawn_among, dearer) = match has_room {
+            false => ((want.present.unseen / mean_slots) as usize, MOST_DEARER),
+            // With slots to spare everywhere, a queue is many boxes at the same server.
+            true => (candidates, MOST_DEARER_WITH_ROOM),
+        };
+        let drawn_among = drawn_among.max(1);
         let place = place_among(
             &mut costs,
             |(cost, ..)| *cost,
             drawn_among,
-            typical_ms,
+            typical_ms * dearer,
             random,
         )?;
         let (_, server, weight) = &costs[place];
@@ -799,6 +810,8 @@
 const REPEATABLE_FAILURE_MS: f64 = 1500.0;
 /// What a failure costs a request that cannot: it weighs as much as several late answers.
 const LOST_FAILURE_MS: f64 = 5000.0;
+/// A server that refused has a queue of several service times.
+const CROWDED_FOR: Duration = Duration::from_secs(1);
 /// What a refusal costs: a round trip and a resend from the budget.
 const REFUSAL_MS: f64 = 300.0;
 /// A server that failed counts as one that may be well after this; the users say two
--- a/crates/wingspur-state/src/placement.rs
+++ b/crates/wingspur-state/src/placement.rs
@@ -8,7 +8,7 @@
 ///
 /// The requests that were placed since this box last heard of any, each of which saw the
 /// same servers as the cheapest, fill the slots of `taken` servers. So the request goes to
-/// any of as many of the cheapest, as far as they are not much dearer than the best. No
+/// any of as many of the cheapest, as far as they are no more than `dearer_ms` dearer. No
 /// more than that: servers that are used often are the first known to be well.
 ///
 /// The load pattern that it answers: many boxes with late news and more than half of all
@@ -18,7 +18,7 @@
     servers: &mut [S],
     cost_ms: impl Fn(&S) -> f64,
     taken: usize,
-    typical_ms: f64,
+    dearer_ms: f64,
     random: &mut impl Rng,
 ) -> Option<usize> {
     if servers.is_empty() {
@@ -29,7 +29,7 @@
     servers.select_nth_unstable_by(alike - 1, by_cost);
     let cheapest = servers[..alike].iter().map(&cost_ms);
     let best = cheapest.fold(f64::INFINITY, f64::min);
-    let limit = best + typical_ms * MOST_DEARER;
+    let limit = best + dearer_ms;
     let good = |server: &S| cost_ms(server) <= limit;
     let count = servers[..alike]
         .iter()
@@ -42,4 +42,7 @@
 /// A server that costs more by this part of the usual service time is left to the time when
 /// the cheaper ones are known to be busy: it is what a whole queue of slots costs. At half of
 /// it 0.7 in 100 find a queue full in the plays above with 80 in 100 slots in use.
-const MOST_DEARER: f64 = 1.0;
+pub const MOST_DEARER: f64 = 1.0;
+/// The same where servers have slots to spare, and any number of them is drawn among: more
+/// would go to servers that nobody has lately found well.
+pub const MOST_DEARER_WITH_ROOM: f64 = 0.25;
--- a/crates/wingspur-state/src/tracked.rs
+++ b/crates/wingspur-state/src/tracked.rs
@@ -34,6 +34,8 @@
     pub answered: Option<Instant>,
     /// When it last failed one.
     pub failed: Option<Instant>,
+    /// When it last refused one.
+    pub refused: Option<Instant>,
     /// When it last failed one that left hardly a doubt that it is sick.
     pub surely_sick: Option<Instant>,
     /// When another box last told of it.
@@ -117,6 +119,9 @@
         if outcomes.good > 0 {
             self.answered = Some(now);
         }
+        if outcomes.refused > 0 {
+            self.refused = Some(now);
+        }
         if outcomes.failed > 0 {
             self.failed = Some(now);
             if self.health.sickness() >= SURE {
--- a/tests/tests/balancing.rs
+++ b/tests/tests/balancing.rs
@@ -458,6 +458,27 @@
     }
 }
 
+/// All boxes went to the server with the best record, whose queue was full: a fifth was refused.
+#[test]
+fn requests_before_many_servers_do_not_gather_at_the_best_of_them() {
+    let start = Instant::now();
+    let mut balancer = balancer(1_000, start);
+    let now = start + Duration::from_secs(10);
+    for server in 0..50 {
+        let answers = if server == 0 { 20 } else { 8 };
+        for _ in 0..answers {
+            one(&mut balancer, server, Ended::Good, TYPICAL, now - TYPICAL);
+        }
+    }
+    let counts = picks(&balancer, &want(false, 0.0), now, 1_000);
+    let proven: usize = counts[..50].iter().sum();
+    assert!(proven >= 900, "{proven} of 1000");
+    assert!(counts[0] <= 60, "{} of 1000 to the best", counts[0]);
+    one(&mut balancer, 0, Ended::Refused, Duration::ZERO, now);
+    let counts = picks(&balancer, &want(false, 0.0), now, 1_000);
+    assert_eq!(counts[0], 0, "its queue is full");
+}
+
 #[test]
 fn box_that_has_counted_hardly_any_requests_still_tries_for_the_floor() {
     let start = Instant::now();
--- a/tests/tests/many_servers.rs
+++ b/tests/tests/many_servers.rs
@@ -26,6 +26,8 @@
     sick_fails: f64,
     /// How often the hub tells each member.
     hub_gap_ms: u64,
+    /// The requests that a box takes for unseen, in seconds of all requests.
+    unseen_s: f64,
     seed: u64,
 }
 
@@ -198,7 +200,7 @@
             crossing: Duration::from_millis(30),
             tried: &[],
             present: ServicePresent {
-                unseen: self.plan.requests_per_s * self.plan.hub_gap_ms as f64 / 1000.0,
+                unseen: self.plan.requests_per_s * self.plan.unseen_s,
                 ..self.budget.present(now)
             },
         };
@@ -290,7 +292,8 @@
     (-mean_ms * (1.0 - random.random::<f64>()).ln()) as u64
 }
 
-/// Each server was as good a pick as the others until it had failed: a tenth was lost.
+/// Each server was as good a pick as the others until it had failed: a tenth was lost. Then all
+/// boxes went to the few that had answered last, and a tenth found all slots in use.
 #[test]
 fn once_only_requests_go_to_servers_that_lately_answered() {
     for (boxes, servers, requests_per_s) in [(25, 375, 65.0), (50, 750, 130.0)] {
@@ -302,11 +305,15 @@
             sick_ms: 9_000.0,
             sick_fails: 0.75,
             hub_gap_ms: 600,
+            // One of five data centres, with updates from any of their hubs each 0.1 s.
+            unseen_s: 0.02,
             seed: 1,
         })
         .play();
         let lost = outcome.lost as f64 / outcome.sent as f64;
         assert!(lost <= 0.07, "{lost} lost: {outcome:?}");
+        let queued = outcome.queued as f64 / outcome.sent as f64;
+        assert!(queued <= 0.05, "{queued} queued: {outcome:?}");
     }
 }
 
@@ -324,6 +331,7 @@
             sick_ms: 6_000.0,
             sick_fails: 0.85,
             hub_gap_ms: 300,
+            unseen_s: 0.3,
             seed,
         })
         .play()
