The service time is converted once a pick

Found while reading the whole change: `Balancer::cheapest` computed `typical_ms` a second time, over the first. The doc line of the key sets says updates, as the code does.

--- a/crates/wingspur-coordination/src/key_set.rs
+++ b/crates/wingspur-coordination/src/key_set.rs
@@ -1,4 +1,4 @@
-//! Sets of servers that take a bit a server: one stands for each link and source of news.
+//! Sets of servers that take a bit a server: one stands for each link and source of updates.
 
 use std::collections::HashMap;
 
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -293,7 +293,6 @@
         let candidates = costs.len();
         let slots: u32 = costs.iter().map(|(_, server, _)| server.record.slots).sum();
         let mean_slots = f64::from(slots.max(1)) / candidates.max(1) as f64;
-        let typical_ms = want.typical.as_secs_f64() * 1000.0;
         let (drawn_among, dearer) = match has_room {
             false => ((want.present.unseen / mean_slots) as usize, MOST_DEARER),
             // With slots to spare everywhere, a queue is many boxes at the same server.
