A pick logs its refusal share and how long its server was unused

The logs of the incident could not tell two hypotheses apart: whether sound boxes avoid servers because of refusals reported from elsewhere, and whether they take idle servers for used. Both figures are inputs of each pick and now stand in its line.

--- a/crates/wingspur-edge/src/request_log.rs
+++ b/crates/wingspur-edge/src/request_log.rs
@@ -208,6 +208,8 @@
         drawn_among = pick.choice_set_size,
         in_flight = pick.in_flight,
         failure_share = round_for_log(pick.failure_probability),
+        refusal_share = round_for_log(pick.refusal_probability),
+        unused_ms = pick.unused_for.as_millis() as u64,
         expected_ms = pick.expected_ms as u64,
         wait_ms = pick.wait_ms as u64,
         heard_ms = pick.last_report_age.map(|age| age.as_millis() as u64),
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -88,6 +88,10 @@
     pub wait_ms: f64,
     /// The probability that the request fails there.
     pub failure_probability: f64,
+    /// The probability that the server refuses the request.
+    pub refusal_probability: f64,
+    /// The time since any box last sent it a request, as far as this box knows.
+    pub unused_for: Duration,
     /// Requests that all boxes have in flight there.
     pub in_flight: u32,
     /// The number of servers that it was picked from.
@@ -895,6 +899,8 @@
             healthy_ms: self.healthy_ms,
             wait_ms: self.wait_ms,
             failure_probability: self.failure_probability,
+            refusal_probability: server.health.at(now).refusal_probability(),
+            unused_for: now.saturating_duration_since(server.last_request_at),
             in_flight: self.in_flight,
             candidates,
             choice_set_size: 0,
