--- a/crates/wingspur-edge/src/edge_state.rs
+++ b/crates/wingspur-edge/src/edge_state.rs
@@ -93,6 +93,9 @@
         };
         let (home, regions) = (settings.data_centre.clone(), settings.regions.clone());
         let services = Services::new(home, regions, settings.retry_budget);
+        services
+            .path_fault
+            .set(settings.fault_injection.server_path);
         Self {
             metrics: Metrics::new(),
             header_names: names,
@@ -154,10 +157,20 @@
         let old = self.settings();
         let fixed = old.changes_needing_restart(&new);
         self.services.set_budget(new.retry_budget);
+        self.inject_faults(&old, &new);
         *self.settings.lock() = Arc::new(new);
         fixed
     }
 
+    fn inject_faults(&self, old: &Settings, new: &Settings) {
+        let (before, fault) = (old.fault_injection, new.fault_injection);
+        if before == fault {
+            return;
+        }
+        self.services.path_fault.set(fault.server_path);
+        tracing::warn!(server_path = ?fault.server_path, "settings: injected faults changed.");
+    }
+
     /// Returns the active bundle; `None` before the first.
     pub fn active_bundle(&self) -> Option<Arc<ActiveBundle>> {
         self.active_bundle.lock().clone()
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -47,7 +47,8 @@
 pub use metrics::Metrics;
 pub use operator::OperatorEndpoint;
 pub use settings::{
-    CatalogSettings, DrainSettings, LogFormat, LogSettings, OnceOnlySettings, OwnSources,
-    Settings, SettingsError, TlsSettings, load_settings, parse_settings,
+    CatalogSettings, DrainSettings, FaultInjectionSettings, LogFormat, LogSettings,
+    OnceOnlySettings, OwnSources, Settings, SettingsError, TlsSettings, load_settings,
+    parse_settings,
 };
 pub use shutdown::{Shutdown, ShutdownSchedule, shutdown_result};
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -11,7 +11,7 @@
     Regions, RegistryChange, RetryAfterSchedule, RetryBudgetSettings, ServerKey,
     ServerRecord,
 };
-use wingspur_transport::BackendConnections;
+use wingspur_transport::{BackendConnections, InjectedPathFault};
 
 use crate::locks::{LockRank, RankedMutex};
 
@@ -40,6 +40,8 @@
     backends: RankedMutex<HashMap<SocketAddr, Arc<BackendConnections>>>,
     /// Data centres whose servers are sent no further requests.
     evacuated: RankedMutex<Arc<BTreeSet<DataCentreId>>>,
+    /// The fault of the path to all servers that is injected now.
+    pub path_fault: InjectedPathFault,
 }
 
 impl Services {
@@ -57,6 +59,7 @@
             by_server: RankedMutex::new(LockRank::ServersByKey, HashMap::new()),
             backends: RankedMutex::new(LockRank::Backends, HashMap::new()),
             evacuated: RankedMutex::new(LockRank::Evacuated, Arc::default()),
+            path_fault: InjectedPathFault::default(),
         }
     }
 
@@ -132,7 +135,9 @@
     /// Returns the connection pool for a server's address; creates it on first use.
     pub fn backend(&self, address: SocketAddr) -> Arc<BackendConnections> {
         let mut backends = self.backends.lock();
-        let create = || Arc::new(BackendConnections::new(address));
+        let path_fault = || self.path_fault.clone();
+        let create =
+            || Arc::new(BackendConnections::with_path_fault(address, path_fault()));
         backends.entry(address).or_insert_with(create).clone()
     }
 
--- a/crates/wingspur-edge/src/settings.rs
+++ b/crates/wingspur-edge/src/settings.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 use wingspur_protocol::Keyring;
 use wingspur_state::{BoxId, DataCentreId, QuotaTolerance, Regions, RetryBudgetSettings};
-use wingspur_transport::TlsFiles;
+use wingspur_transport::{PathFault, TlsFiles};
 
 /// The settings of one box.
 ///
@@ -80,6 +80,9 @@
     /// How the box logs.
     #[serde(default)]
     pub log: LogSettings,
+    /// Faults that the box injects into itself, to rehearse them.
+    #[serde(default)]
+    pub fault_injection: FaultInjectionSettings,
     /// The TLS identity of the box towards other boxes; may be left out only where
     /// `peer_address` is a loopback address or there is a `catalog`.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -179,6 +182,14 @@
     }
 }
 
+/// Faults that a box injects into itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct FaultInjectionSettings {
+    /// The fault of the path to all backend servers.
+    pub server_path: PathFault,
+}
+
 /// How a box logs.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -458,6 +469,13 @@
             required("key_path", Kind::Text),
         ]),
     ),
+    optional(
+        "fault_injection",
+        Kind::Object(&[optional(
+            "server_path",
+            Kind::OneOf(&["none", "refuse", "refuse_new", "hold"]),
+        )]),
+    ),
     optional(
         "log",
         Kind::Object(&[
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -25,6 +25,7 @@
 use wingspur_state::MAX_RESEND_TRANSIT;
 
 use crate::SendBody;
+use crate::path_fault::InjectedPathFault;
 use crate::response_head::{
     Framing, ParsedHead, framing_of, keep_alive_timeout, parse_head, unreadable,
 };
@@ -33,6 +34,7 @@
 #[derive(Debug)]
 pub struct BackendConnections {
     address: SocketAddr,
+    path_fault: InjectedPathFault,
     idle: Mutex<Vec<IdleConnection>>,
     opened: AtomicUsize,
     /// How long the last connection took to be established, in microseconds; 0 before the
@@ -47,6 +49,7 @@
 #[derive(Debug)]
 pub struct BackendConnection {
     stream: TcpStream,
+    path_fault: InjectedPathFault,
     buffer: BytesMut,
     /// How much of the body of the current response has not been read.
     framing: Framing,
@@ -129,8 +132,15 @@
 impl BackendConnections {
     /// Creates the set without connections.
     pub fn new(address: SocketAddr) -> Self {
+        Self::with_path_fault(address, InjectedPathFault::default())
+    }
+
+    /// Creates the set without connections; all of them are subject to the injected
+    /// fault.
+    pub fn with_path_fault(address: SocketAddr, path_fault: InjectedPathFault) -> Self {
         Self {
             address,
+            path_fault,
             idle: Mutex::default(),
             opened: AtomicUsize::new(0),
             last_connect_us: AtomicU64::new(0),
@@ -164,7 +174,8 @@
 
     async fn open(&self, timeout: Duration) -> Result<BackendConnection, ConnectError> {
         let started = wingspur_clock::now();
-        let connecting = async { Some(TcpStream::connect(self.address).await) };
+        let connecting = self.path_fault.connect(TcpStream::connect(self.address));
+        let connecting = async { Some(connecting.await) };
         let expired = async {
             wingspur_clock::sleep(timeout).await;
             None
@@ -180,7 +191,7 @@
         let took_us = wingspur_clock::since(started).as_micros().max(1) as u64;
         self.last_connect_us.store(took_us, Ordering::Relaxed);
         self.opened.fetch_add(1, Ordering::Relaxed);
-        Ok(BackendConnection::new(stream))
+        Ok(BackendConnection::new(stream, self.path_fault.clone()))
     }
 
     /// Keeps a connection for the next request if its response was read completely and it
@@ -241,9 +252,10 @@
 }
 
 impl BackendConnection {
-    fn new(stream: TcpStream) -> Self {
+    fn new(stream: TcpStream, path_fault: InjectedPathFault) -> Self {
         Self {
             stream,
+            path_fault,
             buffer: BytesMut::new(),
             framing: Framing::Done,
             reusable: true,
@@ -490,7 +502,8 @@
     async fn read_more(&mut self) -> Result<usize, ResponseError> {
         let buffered = self.buffer.len();
         self.buffer.resize(buffered + READ_BYTES, 0);
-        let read = self.stream.read(&mut self.buffer[buffered..]).await;
+        let reading = self.stream.read(&mut self.buffer[buffered..]);
+        let read = self.path_fault.exchange(reading).await;
         self.buffer
             .truncate(buffered + *read.as_ref().unwrap_or(&0));
         read.map_err(ResponseError::Broken)
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -8,6 +8,7 @@
 mod http_client;
 mod link;
 mod listener;
+mod path_fault;
 mod pool;
 mod publish;
 mod response_head;
@@ -34,6 +35,7 @@
     empty_link_body, open_link,
 };
 pub use listener::{HttpListener, ListenerCounts, ListenerOptions};
+pub use path_fault::{InjectedPathFault, PathFault};
 pub use pool::{BackendPool, PooledConnection, SendFailure};
 pub use publish::{
     PublishError, Published, accept_bundle, assemble_bundle, load_bundle, load_pointer,
