A box without a path to servers no longer reports them as refusing

Cause: a failed connection was added to the tallies as a refusal by the server. Boxes that reach nobody thus spoke against every server, and since a reported refusal also marks a server as used a moment ago, idle servers were not probed. The silence of requests over a lost path was reported in the same way.

Change: a failed connection counts against the server only after a new connection to another server of its data centre succeeds within a second. Evidence over a lost path is discarded.

--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -55,6 +55,10 @@
     /// Whether a server has become much more likely to be faulty since the last
     /// `take_new_suspicion`.
     has_new_suspicion: bool,
+    /// Failed connections that are not known to be the servers' fault.
+    unconfirmed: Vec<(ServerKey, Instant)>,
+    /// When a good response at another box was last reported.
+    last_served_elsewhere_at: Option<Instant>,
 }
 
 /// What the pick needs to know of a request.
@@ -137,6 +141,8 @@
             unknown_failures: UnknownServerFailureRate::default(),
             max_in_flight: u32::MAX,
             has_new_suspicion: false,
+            unconfirmed: Vec::new(),
+            last_served_elsewhere_at: None,
         }
     }
 
@@ -566,6 +572,7 @@
             expected,
             silence_quarters: 0,
             response_started: false,
+            is_path_lost: false,
         };
         self.attempts.insert(id, attempt);
         id
@@ -583,6 +590,9 @@
         server.local_tally.in_flight = server.local_tally.in_flight.saturating_sub(1);
         server.remove_silence_evidence(attempt.silence_quarters);
         let tally_change = attempt.outcome(ended, now);
+        if ended == HealthOutcome::Unreached {
+            self.unconfirmed.push((attempt.server, now));
+        }
         server.local_tally = server.local_tally.plus(&tally_change);
         self.unknown_failures
             .add(&tally_change, server.unanswered_for(now));
@@ -598,6 +608,97 @@
             .add(&tally_change, 1.0 - server.health.unhealthy_probability());
     }
 
+    /// Records that a new connection to a server was opened. Connections that have just
+    /// failed to other servers of its data centre were these servers' fault.
+    pub fn record_connected(&mut self, key: ServerKey, now: Instant) {
+        let Some(data_centre) = self.data_centre(key) else {
+            return;
+        };
+        let unconfirmed = std::mem::take(&mut self.unconfirmed);
+        for (unreached, at) in unconfirmed {
+            let is_recent = now.saturating_duration_since(at) < UNCONFIRMED_TTL;
+            if unreached == key || !is_recent {
+                continue;
+            }
+            match self.data_centre(unreached) == Some(data_centre.clone()) {
+                true => self.confirm_unreached(unreached, now),
+                false => self.unconfirmed.push((unreached, at)),
+            }
+        }
+    }
+
+    /// Counts a failed connection as a refusal by the server.
+    fn confirm_unreached(&mut self, key: ServerKey, now: Instant) {
+        let baseline_failure_ratio = self.baseline_failures.share();
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        let refusal = ServerTally {
+            refused: 1,
+            ..ServerTally::default()
+        };
+        server.local_tally = server.local_tally.plus(&refusal);
+        server.changed = true;
+        server.record_outcomes(&refusal, baseline_failure_ratio, now);
+    }
+
+    fn data_centre(&self, key: ServerKey) -> Option<DataCentreId> {
+        let server = self.servers.get(&key)?;
+        Some(server.record.data_centre.clone())
+    }
+
+    /// Discards what this box has observed over a lost path: the servers are not at
+    /// fault, and other boxes must not be told so.
+    pub fn discard_path_evidence(&mut self, now: Instant) {
+        self.unconfirmed.clear();
+        for server in self.servers.values_mut() {
+            server.path_health = Health::new(now);
+            let silence = server.local_tally.silence_quarters;
+            server.remove_silence_evidence(silence);
+        }
+        for attempt in self.attempts.values_mut() {
+            attempt.silence_quarters = 0;
+            attempt.is_path_lost = true;
+        }
+    }
+
+    /// Returns up to `count` servers by which to check whether this box reaches the
+    /// service, in random order and from as many data centres as possible. Servers in
+    /// `avoid` come last.
+    pub fn servers_to_check(
+        &self,
+        count: usize,
+        avoid: &[ServerKey],
+        random: &mut impl Rng,
+    ) -> Vec<Arc<ServerRecord>> {
+        let mut servers: Vec<_> = self.servers.values().map(|s| &s.record).collect();
+        servers.shuffle(random);
+        servers.sort_by_key(|record| avoid.contains(&record.key()));
+        let mut seen = BTreeSet::new();
+        let (mut first, mut rest) = (Vec::new(), Vec::new());
+        for record in servers {
+            match seen.insert(&record.data_centre) {
+                true => first.push(record.clone()),
+                false => rest.push(record.clone()),
+            }
+        }
+        first.append(&mut rest);
+        first.truncate(count);
+        first
+    }
+
+    /// Returns the time since a good response at another box was last reported; `None` if
+    /// none ever was.
+    pub fn served_elsewhere_ago(&self, now: Instant) -> Option<Duration> {
+        let at = self.last_served_elsewhere_at?;
+        Some(now.saturating_duration_since(at))
+    }
+
+    /// Returns the number of servers.
+    pub fn server_count(&self) -> usize {
+        self.servers.len()
+    }
+
     /// Applies a tally that a source reports for other boxes; `updates` are the outcomes
     /// in it that were not known before.
     pub fn apply_remote(
@@ -611,6 +712,9 @@
             return;
         };
         server.last_report_at = Some(now);
+        if updates.good > 0 {
+            self.last_served_elsewhere_at = Some(now);
+        }
         let previous = server.remote.insert(source, tally).unwrap_or_default();
         if tally.in_flight > previous.in_flight
             || updates.good + updates.failed + updates.refused > 0
@@ -666,6 +770,9 @@
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return false;
         };
+        if attempt.is_path_lost {
+            return false;
+        }
         let quarters = attempt.silence_at(now);
         let added_quarters = quarters.saturating_sub(attempt.silence_quarters);
         if added_quarters == 0 {
@@ -933,6 +1040,8 @@
 const RETRY_SAFE_FAILURE_MS: f64 = 1500.0;
 /// The cost of a failure for other requests, which is as bad as several late responses.
 const NON_RETRY_SAFE_FAILURE_MS: f64 = 5000.0;
+/// How long a failed connection may wait for the evidence that it was the server's fault.
+const UNCONFIRMED_TTL: Duration = Duration::from_secs(1);
 /// A server that refused a request has a queue of several service times and is avoided
 /// for this long.
 const FULL_QUEUE_DURATION: Duration = Duration::from_secs(1);
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -31,6 +31,7 @@
 mod route;
 mod server;
 mod server_limits;
+mod server_path;
 mod server_registry;
 mod service_table;
 mod service_time;
@@ -87,6 +88,7 @@
 pub use route::{RouteConflict, RouteMatch, RouteTable};
 pub use server::{ServerRecord, server_key};
 pub use server_limits::{ServerLimitChange, ServerLimits, quota_request_probability};
+pub use server_path::{PathChange, ServerPath};
 pub use server_registry::{
     ENTRY_TTL, RegistryChange, STORE_RECOVERY_GRACE, ServerRegistry,
 };
--- a/crates/wingspur-state/src/tally.rs
+++ b/crates/wingspur-state/src/tally.rs
@@ -21,7 +21,8 @@
     pub good: u32,
     /// Errors, interrupted or corrupt responses, and missing responses.
     pub failed: u32,
-    /// Requests that the server refused, or that did not reach it.
+    /// Requests that the server refused, and failed connections to it that were its own
+    /// fault.
     pub refused: u32,
     /// Sum over good responses of the time taken, in percent of the usual time.
     pub slowness_percent: u32,
--- a/crates/wingspur-state/src/tracked_server.rs
+++ b/crates/wingspur-state/src/tracked_server.rs
@@ -72,6 +72,8 @@
     pub silence_quarters: u32,
     /// Whether the response has begun.
     pub response_started: bool,
+    /// Whether this box lost its path to the server during the attempt.
+    pub is_path_lost: bool,
 }
 
 /// How long the response to an attempt is expected to take.
@@ -94,8 +96,10 @@
     Failed,
     /// The server refused the request before running it.
     Refused,
-    /// This box could not reach the server.
+    /// This box could not open a connection to the server.
     Unreached,
+    /// This box had lost its path to the server, which says nothing about the server.
+    PathLost,
     /// The attempt was given up or timed out. It counts as failed only if nearly all good
     /// responses take less time.
     Abandoned,
@@ -109,6 +113,7 @@
             Self::Failed => "failed",
             Self::Refused => "refused",
             Self::Unreached => "unreached",
+            Self::PathLost => "path_lost",
             Self::Abandoned => "abandoned",
         }
     }
@@ -201,6 +206,11 @@
 
     /// Returns the tally that the end of the attempt adds for the server.
     pub fn outcome(&self, outcome: HealthOutcome, now: Instant) -> ServerTally {
+        let is_failure =
+            matches!(outcome, HealthOutcome::Failed | HealthOutcome::Abandoned);
+        if is_failure && self.is_path_lost {
+            return ServerTally::default();
+        }
         let mut tally = ServerTally::default();
         match outcome {
             HealthOutcome::Good => {
@@ -211,7 +221,8 @@
                 tally.slowness_percent = (ratio * 100.0).min(MAX_SLOWNESS_PERCENT) as u32;
             }
             HealthOutcome::Failed => tally.failed = 1,
-            HealthOutcome::Refused | HealthOutcome::Unreached => tally.refused = 1,
+            HealthOutcome::Refused => tally.refused = 1,
+            HealthOutcome::Unreached | HealthOutcome::PathLost => {}
             HealthOutcome::Abandoned
                 if self.silence_at(now) >= ABANDONED_FAILURE_QUARTERS =>
             {
@@ -224,7 +235,7 @@
 }
 
 /// Converts an outcome to what it says about this box's path to the server: a server that
-/// could not be reached counts as failed instead of as refused.
+/// could not be reached counts as failed.
 pub fn path_outcome(outcome: HealthOutcome, tally: &ServerTally) -> ServerTally {
     match outcome {
         HealthOutcome::Unreached => ServerTally {
