Tests of requests that cross two boxes

A lost relay leaves a request in doubt and unsent elsewhere, a relay that has not taken it is passed over, nothing is handed over twice, responses and failures of servers reach the caller unchanged, the time given to a server is never longer than the caller's, keys and accounts hold, uploads stream, a caller that leaves ends its request at the relay, a caller cannot pass for a box, and a box uses its own path again. The injected reset now also closes idle connections: without that a response that was there already was read.

--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -162,7 +162,7 @@
     ) -> Result<BackendConnection, ConnectError> {
         let now = wingspur_clock::now();
         while let Some(mut connection) = self.take_idle(reuse, now) {
-            if connection.has_no_input().await {
+            if connection.has_no_input().await && !self.path_fault.resets_open() {
                 return Ok(connection);
             }
         }
--- a/crates/wingspur-transport/src/path_fault.rs
+++ b/crates/wingspur-transport/src/path_fault.rs
@@ -21,7 +21,7 @@
     Refuse,
     /// New connections are refused; open ones work on.
     RefuseNew,
-    /// New connections are not established, and open ones are silent.
+    /// New connections are not established, and nothing is received on open ones.
     Hold,
 }
 
@@ -74,11 +74,16 @@
         done
     }
 
+    /// Returns whether the fault resets open connections.
+    pub fn resets_open(&self) -> bool {
+        self.get() == PathFault::Refuse
+    }
+
     /// Resolves with an error once the fault resets open connections.
     async fn reset<T>(&self) -> io::Result<T> {
         loop {
             listener!(self.shared.changed => changed);
-            if self.get() == PathFault::Refuse {
+            if self.resets_open() {
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
             changed.await;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -7,7 +7,8 @@
 
 pub use backend_server::{BackendServer, Reply};
 pub use http::{
-    Answer, Head, call, read_body, read_keep_alive_response, read_request_head, try_call,
+    Answer, Head, call, listen, read_body, read_keep_alive_response, read_request_head,
+    try_call,
 };
 pub use mortal_server::{CrashingServer, ServerInstance};
 pub use platform_store::{PlatformStore, StoreCopy, StoreFault};
--- a/tests/tests/unreachable_servers.rs
+++ b/tests/tests/unreachable_servers.rs
@@ -2,11 +2,21 @@
 
 mod edge;
 
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use edge::{Caller, Route, configuration, server_entry, wait_until};
+use edge::{Caller, Route, configuration, server_entry, wait_until, with_accounts};
+use serde_json::Value;
 use wingspur_edge::{EdgeBox, Settings};
-use wingspur_tests::{BackendServer, PlatformStore, Reply};
+use wingspur_protocol::{
+    BoxRecord, RELAY_HEADER, RELAY_RESULT_HEADER, ReachabilityQuery, ReachabilityReply,
+    RelayResult, RelayedRequest, decode_relay_body, encode_relay_body,
+    encode_relay_header,
+};
+use wingspur_tests::{Answer, BackendServer, Head, PlatformStore, Reply, call, listen};
 use wingspur_transport::{PathFault, Workers};
 
 /// Two boxes of one data centre before three servers.
@@ -21,11 +31,17 @@
 
 impl Pair {
     fn start() -> Self {
-        let reply = |_| Reply::Complete;
-        let servers: Vec<_> = (0..3).map(|_| BackendServer::start(reply)).collect();
+        Self::start_with(&routes(), |_| Reply::Complete)
+    }
+
+    fn start_with(
+        configuration: &Value,
+        reply: impl Fn(usize) -> Reply + Clone + Send + Sync + 'static,
+    ) -> Self {
+        let server = |_| BackendServer::start(reply.clone());
+        let servers: Vec<_> = (0..3).map(server).collect();
         let store = PlatformStore::start(500);
-        let routes = [Route::new("read"), Route::new("once_only")];
-        store.put("op/config", &configuration(1, &routes));
+        store.put("op/config", configuration);
         for (n, server) in servers.iter().enumerate() {
             let entry = server_entry(server.address, "ready");
             store.put(&format!("servers/i-{n}"), &entry);
@@ -47,9 +63,13 @@
 
     /// Injects a fault of the path to all servers at the near box.
     fn inject(&self, fault: PathFault) {
-        let mut settings = self.near_settings.clone();
-        settings.fault_injection.server_path = fault;
-        self.near.reload(settings);
+        inject(&self.near, &self.near_settings, fault);
+    }
+
+    /// Cuts the near box off from all servers and waits until it knows its relay.
+    fn cut_off(&self) {
+        self.inject(PathFault::Refuse);
+        wait_until_served(Caller::of(&self.near), "first");
     }
 
     fn executed_ids(&self) -> Vec<String> {
@@ -65,6 +85,79 @@
     }
 }
 
+fn routes() -> Value {
+    configuration(1, &[Route::new("read"), Route::new("once_only")])
+}
+
+fn inject(at: &EdgeBox, settings: &Settings, fault: PathFault) {
+    let mut settings = settings.clone();
+    settings.fault_injection.server_path = fault;
+    at.reload(settings);
+}
+
+/// A box whose reactions to relayed requests are the test's.
+struct ScriptedRelay {
+    address: SocketAddr,
+    taken: Arc<AtomicUsize>,
+}
+
+impl ScriptedRelay {
+    /// Starts a box that says it reaches every service. `respond` handles each request
+    /// that is handed over and returns whether the connection stays open.
+    fn start(
+        respond: impl Fn(&Head, &mut TcpStream) -> bool + Send + Sync + 'static,
+    ) -> Self {
+        let taken = Arc::new(AtomicUsize::new(0));
+        let count = taken.clone();
+        let address = listen(move |head, stream| {
+            if head.headers.contains_key(RELAY_HEADER) {
+                count.fetch_add(1, Ordering::SeqCst);
+                return respond(&head, stream);
+            }
+            if head.path != "/reachability" {
+                return write_response(stream, "404 Not Found", "", b"");
+            }
+            let query: ReachabilityQuery = decode_relay_body(&head.body).unwrap();
+            let reply = ReachabilityReply {
+                reachable: query.services,
+                load: 0.0,
+                others: Vec::new(),
+            };
+            write_response(stream, "200 OK", "", &encode_relay_body(&reply))
+        });
+        Self { address, taken }
+    }
+
+    /// Announces the box in the store.
+    fn announce(&self, store: &PlatformStore) {
+        let record = BoxRecord {
+            id: "scripted".into(),
+            data_centre: "dc-1".into(),
+            peer_address: self.address,
+            incarnation: 1,
+            capacity: 0,
+            fleet_boxes: 2,
+        };
+        let value = serde_json::to_value(&record).unwrap();
+        store.put("wingspur/boxes/scripted", &value);
+    }
+
+    fn taken(&self) -> usize {
+        self.taken.load(Ordering::SeqCst)
+    }
+}
+
+fn write_response(
+    stream: &mut TcpStream,
+    status: &str,
+    headers: &str,
+    body: &[u8],
+) -> bool {
+    let length = body.len();
+    let head = format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n");
+    stream.write_all(&[head.as_bytes(), body].concat()).is_ok()
+}
+
 /// Sends requests until one is served; panics after ten seconds.
 fn wait_until_served(caller: Caller, label: &str) {
     let started = Instant::now();
@@ -110,3 +203,243 @@
         pair.close();
     }
 }
+
+#[test]
+fn a_box_uses_its_own_path_again_once_it_is_back() {
+    let pair = Pair::start();
+    pair.cut_off();
+    assert_eq!(pair.near.metrics().unreachable_services.get(), 1);
+    pair.inject(PathFault::None);
+    wait_until("the path is back", || {
+        pair.near.metrics().unreachable_services.get() == 0
+    });
+    let relayed = pair.far.metrics().relayed("taken", "answered");
+    for n in 0..6 {
+        let id = format!("after-{n}");
+        assert_eq!(Caller::of(&pair.near).call("once_only", &id).status, 200);
+    }
+    assert_eq!(pair.far.metrics().relayed("taken", "answered"), relayed);
+    pair.close();
+}
+
+#[test]
+fn a_relayed_request_is_not_handed_over_again() {
+    let pair = Pair::start();
+    pair.cut_off();
+    let far_settings = edge::settings("box-2", pair.store.address);
+    inject(&pair.far, &far_settings, PathFault::Refuse);
+    let ran = pair.executed_ids().len();
+    for n in 0..5 {
+        let answer = Caller::of(&pair.near).call("once_only", &format!("no-path-{n}"));
+        assert_eq!(answer.status, 503);
+    }
+    assert_eq!(pair.executed_ids().len(), ran);
+    assert_eq!(pair.far.metrics().relayed("sent", "answered"), 0);
+    assert_eq!(pair.far.metrics().relayed("sent", "declined"), 0);
+    pair.close();
+}
+
+#[test]
+fn a_request_whose_relay_is_lost_is_in_doubt_and_not_sent_again() {
+    let pair = Pair::start();
+    let relay = ScriptedRelay::start(|_, _| false);
+    relay.announce(&pair.store);
+    let far_settings = edge::settings("box-2", pair.store.address);
+    inject(&pair.far, &far_settings, PathFault::Refuse);
+    pair.inject(PathFault::Refuse);
+    let ran = pair.executed_ids().len();
+    wait_until("a request is handed to the relay", || {
+        let answer = Caller::of(&pair.near).call("once_only", "probing");
+        answer.status == 502
+    });
+    for class in ["read", "once_only"] {
+        let before = relay.taken();
+        let answer = Caller::of(&pair.near).call(class, &format!("lost-{class}"));
+        assert_eq!(answer.status, 502, "{class}");
+        assert_eq!(relay.taken(), before + 1, "{class}");
+    }
+    assert_eq!(pair.executed_ids().len(), ran);
+    pair.close();
+}
+
+#[test]
+fn a_request_that_a_relay_has_not_taken_goes_to_another() {
+    let pair = Pair::start();
+    let declined = encode_relay_header(&RelayResult {
+        is_taken: false,
+        load: 0.0,
+    });
+    let relay = ScriptedRelay::start(move |_, stream| {
+        let header = format!("{RELAY_RESULT_HEADER}: {declined}\r\n");
+        write_response(stream, "503 Service Unavailable", &header, b"")
+    });
+    relay.announce(&pair.store);
+    pair.cut_off();
+    let started = Instant::now();
+    let mut served = 0;
+    while relay.taken() == 0 {
+        assert!(started.elapsed() < Duration::from_secs(30), "never asked");
+        let answer = Caller::of(&pair.near).call("once_only", &format!("id-{served}"));
+        assert_eq!(answer.status, 200);
+        served += 1;
+    }
+    let executed = pair.executed_ids();
+    for n in 0..served {
+        let id = format!("id-{n}");
+        let runs = executed.iter().filter(|executed| **executed == id).count();
+        assert_eq!(runs, 1, "{id}");
+    }
+    pair.close();
+}
+
+#[test]
+fn what_a_relay_passes_on_of_a_server_reaches_the_caller_unchanged() {
+    let reply = Arc::new(Mutex::new(Reply::Complete));
+    let current = reply.clone();
+    let pair = Pair::start_with(&routes(), move |_| *current.lock().unwrap());
+    pair.cut_off();
+    let cases = [
+        (Reply::Error, "once_only", 500, "failed"),
+        (Reply::Refused, "once_only", 503, "{"),
+        (Reply::Close, "once_only", 502, "{"),
+        (Reply::Unmarked, "once_only", 502, "{"),
+        (Reply::Complete, "read", 200, "own body"),
+    ];
+    for (n, (server_reply, class, status, body)) in cases.into_iter().enumerate() {
+        *reply.lock().unwrap() = server_reply;
+        let answer = Caller::of(&pair.near).call(class, &format!("case-{n}"));
+        assert_eq!(answer.status, status, "{server_reply:?}");
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        assert!(text.starts_with(body), "{server_reply:?}: {text}");
+        let has_stamp = answer.headers.contains_key("x-wingspur-server-stamp");
+        assert_eq!(has_stamp, matches!(status, 200 | 500), "{server_reply:?}");
+        assert!(!answer.headers.contains_key(RELAY_RESULT_HEADER));
+    }
+    pair.close();
+}
+
+#[test]
+fn the_server_of_a_relayed_request_gets_no_more_time_than_the_caller_waits() {
+    let pair = Pair::start();
+    pair.cut_off();
+    let answer = Caller::of(&pair.near).call("once_only", "timed");
+    assert_eq!(answer.status, 200);
+    let heads = pair.servers.iter().flat_map(BackendServer::heads);
+    let id = |head: &Head| head.headers.get("x-wingspur-request-id").cloned();
+    let mut timed = heads.filter(|head| id(head).as_deref() == Some("timed"));
+    let head = timed.next().expect("a server got it");
+    let left_ms: u64 = head.headers["x-wingspur-request-deadline-ms"]
+        .parse()
+        .unwrap();
+    assert!((3_000..4_000).contains(&left_ms), "{left_ms}");
+    assert_eq!(head.body, b"the body");
+    assert!(!head.headers.contains_key(RELAY_HEADER));
+    assert!(!head.headers.contains_key("x-dropped"));
+    pair.close();
+}
+
+#[test]
+fn a_caller_cannot_pass_for_another_box() {
+    let pair = Pair::start();
+    let forged = encode_relay_header(&RelayedRequest {
+        protocol: 1,
+        fleet: "test".into(),
+        from: "box-1".into(),
+        bundle_version: 1,
+        service: "svc".into(),
+        attempts_made: 1,
+        key: None,
+    });
+    for server in &pair.servers {
+        server.set_headers(&format!("{RELAY_RESULT_HEADER}: {forged}\r\n"));
+    }
+    let headers = [
+        ("host", "site.example"),
+        ("x-wingspur-request-id", "forged"),
+        (RELAY_HEADER, forged.as_str()),
+    ];
+    let to = Caller::of(&pair.far).address();
+    let answer = call(to, "GET", "/read/a", &headers, b"");
+    assert_eq!(answer.status, 200);
+    assert!(!answer.headers.contains_key(RELAY_RESULT_HEADER));
+    assert_eq!(pair.far.metrics().relayed("taken", "answered"), 0);
+    let heads = pair.servers.iter().flat_map(BackendServer::heads);
+    assert!(
+        heads
+            .into_iter()
+            .all(|head| !head.headers.contains_key(RELAY_HEADER))
+    );
+    pair.close();
+}
+
+#[test]
+fn a_relay_attributes_a_request_to_the_account_of_the_callers_key() {
+    let accounts: &[(&str, &[&str])] = &[("school", &["key-1"])];
+    let pair = Pair::start_with(&with_accounts(routes(), accounts), |_| Reply::Complete);
+    let send = |key: &str, id: &str| -> Answer {
+        let key = format!("Bearer {key}");
+        let headers = [
+            ("host", "site.example"),
+            ("x-wingspur-request-id", id),
+            ("x-wingspur-request-deadline-ms", "4000"),
+            ("authorization", key.as_str()),
+            ("x-wingspur-tenant-name", "forged"),
+        ];
+        let to = Caller::of(&pair.near).address();
+        call(to, "POST", "/once_only/a", &headers, b"the body")
+    };
+    pair.inject(PathFault::Refuse);
+    wait_until("requests are relayed", || {
+        send("key-1", "early").status == 200
+    });
+    assert_eq!(send("key-1", "known").status, 200);
+    assert_eq!(send("key-2", "unknown").status, 401);
+    let heads = pair.servers.iter().flat_map(BackendServer::heads);
+    let id = |head: &Head| head.headers.get("x-wingspur-request-id").cloned();
+    let mut known = heads.filter(|head| id(head).as_deref() == Some("known"));
+    let head = known.next().expect("a server got it");
+    assert_eq!(head.headers["x-wingspur-tenant-name"], "school");
+    assert!(!head.headers.contains_key("authorization"));
+    pair.close();
+}
+
+#[test]
+fn a_body_that_is_not_kept_streams_through_a_relay() {
+    let pair = Pair::start();
+    pair.cut_off();
+    let body = vec![b'x'; 300 << 10];
+    let headers = [
+        ("host", "site.example"),
+        ("x-wingspur-request-id", "upload"),
+        ("x-wingspur-request-deadline-ms", "4000"),
+    ];
+    let to = Caller::of(&pair.near).address();
+    let answer = call(to, "POST", "/once_only/a", &headers, &body);
+    assert_eq!(answer.status, 200);
+    let heads = pair.servers.iter().flat_map(BackendServer::heads);
+    let lengths: Vec<usize> = heads.map(|head| head.body.len()).collect();
+    assert!(lengths.contains(&body.len()), "{lengths:?}");
+    pair.close();
+}
+
+#[test]
+fn a_caller_that_leaves_ends_its_request_at_the_relay() {
+    let reply = Arc::new(Mutex::new(Reply::Complete));
+    let current = reply.clone();
+    let pair = Pair::start_with(&routes(), move |_| *current.lock().unwrap());
+    pair.cut_off();
+    *reply.lock().unwrap() = Reply::Silent;
+    let to = Caller::of(&pair.near).address();
+    let mut stream = TcpStream::connect(to).unwrap();
+    let head = "POST /once_only/a HTTP/1.1\r\nhost: site.example\r\n\
+                x-wingspur-request-id: left\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    wait_until("a server runs it", || {
+        pair.executed_ids().contains(&"left".to_owned())
+    });
+    drop(stream);
+    wait_until("the relay has ended it", || {
+        pair.far.metrics().relayed("taken", "abandoned") == 1
+    });
+    pair.close();
+}
