--- a/tests/soak/src/boxes.rs
+++ b/tests/soak/src/boxes.rs
@@ -104,6 +104,14 @@
         self.exit_status
     }
 
+    /// Injects a fault of the path to all servers, or ends it with `none`, and tells the
+    /// box to reload.
+    pub fn set_server_path(&mut self, fault: &str) {
+        self.settings["fault_injection"]["server_path"] = json!(fault);
+        self.write_settings();
+        self.signal(Signal::HUP);
+    }
+
     fn write_settings(&self) {
         let written = std::fs::write(&self.path, self.settings.to_string());
         written.expect("the folder is writable");
--- a/tests/soak/src/plan.rs
+++ b/tests/soak/src/plan.rs
@@ -49,6 +49,45 @@
     /// A server announces that it is draining, and is replaced by a new instance at the
     /// end.
     Leave(usize),
+    /// Some boxes lose the path to all servers in this way.
+    CutOff(BoxRange, PathCut),
+}
+
+/// A number of boxes from a first one on, counted round.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BoxRange {
+    first: usize,
+    count: usize,
+}
+
+/// How connections to servers behave at a box without a path to them; the setting
+/// `fault_injection.server_path`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PathCut {
+    /// Open connections are reset, and new ones refused.
+    Refuse,
+    /// New connections are refused; open ones live on.
+    RefuseNew,
+    /// New connections are not established, and open ones are silent.
+    Hold,
+}
+
+impl BoxRange {
+    /// Returns the numbers of the boxes in a fleet of `boxes`.
+    pub fn numbers(self, boxes: usize) -> impl Iterator<Item = usize> {
+        (0..self.count).map(move |n| (self.first + n) % boxes)
+    }
+}
+
+impl PathCut {
+    /// Returns the value of the setting.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Refuse => "refuse",
+            Self::RefuseNew => "refuse_new",
+            Self::Hold => "hold",
+        }
+    }
 }
 
 impl Plan {
@@ -57,11 +96,7 @@
         let mut random = StdRng::seed_from_u64(seed);
         let count = (span.as_secs_f64() * FAULTS_PER_SECOND) as usize;
         let mut faults: Vec<Fault> = (0..count)
-            .map(|_| Fault {
-                at: span.mul_f64(random.random_range(0.05..0.8)),
-                lasts: Duration::from_millis(random.random_range(300..3000)),
-                kind: draw_kind(&mut random, boxes),
-            })
+            .map(|_| draw_fault(&mut random, boxes, span))
             .collect();
         faults.sort_by_key(|fault| fault.at);
         Self { faults }
@@ -82,10 +117,22 @@
     }
 }
 
+fn draw_fault(random: &mut StdRng, boxes: usize, span: Duration) -> Fault {
+    let at = span.mul_f64(random.random_range(0.05..0.8));
+    let short = Duration::from_millis(random.random_range(300..3000));
+    let kind = draw_kind(random, boxes);
+    let lasts = match kind {
+        // Long enough for the requirement, which holds from three seconds on.
+        FaultKind::CutOff(..) => LONGEST_CUT_NOTICE + short,
+        _ => short,
+    };
+    Fault { at, lasts, kind }
+}
+
 fn draw_kind(random: &mut StdRng, boxes: usize) -> FaultKind {
     let a_box = random.random_range(0..boxes);
     let server = random.random_range(0..SERVERS);
-    match random.random_range(0..20) {
+    match random.random_range(0..23) {
         0..3 => FaultKind::Stop(a_box),
         3..5 => FaultKind::Kill(a_box),
         5 => FaultKind::KillAll,
@@ -97,10 +144,20 @@
         12 => FaultKind::ForgetHistory,
         13..16 => FaultKind::Change,
         16 => FaultKind::Leave(server),
+        20.. => draw_cut_off(random, boxes),
         _ => FaultKind::Server(server, draw_reply(random)),
     }
 }
 
+fn draw_cut_off(random: &mut StdRng, boxes: usize) -> FaultKind {
+    const CUTS: [PathCut; 3] = [PathCut::Refuse, PathCut::RefuseNew, PathCut::Hold];
+    let cut_off = BoxRange {
+        first: random.random_range(0..boxes),
+        count: random.random_range(1..boxes.max(2)),
+    };
+    FaultKind::CutOff(cut_off, CUTS[random.random_range(0..CUTS.len())])
+}
+
 fn draw_reply(random: &mut StdRng) -> Reply {
     const REPLIES: [Reply; 8] = [
         Reply::Error,
@@ -117,5 +174,6 @@
 
 /// Number of backend servers; all belong to one service.
 pub const SERVERS: usize = 8;
+const LONGEST_CUT_NOTICE: Duration = Duration::from_secs(3);
 /// Some faults overlap, since they last 1.6 s on average.
 const FAULTS_PER_SECOND: f64 = 0.8;
--- a/tests/soak/src/promises.rs
+++ b/tests/soak/src/promises.rs
@@ -18,6 +18,8 @@
     pub late_arrivals: Vec<String>,
     /// For each box, the spans of time in which a fault may interrupt its requests.
     pub disturbances: Vec<Vec<(Instant, Instant)>>,
+    /// Boxes that had no path to the servers, with the time of it.
+    pub cuts: Vec<(usize, Instant, Instant)>,
     /// Messages about boxes that went back to an older version of the configuration.
     pub reversions: Vec<String>,
     /// When the last fault was over and the boxes had had time to recover.
@@ -33,6 +35,7 @@
     for call in calls {
         violations.extend(violation_by(call, observed));
     }
+    violations.extend(worse_without_path(calls, observed));
     violations.extend(over_budget(calls, observed));
     violations.extend(not_recovered(calls, observed));
     violations
@@ -82,6 +85,57 @@
     (fullest.share() > 1.0).then_some(text)
 }
 
+/// Checks that callers of boxes without a path to the servers are served two thirds as
+/// often as the others meanwhile, from three seconds after the path was lost.
+fn worse_without_path(calls: &[FinishedCall], observed: &Observations) -> Option<String> {
+    let is_within = |call: &FinishedCall, from: &Instant, to: &Instant| {
+        call.sent >= *from + CUT_NOTICE && call.sent <= *to
+    };
+    let is_disturbed = |call: &FinishedCall| {
+        let mut spans = observed.disturbances[call.box_index].iter();
+        spans.any(|(from, to)| call.sent <= *to && call.ended >= *from)
+    };
+    let mut cut_off = Share::default();
+    let mut others = Share::default();
+    for call in calls.iter().filter(|call| !is_disturbed(call)) {
+        let mut cuts = observed.cuts.iter();
+        if !cuts.any(|(_, from, to)| is_within(call, from, to)) {
+            continue;
+        }
+        let mut own = observed.cuts.iter().filter(|cut| cut.0 == call.box_index);
+        let is_cut_off = own.any(|(_, from, to)| is_within(call, from, to));
+        let share = if is_cut_off {
+            &mut cut_off
+        } else {
+            &mut others
+        };
+        share.count(call);
+    }
+    let failed = cut_off.calls - cut_off.served;
+    let is_worse = cut_off.fraction() < others.fraction() * 2.0 / 3.0;
+    let all = cut_off.calls + others.calls;
+    let text = format!("unreachable servers: {cut_off:?} there, {others:?} elsewhere");
+    (is_worse && failed > 10 + all / 50).then_some(text)
+}
+
+/// How many calls were served.
+#[derive(Debug, Default)]
+struct Share {
+    calls: usize,
+    served: usize,
+}
+
+impl Share {
+    fn count(&mut self, call: &FinishedCall) {
+        self.calls += 1;
+        self.served += usize::from(call.status == Some(200));
+    }
+
+    fn fraction(&self) -> f64 {
+        self.served as f64 / self.calls.max(1) as f64
+    }
+}
+
 /// Checks that nearly all requests are served once the faults are over.
 fn not_recovered(calls: &[FinishedCall], observed: &Observations) -> Option<String> {
     let calm: Vec<&FinishedCall> = calls
@@ -99,6 +153,8 @@
 
 /// A draining server must get no new requests after this time; the users require 2 s.
 pub const DRAINING_BOUND: Duration = Duration::from_secs(2);
+/// From this time on after the loss of the path the requirement holds.
+const CUT_NOTICE: Duration = Duration::from_secs(3);
 const MIN_SERVED_WHEN_CALM: f64 = 0.97;
 /// Retry budget in the settings of the boxes.
 pub const RETRY_BUDGET: Budget = Budget {
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -45,6 +45,8 @@
     replies: Vec<Arc<Mutex<Reply>>>,
     boxes: Vec<SoakBox>,
     disturbances: Vec<Vec<(Instant, Instant)>>,
+    /// Boxes that had no path to the servers, with the time of it.
+    cuts: Vec<(usize, Instant, Instant)>,
     version: u64,
     /// For each box, the version of the configuration that it last reported and for how
     /// many milliseconds that version had been active.
@@ -132,6 +134,7 @@
             .collect();
         let mut play = Self {
             disturbances: vec![Vec::new(); boxes.len()],
+            cuts: Vec::new(),
             last_reported: vec![(0, 0); boxes.len()],
             version: 0,
             reversions: Vec::new(),
@@ -210,6 +213,13 @@
             FaultKind::Change => self.write_next_version(),
             FaultKind::Server(n, reply) => self.set_reply(n, reply),
             FaultKind::Leave(n) => self.announce(n, "leaving"),
+            FaultKind::CutOff(range, cut) => {
+                let until = now + fault.lasts;
+                for n in range.numbers(self.boxes.len()) {
+                    self.cuts.push((n, now, until));
+                    self.boxes[n].set_server_path(cut.as_str());
+                }
+            }
         }
     }
 
@@ -221,6 +231,11 @@
             FaultKind::Store(_) => self.store.set_fault(StoreFault::None),
             FaultKind::Server(n, _) => self.set_reply(n, Reply::Complete),
             FaultKind::Leave(n) => self.replace_server(n),
+            FaultKind::CutOff(range, _) => {
+                for n in range.numbers(self.boxes.len()) {
+                    self.boxes[n].set_server_path("none");
+                }
+            }
             FaultKind::Reload(_) | FaultKind::ForgetHistory | FaultKind::Change => {}
         }
     }
@@ -230,6 +245,7 @@
         self.store.set_fault(StoreFault::None);
         for running in &mut self.boxes {
             running.set_suspended(false);
+            running.set_server_path("none");
         }
         let until = Instant::now() + MAX_WAIT;
         // A box that is stopping must end before it can be started again.
@@ -343,6 +359,7 @@
             run_counts,
             late_arrivals,
             disturbances: self.disturbances,
+            cuts: self.cuts,
             reversions: self.reversions,
             calm_from,
         }
