A box that starts without a path to servers asks for relays again soon

Cause: the first query came while the other boxes were not ready yet, and a box that has just started has no reports that others are served, which was taken for a service that is down: the next query came 2 s later. Without reports boxes are asked as if the service were up, and the interval doubles to 0.4 s at most.

--- a/crates/wingspur-coordination/src/relay_directory.rs
+++ b/crates/wingspur-coordination/src/relay_directory.rs
@@ -2,8 +2,8 @@
 //! reach itself.
 //!
 //! No box knows in advance who reaches what. A box that has lost its path asks a few
-//! random boxes, those of its own data centre first, and keeps the ones that reach the
-//! service as its relays.
+//! random boxes about all services that it does not reach, and keeps the ones that reach
+//! them as its relays.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -14,33 +14,29 @@
 use wingspur_protocol::BoxRecord;
 use wingspur_state::{BoxId, DataCentreId, ServerKey};
 
-/// The relays of a box, by the service that it cannot reach.
+/// The boxes that are known to reach services which this box does not.
 #[derive(Debug)]
 pub struct RelayDirectory {
     data_centre: DataCentreId,
-    services: BTreeMap<ServerKey, ServiceRelays>,
-    /// Boxes that others have named, with the time of it.
-    named: BTreeMap<BoxId, (BoxRecord, Instant)>,
-    /// The requests that each relay has from this box now.
-    outstanding: BTreeMap<BoxId, u32>,
-}
-
-/// The relays for one service.
-#[derive(Debug, Default)]
-struct ServiceRelays {
     relays: BTreeMap<BoxId, Relay>,
-    /// Boxes that were asked, or have declined a request, with the time of it.
+    /// Boxes that reach none of the services, have declined a request or did not answer,
+    /// with the time of it.
     declined: BTreeMap<BoxId, Instant>,
+    /// Boxes that others have named, with the time of it.
+    named: BTreeMap<BoxId, (BoxRecord, Instant)>,
     next_query_at: Option<Instant>,
-    /// The number of queries in a row after which there was no relay.
+    /// The number of queries in a row before which a service had no relay.
     failures: u32,
+    /// The requests that each relay has from this box now.
+    outstanding: BTreeMap<BoxId, u32>,
 }
 
 #[derive(Debug)]
 struct Relay {
     record: BoxRecord,
     load: f32,
-    confirmed_at: Instant,
+    /// The services that it reaches, with the time of its last reply.
+    reachable: BTreeMap<ServerKey, Instant>,
 }
 
 impl RelayDirectory {
@@ -48,131 +44,161 @@
     pub fn new(data_centre: DataCentreId) -> Self {
         Self {
             data_centre,
-            services: BTreeMap::new(),
+            relays: BTreeMap::new(),
+            declined: BTreeMap::new(),
             named: BTreeMap::new(),
+            next_query_at: None,
+            failures: 0,
             outstanding: BTreeMap::new(),
         }
     }
 
-    /// Returns whether boxes should be asked now whether they reach a service.
-    pub fn is_query_due(&self, service: ServerKey, now: Instant) -> bool {
-        let relays = self.services.get(&service);
-        let due = relays.and_then(|relays| relays.next_query_at);
-        due.is_none_or(|at| now >= at)
+    /// Returns whether boxes should be asked now which services they reach.
+    pub fn is_query_due(&self, now: Instant) -> bool {
+        self.next_query_at.is_none_or(|at| now >= at)
     }
 
     /// Returns whether replies that may name the first relay are expected soon.
-    pub fn is_searching(&self, service: ServerKey, now: Instant) -> bool {
-        let Some(relays) = self.services.get(&service) else {
-            return true;
-        };
+    pub fn is_searching(&self, now: Instant) -> bool {
         let soon = now + FIRST_QUERY_INTERVAL * 4;
-        relays.next_query_at.is_none_or(|at| at <= soon)
+        self.next_query_at.is_none_or(|at| at <= soon)
+    }
+
+    /// Makes a query due at once, as when a further service has become unreachable.
+    pub fn hasten_query(&mut self) {
+        self.next_query_at = None;
+        self.failures = 0;
     }
 
-    /// Returns the boxes to ask now whether they reach a service; none if no query is
-    /// due. They are the least loaded relays and some of `boxes` and of those that others
-    /// have named. `is_served` says whether other boxes have lately been served by its servers:
-    /// if not, the service itself is probably down, and boxes are asked less often.
+    /// Returns the boxes to ask now which of the unreachable `services` they reach; none
+    /// if no query is due. They are the least loaded relays and some of `boxes` and of
+    /// those that others have named.
+    ///
+    /// `served_ago` is the time since other boxes were last served by any of the services,
+    /// as far as they have reported it. If that is long ago, the services themselves are
+    /// probably down, and boxes are asked less often.
     pub fn boxes_to_ask(
         &mut self,
-        service: ServerKey,
+        services: &[ServerKey],
         boxes: &[BoxRecord],
-        is_served: bool,
+        served_ago: Option<Duration>,
         now: Instant,
         random: &mut impl Rng,
     ) -> Vec<BoxRecord> {
-        let own_data_centre = self.data_centre.clone();
-        self.named
-            .retain(|_, (_, at)| now.saturating_duration_since(*at) < NAMED_TTL);
-        let named = self.named.values().map(|(record, _)| record);
-        let known_boxes: BTreeMap<&BoxId, &BoxRecord> = boxes
-            .iter()
-            .chain(named)
-            .map(|record| (&record.id, record))
-            .collect();
-        let relays = self.services.entry(service).or_default();
-        if relays.next_query_at.is_some_and(|at| now < at) {
+        if !self.is_query_due(now) {
             return Vec::new();
         }
-        relays.expire(now);
-        let known = relays.relays.len();
-        relays.failures = match known {
-            0 => relays.failures + 1,
-            _ => 0,
-        };
-        let interval = match (known, is_served) {
-            (0, true) => FIRST_QUERY_INTERVAL
-                .saturating_mul(1 << (relays.failures - 1).min(MAX_DOUBLINGS))
-                .min(MAX_QUERY_INTERVAL),
-            (0, false) => MAX_QUERY_INTERVAL,
-            (_, _) => REFRESH_INTERVAL,
-        };
-        relays.next_query_at = Some(now + interval);
-        let mut asked = relays.least_loaded(RELAYS_KEPT);
-        let mut unknown: Vec<&BoxRecord> = known_boxes
-            .into_values()
-            .filter(|record| relays.may_ask(&record.id))
-            .collect();
+        self.expire(now);
+        let has_relays = services.iter().all(|service| self.has_relay(*service, now));
+        self.next_query_at = Some(now + self.query_interval(has_relays, served_ago));
+        let mut asked = self.least_loaded(RELAYS_KEPT);
+        let mut unknown = self.unknown_boxes(boxes);
         unknown.shuffle(random);
-        let is_near = |record: &&BoxRecord| record.data_centre == own_data_centre;
+        let is_near = |record: &&BoxRecord| record.data_centre == self.data_centre;
         let (near, far): (Vec<_>, Vec<_>) = unknown.into_iter().partition(is_near);
         // Far boxes are asked at the same time, as the whole data centre may have lost
         // its path.
-        let (near_count, far_count) = match known {
-            0 => (NEAR_BOXES_ASKED, FAR_BOXES_ASKED),
-            _ => (FURTHER_BOXES_ASKED, 0),
+        let (near_count, far_count) = match has_relays {
+            false => (NEAR_BOXES_ASKED, FAR_BOXES_ASKED),
+            true => (FURTHER_BOXES_ASKED, 0),
         };
         asked.extend(near.into_iter().take(near_count).cloned());
         asked.extend(far.into_iter().take(far_count).cloned());
         asked
     }
 
-    /// Records boxes that another box has named.
-    pub fn record_named(&mut self, boxes: Vec<BoxRecord>, now: Instant) {
-        for record in boxes {
-            if self.named.len() >= MAX_NAMED && !self.named.contains_key(&record.id) {
-                return;
-            }
-            self.named.insert(record.id.clone(), (record, now));
+    /// Returns the interval until the next query, and counts those without success.
+    fn query_interval(
+        &mut self,
+        has_relays: bool,
+        served_ago: Option<Duration>,
+    ) -> Duration {
+        if has_relays {
+            self.failures = 0;
+            return REFRESH_INTERVAL;
+        }
+        let doublings = self.failures.min(MAX_DOUBLINGS);
+        self.failures += 1;
+        // A box that has just started has no reports, whatever the services' state.
+        match served_ago.is_none_or(|age| age < SERVED_TTL) {
+            true => FIRST_QUERY_INTERVAL * (1 << doublings),
+            false => DOWN_QUERY_INTERVAL,
         }
     }
 
-    /// Records that a box reaches a service, with the fraction of its capacity for
-    /// relayed requests that is in use.
-    pub fn record_reachable(
+    /// Returns the boxes that are no relays and have not declined lately.
+    fn unknown_boxes<'a>(&'a self, boxes: &'a [BoxRecord]) -> Vec<&'a BoxRecord> {
+        let named = self.named.values().map(|(record, _)| record);
+        let all: BTreeMap<&BoxId, &BoxRecord> = boxes
+            .iter()
+            .chain(named)
+            .map(|record| (&record.id, record))
+            .collect();
+        let is_unknown =
+            |id: &BoxId| !self.relays.contains_key(id) && !self.declined.contains_key(id);
+        let unknown = all.into_iter().filter(|(id, _)| is_unknown(id));
+        unknown.map(|(_, record)| record).collect()
+    }
+
+    /// Records the reply of a box: the services that it reaches, and the fraction of its
+    /// capacity for relayed requests that is in use.
+    pub fn record_reply(
         &mut self,
-        service: ServerKey,
         record: BoxRecord,
+        reachable: &[ServerKey],
         load: f32,
         now: Instant,
     ) {
-        let relays = self.services.entry(service).or_default();
-        relays.declined.remove(&record.id);
+        if reachable.is_empty() {
+            self.relays.remove(&record.id);
+            self.declined.insert(record.id, now);
+            return;
+        }
+        self.declined.remove(&record.id);
+        let reachable = reachable.iter().map(|service| (*service, now)).collect();
         let relay = Relay {
             record: record.clone(),
             load,
-            confirmed_at: now,
+            reachable,
         };
-        relays.relays.insert(record.id, relay);
+        self.relays.insert(record.id, relay);
     }
 
-    /// Records that a box does not reach a service, has declined a request for it, or did
-    /// not answer.
+    /// Records that a box has declined a request for a service or did not answer.
     pub fn record_declined(&mut self, service: ServerKey, id: &BoxId, now: Instant) {
-        let relays = self.services.entry(service).or_default();
-        relays.declined.insert(id.clone(), now);
-        if relays.relays.remove(id).is_some() && relays.relays.is_empty() {
-            relays.next_query_at = None;
+        self.declined.insert(id.clone(), now);
+        let Some(relay) = self.relays.get_mut(id) else {
+            return;
+        };
+        relay.reachable.remove(&service);
+        if relay.reachable.is_empty() {
+            self.relays.remove(id);
+        }
+        if !self.has_relay(service, now) {
+            self.hasten_query();
+        }
+    }
+
+    /// Records that a box did not answer a query.
+    pub fn record_silent(&mut self, id: &BoxId, now: Instant) {
+        self.relays.remove(id);
+        self.declined.insert(id.clone(), now);
+    }
+
+    /// Records boxes that another box has named.
+    pub fn record_named(&mut self, boxes: Vec<BoxRecord>, now: Instant) {
+        for record in boxes {
+            if self.named.len() >= MAX_NAMED && !self.named.contains_key(&record.id) {
+                return;
+            }
+            self.named.insert(record.id.clone(), (record, now));
         }
     }
 
     /// Records the load that a relay has reported.
     pub fn record_load(&mut self, id: &BoxId, load: f32) {
-        for relays in self.services.values_mut() {
-            if let Some(relay) = relays.relays.get_mut(id) {
-                relay.load = load;
-            }
+        if let Some(relay) = self.relays.get_mut(id) {
+            relay.load = load;
         }
     }
 
@@ -186,9 +212,8 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<BoxRecord> {
-        let relays = self.services.get(&service)?;
-        let usable = relays.relays.values().filter(|relay| {
-            !relay.is_expired(now)
+        let usable = self.relays.values().filter(|relay| {
+            relay.reaches(service, now)
                 && relay.load < 1.0
                 && !declined.contains(&relay.record.id)
         });
@@ -220,33 +245,24 @@
         }
     }
 
-    /// Forgets the relays of a service that is reachable again.
-    pub fn forget(&mut self, service: ServerKey) {
-        self.services.remove(&service);
-        if self.services.is_empty() {
-            self.named.clear();
-        }
-    }
-
-    /// Returns whether there are neither relays nor queries for any service.
-    pub fn is_empty(&self) -> bool {
-        self.services.is_empty()
+    /// Forgets all relays, when this box reaches all services again.
+    pub fn clear(&mut self) {
+        self.relays.clear();
+        self.declined.clear();
+        self.named.clear();
+        self.hasten_query();
     }
 
     /// Returns the number of boxes that are known to reach a service.
-    pub fn relay_count(&self, service: ServerKey) -> usize {
-        let relays = self.services.get(&service);
-        relays.map_or(0, |relays| relays.relays.len())
+    pub fn relay_count(&self) -> usize {
+        self.relays.len()
     }
 
-    fn cost(&self, relay: &Relay) -> f32 {
-        let outstanding = self.outstanding.get(&relay.record.id);
-        let outstanding = outstanding.copied().unwrap_or(0) as f32;
-        relay.load + outstanding / relay_capacity(relay.record.capacity)
+    fn has_relay(&self, service: ServerKey, now: Instant) -> bool {
+        let mut relays = self.relays.values();
+        relays.any(|relay| relay.reaches(service, now))
     }
-}
 
-impl ServiceRelays {
     fn least_loaded(&self, count: usize) -> Vec<BoxRecord> {
         let mut relays: Vec<&Relay> = self.relays.values().collect();
         relays.sort_by(|one, other| one.load.total_cmp(&other.load));
@@ -254,23 +270,37 @@
         least_loaded.map(|relay| relay.record.clone()).collect()
     }
 
-    fn may_ask(&self, id: &BoxId) -> bool {
-        !self.relays.contains_key(id) && !self.declined.contains_key(id)
-    }
-
     fn expire(&mut self, now: Instant) {
-        self.relays.retain(|_, relay| !relay.is_expired(now));
+        for relay in self.relays.values_mut() {
+            relay
+                .reachable
+                .retain(|_, at| !is_older(*at, RELAY_TTL, now));
+        }
+        self.relays.retain(|_, relay| !relay.reachable.is_empty());
         self.declined
-            .retain(|_, at| now.saturating_duration_since(*at) < DECLINED_TTL);
+            .retain(|_, at| !is_older(*at, DECLINED_TTL, now));
+        self.named
+            .retain(|_, (_, at)| !is_older(*at, NAMED_TTL, now));
+    }
+
+    fn cost(&self, relay: &Relay) -> f32 {
+        let outstanding = self.outstanding.get(&relay.record.id);
+        let outstanding = outstanding.copied().unwrap_or(0) as f32;
+        relay.load + outstanding / relay_capacity(relay.record.capacity)
     }
 }
 
 impl Relay {
-    fn is_expired(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.confirmed_at) >= RELAY_TTL
+    fn reaches(&self, service: ServerKey, now: Instant) -> bool {
+        let replied_at = self.reachable.get(&service);
+        replied_at.is_some_and(|at| !is_older(*at, RELAY_TTL, now))
     }
 }
 
+fn is_older(at: Instant, limit: Duration, now: Instant) -> bool {
+    now.saturating_duration_since(at) >= limit
+}
+
 /// Returns how many relayed requests a box takes at once; `capacity` is that of its
 /// announcement.
 pub fn relay_capacity(capacity: u32) -> f32 {
@@ -310,19 +340,21 @@
 const FAR_BOXES_ASKED: usize = 3;
 /// The number of unknown boxes that are asked in addition to the relays, to find less
 /// loaded ones.
-const FURTHER_BOXES_ASKED: usize = 2;
+const FURTHER_BOXES_ASKED: usize = 1;
 /// The number of named boxes that are kept, and for how long.
 const MAX_NAMED: usize = 64;
 const NAMED_TTL: Duration = Duration::from_secs(10);
 /// The interval between the first two queries while there is no relay; it doubles with
-/// each query.
+/// each query up to `MAX_DOUBLINGS`.
 const FIRST_QUERY_INTERVAL: Duration = Duration::from_millis(100);
-const MAX_DOUBLINGS: u32 = 4;
-/// The longest interval between two queries, as where the service itself is down.
-const MAX_QUERY_INTERVAL: Duration = Duration::from_secs(2);
+const MAX_DOUBLINGS: u32 = 2;
+/// How long a good response at another box shows that a service is up.
+const SERVED_TTL: Duration = Duration::from_secs(3);
+/// The interval between two queries while no other box is served either.
+const DOWN_QUERY_INTERVAL: Duration = Duration::from_secs(2);
 /// The interval between two queries while there are relays.
-const REFRESH_INTERVAL: Duration = Duration::from_millis(700);
+const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a box counts as a relay without a further reply.
-const RELAY_TTL: Duration = Duration::from_secs(2);
+const RELAY_TTL: Duration = Duration::from_millis(2500);
 /// How long a box that has declined is not asked again.
 const DECLINED_TTL: Duration = Duration::from_secs(1);
--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/attempt.rs
@@ -569,6 +569,10 @@
             }
             outcome => outcome,
         };
+        if matches!(outcome, HealthOutcome::Good | HealthOutcome::Refused) {
+            let mut path = self.service.path.lock();
+            path.record_response(wingspur_clock::now());
+        }
         if let Some(id) = self.id.take() {
             let (metrics, service) = (&self.shared.metrics, &self.service);
             metrics.count_attempt(&service.name, outcome.as_str());
--- a/crates/wingspur-edge/src/path_check.rs
+++ b/crates/wingspur-edge/src/path_check.rs
@@ -11,7 +11,7 @@
 use wingspur_transport::StopSignal;
 
 use crate::edge_state::EdgeState;
-use crate::relay_search::{close_relays, search_relays};
+use crate::relay_search::{close_unused_relays, search_relays};
 use crate::services::ServiceState;
 
 /// Records that a new connection to a server was opened.
@@ -49,7 +49,8 @@
     let is_within = |age: Option<Duration>, limit| age.is_some_and(|age| age < limit);
     let is_known = !path.is_reachable()
         || is_within(path.checked_ago(now), CHECK_INTERVAL)
-        || is_within(path.connected_ago(now), CONNECTED_TTL);
+        || is_within(path.connected_ago(now), EVIDENCE_TTL)
+        || is_within(path.response_ago(now), EVIDENCE_TTL);
     drop(path);
     if is_known {
         return;
@@ -177,8 +178,10 @@
             LOST_TICK
         };
         probes_due.retain(|key, _| lost.iter().any(|service| service.key() == *key));
+        if !lost.is_empty() {
+            search_relays(&shared, &lost);
+        }
         for service in lost {
-            search_relays(&shared, &service);
             probe_if_due(&shared, &service, &mut probes_due);
         }
         shared.path_changed.wait(pause).await;
@@ -240,6 +243,7 @@
             connected_ago,
         } => {
             shared.metrics.unreachable_services.inc();
+            shared.relays.directory.lock().hasten_query();
             tracing::warn!(
                 service = service.name,
                 unreached,
@@ -255,7 +259,7 @@
                 lost_ms = lost_for.as_millis() as u64,
                 "path: regained."
             );
-            close_relays(shared, service.key());
+            close_unused_relays(shared);
         }
     }
     shared.pending_updates.notify();
@@ -276,8 +280,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(120);
 /// How long the result of a check stands.
 const CHECKED_TTL: Duration = Duration::from_millis(100);
-/// How long a new connection shows that the path works.
-const CONNECTED_TTL: Duration = Duration::from_millis(300);
+/// How long a new connection or a response speaks against a lost path.
+const EVIDENCE_TTL: Duration = Duration::from_millis(300);
 /// Shortest interval between two checks that were not asked for by a request.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Mean interval between two probes of an unreachable service.
--- a/crates/wingspur-edge/src/relay_search.rs
+++ b/crates/wingspur-edge/src/relay_search.rs
@@ -69,48 +69,53 @@
     Silent,
 }
 
-/// Asks some boxes whether they reach a service, if a query is due.
-pub fn search_relays(shared: &Arc<EdgeState>, service: &ServiceState) {
-    let (now, key) = (wingspur_clock::now(), service.key());
-    let served_ago = service.balancer.lock().served_elsewhere_ago(now);
-    let is_served = served_ago.is_some_and(|age| age < SERVED_ELSEWHERE_TTL);
-    if !shared.relays.directory.lock().is_query_due(key, now) {
+/// Asks some boxes which of the unreachable services they reach, if a query is due.
+pub fn search_relays(shared: &Arc<EdgeState>, lost: &[Arc<ServiceState>]) {
+    let now = wingspur_clock::now();
+    if !shared.relays.directory.lock().is_query_due(now) {
         return;
     }
+    let served_ago = lost.iter().filter_map(|service| {
+        let balancer = service.balancer.lock();
+        balancer.served_elsewhere_ago(now)
+    });
+    let served_ago = served_ago.min();
+    let services: Vec<ServerKey> = lost.iter().map(|service| service.key()).collect();
+    let services = services[..services.len().min(MAX_QUERIED_SERVICES)].to_vec();
     let boxes = shared.links.lock().known_boxes();
     let mut directory = shared.relays.directory.lock();
-    let asked = directory.boxes_to_ask(key, &boxes, is_served, now, &mut rand::rng());
-    let relays = directory.relay_count(key);
+    let asked =
+        directory.boxes_to_ask(&services, &boxes, served_ago, now, &mut rand::rng());
+    let relays = directory.relay_count();
     drop(directory);
     tracing::info!(
-        service = service.name,
+        services = services.len(),
         asked = asked.len(),
         known = boxes.len(),
         relays,
-        is_served,
+        served_ms_ago = served_ago.map(|age| age.as_millis() as u64),
         "relay: asked boxes."
     );
     for record in asked {
-        let shared = shared.clone();
+        let (shared, services) = (shared.clone(), services.clone());
         let spawner = shared.spawner.clone();
-        spawner.detach(async move { ask(&shared, record, key).await });
+        spawner.detach(async move { ask(&shared, record, services).await });
     }
 }
 
-/// Forgets the relays for a service, and closes the connections to all relays once none
-/// is needed.
-pub fn close_relays(shared: &EdgeState, service: ServerKey) {
-    let mut directory = shared.relays.directory.lock();
-    directory.forget(service);
-    let is_unused = directory.is_empty();
-    drop(directory);
-    if is_unused {
-        shared.relays.connections.lock().clear();
+/// Forgets all relays and closes the connections to them, unless there is still a service
+/// that this box does not reach.
+pub fn close_unused_relays(shared: &EdgeState) {
+    let services = shared.services.all();
+    if services.iter().any(|service| !service.is_reachable()) {
+        return;
     }
+    shared.relays.directory.lock().clear();
+    shared.relays.connections.lock().clear();
 }
 
-async fn ask(shared: &EdgeState, record: BoxRecord, service: ServerKey) {
-    let replied = async { query(shared, &record, service).await };
+async fn ask(shared: &EdgeState, record: BoxRecord, services: Vec<ServerKey>) {
+    let replied = async { query(shared, &record, services).await };
     let expired = async {
         wingspur_clock::sleep(QUERY_TIMEOUT).await;
         Err(QueryError::Silent)
@@ -121,14 +126,11 @@
     match reply {
         Ok(reply) => {
             directory.record_named(reply.others, now);
-            match reply.reachable.contains(&service) {
-                true => directory.record_reachable(service, record, reply.load, now),
-                false => directory.record_declined(service, &record.id, now),
-            }
+            directory.record_reply(record, &reply.reachable, reply.load, now);
         }
         Err(error) => {
             tracing::info!(peer = %record.id, %error, "relay: no reply to a query.");
-            directory.record_declined(service, &record.id, now);
+            directory.record_silent(&record.id, now);
         }
     }
 }
@@ -136,12 +138,12 @@
 async fn query(
     shared: &EdgeState,
     to: &BoxRecord,
-    service: ServerKey,
+    services: Vec<ServerKey>,
 ) -> Result<ReachabilityReply, QueryError> {
     let query = ReachabilityQuery {
         protocol: RELAY_PROTOCOL_VERSION,
         fleet: shared.settings().fleet.clone(),
-        services: vec![service],
+        services,
     };
     let body = encode_relay_body(&query);
     let head = format!(
@@ -239,7 +241,7 @@
         let (relay, is_searching) = {
             let directory = shared.relays.directory.lock();
             let relay = directory.pick(key, declined, now, &mut rand::rng());
-            (relay, directory.is_searching(key, now))
+            (relay, directory.is_searching(now))
         };
         if relay.is_some() || service.is_reachable() {
             return relay;
@@ -258,9 +260,7 @@
 const SEARCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// How long a new connection shows that this box reaches a service.
 const REACHED_TTL: Duration = Duration::from_secs(1);
-/// How long a good response at another box shows that a service is up.
-const SERVED_ELSEWHERE_TTL: Duration = Duration::from_secs(3);
 /// The number of other boxes that a reply names.
-const MAX_NAMED_BOXES: usize = 8;
+const MAX_NAMED_BOXES: usize = 4;
 const MAX_QUERY_BYTES: usize = 16 << 10;
 const MAX_QUERIED_SERVICES: usize = 64;
--- a/crates/wingspur-state/src/server_path.rs
+++ b/crates/wingspur-state/src/server_path.rs
@@ -21,6 +21,7 @@
     reached: BTreeSet<ServerKey>,
     last_connected_at: Option<Instant>,
     last_checked_at: Option<Instant>,
+    last_response_at: Option<Instant>,
 }
 
 /// A change of a service's reachability, with the evidence for it.
@@ -64,6 +65,18 @@
         Some(now.saturating_duration_since(at))
     }
 
+    /// Returns the time since a server of the service last responded; `None` if none ever
+    /// did.
+    pub fn response_ago(&self, now: Instant) -> Option<Duration> {
+        let at = self.last_response_at?;
+        Some(now.saturating_duration_since(at))
+    }
+
+    /// Records that a server of the service has responded.
+    pub fn record_response(&mut self, now: Instant) {
+        self.last_response_at = Some(now);
+    }
+
     /// Records that a check of the path has ended.
     pub fn record_check(&mut self, now: Instant) {
         self.last_checked_at = Some(now);
--- a/tests/tests/unreachable_servers.rs
+++ b/tests/tests/unreachable_servers.rs
@@ -443,3 +443,15 @@
     });
     pair.close();
 }
+
+#[test]
+fn a_box_that_starts_without_a_path_finds_a_relay() {
+    let pair = Pair::start();
+    let mut settings = edge::settings("box-3", pair.store.address);
+    settings.fault_injection.server_path = PathFault::Refuse;
+    let started = edge::start_box_with(settings, &pair.store, &pair.workers);
+    wait_until("the box is ready", || started.is_ready());
+    wait_until_served(Caller::of(&started), "started");
+    smol::block_on(started.close());
+    pair.close();
+}
