A connection that worked once without a path no longer keeps requests from relays

Cause: a response that was under way arrived after the path was lost, so its connection counted as one that lives on, and requests were kept for it. The server that was picked for it was then left out as not reached, and the connection stayed in the pool, request after request.

--- a/crates/wingspur-edge/src/forwarding.rs
+++ b/crates/wingspur-edge/src/forwarding.rs
@@ -24,6 +24,7 @@
 use crate::relayed_attempt::RelayedAttempt;
 use crate::request::RequestOrigin;
 use crate::request_error::RequestError;
+use crate::request_head::reuse_policy;
 use crate::request_log::{id_text, log_give_up, log_pick, round_for_log};
 use crate::resend_lease_exchange::lease_resend;
 use crate::resend_reservation::ResendReservation;
@@ -294,6 +295,10 @@
             return Err(ResultCode::UnknownKey);
         }
         if self.needs_relay() {
+            if let Some(pick) = self.pick_connected() {
+                self.start_attempt(pick);
+                return Ok(());
+            }
             if self.send_to_relay().await {
                 return Ok(());
             }
@@ -315,18 +320,18 @@
     /// Whether the request must be handed to another box, because this box does not reach
     /// the service. A request that was handed over is not handed over again.
     fn needs_relay(&self) -> bool {
-        !self.is_relayed() && !self.service.is_reachable() && !self.has_live_connection()
+        !self.is_relayed() && !self.service.is_reachable()
     }
 
-    /// Whether the server that would be picked has a connection that has worked since the
-    /// path was lost.
-    fn has_live_connection(&self) -> bool {
+    /// Picks a server to which there is a connection that has worked since the path to the
+    /// service was lost.
+    fn pick_connected(&mut self) -> Option<Pick> {
+        self.avoided.clone_from(&self.tried);
         let lost_at = self.service.path.lock().lost_at();
-        let pick = self.pick();
-        lost_at.zip(pick).is_some_and(|(lost_at, pick)| {
-            let backend = self.shared.services.backend(pick.server.address);
-            backend.has_idle_since(lost_at)
-        })
+        let reuse = reuse_policy(self.route.route.class, lost_at);
+        let pick = self.pick().filter(|_| !self.needs_permit())?;
+        let backend = self.shared.services.backend(pick.server.address);
+        backend.has_idle(reuse).then_some(pick)
     }
 
     /// Hands the request to a relay; returns whether there is one.
--- a/crates/wingspur-edge/src/request_head.rs
+++ b/crates/wingspur-edge/src/request_head.rs
@@ -54,10 +54,14 @@
 /// If a pooled connection turns out to be dead, it is unknown whether the request has
 /// run. So a once-only request only uses a connection that was in use a moment ago.
 pub fn reuse_policy(class: RouteClass, lost_at: Option<Instant>) -> ReusePolicy {
-    match lost_at {
-        Some(lost_at) => ReusePolicy::UsedSince(lost_at),
-        None if class.is_retry_safe() => ReusePolicy::Any,
-        None => ReusePolicy::IdleAtMost(ONCE_ONLY_MAX_IDLE),
+    let used_at_least = wingspur_clock::now().checked_sub(ONCE_ONLY_MAX_IDLE);
+    match (lost_at, class.is_retry_safe()) {
+        (Some(lost_at), true) => ReusePolicy::UsedSince(lost_at),
+        (Some(lost_at), false) => {
+            ReusePolicy::UsedSince(used_at_least.map_or(lost_at, |at| at.max(lost_at)))
+        }
+        (None, true) => ReusePolicy::Any,
+        (None, false) => ReusePolicy::IdleAtMost(ONCE_ONLY_MAX_IDLE),
     }
 }
 
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -213,11 +213,11 @@
         self.idle.lock().expect("no holder panics").push(idle);
     }
 
-    /// Returns whether there is an idle connection on which a response was read after
-    /// this moment.
-    pub fn has_idle_since(&self, at: Instant) -> bool {
+    /// Returns whether there is an idle connection that the policy allows.
+    pub fn has_idle(&self, reuse: ReusePolicy) -> bool {
         let idle = self.idle.lock().expect("no holder panics");
-        idle.last().is_some_and(|idle| idle.since >= at)
+        let now = wingspur_clock::now();
+        idle.last().is_some_and(|idle| idle.is_allowed(reuse, now))
     }
 
     /// Closes connections that were idle for too long. Returns false if none is left.
@@ -247,14 +247,7 @@
     fn take_idle(&self, reuse: ReusePolicy, now: Instant) -> Option<BackendConnection> {
         let mut idle = self.idle.lock().expect("no holder panics");
         let newest = idle.last()?;
-        let limit = match reuse {
-            ReusePolicy::UsedSince(at) if newest.since < at => return None,
-            ReusePolicy::Any | ReusePolicy::UsedSince(_) => {
-                newest.connection.idle_timeout
-            }
-            ReusePolicy::IdleAtMost(limit) => limit.min(newest.connection.idle_timeout),
-        };
-        if newest.is_idle_for(limit, now) {
+        if !newest.is_allowed(reuse, now) {
             return None;
         }
         idle.pop().map(|idle| idle.connection)
@@ -262,6 +255,15 @@
 }
 
 impl IdleConnection {
+    fn is_allowed(&self, reuse: ReusePolicy, now: Instant) -> bool {
+        let limit = match reuse {
+            ReusePolicy::UsedSince(at) if self.since < at => return false,
+            ReusePolicy::Any | ReusePolicy::UsedSince(_) => self.connection.idle_timeout,
+            ReusePolicy::IdleAtMost(limit) => limit.min(self.connection.idle_timeout),
+        };
+        !self.is_idle_for(limit, now)
+    }
+
     fn is_idle_for(&self, limit: Duration, now: Instant) -> bool {
         now.saturating_duration_since(self.since) >= limit
     }
--- a/tests/tests/unreachable_servers.rs
+++ b/tests/tests/unreachable_servers.rs
@@ -4,7 +4,7 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -455,3 +455,33 @@
     smol::block_on(started.close());
     pair.close();
 }
+
+/// A response that was under way arrives after the path was lost, and the connection is
+/// then reset as well.
+#[test]
+fn a_connection_that_worked_once_after_the_path_was_lost_does_not_keep_requests_back() {
+    let is_slow = Arc::new(AtomicBool::new(false));
+    let slow = is_slow.clone();
+    let pair = Pair::start_with(&routes(), move |_| {
+        if slow.swap(false, Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(300));
+        }
+        Reply::Complete
+    });
+    is_slow.store(true, Ordering::SeqCst);
+    let caller = Caller::of(&pair.near);
+    let slow_call = std::thread::spawn(move || caller.call("once_only", "slow").status);
+    wait_until("a server runs it", || !is_slow.load(Ordering::SeqCst));
+    pair.inject(PathFault::Hold);
+    wait_until_served(Caller::of(&pair.near), "held");
+    std::thread::sleep(Duration::from_millis(300));
+    pair.inject(PathFault::Refuse);
+    assert_eq!(slow_call.join().unwrap(), 200);
+    for n in 0..30 {
+        for class in ["read", "once_only"] {
+            let answer = Caller::of(&pair.near).call(class, &format!("{class}-{n}"));
+            assert_eq!(answer.status, 200, "{class}-{n}");
+        }
+    }
+    pair.close();
+}
