--- a/crates/wingspur-transport/src/http_client.rs
+++ b/crates/wingspur-transport/src/http_client.rs
@@ -398,9 +398,11 @@
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 /// The time without data after which a connection is probed, and between two probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// The number of unanswered probes after which a connection fails.
+/// The number of unanswered probes after which a connection fails. On Linux
+/// `TCP_USER_TIMEOUT` decides instead.
 const KEEPALIVE_PROBES: u32 = 2;
-/// How long sent bytes may stay unacknowledged before the connection fails, on Linux.
+/// How long sent bytes or probes may stay unacknowledged before the connection fails, on
+/// Linux.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// The largest number of idle connections kept to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 4;
