A refused link names the fleet or protocol that differs

check_hello reported both as LinkError::Gone, which the log shows as a lost connection. Hello::check returns a typed error with both values.

--- a/crates/wingspur-edge/src/peer_exchange.rs
+++ b/crates/wingspur-edge/src/peer_exchange.rs
@@ -203,7 +203,9 @@
     let (sender, mut receiver) = opened?;
     sender.send(&own_hello(shared, role))?;
     let hello: Hello = receiver.next(OPEN_TIMEOUT).await?;
-    check_hello(shared, &hello)?;
+    hello
+        .check(&shared.settings().fleet)
+        .map_err(LinkError::from)?;
     Ok((sender, receiver, hello))
 }
 
@@ -231,7 +233,7 @@
             return shared.metrics.count_peer_refusal("no_greeting");
         }
     };
-    if let Err(error) = check_hello(&shared, &hello) {
+    if let Err(error) = hello.check(&shared.settings().fleet) {
         tracing::warn!(peer = %hello.from.id, %error, "peer: a link was refused.");
         return shared.metrics.count_peer_refusal("not_admitted");
     }
@@ -538,14 +540,6 @@
     }
 }
 
-fn check_hello(shared: &EdgeState, hello: &Hello) -> Result<(), LinkError> {
-    let is_same_protocol = hello.protocol == LINK_PROTOCOL_VERSION;
-    match is_same_protocol && hello.fleet == shared.settings().fleet {
-        true => Ok(()),
-        false => Err(LinkError::Gone),
-    }
-}
-
 /// Path of the requests by which boxes open links.
 const LINK_PATH: &str = "/link";
 /// A connection within a region is established in milliseconds, and a lost first packet
--- a/crates/wingspur-protocol/src/lib.rs
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -23,10 +23,11 @@
 pub use headers::{HeaderNames, LoadFormat};
 pub use link::{
     CatalogFreshness, CatalogSnapshotUpdate, CatalogUpdate, DelegatedShare, EncodedFrame,
-    FleetStatus, Frame, FrameContent, FrameError, Hello, LINK_PROTOCOL_VERSION,
-    LeaseMessages, LeasedResource, LinkRole, LinkTimestamps, MembershipUpdate,
-    QuotaLeaseReply, QuotaLeaseRequest, ResendBudgetUsage, ServerDrainingUpdate,
-    ServerLimitUpdate, TallyUpdate, decode_next_frame, encode_frame,
+    FleetStatus, Frame, FrameContent, FrameError, Hello, HelloError,
+    LINK_PROTOCOL_VERSION, LeaseMessages, LeasedResource, LinkRole, LinkTimestamps,
+    MembershipUpdate, QuotaLeaseReply, QuotaLeaseRequest, ResendBudgetUsage,
+    ServerDrainingUpdate, ServerLimitUpdate, TallyUpdate, decode_next_frame,
+    encode_frame,
 };
 pub use load_report::parse_load_hint;
 pub use operation::{LogEntry, LogSegment, OperationId, OperationOutcome};
--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -33,6 +33,46 @@
     pub bundle_version: BundleVersion,
 }
 
+/// Why a box refuses the other side's hello.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum HelloError {
+    /// The other side speaks another version of the protocol.
+    #[error("the other box speaks link protocol {theirs}, this one {own}")]
+    OtherProtocol {
+        /// The other side's version.
+        theirs: u16,
+        /// This box's version.
+        own: u16,
+    },
+    /// The other side belongs to another fleet.
+    #[error("the other box belongs to fleet \"{theirs}\", this one to \"{own}\"")]
+    OtherFleet {
+        /// The other side's fleet.
+        theirs: String,
+        /// This box's fleet.
+        own: String,
+    },
+}
+
+impl Hello {
+    /// Checks that the sender speaks this protocol and belongs to `fleet`.
+    pub fn check(&self, fleet: &str) -> Result<(), HelloError> {
+        if self.protocol != LINK_PROTOCOL_VERSION {
+            return Err(HelloError::OtherProtocol {
+                theirs: self.protocol,
+                own: LINK_PROTOCOL_VERSION,
+            });
+        }
+        if self.fleet != fleet {
+            return Err(HelloError::OtherFleet {
+                theirs: self.fleet.clone(),
+                own: fleet.to_owned(),
+            });
+        }
+        Ok(())
+    }
+}
+
 /// The role of a link's opener towards the other side.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LinkRole {
--- a/crates/wingspur-transport/src/link.rs
+++ b/crates/wingspur-transport/src/link.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Body, Bytes, Frame as BodyFrame, Incoming};
 use hyper::{Request, Response};
 use serde::de::DeserializeOwned;
-use wingspur_protocol::{EncodedFrame, FrameError, decode_next_frame};
+use wingspur_protocol::{EncodedFrame, FrameError, HelloError, decode_next_frame};
 
 use crate::http_client::{Connector, HttpClientError};
 
@@ -58,6 +58,9 @@
     /// The other side does not read, so the send queue is full.
     #[error("the other side does not read; the send queue is full")]
     SendQueueFull,
+    /// The other side's hello is refused.
+    #[error(transparent)]
+    Refused(#[from] HelloError),
     /// A frame cannot be decoded.
     #[error(transparent)]
     Frame(#[from] FrameError),
