A response that breaks off is not reported as a passed deadline

Each read error of a streamed response became BodyError::Stalled, whose text speaks of a deadline. It keeps the error of the response now.

--- a/crates/wingspur-edge/src/response_body.rs
+++ b/crates/wingspur-edge/src/response_body.rs
@@ -64,7 +64,7 @@
                     }
                     Err(error) => {
                         guard.fail(&error);
-                        Some((Err(BodyError::Stalled), (first, None)))
+                        Some((Err(error.into()), (first, None)))
                     }
                 }
             });
--- a/crates/wingspur-transport/src/body.rs
+++ b/crates/wingspur-transport/src/body.rs
@@ -6,6 +6,8 @@
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 
+use crate::ResponseError;
+
 /// A request body, either held in memory so that it can be resent, or streamed from the
 /// caller.
 #[derive(Debug)]
@@ -55,6 +57,9 @@
     /// The body is longer than allowed.
     #[error("the body is over the limit; send less or raise `max_body_bytes`")]
     TooLong,
+    /// The server's response could not be read to its end.
+    #[error(transparent)]
+    Response(#[from] ResponseError),
     /// No more data arrived before the deadline.
     #[error("no more body data arrived before the deadline")]
     Stalled,
