Requests are not forwarded to boxes of another region

Read in the change: with a whole region's paths lost, a box would have asked boxes of other regions, and handed them bodies of requests whose route or account is bound to regions. Boxes of another region are not asked; where no regions are set, all boxes are near each other, as for servers. The test asks for boxes of two regions and fails without the filter by its assertion on data centres (far boxes are asked while there is no relay).

--- a/crates/wingspur-coordination/src/relay_directory.rs
+++ b/crates/wingspur-coordination/src/relay_directory.rs
@@ -12,12 +12,13 @@
 use rand::RngExt;
 use rand::seq::SliceRandom;
 use wingspur_protocol::BoxRecord;
-use wingspur_state::{BoxId, DataCentreId, ServerKey};
+use wingspur_state::{BoxId, DataCentreId, Regions, ServerKey};
 
 /// The boxes that are known to reach services which this box does not.
 #[derive(Debug)]
 pub struct RelayDirectory {
     data_centre: DataCentreId,
+    regions: Regions,
     relays: BTreeMap<BoxId, Relay>,
     /// Boxes that reach none of the services, have declined a request or did not answer,
     /// with the time of it.
@@ -40,10 +41,12 @@
 }
 
 impl RelayDirectory {
-    /// Creates a directory without relays; `data_centre` is the one of this box.
-    pub fn new(data_centre: DataCentreId) -> Self {
+    /// Creates a directory without relays; `data_centre` is the one of this box, and
+    /// `regions` are those of all data centres.
+    pub fn new(data_centre: DataCentreId, regions: Regions) -> Self {
         Self {
             data_centre,
+            regions,
             relays: BTreeMap::new(),
             declined: BTreeMap::new(),
             named: BTreeMap::new(),
@@ -137,7 +140,16 @@
         let is_unknown =
             |id: &BoxId| !self.relays.contains_key(id) && !self.declined.contains_key(id);
         let unknown = all.into_iter().filter(|(id, _)| is_unknown(id));
-        unknown.map(|(_, record)| record).collect()
+        let unknown = unknown.map(|(_, record)| record);
+        unknown.filter(|record| self.is_in_region(record)).collect()
+    }
+
+    /// Whether a box is in the region of this one. Requests must not leave it, as routes
+    /// and accounts may be bound to regions.
+    fn is_in_region(&self, record: &BoxRecord) -> bool {
+        let region = |data_centre: &DataCentreId| self.regions.get(data_centre);
+        let (own, other) = (region(&self.data_centre), region(&record.data_centre));
+        own.zip(other).is_none_or(|(own, other)| own == other)
     }
 
     /// Records the reply of a box: the services that it reaches, and the fraction of its
--- a/crates/wingspur-edge/src/edge_state.rs
+++ b/crates/wingspur-edge/src/edge_state.rs
@@ -145,7 +145,7 @@
             pending_updates: Notify::new(),
             urgent_updates: Notify::new(),
             link_plan_changed: Notify::new(),
-            relays: Relays::new(settings.data_centre.clone()),
+            relays: Relays::new(settings.data_centre.clone(), settings.regions.clone()),
             path_changed: Notify::new(),
             in_flight: InFlightRequests::new(),
             stopping: Shutdown::new(),
--- a/crates/wingspur-edge/src/relay_search.rs
+++ b/crates/wingspur-edge/src/relay_search.rs
@@ -16,7 +16,7 @@
     BoxRecord, REACHABILITY_PATH, RELAY_PROTOCOL_VERSION, ReachabilityQuery,
     ReachabilityReply, RelayError, decode_relay_body, encode_relay_body,
 };
-use wingspur_state::{BoxId, DataCentreId, ServerKey};
+use wingspur_state::{BoxId, DataCentreId, Regions, ServerKey};
 use wingspur_transport::{
     BackendConnections, ConnectError, ResponseError, ReusePolicy, SendBody,
 };
@@ -35,9 +35,10 @@
 }
 
 impl Relays {
-    /// Starts without relays; `data_centre` is the one of this box.
-    pub fn new(data_centre: DataCentreId) -> Self {
-        let directory = RelayDirectory::new(data_centre);
+    /// Starts without relays; `data_centre` is the one of this box, and `regions` are
+    /// those of all data centres.
+    pub fn new(data_centre: DataCentreId, regions: Regions) -> Self {
+        let directory = RelayDirectory::new(data_centre, regions);
         Self {
             directory: RankedMutex::new(LockRank::Relays, directory),
             connections: RankedMutex::new(LockRank::RelayConnections, HashMap::new()),
--- a/tests/tests/relay_directory.rs
+++ b/tests/tests/relay_directory.rs
@@ -7,6 +7,7 @@
 use rand::rngs::StdRng;
 use wingspur_coordination::RelayDirectory;
 use wingspur_protocol::BoxRecord;
+use wingspur_state::Regions;
 
 const SERVICE: u64 = 7;
 /// Other boxes are served now.
@@ -40,7 +41,7 @@
 #[test]
 fn boxes_that_declined_are_not_asked_again_at_once_and_all_are_asked_in_turn() {
     let (now, mut random) = (Instant::now(), StdRng::seed_from_u64(1));
-    let mut directory = RelayDirectory::new("near".into());
+    let mut directory = RelayDirectory::new("near".into(), Regions::new());
     let mut asked = BTreeSet::new();
     for step in 0..4 {
         let at = now + ms(100) * step;
@@ -60,7 +61,7 @@
     let down = Some(Duration::from_secs(5));
     for (served_ago, most) in [(SERVED, 55), (down, 11)] {
         let start = Instant::now();
-        let mut directory = RelayDirectory::new("near".into());
+        let mut directory = RelayDirectory::new("near".into(), Regions::new());
         let mut queries = 0;
         for step in 0..400 {
             let at = start + ms(50) * step;
@@ -78,7 +79,7 @@
 #[test]
 fn a_relay_of_this_data_centre_comes_first() {
     let (now, mut random) = (Instant::now(), StdRng::seed_from_u64(2));
-    let mut directory = RelayDirectory::new("near".into());
+    let mut directory = RelayDirectory::new("near".into(), Regions::new());
     directory.record_reply(record(0, "far", 5), &[SERVICE], 0.0, now);
     let pick = directory.pick(SERVICE, &[], now, &mut random).unwrap();
     assert_eq!(pick.id, "far-0");
@@ -97,7 +98,7 @@
 #[test]
 fn a_loaded_relay_gets_few_requests_and_a_full_one_none() {
     let (now, mut random) = (Instant::now(), StdRng::seed_from_u64(3));
-    let mut directory = RelayDirectory::new("near".into());
+    let mut directory = RelayDirectory::new("near".into(), Regions::new());
     for (n, load) in [0.1, 0.1, 0.1, 0.9, 1.0].into_iter().enumerate() {
         directory.record_reply(record(n, "near", 2), &[SERVICE], load, now);
     }
@@ -114,7 +115,7 @@
 #[test]
 fn a_relay_that_is_not_confirmed_is_dropped() {
     let (now, mut random) = (Instant::now(), StdRng::seed_from_u64(4));
-    let mut directory = RelayDirectory::new("near".into());
+    let mut directory = RelayDirectory::new("near".into(), Regions::new());
     directory.record_reply(record(0, "near", 2), &[SERVICE], 0.0, now);
     let later = now + ms(3_000);
     assert!(directory.pick(SERVICE, &[], later, &mut random).is_none());
@@ -123,7 +124,7 @@
 #[test]
 fn requests_spread_to_named_boxes_with_less_load() {
     let (now, mut random) = (Instant::now(), StdRng::seed_from_u64(5));
-    let mut directory = RelayDirectory::new("near".into());
+    let mut directory = RelayDirectory::new("near".into(), Regions::new());
     let announced: Vec<_> = fleet().into_iter().take(2).collect();
     let named: Vec<_> = fleet().into_iter().skip(2).take(8).collect();
     let mut asked = BTreeSet::new();
@@ -150,7 +151,7 @@
 #[test]
 fn only_a_few_boxes_are_asked_at_once_in_a_large_fleet() {
     let (now, mut random) = (Instant::now(), StdRng::seed_from_u64(6));
-    let mut directory = RelayDirectory::new("near".into());
+    let mut directory = RelayDirectory::new("near".into(), Regions::new());
     let fleet = (0..4300).map(|n| record(n % 200, &format!("dc-{n}"), 1));
     let fleet: Vec<_> = fleet.into_iter().collect();
     let boxes = directory.boxes_to_ask(&[SERVICE], &fleet, SERVED, now, &mut random);
@@ -160,10 +161,22 @@
 #[test]
 fn a_box_without_reports_from_others_asks_again_soon() {
     let (now, mut random) = (Instant::now(), StdRng::seed_from_u64(7));
-    let mut directory = RelayDirectory::new("near".into());
+    let mut directory = RelayDirectory::new("near".into(), Regions::new());
     for step in 0..5 {
         let at = now + ms(400) * step;
         let boxes = directory.boxes_to_ask(&[SERVICE], &fleet(), None, at, &mut random);
         assert!(!boxes.is_empty(), "after {} ms", 400 * step);
     }
 }
+
+#[test]
+fn boxes_of_another_region_are_not_asked() {
+    let (now, mut random) = (Instant::now(), StdRng::seed_from_u64(8));
+    let regions: Regions = [("near", "one"), ("far", "two")]
+        .map(|(data_centre, region)| (data_centre.into(), region.into()))
+        .into();
+    let mut directory = RelayDirectory::new("near".into(), regions);
+    let boxes = directory.boxes_to_ask(&[SERVICE], &fleet(), SERVED, now, &mut random);
+    assert!(!boxes.is_empty());
+    assert!(boxes.iter().all(|record| record.data_centre == "near"));
+}
