--- a/tests/soak/src/boxes.rs
+++ b/tests/soak/src/boxes.rs
@@ -125,12 +125,11 @@
         }
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.expect("the folder is writable");
+        // Why a box does not start stands on its standard error alone.
+        let errors = log.try_clone().expect("a file can be shared");
         let mut command = Command::new(&self.program);
         command.arg("run").arg(&self.path);
-        command
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(Stdio::null());
+        command.stdin(Stdio::null()).stdout(log).stderr(errors);
         let started = command.spawn();
         self.running =
             Some(started.unwrap_or_else(|error| panic!("{}: {error}", self.id)));
