A relay without a path is tested against passing a request on

The mutant that lets a relay hand a request over again passed all tests: the box cut off beside it was no relay for it. Now a relayed request is sent to a box that has lost its path and knows a relay; the mutant fails.

--- a/tests/tests/unreachable_servers.rs
+++ b/tests/tests/unreachable_servers.rs
@@ -13,8 +13,8 @@
 use wingspur_edge::{EdgeBox, Settings};
 use wingspur_protocol::{
     BoxRecord, RELAY_HEADER, RELAY_RESULT_HEADER, ReachabilityQuery, ReachabilityReply,
-    RelayResult, RelayedRequest, decode_relay_body, encode_relay_body,
-    encode_relay_header,
+    RelayResult, RelayedRequest, decode_relay_body, decode_relay_header,
+    encode_relay_body, encode_relay_header,
 };
 use wingspur_tests::{Answer, BackendServer, Head, PlatformStore, Reply, call, listen};
 use wingspur_transport::{PathFault, Workers};
@@ -239,6 +239,36 @@
     pair.close();
 }
 
+#[test]
+fn a_relay_without_a_path_does_not_pass_a_request_on_to_its_own_relay() {
+    let pair = Pair::start();
+    pair.cut_off();
+    let taken = pair.far.metrics().relayed("taken", "answered");
+    let relayed = encode_relay_header(&RelayedRequest {
+        protocol: 1,
+        fleet: "test".into(),
+        from: "box-9".into(),
+        bundle_version: 1,
+        service: "svc".into(),
+        attempts_made: 0,
+        key: None,
+    });
+    let headers = [
+        ("host", "site.example"),
+        ("x-wingspur-request-id", "second-hop"),
+        (RELAY_HEADER, relayed.as_str()),
+    ];
+    let to = pair.near.peer_address();
+    let answer = call(to, "POST", "/once_only/a", &headers, b"the body");
+    assert_eq!(answer.status, 503);
+    let result = &answer.headers[RELAY_RESULT_HEADER];
+    let result: RelayResult = decode_relay_header(result.as_bytes()).unwrap();
+    assert!(!result.is_taken);
+    assert_eq!(pair.far.metrics().relayed("taken", "answered"), taken);
+    assert!(!pair.executed_ids().contains(&"second-hop".to_owned()));
+    pair.close();
+}
+
 #[test]
 fn a_request_whose_relay_is_lost_is_in_doubt_and_not_sent_again() {
     let pair = Pair::start();
