--- a/crates/wingspur-edge/src/forwarding.rs
+++ b/crates/wingspur-edge/src/forwarding.rs
@@ -50,8 +50,8 @@
     was_relayed: bool,
     /// Who has sent the request to this box.
     origin: RequestOrigin,
-    /// Relays that have not taken the request.
-    declined_relays: Vec<BoxId>,
+    /// Relays that the request was handed to; none gets it twice.
+    tried_relays: Vec<BoxId>,
     /// Number of attempts at servers while this box did not reach the service and no other
     /// box was known to.
     attempts_without_path: u32,
@@ -138,7 +138,7 @@
             tried: Vec::new(),
             avoided: Vec::new(),
             origin,
-            declined_relays: Vec::new(),
+            tried_relays: Vec::new(),
             was_relayed: false,
             attempts_without_path: 0,
             unsent_attempts: 0,
@@ -337,7 +337,7 @@
     /// Hands the request to a relay; returns whether there is one.
     async fn send_to_relay(&mut self) -> bool {
         let max_wait = self.remaining() / 4;
-        let declined = &self.declined_relays;
+        let declined = &self.tried_relays;
         let relay = find_relay(&self.shared, &self.service, declined, max_wait).await;
         match relay {
             Some(relay) => self.start_relayed_attempt(relay),
@@ -345,7 +345,7 @@
                 tracing::info!(
                     id = id_text(self.outgoing.id.as_ref()),
                     service = self.service.name,
-                    declined = self.declined_relays.len(),
+                    declined = self.tried_relays.len(),
                     left_ms = self.remaining().as_millis() as u64,
                     "relay: none."
                 );
@@ -366,7 +366,7 @@
             left_ms = self.remaining().as_millis() as u64,
             "relay: sent."
         );
-        self.declined_relays.push(relay.id.clone());
+        self.tried_relays.push(relay.id.clone());
         self.was_relayed = true;
         self.resends.sent += 1;
         let in_flight = &self.outgoing.in_flight;
@@ -387,7 +387,7 @@
     fn pick_relay(&self) -> Option<BoxRecord> {
         let (key, now) = (self.service.key(), wingspur_clock::now());
         let directory = self.shared.relays.directory.lock();
-        directory.pick(key, &self.declined_relays, now, &mut rand::rng())
+        directory.pick(key, &self.tried_relays, now, &mut rand::rng())
     }
 
     /// Leaves out servers that this box has not reached lately, if it reaches none.
--- a/crates/wingspur-edge/src/path_check.rs
+++ b/crates/wingspur-edge/src/path_check.rs
@@ -106,8 +106,8 @@
 }
 
 /// Returns whether this box reaches any other service, so that the path is not at fault
-/// where all servers of one service fail. Where there is none, nothing speaks against the
-/// path.
+/// where all servers of one service fail. Where there is none, the path is only at fault
+/// if the service has several servers.
 pub async fn reaches_other_service(
     shared: &Arc<EdgeState>,
     service: &Arc<ServiceState>,
