The files of wingspur-edge lie in folders by job

Change: moves and paths only; no item changes. Conclusion: formatter, linter and the tests words_table, names and pages pass.

--- a/crates/wingspur-edge/src/announce.rs
+++ b/crates/wingspur-edge/src/catalog/announce.rs
@@ -7,9 +7,9 @@
 use wingspur_coordination::{AnnouncementInputs, AnnouncementStep, announcement_step};
 use wingspur_transport::{Announcement, CatalogError, StopSignal};
 
-use crate::catalog_watch::retry_backoff;
+use crate::catalog::catalog_watch::retry_backoff;
+use crate::catalog::store_calls::call_store;
 use crate::edge_state::EdgeState;
-use crate::store_calls::call_store;
 
 /// Announces this box in the store whenever it should be announced, and renews the lease
 /// of the announcement, until the box stops.
--- a/crates/wingspur-edge/src/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog/catalog_state.rs
@@ -9,10 +9,10 @@
 };
 use wingspur_state::{BundlePatch, BundleVersion, ServerId, StorePosition};
 
-use crate::directory_changes::apply_server_changes;
+use crate::catalog::directory_changes::apply_server_changes;
+use crate::catalog::evacuation::{begin_evacuation, end_evacuation, replace_evacuations};
 use crate::edge_state::EdgeState;
-use crate::evacuation::{begin_evacuation, end_evacuation, replace_evacuations};
-use crate::quarantine::{
+use crate::quotas::quarantine::{
     apply_quarantine, end_quarantine, quarantine_records, replace_quarantines,
 };
 
--- a/crates/wingspur-edge/src/catalog_watch.rs
+++ b/crates/wingspur-edge/src/catalog/catalog_watch.rs
@@ -9,10 +9,10 @@
 use wingspur_protocol::BoxRecord;
 use wingspur_transport::{CatalogError, StopSignal};
 
-use crate::catalog_state::{apply_store_changes, apply_store_snapshot};
-use crate::directory_changes::expire_missing_servers;
+use crate::catalog::catalog_state::{apply_store_changes, apply_store_snapshot};
+use crate::catalog::directory_changes::expire_missing_servers;
+use crate::catalog::store_calls::call_store;
 use crate::edge_state::EdgeState;
-use crate::store_calls::call_store;
 
 /// Reads the catalog from the store whenever this box should, until the box stops.
 pub async fn run_catalog_watch(shared: Arc<EdgeState>, stop: StopSignal) {
--- a/crates/wingspur-edge/src/directory_changes.rs
+++ b/crates/wingspur-edge/src/catalog/directory_changes.rs
@@ -6,8 +6,8 @@
 use wingspur_state::RegistryChange;
 
 use crate::edge_state::EdgeState;
-use crate::server_hints::record_announcements;
-use crate::suspect_requests::record_server_crashes;
+use crate::proxy::server_hints::record_announcements;
+use crate::proxy::suspect_requests::record_server_crashes;
 
 /// Applies changes of servers to the services, the announced states and the detection of
 /// server crashes, and logs them. `source` tells in the log where the changes come from.
--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -12,21 +12,21 @@
     Catalog, HttpListener, ListenerOptions, Spawner, StopSignal, StopTrigger, stop_pair,
 };
 
-use crate::announce::{run_announcement, withdraw_announcement};
-use crate::catalog_watch::run_catalog_watch;
-use crate::directory_changes::expire_missing_servers;
+use crate::catalog::announce::{run_announcement, withdraw_announcement};
+use crate::catalog::catalog_watch::run_catalog_watch;
+use crate::catalog::directory_changes::expire_missing_servers;
 use crate::edge_state::EdgeState;
-use crate::metrics::Metrics;
-use crate::operator::answer_operator;
+use crate::operation::metrics::Metrics;
+use crate::operation::operator::answer_operator;
+use crate::operation::settings::Settings;
+use crate::operation::shutdown::ShutdownSchedule;
 use crate::path_check::run_path_watch;
-use crate::peer_exchange::{
+use crate::peers::peer_exchange::{
     handle_peer_request, log_suspicion_changes, run_exchange, run_link_manager,
 };
-use crate::quarantine::run_quarantine;
-use crate::quota_leases::run_quota_leases;
-use crate::request::handle_request;
-use crate::settings::Settings;
-use crate::shutdown::ShutdownSchedule;
+use crate::proxy::request::handle_request;
+use crate::quotas::quarantine::run_quarantine;
+use crate::quotas::quota_leases::run_quota_leases;
 
 /// A running box.
 #[derive(Debug)]
--- a/crates/wingspur-edge/src/edge_state.rs
+++ b/crates/wingspur-edge/src/edge_state.rs
@@ -10,18 +10,18 @@
 };
 use wingspur_transport::{Announcement, Catalog, Connector, Spawner};
 
-use crate::active_bundle::ActiveBundle;
-use crate::in_flight_requests::InFlightRequests;
-use crate::links::Links;
+use crate::catalog::active_bundle::ActiveBundle;
 use crate::locks::{LockRank, RankedMutex};
-use crate::metrics::Metrics;
 use crate::notify::Notify;
-use crate::quarantine_state::QuarantineState;
-use crate::relay_search::Relays;
-use crate::resend_leases::ResendLeases;
+use crate::operation::metrics::Metrics;
+use crate::operation::settings::Settings;
+use crate::operation::shutdown::Shutdown;
+use crate::peers::links::Links;
+use crate::peers::relay_search::Relays;
+use crate::proxy::in_flight_requests::InFlightRequests;
+use crate::quotas::quarantine_state::QuarantineState;
+use crate::quotas::resend_leases::ResendLeases;
 use crate::services::Services;
-use crate::settings::Settings;
-use crate::shutdown::Shutdown;
 
 /// The state that all tasks of a box share.
 #[derive(Debug)]
--- a/crates/wingspur-edge/src/metrics.rs
+++ b/crates/wingspur-edge/src/operation/metrics.rs
@@ -12,7 +12,7 @@
 use wingspur_state::{RetryReason, StopReason, SuspectEvent};
 use wingspur_transport::HttpClientTotals;
 
-use crate::quarantine_state::SendPermission;
+use crate::quotas::quarantine_state::SendPermission;
 
 /// The metrics of one box.
 #[derive(Debug, Clone)]
--- a/crates/wingspur-edge/src/shutdown.rs
+++ b/crates/wingspur-edge/src/operation/shutdown.rs
@@ -6,7 +6,7 @@
 use wingspur_protocol::ResultCode;
 use wingspur_transport::{StopSignal, StopTrigger, stop_pair};
 
-use crate::settings::Settings;
+use crate::operation::settings::Settings;
 
 /// Whether the box is stopping, and by when all requests must have their responses.
 #[derive(Debug)]
--- a/crates/wingspur-edge/src/path_check.rs
+++ b/crates/wingspur-edge/src/path_check.rs
@@ -11,7 +11,7 @@
 use wingspur_transport::StopSignal;
 
 use crate::edge_state::EdgeState;
-use crate::relay_search::{close_unused_relays, search_relays};
+use crate::peers::relay_search::{close_unused_relays, search_relays};
 use crate::services::ServiceState;
 
 /// Records that a new connection to a server was opened.
--- a/crates/wingspur-edge/src/links.rs
+++ b/crates/wingspur-edge/src/peers/links.rs
@@ -20,8 +20,8 @@
 };
 use wingspur_transport::LinkSender;
 
-use crate::active_link::{ActiveLink, InitialState};
-use crate::resend_leases::{LeaseSources, ResendBudgetReports};
+use crate::peers::active_link::{ActiveLink, InitialState};
+use crate::quotas::resend_leases::{LeaseSources, ResendBudgetReports};
 
 /// The links of this box, with what is still to be sent on each.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/wingspur-edge/src/peers/mod.rs
@@ -0,0 +1,9 @@
+//! Links to other boxes, and what boxes send each other over them.
+
+pub mod active_link;
+pub mod lease_messages;
+pub mod links;
+pub mod peer_body;
+pub mod peer_exchange;
+pub mod relay_requests;
+pub mod relay_search;
--- a/crates/wingspur-edge/src/peer_body.rs
+++ b/crates/wingspur-edge/src/peers/peer_body.rs
@@ -6,7 +6,7 @@
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use wingspur_transport::{BodyError, LinkBody};
 
-use crate::response_body::ResponseBody;
+use crate::proxy::response_body::ResponseBody;
 
 /// The body of a response to another box.
 pub enum PeerBody {
--- a/crates/wingspur-edge/src/peer_exchange.rs
+++ b/crates/wingspur-edge/src/peers/peer_exchange.rs
@@ -19,21 +19,23 @@
     empty_link_body, open_link,
 };
 
-use crate::active_link::InitialState;
-use crate::catalog_state::{apply_peer_update, catch_up_update, current_snapshot};
+use crate::catalog::catalog_state::{
+    apply_peer_update, catch_up_update, current_snapshot,
+};
+use crate::catalog::store_calls::handle_store_era;
 use crate::edge_state::EdgeState;
-use crate::links::OutgoingFrame;
-use crate::peer_body::PeerBody;
-use crate::quota_leases::handle_lease_messages;
-use crate::relay_requests::handle_relayed_request;
-use crate::relay_search::answer_query;
-use crate::request_log::round_for_log;
-use crate::resend_lease_exchange::resend_budget_reports;
-use crate::response_body::ResponseBody;
-use crate::server_hints::{handle_draining_updates, handle_limit_updates};
+use crate::peers::active_link::InitialState;
+use crate::peers::links::OutgoingFrame;
+use crate::peers::peer_body::PeerBody;
+use crate::peers::relay_requests::handle_relayed_request;
+use crate::peers::relay_search::answer_query;
+use crate::proxy::request_log::round_for_log;
+use crate::proxy::response_body::ResponseBody;
+use crate::proxy::server_hints::{handle_draining_updates, handle_limit_updates};
+use crate::proxy::suspect_requests::{handle_suspect_updates, initial_suspect_updates};
+use crate::quotas::quota_leases::handle_lease_messages;
+use crate::quotas::resend_lease_exchange::resend_budget_reports;
 use crate::services::ServiceState;
-use crate::store_calls::handle_store_era;
-use crate::suspect_requests::{handle_suspect_updates, initial_suspect_updates};
 
 /// Opens and closes links until the box stops.
 pub async fn run_link_manager(shared: Arc<EdgeState>, stop: StopSignal) {
--- a/crates/wingspur-edge/src/admission.rs
+++ b/crates/wingspur-edge/src/proxy/admission.rs
@@ -11,9 +11,9 @@
 use wingspur_protocol::ResultCode;
 use wingspur_state::{ClientAccount, KeyDigest};
 
-use crate::active_bundle::{ActiveBundle, ActiveRoute};
+use crate::catalog::active_bundle::{ActiveBundle, ActiveRoute};
 use crate::edge_state::EdgeState;
-use crate::request_error::RequestError;
+use crate::proxy::request_error::RequestError;
 
 /// A request to be admitted.
 #[derive(Debug, Clone, Copy)]
--- a/crates/wingspur-edge/src/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -18,21 +18,21 @@
     SendBody,
 };
 
-use crate::active_bundle::ActiveRoute;
-use crate::admission::Principal;
+use crate::catalog::active_bundle::ActiveRoute;
 use crate::edge_state::EdgeState;
-use crate::in_flight_requests::InFlightGuard;
 use crate::path_check::{check_path_soon, record_connected, record_unreached};
-use crate::peer_exchange::send_urgent_on_suspect;
-use crate::relayed_attempt::RelayGuard;
-use crate::request_error::BufferedResponse;
-use crate::request_head::{reuse_policy, serialize_head};
-use crate::request_log::id_text;
-use crate::server_hints::observe_response;
-use crate::services::ServiceState;
-use crate::suspect_requests::{
+use crate::peers::peer_exchange::send_urgent_on_suspect;
+use crate::proxy::admission::Principal;
+use crate::proxy::in_flight_requests::InFlightGuard;
+use crate::proxy::relayed_attempt::RelayGuard;
+use crate::proxy::request_error::BufferedResponse;
+use crate::proxy::request_head::{reuse_policy, serialize_head};
+use crate::proxy::request_log::id_text;
+use crate::proxy::server_hints::observe_response;
+use crate::proxy::suspect_requests::{
     InterruptedAttempt, check_for_server_crash, record_completed,
 };
+use crate::services::ServiceState;
 
 /// A request as it is sent on every attempt, without the body.
 #[derive(Debug)]
--- a/crates/wingspur-edge/src/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -15,22 +15,24 @@
 };
 use wingspur_transport::SendBody;
 
-use crate::active_bundle::ActiveRoute;
-use crate::attempt::{AttemptResult, FailedAttempt, UpstreamAttempt, UpstreamRequest};
+use crate::catalog::active_bundle::ActiveRoute;
 use crate::edge_state::EdgeState;
-use crate::quarantine::{is_quarantined, wait_for_send_permit};
-use crate::quarantine_state::SendPermission;
-use crate::relay_search::find_relay;
-use crate::relayed_attempt::RelayedAttempt;
-use crate::request::RequestOrigin;
-use crate::request_error::RequestError;
-use crate::request_head::reuse_policy;
-use crate::request_log::{id_text, log_give_up, log_pick, round_for_log};
-use crate::resend_lease_exchange::lease_resend;
-use crate::resend_reservation::ResendReservation;
-use crate::server_hints::{MAX_PRIORITY_LEVEL, acquire_server_quota};
+use crate::peers::relay_search::find_relay;
+use crate::proxy::attempt::{
+    AttemptResult, FailedAttempt, UpstreamAttempt, UpstreamRequest,
+};
+use crate::proxy::relayed_attempt::RelayedAttempt;
+use crate::proxy::request::RequestOrigin;
+use crate::proxy::request_error::RequestError;
+use crate::proxy::request_head::reuse_policy;
+use crate::proxy::request_log::{id_text, log_give_up, log_pick, round_for_log};
+use crate::proxy::resend_reservation::ResendReservation;
+use crate::proxy::server_hints::{MAX_PRIORITY_LEVEL, acquire_server_quota};
+use crate::proxy::suspect_requests::{InterruptedAttempt, check_for_server_crash};
+use crate::quotas::quarantine::{is_quarantined, wait_for_send_permit};
+use crate::quotas::quarantine_state::SendPermission;
+use crate::quotas::resend_lease_exchange::lease_resend;
 use crate::services::ServiceState;
-use crate::suspect_requests::{InterruptedAttempt, check_for_server_crash};
 
 /// Forwards one request: picks servers, and sends retries and hedges within the retry
 /// budget.
--- /dev/null
+++ b/crates/wingspur-edge/src/proxy/mod.rs
@@ -0,0 +1,17 @@
+//! The path of a request: admission, forwarding to backend servers, and the response.
+
+pub mod admission;
+pub mod attempt;
+pub mod error_response;
+pub mod forwarding;
+pub mod headers;
+pub mod in_flight_requests;
+pub mod relayed_attempt;
+pub mod request;
+pub mod request_error;
+pub mod request_head;
+pub mod request_log;
+pub mod resend_reservation;
+pub mod response_body;
+pub mod server_hints;
+pub mod suspect_requests;
--- a/crates/wingspur-edge/src/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -14,15 +14,15 @@
     BackendConnection, BackendConnections, ResponseError, ResponseHead, SendBody,
 };
 
-use crate::active_bundle::ActiveRoute;
-use crate::attempt::{
+use crate::catalog::active_bundle::ActiveRoute;
+use crate::edge_state::EdgeState;
+use crate::proxy::attempt::{
     AttemptResult, FailedAttempt, LATE_RESPONSE_GRACE, MAX_BUFFERED_BYTES, ResponseGuard,
     UpstreamRequest,
 };
-use crate::edge_state::EdgeState;
-use crate::request_error::BufferedResponse;
-use crate::request_head::{reuse_policy, serialize_head};
-use crate::request_log::id_text;
+use crate::proxy::request_error::BufferedResponse;
+use crate::proxy::request_head::{reuse_policy, serialize_head};
+use crate::proxy::request_log::id_text;
 use crate::services::ServiceState;
 
 /// Inputs of one attempt through another box.
--- a/crates/wingspur-edge/src/request.rs
+++ b/crates/wingspur-edge/src/proxy/request.rs
@@ -16,23 +16,23 @@
 use wingspur_state::{KeyDigest, RequestFingerprint, RequestParts};
 use wingspur_transport::{ResponseHead, SendBody};
 
-use crate::active_bundle::ActiveRoute;
-use crate::admission::{
+use crate::catalog::active_bundle::ActiveRoute;
+use crate::edge_state::EdgeState;
+use crate::operation::shutdown::shutdown_result;
+use crate::peers::relay_requests::add_result;
+use crate::proxy::admission::{
     AdmissionRequest, Principal, admit, bearer_key, find_route, strip_credentials,
 };
-use crate::attempt::{AttemptResult, UpstreamRequest};
-use crate::edge_state::EdgeState;
-use crate::error_response::error_response;
-use crate::forwarding::RequestForwarder;
-use crate::headers::{check_framing, strip_hop_by_hop};
-use crate::in_flight_requests::InFlightGuard;
-use crate::quota_leases::enforce_account_limit;
-use crate::relay_requests::add_result;
-use crate::request_error::{BufferedResponse, RequestError};
-use crate::request_log::RequestLog;
-use crate::response_body::{ResponseBody, StreamBody};
+use crate::proxy::attempt::{AttemptResult, UpstreamRequest};
+use crate::proxy::error_response::error_response;
+use crate::proxy::forwarding::RequestForwarder;
+use crate::proxy::headers::{check_framing, strip_hop_by_hop};
+use crate::proxy::in_flight_requests::InFlightGuard;
+use crate::proxy::request_error::{BufferedResponse, RequestError};
+use crate::proxy::request_log::RequestLog;
+use crate::proxy::response_body::{ResponseBody, StreamBody};
+use crate::quotas::quota_leases::enforce_account_limit;
 use crate::services::ServiceState;
-use crate::shutdown::shutdown_result;
 
 /// Who has sent a request to this box.
 #[derive(Debug, Clone)]
--- a/crates/wingspur-edge/src/request_head.rs
+++ b/crates/wingspur-edge/src/proxy/request_head.rs
@@ -8,7 +8,7 @@
 use wingspur_state::RouteClass;
 use wingspur_transport::{ReusePolicy, SendBody};
 
-use crate::attempt::UpstreamRequest;
+use crate::proxy::attempt::UpstreamRequest;
 
 /// Serializes the head of a request for one attempt, with the time that is left for it
 /// and the headers of this attempt alone.
--- a/crates/wingspur-edge/src/request_log.rs
+++ b/crates/wingspur-edge/src/proxy/request_log.rs
@@ -9,14 +9,14 @@
 use wingspur_protocol::ResultCode;
 use wingspur_state::{BoxId, BundleVersion, ClientAccount, Pick, RequestFingerprint};
 
-use crate::active_bundle::ActiveRoute;
-use crate::admission::Principal;
+use crate::catalog::active_bundle::ActiveRoute;
 use crate::edge_state::EdgeState;
-use crate::error_response::RESULT_HEADER;
-use crate::in_flight_requests::InFlightGuard;
-use crate::metrics::Metrics;
-use crate::request::RequestOrigin;
-use crate::request_error::RequestError;
+use crate::operation::metrics::Metrics;
+use crate::proxy::admission::Principal;
+use crate::proxy::error_response::RESULT_HEADER;
+use crate::proxy::in_flight_requests::InFlightGuard;
+use crate::proxy::request::RequestOrigin;
+use crate::proxy::request_error::RequestError;
 
 /// Collects what is logged of one request, from its head to its outcome.
 ///
--- a/crates/wingspur-edge/src/response_body.rs
+++ b/crates/wingspur-edge/src/proxy/response_body.rs
@@ -9,8 +9,8 @@
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use wingspur_transport::{BackendConnection, BodyError, poll_buffered};
 
-use crate::attempt::ResponseGuard;
-use crate::in_flight_requests::InFlightGuard;
+use crate::proxy::attempt::ResponseGuard;
+use crate::proxy::in_flight_requests::InFlightGuard;
 
 /// The body of a response to a caller.
 pub enum ResponseBody {
--- a/crates/wingspur-edge/src/server_hints.rs
+++ b/crates/wingspur-edge/src/proxy/server_hints.rs
@@ -14,7 +14,7 @@
 use wingspur_transport::ResponseHead;
 
 use crate::edge_state::EdgeState;
-use crate::quota_leases::acquire_quota;
+use crate::quotas::quota_leases::acquire_quota;
 
 /// Applies the hints in a server's response head, regardless of what happens to the
 /// response afterwards, and returns them.
--- a/crates/wingspur-edge/src/suspect_requests.rs
+++ b/crates/wingspur-edge/src/proxy/suspect_requests.rs
@@ -11,12 +11,12 @@
 };
 use wingspur_transport::ConnectError;
 
-use crate::attempt::AttemptGuard;
 use crate::edge_state::EdgeState;
 use crate::path_check::{
     check_path, reaches_other_service, record_connected, record_unreached,
 };
-use crate::quarantine::{is_quarantined, store_quarantine};
+use crate::proxy::attempt::AttemptGuard;
+use crate::quotas::quarantine::{is_quarantined, store_quarantine};
 
 /// An attempt whose connection ended before the response was complete.
 pub struct InterruptedAttempt {
--- a/crates/wingspur-edge/src/quarantine.rs
+++ b/crates/wingspur-edge/src/quotas/quarantine.rs
@@ -18,10 +18,10 @@
 };
 use wingspur_transport::{CatalogError, ConditionalWriteResult, StopSignal};
 
+use crate::catalog::store_calls::call_store;
 use crate::edge_state::EdgeState;
-use crate::lease_messages::send_lease_messages;
-use crate::quarantine_state::SendPermission;
-use crate::store_calls::call_store;
+use crate::peers::lease_messages::send_lease_messages;
+use crate::quotas::quarantine_state::SendPermission;
 
 /// Waits until a request may be sent, or until it is known that it may not be before
 /// `deadline`.
--- a/crates/wingspur-edge/src/resend_lease_exchange.rs
+++ b/crates/wingspur-edge/src/quotas/resend_lease_exchange.rs
@@ -10,8 +10,8 @@
 use wingspur_state::{RESEND_LEASE_TTL, ResendKind, server_key};
 
 use crate::edge_state::EdgeState;
-use crate::lease_messages::send_lease_messages;
-use crate::resend_leases::{ForwardedRequest, ResendBudgetReports, resend_kind};
+use crate::peers::lease_messages::send_lease_messages;
+use crate::quotas::resend_leases::{ForwardedRequest, ResendBudgetReports, resend_kind};
 use crate::services::ServiceState;
 
 /// Asks other boxes for one unit of retry budget. Returns whether it was granted in time.
--- a/tests/tests/words_table.rs
+++ b/tests/tests/words_table.rs
@@ -7,10 +7,10 @@
 const LET_PASS: &str = "let pass";
 /// The files that read headers and statuses of others on the platform's path.
 const READERS: [&str; 8] = [
-    "crates/wingspur-edge/src/admission.rs",
-    "crates/wingspur-edge/src/attempt.rs",
-    "crates/wingspur-edge/src/headers.rs",
-    "crates/wingspur-edge/src/request.rs",
+    "crates/wingspur-edge/src/proxy/admission.rs",
+    "crates/wingspur-edge/src/proxy/attempt.rs",
+    "crates/wingspur-edge/src/proxy/headers.rs",
+    "crates/wingspur-edge/src/proxy/request.rs",
     "crates/wingspur-transport/src/response_head.rs",
     "crates/wingspur-transport/src/backend.rs",
     "crates/wingspur-transport/src/server_hints.rs",
