Shares of quotas are used at once after a loss of all boxes

Cause: a box that starts waits 0.8 s before it delegates its share, since a hub may still hold the delegation of its previous instance. After a loss of all boxes none does, and no request of a limited account was served meanwhile. Change: a hub that has all possible hubs of its data centre as members, none of them with delegations, tells its members so; they delegate at once. A new link of a box ends the delegation of the box's earlier link.

--- a/crates/wingspur-coordination/src/delegation.rs
+++ b/crates/wingspur-coordination/src/delegation.rs
@@ -13,7 +13,7 @@
 /// since its last delegation, or when the hub has closed the link in order, since the hub
 /// releases the share before it does. A box that has just started waits as long, because
 /// a delegation of its previous instance may still be valid, unless the whole fleet
-/// starts for the first time.
+/// starts for the first time or no box holds such a delegation.
 #[derive(Debug, Clone, Copy)]
 pub struct ShareDelegation {
     delegate: Option<LinkId>,
@@ -58,6 +58,14 @@
         }
     }
 
+    /// Records that no box holds a delegation of this box's previous instance. Has no
+    /// effect once this instance has delegated its share.
+    pub fn end_start_wait(&mut self, now: Instant) {
+        if self.delegate.is_none() {
+            self.free_from = self.free_from.min(now);
+        }
+    }
+
     /// Returns whether no hub uses the share any more.
     pub fn is_free(&self, now: Instant) -> bool {
         now >= self.free_from
--- a/crates/wingspur-coordination/src/fleet_view.rs
+++ b/crates/wingspur-coordination/src/fleet_view.rs
@@ -59,6 +59,8 @@
     pub reported_fleet_size: usize,
     /// The other data centres.
     pub data_centres: Vec<DataCentreId>,
+    /// The other announced boxes of this box's data centre, which may be its hub.
+    pub hub_candidates: Vec<BoxKey>,
     /// Whether this box is the hub of its data centre.
     pub is_hub: bool,
     /// Whether it is the hub in place of another box that it cannot reach.
@@ -77,6 +79,10 @@
 #[derive(Debug)]
 struct ObservedLink {
     data_centre: DataCentreId,
+    /// Key of the box at the other side.
+    key: BoxKey,
+    /// Whether a later instance of that box has linked itself.
+    is_superseded: bool,
     role: PeerRole,
     status: FleetStatus,
     /// Latest moment at which the peer is known to have been running; at first, when the
@@ -143,8 +149,18 @@
             PeerRole::Member => self.registry.add_member(id, peer.key),
             PeerRole::Hub | PeerRole::OwnHub => self.registry.add_hub(id),
         }
+        for earlier in self.links.values_mut() {
+            if earlier.key == peer.key {
+                // The share that the previous instance delegated is now used by the new
+                // one, or delegated by it.
+                earlier.is_superseded = true;
+                earlier.delegated_at = None;
+            }
+        }
         let link = ObservedLink {
             data_centre: peer.data_centre,
+            key: peer.key,
+            is_superseded: false,
             role,
             status: FleetStatus::default(),
             last_seen: now,
@@ -216,9 +232,13 @@
         link.status = status;
         link.last_seen = as_of.unwrap_or(link.last_seen);
         link.as_of = as_of.or(link.as_of);
-        if status.delegates_shares && link.role == PeerRole::Member {
+        if status.delegates_shares && link.role == PeerRole::Member && !link.is_superseded
+        {
             link.delegated_at = as_of.or(link.delegated_at);
         }
+        if status.is_sole_delegate && link.role == PeerRole::OwnHub {
+            self.delegation.end_start_wait(now);
+        }
         if link.role == PeerRole::OwnHub
             && let Some(as_of) = as_of
             && let Some(contact_age_ms) = status.hub_contact_age_ms
@@ -247,17 +267,55 @@
             to_member: FleetStatus {
                 boxes: self.fleet_size(announcements, now) as u32,
                 hub_contact_age_ms: contact_age_ms,
+                is_sole_delegate: self.is_sole_delegate(announcements, now),
                 ..FleetStatus::default()
             },
             to_hub: FleetStatus {
-                boxes: 0,
                 counted: self.registry.count(now) as u32,
                 hub_contact_age_ms: contact_age_ms,
-                delegates_shares: false,
+                ..FleetStatus::default()
             },
         }
     }
 
+    /// Returns whether this hub knows that no other box of its data centre holds a
+    /// delegation: all boxes that may have been its hub are members of this one, and say
+    /// that they hold none.
+    ///
+    /// Without this a box that restarts cannot use its share for `DELEGATION_TTL`, and
+    /// after a loss of all boxes no account is served for as long. Boxes that are not
+    /// announced are only hubs of boxes that still have links to them from before, and
+    /// then this box has such a link too.
+    fn is_sole_delegate(&self, announcements: &AnnouncementView, now: Instant) -> bool {
+        let is_current = announcements
+            .age
+            .is_some_and(|age| age <= MAX_CANDIDATES_AGE);
+        let has_hub = self.links_with_role(PeerRole::OwnHub).next().is_some();
+        let candidates = &announcements.hub_candidates;
+        let is_released = |candidate: &BoxKey| {
+            self.links_with_role(PeerRole::Member).any(|link| {
+                let is_recent = link
+                    .as_of
+                    .is_some_and(|at| now.saturating_duration_since(at) < HUB_TIMEOUT);
+                link.key == *candidate
+                    && !link.is_superseded
+                    && is_recent
+                    && !link.status.holds_delegations
+            })
+        };
+        announcements.is_hub
+            && is_current
+            && !has_hub
+            && candidates.len() >= MIN_CANDIDATES
+            && candidates.iter().all(is_released)
+    }
+
+    /// Returns whether a member's delegation to this box is still valid.
+    fn is_delegated(link: &ObservedLink, now: Instant) -> bool {
+        let delegated_at = link.delegated_at;
+        delegated_at.is_some_and(|at| now.saturating_duration_since(at) < DELEGATION_TTL)
+    }
+
     /// Records the present number of boxes, and returns the number of boxes in the fleet
     /// as far as this box knows.
     pub fn fleet_size(
@@ -319,8 +377,12 @@
     ) -> FleetStatus {
         let role = self.links.get(&id).map_or(PeerRole::Hub, |link| link.role);
         let mut status = notes.note_for(role);
-        status.delegates_shares =
-            role == PeerRole::OwnHub && self.delegation.delegate_to(id, now);
+        if role == PeerRole::OwnHub {
+            status.delegates_shares = self.delegation.delegate_to(id, now);
+            status.holds_delegations = self
+                .links_with_role(PeerRole::Member)
+                .any(|link| Self::is_delegated(link, now));
+        }
         status
     }
 
@@ -338,14 +400,12 @@
         if !self.may_use_share(announcements, now) {
             return 0.0;
         }
-        let is_delegated = |link: &&ObservedLink| {
-            let delegated_at = link.delegated_at;
-            delegated_at
-                .is_some_and(|at| now.saturating_duration_since(at) < DELEGATION_TTL)
-        };
+        if self.is_sole_delegate(announcements, now) {
+            self.delegation.end_start_wait(now);
+        }
         let delegating = self
             .links_with_role(PeerRole::Member)
-            .filter(is_delegated)
+            .filter(|link| Self::is_delegated(link, now))
             .count();
         let shares = delegating + usize::from(self.delegation.is_free(now));
         let counted = self.size_tracker.max_within(MAX_HOLD, now);
@@ -533,6 +593,12 @@
 /// A hub that has been silent for this long is lost or about to be: links time out after
 /// the same time.
 const HUB_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum age of a hub's view of the announcements for it to know all boxes that may have
+/// been the hub of its data centre: a hub reads the store at least this often.
+const MAX_CANDIDATES_AGE: Duration = Duration::from_secs(2);
+/// Minimum number of other announced boxes in a data centre. With fewer, announcements may
+/// have lapsed during an outage of the store while their boxes still run.
+const MIN_CANDIDATES: usize = 2;
 /// A box whose last contact with the fleet is older than this counts as cut off.
 const MAX_CONTACT_AGE: Duration = Duration::from_secs(2);
 /// A box without contact to all data centres stops using its share when its view of the
--- a/crates/wingspur-coordination/src/link_plan.rs
+++ b/crates/wingspur-coordination/src/link_plan.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use wingspur_protocol::{BoxRecord, LinkRole};
-use wingspur_state::{BoxId, DataCentreId, FleetSize};
+use wingspur_state::{BoxId, BoxKey, DataCentreId, FleetSize};
 
 use crate::hash_of;
 
@@ -190,6 +190,12 @@
         candidates.filter(|record| rank_of(record) < own).count()
     }
 
+    /// Returns the keys of the other announced boxes of this data centre.
+    pub fn hub_candidates(&self) -> Vec<BoxKey> {
+        let candidates = self.boxes_in(&self.own.data_centre);
+        candidates.map(|record| hash_of(&record.id)).collect()
+    }
+
     /// Returns the hub of a data centre; `None` if that is this box or no candidate is
     /// reachable.
     fn hub_of(&self, data_centre: &DataCentreId, now: Instant) -> Option<&BoxRecord> {
--- a/crates/wingspur-edge/src/peers/links.rs
+++ b/crates/wingspur-edge/src/peers/links.rs
@@ -610,6 +610,7 @@
             announced_boxes: self.planner.size().max(reported),
             reported_fleet_size: self.planner.reported_fleet_size(),
             data_centres: self.planner.other_data_centres(),
+            hub_candidates: self.planner.hub_candidates(),
             is_hub,
             is_acting_hub: is_hub && self.planner.rank() > 0,
             age: is_age_known.then(|| Duration::from_millis(freshness.age_ms.into())),
--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -275,6 +275,14 @@
     /// From a member, whether it delegates its share of the fleet's quotas to the hub.
     #[serde(default)]
     pub delegates_shares: bool,
+    /// From a member, whether other boxes have delegated shares to it that it may still
+    /// use.
+    #[serde(default)]
+    pub holds_delegations: bool,
+    /// From a hub to a member, whether the hub knows that no other box of the data centre
+    /// holds a delegation.
+    #[serde(default)]
+    pub is_sole_delegate: bool,
 }
 
 /// The boxes that a hub counts, as far as it has not yet reported them to another hub.
--- a/tests/tests/budget_bound.rs
+++ b/tests/tests/budget_bound.rs
@@ -380,6 +380,7 @@
             announced_boxes: 1,
             reported_fleet_size: 0,
             data_centres: elsewhere.map(name_of).collect(),
+            hub_candidates: Vec::new(),
             is_hub: self.is_hub(place),
             is_acting_hub: false,
             age: Some(Duration::ZERO),
--- a/tests/tests/budgets.rs
+++ b/tests/tests/budgets.rs
@@ -59,6 +59,7 @@
         announced_boxes: 1,
         reported_fleet_size: 0,
         data_centres: others.iter().map(|name| centre(name)).collect(),
+        hub_candidates: Vec::new(),
         is_hub: true,
         is_acting_hub: false,
         age: Some(Duration::ZERO),
@@ -295,7 +296,7 @@
         boxes: 40,
         counted: 0,
         hub_contact_age_ms: touch_ms,
-        delegates_shares: false,
+        ..FleetStatus::default()
     };
     let after_join = |touch_ms| {
         let start = Instant::now() + seconds(100);
@@ -473,6 +474,7 @@
         counted: 35,
         hub_contact_age_ms: None,
         delegates_shares: false,
+        ..FleetStatus::default()
     };
     view.receive(1, note, &known, Some(now), now);
     assert_eq!(view.fleet_size(&known, now), 35);
--- a/tests/tests/fleet_play/mod.rs
+++ b/tests/tests/fleet_play/mod.rs
@@ -43,6 +43,8 @@
 const QUOTA_TIMEOUT_MS: u64 = 1_800;
 /// Time after its start at which an instance has its links and serves callers.
 const LINK_SETUP_MS: u64 = 400;
+/// Number of announced boxes in a data centre.
+const ANNOUNCED_BOXES: usize = 6;
 pub const END_MS: u64 = 40_000;
 /// Callers send requests from this time on, when the fleet has settled.
 pub const OPEN_MS: u64 = 6_000;
@@ -576,12 +578,25 @@
                 0
             },
             data_centres: others.map(centre).collect(),
+            hub_candidates: self.hub_candidates(place),
             is_hub: self.is_hub(place),
             is_acting_hub: false,
             age: Some(Duration::ZERO),
         }
     }
 
+    /// Returns the announced boxes of a box's data centre without the box itself. Their
+    /// announcements outlast the losses of these scenarios.
+    fn hub_candidates(&self, place: usize) -> Vec<u64> {
+        let here = (0..self.boxes_planned)
+            .filter(|other| other % DATA_CENTRES == place % DATA_CENTRES);
+        let announced = here.take(ANNOUNCED_BOXES);
+        announced
+            .filter(|other| *other != place)
+            .map(key_of)
+            .collect()
+    }
+
     fn send(&mut self, from: Instance, to: Instance, payload: Payload) {
         let transit_ms = self.random.random_range(MIN_TRANSIT_MS..=MAX_TRANSIT_MS);
         let due_ms = (self.scenario.passes)(self.now_ms + transit_ms);
