Log lines of wingspur-edge take values, not request types

Cause: request_log imported the origin of a request from request, which imports request_log; peers and quotas imported the log of requests for its rounding. Change: RequestLog takes the id of the box that handed a request over; the two functions that format values lie in log_values.

--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -5,6 +5,7 @@
 mod edge_box;
 mod edge_state;
 mod locks;
+mod log_values;
 mod notify;
 mod operation;
 mod path_check;
--- a/crates/wingspur-edge/src/peers/peer_exchange.rs
+++ b/crates/wingspur-edge/src/peers/peer_exchange.rs
@@ -24,12 +24,12 @@
 };
 use crate::catalog::store_calls::handle_store_era;
 use crate::edge_state::EdgeState;
+use crate::log_values::round_for_log;
 use crate::peers::active_link::InitialState;
 use crate::peers::links::OutgoingFrame;
 use crate::peers::peer_body::PeerBody;
 use crate::peers::relay_requests::handle_relayed_request;
 use crate::peers::relay_search::answer_query;
-use crate::proxy::request_log::round_for_log;
 use crate::proxy::response_body::ResponseBody;
 use crate::proxy::server_hints::{handle_draining_updates, handle_limit_updates};
 use crate::proxy::suspect_requests::{handle_suspect_updates, initial_suspect_updates};
--- a/crates/wingspur-edge/src/peers/relay_requests.rs
+++ b/crates/wingspur-edge/src/peers/relay_requests.rs
@@ -12,10 +12,10 @@
 };
 
 use crate::edge_state::EdgeState;
+use crate::log_values::id_text;
 use crate::peers::relay_search::{is_relaying, relay_load};
 use crate::proxy::error_response::error_response;
 use crate::proxy::request::{RequestOrigin, respond};
-use crate::proxy::request_log::id_text;
 use crate::proxy::response_body::ResponseBody;
 
 /// Forwards a request that another box hands over. If this box cannot forward it now, the
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -20,6 +20,7 @@
 
 use crate::catalog::active_bundle::ActiveRoute;
 use crate::edge_state::EdgeState;
+use crate::log_values::id_text;
 use crate::path_check::{check_path_soon, record_connected, record_unreached};
 use crate::peers::peer_exchange::send_urgent_on_suspect;
 use crate::proxy::admission::Principal;
@@ -27,7 +28,6 @@
 use crate::proxy::relayed_attempt::RelayGuard;
 use crate::proxy::request_error::BufferedResponse;
 use crate::proxy::request_head::{reuse_policy, serialize_head};
-use crate::proxy::request_log::id_text;
 use crate::proxy::server_hints::observe_response;
 use crate::proxy::suspect_requests::{
     InterruptedAttempt, check_for_server_crash, record_completed,
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -16,13 +16,13 @@
 
 use crate::catalog::active_bundle::ActiveRoute;
 use crate::edge_state::EdgeState;
+use crate::log_values::id_text;
 use crate::proxy::attempt::{
     AttemptResult, FailedAttempt, LATE_RESPONSE_GRACE, MAX_BUFFERED_BYTES, ResponseGuard,
     UpstreamRequest,
 };
 use crate::proxy::request_error::BufferedResponse;
 use crate::proxy::request_head::{reuse_policy, serialize_head};
-use crate::proxy::request_log::id_text;
 use crate::services::ServiceState;
 
 /// Inputs of one attempt through another box.
--- a/crates/wingspur-edge/src/proxy/request.rs
+++ b/crates/wingspur-edge/src/proxy/request.rs
@@ -88,7 +88,8 @@
     let is_before_http_11 = request.version() < Version::HTTP_11;
     let arrived = wingspur_clock::now();
     let id = request.headers().get(shared.header_names.request_id);
-    let mut log = RequestLog::begin(id, &shared, arrived, &origin);
+    let from_box = origin.relayed().map(|relayed| relayed.from.clone());
+    let mut log = RequestLog::begin(id, &shared, arrived, from_box);
     let forwarded =
         async { Some(forward(&shared, request, arrived, &origin, &mut log).await) };
     let stopped = async {
--- a/crates/wingspur-edge/src/proxy/request_log.rs
+++ b/crates/wingspur-edge/src/proxy/request_log.rs
@@ -11,11 +11,11 @@
 
 use crate::catalog::active_bundle::ActiveRoute;
 use crate::edge_state::EdgeState;
+use crate::log_values::{id_text, round_for_log};
 use crate::operation::metrics::Metrics;
 use crate::proxy::admission::Principal;
 use crate::proxy::error_response::RESULT_HEADER;
 use crate::proxy::in_flight_requests::InFlightGuard;
-use crate::proxy::request::RequestOrigin;
 use crate::proxy::request_error::RequestError;
 
 /// Collects what is logged of one request, from its head to its outcome.
@@ -45,15 +45,15 @@
 
 impl RequestLog {
     /// Starts the log of a request whose head arrived at `began`, and registers the
-    /// request as in flight.
+    /// request as in flight. `from_box` is the box that handed it over; `None` if it came
+    /// from a caller.
     pub fn begin(
         id: Option<&HeaderValue>,
         shared: &EdgeState,
         began: Instant,
-        origin: &RequestOrigin,
+        from_box: Option<BoxId>,
     ) -> Self {
         let id = id_text(id).to_owned();
-        let from_box = origin.relayed().map(|relayed| relayed.from.clone());
         Self {
             metrics: shared.metrics.clone(),
             in_flight: shared.in_flight.register(&id, began, from_box.is_some()),
@@ -256,14 +256,3 @@
         "request: given up."
     );
 }
-
-/// Returns the id of a request as text; empty where the caller gave none that is
-/// printable.
-pub fn id_text(id: Option<&HeaderValue>) -> &str {
-    id.and_then(|id| id.to_str().ok()).unwrap_or_default()
-}
-
-/// Rounds a fraction to three decimal places, which are enough in a log line.
-pub fn round_for_log(fraction: f64) -> f64 {
-    (fraction * 1000.0).round() / 1000.0
-}
--- a/crates/wingspur-edge/src/quotas/quota_leases.rs
+++ b/crates/wingspur-edge/src/quotas/quota_leases.rs
@@ -16,9 +16,9 @@
 use wingspur_transport::StopSignal;
 
 use crate::edge_state::EdgeState;
+use crate::log_values::round_for_log;
 use crate::peers::lease_messages::send_lease_messages;
 use crate::proxy::request_error::RequestError;
-use crate::proxy::request_log::round_for_log;
 use crate::quotas::quarantine::{handle_permit_request, handle_permit_response};
 use crate::quotas::resend_lease_exchange::{
     handle_resend_lease_reply, handle_resend_lease_request,
