The relays of a box lie beside the search for relays

Cause: edge_state, path_check and relay_search imported each other. Change: the state of relays has its own file, which also closes unused ones; the path watch gets the search for relays as a closure when the box is assembled. Conclusion: the cycle of these three files is gone.

--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -24,6 +24,7 @@
 use crate::peers::peer_exchange::{
     handle_peer_request, log_suspicion_changes, run_exchange, run_link_manager,
 };
+use crate::peers::relay_search::search_relays;
 use crate::proxy::request::handle_request;
 use crate::quotas::quarantine::run_quarantine;
 use crate::quotas::quota_leases::run_quota_leases;
@@ -108,7 +109,11 @@
             spawner.spawn(run_exchange(shared.clone(), signal.clone())),
             spawner.spawn(run_quota_leases(shared.clone(), signal.clone())),
             spawner.spawn(run_quarantine(shared.clone(), signal.clone())),
-            spawner.spawn(run_path_watch(shared.clone(), signal.clone())),
+            spawner.spawn(run_path_watch(
+                shared.clone(),
+                signal.clone(),
+                search_relays,
+            )),
             spawner.spawn(run_maintenance(shared.clone(), signal)),
         ];
         Ok(Self {
--- a/crates/wingspur-edge/src/edge_state.rs
+++ b/crates/wingspur-edge/src/edge_state.rs
@@ -17,7 +17,7 @@
 use crate::operation::settings::Settings;
 use crate::operation::shutdown::Shutdown;
 use crate::peers::links::Links;
-use crate::peers::relay_search::Relays;
+use crate::peers::relays::Relays;
 use crate::proxy::in_flight_requests::InFlightRequests;
 use crate::quotas::quarantine_state::QuarantineState;
 use crate::quotas::resend_leases::ResendLeases;
--- a/crates/wingspur-edge/src/path_check.rs
+++ b/crates/wingspur-edge/src/path_check.rs
@@ -11,7 +11,6 @@
 use wingspur_transport::StopSignal;
 
 use crate::edge_state::EdgeState;
-use crate::peers::relay_search::{close_unused_relays, search_relays};
 use crate::services::ServiceState;
 
 /// Records that a new connection to a server was opened.
@@ -166,9 +165,13 @@
     .await
 }
 
-/// While services are unreachable, searches for relays and probes servers, until the box
-/// stops.
-pub async fn run_path_watch(shared: Arc<EdgeState>, stop: StopSignal) {
+/// While services are unreachable, calls `search_relays` with them and probes servers,
+/// until the box stops.
+pub async fn run_path_watch(
+    shared: Arc<EdgeState>,
+    stop: StopSignal,
+    search_relays: impl Fn(&Arc<EdgeState>, &[Arc<ServiceState>]),
+) {
     let mut probes_due = HashMap::new();
     while !stop.is_triggered() {
         let lost = lost_services(&shared);
@@ -259,7 +262,7 @@
                 lost_ms = lost_for.as_millis() as u64,
                 "path: regained."
             );
-            close_unused_relays(shared);
+            shared.relays.close_unused(&shared.services);
         }
     }
     shared.pending_updates.notify();
--- a/crates/wingspur-edge/src/peers/mod.rs
+++ b/crates/wingspur-edge/src/peers/mod.rs
@@ -7,3 +7,4 @@
 pub mod peer_exchange;
 pub mod relay_requests;
 pub mod relay_search;
+pub mod relays;
--- a/crates/wingspur-edge/src/peers/relay_search.rs
+++ b/crates/wingspur-edge/src/peers/relay_search.rs
@@ -1,8 +1,6 @@
 //! Searches for boxes that reach a service which this box does not, and answers the
 //! queries of others.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,48 +9,18 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use rand::seq::SliceRandom;
-use wingspur_coordination::{RelayDirectory, relay_capacity};
+use wingspur_coordination::relay_capacity;
 use wingspur_protocol::{
     BoxRecord, REACHABILITY_PATH, RELAY_PROTOCOL_VERSION, ReachabilityQuery,
     ReachabilityReply, RelayError, decode_relay_body, encode_relay_body,
 };
-use wingspur_state::{BoxId, DataCentreId, Regions, ServerKey};
-use wingspur_transport::{
-    BackendConnections, ConnectError, ResponseError, ReusePolicy, SendBody,
-};
+use wingspur_state::{BoxId, ServerKey};
+use wingspur_transport::{ConnectError, ResponseError, ReusePolicy, SendBody};
 
 use crate::edge_state::EdgeState;
-use crate::locks::{LockRank, RankedMutex};
 use crate::path_check::check_path;
 use crate::services::ServiceState;
 
-/// The relays of this box, and its connections to them.
-#[derive(Debug)]
-pub struct Relays {
-    /// Which boxes reach the services that this one does not.
-    pub directory: RankedMutex<RelayDirectory>,
-    connections: RankedMutex<HashMap<SocketAddr, Arc<BackendConnections>>>,
-}
-
-impl Relays {
-    /// Starts without relays; `data_centre` is the one of this box, and `regions` are
-    /// those of all data centres.
-    pub fn new(data_centre: DataCentreId, regions: Regions) -> Self {
-        let directory = RelayDirectory::new(data_centre, regions);
-        Self {
-            directory: RankedMutex::new(LockRank::Relays, directory),
-            connections: RankedMutex::new(LockRank::RelayConnections, HashMap::new()),
-        }
-    }
-
-    /// Returns the connections to a relay.
-    pub fn connections(&self, address: SocketAddr) -> Arc<BackendConnections> {
-        let mut connections = self.connections.lock();
-        let create = || Arc::new(BackendConnections::new(address));
-        connections.entry(address).or_insert_with(create).clone()
-    }
-}
-
 /// Why a box did not answer a reachability query.
 #[derive(Debug, thiserror::Error)]
 enum QueryError {
@@ -104,17 +72,6 @@
     }
 }
 
-/// Forgets all relays and closes the connections to them, unless there is still a service
-/// that this box does not reach.
-pub fn close_unused_relays(shared: &EdgeState) {
-    let services = shared.services.all();
-    if services.iter().any(|service| !service.is_reachable()) {
-        return;
-    }
-    shared.relays.directory.lock().clear();
-    shared.relays.connections.lock().clear();
-}
-
 async fn ask(shared: &EdgeState, record: BoxRecord, services: Vec<ServerKey>) {
     let replied = async { query(shared, &record, services).await };
     let expired = async {
