Attempts know neither their callers nor each other

Cause: attempt, relayed_attempt, request_head, response_body and suspect_requests imported each other's types of attempts and of their ends. Change: the request as it is sent lies in request_head; a streamed body ends its attempt through a closure; the check for a crash gets the server, the request and a closure that ends the attempt. Guards of attempts are private to their files.

--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
+use hyper::StatusCode;
 use hyper::body::Bytes;
-use hyper::header::{CONTENT_ENCODING, HeaderMap, HeaderValue};
-use hyper::{Method, StatusCode};
+use hyper::header::CONTENT_ENCODING;
 use wingspur_protocol::{ResultCode, ServerHints};
 use wingspur_state::{
     AttemptEnd, AttemptId, ClientAccount, ExpectedLatency, HealthOutcome, Pick,
@@ -23,40 +23,15 @@
 use crate::log_values::id_text;
 use crate::path_check::{check_path_soon, record_connected, record_unreached};
 use crate::peers::peer_exchange::send_urgent_on_suspect;
-use crate::proxy::admission::Principal;
-use crate::proxy::in_flight_requests::InFlightGuard;
-use crate::proxy::relayed_attempt::RelayGuard;
 use crate::proxy::request_error::BufferedResponse;
-use crate::proxy::request_head::{reuse_policy, serialize_head};
+use crate::proxy::request_head::{UpstreamRequest, reuse_policy, serialize_head};
+use crate::proxy::response_body::StreamGuard;
 use crate::proxy::server_hints::observe_response;
 use crate::proxy::suspect_requests::{
     InterruptedAttempt, check_for_server_crash, record_completed,
 };
 use crate::services::ServiceState;
 
-/// A request as it is sent on every attempt, without the body.
-#[derive(Debug)]
-pub struct UpstreamRequest {
-    /// The method.
-    pub method: Method,
-    /// Path and query, as the caller wrote them.
-    pub target: String,
-    /// All headers but those that concern one connection or one attempt.
-    pub headers: HeaderMap,
-    /// Identifies the request by its content; the same for each repetition by the caller.
-    pub fingerprint: RequestFingerprint,
-    /// The request's id, if the caller gave one.
-    pub id: Option<HeaderValue>,
-    /// When the request arrived.
-    pub arrived: Instant,
-    /// Time at which the request is given up.
-    pub deadline: Instant,
-    /// The key and the client account that the request is sent for.
-    pub admitted: Principal,
-    /// Registers the request as in flight until the last clone is dropped.
-    pub in_flight: Arc<InFlightGuard>,
-}
-
 /// How an attempt ended.
 pub enum AttemptResult {
     /// The server's complete response.
@@ -70,7 +45,7 @@
         /// The connection that the rest of the body is read from.
         connection: Box<BackendConnection>,
         /// Ends the attempt when the body ends.
-        guard: Box<ResponseGuard>,
+        guard: StreamGuard,
     },
     /// No usable response, or a server error.
     Failed(Box<FailedAttempt>),
@@ -93,32 +68,6 @@
     pub pick: Option<Pick>,
 }
 
-/// Ends the attempt whose response is being streamed.
-pub enum ResponseGuard {
-    /// An attempt at a server.
-    Server(AttemptGuard),
-    /// An attempt through another box.
-    Relay(RelayGuard),
-}
-
-impl ResponseGuard {
-    /// Ends the attempt as successful and returns its connection to the pool.
-    pub fn complete(self, connection: BackendConnection) {
-        match self {
-            Self::Server(guard) => guard.complete(connection),
-            Self::Relay(guard) => guard.complete(connection),
-        }
-    }
-
-    /// Ends the attempt as failed because the response could not be read to its end.
-    pub fn fail(self, error: &ResponseError) {
-        match self {
-            Self::Server(guard) => guard.fail(error),
-            Self::Relay(guard) => guard.fail(error),
-        }
-    }
-}
-
 impl FailedAttempt {
     /// Whether the server certainly received the request.
     pub fn reached_server(&self) -> bool {
@@ -129,14 +78,10 @@
 /// An attempt in flight; dropping the guard counts the attempt as abandoned.
 pub struct AttemptGuard {
     shared: Arc<EdgeState>,
-    /// The service.
-    pub service: Arc<ServiceState>,
-    /// The connections to the server.
-    pub backend: Arc<BackendConnections>,
-    /// The server.
-    pub server: Arc<ServerRecord>,
-    /// Fingerprint of the request.
-    pub request: RequestFingerprint,
+    service: Arc<ServiceState>,
+    backend: Arc<BackendConnections>,
+    server: Arc<ServerRecord>,
+    request: RequestFingerprint,
     id: Option<AttemptId>,
     /// Total time that the machine had been suspended when the attempt began.
     suspended_before: Duration,
@@ -230,7 +175,7 @@
                     head,
                     first,
                     connection: Box::new(connection),
-                    guard: Box::new(ResponseGuard::Server(guard)),
+                    guard: guard.into_stream_guard(),
                 }
             }
         }
@@ -407,7 +352,7 @@
         mut guard: AttemptGuard,
     ) -> AttemptResult {
         let interrupted = match error.is_connection_lost() {
-            true => Some(InterruptedAttempt { guard }),
+            true => Some(guard.into_interrupted()),
             false => {
                 guard.end(HealthOutcome::Failed);
                 None
@@ -540,8 +485,28 @@
         }
     }
 
+    /// Returns the closure that ends the attempt when the body of its response ends.
+    fn into_stream_guard(self) -> StreamGuard {
+        Box::new(|end: Result<BackendConnection, &ResponseError>| match end {
+            Ok(connection) => self.complete(connection),
+            Err(error) => self.fail(error),
+        })
+    }
+
+    /// Returns what the check for a crash of the server needs. The attempt stays in
+    /// flight until the check ends it.
+    fn into_interrupted(mut self) -> InterruptedAttempt {
+        InterruptedAttempt {
+            request: self.request,
+            service: self.service.clone(),
+            backend: self.backend.clone(),
+            server: self.server.clone(),
+            end: Box::new(move |outcome| self.end(outcome)),
+        }
+    }
+
     /// Ends the attempt as successful and returns its connection to the pool.
-    pub fn complete(mut self, connection: BackendConnection) {
+    fn complete(mut self, connection: BackendConnection) {
         self.end(HealthOutcome::Good);
         record_completed(&self.shared, self.request);
         self.backend.release(connection);
@@ -550,19 +515,19 @@
     /// Ends the attempt as failed because the response could not be read to its end.
     ///
     /// If the connection was lost, checks in the background whether the server crashed.
-    pub fn fail(mut self, error: &ResponseError) {
+    fn fail(mut self, error: &ResponseError) {
         tracing::info!(%error, "attempt: an answer under way broke off.");
         if !error.is_connection_lost() {
             return self.end(HealthOutcome::Failed);
         }
         let shared = self.shared.clone();
-        let interrupted = InterruptedAttempt { guard: self };
+        let interrupted = self.into_interrupted();
         let spawner = shared.spawner.clone();
         spawner.detach(async move { check_for_server_crash(&shared, interrupted).await });
     }
 
     /// Ends the attempt; later calls change nothing.
-    pub fn end(&mut self, outcome: HealthOutcome) {
+    fn end(&mut self, outcome: HealthOutcome) {
         let outcome = match outcome {
             HealthOutcome::Failed if self.machine_was_suspended() => {
                 HealthOutcome::Abandoned
--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -19,13 +19,11 @@
 use crate::edge_state::EdgeState;
 use crate::log_values::{id_text, round_for_log};
 use crate::peers::relay_search::find_relay;
-use crate::proxy::attempt::{
-    AttemptResult, FailedAttempt, UpstreamAttempt, UpstreamRequest,
-};
+use crate::proxy::attempt::{AttemptResult, FailedAttempt, UpstreamAttempt};
 use crate::proxy::relayed_attempt::RelayedAttempt;
 use crate::proxy::request::RequestOrigin;
 use crate::proxy::request_error::RequestError;
-use crate::proxy::request_head::reuse_policy;
+use crate::proxy::request_head::{UpstreamRequest, reuse_policy};
 use crate::proxy::request_log::{log_give_up, log_pick};
 use crate::proxy::resend_reservation::ResendReservation;
 use crate::proxy::server_hints::{MAX_PRIORITY_LEVEL, acquire_server_quota};
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -18,11 +18,11 @@
 use crate::edge_state::EdgeState;
 use crate::log_values::id_text;
 use crate::proxy::attempt::{
-    AttemptResult, FailedAttempt, LATE_RESPONSE_GRACE, MAX_BUFFERED_BYTES, ResponseGuard,
-    UpstreamRequest,
+    AttemptResult, FailedAttempt, LATE_RESPONSE_GRACE, MAX_BUFFERED_BYTES,
 };
 use crate::proxy::request_error::BufferedResponse;
-use crate::proxy::request_head::{reuse_policy, serialize_head};
+use crate::proxy::request_head::{UpstreamRequest, reuse_policy, serialize_head};
+use crate::proxy::response_body::StreamGuard;
 use crate::services::ServiceState;
 
 /// Inputs of one attempt through another box.
@@ -42,7 +42,7 @@
 }
 
 /// An attempt at a relay in flight. Counts against the relay until it is dropped.
-pub struct RelayGuard {
+struct RelayGuard {
     shared: Arc<EdgeState>,
     relay: BoxRecord,
     connections: Arc<BackendConnections>,
@@ -152,7 +152,7 @@
                 head,
                 first,
                 connection: Box::new(connection),
-                guard: Box::new(ResponseGuard::Relay(guard)),
+                guard: guard.into_stream_guard(),
             },
         }
     }
@@ -217,13 +217,21 @@
         }
     }
 
+    /// Returns the closure that ends the attempt when the body of its response ends.
+    fn into_stream_guard(self) -> StreamGuard {
+        Box::new(|end: Result<BackendConnection, &ResponseError>| match end {
+            Ok(connection) => self.complete(connection),
+            Err(error) => self.fail(error),
+        })
+    }
+
     /// Ends the attempt after the whole response was read.
-    pub fn complete(self, connection: BackendConnection) {
+    fn complete(self, connection: BackendConnection) {
         self.connections.release(connection);
     }
 
     /// Ends the attempt because the response could not be read to its end.
-    pub fn fail(self, error: &ResponseError) {
+    fn fail(self, error: &ResponseError) {
         self.shared.metrics.count_relayed("sent", "cut");
         tracing::info!(relay = %self.relay.id, %error, "relay: a response broke off.");
     }
--- a/crates/wingspur-edge/src/proxy/request.rs
+++ b/crates/wingspur-edge/src/proxy/request.rs
@@ -23,12 +23,13 @@
 use crate::proxy::admission::{
     AdmissionRequest, Principal, admit, bearer_key, find_route, strip_credentials,
 };
-use crate::proxy::attempt::{AttemptResult, UpstreamRequest};
+use crate::proxy::attempt::AttemptResult;
 use crate::proxy::error_response::error_response;
 use crate::proxy::forwarding::RequestForwarder;
 use crate::proxy::headers::{check_framing, strip_hop_by_hop};
 use crate::proxy::in_flight_requests::InFlightGuard;
 use crate::proxy::request_error::{BufferedResponse, RequestError};
+use crate::proxy::request_head::UpstreamRequest;
 use crate::proxy::request_log::RequestLog;
 use crate::proxy::response_body::{ResponseBody, StreamBody};
 use crate::quotas::quota_leases::enforce_account_limit;
--- a/crates/wingspur-edge/src/proxy/request_head.rs
+++ b/crates/wingspur-edge/src/proxy/request_head.rs
@@ -1,14 +1,39 @@
-//! The head of a request as it is sent to a backend server or to a relay.
+//! A request as it is sent to a backend server or to a relay, and its head.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hyper::Method;
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use wingspur_protocol::HeaderNames;
-use wingspur_state::RouteClass;
+use wingspur_state::{RequestFingerprint, RouteClass};
 use wingspur_transport::{ReusePolicy, SendBody};
 
-use crate::proxy::attempt::UpstreamRequest;
+use crate::proxy::admission::Principal;
+use crate::proxy::in_flight_requests::InFlightGuard;
+
+/// A request as it is sent on every attempt, without the body.
+#[derive(Debug)]
+pub struct UpstreamRequest {
+    /// The method.
+    pub method: Method,
+    /// Path and query, as the caller wrote them.
+    pub target: String,
+    /// All headers but those that concern one connection or one attempt.
+    pub headers: HeaderMap,
+    /// Identifies the request by its content; the same for each repetition by the caller.
+    pub fingerprint: RequestFingerprint,
+    /// The request's id, if the caller gave one.
+    pub id: Option<HeaderValue>,
+    /// When the request arrived.
+    pub arrived: Instant,
+    /// Time at which the request is given up.
+    pub deadline: Instant,
+    /// The key and the client account that the request is sent for.
+    pub admitted: Principal,
+    /// Registers the request as in flight until the last clone is dropped.
+    pub in_flight: Arc<InFlightGuard>,
+}
 
 /// Serializes the head of a request for one attempt, with the time that is left for it
 /// and the headers of this attempt alone.
--- a/crates/wingspur-edge/src/proxy/response_body.rs
+++ b/crates/wingspur-edge/src/proxy/response_body.rs
@@ -7,9 +7,8 @@
 use futures_lite::Stream;
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
-use wingspur_transport::{BackendConnection, BodyError, poll_buffered};
+use wingspur_transport::{BackendConnection, BodyError, ResponseError, poll_buffered};
 
-use crate::proxy::attempt::ResponseGuard;
 use crate::proxy::in_flight_requests::InFlightGuard;
 
 /// The body of a response to a caller.
@@ -30,13 +29,17 @@
     _in_flight: Arc<InFlightGuard>,
 }
 
+/// Ends the attempt whose response is streamed: with its connection after the whole body
+/// was read, else with the error. Dropping it abandons the attempt.
+pub type StreamGuard = Box<dyn FnOnce(Result<BackendConnection, &ResponseError>) + Send>;
+
 impl StreamBody {
     /// Creates a body of the chunks received so far, followed by those that the
     /// connection delivers. Ends the attempt through its guard when the body ends.
     pub fn new(
         first: Vec<Bytes>,
         connection: BackendConnection,
-        guard: Box<ResponseGuard>,
+        guard: StreamGuard,
         length: Option<u64>,
         in_flight: Arc<InFlightGuard>,
     ) -> Self {
@@ -52,18 +55,18 @@
                     // The HTTP server stops polling after the last byte of a body of
                     // known length, so the attempt ends here.
                     Ok(Some(chunk)) if connection.is_read() => {
-                        guard.complete(connection);
+                        guard(Ok(connection));
                         Some((Ok(chunk), (first, None)))
                     }
                     Ok(Some(chunk)) => {
                         Some((Ok(chunk), (first, Some((connection, guard)))))
                     }
                     Ok(None) => {
-                        guard.complete(connection);
+                        guard(Ok(connection));
                         None
                     }
                     Err(error) => {
-                        guard.fail(&error);
+                        guard(Err(&error));
                         Some((Err(error.into()), (first, None)))
                     }
                 }
--- a/crates/wingspur-edge/src/proxy/suspect_requests.rs
+++ b/crates/wingspur-edge/src/proxy/suspect_requests.rs
@@ -6,22 +6,30 @@
 
 use wingspur_coordination::LinkId;
 use wingspur_state::{
-    HealthOutcome, RegistryChange, RequestFingerprint, SuspectEvent, SuspectMessage,
-    SuspectUpdate,
+    HealthOutcome, RegistryChange, RequestFingerprint, ServerRecord, SuspectEvent,
+    SuspectMessage, SuspectUpdate,
 };
-use wingspur_transport::ConnectError;
+use wingspur_transport::{BackendConnections, ConnectError};
 
 use crate::edge_state::EdgeState;
 use crate::path_check::{
     check_path, reaches_other_service, record_connected, record_unreached,
 };
-use crate::proxy::attempt::AttemptGuard;
 use crate::quotas::quarantine::{is_quarantined, store_quarantine};
+use crate::services::ServiceState;
 
 /// An attempt whose connection ended before the response was complete.
 pub struct InterruptedAttempt {
-    /// The attempt, which is still in flight for the server's health.
-    pub guard: AttemptGuard,
+    /// Fingerprint of the request.
+    pub request: RequestFingerprint,
+    /// The service.
+    pub service: Arc<ServiceState>,
+    /// The connections to the server.
+    pub backend: Arc<BackendConnections>,
+    /// The server.
+    pub server: Arc<ServerRecord>,
+    /// Ends the attempt, which is still in flight for the server's health.
+    pub end: Box<dyn FnOnce(HealthOutcome) + Send>,
 }
 
 /// Checks whether the server of an interrupted attempt has ended, and blames the request
@@ -35,22 +43,21 @@
     shared: &Arc<EdgeState>,
     attempt: InterruptedAttempt,
 ) {
-    let mut guard = attempt.guard;
-    let (request, server) = (guard.request, guard.server.key());
+    let (request, server) = (attempt.request, attempt.server.key());
     let at = wingspur_clock::now();
-    let checked = guard.backend.check(CHECK_TIMEOUT).await;
+    let checked = attempt.backend.check(CHECK_TIMEOUT).await;
     let is_path_lost = match checked {
         Ok(()) => {
-            record_connected(shared, &guard.service, server);
+            record_connected(shared, &attempt.service, server);
             false
         }
         Err(_) => {
-            record_unreached(shared, &guard.service, server);
-            !check_path(shared, &guard.service).await
-                && !reaches_other_service(shared, &guard.service).await
+            record_unreached(shared, &attempt.service, server);
+            !check_path(shared, &attempt.service).await
+                && !reaches_other_service(shared, &attempt.service).await
         }
     };
-    guard.end(match is_path_lost {
+    (attempt.end)(match is_path_lost {
         true => HealthOutcome::PathLost,
         false => HealthOutcome::Failed,
     });
@@ -59,8 +66,8 @@
         .is_err_and(ConnectError::is_connection_refused);
     tracing::info!(
         fingerprint = %request,
-        server = %guard.server.id,
-        address = %guard.server.address,
+        server = %attempt.server.id,
+        address = %attempt.server.address,
         has_ended,
         is_path_lost,
         error = checked.err().map(|error| error.to_string()),
