Links call handlers that are chosen when the box is assembled

Cause: peer_exchange imported the handlers of leases, suspect requests and relayed requests, and attempt imported peer_exchange to send suspicions at once. Change: the links get their handlers from edge_box; the peer port and the reports of suspicions have files of their own; relayed requests lie in proxy and add the relay's result themselves; the origin of a request has its own file. Conclusion: no file of wingspur-edge imports another in a cycle.

--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -21,13 +21,17 @@
 use crate::operation::settings::Settings;
 use crate::operation::shutdown::ShutdownSchedule;
 use crate::path_check::run_path_watch;
-use crate::peers::peer_exchange::{
-    handle_peer_request, log_suspicion_changes, run_exchange, run_link_manager,
-};
+use crate::peer_port::handle_peer_request;
+use crate::peers::link_handlers::LinkHandlers;
+use crate::peers::peer_exchange::{run_exchange, run_link_manager};
 use crate::peers::relay_search::search_relays;
 use crate::proxy::request::handle_request;
+use crate::proxy::server_hints::{handle_draining_updates, handle_limit_updates};
+use crate::proxy::suspect_requests::{handle_suspect_updates, initial_suspect_updates};
 use crate::quotas::quarantine::run_quarantine;
-use crate::quotas::quota_leases::run_quota_leases;
+use crate::quotas::quota_leases::{handle_lease_messages, run_quota_leases};
+use crate::quotas::resend_lease_exchange::resend_budget_reports;
+use crate::suspicion::log_suspicion_changes;
 
 /// A running box.
 #[derive(Debug)]
@@ -86,8 +90,10 @@
         let callers = HttpListener::start(caller_port, spawner, options.clone(), handler);
         let callers = callers.map_err(|error| listener_error("caller_address", error))?;
         let peer_shared = shared.clone();
-        let handler =
-            move |request, from| handle_peer_request(peer_shared.clone(), request, from);
+        let handlers = link_handlers();
+        let handler = move |request, from| {
+            handle_peer_request(peer_shared.clone(), request, from, handlers)
+        };
         let peers = HttpListener::start(peer_port, spawner, options.clone(), handler);
         let peers = peers.map_err(|error| listener_error("peer_address", error))?;
         let operator_shared = shared.clone();
@@ -105,8 +111,8 @@
         let tasks = vec![
             spawner.spawn(run_catalog_watch(shared.clone(), signal.clone())),
             spawner.spawn(run_announcement(shared.clone(), signal.clone())),
-            spawner.spawn(run_link_manager(shared.clone(), signal.clone())),
-            spawner.spawn(run_exchange(shared.clone(), signal.clone())),
+            spawner.spawn(run_link_manager(shared.clone(), handlers, signal.clone())),
+            spawner.spawn(run_exchange(shared.clone(), handlers, signal.clone())),
             spawner.spawn(run_quota_leases(shared.clone(), signal.clone())),
             spawner.spawn(run_quarantine(shared.clone(), signal.clone())),
             spawner.spawn(run_path_watch(
@@ -262,6 +268,24 @@
     }
 }
 
+/// Returns the handlers of what other boxes send, which the links do not know themselves.
+fn link_handlers() -> LinkHandlers {
+    LinkHandlers {
+        lease_messages: handle_lease_messages,
+        resend_budgets: |shared, link, usages| {
+            shared.resend_leases.lock().record_report(link, usages);
+        },
+        suspects: handle_suspect_updates,
+        limits: |shared, link, updates| handle_limit_updates(shared, link, updates),
+        draining_servers: |shared, link, updates| {
+            handle_draining_updates(shared, link, updates);
+        },
+        link_ended: |shared, link| shared.resend_leases.lock().forget(link),
+        initial_suspects: initial_suspect_updates,
+        resend_budget_reports,
+    }
+}
+
 /// Logs which servers are suspected, closes idle connections, drops servers that stayed
 /// away after a store outage, and updates the staleness metric, until the box stops.
 async fn run_maintenance(shared: Arc<EdgeState>, stop: StopSignal) {
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -9,10 +9,12 @@
 mod notify;
 mod operation;
 mod path_check;
+mod peer_port;
 mod peers;
 mod proxy;
 mod quotas;
 mod services;
+mod suspicion;
 
 pub use edge_box::{EdgeBox, EdgeError};
 pub use locks::{LockRank, RankedMutex, RankedMutexGuard};
--- a/crates/wingspur-edge/src/peers/mod.rs
+++ b/crates/wingspur-edge/src/peers/mod.rs
@@ -2,9 +2,8 @@
 
 pub mod active_link;
 pub mod lease_messages;
+pub mod link_handlers;
 pub mod links;
-pub mod peer_body;
 pub mod peer_exchange;
-pub mod relay_requests;
 pub mod relay_search;
 pub mod relays;
--- a/crates/wingspur-edge/src/peers/peer_exchange.rs
+++ b/crates/wingspur-edge/src/peers/peer_exchange.rs
@@ -4,14 +4,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http_body_util::Full;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use rand::seq::SliceRandom;
 use wingspur_coordination::{LinkId, PlannedLink, SnapshotFrameCache, SourceUpdate};
 use wingspur_protocol::{
     CatalogUpdate, Frame, FrameContent, Hello, LINK_PROTOCOL_VERSION, LinkRole,
-    REACHABILITY_PATH, RELAY_HEADER, TallyUpdate, encode_relay_body,
+    TallyUpdate,
 };
 use wingspur_state::{SourceId, server_key};
 use wingspur_transport::{
@@ -24,21 +23,17 @@
 };
 use crate::catalog::store_calls::handle_store_era;
 use crate::edge_state::EdgeState;
-use crate::log_values::round_for_log;
 use crate::peers::active_link::InitialState;
+use crate::peers::link_handlers::LinkHandlers;
 use crate::peers::links::OutgoingFrame;
-use crate::peers::peer_body::PeerBody;
-use crate::peers::relay_requests::handle_relayed_request;
-use crate::peers::relay_search::answer_query;
-use crate::proxy::response_body::ResponseBody;
-use crate::proxy::server_hints::{handle_draining_updates, handle_limit_updates};
-use crate::proxy::suspect_requests::{handle_suspect_updates, initial_suspect_updates};
-use crate::quotas::quota_leases::handle_lease_messages;
-use crate::quotas::resend_lease_exchange::resend_budget_reports;
-use crate::services::ServiceState;
+use crate::suspicion::report_new_suspicion;
 
 /// Opens and closes links until the box stops.
-pub async fn run_link_manager(shared: Arc<EdgeState>, stop: StopSignal) {
+pub async fn run_link_manager(
+    shared: Arc<EdgeState>,
+    handlers: LinkHandlers,
+    stop: StopSignal,
+) {
     let started = wingspur_clock::now();
     while !stop.is_triggered() {
         let (mut missing, unplanned) =
@@ -49,15 +44,15 @@
             missing.retain(|planned| planned.role == LinkRole::Member);
         }
         for id in unplanned {
-            drop_link(&shared, id, "another hub took its place");
+            drop_link(&shared, handlers, id, "another hub took its place");
         }
         let mut all_open = true;
         for planned in missing {
-            all_open &= open_planned_link(&shared, planned).await;
+            all_open &= open_planned_link(&shared, handlers, planned).await;
         }
         if shared.links.lock().is_alone() && wingspur_clock::since(started) >= SEED_DELAY
         {
-            link_to_seed(&shared).await;
+            link_to_seed(&shared, handlers).await;
         }
         shared.update_fleet_shares();
         // After a failure the plan names the next best box, which may be reached at once.
@@ -71,7 +66,7 @@
 }
 
 /// Links as a member to the first seed box that can be reached, in random order.
-async fn link_to_seed(shared: &Arc<EdgeState>) {
+async fn link_to_seed(shared: &Arc<EdgeState>, handlers: LinkHandlers) {
     let settings = shared.settings();
     let seeds = settings.catalog.iter().flat_map(|catalog| &catalog.seeds);
     let mut seeds: Vec<_> = seeds.collect();
@@ -85,7 +80,7 @@
         match open_with_hello(shared, *seed, LinkRole::Member).await {
             Ok(opened) => {
                 tracing::info!(%seed, "peer: linked to a seed box.");
-                return add_opened_link(shared, opened, LinkRole::Member);
+                return add_opened_link(shared, handlers, opened, LinkRole::Member);
             }
             Err(error) => {
                 tracing::info!(%seed, %error, "peer: cannot link to a seed box.")
@@ -95,7 +90,11 @@
 }
 
 /// Sends frames over the links until the box stops.
-pub async fn run_exchange(shared: Arc<EdgeState>, stop: StopSignal) {
+pub async fn run_exchange(
+    shared: Arc<EdgeState>,
+    handlers: LinkHandlers,
+    stop: StopSignal,
+) {
     let mut snapshot_frames = SnapshotFrameCache::default();
     while !stop.is_triggered() {
         let pause = shared.links.lock().next_tick(wingspur_clock::now());
@@ -104,49 +103,15 @@
             let gap = shared.links.lock().next_tick(wingspur_clock::now());
             shared.urgent_updates.wait(gap.min(BATCH_WAIT)).await;
         }
-        tick(&shared, &mut snapshot_frames);
+        tick(&shared, handlers, &mut snapshot_frames);
     }
 }
 
-/// Handles a request on the peer port: one with `RELAY_HEADER` is forwarded to a server,
-/// a `POST` to `REACHABILITY_PATH` is answered, one to `LINK_PATH` opens a link, and
-/// anything else gets a 404.
-pub async fn handle_peer_request(
-    shared: Arc<EdgeState>,
-    request: Request<Incoming>,
-    from: SocketAddr,
-) -> Response<PeerBody> {
-    if request.headers().contains_key(RELAY_HEADER) {
-        let response = handle_relayed_request(shared, request, from).await;
-        return response.map(PeerBody::Response);
-    }
-    if request.method() == Method::POST && request.uri().path() == REACHABILITY_PATH {
-        return handle_query(&shared, request).await;
-    }
-    open_peer_link(shared, request).map(PeerBody::Link)
-}
-
-/// Answers a reachability query, or refuses one that is not valid.
-async fn handle_query(
-    shared: &Arc<EdgeState>,
-    request: Request<Incoming>,
-) -> Response<PeerBody> {
-    let (status, body) = match answer_query(shared, request).await {
-        Some(reply) => (StatusCode::OK, encode_relay_body(&reply)),
-        None => {
-            shared.metrics.count_peer_refusal("invalid_query");
-            (StatusCode::BAD_REQUEST, Vec::new())
-        }
-    };
-    let body = ResponseBody::Buffered(Full::new(Bytes::from(body)));
-    let mut response = Response::new(PeerBody::Response(body));
-    *response.status_mut() = status;
-    response
-}
-
-fn open_peer_link(
+/// Opens a link for a request on the peer port; answers 404 to one for anything else.
+pub fn open_peer_link(
     shared: Arc<EdgeState>,
     request: Request<Incoming>,
+    handlers: LinkHandlers,
 ) -> Response<LinkBody> {
     if request.method() != Method::POST || request.uri().path() != LINK_PATH {
         shared.metrics.count_peer_refusal("wrong_path");
@@ -156,18 +121,22 @@
     }
     let (sender, receiver, response) = accept_link(request);
     let spawner = shared.spawner.clone();
-    spawner.detach(serve_link(shared, sender, receiver));
+    spawner.detach(serve_link(shared, handlers, sender, receiver));
     response
 }
 
 /// Opens a planned link and returns whether that succeeded. A box that cannot be reached
 /// is left out of the plan for a while.
-async fn open_planned_link(shared: &Arc<EdgeState>, planned: PlannedLink) -> bool {
+async fn open_planned_link(
+    shared: &Arc<EdgeState>,
+    handlers: LinkHandlers,
+    planned: PlannedLink,
+) -> bool {
     let to = planned.to;
     match open_with_hello(shared, to.peer_address, planned.role).await {
         Ok(opened) => {
             tracing::info!(peer = %to.id, role = ?planned.role, "peer: linked.");
-            add_opened_link(shared, opened, planned.role);
+            add_opened_link(shared, handlers, opened, planned.role);
             true
         }
         Err(error) => {
@@ -212,19 +181,25 @@
 }
 
 /// Adds a link that this box opened, and reads it in a task of its own.
-fn add_opened_link(shared: &Arc<EdgeState>, opened: Opened, role: LinkRole) {
+fn add_opened_link(
+    shared: &Arc<EdgeState>,
+    handlers: LinkHandlers,
+    opened: Opened,
+    role: LinkRole,
+) {
     let (sender, receiver, hello) = opened;
     let (peer, now) = (hello.from.clone(), wingspur_clock::now());
     let id = shared.links.lock().add(peer, Some(role), None, sender, now);
-    queue_updates_for_new_link(shared, id, &hello);
+    queue_updates_for_new_link(shared, handlers, id, &hello);
     shared
         .spawner
-        .detach(read_link(shared.clone(), id, receiver));
+        .detach(read_link(shared.clone(), handlers, id, receiver));
 }
 
 /// Serves a link that another box opened.
 async fn serve_link(
     shared: Arc<EdgeState>,
+    handlers: LinkHandlers,
     sender: LinkSender,
     mut receiver: LinkReceiver,
 ) {
@@ -243,8 +218,8 @@
         return;
     }
     let id = admit(&shared, &hello, sender);
-    queue_updates_for_new_link(&shared, id, &hello);
-    read_link(shared, id, receiver).await;
+    queue_updates_for_new_link(&shared, handlers, id, &hello);
+    read_link(shared, handlers, id, receiver).await;
 }
 
 fn admit(shared: &EdgeState, hello: &Hello, sender: LinkSender) -> LinkId {
@@ -261,7 +236,12 @@
 
 /// Queues the catalog updates that the other side of a new link lacks, and its initial
 /// state.
-fn queue_updates_for_new_link(shared: &Arc<EdgeState>, id: LinkId, hello: &Hello) {
+fn queue_updates_for_new_link(
+    shared: &Arc<EdgeState>,
+    handlers: LinkHandlers,
+    id: LinkId,
+    hello: &Hello,
+) {
     let peer_position = hello.position;
     if peer_position.era() > 0 {
         handle_store_era(shared, peer_position.era(), "peer");
@@ -273,7 +253,7 @@
         shared.links.lock().send_update(id, update);
     }
     let peer_is_new = peer_position.is_start();
-    let initial_state = initial_state(shared, peer_is_new);
+    let initial_state = initial_state(shared, handlers, peer_is_new);
     shared.links.lock().queue_initial_state(id, initial_state);
     shared.pending_updates.notify();
 }
@@ -281,11 +261,15 @@
 /// Returns the state to send once on a new link. Server health is included only if the
 /// other side has just started: other boxes have it already, and it is most of the
 /// initial state.
-fn initial_state(shared: &EdgeState, peer_is_new: bool) -> InitialState {
+fn initial_state(
+    shared: &EdgeState,
+    handlers: LinkHandlers,
+    peer_is_new: bool,
+) -> InitialState {
     let now = wingspur_clock::now();
     let mut initial_state = InitialState {
         peer_is_new,
-        suspects: initial_suspect_updates(shared),
+        suspects: (handlers.initial_suspects)(shared),
         ..InitialState::default()
     };
     let announced_states = shared.announced_states.lock();
@@ -316,10 +300,15 @@
     }
 }
 
-async fn read_link(shared: Arc<EdgeState>, id: LinkId, mut receiver: LinkReceiver) {
+async fn read_link(
+    shared: Arc<EdgeState>,
+    handlers: LinkHandlers,
+    id: LinkId,
+    mut receiver: LinkReceiver,
+) {
     loop {
         match receiver.next::<Frame>(RECEIVE_TIMEOUT).await {
-            Ok(frame) => handle_frame(&shared, id, frame),
+            Ok(frame) => handle_frame(&shared, handlers, id, frame),
             Err(error) => {
                 if matches!(error, LinkError::Ended) {
                     let now = wingspur_clock::now();
@@ -333,30 +322,32 @@
                         .planner()
                         .back_off(&peer, wingspur_clock::now());
                 }
-                return drop_link(&shared, id, &error.to_string());
+                return drop_link(&shared, handlers, id, &error.to_string());
             }
         }
     }
 }
 
-fn handle_frame(shared: &Arc<EdgeState>, id: LinkId, mut frame: Frame) {
+fn handle_frame(
+    shared: &Arc<EdgeState>,
+    handlers: LinkHandlers,
+    id: LinkId,
+    mut frame: Frame,
+) {
     let now = wingspur_clock::now();
     let updates = std::mem::take(&mut frame.catalog);
     match frame.content {
         FrameContent::Snapshot => return apply_updates(shared, id, updates, now),
         FrameContent::LeaseMessages => {
-            return handle_lease_messages(shared, id, &frame.lease_messages);
+            return (handlers.lease_messages)(shared, id, &frame.lease_messages);
         }
-        FrameContent::All => handle_lease_messages(shared, id, &frame.lease_messages),
+        FrameContent::All => (handlers.lease_messages)(shared, id, &frame.lease_messages),
     }
     if frame.catalog_freshness.era > 0 {
         handle_store_era(shared, frame.catalog_freshness.era, "peer");
     }
     apply_updates(shared, id, updates, now);
-    shared
-        .resend_leases
-        .lock()
-        .record_report(id, &frame.resend_budgets);
+    (handlers.resend_budgets)(shared, id, &frame.resend_budgets);
     let mut links = shared.links.lock();
     links.note_frame(id, &frame, now);
     let updates = links.receive(id, &frame.tally_updates);
@@ -366,9 +357,9 @@
     forget_sources(shared, &lost);
     apply_tallies(shared, &updates, now);
     merge_health(shared, &frame, now);
-    handle_suspect_updates(shared, id, &frame.suspects);
-    handle_limit_updates(shared, id, &frame.limits);
-    handle_draining_updates(shared, id, &frame.draining_servers);
+    (handlers.suspects)(shared, id, &frame.suspects);
+    (handlers.limits)(shared, id, &frame.limits);
+    (handlers.draining_servers)(shared, id, &frame.draining_servers);
     if frame.leaving {
         shared.links.lock().note_peer_stop(id);
         shared.link_plan_changed.notify();
@@ -393,13 +384,13 @@
     }
 }
 
-fn drop_link(shared: &Arc<EdgeState>, id: LinkId, reason: &str) {
+fn drop_link(shared: &Arc<EdgeState>, handlers: LinkHandlers, id: LinkId, reason: &str) {
     let mut links = shared.links.lock();
     let peer = links.peer(id).cloned();
     let lost = links.remove(id);
     let updates = links.own_updates();
     drop(links);
-    shared.resend_leases.lock().forget(id);
+    (handlers.link_ended)(shared, id);
     if let Some(peer) = peer {
         tracing::info!(%peer, reason, "peer: link ended.");
     }
@@ -411,11 +402,15 @@
 
 /// Collects this box's own tallies, sends the frames that are due, and drops links on
 /// which the other side does not respond.
-fn tick(shared: &Arc<EdgeState>, snapshot_frames: &mut SnapshotFrameCache) {
+fn tick(
+    shared: &Arc<EdgeState>,
+    handlers: LinkHandlers,
+    snapshot_frames: &mut SnapshotFrameCache,
+) {
     let now = wingspur_clock::now();
     let own_tallies = take_own_tallies(shared);
     let bundle_version = shared.bundle_version();
-    let resend_budgets = resend_budget_reports(shared, now);
+    let resend_budgets = (handlers.resend_budget_reports)(shared, now);
     let mut links = shared.links.lock();
     if !own_tallies.servers.is_empty() || !own_tallies.services.is_empty() {
         links.receive_own(&own_tallies);
@@ -425,11 +420,11 @@
     links.expire_snapshot(now);
     drop(links);
     for id in unresponsive {
-        drop_link(shared, id, &LinkError::SendQueueFull.to_string());
+        drop_link(shared, handlers, id, &LinkError::SendQueueFull.to_string());
     }
     for outgoing in frames {
         if let Err(error) = send(shared, &outgoing, snapshot_frames) {
-            drop_link(shared, outgoing.link, &error.to_string());
+            drop_link(shared, handlers, outgoing.link, &error.to_string());
         }
     }
     snapshot_frames.evict_unused();
@@ -474,7 +469,7 @@
             }
         }
         for service in shared.services.all() {
-            send_urgent_on_suspect(shared, &service);
+            report_new_suspicion(shared, &service);
         }
         for service in shared.services.all() {
             let key = server_key(&service.name);
@@ -488,38 +483,6 @@
     }
 }
 
-/// Requests that updates go out at once if a server of the service has become suspected.
-pub fn send_urgent_on_suspect(shared: &EdgeState, service: &ServiceState) {
-    if service.balancer.lock().take_new_suspicion() {
-        log_suspicion_changes(service);
-        shared.links.lock().mark_urgent();
-        shared.urgent_updates.notify();
-        shared.pending_updates.notify();
-    }
-}
-
-/// Logs which servers of a service this box has started or stopped to suspect.
-pub fn log_suspicion_changes(service: &ServiceState) {
-    for change in service
-        .balancer
-        .lock()
-        .take_suspicion_changes(wingspur_clock::now())
-    {
-        let outcome = if change.is_suspected {
-            "suspected"
-        } else {
-            "trusted again"
-        };
-        tracing::info!(
-            server = %change.server.id,
-            service = service.name,
-            failure_share = round_for_log(change.failure_probability),
-            sent_ms_ago = change.last_request_at.as_millis() as u64,
-            "server: {outcome}."
-        );
-    }
-}
-
 fn forget_sources(shared: &EdgeState, lost: &[SourceId]) {
     for service in shared.services.all() {
         let mut balancer = service.balancer.lock();
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -22,7 +22,6 @@
 use crate::edge_state::EdgeState;
 use crate::log_values::id_text;
 use crate::path_check::{check_path_soon, record_connected, record_unreached};
-use crate::peers::peer_exchange::send_urgent_on_suspect;
 use crate::proxy::request_error::BufferedResponse;
 use crate::proxy::request_head::{UpstreamRequest, reuse_policy, serialize_head};
 use crate::proxy::response_body::StreamGuard;
@@ -31,6 +30,7 @@
     InterruptedAttempt, check_for_server_crash, record_completed,
 };
 use crate::services::ServiceState;
+use crate::suspicion::report_new_suspicion;
 
 /// How an attempt ended.
 pub enum AttemptResult {
@@ -546,7 +546,7 @@
                 .lock()
                 .end(id, outcome, wingspur_clock::now());
             self.shared.pending_updates.notify();
-            send_urgent_on_suspect(&self.shared, &self.service);
+            report_new_suspicion(&self.shared, &self.service);
         }
     }
 }
--- a/crates/wingspur-edge/src/peers/relay_requests.rs
+++ b/crates/wingspur-edge/src/proxy/relay_requests.rs
@@ -15,7 +15,8 @@
 use crate::log_values::id_text;
 use crate::peers::relay_search::{is_relaying, relay_load};
 use crate::proxy::error_response::error_response;
-use crate::proxy::request::{RequestOrigin, respond};
+use crate::proxy::request::respond;
+use crate::proxy::request_origin::RequestOrigin;
 use crate::proxy::response_body::ResponseBody;
 
 /// Forwards a request that another box hands over. If this box cannot forward it now, the
@@ -28,7 +29,9 @@
     match check_relayed(&shared, &request) {
         Ok(relayed) => {
             let origin = RequestOrigin::Relayed(Arc::new(relayed));
-            respond(shared, request, origin).await
+            let (mut response, is_taken) = respond(shared.clone(), request, origin).await;
+            add_result(&shared, &mut response, is_taken);
+            response
         }
         Err(reason) => {
             let id = request.headers().get(shared.header_names.request_id);
@@ -43,7 +46,7 @@
 }
 
 /// Adds what became of a relayed request to the response.
-pub fn add_result<B>(shared: &EdgeState, response: &mut Response<B>, is_taken: bool) {
+fn add_result<B>(shared: &EdgeState, response: &mut Response<B>, is_taken: bool) {
     let result = RelayResult {
         is_taken,
         load: relay_load(shared),
--- a/crates/wingspur-edge/src/proxy/request.rs
+++ b/crates/wingspur-edge/src/proxy/request.rs
@@ -12,16 +12,15 @@
 };
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Version};
-use wingspur_protocol::{RELAY_HEADER, RELAY_RESULT_HEADER, RelayedRequest, ResultCode};
-use wingspur_state::{KeyDigest, RequestFingerprint, RequestParts};
+use wingspur_protocol::{RELAY_HEADER, RELAY_RESULT_HEADER, ResultCode};
+use wingspur_state::{RequestFingerprint, RequestParts};
 use wingspur_transport::{ResponseHead, SendBody};
 
 use crate::catalog::active_bundle::ActiveRoute;
 use crate::edge_state::EdgeState;
 use crate::operation::shutdown::shutdown_result;
-use crate::peers::relay_requests::add_result;
 use crate::proxy::admission::{
-    AdmissionRequest, Principal, admit, bearer_key, find_route, strip_credentials,
+    AdmissionRequest, Principal, admit, find_route, strip_credentials,
 };
 use crate::proxy::attempt::AttemptResult;
 use crate::proxy::error_response::error_response;
@@ -31,44 +30,9 @@
 use crate::proxy::request_error::{BufferedResponse, RequestError};
 use crate::proxy::request_head::UpstreamRequest;
 use crate::proxy::request_log::RequestLog;
+use crate::proxy::request_origin::RequestOrigin;
 use crate::proxy::response_body::{ResponseBody, StreamBody};
 use crate::quotas::quota_leases::enforce_account_limit;
-use crate::services::ServiceState;
-
-/// Who has sent a request to this box.
-#[derive(Debug, Clone)]
-pub enum RequestOrigin {
-    /// A caller.
-    Caller,
-    /// Another box, which has admitted it and counted it against the account's limit.
-    Relayed(Arc<RelayedRequest>),
-}
-
-impl RequestOrigin {
-    /// Returns what the other box says of the request; `None` for one of a caller.
-    pub fn relayed(&self) -> Option<&RelayedRequest> {
-        match self {
-            Self::Caller => None,
-            Self::Relayed(relayed) => Some(relayed),
-        }
-    }
-
-    /// Returns the digest of the caller's key.
-    fn key(&self, headers: &HeaderMap) -> Option<KeyDigest> {
-        match self {
-            Self::Caller => bearer_key(headers),
-            Self::Relayed(relayed) => relayed.key,
-        }
-    }
-
-    /// Returns the service for the request. For a relayed one it is that which the other
-    /// box has chosen, so that the weights of the services hold over the fleet.
-    fn service<'a>(&self, route: &'a ActiveRoute) -> &'a Arc<ServiceState> {
-        let chosen = self.relayed().map(|relayed| relayed.service.as_str());
-        let chosen = chosen.and_then(|name| route.service_named(name));
-        chosen.unwrap_or_else(|| route.next_service())
-    }
-}
 
 /// Handles one request of a caller and returns its response: that of a backend server, or
 /// an error response of the box.
@@ -77,15 +41,18 @@
     request: Request<Incoming>,
     _caller: SocketAddr,
 ) -> Response<ResponseBody> {
-    respond(shared, request, RequestOrigin::Caller).await
+    let (response, _) = respond(shared, request, RequestOrigin::Caller).await;
+    response
 }
 
-/// Handles one request of a caller or of another box, and returns its response.
+/// Handles one request of a caller or of another box. Returns its response, and whether
+/// this box has taken the request: if not, it was sent to no server, and another box might
+/// forward it.
 pub async fn respond(
     shared: Arc<EdgeState>,
     request: Request<Incoming>,
     origin: RequestOrigin,
-) -> Response<ResponseBody> {
+) -> (Response<ResponseBody>, bool) {
     let is_before_http_11 = request.version() < Version::HTTP_11;
     let arrived = wingspur_clock::now();
     let id = request.headers().get(shared.header_names.request_id);
@@ -122,10 +89,7 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    if origin.relayed().is_some() {
-        add_result(&shared, &mut response, is_taken);
-    }
-    response
+    (response, is_taken)
 }
 
 /// Whether another box might forward a request that this one has sent to no server.
