The error of a request lies beside the folders of wingspur-edge

Cause: quotas refuses requests and imported the request path for the type of the error. Change: request_error.rs moves up one folder; paths only. Conclusion: quotas imports nothing of proxy; clippy of wingspur-edge passes.

--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod proxy;
 mod quotas;
+mod request_error;
 mod services;
 mod suspicion;
 
--- a/crates/wingspur-edge/src/proxy/admission.rs
+++ b/crates/wingspur-edge/src/proxy/admission.rs
@@ -13,7 +13,7 @@
 
 use crate::catalog::active_bundle::{ActiveBundle, ActiveRoute};
 use crate::edge_state::EdgeState;
-use crate::proxy::request_error::RequestError;
+use crate::request_error::RequestError;
 
 /// A request to be admitted.
 #[derive(Debug, Clone, Copy)]
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -22,13 +22,13 @@
 use crate::edge_state::EdgeState;
 use crate::log_values::id_text;
 use crate::path_check::{check_path_soon, record_connected, record_unreached};
-use crate::proxy::request_error::BufferedResponse;
 use crate::proxy::request_head::{UpstreamRequest, reuse_policy, serialize_head};
 use crate::proxy::response_body::StreamGuard;
 use crate::proxy::server_hints::observe_response;
 use crate::proxy::suspect_requests::{
     InterruptedAttempt, check_for_server_crash, record_completed,
 };
+use crate::request_error::BufferedResponse;
 use crate::services::ServiceState;
 use crate::suspicion::report_new_suspicion;
 
--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -21,7 +21,6 @@
 use crate::peers::relay_search::find_relay;
 use crate::proxy::attempt::{AttemptResult, FailedAttempt, UpstreamAttempt};
 use crate::proxy::relayed_attempt::RelayedAttempt;
-use crate::proxy::request_error::RequestError;
 use crate::proxy::request_head::{UpstreamRequest, reuse_policy};
 use crate::proxy::request_log::{log_give_up, log_pick};
 use crate::proxy::request_origin::RequestOrigin;
@@ -31,6 +30,7 @@
 use crate::quotas::quarantine::{is_quarantined, wait_for_send_permit};
 use crate::quotas::quarantine_state::SendPermission;
 use crate::quotas::resend_lease_exchange::lease_resend;
+use crate::request_error::RequestError;
 use crate::services::ServiceState;
 
 /// Forwards one request: picks servers, and sends retries and hedges within the retry
--- a/crates/wingspur-edge/src/proxy/mod.rs
+++ b/crates/wingspur-edge/src/proxy/mod.rs
@@ -9,7 +9,6 @@
 pub mod relay_requests;
 pub mod relayed_attempt;
 pub mod request;
-pub mod request_error;
 pub mod request_head;
 pub mod request_log;
 pub mod request_origin;
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -20,9 +20,9 @@
 use crate::proxy::attempt::{
     AttemptResult, FailedAttempt, LATE_RESPONSE_GRACE, MAX_BUFFERED_BYTES,
 };
-use crate::proxy::request_error::BufferedResponse;
 use crate::proxy::request_head::{UpstreamRequest, reuse_policy, serialize_head};
 use crate::proxy::response_body::StreamGuard;
+use crate::request_error::BufferedResponse;
 use crate::services::ServiceState;
 
 /// Inputs of one attempt through another box.
--- a/crates/wingspur-edge/src/proxy/request.rs
+++ b/crates/wingspur-edge/src/proxy/request.rs
@@ -27,12 +27,12 @@
 use crate::proxy::forwarding::RequestForwarder;
 use crate::proxy::headers::{check_framing, strip_hop_by_hop};
 use crate::proxy::in_flight_requests::InFlightGuard;
-use crate::proxy::request_error::{BufferedResponse, RequestError};
 use crate::proxy::request_head::UpstreamRequest;
 use crate::proxy::request_log::RequestLog;
 use crate::proxy::request_origin::RequestOrigin;
 use crate::proxy::response_body::{ResponseBody, StreamBody};
 use crate::quotas::quota_leases::enforce_account_limit;
+use crate::request_error::{BufferedResponse, RequestError};
 
 /// Handles one request of a caller and returns its response: that of a backend server, or
 /// an error response of the box.
--- a/crates/wingspur-edge/src/proxy/request_log.rs
+++ b/crates/wingspur-edge/src/proxy/request_log.rs
@@ -16,7 +16,7 @@
 use crate::proxy::admission::Principal;
 use crate::proxy::error_response::RESULT_HEADER;
 use crate::proxy::in_flight_requests::InFlightGuard;
-use crate::proxy::request_error::RequestError;
+use crate::request_error::RequestError;
 
 /// Collects what is logged of one request, from its head to its outcome.
 ///
--- a/crates/wingspur-edge/src/quotas/quota_leases.rs
+++ b/crates/wingspur-edge/src/quotas/quota_leases.rs
@@ -18,11 +18,11 @@
 use crate::edge_state::EdgeState;
 use crate::log_values::round_for_log;
 use crate::peers::lease_messages::send_lease_messages;
-use crate::proxy::request_error::RequestError;
 use crate::quotas::quarantine::{handle_permit_request, handle_permit_response};
 use crate::quotas::resend_lease_exchange::{
     handle_resend_lease_reply, handle_resend_lease_request,
 };
+use crate::request_error::RequestError;
 
 /// Admits a request within its client account's rate limit. Rejects it with 429 if the
 /// account is over its limit, and with 503 if the quota state could not be determined in
