Types that two files import lie in a file beneath both

Cause: in wingspur-protocol catalog and compact_servers, and refusal and result_code, imported each other, as did backend, body and response_head in wingspur-transport; names that the crate's root re-exports hid this. Change: changes of the catalog and the error of a response have files of their own, and the state of a run lies with the result codes that tell it; no item changes.

--- a/crates/wingspur-protocol/src/lib.rs
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod box_list;
 mod catalog;
+mod catalog_change;
 mod compact_servers;
 mod headers;
 mod link;
@@ -17,9 +18,8 @@
 mod store;
 
 pub use box_list::{BoxList, BoxState, ListedBox, ListedServer};
-pub use catalog::{
-    BoxRecord, CatalogChange, CatalogChanges, CatalogSnapshot, QuarantineRecord,
-};
+pub use catalog::{CatalogChanges, CatalogSnapshot};
+pub use catalog_change::{BoxRecord, CatalogChange, QuarantineRecord};
 pub use headers::{HeaderNames, LoadFormat};
 pub use link::{
     CatalogFreshness, CatalogSnapshotUpdate, CatalogUpdate, DelegatedShare, EncodedFrame,
@@ -36,13 +36,13 @@
     PEER_PROTOCOL_VERSION, PeerEnvelope, PeerError, PeerMessage, PeerReply, Suspicion,
     decode_peer, encode_peer,
 };
-pub use refusal::{ExecutionState, RefusalBody};
+pub use refusal::RefusalBody;
 pub use relay::{
     REACHABILITY_PATH, RELAY_HEADER, RELAY_PROTOCOL_VERSION, RELAY_RESULT_HEADER,
     ReachabilityQuery, ReachabilityReply, RelayError, RelayResult, RelayedRequest,
     decode_relay_body, decode_relay_header, encode_relay_body, encode_relay_header,
 };
-pub use result_code::ResultCode;
+pub use result_code::{ExecutionState, ResultCode};
 pub use server_hints::{
     InvalidBackoff, InvalidDraining, ServerHints, parse_backoff, parse_draining,
 };
--- a/crates/wingspur-protocol/src/refusal.rs
+++ b/crates/wingspur-protocol/src/refusal.rs
@@ -2,19 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ResultCode;
-
-/// Whether a request ran at a backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ExecutionState {
-    /// The request certainly did not run.
-    NotRun,
-    /// The request may have run.
-    Unknown,
-    /// The request ran.
-    Ran,
-}
+use crate::{ExecutionState, ResultCode};
 
 /// The JSON body of an error response.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/wingspur-protocol/src/result_code.rs
+++ b/crates/wingspur-protocol/src/result_code.rs
@@ -1,6 +1,6 @@
 //! Numbered result codes, one for each kind of response that wingspur itself makes.
 
-use crate::ExecutionState;
+use serde::{Deserialize, Serialize};
 
 /// The result of a request to which wingspur itself responded.
 ///
@@ -57,6 +57,18 @@
     CatalogStale,
 }
 
+/// Whether a request ran at a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ExecutionState {
+    /// The request certainly did not run.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+    /// The request ran.
+    Ran,
+}
+
 impl ResultCode {
     /// All codes, in the order of their numbers.
     pub const ALL: [Self; 24] = [
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -24,11 +24,11 @@
 use socket2::SockRef;
 use wingspur_state::MAX_RESEND_TRANSIT;
 
-use crate::SendBody;
 use crate::path_fault::InjectedPathFault;
 use crate::response_head::{
     Framing, ParsedHead, framing_of, keep_alive_timeout, parse_head, unreadable,
 };
+use crate::{ResponseError, SendBody};
 
 /// The idle connections of this box to one backend server.
 #[derive(Debug)]
@@ -106,28 +106,6 @@
     }
 }
 
-impl ResponseError {
-    /// Returns whether the connection failed or ended, which also happens when the
-    /// server's process ends.
-    pub fn is_connection_lost(&self) -> bool {
-        matches!(self, Self::Broken(_))
-    }
-}
-
-/// Why a response is missing or unusable. The request may have run.
-#[derive(Debug, thiserror::Error)]
-pub enum ResponseError {
-    /// The connection failed or ended before the response was complete.
-    #[error("the answer broke off: {0}")]
-    Broken(io::Error),
-    /// The received bytes are not a usable HTTP/1.1 response; contains the reason.
-    #[error("unusable response: {0}")]
-    Unreadable(String),
-    /// The request body from the caller ended early or was too long.
-    #[error("the request body was interrupted or too long")]
-    RequestBody,
-}
-
 #[derive(Debug)]
 struct IdleConnection {
     connection: BackendConnection,
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -11,6 +11,7 @@
 mod path_fault;
 mod pool;
 mod publish;
+mod response_error;
 mod response_head;
 mod server_hints;
 mod store;
@@ -18,8 +19,7 @@
 mod workers;
 
 pub use backend::{
-    BackendConnection, BackendConnections, ConnectError, ResponseError, ResponseHead,
-    ReusePolicy,
+    BackendConnection, BackendConnections, ConnectError, ResponseHead, ReusePolicy,
 };
 pub use body::{BodyError, SendBody, poll_buffered};
 pub use catalog::{
@@ -41,6 +41,7 @@
     PublishError, Published, accept_bundle, assemble_bundle, load_bundle, load_pointer,
     submit_bundle,
 };
+pub use response_error::ResponseError;
 pub use store::{
     KeyValue, RangeResult, StoreClient, StoreError, WatchStream, WriteOutcome,
 };
