--- a/crates/wingspur-edge/src/operation/mod.rs
+++ b/crates/wingspur-edge/src/operation/mod.rs
@@ -1,4 +1,6 @@
 //! Settings, metrics, shutdown and the operator endpoint.
+//!
+//! Any file may import these but `operator`, which only `edge_box` may import.
 
 pub mod metrics;
 pub mod operator;
--- a/crates/wingspur-edge/src/proxy/mod.rs
+++ b/crates/wingspur-edge/src/proxy/mod.rs
@@ -1,4 +1,8 @@
 //! The path of a request: admission, forwarding to backend servers, and the response.
+//!
+//! `edge_state` may import `in_flight_requests`, `catalog` may import `server_hints` and
+//! `suspect_requests`, and `edge_box` and `peer_port` any file. `lib` re-exports
+//! `error_response` and `headers`.
 
 pub mod admission;
 pub mod attempt;
