--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -5,13 +5,17 @@
 mod edge_box;
 mod edge_state;
 mod locks;
+mod log_values;
 mod notify;
 mod operation;
 mod path_check;
+mod peer_port;
 mod peers;
 mod proxy;
 mod quotas;
+mod request_error;
 mod services;
+mod suspicion;
 
 pub use edge_box::{EdgeBox, EdgeError};
 pub use locks::{LockRank, RankedMutex, RankedMutexGuard};
--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -17,21 +17,20 @@
 
 use crate::catalog::active_bundle::ActiveRoute;
 use crate::edge_state::EdgeState;
+use crate::log_values::{id_text, round_for_log};
 use crate::peers::relay_search::find_relay;
-use crate::proxy::attempt::{
-    AttemptResult, FailedAttempt, UpstreamAttempt, UpstreamRequest,
-};
+use crate::proxy::attempt::{AttemptResult, FailedAttempt, UpstreamAttempt};
 use crate::proxy::relayed_attempt::RelayedAttempt;
-use crate::proxy::request::RequestOrigin;
-use crate::proxy::request_error::RequestError;
-use crate::proxy::request_head::reuse_policy;
-use crate::proxy::request_log::{id_text, log_give_up, log_pick, round_for_log};
+use crate::proxy::request_head::{UpstreamRequest, reuse_policy};
+use crate::proxy::request_log::{log_give_up, log_pick};
+use crate::proxy::request_origin::RequestOrigin;
 use crate::proxy::resend_reservation::ResendReservation;
 use crate::proxy::server_hints::{MAX_PRIORITY_LEVEL, acquire_server_quota};
 use crate::proxy::suspect_requests::{InterruptedAttempt, check_for_server_crash};
 use crate::quotas::quarantine::{is_quarantined, wait_for_send_permit};
 use crate::quotas::quarantine_state::SendPermission;
 use crate::quotas::resend_lease_exchange::lease_resend;
+use crate::request_error::RequestError;
 use crate::services::ServiceState;
 
 /// Forwards one request: picks servers, and sends retries and hedges within the retry
--- a/crates/wingspur-edge/src/proxy/mod.rs
+++ b/crates/wingspur-edge/src/proxy/mod.rs
@@ -1,4 +1,8 @@
 //! The path of a request: admission, forwarding to backend servers, and the response.
+//!
+//! `edge_state` may import `in_flight_requests`, `catalog` may import `server_hints` and
+//! `suspect_requests`, and `edge_box` and `peer_port` any file. `lib` re-exports
+//! `error_response` and `headers`.
 
 pub mod admission;
 pub mod attempt;
@@ -6,11 +10,12 @@
 pub mod forwarding;
 pub mod headers;
 pub mod in_flight_requests;
+pub mod relay_requests;
 pub mod relayed_attempt;
 pub mod request;
-pub mod request_error;
 pub mod request_head;
 pub mod request_log;
+pub mod request_origin;
 pub mod resend_reservation;
 pub mod response_body;
 pub mod server_hints;
