--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -1,6 +1,7 @@
 //! The frames that two boxes send each other over a long-lived link.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
@@ -248,6 +249,12 @@
 }
 
 impl QuotaLeaseReply {
+    /// Returns the time until more should be available, if the allocator knows it.
+    pub fn more_in(&self) -> Option<Duration> {
+        let more_in_ms = self.retry_after_ms?;
+        Some(Duration::from_millis(more_in_ms.into()))
+    }
+
     /// Creates a reply that grants nothing.
     pub fn denied(request: &QuotaLeaseRequest) -> Self {
         Self {
