--- a/crates/wingspur-coordination/src/lib.rs
+++ b/crates/wingspur-coordination/src/lib.rs
@@ -43,8 +43,8 @@
     TrialRecord,
 };
 pub use quota_leases::{
-    DataCentreQuota, FindQuota, PendingGrant, Quota, QuotaAllocator, QuotaLeaseManager,
-    QuotaMessage, QuotaMessages, QuotaTopology, ReserveShare,
+    DataCentreQuota, FindQuota, PendingGrant, QueueView, Quota, QuotaAllocator,
+    QuotaLeaseManager, QuotaMessage, QuotaMessages, QuotaTopology, ReserveShare,
 };
 pub use recent_changes::RecentChanges;
 pub use relay_directory::{RelayDirectory, relay_capacity};
--- a/crates/wingspur-coordination/src/quota_leases/mod.rs
+++ b/crates/wingspur-coordination/src/quota_leases/mod.rs
@@ -7,14 +7,16 @@
 mod waiting_queue;
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use wingspur_protocol::{LeasedResource, QuotaLeaseReply, QuotaLeaseRequest};
-use wingspur_state::{AcquireOutcome, LeaseClient, LeaseDemand, PrefetchGrant};
+use wingspur_state::{
+    AcquireOutcome, LeaseClient, LeaseDemand, PrefetchGrant, QueueReport,
+};
 
-use self::pools::{SharePools, allows_prefetch, millis};
+use self::pools::{Demand, SharePools, allows_prefetch, is_account, millis};
 use self::searches::{Search, Searches};
-use self::waiting_queue::{WaitingQueues, is_soon};
+use self::waiting_queue::{QueueOrder, WaitingQueues, is_soon};
 use crate::LinkId;
 
 pub use self::messages::{QuotaMessage, QuotaMessages};
@@ -36,6 +38,17 @@
     searches: Searches,
 }
 
+/// What a box knows of the queue for the quota of an account.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QueueView {
+    /// The requests that wait at this box and, if it is a hub, at its members.
+    pub length: u32,
+    /// The units that fall due within the longest wait; `None` if that is not known.
+    pub due: Option<u32>,
+    /// The age of the hub's report; `None` for a hub, or if there is no recent report.
+    pub report_age: Option<Duration>,
+}
+
 impl QuotaLeaseManager {
     /// Creates the state of a box that starts now.
     pub fn new(now: Instant) -> Self {
@@ -83,18 +96,84 @@
         now: Instant,
     ) -> (Result<AcquireOutcome, PendingGrant>, QuotaMessages) {
         let lease_client = self.lease_clients.entry(resource).or_default();
-        let outcome = match lease_client.try_acquire(now) {
-            AcquireOutcome::Pending | AcquireOutcome::Unknown => {
-                Err(self.waiting.enqueue(resource, reserve, now))
-            }
-            AcquireOutcome::Refused(more_in) if is_soon(more_in) => {
-                Err(self.waiting.enqueue(resource, reserve, now))
-            }
-            outcome => Ok(outcome),
+        let outcome = lease_client.try_acquire(now);
+        let may_wait = match outcome {
+            AcquireOutcome::Acquired => false,
+            AcquireOutcome::Refused(more_in) => is_soon(more_in),
+            AcquireOutcome::Pending | AcquireOutcome::Unknown => true,
+        };
+        if !may_wait {
+            return (Ok(outcome), self.ask_hub(resource, hub, now));
+        }
+        // One request may always wait for the reply to a lease request, so that the box
+        // learns of new units.
+        let is_first = self.waiting.own_ahead(resource, reserve) == 0;
+        let is_probe = is_first && lease_client.may_ask(now);
+        let report = lease_client.report(now).filter(|_| !is_probe);
+        let outcome = match report {
+            Some((report, _)) => self.enqueue_within(resource, reserve, &report, now),
+            None => Err(self.waiting.enqueue(resource, reserve, now)),
         };
         (outcome, self.ask_hub(resource, hub, now))
     }
 
+    /// Lets a request wait if there is a place for its urgency in the queue that is
+    /// reported. A less urgent one may be refused in its place.
+    fn enqueue_within(
+        &mut self,
+        resource: LeasedResource,
+        reserve: ReserveShare,
+        report: &QueueReport,
+        now: Instant,
+    ) -> Result<AcquireOutcome, PendingGrant> {
+        let refusal = AcquireOutcome::Refused(report.free_in());
+        let places = report.places(reserve) as usize;
+        if self.waiting.own_ahead(resource, reserve) >= places {
+            return Ok(refusal);
+        }
+        if self.waiting.len(resource) >= report.due as usize {
+            self.waiting.displace(resource, reserve, refusal);
+        }
+        Err(self.waiting.enqueue(resource, reserve, now))
+    }
+
+    /// Returns the queue for an account's quota at this box, without the requests that
+    /// wait here or, where `asking` is given, at that member. `None` if the number of
+    /// requests that may wait is not limited: other hubs may have units.
+    fn queue_without(
+        &mut self,
+        resource: LeasedResource,
+        (asking, reserve): (Option<LinkId>, ReserveShare),
+        topology: &QuotaTopology,
+        quota: Option<&Quota>,
+        now: Instant,
+    ) -> Option<QueueReport> {
+        if !is_account(resource) {
+            return None;
+        }
+        let is_from_hub = asking.is_some_and(|link| topology.is_allocator(link));
+        let has_others = topology.own_hub.is_none() && !topology.allocators.is_empty();
+        let elsewhere = match is_from_hub || !has_others {
+            true => 0,
+            false => self.searches.places_elsewhere(resource, now)?,
+        };
+        let count = |reserve| {
+            let own = self.waiting.own_ahead(resource, reserve) as u32;
+            let members = self.waiting.members_ahead(resource, asking, reserve, now);
+            members + asking.map_or(0, |_| own)
+        };
+        let (ahead, waiting) = (count(reserve), count(ReserveShare::INFINITY));
+        let counts = (waiting, elsewhere);
+        let (due, free_in) = self.pools.units_due(resource, counts, topology, quota)?;
+        Some(QueueReport {
+            reserve,
+            ahead,
+            waiting,
+            due,
+            free_in_ms: millis(free_in),
+        })
+    }
+
     /// Acquires one unit from this box's own share, or asks other hubs if that is used
     /// up.
     fn acquire_from_pool(
@@ -109,23 +188,80 @@
         let allocators = quota.as_ref().map(|quota| topology.allocators_of(quota));
         let allocators = allocators.unwrap_or_default();
         let ahead = self.waiting.len(resource);
-        let demand = (resource, reserve, ahead);
-        let outcome = self.pools.take(demand, quota.as_ref(), topology, now);
+        let order = QueueOrder {
+            reserve,
+            since: now,
+        };
+        let demand = Demand {
+            resource,
+            wanted: 1,
+            reserve,
+            kept_back: self.waiting.count_before(resource, None, &order, now),
+            ahead,
+        };
+        let outcome = self.pools.take(&demand, quota.as_ref(), topology, now);
         if outcome == AcquireOutcome::Acquired {
             return (Ok(outcome), QuotaMessages::new());
         }
-        if allocators.is_empty() || self.searches.was_missed_recently(resource, now) {
+        let may_search =
+            !allocators.is_empty() && !self.searches.was_missed_recently(resource, now);
+        // One search for this box's own requests is always allowed, so that the box learns
+        // of new units.
+        let is_probe = may_search && !self.searches.has_own(resource);
+        let report =
+            self.queue_without(resource, (None, reserve), topology, quota.as_ref(), now);
+        let report = report.filter(|_| !is_probe);
+        if !may_search {
             let outcome = match self.searches.with_recent_miss(resource, outcome) {
                 AcquireOutcome::Refused(more_in) if !is_soon(more_in) => Ok(outcome),
-                _ => Err(self.waiting.enqueue(resource, reserve, now)),
+                _ => match report {
+                    Some(report) => self.enqueue_within(resource, reserve, &report, now),
+                    None => Err(self.waiting.enqueue(resource, reserve, now)),
+                },
             };
             return (outcome, QuotaMessages::new());
         }
-        let pending = self.waiting.enqueue(resource, reserve, now);
+        let pending = match report {
+            Some(report) => self.enqueue_within(resource, reserve, &report, now),
+            None => Err(self.waiting.enqueue(resource, reserve, now)),
+        };
+        let pending = match pending {
+            Ok(outcome) => return (Ok(outcome), QuotaMessages::new()),
+            Err(pending) => pending,
+        };
         let search = Search::new(resource, None, (0, 1), reserve, now);
         (Err(pending), self.searches.begin(search, allocators, now))
     }
 
+    /// Returns what this box knows of the queue for the quota of an account, for the log.
+    pub fn queue_view(
+        &mut self,
+        resource: LeasedResource,
+        topology: &QuotaTopology,
+        find: FindQuota<'_>,
+        now: Instant,
+    ) -> QueueView {
+        let length = self.waiting.len(resource) as u32;
+        if topology.own_hub.is_some() {
+            let lease_client = self.lease_clients.get(&resource);
+            let report = lease_client.and_then(|client| client.report(now));
+            return QueueView {
+                length,
+                due: report.map(|(report, _)| report.due),
+                report_age: report.map(|(_, age)| age),
+            };
+        }
+        let quota = find(resource);
+        let everyone = (None, ReserveShare::INFINITY);
+        let report =
+            self.queue_without(resource, everyone, topology, quota.as_ref(), now);
+        QueueView {
+            length: length + report.map_or(0, |report| report.waiting),
+            due: report.map(|report| report.due),
+            report_age: None,
+        }
+    }
+
     /// Asks the hub for what this box lacks.
     fn ask_hub(
         &mut self,
@@ -133,8 +269,14 @@
         hub: LinkId,
         now: Instant,
     ) -> QuotaMessages {
-        let reserves = self.waiting.reserves(resource);
-        let (count, reserve) = (reserves.len() as u32, reserves.first().copied());
+        let mut reserves = self.waiting.reserves(resource);
+        let reserve = reserves.first().copied();
+        if is_account(resource) {
+            // Less urgent requests are asked for once the more urgent ones have units, so
+            // that the hub can compare all requests of one lease request with others.
+            reserves.retain(|other| Some(*other) == reserve);
+        }
+        let count = reserves.len() as u32;
         let mut messages = QuotaMessages::new();
         // On-demand quota first, then prefetched quota.
         for count in [count, 0] {
@@ -185,20 +327,40 @@
         let quota = find(request.resource);
         let quota = quota.as_ref();
         if request.on_demand_count == 0 {
+            // Units that requests wait for are not prefetched.
+            let has_waiting = self.waiting.has_any(request.resource, now);
+            let wanted = if has_waiting { 0.0 } else { request.wanted };
+            let request = QuotaLeaseRequest { wanted, ..*request };
             let reply = self
                 .pools
-                .grant_prefetch(link, request, topology, quota, now);
+                .grant_prefetch(link, &request, topology, quota, now);
             return vec![QuotaMessage::reply(link, reply, false)];
         }
-        let reply = self.pools.grant_on_demand(request, topology, quota, now);
+        let (resource, reserve) = (request.resource, request.reserve);
+        let order = self
+            .waiting
+            .member_order(resource, link, reserve, now)
+            .unwrap_or(QueueOrder {
+                reserve,
+                since: now,
+            });
+        let kept_back = self.waiting.count_before(resource, Some(link), &order, now);
+        let reply = self
+            .pools
+            .grant_on_demand(request, kept_back, topology, quota, now);
         let missing = request.on_demand_count - reply.on_demand_granted;
         let is_from_allocator = topology.allocators.contains(&link);
         let allocators = quota.map(|quota| topology.allocators_of(quota));
         let allocators = allocators.unwrap_or_default();
+        let is_searching = self.searches.is_searching(resource)
+            && self.searches.places_elsewhere(resource, now) == Some(0);
         let can_search = !allocators.is_empty()
-            && !self.searches.was_missed_recently(request.resource, now);
+            && !self.searches.was_missed_recently(resource, now)
+            && !is_searching;
         // An allocator asks the other hubs itself, so its request is not passed on.
         if missing == 0 || is_from_allocator || !can_search {
+            let reply =
+                self.with_queue(reply, (link, missing, reserve), topology, quota, now);
             return vec![QuotaMessage::reply(link, reply, true)];
         }
         let requester = Some((link, request.request_id));
@@ -208,6 +370,33 @@
         self.searches.begin(search, allocators, now)
     }
 
+    /// Adds the queue to a reply to a member or another hub, and records how many requests
+    /// wait there.
+    fn with_queue(
+        &mut self,
+        reply: QuotaLeaseReply,
+        (link, missing, reserve): (LinkId, u32, ReserveShare),
+        topology: &QuotaTopology,
+        quota: Option<&Quota>,
+        now: Instant,
+    ) -> QuotaLeaseReply {
+        let resource = reply.resource;
+        if !is_account(resource) {
+            return reply;
+        }
+        let queue =
+            self.queue_without(resource, (Some(link), reserve), topology, quota, now);
+        if !topology.is_allocator(link) {
+            let waiting =
+                queue.map_or(missing, |queue| missing.min(queue.places(reserve)));
+            self.waiting
+                .record_member(resource, link, (waiting, reserve), now);
+        }
+        let is_limited = missing > 0 || topology.is_allocator(link);
+        let queue = queue.filter(|_| is_limited);
+        QuotaLeaseReply { queue, ..reply }
+    }
+
     /// Handles another box's reply to a lease request.
     pub fn handle_reply(
         &mut self,
@@ -232,6 +421,7 @@
         };
         lease_client.apply_prefetch_grant(reply.request_id, &grant, now);
         let (request_id, on_demand) = (reply.request_id, reply.on_demand_granted);
+        let is_on_demand = lease_client.awaits_on_demand(request_id);
         let granted = lease_client.apply_on_demand_grant(
             request_id,
             on_demand,
@@ -239,8 +429,15 @@
             now,
         );
         let refusal = lease_client.refusal(now);
+        let report = reply.queue.filter(|_| is_account(resource));
+        if is_on_demand {
+            lease_client.record_report(report, now);
+        }
         let (granted, expires) = granted.unwrap_or((0, now));
         let unused = granted - self.waiting.notify(resource, granted, refusal, now);
+        if let Some(report) = report.filter(|_| is_on_demand) {
+            self.waiting.trim(resource, &report);
+        }
         if unused > 0 {
             let lease_client = self.lease_clients.entry(resource).or_default();
             lease_client.retain_unused(unused, expires);
@@ -259,9 +456,10 @@
         find: FindQuota<'_>,
         now: Instant,
     ) -> QuotaMessages {
-        match self.searches.resume(search, topology, now) {
-            Ok(messages) => messages,
-            Err(ended) => self.end_search(ended, topology, find, now),
+        let (messages, ended) = self.searches.resume(search, topology, now);
+        match ended {
+            Some(search) => self.end_search(search, topology, find, now),
+            None => messages,
         }
     }
 
@@ -295,6 +493,9 @@
                 self.pools
                     .return_unused(resource, search.granted - notified);
             }
+            if search.missing > 0 {
+                self.trim_own(resource, topology, quota.as_ref(), now);
+            }
             return QuotaMessages::new();
         };
         let reply = QuotaLeaseReply {
@@ -304,10 +505,31 @@
             prefetch_granted: 0.0,
             renewed: false,
             retry_after_ms: more_in.map(millis),
+            queue: None,
         };
+        let asking = (link, search.missing, search.reserve);
+        let reply = self.with_queue(reply, asking, topology, quota.as_ref(), now);
         vec![QuotaMessage::reply(link, reply, true)]
     }
 
+    /// Refuses the requests of this box that wait beyond the places of the queue.
+    fn trim_own(
+        &mut self,
+        resource: LeasedResource,
+        topology: &QuotaTopology,
+        quota: Option<&Quota>,
+        now: Instant,
+    ) {
+        let Some(first) = self.waiting.first_order(resource) else {
+            return;
+        };
+        let asking = (None, first.reserve);
+        let report = self.queue_without(resource, asking, topology, quota, now);
+        if let Some(report) = report {
+            self.waiting.trim(resource, &report);
+        }
+    }
+
     /// Continues searches whose last lease request got no reply in time, and serves
     /// requests that still wait.
     pub fn poll(
@@ -344,8 +566,17 @@
     ) {
         let quota = find(resource);
         for reserve in self.waiting.reserves(resource) {
-            let demand = (resource, reserve, 0);
-            match self.pools.take(demand, quota.as_ref(), topology, now) {
+            let Some(order) = self.waiting.first_order(resource) else {
+                return;
+            };
+            let demand = Demand {
+                resource,
+                wanted: 1,
+                reserve,
+                kept_back: self.waiting.count_before(resource, None, &order, now),
+                ahead: 0,
+            };
+            match self.pools.take(&demand, quota.as_ref(), topology, now) {
                 AcquireOutcome::Acquired => {
                     self.waiting.notify(resource, 1, None, now);
                 }
@@ -391,6 +622,6 @@
             .retain(|_, lease_client| !lease_client.is_idle(now));
         self.searches.evict_expired(now);
         self.pools.evict_full(find, now);
-        self.waiting.evict_closed();
+        self.waiting.evict_closed(now);
     }
 }
--- a/crates/wingspur-coordination/src/quota_leases/pools.rs
+++ b/crates/wingspur-coordination/src/quota_leases/pools.rs
@@ -9,9 +9,21 @@
 };
 
 use super::topology::{FindQuota, Quota, QuotaAllocator, QuotaTopology};
-use super::waiting_queue::ReserveShare;
+use super::waiting_queue::{MAX_WAIT, ReserveShare};
 use crate::LinkId;
 
+/// A demand for units that are used at once.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand {
+    pub resource: LeasedResource,
+    pub wanted: u32,
+    pub reserve: ReserveShare,
+    /// Units of an account's quota that are left to requests which wait and come first.
+    pub kept_back: u32,
+    /// The requests that wait already.
+    pub ahead: usize,
+}
+
 /// The history of this box's shares, and a pool for each quota that was recently used.
 #[derive(Debug)]
 pub struct SharePools {
@@ -23,6 +35,26 @@
     pools: HashMap<LeasedResource, QuotaPool>,
 }
 
+impl Demand {
+    /// Leases units of a pool, and returns how many.
+    fn lease(
+        &self,
+        pool: &mut QuotaPool,
+        quota: &Quota,
+        share_history: &ShareHistory,
+        now: Instant,
+    ) -> u32 {
+        let terms = &quota.terms;
+        if !is_account(self.resource) {
+            let reserve = self.reserve.into();
+            return pool.lease_on_demand(self.wanted, reserve, terms, share_history, now);
+        }
+        let available = pool.whole_tokens(terms, share_history, now);
+        let wanted = self.wanted.min(available.saturating_sub(self.kept_back));
+        pool.lease_on_demand(wanted, 0.0, terms, share_history, now)
+    }
+}
+
 impl SharePools {
     /// Creates the pools of a box that starts now.
     pub fn new(now: Instant) -> Self {
@@ -49,13 +81,12 @@
         }
     }
 
-    /// Takes one unit of this box's own share for a request with `ahead` others waiting
-    /// before it. The outcome is `Unknown` if there is no quota or the box has no share
+    /// Takes one unit of this box's own share for a request. The outcome is `Unknown` if there is no quota or the box has no share
     /// of it, or if no unit is left but the share has changed recently and the queue is
     /// not too long.
     pub fn take(
         &mut self,
-        (resource, reserve, ahead): (LeasedResource, ReserveShare, usize),
+        demand: &Demand,
         quota: Option<&Quota>,
         topology: &QuotaTopology,
         now: Instant,
@@ -67,11 +98,11 @@
         else {
             return AcquireOutcome::Unknown;
         };
-        let pool = self.pools.entry(resource).or_default();
-        if pool.lease_on_demand(1, reserve.into(), &quota.terms, share_history, now) == 1
-        {
+        let pool = self.pools.entry(demand.resource).or_default();
+        if demand.lease(pool, quota, share_history, now) == 1 {
             return AcquireOutcome::Acquired;
         }
+        let ahead = demand.ahead;
         match is_share_settled(quota, share_history)
             || is_queue_too_long(ahead, quota, share_history)
         {
@@ -118,11 +149,19 @@
     pub fn grant_on_demand(
         &mut self,
         request: &QuotaLeaseRequest,
+        kept_back: u32,
         topology: &QuotaTopology,
         quota: Option<&Quota>,
         now: Instant,
     ) -> QuotaLeaseReply {
         let denied = QuotaLeaseReply::denied(request);
+        let demand = Demand {
+            resource: request.resource,
+            wanted: request.on_demand_count,
+            reserve: request.reserve,
+            kept_back,
+            ahead: 0,
+        };
         let (share_history, histories) =
             (&self.share_history, &self.data_centre_histories);
         let Some((quota, share_history)) =
@@ -130,11 +169,9 @@
         else {
             return denied;
         };
-        let (on_demand, reserve) = (request.on_demand_count, request.reserve.into());
         let pool = self.pools.entry(request.resource).or_default();
-        let granted =
-            pool.lease_on_demand(on_demand, reserve, &quota.terms, share_history, now);
-        let missing = (on_demand - granted) as usize;
+        let granted = demand.lease(pool, quota, share_history, now);
+        let missing = (request.on_demand_count - granted) as usize;
         let more_in = match is_queue_too_long(missing, quota, share_history) {
             true => Some(millis(expected_wait(pool, quota, share_history, missing))),
             false if is_share_settled(quota, share_history) => {
@@ -168,6 +205,37 @@
         Some(pool.time_to_next_token(&quota.terms, share_history))
     }
 
+    /// Returns how many units of an account's quota fall due while a request waits, and
+    /// the time until one more request may wait if `waiting` do. `elsewhere` requests may
+    /// wait for units of other hubs. `None` if there is no quota.
+    ///
+    /// As many may wait as units fall due in the longest wait. While the share moves
+    /// between boxes, as many may wait as an assumed share refills in `QUEUE_WINDOW`.
+    pub fn units_due(
+        &mut self,
+        resource: LeasedResource,
+        (waiting, elsewhere): (u32, u32),
+        topology: &QuotaTopology,
+        quota: Option<&Quota>,
+    ) -> Option<(u32, Duration)> {
+        let (share_history, histories) =
+            (&self.share_history, &self.data_centre_histories);
+        let quota = quota?;
+        let with_history =
+            quota_with_history(Some(quota), topology, share_history, histories);
+        let pool = self.pools.entry(resource).or_default();
+        Some(match with_history {
+            Some((quota, share_history)) if is_share_settled(quota, share_history) => {
+                let due_in = |span| pool.tokens_due(span, &quota.terms, share_history);
+                let due = due_in(MAX_WAIT.saturating_sub(REQUEST_INTERVAL));
+                let due = due.max(due_in(MAX_WAIT).min(1)) + elsewhere;
+                let excess = waiting.saturating_sub(due) as usize;
+                (due, expected_wait(pool, quota, share_history, excess))
+            }
+            _ => (unsettled_places(quota, share_history), QUEUE_WINDOW),
+        })
+    }
+
     /// Returns units that were granted and are not needed to the pool.
     pub fn return_unused(&mut self, resource: LeasedResource, count: u32) {
         self.pools.entry(resource).or_default().return_unused(count);
@@ -251,18 +319,30 @@
     quota: &Quota,
     share_history: &ShareHistory,
 ) -> bool {
-    let assumed_share = match is_share_settled(quota, share_history) {
-        true => share_history.share(),
-        false => share_history.max_recent_share().max(ASSUMED_SHARE),
-    };
-    let refill = quota.terms.per_s * assumed_share * QUEUE_WINDOW.as_secs_f64();
+    if !is_share_settled(quota, share_history) {
+        return waiting >= unsettled_places(quota, share_history) as usize;
+    }
+    let refill = quota.terms.per_s * share_history.share() * QUEUE_WINDOW.as_secs_f64();
     waiting as f64 >= refill.max(1.0)
 }
 
+/// Returns how many requests may wait while the share moves between boxes: as many as at
+/// least `ASSUMED_SHARE` refills in `QUEUE_WINDOW`, and at least one.
+fn unsettled_places(quota: &Quota, share_history: &ShareHistory) -> u32 {
+    let assumed_share = share_history.max_recent_share().max(ASSUMED_SHARE);
+    let refill = quota.terms.per_s * assumed_share * QUEUE_WINDOW.as_secs_f64();
+    refill.max(1.0).ceil() as u32
+}
+
 /// Returns whether boxes may prefetch quota of a resource: only for accounts. Servers
 /// take only a few requests a second, so a unit that one box holds unused would be
 /// missing at the others.
 pub fn allows_prefetch(resource: LeasedResource) -> bool {
+    is_account(resource)
+}
+
+/// Returns whether the quota is that of an account.
+pub fn is_account(resource: LeasedResource) -> bool {
     matches!(resource, LeasedResource::Account(_))
 }
 
@@ -276,6 +356,9 @@
 /// Upper bound on the queue's part of the expected wait. It is above `MAX_WAIT`, so it
 /// affects only the wait that is reported: no request waits as long.
 const MAX_REPORTED_WAIT: Duration = Duration::from_secs(10);
+/// A member asks again for the requests that wait there at most this time after a reply,
+/// so a unit that falls due later than this before the end of a wait may come too late.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Share that a hub may get in a fleet with few data centres, assumed for a share that
 /// has changed recently.
 const ASSUMED_SHARE: f64 = 0.5;
--- a/crates/wingspur-coordination/src/quota_leases/searches.rs
+++ b/crates/wingspur-coordination/src/quota_leases/searches.rs
@@ -8,7 +8,7 @@
 
 use super::messages::{QuotaMessage, QuotaMessages};
 use super::topology::QuotaTopology;
-use super::waiting_queue::ReserveShare;
+use super::waiting_queue::{MAX_WAIT, ReserveShare};
 use crate::LinkId;
 
 /// The searches in progress, and the results of recent ones.
@@ -30,7 +30,7 @@
     pub requester: Option<(LinkId, u32)>,
     pub granted: u32,
     pub missing: u32,
-    reserve: ReserveShare,
+    pub reserve: ReserveShare,
     hubs: Vec<LinkId>,
     /// When the hubs that were asked expect to have more.
     pub next_available: NextAvailable,
@@ -46,6 +46,11 @@
 struct SearchMiss {
     /// Until when the other hubs are not asked again.
     until: Instant,
+    /// Until when what they replied says how many requests may wait.
+    known_until: Instant,
+    /// How many searches before this one found in a row that as many requests wait at the
+    /// other hubs as units fall due there.
+    full_misses: u32,
     /// When they expect to have more, counted from when they were asked.
     next_available: NextAvailable,
 }
@@ -57,6 +62,8 @@
     /// Whether a reply named no time, for example because the share of the box that sent
     /// it has changed recently. A box that did not reply at all does not set this.
     is_unknown: bool,
+    /// How many requests may wait for units of these boxes.
+    places: u32,
 }
 
 impl NextAvailable {
@@ -69,6 +76,13 @@
         self.soonest = Some(self.soonest.map_or(more_in, |known| known.min(more_in)));
     }
 
+    /// Adds a reply of another hub.
+    fn add_hub_reply(&mut self, reply: &QuotaLeaseReply) {
+        self.add_reply(reply.more_in());
+        let places = reply.queue.map(|queue| queue.places(queue.reserve));
+        self.places += places.unwrap_or_default();
+    }
+
     /// Returns the soonest time if all replies named one.
     pub fn if_all_known(self) -> Option<Duration> {
         self.soonest.filter(|_| !self.is_unknown)
@@ -99,7 +113,7 @@
     pub fn take_replied(&mut self, reply: &QuotaLeaseReply) -> Option<Search> {
         let mut search = self.in_progress.remove(&reply.request_id)?;
         search.take(reply.on_demand_granted);
-        search.next_available.add_reply(reply.more_in());
+        search.next_available.add_hub_reply(reply);
         Some(search)
     }
 
@@ -144,17 +158,30 @@
         mut search: Search,
         topology: &QuotaTopology,
         now: Instant,
-    ) -> Result<QuotaMessages, Search> {
+    ) -> (QuotaMessages, Option<Search>) {
         search.hubs.retain(|hub| topology.is_allocator(*hub));
         if search.hubs.is_empty() || search.deadline <= now {
+            let earlier = self.recent_misses.get(&search.resource);
+            let earlier = earlier.filter(|miss| miss.known_until > now);
+            let is_full = search.next_available.places == 0
+                && search.next_available.if_all_known().is_some();
+            let full_misses = match (is_full, earlier) {
+                (true, Some(miss)) => miss.full_misses + 1,
+                (true, None) => 1,
+                (false, _) => 0,
+            };
+            let ttl = SEARCH_MISS_TTL * 2u32.pow(full_misses.clamp(1, 4) - 1);
+            let until = now + ttl.min(MAX_SEARCH_MISS_TTL);
             let miss = SearchMiss {
-                until: now + SEARCH_MISS_TTL,
+                until,
+                known_until: until + MAX_WAIT,
+                full_misses,
                 next_available: search.next_available,
             };
             self.recent_misses.insert(search.resource, miss);
-            return Err(search);
+            return (QuotaMessages::new(), Some(search));
         }
-        Ok(self.ask_next_hub(search, now))
+        (self.ask_next_hub(search, now), None)
     }
 
     /// Shortens the wait of a refusal to the shortest one that the other hubs named in
@@ -184,9 +211,26 @@
             .is_some_and(|miss| miss.until > now)
     }
 
+    /// Returns how many requests may wait for units of other hubs, by the last search if
+    /// it was recent.
+    pub fn places_elsewhere(
+        &self,
+        resource: LeasedResource,
+        now: Instant,
+    ) -> Option<u32> {
+        let miss = self.recent_misses.get(&resource)?;
+        (miss.known_until > now).then_some(miss.next_available.places)
+    }
+
+    /// Returns whether a search is in progress.
+    pub fn is_searching(&self, resource: LeasedResource) -> bool {
+        let mut searches = self.in_progress.values();
+        searches.any(|search| search.resource == resource)
+    }
+
     /// Evicts expired results of searches.
     pub fn evict_expired(&mut self, now: Instant) {
-        self.recent_misses.retain(|_, miss| miss.until > now);
+        self.recent_misses.retain(|_, miss| miss.known_until > now);
     }
 
     /// Returns the id of the next lease request of this box.
@@ -237,3 +281,7 @@
 /// Time for which the other hubs are not asked again after a search ended before it had
 /// all units.
 const SEARCH_MISS_TTL: Duration = Duration::from_millis(100);
+/// The longest such time. It doubles with each search that finds as many requests waiting
+/// at the other hubs as units fall due there, since each search holds a request for up to
+/// 60 ms.
+const MAX_SEARCH_MISS_TTL: Duration = Duration::from_millis(500);
--- a/crates/wingspur-coordination/src/quota_leases/waiting_queue.rs
+++ b/crates/wingspur-coordination/src/quota_leases/waiting_queue.rs
@@ -4,13 +4,44 @@
 use std::time::{Duration, Instant};
 
 use wingspur_protocol::LeasedResource;
-use wingspur_state::AcquireOutcome;
+use wingspur_state::{AcquireOutcome, QueueReport};
+
+use crate::LinkId;
 
 /// The requests that wait for quota, by quota. When units are granted, a queue is sorted
 /// by `reserve`, the most urgent first, and by arrival where that is equal.
 #[derive(Debug, Default)]
 pub struct WaitingQueues {
     queues: HashMap<LeasedResource, VecDeque<Waiting>>,
+    /// The requests that wait at members, by quota and the link to the member.
+    at_members: HashMap<LeasedResource, HashMap<LinkId, WaitingAtMember>>,
+}
+
+/// The requests that wait at a member, by its last lease request.
+#[derive(Debug, Clone, Copy)]
+struct WaitingAtMember {
+    count: u32,
+    /// The lowest reserve of these requests.
+    reserve: ReserveShare,
+    /// Since when requests have waited at the member without a break.
+    since: Instant,
+    at: Instant,
+}
+
+/// The place of a request in the order in which units are granted: by urgency, and by
+/// arrival where that is equal.
+#[derive(Debug, Clone, Copy)]
+pub struct QueueOrder {
+    pub reserve: ReserveShare,
+    pub since: Instant,
+}
+
+impl QueueOrder {
+    /// Returns whether a unit is granted here before one is granted to `other`.
+    fn is_before(&self, other: &Self) -> bool {
+        self.reserve < other.reserve
+            || (self.reserve == other.reserve && self.since < other.since)
+    }
 }
 
 #[derive(Debug)]
@@ -21,6 +52,18 @@
 }
 
 impl Waiting {
+    fn order(&self) -> QueueOrder {
+        QueueOrder {
+            reserve: self.reserve,
+            since: self.since,
+        }
+    }
+
+    /// Returns whether the request has not been given up.
+    fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// Returns whether the request may keep waiting for a unit that is expected after
     /// `more_in`.
     fn may_wait_for(&self, more_in: Duration, is_first: bool, now: Instant) -> bool {
@@ -37,8 +80,9 @@
 /// Receives the outcome for a request that waits for quota.
 pub type PendingGrant = async_channel::Receiver<AcquireOutcome>;
 
-/// Share of a pool's capacity beyond one unit that a request must leave untouched, for
-/// requests of higher priority. The lower this share, the more urgent the request.
+/// The urgency of a request: the lower, the more urgent. For the quota of a server, it is
+/// the share of the pool's capacity beyond one unit that the request must leave untouched,
+/// for more urgent ones. For the quota of an account, it only orders the waiting requests.
 pub type ReserveShare = f32;
 
 impl WaitingQueues {
@@ -57,6 +101,163 @@
         self.queues.get(&resource).map_or(0, VecDeque::len)
     }
 
+    /// Records how many requests wait at a member after the reply to its lease request.
+    pub fn record_member(
+        &mut self,
+        resource: LeasedResource,
+        link: LinkId,
+        (count, reserve): (u32, ReserveShare),
+        now: Instant,
+    ) {
+        let since = self
+            .member_order(resource, link, reserve, now)
+            .map_or(now, |order| order.since);
+        let members = self.at_members.entry(resource).or_default();
+        let waiting = WaitingAtMember {
+            count,
+            reserve,
+            since,
+            at: now,
+        };
+        members.insert(link, waiting);
+    }
+
+    /// Returns the place of the requests that wait at a member; `None` if none of this
+    /// urgency wait there.
+    pub fn member_order(
+        &self,
+        resource: LeasedResource,
+        link: LinkId,
+        reserve: ReserveShare,
+        now: Instant,
+    ) -> Option<QueueOrder> {
+        let waiting = self.at_members.get(&resource)?.get(&link)?;
+        let waits =
+            waiting.is_current(now) && waiting.count > 0 && waiting.reserve == reserve;
+        waits.then_some(waiting.order())
+    }
+
+    /// Returns the place of the first request that waits here.
+    pub fn first_order(&self, resource: LeasedResource) -> Option<QueueOrder> {
+        let waiting = self.queues.get(&resource)?.iter();
+        let orders = waiting.filter(|waiting| waiting.is_open());
+        let orders = orders.map(|waiting| waiting.order());
+        orders.reduce(|first, order| match order.is_before(&first) {
+            true => order,
+            false => first,
+        })
+    }
+
+    /// Returns the number of requests that wait here and are at least as urgent as
+    /// `reserve`.
+    pub fn own_ahead(&self, resource: LeasedResource, reserve: ReserveShare) -> usize {
+        let own = self.queues.get(&resource).into_iter().flatten();
+        let ahead = |waiting: &&Waiting| waiting.reserve <= reserve && waiting.is_open();
+        own.filter(ahead).count()
+    }
+
+    /// Returns the number of requests that wait at members other than the one at `link`
+    /// and are at least as urgent as `reserve`.
+    pub fn members_ahead(
+        &self,
+        resource: LeasedResource,
+        link: Option<LinkId>,
+        reserve: ReserveShare,
+        now: Instant,
+    ) -> u32 {
+        let members = self.other_members(resource, link, now);
+        let ahead = members.filter(|waiting| waiting.reserve <= reserve);
+        ahead.map(|waiting| waiting.count).sum()
+    }
+
+    /// Returns the number of requests that get units before a request in the place `order`
+    /// at the member at `link`, or here if that is `None`.
+    pub fn count_before(
+        &self,
+        resource: LeasedResource,
+        link: Option<LinkId>,
+        order: &QueueOrder,
+        now: Instant,
+    ) -> u32 {
+        let own = self.queues.get(&resource).into_iter().flatten();
+        let own = own
+            .filter(|waiting| waiting.is_open() && waiting.order().is_before(order))
+            .count() as u32;
+        let members = self.other_members(resource, link, now);
+        let before = members.filter(|waiting| waiting.order().is_before(order));
+        own + before.map(|waiting| waiting.count).sum::<u32>()
+    }
+
+    /// Returns whether requests wait here or at members.
+    pub fn has_any(&self, resource: LeasedResource, now: Instant) -> bool {
+        let at_members = self.members_ahead(resource, None, ReserveShare::INFINITY, now);
+        self.len(resource) > 0 || at_members > 0
+    }
+
+    fn other_members(
+        &self,
+        resource: LeasedResource,
+        link: Option<LinkId>,
+        now: Instant,
+    ) -> impl Iterator<Item = &WaitingAtMember> {
+        let members = self.at_members.get(&resource).into_iter().flatten();
+        members
+            .filter(move |(member, waiting)| {
+                Some(**member) != link && waiting.is_current(now)
+            })
+            .map(|(_, waiting)| waiting)
+    }
+
+    /// Refuses the request that came last of the least urgent ones, if these are less
+    /// urgent than `reserve`. Returns whether there was one.
+    pub fn displace(
+        &mut self,
+        resource: LeasedResource,
+        reserve: ReserveShare,
+        outcome: AcquireOutcome,
+    ) -> bool {
+        let Some(waiting) = self.queues.get_mut(&resource) else {
+            return false;
+        };
+        waiting.retain(Waiting::is_open);
+        let by_reserve = |(_, one): &(usize, &Waiting),
+                          (_, other): &(usize, &Waiting)| {
+            one.reserve.total_cmp(&other.reserve)
+        };
+        // `max_by` returns the last of several equal elements.
+        let last = waiting.iter().enumerate().max_by(by_reserve);
+        let last = last.filter(|(_, waiting)| waiting.reserve > reserve);
+        let Some(last) = last.map(|(index, _)| index) else {
+            return false;
+        };
+        if let Some(displaced) = waiting.remove(last) {
+            let _ = displaced.sender.try_send(outcome);
+        }
+        true
+    }
+
+    /// Refuses the waiting requests beyond the places of a queue, the least urgent and the
+    /// last ones first.
+    pub fn trim(&mut self, resource: LeasedResource, report: &QueueReport) {
+        let Some(waiting) = self.queues.get_mut(&resource) else {
+            return;
+        };
+        sort_by_urgency(waiting);
+        let refusal = AcquireOutcome::Refused(report.free_in());
+        let mut before = 0;
+        waiting.retain(|waiting| {
+            let has_place = before < report.places(waiting.reserve);
+            before += 1;
+            if !has_place {
+                let _ = waiting.sender.try_send(refusal);
+            }
+            has_place
+        });
+        if waiting.is_empty() {
+            self.queues.remove(&resource);
+        }
+    }
+
     /// Returns the reserves of the requests that wait for a quota, the most urgent first.
     pub fn reserves(&self, resource: LeasedResource) -> Vec<ReserveShare> {
         let waiting = self.queues.get(&resource).into_iter().flatten();
@@ -74,7 +275,7 @@
     ) -> PendingGrant {
         let (sender, receiver) = async_channel::bounded(1);
         let waiting = self.queues.entry(resource).or_default();
-        waiting.retain(|waiting| !waiting.sender.is_closed());
+        waiting.retain(Waiting::is_open);
         waiting.push_back(Waiting {
             sender,
             reserve,
@@ -96,10 +297,7 @@
         let Some(waiting) = self.queues.get_mut(&resource) else {
             return 0;
         };
-        waiting.retain(|waiting| !waiting.sender.is_closed());
-        let by_reserve =
-            |one: &Waiting, other: &Waiting| one.reserve.total_cmp(&other.reserve);
-        waiting.make_contiguous().sort_by(by_reserve);
+        sort_by_urgency(waiting);
         let granted = (granted as usize).min(waiting.len());
         for waiting in waiting.drain(..granted) {
             // The send fails if the request has just given up; its unit is lost.
@@ -122,13 +320,39 @@
         granted as u32
     }
 
-    /// Evicts the requests that were given up.
-    pub fn evict_closed(&mut self) {
+    /// Evicts the requests that were given up, and outdated counts of members.
+    pub fn evict_closed(&mut self, now: Instant) {
         self.queues.retain(|_, waiting| {
-            waiting.retain(|waiting| !waiting.sender.is_closed());
+            waiting.retain(Waiting::is_open);
             !waiting.is_empty()
         });
+        self.at_members.retain(|_, members| {
+            members.retain(|_, waiting| waiting.is_current(now));
+            !members.is_empty()
+        });
+    }
+}
+
+impl WaitingAtMember {
+    fn order(&self) -> QueueOrder {
+        QueueOrder {
+            reserve: self.reserve,
+            since: self.since,
+        }
     }
+
+    fn is_current(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < MEMBER_COUNT_TTL
+    }
+}
+
+/// Sorts waiting requests by urgency, and by arrival where that is equal; drops those that
+/// were given up.
+fn sort_by_urgency(waiting: &mut VecDeque<Waiting>) {
+    waiting.retain(Waiting::is_open);
+    let by_reserve =
+        |one: &Waiting, other: &Waiting| one.reserve.total_cmp(&other.reserve);
+    waiting.make_contiguous().sort_by(by_reserve);
 }
 
 /// Returns whether a unit that is expected after `more_in` is worth waiting for, instead
@@ -142,7 +366,10 @@
 /// refusal is known; the first waiting request has `MAX_WAIT_OF_FIRST`. It is a small
 /// part of the time in which a response is wanted, and a caller over its limit is refused
 /// within it.
-const MAX_WAIT: Duration = Duration::from_millis(250);
+pub const MAX_WAIT: Duration = Duration::from_millis(250);
 /// Time for which the first waiting request, the most urgent one, may wait when a refusal
 /// is known, because it gets the next unit.
 const MAX_WAIT_OF_FIRST: Duration = Duration::from_millis(600);
+/// Time for which the number of requests that wait at a member is counted. A member asks
+/// again for those that wait at most 100 ms after a reply.
+const MEMBER_COUNT_TTL: Duration = Duration::from_millis(150);
--- a/crates/wingspur-edge/src/operation/metrics.rs
+++ b/crates/wingspur-edge/src/operation/metrics.rs
@@ -77,6 +77,8 @@
     /// Limits that servers announced, as far as they changed what this box knew, and
     /// those that could not be read, by event.
     server_limits: IntCounterVec,
+    /// Requests refused by the quota of their account, by reason.
+    quota_refusals: IntCounterVec,
     /// Other hints that servers gave of themselves in responses, and those that could not
     /// be read, by kind.
     server_hints: IntCounterVec,
@@ -287,6 +289,11 @@
                 "What servers said of themselves in answers, and what could not be read.",
                 &["word"],
             ),
+            quota_refusals: counter(
+                "wingspur_quota_refusals_total",
+                "Requests refused by the quota of their account.",
+                &["reason"],
+            ),
             server_limits: counter(
                 "wingspur_server_limits_total",
                 "Limits of servers that were named, changed, ended or not readable.",
@@ -337,6 +344,11 @@
         self.permits.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a request that was refused by the quota of its account.
+    pub fn count_quota_refusal(&self, reason: &str) {
+        self.quota_refusals.with_label_values(&[reason]).inc();
+    }
+
     /// Counts an event of the limit that a server announces for itself.
     pub fn count_limit(&self, event: &str) {
         self.server_limits.with_label_values(&[event]).inc();
--- a/crates/wingspur-edge/src/proxy/request.rs
+++ b/crates/wingspur-edge/src/proxy/request.rs
@@ -13,7 +13,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Version};
 use wingspur_protocol::{RELAY_HEADER, RELAY_RESULT_HEADER, RelayedRequest, ResultCode};
-use wingspur_state::{KeyDigest, RequestFingerprint, RequestParts};
+use wingspur_state::{KeyDigest, Priority, RequestFingerprint, RequestParts};
 use wingspur_transport::{ResponseHead, SendBody};
 
 use crate::catalog::active_bundle::ActiveRoute;
@@ -175,8 +175,10 @@
     if let Some(account) = admitted.account.as_ref().filter(|_| !is_relayed) {
         // Counted only after its body was received, so that it reaches a server right
         // after.
+        let priority = Priority::from(route.route.priority);
         let admitted_by_limit =
-            enforce_account_limit(shared, log.id(), account, caller_timeout).await;
+            enforce_account_limit(shared, log.id(), account, priority, caller_timeout)
+                .await;
         admitted_by_limit.inspect_err(|_| count_unserved(&route))?;
     }
     let class = route.route.class.as_str();
--- a/crates/wingspur-edge/src/quotas/quarantine.rs
+++ b/crates/wingspur-edge/src/quotas/quarantine.rs
@@ -234,6 +234,7 @@
             prefetch_granted: 0.0,
             renewed: false,
             retry_after_ms: Some(retry_after.as_millis() as u32),
+            queue: None,
         };
         send_lease_messages(&shared, vec![QuotaMessage::reply(link, reply, true)]);
     });
--- a/crates/wingspur-edge/src/quotas/quota_leases.rs
+++ b/crates/wingspur-edge/src/quotas/quota_leases.rs
@@ -6,12 +6,13 @@
 use futures_lite::FutureExt;
 use rand::RngExt;
 use wingspur_coordination::{
-    LinkId, PendingGrant, Quota, QuotaAllocator, QuotaMessages, QuotaTopology,
+    LinkId, PendingGrant, QueueView, Quota, QuotaAllocator, QuotaMessages, QuotaTopology,
     ReserveShare,
 };
 use wingspur_protocol::{LeaseMessages, LeasedResource, ResultCode};
 use wingspur_state::{
-    AccountTable, AcquireOutcome, ClientAccount, QuotaTerms, QuotaTolerance, ServerKey,
+    AccountTable, AcquireOutcome, ClientAccount, Priority, QuotaTerms, QuotaTolerance,
+    ServerKey,
 };
 use wingspur_transport::StopSignal;
 
@@ -30,11 +31,14 @@
 ///
 /// Each admitted request spends quota that boxes have issued from the account's limit.
 /// Updates between boxes never suffice to admit one, because other boxes may not receive
-/// them. `docs/design/allowances.md` proves the bound that follows.
+/// them. `docs/design/allowances.md` proves the bound that follows. All requests of an
+/// account have its priority, so the priority of the route decides which of them goes
+/// first.
 pub async fn enforce_account_limit(
     shared: &EdgeState,
     id: &str,
     account: &ClientAccount,
+    route_priority: Priority,
     timeout: Duration,
 ) -> Result<(), RequestError> {
     if !account.is_limited() {
@@ -42,8 +46,12 @@
     }
     let started_at = wingspur_clock::now();
     let resource = LeasedResource::Account(account.quota_key());
-    let outcome =
-        acquire_quota(shared, resource, 0.0, MAX_QUOTA_WAIT.min(timeout / 2)).await;
+    let reserve = ReserveShare::from(route_priority);
+    let timeout = MAX_QUOTA_WAIT.min(timeout / 2);
+    let (outcome, has_waited) = match request_quota(shared, resource, reserve) {
+        Ok(outcome) => (outcome, false),
+        Err(grant) => (wait_for_grant(grant, timeout).await, true),
+    };
     let (code, available_in) = match outcome {
         AcquireOutcome::Acquired => return Ok(()),
         AcquireOutcome::Refused(available_in) => (ResultCode::AccountLimit, available_in),
@@ -51,6 +59,13 @@
             (ResultCode::QuotaUnavailable, Duration::ZERO)
         }
     };
+    let reason = match outcome {
+        AcquireOutcome::Refused(_) if has_waited => "waited",
+        AcquireOutcome::Refused(_) => "queue_full",
+        _ => "unknown",
+    };
+    shared.metrics.count_quota_refusal(reason);
+    let queue = queue_view(shared, resource);
     let retry_after = retry_after_with_jitter(available_in);
     tracing::info!(
         id,
@@ -58,6 +73,11 @@
         waited_ms = wingspur_clock::since(started_at).as_millis() as u64,
         more_in_ms = available_in.as_millis() as u64,
         retry_after_ms = retry_after.as_millis() as u64,
+        rank = route_priority,
+        queue_length = queue.length,
+        tokens_due = queue.due,
+        report_age_ms = queue.report_age.map(|age| age.as_millis() as u64),
+        reason,
         result = code.name(),
         "allowance: refused."
     );
@@ -183,6 +203,16 @@
     outcome
 }
 
+/// Returns what this box knows of the queue for a quota.
+fn queue_view(shared: &EdgeState, resource: LeasedResource) -> QueueView {
+    let now = wingspur_clock::now();
+    let topology = topology(shared, now);
+    let quotas = QuotaTable::current(shared);
+    let find = |resource| quotas.find(shared, resource);
+    let mut state = shared.quota_leases.lock();
+    state.queue_view(resource, &topology, &find, now)
+}
+
 async fn wait_for_grant(grant: PendingGrant, timeout: Duration) -> AcquireOutcome {
     let grant = async { grant.recv().await.unwrap_or(AcquireOutcome::Unknown) };
     let expired = async {
--- a/crates/wingspur-edge/src/quotas/resend_lease_exchange.rs
+++ b/crates/wingspur-edge/src/quotas/resend_lease_exchange.rs
@@ -203,6 +203,7 @@
         prefetch_granted: 0.0,
         renewed: false,
         retry_after_ms: None,
+        queue: None,
     };
     QuotaMessage::reply(link, reply, true)
 }
--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -7,15 +7,15 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wingspur_state::{
-    BoxId, BoxKey, BundleVersion, DataCentreId, HealthSnapshot, KeyedTally, QuotaKey,
-    RequestFingerprint, ServerId, ServerKey, ServerRecord, ServiceTally, SourceId,
-    StoreEra, StorePosition, SuspectMessage,
+    BoxId, BoxKey, BundleVersion, DataCentreId, HealthSnapshot, KeyedTally, QueueReport,
+    QuotaKey, RequestFingerprint, ServerId, ServerKey, ServerRecord, ServiceTally,
+    SourceId, StoreEra, StorePosition, SuspectMessage,
 };
 
 use crate::{BoxRecord, CatalogChanges, CatalogSnapshot, compact_servers};
 
 /// The version of the frames; a box refuses a link of any other version.
-pub const LINK_PROTOCOL_VERSION: u16 = 11;
+pub const LINK_PROTOCOL_VERSION: u16 = 12;
 
 /// The first frame that each side sends.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -165,8 +165,10 @@
     pub held: f64,
     /// The number of units that are used at once or not at all.
     pub on_demand_count: u32,
-    /// The fraction of the allocator's room beyond one unit that the on-demand lease must
-    /// leave to more urgent requests.
+    /// The urgency of the on-demand lease; 0 is the most urgent. For the quota of a server
+    /// it is the fraction of the allocator's room beyond one unit that is left to more
+    /// urgent requests. Leases from the quota of an account only leave the units for which
+    /// more urgent requests wait.
     #[serde(default)]
     pub reserve: f32,
     /// The additional amount that the sender would like to prefetch.
@@ -246,6 +248,10 @@
     /// The time until more should be available, in milliseconds. `None` where the
     /// allocator cannot tell, because it does not know the quota or has no share of it.
     pub retry_after_ms: Option<u32>,
+    /// The queue for the quota without the receiver's own requests, of which as many may
+    /// wait as it has places. `None` if the allocator sets no limit.
+    #[serde(default)]
+    pub queue: Option<QueueReport>,
 }
 
 impl QuotaLeaseReply {
@@ -264,6 +270,7 @@
             prefetch_granted: 0.0,
             renewed: false,
             retry_after_ms: None,
+            queue: None,
         }
     }
 }
--- a/crates/wingspur-state/src/lease_client.rs
+++ b/crates/wingspur-state/src/lease_client.rs
@@ -3,7 +3,9 @@
 
 use std::time::{Duration, Instant};
 
-use crate::{PREFETCH_LEASE_TTL, PrefetchGrant, PrefetchedQuota};
+use crate::{
+    PREFETCH_LEASE_TTL, PrefetchGrant, PrefetchedQuota, QueueReport, ReceivedReport,
+};
 
 /// Requests tokens of one quota from the box's hub, and holds what the hub leases.
 #[derive(Debug, Clone, Default)]
@@ -13,6 +15,8 @@
     pending_prefetch: Option<PendingRequest>,
     pending_on_demand: Option<PendingRequest>,
     refused: Option<Refused>,
+    /// What the hub's last reply said of the queue, if it said anything.
+    report: Option<ReceivedReport>,
     /// On-demand tokens whose requests have given up, and until when they may be spent.
     unused: Option<(u32, Instant)>,
     /// When a token was last wanted.
@@ -100,6 +104,27 @@
         Some(more_in.map_or(AcquireOutcome::Unknown, AcquireOutcome::Refused))
     }
 
+    /// Records what the hub's reply to an on-demand request says of the queue; `None` if
+    /// it does not limit how many requests may wait.
+    pub fn record_report(&mut self, report: Option<QueueReport>, now: Instant) {
+        self.report = report.map(|report| ReceivedReport::new(report, now));
+    }
+
+    /// Returns what the hub last said of the queue, and how long ago, if that still
+    /// applies.
+    pub fn report(&self, now: Instant) -> Option<(QueueReport, Duration)> {
+        self.report.as_ref()?.current(now)
+    }
+
+    /// Returns whether the hub may be asked for units now: it has not just refused some,
+    /// and no reply is outstanding.
+    pub fn may_ask(&self, now: Instant) -> bool {
+        let is_pending = self
+            .pending_on_demand
+            .is_some_and(|pending| pending.sent_at + ON_DEMAND_RESPONSE_TIMEOUT > now);
+        self.refusal(now).is_none() && !is_pending
+    }
+
     /// Returns the request to send to the hub now, and remembers it under `number`.
     /// `waiting` is the number of requests that wait for a token. `None` if no request is
     /// needed, or if the response to an earlier one is outstanding.
@@ -169,6 +194,12 @@
         }
     }
 
+    /// Returns whether `number` is the on-demand request whose response is outstanding.
+    pub fn awaits_on_demand(&self, number: u32) -> bool {
+        self.pending_on_demand
+            .is_some_and(|pending| pending.number == number)
+    }
+
     /// Applies the hub's response to the on-demand request `number`: the tokens granted,
     /// and in how long there should be more, if known. Returns how many of the waiting
     /// requests may proceed, and until when; `None` if there are none, or if the response
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -24,6 +24,7 @@
 mod lease_client;
 mod outlier_detector;
 mod pick;
+mod queue_report;
 mod quota_pool;
 mod resend_ledger;
 mod retry;
@@ -72,6 +73,7 @@
     EjectionRecord, OutlierDetector, OutlierEvent, OutlierStatus, Verdict,
 };
 pub use pick::{Candidate, EjectionState, pick};
+pub use queue_report::{QueueReport, ReceivedReport};
 pub use quota_pool::{
     LeaseHolderId, PREFETCH_LEASE_TTL, PrefetchGrant, PrefetchRequest, PrefetchedQuota,
     QuotaKey, QuotaPool, QuotaTerms, QuotaTolerance,
--- a/crates/wingspur-state/src/quota_pool.rs
+++ b/crates/wingspur-state/src/quota_pool.rs
@@ -215,6 +215,29 @@
         Duration::from_secs_f64(wait_s.min(MAX_WAIT_S))
     }
 
+    /// Refills the pool and returns how many whole tokens it holds.
+    pub fn whole_tokens(
+        &mut self,
+        terms: &QuotaTerms,
+        history: &ShareHistory,
+        now: Instant,
+    ) -> u32 {
+        self.refill(terms, history, now);
+        (self.level + ROUNDING_TOLERANCE) as u32
+    }
+
+    /// Returns how many whole tokens the pool will have within `span` at the current
+    /// share, if none are taken meanwhile.
+    pub fn tokens_due(
+        &self,
+        span: Duration,
+        terms: &QuotaTerms,
+        history: &ShareHistory,
+    ) -> u32 {
+        let earned = terms.per_s * history.share() * span.as_secs_f64();
+        (self.level + earned + ROUNDING_TOLERANCE).max(0.0) as u32
+    }
+
     /// Refills the pool and returns whether it is at capacity with no lease outstanding.
     /// A new pool would then make the same decisions.
     pub fn is_full(
--- a/tests/tests/fleet_play/mod.rs
+++ b/tests/tests/fleet_play/mod.rs
@@ -286,6 +286,20 @@
     pub limit_known_since_ms: Option<u64>,
 }
 
+/// A request for the quota of an account, with its outcome.
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    /// When the request arrived.
+    pub came_ms: u64,
+    /// How long it waited for the outcome.
+    pub waited_ms: u64,
+    pub is_granted: bool,
+    /// The time after which a refused request may come back; `None` if no box could tell.
+    pub more_in_ms: Option<u64>,
+    /// The urgency of the request; 0 is the most urgent.
+    pub reserve: f32,
+}
+
 /// A response of the server in transit.
 struct ServerResponse {
     due_ms: u64,
@@ -298,8 +312,9 @@
     since_ms: u64,
     view: FleetView,
     lease_manager: QuotaLeaseManager,
-    /// Requests that wait for quota: when they arrived, and the pending outcome.
-    waiting: VecDeque<(u64, PendingGrant)>,
+    /// Requests that wait for quota: when they arrived, their reserve, and the pending
+    /// outcome.
+    waiting: VecDeque<(u64, f32, PendingGrant)>,
     limits: ServerLimits,
     /// Since when the box has known that there is a limit.
     limit_known_since_ms: Option<u64>,
@@ -331,6 +346,9 @@
     pub arrivals: Vec<Arrival>,
     pub asked: u64,
     pub refused: u64,
+    pub outcomes: Vec<Outcome>,
+    /// The reserve of the less urgent requests, and their fraction.
+    less_urgent: Option<(f32, f64)>,
     /// Longest time for which a box still applied a limit after the server had stopped
     /// reporting one, in milliseconds.
     pub longest_outdated_limit_ms: u64,
@@ -389,12 +407,22 @@
             arrivals: Vec::new(),
             asked: 0,
             refused: 0,
+            outcomes: Vec::new(),
+            less_urgent: None,
             longest_outdated_limit_ms: 0,
             unlimited_since_ms: None,
             max_share_sum: 0.0,
         }
     }
 
+    /// Makes a fraction of the requests less urgent than the others.
+    pub fn with_less_urgent(self, reserve: f32, fraction: f64) -> Self {
+        Self {
+            less_urgent: Some((reserve, fraction)),
+            ..self
+        }
+    }
+
     pub fn run(mut self) -> Self {
         while self.now_ms < END_MS {
             self.update_boxes();
@@ -800,7 +828,11 @@
 
     fn request(&mut self, place: usize, requests_per_s: f64) {
         let (now, now_ms) = (self.now(), self.now_ms);
-        let (resource, reserve) = (self.subject.leased_resource(), 0.0);
+        let resource = self.subject.leased_resource();
+        let reserve = match self.less_urgent {
+            Some((reserve, fraction)) if self.random.random_bool(fraction) => reserve,
+            _ => 0.0,
+        };
         if let Subject::Server(server) = &self.subject {
             let run = &self.boxes[&place];
             let share = match run.limits.limit(SERVER) {
@@ -826,13 +858,37 @@
             .lease_manager
             .acquire(resource, reserve, &topology, &find, now);
         match outcome {
-            Ok(AcquireOutcome::Acquired) => self.grant(place),
-            Ok(_) => self.refused += 1,
-            Err(pending) => run.waiting.push_back((now_ms, pending)),
+            Ok(outcome) => self.finish(place, outcome, (now_ms, reserve)),
+            Err(pending) => run.waiting.push_back((now_ms, reserve, pending)),
         }
         self.send_all(place, messages);
     }
 
+    /// Records the outcome of a request.
+    fn finish(
+        &mut self,
+        place: usize,
+        outcome: AcquireOutcome,
+        (came_ms, reserve): (u64, f32),
+    ) {
+        let is_granted = outcome == AcquireOutcome::Acquired;
+        let more_in_ms = match outcome {
+            AcquireOutcome::Refused(more_in) => Some(more_in.as_millis() as u64),
+            _ => None,
+        };
+        self.outcomes.push(Outcome {
+            came_ms,
+            waited_ms: self.now_ms - came_ms,
+            is_granted,
+            more_in_ms,
+            reserve,
+        });
+        match is_granted {
+            true => self.grant(place),
+            false => self.refused += 1,
+        }
+    }
+
     fn grant(&mut self, place: usize) {
         self.granted_ms.push(self.now_ms);
         if matches!(self.subject, Subject::Server(_)) {
@@ -956,20 +1012,17 @@
         let now_ms = self.now_ms;
         for place in self.awake() {
             let run = self.boxes.get_mut(&place).expect("it runs");
-            let mut granted = 0;
-            run.waiting.retain(|(came_ms, pending)| {
-                let outcome = pending.try_recv().ok();
+            let mut finished = Vec::new();
+            run.waiting.retain(|(came_ms, reserve, pending)| {
                 let is_late = came_ms + QUOTA_TIMEOUT_MS <= now_ms;
-                match outcome {
-                    Some(AcquireOutcome::Acquired) => granted += 1,
-                    Some(_) => self.refused += 1,
-                    None if is_late => self.refused += 1,
-                    None => return true,
-                }
+                let late = is_late.then_some(AcquireOutcome::Unknown);
+                let outcome = pending.try_recv().ok().or(late);
+                let Some(outcome) = outcome else { return true };
+                finished.push((outcome, (*came_ms, *reserve)));
                 false
             });
-            for _ in 0..granted {
-                self.grant(place);
+            for (outcome, request) in finished {
+                self.finish(place, outcome, request);
             }
         }
     }
