Scarce resends go to the requests that gain most

Cause: a service's resends went to whoever asked first. Resends also probed idle servers. Change: resend_plan.rs ranks resends by priority, and those unlikely to succeed last, and reserves what higher ranks are expected to need within a window. The need comes from the mix of requests, the servers' mean probability to answer and the reported budget usage. A resend prefers the server that refuses the smallest share and does not probe. The retry: lines carry the inputs; two new stop reasons are counted.

--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -33,6 +33,8 @@
     BudgetSettings,
     /// A service's retry budget.
     Budget,
+    /// The resends that a service's requests need.
+    ResendDemand,
     /// A service's backend servers.
     Balancer,
     /// Whether this box reaches a service's backend servers.
--- a/crates/wingspur-edge/src/peers/peer_exchange.rs
+++ b/crates/wingspur-edge/src/peers/peer_exchange.rs
@@ -356,7 +356,7 @@
     shared
         .resend_leases
         .lock()
-        .record_report(id, &frame.resend_budgets);
+        .record_report(id, &frame.resend_budgets, now);
     let mut links = shared.links.lock();
     links.note_frame(id, &frame, now);
     let updates = links.receive(id, &frame.tally_updates);
--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -32,6 +32,7 @@
 use crate::quotas::quarantine::{is_quarantined, wait_for_send_permit};
 use crate::quotas::quarantine_state::SendPermission;
 use crate::quotas::resend_lease_exchange::lease_resend;
+use crate::quotas::resend_planning::{PlannedResend, ResendCandidate, plan_resend};
 use crate::services::ServiceState;
 
 /// Forwards one request: picks servers, and sends retries and hedges within the retry
@@ -160,8 +161,10 @@
     /// attempt, or the deadline passes.
     pub async fn run(mut self) -> Result<AttemptResult, RequestError> {
         if !self.is_relayed() {
-            let mut budget = self.service.budget.lock();
-            budget.count_request(wingspur_clock::now());
+            let now = wingspur_clock::now();
+            self.service.budget.lock().count_request(now);
+            let mut demand = self.service.resend_demand.lock();
+            demand.count_request(self.priority(), now);
         }
         if let Err(code) = self.send_first().await {
             return Err(self.give_up(code));
@@ -178,12 +181,14 @@
                 }
                 Event::AttemptEnded(AttemptResult::Failed(failed)) => failed,
                 Event::AttemptEnded(response) => {
+                    self.count_attempt(true);
                     self.resends.answered += 1;
                     return Ok(response);
                 }
             };
             self.resends.answered += u32::from(failed.reached_server());
             self.record_failure(&failed);
+            self.count_attempt(false);
             self.check_interrupted(failed.interrupted.take()).await;
             let (code, end) = (failed.code, failed.end);
             let server = failed.pick.as_ref().map(|pick| pick.server.key());
@@ -745,7 +750,7 @@
         }
         if self.needs_permit() {
             let budget = self.check_budget(ResendKind::AfterFailure);
-            return self.stop_retrying(StopReason::Quarantined, &budget, code);
+            return self.stop_retrying(StopReason::Quarantined, &budget, None, code);
         }
         match self.retry_decision(end, true) {
             RetryDecision::Retry(reason) => {
@@ -753,13 +758,41 @@
             }
             RetryDecision::Stop(reason) => {
                 let budget = self.check_budget(ResendKind::AfterFailure);
-                self.stop_retrying(reason, &budget, code)
+                self.stop_retrying(reason, &budget, None, code)
             }
         }
     }
 
-    /// Sends the request again if the retry budget allows it. The caller has checked all
-    /// other retry rules.
+    /// Decides by the plan of the service's resends whether this request gets one. `None`
+    /// if no server can be picked for it, or if a relay would send it.
+    fn plan_resend(&mut self) -> Option<PlannedResend> {
+        if self.needs_relay() {
+            return None;
+        }
+        self.update_avoided();
+        let pick = self.pick()?;
+        let (route, now) = (&self.route.route, wingspur_clock::now());
+        let target = Duration::from_millis(route.target_latency_ms);
+        let on_target_until = self.outgoing.arrived + target;
+        let candidate = ResendCandidate {
+            pick: &pick,
+            priority: self.priority(),
+            max_attempts: route.max_attempts,
+            service_time: self.route.stats.service_time(),
+            time_to_latency_target: on_target_until.saturating_duration_since(now),
+            time_to_deadline: self.remaining(),
+        };
+        Some(plan_resend(&self.shared, &self.service, &candidate, now))
+    }
+
+    /// Counts the end of an attempt, for the plan of the service's resends.
+    fn count_attempt(&self, is_answered: bool) {
+        let mut demand = self.service.resend_demand.lock();
+        demand.count_attempt(is_answered, wingspur_clock::now());
+    }
+
+    /// Sends the request again if the plan and the retry budget allow it. The caller has
+    /// checked all other retry rules.
     async fn resend_in_budget(
         &mut self,
         reason: RetryReason,
@@ -767,6 +800,12 @@
         code: ResultCode,
     ) -> Result<(), ResultCode> {
         let tried = self.tried.len();
+        let plan = self.plan_resend();
+        let plan = plan.as_ref();
+        if let Some(reason) = plan.and_then(|plan| plan.decision.stop) {
+            let budget = self.check_budget(ResendKind::AfterFailure);
+            return self.stop_retrying(reason, &budget, plan, code);
+        }
         let mut budget = self.reserve_resend(ResendKind::AfterFailure);
         if !budget.allowed {
             let leased =
@@ -781,15 +820,15 @@
             let RetryDecision::Stop(reason) = self.retry_decision(end, false) else {
                 return Err(code);
             };
-            return self.stop_retrying(reason, &budget, code);
+            return self.stop_retrying(reason, &budget, plan, code);
         }
         if let Err(code) = self.send_to_next_server().await {
             self.resends.release_unsent();
-            self.log_decision("not sent again", code.name(), tried, &budget);
+            self.log_planned("not sent again", code.name(), tried, &budget, plan);
             return Err(code);
         }
         self.shared.metrics.count_retry(reason);
-        self.log_decision("sent again", reason.as_str(), tried, &budget);
+        self.log_planned("sent again", reason.as_str(), tried, &budget, plan);
         Ok(())
     }
 
@@ -797,10 +836,12 @@
         &self,
         reason: StopReason,
         budget: &BudgetDecision,
+        plan: Option<&PlannedResend>,
         code: ResultCode,
     ) -> Result<(), ResultCode> {
         self.shared.metrics.count_retry_stop(reason);
-        self.log_decision("not sent again", reason.as_str(), self.tried.len(), budget);
+        let tried = self.tried.len();
+        self.log_planned("not sent again", reason.as_str(), tried, budget, plan);
         Err(code)
     }
 
@@ -816,6 +857,7 @@
         )
     }
 
+    /// Logs a decision that did not ask the plan of the service's resends.
     fn log_decision(
         &self,
         outcome: &str,
@@ -823,6 +865,19 @@
         tried: usize,
         budget: &BudgetDecision,
     ) {
+        self.log_planned(outcome, reason, tried, budget, None);
+    }
+
+    fn log_planned(
+        &self,
+        outcome: &str,
+        reason: &str,
+        tried: usize,
+        budget: &BudgetDecision,
+        plan: Option<&PlannedResend>,
+    ) {
+        let figure = |of: fn(&PlannedResend) -> f64| plan.map(|p| round_for_log(of(p)));
+        let report_age = plan.and_then(|plan| plan.report_age);
         tracing::info!(
             id = id_text(self.outgoing.id.as_ref()),
             reason,
@@ -833,6 +888,13 @@
             slack = round_for_log(budget.slack),
             boxes = budget.membership.boxes,
             contact = budget.membership.state.as_str(),
+            priority = self.priority(),
+            gain = figure(|plan| plan.chance.gain),
+            answered_share = figure(|plan| plan.mean_answer_probability),
+            needed_above = figure(|plan| plan.decision.needed_above),
+            available = figure(|plan| plan.decision.available),
+            budget_used = figure(|plan| plan.budget_used_ratio),
+            heard_ms = report_age.map(|age| age.as_millis() as u64),
             left_ms = self.remaining().as_millis() as u64,
             "retry: {outcome}."
         );
--- a/crates/wingspur-edge/src/quotas/mod.rs
+++ b/crates/wingspur-edge/src/quotas/mod.rs
@@ -5,3 +5,4 @@
 pub mod quota_leases;
 pub mod resend_lease_exchange;
 pub mod resend_leases;
+pub mod resend_planning;
--- a/crates/wingspur-edge/src/quotas/resend_leases.rs
+++ b/crates/wingspur-edge/src/quotas/resend_leases.rs
@@ -6,7 +6,7 @@
 //! than there would be without it.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use wingspur_coordination::LinkId;
 use wingspur_protocol::{LeasedResource, ResendBudgetUsage};
@@ -16,6 +16,8 @@
 #[derive(Debug, Default)]
 pub struct ResendLeases {
     usage_by_link: HashMap<LinkId, HashMap<ServerKey, ResendBudgetUsage>>,
+    /// When each link's usage was last reported.
+    reported_at: HashMap<LinkId, Instant>,
     /// This box's own lease requests by number, each with the channel of the task that
     /// waits for the reply: whether the resend was granted.
     pub pending: HashMap<u32, async_channel::Sender<bool>>,
@@ -46,6 +48,15 @@
     pub aggregate: Vec<ResendBudgetUsage>,
 }
 
+/// The usage of a service's retry budget over several boxes.
+#[derive(Debug, Clone, Copy)]
+pub struct SharedBudgetUsage {
+    /// The usage.
+    pub usage: ResendBudgetUsage,
+    /// How long ago it was reported.
+    pub age: Duration,
+}
+
 /// Linked boxes that a box may ask for a resend lease.
 #[derive(Debug, Default)]
 pub struct LeaseSources {
@@ -59,8 +70,14 @@
 
 impl ResendLeases {
     /// Stores the retry budget usage reported on a link. An empty report changes nothing.
-    pub fn record_report(&mut self, link: LinkId, report: &[ResendBudgetUsage]) {
+    pub fn record_report(
+        &mut self,
+        link: LinkId,
+        report: &[ResendBudgetUsage],
+        now: Instant,
+    ) {
         if !report.is_empty() {
+            self.reported_at.insert(link, now);
             let usages = report.iter().map(|usage| (usage.service, *usage));
             self.usage_by_link.insert(link, usages.collect());
         }
@@ -69,6 +86,7 @@
     /// Removes the reports of a link that has ended.
     pub fn forget(&mut self, link: LinkId) {
         self.usage_by_link.remove(&link);
+        self.reported_at.remove(&link);
     }
 
     /// Returns the fraction of a service's retry budget that is spent over the boxes of a
@@ -79,6 +97,30 @@
         Some(f64::from(usage.spent) / f64::from(usage.limit).max(1.0))
     }
 
+    /// Returns the latest known usage of a service's retry budget over the boxes of this
+    /// box's data centre: that reported by its hub, or as a hub the sum of its own and its
+    /// members' usage. `None` without one, or if it is older than `MAX_USAGE_AGE`.
+    pub fn shared_usage(
+        &self,
+        own_hub: Option<LinkId>,
+        service: ServerKey,
+        now: Instant,
+    ) -> Option<SharedBudgetUsage> {
+        let (at, usage) = match own_hub {
+            Some(hub) => {
+                let usage = self.usage_by_link.get(&hub)?.get(&service)?;
+                (*self.reported_at.get(&hub)?, *usage)
+            }
+            None => {
+                let (at, reports) = self.last_report.as_ref()?;
+                let mut usages = reports.aggregate.iter();
+                (*at, *usages.find(|usage| usage.service == service)?)
+            }
+        };
+        let age = now.saturating_duration_since(at);
+        (age <= MAX_USAGE_AGE).then_some(SharedBudgetUsage { usage, age })
+    }
+
     /// Adds the usage last reported by the given members to this box's own.
     pub fn aggregate_with(
         &self,
@@ -162,3 +204,6 @@
         | LeasedResource::Permit(_) => None,
     }
 }
+
+/// A box that has received no report for this long goes by its own share of the budget.
+const MAX_USAGE_AGE: Duration = Duration::from_secs(1);
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -8,8 +8,8 @@
 
 use wingspur_state::{
     AnnouncedStates, Balancer, Bundle, DataCentreId, FleetRetryBudget, FleetSize,
-    Regions, RegistryChange, RetryAfterSchedule, RetryBudgetSettings, ServerKey,
-    ServerPath, ServerRecord, server_key,
+    Regions, RegistryChange, ResendDemand, RetryAfterSchedule, RetryBudgetSettings,
+    ServerKey, ServerPath, ServerRecord, server_key,
 };
 use wingspur_transport::{BackendConnections, InjectedPathFault};
 
@@ -24,6 +24,8 @@
     pub balancer: RankedMutex<Balancer>,
     /// Its retry budget.
     pub budget: RankedMutex<FleetRetryBudget>,
+    /// The resends that its requests need, by which scarce ones are allotted.
+    pub resend_demand: RankedMutex<ResendDemand>,
     /// Retry times that were given to refused callers.
     pub retry_after_queue: RankedMutex<RetryAfterSchedule>,
     /// Whether this box reaches its backend servers.
@@ -93,6 +95,10 @@
             name: name.to_owned(),
             balancer: RankedMutex::new(LockRank::Balancer, balancer),
             budget: RankedMutex::new(LockRank::Budget, FleetRetryBudget::new(budget)),
+            resend_demand: RankedMutex::new(
+                LockRank::ResendDemand,
+                ResendDemand::default(),
+            ),
             retry_after_queue: RankedMutex::new(
                 LockRank::Returns,
                 RetryAfterSchedule::default(),
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -26,7 +26,7 @@
 };
 use crate::retry_after::MAX_RETRY_AFTER;
 use crate::tracked_server::{
-    Attempt, Distance, ExpectedLatency, HealthOutcome, Server, path_outcome,
+    Attempt, Distance, ExpectedLatency, HealthOutcome, RefusalRatio, Server, path_outcome,
 };
 use crate::{
     AnnouncedState, AttemptId, Availability, DataCentreId, KeyedTally, Regions,
@@ -165,6 +165,7 @@
             last_success_at: None,
             last_failure_at: None,
             last_refusal_at: None,
+            refusals: RefusalRatio::default(),
             last_certain_failure_at: None,
             last_report_at: None,
             announced_state: AnnouncedState::default(),
@@ -259,13 +260,17 @@
 
     /// Picks an idle server to probe, or else one of the cheapest open servers without a
     /// limit; `None` if there is none.
+    ///
+    /// A resend does not probe: probes fail more often, and resends are limited.
     pub fn pick(
         &self,
         request: &PickRequest<'_>,
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Pick> {
-        if let Some(pick) = self.pick_idle(request, now, random) {
+        if request.tried.is_empty()
+            && let Some(pick) = self.pick_idle(request, now, random)
+        {
             return Some(pick);
         }
         self.draw_cheapest(
@@ -552,6 +557,27 @@
         rates.sum()
     }
 
+    /// Returns the probability that a server answers a request, averaged over the servers
+    /// that requests may be sent to; 1 if there is none.
+    pub fn mean_answer_probability(&self, now: Instant) -> f64 {
+        let baseline_failure_ratio = self.baseline_failures.share();
+        let open = self.servers.values().filter(|server| {
+            matches!(
+                self.availability(server, now),
+                Availability::Open | Availability::RequiresQuota(_)
+            )
+        });
+        let (sum, count) = open.fold((0.0, 0), |(sum, count), server| {
+            let answered = 1.0 - server.failure_probability(baseline_failure_ratio, now);
+            let accepted = 1.0 - server.health.at(now).refusal_probability();
+            (sum + answered * accepted, count + 1)
+        });
+        if count == 0 {
+            return 1.0;
+        }
+        sum / f64::from(count)
+    }
+
     /// Records that an attempt has begun.
     pub fn begin(
         &mut self,
@@ -967,7 +993,12 @@
         } else {
             NON_RETRY_SAFE_FAILURE_MS
         };
+        // A resend is taken from a budget that is short where many are refused.
         let refusal_ratio = server.health.at(now).refusal_probability();
+        let refusal_ms = match request.tried.is_empty() {
+            true => refusal_ratio * REFUSAL_MS,
+            false => server.refusals.ratio(refusal_ratio, now) * RESEND_REFUSAL_MS,
+        };
         let crossing_ms = request.cross_data_centre_cost.as_secs_f64() * 1000.0;
         let crossing_ms = match server.distance {
             Distance::SameDataCentre => 0.0,
@@ -976,9 +1007,7 @@
                 REGION_ROUND_TRIP_MS + REGION_COST_FACTOR * crossing_ms
             }
         };
-        estimate.failure_probability * failure_ms
-            + refusal_ratio * REFUSAL_MS
-            + crossing_ms
+        estimate.failure_probability * failure_ms + refusal_ms + crossing_ms
     }
 }
 
@@ -1047,6 +1076,8 @@
 const FULL_QUEUE_DURATION: Duration = Duration::from_secs(1);
 /// The cost of a refusal: a round trip and a resend from the retry budget.
 const REFUSAL_MS: f64 = 300.0;
+/// The cost of the refusal of a resend: another resend.
+const RESEND_REFUSAL_MS: f64 = 1500.0;
 /// How long after a failure a server counts again as one that may be healthy; the
 /// requirement says two seconds.
 const PROBE_DELAY_AFTER_FAILURE: Duration = Duration::from_millis(1500);
--- a/crates/wingspur-state/src/fleet_retry_budget.rs
+++ b/crates/wingspur-state/src/fleet_retry_budget.rs
@@ -202,6 +202,11 @@
         self.settings = settings;
     }
 
+    /// Returns the settings.
+    pub fn settings(&self) -> RetryBudgetSettings {
+        self.settings
+    }
+
     /// Records the current size of the fleet.
     pub fn set_fleet_size(&mut self, fleet_size: FleetSize) {
         self.fleet_size = fleet_size;
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -26,6 +26,7 @@
 mod pick;
 mod quota_pool;
 mod resend_ledger;
+mod resend_plan;
 mod retry;
 mod retry_after;
 mod route;
@@ -79,6 +80,10 @@
 pub use resend_ledger::{
     MAX_RESEND_TRANSIT, RESEND_LEASE_TTL, ResendLedger, TightestWindow,
 };
+pub use resend_plan::{
+    ResendChance, ResendChanceInputs, ResendDemand, ResendPlanDecision, ResendPlanInputs,
+    resend_chance,
+};
 pub use retry::{
     AttemptEnd, RetryBudget, RetryDecision, RetryReason, StopReason, decide_retry,
 };
--- /dev/null
+++ b/crates/wingspur-state/src/resend_plan.rs
@@ -0,0 +1,273 @@
+//! Decides which requests are sent again while a service's retry budget is short.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::{Priority, RetryBudgetSettings, ServiceTime, StopReason};
+
+/// The recent requests of a service at one box, and the resends that they needed, by
+/// priority.
+#[derive(Debug, Default)]
+pub struct ResendDemand {
+    by_priority: BTreeMap<Priority, PriorityDemand>,
+    /// The sum of the chances of all resends that were needed.
+    chance_sum: f64,
+    /// Attempts that have ended lately, and those of them that a server answered. They
+    /// decay with the time constant `ATTEMPT_MEMORY`.
+    attempts: f64,
+    answered: f64,
+    /// When the counts were last decayed.
+    decayed_at: Option<Instant>,
+}
+
+/// Counts of one priority, which decay with the time constant `DEMAND_MEMORY`.
+#[derive(Debug, Clone, Copy, Default)]
+struct PriorityDemand {
+    requests: f64,
+    /// Resends that were needed, whether they were made or not.
+    needed: f64,
+    /// Those of them that were unlikely to succeed.
+    unlikely: f64,
+}
+
+/// What the chance that a resend succeeds depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct ResendChanceInputs {
+    /// The probability that the picked server fails the request.
+    pub failure_probability: f64,
+    /// The probability that it refuses the request.
+    pub refusal_probability: f64,
+    /// When its response is expected, from now on.
+    pub expected: Duration,
+    /// The distribution of the route's successful response times around that.
+    pub service_time: ServiceTime,
+    /// The time left until the latency target is missed.
+    pub time_to_latency_target: Duration,
+    /// The time left until the deadline.
+    pub time_to_deadline: Duration,
+}
+
+/// The chance of a resend.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ResendChance {
+    /// The probability that the picked server answers, however late.
+    pub answered: f64,
+    /// The expected gain of the resend: 1 if it certainly meets the latency target.
+    pub gain: f64,
+}
+
+/// What the decision on a resend depends on, besides the demand.
+#[derive(Debug, Clone, Copy)]
+pub struct ResendPlanInputs {
+    /// The request's priority; 0 is the most urgent.
+    pub priority: Priority,
+    /// The chance of the resend.
+    pub chance: ResendChance,
+    /// The number of attempts that the request's route allows.
+    pub max_attempts: u8,
+    /// Requests of callers per second, over all boxes.
+    pub requests_per_s: f64,
+    /// The fraction of the retry budget that is used, over as many boxes as are known.
+    pub budget_used_ratio: f64,
+    /// The probability that a server answers, averaged over the service's servers.
+    pub mean_answer_probability: f64,
+    /// The boxes that the budget is divided among.
+    pub boxes: usize,
+    /// The limits on the service's resends. The slack is 0 while it may not be used.
+    pub settings: RetryBudgetSettings,
+}
+
+/// Whether a resend is worth its share of the budget, with the figures behind it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ResendPlanDecision {
+    /// Why the request is not sent again; `None` if it is, as far as the budget allows.
+    pub stop: Option<StopReason>,
+    /// Resends over all boxes that requests of a higher rank are expected to need within
+    /// one window.
+    pub needed_above: f64,
+    /// Resends over all boxes that are expected to be allowed within one window.
+    pub available: f64,
+}
+
+impl ResendDemand {
+    /// Counts a request of a caller.
+    pub fn count_request(&mut self, priority: Priority, now: Instant) {
+        self.decay(now);
+        self.by_priority.entry(priority).or_default().requests += 1.0;
+    }
+
+    /// Counts the end of an attempt, and whether a server answered it.
+    pub fn count_attempt(&mut self, is_answered: bool, now: Instant) {
+        self.decay(now);
+        self.attempts += 1.0;
+        self.answered += f64::from(u8::from(is_answered));
+    }
+
+    /// Counts a resend that a request needs, whether it is made or not.
+    pub fn count_needed(&mut self, priority: Priority, gain: f64, now: Instant) {
+        self.decay(now);
+        let is_unlikely = self.is_unlikely(gain);
+        let demand = self.by_priority.entry(priority).or_default();
+        demand.needed += 1.0;
+        demand.unlikely += f64::from(u8::from(is_unlikely));
+        self.chance_sum += gain;
+    }
+
+    /// Decides whether a request should be sent again.
+    ///
+    /// Resends rank by priority, and those that are unlikely to succeed after all others.
+    /// One of them is made if, over one window, more resends are available than those of
+    /// a higher rank are expected to need. The resends that one rank needs are made in
+    /// the order of the requests: if they were spread over the window, some would be left
+    /// when the servers recover.
+    ///
+    /// What is needed follows from the requests of each priority, which are known before
+    /// any of them fail, and from the probability that a server answers, which includes
+    /// the reports of other boxes. Counts of failed attempts alone would show a need only
+    /// seconds after less urgent requests have used up the budget.
+    pub fn decide(&self, inputs: &ResendPlanInputs) -> ResendPlanDecision {
+        let is_unlikely = self.is_unlikely(inputs.chance.gain);
+        let answered = self.answered_ratio(inputs.mean_answer_probability);
+        let per_request = resends_per_request(answered, inputs.max_attempts);
+        let window_s = inputs.settings.window_s;
+        let requests = inputs.requests_per_s * window_s;
+        let ratio_above = self.ratio_above(inputs.priority, is_unlikely);
+        let needed_above = ratio_above * per_request * requests;
+        // Half of the credit is earned by the requests before a resend, the other half by
+        // those after it.
+        let half_of_credit = inputs.settings.ratio * requests / 2.0;
+        let unused = 1.0 - inputs.budget_used_ratio.clamp(0.0, 1.0);
+        let present = half_of_credit + inputs.settings.slack;
+        let unusable =
+            (UNUSABLE_PER_BOX * inputs.boxes as f64).min(MAX_UNUSABLE_RATIO * present);
+        let left = unused * present - unusable;
+        let available = left.max(0.0) + half_of_credit;
+        let needed_soon = needed_above * RESERVE_TIME.as_secs_f64() / window_s;
+        let is_covered =
+            ratio_above == 0.0 || (needed_above <= available && needed_soon <= left);
+        let stop = match is_unlikely {
+            true => StopReason::Unlikely,
+            false => StopReason::Reserved,
+        };
+        ResendPlanDecision {
+            stop: (!is_covered).then_some(stop),
+            needed_above,
+            available,
+        }
+    }
+
+    /// Returns the fraction of the requests whose resends rank above one of the given
+    /// priority.
+    fn ratio_above(&self, priority: Priority, is_unlikely: bool) -> f64 {
+        let total: f64 = self.by_priority.values().map(|d| d.requests).sum();
+        let above = self.by_priority.iter().map(|(other, demand)| {
+            let unlikely_ratio = demand.unlikely_ratio();
+            let likely_part = match is_unlikely || *other < priority {
+                true => 1.0 - unlikely_ratio,
+                false => 0.0,
+            };
+            let unlikely_part = match is_unlikely && *other < priority {
+                true => unlikely_ratio,
+                false => 0.0,
+            };
+            demand.requests * (likely_part + unlikely_part)
+        });
+        above.sum::<f64>() / total.max(1.0)
+    }
+
+    /// Returns the probability that a server answers an attempt, by what all boxes have
+    /// reported and by this box's own latest attempts, which show a change sooner.
+    fn answered_ratio(&self, reported: f64) -> f64 {
+        (self.answered + REPORTED_WEIGHT * reported) / (self.attempts + REPORTED_WEIGHT)
+    }
+
+    /// Whether a resend is much less likely to succeed than the recent ones on average.
+    fn is_unlikely(&self, gain: f64) -> bool {
+        let needed: f64 = self.by_priority.values().map(|d| d.needed).sum();
+        gain * needed < self.chance_sum * UNLIKELY_GAIN_RATIO
+    }
+
+    fn decay(&mut self, now: Instant) {
+        let since = self
+            .decayed_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        if self.decayed_at.is_some() && since < DECAY_INTERVAL {
+            return;
+        }
+        self.decayed_at = Some(now);
+        let kept = |memory: Duration| (-since.div_duration_f64(memory)).exp();
+        let factor = kept(DEMAND_MEMORY);
+        self.chance_sum *= factor;
+        self.attempts *= kept(ATTEMPT_MEMORY);
+        self.answered *= kept(ATTEMPT_MEMORY);
+        self.by_priority.retain(|_, demand| {
+            demand.requests *= factor;
+            demand.needed *= factor;
+            demand.unlikely *= factor;
+            demand.requests + demand.needed >= MIN_COUNT
+        });
+    }
+}
+
+impl PriorityDemand {
+    /// Returns the fraction of the needed resends that were unlikely to succeed; close to
+    /// 0 while few were needed.
+    fn unlikely_ratio(&self) -> f64 {
+        self.unlikely / (self.needed + PRESUMED_LIKELY)
+    }
+}
+
+/// Returns the chance of a resend at the picked server. A response after the latency
+/// target and before the deadline counts half.
+pub fn resend_chance(inputs: &ResendChanceInputs) -> ResendChance {
+    let fails = inputs.failure_probability.clamp(0.0, 1.0);
+    let refuses = inputs.refusal_probability.clamp(0.0, 1.0);
+    let answered = (1.0 - fails) * (1.0 - refuses);
+    let expected_s = inputs.expected.as_secs_f64().max(f64::MIN_POSITIVE);
+    let responds_within = |time: Duration| {
+        let ratio = time.as_secs_f64() / expected_s;
+        1.0 - inputs.service_time.survival(ratio)
+    };
+    let on_target = inputs.time_to_latency_target.min(inputs.time_to_deadline);
+    let in_time =
+        (responds_within(on_target) + responds_within(inputs.time_to_deadline)) / 2.0;
+    ResendChance {
+        answered,
+        gain: answered * in_time,
+    }
+}
+
+/// Returns the mean number of resends of a request that is sent until a server answers,
+/// `max_attempts` times at most.
+fn resends_per_request(answered: f64, max_attempts: u8) -> f64 {
+    let resends = 1..i32::from(max_attempts.max(1));
+    resends.map(|resend| (1.0 - answered).powi(resend)).sum()
+}
+
+/// Time constant of the counts: a retry budget's usual window, so that the mix of
+/// priorities is known where a box gets few requests.
+const DEMAND_MEMORY: Duration = Duration::from_secs(10);
+/// Time constant of the counts of attempts: short, so that a need shows before much of
+/// the budget is spent.
+const ATTEMPT_MEMORY: Duration = Duration::from_millis(300);
+/// The number of own attempts that weigh as much as the reports of all boxes.
+const REPORTED_WEIGHT: f64 = 3.0;
+/// When a box can make no more resends, less than a whole one is left of its share. With
+/// half of one, more urgent requests found no box to lease from.
+const UNUSABLE_PER_BOX: f64 = 1.0;
+/// At most this fraction of the budget counts as unusable, so that boxes with small shares
+/// also send less urgent requests again.
+const MAX_UNUSABLE_RATIO: f64 = 0.1;
+/// Resends of a higher rank that are needed within this time are left over even if later
+/// requests will earn as many: needs come unevenly, and the usage is known 0.1 to 0.3 s
+/// late.
+const RESERVE_TIME: Duration = Duration::from_secs(1);
+/// Counts are decayed no more often than this.
+const DECAY_INTERVAL: Duration = Duration::from_millis(100);
+/// A priority with a lower count is forgotten.
+const MIN_COUNT: f64 = 0.01;
+/// A resend with less than this fraction of the mean gain is unlikely to succeed. One that
+/// only misses the latency target has half of it, and is not.
+const UNLIKELY_GAIN_RATIO: f64 = 0.4;
+/// Resends that are presumed to have been likely to succeed before any were needed.
+const PRESUMED_LIKELY: f64 = 1.0;
--- a/crates/wingspur-state/src/retry.rs
+++ b/crates/wingspur-state/src/retry.rs
@@ -78,6 +78,10 @@
     TimeSpent,
     /// The service's retry budget is spent.
     BudgetSpent,
+    /// The resends left are reserved for more urgent requests.
+    Reserved,
+    /// The resend is unlikely to succeed, and others need the resends left.
+    Unlikely,
     /// The request is quarantined because servers crashed on it: each further send needs
     /// a decision of its own.
     Quarantined,
@@ -85,13 +89,15 @@
 
 impl StopReason {
     /// All reasons.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 9] = [
         Self::Answered,
         Self::MayHaveRun,
         Self::BodyNotBuffered,
         Self::AttemptsSpent,
         Self::TimeSpent,
         Self::BudgetSpent,
+        Self::Reserved,
+        Self::Unlikely,
         Self::Quarantined,
     ];
 
@@ -104,6 +110,8 @@
             Self::AttemptsSpent => "attempts_spent",
             Self::TimeSpent => "time_spent",
             Self::BudgetSpent => "budget_spent",
+            Self::Reserved => "reserved",
+            Self::Unlikely => "unlikely",
             Self::Quarantined => "quarantined",
         }
     }
