--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -273,7 +273,8 @@
     LinkHandlers {
         lease_messages: handle_lease_messages,
         resend_budgets: |shared, link, usages| {
-            shared.resend_leases.lock().record_report(link, usages);
+            let now = wingspur_clock::now();
+            shared.resend_leases.lock().record_report(link, usages, now);
         },
         suspects: handle_suspect_updates,
         limits: |shared, link, updates| handle_limit_updates(shared, link, updates),
--- a/crates/wingspur-edge/src/quotas/mod.rs
+++ b/crates/wingspur-edge/src/quotas/mod.rs
@@ -9,3 +9,4 @@
 pub mod quota_leases;
 pub mod resend_lease_exchange;
 pub mod resend_leases;
+pub mod resend_planning;
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -27,6 +27,7 @@
 mod queue_report;
 mod quota_pool;
 mod resend_ledger;
+mod resend_plan;
 mod retry;
 mod retry_after;
 mod route;
@@ -81,6 +82,10 @@
 pub use resend_ledger::{
     MAX_RESEND_TRANSIT, RESEND_LEASE_TTL, ResendLedger, TightestWindow,
 };
+pub use resend_plan::{
+    ResendChance, ResendChanceInputs, ResendDemand, ResendPlanDecision, ResendPlanInputs,
+    resend_chance,
+};
 pub use retry::{
     AttemptEnd, RetryBudget, RetryDecision, RetryReason, StopReason, decide_retry,
 };
