Boxes own the probes of idle servers in turns

Cause: each box drew at random whether a request probes an idle server. Several boxes probed one server at once, and servers that had just failed were probed every second or two, although faults last for seconds. Change: coverage.rs replaces idle_probe.rs. A server without a failure is due after one second; turns of 0.2 s are counted from its last request, and the boxes whose turn it is own its probe. A hub assigns each member its position in FleetStatus (link protocol 12). The pick of idle servers is in balancer/idle_pick.rs. `attempt: sent.` names the turn, the idle time, the resting servers and the position.

--- a/crates/wingspur-coordination/src/box_registry.rs
+++ b/crates/wingspur-coordination/src/box_registry.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use wingspur_protocol::MembershipUpdate;
-use wingspur_state::BoxKey;
+use wingspur_state::{BoxKey, BoxPosition};
 
 use crate::LinkId;
 
@@ -122,6 +122,15 @@
         update
     }
 
+    /// Returns the position of a box among this one and its members, in the order of
+    /// their keys; `None` if it is not one of them.
+    pub fn position(&self, key: BoxKey) -> Option<BoxPosition> {
+        self.own_boxes.contains(&key).then(|| BoxPosition {
+            index: self.own_boxes.range(..key).count() as u32,
+            count: self.own_boxes.len() as u32,
+        })
+    }
+
     /// Returns the number of boxes that are counted now or were within `DEPARTED_TTL`.
     ///
     /// Members that are moving between two hubs are counted by neither, but still use
--- a/crates/wingspur-coordination/src/fleet_view.rs
+++ b/crates/wingspur-coordination/src/fleet_view.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use wingspur_protocol::{DelegatedShare, FleetStatus, MembershipUpdate};
-use wingspur_state::{BoxKey, DataCentreId, FleetMembership, MembershipState};
+use wingspur_state::{
+    BoxKey, BoxPosition, CoverageRole, DataCentreId, FleetMembership, MembershipState,
+};
 
 use crate::fleet_size::MAX_HOLD;
 use crate::{
@@ -16,6 +18,8 @@
 /// What a box knows of the fleet from its links and from the announcements.
 #[derive(Debug)]
 pub struct FleetView {
+    /// Key of this box.
+    own_key: BoxKey,
     links: BTreeMap<LinkId, ObservedLink>,
     size_tracker: FleetSizeTracker,
     registry: BoxRegistry,
@@ -27,6 +31,11 @@
     server_delegations: BTreeMap<DataCentreId, ShareDelegation>,
     /// Delegation state of a data centre that has no entry in `server_delegations` yet.
     initial_delegation: ShareDelegation,
+    /// Position of this box among those of its data centre, as its hub last assigned it;
+    /// kept while there is no hub.
+    position: Option<BoxPosition>,
+    /// Since when this box has been the hub of its data centre; `None` if it is not.
+    hub_since: Option<Instant>,
 }
 
 /// Role of the other side of a link, as seen from this box.
@@ -77,6 +86,7 @@
 #[derive(Debug)]
 struct ObservedLink {
     data_centre: DataCentreId,
+    key: BoxKey,
     role: PeerRole,
     status: FleetStatus,
     /// Latest moment at which the peer is known to have been running; at first, when the
@@ -107,6 +117,9 @@
     /// Creates the view of a box that knows of no other box; `own` is its key.
     pub fn new(own: BoxKey, now: Instant) -> Self {
         Self {
+            own_key: own,
+            position: None,
+            hub_since: None,
             delegation: ShareDelegation::new(now),
             own_data_centre: DataCentreId::default(),
             server_delegations: BTreeMap::new(),
@@ -145,6 +158,7 @@
         }
         let link = ObservedLink {
             data_centre: peer.data_centre,
+            key: peer.key,
             role,
             status: FleetStatus::default(),
             last_seen: now,
@@ -219,6 +233,9 @@
         if status.delegates_shares && link.role == PeerRole::Member {
             link.delegated_at = as_of.or(link.delegated_at);
         }
+        if link.role == PeerRole::OwnHub {
+            self.position = status.position.or(self.position);
+        }
         if link.role == PeerRole::OwnHub
             && let Some(as_of) = as_of
             && let Some(contact_age_ms) = status.hub_contact_age_ms
@@ -240,6 +257,7 @@
         now: Instant,
     ) -> OutgoingFleetNotes {
         self.record_contact(announcements, now);
+        self.update_own_position(announcements, now);
         let age = self.connectivity.age(now).filter(|_| announcements.is_hub);
         let contact_age_ms =
             age.map(|age| age.as_millis().min(u128::from(u32::MAX)) as u32);
@@ -254,6 +272,7 @@
                 counted: self.registry.count(now) as u32,
                 hub_contact_age_ms: contact_age_ms,
                 delegates_shares: false,
+                position: None,
             },
         }
     }
@@ -308,8 +327,39 @@
         }
     }
 
-    /// Returns the fleet status for a frame that is sent now on a link. On the link to
-    /// its hub, this box delegates its share with it, or renews the delegation, unless
+    /// Returns what decides which probes of idle servers this box owns.
+    pub fn coverage_role(
+        &mut self,
+        announcements: &AnnouncementView,
+        now: Instant,
+    ) -> CoverageRole {
+        self.update_own_position(announcements, now);
+        CoverageRole {
+            key: self.own_key,
+            position: self.position,
+            fleet_boxes: self.fleet_size(announcements, now),
+        }
+    }
+
+    /// On a hub that assigns positions, assigns this box its own.
+    fn update_own_position(&mut self, announcements: &AnnouncementView, now: Instant) {
+        self.hub_since = match announcements.is_hub {
+            true => self.hub_since.or(Some(now)),
+            false => None,
+        };
+        if self.assigns_positions(now) {
+            self.position = self.registry.position(self.own_key);
+        }
+    }
+
+    /// Whether this box is a hub to which all members have probably linked by now.
+    fn assigns_positions(&self, now: Instant) -> bool {
+        self.hub_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= POSITIONS_DELAY)
+    }
+
+    /// Returns the fleet status for a frame that is sent now on a link. To a member, it
+    /// assigns a position once all members have probably linked. On the link to its hub, this box delegates its share with it, or renews the delegation, unless
     /// another hub may still use the share.
     pub fn note_for_link(
         &mut self,
@@ -317,8 +367,12 @@
         notes: &OutgoingFleetNotes,
         now: Instant,
     ) -> FleetStatus {
-        let role = self.links.get(&id).map_or(PeerRole::Hub, |link| link.role);
+        let link = self.links.get(&id);
+        let role = link.map_or(PeerRole::Hub, |link| link.role);
         let mut status = notes.note_for(role);
+        let member = link.filter(|_| role == PeerRole::Member);
+        let member = member.filter(|_| self.assigns_positions(now));
+        status.position = member.and_then(|link| self.registry.position(link.key));
         status.delegates_shares =
             role == PeerRole::OwnHub && self.delegation.delegate_to(id, now);
         status
@@ -533,6 +587,9 @@
 /// A hub that has been silent for this long is lost or about to be: links time out after
 /// the same time.
 const HUB_TIMEOUT: Duration = Duration::from_secs(1);
+/// A box that becomes a hub assigns positions after this time. Members link to a new hub
+/// one after the other; counted too early, each of them would own the probes of many.
+const POSITIONS_DELAY: Duration = Duration::from_secs(2);
 /// A box whose last contact with the fleet is older than this counts as cut off.
 const MAX_CONTACT_AGE: Duration = Duration::from_secs(2);
 /// A box without contact to all data centres stops using its share when its view of the
--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -53,6 +53,8 @@
     Backends,
     /// The evacuated data centres.
     Evacuated,
+    /// Which probes of idle servers this box owns.
+    CoverageRole,
     /// Which boxes are alive.
     Membership,
     /// The outlier detectors that run at this box.
--- a/crates/wingspur-edge/src/peers/links.rs
+++ b/crates/wingspur-edge/src/peers/links.rs
@@ -15,8 +15,8 @@
     LeaseMessages, LinkRole, ServerDrainingUpdate, ServerLimitUpdate, TallyUpdate,
 };
 use wingspur_state::{
-    BoxId, BundleVersion, FleetMembership, FleetSize, ServerKey, ServerLimitChange,
-    SourceId, StorePosition, SuspectUpdate,
+    BoxId, BundleVersion, CoverageRole, FleetMembership, FleetSize, ServerKey,
+    ServerLimitChange, SourceId, StorePosition, SuspectUpdate,
 };
 use wingspur_transport::LinkSender;
 
@@ -573,6 +573,12 @@
         self.fleet.fleet_size(&announcements, now)
     }
 
+    /// Returns what decides which probes of idle servers this box owns.
+    pub fn coverage_role(&mut self, now: Instant) -> CoverageRole {
+        let announcements = self.announced(now);
+        self.fleet.coverage_role(&announcements, now)
+    }
+
     /// Returns this box's contact with the fleet and the largest fleet size within
     /// `window`, from which it computes its share of what the fleet may spend over such a
     /// window.
--- a/crates/wingspur-edge/src/peers/peer_exchange.rs
+++ b/crates/wingspur-edge/src/peers/peer_exchange.rs
@@ -417,6 +417,7 @@
     let bundle_version = shared.bundle_version();
     let resend_budgets = resend_budget_reports(shared, now);
     let mut links = shared.links.lock();
+    let coverage_role = links.coverage_role(now);
     if !own_tallies.servers.is_empty() || !own_tallies.services.is_empty() {
         links.receive_own(&own_tallies);
     }
@@ -424,6 +425,15 @@
     let unresponsive = links.unresponsive(now);
     links.expire_snapshot(now);
     drop(links);
+    if shared.services.set_coverage_role(coverage_role) {
+        let position = coverage_role.position;
+        tracing::info!(
+            box_index = position.map(|position| position.index),
+            box_count = position.map(|position| position.count),
+            fleet_boxes = coverage_role.fleet_boxes,
+            "coverage: this box has another position."
+        );
+    }
     for id in unresponsive {
         drop_link(shared, id, &LinkError::SendQueueFull.to_string());
     }
--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -913,7 +913,7 @@
     /// Whether the only attempt was an idle probe.
     fn was_idle_probe(&self) -> bool {
         let latest = self.latest_attempt.as_ref();
-        self.tried.len() == 1 && latest.is_some_and(|(_, pick)| pick.is_idle_probe)
+        self.tried.len() == 1 && latest.is_some_and(|(_, pick)| pick.probe.is_some())
     }
 
     /// Returns when the caller should send the request again: after its quarantine, or
--- a/crates/wingspur-edge/src/proxy/request_log.rs
+++ b/crates/wingspur-edge/src/proxy/request_log.rs
@@ -219,6 +219,8 @@
 /// Logs which server a request is sent to, and the figures that the choice is based on.
 /// `left` is the time left for the request.
 pub fn log_pick(id: Option<&HeaderValue>, pick: &Pick, attempt: usize, left: Duration) {
+    let probe = pick.probe.as_ref();
+    let position = probe.and_then(|probe| probe.position);
     tracing::info!(
         id = id_text(id),
         server = %pick.server.id,
@@ -232,6 +234,11 @@
         expected_ms = pick.expected_ms as u64,
         wait_ms = pick.wait_ms as u64,
         heard_ms = pick.last_report_age.map(|age| age.as_millis() as u64),
+        probe_turn = probe.map(|probe| probe.turn),
+        probe_idle_ms = probe.map(|probe| probe.idle_for.as_millis() as u64),
+        resting_servers = probe.map(|probe| probe.resting as u64),
+        box_index = position.map(|position| position.index),
+        box_count = position.map(|position| position.count),
         left_ms = left.as_millis() as u64,
         "attempt: sent."
     );
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -7,9 +7,9 @@
 use std::time::Instant;
 
 use wingspur_state::{
-    AnnouncedStates, Balancer, Bundle, DataCentreId, FleetRetryBudget, FleetSize,
-    Regions, RegistryChange, RetryAfterSchedule, RetryBudgetSettings, ServerKey,
-    ServerPath, ServerRecord, server_key,
+    AnnouncedStates, Balancer, Bundle, CoverageRole, DataCentreId, FleetRetryBudget,
+    FleetSize, Regions, RegistryChange, RetryAfterSchedule, RetryBudgetSettings,
+    ServerKey, ServerPath, ServerRecord, server_key,
 };
 use wingspur_transport::{BackendConnections, InjectedPathFault};
 
@@ -44,6 +44,8 @@
     backends: RankedMutex<HashMap<SocketAddr, Arc<BackendConnections>>>,
     /// Data centres whose servers are sent no further requests.
     evacuated: RankedMutex<Arc<BTreeSet<DataCentreId>>>,
+    /// What decides which probes of idle servers this box owns.
+    coverage_role: RankedMutex<CoverageRole>,
     /// The fault of the path to all servers that is injected now.
     pub path_fault: InjectedPathFault,
 }
@@ -75,6 +77,10 @@
             by_server: RankedMutex::new(LockRank::ServersByKey, HashMap::new()),
             backends: RankedMutex::new(LockRank::Backends, HashMap::new()),
             evacuated: RankedMutex::new(LockRank::Evacuated, Arc::default()),
+            coverage_role: RankedMutex::new(
+                LockRank::CoverageRole,
+                CoverageRole::default(),
+            ),
             path_fault: InjectedPathFault::default(),
         }
     }
@@ -89,6 +95,7 @@
         let regions = self.regions.clone();
         let mut balancer = Balancer::with_regions(self.home.clone(), regions);
         balancer.set_evacuated(self.evacuated());
+        balancer.set_coverage_role(*self.coverage_role.lock());
         let service = Arc::new(ServiceState {
             name: name.to_owned(),
             balancer: RankedMutex::new(LockRank::Balancer, balancer),
@@ -132,6 +139,22 @@
         (before, evacuated)
     }
 
+    /// Changes what decides which probes of idle servers this box owns, for all services,
+    /// present and future. Returns whether its position has changed.
+    pub fn set_coverage_role(&self, role: CoverageRole) -> bool {
+        // The lock is held throughout, so that a service created meanwhile gets the
+        // change too.
+        let services = self.by_name.lock();
+        let before = std::mem::replace(&mut *self.coverage_role.lock(), role);
+        if before == role {
+            return false;
+        }
+        for service in services.values() {
+            service.balancer.lock().set_coverage_role(role);
+        }
+        before.position != role.position
+    }
+
     /// Applies changed retry budget settings to all services, present and future.
     pub fn set_budget(&self, settings: RetryBudgetSettings) {
         *self.budget.lock() = settings;
--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -6,15 +6,15 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wingspur_state::{
-    BoxId, BoxKey, BundleVersion, DataCentreId, HealthSnapshot, KeyedTally, QuotaKey,
-    RequestFingerprint, ServerId, ServerKey, ServerRecord, ServiceTally, SourceId,
-    StoreEra, StorePosition, SuspectMessage,
+    BoxId, BoxKey, BoxPosition, BundleVersion, DataCentreId, HealthSnapshot, KeyedTally,
+    QuotaKey, RequestFingerprint, ServerId, ServerKey, ServerRecord, ServiceTally,
+    SourceId, StoreEra, StorePosition, SuspectMessage,
 };
 
 use crate::{BoxRecord, CatalogChanges, CatalogSnapshot, compact_servers};
 
 /// The version of the frames; a box refuses a link of any other version.
-pub const LINK_PROTOCOL_VERSION: u16 = 11;
+pub const LINK_PROTOCOL_VERSION: u16 = 12;
 
 /// The first frame that each side sends.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -275,6 +275,10 @@
     /// From a member, whether it delegates its share of the fleet's quotas to the hub.
     #[serde(default)]
     pub delegates_shares: bool,
+    /// From a hub to a member, the member's position among the boxes of the data centre;
+    /// `None` while the hub may not know all of them.
+    #[serde(default)]
+    pub position: Option<BoxPosition>,
 }
 
 /// The boxes that a hub counts, as far as it has not yet reported them to another hub.
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -17,23 +17,22 @@
 use crate::choice_set::{
     MAX_EXTRA_COST_RATIO, MAX_EXTRA_COST_RATIO_WITH_SPARE_SLOTS, draw_from_cheapest,
 };
+use crate::coverage::{TRUSTED_FAILURE_PROBABILITY, can_meet_floor};
 use crate::health::{
     BaselineFailureRate, Health, HealthSnapshot, UnknownServerFailureRate,
 };
-use crate::idle_probe::{
-    IdleProbeInputs, IdleServer, TRUSTED_FAILURE_PROBABILITY, can_meet_floor,
-    enforces_floor_strictly, pick_idle_probe,
-};
 use crate::retry_after::MAX_RETRY_AFTER;
 use crate::tracked_server::{
     Attempt, Distance, ExpectedLatency, HealthOutcome, Server, path_outcome,
 };
 use crate::{
-    AnnouncedState, AttemptId, Availability, DataCentreId, KeyedTally, Regions,
-    ServerKey, ServerRecord, ServerTally, ServiceLoad, SourceId,
+    AnnouncedState, AttemptId, Availability, CoverageRole, DataCentreId, IdleProbe,
+    KeyedTally, Regions, ServerKey, ServerRecord, ServerTally, ServiceLoad, SourceId,
     quota_request_probability,
 };
 
+mod idle_pick;
+
 /// The backend servers of a service, with the state by which one box picks among them.
 #[derive(Debug)]
 pub struct Balancer {
@@ -52,6 +51,8 @@
     unknown_failures: UnknownServerFailureRate,
     /// The maximum number of requests that this box may have in flight at one server.
     max_in_flight: u32,
+    /// What decides which probes of idle servers this box owns.
+    coverage_role: CoverageRole,
     /// Whether a server has become much more likely to be faulty since the last
     /// `take_new_suspicion`.
     has_new_suspicion: bool,
@@ -102,8 +103,9 @@
     pub candidates: usize,
     /// The number of cheapest servers that it was drawn from; 0 if it was not drawn.
     pub choice_set_size: usize,
-    /// Whether the pick is an idle probe, which keeps enough servers in use.
-    pub is_idle_probe: bool,
+    /// The idle probe that the request is sent as, which keeps enough servers in use;
+    /// `None` for other requests.
+    pub probe: Option<IdleProbe>,
     /// The time since another box last reported on it; `None` if none ever did.
     pub last_report_age: Option<Duration>,
 }
@@ -140,6 +142,7 @@
             baseline_failures: BaselineFailureRate::new(),
             unknown_failures: UnknownServerFailureRate::default(),
             max_in_flight: u32::MAX,
+            coverage_role: CoverageRole::default(),
             has_new_suspicion: false,
             unconfirmed: Vec::new(),
             last_served_elsewhere_at: None,
@@ -205,6 +208,11 @@
         self.max_in_flight = (connections / boxes).max(MIN_REQUESTS_PER_SERVER);
     }
 
+    /// Sets what decides which probes of idle servers this box owns.
+    pub fn set_coverage_role(&mut self, role: CoverageRole) {
+        self.coverage_role = role;
+    }
+
     /// Sets the announced state of a server.
     pub fn set_announced_state(&mut self, key: ServerKey, state: AnnouncedState) {
         if let Some(server) = self.servers.get_mut(&key) {
@@ -864,64 +872,6 @@
         suspects.map(|server| server.record.id.clone()).collect()
     }
 
-    /// Picks a server to probe that no box has sent a request for a while.
-    fn pick_idle(
-        &self,
-        request: &PickRequest<'_>,
-        now: Instant,
-        random: &mut impl Rng,
-    ) -> Option<Pick> {
-        if !can_meet_floor(self.servers.len(), &request.service_load) {
-            return None;
-        }
-        let spares_faulty =
-            !request.retry_safe && !enforces_floor_strictly(&request.service_load);
-        let may_be_healthy = |server: &&Server| {
-            let failed = server
-                .last_failure_at
-                .is_some_and(|at| now < at + PROBE_DELAY_AFTER_FAILURE);
-            let was_faulty = spares_faulty
-                && server
-                    .last_certain_failure_at
-                    .is_some_and(|at| now < at + PROBE_DELAY_AFTER_FAULT);
-            // Servers with limits are not counted, because they are sent what their
-            // limits allow. Draining servers and those that back off get no requests at
-            // all.
-            !failed && !was_faulty && self.availability(server, now) == Availability::Open
-        };
-        // The boxes in the same data centre as an idle server can probe it at a lower
-        // cost.
-        let local_only = request.cross_data_centre_cost >= EXPENSIVE_CROSSING
-            && !enforces_floor_strictly(&request.service_load);
-        let baseline_failure_ratio = self.baseline_failures.share();
-        let to_idle_server = |server: &Server| {
-            let key = server.record.key();
-            let is_far = server.distance == Distance::OtherRegion;
-            let is_too_far =
-                is_far || (local_only && server.distance != Distance::SameDataCentre);
-            IdleServer {
-                key,
-                idle_for: now.saturating_duration_since(server.last_request_at),
-                failure_probability: server
-                    .failure_probability(baseline_failure_ratio, now),
-                is_eligible: !is_too_far && !request.tried.contains(&key),
-            }
-        };
-        let servers = self.servers.values().filter(may_be_healthy);
-        let servers: Vec<_> = servers.map(to_idle_server).collect();
-        let inputs = IdleProbeInputs {
-            retry_safe: request.retry_safe,
-            service_load: request.service_load,
-        };
-        let key = pick_idle_probe(&servers, &inputs, random)?;
-        let server = self.servers.get(&key)?;
-        let estimate = self.estimate(server, request, baseline_failure_ratio, now);
-        Some(Pick {
-            is_idle_probe: true,
-            ..estimate.pick(server, servers.len(), now)
-        })
-    }
-
     fn estimate(
         &self,
         server: &Server,
@@ -1011,7 +961,7 @@
             in_flight: self.in_flight,
             candidates,
             choice_set_size: 0,
-            is_idle_probe: false,
+            probe: None,
             last_report_age: server
                 .last_report_at
                 .map(|at| now.saturating_duration_since(at)),
@@ -1047,16 +997,6 @@
 const FULL_QUEUE_DURATION: Duration = Duration::from_secs(1);
 /// The cost of a refusal: a round trip and a resend from the retry budget.
 const REFUSAL_MS: f64 = 300.0;
-/// How long after a failure a server counts again as one that may be healthy; the
-/// requirement says two seconds.
-const PROBE_DELAY_AFTER_FAILURE: Duration = Duration::from_millis(1500);
-/// For requests that are not retry-safe, and while few requests fail, a server that was
-/// almost certainly faulty counts as one that may be healthy only after this time: the
-/// floor is judged by servers that have had no trouble for six seconds.
-const PROBE_DELAY_AFTER_FAULT: Duration = Duration::from_millis(6000);
-/// Requests with at least this cost to another data centre, as downloads have, do not
-/// probe servers there, unless the floor is enforced strictly.
-const EXPENSIVE_CROSSING: Duration = Duration::from_millis(300);
 /// A box may always have this many requests in flight at a server.
 const MIN_REQUESTS_PER_SERVER: u32 = 4;
 /// A server with a limit is not sampled from this failure probability on: a lower bound
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -12,6 +12,7 @@
 mod check;
 mod choice_set;
 mod correlated_suspicion;
+mod coverage;
 mod evidence;
 mod fingerprint;
 mod fleet_retry_budget;
@@ -19,7 +20,6 @@
 mod hedge;
 mod history;
 mod host_routes;
-mod idle_probe;
 mod ids;
 mod lease_client;
 mod outlier_detector;
@@ -51,6 +51,9 @@
 };
 pub use bundle_patch::BundlePatch;
 pub use check::{Finding, check_accounts, check_bundle};
+pub use coverage::{
+    BoxPosition, CoverageInputs, CoverageRole, IdleProbe, IdleServer, pick_owned_probe,
+};
 pub use evidence::{
     EvidenceEntry, EvidenceReport, HealthBaseline, ejection_threshold, healthy_evidence,
 };
@@ -62,7 +65,6 @@
 pub use health::HealthSnapshot;
 pub use hedge::{HedgeInputs, hedge_delay};
 pub use host_routes::HostRoutes;
-pub use idle_probe::{IdleProbeInputs, IdleServer, pick_idle_probe};
 pub use ids::{
     AttemptId, BoxId, BoxKey, BundleVersion, DataCentreId, RegionId, Regions, ServerId,
     ServerIndex, ServerKey, ServiceIndex, SourceId,
--- a/tests/tests/budgets.rs
+++ b/tests/tests/budgets.rs
@@ -296,6 +296,7 @@
         counted: 0,
         hub_contact_age_ms: touch_ms,
         delegates_shares: false,
+        position: None,
     };
     let after_join = |touch_ms| {
         let start = Instant::now() + seconds(100);
@@ -473,6 +474,7 @@
         counted: 35,
         hub_contact_age_ms: None,
         delegates_shares: false,
+        position: None,
     };
     view.receive(1, note, &known, Some(now), now);
     assert_eq!(view.fleet_size(&known, now), 35);
--- a/tests/tests/floor.rs
+++ b/tests/tests/floor.rs
@@ -8,9 +8,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use wingspur_state::{
-    AttemptId, Balancer, ExpectedLatency, HealthOutcome, IdleProbeInputs, IdleServer,
-    KeyedTally, PickRequest, ServerKey, ServerRecord, ServerTally, ServiceLoad,
-    ServiceTime, pick_idle_probe,
+    AttemptId, Balancer, BoxPosition, CoverageInputs, CoverageRole, ExpectedLatency,
+    HealthOutcome, IdleServer, KeyedTally, PickRequest, ServerKey, ServerRecord,
+    ServerTally, ServiceLoad, ServiceTime, pick_owned_probe,
 };
 
 /// A fleet of boxes before one service.
@@ -70,6 +70,18 @@
     }
 }
 
+/// The role of a box in a fleet of one data centre.
+fn role(at: usize, boxes: usize) -> CoverageRole {
+    CoverageRole {
+        key: at as u64 + 1,
+        position: Some(BoxPosition {
+            index: at as u32,
+            count: boxes as u32,
+        }),
+        fleet_boxes: boxes,
+    }
+}
+
 fn key(n: usize) -> ServerKey {
     record(n, 0).key()
 }
@@ -79,8 +91,9 @@
         let start = Instant::now();
         let all = plan.servers + plan.joining;
         let mut boxes = Vec::new();
-        for _ in 0..plan.boxes {
+        for at in 0..plan.boxes {
             let mut balancer = Balancer::new("dc-1".into());
+            balancer.set_coverage_role(role(at, plan.boxes));
             for n in 0..plan.servers {
                 balancer.upsert(record(n, 0), start);
             }
@@ -261,58 +274,99 @@
     }
 }
 
-/// The inputs for a service that fails an eighth of its requests.
-fn losing(requests_per_s: f64) -> IdleProbeInputs {
-    IdleProbeInputs {
+/// The inputs for a service that fails an eighth of its requests, at the only box.
+fn losing(requests_per_s: f64) -> CoverageInputs {
+    CoverageInputs {
         retry_safe: false,
         service_load: ServiceLoad {
             requests_per_s,
             failure_ratio: 0.12,
             unreported_requests: 0.0,
         },
+        role: CoverageRole::default(),
     }
 }
 
 /// Returns numbered servers; those from `first_idle` on have been idle for `idle_time`.
-fn servers(
-    count: usize,
-    first_idle: usize,
-    idle_time: Duration,
-) -> Vec<IdleServer<usize>> {
+fn servers(count: usize, first_idle: usize, idle_time: Duration) -> Vec<IdleServer> {
     let server = |n: usize| IdleServer {
-        key: n,
+        key: n as u64,
         idle_for: if n < first_idle {
             Duration::ZERO
         } else {
             idle_time
         },
         failure_probability: 0.05,
+        failed_ago: None,
+        is_local: true,
         is_eligible: true,
     };
     (0..count).map(server).collect()
 }
 
+/// Returns the times at which boxes that receive no reports probe a server, in
+/// milliseconds after its last request. Each box knows its own probes only.
+fn probes_without_reports(
+    boxes: usize,
+    server: u64,
+    until_ms: u64,
+    random: &mut StdRng,
+) -> Vec<u64> {
+    const REQUESTS_PER_MS: usize = 1;
+    let mut last_used_ms = vec![0; boxes];
+    let mut probes = Vec::new();
+    for ms in 1_000..until_ms {
+        for _ in 0..REQUESTS_PER_MS {
+            let at = random.random_range(0..boxes);
+            let inputs = CoverageInputs {
+                role: role(at, boxes),
+                ..losing(1_000.0)
+            };
+            let idle_for = Duration::from_millis(ms - last_used_ms[at]);
+            let idle = IdleServer {
+                key: server,
+                ..servers(1, 0, idle_for)[0]
+            };
+            if pick_owned_probe(&[idle], &inputs, random).is_some() {
+                last_used_ms[at] = ms;
+                probes.push(ms);
+            }
+        }
+    }
+    probes
+}
+
+/// With seven probes expected at random, e to the power of -7 of the servers would get
+/// none: 2 of 2,000. Three slots bear at most 10 probes a second.
 #[test]
 fn a_server_of_which_no_news_comes_is_tried_surely_and_then_not_flooded() {
-    const REQUESTS_PER_S: f64 = 1_000.0;
-    const DRAWS: usize = 2_000;
+    const SERVERS: u64 = 2_000;
+    const MAX_UNTRIED: u64 = 2;
+    const FLOODED: u64 = 200;
     let mut random = StdRng::seed_from_u64(5);
-    let mut probes_per_s = |idle_ms: u64| {
-        let servers = servers(100, 99, Duration::from_millis(idle_ms));
-        let probes = (0..DRAWS).filter(|_| {
-            pick_idle_probe(&servers, &losing(REQUESTS_PER_S), &mut random) == Some(99)
-        });
-        probes.count() as f64 / DRAWS as f64 * REQUESTS_PER_S
-    };
-    let probe_rates: f64 = (1_000..1_800).step_by(50).map(&mut probes_per_s).sum();
-    let probes = probe_rates * 0.05;
-    assert!(probes >= 7.0, "{probes} probes within 0.8 s");
-    for idle_ms in (1_850..10_000).step_by(200) {
-        let probes = probes_per_s(idle_ms);
+    for boxes in [39, 300] {
+        let mut untried = 0;
+        for server in 0..SERVERS {
+            let probes = probes_without_reports(boxes, server, 1_800, &mut random);
+            untried += u64::from(probes.is_empty());
+        }
         assert!(
-            probes <= 10.0,
-            "{probes} probes a second after {idle_ms} ms"
+            untried <= MAX_UNTRIED,
+            "{boxes} boxes: {untried} of {SERVERS} without a probe within 0.8 s"
         );
+        let mut probes = Vec::new();
+        for server in 0..FLOODED {
+            probes.extend(probes_without_reports(boxes, server, 10_000, &mut random));
+        }
+        for from_ms in (1_850..9_000).step_by(50) {
+            let within = from_ms..from_ms + 1_000;
+            let count = probes.iter().filter(|ms| within.contains(*ms)).count();
+            let per_s = count as f64 / FLOODED as f64;
+            assert!(
+                per_s <= 10.0,
+                "{boxes} boxes: {per_s} probes in the second from {from_ms} ms on"
+            );
+        }
     }
 }
 
@@ -328,9 +382,12 @@
     let mut sent_ms = vec![vec![0u64]; servers.len()];
     for ms in 0..END_MS {
         for _ in 0..REQUESTS_PER_MS {
-            let probed = pick_idle_probe(&servers, &losing(1_000.0), &mut random);
+            let probed = pick_owned_probe(&servers, &losing(1_000.0), &mut random);
             // The trusted servers are picked all the time.
-            let n = probed.unwrap_or(random.random_range(DOUBTFUL..servers.len()));
+            let n = probed.map_or_else(
+                || random.random_range(DOUBTFUL..servers.len()),
+                |probe| probe.key as usize,
+            );
             servers[n].idle_for = Duration::ZERO;
             sent_ms[n].push(ms);
         }
@@ -367,7 +424,7 @@
     for (n, server) in servers.iter_mut().enumerate().take(DOUBTFUL) {
         server.failure_probability = 0.34 - n as f64 * 0.006;
     }
-    let calm = IdleProbeInputs {
+    let calm = CoverageInputs {
         service_load: ServiceLoad {
             failure_ratio: 0.02,
             ..losing(1_000.0).service_load
@@ -377,9 +434,12 @@
     let mut sent_ms = vec![vec![0u64]; servers.len()];
     for ms in 0..END_MS {
         for _ in 0..REQUESTS_PER_MS {
-            let probed = pick_idle_probe(&servers, &calm, &mut random);
+            let probed = pick_owned_probe(&servers, &calm, &mut random);
             // The trusted servers are picked all the time.
-            let n = probed.unwrap_or(random.random_range(DOUBTFUL..servers.len()));
+            let n = probed.map_or_else(
+                || random.random_range(DOUBTFUL..servers.len()),
+                |probe| probe.key as usize,
+            );
             servers[n].idle_for = Duration::ZERO;
             sent_ms[n].push(ms);
         }
--- a/tests/tests/limited_service.rs
+++ b/tests/tests/limited_service.rs
@@ -195,7 +195,7 @@
 /// than without limits, and at least nine tenths of the healthy servers' quota is used.
 #[test]
 fn limits_do_not_send_requests_to_gray_servers() {
-    const SEEDS: u64 = 5;
+    const SEEDS: u64 = 20;
     let mean = |limited: usize, of: fn(&Service) -> f64| {
         let runs = (0..SEEDS).map(|seed| of(&Service::simulate(limited, 1.5, seed)));
         runs.sum::<f64>() / SEEDS as f64
