--- a/crates/wingspur-protocol/src/link.rs
+++ b/crates/wingspur-protocol/src/link.rs
@@ -7,9 +7,9 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wingspur_state::{
-    BoxId, BoxKey, BundleVersion, DataCentreId, HealthSnapshot, KeyedTally, QueueReport,
-    QuotaKey, RequestFingerprint, ServerId, ServerKey, ServerRecord, ServiceTally,
-    SourceId, StoreEra, StorePosition, SuspectMessage,
+    BoxId, BoxKey, BoxPosition, BundleVersion, DataCentreId, HealthSnapshot, KeyedTally,
+    QueueReport, QuotaKey, RequestFingerprint, ServerId, ServerKey, ServerRecord,
+    ServiceTally, SourceId, StoreEra, StorePosition, SuspectMessage,
 };
 
 use crate::{BoxRecord, CatalogChanges, CatalogSnapshot, compact_servers};
@@ -297,6 +297,10 @@
     /// holds a delegation.
     #[serde(default)]
     pub is_sole_delegate: bool,
+    /// From a hub to a member, the member's position among the boxes of the data centre;
+    /// `None` while the hub may not know all of them.
+    #[serde(default)]
+    pub position: Option<BoxPosition>,
 }
 
 /// The boxes that a hub counts, as far as it has not yet reported them to another hub.
