The hedges of a request have a file of their own

Its functions on hedges (when one is due, whether the budget has one, where it goes) move unchanged to forwarding/hedging.rs, a child module, so that no field becomes visible elsewhere.

No behaviour changes.

--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -9,9 +9,9 @@
 use hyper::body::Body;
 use wingspur_protocol::{BoxRecord, ResultCode};
 use wingspur_state::{
-    AttemptEnd, BoxId, BudgetDecision, HedgeInputs, Pick, PickRequest, Priority,
-    ResendKind, RetryAfterInputs, RetryDecision, RetryReason, RouteClass, ServerKey,
-    StopReason, decide_retry, hedge_delay, priority_of, server_key, spare_capacity_per_s,
+    AttemptEnd, BoxId, BudgetDecision, Pick, PickRequest, Priority, ResendKind,
+    RetryAfterInputs, RetryDecision, RetryReason, RouteClass, ServerKey, StopReason,
+    decide_retry, priority_of, spare_capacity_per_s,
 };
 use wingspur_transport::SendBody;
 
@@ -34,6 +34,8 @@
 use crate::quotas::resend_lease_exchange::lease_resend;
 use crate::services::ServiceState;
 
+mod hedging;
+
 /// Forwards one request: picks servers, and sends retries and hedges within the retry
 /// budget.
 pub struct RequestForwarder {
@@ -615,38 +617,6 @@
         ended.or(leased).or(hedge).await
     }
 
-    /// Returns when a hedge is sent if the latest attempt has had no response by then;
-    /// `None` if the request may not be hedged.
-    fn hedge_at(&self) -> Option<Instant> {
-        let (began, pick) = self.latest_attempt.as_ref().filter(|_| self.may_hedge())?;
-        let budget_used_ratio = self.budget_used_ratio();
-        let target = Duration::from_millis(self.route.route.target_latency_ms);
-        let on_target_until = self.outgoing.arrived + target;
-        let after = hedge_delay(&HedgeInputs {
-            failure_probability: pick.failure_probability,
-            expected: Duration::from_secs_f64(pick.healthy_ms / 1000.0),
-            service_time: self.route.stats.service_time(),
-            time_to_latency_target: on_target_until.saturating_duration_since(*began),
-            budget_used_ratio,
-        });
-        Some(*began + after)
-    }
-
-    /// Returns the ratio of the retry budget that is used, as reported by this box's hub
-    /// for all its boxes. Without a report it is that of this box's own share.
-    fn budget_used_ratio(&self) -> f64 {
-        let hub = self.shared.links.lock().own_hub();
-        let service = server_key(&self.service.name);
-        let reported = hub.and_then(|hub| {
-            let leases = self.shared.resend_leases.lock();
-            leases.used_ratio(hub, service)
-        });
-        reported.unwrap_or_else(|| {
-            let decision = self.check_budget(ResendKind::Hedge);
-            f64::from(decision.spent) / decision.limit().max(1.0)
-        })
-    }
-
     /// Checks this box's own share of the retry budget without spending any of it.
     fn check_budget(&self, kind: ResendKind) -> BudgetDecision {
         let membership = self.shared.fleet_membership();
@@ -654,74 +624,6 @@
         budget.check(kind, membership, wingspur_clock::now())
     }
 
-    /// Sends a hedge beside a slow attempt if a server is expected to respond in time. If
-    /// this box has no resend left for it, asks other boxes to lease one.
-    fn hedge(&mut self) {
-        let budget = self.reserve_resend(ResendKind::Hedge);
-        if budget.allowed {
-            return self.hedge_with_decision(&budget);
-        }
-        let (shared, service) = (self.shared.clone(), self.service.clone());
-        self.hedge_lease = Some(Box::pin(async move {
-            lease_resend(&shared, &service, ResendKind::Hedge).await
-        }));
-    }
-
-    fn hedge_if_leased(&mut self, leased: bool) {
-        self.hedge_lease = None;
-        if !self.may_hedge() {
-            // The request may not be hedged any more, for example because the attempt has
-            // ended meanwhile. A leased resend expires by itself.
-            return;
-        }
-        let mut budget = self.check_budget(ResendKind::Hedge);
-        budget.allowed = leased;
-        if leased {
-            self.resends.record_leased();
-        }
-        self.hedge_with_decision(&budget);
-    }
-
-    fn hedge_with_decision(&mut self, budget: &BudgetDecision) {
-        let remaining_ms = self.remaining().as_secs_f64() * 1000.0;
-        if budget.allowed
-            && self.needs_relay()
-            && let Some(relay) = self.pick_relay()
-        {
-            self.log_decision("hedged", "silent", self.tried.len(), budget);
-            self.shared.metrics.hedges.inc();
-            return self.start_relayed_attempt(relay);
-        }
-        let pick = if budget.allowed { self.pick() } else { None };
-        let in_time = pick.filter(|pick| pick.expected_ms < remaining_ms);
-        let Some(pick) = in_time else {
-            let reason = if budget.allowed {
-                "no_server_in_time"
-            } else {
-                "budget_spent"
-            };
-            self.resends.release_unsent();
-            self.shared.metrics.count_unhedged(reason);
-            self.log_decision("not hedged", reason, self.tried.len(), budget);
-            // Less time is left later, so no further hedge is tried.
-            self.hedging_ruled_out = true;
-            return;
-        };
-        self.log_decision("hedged", "silent", self.tried.len(), budget);
-        self.shared.metrics.hedges.inc();
-        self.start_attempt(pick);
-    }
-
-    fn may_hedge(&self) -> bool {
-        self.is_retry_safe()
-            && !self.hedging_ruled_out
-            && self.hedge_lease.is_none()
-            && self.running_attempts.len() == 1
-            && self.can_resend_body()
-            && self.attempts_made() < self.max_attempts()
-            && !self.needs_permit()
-    }
-
     /// Sends the request again if the retry rules and the budget allow it, and counts the
     /// decision. Otherwise returns the result code for the caller.
     ///
