Less urgent requests are refused first where a service is over its capacity

Change: urgency.rs decides on each request of a service with several priorities before its first attempt. Nothing is refused while slots are free. Above that each box admits the share of a level at which the queue at the servers reaches within 0.5 s what the targets of the more urgent levels bear. Code 2008, a counter by priority, a log line for each decision, Retry-After from the schedule with the time until there is room. Existing tests: three literals of ServiceTally in budgets.rs and sharing.rs take the new field from Default; they check the same.

--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -43,6 +43,8 @@
     RelayConnections,
     /// The retry times that a service's rejected callers were given.
     Returns,
+    /// What a service's requests need.
+    Urgency,
     /// What servers have announced about themselves.
     Standings,
     /// The distribution of a route's response times.
--- a/crates/wingspur-edge/src/operation/metrics.rs
+++ b/crates/wingspur-edge/src/operation/metrics.rs
@@ -9,7 +9,7 @@
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 use wingspur_protocol::ResultCode;
-use wingspur_state::{RetryReason, StopReason, SuspectEvent};
+use wingspur_state::{Priority, RetryReason, StopReason, SuspectEvent, UrgencyDecision};
 use wingspur_transport::HttpClientTotals;
 
 use crate::quotas::quarantine_state::SendPermission;
@@ -67,6 +67,9 @@
     pub hedges: IntCounter,
     /// Slow first attempts that were not hedged, by reason.
     unhedged: IntCounterVec,
+    /// Decisions by urgency in services whose requests have several priorities, by
+    /// service, priority (of the account and of the route), outcome and reason.
+    urgency_decisions: IntCounterVec,
     /// Events of suspected requests that this box observed: servers that ended while such
     /// a request was in flight there, and such requests that were answered completely.
     suspect_events: IntCounterVec,
@@ -237,6 +240,11 @@
             ),
             client_disconnects: disconnects,
             dropped_log_lines,
+            urgency_decisions: counter(
+                "wingspur_urgency_decisions_total",
+                "Requests admitted and refused by urgency, by service and priority.",
+                &["service", "priority", "outcome", "reason"],
+            ),
             unhedged: counter(
                 "wingspur_unhedged_total",
                 "Slow attempts that no second one was begun beside, by reason.",
@@ -318,6 +326,23 @@
         self.unhedged.with_label_values(&[reason]).inc();
     }
 
+    /// Counts a decision by urgency on a request with this priority.
+    pub fn count_urgency_decision(
+        &self,
+        service: &str,
+        priority: Priority,
+        decision: &UrgencyDecision,
+    ) {
+        let [account, route] = priority.to_be_bytes();
+        let outcome = match decision.admitted {
+            true => "admitted",
+            false => "refused",
+        };
+        let priority = format!("{account}.{route}");
+        let labels = [service, &priority, outcome, decision.reason.as_str()];
+        self.urgency_decisions.with_label_values(&labels).inc();
+    }
+
     /// Counts what this box observed of a suspected request.
     pub fn count_suspect(&self, event: SuspectEvent) {
         let label = match event {
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -353,6 +353,9 @@
         let queue_factor = (self.pick.baseline_ms / typical_ms).max(1.0);
         stats.record_response(took.div_f64(queue_factor), body_bytes);
         stats.record_latency_ratio(took.as_secs_f64() * 1000.0 / self.pick.healthy_ms);
+        let wait_s = took.as_secs_f64() - typical_ms / 1000.0;
+        let mut urgency = self.service.urgency.lock();
+        urgency.record_wait(wait_s, wingspur_clock::now());
     }
 
     /// Checks that a successful response comes from the server itself.
--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -11,7 +11,7 @@
 use wingspur_state::{
     AttemptEnd, BoxId, BudgetDecision, Pick, PickRequest, Priority, ResendKind,
     RetryAfterInputs, RetryDecision, RetryReason, RouteClass, ServerKey, StopReason,
-    decide_retry, priority_of, spare_capacity_per_s,
+    UrgencyDecision, decide_retry, priority_of, spare_capacity_per_s,
 };
 use wingspur_transport::SendBody;
 
@@ -34,6 +34,7 @@
 use crate::quotas::resend_lease_exchange::lease_resend;
 use crate::services::ServiceState;
 
+mod admission_by_urgency;
 mod hedging;
 
 /// Forwards one request: picks servers, and sends retries and hedges within the retry
@@ -80,6 +81,8 @@
     /// Shortest time until a rate-limited server should have quota again, by the latest
     /// requests for quota; `None` if none of them named a time.
     quota_in: Option<Duration>,
+    /// The decision by which the request was refused in favour of more urgent ones.
+    refused_by_urgency: Option<UrgencyDecision>,
     /// The last field, so that it is dropped after the attempts: its drop records in the
     /// budget that the request has ended, and no attempt may be sent after that.
     resends: ResendReservation,
@@ -155,6 +158,7 @@
             quarantine_permit: QuarantinePermit::None,
             next_permit_in: None,
             quota_in: None,
+            refused_by_urgency: None,
         }
     }
 
@@ -162,8 +166,10 @@
     /// attempt, or the deadline passes.
     pub async fn run(mut self) -> Result<AttemptResult, RequestError> {
         if !self.is_relayed() {
-            let mut budget = self.service.budget.lock();
-            budget.count_request(wingspur_clock::now());
+            self.count_request();
+            if let Err(code) = self.admit_by_urgency() {
+                return Err(self.give_up(code));
+            }
         }
         if let Err(code) = self.send_first().await {
             return Err(self.give_up(code));
@@ -836,16 +842,19 @@
         let min_queue_wait = balancer.min_queue_wait(&pick_request, now);
         let capacity_per_s = balancer.capacity_per_s(pick_request.typical_latency, now);
         drop(balancer);
+        let min_queue_wait = min_queue_wait
+            .or(self.quota_in)
+            .unwrap_or(NO_SERVER_RETRY_AFTER);
+        let spare_per_s = spare_capacity_per_s(
+            capacity_per_s,
+            pick_request.service_load.requests_per_s,
+            boxes,
+        );
+        let refused = self.refused_by_urgency.as_ref();
         let inputs = RetryAfterInputs {
             priority: self.priority(),
-            min_queue_wait: min_queue_wait
-                .or(self.quota_in)
-                .unwrap_or(NO_SERVER_RETRY_AFTER),
-            spare_per_s: spare_capacity_per_s(
-                capacity_per_s,
-                pick_request.service_load.requests_per_s,
-                boxes,
-            ),
+            min_queue_wait: refused.map_or(min_queue_wait, |refused| refused.room_in),
+            spare_per_s: refused.map_or(spare_per_s, |refused| refused.room_per_s),
         };
         let mut queue = self.service.retry_after_queue.lock();
         let wait = queue.schedule(&inputs, now, &mut rand::rng());
--- a/crates/wingspur-edge/src/proxy/request.rs
+++ b/crates/wingspur-edge/src/proxy/request.rs
@@ -13,7 +13,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Version};
 use wingspur_protocol::{RELAY_HEADER, RELAY_RESULT_HEADER, RelayedRequest, ResultCode};
-use wingspur_state::{KeyDigest, RequestFingerprint, RequestParts};
+use wingspur_state::{KeyDigest, RequestFingerprint, RequestParts, UrgencyCounts};
 use wingspur_transport::{ResponseHead, SendBody};
 
 use crate::catalog::active_bundle::ActiveRoute;
@@ -217,7 +217,7 @@
 fn count_unserved(route: &ActiveRoute) {
     let now = wingspur_clock::now();
     let mut budget = route.next_service().budget.lock();
-    budget.count_request(now);
+    budget.count_request_of(UrgencyCounts::one_refused_by_limit(), now);
     budget.count_failed_request(now);
 }
 
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -9,7 +9,7 @@
 use wingspur_state::{
     AnnouncedStates, Balancer, Bundle, DataCentreId, FleetRetryBudget, FleetSize,
     Regions, RegistryChange, RetryAfterSchedule, RetryBudgetSettings, ServerKey,
-    ServerPath, ServerRecord, server_key,
+    ServerPath, ServerRecord, ServiceUrgency, server_key,
 };
 use wingspur_transport::{BackendConnections, InjectedPathFault};
 
@@ -26,6 +26,8 @@
     pub budget: RankedMutex<FleetRetryBudget>,
     /// Retry times that were given to refused callers.
     pub retry_after_queue: RankedMutex<RetryAfterSchedule>,
+    /// What its requests need, for decisions by urgency.
+    pub urgency: RankedMutex<ServiceUrgency>,
     /// Whether this box reaches its backend servers.
     pub path: RankedMutex<ServerPath>,
     /// Held while the path is being checked.
@@ -97,6 +99,7 @@
                 LockRank::Returns,
                 RetryAfterSchedule::default(),
             ),
+            urgency: RankedMutex::new(LockRank::Urgency, ServiceUrgency::default()),
             path: RankedMutex::new(LockRank::ServerPath, ServerPath::default()),
             path_check: smol::lock::Mutex::new(()),
         });
--- a/crates/wingspur-protocol/src/result_code.rs
+++ b/crates/wingspur-protocol/src/result_code.rs
@@ -29,6 +29,8 @@
     ServersAtLimit,
     /// All servers that may run the request have asked for a backoff.
     ServersBackingOff,
+    /// The service is over its capacity, and more urgent requests go first.
+    LessUrgent,
     /// The service's concurrency limit and its queue are full.
     ServiceQueueFull,
     /// The deadline passed, or would have passed, before the request was sent.
@@ -59,7 +61,7 @@
 
 impl ResultCode {
     /// All codes, in the order of their numbers.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::NoRoute,
         Self::MethodNotAllowed,
         Self::TooLarge,
@@ -73,6 +75,7 @@
         Self::Quarantined,
         Self::ServersAtLimit,
         Self::ServersBackingOff,
+        Self::LessUrgent,
         Self::NoServer,
         Self::NotSent,
         Self::DeadlineAfterSend,
@@ -102,6 +105,7 @@
             Self::Quarantined => 2005,
             Self::ServersAtLimit => 2006,
             Self::ServersBackingOff => 2007,
+            Self::LessUrgent => 2008,
             Self::NoServer => 3001,
             Self::NotSent => 3002,
             Self::DeadlineAfterSend => 3003,
@@ -127,7 +131,7 @@
             Self::AccountLimit => 429,
             Self::ServiceQueueFull | Self::NoServer | Self::ClaimUnavailable => 503,
             Self::QuotaUnavailable | Self::Quarantined => 503,
-            Self::ServersAtLimit | Self::ServersBackingOff => 503,
+            Self::ServersAtLimit | Self::ServersBackingOff | Self::LessUrgent => 503,
             Self::DeadlineBeforeSend | Self::NotReady | Self::CatalogStale => 503,
             // Callers may rely on a 503 to mean that the request did not run.
             Self::NotSent => 503,
@@ -152,6 +156,7 @@
             Self::Quarantined => "quarantined",
             Self::ServersAtLimit => "servers_at_limit",
             Self::ServersBackingOff => "servers_rest",
+            Self::LessUrgent => "less_urgent",
             Self::ServiceQueueFull => "concern_full",
             Self::DeadlineBeforeSend => "deadline_before_send",
             Self::NoServer => "no_server",
@@ -189,6 +194,7 @@
             Self::AccountLimit | Self::ServiceQueueFull => Some(1),
             Self::QuotaUnavailable => Some(1),
             Self::ServersAtLimit | Self::ServersBackingOff => Some(1),
+            Self::LessUrgent => Some(1),
             Self::DeadlineBeforeSend | Self::NoServer | Self::NotSent => Some(1),
             Self::InProgress | Self::NotReady | Self::CatalogStale => Some(1),
             Self::ClaimUnavailable | Self::Quarantined => Some(5),
--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -29,8 +29,8 @@
     Attempt, Distance, ExpectedLatency, HealthOutcome, Server, path_outcome,
 };
 use crate::{
-    AnnouncedState, AttemptId, Availability, DataCentreId, KeyedTally, Regions,
-    ServerKey, ServerRecord, ServerTally, ServiceLoad, SourceId,
+    AnnouncedState, AttemptId, Availability, DataCentreId, KeyedTally, Occupancy,
+    Regions, ServerKey, ServerRecord, ServerTally, ServiceLoad, SourceId,
     quota_request_probability,
 };
 
@@ -552,6 +552,37 @@
         rates.sum()
     }
 
+    /// Returns how full the available servers are over all boxes. `typical` is the typical
+    /// service time.
+    ///
+    /// Unlike in [`Self::capacity_per_s`], a server that refuses requests counts with all
+    /// its slots: it refuses because its queue is full, and serves as many as before. Its
+    /// slowness is compared with the mean of all servers, because all seem slow when
+    /// their queues have grown since the last reports.
+    pub fn occupancy(&self, typical: Duration, now: Instant) -> Occupancy {
+        let baseline_failure_ratio = self.baseline_failures.share();
+        let typical_s = typical.as_secs_f64().max(MIN_TYPICAL_LATENCY_S);
+        let slownesses = self.servers.values().map(|s| s.health.at(now).slowness());
+        let mean_slowness = slownesses.sum::<f64>() / self.servers.len().max(1) as f64;
+        let mut sum = Occupancy::default();
+        for server in self.servers.values() {
+            let max_per_s = match self.availability(server, now) {
+                Availability::Open => f64::INFINITY,
+                Availability::RequiresQuota(per_s) => per_s,
+                Availability::BackoffUntil(_)
+                | Availability::LastResort(_)
+                | Availability::Unavailable => continue,
+            };
+            let answered = 1.0 - server.failure_probability(baseline_failure_ratio, now);
+            let slots = f64::from(server.record.slots) * answered;
+            let slowness = (server.health.at(now).slowness() / mean_slowness).max(1.0);
+            sum.in_flight += server.in_flight();
+            sum.slots += slots;
+            sum.capacity_per_s += (slots / (slowness * typical_s)).min(max_per_s);
+        }
+        sum
+    }
+
     /// Records that an attempt has begun.
     pub fn begin(
         &mut self,
--- a/crates/wingspur-state/src/fleet_retry_budget.rs
+++ b/crates/wingspur-state/src/fleet_retry_budget.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ResendLedger, ServiceTally};
+use crate::{ResendLedger, ServiceTally, URGENCY_LEVELS, UrgencyCounts, UrgencyLevel};
 
 /// Limits on the resends that a service may receive.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -207,11 +207,17 @@
         self.fleet_size = fleet_size;
     }
 
-    /// Counts a caller's request to the service.
+    /// Counts a caller's request to the service, of the most urgent level.
     pub fn count_request(&mut self, now: Instant) {
+        self.count_request_of(UrgencyCounts::default(), now);
+    }
+
+    /// Counts a caller's request to the service, with its count by urgency.
+    pub fn count_request_of(&mut self, by_urgency: UrgencyCounts, now: Instant) {
         self.ledger.count_request(now);
         let increment = ServiceTally {
             requests: 1,
+            by_urgency,
             ..ServiceTally::default()
         };
         self.count_own(increment, now);
@@ -321,6 +327,35 @@
         }
     }
 
+    /// Returns the requests per second of each urgency level, over all boxes and without
+    /// those that their account's limit refused.
+    pub fn load_by_urgency(&self, now: Instant) -> [f64; URGENCY_LEVELS] {
+        let own = self.recent_own.rates_by_urgency(LOAD_WINDOW, now);
+        let remote = self.recent_remote.rates_by_urgency(LOAD_WINDOW, now);
+        std::array::from_fn(|level| own[level] + remote[level])
+    }
+
+    /// Returns the requests per second of each urgency level at this box alone. They are
+    /// computed over a longer time, because a box has few requests.
+    pub fn own_load_by_urgency(&self, now: Instant) -> [f64; URGENCY_LEVELS] {
+        self.recent_own.rates_by_urgency(2 * LOAD_WINDOW, now)
+    }
+
+    /// Whether requests of more than one urgency level arrive at the service.
+    pub fn has_mixed_urgency(&self, now: Instant) -> bool {
+        let own = self.recent_own.since(2 * LOAD_WINDOW, now);
+        let sum = own.plus(&self.recent_remote.since(2 * LOAD_WINDOW, now));
+        let levels = 0..URGENCY_LEVELS as UrgencyLevel;
+        levels.filter(|level| sum.requests_of(*level) > 0).count() > 1
+    }
+
+    /// Returns the time since the last report of another source arrived; `None` if none
+    /// ever did.
+    pub fn report_age(&self, now: Instant) -> Option<Duration> {
+        let last = self.report_interval.last?;
+        Some(now.saturating_duration_since(last))
+    }
+
     /// Adds what the boxes of a source have counted since its last report.
     pub fn merge_remote_counts(&mut self, tally: ServiceTally, now: Instant) {
         self.record_report(now);
@@ -398,6 +433,20 @@
         recent.fold(ServiceTally::default(), |sum, (_, counts)| sum.plus(counts))
     }
 
+    /// Returns the requests per second of each urgency level within the last `span`.
+    ///
+    /// The buckets that started within it cover between a bucket less and all of it, by
+    /// which the rates would be too low; they are divided by the time covered.
+    fn rates_by_urgency(&self, span: Duration, now: Instant) -> [f64; URGENCY_LEVELS] {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let ages = self.buckets.iter().map(|(at, _)| age(*at));
+        let covered = ages.filter(|age| *age <= span).max().unwrap_or_default();
+        let covered_s = covered.max(span - BUCKET).as_secs_f64();
+        let sum = self.since(span, now);
+        let rate = |level| f64::from(sum.requests_of(level)) / covered_s;
+        std::array::from_fn(|level| rate(level as UrgencyLevel))
+    }
+
     fn evict_expired(&mut self, now: Instant) {
         let is_expired = |(at, _): &(Instant, ServiceTally)| {
             now.saturating_duration_since(*at) > 2 * LOAD_WINDOW + BUCKET
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -40,6 +40,7 @@
 mod suspects;
 mod tally;
 mod tracked_server;
+mod urgency;
 
 pub use account::{AccountTable, ClientAccount, KeyDigest};
 pub use account_limiter::AccountLimiter;
@@ -100,5 +101,10 @@
     QUARANTINE_THRESHOLD, SUSPECT_RETENTION, StoredQuarantine, SuspectEvent,
     SuspectMessage, SuspectRequests, SuspectUpdate,
 };
-pub use tally::{KeyedTally, ServerTally, ServiceTally};
+pub use tally::{KeyedTally, ServerTally, ServiceTally, UrgencyCounts};
 pub use tracked_server::{ExpectedLatency, HealthOutcome};
+pub use urgency::{
+    LevelLoad, LevelNeeds, Occupancy, ReportState, ServiceUrgency, URGENCY_LEVELS,
+    UrgencyDecision, UrgencyInputs, UrgencyLevel, UrgencyReason, decide_by_urgency,
+    urgency_level,
+};
--- a/crates/wingspur-state/src/tally.rs
+++ b/crates/wingspur-state/src/tally.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ServerKey;
+use crate::{ServerKey, URGENCY_LEVELS, UrgencyLevel};
 
 /// Counters of one box, or of all boxes behind one hub, for one server.
 ///
@@ -38,8 +38,22 @@
     /// Requests of callers that got no good response, except those sent as idle probes. A
     /// high loss causes more idle probes; counting their failures would keep the loss up.
     pub lost: u32,
+    /// The part of `requests` that is not of the most urgent level. This must stay the
+    /// last field: it is left out of frames where it is empty.
+    #[serde(default, skip_serializing_if = "UrgencyCounts::is_empty")]
+    pub by_urgency: UrgencyCounts,
 }
 
+/// Requests of a service by urgency, without those of the most urgent level: a service
+/// with only these needs no counts.
+///
+/// The place of the most urgent level holds the requests that are no load on the servers,
+/// because their account's limit refused them. Serialized as pairs of a level and a
+/// count, without counts of 0.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Vec<(UrgencyLevel, u32)>", into = "Vec<(UrgencyLevel, u32)>")]
+pub struct UrgencyCounts([u32; URGENCY_LEVELS]);
+
 /// A server's tally with its key.
 pub type KeyedTally = (ServerKey, ServerTally);
 
@@ -139,6 +153,7 @@
             requests: self.requests.wrapping_sub(earlier.requests),
             resends: self.resends.wrapping_sub(earlier.resends),
             lost: self.lost.wrapping_sub(earlier.lost),
+            by_urgency: self.by_urgency.zip(&earlier.by_urgency, u32::wrapping_sub),
         }
     }
 
@@ -151,12 +166,13 @@
             requests: ahead_of(self.requests, earlier.requests),
             resends: ahead_of(self.resends, earlier.resends),
             lost: ahead_of(self.lost, earlier.lost),
+            by_urgency: self.by_urgency.zip(&earlier.by_urgency, ahead_of),
         }
     }
 
     /// Returns the tally that the next one of the same source is compared with:
-    /// `requests` never goes back from `earlier`, and the other counts are those of this
-    /// tally.
+    /// `requests` and the counts by urgency never go back from `earlier`, and the other
+    /// counts are those of this tally.
     ///
     /// A box with links to two hubs receives the tallies of one of them over two paths,
     /// which leave out different parts of its sums. If `requests` could go back and
@@ -164,11 +180,11 @@
     /// requests within 0.3 s let 40 boxes make 299 resends where 296 were allowed.
     /// Resends that are counted more than once only make the budget smaller.
     pub fn mark_after(&self, earlier: &Self) -> Self {
-        let further = earlier
-            .requests
-            .wrapping_add(ahead_of(self.requests, earlier.requests));
+        let further =
+            |count: u32, earlier: u32| earlier.wrapping_add(ahead_of(count, earlier));
         Self {
-            requests: further,
+            requests: further(self.requests, earlier.requests),
+            by_urgency: self.by_urgency.zip(&earlier.by_urgency, further),
             ..*self
         }
     }
@@ -179,10 +195,76 @@
             requests: self.requests.wrapping_add(other.requests),
             resends: self.resends.wrapping_add(other.resends),
             lost: self.lost.wrapping_add(other.lost),
+            by_urgency: self.by_urgency.zip(&other.by_urgency, u32::wrapping_add),
+        }
+    }
+
+    /// Returns how many of the requests are a load of this urgency level.
+    pub fn requests_of(&self, level: UrgencyLevel) -> u32 {
+        match level {
+            0 => {
+                let others = self
+                    .by_urgency
+                    .0
+                    .iter()
+                    .fold(0, |sum: u32, count| sum.wrapping_add(*count));
+                ahead_of(self.requests, others)
+            }
+            _ => self
+                .by_urgency
+                .0
+                .get(usize::from(level))
+                .copied()
+                .unwrap_or(0),
         }
     }
 }
 
+impl UrgencyCounts {
+    /// Returns the count of one request of a level.
+    pub fn one_of(level: UrgencyLevel) -> Self {
+        match level {
+            0 => Self::default(),
+            _ => Self::from(vec![(level, 1)]),
+        }
+    }
+
+    /// Returns the count of one request that is no load on the servers.
+    pub fn one_refused_by_limit() -> Self {
+        Self::from(vec![(0, 1)])
+    }
+
+    /// Whether all counts are 0.
+    pub fn is_empty(&self) -> bool {
+        self.0.iter().all(|count| *count == 0)
+    }
+
+    fn zip(&self, other: &Self, combine: impl Fn(u32, u32) -> u32) -> Self {
+        Self(std::array::from_fn(|level| {
+            combine(self.0[level], other.0[level])
+        }))
+    }
+}
+
+impl From<Vec<(UrgencyLevel, u32)>> for UrgencyCounts {
+    fn from(pairs: Vec<(UrgencyLevel, u32)>) -> Self {
+        let mut counts = Self::default();
+        for (level, count) in pairs {
+            if let Some(place) = counts.0.get_mut(usize::from(level)) {
+                *place = count;
+            }
+        }
+        counts
+    }
+}
+
+impl From<UrgencyCounts> for Vec<(UrgencyLevel, u32)> {
+    fn from(counts: UrgencyCounts) -> Self {
+        let pairs = (0..).zip(counts.0);
+        pairs.filter(|(_, count)| *count > 0).collect()
+    }
+}
+
 /// A difference above this is a counter that went back, not an increase: the subtraction
 /// wraps around.
 const MAX_INCREASE: u32 = u32::MAX / 8;
--- a/tests/tests/budgets.rs
+++ b/tests/tests/budgets.rs
@@ -201,7 +201,7 @@
     let tally = |requests, resends| ServiceTally {
         requests,
         resends,
-        lost: 0,
+        ..ServiceTally::default()
     };
     budget.merge_remote_counts(tally(5_000, 0), now);
     assert_eq!(
@@ -506,8 +506,8 @@
     let at = |ms: u64| start + Duration::from_millis(ms);
     let counts = |requests, lost| ServiceTally {
         requests,
-        resends: 0,
         lost,
+        ..ServiceTally::default()
     };
     budget.merge_remote_counts(counts(50, 0), at(0));
     budget.merge_remote_counts(counts(50, 5), at(1_500));
--- a/tests/tests/sharing.rs
+++ b/tests/tests/sharing.rs
@@ -500,7 +500,7 @@
             ServiceTally {
                 requests,
                 resends,
-                lost: 0,
+                ..ServiceTally::default()
             },
         )],
         ..TallyUpdate::default()
