--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -9,9 +9,9 @@
 use hyper::body::Body;
 use wingspur_protocol::{BoxRecord, ResultCode};
 use wingspur_state::{
-    AttemptEnd, BoxId, BudgetDecision, HedgeInputs, Pick, PickRequest, Priority,
-    ResendKind, RetryAfterInputs, RetryDecision, RetryReason, RouteClass, ServerKey,
-    StopReason, decide_retry, hedge_delay, priority_of, server_key, spare_capacity_per_s,
+    AttemptEnd, BoxId, BudgetDecision, Pick, PickRequest, Priority, ResendKind,
+    RetryAfterInputs, RetryDecision, RetryReason, RouteClass, ServerKey, StopReason,
+    UrgencyDecision, decide_retry, priority_of, spare_capacity_per_s,
 };
 use wingspur_transport::SendBody;
 
@@ -34,6 +34,9 @@
 use crate::request_error::RequestError;
 use crate::services::ServiceState;
 
+mod admission_by_urgency;
+mod hedging;
+
 /// Forwards one request: picks servers, and sends retries and hedges within the retry
 /// budget.
 pub struct RequestForwarder {
@@ -78,6 +81,8 @@
     /// Shortest time until a rate-limited server should have quota again, by the latest
     /// requests for quota; `None` if none of them named a time.
     quota_in: Option<Duration>,
+    /// The decision by which the request was refused in favour of more urgent ones.
+    refused_by_urgency: Option<UrgencyDecision>,
     /// The last field, so that it is dropped after the attempts: its drop records in the
     /// budget that the request has ended, and no attempt may be sent after that.
     resends: ResendReservation,
@@ -153,6 +158,7 @@
             quarantine_permit: QuarantinePermit::None,
             next_permit_in: None,
             quota_in: None,
+            refused_by_urgency: None,
         }
     }
 
@@ -160,10 +166,13 @@
     /// attempt, or the deadline passes.
     pub async fn run(mut self) -> Result<AttemptResult, RequestError> {
         if !self.is_relayed() {
-            let now = wingspur_clock::now();
-            self.service.budget.lock().count_request(now);
+            self.count_request();
             let mut demand = self.service.resend_demand.lock();
-            demand.count_request(self.priority(), now);
+            demand.count_request(self.priority(), wingspur_clock::now());
+            drop(demand);
+            if let Err(code) = self.admit_by_urgency() {
+                return Err(self.give_up(code));
+            }
         }
         if let Err(code) = self.send_first().await {
             return Err(self.give_up(code));
@@ -619,38 +628,6 @@
         ended.or(leased).or(hedge).await
     }
 
-    /// Returns when a hedge is sent if the latest attempt has had no response by then;
-    /// `None` if the request may not be hedged.
-    fn hedge_at(&self) -> Option<Instant> {
-        let (began, pick) = self.latest_attempt.as_ref().filter(|_| self.may_hedge())?;
-        let budget_used_ratio = self.budget_used_ratio();
-        let target = Duration::from_millis(self.route.route.target_latency_ms);
-        let on_target_until = self.outgoing.arrived + target;
-        let after = hedge_delay(&HedgeInputs {
-            failure_probability: pick.failure_probability,
-            expected: Duration::from_secs_f64(pick.healthy_ms / 1000.0),
-            service_time: self.route.stats.service_time(),
-            time_to_latency_target: on_target_until.saturating_duration_since(*began),
-            budget_used_ratio,
-        });
-        Some(*began + after)
-    }
-
-    /// Returns the ratio of the retry budget that is used, as reported by this box's hub
-    /// for all its boxes. Without a report it is that of this box's own share.
-    fn budget_used_ratio(&self) -> f64 {
-        let hub = self.shared.links.lock().own_hub();
-        let service = server_key(&self.service.name);
-        let reported = hub.and_then(|hub| {
-            let leases = self.shared.resend_leases.lock();
-            leases.used_ratio(hub, service)
-        });
-        reported.unwrap_or_else(|| {
-            let decision = self.check_budget(ResendKind::Hedge);
-            f64::from(decision.spent) / decision.limit().max(1.0)
-        })
-    }
-
     /// Checks this box's own share of the retry budget without spending any of it.
     fn check_budget(&self, kind: ResendKind) -> BudgetDecision {
         let membership = self.shared.fleet_membership();
@@ -658,74 +635,6 @@
         budget.check(kind, membership, wingspur_clock::now())
     }
 
-    /// Sends a hedge beside a slow attempt if a server is expected to respond in time. If
-    /// this box has no resend left for it, asks other boxes to lease one.
-    fn hedge(&mut self) {
-        let budget = self.reserve_resend(ResendKind::Hedge);
-        if budget.allowed {
-            return self.hedge_with_decision(&budget);
-        }
-        let (shared, service) = (self.shared.clone(), self.service.clone());
-        self.hedge_lease = Some(Box::pin(async move {
-            lease_resend(&shared, &service, ResendKind::Hedge).await
-        }));
-    }
-
-    fn hedge_if_leased(&mut self, leased: bool) {
-        self.hedge_lease = None;
-        if !self.may_hedge() {
-            // The request may not be hedged any more, for example because the attempt has
-            // ended meanwhile. A leased resend expires by itself.
-            return;
-        }
-        let mut budget = self.check_budget(ResendKind::Hedge);
-        budget.allowed = leased;
-        if leased {
-            self.resends.record_leased();
-        }
-        self.hedge_with_decision(&budget);
-    }
-
-    fn hedge_with_decision(&mut self, budget: &BudgetDecision) {
-        let remaining_ms = self.remaining().as_secs_f64() * 1000.0;
-        if budget.allowed
-            && self.needs_relay()
-            && let Some(relay) = self.pick_relay()
-        {
-            self.log_decision("hedged", "silent", self.tried.len(), budget);
-            self.shared.metrics.hedges.inc();
-            return self.start_relayed_attempt(relay);
-        }
-        let pick = if budget.allowed { self.pick() } else { None };
-        let in_time = pick.filter(|pick| pick.expected_ms < remaining_ms);
-        let Some(pick) = in_time else {
-            let reason = if budget.allowed {
-                "no_server_in_time"
-            } else {
-                "budget_spent"
-            };
-            self.resends.release_unsent();
-            self.shared.metrics.count_unhedged(reason);
-            self.log_decision("not hedged", reason, self.tried.len(), budget);
-            // Less time is left later, so no further hedge is tried.
-            self.hedging_ruled_out = true;
-            return;
-        };
-        self.log_decision("hedged", "silent", self.tried.len(), budget);
-        self.shared.metrics.hedges.inc();
-        self.start_attempt(pick);
-    }
-
-    fn may_hedge(&self) -> bool {
-        self.is_retry_safe()
-            && !self.hedging_ruled_out
-            && self.hedge_lease.is_none()
-            && self.running_attempts.len() == 1
-            && self.can_resend_body()
-            && self.attempts_made() < self.max_attempts()
-            && !self.needs_permit()
-    }
-
     /// Sends the request again if the retry rules and the budget allow it, and counts the
     /// decision. Otherwise returns the result code for the caller.
     ///
@@ -995,16 +904,19 @@
         let min_queue_wait = balancer.min_queue_wait(&pick_request, now);
         let capacity_per_s = balancer.capacity_per_s(pick_request.typical_latency, now);
         drop(balancer);
+        let min_queue_wait = min_queue_wait
+            .or(self.quota_in)
+            .unwrap_or(NO_SERVER_RETRY_AFTER);
+        let spare_per_s = spare_capacity_per_s(
+            capacity_per_s,
+            pick_request.service_load.requests_per_s,
+            boxes,
+        );
+        let refused = self.refused_by_urgency.as_ref();
         let inputs = RetryAfterInputs {
             priority: self.priority(),
-            min_queue_wait: min_queue_wait
-                .or(self.quota_in)
-                .unwrap_or(NO_SERVER_RETRY_AFTER),
-            spare_per_s: spare_capacity_per_s(
-                capacity_per_s,
-                pick_request.service_load.requests_per_s,
-                boxes,
-            ),
+            min_queue_wait: refused.map_or(min_queue_wait, |refused| refused.room_in),
+            spare_per_s: refused.map_or(spare_per_s, |refused| refused.room_per_s),
         };
         let mut queue = self.service.retry_after_queue.lock();
         let wait = queue.schedule(&inputs, now, &mut rand::rng());
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -9,7 +9,7 @@
 use wingspur_state::{
     AnnouncedStates, Balancer, Bundle, CoverageRole, DataCentreId, FleetRetryBudget,
     FleetSize, Regions, RegistryChange, ResendDemand, RetryAfterSchedule,
-    RetryBudgetSettings, ServerKey, ServerPath, ServerRecord, server_key,
+    RetryBudgetSettings, ServerKey, ServerPath, ServerRecord, ServiceUrgency, server_key,
 };
 use wingspur_transport::{BackendConnections, InjectedPathFault};
 
@@ -28,6 +28,8 @@
     pub resend_demand: RankedMutex<ResendDemand>,
     /// Retry times that were given to refused callers.
     pub retry_after_queue: RankedMutex<RetryAfterSchedule>,
+    /// What its requests need, for decisions by urgency.
+    pub urgency: RankedMutex<ServiceUrgency>,
     /// Whether this box reaches its backend servers.
     pub path: RankedMutex<ServerPath>,
     /// Held while the path is being checked.
@@ -110,6 +112,7 @@
                 LockRank::Returns,
                 RetryAfterSchedule::default(),
             ),
+            urgency: RankedMutex::new(LockRank::Urgency, ServiceUrgency::default()),
             path: RankedMutex::new(LockRank::ServerPath, ServerPath::default()),
             path_check: smol::lock::Mutex::new(()),
         });
