A lost member's share goes on being used, and small accounts wait for it

Change: where a link's connection has failed, the hub uses the member's share until its delegation expires (0.8 s after it was sent, as before), and aborts its own direction, so that the member cannot see an orderly end and use it as well. Requests at members keep their times of arrival at the hub.

--- a/crates/wingspur-coordination/src/fleet_view.rs
+++ b/crates/wingspur-coordination/src/fleet_view.rs
@@ -25,6 +25,9 @@
     own_data_centre: DataCentreId,
     /// Delegations of this box's share of the limits of the servers in each data centre.
     server_delegations: BTreeMap<DataCentreId, ShareDelegation>,
+    /// When lost members last delegated their shares to this box, as far as these
+    /// delegations have not expired.
+    lost_delegations: Vec<Instant>,
     /// Delegation state of a data centre that has no entry in `server_delegations` yet.
     initial_delegation: ShareDelegation,
 }
@@ -110,6 +113,7 @@
             delegation: ShareDelegation::new(now),
             own_data_centre: DataCentreId::default(),
             server_delegations: BTreeMap::new(),
+            lost_delegations: Vec::new(),
             initial_delegation: ShareDelegation::new(now),
             links: BTreeMap::new(),
             size_tracker: FleetSizeTracker::default(),
@@ -155,12 +159,25 @@
         self.links.insert(id, link);
     }
 
-    /// Removes a link.
+    /// Removes a link. The box no longer uses the share of a member at the other side, which
+    /// may learn that the link has been closed in order.
     pub fn drop_link(&mut self, id: LinkId, now: Instant) {
         self.links.remove(&id);
         self.registry.drop_link(id, now);
     }
 
+    /// Removes a link that has broken. The other side cannot learn that it was closed in
+    /// order, so this box uses the share of a member until the delegation expires: the
+    /// member, or its next instance, uses it no sooner.
+    pub fn lose_link(&mut self, id: LinkId, now: Instant) {
+        let link = self.links.get(&id);
+        let delegated_at = link
+            .filter(|link| link.role == PeerRole::Member)
+            .and_then(|link| link.delegated_at);
+        self.lost_delegations.extend(delegated_at);
+        self.drop_link(id, now);
+    }
+
     /// Records that the hub on a link no longer uses this box's share. The link may
     /// already have been removed here.
     pub fn release_share(&mut self, id: LinkId, now: Instant) {
@@ -347,6 +364,9 @@
             .links_with_role(PeerRole::Member)
             .filter(is_delegated)
             .count();
+        self.lost_delegations
+            .retain(|at| now.saturating_duration_since(*at) < DELEGATION_TTL);
+        let delegating = delegating + self.lost_delegations.len();
         let shares = delegating + usize::from(self.delegation.is_free(now));
         let counted = self.size_tracker.max_within(MAX_HOLD, now);
         let boxes = counted
--- a/crates/wingspur-coordination/src/quota_leases/mod.rs
+++ b/crates/wingspur-coordination/src/quota_leases/mod.rs
@@ -196,7 +196,7 @@
             resource,
             wanted: 1,
             reserve,
-            kept_back: self.waiting.count_before(resource, None, &order, now),
+            parts: vec![(1, self.waiting.count_before(resource, None, &order, now))],
             ahead,
         };
         let outcome = self.pools.take(&demand, quota.as_ref(), topology, now);
@@ -337,19 +337,24 @@
             return vec![QuotaMessage::reply(link, reply, false)];
         }
         let (resource, reserve) = (request.resource, request.reserve);
-        let order = self
-            .waiting
-            .member_order(resource, link, reserve, now)
-            .unwrap_or(QueueOrder {
-                reserve,
-                since: now,
-            });
-        let kept_back = self.waiting.count_before(resource, Some(link), &order, now);
+        let is_from_allocator = topology.allocators.contains(&link);
+        let parts = match is_from_allocator || !is_account(resource) {
+            true => {
+                let since = now;
+                let order = QueueOrder { reserve, since };
+                let before = self.waiting.count_before(resource, None, &order, now);
+                vec![(request.on_demand_count, before)]
+            }
+            false => {
+                let demand = (request.on_demand_count, reserve);
+                self.waiting.record_demand(resource, link, demand, now);
+                self.waiting.demand_of_member(resource, link, now)
+            }
+        };
         let reply = self
             .pools
-            .grant_on_demand(request, kept_back, topology, quota, now);
+            .grant_on_demand(request, parts, topology, quota, now);
         let missing = request.on_demand_count - reply.on_demand_granted;
-        let is_from_allocator = topology.allocators.contains(&link);
         let allocators = quota.map(|quota| topology.allocators_of(quota));
         let allocators = allocators.unwrap_or_default();
         let is_searching = self.searches.is_searching(resource)
@@ -389,12 +394,25 @@
         if !topology.is_allocator(link) {
             let waiting =
                 queue.map_or(missing, |queue| missing.min(queue.places(reserve)));
-            self.waiting
-                .record_member(resource, link, (waiting, reserve), now);
+            let counts = (reply.on_demand_granted, waiting);
+            self.waiting.record_reply(resource, link, counts);
         }
         let is_limited = missing > 0 || topology.is_allocator(link);
         let queue = queue.filter(|_| is_limited);
-        QuotaLeaseReply { queue, ..reply }
+        // The queue tells how many requests may wait, and the time is that of the first of
+        // them.
+        let next_ms = self.pools.more_in(resource, topology, quota).map(millis);
+        let retry_after_ms = match (reply.retry_after_ms, next_ms) {
+            (Some(more_in_ms), Some(next_ms)) if queue.is_some() => {
+                Some(more_in_ms.min(next_ms))
+            }
+            (more_in_ms, _) => more_in_ms,
+        };
+        QuotaLeaseReply {
+            queue,
+            retry_after_ms,
+            ..reply
+        }
     }
 
     /// Handles another box's reply to a lease request.
@@ -477,7 +495,9 @@
             .as_ref()
             .is_some_and(|quota| topology.share_of(quota) > 0.0);
         let mut next_available = search.next_available;
-        if has_share {
+        // A hub without a share of an account's quota has one soon, after a start or a
+        // loss, so what the other hubs tell is not all.
+        if has_share || is_account(resource) {
             next_available.add_reply(self.pools.more_in(
                 resource,
                 topology,
@@ -573,7 +593,7 @@
                 resource,
                 wanted: 1,
                 reserve,
-                kept_back: self.waiting.count_before(resource, None, &order, now),
+                parts: vec![(1, self.waiting.count_before(resource, None, &order, now))],
                 ahead: 0,
             };
             match self.pools.take(&demand, quota.as_ref(), topology, now) {
--- a/crates/wingspur-coordination/src/quota_leases/pools.rs
+++ b/crates/wingspur-coordination/src/quota_leases/pools.rs
@@ -13,13 +13,14 @@
 use crate::LinkId;
 
 /// A demand for units that are used at once.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Demand {
     pub resource: LeasedResource,
     pub wanted: u32,
     pub reserve: ReserveShare,
-    /// Units of an account's quota that are left to requests which wait and come first.
-    pub kept_back: u32,
+    /// The requests for units of an account's quota, in order: how many, and how many
+    /// units are left to others that wait and come before them.
+    pub parts: Vec<(u32, u32)>,
     /// The requests that wait already.
     pub ahead: usize,
 }
@@ -50,8 +51,13 @@
             return pool.lease_on_demand(self.wanted, reserve, terms, share_history, now);
         }
         let available = pool.whole_tokens(terms, share_history, now);
-        let wanted = self.wanted.min(available.saturating_sub(self.kept_back));
-        pool.lease_on_demand(wanted, 0.0, terms, share_history, now)
+        let mut granted = 0;
+        for (count, kept_back) in &self.parts {
+            let left = available.saturating_sub(granted + kept_back);
+            granted += left.min(*count);
+        }
+        let granted = granted.min(self.wanted);
+        pool.lease_on_demand(granted, 0.0, terms, share_history, now)
     }
 }
 
@@ -149,7 +155,7 @@
     pub fn grant_on_demand(
         &mut self,
         request: &QuotaLeaseRequest,
-        kept_back: u32,
+        parts: Vec<(u32, u32)>,
         topology: &QuotaTopology,
         quota: Option<&Quota>,
         now: Instant,
@@ -159,7 +165,7 @@
             resource: request.resource,
             wanted: request.on_demand_count,
             reserve: request.reserve,
-            kept_back,
+            parts,
             ahead: 0,
         };
         let (share_history, histories) =
@@ -327,11 +333,15 @@
 }
 
 /// Returns how many requests may wait while the share moves between boxes: as many as at
-/// least `ASSUMED_SHARE` refills in `QUEUE_WINDOW`, and at least one.
+/// least `ASSUMED_SHARE` refills in `QUEUE_WINDOW`, and twice the standard deviation of as
+/// many random arrivals, but no more than the whole quota refills in that time, and at
+/// least one. Without the deviation, an account of twelve requests a second was refused
+/// below its limit, since only six could wait.
 fn unsettled_places(quota: &Quota, share_history: &ShareHistory) -> u32 {
-    let assumed_share = share_history.max_recent_share().max(ASSUMED_SHARE);
-    let refill = quota.terms.per_s * assumed_share * QUEUE_WINDOW.as_secs_f64();
-    refill.max(1.0).ceil() as u32
+    let whole_refill = quota.terms.per_s * QUEUE_WINDOW.as_secs_f64();
+    let refill = whole_refill * share_history.max_recent_share().max(ASSUMED_SHARE);
+    let places = (refill + 2.0 * refill.sqrt()).min(whole_refill);
+    places.max(1.0).ceil() as u32
 }
 
 /// Returns whether boxes may prefetch quota of a resource: only for accounts. Servers
--- a/crates/wingspur-coordination/src/quota_leases/waiting_queue.rs
+++ b/crates/wingspur-coordination/src/quota_leases/waiting_queue.rs
@@ -17,14 +17,15 @@
     at_members: HashMap<LeasedResource, HashMap<LinkId, WaitingAtMember>>,
 }
 
-/// The requests that wait at a member, by its last lease request.
-#[derive(Debug, Clone, Copy)]
+/// The requests that wait at a member, by its lease requests.
+#[derive(Debug, Clone)]
 struct WaitingAtMember {
-    count: u32,
+    /// The number of requests for which the member first asked at a time, the earliest
+    /// first.
+    arrivals: VecDeque<(Instant, u32)>,
     /// The lowest reserve of these requests.
     reserve: ReserveShare,
-    /// Since when requests have waited at the member without a break.
-    since: Instant,
+    /// When the member last asked.
     at: Instant,
 }
 
@@ -73,7 +74,7 @@
         } else {
             MAX_WAIT
         };
-        is_soon(more_in) && waited < max_wait
+        is_soon(more_in) && (waited < max_wait || waited + more_in < MAX_WAIT_OF_FIRST)
     }
 }
 
@@ -101,40 +102,69 @@
         self.queues.get(&resource).map_or(0, VecDeque::len)
     }
 
-    /// Records how many requests wait at a member after the reply to its lease request.
-    pub fn record_member(
+    /// Records the requests for which a member asks.
+    pub fn record_demand(
         &mut self,
         resource: LeasedResource,
         link: LinkId,
         (count, reserve): (u32, ReserveShare),
         now: Instant,
     ) {
-        let since = self
-            .member_order(resource, link, reserve, now)
-            .map_or(now, |order| order.since);
         let members = self.at_members.entry(resource).or_default();
-        let waiting = WaitingAtMember {
-            count,
+        let known = members
+            .remove(&link)
+            .filter(|waiting| waiting.is_current(now) && waiting.reserve == reserve);
+        let mut waiting = known.unwrap_or(WaitingAtMember {
+            arrivals: VecDeque::new(),
             reserve,
-            since,
             at: now,
-        };
+        });
+        waiting.at = now;
+        let known_count = waiting.count();
+        waiting.drop_first(known_count.saturating_sub(count));
+        if count > known_count {
+            waiting.arrivals.push_back((now, count - known_count));
+        }
         members.insert(link, waiting);
     }
 
-    /// Returns the place of the requests that wait at a member; `None` if none of this
-    /// urgency wait there.
-    pub fn member_order(
+    /// Records the reply to a member: it grants units to the first of the requests, and
+    /// lets `kept` of the others wait.
+    pub fn record_reply(
+        &mut self,
+        resource: LeasedResource,
+        link: LinkId,
+        (granted, kept): (u32, u32),
+    ) {
+        let members = self.at_members.get_mut(&resource);
+        let waiting = members.and_then(|members| members.get_mut(&link));
+        if let Some(waiting) = waiting {
+            waiting.drop_first(granted);
+            waiting.keep_first(kept);
+        }
+    }
+
+    /// Returns the requests that wait at a member, in order: how many there are, and how
+    /// many elsewhere get units before them.
+    pub fn demand_of_member(
         &self,
         resource: LeasedResource,
         link: LinkId,
-        reserve: ReserveShare,
         now: Instant,
-    ) -> Option<QueueOrder> {
-        let waiting = self.at_members.get(&resource)?.get(&link)?;
-        let waits =
-            waiting.is_current(now) && waiting.count > 0 && waiting.reserve == reserve;
-        waits.then_some(waiting.order())
+    ) -> Vec<(u32, u32)> {
+        let members = self.at_members.get(&resource);
+        let Some(waiting) = members.and_then(|members| members.get(&link)) else {
+            return Vec::new();
+        };
+        let parts = waiting.arrivals.iter().map(|(since, count)| {
+            let order = QueueOrder {
+                reserve: waiting.reserve,
+                since: *since,
+            };
+            let before = self.count_before(resource, Some(link), &order, now);
+            (*count, before)
+        });
+        parts.collect()
     }
 
     /// Returns the place of the first request that waits here.
@@ -167,7 +197,7 @@
     ) -> u32 {
         let members = self.other_members(resource, link, now);
         let ahead = members.filter(|waiting| waiting.reserve <= reserve);
-        ahead.map(|waiting| waiting.count).sum()
+        ahead.map(WaitingAtMember::count).sum()
     }
 
     /// Returns the number of requests that get units before a request in the place `order`
@@ -184,8 +214,9 @@
             .filter(|waiting| waiting.is_open() && waiting.order().is_before(order))
             .count() as u32;
         let members = self.other_members(resource, link, now);
-        let before = members.filter(|waiting| waiting.order().is_before(order));
-        own + before.map(|waiting| waiting.count).sum::<u32>()
+        own + members
+            .map(|waiting| waiting.count_before(order))
+            .sum::<u32>()
     }
 
     /// Returns whether requests wait here or at members.
@@ -334,10 +365,42 @@
 }
 
 impl WaitingAtMember {
-    fn order(&self) -> QueueOrder {
-        QueueOrder {
-            reserve: self.reserve,
-            since: self.since,
+    fn count(&self) -> u32 {
+        self.arrivals.iter().map(|(_, count)| count).sum()
+    }
+
+    /// Returns how many of the requests get units before one in the place `order`.
+    fn count_before(&self, order: &QueueOrder) -> u32 {
+        let is_before = |since: Instant| {
+            let reserve = self.reserve;
+            QueueOrder { reserve, since }.is_before(order)
+        };
+        let before = self.arrivals.iter().filter(|(since, _)| is_before(*since));
+        before.map(|(_, count)| count).sum()
+    }
+
+    fn drop_first(&mut self, mut dropped: u32) {
+        while let Some((_, count)) = self.arrivals.front_mut() {
+            let taken = dropped.min(*count);
+            *count -= taken;
+            dropped -= taken;
+            if *count > 0 {
+                break;
+            }
+            self.arrivals.pop_front();
+        }
+    }
+
+    fn keep_first(&mut self, kept: u32) {
+        let mut excess = self.count().saturating_sub(kept);
+        while let Some((_, count)) = self.arrivals.back_mut() {
+            let taken = excess.min(*count);
+            *count -= taken;
+            excess -= taken;
+            if *count > 0 {
+                break;
+            }
+            self.arrivals.pop_back();
         }
     }
 
--- a/crates/wingspur-edge/src/peers/links.rs
+++ b/crates/wingspur-edge/src/peers/links.rs
@@ -181,9 +181,19 @@
         id
     }
 
-    /// Closes and removes a link; returns the sources whose tallies no link provides any
-    /// more.
+    /// Closes and removes a link, which the other side may learn; returns the sources whose
+    /// tallies no link provides any more.
     pub fn remove(&mut self, id: LinkId) -> Vec<SourceId> {
+        self.remove_link(id, false)
+    }
+
+    /// Removes a link whose connection has failed. The other side never learns that it was
+    /// closed, so this box goes on using a member's share until the delegation expires.
+    pub fn remove_broken(&mut self, id: LinkId) -> Vec<SourceId> {
+        self.remove_link(id, true)
+    }
+
+    fn remove_link(&mut self, id: LinkId, is_broken: bool) -> Vec<SourceId> {
         let Some(link) = self.active.remove(&id) else {
             return Vec::new();
         };
@@ -191,9 +201,15 @@
         if !self.active.values().any(|other| other.peer.id == *peer) {
             self.planner.note_unlinked(peer);
         }
-        link.sender.close();
         self.freshness.forget(id);
-        self.fleet.drop_link(id, wingspur_clock::now());
+        let now = wingspur_clock::now();
+        if is_broken {
+            link.sender.abort();
+            self.fleet.lose_link(id, now);
+        } else {
+            link.sender.close();
+            self.fleet.drop_link(id, now);
+        }
         self.rollup.drop_link(id);
         self.remove_lost_sources()
     }
--- a/crates/wingspur-edge/src/peers/peer_body.rs
+++ b/crates/wingspur-edge/src/peers/peer_body.rs
@@ -25,11 +25,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
-            Self::Link(body) => {
-                let polled = Pin::new(body).poll_frame(context);
-                polled
-                    .map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
-            }
+            Self::Link(body) => Pin::new(body).poll_frame(context),
             Self::Response(body) => Pin::new(body).poll_frame(context),
         }
     }
--- a/crates/wingspur-edge/src/peers/peer_exchange.rs
+++ b/crates/wingspur-edge/src/peers/peer_exchange.rs
@@ -333,7 +333,8 @@
                         .planner()
                         .back_off(&peer, wingspur_clock::now());
                 }
-                return drop_link(&shared, id, &error.to_string());
+                let is_broken = matches!(error, LinkError::Gone);
+                return end_link(&shared, id, &error.to_string(), is_broken);
             }
         }
     }
@@ -394,9 +395,17 @@
 }
 
 fn drop_link(shared: &Arc<EdgeState>, id: LinkId, reason: &str) {
+    end_link(shared, id, reason, false);
+}
+
+/// Removes a link. `is_broken` says that its connection has failed.
+fn end_link(shared: &Arc<EdgeState>, id: LinkId, reason: &str, is_broken: bool) {
     let mut links = shared.links.lock();
     let peer = links.peer(id).cloned();
-    let lost = links.remove(id);
+    let lost = match is_broken {
+        true => links.remove_broken(id),
+        false => links.remove(id),
+    };
     let updates = links.own_updates();
     drop(links);
     shared.resend_leases.lock().forget(id);
--- a/crates/wingspur-transport/src/body.rs
+++ b/crates/wingspur-transport/src/body.rs
@@ -63,6 +63,9 @@
     /// No more data arrived before the deadline.
     #[error("no more body data arrived before the deadline")]
     Stalled,
+    /// The sender of the body has given it up.
+    #[error("the sender has given the body up")]
+    Aborted,
 }
 
 /// Polls a body that is held in memory, with `BodyError` as its error type so that it can
--- a/crates/wingspur-transport/src/link.rs
+++ b/crates/wingspur-transport/src/link.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -13,6 +15,7 @@
 use serde::de::DeserializeOwned;
 use wingspur_protocol::{EncodedFrame, FrameError, HelloError, decode_next_frame};
 
+use crate::body::BodyError;
 use crate::http_client::{Connector, HttpClientError};
 
 /// Sends frames on a link. Cheap to clone. Its direction of the link ends when all clones
@@ -20,6 +23,7 @@
 #[derive(Debug, Clone)]
 pub struct LinkSender {
     frames: async_channel::Sender<Bytes>,
+    is_aborted: Arc<AtomicBool>,
 }
 
 /// Receives frames from a link.
@@ -38,6 +42,8 @@
     frames: Pin<Box<async_channel::Receiver<Bytes>>>,
     /// The part of the current frame that was not yet given to the connection.
     unsent: Bytes,
+    /// Whether the sender has given the link up, so that the body must not end normally.
+    is_aborted: Arc<AtomicBool>,
 }
 
 /// Why a link ended.
@@ -151,6 +157,13 @@
     pub fn close(self) {
         self.frames.close();
     }
+
+    /// Breaks this direction of the link off, for all clones of the sender. The other side
+    /// never sees that it ended normally, and queued frames are not sent.
+    pub fn abort(self) {
+        self.is_aborted.store(true, Ordering::SeqCst);
+        self.frames.close();
+    }
 }
 
 impl LinkReceiver {
@@ -193,14 +206,18 @@
 
 impl Body for LinkBody {
     type Data = Bytes;
-    type Error = std::convert::Infallible;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<BodyFrame<Bytes>, Self::Error>>> {
         if self.unsent.is_empty() {
-            match self.frames.as_mut().poll_next(context) {
+            let polled = self.frames.as_mut().poll_next(context);
+            if self.is_aborted.load(Ordering::SeqCst) {
+                return Poll::Ready(Some(Err(BodyError::Aborted)));
+            }
+            match polled {
                 Poll::Ready(Some(frame)) => self.unsent = frame,
                 Poll::Ready(None) => return Poll::Ready(None),
                 Poll::Pending => return Poll::Pending,
@@ -214,11 +231,17 @@
 
 fn link_body() -> (LinkSender, LinkBody) {
     let (sender, receiver) = async_channel::bounded(MAX_QUEUED_FRAMES);
+    let is_aborted = Arc::new(AtomicBool::new(false));
     let body = LinkBody {
         frames: Box::pin(receiver),
         unsent: Bytes::new(),
+        is_aborted: is_aborted.clone(),
+    };
+    let sender = LinkSender {
+        frames: sender,
+        is_aborted,
     };
-    (LinkSender { frames: sender }, body)
+    (sender, body)
 }
 
 /// The largest chunk that a connection is given at once.
