--- a/crates/wingspur-state/src/share_history.rs
+++ b/crates/wingspur-state/src/share_history.rs
@@ -216,11 +216,13 @@
 const PREFETCH_FRACTION: f64 = 0.6;
 /// A share has grown recently if the box has had less than this fraction of it for long,
 /// and shrunk recently if its smallest recent value is below this fraction of its
-/// largest.
+/// largest. At a half, a hub that had lost one of two boxes' shares counted as settled and
+/// refused requests below the limit.
 const SETTLED_RATIO: f64 = 0.75;
-/// A share that was lost with its box, or with the hub that had it, is in use again
-/// within this time: 0.8 s until no other box can use it, a second until a lost hub is
-/// given up, and the time of a start or of a link.
+/// A share that was lost with its box, or with the hub that had it, is in use again after
+/// half of this time: 0.8 s until no other box can use it, a second until a lost hub is
+/// given up, and the time of a start or of a link. An account at seven tenths of its limit
+/// needs the other half until its pools have recovered.
 const SHARE_RECOVERY_TIME: Duration = Duration::from_millis(5000);
 /// The length from which on a span is closed at the next record: the share changes
 /// several times a second on all 40 boxes of a fleet while boxes come and go.
--- a/tests/tests/lending_desk.rs
+++ b/tests/tests/lending_desk.rs
@@ -3,8 +3,10 @@
 use std::time::{Duration, Instant};
 
 use wingspur_coordination::{Quota, QuotaAllocator, QuotaLeaseManager, QuotaTopology};
-use wingspur_protocol::{LeasedResource, QuotaLeaseRequest};
-use wingspur_state::{AcquireOutcome, ClientAccount, QuotaTerms, QuotaTolerance};
+use wingspur_protocol::{LeasedResource, QuotaLeaseReply, QuotaLeaseRequest};
+use wingspur_state::{
+    AcquireOutcome, ClientAccount, QueueReport, QuotaTerms, QuotaTolerance,
+};
 
 const ACCOUNT: LeasedResource = LeasedResource::Account(1);
 const SERVER: LeasedResource = LeasedResource::Server(2);
@@ -114,6 +116,49 @@
     }
 }
 
+/// A member of the hub at link 7.
+fn member() -> QuotaTopology {
+    QuotaTopology {
+        own_hub: Some(7),
+        allocators: vec![7],
+        ..QuotaTopology::default()
+    }
+}
+
+/// Guards against requests that a member holds although its hub has just told that all
+/// units that fall due are waited for, and against a report that is used for too long.
+#[test]
+fn a_member_refuses_at_once_by_its_hubs_last_report() {
+    let now = Instant::now();
+    let mut manager = QuotaLeaseManager::new(now);
+    let (first, messages) = manager.acquire(ACCOUNT, 0.0, &member(), &quota_of, now);
+    let first = first.expect_err("the hub has to be asked");
+    let asked = messages[0].messages.requests[0];
+    let reply = QuotaLeaseReply {
+        retry_after_ms: Some(80),
+        queue: Some(QueueReport {
+            reserve: 0.0,
+            ahead: 3,
+            waiting: 3,
+            due: 3,
+            free_in_ms: 80,
+        }),
+        ..QuotaLeaseReply::denied(&asked)
+    };
+    let replied = now + Duration::from_millis(5);
+    manager.handle_reply(&reply, &member(), &quota_of, replied);
+    let refusal = |ms| AcquireOutcome::Refused(Duration::from_millis(ms));
+    assert_eq!(first.try_recv(), Ok(refusal(80)));
+    let later = replied + Duration::from_millis(20);
+    let (outcome, _) = manager.acquire(ACCOUNT, 0.0, &member(), &quota_of, later);
+    assert_eq!(outcome.expect("it is refused"), refusal(60));
+    let expired = replied + Duration::from_millis(250);
+    for _ in 0..2 {
+        let (outcome, _) = manager.acquire(ACCOUNT, 0.0, &member(), &quota_of, expired);
+        assert!(outcome.is_err(), "the report has expired");
+    }
+}
+
 /// The reserve of a priority applies beyond one unit: the last unit is left to the most
 /// urgent requests.
 #[test]
