Accounts over their limit are played with the store away

Cause: nothing showed that refusals and the limit hold without the store. Change: a scenario has an age of what boxes know of the store; a play lets it grow to 6 s, in which all boxes are lost.

--- a/tests/tests/account_refusals.rs
+++ b/tests/tests/account_refusals.rs
@@ -98,6 +98,34 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+/// Guards against refusals that depend on the store, and against more than the limit
+/// allows: it is away for 6 s, in which all boxes are lost.
+#[test]
+fn a_store_that_is_away_holds_no_refusals_and_breaks_no_limit() {
+    let played = play_all(&plans(), |(boxes, per_s, seed)| {
+        let flood = Scenario {
+            asked: sixfold,
+            runs: all_lost_once,
+            store_age_ms: |ms| match ms {
+                14_000..20_000 => ms - 14_000,
+                _ => 0,
+            },
+            ..CALM
+        };
+        let play = Play::of_account(flood, *boxes, *per_s, *seed).run();
+        let (at_once, longest_ms) = immediate(&within(&play, 15_900, 19_000));
+        let (most, allowed) = play.busiest_window();
+        let name = format!("{boxes} boxes, {per_s}/s, seed {seed}");
+        eprintln!(
+            "{name}: {at_once:.3} at once, {longest_ms} ms, {most} of {allowed:.0}"
+        );
+        let is_good = at_once >= 0.7 && most as f64 <= allowed;
+        (!is_good).then(|| format!("{name}: {at_once:.3}, {most} of {allowed:.0}"))
+    });
+    let failed: Vec<_> = played.into_iter().flatten().collect();
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
 /// Guards against the order of arrival: less urgent requests of an account above its limit
 /// got units while more urgent ones waited and were refused.
 #[test]
--- a/tests/tests/fleet_play/mod.rs
+++ b/tests/tests/fleet_play/mod.rs
@@ -61,6 +61,8 @@
     pub frozen_until: fn(place: usize, ms: u64) -> u64,
     /// Earliest arrival of a message that would otherwise arrive at `ms`.
     pub passes: fn(ms: u64) -> u64,
+    /// Age of what boxes know of the store.
+    pub store_age_ms: fn(ms: u64) -> u64,
 }
 
 pub fn half(_: u64) -> f64 {
@@ -102,6 +104,7 @@
     hears: all_hear,
     frozen_until: never,
     passes: at_once,
+    store_age_ms: |_| 0,
 };
 
 fn all_lost(_: usize, ms: u64) -> bool {
@@ -228,6 +231,7 @@
         hears: pick(&cuts).hears,
         frozen_until: pick(&["boxes frozen"]).frozen_until,
         passes: pick(&["links stand still"]).passes,
+        store_age_ms: one.store_age_ms,
     }
 }
 
@@ -616,7 +620,9 @@
             data_centres: others.map(centre).collect(),
             is_hub: self.is_hub(place),
             is_acting_hub: false,
-            age: Some(Duration::ZERO),
+            age: Some(Duration::from_millis((self.scenario.store_age_ms)(
+                self.now_ms,
+            ))),
         }
     }
 
