--- a/crates/wingspur-coordination/src/fleet_view.rs
+++ b/crates/wingspur-coordination/src/fleet_view.rs
@@ -29,6 +29,9 @@
     own_data_centre: DataCentreId,
     /// Delegations of this box's share of the limits of the servers in each data centre.
     server_delegations: BTreeMap<DataCentreId, ShareDelegation>,
+    /// When lost members last delegated their shares to this box, as far as these
+    /// delegations have not expired.
+    lost_delegations: Vec<(BoxKey, Instant)>,
     /// Delegation state of a data centre that has no entry in `server_delegations` yet.
     initial_delegation: ShareDelegation,
     /// Position of this box among those of its data centre, as its hub last assigned it;
@@ -128,6 +131,7 @@
             delegation: ShareDelegation::new(now),
             own_data_centre: DataCentreId::default(),
             server_delegations: BTreeMap::new(),
+            lost_delegations: Vec::new(),
             initial_delegation: ShareDelegation::new(now),
             links: BTreeMap::new(),
             size_tracker: FleetSizeTracker::default(),
@@ -169,6 +173,7 @@
                 earlier.delegated_at = None;
             }
         }
+        self.lost_delegations.retain(|(key, _)| *key != peer.key);
         let link = ObservedLink {
             data_centre: peer.data_centre,
             key: peer.key,
@@ -183,12 +188,25 @@
         self.links.insert(id, link);
     }
 
-    /// Removes a link.
+    /// Removes a link. The box no longer uses the share of a member at the other side, which
+    /// may learn that the link has been closed in order.
     pub fn drop_link(&mut self, id: LinkId, now: Instant) {
         self.links.remove(&id);
         self.registry.drop_link(id, now);
     }
 
+    /// Removes a link that has broken. The other side cannot learn that it was closed in
+    /// order, so this box uses the share of a member until the delegation expires: the
+    /// member, or its next instance, uses it no sooner.
+    pub fn lose_link(&mut self, id: LinkId, now: Instant) {
+        let link = self.links.get(&id);
+        let lost = link
+            .filter(|link| link.role == PeerRole::Member)
+            .and_then(|link| Some((link.key, link.delegated_at?)));
+        self.lost_delegations.extend(lost);
+        self.drop_link(id, now);
+    }
+
     /// Records that the hub on a link no longer uses this box's share. The link may
     /// already have been removed here.
     pub fn release_share(&mut self, id: LinkId, now: Instant) {
@@ -328,8 +346,7 @@
 
     /// Returns whether a member's delegation to this box is still valid.
     fn is_delegated(link: &ObservedLink, now: Instant) -> bool {
-        let delegated_at = link.delegated_at;
-        delegated_at.is_some_and(|at| now.saturating_duration_since(at) < DELEGATION_TTL)
+        link.delegated_at.is_some_and(|at| is_valid(at, now))
     }
 
     /// Records the present number of boxes, and returns the number of boxes in the fleet
@@ -427,9 +444,11 @@
         let mut status = notes.note_for(role);
         if role == PeerRole::OwnHub {
             status.delegates_shares = self.delegation.delegate_to(id, now);
-            status.holds_delegations = self
-                .links_with_role(PeerRole::Member)
-                .any(|link| Self::is_delegated(link, now));
+            let mut lost = self.lost_delegations.iter();
+            status.holds_delegations = lost.any(|(_, at)| is_valid(*at, now))
+                || self
+                    .links_with_role(PeerRole::Member)
+                    .any(|link| Self::is_delegated(link, now));
         }
         let member = link.filter(|_| role == PeerRole::Member);
         let member = member.filter(|_| self.assigns_positions(now));
@@ -458,6 +477,8 @@
             .links_with_role(PeerRole::Member)
             .filter(|link| Self::is_delegated(link, now))
             .count();
+        self.lost_delegations.retain(|(_, at)| is_valid(*at, now));
+        let delegating = delegating + self.lost_delegations.len();
         let shares = delegating + usize::from(self.delegation.is_free(now));
         let counted = self.size_tracker.max_within(MAX_HOLD, now);
         let boxes = counted
@@ -641,6 +662,11 @@
     }
 }
 
+/// Returns whether a delegation made at that time has not expired.
+fn is_valid(delegated_at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(delegated_at) < DELEGATION_TTL
+}
+
 /// A hub that has been silent for this long is lost or about to be: links time out after
 /// the same time.
 const HUB_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/wingspur-edge/src/peers/peer_exchange.rs
+++ b/crates/wingspur-edge/src/peers/peer_exchange.rs
@@ -322,7 +322,8 @@
                         .planner()
                         .back_off(&peer, wingspur_clock::now());
                 }
-                return drop_link(&shared, handlers, id, &error.to_string());
+                let is_broken = matches!(error, LinkError::Gone);
+                return end_link(&shared, handlers, id, &error.to_string(), is_broken);
             }
         }
     }
@@ -385,9 +386,23 @@
 }
 
 fn drop_link(shared: &Arc<EdgeState>, handlers: LinkHandlers, id: LinkId, reason: &str) {
+    end_link(shared, handlers, id, reason, false);
+}
+
+/// Removes a link. `is_broken` says that its connection has failed.
+fn end_link(
+    shared: &Arc<EdgeState>,
+    handlers: LinkHandlers,
+    id: LinkId,
+    reason: &str,
+    is_broken: bool,
+) {
     let mut links = shared.links.lock();
     let peer = links.peer(id).cloned();
-    let lost = links.remove(id);
+    let lost = match is_broken {
+        true => links.remove_broken(id),
+        false => links.remove(id),
+    };
     let updates = links.own_updates();
     drop(links);
     (handlers.link_ended)(shared, id);
--- a/tests/tests/fleet_play/mod.rs
+++ b/tests/tests/fleet_play/mod.rs
@@ -63,6 +63,8 @@
     pub frozen_until: fn(place: usize, ms: u64) -> u64,
     /// Earliest arrival of a message that would otherwise arrive at `ms`.
     pub passes: fn(ms: u64) -> u64,
+    /// Age of what boxes know of the store.
+    pub store_age_ms: fn(ms: u64) -> u64,
 }
 
 pub fn half(_: u64) -> f64 {
@@ -104,6 +106,7 @@
     hears: all_hear,
     frozen_until: never,
     passes: at_once,
+    store_age_ms: |_| 0,
 };
 
 fn all_lost(_: usize, ms: u64) -> bool {
@@ -230,6 +233,7 @@
         hears: pick(&cuts).hears,
         frozen_until: pick(&["boxes frozen"]).frozen_until,
         passes: pick(&["links stand still"]).passes,
+        store_age_ms: one.store_age_ms,
     }
 }
 
@@ -291,6 +295,8 @@
 /// A request for the quota of an account, with its outcome.
 #[derive(Clone, Copy, Debug)]
 pub struct Outcome {
+    /// The box at which it arrived.
+    pub place: usize,
     /// When the request arrived.
     pub came_ms: u64,
     /// How long it waited for the outcome.
@@ -570,6 +576,11 @@
             .flat_map(|(one, other, ..)| [(*one, *other), (*other, *one)]);
         let pairs: BTreeSet<(Instance, Instance)> = pairs.collect();
         let mut left_hubs = Vec::new();
+        let running: BTreeSet<Instance> = self
+            .boxes
+            .iter()
+            .map(|(place, run)| (*place, run.instance))
+            .collect();
         for (place, end) in &mut self.boxes {
             let own = (*place, end.instance);
             let links = end.links.keys().copied();
@@ -577,7 +588,10 @@
                 links.filter(|to| !pairs.contains(&(own, *to))).collect();
             for to in removed {
                 let link = end.links.remove(&to).expect("it was there");
-                end.view.drop_link(to.1, now);
+                match running.contains(&to) {
+                    true => end.view.drop_link(to.1, now),
+                    false => end.view.lose_link(to.1, now),
+                }
                 if link.role == PeerRole::OwnHub {
                     left_hubs.push((own, to));
                 }
@@ -609,7 +623,9 @@
             hub_candidates: self.hub_candidates(place),
             is_hub: self.is_hub(place),
             is_acting_hub: false,
-            age: Some(Duration::ZERO),
+            age: Some(Duration::from_millis((self.scenario.store_age_ms)(
+                self.now_ms,
+            ))),
         }
     }
 
@@ -892,6 +908,7 @@
             _ => None,
         };
         self.outcomes.push(Outcome {
+            place,
             came_ms,
             waited_ms: self.now_ms - came_ms,
             is_granted,
--- a/tests/tests/share_delegation.rs
+++ b/tests/tests/share_delegation.rs
@@ -153,3 +153,23 @@
     receive(&mut hub, 20, delegating, now);
     assert_eq!(hub.share(&announcements(true), now), 0.5);
 }
+
+/// A hub uses the share of a member whose link has broken, until the next instance of the
+/// member delegates it again.
+#[test]
+fn share_of_a_lost_member_is_counted_until_its_next_instance_links_itself() {
+    let now = Instant::now();
+    let mut hub = hub_with_members(&CANDIDATES, now);
+    let delegating = FleetStatus {
+        delegates_shares: true,
+        ..FleetStatus::default()
+    };
+    hub.add_link(20, peer(MEMBER), PeerRole::Member, now);
+    receive(&mut hub, 20, delegating, now);
+    hub.lose_link(20, now);
+    assert_eq!(hub.share(&announcements(true), now), 0.5);
+    hub.add_link(21, peer(MEMBER), PeerRole::Member, now);
+    assert_eq!(hub.share(&announcements(true), now), 0.25);
+    receive(&mut hub, 21, delegating, now);
+    assert_eq!(hub.share(&announcements(true), now), 0.5);
+}
