--- a/crates/wingspur-state/src/balancer.rs
+++ b/crates/wingspur-state/src/balancer.rs
@@ -31,8 +31,11 @@
     quota_request_probability,
 };
 
+mod estimate;
 mod idle_pick;
 
+use estimate::Estimate;
+
 /// The backend servers of a service, with the state by which one box picks among them.
 #[derive(Debug)]
 pub struct Balancer {
@@ -932,43 +935,6 @@
     }
 }
 
-/// The expected times and the failure probability of a request at a server.
-#[derive(Debug, Clone, Copy)]
-struct Estimate {
-    expected_ms: f64,
-    baseline_ms: f64,
-    healthy_ms: f64,
-    wait_ms: f64,
-    failure_probability: f64,
-    in_flight: u32,
-}
-
-impl Estimate {
-    fn expected(&self) -> Duration {
-        Duration::from_secs_f64(self.expected_ms / 1000.0)
-    }
-
-    fn pick(&self, server: &Server, candidates: usize, now: Instant) -> Pick {
-        Pick {
-            server: server.record.clone(),
-            expected_ms: self.expected_ms,
-            baseline_ms: self.baseline_ms,
-            healthy_ms: self.healthy_ms,
-            wait_ms: self.wait_ms,
-            failure_probability: self.failure_probability,
-            refusal_probability: server.health.at(now).refusal_probability(),
-            unused_for: now.saturating_duration_since(server.last_request_at),
-            in_flight: self.in_flight,
-            candidates,
-            choice_set_size: 0,
-            probe: None,
-            last_report_age: server
-                .last_report_at
-                .map(|at| now.saturating_duration_since(at)),
-        }
-    }
-}
-
 /// The round trip to another region.
 const REGION_ROUND_TRIP_MS: f64 = 60.0;
 /// All bytes between regions share one line and cost about twice as much as those between
--- a/crates/wingspur-state/src/coverage.rs
+++ b/crates/wingspur-state/src/coverage.rs
@@ -85,6 +85,22 @@
     expected_requests: f64,
 }
 
+/// The servers that are left idle because they failed recently.
+#[derive(Debug, Clone, Copy, Default)]
+struct Resting {
+    count: usize,
+    /// The rank of the last one; `None` if there are none.
+    last: Option<(Duration, ServerKey)>,
+}
+
+impl Resting {
+    fn contains(&self, server: &IdleServer) -> bool {
+        let rank = rest_rank(server);
+        self.last
+            .is_some_and(|last| rank.is_some_and(|rank| rank <= last))
+    }
+}
+
 impl Default for CoverageRole {
     /// The only box of a fleet, which owns every probe.
     fn default() -> Self {
@@ -117,12 +133,12 @@
 ) -> Option<IdleProbe> {
     let strict = enforces_floor_strictly(&inputs.service_load);
     let resting = match strict {
-        true => Vec::new(),
+        true => Resting::default(),
         false => resting_servers(servers, inputs.retry_safe),
     };
     let mut owned: Vec<(Duration, Turn, &IdleServer)> = Vec::new();
     for server in servers {
-        if !server.is_eligible || resting.contains(&server.key) {
+        if !server.is_eligible || resting.contains(server) {
             continue;
         }
         let Some(turn) = turn_of(server, inputs.retry_safe, strict) else {
@@ -139,7 +155,7 @@
         key: server.key,
         turn: turn.number,
         idle_for: server.idle_for,
-        resting: resting.len(),
+        resting: resting.count,
         position: inputs.role.position,
     })
 }
@@ -167,7 +183,7 @@
 /// the target fraction in use.
 ///
 /// Those that failed last rest, because the others have more probably recovered.
-fn resting_servers(servers: &[IdleServer], retry_safe: bool) -> Vec<ServerKey> {
+fn resting_servers(servers: &[IdleServer], retry_safe: bool) -> Resting {
     let target_ratio = match retry_safe {
         true => TARGET_USED_RATIO_OF_RETRY_SAFE,
         false => TARGET_USED_RATIO,
@@ -176,12 +192,20 @@
         recent_failure(server).is_none() && server.idle_for >= IDLE_AFTER
     });
     let may_rest = servers.len() as f64 * (1.0 - target_ratio) - missed.count() as f64;
-    let idle = servers.iter().filter(|server| server.idle_for >= DUE_AFTER);
-    let failed = idle.filter_map(|server| Some((recent_failure(server)?, server.key)));
-    let mut failed: Vec<_> = failed.collect();
-    failed.sort_unstable();
-    failed.truncate(may_rest.max(0.0) as usize);
-    failed.into_iter().map(|(_, key)| key).collect()
+    let may_rest = may_rest.max(0.0) as usize;
+    let mut ranks: Vec<_> = servers.iter().filter_map(rest_rank).collect();
+    let count = may_rest.min(ranks.len());
+    let last = count
+        .checked_sub(1)
+        .map(|at| *ranks.select_nth_unstable(at).1);
+    Resting { count, last }
+}
+
+/// Returns the order in which servers that may rest do so: the time since the failure,
+/// and the key where that is the same. `None` if the server may not rest.
+fn rest_rank(server: &IdleServer) -> Option<(Duration, ServerKey)> {
+    let failed_ago = recent_failure(server).filter(|_| server.idle_for >= DUE_AFTER)?;
+    Some((failed_ago, server.key))
 }
 
 /// Returns the time since a server's failure if that was recent.
