Successive owners of a probe lie far apart among the boxes

Cause: the next owners were the boxes with the next positions. Change: the next owners are 0.382 of the boxes further on. A play in floor.rs has 39 to 300 boxes, 50 to 4,000 sound servers, reports 0.15 and 0.3 s late, and a third of the boxes lost without notice.

--- a/crates/wingspur-state/src/coverage.rs
+++ b/crates/wingspur-state/src/coverage.rs
@@ -255,7 +255,8 @@
 
 /// Returns whether this box is one of the owners of a server's probe in a turn.
 ///
-/// The owners follow each other around the boxes of the server's data centre. A box of
+/// The owners of the next turn are some way on among the boxes of the server's data
+/// centre, in case boxes with consecutive positions are lost. A box of
 /// another one, or without a position, owns the probe with the probability that makes as
 /// many owners among all boxes. Boxes of other data centres wait for those of the
 /// server's own, in case there are none.
@@ -270,7 +271,8 @@
         Some(position) if server.is_local => {
             let count = u64::from(position.count);
             let owners = (owners as u64).min(count);
-            let first = (start % count + u64::from(turn.number) % count * owners) % count;
+            let step = owners.max((f64::from(position.count) * TURN_STEP_RATIO) as u64);
+            let first = (start % count + u64::from(turn.number) * step) % count;
             (u64::from(position.index) % count + count - first) % count < owners
         }
         _ if !server.is_local && turn.number < FIRST_TURN_OF_OTHERS => false,
@@ -312,6 +314,9 @@
 const DUE_AFTER_IF_DOUBTFUL: Duration = Duration::from_millis(1800);
 /// How long the same boxes own the probe of a server: about as long as a report takes.
 const TURN: Duration = Duration::from_millis(200);
+/// The next owners are this fraction of the boxes further on: with the golden section, the
+/// owners of any few turns lie far apart.
+const TURN_STEP_RATIO: f64 = 0.382;
 /// The pause after a turn in which reports arrive, which takes 0.1 to 0.3 s. Two turns
 /// with pauses begin between one and two seconds of idle time.
 const PAUSE: Duration = Duration::from_millis(300);
--- a/tests/tests/floor.rs
+++ b/tests/tests/floor.rs
@@ -2,7 +2,7 @@
 //! any group of healthy servers must be sent requests in any two seconds (the floor).
 //! Simulates fleets whose boxes receive each other's tallies late.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
@@ -464,3 +464,140 @@
         "{probes} probes of doubtful servers, at most {max_probes}"
     );
 }
+
+/// A fleet of any size in front of sound servers, whose boxes hear of each other's
+/// requests late. Only the decision about probes is simulated.
+#[derive(Debug, Clone, Copy)]
+struct SoundFleet {
+    boxes: usize,
+    servers: usize,
+    requests_per_s: f64,
+    retry_safe_ratio: f64,
+    report_delay_ms: u64,
+    /// Boxes that are lost after `LOST_MS`; the positions of the others stay.
+    lost_boxes: usize,
+}
+
+/// The probes of a simulation.
+#[derive(Debug, Default)]
+struct Coverage {
+    /// Times at which a server had been without a request for two seconds, in parts of
+    /// all times of all servers.
+    uncovered_ratio: f64,
+    /// Probes for each time that a server was due.
+    probes_per_due: f64,
+}
+
+const LOST_MS: u64 = 4_000;
+
+impl SoundFleet {
+    fn play(self, seed: u64) -> Coverage {
+        const WINDOW_MS: u64 = 2_000;
+        const FIRST_DUE_MS: u64 = 900;
+        let mut random = StdRng::seed_from_u64(seed);
+        // The servers start at different times of a cycle.
+        let mut used_ms: Vec<u64> = (0..self.servers)
+            .map(|_| random.random_range(1_000..2_500))
+            .collect();
+        let mut reported_ms = used_ms.clone();
+        let mut reports = VecDeque::new();
+        let mut own_ms: HashMap<(usize, usize), u64> = HashMap::new();
+        let (mut probes, mut dues, mut uncovered, mut checks) = (0, 0, 0, 0);
+        for ms in 2_500..8_000 {
+            while let Some((at_ms, server)) =
+                reports.pop_front_if(|(at_ms, _)| *at_ms + self.report_delay_ms <= ms)
+            {
+                reported_ms[server] = at_ms;
+            }
+            let boxes = match ms < LOST_MS {
+                true => self.boxes,
+                false => self.boxes - self.lost_boxes,
+            };
+            let mean = self.requests_per_s / 1_000.0;
+            let has_extra = random.random::<f64>() < mean.fract();
+            for _ in 0..mean as usize + usize::from(has_extra) {
+                let at = random.random_range(0..boxes);
+                let idle_ms = |server: usize| {
+                    let own = own_ms.get(&(at, server)).copied().unwrap_or_default();
+                    ms.saturating_sub(own.max(reported_ms[server]))
+                };
+                let due =
+                    (0..self.servers).filter(|n| ms - reported_ms[*n] >= FIRST_DUE_MS);
+                let due = due.map(|n| IdleServer {
+                    key: n as u64,
+                    ..servers(1, 0, Duration::from_millis(idle_ms(n)))[0]
+                });
+                let due: Vec<IdleServer> = due.collect();
+                let inputs = CoverageInputs {
+                    retry_safe: random.random_bool(self.retry_safe_ratio),
+                    role: role(at, self.boxes),
+                    ..losing(self.requests_per_s)
+                };
+                let Some(probe) = pick_owned_probe(&due, &inputs, &mut random) else {
+                    continue;
+                };
+                let server = probe.key as usize;
+                probes += 1;
+                dues += u64::from(ms - used_ms[server] >= FIRST_DUE_MS);
+                used_ms[server] = ms;
+                own_ms.insert((at, server), ms);
+                reports.push_back((ms, server));
+            }
+            if ms >= 2_500 + WINDOW_MS && ms % 50 == 0 {
+                checks += self.servers;
+                uncovered += used_ms.iter().filter(|at| **at + WINDOW_MS < ms).count();
+            }
+        }
+        Coverage {
+            uncovered_ratio: uncovered as f64 / checks as f64,
+            probes_per_due: probes as f64 / dues as f64,
+        }
+    }
+}
+
+/// Guards against sound servers that no box probes within two seconds, and against more
+/// than two or three probes of one that is due: at all sizes, with late reports, and when a
+/// third of the boxes is lost without notice.
+#[test]
+fn sound_servers_are_in_use_at_all_sizes_without_many_probes_each() {
+    let fleet = |boxes, servers, requests_per_s| SoundFleet {
+        boxes,
+        servers,
+        requests_per_s,
+        retry_safe_ratio: 0.5,
+        report_delay_ms: 150,
+        lost_boxes: 0,
+    };
+    let fleets = [
+        fleet(39, 50, 60.0),
+        fleet(39, 280, 280.0),
+        fleet(116, 341, 446.0),
+        fleet(300, 1_000, 1_200.0),
+    ];
+    // A box decides on 4,000 servers for each request, which takes long in a debug build.
+    let largest = fleet(300, 4_000, 4_000.0);
+    let mut cases = vec![largest];
+    for fleet in fleets {
+        cases.extend([
+            fleet,
+            SoundFleet {
+                retry_safe_ratio: 0.0,
+                ..fleet
+            },
+            SoundFleet {
+                report_delay_ms: 300,
+                ..fleet
+            },
+            SoundFleet {
+                lost_boxes: fleet.boxes / 3,
+                ..fleet
+            },
+        ]);
+    }
+    for case in cases {
+        let coverage = case.play(1);
+        println!("{case:?}: {coverage:?}");
+        assert!(coverage.uncovered_ratio <= 0.03, "{case:?}: {coverage:?}");
+        assert!(coverage.probes_per_due <= 2.6, "{case:?}: {coverage:?}");
+    }
+}
