--- a/crates/wingspur-state/src/coverage.rs
+++ b/crates/wingspur-state/src/coverage.rs
@@ -85,6 +85,22 @@
     expected_requests: f64,
 }
 
+/// The servers that are left idle because they failed recently.
+#[derive(Debug, Clone, Copy, Default)]
+struct Resting {
+    count: usize,
+    /// The rank of the last one; `None` if there are none.
+    last: Option<(Duration, ServerKey)>,
+}
+
+impl Resting {
+    fn contains(&self, server: &IdleServer) -> bool {
+        let rank = rest_rank(server);
+        self.last
+            .is_some_and(|last| rank.is_some_and(|rank| rank <= last))
+    }
+}
+
 impl Default for CoverageRole {
     /// The only box of a fleet, which owns every probe.
     fn default() -> Self {
@@ -117,12 +133,12 @@
 ) -> Option<IdleProbe> {
     let strict = enforces_floor_strictly(&inputs.service_load);
     let resting = match strict {
-        true => Vec::new(),
+        true => Resting::default(),
         false => resting_servers(servers, inputs.retry_safe),
     };
     let mut owned: Vec<(Duration, Turn, &IdleServer)> = Vec::new();
     for server in servers {
-        if !server.is_eligible || resting.contains(&server.key) {
+        if !server.is_eligible || resting.contains(server) {
             continue;
         }
         let Some(turn) = turn_of(server, inputs.retry_safe, strict) else {
@@ -139,7 +155,7 @@
         key: server.key,
         turn: turn.number,
         idle_for: server.idle_for,
-        resting: resting.len(),
+        resting: resting.count,
         position: inputs.role.position,
     })
 }
@@ -167,7 +183,7 @@
 /// the target fraction in use.
 ///
 /// Those that failed last rest, because the others have more probably recovered.
-fn resting_servers(servers: &[IdleServer], retry_safe: bool) -> Vec<ServerKey> {
+fn resting_servers(servers: &[IdleServer], retry_safe: bool) -> Resting {
     let target_ratio = match retry_safe {
         true => TARGET_USED_RATIO_OF_RETRY_SAFE,
         false => TARGET_USED_RATIO,
@@ -176,12 +192,20 @@
         recent_failure(server).is_none() && server.idle_for >= IDLE_AFTER
     });
     let may_rest = servers.len() as f64 * (1.0 - target_ratio) - missed.count() as f64;
-    let idle = servers.iter().filter(|server| server.idle_for >= DUE_AFTER);
-    let failed = idle.filter_map(|server| Some((recent_failure(server)?, server.key)));
-    let mut failed: Vec<_> = failed.collect();
-    failed.sort_unstable();
-    failed.truncate(may_rest.max(0.0) as usize);
-    failed.into_iter().map(|(_, key)| key).collect()
+    let may_rest = may_rest.max(0.0) as usize;
+    let mut ranks: Vec<_> = servers.iter().filter_map(rest_rank).collect();
+    let count = may_rest.min(ranks.len());
+    let last = count
+        .checked_sub(1)
+        .map(|at| *ranks.select_nth_unstable(at).1);
+    Resting { count, last }
+}
+
+/// Returns the order in which servers that may rest do so: the time since the failure,
+/// and the key where that is the same. `None` if the server may not rest.
+fn rest_rank(server: &IdleServer) -> Option<(Duration, ServerKey)> {
+    let failed_ago = recent_failure(server).filter(|_| server.idle_for >= DUE_AFTER)?;
+    Some((failed_ago, server.key))
 }
 
 /// Returns the time since a server's failure if that was recent.
@@ -231,7 +255,8 @@
 
 /// Returns whether this box is one of the owners of a server's probe in a turn.
 ///
-/// The owners follow each other around the boxes of the server's data centre. A box of
+/// The owners of the next turn are some way on among the boxes of the server's data
+/// centre, in case boxes with consecutive positions are lost. A box of
 /// another one, or without a position, owns the probe with the probability that makes as
 /// many owners among all boxes. Boxes of other data centres wait for those of the
 /// server's own, in case there are none.
@@ -246,7 +271,8 @@
         Some(position) if server.is_local => {
             let count = u64::from(position.count);
             let owners = (owners as u64).min(count);
-            let first = (start % count + u64::from(turn.number) % count * owners) % count;
+            let step = owners.max((f64::from(position.count) * TURN_STEP_RATIO) as u64);
+            let first = (start % count + u64::from(turn.number) * step) % count;
             (u64::from(position.index) % count + count - first) % count < owners
         }
         _ if !server.is_local && turn.number < FIRST_TURN_OF_OTHERS => false,
@@ -288,6 +314,9 @@
 const DUE_AFTER_IF_DOUBTFUL: Duration = Duration::from_millis(1800);
 /// How long the same boxes own the probe of a server: about as long as a report takes.
 const TURN: Duration = Duration::from_millis(200);
+/// The next owners are this fraction of the boxes further on: with the golden section, the
+/// owners of any few turns lie far apart.
+const TURN_STEP_RATIO: f64 = 0.382;
 /// The pause after a turn in which reports arrive, which takes 0.1 to 0.3 s. Two turns
 /// with pauses begin between one and two seconds of idle time.
 const PAUSE: Duration = Duration::from_millis(300);
