--- a/crates/wingspur-edge/src/proxy/forwarding/admission_by_urgency.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding/admission_by_urgency.rs
@@ -28,10 +28,12 @@
     /// Refuses the request if its service is over its capacity and more urgent requests
     /// would miss their targets. Nothing has been sent to a server yet.
     ///
-    /// Has no effect while all requests of the service have the same urgency.
+    /// Has no effect while all requests of the service have the same urgency. A box that
+    /// does not reach the service leaves the request to its relay, because its own
+    /// failed connections say nothing about the servers.
     pub(super) fn admit_by_urgency(&mut self) -> Result<(), ResultCode> {
         let now = wingspur_clock::now();
-        if !self.service.budget.lock().has_mixed_urgency(now) {
+        if self.needs_relay() || !self.service.budget.lock().has_mixed_urgency(now) {
             return Ok(());
         }
         let inputs = self.urgency_inputs(now);
--- a/crates/wingspur-state/src/urgency.rs
+++ b/crates/wingspur-state/src/urgency.rs
@@ -113,7 +113,7 @@
     pub level: UrgencyLevel,
     /// What the request's route needs.
     pub needs: LevelNeeds,
-    /// The time left until the request's target and its deadline.
+    /// The time left until the request's target.
     pub to_target: Duration,
     /// The time left until the request's deadline.
     pub to_deadline: Duration,
@@ -173,7 +173,7 @@
     pub reason: UrgencyReason,
     /// The share of the level's requests that is admitted now.
     pub admitted_share: f64,
-    /// The requests per second of all levels, and of those that go first.
+    /// The requests per second of all levels.
     pub asked_per_s: f64,
     /// The requests per second of the levels that go first.
     pub urgent_per_s: f64,
@@ -195,7 +195,8 @@
 /// Decides whether a request of a service with several urgency levels is admitted.
 ///
 /// A request is refused only while the servers' queues are so long that admitting it would
-/// push a more urgent one, or later ones of its own level, past their target. The queue
+/// push a more urgent one, or later ones of its own level, past their target; its caller
+/// gains a true answer at once and a time at which there should be room. The queue
 /// that a level may fill ends where the wait would exceed its own target or use up more
 /// than its part of the wait that the more urgent levels can bear.
 ///
@@ -306,9 +307,9 @@
 
 /// How far a level may fill the servers' queues.
 struct QueueLimit {
-    /// The mean wait.
+    /// The mean wait of this box's own requests, for decisions without the fleet's load.
     wait: Duration,
-    /// The number of requests in flight at that wait.
+    /// The number of requests in flight over all boxes.
     in_flight: f64,
     /// The places that are kept free for more urgent levels below their own limit.
     reserve: f64,
@@ -347,9 +348,9 @@
             }
             None => (own_places, 0.0, true),
         };
-        let wait_s = queue / capacity.max(MIN_RATE_PER_S);
+        let shared_wait = urgent_wait.map(|wait| wait.mul_f64(OWN_WAIT_SHARE));
         Self {
-            wait: Duration::from_secs_f64(wait_s),
+            wait: shared_wait.map_or(own_wait, |wait| wait.min(own_wait)),
             in_flight: inputs.occupancy.slots + queue,
             reserve,
             is_own,
@@ -422,21 +423,25 @@
 
 /// Priorities above this one are not told apart, neither of accounts nor of routes.
 const MAX_TOLD_APART: u8 = 3;
-/// The share of responses that may be slower than the time that is planned for them.
-const SLOW_RESPONSE_SHARE: f64 = 0.05;
+/// The share of responses that may be slower than the time that is planned for them. With
+/// 0.05, ten times as many urgent requests were refused, and no fewer were late.
+const SLOW_RESPONSE_SHARE: f64 = 0.08;
 /// Age of the newest report beyond which a box decides by its own requests alone. Reports
 /// arrive every 0.1 to 0.3 s.
 pub const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
-/// The time within which the queue should reach its limit. It is twice the age of the
-/// reports, so that the boxes see the effect of a decision before they correct it again.
-const ADJUSTMENT_TIME: Duration = Duration::from_millis(500);
+/// The time within which the queue should reach its limit. It is about the age of the
+/// reports; with half a second, more urgent requests were late.
+const ADJUSTMENT_TIME: Duration = Duration::from_millis(200);
 /// The share of the capacity that each level keeps, whatever the more urgent ones ask.
 const MIN_CAPACITY_SHARE: f64 = 0.1;
 /// The share of the capacity that the minimum shares of all levels may add up to.
 const MAX_MIN_SHARES: f64 = 0.5;
 /// The part of the wait that more urgent levels can bear which less urgent requests may
 /// fill. The rest absorbs a surge of the urgent ones until all boxes know of it.
-const QUEUE_SHARE_OF_LESS_URGENT: f64 = 0.25;
+const QUEUE_SHARE_OF_LESS_URGENT: f64 = 0.05;
+/// The part of the wait that more urgent levels can bear up to which a box without reports
+/// admits all requests. Its own waits are few and vary too much for a smaller part.
+const OWN_WAIT_SHARE: f64 = 0.5;
 /// Standard deviations of the number of more urgent requests in progress for which places
 /// are reserved. The number in progress varies by its square root.
 const RESERVE_DEVIATIONS: f64 = 2.0;
