--- a/crates/wingspur-state/src/urgency.rs
+++ b/crates/wingspur-state/src/urgency.rs
@@ -424,7 +424,8 @@
 /// Priorities above this one are not told apart, neither of accounts nor of routes.
 const MAX_TOLD_APART: u8 = 3;
 /// The share of responses that may be slower than the time that is planned for them. With
-/// 0.05, ten times as many urgent requests were refused, and no fewer were late.
+/// 0.05, ten times as many urgent requests were refused, and no fewer were late by the
+/// time since their callers first sent them.
 const SLOW_RESPONSE_SHARE: f64 = 0.08;
 /// Age of the newest report beyond which a box decides by its own requests alone. Reports
 /// arrive every 0.1 to 0.3 s.
