The gain of a resend is one figure

Cause: the chance of an answer was carried beside the gain and no decision used it since the fraction of answered attempts is taken from all boxes. No decision changes.

--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -899,7 +899,7 @@
             boxes = budget.membership.boxes,
             contact = budget.membership.state.as_str(),
             priority = self.priority(),
-            gain = figure(|plan| plan.chance.gain),
+            gain = figure(|plan| plan.gain),
             answered_share = figure(|plan| plan.answered_ratio),
             needed_above = figure(|plan| plan.decision.needed_above),
             available = figure(|plan| plan.decision.available),
--- a/crates/wingspur-edge/src/quotas/resend_leases.rs
+++ b/crates/wingspur-edge/src/quotas/resend_leases.rs
@@ -98,8 +98,8 @@
     }
 
     /// Returns the latest known usage of a service's retry budget over the boxes of this
-    /// box's data centre: that reported by its hub, or as a hub the sum of its own and its
-    /// members' usage. `None` without one, or if it is older than `MAX_USAGE_AGE`.
+    /// box's data centre: that reported by its hub, or as a hub the sum of its own and
+    /// its members' usage. `None` without one, or if it is older than `MAX_USAGE_AGE`.
     pub fn shared_usage(
         &self,
         own_hub: Option<LinkId>,
--- a/crates/wingspur-edge/src/quotas/resend_planning.rs
+++ b/crates/wingspur-edge/src/quotas/resend_planning.rs
@@ -3,9 +3,8 @@
 use std::time::{Duration, Instant};
 
 use wingspur_state::{
-    BudgetDecision, MembershipState, Pick, Priority, ResendChance, ResendChanceInputs,
-    ResendKind, ResendPlanDecision, ResendPlanInputs, RetryBudgetSettings, ServiceTime,
-    resend_chance,
+    BudgetDecision, MembershipState, Pick, Priority, ResendGainInputs, ResendKind,
+    ResendPlanDecision, ResendPlanInputs, RetryBudgetSettings, ServiceTime, resend_gain,
 };
 
 use crate::edge_state::EdgeState;
@@ -31,8 +30,8 @@
 /// The decision on a resend, with the figures behind it.
 #[derive(Debug, Clone, Copy)]
 pub struct PlannedResend {
-    /// The chance of the resend.
-    pub chance: ResendChance,
+    /// The expected gain of the resend.
+    pub gain: f64,
     /// The fraction of the latest attempts of all boxes that a server answered.
     pub answered_ratio: f64,
     /// The fraction of the retry budget that is used, over the boxes of a data centre.
@@ -52,7 +51,7 @@
     now: Instant,
 ) -> PlannedResend {
     let pick = candidate.pick;
-    let chance = resend_chance(&ResendChanceInputs {
+    let gain = resend_gain(&ResendGainInputs {
         failure_probability: pick.failure_probability,
         refusal_probability: pick.refusal_probability,
         expected: Duration::from_secs_f64(pick.expected_ms / 1000.0),
@@ -75,10 +74,10 @@
         MembershipState::Joining | MembershipState::Joined => membership.boxes,
     };
     let mut demand = service.resend_demand.lock();
-    demand.count_needed(candidate.priority, chance.gain, now);
+    demand.count_needed(candidate.priority, gain, now);
     let inputs = ResendPlanInputs {
         priority: candidate.priority,
-        chance,
+        gain,
         max_attempts: candidate.max_attempts,
         requests_per_s,
         budget_used_ratio,
@@ -91,7 +90,7 @@
     };
     let decision = demand.decide(&inputs, now);
     PlannedResend {
-        chance,
+        gain,
         answered_ratio,
         budget_used_ratio,
         report_age,
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -82,8 +82,7 @@
     MAX_RESEND_TRANSIT, RESEND_LEASE_TTL, ResendLedger, TightestWindow,
 };
 pub use resend_plan::{
-    ResendChance, ResendChanceInputs, ResendDemand, ResendPlanDecision, ResendPlanInputs,
-    resend_chance,
+    ResendDemand, ResendGainInputs, ResendPlanDecision, ResendPlanInputs, resend_gain,
 };
 pub use retry::{
     AttemptEnd, RetryBudget, RetryDecision, RetryReason, StopReason, decide_retry,
--- a/crates/wingspur-state/src/resend_plan.rs
+++ b/crates/wingspur-state/src/resend_plan.rs
@@ -11,8 +11,8 @@
 #[derive(Debug)]
 pub struct ResendDemand {
     by_priority: BTreeMap<Priority, PriorityDemand>,
-    /// The sum of the chances of all resends that were needed.
-    chance_sum: f64,
+    /// The sum of the gains of all resends that were needed.
+    gain_sum: f64,
     /// The fraction of this box's latest attempts that a server answered.
     answers: RecentRatio,
     /// When the counts were last decayed.
@@ -35,16 +35,16 @@
     fn default() -> Self {
         Self {
             by_priority: BTreeMap::new(),
-            chance_sum: 0.0,
+            gain_sum: 0.0,
             answers: RecentRatio::new(ATTEMPT_MEMORY),
             decayed_at: None,
         }
     }
 }
 
-/// What the chance that a resend succeeds depends on.
+/// What the gain of a resend depends on.
 #[derive(Debug, Clone, Copy)]
-pub struct ResendChanceInputs {
+pub struct ResendGainInputs {
     /// The probability that the picked server fails the request.
     pub failure_probability: f64,
     /// The probability that it refuses the request.
@@ -59,22 +59,13 @@
     pub time_to_deadline: Duration,
 }
 
-/// The chance of a resend.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ResendChance {
-    /// The probability that the picked server answers, however late.
-    pub answered: f64,
-    /// The expected gain of the resend: 1 if it certainly meets the latency target.
-    pub gain: f64,
-}
-
 /// What the decision on a resend depends on, besides the demand.
 #[derive(Debug, Clone, Copy)]
 pub struct ResendPlanInputs {
     /// The request's priority; 0 is the most urgent.
     pub priority: Priority,
-    /// The chance of the resend.
-    pub chance: ResendChance,
+    /// The expected gain of the resend.
+    pub gain: f64,
     /// The number of attempts that the request's route allows.
     pub max_attempts: u8,
     /// Requests of callers per second, over all boxes.
@@ -127,7 +118,7 @@
         let demand = self.by_priority.entry(priority).or_default();
         demand.needed += 1.0;
         demand.unlikely += f64::from(u8::from(is_unlikely));
-        self.chance_sum += gain;
+        self.gain_sum += gain;
     }
 
     /// Decides whether a request should be sent again.
@@ -144,7 +135,7 @@
     /// sooner. Counts of this box's failed requests of each priority would show a need
     /// only seconds after less urgent requests have used up the budget.
     pub fn decide(&self, inputs: &ResendPlanInputs, now: Instant) -> ResendPlanDecision {
-        let is_unlikely = self.is_unlikely(inputs.chance.gain);
+        let is_unlikely = self.is_unlikely(inputs.gain);
         let answered = self.expected_answered_ratio(inputs.answered_ratio, now);
         let per_request = resends_per_request(answered, inputs.max_attempts);
         let window_s = inputs.settings.window_s;
@@ -194,8 +185,8 @@
     }
 
     /// Returns the fraction of attempts that servers are expected to answer: that of all
-    /// boxes, unless significantly more of this box's latest attempts have failed, as when
-    /// servers have just begun to refuse and no report tells it yet.
+    /// boxes, unless significantly more of this box's latest attempts have failed. That is
+    /// so when servers have just begun to refuse and no report tells it yet.
     fn expected_answered_ratio(&self, reported: f64, now: Instant) -> f64 {
         let (answered, attempts) = self.answers.counts(now);
         let expected_failed = attempts * (1.0 - reported);
@@ -210,7 +201,7 @@
     /// Whether a resend is much less likely to succeed than the recent ones on average.
     fn is_unlikely(&self, gain: f64) -> bool {
         let needed: f64 = self.by_priority.values().map(|d| d.needed).sum();
-        gain * needed < self.chance_sum * UNLIKELY_GAIN_RATIO
+        gain * needed < self.gain_sum * UNLIKELY_GAIN_RATIO
     }
 
     fn decay(&mut self, now: Instant) {
@@ -222,7 +213,7 @@
         }
         self.decayed_at = Some(now);
         let factor = (-since.div_duration_f64(DEMAND_MEMORY)).exp();
-        self.chance_sum *= factor;
+        self.gain_sum *= factor;
         self.by_priority.retain(|_, demand| {
             demand.requests *= factor;
             demand.needed *= factor;
@@ -243,9 +234,9 @@
     }
 }
 
-/// Returns the chance of a resend at the picked server. A response after the latency
-/// target and before the deadline counts half.
-pub fn resend_chance(inputs: &ResendChanceInputs) -> ResendChance {
+/// Returns the expected gain of a resend at the picked server: 1 if it certainly meets the
+/// latency target. A response after the target and before the deadline counts half.
+pub fn resend_gain(inputs: &ResendGainInputs) -> f64 {
     let fails = inputs.failure_probability.clamp(0.0, 1.0);
     let refuses = inputs.refusal_probability.clamp(0.0, 1.0);
     let answered = (1.0 - fails) * (1.0 - refuses);
@@ -257,10 +248,7 @@
     let on_target = inputs.time_to_latency_target.min(inputs.time_to_deadline);
     let in_time =
         (responds_within(on_target) + responds_within(inputs.time_to_deadline)) / 2.0;
-    ResendChance {
-        answered,
-        gain: answered * in_time,
-    }
+    answered * in_time
 }
 
 /// Returns the mean number of resends of a request that is sent until a server answers,
@@ -288,8 +276,8 @@
 /// When a box can make no more resends, less than a whole one is left of its share. With
 /// half of one, more urgent requests found no box to lease from.
 const UNUSABLE_PER_BOX: f64 = 1.0;
-/// At most this fraction of the budget counts as unusable, so that boxes with small shares
-/// also send less urgent requests again.
+/// At most this fraction of the budget counts as unusable, so that boxes with small
+/// shares also send less urgent requests again.
 const MAX_UNUSABLE_RATIO: f64 = 0.1;
 /// Resends of a higher rank that are needed within this time are left over even if later
 /// requests will earn as many: needs come unevenly, and the usage is known 0.1 to 0.3 s
@@ -299,8 +287,8 @@
 const DECAY_INTERVAL: Duration = Duration::from_millis(100);
 /// A priority with a lower count is forgotten.
 const MIN_COUNT: f64 = 0.01;
-/// A resend with less than this fraction of the mean gain is unlikely to succeed. One that
-/// only misses the latency target has half of it, and is not.
+/// A resend with less than this fraction of the mean gain is unlikely to succeed. One
+/// that only misses the latency target has half of it, and is not.
 const UNLIKELY_GAIN_RATIO: f64 = 0.4;
 /// Resends that are presumed to have been likely to succeed before any were needed.
 const PRESUMED_LIKELY: f64 = 1.0;
--- a/crates/wingspur-state/src/tracked_server.rs
+++ b/crates/wingspur-state/src/tracked_server.rs
@@ -39,8 +39,8 @@
     /// When it last refused a request.
     pub last_refusal_at: Option<Instant>,
     /// The fraction of requests that it has refused lately. `Health` tells whether it
-    /// refuses most of them, and follows each outcome; where all servers refuse some, this
-    /// tells which of them refuse least.
+    /// refuses most of them, and follows each outcome; where all servers refuse some,
+    /// this tells which of them refuse least.
     pub refusals: RecentRatio,
     /// When it last failed a request after which it was almost certainly unhealthy.
     pub last_certain_failure_at: Option<Instant>,
--- a/tests/tests/resend_plan.rs
+++ b/tests/tests/resend_plan.rs
@@ -11,10 +11,9 @@
 use wingspur_state::{
     AttemptEnd, AttemptId, Balancer, ExpectedLatency, FleetMembership, FleetRetryBudget,
     FleetSize, HealthOutcome, MembershipState, Pick, PickRequest, Priority,
-    RESEND_LEASE_TTL, ResendChance, ResendChanceInputs, ResendDemand, ResendKind,
-    ResendPlanInputs, RetryBudgetSettings, RetryDecision, RouteClass, ServerKey,
-    ServerRecord, ServerTally, ServiceTally, ServiceTime, StopReason, decide_retry,
-    resend_chance,
+    RESEND_LEASE_TTL, ResendDemand, ResendGainInputs, ResendKind, ResendPlanInputs,
+    RetryBudgetSettings, RetryDecision, RouteClass, ServerKey, ServerRecord, ServerTally,
+    ServiceTally, ServiceTime, StopReason, decide_retry, resend_gain,
 };
 
 const BOXES: usize = 39;
@@ -63,8 +62,8 @@
     short_ratio: f64,
     /// The fraction of requests that ask for a hedge before the servers shed.
     hedged_ratio: f64,
-    /// Whether the reports and lease messages of a data centre's boxes arrive, by the time
-    /// since the servers began to shed.
+    /// Whether the reports and lease messages of a data centre's boxes arrive, by the
+    /// time since the servers began to shed.
     is_connected: fn(data_centre: usize, shed_ms: u64) -> bool,
     /// Whether a box runs, by the same time. Callers go to the boxes that run.
     runs: fn(place: usize, shed_ms: u64) -> bool,
@@ -577,7 +576,7 @@
         let pick = self.pick(request);
         let state = &self.requests[request];
         let until = |ms: u64| Duration::from_millis(ms.saturating_sub(self.now_ms));
-        let chance = resend_chance(&ResendChanceInputs {
+        let gain = resend_gain(&ResendGainInputs {
             failure_probability: pick.failure_probability,
             refusal_probability: pick.refusal_probability,
             expected: Duration::from_secs_f64(pick.expected_ms / 1000.0),
@@ -600,10 +599,10 @@
             used = (f64::from(own.spent), own.limit());
             boxes = 1;
         }
-        run.demand.count_needed(priority, chance.gain, now);
+        run.demand.count_needed(priority, gain, now);
         let inputs = ResendPlanInputs {
             priority,
-            chance,
+            gain,
             max_attempts: MAX_ATTEMPTS,
             requests_per_s: run.budget.service_load(now).requests_per_s,
             budget_used_ratio: used.0 / f64::max(used.1, 1.0),
@@ -936,8 +935,8 @@
     assert_near_best(UNEQUAL_SERVERS);
 }
 
-/// Asserts that the plan serves more of the urgent requests by at least this fraction, and
-/// hardly fewer of all.
+/// Asserts that the plan serves more of the urgent requests by at least this fraction,
+/// and hardly fewer of all.
 fn assert_urgent_gain(case: Case, min_gain: f64) {
     let before = play(case, Allocation::FirstCome);
     let planned = play(case, Allocation::Planned);
@@ -1017,10 +1016,7 @@
 fn short_of_resends(priority: Priority, gain: f64) -> ResendPlanInputs {
     ResendPlanInputs {
         priority,
-        chance: ResendChance {
-            answered: 0.5,
-            gain,
-        },
+        gain,
         max_attempts: MAX_ATTEMPTS,
         requests_per_s: REQUESTS_PER_S,
         budget_used_ratio: 0.9,
@@ -1030,7 +1026,8 @@
     }
 }
 
-/// Returns the demand of a box that got the given requests, each of which needed a resend.
+/// Returns the demand of a box that got the given requests, each of which needed a
+/// resend.
 fn demand_of(requests: &[(Priority, f64)], now: Instant) -> ResendDemand {
     let mut demand = ResendDemand::default();
     for (priority, gain) in requests {
@@ -1095,15 +1092,14 @@
 #[test]
 fn the_gain_of_a_resend_falls_with_the_time_left_and_with_refusals() {
     let gain = |refusal_probability, target_ms, deadline_ms| {
-        let chance = resend_chance(&ResendChanceInputs {
+        resend_gain(&ResendGainInputs {
             failure_probability: 0.1,
             refusal_probability,
             expected: Duration::from_millis(150),
             service_time: ServiceTime::new(),
             time_to_latency_target: Duration::from_millis(target_ms),
             time_to_deadline: Duration::from_millis(deadline_ms),
-        });
-        chance.gain
+        })
     };
     let ample = gain(0.0, 5_000, 5_000);
     assert!((0.85..=0.9).contains(&ample), "{ample}");
