--- a/crates/wingspur-edge/src/quotas/resend_planning.rs
+++ b/crates/wingspur-edge/src/quotas/resend_planning.rs
@@ -3,9 +3,8 @@
 use std::time::{Duration, Instant};
 
 use wingspur_state::{
-    BudgetDecision, MembershipState, Pick, Priority, ResendChance, ResendChanceInputs,
-    ResendKind, ResendPlanDecision, ResendPlanInputs, RetryBudgetSettings, ServiceTime,
-    resend_chance,
+    BudgetDecision, MembershipState, Pick, Priority, ResendGainInputs, ResendKind,
+    ResendPlanDecision, ResendPlanInputs, RetryBudgetSettings, ServiceTime, resend_gain,
 };
 
 use crate::edge_state::EdgeState;
@@ -31,10 +30,10 @@
 /// The decision on a resend, with the figures behind it.
 #[derive(Debug, Clone, Copy)]
 pub struct PlannedResend {
-    /// The chance of the resend.
-    pub chance: ResendChance,
-    /// The probability that a server of the service answers, on average.
-    pub mean_answer_probability: f64,
+    /// The expected gain of the resend.
+    pub gain: f64,
+    /// The fraction of the latest attempts of all boxes that a server answered.
+    pub answered_ratio: f64,
     /// The fraction of the retry budget that is used, over the boxes of a data centre.
     pub budget_used_ratio: f64,
     /// The age of the report that tells it; `None` if it is that of this box's own share.
@@ -52,7 +51,7 @@
     now: Instant,
 ) -> PlannedResend {
     let pick = candidate.pick;
-    let chance = resend_chance(&ResendChanceInputs {
+    let gain = resend_gain(&ResendGainInputs {
         failure_probability: pick.failure_probability,
         refusal_probability: pick.refusal_probability,
         expected: Duration::from_secs_f64(pick.expected_ms / 1000.0),
@@ -68,30 +67,31 @@
     drop(budget);
     let (budget_used_ratio, report_age) =
         budget_used_ratio(shared, service, &own_share, now);
-    let mean_answer_probability = service.balancer.lock().mean_answer_probability(now);
+    let answered_ratio = service.balancer.lock().answered_ratio(now);
     let boxes = match membership.state {
         // The rate that such a box knows is its own.
         MembershipState::Disconnected => 1,
         MembershipState::Joining | MembershipState::Joined => membership.boxes,
     };
     let mut demand = service.resend_demand.lock();
-    demand.count_needed(candidate.priority, chance.gain, now);
-    let decision = demand.decide(&ResendPlanInputs {
+    demand.count_needed(candidate.priority, gain, now);
+    let inputs = ResendPlanInputs {
         priority: candidate.priority,
-        chance,
+        gain,
         max_attempts: candidate.max_attempts,
         requests_per_s,
         budget_used_ratio,
-        mean_answer_probability,
+        answered_ratio,
         boxes,
         settings: RetryBudgetSettings {
             slack: own_share.slack * membership.boxes as f64,
             ..settings
         },
-    });
+    };
+    let decision = demand.decide(&inputs, now);
     PlannedResend {
-        chance,
-        mean_answer_probability,
+        gain,
+        answered_ratio,
         budget_used_ratio,
         report_age,
         decision,
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -26,6 +26,7 @@
 mod pick;
 mod queue_report;
 mod quota_pool;
+mod recent_ratio;
 mod resend_ledger;
 mod resend_plan;
 mod retry;
@@ -86,8 +87,7 @@
     MAX_RESEND_TRANSIT, RESEND_LEASE_TTL, ResendLedger, TightestWindow,
 };
 pub use resend_plan::{
-    ResendChance, ResendChanceInputs, ResendDemand, ResendPlanDecision, ResendPlanInputs,
-    resend_chance,
+    ResendDemand, ResendGainInputs, ResendPlanDecision, ResendPlanInputs, resend_gain,
 };
 pub use retry::{
     AttemptEnd, RetryBudget, RetryDecision, RetryReason, StopReason, decide_retry,
--- a/tests/tests/box_positions.rs
+++ b/tests/tests/box_positions.rs
@@ -17,6 +17,7 @@
         announced_boxes: 3,
         reported_fleet_size: 0,
         data_centres: Vec::new(),
+        hub_candidates: Vec::new(),
         is_hub,
         is_acting_hub: false,
         age: Some(Duration::ZERO),
