--- a/crates/wingspur-edge/src/operation/settings.rs
+++ b/crates/wingspur-edge/src/operation/settings.rs
@@ -71,6 +71,10 @@
     /// resent.
     #[serde(default = "default_kept_body_bytes")]
     pub kept_body_bytes: u64,
+    /// Whether the less urgent requests of a service that is over its capacity are
+    /// refused.
+    #[serde(default)]
+    pub admission_by_urgency: bool,
     /// How the box drains when it stops.
     #[serde(default)]
     pub drain: DrainSettings,
@@ -445,6 +449,7 @@
     optional("worker_threads", Kind::Number(1, 256)),
     optional("max_body_bytes", Kind::Number(0, u64::MAX)),
     optional("kept_body_bytes", Kind::Number(0, 16 << 20)),
+    optional("admission_by_urgency", Kind::Flag),
     optional(
         "drain",
         Kind::Object(&[
--- a/crates/wingspur-edge/src/proxy/forwarding/admission_by_urgency.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding/admission_by_urgency.rs
@@ -16,6 +16,9 @@
     pub(super) fn count_request(&self) {
         let now = wingspur_clock::now();
         let level = urgency_level(self.priority());
+        if !self.shared.settings().admission_by_urgency {
+            return self.service.budget.lock().count_request(now);
+        }
         let by_urgency = UrgencyCounts::one_of(level);
         let mut budget = self.service.budget.lock();
         budget.count_request_of(by_urgency, now);
@@ -28,12 +31,17 @@
     /// Refuses the request if its service is over its capacity and more urgent requests
     /// would miss their targets. Nothing has been sent to a server yet.
     ///
-    /// Has no effect while all requests of the service have the same urgency. A box that
+    /// Has no effect while the settings do not enable it, or all requests of the service
+    /// have the same urgency. A box that
     /// does not reach the service leaves the request to its relay, because its own
     /// failed connections say nothing about the servers.
     pub(super) fn admit_by_urgency(&mut self) -> Result<(), ResultCode> {
         let now = wingspur_clock::now();
-        if self.needs_relay() || !self.service.budget.lock().has_mixed_urgency(now) {
+        let is_enabled = self.shared.settings().admission_by_urgency;
+        if !is_enabled
+            || self.needs_relay()
+            || !self.service.budget.lock().has_mixed_urgency(now)
+        {
             return Ok(());
         }
         let inputs = self.urgency_inputs(now);
--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -84,6 +84,14 @@
         })
     }
 
+    /// Starts a box that refuses less urgent requests under overload.
+    pub fn start_with_urgency(servers: &[BackendServer], configuration: &Value) -> Self {
+        Self::start_by(servers, configuration, |store| Settings {
+            admission_by_urgency: true,
+            ..with_resends(settings("box-1", store), AMPLE_RESENDS)
+        })
+    }
+
     fn start_with(
         servers: &[BackendServer],
         routes: &[Route],
