--- a/crates/wingspur-state/src/coverage.rs
+++ b/crates/wingspur-state/src/coverage.rs
@@ -134,7 +134,7 @@
     let strict = enforces_floor_strictly(&inputs.service_load);
     let resting = match strict {
         true => Resting::default(),
-        false => resting_servers(servers, inputs),
+        false => resting_servers(servers, inputs.retry_safe),
     };
     let mut owned: Vec<(Duration, Turn, &IdleServer)> = Vec::new();
     for server in servers {
@@ -183,11 +183,8 @@
 /// the target fraction in use.
 ///
 /// Those that failed last rest, because the others have more probably recovered.
-///
-/// Where a service has few requests, most of them would probe such servers, and the probes
-/// would fail the tenth of the requests from which on the floor is judged.
-fn resting_servers(servers: &[IdleServer], inputs: &CoverageInputs) -> Resting {
-    let target_ratio = match inputs.retry_safe {
+fn resting_servers(servers: &[IdleServer], retry_safe: bool) -> Resting {
+    let target_ratio = match retry_safe {
         true => TARGET_USED_RATIO_OF_RETRY_SAFE,
         false => TARGET_USED_RATIO,
     };
@@ -197,11 +194,7 @@
     let may_rest = servers.len() as f64 * (1.0 - target_ratio) - missed.count() as f64;
     let may_rest = may_rest.max(0.0) as usize;
     let mut ranks: Vec<_> = servers.iter().filter_map(rest_rank).collect();
-    let requests_per_s = inputs.service_load.requests_per_s;
-    let max_probed = (requests_per_s * MAX_PROBES_AFTER_FAILURE_RATIO).ceil() as usize;
-    let count = may_rest
-        .max(ranks.len().saturating_sub(max_probed))
-        .min(ranks.len());
+    let count = may_rest.min(ranks.len());
     let last = count
         .checked_sub(1)
         .map(|at| *ranks.select_nth_unstable(at).1);
@@ -336,9 +329,6 @@
 const EXPECTED_REQUESTS: f64 = 1.5;
 /// The same for a server that failed recently, while few requests fail.
 const EXPECTED_REQUESTS_AFTER_FAILURE: f64 = 1.0;
-/// At most this many servers that failed recently are probed, in relation to the requests
-/// in a second: about half of their probes fail.
-const MAX_PROBES_AFTER_FAILURE_RATIO: f64 = 0.05;
 /// The first turn in which boxes of other data centres may own a probe.
 const FIRST_TURN_OF_OTHERS: u32 = 2;
 /// A failure is recent for this long; faults last 2 to 10 s.
--- a/tests/tests/urgency.rs
+++ b/tests/tests/urgency.rs
@@ -11,12 +11,12 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use wingspur_state::{
-    AttemptId, Balancer, ExpectedLatency, FleetMembership, FleetRetryBudget, FleetSize,
-    HealthOutcome, LevelLoad, LevelNeeds, MembershipState, Occupancy, PickRequest,
-    Priority, ReportState, ResendKind, RetryAfterInputs, RetryAfterSchedule,
-    RetryBudgetSettings, ServerKey, ServerRecord, ServerTally, ServiceTally, ServiceTime,
-    ServiceUrgency, URGENCY_LEVELS, UrgencyCounts, UrgencyInputs, UrgencyReason,
-    decide_by_urgency, urgency_level,
+    AttemptId, Balancer, BoxPosition, CoverageRole, ExpectedLatency, FleetMembership,
+    FleetRetryBudget, FleetSize, HealthOutcome, LevelLoad, LevelNeeds, MembershipState,
+    Occupancy, PickRequest, Priority, ReportState, ResendKind, RetryAfterInputs,
+    RetryAfterSchedule, RetryBudgetSettings, ServerKey, ServerRecord, ServerTally,
+    ServiceTally, ServiceTime, ServiceUrgency, URGENCY_LEVELS, UrgencyCounts,
+    UrgencyInputs, UrgencyReason, decide_by_urgency, urgency_level,
 };
 
 /// The load, the faults and whether requests are admitted by urgency.
@@ -208,8 +208,16 @@
     fn new(plan: Plan) -> Self {
         let start = Instant::now();
         let mut random = StdRng::seed_from_u64(plan.seed);
-        let sim_box = || {
+        let sim_box = |at: usize| {
             let mut balancer = Balancer::new("dc-1".into());
+            balancer.set_coverage_role(CoverageRole {
+                key: at as u64 + 1,
+                position: Some(BoxPosition {
+                    index: at as u32,
+                    count: BOXES as u32,
+                }),
+                fleet_boxes: BOXES,
+            });
             (0..SERVERS).for_each(|n| balancer.upsert(record(n), start));
             let mut budget = FleetRetryBudget::new(BUDGET);
             budget.set_fleet_size(FleetSize {
@@ -228,7 +236,7 @@
                 received_service: ServiceTally::default(),
             }
         };
-        let boxes = (0..BOXES).map(|_| sim_box()).collect();
+        let boxes = (0..BOXES).map(sim_box).collect();
         let worker = |n: usize| Worker {
             phase_ms: n as u64 * EPISODE_INTERVAL_MS / SERVERS as u64
                 + random.random_range(0..1_000),
