--- a/tests/tests/floor.rs
+++ b/tests/tests/floor.rs
@@ -423,6 +423,7 @@
     let mut servers = servers(100, 100, Duration::ZERO);
     for (n, server) in servers.iter_mut().enumerate().take(DOUBTFUL) {
         server.failure_probability = 0.34 - n as f64 * 0.006;
+        server.failed_ago = Some(Duration::from_secs(4));
     }
     let calm = CoverageInputs {
         service_load: ServiceLoad {
