A hub looks for other delegates only while it waits for its own share

Cause: each request and lease message of a hub scanned the announced boxes against its members, although the result matters only until its start wait has ended. Change: the scan is skipped once the share is free; a test of urgency is renamed. Figures: none measured; the decision is the same, since an ended wait is not changed by it.

--- a/crates/wingspur-coordination/src/fleet_view.rs
+++ b/crates/wingspur-coordination/src/fleet_view.rs
@@ -470,7 +470,7 @@
         if !self.may_use_share(announcements, now) {
             return 0.0;
         }
-        if self.is_sole_delegate(announcements, now) {
+        if !self.delegation.is_free(now) && self.is_sole_delegate(announcements, now) {
             self.delegation.end_start_wait(now);
         }
         let delegating = self
--- a/tests/tests/urgency.rs
+++ b/tests/tests/urgency.rs
@@ -785,7 +785,7 @@
 /// Guards against refused callers that are told to come back while there is no room, or
 /// after their deadline.
 #[test]
-fn a_refused_caller_is_told_when_there_is_room() {
+fn refused_caller_gets_the_time_when_there_is_room() {
     let refused = |to_deadline_ms| {
         decide_by_urgency(&UrgencyInputs {
             draw: 1.0,
