One function spreads keys over all bits

Cause: coverage.rs wrote the finaliser again that rendezvous.rs had. Change: both call wingspur_state::mix.

--- a/crates/wingspur-coordination/src/rendezvous.rs
+++ b/crates/wingspur-coordination/src/rendezvous.rs
@@ -1,7 +1,7 @@
 //! Rendezvous hashing: each box computes by itself which box owns a role.
 
 use sha2::{Digest, Sha256};
-use wingspur_state::BoxId;
+use wingspur_state::{BoxId, mix};
 
 /// A set of boxes with their hashes precomputed, to find the owners of many roles.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -58,10 +58,3 @@
     start.copy_from_slice(&digest[..8]);
     u64::from_le_bytes(start)
 }
-
-/// Spreads a hash over all bits (the finaliser of SplitMix64).
-fn mix(hash: u64) -> u64 {
-    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
-}
--- a/crates/wingspur-state/src/coverage.rs
+++ b/crates/wingspur-state/src/coverage.rs
@@ -10,6 +10,7 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
+use crate::mix::mix;
 use crate::{BoxKey, ServerKey, ServiceLoad};
 
 /// The position of a box among the boxes of its data centre, as their hub assigns it.
@@ -292,13 +293,6 @@
     server.idle_for.min(FLOOR_WINDOW)
 }
 
-/// Spreads a key over all bits (the finaliser of SplitMix64).
-fn mix(key: u64) -> u64 {
-    let key = (key ^ (key >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let key = (key ^ (key >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    key ^ (key >> 31)
-}
-
 /// Below this rate, counted over one second, half of the requests may be a random
 /// variation.
 const MIN_COUNTED_REQUESTS_PER_S: f64 = 20.0;
--- a/crates/wingspur-state/src/lib.rs
+++ b/crates/wingspur-state/src/lib.rs
@@ -22,6 +22,7 @@
 mod host_routes;
 mod ids;
 mod lease_client;
+mod mix;
 mod outlier_detector;
 mod pick;
 mod queue_report;
@@ -74,6 +75,7 @@
     ServerIndex, ServerKey, ServiceIndex, SourceId,
 };
 pub use lease_client::{AcquireOutcome, LeaseClient, LeaseDemand, ON_DEMAND_LEASE_TTL};
+pub use mix::mix;
 pub use outlier_detector::{
     EjectionRecord, OutlierDetector, OutlierEvent, OutlierStatus, Verdict,
 };
