--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //! the disruption. Exits with 1 if the rule was broken, 0 if it held, 2 otherwise.
 
 mod cutwatch;
+mod hang;
 mod http;
 mod json;
 mod site;
@@ -18,6 +19,7 @@
     record.say(&format!("case {case}, trouble: {trouble}"));
     let code = match case.as_str() {
         "cutwatch" => cutwatch::run(program, &record, trouble),
+        "hang" => hang::run(program, &record, trouble),
         _ => 2,
     };
     record.say(&format!("exit {code}"));
