--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,9 @@
 mod hang;
 mod http;
 mod json;
+mod listing;
+mod pipeline;
+mod preface;
 mod site;
 mod store;
 
@@ -20,6 +23,9 @@
     let code = match case.as_str() {
         "cutwatch" => cutwatch::run(program, &record, trouble),
         "hang" => hang::run(program, &record, trouble),
+        "listing" => listing::run(program, &record, trouble),
+        "pipeline" => pipeline::run(program, &record, trouble),
+        "preface" => preface::run(program, &record, trouble),
         _ => 2,
     };
     record.say(&format!("exit {code}"));
