--- a/review/standin/hang.rs
+++ b/review/standin/hang.rs
@@ -16,9 +16,9 @@
 const DOWNLOADS: usize = 12;
 /// The route's `timeout`, the half second that the rule allows after it, and the time that
 /// the clients wait.
-const TIMEOUT: Duration = Duration::from_millis(6000);
+const TIMEOUT: Duration = Duration::from_millis(5000);
 const ALLOWED: Duration = Duration::from_millis(500);
-const DEADLINE: Duration = Duration::from_secs(30);
+const DEADLINE: Duration = Duration::from_secs(10);
 
 /// What a client has read of its answer, and when it ended.
 #[derive(Default)]
@@ -32,7 +32,7 @@
     let folder = Folder::new("hang");
     let store = Store::start();
     let route = route("r-1", HOST, "/fiti832/", "download", "yemi37c");
-    let routes = [route.replace("\"timeout_ms\":3000", "\"timeout_ms\":6000")];
+    let routes = [route.replace("\"timeout_ms\":3000", "\"timeout_ms\":5000")];
     store.put("op/config", &configuration(7, &routes, &["yemi37c"], ""));
     let silenced = Arc::new(AtomicU64::new(0));
     for n in 0..6 {
