Log and count servers that are kept although their entries have vanished

A server whose entry vanishes from the store while the box believes that the store was away stays in use for a grace period. Nothing said so: the log showed the server's end as 'gone, source settled' seconds later, so a late removal could not be told apart from a late response of the store, a late update from a hub, or a lost link.

Each such server now has a line with the grace that is left and the age of the newest read of the store, 'store: lost' names that age too, and wingspur_vanished_servers_total counts removals at once, kept servers and those that expired after the grace. No logic changes.

--- a/crates/wingspur-edge/src/catalog/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog/catalog_state.rs
@@ -1,5 +1,6 @@
 //! The catalog as this box knows it, whether it read the store itself or a peer sent it.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -7,9 +8,11 @@
 use wingspur_protocol::{
     CatalogChange, CatalogChanges, CatalogSnapshot, CatalogSnapshotUpdate, CatalogUpdate,
 };
-use wingspur_state::{BundlePatch, BundleVersion, ServerId, StorePosition};
+use wingspur_state::{
+    BundlePatch, BundleVersion, ServerId, ServerRegistry, StorePosition,
+};
 
-use crate::catalog::directory_changes::apply_server_changes;
+use crate::catalog::directory_changes::{apply_server_changes, log_kept_servers};
 use crate::catalog::evacuation::{begin_evacuation, end_evacuation, replace_evacuations};
 use crate::edge_state::EdgeState;
 use crate::quotas::quarantine::{
@@ -323,10 +326,14 @@
         shared.activate_bundle(bundle, source);
     }
     let mut directory = shared.directory.lock();
+    let missing_before = missing_ids(&directory);
     let mut changes = directory.replace_restored(snapshot.servers, &update.returned, now);
     let missing = update.missing.into_iter();
     changes.extend(missing.filter_map(|record| directory.put_missing(record, now)));
+    let missing = missing_ids(&directory);
     drop(directory);
+    let kept: Vec<ServerId> = missing.difference(&missing_before).cloned().collect();
+    log_kept_servers(shared, &kept, source, now);
     apply_server_changes(shared, &changes, source);
     replace_quarantines(shared, snapshot.position, &snapshot.quarantines);
     replace_evacuations(shared, snapshot.evacuated, source);
@@ -338,6 +345,13 @@
     shared.link_plan_changed.notify();
 }
 
+fn missing_ids(directory: &ServerRegistry) -> BTreeSet<ServerId> {
+    directory
+        .missing()
+        .map(|record| record.id.clone())
+        .collect()
+}
+
 fn apply_changes(
     shared: &Arc<EdgeState>,
     changes: CatalogChanges,
@@ -345,6 +359,7 @@
     now: Instant,
 ) {
     let mut server_changes = Vec::new();
+    let mut kept = Vec::new();
     let mut boxes_changed = false;
     for change in changes.changes {
         match change {
@@ -365,7 +380,12 @@
                 server_changes.extend(shared.directory.lock().put(record));
             }
             CatalogChange::ServerGone(id) => {
-                server_changes.extend(shared.directory.lock().remove(&id, now));
+                let mut directory = shared.directory.lock();
+                match directory.remove(&id, now) {
+                    Some(change) => server_changes.push(change),
+                    None if directory.is_missing(&id) => kept.push(id),
+                    None => {}
+                }
             }
             CatalogChange::Box(record) => {
                 shared.links.lock().planner().upsert(record);
@@ -385,6 +405,7 @@
             }
         }
     }
+    log_kept_servers(shared, &kept, source, now);
     apply_server_changes(shared, &server_changes, source);
     shared
         .links
--- a/crates/wingspur-edge/src/catalog/catalog_watch.rs
+++ b/crates/wingspur-edge/src/catalog/catalog_watch.rs
@@ -182,7 +182,13 @@
     /// Records a call that failed.
     fn record_failure(&mut self, shared: &EdgeState, error: &CatalogError) {
         if self.failures == 0 {
-            tracing::warn!(%error, "store: lost.");
+            let read_age = shared
+                .links
+                .lock()
+                .watch_state()
+                .confirmed_age(wingspur_clock::now());
+            let read_age_ms = read_age.map(|age| age.as_millis() as u64);
+            tracing::warn!(%error, read_age_ms, "store: lost.");
         }
         self.failures += 1;
         shared.links.lock().watch_state().record_store_failure();
--- a/crates/wingspur-edge/src/catalog/directory_changes.rs
+++ b/crates/wingspur-edge/src/catalog/directory_changes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use wingspur_state::RegistryChange;
+use wingspur_state::{RegistryChange, ServerId};
 
 use crate::edge_state::EdgeState;
 use crate::proxy::server_hints::record_announcements;
@@ -18,6 +18,13 @@
 ) {
     record_server_crashes(shared, changes);
     record_announcements(shared, changes);
+    let removed = |change: &&RegistryChange| matches!(change, RegistryChange::Removed(_));
+    let outcome = match source {
+        SETTLED => "expired",
+        _ => "removed",
+    };
+    let removed = changes.iter().filter(removed).count();
+    shared.metrics.count_vanished_servers(outcome, removed);
     if changes.len() > MAX_CHANGES_LOGGED_SINGLY {
         // A starting box would log one line for every server.
         let servers = changes.len();
@@ -41,6 +48,44 @@
         .apply_directory_changes(changes, &shared.announced_states);
 }
 
+/// Counts and logs servers that are kept although their entries have vanished from the
+/// store. `source` tells in the log where the changes come from.
+pub fn log_kept_servers(
+    shared: &EdgeState,
+    servers: &[ServerId],
+    source: &str,
+    now: Instant,
+) {
+    if servers.is_empty() {
+        return;
+    }
+    shared.metrics.count_vanished_servers("kept", servers.len());
+    let read_age = shared.links.lock().watch_state().confirmed_age(now);
+    let read_age_ms = read_age.map(|age| age.as_millis() as u64);
+    let grace = shared.directory.lock().removal_grace_left(now);
+    let grace_ms = grace.as_millis() as u64;
+    if servers.len() > MAX_CHANGES_LOGGED_SINGLY {
+        let servers = servers.len();
+        tracing::info!(
+            servers,
+            grace_ms,
+            read_age_ms,
+            source,
+            "server: many kept without an entry."
+        );
+        return;
+    }
+    for server in servers {
+        tracing::info!(
+            %server,
+            grace_ms,
+            read_age_ms,
+            source,
+            "server: kept without an entry."
+        );
+    }
+}
+
 /// Removes servers whose entries have not been written again in time after an outage of
 /// the store. Uses entries that were held back after a restore of the store once they
 /// must have been written since. Does nothing while no reading of the store has reached
@@ -51,9 +96,12 @@
         return;
     };
     let changes = shared.directory.lock().finish_grace(as_of);
-    apply_server_changes(shared, &changes, "settled");
+    apply_server_changes(shared, &changes, SETTLED);
 }
 
+/// The source of changes that the end of a grace period makes.
+const SETTLED: &str = "settled";
+
 /// The largest number of simultaneous server changes that are logged with one line each.
 /// A rack has fewer servers.
 const MAX_CHANGES_LOGGED_SINGLY: usize = 40;
--- a/crates/wingspur-edge/src/operation/metrics.rs
+++ b/crates/wingspur-edge/src/operation/metrics.rs
@@ -88,6 +88,9 @@
     /// Store responses and updates whose era was not the expected one: older, missing,
     /// unreadable, or of a restored store.
     store_eras: IntCounterVec,
+    /// Servers whose entries vanished from the store: removed at once, kept for a grace
+    /// period, or removed after it.
+    vanished_servers: IntCounterVec,
     /// Requests that were handed to other boxes (`sent`) or taken from them (`taken`), by
     /// direction and outcome.
     relayed: IntCounterVec,
@@ -292,6 +295,11 @@
                 "Restores of the store, and answers without a present era.",
                 &["kind"],
             ),
+            vanished_servers: counter(
+                "wingspur_vanished_servers_total",
+                "Servers whose entries vanished from the store, by outcome.",
+                &["outcome"],
+            ),
             server_hints: counter(
                 "wingspur_server_words_total",
                 "What servers said of themselves in answers, and what could not be read.",
@@ -463,6 +471,12 @@
         self.store_eras.with_label_values(&[kind]).inc();
     }
 
+    /// Counts servers whose entries vanished from the store.
+    pub fn count_vanished_servers(&self, outcome: &str, servers: usize) {
+        let count = self.vanished_servers.with_label_values(&[outcome]);
+        count.inc_by(servers as u64);
+    }
+
     /// Records the latency of a call to the store. A watch is left out, since it waits
     /// for changes.
     pub fn observe_store_latency(&self, kind: &str, latency: Duration) {
--- a/crates/wingspur-state/src/server_registry.rs
+++ b/crates/wingspur-state/src/server_registry.rs
@@ -336,6 +336,11 @@
         missing.map(|entry| &entry.record)
     }
 
+    /// Returns whether a server is kept although its entry has vanished.
+    pub fn is_missing(&self, id: &str) -> bool {
+        self.entries.get(id).is_some_and(|entry| entry.missing)
+    }
+
     /// Iterates over all entries that the store holds, suppressed ones included.
     pub fn listed(&self) -> impl Iterator<Item = &ServerRecord> {
         let listed = self.entries.values().filter(|entry| !entry.missing);
