A store was away only if no box had an answer for two seconds

What callers saw: beside a cut watch of the store, servers that left without saying so got requests for up to 5.3 s after their entries were gone (bound: 2 s), and once-only requests were lost as they ended.

Cause: any failed call of one box counted as an outage of the store, in which entries may expire although their servers run, so servers whose entries vanish are kept for a grace period. The box passed that grace on to its members, and each further cut began it anew.

Change: the store was away if boxes asked it in vain and no box had an answer for two seconds (CatalogFreshnessTracker::is_store_away). An entry outlives two missed heartbeats, so none expires in less. Each box decides this by the reads of all boxes that have reached it; a sender's grace counts only on a box that has just started and knows of no read. The first watch of a reader, and the first one after a failed call, returns at once, so that a cut does not leave the fleet without a read for two seconds. Servers that expire in a real outage, and those that a restored store lacks, are kept as before.

Related paths with the same cause: a hub that alone had lost its path to the store made its members keep servers when it was back; and a box that started as the store returned, which knows of no outage, made the others drop servers at once whose entries had expired (too early).

Tests changed: server_list calls store_read in place of store_recovered and store_read_by_peer, with the same arguments in effect and the same assertions.

--- a/crates/wingspur-coordination/src/catalog_freshness.rs
+++ b/crates/wingspur-coordination/src/catalog_freshness.rs
@@ -1,10 +1,11 @@
-//! Tracks how current this box's view of the catalog is, and which box reads the store.
+//! Tracks how current this box's view of the catalog is, which box reads the store, and
+//! whether the store was away.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use wingspur_protocol::CatalogFreshness;
-use wingspur_state::{BoxId, StoreEra, StorePosition};
+use wingspur_state::{BoxId, STORE_RECOVERY_GRACE, StoreEra, StorePosition};
 
 use crate::{LinkId, hash_of};
 
@@ -24,6 +25,14 @@
     links: BTreeMap<LinkId, (BoxId, Instant)>,
     /// Links whose other side tries to read and gets no answer.
     failing_links: BTreeSet<LinkId>,
+    /// When the store answered the newest read that is known, by any box; `None` if
+    /// there was none.
+    newest_read_at: Option<Instant>,
+    /// Whether a read of the store has failed, here or on a linked box, since the newest
+    /// one that was answered.
+    has_failed_since: bool,
+    /// When the store answered again after its last outage; `None` if none is known.
+    store_returned_at: Option<Instant>,
     /// Since when no box is known to read.
     no_reader_since: Instant,
     /// Delay of this box within its rank, by a hash of its name: most boxes are not
@@ -60,6 +69,9 @@
             own_read_failing: false,
             links: BTreeMap::new(),
             failing_links: BTreeSet::new(),
+            newest_read_at: None,
+            has_failed_since: false,
+            store_returned_at: None,
             no_reader_since: now,
         }
     }
@@ -104,11 +116,52 @@
     pub fn record_store_reply(&mut self, now: Instant) {
         self.own_read_at = Some(now);
         self.own_read_failing = false;
+        self.record_read(now);
     }
 
     /// Records that the store has not answered this box.
     pub fn record_store_failure(&mut self) {
         self.own_read_failing = true;
+        self.has_failed_since = true;
+    }
+
+    /// Records a read of the store by any box, which the store answered at `at`.
+    ///
+    /// Called before anything that the read returned is applied: it decides whether an
+    /// entry that is absent there may have expired in an outage.
+    pub fn record_read(&mut self, at: Instant) {
+        if self.newest_read_at.is_some_and(|newest| at <= newest) {
+            return;
+        }
+        if self.is_store_away(at) {
+            self.store_returned_at = Some(at);
+        }
+        self.newest_read_at = Some(at);
+        self.has_failed_since = false;
+    }
+
+    /// Returns whether the store is away: boxes ask it in vain, and none has had an
+    /// answer for at least [`MIN_OUTAGE`].
+    ///
+    /// A single failed call shows no outage. Its connection may have been cut, or only
+    /// this box may have lost its path to the store.
+    pub fn is_store_away(&self, now: Instant) -> bool {
+        let newest = self.newest_read_at;
+        self.has_failed_since
+            && newest.is_some_and(|at| now.saturating_duration_since(at) >= MIN_OUTAGE)
+    }
+
+    /// Returns for how long an entry that is absent from the store may still be one that
+    /// expired in an outage. Returns `None` if this box knows of no read, as after its
+    /// start, and so cannot tell.
+    pub fn removal_grace(&self, now: Instant) -> Option<Duration> {
+        self.newest_read_at?;
+        if self.is_store_away(now) {
+            return Some(STORE_RECOVERY_GRACE);
+        }
+        let ends_at = self.store_returned_at.map(|at| at + STORE_RECOVERY_GRACE);
+        let left = ends_at.map(|at| at.saturating_duration_since(now));
+        Some(left.unwrap_or_default())
     }
 
     /// Whether this box may leave retrying to another box whose reads of the store also
@@ -129,6 +182,7 @@
             true => self.failing_links.insert(link),
             false => self.failing_links.remove(&link),
         };
+        self.has_failed_since |= state.is_read_failing;
         let Some(reader) = &state.reader else {
             self.links.remove(&link);
             return;
@@ -145,6 +199,7 @@
         let age = Duration::from_millis(u64::from(state.age_ms));
         let read_at = now.checked_sub(age).unwrap_or(now);
         self.links.insert(link, (reader.clone(), read_at));
+        self.record_read(read_at);
     }
 
     /// Whether this box knows all changes up to a position of the newest era.
@@ -233,6 +288,10 @@
 /// sent the frame that the other side acknowledged, so it includes every delay in
 /// transit.
 const MAX_READ_AGE: Duration = Duration::from_millis(1300);
+/// The shortest time without an answer that counts as an outage of the store. The entry
+/// of a server survives two missed heartbeats of 1.5 s. Where only its reader loses the
+/// store, another box reads it within 1.8 s.
+pub const MIN_OUTAGE: Duration = Duration::from_secs(2);
 /// Staleness above that of normal operation, and half of the 2.4 s or so within which
 /// changes must be active. If it is exceeded regularly, hubs are overloaded.
 const LAG_THRESHOLD: Duration = Duration::from_millis(1200);
--- a/crates/wingspur-coordination/src/lib.rs
+++ b/crates/wingspur-coordination/src/lib.rs
@@ -27,7 +27,7 @@
     waits_for_hub_snapshot,
 };
 pub use box_registry::BoxRegistry;
-pub use catalog_freshness::{CatalogFreshnessTracker, EraChange};
+pub use catalog_freshness::{CatalogFreshnessTracker, EraChange, MIN_OUTAGE};
 pub use catalog_queue::CatalogQueue;
 pub use delegation::{DELEGATION_TTL, ShareDelegation};
 pub use fleet_connectivity::{FleetConnectivity, required_contact_time};
--- a/crates/wingspur-edge/src/catalog/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog/catalog_state.rs
@@ -123,20 +123,37 @@
     let urgent = !changes.changes.is_empty();
     let update = CatalogUpdate::Changes {
         changes: changes.clone(),
-        doubtful_ms,
+        doubtful_ms: removal_grace_ms(shared, now),
     };
     broadcast(shared, &update, urgent, from);
     apply_changes(shared, changes, "peer", now);
 }
 
-/// Records that another box has read the store, and for how many milliseconds servers
-/// that vanished from it may only be missing.
+/// Records that the store has answered a read of this box with its state of `read_at`,
+/// before that state is applied. Returns for how long an absent entry may be one that
+/// expired in an outage.
+pub fn record_own_read(shared: &EdgeState, read_at: Instant, now: Instant) -> Duration {
+    let grace = {
+        let mut links = shared.links.lock();
+        links.watch_state().record_read(read_at);
+        links.watch_state().removal_grace(now)
+    };
+    let grace = grace.unwrap_or_default();
+    shared.directory.lock().store_read(grace, now);
+    grace
+}
+
+/// Records that another box has read the store, before what it sent is applied.
+///
+/// Whether absent entries may have expired in an outage is decided here, by the reads of
+/// all boxes that this one knows of: the sender may have lost only its own path to the
+/// store. The sender's grace, `doubtful_ms`, counts on a box that has just started and
+/// knows of no reads.
 fn record_peer_read(shared: &EdgeState, doubtful_ms: u32, now: Instant) {
-    let removal_grace = Duration::from_millis(doubtful_ms.into());
-    shared
-        .directory
-        .lock()
-        .store_read_by_peer(removal_grace, now);
+    let received = Duration::from_millis(doubtful_ms.into());
+    let own = shared.links.lock().watch_state().removal_grace(now);
+    let grace = own.unwrap_or(received);
+    shared.directory.lock().store_read(grace, now);
 }
 
 /// Applies a snapshot that this box read from the store, and sends it to the other boxes
--- a/crates/wingspur-edge/src/catalog/catalog_watch.rs
+++ b/crates/wingspur-edge/src/catalog/catalog_watch.rs
@@ -9,7 +9,9 @@
 use wingspur_protocol::BoxRecord;
 use wingspur_transport::{CatalogError, StopSignal};
 
-use crate::catalog::catalog_state::{apply_store_changes, apply_store_snapshot};
+use crate::catalog::catalog_state::{
+    apply_store_changes, apply_store_snapshot, record_own_read,
+};
 use crate::catalog::directory_changes::expire_missing_servers;
 use crate::catalog::store_calls::call_store;
 use crate::edge_state::EdgeState;
@@ -35,7 +37,7 @@
             watch.active = true;
         }
         match run_watch_step(&shared, &mut watch, started).await {
-            Ok(()) => watch.record_success(&shared),
+            Ok(()) => {}
             Err(error @ (CatalogError::HistoryLost | CatalogError::OlderEra { .. })) => {
                 let gaps = watch.gaps;
                 tracing::info!(gaps, %error, "store: listing anew.");
@@ -154,6 +156,8 @@
     gaps: u32,
     /// The kind of listing that is due; `None` while the loop watches for changes.
     due_listing: Option<ListingKind>,
+    /// Whether the store answered this box's last call.
+    is_confirmed: bool,
 }
 
 /// The kind of a listing of the whole catalog.
@@ -166,33 +170,53 @@
     Fresh,
 }
 
+impl ListingKind {
+    /// Returns how old the listed state may be.
+    fn max_age(self) -> Duration {
+        match self {
+            Self::Cheap => CHEAP_LISTING_MAX_AGE,
+            Self::Fresh => Duration::ZERO,
+        }
+    }
+}
+
 impl WatchLoop {
-    /// Records a call that succeeded.
-    fn record_success(&mut self, shared: &EdgeState) {
+    /// Records that the store has answered with its state of `read_at`, before that state
+    /// is applied.
+    fn record_answer(&mut self, shared: &EdgeState, read_at: Instant) {
+        let now = wingspur_clock::now();
+        let read_age = shared.links.lock().watch_state().confirmed_age(now);
+        let grace = record_own_read(shared, read_at, now);
         if self.failures > 0 {
-            tracing::info!(failures = self.failures, "store: it answers again.");
+            tracing::info!(
+                failures = self.failures,
+                read_age_ms = read_age.map(|age| age.as_millis() as u64),
+                grace_ms = grace.as_millis() as u64,
+                "store: it answers again."
+            );
         }
         self.failures = 0;
-        shared
-            .directory
-            .lock()
-            .store_recovered(wingspur_clock::now());
+        self.is_confirmed = true;
     }
 
     /// Records a call that failed.
     fn record_failure(&mut self, shared: &EdgeState, error: &CatalogError) {
-        if self.failures == 0 {
-            let read_age = shared
-                .links
-                .lock()
-                .watch_state()
-                .confirmed_age(wingspur_clock::now());
-            let read_age_ms = read_age.map(|age| age.as_millis() as u64);
+        self.failures += 1;
+        self.is_confirmed = false;
+        let now = wingspur_clock::now();
+        let (read_age, is_away) = {
+            let mut links = shared.links.lock();
+            let freshness = links.watch_state();
+            freshness.record_store_failure();
+            (freshness.confirmed_age(now), freshness.is_store_away(now))
+        };
+        let read_age_ms = read_age.map(|age| age.as_millis() as u64);
+        if self.failures == 1 {
             tracing::warn!(%error, read_age_ms, "store: lost.");
         }
-        self.failures += 1;
-        shared.links.lock().watch_state().record_store_failure();
-        shared.directory.lock().store_lost();
+        if is_away {
+            shared.directory.lock().store_lost();
+        }
     }
 }
 
@@ -223,8 +247,11 @@
             return Ok(());
         };
         watch.due_listing = None;
-        if apply_store_snapshot(shared, snapshot, wingspur_clock::now()) {
-            record_listing_response(shared, due);
+        let now = wingspur_clock::now();
+        let read_at = now.checked_sub(due.max_age()).unwrap_or(now);
+        watch.record_answer(shared, read_at);
+        if apply_store_snapshot(shared, snapshot, now) {
+            record_store_reply(shared, read_at);
         }
         if position.is_start() {
             // Boxes that start together also announce themselves together. A single watch
@@ -238,7 +265,11 @@
         }
         return Ok(());
     }
-    let call = (shared.catalog.watch)(position, WATCH_TIMEOUT);
+    let timeout = match watch.is_confirmed {
+        true => WATCH_TIMEOUT,
+        false => CONFIRMING_WATCH_TIMEOUT,
+    };
+    let call = (shared.catalog.watch)(position, timeout);
     let watching = call_store(shared, "watch", call);
     let not_needed = async {
         // A watch from a position of an earlier era returns no changes.
@@ -250,9 +281,11 @@
     let watched = async { watching.await.map(Some) };
     if let Some(changes) = watched.or(not_needed).await? {
         watch.gaps = 0;
+        let now = wingspur_clock::now();
+        watch.record_answer(shared, now);
         let has_changes = changes.position > changes.after;
-        if apply_store_changes(shared, changes, wingspur_clock::now()) {
-            record_watch_response(shared);
+        if apply_store_changes(shared, changes, now) {
+            record_store_reply(shared, now);
         }
         if has_changes {
             // Changes that follow shortly are all returned by the next call.
@@ -262,30 +295,15 @@
     Ok(())
 }
 
-/// Records that this box knows everything that the store holds at this moment. Only the
-/// response to a watch or a fresh listing shows this: other calls may be answered while
-/// the watch receives nothing.
-fn record_watch_response(shared: &EdgeState) {
-    shared
-        .links
-        .lock()
-        .watch_state()
-        .record_store_reply(wingspur_clock::now());
-}
-
-/// Records the response to a listing. A cheap one counts as [`CHEAP_LISTING_MAX_AGE`]
-/// old, since it may lack the changes of that time.
-fn record_listing_response(shared: &EdgeState, listing: ListingKind) {
-    let now = wingspur_clock::now();
-    let as_of = match listing {
-        ListingKind::Fresh => Some(now),
-        ListingKind::Cheap => now.checked_sub(CHEAP_LISTING_MAX_AGE),
-    };
+/// Records that this box knows everything that the store held at `read_at`. Only the
+/// response to a watch or a fresh listing shows this for the present: other calls may be
+/// answered while the watch receives nothing.
+fn record_store_reply(shared: &EdgeState, read_at: Instant) {
     shared
         .links
         .lock()
         .watch_state()
-        .record_store_reply(as_of.unwrap_or(now));
+        .record_store_reply(read_at);
 }
 
 /// Returns whether the store has been restored since the catalog that this box knows was
@@ -357,6 +375,10 @@
 /// confirms how fresh a hub's catalog is. This is half of the time after which a member
 /// reads the store itself, so that a single late response does not make it do so.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(650);
+/// How long the first watch of a reader waits for a change, and the first one after a
+/// failed call. Its response shows at once whether the store answers: until then boxes
+/// can't tell a lost connection from an outage.
+const CONFIRMING_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
 /// The pause after a watch that returned a change. Without it, each of some hundred
 /// writes per second, as when servers or boxes join, costs each hub a call: 1,060 calls
 /// of five hubs in the first three seconds of a fleet of 443 boxes.
--- a/crates/wingspur-state/src/server_registry.rs
+++ b/crates/wingspur-state/src/server_registry.rs
@@ -91,13 +91,6 @@
         self.store = StoreStatus::Unavailable;
     }
 
-    /// Records that the store has recovered; changes nothing if it was not unavailable.
-    pub fn store_recovered(&mut self, now: Instant) {
-        if self.store == StoreStatus::Unavailable {
-            self.store = StoreStatus::UnreliableUntil(now + STORE_RECOVERY_GRACE);
-        }
-    }
-
     /// Records that the store was restored from an older copy. Servers write the entries
     /// that it lacks again within `STORE_RECOVERY_GRACE`.
     pub fn store_restored(&mut self, era: StoreEra, now: Instant) {
@@ -108,14 +101,14 @@
         }
     }
 
-    /// Records that another box read the store, and for how long an entry absent there
-    /// may still mean nothing.
-    pub fn store_read_by_peer(&mut self, unreliable: Duration, now: Instant) {
+    /// Records that this box or another one read the store, and for how long an entry
+    /// absent there may still mean nothing.
+    pub fn store_read(&mut self, unreliable: Duration, now: Instant) {
         let until = now + unreliable;
         match self.store {
             StoreStatus::UnreliableUntil(known) if known >= until => {}
-            // The other box's grace is over; here `finish_grace` ends it once the
-            // changes up to that instant are known.
+            // The grace of the box that read is over; here `finish_grace` ends it once
+            // the changes up to that instant are known.
             StoreStatus::UnreliableUntil(_) if unreliable.is_zero() => {}
             _ if unreliable.is_zero() && self.missing().next().is_none() => {
                 self.store = StoreStatus::Reliable;
--- a/tests/src/platform_store.rs
+++ b/tests/src/platform_store.rs
@@ -50,6 +50,10 @@
     compacted: u64,
     leases: Vec<u64>,
     fault: StoreFault,
+    /// The number of watches that are waiting.
+    waiting_watches: usize,
+    /// How often the waiting watches were cut.
+    watch_cuts: usize,
     /// The number of items on a page.
     page: usize,
     /// The number of calls by path.
@@ -133,6 +137,8 @@
         *state = State {
             era: state.era + 1,
             fault: state.fault,
+            waiting_watches: state.waiting_watches,
+            watch_cuts: state.watch_cuts,
             calls: std::mem::take(&mut state.calls),
             ..copied
         };
@@ -151,6 +157,18 @@
         self.state.1.notify_all();
     }
 
+    /// Cuts the waiting watches once there is one: their connections close without a
+    /// response. The key `removed` is removed at the same moment.
+    pub fn cut_watches_and_remove(&self, removed: &str) {
+        let mut state = self.lock();
+        while state.waiting_watches == 0 {
+            state = self.state.1.wait(state).expect("no holder panics");
+        }
+        state.watch_cuts += 1;
+        state.remove(removed);
+        self.state.1.notify_all();
+    }
+
     /// Returns the keys that begin with `prefix`.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.lock();
@@ -252,7 +270,9 @@
         ("GET", "/-/kv-range") => range(&state, head),
         ("GET", "/-/kv-watch") => {
             drop(state);
-            let (era_at_end, response) = watch(shared, head);
+            let Some((era_at_end, response)) = watch(shared, head) else {
+                return false;
+            };
             era = era_at_end;
             response
         }
@@ -288,30 +308,40 @@
 }
 
 /// Waits for changes. Returns the era in which the wait ended, with the status and the
-/// body.
-fn watch(shared: &Arc<(Mutex<State>, Condvar)>, head: &Head) -> (u64, (u16, Value)) {
+/// body; `None` if the watch was cut.
+fn watch(
+    shared: &Arc<(Mutex<State>, Condvar)>,
+    head: &Head,
+) -> Option<(u64, (u16, Value))> {
     let number = |name: &str| head.query.get(name).and_then(|text| text.parse().ok());
     let after: u64 = number("after").unwrap_or(0);
     let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
     let prefix = head.query.get("path_prefix").map_or("", String::as_str);
     let until = Instant::now() + wait;
     let mut state = shared.0.lock().expect("no holder panics");
+    let cuts = state.watch_cuts;
     loop {
+        if state.watch_cuts > cuts {
+            return None;
+        }
         let era = state.era;
         if after < state.compacted || after > state.revision {
-            return (era, (410, Value::Null));
+            return Some((era, (410, Value::Null)));
         }
         if let StoreFault::Refuses(status) = state.fault {
-            return (era, (status, Value::Null));
+            return Some((era, (status, Value::Null)));
         }
         let events = state.events(prefix, after);
         let remaining = until.saturating_duration_since(Instant::now());
         if !events.is_empty() || remaining.is_zero() {
             let body = json!({"events": events, "store_revision": state.revision});
-            return (era, (200, body));
+            return Some((era, (200, body)));
         }
+        state.waiting_watches += 1;
+        shared.1.notify_all();
         let waited = shared.1.wait_timeout(state, remaining);
         state = waited.expect("no holder panics").0;
+        state.waiting_watches -= 1;
     }
 }
 
--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -150,6 +150,15 @@
         wait_until("the box has activated the configuration", is_active);
     }
 
+    /// Returns the value of a counter, by its name with its labels; 0 if there is none.
+    pub fn counter(&self, name: &str) -> u64 {
+        let metrics = String::from_utf8(self.running.metrics().render());
+        let metrics = metrics.expect("metrics are text");
+        let mut values = metrics.lines().filter_map(|line| line.strip_prefix(name));
+        let value = values.next().map(|value| value.trim().parse());
+        value.map_or(0, |value| value.expect("counters are whole numbers"))
+    }
+
     /// Returns a caller of the box.
     pub fn caller(&self) -> Caller {
         Caller::of(&self.running)
--- a/tests/tests/restore_play/fleet.rs
+++ b/tests/tests/restore_play/fleet.rs
@@ -22,12 +22,13 @@
 use super::store::Store;
 use super::{
     BoxIndex, DRAIN_MS, END_MS, ENTRY_TTL_MS, FAULT_MS, FIRST_RESTORE_MS, Fault, Ms,
-    Outcome, Restore, SETTLE_MS, Setting, WaitingWatch, at,
+    Outage, Outcome, Restore, SETTLE_MS, Setting, WaitingWatch, at,
 };
 
 const DATA_CENTRES: usize = 3;
 const STORE_DELAY_MS: Ms = 4;
 const WATCH_WAIT_MS: Ms = 650;
+const CONFIRMING_WATCH_WAIT_MS: Ms = 1;
 const WATCH_GRACE_MS: Ms = 1_000;
 const CALL_TIMEOUT_MS: Ms = 1_500;
 const BATCH_PAUSE_MS: Ms = 60;
@@ -76,6 +77,8 @@
     failures: u32,
     gaps: u32,
     reads_snapshot: bool,
+    /// Whether the store answered the last call.
+    is_confirmed: bool,
 }
 
 struct PlayedLink {
@@ -105,7 +108,7 @@
 #[derive(Clone)]
 enum Call {
     List { is_fresh: bool },
-    Watch { after: StorePosition },
+    Watch { after: StorePosition, wait_ms: Ms },
 }
 
 #[derive(Clone)]
@@ -191,6 +194,11 @@
     NewHub {
         data_centre: usize,
     },
+    /// The waiting watches are cut; the store stays available.
+    WatchesCut,
+    FaultStrikes,
+    OutageBegins(Outage),
+    OutageEnds,
     StoreGoesDown(Restore),
     StoreComesBack(Restore),
     Copy,
@@ -285,7 +293,7 @@
     }
 
     fn schedule(&mut self) {
-        for _ in 0..6 {
+        for _ in 0..self.setting.servers {
             self.begin_server();
         }
         self.write_version();
@@ -309,7 +317,7 @@
                 _ => Event::ServerVanishes,
             };
             self.after(ms, event);
-            ms += self.random.random_range(50..900);
+            ms += self.random.random_range(50..self.setting.max_change_gap_ms);
         }
         for ms in (0..END_MS).step_by(100) {
             self.after(ms, Event::Copy);
@@ -317,6 +325,19 @@
         for ms in (1_000..END_MS).step_by(40) {
             self.after(ms, Event::Check);
         }
+        for ms in self.setting.watch_cuts_ms.clone() {
+            self.after(ms, Event::WatchesCut);
+        }
+        for ms in self.setting.faults_ms.clone() {
+            self.after(ms, Event::FaultStrikes);
+            for near_ms in (0..SETTLE_MS).step_by(700) {
+                self.after(ms + FAULT_MS + near_ms, Event::ServerVanishes);
+            }
+        }
+        for outage in self.setting.outages.clone() {
+            self.after(outage.at_ms, Event::OutageBegins(outage));
+            self.after(outage.back_ms(), Event::OutageEnds);
+        }
         for restore in self.setting.restores.clone() {
             self.after(restore.at_ms, Event::StoreGoesDown(restore));
             self.after(restore.back_ms(), Event::StoreComesBack(restore));
@@ -386,6 +407,10 @@
             Event::BoxUp { box_index } => self.box_up(box_index),
             Event::Resumes { box_index } => self.resume(box_index),
             Event::NewHub { data_centre } => self.new_hub(data_centre),
+            Event::WatchesCut => self.cut_watches_beside_removal(),
+            Event::FaultStrikes => self.apply_fault(),
+            Event::OutageBegins(outage) => self.begin_outage(outage),
+            Event::OutageEnds => self.end_outage(),
             Event::StoreGoesDown(restore) => self.store_goes_down(restore),
             Event::StoreComesBack(restore) => self.store_comes_back(restore),
             Event::Copy => self.store.copy(self.now),
@@ -588,16 +613,16 @@
 
     // The store.
 
-    fn store_goes_down(&mut self, restore: Restore) {
-        if restore.away_ms == 0 {
-            return;
-        }
-        for played in &mut self.boxes {
-            if played.disturbed_ms + SETTLE_MS > self.now {
-                // The box cannot settle before the store is back.
-                played.disturbed_ms = played.disturbed_ms.max(restore.back_ms());
-            }
+    /// Cuts the waiting watches as soon as there is one. A server's entry goes just then.
+    fn cut_watches_beside_removal(&mut self) {
+        if self.waiters.is_empty() {
+            return self.after(1, Event::WatchesCut);
         }
+        self.cut_watches();
+        self.vanish_server();
+    }
+
+    fn cut_watches(&mut self) {
         for waiter in std::mem::take(&mut self.waiters) {
             self.respond(
                 waiter.box_index,
@@ -608,6 +633,38 @@
         }
     }
 
+    /// The store becomes unavailable. Entries that cannot be written meanwhile expire.
+    fn begin_outage(&mut self, outage: Outage) {
+        self.keep_unsettled(outage.back_ms());
+        self.cut_watches();
+        for (number, id) in self.servers.keys().enumerate() {
+            if number % 2 == 0 {
+                self.store.remove_server(id);
+            }
+        }
+    }
+
+    fn end_outage(&mut self) {
+        self.schedule_rewrites();
+    }
+
+    /// Lets boxes that have not settled yet settle only after the store is back.
+    fn keep_unsettled(&mut self, back_ms: Ms) {
+        for played in &mut self.boxes {
+            if played.disturbed_ms + SETTLE_MS > self.now {
+                played.disturbed_ms = played.disturbed_ms.max(back_ms);
+            }
+        }
+    }
+
+    fn store_goes_down(&mut self, restore: Restore) {
+        if restore.away_ms == 0 {
+            return;
+        }
+        self.keep_unsettled(restore.back_ms());
+        self.cut_watches();
+    }
+
     fn store_comes_back(&mut self, restore: Restore) {
         let copied_ms = restore.at_ms.saturating_sub(restore.copy_age_ms);
         self.store.restore(copied_ms);
@@ -633,17 +690,22 @@
             }
         }
         self.after(self.setting.operator_rewrites_ms, Event::RewritesVersion);
+        self.schedule_rewrites();
+        self.after(ENTRY_TTL_MS, Event::EntriesExpire { era });
+        self.apply_fault();
+    }
+
+    /// Lets the servers write the entries that the store lacks.
+    fn schedule_rewrites(&mut self) {
         let ids: Vec<ServerId> = self.servers.keys().cloned().collect();
         for id in ids {
             let max_ms = self.setting.servers_rewrite_ms;
             let ms = self.random.random_range(0..=max_ms);
             self.after(ms, Event::Rewrites { id });
         }
-        self.after(ENTRY_TTL_MS, Event::EntriesExpire { era });
-        self.apply_fault(restore);
     }
 
-    fn apply_fault(&mut self, _restore: Restore) {
+    fn apply_fault(&mut self) {
         let hubs: Vec<BoxIndex> = self.hubs.iter().flatten().copied().collect();
         match self.setting.fault {
             Fault::HubsKilled => hubs.into_iter().for_each(|hub| self.kill(hub)),
@@ -713,11 +775,11 @@
                 };
                 self.respond(box_index, instance, number, response);
             }
-            Call::Watch { after } => {
+            Call::Watch { after, wait_ms } => {
                 if let Some(response) = self.watch_response(after, false) {
                     return self.respond(box_index, instance, number, response);
                 }
-                let until = self.now + WATCH_WAIT_MS;
+                let until = self.now + wait_ms;
                 self.waiters.push(Waiter {
                     box_index,
                     instance,
@@ -725,7 +787,7 @@
                     after,
                     until,
                 });
-                self.after(WATCH_WAIT_MS, Event::WatchEnds { number });
+                self.after(wait_ms, Event::WatchEnds { number });
             }
         }
     }
@@ -869,12 +931,18 @@
             true => Call::List {
                 is_fresh: reads_snapshot,
             },
-            false => Call::Watch { after: position },
+            false => Call::Watch {
+                after: position,
+                wait_ms: match played.reading.is_confirmed {
+                    true => WATCH_WAIT_MS,
+                    false => CONFIRMING_WATCH_WAIT_MS,
+                },
+            },
         };
         let number = self.next + 1;
         let timeout_ms = match call {
             Call::List { .. } => CALL_TIMEOUT_MS,
-            Call::Watch { .. } => WATCH_WAIT_MS + WATCH_GRACE_MS,
+            Call::Watch { wait_ms, .. } => wait_ms + WATCH_GRACE_MS,
         };
         played.reading.call = number;
         let instance = played.instance;
@@ -929,6 +997,9 @@
         {
             outcome = Err(Failure::HistoryLost);
         }
+        if outcome.is_ok() {
+            self.record_own_read(box_index);
+        }
         match outcome {
             Ok(StoreContent::Snapshot(snapshot)) => {
                 self.take_snapshot(box_index, snapshot)
@@ -943,13 +1014,16 @@
                     self.boxes[box_index].reading.own_pause_until = self.now + pause;
                 }
                 self.boxes[box_index].reading.gaps += 1;
-                return;
             }
             Err(Failure::Unavailable) => {
+                let now = self.instant();
                 let played = &mut self.boxes[box_index];
                 played.reading.failures += 1;
+                played.reading.is_confirmed = false;
                 played.freshness.record_store_failure();
-                played.registry.store_lost();
+                if played.freshness.is_store_away(now) {
+                    played.registry.store_lost();
+                }
                 let is_hub = self.hubs[box_index % DATA_CENTRES] == Some(box_index);
                 let mut pause = self.pause(self.boxes[box_index].reading.failures);
                 self.boxes[box_index].reading.own_pause_until = self.now + pause;
@@ -960,13 +1034,18 @@
                     );
                 }
                 self.boxes[box_index].reading.pause_until = self.now + pause;
-                return;
             }
         }
+    }
+
+    fn record_own_read(&mut self, box_index: BoxIndex) {
         let now = self.instant();
         let played = &mut self.boxes[box_index];
         played.reading.failures = 0;
-        played.registry.store_recovered(now);
+        played.reading.is_confirmed = true;
+        played.freshness.record_read(now);
+        let grace = played.freshness.removal_grace(now);
+        played.registry.store_read(grace.unwrap_or_default(), now);
     }
 
     fn pause(&mut self, failures: u32) -> Ms {
@@ -1080,8 +1159,7 @@
         let known = played.freshness.position();
         match update {
             CatalogUpdate::Snapshot(received) if received.snapshot.position > known => {
-                let doubtful = Duration::from_millis(received.doubtful_ms.into());
-                played.registry.store_read_by_peer(doubtful, now);
+                played.record_peer_read(received.doubtful_ms, now);
                 self.apply_snapshot(box_index, (*received).clone());
                 let own = self.boxes[box_index].snapshot(now);
                 self.forward(box_index, &own, true, Some(from));
@@ -1104,12 +1182,11 @@
                 changes,
                 doubtful_ms,
             } => {
-                let doubtful = Duration::from_millis(doubtful_ms.into());
-                played.registry.store_read_by_peer(doubtful, now);
+                played.record_peer_read(doubtful_ms, now);
                 let urgent = !changes.changes.is_empty();
                 let update = CatalogUpdate::Changes {
                     changes: changes.clone(),
-                    doubtful_ms,
+                    doubtful_ms: played.doubtful_ms(now),
                 };
                 self.forward(box_index, &update, urgent, Some(from));
                 self.apply_changes(box_index, changes);
@@ -1483,7 +1560,10 @@
         let due_ms = self.setting.activation_bound_ms();
         let is_alone = self.boxes.len() == 1 && self.setting.loses_state();
         // A change that no box may have read is due once it has been written again.
-        let is_due = |ms: Ms| ms + due_ms <= self.now && !self.setting.may_be_unread(ms);
+        let is_due = |ms: Ms| {
+            let readable_ms = self.setting.readable_ms(ms);
+            readable_ms + due_ms <= self.now && !self.setting.may_be_unread(ms)
+        };
         let due_versions = self.versions.iter().filter(|(_, ms)| is_due(**ms));
         let due_version = due_versions.map(|(version, _)| *version).max();
         let now = self.instant();
@@ -1595,6 +1675,12 @@
         has_newer || returned.any(|record| !received.returned.contains(&record.id))
     }
 
+    fn record_peer_read(&mut self, doubtful_ms: u32, now: Instant) {
+        let received = Duration::from_millis(doubtful_ms.into());
+        let grace = self.freshness.removal_grace(now).unwrap_or(received);
+        self.registry.store_read(grace, now);
+    }
+
     fn doubtful_ms(&self, now: Instant) -> u32 {
         self.registry.removal_grace_left(now).as_millis() as u32
     }
--- a/tests/tests/restore_play/mod.rs
+++ b/tests/tests/restore_play/mod.rs
@@ -1,5 +1,6 @@
 //! Simulates a fleet in virtual time whose store is restored from older copies. Boxes
 //! decide with the production code and exchange its updates; a seed determines the rest.
+#![allow(dead_code, reason = "each suite uses a part")]
 
 mod fleet;
 mod store;
@@ -63,6 +64,13 @@
     pub copy_age_ms: Ms,
 }
 
+/// A time without the store, in which entries expire that servers cannot write.
+#[derive(Debug, Clone, Copy)]
+pub struct Outage {
+    pub at_ms: Ms,
+    pub away_ms: Ms,
+}
+
 /// What happens to a watch that is waiting when the store is restored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WaitingWatch {
@@ -76,8 +84,17 @@
 pub struct Setting {
     pub seed: u64,
     pub boxes: usize,
+    /// Servers that have begun before the boxes.
+    pub servers: usize,
+    /// Upper bound on the time between two changes of bundles and servers.
+    pub max_change_gap_ms: Ms,
     pub restores: Vec<Restore>,
+    /// When the waiting watches of all boxes are cut while the store is available.
+    pub watch_cuts_ms: Vec<Ms>,
+    pub outages: Vec<Outage>,
     pub fault: Fault,
+    /// When the fault strikes apart from the restores.
+    pub faults_ms: Vec<Ms>,
     pub waiting_watch: WaitingWatch,
     /// Time from the restore until the operator writes a bundle again that the copy
     /// lacks.
@@ -121,7 +138,12 @@
         Self {
             seed,
             boxes,
+            servers: 6,
+            max_change_gap_ms: 900,
             restores,
+            watch_cuts_ms: Vec::new(),
+            outages: Vec::new(),
+            faults_ms: Vec::new(),
             fault: faults[one_of(&[0, 1, 2, 3, 4, 5, 6, 7]) as usize],
             waiting_watch: watches[one_of(&[0, 1, 2]) as usize],
             operator_rewrites_ms: one_of(&[0, 10, 1_000, 1_900]),
@@ -129,6 +151,17 @@
         }
     }
 
+    /// A play in which the store is never restored.
+    pub fn unrestored(seed: u64, boxes: usize) -> Self {
+        Self {
+            boxes,
+            servers: 50,
+            restores: Vec::new(),
+            fault: Fault::None,
+            ..Self::drawn(seed)
+        }
+    }
+
     /// Returns whether a change was acknowledged so shortly before a restore that no box
     /// may have read it.
     pub fn may_be_unread(&self, acked_ms: Ms) -> bool {
@@ -142,6 +175,15 @@
             .any(|restore| unread.contains(&restore.at_ms))
     }
 
+    /// Returns when boxes could read a change: after an outage, if it was acknowledged so
+    /// shortly before that no box may have read it.
+    pub fn readable_ms(&self, acked_ms: Ms) -> Ms {
+        let unread = acked_ms..acked_ms + UNREAD_MS;
+        let mut outages = self.outages.iter();
+        let outage = outages.find(|outage| unread.contains(&outage.at_ms));
+        outage.map_or(acked_ms, Outage::back_ms)
+    }
+
     /// Returns the time within which a change must be active.
     pub fn activation_bound_ms(&self) -> Ms {
         match self.fault {
@@ -155,6 +197,16 @@
     /// Returns whether boxes may still keep a server whose entry vanished, because it
     /// vanished around a restore, or while responses of the store are late or lost.
     pub fn is_in_doubt(&self, vanished_ms: Ms, now: Ms) -> bool {
+        let mut outages = self.outages.iter();
+        let is_near_outage = outages.any(|outage| {
+            let unread_ms = outage.at_ms - ACTIVATION_BOUND_MS;
+            let settled_ms = outage.back_ms() + SETTLE_MS;
+            (unread_ms..settled_ms).contains(&vanished_ms)
+                && now < settled_ms + ACTIVATION_BOUND_MS
+        });
+        if is_near_outage {
+            return true;
+        }
         let responses_fail =
             matches!(self.fault, Fault::LateAnswers | Fault::LostAnswers);
         let mut restores = self.restores.iter();
@@ -188,7 +240,15 @@
 
     pub fn is_store_unavailable(&self, ms: Ms) -> bool {
         let mut restores = self.restores.iter();
+        let mut outages = self.outages.iter();
         restores.any(|restore| (restore.at_ms..restore.back_ms()).contains(&ms))
+            || outages.any(|outage| (outage.at_ms..outage.back_ms()).contains(&ms))
+    }
+}
+
+impl Outage {
+    pub fn back_ms(&self) -> Ms {
+        self.at_ms + self.away_ms
     }
 }
 
--- a/tests/tests/server_list.rs
+++ b/tests/tests/server_list.rs
@@ -45,7 +45,7 @@
     let now = Instant::now();
     let mut registry = with(&["back", "lost"]);
     registry.store_lost();
-    registry.store_recovered(now);
+    registry.store_read(STORE_RECOVERY_GRACE, now);
     assert_eq!(registry.replace(Vec::new(), now), []);
     let almost = now + STORE_RECOVERY_GRACE - Duration::from_millis(1);
     assert_eq!(registry.finish_grace(almost), []);
@@ -83,12 +83,12 @@
     let now = Instant::now();
     let mut registry = with(&["a"]);
     registry.store_lost();
-    registry.store_recovered(now);
+    registry.store_read(STORE_RECOVERY_GRACE, now);
     registry.remove("a", now);
     registry.store_lost();
     assert_eq!(registry.finish_grace(now + STORE_RECOVERY_GRACE), []);
     let recovered = now + Duration::from_secs(5);
-    registry.store_recovered(recovered);
+    registry.store_read(STORE_RECOVERY_GRACE, recovered);
     assert_eq!(
         registry.finish_grace(recovered + Duration::from_secs(1)),
         []
@@ -103,7 +103,7 @@
 fn doubt_that_another_box_tells_of_holds_here_too() {
     let now = Instant::now();
     let mut registry = with(&["a"]);
-    registry.store_read_by_peer(Duration::from_millis(800), now);
+    registry.store_read(Duration::from_millis(800), now);
     assert_eq!(registry.remove("a", now), None);
     assert_eq!(registry.finish_grace(now + Duration::from_millis(700)), []);
     assert_eq!(
@@ -216,7 +216,7 @@
 fn box_that_starts_after_a_restore_is_told_of_missing_and_of_gone_servers() {
     let now = Instant::now();
     let mut starting = ServerRegistry::default();
-    starting.store_read_by_peer(STORE_RECOVERY_GRACE, now);
+    starting.store_read(STORE_RECOVERY_GRACE, now);
     let snapshot = vec![record("kept"), record("gone")];
     let changes = starting.replace_restored(snapshot, &["gone".into()], now);
     assert_eq!(changes, [RegistryChange::Updated(record("kept"))]);
