A connection speaks HTTP/2 only once the whole preface has arrived

What callers saw: a POST whose first byte came 0.2 s before the rest got 33 bytes of an HTTP/2 SETTINGS frame and the end of the connection; it was neither run nor answered.

Cause: the listener peeked once and compared the bytes that were there with the first four of the HTTP/2 preface, so "P" alone was enough. All listeners share the code: callers, other boxes, operators, metrics, and wingspur-entry.

Evidence: the 33 bytes are a SETTINGS frame, which only the HTTP/2 server writes, and they come at once, so neither a time limit nor the HTTP/1.1 parser made them. The new line 'listen: a connection speaks HTTP/2.' tells this in the log.

Change: the bytes are read until they are the whole preface or differ from it, and then the HTTP server reads them again (AcceptedStream). So that a begun preface cannot hold its connection, a head or a preface has the head timeout from its first byte on, on every connection and for each head of it. That is now the configuration's limit; it was 30 s for heads, whatever the configuration said, and none for prefaces. An idle connection keeps its limit of 30 s.

--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -9,7 +9,8 @@
 use smol::net::TcpListener;
 use wingspur_protocol::HeaderNames;
 use wingspur_transport::{
-    Catalog, HttpListener, ListenerOptions, Spawner, StopSignal, StopTrigger, stop_pair,
+    Catalog, HeadTimeout, HttpListener, ListenerOptions, Spawner, StopSignal,
+    StopTrigger, stop_pair,
 };
 
 use crate::catalog::announce::{run_announcement, withdraw_announcement};
@@ -87,7 +88,12 @@
         let caller_shared = shared.clone();
         let handler =
             move |request, from| handle_request(caller_shared.clone(), request, from);
-        let callers = HttpListener::start(caller_port, spawner, options.clone(), handler);
+        let caller_shared = shared.clone();
+        let caller_options = ListenerOptions {
+            head_timeout: HeadTimeout::new(move || caller_shared.head_timeout()),
+            ..options.clone()
+        };
+        let callers = HttpListener::start(caller_port, spawner, caller_options, handler);
         let callers = callers.map_err(|error| listener_error("caller_address", error))?;
         let peer_shared = shared.clone();
         let handlers = link_handlers();
--- a/crates/wingspur-edge/src/edge_state.rs
+++ b/crates/wingspur-edge/src/edge_state.rs
@@ -186,6 +186,13 @@
         self.active_bundle.lock().clone()
     }
 
+    /// Returns how long the head of a caller's request may take to arrive.
+    pub fn head_timeout(&self) -> Duration {
+        let active = self.active_bundle();
+        let limits = active.map(|active| active.bundle.caller_limits);
+        limits.unwrap_or_default().head_timeout()
+    }
+
     /// Returns the version of the active bundle; 0 if there is none.
     pub fn bundle_version(&self) -> u64 {
         self.active_bundle().map_or(0, |bundle| bundle.version())
--- a/crates/wingspur-entry/src/active_bundle.rs
+++ b/crates/wingspur-entry/src/active_bundle.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use wingspur_protocol::{Manifest, SignedBundle};
 use wingspur_state::{
@@ -25,6 +25,8 @@
     pub parts: HashMap<String, Vec<u8>>,
     /// The header that names the caller's account.
     pub account_header: String,
+    /// How long the head of a caller's request may take to arrive.
+    pub head_timeout: Duration,
     /// The route table.
     pub routes: RouteTable,
     /// The services, in the bundle's order.
@@ -70,6 +72,7 @@
             manifest,
             parts,
             account_header: bundle.account_header,
+            head_timeout: bundle.caller_limits.head_timeout(),
             routes,
             services,
             activated_at: wingspur_clock::now(),
--- a/crates/wingspur-entry/src/entry_box.rs
+++ b/crates/wingspur-entry/src/entry_box.rs
@@ -9,8 +9,8 @@
 use wingspur_coordination::MembershipSettings;
 use wingspur_edge::{Metrics, Settings, ShutdownSchedule};
 use wingspur_transport::{
-    FaultInjector, HttpListener, ListenerOptions, Spawner, StopTrigger, TlsError,
-    TlsFiles, TlsIdentity, stop_pair,
+    FaultInjector, HeadTimeout, HttpListener, ListenerOptions, Spawner, StopTrigger,
+    TlsError, TlsFiles, TlsIdentity, stop_pair,
 };
 
 use crate::bundles::{load_initial_bundle, run_pointer_watch};
@@ -89,7 +89,12 @@
         let proxy = Proxy::new(shared.clone());
         let options = ListenerOptions::default();
         let handler = move |request, from| proxy.clone().answer(request, from);
-        let callers = listen(caller_port, spawner, options.clone(), handler)?;
+        let caller_shared = shared.clone();
+        let caller_options = ListenerOptions {
+            head_timeout: HeadTimeout::new(move || caller_shared.head_timeout()),
+            ..options.clone()
+        };
+        let callers = listen(caller_port, spawner, caller_options, handler)?;
         let peer_shared = shared.clone();
         let handler = move |request, _| handle_peer_request(peer_shared.clone(), request);
         let peer_options = ListenerOptions {
--- a/crates/wingspur-entry/src/entry_state.rs
+++ b/crates/wingspur-entry/src/entry_state.rs
@@ -9,7 +9,7 @@
 use wingspur_protocol::{
     PEER_PROTOCOL_VERSION, PeerEnvelope, PeerMessage, PeerReply, StoreKeys, encode_peer,
 };
-use wingspur_state::{AccountLimiter, BoxId};
+use wingspur_state::{AccountLimiter, BoxId, CallerLimits};
 use wingspur_transport::{FaultInjector, HttpClient, Spawner, StoreClient, TlsIdentity};
 
 use wingspur_edge::{LockRank, Metrics, OwnSources, RankedMutex, Settings, Shutdown};
@@ -123,6 +123,13 @@
         self.active.lock().clone()
     }
 
+    /// Returns how long the head of a caller's request may take to arrive.
+    pub fn head_timeout(&self) -> Duration {
+        let active = self.active_bundle();
+        let timeout = active.map(|active| active.head_timeout);
+        timeout.unwrap_or_else(|| CallerLimits::default().head_timeout())
+    }
+
     /// Activates a bundle if it is newer than the active one; returns whether it was.
     pub fn activate_if_newer(&self, bundle: ActiveBundle) -> bool {
         let mut active = self.active.lock();
--- a/crates/wingspur-state/src/bundle.rs
+++ b/crates/wingspur-state/src/bundle.rs
@@ -98,6 +98,13 @@
     pub idle_timeout_ms: u64,
 }
 
+impl CallerLimits {
+    /// Returns how long a request's head may take to arrive.
+    pub fn head_timeout(&self) -> Duration {
+        Duration::from_millis(self.head_timeout_ms)
+    }
+}
+
 impl Default for CallerLimits {
     fn default() -> Self {
         Self {
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -1,6 +1,7 @@
 //! Network code: listeners, connections to backend servers, the store client and the peer
 //! client.
 
+mod accepted_stream;
 mod backend;
 mod body;
 mod catalog;
@@ -18,6 +19,7 @@
 mod tls;
 mod workers;
 
+pub use accepted_stream::HeadTimeout;
 pub use backend::{
     BackendConnection, BackendConnections, ConnectError, ResponseHead, ReusePolicy,
 };
--- a/crates/wingspur-transport/src/listener.rs
+++ b/crates/wingspur-transport/src/listener.rs
@@ -16,7 +16,11 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
 
-use crate::{PeerCertificate, Spawner, StopSignal, StopTrigger, TlsIdentity, stop_pair};
+use crate::accepted_stream::{AcceptedStream, HeadTimer, HttpVersion};
+use crate::{
+    HeadTimeout, PeerCertificate, Spawner, StopSignal, StopTrigger, TlsIdentity,
+    stop_pair,
+};
 
 /// Accepts connections and serves HTTP/1.1 and HTTP/2 on them.
 #[derive(Debug)]
@@ -39,13 +43,20 @@
     pub broken: AtomicUsize,
     /// Connections that the stop closed while no request was in progress on them.
     pub closed_idle: AtomicUsize,
+    /// Connections over HTTP/2, since the start.
+    pub http2: AtomicUsize,
+    /// Connections that ended since a request head took too long, since the start.
+    pub late_heads: AtomicUsize,
 }
 
 /// Limits and TLS of a listener's connections.
 #[derive(Debug, Clone)]
 pub struct ListenerOptions {
-    /// How long a request head may take to arrive, and a TLS handshake to complete.
-    pub head_timeout: Duration,
+    /// How long a request head may take to arrive from its first byte on, and a TLS
+    /// handshake to complete.
+    pub head_timeout: HeadTimeout,
+    /// How long a connection that was used may be idle.
+    pub idle_timeout: Duration,
     /// The largest request head, in bytes; HTTP/1.1 connections accept at least 8 KiB.
     pub max_head_bytes: usize,
     /// The TLS identity of the box. With one, connections use HTTP/1.1 over mutual TLS
@@ -56,7 +67,8 @@
 impl Default for ListenerOptions {
     fn default() -> Self {
         Self {
-            head_timeout: Duration::from_secs(30),
+            head_timeout: HeadTimeout::fixed(Duration::from_secs(30)),
+            idle_timeout: Duration::from_secs(30),
             max_head_bytes: 64 << 10,
             identity: None,
         }
@@ -196,23 +208,32 @@
             };
             let stream = accepted?;
             let certificate = peer_certificate(&stream);
-            return self
-                .serve_http1(FuturesIo::new(stream), from, certificate)
-                .await;
+            let stream = AcceptedStream::new(stream);
+            return self.serve_http1(stream, from, certificate).await;
         }
-        let Some(is_http2) = self.until_stop(has_http2_preface(&stream)).await else {
+        let mut stream = AcceptedStream::new(stream);
+        let detecting = stream.detect_version(&self.options.head_timeout);
+        let Some(version) = self.until_stop(detecting).await else {
             return Ok(());
         };
-        let io = FuturesIo::new(stream);
-        if is_http2? {
-            return self.serve_http2(io, from).await;
+        let version = version.inspect_err(|error| {
+            if error.kind() == std::io::ErrorKind::TimedOut {
+                self.count_late_head(from, "HTTP/2");
+            }
+        });
+        match version? {
+            HttpVersion::Http1 => self.serve_http1(stream, from, None).await,
+            HttpVersion::Http2 => {
+                self.counts.http2.fetch_add(1, Ordering::AcqRel);
+                tracing::info!(%from, "listen: a connection speaks HTTP/2.");
+                self.serve_http2(stream, from).await
+            }
         }
-        self.serve_http1(io, from, None).await
     }
 
     async fn serve_http1<S>(
         &self,
-        io: FuturesIo<S>,
+        stream: AcceptedStream<S>,
         from: SocketAddr,
         certificate: Option<PeerCertificate>,
     ) -> Result<(), Box<dyn std::error::Error + Send + Sync>>
@@ -220,8 +241,11 @@
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
         let mut builder = hyper::server::conn::http1::Builder::new();
-        builder.timer(SmolTimer::new());
-        builder.header_read_timeout(self.options.head_timeout);
+        builder.timer(HeadTimer {
+            arrival: stream.arrival().clone(),
+            head_timeout: self.options.head_timeout.clone(),
+        });
+        builder.header_read_timeout(self.options.idle_timeout);
         builder.max_buf_size(self.options.max_head_bytes.max(8 << 10));
         let request_counts = RequestCounts::default();
         let service = service_fn(|mut request: Request<Incoming>| {
@@ -230,6 +254,8 @@
             }
             self.handle_request(request, from, &request_counts)
         });
+        let arrival = stream.arrival().clone();
+        let io = FuturesIo::new(stream);
         let mut connection = pin!(builder.serve_connection(io, service));
         let result = match self.until_stop(connection.as_mut()).await {
             Some(result) => result,
@@ -242,12 +268,16 @@
         // The connection still holds the futures of interrupted requests, so they are
         // still counted here.
         self.log_interrupted_requests(from, &request_counts, &result);
+        let is_timeout = result.as_ref().is_err_and(hyper::Error::is_timeout);
+        if is_timeout && arrival.began_at().is_some() {
+            self.count_late_head(from, "HTTP/1.1");
+        }
         Ok(result?)
     }
 
     async fn serve_http2(
         &self,
-        io: FuturesIo<TcpStream>,
+        stream: AcceptedStream<TcpStream>,
         from: SocketAddr,
     ) -> Result<(), Box<dyn std::error::Error + Send + Sync>> {
         let executor = SmolExecutor::new(self.spawner.clone());
@@ -262,6 +292,7 @@
             let (server, request_counts) = (server.clone(), service_counts.clone());
             async move { server.handle_request(request, from, &request_counts).await }
         });
+        let io = FuturesIo::new(stream);
         let mut connection = pin!(builder.serve_connection(io, service));
         let result = match self.until_stop(connection.as_mut()).await {
             Some(result) => result,
@@ -321,13 +352,21 @@
         );
     }
 
+    /// Counts and logs a connection whose client began a request head, or the preface of
+    /// HTTP/2, and did not complete it in time.
+    fn count_late_head(&self, from: SocketAddr, protocol: &str) {
+        self.counts.late_heads.fetch_add(1, Ordering::AcqRel);
+        let head_timeout_ms = self.options.head_timeout.get().as_millis() as u64;
+        tracing::info!(%from, protocol, head_timeout_ms, "listen: a head took too long.");
+    }
+
     /// Waits for a TLS handshake, at most `head_timeout`; then fails with `TimedOut`.
     async fn with_head_timeout<T>(
         &self,
         future: impl Future<Output = std::io::Result<T>>,
     ) -> std::io::Result<T> {
         let expired = async {
-            wingspur_clock::sleep(self.options.head_timeout).await;
+            wingspur_clock::sleep(self.options.head_timeout.get()).await;
             Err(std::io::ErrorKind::TimedOut.into())
         };
         future.or(expired).await
@@ -361,14 +400,6 @@
     Some(PeerCertificate::new(certificate.clone().into_owned()))
 }
 
-/// Returns whether the client speaks HTTP/2 by prior knowledge. Its preface cannot be the
-/// start of an HTTP/1.1 request.
-async fn has_http2_preface(stream: &TcpStream) -> std::io::Result<bool> {
-    let mut start = [0; HTTP2_PREFACE.len()];
-    let length = stream.peek(&mut start).await?;
-    Ok(length > 0 && start[..length] == HTTP2_PREFACE[..length])
-}
-
 /// Decrements a count when it is dropped.
 struct CountGuard<'a>(&'a AtomicUsize);
 
@@ -378,8 +409,6 @@
     }
 }
 
-/// The start of the HTTP/2 connection preface.
-const HTTP2_PREFACE: &[u8] = b"PRI ";
 /// The delay after a failed accept, before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
