A reader asks the store again soon after a single failed call

Where the hubs have lost the store, a member reads it. If its watch is cut once, it waits 2 to 4 s before it asks again, and a server that leaves meanwhile is used for longer than 2 s.

Cause: a box that is no hub leaves further tries to boxes that also fail, in order to spare a store that is away. It did so after one failed call, which a cut connection explains as well.

Evidence: play of 4 boxes (three hubs without the store, watches cut from 9.5 s on): box 3 still uses a server at 11.52 s whose entry went at 9.5 s. The new test reader_whose_watch_is_cut_while_the_hubs_lost_the_store_asks_again fails before and passes after.

Change: only from the second failure in a row on.

--- a/crates/wingspur-edge/src/catalog/catalog_watch.rs
+++ b/crates/wingspur-edge/src/catalog/catalog_watch.rs
@@ -324,15 +324,17 @@
 /// Waits before the next try to read the store; a restore of the store ends the wait.
 ///
 /// While another box keeps trying, a rare try is enough here, in case the store rejects
-/// only some of the boxes. A hub always keeps trying itself, even one that has just taken
-/// over: two hubs that waited for each other would both be late.
+/// only some of the boxes. A single failure may be a cut connection, so this box asks
+/// again soon: it may be the only one that reaches the store. A hub always keeps trying
+/// itself, even one that has just taken over: two hubs that waited for each other would
+/// both be late.
 async fn wait_to_retry(shared: &EdgeState, failures: u32) {
     let began = wingspur_clock::now();
     let (own_delay, deferred_delay) =
         (retry_backoff(failures), jittered(DEFERRED_RETRY_INTERVAL));
     loop {
         let waited = wingspur_clock::since(began);
-        let delay = if may_defer_read(shared) {
+        let delay = if failures > 1 && may_defer_read(shared) {
             deferred_delay
         } else {
             own_delay
--- a/tests/tests/restore_play/fleet.rs
+++ b/tests/tests/restore_play/fleet.rs
@@ -748,6 +748,8 @@
         call: Call,
     ) {
         if !self.has_store(box_index) {
+            let is_hub = self.hubs.contains(&Some(box_index));
+            self.outcome.vain_member_calls += usize::from(!is_hub);
             return self.respond(box_index, instance, number, unavailable());
         }
         match call {
@@ -917,7 +919,8 @@
             return;
         }
         let reading = &played.reading;
-        let pause_until = match played.freshness.may_defer_read(is_hub) {
+        let defers = reading.failures > 1 && played.freshness.may_defer_read(is_hub);
+        let pause_until = match defers {
             true => reading.pause_until,
             false => reading.pause_until.min(reading.own_pause_until),
         };
--- a/tests/tests/restore_play/mod.rs
+++ b/tests/tests/restore_play/mod.rs
@@ -265,6 +265,8 @@
     /// Number of checks, so that a play that checks nothing is noticed.
     pub checks: usize,
     pub listings: usize,
+    /// Calls of boxes that are no hubs while the store is unavailable.
+    pub vain_member_calls: usize,
 }
 
 impl Outcome {
--- a/tests/tests/store_outages_play.rs
+++ b/tests/tests/store_outages_play.rs
@@ -45,6 +45,40 @@
     }
 }
 
+/// Acting too late: readers whose watches are cut leave the store to hubs that lost it.
+#[test]
+fn reader_whose_watch_is_cut_while_the_hubs_lost_the_store_asks_again() {
+    for (seed, boxes) in (0..SEEDS).flat_map(|s| [4, 8, 40].map(|boxes| (s, boxes))) {
+        for every_ms in [700, 1_500] {
+            assert_holds(Setting {
+                fault: Fault::HubsWithoutStore,
+                faults_ms: vec![8_000],
+                watch_cuts_ms: (9_500..12_000).step_by(every_ms).collect(),
+                max_change_gap_ms: 6_000,
+                ..Setting::unrestored(seed, boxes)
+            });
+        }
+    }
+}
+
+/// Acting too early: members ask the store as often as hubs while it is away.
+#[test]
+fn members_ask_rarely_while_the_store_is_away() {
+    for seed in 0..SEEDS {
+        let outcome = Play::run(Setting {
+            outages: vec![Outage {
+                at_ms: 8_000,
+                away_ms: 10_000,
+            }],
+            ..Setting::unrestored(seed, 40)
+        });
+        // Two calls soon after another, then one in two to four seconds.
+        let most = (2 + 10 / 2) * (40 - 3);
+        let calls = outcome.vain_member_calls;
+        assert!((1..=most).contains(&calls), "{calls} calls of {most}");
+    }
+}
+
 /// Acting too early: servers are dropped whose entries expired while the store was away.
 #[test]
 fn server_whose_entry_expired_in_an_outage_stays_in_use() {
