A failed call drops the idle connections to the same address

What callers saw: nothing yet; found on the paths that delay a watch. Where open connections go silent without a reset, the watch of the store ends by its timeout, and its retry took the next idle connection, silent as well: 1 s more for each of up to four of them, in which the box learns of no server that leaves.

Evidence: retry_of_a_call_does_not_use_another_silent_connection, three idle connections that went silent: the retry timed out before, and uses a new connection now. connection_is_reused_while_calls_succeed passes on both.

--- a/crates/wingspur-transport/src/http_client.rs
+++ b/crates/wingspur-transport/src/http_client.rs
@@ -247,9 +247,12 @@
         timeout: Duration,
     ) -> Result<(Parts, Bytes), HttpClientError> {
         self.calls.fetch_add(1, Ordering::Relaxed);
-        self.send_and_read(to, request)
-            .or(fail_after(timeout))
-            .await
+        let response = self.send_and_read(to, request).or(fail_after(timeout));
+        let response = response.await;
+        if response.is_err() {
+            self.drop_idle(to);
+        }
+        response
     }
 
     async fn send_and_read(
@@ -304,6 +307,12 @@
         None
     }
 
+    /// Drops the idle connections to an address. What made a call fail may have made them
+    /// silent too, and a retry on each would wait for its timeout.
+    fn drop_idle(&self, to: SocketAddr) {
+        self.idle.lock().expect("no holder panics").remove(&to);
+    }
+
     fn keep_idle(&self, to: SocketAddr, sender: SendRequest<Full<Bytes>>) {
         let mut idle = self.idle.lock().expect("no holder panics");
         let senders = idle.entry(to).or_default();
