HTTP/2 frames with heads have the head timeout too

Found on the paths that share the preface check: a connection whose preface was whole had no limit for its SETTINGS frame, for a header block or for any other frame that was begun and not completed.

Change: FrameTracker follows the frames; from the first byte of the preface to the end of SETTINGS, and for a header block or a frame without data, the head timeout holds. Data has the deadline of its request. A connection that carried no request is dropped; another one ends gracefully, so that responses on their way still arrive, within the idle time.

--- a/crates/wingspur-transport/src/accepted_stream.rs
+++ b/crates/wingspur-transport/src/accepted_stream.rs
@@ -21,6 +21,8 @@
     /// How many of them the HTTP server has read.
     replayed: usize,
     arrival: Arc<HeadArrival>,
+    /// The frames of a connection that speaks HTTP/2.
+    frames: Option<FrameTracker>,
 }
 
 /// The protocol that the first bytes of a connection show.
@@ -57,6 +59,7 @@
             start: Vec::new(),
             replayed: 0,
             arrival: Arc::default(),
+            frames: None,
         }
     }
 
@@ -83,6 +86,7 @@
                 return Ok(HttpVersion::Http1);
             }
         }
+        self.frames = Some(FrameTracker::default());
         Ok(HttpVersion::Http2)
     }
 
@@ -92,14 +96,11 @@
         &mut self,
         head_timeout: &HeadTimeout,
     ) -> Result<Option<Vec<u8>>> {
-        let began_at = self.arrival.began_at();
+        let deadline = HeadDeadline::new(self.arrival.clone(), head_timeout.clone());
         let mut received = vec![0; HTTP2_PREFACE.len() - self.start.len()];
         let reading = self.stream.read(&mut received);
         let expired = async {
-            match began_at {
-                Some(at) => wingspur_clock::sleep_until(at + head_timeout.get()).await,
-                None => futures_lite::future::pending().await,
-            }
+            deadline.await;
             Err(std::io::ErrorKind::TimedOut.into())
         };
         let length = reading.or(expired).await?;
@@ -127,8 +128,13 @@
             return Poll::Ready(Ok(length));
         }
         let length = ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?;
-        if length > 0 {
-            this.arrival.note_bytes();
+        match &mut this.frames {
+            Some(frames) => {
+                frames.receive(&buffer[..length]);
+                this.arrival.note_frames(frames.is_head_arriving());
+            }
+            None if length > 0 => this.arrival.note_bytes(),
+            None => {}
         }
         Poll::Ready(Ok(length))
     }
@@ -202,6 +208,15 @@
         }
     }
 
+    /// Records whether a head is arriving on an HTTP/2 connection.
+    fn note_frames(&self, is_head_arriving: bool) {
+        let mut state = self.lock();
+        state.began_at = match is_head_arriving {
+            true => state.began_at.or_else(|| Some(wingspur_clock::now())),
+            false => None,
+        };
+    }
+
     fn await_head(&self) {
         self.lock().is_awaited = true;
     }
@@ -251,23 +266,19 @@
 
     fn sleep_until(&self, idle_until: Instant) -> Pin<Box<dyn Sleep>> {
         self.arrival.await_head();
+        let (arrival, head_timeout) = (self.arrival.clone(), self.head_timeout.clone());
         Box::pin(HeadSleep {
-            arrival: self.arrival.clone(),
-            head_timeout: self.head_timeout.clone(),
-            timer: Mutex::new(wingspur_clock::Timer::at(idle_until)),
-            has_begun: false,
+            idle: Mutex::new(wingspur_clock::Timer::at(idle_until)),
+            deadline: HeadDeadline::new(arrival, head_timeout),
         })
     }
 }
 
 /// Ends when the idle time is over, or when the head that is arriving takes too long.
 struct HeadSleep {
-    arrival: Arc<HeadArrival>,
-    head_timeout: HeadTimeout,
-    /// Ends with the idle time, or with the head's time once a head has begun. The mutex
-    /// only makes it `Sync`, which a sleep has to be.
-    timer: Mutex<wingspur_clock::Timer>,
-    has_begun: bool,
+    /// The mutex only makes the timer `Sync`, which a sleep has to be.
+    idle: Mutex<wingspur_clock::Timer>,
+    deadline: HeadDeadline,
 }
 
 impl Sleep for HeadSleep {}
@@ -277,22 +288,120 @@
 
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
         let this = &mut *self;
-        let timer = this.timer.get_mut().expect("no holder panics");
-        if !this.has_begun
-            && let Some(began_at) = this.arrival.began_at()
-        {
-            this.has_begun = true;
-            *timer = wingspur_clock::Timer::at(began_at + this.head_timeout.get());
+        if this.deadline.arrival.began_at().is_some() {
+            return Pin::new(&mut this.deadline).poll(context);
         }
-        Pin::new(timer).poll(context)
+        let idle = this.idle.get_mut().expect("no holder panics");
+        Pin::new(idle).poll(context)
     }
 }
 
 impl Drop for HeadSleep {
     fn drop(&mut self) {
-        self.arrival.end_head();
+        self.deadline.arrival.end_head();
+    }
+}
+
+/// Ends when the head that is arriving takes too long. It notices that a head begins when
+/// it is polled, so it is polled in one task with the stream, after it.
+pub struct HeadDeadline {
+    arrival: Arc<HeadArrival>,
+    head_timeout: HeadTimeout,
+    /// When the head began, and the end of its time. The mutex only makes the timer
+    /// `Sync`.
+    timer: Option<(Instant, Mutex<wingspur_clock::Timer>)>,
+}
+
+impl HeadDeadline {
+    /// Creates a deadline for the heads of a stream.
+    pub fn new(arrival: Arc<HeadArrival>, head_timeout: HeadTimeout) -> Self {
+        Self {
+            arrival,
+            head_timeout,
+            timer: None,
+        }
+    }
+}
+
+impl Future for HeadDeadline {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        let this = &mut *self;
+        let Some(began_at) = this.arrival.began_at() else {
+            this.timer = None;
+            return Poll::Pending;
+        };
+        this.timer.take_if(|(known, _)| *known != began_at);
+        let (_, timer) = this.timer.get_or_insert_with(|| {
+            let ends_at = began_at + this.head_timeout.get();
+            (began_at, Mutex::new(wingspur_clock::Timer::at(ends_at)))
+        });
+        Pin::new(timer.get_mut().expect("no holder panics")).poll(context)
+    }
+}
+
+/// Follows the frames that an HTTP/2 client sends after the preface.
+#[derive(Debug, Default)]
+struct FrameTracker {
+    /// The header of the current frame, as far as it has arrived.
+    header: Vec<u8>,
+    /// Bytes of the current frame's payload that have not arrived.
+    payload_left: usize,
+    /// Whether the SETTINGS frame, which completes the preface, has arrived.
+    has_settings: bool,
+    /// Whether further frames of a header block must follow.
+    is_block_open: bool,
+}
+
+impl FrameTracker {
+    fn receive(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            if self.header.len() < FRAME_HEADER_BYTES {
+                let missing = FRAME_HEADER_BYTES - self.header.len();
+                let (header, rest) = bytes.split_at(missing.min(bytes.len()));
+                self.header.extend(header);
+                bytes = rest;
+                if self.header.len() == FRAME_HEADER_BYTES {
+                    let length = self.header[..3].iter();
+                    self.payload_left =
+                        length.fold(0, |length, byte| length << 8 | usize::from(*byte));
+                }
+            }
+            let payload = self.payload_left.min(bytes.len());
+            self.payload_left -= payload;
+            bytes = &bytes[payload..];
+            if self.header.len() == FRAME_HEADER_BYTES && self.payload_left == 0 {
+                self.end_frame();
+            }
+        }
+    }
+
+    fn end_frame(&mut self) {
+        let (kind, flags) = (self.header[3], self.header[4]);
+        if matches!(kind, HEADERS_FRAME | CONTINUATION_FRAME) {
+            self.is_block_open = flags & END_HEADERS == 0;
+        }
+        self.has_settings = true;
+        self.header.clear();
+    }
+
+    /// Returns whether the preface, a header block or any frame but one with data has
+    /// arrived in part only.
+    fn is_head_arriving(&self) -> bool {
+        let is_data = self.header.get(3) == Some(&DATA_FRAME);
+        let is_in_frame = !self.header.is_empty() && !is_data;
+        !self.has_settings || self.is_block_open || is_in_frame
     }
 }
 
 /// What an HTTP/2 client sends first (RFC 9113, section 3.4).
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+/// The bytes of a frame's header: three of the payload's length, one each of the type and
+/// the flags, and four of the stream (RFC 9113, section 4.1).
+const FRAME_HEADER_BYTES: usize = 9;
+const DATA_FRAME: u8 = 0;
+const HEADERS_FRAME: u8 = 1;
+const CONTINUATION_FRAME: u8 = 9;
+/// The flag of a frame that ends a header block.
+const END_HEADERS: u8 = 4;
--- a/crates/wingspur-transport/src/listener.rs
+++ b/crates/wingspur-transport/src/listener.rs
@@ -16,7 +16,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
 
-use crate::accepted_stream::{AcceptedStream, HeadTimer, HttpVersion};
+use crate::accepted_stream::{AcceptedStream, HeadDeadline, HeadTimer, HttpVersion};
 use crate::{
     HeadTimeout, PeerCertificate, Spawner, StopSignal, StopTrigger, TlsIdentity,
     stop_pair,
@@ -292,10 +292,30 @@
             let (server, request_counts) = (server.clone(), service_counts.clone());
             async move { server.handle_request(request, from, &request_counts).await }
         });
+        let head_timeout = self.options.head_timeout.clone();
+        let late_head = HeadDeadline::new(stream.arrival().clone(), head_timeout);
         let io = FuturesIo::new(stream);
         let mut connection = pin!(builder.serve_connection(io, service));
-        let result = match self.until_stop(connection.as_mut()).await {
-            Some(result) => result,
+        let served = async { Some(connection.as_mut().await) };
+        let late = async {
+            late_head.await;
+            None
+        };
+        let result = match self.until_stop(served.or(late)).await {
+            Some(Some(result)) => result,
+            Some(None) => {
+                self.count_late_head(from, "HTTP/2");
+                if request_counts.started.load(Ordering::Acquire) == 0 {
+                    return Ok(());
+                }
+                // Responses to earlier requests may still be on their way.
+                connection.as_mut().graceful_shutdown();
+                let expired = async {
+                    wingspur_clock::sleep(self.options.idle_timeout).await;
+                    Ok(())
+                };
+                connection.as_mut().or(expired).await
+            }
             None => {
                 self.count_closed_idle(&request_counts);
                 connection.as_mut().graceful_shutdown();
--- a/tests/tests/split_heads.rs
+++ b/tests/tests/split_heads.rs
@@ -2,15 +2,18 @@
 
 mod edge;
 
+use std::convert::Infallible;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use edge::{Deployment, Route, configuration};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Bytes, Incoming};
+use futures_lite::StreamExt;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Bytes, Frame, Incoming};
 use hyper::{Request, Response};
+use smol_hyper::rt::{FuturesIo, SmolExecutor};
 use wingspur_tests::{BackendServer, Reply};
 use wingspur_transport::{HeadTimeout, HttpListener, ListenerOptions, Workers};
 
@@ -18,6 +21,8 @@
 /// A SETTINGS frame without settings.
 const SETTINGS: &[u8] = &[0, 0, 0, 4, 0, 0, 0, 0, 0];
 const SHORT: Duration = Duration::from_millis(100);
+/// Enough for a client that writes the preface and its first frame one after the other.
+const SPACIOUS: Duration = Duration::from_secs(2);
 /// Longer than a test may take.
 const LONG: Duration = Duration::from_secs(3600);
 /// Time between two pieces, so that they arrive one by one.
@@ -179,6 +184,58 @@
     echo.close();
 }
 
+/// Acting too late: frames of HTTP/2 that are begun and never completed hold their
+/// connection.
+#[test]
+fn http2_frame_that_is_never_completed_ends_by_the_head_timeout() {
+    let echo = Echo::start(SHORT);
+    // The last is a HEADERS frame whose block goes on in a further frame.
+    let begun: [&[u8]; 4] = [
+        b"",
+        &SETTINGS[..3],
+        &[SETTINGS, &[0, 0, 5, 1, 4, 0, 0, 0, 1, 0x82]].concat(),
+        &[SETTINGS, &[0, 0, 1, 1, 0, 0, 0, 0, 1, 0x82]].concat(),
+    ];
+    for frames in begun {
+        let mut stream = echo.connect();
+        send(&mut stream, &[&[PREFACE, frames].concat()]);
+        read_to_end(&mut stream);
+    }
+    assert_eq!(echo.late_heads(), 4);
+    echo.close();
+}
+
+/// Acting too early: the time of a frame counts while none is arriving, or data is.
+#[test]
+fn idle_http2_connection_and_slow_data_outlive_the_head_timeout() {
+    let echo = Echo::start(SPACIOUS);
+    smol::block_on(async {
+        let stream = smol::net::TcpStream::connect(echo.listener.address()).await;
+        let io = FuturesIo::new(stream.expect("the listener accepts"));
+        let executor = SmolExecutor::new(echo.workers.spawner());
+        let connected = hyper::client::conn::http2::handshake(executor, io).await;
+        let (mut sender, connection) = connected.expect("the listener speaks HTTP/2");
+        echo.workers.spawner().detach(async move {
+            let _ = connection.await;
+        });
+        smol::Timer::after(SPACIOUS * 3 / 2).await;
+        let pieces = ["she", "et"].map(|piece| Bytes::from_static(piece.as_bytes()));
+        let pieces = futures_lite::stream::iter(pieces).then(|piece| async move {
+            smol::Timer::after(SPACIOUS * 3 / 2).await;
+            Ok::<_, Infallible>(Frame::data(piece))
+        });
+        let request = Request::post("http://site.example/a");
+        let request = request.body(StreamBody::new(Box::pin(pieces)));
+        let sent = sender
+            .send_request(request.expect("the path is valid"))
+            .await;
+        let body = sent.expect("it is served").into_body().collect().await;
+        assert_eq!(body.expect("it is whole").to_bytes(), "POSTsheet");
+    });
+    assert_eq!(echo.late_heads(), 0);
+    echo.close();
+}
+
 /// Acting too late: each further byte gives the head more time.
 #[test]
 fn head_that_trickles_in_ends_by_the_head_timeout() {
