A suspended box takes another box's word on an outage

What callers saw: nothing yet; found by reading the change of outages. A box that slept through an outage knows of no read for long and of no failed one. It took that for a store that was there, so that the first update after its resume removed servers whose entries had expired (acting too early).

Change: removal_grace is None, cannot tell, if the newest read is older than MIN_OUTAGE and no read is known to have failed; then the sender's grace counts, as on a box that has just started.

Evidence: box_that_was_suspended_cannot_tell_an_outage fails before (zero instead of none) and passes now; the plays of outages and restores hold.

--- a/crates/wingspur-coordination/src/catalog_freshness.rs
+++ b/crates/wingspur-coordination/src/catalog_freshness.rs
@@ -152,12 +152,12 @@
     }
 
     /// Returns for how long an entry that is absent from the store may still be one that
-    /// expired in an outage. Returns `None` if this box knows of no read, as after its
-    /// start, and so cannot tell.
+    /// expired in an outage. Returns `None` if this box cannot tell: it has just started or
+    /// was suspended, so that it knows neither of reads nor of failed ones.
     pub fn removal_grace(&self, now: Instant) -> Option<Duration> {
-        self.newest_read_at?;
-        if self.is_store_away(now) {
-            return Some(STORE_RECOVERY_GRACE);
+        let read_age = now.saturating_duration_since(self.newest_read_at?);
+        if read_age >= MIN_OUTAGE {
+            return self.has_failed_since.then_some(STORE_RECOVERY_GRACE);
         }
         let ends_at = self.store_returned_at.map(|at| at + STORE_RECOVERY_GRACE);
         let left = ends_at.map(|at| at.saturating_duration_since(now));
--- a/crates/wingspur-edge/src/catalog/catalog_state.rs
+++ b/crates/wingspur-edge/src/catalog/catalog_state.rs
@@ -147,8 +147,7 @@
 ///
 /// Whether absent entries may have expired in an outage is decided here, by the reads of
 /// all boxes that this one knows of: the sender may have lost only its own path to the
-/// store. The sender's grace, `doubtful_ms`, counts on a box that has just started and
-/// knows of no reads.
+/// store. The sender's grace, `doubtful_ms`, counts on a box that cannot tell.
 fn record_peer_read(shared: &EdgeState, doubtful_ms: u32, now: Instant) {
     let received = Duration::from_millis(doubtful_ms.into());
     let own = shared.links.lock().watch_state().removal_grace(now);
--- a/tests/tests/store_outages.rs
+++ b/tests/tests/store_outages.rs
@@ -112,6 +112,16 @@
     assert_eq!(tracker.removal_grace(now + MIN_OUTAGE), NONE);
 }
 
+/// Acting too early: a box that slept through an outage takes the first snapshot after it
+/// for the word of a store that was there.
+#[test]
+fn box_that_was_suspended_cannot_tell_an_outage() {
+    let start = Instant::now();
+    let tracker = read_at(start);
+    assert_eq!(tracker.removal_grace(start + MIN_OUTAGE / 2), NONE);
+    assert_eq!(tracker.removal_grace(start + MIN_OUTAGE), None);
+}
+
 /// A box with two servers; `i-extra` is a further entry of the first.
 fn start() -> (Deployment, [BackendServer; 2]) {
     let servers = [(); 2].map(|()| BackendServer::start(|_| Reply::Complete));
