HTTP/2 frames that overlap reads are timed one by one

A client whose frames always end together with the start of the next one would have lost its connection after the head timeout, although each frame was whole in time (acting too early).

Change: the time begins anew whenever a header block, or a frame outside of one, has ended. A block in several frames still has one time.

Evidence: http2_frames_that_overlap_reads_outlive_the_head_timeout fails before and passes now; the other tests of split_heads hold.

--- a/crates/wingspur-transport/src/accepted_stream.rs
+++ b/crates/wingspur-transport/src/accepted_stream.rs
@@ -130,8 +130,9 @@
         let length = ready!(Pin::new(&mut this.stream).poll_read(context, buffer))?;
         match &mut this.frames {
             Some(frames) => {
-                frames.receive(&buffer[..length]);
-                this.arrival.note_frames(frames.is_head_arriving());
+                let has_ended = frames.receive(&buffer[..length]);
+                this.arrival
+                    .note_frames(has_ended, frames.is_head_arriving());
             }
             None if length > 0 => this.arrival.note_bytes(),
             None => {}
@@ -208,13 +209,13 @@
         }
     }
 
-    /// Records whether a head is arriving on an HTTP/2 connection.
-    fn note_frames(&self, is_head_arriving: bool) {
+    /// Records whether a head has ended on an HTTP/2 connection, and whether one is
+    /// arriving now.
+    fn note_frames(&self, has_ended: bool, is_head_arriving: bool) {
         let mut state = self.lock();
-        state.began_at = match is_head_arriving {
-            true => state.began_at.or_else(|| Some(wingspur_clock::now())),
-            false => None,
-        };
+        let began_before = state.began_at.filter(|_| !has_ended);
+        state.began_at =
+            is_head_arriving.then(|| began_before.unwrap_or_else(wingspur_clock::now));
     }
 
     fn await_head(&self) {
@@ -355,7 +356,10 @@
 }
 
 impl FrameTracker {
-    fn receive(&mut self, mut bytes: &[u8]) {
+    /// Follows the next bytes. Returns whether a header block or a frame outside of one
+    /// has ended in them.
+    fn receive(&mut self, mut bytes: &[u8]) -> bool {
+        let mut has_ended = false;
         while !bytes.is_empty() {
             if self.header.len() < FRAME_HEADER_BYTES {
                 let missing = FRAME_HEADER_BYTES - self.header.len();
@@ -373,8 +377,10 @@
             bytes = &bytes[payload..];
             if self.header.len() == FRAME_HEADER_BYTES && self.payload_left == 0 {
                 self.end_frame();
+                has_ended |= !self.is_block_open;
             }
         }
+        has_ended
     }
 
     fn end_frame(&mut self) {
--- a/tests/tests/split_heads.rs
+++ b/tests/tests/split_heads.rs
@@ -6,7 +6,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use edge::{Deployment, Route, configuration};
 use futures_lite::StreamExt;
@@ -236,6 +236,25 @@
     echo.close();
 }
 
+/// Acting too early: frames whose ends always arrive with the start of the next one count
+/// as a single one that takes too long.
+#[test]
+fn http2_frames_that_overlap_reads_outlive_the_head_timeout() {
+    let echo = Echo::start(SPACIOUS);
+    let mut stream = echo.connect();
+    // A frame of an unknown type, which servers ignore.
+    let frame = [0, 0, 1, 0x20, 0, 0, 0, 0, 0, 7];
+    let (start, end) = frame.split_at(5);
+    send(&mut stream, &[&[PREFACE, SETTINGS, start].concat()]);
+    let until = Instant::now() + SPACIOUS * 3 / 2;
+    while Instant::now() < until {
+        send(&mut stream, &[&[end, start].concat()]);
+    }
+    assert_eq!(echo.late_heads(), 0);
+    send(&mut stream, &[end]);
+    echo.close();
+}
+
 /// Acting too late: each further byte gives the head more time.
 #[test]
 fn head_that_trickles_in_ends_by_the_head_timeout() {
