--- a/tests/tests/store_outages_play.rs
+++ b/tests/tests/store_outages_play.rs
@@ -61,7 +61,7 @@
     }
 }
 
-/// Acting too early: members ask the store as often as hubs while it is away.
+/// Members that never wait flood a store that is away.
 #[test]
 fn members_ask_rarely_while_the_store_is_away() {
     for seed in 0..SEEDS {
