Soak of refusals: what callers are told beside what ran, in every shape

Callers saw (reported without logs): REFUSED, requests that had been refused with a promise and ran. The servers send 503, 408, 421, 429, 500 and 200 in every framing, whole, cut off, silent and without end, named, unnamed and surplus; directly, through a relay, and with the box stopped or suspended meanwhile.

No logic changes.

--- a/tests/soak/src/boxes.rs
+++ b/tests/soak/src/boxes.rs
@@ -136,12 +136,16 @@
         self.stop_signalled = false;
     }
 
+    /// Returns the id of the process, if it is running.
+    pub fn pid(&mut self) -> Option<Pid> {
+        self.reap();
+        let child = self.running.as_ref()?;
+        Pid::from_raw(child.id() as i32)
+    }
+
     /// Sends a signal to the process, if it is running.
     pub fn signal(&mut self, signal: Signal) {
-        self.reap();
-        if let Some(child) = &self.running
-            && let Some(pid) = Pid::from_raw(child.id() as i32)
-        {
+        if let Some(pid) = self.pid() {
             // Fails if the process has ended in the meantime, which is harmless.
             let _ = kill_process(pid, signal);
         }
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -6,6 +6,7 @@
 mod plan;
 mod planned;
 mod promises;
+mod refusals;
 mod run;
 
 use std::ops::Range;
@@ -18,6 +19,7 @@
 
 use crate::plan::Plan;
 use crate::planned::{Verdict, play_planned};
+use crate::refusals::play_refusals;
 use crate::run::{Setup, play};
 
 /// Plays faults, or planned work alone, from a seed against real boxes, and checks what
@@ -42,6 +44,9 @@
     /// planned work alone instead of faults
     #[argh(switch)]
     planned: bool,
+    /// responses of every shape instead of faults, and no seed
+    #[argh(switch)]
+    refusals: bool,
     /// data centres under planned work, at most 3
     #[argh(option, default = "2")]
     data_centres: usize,
@@ -74,6 +79,12 @@
         );
         return ExitCode::from(2);
     }
+    if args.refusals {
+        return match play_refusals(args.program) {
+            true => ExitCode::SUCCESS,
+            false => ExitCode::FAILURE,
+        };
+    }
     let first = args
         .seed
         .unwrap_or_else(|| u64::from(rand::random::<u32>()));
--- a/tests/src/backend_server.rs
+++ b/tests/src/backend_server.rs
@@ -2,10 +2,12 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::http::{Head, listen};
+use crate::response_shape::ResponseShape;
 
 /// A fake backend server.
 pub struct BackendServer {
@@ -15,6 +17,8 @@
     heads: Arc<Mutex<Vec<(Instant, Head)>>>,
     /// Header lines for all responses.
     extra_headers: Arc<Mutex<String>>,
+    /// Number of responses that are being sent.
+    responding: Arc<AtomicUsize>,
 }
 
 /// How the server handles a request.
@@ -44,6 +48,19 @@
     SurplusAfter,
     /// The request runs, and no response is sent.
     Silent,
+    /// The response has this shape.
+    Shaped(ResponseShape),
+}
+
+impl Reply {
+    /// Whether the server runs the request.
+    pub fn runs(self) -> bool {
+        match self {
+            Self::Refused | Self::Misdirected => false,
+            Self::Shaped(shape) => shape.runs,
+            _ => true,
+        }
+    }
 }
 
 impl BackendServer {
@@ -54,24 +71,30 @@
         let extra_headers = Arc::new(Mutex::new(String::new()));
         let (served_ran, served_heads) = (ran.clone(), heads.clone());
         let served_headers = extra_headers.clone();
+        let responding = Arc::new(AtomicUsize::new(0));
+        let served_responding = responding.clone();
         let address = listen(move |head, stream| {
             let mut heads = served_heads.lock().expect("no holder panics");
             let reply = reply(heads.len());
             heads.push((Instant::now(), head.clone()));
             drop(heads);
-            if !matches!(reply, Reply::Refused | Reply::Misdirected) {
+            if reply.runs() {
                 let id = head.headers.get("x-wingspur-request-id").cloned();
                 let mut ran = served_ran.lock().expect("no holder panics");
                 ran.push(id.unwrap_or_default());
             }
             let extra = served_headers.lock().expect("no holder panics").clone();
-            answer(reply, &head, &extra, stream)
+            served_responding.fetch_add(1, Ordering::AcqRel);
+            let stays_open = answer(reply, &head, &extra, stream);
+            served_responding.fetch_sub(1, Ordering::AcqRel);
+            stays_open
         });
         Self {
             address,
             ran,
             heads,
             extra_headers,
+            responding,
         }
     }
 
@@ -81,6 +104,11 @@
         *self.extra_headers.lock().expect("no holder panics") = lines.to_owned();
     }
 
+    /// Returns the number of responses that are being sent.
+    pub fn responding(&self) -> usize {
+        self.responding.load(Ordering::Acquire)
+    }
+
     /// Returns the ids of the requests that ran, in order.
     pub fn executed_ids(&self) -> Vec<String> {
         self.ran.lock().expect("no holder panics").clone()
@@ -146,6 +174,7 @@
             std::thread::sleep(Duration::from_secs(30));
             false
         }
+        Reply::Shaped(shape) => shape.send(id, extra, stream),
     }
 }
 
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -4,6 +4,7 @@
 mod http;
 mod mortal_server;
 mod platform_store;
+mod response_shape;
 
 pub use backend_server::{BackendServer, Reply};
 pub use http::{
@@ -12,3 +13,4 @@
 };
 pub use mortal_server::{CrashingServer, ServerInstance};
 pub use platform_store::{PlatformStore, StoreCopy, StoreFault};
+pub use response_shape::{Body, EchoedId, Framing, Preamble, ResponseShape};
