Log and count what a server's refusal proves

The log could not tell a refusal of this request from one that names another request or none: a refused attempt logged its end and its status only. Each response that claims a request did not run is now logged with its evidence (`attempt: a refusal.`) and counted in wingspur_refusal_evidence_total. No decision uses it yet.

--- a/crates/wingspur-edge/src/operation/metrics.rs
+++ b/crates/wingspur-edge/src/operation/metrics.rs
@@ -10,7 +10,7 @@
 };
 use wingspur_protocol::ResultCode;
 use wingspur_state::{Priority, RetryReason, StopReason, SuspectEvent, UrgencyDecision};
-use wingspur_transport::HttpClientTotals;
+use wingspur_transport::{HttpClientTotals, RunEvidence};
 
 use crate::quotas::quarantine_state::SendPermission;
 
@@ -85,6 +85,8 @@
     /// Other hints that servers gave of themselves in responses, and those that could not
     /// be read, by kind.
     server_hints: IntCounterVec,
+    /// Responses of servers that claim that a request did not run, by what they prove.
+    refusal_evidence: IntCounterVec,
     /// Store responses and updates whose era was not the expected one: older, missing,
     /// unreadable, or of a restored store.
     store_eras: IntCounterVec,
@@ -305,6 +307,11 @@
                 "What servers said of themselves in answers, and what could not be read.",
                 &["word"],
             ),
+            refusal_evidence: counter(
+                "wingspur_refusal_evidence_total",
+                "Responses of servers that claim a request did not run, by their evidence.",
+                &["evidence"],
+            ),
             quota_refusals: counter(
                 "wingspur_quota_refusals_total",
                 "Requests refused by the quota of their account.",
@@ -392,6 +399,12 @@
         self.server_hints.with_label_values(&[hint]).inc();
     }
 
+    /// Counts a response of a server that claims that a request did not run.
+    pub fn count_refusal_evidence(&self, evidence: RunEvidence) {
+        let labels = [evidence.as_str()];
+        self.refusal_evidence.with_label_values(&labels).inc();
+    }
+
     /// Counts a message of a peer that was refused.
     pub fn count_peer_refusal(&self, reason: &str) {
         self.peer_refusals.with_label_values(&[reason]).inc();
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -15,7 +15,7 @@
 };
 use wingspur_transport::{
     BackendConnection, BackendConnections, ConnectError, ResponseError, ResponseHead,
-    SendBody,
+    RunEvidence, SendBody, SentRequest,
 };
 
 use crate::catalog::active_bundle::ActiveRoute;
@@ -190,8 +190,10 @@
     ) -> Result<Received, ResponseError> {
         let method = &self.outgoing.method;
         let request = self.serialize_head(account, &body);
+        let is_first = connection.is_new();
         let mut head = connection.send_request(request, body, method).await?;
         let mut hints = self.observe_hints(&head);
+        self.observe_evidence(&head, is_first);
         while self.answers_other_request(&head) {
             // A second response to an earlier request; the one to this request may
             // follow.
@@ -205,6 +207,7 @@
             }
             head = connection.read_head(method).await?;
             hints = self.observe_hints(&head);
+            self.observe_evidence(&head, false);
         }
         self.check_origin(&head)?;
         match connection.read_whole(MAX_BUFFERED_BYTES).await? {
@@ -218,6 +221,28 @@
         observe_response(&self.shared, id, &self.pick.server, head)
     }
 
+    /// Determines, logs and counts what a head says about whether the request ran.
+    /// `is_first` says whether nothing else was received on its connection.
+    fn observe_evidence(&self, head: &ResponseHead, is_first: bool) -> RunEvidence {
+        let id = self.outgoing.id.as_ref();
+        let sent = SentRequest { id, is_first };
+        let evidence = head.run_evidence(&self.shared.header_names, sent);
+        if evidence == RunEvidence::Ordinary {
+            return evidence;
+        }
+        self.shared.metrics.count_refusal_evidence(evidence);
+        tracing::info!(
+            id = id_text(id),
+            server = %self.pick.server.id,
+            status = head.status.as_u16(),
+            body_bytes = head.body_bytes,
+            is_first,
+            evidence = evidence.as_str(),
+            "attempt: a refusal."
+        );
+        evidence
+    }
+
     /// Evaluates a complete response: determines the result of the attempt and how it
     /// counts for the server's health.
     fn evaluate(
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -14,6 +14,7 @@
 mod publish;
 mod response_error;
 mod response_head;
+mod run_evidence;
 mod server_hints;
 mod store;
 mod tls;
@@ -44,6 +45,7 @@
     submit_bundle,
 };
 pub use response_error::ResponseError;
+pub use run_evidence::{Doubt, RunEvidence, SentRequest, promises_not_run};
 pub use store::{
     KeyValue, RangeResult, StoreClient, StoreError, WatchStream, WriteOutcome,
 };
--- /dev/null
+++ b/crates/wingspur-transport/src/run_evidence.rs
@@ -0,0 +1,113 @@
+//! Decides whether the head of a server's response proves that the request did not run.
+
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use wingspur_protocol::HeaderNames;
+
+use crate::ResponseHead;
+
+/// What the head of a response says about whether the request ran.
+///
+/// The head alone decides: a refusal is a refusal, however long its body is and whether
+/// or not the body ever arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunEvidence {
+    /// It is an ordinary response, which promises nothing.
+    Ordinary,
+    /// The server has refused the request before running it.
+    NotRun,
+    /// The request may have run, although callers would take the status, or the server's
+    /// mark, to mean that it did not.
+    Unproven(Doubt),
+}
+
+/// Why a refusal does not prove that the request did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// The status is that of a refusal, but the server does not state that the request
+    /// did not run.
+    Unmarked,
+    /// The response does not name the request, so it may belong to another one.
+    Unnamed,
+    /// The server states that the request did not run, in a response that is no error.
+    Contradictory,
+}
+
+/// A request as it was sent on a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct SentRequest<'a> {
+    /// Its id; `None` if the caller gave none.
+    pub id: Option<&'a HeaderValue>,
+    /// Whether it is the first one on its connection, so that no response on it can
+    /// belong to an earlier request.
+    pub is_first: bool,
+}
+
+impl RunEvidence {
+    /// Whether the request certainly did not run.
+    pub fn is_not_run(self) -> bool {
+        self == Self::NotRun
+    }
+
+    /// Returns the evidence as a metric label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Ordinary => "ordinary",
+            Self::NotRun => "not_run",
+            Self::Unproven(Doubt::Unmarked) => "unmarked",
+            Self::Unproven(Doubt::Unnamed) => "unnamed",
+            Self::Unproven(Doubt::Contradictory) => "contradictory",
+        }
+    }
+}
+
+impl ResponseHead {
+    /// Decides what this head, received in response to a request, says about whether the
+    /// request ran.
+    pub fn run_evidence(
+        &self,
+        names: &HeaderNames,
+        request: SentRequest<'_>,
+    ) -> RunEvidence {
+        let is_marked = names
+            .not_executed
+            .is_some_and(|name| self.headers.contains_key(name));
+        if !is_marked && !promises_not_run(self.status) {
+            return RunEvidence::Ordinary;
+        }
+        if !self.names_request(names, request) {
+            return RunEvidence::Unproven(Doubt::Unnamed);
+        }
+        // Where requests name the server that they are for, every other server answers
+        // 421 without running them.
+        let is_other_server = self.status == StatusCode::MISDIRECTED_REQUEST
+            && names.expected_server_id.is_some();
+        let is_error = self.status.is_client_error() || self.status.is_server_error();
+        match (is_marked || is_other_server, is_error) {
+            (true, true) => RunEvidence::NotRun,
+            (true, false) => RunEvidence::Unproven(Doubt::Contradictory),
+            (false, _) => RunEvidence::Unproven(Doubt::Unmarked),
+        }
+    }
+
+    /// Returns whether the response names the request. A response to a request without an
+    /// id cannot, so it must be the first on its connection.
+    fn names_request(&self, names: &HeaderNames, request: SentRequest<'_>) -> bool {
+        let mut echoed = self.headers.get_all(names.request_id).iter().peekable();
+        match request.id {
+            Some(id) => echoed.peek().is_some() && echoed.all(|echoed| echoed == id),
+            None => echoed.peek().is_none() && request.is_first,
+        }
+    }
+}
+
+/// Whether callers take a status to mean that the request did not run and never will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
