--- /dev/null
+++ b/tests/tests/refusal_evidence.rs
@@ -0,0 +1,317 @@
+//! A caller is told that a once-only request did not run only if its server has proved it,
+//! in whatever shape the proof arrives.
+
+mod edge;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use edge::{Caller, Route, configuration, server_entry, wait_until};
+use wingspur_edge::EdgeBox;
+use wingspur_tests::{
+    BackendServer, Body, EchoedId, Framing, PlatformStore, Preamble, Reply, ResponseShape,
+};
+use wingspur_transport::{PathFault, Workers};
+
+/// A box that reaches the servers, and one that hands its requests to it.
+struct Fleet {
+    _store: PlatformStore,
+    servers: Vec<BackendServer>,
+    reply: Arc<Mutex<Reply>>,
+    direct: EdgeBox,
+    relayed: EdgeBox,
+    workers: Workers,
+}
+
+/// What a caller was told, and how often the request ran.
+#[derive(Debug)]
+struct Outcome {
+    /// The status; 0 where the connection ended without a response.
+    status: u16,
+    /// The number that the box gives its own responses.
+    result: Option<String>,
+    ran: usize,
+}
+
+impl Fleet {
+    fn start() -> Self {
+        let store = PlatformStore::start(500);
+        let routes = [Route {
+            class: "once_only",
+            timeout_ms: 1000,
+        }];
+        store.put("op/config", &configuration(1, &routes));
+        let reply = Arc::new(Mutex::new(Reply::Complete));
+        let servers: Vec<_> = (0..2)
+            .map(|_| {
+                let reply = reply.clone();
+                BackendServer::start(move |_| *reply.lock().unwrap())
+            })
+            .collect();
+        for (n, server) in servers.iter().enumerate() {
+            let entry = server_entry(server.address, "ready");
+            store.put(&format!("servers/i-{n}"), &entry);
+        }
+        let workers = Workers::start(2);
+        let direct = edge::start_box("box-direct", &store, &workers);
+        let mut settings = edge::settings("box-relayed", store.address);
+        settings.fault_injection.server_path = PathFault::Refuse;
+        let relayed = edge::start_box_with(settings, &store, &workers);
+        let fleet = Self {
+            _store: store,
+            servers,
+            reply,
+            direct,
+            relayed,
+            workers,
+        };
+        for (n, caller) in fleet.callers().into_iter().enumerate() {
+            wait_until("the box serves", || {
+                caller.call("once_only", &format!("first-{n}")).status == 200
+            });
+        }
+        fleet
+    }
+
+    /// Returns a caller of the box with a path to the servers, and one of the other.
+    fn callers(&self) -> [Caller; 2] {
+        [&self.direct, &self.relayed].map(Caller::of)
+    }
+
+    /// Sends a once-only request directly and one through a relay while the servers
+    /// respond in this shape, and returns the outcomes.
+    fn outcomes(&self, name: &str, shape: ResponseShape) -> [Outcome; 2] {
+        let mut of_relay = false;
+        self.callers().map(|caller| {
+            let id = format!("{name}-{of_relay}");
+            of_relay = true;
+            // Leaves a connection behind that the next request is sent on.
+            let before = caller.call("once_only", &format!("{id}-before"));
+            assert_eq!(before.status, 200, "{id}");
+            *self.reply.lock().unwrap() = Reply::Shaped(shape);
+            let (status, result) = call_and_discard(caller.address(), &id);
+            *self.reply.lock().unwrap() = Reply::Complete;
+            let ran = self.servers.iter().flat_map(BackendServer::executed_ids);
+            let ran = ran.filter(|ran| *ran == id).count();
+            Outcome {
+                status,
+                result,
+                ran,
+            }
+        })
+    }
+
+    fn assert_promised(&self, name: &str, shape: ResponseShape) {
+        for outcome in self.outcomes(name, shape) {
+            let is_promise = outcome.status == 503 && outcome.result.is_some();
+            assert!(is_promise && outcome.ran == 0, "{name}: {outcome:?}");
+        }
+    }
+
+    fn assert_not_promised(&self, name: &str, shape: ResponseShape) {
+        for outcome in self.outcomes(name, shape) {
+            let is_in_doubt = matches!(outcome.status, 502 | 504);
+            assert!(is_in_doubt && outcome.ran <= 1, "{name}: {outcome:?}");
+        }
+    }
+
+    fn close(self) {
+        smol::block_on(self.relayed.close());
+        smol::block_on(self.direct.close());
+        self.workers.close();
+    }
+}
+
+/// Sends a once-only request, discards the body of its response, and returns the status
+/// and the box's own result number.
+fn call_and_discard(to: SocketAddr, id: &str) -> (u16, Option<String>) {
+    let mut stream = TcpStream::connect(to).unwrap();
+    let request = format!(
+        "POST /once_only/a HTTP/1.1\r\nhost: site.example\r\nconnection: close\r\n\
+         x-wingspur-request-id: {id}\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .unwrap();
+    let mut reader = BufReader::new(stream);
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        match reader.read_line(&mut line) {
+            Ok(length) if length > 2 => lines.push(line),
+            _ => break,
+        }
+    }
+    let until = Instant::now() + Duration::from_secs(3);
+    let mut block = vec![0; 64 << 10];
+    while Instant::now() < until && reader.read(&mut block).is_ok_and(|read| read > 0) {}
+    let status = lines.first().and_then(|line| line.split(' ').nth(1));
+    let result = lines
+        .iter()
+        .find_map(|line| line.strip_prefix("wingspur-result: "));
+    (
+        status.map_or(0, |status| status.parse().unwrap()),
+        result.map(|result| result.trim().to_owned()),
+    )
+}
+
+const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::UntilClose];
+/// More than a box buffers of a response.
+const LONG_BYTES: usize = 2 << 20;
+
+/// Bodies that arrive, that end early, that fall silent and that never end.
+const BODIES: [Body; 7] = [
+    Body::Whole(0),
+    Body::Whole(LONG_BYTES),
+    Body::CutAfter(100),
+    Body::CutAfter(LONG_BYTES),
+    Body::SilentAfter(100),
+    Body::SilentAfter(LONG_BYTES),
+    Body::Endless,
+];
+
+#[test]
+fn unmarked_refusal_of_any_length_is_no_promise() {
+    let fleet = Fleet::start();
+    for framing in FRAMINGS {
+        for body in BODIES {
+            let shape = ResponseShape {
+                framing,
+                body,
+                ..ResponseShape::new(503, false)
+            };
+            fleet.assert_not_promised(&format!("{framing:?}-{body:?}"), shape);
+        }
+    }
+    for status in [408, 429] {
+        for body in [Body::Whole(8), Body::Whole(LONG_BYTES)] {
+            let shape = ResponseShape {
+                body,
+                ..ResponseShape::new(status, false)
+            };
+            fleet.assert_not_promised(&format!("{status}-{body:?}"), shape);
+        }
+    }
+    fleet.close();
+}
+
+#[test]
+fn marked_refusal_is_a_promise_however_its_body_ends() {
+    let fleet = Fleet::start();
+    for framing in FRAMINGS {
+        for body in BODIES {
+            let shape = ResponseShape {
+                framing,
+                body,
+                ..ResponseShape::new(503, true)
+            };
+            fleet.assert_promised(&format!("{framing:?}-{body:?}"), shape);
+        }
+    }
+    fleet.close();
+}
+
+#[test]
+fn marked_refusal_is_a_promise_with_any_error_status() {
+    let fleet = Fleet::start();
+    for status in [400, 408, 429, 500, 503, 504] {
+        for body in [Body::Whole(8), Body::Whole(LONG_BYTES)] {
+            let shape = ResponseShape {
+                body,
+                ..ResponseShape::new(status, true)
+            };
+            fleet.assert_promised(&format!("{status}-{body:?}"), shape);
+        }
+    }
+    fleet.close();
+}
+
+#[test]
+fn refusal_that_arrives_byte_by_byte_is_judged_as_if_whole() {
+    let fleet = Fleet::start();
+    let split = |is_marked| ResponseShape {
+        is_split: true,
+        ..ResponseShape::new(503, is_marked)
+    };
+    fleet.assert_promised("marked", split(true));
+    fleet.assert_not_promised("unmarked", split(false));
+    fleet.close();
+}
+
+#[test]
+fn refusal_that_does_not_name_the_request_is_no_promise() {
+    let fleet = Fleet::start();
+    for id in [EchoedId::Missing, EchoedId::Other] {
+        for body in [Body::Whole(0), Body::Whole(LONG_BYTES)] {
+            let shape = ResponseShape {
+                id,
+                body,
+                runs: true,
+                ..ResponseShape::new(503, true)
+            };
+            fleet.assert_not_promised(&format!("{id:?}-{body:?}"), shape);
+        }
+    }
+    fleet.close();
+}
+
+#[test]
+fn surplus_refusal_before_the_response_does_not_make_the_request_run_twice() {
+    let fleet = Fleet::start();
+    let after = |id| ResponseShape {
+        preamble: Preamble::SurplusRefusal(id),
+        ..ResponseShape::new(200, false)
+    };
+    fleet.assert_not_promised("unnamed", after(EchoedId::Missing));
+    for outcome in fleet.outcomes("named", after(EchoedId::Other)) {
+        assert_eq!((outcome.status, outcome.ran), (200, 1));
+    }
+    fleet.close();
+}
+
+#[test]
+fn mark_in_an_interim_response_is_no_refusal() {
+    let fleet = Fleet::start();
+    let shape = ResponseShape {
+        preamble: Preamble::MarkedInterim,
+        ..ResponseShape::new(200, false)
+    };
+    for outcome in fleet.outcomes("interim", shape) {
+        assert_eq!((outcome.status, outcome.ran), (200, 1));
+    }
+    fleet.close();
+}
+
+#[test]
+fn mark_in_a_successful_response_is_no_promise() {
+    let fleet = Fleet::start();
+    for body in [Body::Whole(8), Body::Whole(LONG_BYTES)] {
+        let shape = ResponseShape {
+            body,
+            runs: true,
+            ..ResponseShape::new(200, true)
+        };
+        fleet.assert_not_promised(&format!("{body:?}"), shape);
+    }
+    fleet.close();
+}
+
+#[test]
+fn long_misdirected_response_is_a_promise() {
+    let fleet = Fleet::start();
+    let shape = ResponseShape {
+        runs: false,
+        body: Body::Whole(LONG_BYTES),
+        ..ResponseShape::new(421, false)
+    };
+    // The servers count as replaced afterwards, so that one request shows it.
+    let caller = Caller::of(&fleet.direct);
+    *fleet.reply.lock().unwrap() = Reply::Shaped(shape);
+    let (status, result) = call_and_discard(caller.address(), "misdirected");
+    assert_eq!(status, 503, "{result:?}");
+    assert!(result.is_some());
+    fleet.close();
+}
