Judge a server's refusal by its head, whatever its length

Callers saw: 503, 408 or 429 for a once-only request that had run (REFUSED), and 502, 504 or the server's 400 or 500 for one that its server had refused before running it.

Cause: the check that a status is proven stood behind reading the whole body. A response over 1 MiB took another way, on which its status was passed on unchecked; one whose body was cut or fell silent never got to the check, so its mark was lost. Ruled out: a status of the box's own (the responses carried no wingspur-result), a stop or a suspension (the same with and without).

Change: RunEvidence decides from the head alone, in one place, before anything of the body is read: not run, unproven, or an ordinary response. Neither kind of refusal is passed on. Its body is read for 10 ms at most, to keep the connection.

Before: unmarked_refusal_of_any_length_is_no_promise failed at the first long body, marked_refusal_is_a_promise_however_its_body_ends and _with_any_error_status and long_misdirected_response_is_a_promise failed. After: all four pass, directly and through a relay; server_words, server_limits, unreachable_servers, edge_path, suspects pass as before.

--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -14,8 +14,8 @@
     RequestFingerprint, ServerRecord,
 };
 use wingspur_transport::{
-    BackendConnection, BackendConnections, ConnectError, ResponseError, ResponseHead,
-    RunEvidence, SendBody, SentRequest,
+    BackendConnection, BackendConnections, ConnectError, Doubt, ResponseError,
+    ResponseHead, RunEvidence, SendBody, SentRequest,
 };
 
 use crate::catalog::active_bundle::ActiveRoute;
@@ -166,8 +166,28 @@
             Some(Ok(received)) => received,
         };
         match received {
-            Received::Complete(response, hints) => {
-                self.evaluate(response, &hints, connection, guard, began)
+            Received::Complete(response) => {
+                self.evaluate(response, connection, guard, began)
+            }
+            Received::NotRun(status, hints) => {
+                // A refusal by a server that has set a rate limit says nothing about its
+                // health: the limit already tells how much it accepts.
+                let at_limit = hints.limit_per_s != Ok(None);
+                guard.end(if at_limit {
+                    HealthOutcome::Abandoned
+                } else {
+                    HealthOutcome::Refused
+                });
+                guard.backend.release(connection);
+                let end = AttemptEnd::RefusedBeforeRunning;
+                self.failure(end, ResultCode::NotSent, &status)
+            }
+            Received::Unproven(status, doubt) => {
+                guard.end(HealthOutcome::Failed);
+                guard.backend.release(connection);
+                let code = ResultCode::ConnectionLostAfterSend;
+                let reason = format!("{status}, {}", doubt.as_str());
+                self.failure(AttemptEnd::InDoubt, code, &reason)
             }
             Received::Beginning { head, first } => {
                 guard.record_response_started();
@@ -193,7 +213,7 @@
         let is_first = connection.is_new();
         let mut head = connection.send_request(request, body, method).await?;
         let mut hints = self.observe_hints(&head);
-        self.observe_evidence(&head, is_first);
+        let mut evidence = self.observe_evidence(&head, is_first);
         while self.answers_other_request(&head) {
             // A second response to an earlier request; the one to this request may
             // follow.
@@ -207,11 +227,27 @@
             }
             head = connection.read_head(method).await?;
             hints = self.observe_hints(&head);
-            self.observe_evidence(&head, false);
+            evidence = self.observe_evidence(&head, false);
+        }
+        match evidence {
+            RunEvidence::Ordinary => {}
+            RunEvidence::NotRun => {
+                connection.discard_body(REFUSAL_BODY_TIMEOUT).await;
+                return Ok(Received::NotRun(head.status, hints));
+            }
+            RunEvidence::Unproven(doubt) => {
+                if doubt == Doubt::Unnamed {
+                    // The response to this request may still follow.
+                    connection.disable_reuse();
+                } else {
+                    connection.discard_body(REFUSAL_BODY_TIMEOUT).await;
+                }
+                return Ok(Received::Unproven(head.status, doubt));
+            }
         }
         self.check_origin(&head)?;
         match connection.read_whole(MAX_BUFFERED_BYTES).await? {
-            Ok(body) => Ok(Received::Complete(BufferedResponse { head, body }, hints)),
+            Ok(body) => Ok(Received::Complete(BufferedResponse { head, body })),
             Err(first) => Ok(Received::Beginning { head, first }),
         }
     }
@@ -248,36 +284,11 @@
     fn evaluate(
         &self,
         response: BufferedResponse,
-        hints: &ServerHints,
         connection: BackendConnection,
         mut guard: AttemptGuard,
         began: Instant,
     ) -> AttemptResult {
         let status = response.head.status;
-        if hints.not_run {
-            // A refusal by a server that has set a rate limit says nothing about its
-            // health: the limit already tells how much it accepts.
-            let at_limit = hints.limit_per_s != Ok(None);
-            guard.end(if at_limit {
-                HealthOutcome::Abandoned
-            } else {
-                HealthOutcome::Refused
-            });
-            guard.backend.release(connection);
-            let end = AttemptEnd::RefusedBeforeRunning;
-            return self.failure(end, ResultCode::NotSent, &status);
-        }
-        if implies_not_run(status) {
-            // Without the server's not-run mark the request may have run, but callers
-            // would take this status to mean that it has not.
-            guard.end(HealthOutcome::Failed);
-            guard.backend.release(connection);
-            return self.failure(
-                AttemptEnd::InDoubt,
-                ResultCode::ConnectionLostAfterSend,
-                &status,
-            );
-        }
         if status.is_server_error() {
             // A server stops working at the deadline that it was given, so a time-out
             // there says nothing about its health.
@@ -436,10 +447,15 @@
     }
 }
 
-/// What was read of the response: all of it, or the beginning of one that is too long to
-/// buffer.
+/// What was read of the response.
 enum Received {
-    Complete(BufferedResponse, ServerHints),
+    /// All of it.
+    Complete(BufferedResponse),
+    /// The head of a refusal, which proves that the request did not run.
+    NotRun(StatusCode, ServerHints),
+    /// The head of a refusal that proves nothing.
+    Unproven(StatusCode, Doubt),
+    /// The beginning of a response that is too long to buffer.
     Beginning {
         head: ResponseHead,
         first: Vec<Bytes>,
@@ -585,19 +601,11 @@
     }
 }
 
-/// Whether callers take a status to mean that the request has not run.
-fn implies_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
 /// Responses up to this length are received completely before any of it is passed on.
 pub const MAX_BUFFERED_BYTES: usize = 1 << 20;
+/// How long the body of a refusal may take to arrive for its connection to be reused. It
+/// usually comes with the head, and the request should be sent elsewhere at once.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(10);
 /// A server's 504 with less than this remaining was caused by the deadline that the
 /// server was given.
 const SERVER_TIMEOUT_MARGIN: Duration = Duration::from_millis(50);
--- a/crates/wingspur-protocol/src/server_hints.rs
+++ b/crates/wingspur-protocol/src/server_hints.rs
@@ -15,8 +15,6 @@
     /// The requests per second that the server accepts from all boxes together; `None`
     /// for no limit.
     pub limit_per_s: Result<Option<f64>, InvalidServerLimit>,
-    /// Whether the server certainly did not run the request.
-    pub not_run: bool,
     /// Whether the response comes from another instance of the server than the one
     /// addressed; the other fields then do not describe the addressed instance.
     pub is_other_instance: bool,
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -371,6 +371,17 @@
         Ok(Ok(join(chunks, length)))
     }
 
+    /// Discards the remainder of the response body, so that the connection can be reused.
+    /// Gives up after `timeout` or [`MAX_DISCARDED_BYTES`]; the connection is not reused
+    /// then.
+    pub async fn discard_body(&mut self, timeout: Duration) {
+        let reading = async {
+            // A body that cannot be read leaves the connection unread, and so unused.
+            let _ = self.read_whole(MAX_DISCARDED_BYTES).await;
+        };
+        reading.or(wingspur_clock::sleep(timeout)).await;
+    }
+
     /// Returns whether the connection was opened for this request.
     pub fn is_new(&self) -> bool {
         self.is_new
@@ -596,6 +607,8 @@
 /// The number of bytes read from a server at once. A larger value needs fewer system
 /// calls for a long response.
 const READ_BYTES: usize = 16 << 10;
+/// The longest body that is read only to reuse its connection.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
 /// The longest head of a response.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// The longest chunk header or trailer line.
--- a/crates/wingspur-transport/src/run_evidence.rs
+++ b/crates/wingspur-transport/src/run_evidence.rs
@@ -44,19 +44,12 @@
 }
 
 impl RunEvidence {
-    /// Whether the request certainly did not run.
-    pub fn is_not_run(self) -> bool {
-        self == Self::NotRun
-    }
-
     /// Returns the evidence as a metric label.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Ordinary => "ordinary",
             Self::NotRun => "not_run",
-            Self::Unproven(Doubt::Unmarked) => "unmarked",
-            Self::Unproven(Doubt::Unnamed) => "unnamed",
-            Self::Unproven(Doubt::Contradictory) => "contradictory",
+            Self::Unproven(doubt) => doubt.as_str(),
         }
     }
 }
@@ -75,7 +68,7 @@
         if !is_marked && !promises_not_run(self.status) {
             return RunEvidence::Ordinary;
         }
-        if !self.names_request(names, request) {
+        if !is_marked && !self.names_request(names, request) {
             return RunEvidence::Unproven(Doubt::Unnamed);
         }
         // Where requests name the server that they are for, every other server answers
@@ -111,3 +104,14 @@
             | StatusCode::SERVICE_UNAVAILABLE
     )
 }
+
+impl Doubt {
+    /// Returns the doubt as a metric label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Unmarked => "unmarked",
+            Self::Unnamed => "unnamed",
+            Self::Contradictory => "contradictory",
+        }
+    }
+}
--- a/crates/wingspur-transport/src/server_hints.rs
+++ b/crates/wingspur-transport/src/server_hints.rs
@@ -19,9 +19,6 @@
         let headers = &self.headers;
         let is_wrong_instance = self.status == StatusCode::MISDIRECTED_REQUEST
             && names.expected_server_id.is_some();
-        let is_marked = names
-            .not_executed
-            .is_some_and(|name| headers.contains_key(name));
         // With other statuses `Retry-After` has other meanings, such as for redirects.
         let may_ask_for_backoff = self.status == StatusCode::SERVICE_UNAVAILABLE;
         let requested_backoff = match may_ask_for_backoff {
@@ -34,7 +31,6 @@
             draining: parse_draining(values(headers, names.draining)),
             backoff: requested_backoff,
             limit_per_s: parse_server_limit(values(headers, names.server_limit)),
-            not_run: is_wrong_instance || is_marked,
             is_other_instance: is_wrong_instance,
         }
     }
--- a/tests/tests/words_table.rs
+++ b/tests/tests/words_table.rs
@@ -6,13 +6,14 @@
 
 const LET_PASS: &str = "let pass";
 /// The files that read headers and statuses of others on the platform's path.
-const READERS: [&str; 8] = [
+const READERS: [&str; 9] = [
     "crates/wingspur-edge/src/proxy/admission.rs",
     "crates/wingspur-edge/src/proxy/attempt.rs",
     "crates/wingspur-edge/src/proxy/headers.rs",
     "crates/wingspur-edge/src/proxy/request.rs",
     "crates/wingspur-transport/src/response_head.rs",
     "crates/wingspur-transport/src/backend.rs",
+    "crates/wingspur-transport/src/run_evidence.rs",
     "crates/wingspur-transport/src/server_hints.rs",
     "platform/src/store.rs",
 ];
