A refusal proves nothing unless it names the request

Callers saw: 503 for a once-only request that ran, and the request ran twice.

Cause: a response with the server's mark was believed if it named no request at all. A surplus refusal without an id, in the place where the next response was due, was taken for the refusal of this request, which was then sent to a second server while the first ran it.

A refusal that names another request was skipped already.

Change: a refusal counts only if it echoes the id of the request, or, for a request without one, if it echoes none and is the first response on its connection.

Before: two tests failed (told 503, ran 2). After: all nine of refusal_evidence pass.

--- a/crates/wingspur-transport/src/run_evidence.rs
+++ b/crates/wingspur-transport/src/run_evidence.rs
@@ -68,7 +68,7 @@
         if !is_marked && !promises_not_run(self.status) {
             return RunEvidence::Ordinary;
         }
-        if !is_marked && !self.names_request(names, request) {
+        if !self.names_request(names, request) {
             return RunEvidence::Unproven(Doubt::Unnamed);
         }
         // Where requests name the server that they are for, every other server answers
