A response that is passed on as it arrives ends at the request's deadline

Cause: the deadline covered an attempt until its response began to be passed on. Nothing covered the body after that, and a caller that does not read kept it from being polled at all.

Change: StreamBody checks the deadline before each chunk and ends the caller's connection with an error, so that the body does not look complete; a task closes the server's connection at the same moment, also while nobody polls the body.

--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -23,7 +23,7 @@
 use crate::log_values::id_text;
 use crate::path_check::{check_path_soon, record_connected, record_unreached};
 use crate::proxy::request_head::{UpstreamRequest, reuse_policy, serialize_head};
-use crate::proxy::response_body::StreamGuard;
+use crate::proxy::response_body::{BodySource, StreamGuard};
 use crate::proxy::server_hints::observe_response;
 use crate::proxy::suspect_requests::{
     InterruptedAttempt, check_for_server_crash, record_completed,
@@ -40,12 +40,8 @@
     Streaming {
         /// The status and headers.
         head: ResponseHead,
-        /// The body as received so far.
-        first: Vec<Bytes>,
-        /// The connection that the rest of the body is read from.
-        connection: Box<BackendConnection>,
-        /// Ends the attempt when the body ends.
-        guard: StreamGuard,
+        /// Where the body comes from.
+        body: BodySource,
     },
     /// No usable response, or a server error.
     Failed(Box<FailedAttempt>),
@@ -191,12 +187,12 @@
             }
             Received::Beginning { head, first } => {
                 guard.record_response_started();
-                AttemptResult::Streaming {
-                    head,
+                let body = BodySource {
                     first,
                     connection: Box::new(connection),
                     guard: guard.into_stream_guard(),
-                }
+                };
+                AttemptResult::Streaming { head, body }
             }
         }
     }
@@ -462,10 +458,7 @@
     /// The head of a refusal that proves nothing.
     Unproven(StatusCode, Doubt),
     /// The beginning of a response that is too long to buffer.
-    Beginning {
-        head: ResponseHead,
-        first: Vec<Bytes>,
-    },
+    Beginning { head: ResponseHead, first: Bytes },
 }
 
 impl AttemptGuard {
--- a/crates/wingspur-edge/src/proxy/in_flight_requests.rs
+++ b/crates/wingspur-edge/src/proxy/in_flight_requests.rs
@@ -171,6 +171,13 @@
         self.was_sent.load(Ordering::Acquire)
     }
 
+    /// Returns the id that the caller gave the request; empty if there is none.
+    pub fn id(&self) -> String {
+        let requests = self.requests.by_number.lock();
+        let details = requests.get(&self.number);
+        details.map_or(String::new(), |details| details.id.clone())
+    }
+
     /// Returns the id of the server that the request was last sent to; empty until it is
     /// sent.
     pub fn server(&self) -> String {
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -21,7 +21,7 @@
     AttemptResult, FailedAttempt, LATE_RESPONSE_GRACE, MAX_BUFFERED_BYTES,
 };
 use crate::proxy::request_head::{UpstreamRequest, reuse_policy, serialize_head};
-use crate::proxy::response_body::StreamGuard;
+use crate::proxy::response_body::{BodySource, StreamGuard};
 use crate::request_error::BufferedResponse;
 use crate::services::ServiceState;
 
@@ -148,12 +148,14 @@
                 guard.complete(connection);
                 AttemptResult::Complete(BufferedResponse { head, body })
             }
-            Err(first) => AttemptResult::Streaming {
-                head,
-                first,
-                connection: Box::new(connection),
-                guard: guard.into_stream_guard(),
-            },
+            Err(first) => {
+                let body = BodySource {
+                    first,
+                    connection: Box::new(connection),
+                    guard: guard.into_stream_guard(),
+                };
+                AttemptResult::Streaming { head, body }
+            }
         }
     }
 
@@ -202,7 +204,7 @@
 /// What a relay has responded: the body, or the beginning of a long one.
 struct Received {
     head: ResponseHead,
-    body: Result<hyper::body::Bytes, Vec<hyper::body::Bytes>>,
+    body: Result<hyper::body::Bytes, hyper::body::Bytes>,
     result: RelayResult,
 }
 
--- a/crates/wingspur-edge/src/proxy/request.rs
+++ b/crates/wingspur-edge/src/proxy/request.rs
@@ -22,7 +22,7 @@
 use crate::proxy::admission::{
     AdmissionRequest, Principal, admit, find_route, strip_credentials,
 };
-use crate::proxy::attempt::AttemptResult;
+use crate::proxy::attempt::{AttemptResult, LATE_RESPONSE_GRACE};
 use crate::proxy::error_response::error_response;
 use crate::proxy::forwarding::RequestForwarder;
 use crate::proxy::headers::{check_framing, strip_hop_by_hop};
@@ -30,7 +30,7 @@
 use crate::proxy::request_head::UpstreamRequest;
 use crate::proxy::request_log::RequestLog;
 use crate::proxy::request_origin::RequestOrigin;
-use crate::proxy::response_body::{ResponseBody, StreamBody};
+use crate::proxy::response_body::{ResponseBody, StreamBody, StreamContext};
 use crate::quotas::quota_leases::enforce_account_limit;
 use crate::request_error::{BufferedResponse, RequestError};
 
@@ -162,18 +162,18 @@
     };
     let outgoing = upstream_request(shared, parts, admitted, received, in_flight.clone());
     let origin = origin.clone();
+    let context = StreamContext {
+        shared: shared.clone(),
+        service: service.name.clone(),
+        deadline: deadline + LATE_RESPONSE_GRACE,
+        in_flight,
+    };
     let forwarder =
         RequestForwarder::new(shared.clone(), route, service, outgoing, body, origin);
     match forwarder.run().await? {
         AttemptResult::Complete(response) => Ok(buffered_response(response)),
-        AttemptResult::Streaming {
-            head,
-            first,
-            connection,
-            guard,
-        } => {
-            let length = head.body_bytes;
-            let body = StreamBody::new(first, *connection, guard, length, in_flight);
+        AttemptResult::Streaming { head, body } => {
+            let body = StreamBody::new(body, head.body_bytes, context);
             Ok(with_head(head, ResponseBody::Stream(body)))
         }
         AttemptResult::Failed(failed) => Err(RequestError::from_code(failed.code)),
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -8,7 +8,7 @@
 
 use std::future::{Future, poll_fn};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::pin;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -63,6 +63,19 @@
     reads_in_a_row: u32,
 }
 
+/// Closes a connection in use, whoever holds it.
+#[derive(Debug)]
+pub struct ConnectionCloser(TcpStream);
+
+impl ConnectionCloser {
+    /// Closes both directions of the connection. What is read from it ends as if the
+    /// server had closed it.
+    pub fn close(self) {
+        // Fails if the server has closed the connection already.
+        let _ = self.0.shutdown(Shutdown::Both);
+    }
+}
+
 /// Which idle connections a request may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReusePolicy {
@@ -366,14 +379,14 @@
     pub async fn read_whole(
         &mut self,
         limit: usize,
-    ) -> Result<Result<Bytes, Vec<Bytes>>, ResponseError> {
+    ) -> Result<Result<Bytes, Bytes>, ResponseError> {
         let mut chunks = Vec::new();
         let mut length = 0;
         while let Some(chunk) = self.next_chunk().await? {
             length += chunk.len();
             chunks.push(chunk);
             if length > limit {
-                return Ok(Err(chunks));
+                return Ok(Err(join(chunks, length)));
             }
         }
         Ok(Ok(join(chunks, length)))
@@ -390,6 +403,11 @@
         reading.or(wingspur_clock::sleep(timeout)).await;
     }
 
+    /// Returns what closes the connection while it is being read elsewhere.
+    pub fn closer(&self) -> ConnectionCloser {
+        ConnectionCloser(self.stream.clone())
+    }
+
     /// Returns whether the connection was opened for this request.
     pub fn is_new(&self) -> bool {
         self.is_new
--- a/crates/wingspur-transport/src/body.rs
+++ b/crates/wingspur-transport/src/body.rs
@@ -63,6 +63,9 @@
     /// No more data arrived before the deadline.
     #[error("no more body data arrived before the deadline")]
     Stalled,
+    /// The body was not complete at its deadline.
+    #[error("the body was not complete at its deadline")]
+    Late,
     /// The sender of the body has given it up.
     #[error("the sender has given the body up")]
     Aborted,
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -22,7 +22,8 @@
 
 pub use accepted_stream::HeadTimeout;
 pub use backend::{
-    BackendConnection, BackendConnections, ConnectError, ResponseHead, ReusePolicy,
+    BackendConnection, BackendConnections, ConnectError, ConnectionCloser, ResponseHead,
+    ReusePolicy,
 };
 pub use body::{BodyError, SendBody, poll_buffered};
 pub use catalog::{
--- a/tests/tests/endless_responses.rs
+++ b/tests/tests/endless_responses.rs
@@ -49,7 +49,9 @@
 
 impl Fleet {
     fn start() -> Self {
-        let alone = ALONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let alone = ALONE
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
         let store = PlatformStore::start(500);
         let routes = [Route {
             class: "once_only",
