A response's body is gathered in one buffer

Callers saw nothing yet: a box's memory grew by 73.5 MB in one second for a single response in chunks of one byte (debug build, 1 s timeout), up to 16 KiB for each byte of the first MiB.

Cause: the body was kept as a list of chunks. Each chunk holds on to the block of 16 KiB that it was read into, also if it is a single byte of it.

Change: the bytes are copied into one buffer as they come; they were copied into one at the end before.

Before: body_without_end_is_ended_at_the_timeout failed with 73,502,667 bytes of growth where 16 MiB are allowed. After: all six of endless_responses pass, each with its memory below that.

--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -376,20 +376,21 @@
 
     /// Reads the response body to its end. If it is longer than `limit` bytes, returns
     /// the inner `Err` with what was read so far; `next_chunk` returns the remainder.
+    ///
+    /// The bytes are copied into one buffer: a small chunk would hold on to the whole
+    /// block that it was read into.
     pub async fn read_whole(
         &mut self,
         limit: usize,
     ) -> Result<Result<Bytes, Bytes>, ResponseError> {
-        let mut chunks = Vec::new();
-        let mut length = 0;
+        let mut body = BytesMut::new();
         while let Some(chunk) = self.next_chunk().await? {
-            length += chunk.len();
-            chunks.push(chunk);
-            if length > limit {
-                return Ok(Err(join(chunks, length)));
+            body.extend_from_slice(&chunk);
+            if body.len() > limit {
+                return Ok(Err(body.freeze()));
             }
         }
-        Ok(Ok(join(chunks, length)))
+        Ok(Ok(body.freeze()))
     }
 
     /// Discards the remainder of the response body, so that the connection can be reused.
@@ -615,17 +616,6 @@
     Ok(())
 }
 
-fn join(mut chunks: Vec<Bytes>, length: usize) -> Bytes {
-    if chunks.len() == 1 {
-        return chunks.remove(0);
-    }
-    let mut joined = BytesMut::with_capacity(length);
-    for chunk in chunks {
-        joined.extend_from_slice(&chunk);
-    }
-    joined.freeze()
-}
-
 fn unexpected_end() -> ResponseError {
     ResponseError::Broken(io::ErrorKind::UnexpectedEof.into())
 }
