A relay's refusal counts only with a result of the relay's own

Cause: the box in front believed each status of a relay that had taken the request.

Change: a 408, 421, 429 or 503 of a relay must carry a wingspur-result whose code states that the request did not run, else it is in doubt (502, counted as sent/unproven). A wingspur-result in a server's response is dropped, so that only boxes can state one.

Before: a_relays_refusal_without_a_result_of_its_own_is_no_promise failed (503 where 502 is due).

--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -27,5 +27,5 @@
     parse_settings,
 };
 pub use operation::shutdown::{Shutdown, ShutdownSchedule, shutdown_result};
-pub use proxy::error_response::{RESULT_HEADER, error_response};
+pub use proxy::error_response::error_response;
 pub use proxy::headers::{check_framing, strip_hop_by_hop};
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::header::CONTENT_ENCODING;
-use wingspur_protocol::{ResultCode, ServerHints};
+use wingspur_protocol::{RESULT_HEADER, ResultCode, ServerHints};
 use wingspur_state::{
     AttemptEnd, AttemptId, ClientAccount, ExpectedLatency, HealthOutcome, Pick,
     RequestFingerprint, ServerRecord,
@@ -231,6 +231,8 @@
             hints = self.observe_hints(&head);
             evidence = self.observe_evidence(&head, false);
         }
+        // Only boxes state a result; callers and other boxes rely on it.
+        head.headers.remove(RESULT_HEADER);
         match evidence {
             RunEvidence::Ordinary => {}
             RunEvidence::NotRun => {
--- a/crates/wingspur-edge/src/proxy/error_response.rs
+++ b/crates/wingspur-edge/src/proxy/error_response.rs
@@ -6,10 +6,7 @@
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
-use wingspur_protocol::{RefusalBody, ResultCode};
-
-/// Name of the header with the number of the result code.
-pub const RESULT_HEADER: &str = "wingspur-result";
+use wingspur_protocol::{RESULT_HEADER, RefusalBody, ResultCode};
 
 /// Returns the complete response for a result code; `retry_after` overrides the code's
 /// own time to retry.
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -11,7 +11,8 @@
 };
 use wingspur_state::AttemptEnd;
 use wingspur_transport::{
-    BackendConnection, BackendConnections, ResponseError, ResponseHead, SendBody,
+    BackendConnection, BackendConnections, ResponseError, ResponseHead, RunEvidence,
+    SendBody,
 };
 
 use crate::catalog::active_bundle::ActiveRoute;
@@ -138,6 +139,12 @@
             guard.connections.release(connection);
             return self.not_taken("declined", &status);
         }
+        if let RunEvidence::Unproven(doubt) = head.relayed_run_evidence() {
+            self.shared.metrics.count_relayed("sent", "unproven");
+            let code = ResultCode::ConnectionLostAfterSend;
+            let reason = format!("{status}, {}", doubt.as_str());
+            return self.failure(AttemptEnd::InDoubt, code, &reason);
+        }
         self.shared.metrics.count_relayed("sent", "answered");
         if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
             let mut budget = self.service.budget.lock();
--- a/crates/wingspur-edge/src/proxy/request_log.rs
+++ b/crates/wingspur-edge/src/proxy/request_log.rs
@@ -6,7 +6,7 @@
 
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
-use wingspur_protocol::ResultCode;
+use wingspur_protocol::{RESULT_HEADER, ResultCode};
 use wingspur_state::{BoxId, BundleVersion, ClientAccount, Pick, RequestFingerprint};
 
 use crate::catalog::active_bundle::ActiveRoute;
@@ -14,7 +14,6 @@
 use crate::log_values::{id_text, round_for_log};
 use crate::operation::metrics::Metrics;
 use crate::proxy::admission::Principal;
-use crate::proxy::error_response::RESULT_HEADER;
 use crate::proxy::in_flight_requests::InFlightGuard;
 use crate::request_error::RequestError;
 
--- a/crates/wingspur-protocol/src/lib.rs
+++ b/crates/wingspur-protocol/src/lib.rs
@@ -42,7 +42,7 @@
     ReachabilityQuery, ReachabilityReply, RelayError, RelayResult, RelayedRequest,
     decode_relay_body, decode_relay_header, encode_relay_body, encode_relay_header,
 };
-pub use result_code::{ExecutionState, ResultCode};
+pub use result_code::{ExecutionState, RESULT_HEADER, ResultCode};
 pub use server_hints::{
     InvalidBackoff, InvalidDraining, ServerHints, parse_backoff, parse_draining,
 };
--- a/crates/wingspur-protocol/src/result_code.rs
+++ b/crates/wingspur-protocol/src/result_code.rs
@@ -59,6 +59,10 @@
     CatalogStale,
 }
 
+/// Name of the header with the number of the result code, in each response that wingspur
+/// itself makes.
+pub const RESULT_HEADER: &str = "wingspur-result";
+
 /// Whether a request ran at a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -101,6 +105,11 @@
         Self::CatalogStale,
     ];
 
+    /// Returns the code with a number; `None` if there is none.
+    pub fn from_number(number: u16) -> Option<Self> {
+        Self::ALL.into_iter().find(|code| code.number() == number)
+    }
+
     /// Returns the number for the `wingspur-result` header.
     pub fn number(self) -> u16 {
         match self {
--- a/crates/wingspur-transport/src/run_evidence.rs
+++ b/crates/wingspur-transport/src/run_evidence.rs
@@ -2,7 +2,7 @@
 
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
-use wingspur_protocol::HeaderNames;
+use wingspur_protocol::{ExecutionState, HeaderNames, RESULT_HEADER, ResultCode};
 
 use crate::ResponseHead;
 
@@ -83,6 +83,22 @@
         }
     }
 
+    /// Decides what this head, received from another box that has taken a request, says
+    /// about whether the request ran. The other box has judged its server's refusals, so
+    /// only a refusal of its own counts.
+    pub fn relayed_run_evidence(&self) -> RunEvidence {
+        if !promises_not_run(self.status) {
+            return RunEvidence::Ordinary;
+        }
+        let number = self.headers.get(RESULT_HEADER);
+        let number = number.and_then(|number| number.to_str().ok()?.parse().ok());
+        let code = number.and_then(ResultCode::from_number);
+        match code.map(ResultCode::run_state) {
+            Some(ExecutionState::NotRun) => RunEvidence::NotRun,
+            _ => RunEvidence::Unproven(Doubt::Unmarked),
+        }
+    }
+
     /// Returns whether the response names the request. A response to a request without an
     /// id cannot, so it must be the first on its connection.
     fn names_request(&self, names: &HeaderNames, request: SentRequest<'_>) -> bool {
--- a/tests/tests/unreachable_servers.rs
+++ b/tests/tests/unreachable_servers.rs
@@ -348,6 +348,52 @@
     pair.close();
 }
 
+/// Guards against a relay of an earlier version, which passed on long refusals of servers
+/// as they were.
+#[test]
+fn a_relays_refusal_without_a_result_of_its_own_is_no_promise() {
+    let pair = Pair::start();
+    let result_line = Arc::new(Mutex::new(String::new()));
+    let body_bytes = Arc::new(Mutex::new(0));
+    let (sent_line, sent_bytes) = (result_line.clone(), body_bytes.clone());
+    let taken = encode_relay_header(&RelayResult {
+        is_taken: true,
+        load: 0.0,
+    });
+    let relay = ScriptedRelay::start(move |_, stream| {
+        let line = sent_line.lock().unwrap().clone();
+        let headers = format!("{RELAY_RESULT_HEADER}: {taken}\r\n{line}");
+        let body = vec![b'a'; *sent_bytes.lock().unwrap()];
+        write_response(stream, "503 Service Unavailable", &headers, &body)
+    });
+    relay.announce(&pair.store);
+    let far_settings = edge::settings("box-2", pair.store.address);
+    inject(&pair.far, &far_settings, PathFault::Refuse);
+    pair.inject(PathFault::Refuse);
+    wait_until("a request is handed to the relay", || {
+        Caller::of(&pair.near).call("once_only", "probing");
+        relay.taken() > 0
+    });
+    let cases = [
+        ("", 502),
+        ("wingspur-result: 3002\r\n", 503),
+        ("wingspur-result: 3004\r\n", 502),
+        ("wingspur-result: 9\r\n", 502),
+    ];
+    for length in [0, 2 << 20] {
+        for (line, status) in cases {
+            *result_line.lock().unwrap() = line.to_owned();
+            *body_bytes.lock().unwrap() = length;
+            let before = relay.taken();
+            let id = format!("refused-{length}-{status}");
+            let answer = Caller::of(&pair.near).call("once_only", &id);
+            assert_eq!(answer.status, status, "{line:?}, {length} bytes");
+            assert_eq!(relay.taken(), before + 1, "{line:?}, {length} bytes");
+        }
+    }
+    pair.close();
+}
+
 #[test]
 fn the_server_of_a_relayed_request_gets_no_more_time_than_the_caller_waits() {
     let pair = Pair::start();
