A request counts as sent only from the moment at which it is sent

Callers saw: 504, in doubt, at the end of a stopping box for a request that was still connecting to its first server, or that every server had refused so far: a true refusal withheld.

Cause: the flag that a stop reads was set as an attempt began, before its connection was open, and was never taken back when the attempt turned out not to have run.

Change: the flag is set right before the request is written, and taken back once all attempts have ended certainly not run.

Before: a_request_that_was_never_sent_is_refused_as_not_run_at_the_stop failed (504 where 503 is due).

--- a/crates/wingspur-edge/src/operation/shutdown.rs
+++ b/crates/wingspur-edge/src/operation/shutdown.rs
@@ -103,10 +103,9 @@
     }
 }
 
-/// Returns the result code for a request that the end of the box interrupts; `sent` says
-/// whether it was sent to a server.
-pub fn shutdown_result(sent: bool) -> ResultCode {
-    match sent {
+/// Returns the result code for a request that the end of the box interrupts.
+pub fn shutdown_result(may_have_run: bool) -> ResultCode {
+    match may_have_run {
         true => ResultCode::DeadlineAfterSend,
         false => ResultCode::DeadlineBeforeSend,
     }
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -140,6 +140,7 @@
             let reason = &"the server accepts no more requests";
             return self.failure(AttemptEnd::NotSent, ResultCode::NotSent, reason);
         }
+        self.outgoing.in_flight.record_sending();
         let exchange = async {
             let account = account.as_deref();
             Some(self.exchange(&mut connection, account, body).await)
--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -215,6 +215,9 @@
             if !self.running_attempts.is_empty() {
                 continue;
             }
+            if !self.may_have_run {
+                self.outgoing.in_flight.record_not_run();
+            }
             if let Err(code) = self.resend(end, code).await {
                 return Err(self.give_up(code));
             }
@@ -386,7 +389,7 @@
         self.was_relayed = true;
         self.resends.sent += 1;
         let in_flight = &self.outgoing.in_flight;
-        in_flight.record_sent(&relay.id, self.outgoing.fingerprint);
+        in_flight.record_attempt(&relay.id, self.outgoing.fingerprint);
         let body = self.take_body();
         self.latest_attempt = None;
         let attempt = RelayedAttempt {
@@ -423,7 +426,7 @@
         let id = self.outgoing.id.as_ref();
         log_pick(id, &pick, self.tried.len(), self.remaining());
         let in_flight = &self.outgoing.in_flight;
-        in_flight.record_sent(&pick.server.id, self.outgoing.fingerprint);
+        in_flight.record_attempt(&pick.server.id, self.outgoing.fingerprint);
         let body = self.take_body();
         self.latest_attempt = Some((wingspur_clock::now(), pick.clone()));
         let attempt = UpstreamAttempt {
--- a/crates/wingspur-edge/src/proxy/in_flight_requests.rs
+++ b/crates/wingspur-edge/src/proxy/in_flight_requests.rs
@@ -24,7 +24,7 @@
 pub struct InFlightGuard {
     requests: Arc<InFlightRequests>,
     number: u64,
-    was_sent: AtomicBool,
+    may_have_run: AtomicBool,
     is_relayed: bool,
 }
 
@@ -33,7 +33,7 @@
 pub enum RequestStage {
     /// Its body is still being received, or no server has been chosen yet.
     Taken,
-    /// It was sent to a server; that attempt may have ended since.
+    /// An attempt at a server has begun, and may have ended since.
     Sent,
     /// The beginning of the response has been sent to the caller.
     Answering,
@@ -89,7 +89,7 @@
         Arc::new(InFlightGuard {
             requests: self.clone(),
             number,
-            was_sent: AtomicBool::new(false),
+            may_have_run: AtomicBool::new(false),
             is_relayed,
         })
     }
@@ -151,9 +151,8 @@
         self.change(|details| details.route = route.to_owned());
     }
 
-    /// Records that the request is sent to a server.
-    pub fn record_sent(&self, server: &str, fingerprint: RequestFingerprint) {
-        self.was_sent.store(true, Ordering::Release);
+    /// Records that an attempt at a server, or at a relay, begins. Nothing was sent yet.
+    pub fn record_attempt(&self, server: &str, fingerprint: RequestFingerprint) {
         self.change(|details| {
             details.stage = RequestStage::Sent;
             details.fingerprint = Some(fingerprint);
@@ -166,9 +165,19 @@
         self.change(|details| details.stage = RequestStage::Answering);
     }
 
-    /// Whether the request was sent to any server, so that it may have run.
-    pub fn was_sent(&self) -> bool {
-        self.was_sent.load(Ordering::Acquire)
+    /// Records that the request is about to be sent on a connection, so that it may run.
+    pub fn record_sending(&self) {
+        self.may_have_run.store(true, Ordering::Release);
+    }
+
+    /// Records that the request has run in none of its attempts, all of which have ended.
+    pub fn record_not_run(&self) {
+        self.may_have_run.store(false, Ordering::Release);
+    }
+
+    /// Whether the request may have run, or may still run.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run.load(Ordering::Acquire)
     }
 
     /// Returns the id that the caller gave the request; empty if there is none.
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -67,6 +67,7 @@
             return self.failure(AttemptEnd::NotSent, ResultCode::UnknownKey, reason);
         }
         let began = wingspur_clock::now();
+        self.outgoing.in_flight.record_sending();
         let exchange = async { Some(self.exchange(&mut connection, body, began).await) };
         let expired = async {
             wingspur_clock::sleep_until(self.outgoing.deadline + LATE_RESPONSE_GRACE)
--- a/crates/wingspur-edge/src/proxy/request.rs
+++ b/crates/wingspur-edge/src/proxy/request.rs
@@ -75,12 +75,8 @@
         None => {
             // Whatever the request waits for, the caller gets a response before the box
             // ends.
-            let sent = log.in_flight().was_sent();
-            respond_with_error(
-                &shared,
-                RequestError::from_code(shutdown_result(sent)),
-                log,
-            )
+            let code = shutdown_result(log.in_flight().may_have_run());
+            respond_with_error(&shared, RequestError::from_code(code), log)
         }
     };
     if shared.stopping.has_begun() || is_before_http_11 {
--- a/crates/wingspur-edge/src/proxy/request_log.rs
+++ b/crates/wingspur-edge/src/proxy/request_log.rs
@@ -206,7 +206,7 @@
             class,
             account = self.account_name(),
             version,
-            sent = self.in_flight.was_sent(),
+            sent = self.in_flight.may_have_run(),
             server = self.in_flight.server(),
             from_box = self.from_box.as_deref(),
             took_ms,
--- a/tests/tests/stopping.rs
+++ b/tests/tests/stopping.rs
@@ -6,10 +6,11 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use edge::{Deployment, Route};
+use edge::{Caller, Deployment, Route, configuration, server_entry};
 use serde_json::json;
 use wingspur_edge::{Settings, parse_settings};
-use wingspur_tests::{Answer, BackendServer, Reply};
+use wingspur_tests::{Answer, BackendServer, PlatformStore, Reply};
+use wingspur_transport::{PathFault, Workers};
 
 fn settings(drain: serde_json::Value) -> Settings {
     let mut value = serde_json::to_value(edge::settings("box-1", edge::any_address()));
@@ -51,6 +52,33 @@
     (calling.join().expect("the caller ends"), cut)
 }
 
+/// Guards against an answer in doubt for a request that is still connecting to a server
+/// when the box ends.
+#[test]
+fn a_request_that_was_never_sent_is_refused_as_not_run_at_the_stop() {
+    let store = PlatformStore::start(500);
+    store.put("op/config", &configuration(1, &[Route::new("once_only")]));
+    let server = BackendServer::start(|_| Reply::Complete);
+    store.put("servers/i-0", &server_entry(server.address, "ready"));
+    let workers = Workers::start(2);
+    let mut settings = edge::settings("box-1", store.address);
+    settings.drain.balancer_lag_ms = 0;
+    settings.drain.limit_ms = 200;
+    settings.fault_injection.server_path = PathFault::Hold;
+    let running = edge::start_box_with(settings, &store, &workers);
+    edge::wait_until("the box is ready", || running.is_ready());
+    let caller = Caller::of(&running);
+    let calling = std::thread::spawn(move || caller.call("once_only", "id-1"));
+    let requests = running.metrics().requests.clone();
+    edge::wait_until("the box has the request", || {
+        requests.with_label_values(&["svc", "once_only"]).get() > 0
+    });
+    smol::block_on(running.close());
+    workers.close();
+    assert_eq!(calling.join().expect("the caller ends").status, 503);
+    assert_eq!(server.heads().len(), 0);
+}
+
 #[test]
 fn a_stop_ends_half_a_second_before_the_platform_kills() {
     let ms = Duration::from_millis;
