Own sources: a refusal by an undeclared status is no promise

Callers of a box over the product's own sources saw: a server's 408, 421, 429 or 503 as it was, though the operator had not declared that status to mean 'did not run'; for a once-only request the claim was then recorded as run, and the caller told otherwise.

Cause: the same as on the platform's path: the status was passed on without proof.

Change: the declared statuses are judged in the same place as the marks (declared_run_evidence); what is not declared is in doubt (502).

Before: a_refusal_by_a_status_that_is_not_declared_is_no_promise failed (408 told as 408). After: it passes, and so do the others of answers and entry_stop.

--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -19,7 +19,9 @@
 use wingspur_state::{
     AttemptEnd, AttemptOutcome, RetryDecision, Route, RouteClass, decide_retry,
 };
-use wingspur_transport::{PooledConnection, SendBody, SendFailure};
+use wingspur_transport::{
+    PooledConnection, RunEvidence, SendBody, SendFailure, declared_run_evidence,
+};
 
 use crate::active_bundle::ServiceHandle;
 use crate::claims::{ClaimGuard, claim};
@@ -293,11 +295,21 @@
         }
         let status = response.status();
         let declared = &pending.handle.service.retry.not_run_statuses;
-        if declared.contains(&status.as_u16()) {
-            // The server sheds load or drains, which is no sign of a fault.
-            attempt.finish(AttemptOutcome::Abandoned);
-            let end = AttemptEnd::RefusedBeforeRunning;
-            return Err(FailedAttempt::new(end, ResultCode::NotSent));
+        match declared_run_evidence(status, declared) {
+            RunEvidence::Ordinary => {}
+            RunEvidence::NotRun => {
+                // The server sheds load or drains, which is no sign of a fault.
+                attempt.finish(AttemptOutcome::Abandoned);
+                let end = AttemptEnd::RefusedBeforeRunning;
+                return Err(FailedAttempt::new(end, ResultCode::NotSent));
+            }
+            RunEvidence::Unproven(_) => {
+                attempt.finish(AttemptOutcome::Failed);
+                return Err(FailedAttempt::new(
+                    AttemptEnd::InDoubt,
+                    ResultCode::ConnectionLostAfterSend,
+                ));
+            }
         }
         if status.is_server_error() {
             attempt.record_head(AttemptOutcome::Failed);
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -46,7 +46,7 @@
     submit_bundle,
 };
 pub use response_error::ResponseError;
-pub use run_evidence::{Doubt, RunEvidence, SentRequest, promises_not_run};
+pub use run_evidence::{Doubt, RunEvidence, SentRequest, declared_run_evidence};
 pub use store::{
     KeyValue, RangeResult, StoreClient, StoreError, WatchStream, WriteOutcome,
 };
--- a/crates/wingspur-transport/src/run_evidence.rs
+++ b/crates/wingspur-transport/src/run_evidence.rs
@@ -54,6 +54,18 @@
     }
 }
 
+/// Decides what a status says about whether the request ran, where the operator has
+/// declared by which statuses the servers refuse requests before running them.
+pub fn declared_run_evidence(status: StatusCode, declared: &[u16]) -> RunEvidence {
+    if declared.contains(&status.as_u16()) {
+        RunEvidence::NotRun
+    } else if promises_not_run(status) {
+        RunEvidence::Unproven(Doubt::Unmarked)
+    } else {
+        RunEvidence::Ordinary
+    }
+}
+
 impl ResponseHead {
     /// Decides what this head, received in response to a request, says about whether the
     /// request ran.
@@ -111,7 +123,7 @@
 }
 
 /// Whether callers take a status to mean that the request did not run and never will.
-pub fn promises_not_run(status: StatusCode) -> bool {
+fn promises_not_run(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::REQUEST_TIMEOUT
--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -222,6 +222,28 @@
     }
 }
 
+#[test]
+fn a_refusal_by_a_status_that_is_not_declared_is_no_promise() {
+    let (server, _) = raw_server(|echo, out| {
+        let head = format!("HTTP/1.1 {echo} Status\r\ncontent-length: 2\r\n\r\nno");
+        let _ = out.write_all(head.as_bytes());
+        true
+    });
+    with_box(server, |caller| {
+        // The bundle declares 503.
+        for (status, told) in [(408, 502), (421, 502), (429, 502), (503, 503)] {
+            let request = format!(
+                "GET /exam/p HTTP/1.1\r\nhost: x\r\nx-echo: {status}\r\n\
+                 connection: close\r\n\r\n"
+            );
+            let answer = raw_call(caller, &request);
+            let start = format!("HTTP/1.1 {told}");
+            assert!(answer.starts_with(&start), "{status}: {answer}");
+            assert!(answer.contains("wingspur-result:"), "{status}: {answer}");
+        }
+    });
+}
+
 #[test]
 fn an_answer_that_names_another_request_is_not_passed_on() {
     let (server, _) = raw_server(|_, out| {
