The soak's servers learn refusals without proof and responses without end

In half of a server's faults its responses are now without an end (in the head, in the body of any framing, in trailers), longer than a box buffers, cut or silent there, or follow a refusal that is not theirs. New promises: no call takes longer than 8 s outside of disturbances, servers are let go, no box uses more than 160 MB; a 408, 421 and 429 count as promises like a 503. A 200 that shows that it is incomplete is counted as cut.

docs/design/refusals.md has the table of all ways in which such a status leaves a box, with a test for each; two rows had none and get one (a request without an id; the box's own codes).

--- a/tests/soak/src/boxes.rs
+++ b/tests/soak/src/boxes.rs
@@ -143,6 +143,17 @@
         Pid::from_raw(child.id() as i32)
     }
 
+    /// Returns the most memory that the current process has used, in bytes; 0 if it is not
+    /// running.
+    pub fn peak_memory(&mut self) -> u64 {
+        let Some(pid) = self.pid() else { return 0 };
+        let path = format!("/proc/{}/status", pid.as_raw_nonzero());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|line| line.split_whitespace().next());
+        kib.and_then(|kib| kib.parse::<u64>().ok()).unwrap_or(0) * 1024
+    }
+
     /// Sends a signal to the process, if it is running.
     pub fn signal(&mut self, signal: Signal) {
         if let Some(pid) = self.pid() {
--- a/tests/soak/src/calls.rs
+++ b/tests/soak/src/calls.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use wingspur_tests::try_call;
+use wingspur_tests::{Answer, try_call};
 
 /// A finished request and its result.
 #[derive(Debug, Clone)]
@@ -23,9 +23,23 @@
     /// Status of the response; 0 if the connection ended without a response, `None` if
     /// the box did not accept the connection.
     pub status: Option<u16>,
-    /// Whether a response with status 200 is complete and belongs to this request. Always
-    /// true for other statuses, and without a response.
+    /// Whether a response with status 200 belongs to this request and is complete, or
+    /// shows that it is not. Always true for other statuses, and without a response.
     pub is_own: bool,
+    /// Whether a response with status 200 shows that it is incomplete.
+    pub is_cut: bool,
+}
+
+impl FinishedCall {
+    /// Whether the caller got its complete response.
+    pub fn is_served(&self) -> bool {
+        self.status == Some(200) && !self.is_cut
+    }
+
+    /// Returns how long the call took.
+    pub fn took(&self) -> Duration {
+        self.ended.duration_since(self.sent)
+    }
 }
 
 /// The running client threads.
@@ -88,11 +102,12 @@
     let sent = Instant::now();
     let response = try_call(boxes[box_index], method, path, &headers, b"");
     let ended = Instant::now();
-    let is_own = response.as_ref().is_none_or(|response| {
+    let succeeded = response.as_ref().filter(|response| response.status == 200);
+    let is_cut = succeeded.is_some_and(shows_cut);
+    let is_own = succeeded.is_none_or(|response| {
         let echoed = response.headers.get("x-wingspur-request-id");
         let is_complete = response.whole && response.body == b"own body";
-        response.status != 200
-            || (is_complete && echoed.is_some_and(|echoed| *echoed == id))
+        echoed.is_some_and(|echoed| *echoed == id) && (is_complete || is_cut)
     });
     FinishedCall {
         status: response.map(|response| response.status),
@@ -102,9 +117,17 @@
         sent,
         ended,
         is_own,
+        is_cut,
     }
 }
 
+/// Whether a response shows that it is incomplete: shorter than its length, or without its
+/// last chunk.
+fn shows_cut(response: &Answer) -> bool {
+    let is_chunked = response.headers.contains_key("transfer-encoding");
+    !response.whole || (is_chunked && !response.body.ends_with(b"0\r\n\r\n"))
+}
+
 const CALLER_COUNT: usize = 12;
 /// With responses that take some milliseconds, the callers together send about 400
 /// requests a second.
--- a/tests/soak/src/plan.rs
+++ b/tests/soak/src/plan.rs
@@ -5,7 +5,9 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use wingspur_tests::{Reply, StoreFault};
+use wingspur_tests::{
+    Body, EchoedId, Framing, Preamble, Reply, ResponseShape, StoreFault,
+};
 
 /// The faults of one play.
 #[derive(Debug, Clone)]
@@ -132,7 +134,7 @@
 fn draw_kind(random: &mut StdRng, boxes: usize) -> FaultKind {
     let a_box = random.random_range(0..boxes);
     let server = random.random_range(0..SERVERS);
-    match random.random_range(0..23) {
+    match random.random_range(0..26) {
         0..3 => FaultKind::Stop(a_box),
         3..5 => FaultKind::Kill(a_box),
         5 => FaultKind::KillAll,
@@ -144,7 +146,7 @@
         12 => FaultKind::ForgetHistory,
         13..16 => FaultKind::Change,
         16 => FaultKind::Leave(server),
-        20.. => draw_cut_off(random, boxes),
+        20..23 => draw_cut_off(random, boxes),
         _ => FaultKind::Server(server, draw_reply(random)),
     }
 }
@@ -159,6 +161,9 @@
 }
 
 fn draw_reply(random: &mut StdRng) -> Reply {
+    if random.random_bool(0.5) {
+        return Reply::Shaped(draw_shape(random));
+    }
     const REPLIES: [Reply; 8] = [
         Reply::Error,
         Reply::Refused,
@@ -172,6 +177,62 @@
     REPLIES[random.random_range(0..REPLIES.len())]
 }
 
+/// Draws a response that has no end, is longer than a box buffers, or follows a refusal
+/// that proves nothing.
+fn draw_shape(random: &mut StdRng) -> ResponseShape {
+    const FRAMINGS: [Framing; 4] = [
+        Framing::Length,
+        Framing::Chunked,
+        Framing::TinyChunks,
+        Framing::UntilClose,
+    ];
+    const PREAMBLES: [Preamble; 8] = [
+        Preamble::SurplusRefusal(EchoedId::Other),
+        Preamble::SurplusRefusal(EchoedId::Missing),
+        Preamble::EndlessHeaderLines,
+        Preamble::EndlessHeaderValue,
+        Preamble::EndlessEmptyLines,
+        Preamble::EndlessInterim,
+        Preamble::EndlessSurplus,
+        Preamble::EndlessGarbage,
+    ];
+    const BODIES: [Body; 4] = [
+        Body::Endless,
+        Body::CutAfter(LONG_BYTES),
+        Body::SilentAfter(LONG_BYTES),
+        Body::EndlessTrailers(100),
+    ];
+    let status = if random.random_bool(0.5) { 200 } else { 503 };
+    let is_marked = status == 503 && random.random_bool(0.3);
+    let shape = ResponseShape {
+        pause: ENDLESS_PAUSE,
+        ..ResponseShape::new(status, is_marked)
+    };
+    if random.random_bool(0.4) {
+        return ResponseShape {
+            preamble: PREAMBLES[random.random_range(0..PREAMBLES.len())],
+            pause: ENDLESS_PAUSE,
+            ..ResponseShape::new(200, false)
+        };
+    }
+    let body = BODIES[random.random_range(0..BODIES.len())];
+    let framing = match body {
+        Body::EndlessTrailers(_) => Framing::Chunked,
+        // In chunks of one byte, this many would take seconds.
+        Body::CutAfter(_) | Body::SilentAfter(_) => Framing::Length,
+        _ => FRAMINGS[random.random_range(0..FRAMINGS.len())],
+    };
+    ResponseShape {
+        framing,
+        body,
+        ..shape
+    }
+}
+
+/// More than a box buffers of a response.
+const LONG_BYTES: usize = 2 << 20;
+/// Limits a response without end to 16 MB a second, since many are sent at once.
+const ENDLESS_PAUSE: Duration = Duration::from_millis(1);
 /// Number of backend servers; all belong to one service.
 pub const SERVERS: usize = 8;
 const LONGEST_CUT_NOTICE: Duration = Duration::from_secs(3);
--- a/tests/soak/src/promises.rs
+++ b/tests/soak/src/promises.rs
@@ -22,6 +22,10 @@
     pub cuts: Vec<(usize, Instant, Instant)>,
     /// Boxes that were stopped as planned, until they have served again for a while.
     pub stops: Vec<(usize, Instant, Instant)>,
+    /// Number of responses that servers were still sending after the calm end.
+    pub still_responding: usize,
+    /// For each box, the most memory that its process has used, in bytes.
+    pub peak_memory: Vec<u64>,
     /// Messages about boxes that went back to an older version of the configuration.
     pub reversions: Vec<String>,
     /// When the last fault was over and the boxes had had time to recover.
@@ -37,6 +41,17 @@
     for call in calls {
         violations.extend(violation_by(call, observed));
     }
+    if observed.still_responding > 0 {
+        let count = observed.still_responding;
+        violations.push(format!(
+            "ends: {count} responses of servers were not let go"
+        ));
+    }
+    for (n, bytes) in observed.peak_memory.iter().enumerate() {
+        if *bytes > MAX_BOX_BYTES {
+            violations.push(format!("memory: box {n} used {} MB", bytes >> 20));
+        }
+    }
     violations.extend(worse_without_path(calls, observed));
     violations.extend(over_budget(calls, observed));
     violations.extend(not_recovered(calls, observed));
@@ -52,13 +67,22 @@
     if call.once_only && times_run > 1 {
         return Some(format!("once only: {id} ran {times_run} times"));
     }
-    if call.once_only && times_run > 0 && call.status == Some(503) {
+    let is_promise = matches!(call.status, Some(408 | 421 | 429 | 503));
+    if call.once_only && times_run > 0 && is_promise {
         return Some(format!("not run: {id} was told so and ran"));
     }
     let spans = &observed.disturbances[call.box_index];
     let was_disturbed = spans
         .iter()
         .any(|(from, to)| call.sent <= *to && call.ended >= *from);
+    let took = call.took();
+    if took > LONGEST_CALL && !was_disturbed {
+        let status = call.status;
+        return Some(format!(
+            "ends: {id} took {took:?} on box {}, {status:?}",
+            call.box_index
+        ));
+    }
     if call.status == Some(0) && !was_disturbed {
         return Some(format!(
             "planned stops: {id} was cut on box {}",
@@ -136,7 +160,7 @@
 impl Share {
     fn count(&mut self, call: &FinishedCall) {
         self.calls += 1;
-        self.served += usize::from(call.status == Some(200));
+        self.served += usize::from(call.is_served());
     }
 
     fn fraction(&self) -> f64 {
@@ -150,7 +174,7 @@
         .iter()
         .filter(|call| call.sent >= observed.calm_from)
         .collect();
-    let served = calm.iter().filter(|call| call.status == Some(200)).count();
+    let served = calm.iter().filter(|call| call.is_served()).count();
     let share = served as f64 / calm.len().max(1) as f64;
     let text = format!(
         "recovery: {served} of {} served in the calm end",
@@ -159,6 +183,11 @@
     (share < MIN_SERVED_WHEN_CALM).then_some(text)
 }
 
+/// No call may take longer. The route's timeout is 3 s, and a call must have its end half a
+/// second later; the rest is for a machine that is busy with many boxes.
+const LONGEST_CALL: Duration = Duration::from_secs(8);
+/// The memory of the smallest box.
+const MAX_BOX_BYTES: u64 = 160 << 20;
 /// A draining server must get no new requests after this time; the users require 2 s.
 pub const DRAINING_BOUND: Duration = Duration::from_secs(2);
 /// From this time on after the loss of the path the requirement holds.
--- a/tests/soak/src/refusals.rs
+++ b/tests/soak/src/refusals.rs
@@ -107,8 +107,9 @@
         for status in [408, 421, 429, 500, 200] {
             for body in [Body::Whole(8), Body::Whole(LONG_BYTES)] {
                 let shape = ResponseShape::new(status, is_marked);
-                // By the protocol, a server that answers 421 has not run the request.
-                let runs = shape.runs && status != 421;
+                // By the protocol, a server that answers 421 has not run the request. A mark
+                // in a success contradicts it.
+                let runs = (shape.runs && status != 421) || status == 200;
                 shapes.push(ResponseShape {
                     runs,
                     body,
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -34,6 +34,9 @@
     pub logs: PathBuf,
     requests: usize,
     served: usize,
+    cut: usize,
+    longest: Duration,
+    peak_memory: u64,
     faults: usize,
 }
 
@@ -73,10 +76,15 @@
         let Self {
             requests,
             served,
+            cut,
             faults,
             ..
         } = self;
-        format!("{verdict}; {faults} faults, {served} of {requests} requests served")
+        let (longest_ms, memory_mb) = (self.longest.as_millis(), self.peak_memory >> 20);
+        format!(
+            "{verdict}; {faults} faults, {served} of {requests} requests served, {cut} cut, \
+             the longest took {longest_ms} ms, a box used {memory_mb} MB"
+        )
     }
 }
 
@@ -104,10 +112,14 @@
         broken: broken_promises(&calls, &observed),
         logs: folder,
         requests: calls.len(),
-        served: calls
+        served: calls.iter().filter(|call| call.is_served()).count(),
+        cut: calls.iter().filter(|call| call.is_cut).count(),
+        longest: calls
             .iter()
-            .filter(|call: &&FinishedCall| call.status == Some(200))
-            .count(),
+            .map(FinishedCall::took)
+            .max()
+            .unwrap_or_default(),
+        peak_memory: observed.peak_memory.iter().copied().max().unwrap_or(0),
         faults: plan.faults.len(),
     }
 }
@@ -357,7 +369,11 @@
             }
         }
         arrivals.sort();
-        for running in self.boxes {
+        let responding = self.servers.iter().map(BackendServer::responding);
+        let still_responding = responding.sum();
+        let mut peak_memory = Vec::new();
+        for mut running in self.boxes {
+            peak_memory.push(running.peak_memory());
             running.kill();
         }
         Observations {
@@ -368,6 +384,8 @@
             cuts: self.cuts,
             stops: self.stops,
             reversions: self.reversions,
+            still_responding,
+            peak_memory,
             calm_from,
         }
     }
--- a/tests/src/http.rs
+++ b/tests/src/http.rs
@@ -1,7 +1,7 @@
 //! A minimal HTTP/1.1 implementation over blocking sockets, for fake servers and callers.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
@@ -181,18 +181,23 @@
     };
     let status = line.split(' ').nth(1).and_then(|text| text.parse().ok());
     let mut body = Vec::new();
-    let read = reader.read_to_end(&mut body);
-    let announced: Option<usize> = headers
+    let read = reader.by_ref().take(MAX_KEPT_BYTES).read_to_end(&mut body);
+    let beyond = read.and_then(|_| std::io::copy(reader, &mut std::io::sink()));
+    let length = beyond.as_ref().map(|beyond| beyond + body.len() as u64);
+    let announced: Option<u64> = headers
         .get("content-length")
         .and_then(|text| text.parse().ok());
     Answer {
         status: status.unwrap_or(0),
-        whole: read.is_ok() && announced.is_none_or(|length| length == body.len()),
+        whole: length.is_ok_and(|length| announced.is_none_or(|all| all == length)),
         headers,
         body,
     }
 }
 
+/// The most bytes of a body that are kept; what follows is read and discarded.
+const MAX_KEPT_BYTES: u64 = 64 << 20;
+
 fn read_head(reader: &mut impl BufRead) -> Option<(String, BTreeMap<String, String>)> {
     let mut first = String::new();
     if reader.read_line(&mut first).ok()? == 0 {
--- a/tests/src/response_shape.rs
+++ b/tests/src/response_shape.rs
@@ -21,8 +21,10 @@
     pub framing: Framing,
     /// The body.
     pub body: Body,
-    /// Whether the head and the first bytes of the body are sent one byte at a time.
+    /// Whether the head is sent one byte at a time.
     pub is_split: bool,
+    /// The pause after each piece of what has no end.
+    pub pause: Duration,
 }
 
 /// What a server sends before its response.
@@ -101,6 +103,7 @@
             framing: Framing::Length,
             body: Body::Whole(8),
             is_split: false,
+            pause: Duration::ZERO,
         }
     }
 
@@ -147,25 +150,26 @@
             }
             Preamble::EndlessHeaderLines => {
                 stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\n")?;
-                repeat(
+                self.repeat(
                     b"x-filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n",
                     stream,
                 )
             }
             Preamble::EndlessHeaderValue => {
                 stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nx-filler: ")?;
-                repeat(&[b'a'; 4096], stream)
+                self.repeat(&[b'a'; 4096], stream)
             }
-            Preamble::EndlessEmptyLines => repeat(b"\r\n", stream),
+            Preamble::EndlessEmptyLines => self.repeat(b"\r\n", stream),
             Preamble::EndlessInterim => {
-                repeat(b"HTTP/1.1 102 Processing\r\n\r\n", stream)
+                self.repeat(b"HTTP/1.1 102 Processing\r\n\r\n", stream)
             }
             Preamble::EndlessSurplus => {
                 let surplus = Self::new(503, true);
                 let head = surplus.head(503, EchoedId::Other, true, id, "");
-                repeat([head.as_bytes(), &[b'a'; 8]].concat().as_slice(), stream)
+                let surplus = [head.as_bytes(), &[b'a'; 8]].concat();
+                self.repeat(&surplus, stream)
             }
-            Preamble::EndlessGarbage => repeat(&[1, 2, 3, b'\n'], stream),
+            Preamble::EndlessGarbage => self.repeat(&[1, 2, 3, b'\n'], stream),
         }
     }
 
@@ -224,19 +228,20 @@
                     self.send_part(1, stream)?;
                     let bulk = usize::from(self.framing != Framing::TinyChunks);
                     self.send_part(bulk * PIECE_BYTES, stream)?;
+                    std::thread::sleep(self.pause);
                 }
                 Ok(false)
             }
             Body::EndlessExtension(length) => {
                 self.send_part(length, stream)?;
                 stream.write_all(b"5;ext=")?;
-                repeat(&[b'a'; 512], stream)?;
+                self.repeat(&[b'a'; 512], stream)?;
                 Ok(false)
             }
             Body::EndlessTrailers(length) => {
                 self.send_part(length, stream)?;
                 stream.write_all(b"0\r\n")?;
-                repeat(b"x-trailer: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n", stream)?;
+                self.repeat(b"x-trailer: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n", stream)?;
                 Ok(false)
             }
         }
@@ -262,16 +267,18 @@
         }
         Ok(())
     }
-}
 
-/// Writes the same bytes until the peer closes the connection, or for [`MAX_ENDLESS`].
-fn repeat(bytes: &[u8], stream: &mut TcpStream) -> std::io::Result<()> {
-    let block = bytes.repeat(1 + PIECE_BYTES / bytes.len());
-    let until = Instant::now() + MAX_ENDLESS;
-    while Instant::now() < until {
-        stream.write_all(&block)?;
+    /// Writes the same bytes until the peer closes the connection, or for
+    /// [`MAX_ENDLESS`].
+    fn repeat(self, bytes: &[u8], stream: &mut TcpStream) -> std::io::Result<()> {
+        let block = bytes.repeat(1 + PIECE_BYTES / bytes.len());
+        let until = Instant::now() + MAX_ENDLESS;
+        while Instant::now() < until {
+            stream.write_all(&block)?;
+            std::thread::sleep(self.pause);
+        }
+        Err(std::io::ErrorKind::TimedOut.into())
     }
-    Err(std::io::ErrorKind::TimedOut.into())
 }
 
 fn send_bytewise(bytes: &[u8], stream: &mut TcpStream) -> std::io::Result<()> {
--- a/tests/tests/pages.rs
+++ b/tests/tests/pages.rs
@@ -27,6 +27,15 @@
     assert_eq!(rows, codes);
 }
 
+#[test]
+fn every_status_that_promises_is_of_a_code_that_did_not_run() {
+    for code in ResultCode::ALL {
+        if matches!(code.status(), 408 | 421 | 429 | 503) {
+            assert_eq!(code.run_state(), ExecutionState::NotRun, "{code:?}");
+        }
+    }
+}
+
 fn row(code: ResultCode) -> String {
     let ran = match code.run_state() {
         ExecutionState::NotRun => "not_run",
--- a/tests/tests/refusal_evidence.rs
+++ b/tests/tests/refusal_evidence.rs
@@ -8,12 +8,18 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use hyper::StatusCode;
+use hyper::header::{HeaderMap, HeaderValue};
+
 use edge::{Caller, Route, configuration, server_entry, wait_until};
 use wingspur_edge::EdgeBox;
+use wingspur_platform::header_names;
 use wingspur_tests::{
     BackendServer, Body, EchoedId, Framing, PlatformStore, Preamble, Reply, ResponseShape,
 };
-use wingspur_transport::{PathFault, Workers};
+use wingspur_transport::{
+    Doubt, PathFault, ResponseHead, RunEvidence, SentRequest, Workers,
+};
 
 /// A box that reaches the servers, and one that hands its requests to it.
 struct Fleet {
@@ -158,6 +164,30 @@
     )
 }
 
+/// Judges a head with these ids in response to a request.
+fn evidence(
+    status: u16,
+    is_marked: bool,
+    echoed: &[&'static str],
+    request: SentRequest<'_>,
+) -> RunEvidence {
+    let names = header_names();
+    let mut headers = HeaderMap::new();
+    for id in echoed {
+        headers.append(names.request_id, HeaderValue::from_static(id));
+    }
+    if is_marked {
+        let mark = names.not_executed.expect("the platform has a mark");
+        headers.insert(mark, HeaderValue::from_static("1"));
+    }
+    let head = ResponseHead {
+        status: StatusCode::from_u16(status).unwrap(),
+        headers,
+        body_bytes: None,
+    };
+    head.run_evidence(&names, request)
+}
+
 const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::UntilClose];
 /// More than a box buffers of a response.
 const LONG_BYTES: usize = 2 << 20;
@@ -258,6 +288,46 @@
     fleet.close();
 }
 
+#[test]
+fn refusal_with_two_ids_is_no_promise() {
+    let id = HeaderValue::from_static("own");
+    let request = SentRequest {
+        id: Some(&id),
+        is_first: true,
+    };
+    let unnamed = RunEvidence::Unproven(Doubt::Unnamed);
+    for (echoed, expected) in [
+        (&["own"][..], RunEvidence::NotRun),
+        (&["own", "own"], RunEvidence::NotRun),
+        (&["own", "other"], unnamed),
+        (&["other", "own"], unnamed),
+        (&["other"], unnamed),
+        (&[""], unnamed),
+        (&[], unnamed),
+    ] {
+        assert_eq!(evidence(503, true, echoed, request), expected, "{echoed:?}");
+        assert_eq!(
+            evidence(421, false, echoed, request),
+            expected,
+            "{echoed:?}"
+        );
+    }
+}
+
+#[test]
+fn refusal_of_a_request_without_an_id_counts_on_a_new_connection() {
+    let request = |is_first| SentRequest { id: None, is_first };
+    let unnamed = RunEvidence::Unproven(Doubt::Unnamed);
+    let not_run = evidence(400, true, &[], request(true));
+    assert_eq!(not_run, RunEvidence::NotRun);
+    assert_eq!(evidence(400, true, &[], request(false)), unnamed);
+    assert_eq!(evidence(400, true, &["other"], request(true)), unnamed);
+    let unmarked = RunEvidence::Unproven(Doubt::Unmarked);
+    assert_eq!(evidence(503, false, &[], request(true)), unmarked);
+    let ordinary = evidence(400, false, &[], request(true));
+    assert_eq!(ordinary, RunEvidence::Ordinary);
+}
+
 #[test]
 fn surplus_refusal_before_the_response_does_not_make_the_request_run_twice() {
     let fleet = Fleet::start();
