A streamed response's deadline spares its connection once it is reused

Found by reading the change: the task that closes the server's connection at the deadline of a streamed response was cancelled only when the caller's side dropped the body, after the connection had gone back to the pool. A deadline in between would have closed it under the next request, which would then be in doubt.

Change: the closer is disarmed under a lock before the connection is released.

--- a/crates/wingspur-edge/src/proxy/response_body.rs
+++ b/crates/wingspur-edge/src/proxy/response_body.rs
@@ -9,7 +9,9 @@
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use wingspur_clock::Timer;
-use wingspur_transport::{BackendConnection, BodyError, ResponseError, poll_buffered};
+use wingspur_transport::{
+    BackendConnection, BodyError, ConnectionCloser, ResponseError, poll_buffered,
+};
 
 use crate::edge_state::EdgeState;
 use crate::proxy::in_flight_requests::InFlightGuard;
@@ -70,12 +72,13 @@
     pub fn new(source: BodySource, length: Option<u64>, context: StreamContext) -> Self {
         context.in_flight.record_responding();
         let (closer, deadline) = (source.connection.closer(), context.deadline);
+        let chunks = receive_chunks(source, closer.clone());
         let closing = context.shared.spawner.spawn(async move {
             wingspur_clock::sleep_until(deadline).await;
             closer.close();
         });
         Self {
-            chunks: Some(receive_chunks(source)),
+            chunks: Some(chunks),
             length,
             deadline: Timer::at(deadline),
             context,
@@ -117,29 +120,34 @@
     }
 }
 
-/// Returns the beginning of a body and then the rest of it, as it is received.
-fn receive_chunks(source: BodySource) -> ChunkStream {
+/// Returns the beginning of a body and then the rest of it, as it is received. Disarms the
+/// closer of the connection before the connection can be reused.
+fn receive_chunks(source: BodySource, closer: ConnectionCloser) -> ChunkStream {
     let BodySource {
         first,
         connection,
         guard,
     } = source;
-    let state = (Some(first), Some((connection, guard)));
+    let end = move |connection: Box<BackendConnection>, guard: StreamGuard| {
+        closer.disarm();
+        guard(Ok(*connection));
+    };
+    let state = (Some(first), Some((connection, guard, end)));
     let chunks = futures_lite::stream::unfold(state, |(first, source)| async move {
         if let Some(first) = first {
             return Some((Ok(first), (None, source)));
         }
-        let (mut connection, guard) = source?;
+        let (mut connection, guard, end) = source?;
         match connection.next_chunk().await {
             // The HTTP server stops polling after the last byte of a body of known
             // length, so the attempt ends here.
             Ok(Some(chunk)) if connection.is_read() => {
-                guard(Ok(*connection));
+                end(connection, guard);
                 Some((Ok(chunk), (None, None)))
             }
-            Ok(Some(chunk)) => Some((Ok(chunk), (None, Some((connection, guard))))),
+            Ok(Some(chunk)) => Some((Ok(chunk), (None, Some((connection, guard, end))))),
             Ok(None) => {
-                guard(Ok(*connection));
+                end(connection, guard);
                 None
             }
             Err(error) => {
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -10,8 +10,8 @@
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::pin;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
@@ -63,16 +63,24 @@
     reads_in_a_row: u32,
 }
 
-/// Closes a connection in use, whoever holds it.
-#[derive(Debug)]
-pub struct ConnectionCloser(TcpStream);
+/// Closes a connection while it is read elsewhere, unless a clone was disarmed.
+#[derive(Debug, Clone)]
+pub struct ConnectionCloser(Arc<Mutex<Option<TcpStream>>>);
 
 impl ConnectionCloser {
     /// Closes both directions of the connection. What is read from it ends as if the
     /// server had closed it.
     pub fn close(self) {
-        // Fails if the server has closed the connection already.
-        let _ = self.0.shutdown(Shutdown::Both);
+        let mut stream = self.0.lock().expect("no holder panics");
+        if let Some(stream) = stream.take() {
+            // Fails if the server has closed the connection already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Makes all clones leave the connection open from now on, so that it can be reused.
+    pub fn disarm(self) {
+        self.0.lock().expect("no holder panics").take();
     }
 }
 
@@ -395,8 +403,11 @@
 
     /// Discards the remainder of the response body, so that the connection can be reused.
     /// Gives up after `timeout` or [`MAX_DISCARDED_BYTES`]; the connection is not reused
-    /// then.
+    /// then. Does nothing if it would not be reused anyway.
     pub async fn discard_body(&mut self, timeout: Duration) {
+        if !self.reusable {
+            return;
+        }
         let reading = async {
             // A body that cannot be read leaves the connection unread, and so unused.
             let _ = self.read_whole(MAX_DISCARDED_BYTES).await;
@@ -406,7 +417,7 @@
 
     /// Returns what closes the connection while it is being read elsewhere.
     pub fn closer(&self) -> ConnectionCloser {
-        ConnectionCloser(self.stream.clone())
+        ConnectionCloser(Arc::new(Mutex::new(Some(self.stream.clone()))))
     }
 
     /// Returns whether the connection was opened for this request.
--- a/tests/tests/endless_responses.rs
+++ b/tests/tests/endless_responses.rs
@@ -10,12 +10,13 @@
 use std::time::{Duration, Instant};
 
 use edge::{Caller, Route, configuration, server_entry, wait_until};
+use hyper::{Method, StatusCode};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 use wingspur_edge::EdgeBox;
 use wingspur_tests::{
     BackendServer, Body, Framing, PlatformStore, Preamble, Reply, ResponseShape,
 };
-use wingspur_transport::{PathFault, Workers};
+use wingspur_transport::{BackendConnections, PathFault, ReusePolicy, SendBody, Workers};
 
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
@@ -275,3 +276,29 @@
     drop(stream);
     fleet.close();
 }
+
+/// Guards against a finished response whose connection is closed at the deadline that the
+/// response had, under the next request on it.
+#[test]
+fn disarmed_closer_leaves_the_connection_open() {
+    let server = BackendServer::start(|_| Reply::Complete);
+    let connections = BackendConnections::new(server.address);
+    let head = b"GET / HTTP/1.1\r\nhost: site.example\r\n\r\n".to_vec();
+    let calling = async {
+        let timeout = Duration::from_secs(10);
+        let connecting = connections.connect(ReusePolicy::Any, timeout);
+        let mut connection = connecting.await.unwrap();
+        let closer = connection.closer();
+        closer.clone().disarm();
+        closer.close();
+        let (body, method) = (SendBody::empty(), Method::GET);
+        let sending = connection.send_request(head, body, &method);
+        let response = sending.await.unwrap();
+        connection.closer().close();
+        let ended = connection.read_head(&method).await;
+        (response.status, ended.is_err())
+    };
+    let (status, has_ended) = smol::block_on(calling);
+    assert_eq!(status, StatusCode::OK);
+    assert!(has_ended, "a closer that is armed closes the connection");
+}
