Bytes that are always there let other tasks run, on hyper's connections too

Callers of a box over the product's own sources saw: no end from a server that sends interim responses without end, until that server stopped (60 s in the test); the worker ran nothing else.

Cause: the same as on the platform's path. hyper reads on through interim responses for as long as a read is ready, so neither its task nor the deadline of the request gets a turn.

Change: FairStream, under the connections to servers of both paths and under the calls of the store: after 64 reads that were ready at once, one is pending. It replaces the counter in BackendConnection.

--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -24,6 +24,7 @@
 use socket2::SockRef;
 use wingspur_state::MAX_RESEND_TRANSIT;
 
+use crate::fair_stream::FairStream;
 use crate::path_fault::InjectedPathFault;
 use crate::response_head::{
     Framing, ParsedHead, framing_of, keep_alive_timeout, parse_head, unreadable,
@@ -48,7 +49,7 @@
 /// was read completely. When it is dropped instead, it closes.
 #[derive(Debug)]
 pub struct BackendConnection {
-    stream: TcpStream,
+    stream: FairStream<TcpStream>,
     path_fault: InjectedPathFault,
     buffer: BytesMut,
     /// How much of the body of the current response has not been read.
@@ -59,8 +60,6 @@
     reusable: bool,
     /// How long it may be idle and still be reused; after that the server may close it.
     idle_timeout: Duration,
-    /// Number of reads since it last let other tasks run.
-    reads_in_a_row: u32,
 }
 
 /// Closes a connection while it is read elsewhere, unless a clone was disarmed.
@@ -273,14 +272,13 @@
 impl BackendConnection {
     fn new(stream: TcpStream, path_fault: InjectedPathFault) -> Self {
         Self {
-            stream,
+            stream: FairStream::new(stream),
             path_fault,
             buffer: BytesMut::new(),
             framing: Framing::Done,
             is_new: true,
             reusable: true,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
-            reads_in_a_row: 0,
         }
     }
 
@@ -296,7 +294,7 @@
         method: &Method,
     ) -> Result<ResponseHead, ResponseError> {
         self.is_new = false;
-        let writer = self.stream.clone();
+        let writer = self.stream.get_ref().clone();
         let mut sending = pin!(send(writer, head, body));
         let (sent, head_result) = {
             let mut reading = pin!(self.read_head(method));
@@ -417,7 +415,7 @@
 
     /// Returns what closes the connection while it is being read elsewhere.
     pub fn closer(&self) -> ConnectionCloser {
-        ConnectionCloser(Arc::new(Mutex::new(Some(self.stream.clone()))))
+        ConnectionCloser(Arc::new(Mutex::new(Some(self.stream.get_ref().clone()))))
     }
 
     /// Returns whether the connection was opened for this request.
@@ -446,7 +444,8 @@
     /// it was idle.
     async fn has_no_input(&mut self) -> bool {
         let mut byte = [0];
-        let peeked = futures_lite::future::poll_once(self.stream.peek(&mut byte)).await;
+        let peeked =
+            futures_lite::future::poll_once(self.stream.get_ref().peek(&mut byte)).await;
         peeked.is_none()
     }
 
@@ -558,15 +557,7 @@
 
     /// Reads more data into the buffer and returns the number of bytes, 0 if the server
     /// has closed the connection.
-    ///
-    /// Bytes that arrive faster than they are used would never let the caller's deadline
-    /// be checked, so it lets other tasks run now and then.
     async fn read_more(&mut self) -> Result<usize, ResponseError> {
-        self.reads_in_a_row += 1;
-        if self.reads_in_a_row == MAX_READS_IN_A_ROW {
-            self.reads_in_a_row = 0;
-            futures_lite::future::yield_now().await;
-        }
         let buffered = self.buffer.len();
         self.buffer.resize(buffered + READ_BYTES, 0);
         let reading = self.stream.read(&mut self.buffer[buffered..]);
@@ -649,8 +640,6 @@
 /// The number of bytes read from a server at once. A larger value needs fewer system
 /// calls for a long response.
 const READ_BYTES: usize = 16 << 10;
-/// The number of reads after which a connection lets other tasks run, 1 MiB of data.
-const MAX_READS_IN_A_ROW: u32 = 64;
 /// The longest body that is read only to reuse its connection.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 /// The longest head of a response, and the most bytes of its interim responses and of its
--- a/crates/wingspur-transport/src/http_client.rs
+++ b/crates/wingspur-transport/src/http_client.rs
@@ -17,6 +17,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use crate::fair_stream::FairStream;
 use crate::{FaultInjector, InjectedFault, Spawner, TlsIdentity};
 
 /// HTTP client for small messages to the store, the box list and peers. It keeps idle
@@ -358,7 +359,7 @@
         B: Body<Data = Bytes> + Send + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
-        let io = FuturesIo::new(stream);
+        let io = FuturesIo::new(FairStream::new(stream));
         let mut builder = hyper::client::conn::http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let (sender, connection) = builder.handshake(io).await?;
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -5,6 +5,7 @@
 mod backend;
 mod body;
 mod catalog;
+mod fair_stream;
 mod fault_injection;
 mod http_client;
 mod link;
--- a/crates/wingspur-transport/src/pool.rs
+++ b/crates/wingspur-transport/src/pool.rs
@@ -13,6 +13,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use crate::fair_stream::FairStream;
 use crate::{SendBody, Spawner};
 
 /// The connections of this box to one backend server.
@@ -150,7 +151,9 @@
         stream
             .set_nodelay(true)
             .map_err(|error| error.to_string())?;
-        let handshake = hyper::client::conn::http1::handshake(FuturesIo::new(stream));
+        let handshake = hyper::client::conn::http1::handshake(FuturesIo::new(
+            FairStream::new(stream),
+        ));
         let (sender, connection) = handshake.await.map_err(|error| error.to_string())?;
         self.opened.fetch_add(1, Ordering::Relaxed);
         self.spawner.detach(async move {
--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -4,8 +4,8 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use wingspur_bench::{Fleet, small_zagreb};
 use wingspur_transport::Workers;
@@ -222,6 +222,37 @@
     }
 }
 
+#[test]
+fn interim_responses_without_end_are_ended() {
+    let is_let_go = Arc::new(AtomicBool::new(false));
+    let let_go = is_let_go.clone();
+    let (server, _) = raw_server(move |_, out| {
+        let block = b"HTTP/1.1 102 Processing\r\n\r\n".repeat(1024);
+        let until = Instant::now() + Duration::from_secs(60);
+        while Instant::now() < until {
+            if out.write_all(&block).is_err() {
+                let_go.store(true, Ordering::SeqCst);
+                return false;
+            }
+        }
+        false
+    });
+    with_box(server, |caller| {
+        let mut stream = TcpStream::connect(caller).unwrap();
+        let limit = Some(Duration::from_secs(30));
+        stream.set_read_timeout(limit).unwrap();
+        stream.write_all(GET.as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 50"), "{answer}");
+        let until = Instant::now() + Duration::from_secs(30);
+        while !is_let_go.load(Ordering::SeqCst) {
+            assert!(Instant::now() < until, "the server is held");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    });
+}
+
 #[test]
 fn a_refusal_by_a_status_that_is_not_declared_is_no_promise() {
     let (server, _) = raw_server(|echo, out| {
