Soak: a shaped response's short body is the one that callers expect

The body of the stand-in was eight times 'a', where callers compare with 'own body'. The check stays; the stand-in now sends what callers expect of a whole response.

--- a/tests/src/response_shape.rs
+++ b/tests/src/response_shape.rs
@@ -255,7 +255,9 @@
                 Framing::TinyChunks => 1,
                 _ => PIECE_BYTES,
             });
-            let bytes = vec![b'a'; piece];
+            let bytes: Vec<u8> = (length - rest..length - rest + piece)
+                .map(|at| OWN_BODY[at % OWN_BODY.len()])
+                .collect();
             match self.framing {
                 Framing::Length | Framing::UntilClose => stream.write_all(&bytes)?,
                 Framing::Chunked | Framing::TinyChunks => {
@@ -299,3 +301,5 @@
 /// The longest time for which something without end is sent.
 const MAX_ENDLESS: Duration = Duration::from_secs(60);
 const PIECE_BYTES: usize = 16 << 10;
+/// Repeated in each body; a body of this length is what callers of a fake server expect.
+const OWN_BODY: &[u8] = b"own body";
