--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -14,8 +14,8 @@
     RequestFingerprint, ServerRecord,
 };
 use wingspur_transport::{
-    BackendConnection, BackendConnections, ConnectError, Doubt, ResponseError,
-    ResponseHead, RunEvidence, SendBody, SentRequest,
+    BackendConnection, BackendConnections, ConnectError, ResponseError, ResponseHead,
+    RunEvidence, SendBody, SentRequest, UnprovenReason,
 };
 
 use crate::catalog::active_bundle::ActiveRoute;
@@ -179,12 +179,12 @@
                 let end = AttemptEnd::RefusedBeforeRunning;
                 self.failure(end, ResultCode::NotSent, &status)
             }
-            Received::Unproven(status, doubt) => {
+            Received::Unproven(status, reason) => {
                 guard.end(HealthOutcome::Failed);
                 guard.backend.release(connection);
                 let code = ResultCode::ConnectionLostAfterSend;
-                let reason = format!("{status}, {}", doubt.as_str());
-                self.failure(AttemptEnd::InDoubt, code, &reason)
+                let text = format!("{status}, {}", reason.as_str());
+                self.failure(AttemptEnd::InDoubt, code, &text)
             }
             Received::Beginning { head, first } => {
                 guard.record_response_started();
@@ -240,14 +240,14 @@
                 connection.discard_body(REFUSAL_BODY_TIMEOUT).await;
                 return Ok(Received::NotRun(head.status, hints));
             }
-            RunEvidence::Unproven(doubt) => {
-                if doubt == Doubt::Unnamed {
+            RunEvidence::Unproven(reason) => {
+                if reason == UnprovenReason::Unnamed {
                     // The response to this request may still follow.
                     connection.disable_reuse();
                 } else {
                     connection.discard_body(REFUSAL_BODY_TIMEOUT).await;
                 }
-                return Ok(Received::Unproven(head.status, doubt));
+                return Ok(Received::Unproven(head.status, reason));
             }
         }
         self.check_origin(&head)?;
@@ -459,7 +459,7 @@
     /// The head of a refusal, which proves that the request did not run.
     NotRun(StatusCode, ServerHints),
     /// The head of a refusal that proves nothing.
-    Unproven(StatusCode, Doubt),
+    Unproven(StatusCode, UnprovenReason),
     /// The beginning of a response that is too long to buffer.
     Beginning { head: ResponseHead, first: Bytes },
 }
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -140,11 +140,11 @@
             guard.connections.release(connection);
             return self.not_taken("declined", &status);
         }
-        if let RunEvidence::Unproven(doubt) = head.relayed_run_evidence() {
+        if let RunEvidence::Unproven(reason) = head.relayed_run_evidence() {
             self.shared.metrics.count_relayed("sent", "unproven");
             let code = ResultCode::ConnectionLostAfterSend;
-            let reason = format!("{status}, {}", doubt.as_str());
-            return self.failure(AttemptEnd::InDoubt, code, &reason);
+            let text = format!("{status}, {}", reason.as_str());
+            return self.failure(AttemptEnd::InDoubt, code, &text);
         }
         self.shared.metrics.count_relayed("sent", "answered");
         if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -47,7 +47,7 @@
     submit_bundle,
 };
 pub use response_error::ResponseError;
-pub use run_evidence::{Doubt, RunEvidence, SentRequest, declared_run_evidence};
+pub use run_evidence::{RunEvidence, SentRequest, UnprovenReason, declared_run_evidence};
 pub use store::{
     KeyValue, RangeResult, StoreClient, StoreError, WatchStream, WriteOutcome,
 };
--- a/crates/wingspur-transport/src/run_evidence.rs
+++ b/crates/wingspur-transport/src/run_evidence.rs
@@ -18,12 +18,12 @@
     NotRun,
     /// The request may have run, although callers would take the status, or the server's
     /// mark, to mean that it did not.
-    Unproven(Doubt),
+    Unproven(UnprovenReason),
 }
 
 /// Why a refusal does not prove that the request did not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Doubt {
+pub enum UnprovenReason {
     /// The status is that of a refusal, but the server does not state that the request
     /// did not run.
     Unmarked,
@@ -49,7 +49,7 @@
         match self {
             Self::Ordinary => "ordinary",
             Self::NotRun => "not_run",
-            Self::Unproven(doubt) => doubt.as_str(),
+            Self::Unproven(reason) => reason.as_str(),
         }
     }
 }
@@ -60,7 +60,7 @@
     if declared.contains(&status.as_u16()) {
         RunEvidence::NotRun
     } else if promises_not_run(status) {
-        RunEvidence::Unproven(Doubt::Unmarked)
+        RunEvidence::Unproven(UnprovenReason::Unmarked)
     } else {
         RunEvidence::Ordinary
     }
@@ -81,7 +81,7 @@
             return RunEvidence::Ordinary;
         }
         if !self.names_request(names, request) {
-            return RunEvidence::Unproven(Doubt::Unnamed);
+            return RunEvidence::Unproven(UnprovenReason::Unnamed);
         }
         // Where requests name the server that they are for, every other server answers
         // 421 without running them.
@@ -90,8 +90,8 @@
         let is_error = self.status.is_client_error() || self.status.is_server_error();
         match (is_marked || is_other_server, is_error) {
             (true, true) => RunEvidence::NotRun,
-            (true, false) => RunEvidence::Unproven(Doubt::Contradictory),
-            (false, _) => RunEvidence::Unproven(Doubt::Unmarked),
+            (true, false) => RunEvidence::Unproven(UnprovenReason::Contradictory),
+            (false, _) => RunEvidence::Unproven(UnprovenReason::Unmarked),
         }
     }
 
@@ -107,7 +107,7 @@
         let code = number.and_then(ResultCode::from_number);
         match code.map(ResultCode::run_state) {
             Some(ExecutionState::NotRun) => RunEvidence::NotRun,
-            _ => RunEvidence::Unproven(Doubt::Unmarked),
+            _ => RunEvidence::Unproven(UnprovenReason::Unmarked),
         }
     }
 
@@ -133,8 +133,8 @@
     )
 }
 
-impl Doubt {
-    /// Returns the doubt as a metric label.
+impl UnprovenReason {
+    /// Returns the reason as a metric label.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Unmarked => "unmarked",
--- a/tests/soak/src/refusals.rs
+++ b/tests/soak/src/refusals.rs
@@ -29,7 +29,7 @@
 
 /// What a caller was told, and when.
 #[derive(Debug)]
-struct Told {
+struct CallerOutcome {
     /// The status; 0 if the connection ended without one, `None` if nothing came in time.
     status: Option<u16>,
     /// When the response or the connection ended; `None` if neither did in time.
@@ -280,7 +280,7 @@
         self.restore();
         *self.reply.lock().expect("no holder panics") = Reply::Shaped(shape);
         let disturbing = self.disturb_soon(path);
-        let told = self.call("/once_only/a");
+        let outcome = self.call("/once_only/a");
         if let Some(disturbing) = disturbing {
             disturbing.join().expect("the thread does not panic");
             self.near.set_suspended(false);
@@ -295,7 +295,7 @@
         }
         let id = format!("id-{}", self.next_id);
         let ran = self.times_run(&id);
-        let promised = matches!(told.status, Some(408 | 421 | 429 | 503));
+        let promised = matches!(outcome.status, Some(408 | 421 | 429 | 503));
         let bound = match path {
             Path::Suspended => ROUTE_TIMEOUT + END_GRACE + SUSPENSION,
             _ => ROUTE_TIMEOUT + END_GRACE,
@@ -310,7 +310,7 @@
         if !promised && ran == 0 && !shape.runs && shape.id == EchoedId::Own {
             faults.push("withheld");
         }
-        if told.ended_after.is_none_or(|after| after > bound) {
+        if outcome.ended_after.is_none_or(|after| after > bound) {
             faults.push("NO END");
         }
         if self.responding() > 0 {
@@ -326,8 +326,8 @@
             shape.framing,
             shape.body,
             shape.is_split,
-            told.status,
-            told.ended_after.map(|after| after.as_millis()),
+            outcome.status,
+            outcome.ended_after.map(|after| after.as_millis()),
             faults.join(", ")
         );
         faults.is_empty()
@@ -354,7 +354,7 @@
         }
     }
 
-    fn call(&mut self, path: &str) -> Told {
+    fn call(&mut self, path: &str) -> CallerOutcome {
         self.next_id += 1;
         let id = format!("id-{}", self.next_id);
         call_and_discard(self.near.caller_address, path, &id)
@@ -376,9 +376,9 @@
 }
 
 /// Sends a request and discards the body of the response.
-fn call_and_discard(to: SocketAddr, path: &str, id: &str) -> Told {
+fn call_and_discard(to: SocketAddr, path: &str, id: &str) -> CallerOutcome {
     let sent = Instant::now();
-    let nothing = Told {
+    let nothing = CallerOutcome {
         status: Some(0),
         ended_after: Some(Duration::ZERO),
     };
@@ -409,7 +409,7 @@
         };
         match read {
             Ok(0) => {
-                return Told {
+                return CallerOutcome {
                     status: status.or(Some(0)),
                     ended_after: Some(sent.elapsed()),
                 };
@@ -420,14 +420,14 @@
             Ok(_) => {}
             Err(error) if is_timeout(&error) => {}
             Err(_) => {
-                return Told {
+                return CallerOutcome {
                     status: status.or(Some(0)),
                     ended_after: Some(sent.elapsed()),
                 };
             }
         }
     }
-    Told {
+    CallerOutcome {
         status,
         ended_after: None,
     }
--- a/tests/tests/refusal_evidence.rs
+++ b/tests/tests/refusal_evidence.rs
@@ -18,7 +18,7 @@
     BackendServer, Body, EchoedId, Framing, PlatformStore, Preamble, Reply, ResponseShape,
 };
 use wingspur_transport::{
-    Doubt, PathFault, ResponseHead, RunEvidence, SentRequest, Workers,
+    PathFault, ResponseHead, RunEvidence, SentRequest, UnprovenReason, Workers,
 };
 
 /// A box that reaches the servers, and one that hands its requests to it.
@@ -295,7 +295,7 @@
         id: Some(&id),
         is_first: true,
     };
-    let unnamed = RunEvidence::Unproven(Doubt::Unnamed);
+    let unnamed = RunEvidence::Unproven(UnprovenReason::Unnamed);
     for (echoed, expected) in [
         (&["own"][..], RunEvidence::NotRun),
         (&["own", "own"], RunEvidence::NotRun),
@@ -317,12 +317,12 @@
 #[test]
 fn refusal_of_a_request_without_an_id_counts_on_a_new_connection() {
     let request = |is_first| SentRequest { id: None, is_first };
-    let unnamed = RunEvidence::Unproven(Doubt::Unnamed);
+    let unnamed = RunEvidence::Unproven(UnprovenReason::Unnamed);
     let not_run = evidence(400, true, &[], request(true));
     assert_eq!(not_run, RunEvidence::NotRun);
     assert_eq!(evidence(400, true, &[], request(false)), unnamed);
     assert_eq!(evidence(400, true, &["other"], request(true)), unnamed);
-    let unmarked = RunEvidence::Unproven(Doubt::Unmarked);
+    let unmarked = RunEvidence::Unproven(UnprovenReason::Unmarked);
     assert_eq!(evidence(503, false, &[], request(true)), unmarked);
     let ordinary = evidence(400, false, &[], request(true));
     assert_eq!(ordinary, RunEvidence::Ordinary);
