--- a/tests/soak/src/boxes.rs
+++ b/tests/soak/src/boxes.rs
@@ -1,10 +1,12 @@
 //! Starts, signals and kills the boxes, which are real processes. Each signal goes to one
 //! process id.
 
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Mutex;
 
 use rand::RngExt;
 use rustix::process::{Pid, Signal, kill_process};
@@ -220,13 +222,16 @@
     (response.status == 200).then_some(body)
 }
 
-/// Returns an address with a port that is free now. The port lies below the ephemeral
-/// range, so the kernel assigns it to no connection while the box is down.
+/// Returns an address with a port that is free now, and that was not returned before. The
+/// port lies below the ephemeral range, so the kernel assigns it to no connection while
+/// the box is down.
 fn free_address() -> SocketAddr {
+    static RETURNED: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    let mut returned = RETURNED.lock().expect("no holder panics");
     loop {
         let port = rand::rng().random_range(PORTS_BELOW_EPHEMERAL);
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
+        if TcpListener::bind(address).is_ok() && returned.insert(port) {
             return address;
         }
     }
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -8,6 +8,7 @@
 mod promises;
 mod refusals;
 mod run;
+mod site;
 
 use std::ops::Range;
 use std::path::PathBuf;
@@ -21,6 +22,7 @@
 use crate::planned::{Verdict, play_planned};
 use crate::refusals::play_refusals;
 use crate::run::{Setup, play};
+use crate::site::{Shape, play_site};
 
 /// Plays faults, or planned work alone, from a seed against real boxes, and checks what
 /// callers and servers see.
@@ -47,6 +49,12 @@
     /// responses of every shape instead of faults, and no seed
     #[argh(switch)]
     refusals: bool,
+    /// a deployment in its whole size instead: exams, admissions or lessons
+    #[argh(option)]
+    site: Option<Shape>,
+    /// threads that call a deployment in its whole size
+    #[argh(option, default = "60")]
+    callers: usize,
     /// data centres under planned work, at most 3
     #[argh(option, default = "2")]
     data_centres: usize,
@@ -92,9 +100,10 @@
         Seeds::Count(count) => first..first + count,
         Seeds::Range(seeds) => seeds,
     };
-    let all_held = match args.planned {
-        true => play_all_planned(&args, seeds),
-        false => play_all(&args, seeds),
+    let all_held = match (args.site, args.planned) {
+        (Some(shape), _) => play_all_sites(&args, shape, seeds),
+        (None, true) => play_all_planned(&args, seeds),
+        (None, false) => play_all(&args, seeds),
     };
     match all_held {
         true => ExitCode::SUCCESS,
@@ -113,6 +122,21 @@
     seeds.all(|seed| play_seed(&setup, seed))
 }
 
+/// Plays a deployment in its whole size with all seeds. Returns whether the promises held
+/// in each.
+fn play_all_sites(args: &Args, shape: Shape, seeds: Range<u64>) -> bool {
+    let setup = site::Setup {
+        program: args.program.clone(),
+        shape,
+        callers: args.callers,
+        span: Duration::from_secs(args.seconds),
+    };
+    let held: Vec<bool> = seeds
+        .map(|seed| play_site(&setup, seed, &args.logs))
+        .collect();
+    held.iter().all(|held| *held)
+}
+
 /// Plays planned work with all seeds and prints a summary. Returns whether all promises
 /// held.
 fn play_all_planned(args: &Args, seeds: Range<u64>) -> bool {
--- a/tests/soak/src/planned/mod.rs
+++ b/tests/soak/src/planned/mod.rs
@@ -20,6 +20,7 @@
 use crate::planned::schedule::Schedule;
 
 pub use play::Setup;
+pub use servers::{pattern, spawn};
 
 /// Result of a seed.
 pub struct Verdict {
