A connection that fails before the first byte of a request leaves no doubt

Callers of a once-only request were told 502, after which they must not try again, where the server had reset the connection between its opening and the first write: nothing of the request had left the box.

Cause: an error while sending was one kind, whether or not bytes had been written. A reset at a full server comes in just that moment.

The first write now fails with ResponseError::NotSent if it wrote nothing; the attempt then ends as not sent, and the request goes elsewhere. The same holds for relays.

--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -157,6 +157,10 @@
                 let code = ResultCode::DeadlineAfterSend;
                 return self.failure(AttemptEnd::InDoubt, code, &"no answer in time");
             }
+            Some(Err(error @ ResponseError::NotSent(_))) => {
+                guard.end(HealthOutcome::Unreached);
+                return self.failure(AttemptEnd::NotSent, ResultCode::NotSent, &error);
+            }
             Some(Err(error)) => {
                 return self.interrupted(&error, guard);
             }
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -80,6 +80,9 @@
                 let code = ResultCode::DeadlineAfterSend;
                 self.failure(AttemptEnd::InDoubt, code, &"no answer in time")
             }
+            Some(Err(error @ ResponseError::NotSent(_))) => {
+                self.not_taken("unreached", &error)
+            }
             Some(Err(error)) => {
                 self.shared.metrics.count_relayed("sent", "lost");
                 let code = ResultCode::ConnectionLostAfterSend;
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -303,7 +303,10 @@
                 if sent.is_none()
                     && let Poll::Ready(ended) = sending.as_mut().poll(context)
                 {
-                    if let Err(error @ ResponseError::RequestBody) = ended {
+                    if let Err(
+                        error @ (ResponseError::NotSent(_) | ResponseError::RequestBody),
+                    ) = ended
+                    {
                         return Poll::Ready((Some(Ok(())), Err(error)));
                     }
                     // A server that refuses a request early may close its side. Its
@@ -573,22 +576,33 @@
     head: Vec<u8>,
     body: SendBody,
 ) -> Result<(), ResponseError> {
-    let broken = ResponseError::Broken;
     match body {
-        SendBody::Buffered(None) => stream.write_all(&head).await.map_err(broken),
+        SendBody::Buffered(None) => write_first(&mut stream, &head).await,
         SendBody::Buffered(Some(bytes)) => {
             let mut all = head;
             all.extend_from_slice(&bytes);
-            stream.write_all(&all).await.map_err(broken)
+            write_first(&mut stream, &all).await
         }
         streamed @ SendBody::Stream(..) => {
             let chunked = hyper::body::Body::size_hint(&streamed).exact().is_none();
-            stream.write_all(&head).await.map_err(broken)?;
+            write_first(&mut stream, &head).await?;
             send_stream(stream, streamed, chunked).await
         }
     }
 }
 
+/// Writes the first bytes of a request. Fails with `ResponseError::NotSent` if not even
+/// one of them could be written.
+async fn write_first(stream: &mut TcpStream, bytes: &[u8]) -> Result<(), ResponseError> {
+    let written = match stream.write(bytes).await {
+        Ok(0) => Err(io::ErrorKind::WriteZero.into()),
+        written => written,
+    };
+    let written = written.map_err(ResponseError::NotSent)?;
+    let rest = stream.write_all(&bytes[written..]).await;
+    rest.map_err(ResponseError::Broken)
+}
+
 async fn send_stream(
     mut stream: TcpStream,
     mut body: SendBody,
--- a/crates/wingspur-transport/src/response_error.rs
+++ b/crates/wingspur-transport/src/response_error.rs
@@ -2,9 +2,13 @@
 
 use std::io;
 
-/// Why a response is missing or unusable. The request may have run.
+/// Why a response is missing or unusable. But for [`ResponseError::NotSent`], the request
+/// may have run.
 #[derive(Debug, thiserror::Error)]
 pub enum ResponseError {
+    /// The connection failed before any byte of the request was written to it.
+    #[error("the request was not sent: {0}")]
+    NotSent(io::Error),
     /// The connection failed or ended before the response was complete.
     #[error("the answer broke off: {0}")]
     Broken(io::Error),
