A 404 in place of a relay's response is no proof that the request did not run

Callers of a box without a path to servers were told 503 for a request that had been handed to the address of a relay and been answered there with a 404.

Cause: a response without the relay's result counted as "not taken" if its status was 404, since boxes of a version without relays answer so. But such boxes are never asked, as they answer no query either; what answers is something that has the address now, and it may have run the request.

Evidence: the new test (a scripted relay that answers 404) was told 503 before and is told 502 now, and the request is not sent again. Every response without the relay's result is in doubt.

--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -258,18 +258,11 @@
 
 /// Takes the relay's result out of a response.
 ///
-/// Fails if there is none and the request may have run. A box of a version that does not
-/// relay answers 404 to everything but links.
+/// Fails if there is none: something else than a relay may have the relay's address now,
+/// and the request may have run.
 fn relay_result(head: &mut ResponseHead) -> Result<RelayResult, ResponseError> {
-    let Some(value) = head.headers.remove(RELAY_RESULT_HEADER) else {
-        return match head.status {
-            StatusCode::NOT_FOUND => Ok(RelayResult {
-                is_taken: false,
-                load: 1.0,
-            }),
-            _ => Err(unreadable("a response without the result of the relay")),
-        };
-    };
+    let value = head.headers.remove(RELAY_RESULT_HEADER);
+    let value = value.ok_or(unreadable("a response without the result of the relay"))?;
     decode_relay_header(value.as_bytes()).map_err(|error| unreadable(&error.to_string()))
 }
 
--- a/tests/tests/unreachable_servers.rs
+++ b/tests/tests/unreachable_servers.rs
@@ -292,6 +292,35 @@
     pair.close();
 }
 
+/// Cuts both boxes off from the servers, so that only the scripted relay is left, and
+/// waits until a request was handed to it.
+fn leave_only(relay: &ScriptedRelay, pair: &Pair) {
+    relay.announce(&pair.store);
+    let far_settings = edge::settings("box-2", pair.store.address);
+    inject(&pair.far, &far_settings, PathFault::Refuse);
+    pair.inject(PathFault::Refuse);
+    wait_until("a request is handed to the relay", || {
+        Caller::of(&pair.near).call("once_only", "probing");
+        relay.taken() > 0
+    });
+}
+
+#[test]
+fn a_404_without_a_result_in_place_of_a_relays_response_is_no_promise() {
+    let pair = Pair::start();
+    // A server that has got the address of a box runs the request and knows no such path.
+    let relay = ScriptedRelay::start(|_, stream| {
+        write_response(stream, "404 Not Found", "", b"no such path")
+    });
+    leave_only(&relay, &pair);
+    for n in 0..5 {
+        let before = relay.taken();
+        let answer = Caller::of(&pair.near).call("once_only", &format!("id-{n}"));
+        assert_eq!((answer.status, relay.taken()), (502, before + 1));
+    }
+    pair.close();
+}
+
 #[test]
 fn a_request_that_a_relay_has_not_taken_goes_to_another() {
     let pair = Pair::start();
