Soaks that run at the same time have loopback addresses and ids of their own

Each had an arrival some 15 s before its caller sent it: the caller of the other play had sent it, through a box that had the port of one that was down. Addresses are drawn from one 127.x.y.1 a process now, and ids carry the process id.

--- a/tests/soak/src/boxes.rs
+++ b/tests/soak/src/boxes.rs
@@ -230,11 +230,18 @@
     let mut returned = RETURNED.lock().expect("no holder panics");
     loop {
         let port = rand::rng().random_range(PORTS_BELOW_EPHEMERAL);
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let address = SocketAddr::from((own_loopback_ip(), port));
         if TcpListener::bind(address).is_ok() && returned.insert(port) {
             return address;
         }
     }
 }
 
+/// Returns a loopback address that differs between soaks that run at the same time. Else
+/// a box of one could get the port of a box of the other that is down, and its requests.
+fn own_loopback_ip() -> [u8; 4] {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    [127, 64 + high % 64, low, 1]
+}
+
 const PORTS_BELOW_EPHEMERAL: std::ops::Range<u16> = 12_000..32_000;
--- a/tests/soak/src/site/caller.rs
+++ b/tests/soak/src/site/caller.rs
@@ -100,7 +100,8 @@
         let class = self.draw_class();
         let (box_index, mut reader) = self.connection()?;
         self.sent += 1;
-        let id = format!("c{}-{}", self.number, self.sent);
+        let play = std::process::id();
+        let id = format!("{play}-c{}-{}", self.number, self.sent);
         let leaves_after = self.random.random_bool(LEAVE_SHARE).then(|| {
             let work_ms = class.work.as_millis() as u64;
             Duration::from_millis(self.random.random_range(1..2 * work_ms))
