A refusal that was read is not lost while its body is discarded

Callers were told 504, after which they must not try again, although their box had read the server's proof that the request did not run.

Cause: after the proof the attempt waited up to 10 ms for the refusal's body, so that the connection could be reused. A deadline or a stop that came in that time took the place of the proof. Servers refuse what their queue holds at the deadline, so this is when such refusals come.

Evidence: the new test (30 servers that refuse 5 ms before to 24 ms after the deadline and withhold the body) had 504 beside evidence=not_run 9 ms after the timeout before, and has 503 for each refusal that was read now. Nothing is awaited between the proof and its use; the body is discarded in the background.

--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -179,13 +179,13 @@
                 } else {
                     HealthOutcome::Refused
                 });
-                guard.backend.release(connection);
+                release_unread(&self.shared, guard.backend.clone(), connection);
                 let end = AttemptEnd::RefusedBeforeRunning;
                 self.failure(end, ResultCode::NotSent, &status)
             }
             Received::Unproven(status, reason) => {
                 guard.end(HealthOutcome::Failed);
-                guard.backend.release(connection);
+                release_unread(&self.shared, guard.backend.clone(), connection);
                 let code = ResultCode::ConnectionLostAfterSend;
                 let text = format!("{status}, {}", reason.as_str());
                 self.failure(AttemptEnd::InDoubt, code, &text)
@@ -240,16 +240,13 @@
         head.headers.remove(RESULT_HEADER);
         match evidence {
             RunEvidence::Ordinary => {}
-            RunEvidence::NotRun => {
-                connection.discard_body(REFUSAL_BODY_TIMEOUT).await;
-                return Ok(Received::NotRun(head.status, hints));
-            }
+            // Nothing is awaited between the proof and its use: the deadline or a stop
+            // would take its place.
+            RunEvidence::NotRun => return Ok(Received::NotRun(head.status, hints)),
             RunEvidence::Unproven(reason) => {
                 if reason == UnprovenReason::Unnamed {
                     // The response to this request may still follow.
                     connection.disable_reuse();
-                } else {
-                    connection.discard_body(REFUSAL_BODY_TIMEOUT).await;
                 }
                 return Ok(Received::Unproven(head.status, reason));
             }
@@ -456,6 +453,22 @@
     }
 }
 
+/// Releases a connection once the body of its response, which is not needed, has been
+/// discarded. Reads it in the background, so that the attempt ends at once.
+pub fn release_unread(
+    shared: &EdgeState,
+    connections: Arc<BackendConnections>,
+    mut connection: BackendConnection,
+) {
+    if connection.is_read() {
+        return connections.release(connection);
+    }
+    shared.spawner.detach(async move {
+        connection.discard_body(REFUSAL_BODY_TIMEOUT).await;
+        connections.release(connection);
+    });
+}
+
 /// What was read of the response.
 enum Received {
     /// All of it.
