A relay's refusal counts by its head, whatever becomes of its body

Callers of a box without a path to servers were told 502 or 504 although their relay had said that the request was sent to no server, if the body of its response was cut or fell silent.

Cause: the body was read to its end before the relay's result and its own result code were looked at. Evidence: the new test (a scripted relay whose refusal, taken or declined, lacks two bytes) was told 502 before, and is told 503 now.

The head is judged first, as with servers: a declined request goes elsewhere at once, and a refusal of the relay's own is made again from its result code and Retry-After.

--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -5,6 +5,8 @@
 
 use futures_lite::FutureExt;
 use hyper::StatusCode;
+use hyper::body::Bytes;
+use hyper::header::RETRY_AFTER;
 use wingspur_protocol::{
     BoxRecord, RELAY_HEADER, RELAY_PROTOCOL_VERSION, RELAY_RESULT_HEADER, RelayResult,
     RelayedRequest, ResultCode, decode_relay_header, encode_relay_header,
@@ -12,15 +14,16 @@
 use wingspur_state::AttemptEnd;
 use wingspur_transport::{
     BackendConnection, BackendConnections, ResponseError, ResponseHead, RunEvidence,
-    SendBody,
+    SendBody, UnprovenReason,
 };
 
 use crate::catalog::active_bundle::ActiveRoute;
 use crate::edge_state::EdgeState;
 use crate::log_values::id_text;
 use crate::proxy::attempt::{
-    AttemptResult, FailedAttempt, LATE_RESPONSE_GRACE, MAX_BUFFERED_BYTES,
+    AttemptResult, FailedAttempt, LATE_RESPONSE_GRACE, MAX_BUFFERED_BYTES, release_unread,
 };
+use crate::proxy::error_response::error_response;
 use crate::proxy::request_head::{UpstreamRequest, reuse_policy, serialize_head};
 use crate::proxy::response_body::{BodySource, StreamGuard};
 use crate::request_error::BufferedResponse;
@@ -111,8 +114,26 @@
         let hop = wingspur_clock::since(began);
         self.shared.metrics.observe_relay_latency(service, hop);
         let result = relay_result(&mut head)?;
-        let body = connection.read_whole(MAX_BUFFERED_BYTES).await?;
-        Ok(Received { head, body, result })
+        self.record_load(result.load);
+        if !result.is_taken {
+            return Ok(Received::Declined(head.status));
+        }
+        match head.relayed_run_evidence() {
+            RunEvidence::Ordinary => {}
+            RunEvidence::NotRun => return Ok(Received::NotRun(head)),
+            RunEvidence::Unproven(reason) => {
+                return Ok(Received::Unproven(head.status, reason));
+            }
+        }
+        match connection.read_whole(MAX_BUFFERED_BYTES).await? {
+            Ok(body) => Ok(Received::Complete(BufferedResponse { head, body })),
+            Err(first) => Ok(Received::Beginning { head, first }),
+        }
+    }
+
+    fn record_load(&self, load: f32) {
+        let mut directory = self.shared.relays.directory.lock();
+        directory.record_load(&self.relay.id, load);
     }
 
     fn message(&self) -> String {
@@ -134,32 +155,29 @@
         connection: BackendConnection,
         guard: RelayGuard,
     ) -> AttemptResult {
-        let Received { head, body, result } = received;
-        let mut directory = self.shared.relays.directory.lock();
-        directory.record_load(&self.relay.id, result.load);
-        drop(directory);
-        let status = head.status;
-        if !result.is_taken {
-            guard.connections.release(connection);
-            return self.not_taken("declined", &status);
-        }
-        if let RunEvidence::Unproven(reason) = head.relayed_run_evidence() {
-            self.shared.metrics.count_relayed("sent", "unproven");
-            let code = ResultCode::ConnectionLostAfterSend;
-            let text = format!("{status}, {}", reason.as_str());
-            return self.failure(AttemptEnd::InDoubt, code, &text);
-        }
-        self.shared.metrics.count_relayed("sent", "answered");
-        if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
-            let mut budget = self.service.budget.lock();
-            budget.count_failed_request(wingspur_clock::now());
-        }
-        match body {
-            Ok(body) => {
+        match received {
+            Received::Declined(status) => {
+                self.release_unread(connection, guard);
+                self.not_taken("declined", &status)
+            }
+            Received::NotRun(head) => {
+                self.release_unread(connection, guard);
+                self.record_answered(head.status);
+                AttemptResult::Complete(relayed_refusal(&head))
+            }
+            Received::Unproven(status, reason) => {
+                self.shared.metrics.count_relayed("sent", "unproven");
+                let code = ResultCode::ConnectionLostAfterSend;
+                let text = format!("{status}, {}", reason.as_str());
+                self.failure(AttemptEnd::InDoubt, code, &text)
+            }
+            Received::Complete(response) => {
+                self.record_answered(response.head.status);
                 guard.complete(connection);
-                AttemptResult::Complete(BufferedResponse { head, body })
+                AttemptResult::Complete(response)
             }
-            Err(first) => {
+            Received::Beginning { head, first } => {
+                self.record_answered(head.status);
                 let body = BodySource {
                     first,
                     connection: Box::new(connection),
@@ -170,6 +188,20 @@
         }
     }
 
+    fn record_answered(&self, status: StatusCode) {
+        self.shared.metrics.count_relayed("sent", "answered");
+        if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+            let mut budget = self.service.budget.lock();
+            budget.count_failed_request(wingspur_clock::now());
+        }
+    }
+
+    /// Ends the attempt at a response whose body is not needed.
+    fn release_unread(&self, connection: BackendConnection, guard: RelayGuard) {
+        let connections = guard.connections.clone();
+        release_unread(&self.shared, connections, connection);
+    }
+
     /// Returns the failure of an attempt of which the relay has sent nothing to a server.
     fn not_taken(&self, outcome: &str, reason: &dyn std::fmt::Display) -> AttemptResult {
         self.shared.metrics.count_relayed("sent", outcome);
@@ -212,11 +244,18 @@
     }
 }
 
-/// What a relay has responded: the body, or the beginning of a long one.
-struct Received {
-    head: ResponseHead,
-    body: Result<hyper::body::Bytes, hyper::body::Bytes>,
-    result: RelayResult,
+/// What a relay has responded.
+enum Received {
+    /// It has not taken the request and has sent it to no server.
+    Declined(StatusCode),
+    /// The head of a refusal of its own, which proves that the request did not run.
+    NotRun(ResponseHead),
+    /// The head of a refusal that proves nothing.
+    Unproven(StatusCode, UnprovenReason),
+    /// A complete response.
+    Complete(BufferedResponse),
+    /// The beginning of a response that is too long to buffer.
+    Beginning { head: ResponseHead, first: Bytes },
 }
 
 impl RelayGuard {
@@ -256,6 +295,23 @@
     }
 }
 
+/// Returns the refusal that a relay's head stands for. Its body says the same as the head
+/// and may not have arrived.
+fn relayed_refusal(head: &ResponseHead) -> BufferedResponse {
+    let code = head.result_code().unwrap_or(ResultCode::NotSent);
+    let retry_after = head.headers.get(RETRY_AFTER);
+    let seconds = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+    let retry_after = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
+    let (parts, body) = error_response(code, retry_after).into_parts();
+    let body = body.into_inner().unwrap_or_default();
+    let head = ResponseHead {
+        status: parts.status,
+        headers: parts.headers,
+        body_bytes: Some(body.len() as u64),
+    };
+    BufferedResponse { head, body }
+}
+
 /// Takes the relay's result out of a response.
 ///
 /// Fails if there is none: something else than a relay may have the relay's address now,
--- a/crates/wingspur-transport/src/run_evidence.rs
+++ b/crates/wingspur-transport/src/run_evidence.rs
@@ -102,15 +102,19 @@
         if !promises_not_run(self.status) {
             return RunEvidence::Ordinary;
         }
-        let number = self.headers.get(RESULT_HEADER);
-        let number = number.and_then(|number| number.to_str().ok()?.parse().ok());
-        let code = number.and_then(ResultCode::from_number);
-        match code.map(ResultCode::run_state) {
+        match self.result_code().map(ResultCode::run_state) {
             Some(ExecutionState::NotRun) => RunEvidence::NotRun,
             _ => RunEvidence::Unproven(UnprovenReason::Unmarked),
         }
     }
 
+    /// Returns the result code of a response that a box itself has made; `None` for any
+    /// other response.
+    pub fn result_code(&self) -> Option<ResultCode> {
+        let number = self.headers.get(RESULT_HEADER)?.to_str().ok()?;
+        ResultCode::from_number(number.parse().ok()?)
+    }
+
     /// Returns whether the response names the request. A response to a request without an
     /// id cannot, so it must be the first on its connection.
     fn names_request(&self, names: &HeaderNames, request: SentRequest<'_>) -> bool {
--- a/tests/tests/unreachable_servers.rs
+++ b/tests/tests/unreachable_servers.rs
@@ -321,6 +321,33 @@
     pair.close();
 }
 
+#[test]
+fn a_relays_refusal_is_a_promise_however_its_body_ends() {
+    for is_taken in [true, false] {
+        for body in [&b"whole"[..], b"cut"] {
+            let pair = Pair::start();
+            let result = encode_relay_header(&RelayResult {
+                is_taken,
+                load: 0.0,
+            });
+            let relay = ScriptedRelay::start(move |_, stream| {
+                let head = format!(
+                    "HTTP/1.1 503 Service Unavailable\r\nwingspur-result: 3002\r\n\
+                     {RELAY_RESULT_HEADER}: {result}\r\ncontent-length: 5\r\n\r\n"
+                );
+                let written = stream.write_all(&[head.as_bytes(), body].concat());
+                written.is_ok() && body.len() == 5
+            });
+            leave_only(&relay, &pair);
+            for n in 0..3 {
+                let answer = Caller::of(&pair.near).call("once_only", &format!("id-{n}"));
+                assert_eq!(answer.status, 503, "{is_taken} {body:?}");
+            }
+            pair.close();
+        }
+    }
+}
+
 #[test]
 fn a_request_that_a_relay_has_not_taken_goes_to_another() {
     let pair = Pair::start();
