Soak: a true refusal is withheld only if every attempt of the request was refused

The logs of the box show the second attempt (`attempt: sent.`, `end=InDoubt`, Connection reset by peer): bytes had left, so that being in doubt is right. The check compares the proofs with the attempts that the logs name, less those that ended as not sent, instead of with the arrivals.

--- a/tests/soak/src/site/mod.rs
+++ b/tests/soak/src/site/mod.rs
@@ -29,7 +29,7 @@
     let events = draw_events(seed, setup.span);
     let seen = play(setup, &events, seed, &folder);
     let mut findings = findings(&seen);
-    findings.extend(withheld(&seen, &proven_refusals(&folder)));
+    findings.extend(withheld(&seen, &logged_attempts(&folder)));
     println!("seed {seed}: {}", summary(&seen, &findings));
     if findings.is_empty() {
         if let Err(error) = std::fs::remove_dir_all(&folder) {
@@ -63,45 +63,61 @@
     lines
 }
 
+/// Attempts of a request at servers, by the logs of the boxes.
+#[derive(Debug, Default)]
+struct LoggedAttempts {
+    /// Those of which something may have been sent.
+    sent: usize,
+    /// Those whose server proved that the request did not run.
+    proven: usize,
+}
+
 /// Returns a line for each request that its caller was told to be in doubt, although its
-/// box had proof that no server ran it. `proven` counts the proofs in the boxes' logs by
-/// request id.
-fn withheld(seen: &Seen, proven: &HashMap<String, usize>) -> Vec<String> {
+/// box had proof of each of its attempts that no server ran it.
+fn withheld(seen: &Seen, logged: &HashMap<String, LoggedAttempts>) -> Vec<String> {
     let by_id = arrivals_by_id(&seen.arrivals);
     let in_doubt = |call: &&Call| matches!(call.status, Some(502 | 504));
     let calls = seen.calls.iter().filter(in_doubt);
     let withheld = calls.filter_map(|call| {
+        let LoggedAttempts { sent, proven } = logged.get(&call.id)?;
         let arrivals = by_id.get(call.id.as_str())?;
-        let is_proven = proven.get(&call.id) == Some(&arrivals.len());
-        let is_refused = arrivals.iter().all(|arrival| arrival.is_refused);
-        (is_proven && is_refused)
-            .then(|| format!("withheld: {}", timeline(call, arrivals)))
+        let line = || format!("withheld: {}", timeline(call, arrivals));
+        (proven == sent).then(line)
     });
     withheld.collect()
 }
 
-/// Counts by request id how many refusals of servers the logs of the boxes call a proof
-/// that the request did not run.
-fn proven_refusals(folder: &Path) -> HashMap<String, usize> {
-    let mut proven: HashMap<String, usize> = HashMap::new();
+/// Reads the attempts of all requests from the logs of the boxes.
+fn logged_attempts(folder: &Path) -> HashMap<String, LoggedAttempts> {
+    let mut logged: HashMap<String, LoggedAttempts> = HashMap::new();
     let files = std::fs::read_dir(folder).expect("the folder is readable");
     let logs = files.flatten().map(|file| file.path());
     for log in logs.filter(|path| path.extension().is_some_and(|end| end == "log")) {
         let text = std::fs::read(&log).expect("the log is readable");
         for line in String::from_utf8_lossy(&text).lines() {
-            if !line.contains("attempt: a refusal.") {
+            if !line.contains("\"attempt: ") {
                 continue;
             }
+            // A box that was killed may leave a line cut off.
             let line: Value = serde_json::from_str(line).unwrap_or_default();
-            let fields = line.get("fields").unwrap_or(&line);
-            if let (Some(id), Some("not_run")) =
-                (fields["id"].as_str(), fields["evidence"].as_str())
-            {
-                *proven.entry(id.to_owned()).or_default() += 1;
+            let fields = &line["fields"];
+            let Some(id) = fields["id"].as_str() else {
+                continue;
+            };
+            let attempts = logged.entry(id.to_owned()).or_default();
+            match fields["message"].as_str() {
+                Some("attempt: sent.") => attempts.sent += 1,
+                Some("attempt: failed.") if fields["end"] == "NotSent" => {
+                    attempts.sent = attempts.sent.saturating_sub(1);
+                }
+                Some("attempt: a refusal.") if fields["evidence"] == "not_run" => {
+                    attempts.proven += 1;
+                }
+                _ => {}
             }
         }
     }
-    proven
+    logged
 }
 
 /// Describes a request; times are counted from when its caller had the response.
