Soak: pauses of everything at once, servers and callers as processes

Boxes, servers (each with its path) and callers are processes now, so that all of them can be stopped and continued together; a pause of 0.2 to 0.9 s comes every 3 s. Second responses come in every kind. A case is printed in the form of the users' record, with all log lines of its request, and a response that names another request is a finding.

The stand-ins took an interrupted read for a close: after a pause, reads with a timeout end with EINTR. They go on reading now.

--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -22,7 +22,7 @@
 use crate::planned::{Verdict, play_planned};
 use crate::refusals::play_refusals;
 use crate::run::{Setup, play};
-use crate::site::{Shape, play_site};
+use crate::site::{Part, Shape, play_part, play_site};
 
 /// Plays faults, or planned work alone, from a seed against real boxes, and checks what
 /// callers and servers see.
@@ -52,6 +52,12 @@
     /// a deployment in its whole size instead: exams, admissions or lessons
     #[argh(option)]
     site: Option<Shape>,
+    /// play a part of such a deployment: server or callers (used by the play itself)
+    #[argh(option)]
+    part: Option<Part>,
+    /// let servers name the request in each response there, surplus ones too
+    #[argh(switch)]
+    named: bool,
     /// threads that call a deployment in its whole size
     #[argh(option, default = "60")]
     callers: usize,
@@ -80,6 +86,10 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
+    if let Some(part) = args.part {
+        play_part(part);
+        return ExitCode::SUCCESS;
+    }
     if !args.program.is_file() {
         eprintln!(
             "error: {}: no such program; build it",
@@ -129,6 +139,7 @@
         program: args.program.clone(),
         shape,
         callers: args.callers,
+        always_named: args.named,
         span: Duration::from_secs(args.seconds),
     };
     let held: Vec<bool> = seeds
--- a/tests/soak/src/site/mod.rs
+++ b/tests/soak/src/site/mod.rs
@@ -2,34 +2,47 @@
 //! callers of once-only requests were told with what ran, also after the response.
 
 mod caller;
+mod moment;
+mod part;
 mod path;
 mod play;
 mod server;
+mod server_process;
 mod shape;
 mod trouble;
 
 use std::collections::{BTreeMap, HashMap};
 use std::path::Path;
-use std::time::Instant;
 
 use serde_json::Value;
 
 use crate::site::caller::Call;
+use crate::site::moment::Moment;
 use crate::site::play::{Seen, play};
 use crate::site::server::Arrival;
 use crate::site::trouble::draw_events;
 
+pub use part::Part;
 pub use play::Setup;
 pub use shape::Shape;
 
+/// Plays a part of a play, as commanded on the standard input.
+pub fn play_part(part: Part) {
+    match part {
+        Part::Server => server::play_server(),
+        Part::Callers => caller::play_callers(),
+    }
+}
+
 /// Plays a seed and prints what was found. Returns whether the promises held.
 pub fn play_site(setup: &Setup, seed: u64, logs: &Path) -> bool {
     let folder = logs.join(format!("site-{seed}-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("the folder for logs can be made");
     let events = draw_events(seed, setup.span);
     let seen = play(setup, &events, seed, &folder);
+    let logged = logged_requests(&folder);
     let mut findings = findings(&seen);
-    findings.extend(withheld(&seen, &logged_attempts(&folder)));
+    findings.extend(withheld(&seen, &logged));
     println!("seed {seed}: {}", summary(&seen, &findings));
     if findings.is_empty() {
         if let Err(error) = std::fs::remove_dir_all(&folder) {
@@ -37,81 +50,98 @@
         }
         return true;
     }
-    findings.iter().for_each(|line| println!("  {line}"));
+    for Finding { promise, call } in &findings {
+        println!(
+            "  {promise}: {}",
+            timeline(call, &seen.arrivals_of(&call.id))
+        );
+        let lines = logged.get(&call.id).map_or(&[][..], |logged| &logged.lines);
+        lines.iter().for_each(|line| println!("      {line}"));
+    }
     events.iter().for_each(|event| println!("    {event}"));
     println!("  logs: {}", folder.display());
     false
 }
 
-/// Returns a line for each request that ran although its caller was told that it did not,
-/// and for each that ran more than once.
-fn findings(seen: &Seen) -> Vec<String> {
+/// A broken promise, and the request.
+struct Finding<'a> {
+    promise: &'static str,
+    call: &'a Call,
+}
+
+/// Returns the requests that ran although their caller was told that they did not, that
+/// ran more than once, or whose caller got the response to another one.
+fn findings(seen: &Seen) -> Vec<Finding<'_>> {
     let by_id = arrivals_by_id(&seen.arrivals);
-    let mut lines = Vec::new();
-    for call in &seen.calls {
+    let broken = seen.calls.iter().filter_map(|call| {
         let arrivals = by_id.get(call.id.as_str()).map_or(&[][..], Vec::as_slice);
         let runs = arrivals.iter().filter(|arrival| arrival.ran_at.is_some());
-        let runs = runs.count();
         let is_promise = call.status.is_some_and(promises_not_run);
-        let promise = match (is_promise, runs) {
+        let is_others = call.named.as_ref().is_some_and(|named| *named != call.id);
+        let promise = match (is_promise, runs.count()) {
             (true, 1..) => "not run",
             (_, 2..) => "once only",
-            _ => continue,
+            _ if is_others => "own response",
+            _ => return None,
         };
-        lines.push(format!("{promise}: {}", timeline(call, arrivals)));
-    }
-    lines
+        Some(Finding { promise, call })
+    });
+    broken.collect()
 }
 
-/// Attempts of a request at servers, by the logs of the boxes.
+/// What the boxes logged of a request.
 #[derive(Debug, Default)]
-struct LoggedAttempts {
-    /// Those of which something may have been sent.
+struct LoggedRequest {
+    /// Attempts of which something may have been sent.
     sent: usize,
-    /// Those whose server proved that the request did not run.
+    /// Attempts whose server proved that the request did not run.
     proven: usize,
+    /// The lines that name the request, each with its box.
+    lines: Vec<String>,
 }
 
-/// Returns a line for each request that its caller was told to be in doubt, although its
-/// box had proof of each of its attempts that no server ran it.
-fn withheld(seen: &Seen, logged: &HashMap<String, LoggedAttempts>) -> Vec<String> {
+/// Returns the requests whose caller was told that they are in doubt, although a box had
+/// proof of each of their attempts that no server ran them.
+fn withheld<'a>(
+    seen: &'a Seen,
+    logged: &HashMap<String, LoggedRequest>,
+) -> Vec<Finding<'a>> {
     let by_id = arrivals_by_id(&seen.arrivals);
-    let in_doubt = |call: &&Call| matches!(call.status, Some(502 | 504));
-    let calls = seen.calls.iter().filter(in_doubt);
-    let withheld = calls.filter_map(|call| {
-        let LoggedAttempts { sent, proven } = logged.get(&call.id)?;
-        let arrivals = by_id.get(call.id.as_str())?;
-        let line = || format!("withheld: {}", timeline(call, arrivals));
-        (proven == sent).then(line)
+    let withheld = seen.calls.iter().filter(|call| {
+        let Some(LoggedRequest { sent, proven, .. }) = logged.get(&call.id) else {
+            return false;
+        };
+        let has_arrived = by_id.contains_key(call.id.as_str());
+        matches!(call.status, Some(502 | 504)) && has_arrived && proven == sent
     });
-    withheld.collect()
+    let promise = "withheld";
+    withheld.map(|call| Finding { promise, call }).collect()
 }
 
-/// Reads the attempts of all requests from the logs of the boxes.
-fn logged_attempts(folder: &Path) -> HashMap<String, LoggedAttempts> {
-    let mut logged: HashMap<String, LoggedAttempts> = HashMap::new();
+/// Reads what the boxes logged of all requests.
+fn logged_requests(folder: &Path) -> HashMap<String, LoggedRequest> {
+    let mut logged: HashMap<String, LoggedRequest> = HashMap::new();
     let files = std::fs::read_dir(folder).expect("the folder is readable");
     let logs = files.flatten().map(|file| file.path());
     for log in logs.filter(|path| path.extension().is_some_and(|end| end == "log")) {
+        let name = log.file_stem().unwrap_or_default().to_string_lossy();
         let text = std::fs::read(&log).expect("the log is readable");
         for line in String::from_utf8_lossy(&text).lines() {
-            if !line.contains("\"attempt: ") {
-                continue;
-            }
             // A box that was killed may leave a line cut off.
-            let line: Value = serde_json::from_str(line).unwrap_or_default();
-            let fields = &line["fields"];
+            let parsed: Value = serde_json::from_str(line).unwrap_or_default();
+            let fields = &parsed["fields"];
             let Some(id) = fields["id"].as_str() else {
                 continue;
             };
-            let attempts = logged.entry(id.to_owned()).or_default();
+            let request = logged.entry(id.to_owned()).or_default();
+            request.lines.push(format!("{name} {line}"));
             match fields["message"].as_str() {
-                Some("attempt: sent.") => attempts.sent += 1,
+                Some("attempt: sent.") => request.sent += 1,
                 Some("attempt: failed.") if fields["end"] == "NotSent" => {
-                    attempts.sent = attempts.sent.saturating_sub(1);
+                    request.sent = request.sent.saturating_sub(1);
                 }
                 Some("attempt: a refusal.") if fields["evidence"] == "not_run" => {
-                    attempts.proven += 1;
+                    request.proven += 1;
                 }
                 _ => {}
             }
@@ -120,30 +150,33 @@
     logged
 }
 
-/// Describes a request; times are counted from when its caller had the response.
+/// Describes a request and its arrivals; times are in milliseconds from when its caller
+/// had the response.
 fn timeline(call: &Call, arrivals: &[&Arrival]) -> String {
-    let ms = |at: Instant| {
-        let after = at.saturating_duration_since(call.ended).as_millis() as i64;
-        after - call.ended.saturating_duration_since(at).as_millis() as i64
-    };
+    let ms = |at: Moment| at.as_millis() as i64 - call.ended.as_millis() as i64;
+    let or_dash = |value: Option<i64>| value.map_or("-".to_owned(), |v| v.to_string());
+    let (body_bytes, is_chunked) = call.body;
+    let framing = if is_chunked { "chunked" } else { "length" };
     let mut text = format!(
-        "{} at box-{}, sent {} ms, told {:?} (result {})",
+        "id {} at node box-{} ({}, {body_bytes} bytes, {framing}) sent {} \
+         answered status {:?} result {} names {}",
         call.id,
         call.box_index,
+        if call.is_kept { "kept" } else { "new" },
         ms(call.began),
         call.status,
-        call.result.as_deref().unwrap_or("none"),
+        call.result.as_deref().unwrap_or("-"),
+        call.named.as_deref().unwrap_or("-"),
     );
     for arrival in arrivals {
-        let outcome = match (arrival.ran_at, arrival.is_refused) {
-            (Some(ran_at), _) => format!("ran {} ms", ms(ran_at)),
-            (None, true) => "refused".to_owned(),
-            (None, false) => "neither ran nor refused".to_owned(),
-        };
         text.push_str(&format!(
-            "; at {} {} ms, {outcome}",
+            " [{} at {} ran {} end {} status {}{}]",
             arrival.instance,
-            ms(arrival.at)
+            ms(arrival.at),
+            or_dash(arrival.ran_at.map(ms)),
+            or_dash(arrival.answered.map(|(at, _)| ms(at))),
+            or_dash(arrival.answered.map(|(_, status)| i64::from(status))),
+            if arrival.is_refused { " marked" } else { "" },
         ));
     }
     text
@@ -151,7 +184,7 @@
 
 /// Summarizes what callers were told, and how many true refusals were withheld: requests
 /// told to be in doubt of which all arrivals were refused, or that never arrived.
-fn summary(seen: &Seen, findings: &[String]) -> String {
+fn summary(seen: &Seen, findings: &[Finding]) -> String {
     let by_id = arrivals_by_id(&seen.arrivals);
     let mut told: BTreeMap<String, usize> = BTreeMap::new();
     let (mut refused, mut never_arrived) = (0, 0);
@@ -179,6 +212,14 @@
     )
 }
 
+impl Seen {
+    /// Returns the arrivals of a request at servers.
+    fn arrivals_of(&self, id: &str) -> Vec<&Arrival> {
+        let arrivals = self.arrivals.iter();
+        arrivals.filter(|arrival| arrival.id == id).collect()
+    }
+}
+
 fn arrivals_by_id(arrivals: &[Arrival]) -> HashMap<&str, Vec<&Arrival>> {
     let mut by_id: HashMap<&str, Vec<&Arrival>> = HashMap::new();
     for arrival in arrivals {
--- a/tests/soak/src/site/path.rs
+++ b/tests/soak/src/site/path.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
+use serde::{Deserialize, Serialize};
 
 use crate::planned::spawn;
 
@@ -20,7 +21,7 @@
 }
 
 /// What the path does to some of its connections.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PathFault {
     /// Nothing.
     None,
@@ -135,7 +136,13 @@
         loop {
             let length = match from.read(&mut buffer) {
                 Ok(length) => length,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                // A pause of the process interrupts a read with a timeout.
+                Err(error)
+                    if matches!(
+                        error.kind(),
+                        ErrorKind::WouldBlock | ErrorKind::Interrupted
+                    ) =>
+                {
                     if self.is_over() {
                         return;
                     }
--- a/tests/soak/src/site/play.rs
+++ b/tests/soak/src/site/play.rs
@@ -1,7 +1,7 @@
 //! Runs one play: starts all parts, lets the events happen, and collects what was seen.
 
 use std::path::{Path as FilePath, PathBuf};
-use std::sync::{Arc, Mutex, RwLock};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
@@ -13,11 +13,13 @@
 
 use crate::boxes::{BoxSpec, SoakBox, fetch_json};
 use crate::promises::RETRY_BUDGET;
-use crate::site::caller::{Balancer, Call, Callers, HOST};
-use crate::site::path::{Path, PathFault};
-use crate::site::server::{Arrival, Arrivals, Server, Trouble};
+use crate::site::caller::{Balancer, Call, CallerSpec, HOST};
+use crate::site::part::{Part, PartProcess};
+use crate::site::path::PathFault;
+use crate::site::server::{Arrival, Arrivals, ServerCommand, ServerSpec, Trouble};
+use crate::site::server_process::ServerProcess;
 use crate::site::shape::Shape;
-use crate::site::trouble::{Event, EventKind};
+use crate::site::trouble::{Event, EventKind, Whom};
 
 /// Parameters of a play.
 pub struct Setup {
@@ -29,6 +31,8 @@
     pub callers: usize,
     /// For how long events begin.
     pub span: Duration,
+    /// Whether servers name the request in each response, surplus ones too.
+    pub always_named: bool,
 }
 
 /// What callers and servers saw.
@@ -47,7 +51,11 @@
     boxes: Vec<PlayedBox>,
     balancer: Balancer,
     servers: Vec<PlayedServer>,
+    /// Servers whose address another one has taken over.
+    replaced: Vec<ServerProcess>,
     arrivals: Arrivals,
+    callers: Option<PartProcess>,
+    calls: Arc<Mutex<Vec<Call>>>,
     follow_ups: Vec<(Instant, FollowUp)>,
 }
 
@@ -58,8 +66,9 @@
 }
 
 struct PlayedServer {
-    server: Server,
-    path: Path,
+    server: ServerProcess,
+    /// The server that had the address before; `None` if it is the first one there.
+    path_owner: Option<ServerProcess>,
     data_centre: String,
     is_withdrawn: bool,
 }
@@ -83,7 +92,7 @@
 pub fn play(setup: &Setup, events: &[Event], seed: u64, folder: &FilePath) -> Seen {
     let mut play = Play::start(setup, seed, folder);
     play.wait_ready();
-    let callers = Callers::start(setup.callers, seed, setup.shape, &play.balancer);
+    play.start_callers(seed);
     let began = Instant::now();
     let mut events = events.iter().peekable();
     while Instant::now() < began + setup.span || !play.follow_ups.is_empty() {
@@ -94,10 +103,7 @@
         play.tick();
         std::thread::sleep(TICK);
     }
-    let calls = callers.close();
-    // Bytes that were held back may still reach a server and run.
-    std::thread::sleep(LATE_RUN_TIME);
-    play.close(calls)
+    play.close()
 }
 
 impl<'a> Play<'a> {
@@ -127,9 +133,12 @@
             store,
             version: 0,
             boxes,
-            balancer: Arc::new(RwLock::new(Vec::new())),
+            balancer: Vec::new(),
             servers: Vec::new(),
+            replaced: Vec::new(),
             arrivals: Arc::new(Mutex::new(Vec::new())),
+            callers: None,
+            calls: Arc::default(),
             follow_ups: Vec::new(),
         };
         play.configure();
@@ -143,14 +152,26 @@
     fn wait_ready(&mut self) {
         let until = Instant::now() + START_TIME;
         let all = self.boxes.len();
-        while Instant::now() < until
-            && self.balancer.read().expect("no holder panics").len() < all
-        {
+        while Instant::now() < until && self.balancer.len() < all {
             self.tick();
             std::thread::sleep(TICK);
         }
     }
 
+    fn start_callers(&mut self, seed: u64) {
+        let calls = self.calls.clone();
+        let receive = move |call| calls.lock().expect("no holder panics").push(call);
+        let mut callers = PartProcess::start(Part::Callers, receive);
+        callers.send(&CallerSpec {
+            count: self.setup.callers,
+            seed,
+            shape: self.setup.shape.name.to_owned(),
+            play: std::process::id(),
+            balancer: self.balancer.clone(),
+        });
+        self.callers = Some(callers);
+    }
+
     fn begin(&mut self, event: &Event) {
         let lasts = event.lasts;
         match event.kind {
@@ -188,20 +209,27 @@
                 }
             }
             EventKind::Servers(share, trouble, requests) => {
+                let trouble = match trouble {
+                    Trouble::SurplusUnnamed if self.setup.always_named => {
+                        Trouble::SurplusAfter
+                    }
+                    trouble => trouble,
+                };
                 for n in self.draw_servers(share) {
-                    self.servers[n].server.set_trouble(trouble, requests);
+                    let command = ServerCommand::Trouble(trouble, requests);
+                    self.servers[n].server.send(command);
                     self.plan(lasts, FollowUp::EndTrouble(n));
                 }
             }
             EventKind::Paths(share, fault, connections) => {
                 for n in self.draw_servers(share) {
-                    self.servers[n].path.set_fault(fault, connections);
+                    self.servers[n].set_path(fault, connections);
                     self.plan(lasts, FollowUp::EndPathFault(n));
                 }
             }
             EventKind::TakeOver(share) => {
                 for n in self.draw_servers(share) {
-                    self.servers[n].path.set_fault(PathFault::Down, 1.0);
+                    self.servers[n].set_path(PathFault::Down, 1.0);
                     self.plan(REUSE_AFTER, FollowUp::TakeOver(n));
                 }
             }
@@ -214,6 +242,7 @@
                 self.store.set_fault(fault);
                 self.plan(lasts, FollowUp::EndStoreFault);
             }
+            EventKind::Pause(whom) => self.pause(whom, lasts),
             EventKind::ForgetHistory => self.store.compact_history(),
             EventKind::Configure(count) => {
                 for step in 0..count {
@@ -223,6 +252,40 @@
         }
     }
 
+    /// Lets processes stand still. The store and the play itself go on.
+    fn pause(&mut self, whom: Whom, time: Duration) {
+        let boxes = match whom {
+            Whom::All | Whom::Boxes => self.draw_boxes(1.0),
+            Whom::Some(share) => self.draw_boxes(share),
+            Whom::Servers | Whom::Callers => Vec::new(),
+        };
+        let servers = match whom {
+            Whom::All | Whom::Servers => self.servers.len(),
+            Whom::Some(share) => (self.servers.len() as f64 * share).ceil() as usize,
+            Whom::Boxes | Whom::Callers => 0,
+        };
+        let servers = (0..self.servers.len()).sample(&mut self.random, servers);
+        let callers = match whom {
+            Whom::All | Whom::Callers => self.callers.as_ref(),
+            Whom::Boxes | Whom::Servers | Whom::Some(_) => None,
+        };
+        for signal in [Signal::STOP, Signal::CONT] {
+            for n in &boxes {
+                let process = &mut self.boxes[*n].process;
+                if !process.suspended {
+                    process.signal(signal);
+                }
+            }
+            for n in &servers {
+                self.servers[*n].signal(signal);
+            }
+            callers.inspect(|callers| callers.signal(signal));
+            if signal == Signal::STOP {
+                std::thread::sleep(time);
+            }
+        }
+    }
+
     /// Does what is due, starts boxes that have ended, and updates the balancer.
     fn tick(&mut self) {
         let now = Instant::now();
@@ -253,12 +316,16 @@
         let played = &mut self.boxes[n];
         let is_ready = fetch_json(played.process.operator_address, "/ready").is_some();
         played.failed_polls = if is_ready { 0 } else { played.failed_polls + 1 };
-        let mut balancer = self.balancer.write().expect("no holder panics");
-        let is_listed = balancer.iter().any(|(listed, _)| *listed == n);
+        let is_listed = self.balancer.iter().any(|(listed, _)| *listed == n);
         if is_ready && !is_listed {
-            balancer.push((n, played.process.caller_address));
-        } else if played.failed_polls >= MAX_FAILED_POLLS {
-            balancer.retain(|(listed, _)| *listed != n);
+            self.balancer.push((n, played.process.caller_address));
+        } else if is_listed && played.failed_polls >= MAX_FAILED_POLLS {
+            self.balancer.retain(|(listed, _)| *listed != n);
+        } else {
+            return;
+        }
+        if let Some(callers) = &mut self.callers {
+            callers.send(&self.balancer);
         }
     }
 
@@ -272,17 +339,18 @@
             }
             FollowUp::RegainPath(n) => self.boxes[n].process.set_server_path("none"),
             FollowUp::EndTrouble(n) => {
-                self.servers[n].server.set_trouble(Trouble::None, 0.0);
+                let command = ServerCommand::Trouble(Trouble::None, 0.0);
+                self.servers[n].server.send(command);
             }
             FollowUp::EndPathFault(n) => {
-                self.servers[n].path.set_fault(PathFault::None, 0.0);
+                self.servers[n].set_path(PathFault::None, 0.0);
             }
             FollowUp::TakeOver(n) => self.take_over(n),
             FollowUp::Drain(n) => self.replace(n),
             FollowUp::EndServer(n) => {
-                let played = &self.servers[n];
-                self.store.remove(&server_key(&played.server));
-                played.server.end();
+                let server = &mut self.servers[n].server;
+                self.store.remove(&server_key(server));
+                server.send(ServerCommand::End);
             }
             FollowUp::Configure => self.configure(),
             FollowUp::EndStoreFault => self.store.set_fault(StoreFault::None),
@@ -292,32 +360,35 @@
     fn add_server(&mut self, service: usize) {
         let server = self.start_server(service);
         let data_centre = data_centre(&self.setup.shape, self.servers.len());
-        let path = Path::start(server.address);
         self.servers.push(PlayedServer {
             server,
-            path,
+            path_owner: None,
             data_centre,
             is_withdrawn: false,
         });
         self.announce(self.servers.len() - 1, "ready");
     }
 
-    fn start_server(&mut self, service: usize) -> Server {
+    fn start_server(&mut self, service: usize) -> ServerProcess {
         let Shape { slots, queue, .. } = self.setup.shape;
         let instance = format!("i-{:x}", self.random.random::<u32>());
-        Server::start(instance, service, slots, queue, self.arrivals.clone())
+        let spec = ServerSpec {
+            instance,
+            slots,
+            queue,
+        };
+        ServerProcess::start(spec, service, self.arrivals.clone())
     }
 
     fn announce(&self, n: usize, state: &str) {
         let PlayedServer {
             server,
-            path,
             data_centre,
             ..
         } = &self.servers[n];
         let entry = json!({
             "service": self.setup.shape.classes[server.service].service,
-            "address": path.address, "data_centre": data_centre,
+            "address": server.path_address, "data_centre": data_centre,
             "slots": self.setup.shape.slots, "state": state, "cold_ms": 0,
         });
         self.store.put(&server_key(server), &entry);
@@ -327,13 +398,19 @@
     /// entry goes only now.
     fn take_over(&mut self, n: usize) {
         let service = (self.servers[n].server.service + 1) % 3;
-        let next = self.start_server(service);
+        let mut next = self.start_server(service);
         let played = &mut self.servers[n];
-        played.path.set_target(next.address);
-        played.path.set_fault(PathFault::None, 0.0);
-        let old = std::mem::replace(&mut played.server, next);
+        next.path_address = played.server.path_address;
+        let target = next.address;
+        let mut old = std::mem::replace(&mut played.server, next);
+        old.send(ServerCommand::End);
         self.store.remove(&server_key(&old));
-        old.end();
+        match &played.path_owner {
+            Some(_) => self.replaced.push(old),
+            None => played.path_owner = Some(old),
+        }
+        played.path_owner().send(ServerCommand::Target(target));
+        played.set_path(PathFault::None, 0.0);
         self.announce(n, "ready");
     }
 
@@ -375,14 +452,51 @@
         self.follow_ups.push((Instant::now() + after, follow_up));
     }
 
-    fn close(self, calls: Vec<Call>) -> Seen {
+    fn close(self) -> Seen {
+        if let Some(callers) = self.callers {
+            callers.close();
+        }
+        // Bytes that were held back may still reach a server and run.
+        std::thread::sleep(LATE_RUN_TIME);
         for played in self.boxes {
             played.process.kill();
         }
-        self.servers.iter().for_each(|played| played.server.end());
-        // Copied, since a server may still be handling a request.
+        for PlayedServer {
+            server, path_owner, ..
+        } in self.servers
+        {
+            server.close();
+            if let Some(owner) = path_owner {
+                owner.close();
+            }
+        }
+        self.replaced.into_iter().for_each(ServerProcess::close);
+        let take = |calls: &Mutex<Vec<Call>>| {
+            std::mem::take(&mut *calls.lock().expect("no holder panics"))
+        };
         let arrivals = self.arrivals.lock().expect("no holder panics").clone();
-        Seen { calls, arrivals }
+        Seen {
+            calls: take(&self.calls),
+            arrivals,
+        }
+    }
+}
+
+impl PlayedServer {
+    /// Returns the process that holds the path to the server.
+    fn path_owner(&mut self) -> &mut ServerProcess {
+        self.path_owner.as_mut().unwrap_or(&mut self.server)
+    }
+
+    fn set_path(&mut self, fault: PathFault, share: f64) {
+        self.path_owner().send(ServerCommand::Path(fault, share));
+    }
+
+    fn signal(&self, signal: Signal) {
+        self.server.signal(signal);
+        if let Some(owner) = &self.path_owner {
+            owner.signal(signal);
+        }
     }
 }
 
@@ -390,7 +504,7 @@
     format!("dc-{}", number % shape.data_centres)
 }
 
-fn server_key(server: &Server) -> String {
+fn server_key(server: &ServerProcess) -> String {
     format!("servers/{}", server.instance)
 }
 
--- a/tests/soak/src/site/server.rs
+++ b/tests/soak/src/site/server.rs
@@ -1,30 +1,65 @@
-//! Backend servers with slots, a queue and troubles, which record what runs and when.
+//! Backend servers with slots, a queue and troubles, which report what runs and when.
 
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
+use serde::{Deserialize, Serialize};
 use wingspur_tests::{Head, read_body, read_request_head};
 
 use crate::planned::{pattern, spawn};
-use crate::site::path::reset;
+use crate::site::moment::{Moment, now};
+use crate::site::part::{Reports, read_command};
+use crate::site::path::{Path, PathFault, reset};
 
 /// One instance of a backend server.
-pub struct Server {
+struct Server {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+/// What a server needs to start; the first line that its process reads.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ServerSpec {
     /// Id of the instance.
     pub instance: String,
-    /// Number of its service.
-    pub service: usize,
-    /// Address on which it listens.
-    pub address: SocketAddr,
-    shared: Arc<Shared>,
+    /// Requests that it works on at the same time.
+    pub slots: usize,
+    /// Requests that wait before it refuses more.
+    pub queue: usize,
+}
+
+/// A command to the process of a server.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub enum ServerCommand {
+    /// Do this to a share of the requests.
+    Trouble(Trouble, f64),
+    /// Let the path do this to a share of the connections.
+    Path(PathFault, f64),
+    /// Let new connections through the path lead to this address.
+    Target(SocketAddr),
+    /// Close each connection once it is idle, and accept no more. The path stays.
+    End,
+}
+
+/// A report of the process of a server. Requests have a number for each server.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum ServerReport {
+    /// It listens at this address, and its path at the other one.
+    Started(SocketAddr, SocketAddr),
+    /// The head of a request has arrived.
+    Arrived(usize, String, Moment),
+    /// It begins to run.
+    Ran(usize, Moment),
+    /// It was refused, or the first byte of its response was written, with this status.
+    Answered(usize, u16, bool, Moment),
 }
 
 /// What a server does to a share of its requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Trouble {
     /// Nothing.
     None,
@@ -40,8 +75,11 @@
     Slow,
     /// They run and their response breaks off.
     CutsBody,
-    /// They run and a second response with their id follows, at once or later.
+    /// A second response follows the first one, at once or later, that of a refusal too:
+    /// the same again or a refusal, marked or not, for this or for another request.
     SurplusAfter,
+    /// The same, and the second response names no request.
+    SurplusUnnamed,
     /// Those with a body are refused with the mark before the body has arrived, and the
     /// body is read later.
     RefusesEarly,
@@ -57,9 +95,11 @@
     /// The instance.
     pub instance: String,
     /// When its head had arrived.
-    pub at: Instant,
+    pub at: Moment,
     /// When it began to run; `None` if it did not.
-    pub ran_at: Option<Instant>,
+    pub ran_at: Option<Moment>,
+    /// When it was answered, and the status; `None` if it was not.
+    pub answered: Option<(Moment, u16)>,
     /// Whether the server refused it with the mark.
     pub is_refused: bool,
 }
@@ -75,7 +115,8 @@
     slot_freed: Condvar,
     trouble: Mutex<(Trouble, f64)>,
     ended: AtomicBool,
-    arrivals: Arrivals,
+    arrived: AtomicUsize,
+    reports: Reports,
 }
 
 #[derive(Debug, Default, Clone, Copy)]
@@ -96,30 +137,50 @@
     work: Duration,
     response_bytes: usize,
     deadline: Instant,
-    /// Number of its entry in the arrivals.
-    index: usize,
+    /// Its number in the reports.
+    number: usize,
+}
+
+/// Plays a server and the path to it, as commanded, until the commands end.
+pub fn play_server() {
+    let input = std::io::stdin();
+    let Some(spec) = read_command(&input) else {
+        return;
+    };
+    let server = Server::start(spec);
+    let path = Path::start(server.address);
+    let started = ServerReport::Started(server.address, path.address);
+    server.shared.reports.send(&started);
+    while let Some(command) = read_command(&input) {
+        match command {
+            ServerCommand::Trouble(trouble, share) => server.set_trouble(trouble, share),
+            ServerCommand::Path(fault, share) => path.set_fault(fault, share),
+            ServerCommand::Target(address) => path.set_target(address),
+            ServerCommand::End => server.end(),
+        }
+    }
 }
 
 impl Server {
     /// Starts an instance.
-    pub fn start(
-        instance: String,
-        service: usize,
-        slots: usize,
-        queue: usize,
-        arrivals: Arrivals,
-    ) -> Self {
+    fn start(spec: ServerSpec) -> Self {
+        let ServerSpec {
+            instance,
+            slots,
+            queue,
+        } = spec;
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
         let address = listener.local_addr().expect("the listener is bound");
         let shared = Arc::new(Shared {
-            instance: instance.clone(),
+            instance,
             slots,
             queue,
             load: Mutex::default(),
             slot_freed: Condvar::new(),
             trouble: Mutex::new((Trouble::None, 0.0)),
             ended: AtomicBool::new(false),
-            arrivals,
+            arrived: AtomicUsize::new(0),
+            reports: Reports::default(),
         });
         let accepting = shared.clone();
         spawn(move || {
@@ -131,21 +192,16 @@
                 spawn(move || server.serve(stream));
             }
         });
-        Self {
-            instance,
-            service,
-            address,
-            shared,
-        }
+        Self { address, shared }
     }
 
     /// Begins a trouble of a share of the requests.
-    pub fn set_trouble(&self, trouble: Trouble, share: f64) {
+    fn set_trouble(&self, trouble: Trouble, share: f64) {
         *self.shared.trouble.lock().expect("no holder panics") = (trouble, share);
     }
 
     /// Closes each connection once it is idle, and accepts no more.
-    pub fn end(&self) {
+    fn end(&self) {
         self.shared.ended.store(true, Ordering::Release);
         let _ = TcpStream::connect(self.address);
     }
@@ -180,7 +236,12 @@
                     let timeout = Some(REQUEST_TIMEOUT);
                     return reader.get_ref().set_read_timeout(timeout).is_ok();
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                // A pause of the process interrupts a read with a timeout.
+                Err(error)
+                    if matches!(
+                        error.kind(),
+                        ErrorKind::WouldBlock | ErrorKind::Interrupted
+                    ) => {}
                 Err(_) => return false,
             }
         }
@@ -211,6 +272,10 @@
         if trouble == Trouble::Sheds {
             return self.refuse(&request, "503 Service Unavailable", writer);
         }
+        if trouble.has_surplus() && rand::rng().random_bool(SURPLUS_REFUSAL_SHARE) {
+            let refused = self.refuse(&request, "503 Service Unavailable", writer);
+            return refused && self.write_surplus(&request, trouble, b"", writer);
+        }
         match self.wait_for_slot(&request, writer) {
             Admission::Refused => {
                 self.refuse(&request, "503 Service Unavailable", writer)
@@ -234,20 +299,15 @@
         let id = id.cloned().unwrap_or_default();
         let deadline_ms = number("x-wingspur-request-deadline-ms").unwrap_or(10_000);
         let at = Instant::now();
-        let mut arrivals = self.arrivals.lock().expect("no holder panics");
-        arrivals.push(Arrival {
-            id: id.clone(),
-            instance: self.instance.clone(),
-            at,
-            ran_at: None,
-            is_refused: false,
-        });
+        let request_number = self.arrived.fetch_add(1, Ordering::Relaxed);
+        let arrived = ServerReport::Arrived(request_number, id.clone(), now());
+        self.reports.send(&arrived);
         Request {
             id,
             work: Duration::from_millis(number("x-soak-work-ms").unwrap_or(0)),
             response_bytes: number("x-soak-answer-bytes").unwrap_or(0) as usize,
             deadline: at + Duration::from_millis(deadline_ms),
-            index: arrivals.len() - 1,
+            number: request_number,
         }
     }
 
@@ -286,8 +346,7 @@
 
     /// Runs a request; returns whether the connection can be kept.
     fn run(&self, request: &Request, trouble: Trouble, writer: &mut TcpStream) -> bool {
-        self.arrivals.lock().expect("no holder panics")[request.index].ran_at =
-            Some(Instant::now());
+        self.reports.send(&ServerReport::Ran(request.number, now()));
         if trouble == Trouble::Hangs {
             work_for(HANG_TIME, writer);
             return false;
@@ -300,10 +359,16 @@
         }
         if is_late {
             let late = self.response(request, "504 Gateway Timeout", b"late");
+            self.report_answered(request, 504, false);
             return writer.write_all(&late).is_ok();
         }
         let body = pattern(&request.id, request.response_bytes);
         let response = self.response(request, "200 OK", &body);
+        match trouble {
+            Trouble::Errors => self.report_answered(request, 500, false),
+            Trouble::Resets => {}
+            _ => self.report_answered(request, 200, false),
+        }
         match trouble {
             Trouble::Errors => {
                 let error = self.response(request, "500 Internal Server Error", b"error");
@@ -317,12 +382,9 @@
                 let _ = writer.write_all(&response[..response.len() - 1]);
                 false
             }
-            Trouble::SurplusAfter => {
+            Trouble::SurplusAfter | Trouble::SurplusUnnamed => {
                 let written = writer.write_all(&response).is_ok();
-                if rand::rng().random_bool(0.5) {
-                    std::thread::sleep(SURPLUS_DELAY);
-                }
-                written && writer.write_all(&response).is_ok()
+                written && self.write_surplus(request, trouble, &response, writer)
             }
             Trouble::Unframed => {
                 let head = format!(
@@ -339,7 +401,8 @@
 
     /// Refuses a request before it runs; returns whether the connection can be kept.
     fn refuse(&self, request: &Request, status: &str, writer: &mut TcpStream) -> bool {
-        self.arrivals.lock().expect("no holder panics")[request.index].is_refused = true;
+        let number = status.split(' ').next().and_then(|text| text.parse().ok());
+        self.report_answered(request, number.expect("a status has a number"), true);
         let text = format!(
             "HTTP/1.1 {status}\r\nx-wingspur-request-id: {}\r\n\
              x-wingspur-not-executed: 1\r\n{}content-length: 0\r\n\r\n",
@@ -349,6 +412,41 @@
         writer.write_all(text.as_bytes()).is_ok()
     }
 
+    /// Writes a second response; returns whether the connection can be kept.
+    fn write_surplus(
+        &self,
+        request: &Request,
+        trouble: Trouble,
+        response: &[u8],
+        writer: &mut TcpStream,
+    ) -> bool {
+        let mut random = rand::rng();
+        if random.random_bool(0.5) {
+            std::thread::sleep(SURPLUS_DELAY);
+        }
+        if trouble == Trouble::SurplusAfter && random.random_bool(0.3) {
+            return writer.write_all(response).is_ok();
+        }
+        let named = match (trouble, random.random_bool(0.5)) {
+            (Trouble::SurplusUnnamed, _) => String::new(),
+            (_, true) => format!("x-wingspur-request-id: {}\r\n", request.id),
+            (_, false) => "x-wingspur-request-id: another\r\n".to_owned(),
+        };
+        let mark = match random.random_bool(0.7) {
+            true => "x-wingspur-not-executed: 1\r\n",
+            false => "",
+        };
+        let text = format!(
+            "HTTP/1.1 503 Service Unavailable\r\n{named}{mark}content-length: 0\r\n\r\n"
+        );
+        writer.write_all(text.as_bytes()).is_ok()
+    }
+
+    fn report_answered(&self, request: &Request, status: u16, is_refused: bool) {
+        let report = ServerReport::Answered(request.number, status, is_refused, now());
+        self.reports.send(&report);
+    }
+
     fn response(&self, request: &Request, status: &str, body: &[u8]) -> Vec<u8> {
         let head = format!(
             "HTTP/1.1 {status}\r\nx-wingspur-request-id: {}\r\n\
@@ -370,6 +468,26 @@
     }
 }
 
+impl Arrival {
+    /// Creates the record of a request whose head has arrived.
+    pub fn new(id: String, instance: &str, at: Moment) -> Self {
+        Self {
+            id,
+            instance: instance.to_owned(),
+            at,
+            ran_at: None,
+            answered: None,
+            is_refused: false,
+        }
+    }
+}
+
+impl Trouble {
+    fn has_surplus(self) -> bool {
+        matches!(self, Self::SurplusAfter | Self::SurplusUnnamed)
+    }
+}
+
 /// Works for a time; returns false if the caller left meanwhile.
 fn work_for(time: Duration, stream: &TcpStream) -> bool {
     let until = Instant::now() + time;
@@ -402,4 +520,6 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 const HANG_TIME: Duration = Duration::from_secs(8);
 const EARLY_REFUSAL_PAUSE: Duration = Duration::from_millis(30);
+/// Share of the requests with a surplus response that are refused first.
+const SURPLUS_REFUSAL_SHARE: f64 = 0.5;
 const SURPLUS_DELAY: Duration = Duration::from_millis(60);
--- a/tests/soak/src/site/shape.rs
+++ b/tests/soak/src/site/shape.rs
@@ -6,6 +6,8 @@
 /// The size of a deployment.
 #[derive(Debug, Clone, Copy)]
 pub struct Shape {
+    /// Its name.
+    pub name: &'static str,
     /// Number of boxes.
     pub boxes: usize,
     /// Number of data centres over which boxes and servers are spread.
@@ -35,10 +37,14 @@
     pub timeout: Duration,
     /// How long callers wait.
     pub deadline: Duration,
+    /// Typical length of a request body.
+    pub body_bytes: usize,
     /// Length of the longest request body.
     pub max_body_bytes: usize,
     /// Length of the longest response body.
     pub max_response_bytes: usize,
+    /// Whether callers keep their connections.
+    pub keeps_connections: bool,
 }
 
 /// The name of a shape is unknown.
@@ -68,6 +74,7 @@
 
 fn exams() -> Shape {
     Shape {
+        name: "exams",
         boxes: 36,
         data_centres: 3,
         servers: [9, 16, 6],
@@ -75,7 +82,7 @@
         queue: 12,
         classes: [
             read(26, ms(320), ms(2400), ms(5000)),
-            once_only(63, ms(240), ms(2900), ms(6000), 7_200),
+            once_only(63, ms(240), ms(2900), ms(6000), 1_200),
             download(10, ms(190), ms(2400), ms(5000)),
         ],
     }
@@ -83,6 +90,7 @@
 
 fn admissions() -> Shape {
     Shape {
+        name: "admissions",
         boxes: 40,
         data_centres: 4,
         servers: [9, 19, 8],
@@ -90,7 +98,7 @@
         queue: 16,
         classes: [
             read(30, ms(410), ms(1900), ms(4000)),
-            once_only(77, ms(310), ms(2400), ms(5000), 9_600),
+            once_only(77, ms(310), ms(2400), ms(5000), 300),
             download(10, ms(240), ms(1900), ms(4000)),
         ],
     }
@@ -98,6 +106,7 @@
 
 fn lessons() -> Shape {
     Shape {
+        name: "lessons",
         boxes: 36,
         data_centres: 3,
         servers: [10, 15, 6],
@@ -105,7 +114,10 @@
         queue: 8,
         classes: [
             read(31, ms(210), ms(1000), ms(2000)),
-            once_only(57, ms(160), ms(1200), ms(2500), 24_000),
+            Class {
+                keeps_connections: true,
+                ..once_only(57, ms(160), ms(1200), ms(2500), 4_000)
+            },
             download(11, ms(130), ms(700), ms(1500)),
         ],
     }
@@ -119,8 +131,10 @@
         work,
         timeout,
         deadline,
+        body_bytes: 0,
         max_body_bytes: 0,
         max_response_bytes: 2_400,
+        keeps_connections: false,
     }
 }
 
@@ -129,12 +143,13 @@
     work: Duration,
     timeout: Duration,
     deadline: Duration,
-    max_body_bytes: usize,
+    body_bytes: usize,
 ) -> Class {
     Class {
         service: "orders",
         route_class: "once_only",
-        max_body_bytes,
+        body_bytes,
+        max_body_bytes: 6 * body_bytes,
         ..read(weight, work, timeout, deadline)
     }
 }
@@ -144,6 +159,7 @@
         service: "archive",
         route_class: "download",
         max_response_bytes: 540_000,
+        keeps_connections: true,
         ..read(weight, work, timeout, deadline)
     }
 }
--- a/tests/soak/src/site/trouble.rs
+++ b/tests/soak/src/site/trouble.rs
@@ -56,6 +56,23 @@
     ForgetHistory,
     /// Configurations are written, this many.
     Configure(u32),
+    /// These processes stand still.
+    Pause(Whom),
+}
+
+/// Which processes stand still.
+#[derive(Debug, Clone, Copy)]
+pub enum Whom {
+    /// Boxes, servers and callers.
+    All,
+    /// All boxes.
+    Boxes,
+    /// All servers and the paths to them.
+    Servers,
+    /// All callers.
+    Callers,
+    /// This share of the boxes and servers.
+    Some(f64),
 }
 
 /// Draws the events of a seed in the order in which they begin.
@@ -69,10 +86,27 @@
             kind: draw_kind(&mut random),
         })
         .collect();
+    events.extend(draw_pauses(&mut random, span));
     events.sort_by_key(|event| event.at);
     events
 }
 
+fn draw_pauses(random: &mut StdRng, span: Duration) -> Vec<Event> {
+    let count = (span.as_secs_f64() * PAUSES_PER_SECOND) as usize;
+    let pauses = (0..count).map(|_| Event {
+        at: span.mul_f64(random.random_range(0.02..0.95)),
+        lasts: Duration::from_millis(random.random_range(200..900)),
+        kind: EventKind::Pause(match random.random_range(0..10) {
+            0..5 => Whom::All,
+            5 => Whom::Boxes,
+            6 => Whom::Servers,
+            7 => Whom::Callers,
+            _ => Whom::Some(random.random_range(0.05..0.4)),
+        }),
+    });
+    pauses.collect()
+}
+
 fn draw_kind(random: &mut StdRng) -> EventKind {
     let few = random.random_range(0.03..0.2);
     let many = random.random_range(0.2..0.6);
@@ -124,7 +158,7 @@
     }
 }
 
-const TROUBLES: [Trouble; 9] = [
+const TROUBLES: [Trouble; 10] = [
     Trouble::Errors,
     Trouble::Sheds,
     Trouble::Hangs,
@@ -132,6 +166,7 @@
     Trouble::Slow,
     Trouble::CutsBody,
     Trouble::SurplusAfter,
+    Trouble::SurplusUnnamed,
     Trouble::RefusesEarly,
     Trouble::Unframed,
 ];
@@ -146,3 +181,5 @@
 ];
 /// Events last three seconds on average, so that some five overlap.
 const EVENTS_PER_SECOND: f64 = 1.6;
+/// Some seven in a play of 20 s, half of them of everything at once.
+const PAUSES_PER_SECOND: f64 = 0.35;
