A request whose time ends while its connection opens is refused and not sent

Callers saw 504, which forbids them to try again, for a request that the box could have refused truthfully. Cause: the deadline was checked before the connection was opened and not after; after a pause the connection and the timer are ready in one poll, the connection counts first, and the request was written with no time left. Found by checking each await between the last check and the bytes sent.

Works because nothing is awaited between this check and the write.

--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -154,6 +154,12 @@
             let reason = &"the server accepts no more requests";
             return self.failure(AttemptEnd::NotSent, ResultCode::NotSent, reason);
         }
+        if self.outgoing.is_overdue(began) {
+            guard.end(HealthOutcome::Abandoned);
+            guard.backend.release(connection);
+            let code = ResultCode::DeadlineBeforeSend;
+            return self.failure(AttemptEnd::NotSent, code, &"no time is left");
+        }
         if !self.outgoing.in_flight.start_sending(self.number) {
             guard.end(HealthOutcome::Abandoned);
             guard.backend.release(connection);
--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -288,7 +288,7 @@
     /// The account is looked up again, because the caller's key may have been revoked
     /// since the last attempt or while the request waited.
     async fn send_to_next_server(&mut self) -> Result<(), ResultCode> {
-        if self.remaining().is_zero() {
+        if self.outgoing.is_overdue(wingspur_clock::now()) {
             return Err(ResultCode::DeadlineBeforeSend);
         }
         let admitted = &self.outgoing.admitted;
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -72,6 +72,11 @@
             return self.failure(AttemptEnd::NotSent, ResultCode::UnknownKey, reason);
         }
         let began = wingspur_clock::now();
+        if self.outgoing.is_overdue(began + HOP_ALLOWANCE) {
+            connections.release(connection);
+            let code = ResultCode::DeadlineBeforeSend;
+            return self.failure(AttemptEnd::NotSent, code, &"no time is left");
+        }
         if !self.outgoing.in_flight.start_sending(self.number) {
             connections.release(connection);
             let reason = &"the request was refused already";
--- a/crates/wingspur-edge/src/proxy/request_head.rs
+++ b/crates/wingspur-edge/src/proxy/request_head.rs
@@ -35,6 +35,14 @@
     pub in_flight: Arc<InFlightGuard>,
 }
 
+impl UpstreamRequest {
+    /// Whether a server that gets the request now is left less than a millisecond, the
+    /// unit in which it is told its time.
+    pub fn is_overdue(&self, now: Instant) -> bool {
+        self.deadline.saturating_duration_since(now) < Duration::from_millis(1)
+    }
+}
+
 /// Serializes the head of a request for one attempt, with the time that is left for it
 /// and the headers of this attempt alone.
 pub fn serialize_head(
