A response that a box makes itself names its request

Neither a caller nor an engineer on call could tell which request a 502, 503 or 504 of the box belongs to: servers' responses carry X-Wingspur-Request-Id, the box's own did not.

--- a/crates/wingspur-edge/src/proxy/error_response.rs
+++ b/crates/wingspur-edge/src/proxy/error_response.rs
@@ -6,7 +6,7 @@
 use hyper::body::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use hyper::{Response, StatusCode};
-use wingspur_protocol::{RESULT_HEADER, RefusalBody, ResultCode};
+use wingspur_protocol::{HeaderNames, RESULT_HEADER, RefusalBody, ResultCode};
 
 /// Returns the complete response for a result code; `retry_after` overrides the code's
 /// own time to retry.
@@ -38,3 +38,14 @@
     }
     response
 }
+
+/// Adds the id of the request that a response belongs to, if the request has one.
+pub fn name_request<B>(
+    response: &mut Response<B>,
+    names: &HeaderNames,
+    id: Option<HeaderValue>,
+) {
+    if let Some(id) = id {
+        response.headers_mut().insert(names.request_id, id);
+    }
+}
--- a/crates/wingspur-edge/src/proxy/relay_requests.rs
+++ b/crates/wingspur-edge/src/proxy/relay_requests.rs
@@ -14,7 +14,7 @@
 use crate::edge_state::EdgeState;
 use crate::log_values::id_text;
 use crate::peers::relay_search::{is_relaying, relay_load};
-use crate::proxy::error_response::error_response;
+use crate::proxy::error_response::{error_response, name_request};
 use crate::proxy::request::respond;
 use crate::proxy::request_origin::RequestOrigin;
 use crate::proxy::response_body::ResponseBody;
@@ -39,6 +39,7 @@
             shared.metrics.count_relayed("taken", reason);
             let response = error_response(ResultCode::NotSent, None);
             let mut response = response.map(ResponseBody::Buffered);
+            name_request(&mut response, &shared.header_names, id.cloned());
             add_result(&shared, &mut response, false);
             response
         }
--- a/crates/wingspur-edge/src/proxy/request.rs
+++ b/crates/wingspur-edge/src/proxy/request.rs
@@ -22,7 +22,7 @@
     AdmissionRequest, Principal, admit, find_route, strip_credentials,
 };
 use crate::proxy::attempt::{AttemptResult, LATE_RESPONSE_GRACE};
-use crate::proxy::error_response::error_response;
+use crate::proxy::error_response::{error_response, name_request};
 use crate::proxy::forwarding::RequestForwarder;
 use crate::proxy::headers::{check_framing, strip_hop_by_hop};
 use crate::proxy::in_flight_requests::InFlightGuard;
@@ -54,9 +54,12 @@
 ) -> (Response<ResponseBody>, bool) {
     let is_before_http_11 = request.version() < Version::HTTP_11;
     let arrived = wingspur_clock::now();
-    let id = request.headers().get(shared.header_names.request_id);
+    let id = request
+        .headers()
+        .get(shared.header_names.request_id)
+        .cloned();
     let from_box = origin.relayed().map(|relayed| relayed.from.clone());
-    let mut log = RequestLog::begin(id, &shared, arrived, from_box);
+    let mut log = RequestLog::begin(id.as_ref(), &shared, arrived, from_box);
     let forwarded =
         async { Some(forward(&shared, request, arrived, &origin, &mut log).await) };
     let stopped = async {
@@ -70,12 +73,12 @@
             log.log_forwarded(&response);
             response
         }
-        Some(Err(error)) => respond_with_error(&shared, error, log),
+        Some(Err(error)) => respond_with_error(&shared, error, id, log),
         None => {
             // Whatever the request waits for, the caller gets a response before the box
             // ends.
             let code = log.in_flight().final_code(ResultCode::DeadlineBeforeSend);
-            respond_with_error(&shared, RequestError::from_code(code), log)
+            respond_with_error(&shared, RequestError::from_code(code), id, log)
         }
     };
     if shared.stopping.has_begun() || is_before_http_11 {
@@ -188,6 +191,7 @@
 fn respond_with_error(
     shared: &EdgeState,
     mut error: RequestError,
+    id: Option<HeaderValue>,
     log: RequestLog,
 ) -> Response<ResponseBody> {
     let upstream_response = error.upstream_response.take();
@@ -195,7 +199,9 @@
         Some(upstream_response) => buffered_response(upstream_response),
         None => {
             shared.metrics.count_refusal(error.code);
-            error_response(error.code, error.retry_after).map(ResponseBody::Buffered)
+            let mut response = error_response(error.code, error.retry_after);
+            name_request(&mut response, &shared.header_names, id);
+            response.map(ResponseBody::Buffered)
         }
     };
     log.log_error(&error, &response);
