A relay's response that names another request is no promise

Callers were told 503 where the response of a relay named another request: what a relay says was bound to the request only by the order on the connection, while servers' responses are bound by their id. A connection that is out of step, or another process at the relay's address, could so refuse for a request that it had not seen.

A response that names another request is unreadable, so the request is in doubt (502). One without an id counts as before: boxes of earlier versions name none in responses of their own. a_relays_response_to_another_request_is_no_promise was told 503 before, where 502 is asked, for a refusal and for a declined request. The comparison is that of a server's response, moved to UpstreamRequest.

--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -241,7 +241,8 @@
         let mut hints = self.observe_hints(&head);
         let mut evidence = self.observe_evidence(&head, is_first);
         let mut skipped_responses = 0;
-        while self.answers_other_request(&head) {
+        let names = &self.shared.header_names;
+        while self.outgoing.is_response_to_other(&head, names) {
             // A second response to an earlier request; the one to this request may
             // follow.
             skipped_responses += 1;
@@ -394,11 +395,6 @@
         Ok(())
     }
 
-    fn answers_other_request(&self, head: &ResponseHead) -> bool {
-        let echoed = head.headers.get(self.shared.header_names.request_id);
-        echoed.is_some_and(|id| Some(id) != self.outgoing.id.as_ref())
-    }
-
     fn failure(
         &self,
         end: AttemptEnd,
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -124,6 +124,9 @@
         let service = &self.service.name;
         let hop = wingspur_clock::since(began);
         self.shared.metrics.observe_relay_latency(service, hop);
+        if self.outgoing.is_response_to_other(&head, names) {
+            return Err(unreadable("a response to another request"));
+        }
         let result = relay_result(&mut head)?;
         self.record_load(result.load);
         if !result.is_taken {
--- a/crates/wingspur-edge/src/proxy/request_head.rs
+++ b/crates/wingspur-edge/src/proxy/request_head.rs
@@ -7,7 +7,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use wingspur_protocol::HeaderNames;
 use wingspur_state::{RequestFingerprint, RouteClass};
-use wingspur_transport::{ReusePolicy, SendBody};
+use wingspur_transport::{ResponseHead, ReusePolicy, SendBody};
 
 use crate::proxy::admission::Principal;
 use crate::proxy::in_flight_requests::InFlightGuard;
@@ -36,6 +36,12 @@
 }
 
 impl UpstreamRequest {
+    /// Whether a response names another request. Without an id it may belong to this one.
+    pub fn is_response_to_other(&self, head: &ResponseHead, names: &HeaderNames) -> bool {
+        let named = head.headers.get(names.request_id);
+        named.is_some_and(|id| Some(id) != self.id.as_ref())
+    }
+
     /// Whether a server that gets the request now is left less than a millisecond, the
     /// unit in which it is told its time.
     pub fn is_overdue(&self, now: Instant) -> bool {
--- a/tests/tests/unreachable_servers.rs
+++ b/tests/tests/unreachable_servers.rs
@@ -348,6 +348,30 @@
     }
 }
 
+#[test]
+fn a_relays_response_to_another_request_is_no_promise() {
+    for is_taken in [true, false] {
+        let pair = Pair::start();
+        let result = encode_relay_header(&RelayResult {
+            is_taken,
+            load: 0.0,
+        });
+        let relay = ScriptedRelay::start(move |_, stream| {
+            let headers = format!(
+                "x-wingspur-request-id: another\r\nwingspur-result: 3002\r\n\
+                 {RELAY_RESULT_HEADER}: {result}\r\n"
+            );
+            write_response(stream, "503 Service Unavailable", &headers, b"")
+        });
+        leave_only(&relay, &pair);
+        let before = relay.taken();
+        let answer = Caller::of(&pair.near).call("once_only", "id");
+        let told = (answer.status, relay.taken());
+        assert_eq!(told, (502, before + 1), "{is_taken}");
+        pair.close();
+    }
+}
+
 #[test]
 fn a_request_that_a_relay_has_not_taken_goes_to_another() {
     let pair = Pair::start();
