A relay's refusal is not the last word on a request with an attempt in doubt

Callers of repeatable requests were told 503, not run, although a server had run the request: the direct attempt had lost its connection (in doubt), the box had lost its path and handed the request to a relay, and the relay's true refusal of its own attempt was passed on as the response to the whole request.

A relay's refusal ends its attempt like a server's refusal. It is not sent elsewhere (a relay counts as all attempts), and the ledger of the attempts decides what the caller is told, with the relay's code and Retry-After. The test lets a server run a read in silence, breaks the path, and has the relay refuse: told 503 before, 502 now.

--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -23,7 +23,6 @@
 use crate::proxy::attempt::{
     AttemptResult, FailedAttempt, LATE_RESPONSE_GRACE, MAX_BUFFERED_BYTES, release_unread,
 };
-use crate::proxy::error_response::error_response;
 use crate::proxy::request_head::{UpstreamRequest, reuse_policy, serialize_head};
 use crate::proxy::response_body::{BodySource, StreamGuard};
 use crate::request_error::BufferedResponse;
@@ -176,8 +175,8 @@
             }
             Received::NotRun(head) => {
                 self.release_unread(connection, guard);
-                self.record_answered(head.status);
-                AttemptResult::Complete(relayed_refusal(&head))
+                self.shared.metrics.count_relayed("sent", "answered");
+                self.refusal(&head)
             }
             Received::Unproven(status, reason) => {
                 self.shared.metrics.count_relayed("sent", "unproven");
@@ -226,12 +225,31 @@
         self.failure(AttemptEnd::NotSent, ResultCode::NotSent, reason)
     }
 
+    /// Returns the failure of an attempt that the relay has refused.
+    fn refusal(&self, head: &ResponseHead) -> AttemptResult {
+        let code = head.result_code().unwrap_or(ResultCode::NotSent);
+        let end = AttemptEnd::RefusedBeforeRunning;
+        AttemptResult::Failed(Box::new(FailedAttempt {
+            retry_after: retry_after(head),
+            ..self.failed(end, code, &head.status)
+        }))
+    }
+
     fn failure(
         &self,
         end: AttemptEnd,
         code: ResultCode,
         reason: &dyn std::fmt::Display,
     ) -> AttemptResult {
+        AttemptResult::Failed(Box::new(self.failed(end, code, reason)))
+    }
+
+    fn failed(
+        &self,
+        end: AttemptEnd,
+        code: ResultCode,
+        reason: &dyn std::fmt::Display,
+    ) -> FailedAttempt {
         tracing::info!(
             id = id_text(self.outgoing.id.as_ref()),
             relay = %self.relay.id,
@@ -241,7 +259,7 @@
             left_ms = self.remaining().as_millis() as u64,
             "relay: failed."
         );
-        AttemptResult::Failed(Box::new(FailedAttempt {
+        FailedAttempt {
             end,
             code,
             response: None,
@@ -249,7 +267,7 @@
             reason: reason.to_string(),
             interrupted: None,
             pick: None,
-        }))
+        }
     }
 
     fn remaining(&self) -> Duration {
@@ -310,21 +328,10 @@
     }
 }
 
-/// Returns the refusal that a relay's head stands for. Its body says the same as the head
-/// and may not have arrived.
-fn relayed_refusal(head: &ResponseHead) -> BufferedResponse {
-    let code = head.result_code().unwrap_or(ResultCode::NotSent);
-    let retry_after = head.headers.get(RETRY_AFTER);
-    let seconds = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
-    let retry_after = seconds.and_then(|s| Duration::try_from_secs_f64(s).ok());
-    let (parts, body) = error_response(code, retry_after).into_parts();
-    let body = body.into_inner().unwrap_or_default();
-    let head = ResponseHead {
-        status: parts.status,
-        headers: parts.headers,
-        body_bytes: Some(body.len() as u64),
-    };
-    BufferedResponse { head, body }
+/// Returns after which time a relay that has refused a request wants it again.
+fn retry_after(head: &ResponseHead) -> Option<Duration> {
+    let seconds = head.headers.get(RETRY_AFTER)?.to_str().ok()?;
+    Duration::try_from_secs_f64(seconds.parse().ok()?).ok()
 }
 
 /// Takes the relay's result out of a response.
--- a/tests/tests/unreachable_servers.rs
+++ b/tests/tests/unreachable_servers.rs
@@ -348,6 +348,40 @@
     }
 }
 
+#[test]
+fn a_relays_refusal_is_no_promise_if_an_earlier_attempt_is_in_doubt() {
+    let reply = Arc::new(Mutex::new(Reply::Complete));
+    let current = reply.clone();
+    let pair = Pair::start_with(&routes(), move |_| *current.lock().unwrap());
+    let result = encode_relay_header(&RelayResult {
+        is_taken: true,
+        load: 0.0,
+    });
+    let relay = ScriptedRelay::start(move |_, stream| {
+        let headers =
+            format!("wingspur-result: 3002\r\n{RELAY_RESULT_HEADER}: {result}\r\n");
+        write_response(stream, "503 Service Unavailable", &headers, b"")
+    });
+    leave_only(&relay, &pair);
+    pair.inject(PathFault::None);
+    let is_relayed = |id: &str| {
+        let before = relay.taken();
+        let answer = Caller::of(&pair.near).call("read", id);
+        answer.status != 200 || relay.taken() > before
+    };
+    wait_until("the box reaches the servers", || !is_relayed("again"));
+    *reply.lock().unwrap() = Reply::Silent;
+    let caller = Caller::of(&pair.near);
+    let call = std::thread::spawn(move || caller.call("read", "doubtful").status);
+    let has_run = || pair.executed_ids().contains(&"doubtful".to_owned());
+    wait_until("a server runs it", has_run);
+    let before = relay.taken();
+    pair.inject(PathFault::Refuse);
+    assert_eq!(call.join().unwrap(), 502);
+    assert_eq!(relay.taken(), before + 1);
+    pair.close();
+}
+
 #[test]
 fn a_relays_response_to_another_request_is_no_promise() {
     for is_taken in [true, false] {
