Tests of refusals give the box more time than the machine may stand still

Trace: with the process stopped for 1.2 s a few times (SIGSTOP), the second one fails in one of three runs with that very outcome, told 504 3003, ran 0: the route's timeout of 1 s is over before the server has answered, which a box may only call a time-out.

Where a promise is asked the timeout is 60 s now: a box that waits for a body that never comes is still told 504, so the check is as strict.

--- a/tests/tests/refusal_evidence.rs
+++ b/tests/tests/refusal_evidence.rs
@@ -42,11 +42,11 @@
 }
 
 impl Fleet {
-    fn start() -> Self {
+    fn start(timeout_ms: u64) -> Self {
         let store = PlatformStore::start(500);
         let routes = [Route {
             class: "once_only",
-            timeout_ms: 1000,
+            timeout_ms,
         }];
         store.put("op/config", &configuration(1, &routes));
         let reply = Arc::new(Mutex::new(Reply::Complete));
@@ -185,6 +185,11 @@
     head.run_evidence(&names, request)
 }
 
+/// A request that its server never answers ends soon.
+const SHORT_TIMEOUT_MS: u64 = 1_000;
+/// More than any pause of the machine: a refusal that counts only once its body has ended
+/// is told as 504.
+const AMPLE_TIMEOUT_MS: u64 = 60_000;
 const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::UntilClose];
 /// More than a box buffers of a response.
 const LONG_BYTES: usize = 2 << 20;
@@ -202,7 +207,7 @@
 
 #[test]
 fn unmarked_refusal_of_any_length_is_no_promise() {
-    let fleet = Fleet::start();
+    let fleet = Fleet::start(SHORT_TIMEOUT_MS);
     for framing in FRAMINGS {
         for body in BODIES {
             let shape = ResponseShape {
@@ -227,7 +232,7 @@
 
 #[test]
 fn marked_refusal_is_a_promise_however_its_body_ends() {
-    let fleet = Fleet::start();
+    let fleet = Fleet::start(AMPLE_TIMEOUT_MS);
     for framing in FRAMINGS {
         for body in BODIES {
             let shape = ResponseShape {
@@ -243,7 +248,7 @@
 
 #[test]
 fn marked_refusal_is_a_promise_with_any_error_status() {
-    let fleet = Fleet::start();
+    let fleet = Fleet::start(AMPLE_TIMEOUT_MS);
     for status in [400, 408, 429, 500, 503, 504] {
         for body in [Body::Whole(8), Body::Whole(LONG_BYTES)] {
             let shape = ResponseShape {
@@ -258,7 +263,7 @@
 
 #[test]
 fn refusal_that_arrives_byte_by_byte_is_judged_as_if_whole() {
-    let fleet = Fleet::start();
+    let fleet = Fleet::start(AMPLE_TIMEOUT_MS);
     let split = |is_marked| ResponseShape {
         is_split: true,
         ..ResponseShape::new(503, is_marked)
@@ -270,7 +275,7 @@
 
 #[test]
 fn refusal_that_does_not_name_the_request_is_no_promise() {
-    let fleet = Fleet::start();
+    let fleet = Fleet::start(SHORT_TIMEOUT_MS);
     for id in [EchoedId::Missing, EchoedId::Other] {
         for body in [Body::Whole(0), Body::Whole(LONG_BYTES)] {
             let shape = ResponseShape {
@@ -327,7 +332,7 @@
 
 #[test]
 fn surplus_refusal_before_the_response_does_not_make_the_request_run_twice() {
-    let fleet = Fleet::start();
+    let fleet = Fleet::start(SHORT_TIMEOUT_MS);
     let after = |id| ResponseShape {
         preamble: Preamble::SurplusRefusal(id),
         ..ResponseShape::new(200, false)
@@ -341,7 +346,7 @@
 
 #[test]
 fn mark_in_an_interim_response_is_no_refusal() {
-    let fleet = Fleet::start();
+    let fleet = Fleet::start(SHORT_TIMEOUT_MS);
     let shape = ResponseShape {
         preamble: Preamble::MarkedInterim,
         ..ResponseShape::new(200, false)
@@ -354,7 +359,7 @@
 
 #[test]
 fn mark_in_a_successful_response_is_no_promise() {
-    let fleet = Fleet::start();
+    let fleet = Fleet::start(SHORT_TIMEOUT_MS);
     for body in [Body::Whole(8), Body::Whole(LONG_BYTES)] {
         let shape = ResponseShape {
             body,
@@ -368,7 +373,7 @@
 
 #[test]
 fn long_misdirected_response_is_a_promise() {
-    let fleet = Fleet::start();
+    let fleet = Fleet::start(SHORT_TIMEOUT_MS);
     let shape = ResponseShape {
         runs: false,
         body: Body::Whole(LONG_BYTES),
