A deadline that passes in a pause leaves the whole grace to what has arrived

Callers were told 504 for requests that their server had refused or answered just then: after a pause of the whole machine the deadline and the 20 ms of grace after it are both over in the poll in which the box notices them, while the server, which stood still too, writes its answer a moment later.

The grace is counted from when the deadline is noticed, for servers and for relays. Without a pause nothing changes but the lateness of one timer. A test steps the clock past both and finds the grace still to come; with one timer for both it ends at once.

--- a/crates/wingspur-clock/src/lib.rs
+++ b/crates/wingspur-clock/src/lib.rs
@@ -53,6 +53,13 @@
     }
 }
 
+/// Waits until a deadline, and then for `grace`, counted from when the deadline is
+/// noticed. What has arrived while the process stood still can so be read first.
+pub async fn sleep_past(deadline: Instant, grace: Duration) {
+    sleep_until(deadline).await;
+    sleep(grace).await;
+}
+
 /// A future that waits until an instant; it can be stored and replaced by a new one.
 pub struct Timer(Pin<Box<dyn Future<Output = ()> + Send>>);
 
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -172,8 +172,8 @@
         };
         let exchange = exchange.or(guard.record_silence(self.expected_latency()));
         let expired = async {
-            wingspur_clock::sleep_until(self.outgoing.deadline + LATE_RESPONSE_GRACE)
-                .await;
+            let deadline = self.outgoing.deadline;
+            wingspur_clock::sleep_past(deadline, LATE_RESPONSE_GRACE).await;
             None
         };
         let received = match exchange.or(expired).await {
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -83,8 +83,8 @@
         }
         let exchange = async { Some(self.exchange(&mut connection, body, began).await) };
         let expired = async {
-            wingspur_clock::sleep_until(self.outgoing.deadline + LATE_RESPONSE_GRACE)
-                .await;
+            let deadline = self.outgoing.deadline;
+            wingspur_clock::sleep_past(deadline, LATE_RESPONSE_GRACE).await;
             None
         };
         match exchange.or(expired).await {
--- a/tests/tests/suspended_box.rs
+++ b/tests/tests/suspended_box.rs
@@ -5,6 +5,7 @@
 mod edge;
 
 use std::net::TcpListener;
+use std::pin::pin;
 use std::sync::{Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
@@ -56,6 +57,21 @@
     assert!(wingspur_clock::was_suspended_since(suspended));
 }
 
+#[test]
+fn a_deadline_that_passed_in_a_suspension_leaves_the_whole_grace() {
+    let _clock = lock_clock();
+    let hour = Duration::from_secs(3600);
+    smol::block_on(async {
+        let deadline = wingspur_clock::now() + hour;
+        let mut expired = pin!(wingspur_clock::sleep_past(deadline, hour));
+        assert_eq!(smol::future::poll_once(expired.as_mut()).await, None);
+        wingspur_clock::simulate_suspension(3 * hour);
+        assert_eq!(smol::future::poll_once(expired.as_mut()).await, None);
+        wingspur_clock::simulate_suspension(hour);
+        expired.await;
+    });
+}
+
 #[test]
 fn a_request_whose_time_is_over_is_answered_at_once() {
     let _clock = lock_clock();
