Soak: deployments whose servers refuse half of all requests

A play in which no box is ready stops with the reason now; it was told as one in which all promises held.

--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -58,6 +58,9 @@
     /// let servers name the request in each response there, surplus ones too
     #[argh(switch)]
     named: bool,
+    /// let servers there refuse half of all requests, which boxes may all send again
+    #[argh(switch)]
+    refusing: bool,
     /// threads that call a deployment in its whole size
     #[argh(option, default = "60")]
     callers: usize,
@@ -140,6 +143,7 @@
         shape,
         callers: args.callers,
         always_named: args.named,
+        refuses: args.refusing,
         span: Duration::from_secs(args.seconds),
     };
     let held: Vec<bool> = seeds
--- a/tests/soak/src/site/play.rs
+++ b/tests/soak/src/site/play.rs
@@ -12,6 +12,7 @@
 use wingspur_tests::{PlatformStore, StoreFault};
 
 use crate::boxes::{BoxSpec, SoakBox, fetch_json};
+use crate::budget::Budget;
 use crate::promises::RETRY_BUDGET;
 use crate::site::caller::{Balancer, Call, CallerSpec, HOST};
 use crate::site::part::{Part, PartProcess};
@@ -33,6 +34,9 @@
     pub span: Duration,
     /// Whether servers name the request in each response, surplus ones too.
     pub always_named: bool,
+    /// Whether servers refuse many requests at any time, and each of these may be sent
+    /// again.
+    pub refuses: bool,
 }
 
 /// What callers and servers saw.
@@ -106,6 +110,19 @@
     play.close()
 }
 
+impl Setup {
+    fn budget(&self) -> Budget {
+        match self.refuses {
+            true => Budget {
+                ratio: 1.0,
+                slack: 400.0,
+                ..RETRY_BUDGET
+            },
+            false => RETRY_BUDGET,
+        }
+    }
+}
+
 impl<'a> Play<'a> {
     fn start(setup: &'a Setup, seed: u64, folder: &FilePath) -> Self {
         let shape = &setup.shape;
@@ -116,7 +133,7 @@
                 data_centre: data_centre(shape, n),
                 cpu_share: 0.2,
                 kill_after_s: Some(KILL_AFTER.as_secs_f64()),
-                budget: RETRY_BUDGET,
+                budget: setup.budget(),
             };
             SoakBox::new(&spec, &setup.program, store.address, folder)
         });
@@ -156,6 +173,7 @@
             self.tick();
             std::thread::sleep(TICK);
         }
+        assert!(!self.balancer.is_empty(), "no box is ready, see their logs");
     }
 
     fn start_callers(&mut self, seed: u64) {
@@ -376,6 +394,11 @@
             instance,
             slots,
             queue,
+            refused_share: if self.setup.refuses {
+                REFUSED_SHARE
+            } else {
+                0.0
+            },
         };
         ServerProcess::start(spec, service, self.arrivals.clone())
     }
@@ -542,6 +565,8 @@
     })
 }
 
+/// Half of the requests that are refused are refused twice.
+const REFUSED_SHARE: f64 = 0.5;
 const TICK: Duration = Duration::from_millis(20);
 const START_TIME: Duration = Duration::from_secs(20);
 const KILL_AFTER: Duration = Duration::from_secs(6);
--- a/tests/soak/src/site/server.rs
+++ b/tests/soak/src/site/server.rs
@@ -30,6 +30,8 @@
     pub slots: usize,
     /// Requests that wait before it refuses more.
     pub queue: usize,
+    /// Share of the requests that it refuses at any time.
+    pub refused_share: f64,
 }
 
 /// A command to the process of a server.
@@ -111,6 +113,7 @@
     instance: String,
     slots: usize,
     queue: usize,
+    refused_share: f64,
     load: Mutex<Load>,
     slot_freed: Condvar,
     trouble: Mutex<(Trouble, f64)>,
@@ -168,6 +171,7 @@
             instance,
             slots,
             queue,
+            refused_share,
         } = spec;
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
         let address = listener.local_addr().expect("the listener is bound");
@@ -175,6 +179,7 @@
             instance,
             slots,
             queue,
+            refused_share,
             load: Mutex::default(),
             slot_freed: Condvar::new(),
             trouble: Mutex::new((Trouble::None, 0.0)),
@@ -313,8 +318,12 @@
 
     fn draw_trouble(&self) -> Trouble {
         let (trouble, share) = *self.trouble.lock().expect("no holder panics");
-        match rand::rng().random_range(0.0..1.0) < share {
-            true => trouble,
+        let mut random = rand::rng();
+        if random.random_bool(share) {
+            return trouble;
+        }
+        match random.random_bool(self.refused_share) {
+            true => Trouble::Sheds,
             false => Trouble::None,
         }
     }
