--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -84,7 +84,7 @@
         let exchange = async { Some(self.exchange(&mut connection, body, began).await) };
         let expired = async {
             let deadline = self.outgoing.deadline;
-            wingspur_clock::sleep_past(deadline, LATE_RESPONSE_GRACE).await;
+            wingspur_clock::sleep_past(deadline, LATE_RELAY_GRACE).await;
             None
         };
         match exchange.or(expired).await {
@@ -353,3 +353,6 @@
 /// Subtracted from the time that a relay is given, so that its server is never given more
 /// than the caller waits.
 const HOP_ALLOWANCE: Duration = Duration::from_millis(5);
+/// Time after the deadline in which a relay's response is still accepted. The relay itself
+/// waits for its server's response until after the deadline.
+const LATE_RELAY_GRACE: Duration = LATE_RESPONSE_GRACE.saturating_mul(2);
