A box logs that its process stood still

After a pause of a process (stopped, or without a processor) deadlines have passed, answers wait and connections are closed, all in one poll, and the log did not show it: only suspensions of the machine were noticed, by the difference of two clocks.

The task that watches the clock also logs clock: the process stood still., with for how long, when its own timer is 200 ms late or more; one line each 100 ms at most.

--- a/crates/wingspur-clock/src/lib.rs
+++ b/crates/wingspur-clock/src/lib.rs
@@ -104,14 +104,17 @@
     suspended().saturating_sub(before) >= MIN_SUSPENSION
 }
 
-/// Wakes all sleepers after a suspension of the machine; never returns.
+/// Wakes all sleepers after a suspension of the machine, and logs when the process itself
+/// stood still; never returns.
 ///
 /// Timers of the kernel stop with the monotonic clock. Without this task, a wait that
 /// should end during a suspension would end late, by the length of the suspension.
 pub async fn watch() {
     let mut reported = suspended();
     loop {
+        let began = Instant::now();
         smol::Timer::after(SUSPENSION_CHECK_INTERVAL).await;
+        log_stall(began.elapsed().saturating_sub(SUSPENSION_CHECK_INTERVAL));
         if !was_suspended_since(reported) {
             continue;
         }
@@ -124,6 +127,15 @@
     }
 }
 
+/// Logs that the process got no processor for a while: it was stopped, or the machine was
+/// busy. Deadlines, answers and closes of that time are all noticed at once after it.
+fn log_stall(late: Duration) {
+    if late >= MIN_STALL {
+        let stood_still_ms = late.as_millis() as u64;
+        tracing::warn!(stood_still_ms, "clock: the process stood still.");
+    }
+}
+
 /// Advances the clock as if the machine had been suspended for `duration`; for tests.
 pub fn simulate_suspension(duration: Duration) {
     SIMULATED_SUSPENSION_NS.fetch_add(duration.as_nanos() as u64, Ordering::Relaxed);
@@ -166,6 +178,8 @@
 /// How often `watch` looks for a suspension, and so how late sleepers may notice it.
 /// `now` includes a suspension at once.
 const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest stall that is logged. A box with a tenth of a core is often delayed for 90 ms.
+const MIN_STALL: Duration = Duration::from_millis(200);
 /// Shortest suspension that is reported. The two clocks are read one after the other, and
 /// a box with a tenth of a core may be delayed for up to 90 ms in between. Shorter
 /// suspensions are included in the time, but are not reported.
