Each response of a box asks the ledger before it promises

give_up and the stop asked the ledger, the other errors of a request did not need to: they come before its first attempt. One place, where the response is made, asks now, so that a later path cannot forget to. No outcome changes; the suites on refusals, stops, relays and suspended boxes pass.

--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -444,8 +444,8 @@
     /// Returns how long the next connection may take. A box that has just waited in vain
     /// waits less, because its own path may be at fault.
     fn connect_timeout(&self) -> Duration {
-        let has_unsent = self.attempts().counts().unsent > 0;
-        match !has_unsent && self.service.is_reachable() {
+        let unsent = self.attempts().counts().unsent;
+        match unsent == 0 && self.service.is_reachable() {
             true => FIRST_CONNECT_TIMEOUT,
             false => NEXT_CONNECT_TIMEOUT,
         }
--- a/crates/wingspur-edge/src/proxy/request.rs
+++ b/crates/wingspur-edge/src/proxy/request.rs
@@ -77,8 +77,8 @@
         None => {
             // Whatever the request waits for, the caller gets a response before the box
             // ends.
-            let code = log.in_flight().final_code(ResultCode::DeadlineBeforeSend);
-            respond_with_error(&shared, RequestError::from_code(code), id, log)
+            let error = RequestError::from_code(ResultCode::DeadlineBeforeSend);
+            respond_with_error(&shared, error, id, log)
         }
     };
     if shared.stopping.has_begun() || is_before_http_11 {
@@ -187,7 +187,8 @@
     budget.count_failed_request(now);
 }
 
-/// Returns the server's error response if the error has one, else one of the box.
+/// Returns the server's error response if the error has one, else one of the box, which
+/// says that the request did not run only if its attempts prove it.
 fn respond_with_error(
     shared: &EdgeState,
     mut error: RequestError,
@@ -198,6 +199,7 @@
     let response = match upstream_response {
         Some(upstream_response) => buffered_response(upstream_response),
         None => {
+            error.code = log.in_flight().final_code(error.code);
             shared.metrics.count_refusal(error.code);
             let mut response = error_response(error.code, error.retry_after);
             name_request(&mut response, &shared.header_names, id);
