--- a/tests/soak/src/site/mod.rs
+++ b/tests/soak/src/site/mod.rs
@@ -2,11 +2,13 @@
 //! callers of once-only requests were told with what ran, also after the response.
 
 mod caller;
+mod configuration;
 mod moment;
 mod part;
 mod path;
 mod play;
 mod server;
+mod server_messages;
 mod server_process;
 mod shape;
 mod trouble;
@@ -19,7 +21,7 @@
 use crate::site::caller::Call;
 use crate::site::moment::Moment;
 use crate::site::play::{Seen, play};
-use crate::site::server::Arrival;
+use crate::site::server_messages::Arrival;
 use crate::site::trouble::draw_events;
 
 pub use part::Part;
--- a/tests/soak/src/site/play.rs
+++ b/tests/soak/src/site/play.rs
@@ -8,16 +8,19 @@
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
-use serde_json::{Value, json};
+use serde_json::json;
 use wingspur_tests::{PlatformStore, StoreFault};
 
 use crate::boxes::{BoxSpec, SoakBox, fetch_json};
 use crate::budget::Budget;
 use crate::promises::RETRY_BUDGET;
-use crate::site::caller::{Balancer, Call, CallerSpec, HOST};
+use crate::site::caller::{Balancer, Call, CallerSpec};
+use crate::site::configuration::configuration;
 use crate::site::part::{Part, PartProcess};
 use crate::site::path::PathFault;
-use crate::site::server::{Arrival, Arrivals, ServerCommand, ServerSpec, Trouble};
+use crate::site::server_messages::{
+    Arrival, Arrivals, ServerCommand, ServerSpec, Trouble,
+};
 use crate::site::server_process::ServerProcess;
 use crate::site::shape::Shape;
 use crate::site::trouble::{Event, EventKind, Whom};
@@ -531,40 +534,6 @@
     format!("servers/{}", server.instance)
 }
 
-/// Returns a configuration; timeouts change with each version, by up to a tenth.
-fn configuration(shape: &Shape, version: u64) -> Value {
-    let routes = shape.classes.map(|class| {
-        let timeout_ms = class.timeout.as_millis() as u64;
-        let mut route = json!({
-            "name": class.service, "host": HOST,
-            "path_prefix": format!("/{}/", class.service), "class": class.route_class,
-            "timeout_ms": timeout_ms + timeout_ms * (version % 4) / 30,
-            "target_latency_ms": class.work.as_millis() as u64 * 3, "priority": 1,
-            "max_attempts": 3,
-        });
-        if class.route_class == "download" {
-            let targets = shape.classes.iter().zip([1, 1, 6]);
-            let targets = targets.map(
-                |(class, weight)| json!({"service": class.service, "weight": weight}),
-            );
-            route["targets"] = targets.collect();
-        } else {
-            route["service"] = json!(class.service);
-        }
-        route
-    });
-    let services = shape
-        .classes
-        .map(|class| json!({"name": class.service, "server_connections": 330}));
-    json!({
-        "version": version, "host_routes": routes, "services": services,
-        "limits": {
-            "max_head_bytes": 16384, "max_body_bytes": 1048576,
-            "head_timeout_ms": 3000, "idle_timeout_ms": 4000,
-        },
-    })
-}
-
 /// Half of the requests that are refused are refused twice.
 const REFUSED_SHARE: f64 = 0.5;
 const TICK: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/tests/soak/src/site/server_messages.rs
@@ -0,0 +1,118 @@
+//! What the process of a server is told and reports, and the record of its requests.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use serde::{Deserialize, Serialize};
+
+use crate::site::moment::Moment;
+use crate::site::path::PathFault;
+
+/// What a server needs to start; the first line that its process reads.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ServerSpec {
+    /// Id of the instance.
+    pub instance: String,
+    /// Requests that it works on at the same time.
+    pub slots: usize,
+    /// Requests that wait before it refuses more.
+    pub queue: usize,
+    /// Share of the requests that it refuses at any time.
+    pub refused_share: f64,
+}
+
+/// A command to the process of a server.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub enum ServerCommand {
+    /// Do this to a share of the requests.
+    Trouble(Trouble, f64),
+    /// Let the path do this to a share of the connections.
+    Path(PathFault, f64),
+    /// Let new connections through the path lead to this address.
+    Target(SocketAddr),
+    /// Close each connection once it is idle, and accept no more. The path stays.
+    End,
+}
+
+/// A report of the process of a server. Requests have a number for each server.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum ServerReport {
+    /// It listens at this address, and its path at the other one.
+    Started(SocketAddr, SocketAddr),
+    /// The head of a request has arrived.
+    Arrived(usize, String, Moment),
+    /// It begins to run.
+    Ran(usize, Moment),
+    /// It was refused, or the first byte of its response was written, with this status.
+    Answered(usize, u16, bool, Moment),
+}
+
+/// What a server does to a share of its requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Trouble {
+    /// Nothing.
+    None,
+    /// They run and fail with a 500.
+    Errors,
+    /// They are refused before they run, with the mark.
+    Sheds,
+    /// They run and get no response.
+    Hangs,
+    /// They run and the connection is reset without a response.
+    Resets,
+    /// They run and take longer.
+    Slow,
+    /// They run and their response breaks off.
+    CutsBody,
+    /// A second response follows the first one, at once or later, that of a refusal too:
+    /// the same again or a refusal, marked or not, for this or for another request.
+    SurplusAfter,
+    /// The same, and the second response names no request.
+    SurplusUnnamed,
+    /// Those with a body are refused with the mark before the body has arrived, and the
+    /// body is read later.
+    RefusesEarly,
+    /// They run and their response has no length and ends with the connection.
+    Unframed,
+}
+
+/// What has become of a request at a server.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// The request's id.
+    pub id: String,
+    /// The instance.
+    pub instance: String,
+    /// When its head had arrived.
+    pub at: Moment,
+    /// When it began to run; `None` if it did not.
+    pub ran_at: Option<Moment>,
+    /// When it was answered, and the status; `None` if it was not.
+    pub answered: Option<(Moment, u16)>,
+    /// Whether the server refused it with the mark.
+    pub is_refused: bool,
+}
+
+/// Arrivals at all servers.
+pub type Arrivals = Arc<Mutex<Vec<Arrival>>>;
+
+impl Trouble {
+    /// Whether a second response follows the first one.
+    pub fn has_surplus(self) -> bool {
+        matches!(self, Self::SurplusAfter | Self::SurplusUnnamed)
+    }
+}
+
+impl Arrival {
+    /// Creates the record of a request whose head has arrived.
+    pub fn new(id: String, instance: &str, at: Moment) -> Self {
+        Self {
+            id,
+            instance: instance.to_owned(),
+            at,
+            ran_at: None,
+            answered: None,
+            is_refused: false,
+        }
+    }
+}
--- a/tests/soak/src/site/server_process.rs
+++ b/tests/soak/src/site/server_process.rs
@@ -7,7 +7,9 @@
 use rustix::process::Signal;
 
 use crate::site::part::{Part, PartProcess};
-use crate::site::server::{Arrival, Arrivals, ServerCommand, ServerReport, ServerSpec};
+use crate::site::server_messages::{
+    Arrival, Arrivals, ServerCommand, ServerReport, ServerSpec,
+};
 
 /// A backend server and the path to it.
 pub struct ServerProcess {
--- a/tests/soak/src/site/trouble.rs
+++ b/tests/soak/src/site/trouble.rs
@@ -9,7 +9,7 @@
 use wingspur_tests::StoreFault;
 
 use crate::site::path::PathFault;
-use crate::site::server::Trouble;
+use crate::site::server_messages::Trouble;
 
 /// An event of a play.
 #[derive(Debug, Clone, Copy)]
