A request that its caller has left is logged without holding its ledger's lock

Builds for release do not check the order, and nothing takes the two the other way round, so callers saw nothing. My fault of: the macro of the log keeps the guard of a field's value until all fields are there.

The value is read before the line; so are the counts in give_up. stop_lines failed before (after a minute, twice: no line) and passes.

--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -879,7 +879,8 @@
         let failure = self.reported_failure.take();
         let retry_after = failure.as_ref().and_then(|failure| failure.retry_after);
         let (id, remaining) = (self.outgoing.id.as_ref(), self.remaining());
-        log_give_up(id, code, &self.attempts().counts(), remaining);
+        let counts = self.attempts().counts();
+        log_give_up(id, code, &counts, remaining);
         RequestError {
             code,
             retry_after: is_refusal
--- a/crates/wingspur-edge/src/proxy/request_log.rs
+++ b/crates/wingspur-edge/src/proxy/request_log.rs
@@ -192,6 +192,7 @@
         }
         let took_ms = wingspur_clock::since(self.began).as_millis() as u64;
         let (route, service, class, version) = self.labels();
+        let sent = self.in_flight.attempts().may_have_run();
         let reason = match std::thread::panicking() {
             true => "its task panicked",
             false => "its caller has gone",
@@ -208,7 +209,7 @@
             class,
             account = self.account_name(),
             version,
-            sent = self.in_flight.attempts().may_have_run(),
+            sent,
             server = self.in_flight.server(),
             from_box = self.from_box.as_deref(),
             took_ms,
