HTTP client: an idle connection is waited for until its task is ready again

In the product, a second call to the store or to a peer right after the first opened a new connection, with a TLS handshake where the box has an identity, and dropped the good one.

Cause: hyper's task of a connection passes on the end of a response and becomes ready for the next request a little later in the same poll, on another thread. take_idle() took a connection that was not ready yet for a closed one.

Change: an idle connection is taken with ready(), which ends with an error only when the connection is closed. The wait is part of the call and so within its timeout.

Why it works: readiness is the signal that hyper gives for exactly this purpose, and waiting for it cannot miss it; a connection that never becomes ready is bounded by the timeout of the call, after which all idle connections to that address are dropped.

--- a/crates/wingspur-transport/src/http_client.rs
+++ b/crates/wingspur-transport/src/http_client.rs
@@ -263,7 +263,7 @@
     ) -> Result<(Parts, Bytes), HttpClientError> {
         let fault = self.apply_request_fault(to).await;
         let sent = request.body().size_hint_bytes();
-        let mut sender = match self.take_idle(to) {
+        let mut sender = match self.take_idle(to).await {
             Some(sender) => sender,
             None => self.connector.connect(to).await?,
         };
@@ -297,17 +297,27 @@
         fault
     }
 
-    fn take_idle(&self, to: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
-        let mut idle = self.idle.lock().expect("no holder panics");
-        let senders = idle.get_mut(&to)?;
-        while let Some(sender) = senders.pop() {
-            if sender.is_ready() {
+    /// Returns an idle connection that is still open.
+    ///
+    /// The task of a connection becomes ready for the next request shortly after it has
+    /// passed on the end of a response, so the connection may have to be waited for.
+    async fn take_idle(&self, to: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+        while let Some(mut sender) = self.pop_idle(to) {
+            if sender.ready().await.is_ok() {
                 return Some(sender);
             }
         }
         None
     }
 
+    fn pop_idle(&self, to: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+        self.idle
+            .lock()
+            .expect("no holder panics")
+            .get_mut(&to)?
+            .pop()
+    }
+
     /// Drops the idle connections to an address. What made a call fail may have made them
     /// silent too, and a retry on each would wait for its timeout.
     fn drop_idle(&self, to: SocketAddr) {
--- a/tests/tests/silent_connections.rs
+++ b/tests/tests/silent_connections.rs
@@ -10,6 +10,8 @@
 use wingspur_transport::{FaultInjector, HttpClient, HttpClientError, Workers};
 
 const CONNECTIONS: usize = 3;
+/// Enough calls that some begin before the connection's task is ready for the next one.
+const SUCCESSIVE_CALLS: usize = 2_000;
 const SHORT: Duration = Duration::from_millis(100);
 const LONG: Duration = Duration::from_secs(30);
 
@@ -87,7 +89,7 @@
     let workers = Workers::start(1);
     let client = HttpClient::new(workers.spawner(), FaultInjector::default());
     server.accepted.store(CONNECTIONS, Ordering::SeqCst);
-    for _ in 0..3 {
+    for _ in 0..SUCCESSIVE_CALLS {
         let path = "/a";
         let called = client.request(server.address, Method::GET, path, Vec::new(), LONG);
         assert!(smol::block_on(called).is_ok());
