Backend pool: a connection that is not ready yet stays in the pool

What callers saw: nothing but latency. Over own sources, a request that came right after the response of another one opened a new connection to the server and closed the good one (the same cause as in the HTTP client, found by looking for its twin).

Cause: take_idle() popped connections until one was ready and dropped the others, closed or only not polled to the end yet.

Change: closed connections are dropped, of the others the last that is ready is taken, and one that is not ready stays. Here the pool does not wait as the HTTP client does: the body of a request can still be under way from a slow caller when the response to it is complete.

Why it works: with one worker, the task of a connection has ended its poll before a second one can be opened and answered, so at most two exist.

--- a/crates/wingspur-transport/src/pool.rs
+++ b/crates/wingspur-transport/src/pool.rs
@@ -128,14 +128,15 @@
         self.opened.load(Ordering::Relaxed)
     }
 
+    /// Takes the connection that was used last of those that are ready for a request. One
+    /// that was released just now may be ready only later, and stays in the pool.
     fn take_idle(&self) -> Option<SendRequest<SendBody>> {
         let mut idle = self.idle.lock().expect("no holder panics");
-        while let Some(connection) = idle.pop() {
-            if connection.sender.is_ready() {
-                return Some(connection.sender);
-            }
-        }
-        None
+        idle.retain(|connection| !connection.sender.is_closed());
+        let position = idle
+            .iter()
+            .rposition(|connection| connection.sender.is_ready())?;
+        Some(idle.remove(position).sender)
     }
 
     async fn connect(&self) -> Result<SendRequest<SendBody>, String> {
--- a/tests/tests/silent_connections.rs
+++ b/tests/tests/silent_connections.rs
@@ -1,4 +1,4 @@
-//! Connections to the store that go silent without a reset.
+//! Connections that go silent without a reset, and the reuse of those that do not.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -6,8 +6,11 @@
 use std::sync::{Arc, Barrier};
 use std::time::Duration;
 
-use hyper::Method;
-use wingspur_transport::{FaultInjector, HttpClient, HttpClientError, Workers};
+use http_body_util::BodyExt;
+use hyper::{Method, Request};
+use wingspur_transport::{
+    BackendPool, FaultInjector, HttpClient, HttpClientError, SendBody, Workers,
+};
 
 const CONNECTIONS: usize = 3;
 /// Enough calls that some begin before the connection's task is ready for the next one.
@@ -98,3 +101,23 @@
     assert_eq!(accepted, CONNECTIONS + 1, "one connection");
     workers.close();
 }
+
+#[test]
+fn pool_keeps_a_connection_that_is_not_ready_yet() {
+    let server = Server::start();
+    let workers = Workers::start(1);
+    let pool = BackendPool::new(server.address, workers.spawner());
+    server.accepted.store(CONNECTIONS, Ordering::SeqCst);
+    for _ in 0..SUCCESSIVE_CALLS {
+        let request = Request::get("/a").header("host", "server");
+        let request = request.body(SendBody::empty()).expect("it is valid");
+        smol::block_on(async {
+            let (response, connection) = pool.send(request).await.expect("it is sent");
+            response.into_body().collect().await.expect("it is whole");
+            pool.release(connection);
+        });
+    }
+    // The second one is used while the task of the first is not ready.
+    assert!(pool.opened() <= 2, "{} connections", pool.opened());
+    workers.close();
+}
