Relays: boxes are asked at once when another box is served again

Cause: a box without a path and without a relay asks others at short intervals while some box was served within 3 s, else every 2 s, as the service is probably down. The interval was chosen once, at the query. Where the last report was just over 3 s old, the box waited for 2 s though the others were served again, and reported so, some 0.1 to 0.3 s later; is_searching() was false meanwhile, so requests were refused without waiting for a relay.

Change: a long interval ends as soon as another box is reported to be served. The unit test failed before at the query after 450 ms.

Why it works: the reason for the long interval is the lack of reports, so it must not outlive it. Queries are still rare while nobody is served, and one report starts one series of them.

--- a/crates/wingspur-coordination/src/relay_directory.rs
+++ b/crates/wingspur-coordination/src/relay_directory.rs
@@ -26,6 +26,8 @@
     /// Boxes that others have named, with the time of it.
     named: BTreeMap<BoxId, (BoxRecord, Instant)>,
     next_query_at: Option<Instant>,
+    /// Whether `next_query_at` is that far away because no other box was served either.
+    seems_down: bool,
     /// The number of queries in a row before which a service had no relay.
     failures: u32,
     /// The requests that each relay has from this box now.
@@ -51,14 +53,17 @@
             declined: BTreeMap::new(),
             named: BTreeMap::new(),
             next_query_at: None,
+            seems_down: false,
             failures: 0,
             outstanding: BTreeMap::new(),
         }
     }
 
-    /// Returns whether boxes should be asked now which services they reach.
-    pub fn is_query_due(&self, now: Instant) -> bool {
-        self.next_query_at.is_none_or(|at| now >= at)
+    /// Returns whether boxes should be asked now which services they reach. `served_ago` is
+    /// the time since other boxes were last served, as for `boxes_to_ask`.
+    pub fn is_query_due(&self, served_ago: Option<Duration>, now: Instant) -> bool {
+        let is_up_again = self.seems_down && is_served(served_ago);
+        is_up_again || self.next_query_at.is_none_or(|at| now >= at)
     }
 
     /// Returns whether replies that may name the first relay are expected soon.
@@ -88,7 +93,7 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Vec<BoxRecord> {
-        if !self.is_query_due(now) {
+        if !self.is_query_due(served_ago, now) {
             return Vec::new();
         }
         self.expire(now);
@@ -116,16 +121,16 @@
         has_relays: bool,
         served_ago: Option<Duration>,
     ) -> Duration {
+        self.seems_down = !has_relays && !is_served(served_ago);
         if has_relays {
             self.failures = 0;
             return REFRESH_INTERVAL;
         }
         let doublings = self.failures.min(MAX_DOUBLINGS);
         self.failures += 1;
-        // A box that has just started has no reports, whatever the services' state.
-        match served_ago.is_none_or(|age| age < SERVED_TTL) {
-            true => FIRST_QUERY_INTERVAL * (1 << doublings),
-            false => DOWN_QUERY_INTERVAL,
+        match self.seems_down {
+            true => DOWN_QUERY_INTERVAL,
+            false => FIRST_QUERY_INTERVAL * (1 << doublings),
         }
     }
 
@@ -309,6 +314,12 @@
     }
 }
 
+/// Whether a service is up, by the time since other boxes were last served. A box that has
+/// just started has no reports, whatever the service's state.
+fn is_served(served_ago: Option<Duration>) -> bool {
+    served_ago.is_none_or(|age| age < SERVED_TTL)
+}
+
 fn is_older(at: Instant, limit: Duration, now: Instant) -> bool {
     now.saturating_duration_since(at) >= limit
 }
@@ -362,7 +373,7 @@
 const MAX_DOUBLINGS: u32 = 2;
 /// How long a good response at another box shows that a service is up.
 const SERVED_TTL: Duration = Duration::from_secs(3);
-/// The interval between two queries while no other box is served either.
+/// The longest interval between two queries while no other box is served either.
 const DOWN_QUERY_INTERVAL: Duration = Duration::from_secs(2);
 /// The interval between two queries while there are relays.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/wingspur-edge/src/peers/relay_search.rs
+++ b/crates/wingspur-edge/src/peers/relay_search.rs
@@ -41,14 +41,15 @@
 /// Asks some boxes which of the unreachable services they reach, if a query is due.
 pub fn search_relays(shared: &Arc<EdgeState>, lost: &[Arc<ServiceState>]) {
     let now = wingspur_clock::now();
-    if !shared.relays.directory.lock().is_query_due(now) {
-        return;
-    }
     let served_ago = lost.iter().filter_map(|service| {
         let balancer = service.balancer.lock();
         balancer.served_elsewhere_ago(now)
     });
     let served_ago = served_ago.min();
+    let is_due = shared.relays.directory.lock().is_query_due(served_ago, now);
+    if !is_due {
+        return;
+    }
     let services: Vec<ServerKey> = lost.iter().map(|service| service.key()).collect();
     let services = services[..services.len().min(MAX_QUERIED_SERVICES)].to_vec();
     let boxes = shared.links.lock().known_boxes();
--- a/tests/tests/relay_directory.rs
+++ b/tests/tests/relay_directory.rs
@@ -76,6 +76,21 @@
     }
 }
 
+#[test]
+fn boxes_are_asked_at_once_when_another_box_is_served_again() {
+    let (now, mut random) = (Instant::now(), StdRng::seed_from_u64(1));
+    let mut directory = RelayDirectory::new("near".into(), Regions::new());
+    let down = Some(Duration::from_secs(5));
+    let mut asked = |at, served_ago| {
+        let at = now + ms(at);
+        directory.boxes_to_ask(&[SERVICE], &fleet(), served_ago, at, &mut random)
+    };
+    assert!(!asked(0, down).is_empty());
+    assert!(asked(400, down).is_empty());
+    assert!(!asked(450, Some(ms(20))).is_empty());
+    assert!(asked(460, Some(ms(30))).is_empty(), "twice for one report");
+}
+
 #[test]
 fn a_relay_of_this_data_centre_comes_first() {
     let (now, mut random) = (Instant::now(), StdRng::seed_from_u64(2));
