Soak of faults: a box comes back although its stop outlasts the fault

Cause: a stopped box accepts for 0.5 s before it ends. The end of the fault called start(), which does nothing while the process runs, and nothing called it again.

Evidence: the log of box 4 has "stop: done." at 47.88 s and its next start at 58.93 s.

Change: the end of a stop is tried again until the process has ended, and the span in which the box counts as stopped reaches until then. No check is changed; a stop in the plan is followed by a rejoin under the other faults, as it was meant.

--- a/tests/soak/src/boxes.rs
+++ b/tests/soak/src/boxes.rs
@@ -172,6 +172,11 @@
         }
     }
 
+    /// Returns whether the process was told to stop and has not ended yet.
+    pub fn is_stopping(&mut self) -> bool {
+        self.is_running() && self.stop_signalled
+    }
+
     /// Suspends the process with SIGSTOP, or resumes it with SIGCONT.
     pub fn set_suspended(&mut self, suspended: bool) {
         self.signal(if suspended {
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -193,10 +193,7 @@
                 self.begin(fault, now);
                 ends.push((now + fault.lasts, fault.kind));
             }
-            let (due, pending): (Vec<ScheduledEnd>, Vec<ScheduledEnd>) =
-                ends.into_iter().partition(|(at, _)| *at <= now);
-            ends = pending;
-            due.iter().for_each(|(_, kind)| self.end(*kind));
+            ends.retain(|(at, kind)| *at > now || !self.end(*kind, now));
             self.read_versions();
             std::thread::sleep(TICK);
         }
@@ -241,9 +238,18 @@
         }
     }
 
-    fn end(&mut self, kind: FaultKind) {
+    /// Ends a fault. Returns false if it cannot end yet, because a box still stops.
+    fn end(&mut self, kind: FaultKind, now: Instant) -> bool {
         match kind {
-            FaultKind::Stop(n) | FaultKind::Kill(n) => self.boxes[n].start(),
+            FaultKind::Stop(n) if self.boxes[n].is_stopping() => return false,
+            FaultKind::Stop(n) => {
+                let mut stops = self.stops.iter_mut().filter(|stop| stop.0 == n);
+                if let Some((_, _, to)) = stops.next_back() {
+                    *to = (*to).max(now + FAULT_EFFECT_TAIL);
+                }
+                self.boxes[n].start();
+            }
+            FaultKind::Kill(n) => self.boxes[n].start(),
             FaultKind::KillAll => self.boxes.iter_mut().for_each(SoakBox::start),
             FaultKind::Freeze(n) => self.boxes[n].set_suspended(false),
             FaultKind::Store(_) => self.store.set_fault(StoreFault::None),
@@ -256,6 +262,7 @@
             }
             FaultKind::Reload(_) | FaultKind::ForgetHistory | FaultKind::Change => {}
         }
+        true
     }
 
     /// Ends all faults and starts all boxes until they are ready.
