Soak of faults: overlapping cuts of a box end with the last one

Cause: the end of a cut took the cut off its boxes whatever other cut was under way.

Change: it does so only for boxes without another cut that still lasts. No check is changed.

--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -257,7 +257,10 @@
             FaultKind::Leave(n) => self.replace_server(n),
             FaultKind::CutOff(range, _) => {
                 for n in range.numbers(self.boxes.len()) {
-                    self.boxes[n].set_server_path("none");
+                    let mut cuts = self.cuts.iter();
+                    if !cuts.any(|(cut, _, until)| *cut == n && *until > now) {
+                        self.boxes[n].set_server_path("none");
+                    }
                 }
             }
             FaultKind::Reload(_) | FaultKind::ForgetHistory | FaultKind::Change => {}
