Own sources: an unreadable ejection record counts as empty and is replaced

Cause: the judge decodes the record after each read and gave up on an error, before it noted the revision. Without the revision it neither writes the record nor gives a verdict, and it tried again for ever, logged at debug level only.

The other records were read for the same (not tested): the bundle pointer and the box list report the error and keep what they have; a shard of once-only claims stays closed on purpose, with a line at error level, since an unknown claim must not be taken for free.

Change: a record that cannot be decoded counts as empty, as a record that is lost does, with a line at warn level that names the service and the error.

Why it works: the revision of the unreadable value is known, so the next agreement is written over it by the same compare-and-set as always.

--- a/crates/wingspur-entry/src/detection.rs
+++ b/crates/wingspur-entry/src/detection.rs
@@ -216,7 +216,7 @@
     let current = shared.store.get(&key).await?;
     let revision = current.as_ref().map_or(0, |pair| pair.mod_revision);
     let record: EjectionRecord = match current {
-        Some(pair) => serde_json::from_slice(&pair.value)?,
+        Some(pair) => decode_record(&service, &pair.value),
         None => EjectionRecord::default(),
     };
     let mut detectors = shared.outlier_detectors.lock();
@@ -228,6 +228,18 @@
     Ok(())
 }
 
+/// Decodes the agreed ejections of a service. What cannot be decoded counts as empty, so
+/// that the next agreement replaces it.
+fn decode_record(service: &str, value: &[u8]) -> EjectionRecord {
+    serde_json::from_slice(value).unwrap_or_else(|error| {
+        tracing::warn!(
+            "judge: the ejection record of {service} counts as empty, since it cannot be \
+             decoded: {error}."
+        );
+        EjectionRecord::default()
+    })
+}
+
 /// Sends the changed verdicts of each data centre to all its live boxes.
 fn send_changes(shared: &Arc<EntryState>, changes: Vec<(DataCentreId, Verdict)>) {
     let mut by_data_centre: HashMap<DataCentreId, Vec<Verdict>> = HashMap::new();
--- a/tests/tests/fleet.rs
+++ b/tests/tests/fleet.rs
@@ -5,6 +5,8 @@
 use wingspur_bench::{
     Fleet, Gray, Load, LoadOptions, RequestKind, StoreFault, small_zagreb,
 };
+use wingspur_protocol::StoreKeys;
+use wingspur_state::EjectionRecord;
 use wingspur_transport::Workers;
 
 /// Runs a test on its own worker threads.
@@ -100,6 +102,33 @@
     });
 }
 
+#[test]
+fn an_unreadable_record_does_not_keep_boxes_from_agreeing_on_ejections() {
+    on_workers(async |workers| {
+        let spawner = workers.spawner();
+        let fleet = Fleet::start(small_zagreb(3), &spawner).await.unwrap();
+        let store = fleet.store_client();
+        let key = StoreKeys::new(fleet.plan().fleet).ejections("exam-pages");
+        store.put_if(&key, &[b'['; 60_000], 0).await.unwrap();
+        fleet.servers[0][2].set_gray(Gray::Stall);
+        let load = Load::new(&spawner, &fleet.caller_addresses());
+        let mix = vec![(RequestKind::new("GET", "/exam/p"), 1.0)];
+        let is_agreed = async || {
+            let value = store.get(&key).await.unwrap().unwrap().value;
+            serde_json::from_slice(&value)
+                .is_ok_and(|record: EjectionRecord| record.ejected == ["exam-pages-02"])
+        };
+        for _ in 0..10 {
+            load.run(&some_seconds(200.0, mix.clone())).await;
+            if is_agreed().await {
+                break;
+            }
+        }
+        assert!(is_agreed().await, "the record was not replaced");
+        fleet.close().await;
+    });
+}
+
 #[test]
 fn a_planned_stop_of_each_box_in_turn_cuts_nothing() {
     on_workers(async |workers| {
