Streamed responses: a body that ends by the box's own close is incomplete

Cause: at the deadline of a streamed response a task closes the server's connection. The body checks its deadline before each read, but the task runs on any worker: between the check and the read the connection could be closed, and the end that was read then counted as the end of the body.

Change: a connection knows that its closer has closed it, and the end of the stream is an error from then on, as for a body that is shorter than its length.

Evidence: the new test closes a connection through its closer while an endless body is read. Before: "the body looks complete: Ok(None)"; after: an error.

Why it works: the mark is set before the socket is shut down, and read after the end of the stream was read, so an end that the close has caused is never taken for the server's. The order of the deadline check no longer matters for this.

--- a/crates/wingspur-edge/src/proxy/response_body.rs
+++ b/crates/wingspur-edge/src/proxy/response_body.rs
@@ -93,8 +93,7 @@
         let Some(chunks) = &mut self.chunks else {
             return Poll::Ready(None);
         };
-        // Checked first, since the connection may always have bytes, and ends as if the
-        // body were complete once it was closed.
+        // Checked first, since the connection may always have bytes.
         if Pin::new(&mut self.deadline).poll(context).is_ready() {
             self.chunks = None;
             self.record_late();
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -10,7 +10,7 @@
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::pin;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::Poll;
 use std::time::{Duration, Instant};
@@ -60,18 +60,26 @@
     reusable: bool,
     /// How long it may be idle and still be reused; after that the server may close it.
     idle_timeout: Duration,
+    /// Whether a closer has closed it.
+    was_closed: Arc<AtomicBool>,
 }
 
 /// Closes a connection while it is read elsewhere, unless a clone was disarmed.
 #[derive(Debug, Clone)]
-pub struct ConnectionCloser(Arc<Mutex<Option<TcpStream>>>);
+pub struct ConnectionCloser {
+    /// The connection; `None` once it was closed or the closer was disarmed.
+    stream: Arc<Mutex<Option<TcpStream>>>,
+    was_closed: Arc<AtomicBool>,
+}
 
 impl ConnectionCloser {
-    /// Closes both directions of the connection. What is read from it ends as if the
-    /// server had closed it.
+    /// Closes both directions of the connection. A response that is being read from it
+    /// breaks off, also one whose body ends with the connection.
     pub fn close(self) {
-        let mut stream = self.0.lock().expect("no holder panics");
+        let mut stream = self.stream.lock().expect("no holder panics");
         if let Some(stream) = stream.take() {
+            // Before the reader can see the end.
+            self.was_closed.store(true, Ordering::Release);
             // Fails if the server has closed the connection already.
             let _ = stream.shutdown(Shutdown::Both);
         }
@@ -79,7 +87,7 @@
 
     /// Makes all clones leave the connection open from now on, so that it can be reused.
     pub fn disarm(self) {
-        self.0.lock().expect("no holder panics").take();
+        self.stream.lock().expect("no holder panics").take();
     }
 }
 
@@ -279,6 +287,7 @@
             is_new: true,
             reusable: true,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            was_closed: Arc::default(),
         }
     }
 
@@ -418,7 +427,10 @@
 
     /// Returns what closes the connection while it is being read elsewhere.
     pub fn closer(&self) -> ConnectionCloser {
-        ConnectionCloser(Arc::new(Mutex::new(Some(self.stream.get_ref().clone()))))
+        ConnectionCloser {
+            stream: Arc::new(Mutex::new(Some(self.stream.get_ref().clone()))),
+            was_closed: self.was_closed.clone(),
+        }
     }
 
     /// Returns whether the connection was opened for this request.
@@ -559,7 +571,7 @@
     }
 
     /// Reads more data into the buffer and returns the number of bytes, 0 if the server
-    /// has closed the connection.
+    /// has closed the connection. Fails if this box has closed it.
     async fn read_more(&mut self) -> Result<usize, ResponseError> {
         let buffered = self.buffer.len();
         self.buffer.resize(buffered + READ_BYTES, 0);
@@ -567,7 +579,12 @@
         let read = self.path_fault.exchange(reading).await;
         self.buffer
             .truncate(buffered + *read.as_ref().unwrap_or(&0));
-        read.map_err(ResponseError::Broken)
+        match read {
+            Ok(0) if self.was_closed.load(Ordering::Acquire) => Err(
+                ResponseError::Broken(io::ErrorKind::ConnectionAborted.into()),
+            ),
+            read => read.map_err(ResponseError::Broken),
+        }
     }
 }
 
--- a/tests/tests/endless_responses.rs
+++ b/tests/tests/endless_responses.rs
@@ -299,3 +299,30 @@
     assert_eq!(status, StatusCode::OK);
     assert!(has_ended, "a closer that is armed closes the connection");
 }
+
+/// Guards against a body without a length that looks whole because its connection was
+/// closed at the deadline while it was read.
+#[test]
+fn body_that_ends_by_the_closer_is_incomplete() {
+    let shape = success(Framing::UntilClose, Body::Endless);
+    let server = BackendServer::start(move |_| Reply::Shaped(shape));
+    let connections = BackendConnections::new(server.address);
+    let head = b"GET / HTTP/1.1\r\nhost: site.example\r\n\r\n".to_vec();
+    let calling = async {
+        let timeout = Duration::from_secs(10);
+        let connecting = connections.connect(ReusePolicy::Any, timeout);
+        let mut connection = connecting.await.unwrap();
+        let (body, method) = (SendBody::empty(), Method::GET);
+        let sending = connection.send_request(head, body, &method);
+        assert_eq!(sending.await.unwrap().status, StatusCode::OK);
+        connection.closer().close();
+        loop {
+            match connection.next_chunk().await {
+                Ok(Some(_)) => {}
+                end => return end,
+            }
+        }
+    };
+    let end = smol::block_on(calling);
+    assert!(end.is_err(), "the body looks complete: {end:?}");
+}
