--- a/tests/tests/endless_responses.rs
+++ b/tests/tests/endless_responses.rs
@@ -16,7 +16,9 @@
 use wingspur_tests::{
     BackendServer, Body, Framing, PlatformStore, Preamble, Reply, ResponseShape,
 };
-use wingspur_transport::{BackendConnections, ReusePolicy, SendBody, Workers};
+use wingspur_transport::{
+    BackendConnection, BackendConnections, ReusePolicy, SendBody, Workers,
+};
 
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
@@ -279,21 +281,15 @@
 #[test]
 fn disarmed_closer_leaves_the_connection_open() {
     let server = BackendServer::start(|_| Reply::Complete);
-    let connections = BackendConnections::new(server.address);
-    let head = b"GET / HTTP/1.1\r\nhost: site.example\r\n\r\n".to_vec();
     let calling = async {
-        let timeout = Duration::from_secs(10);
-        let connecting = connections.connect(ReusePolicy::Any, timeout);
-        let mut connection = connecting.await.unwrap();
+        let mut connection = connect(&server).await;
         let closer = connection.closer();
         closer.clone().disarm();
         closer.close();
-        let (body, method) = (SendBody::empty(), Method::GET);
-        let sending = connection.send_request(head, body, &method);
-        let response = sending.await.unwrap();
+        let status = send(&mut connection).await;
         connection.closer().close();
-        let ended = connection.read_head(&method).await;
-        (response.status, ended.is_err())
+        let ended = connection.read_head(&Method::GET).await;
+        (status, ended.is_err())
     };
     let (status, has_ended) = smol::block_on(calling);
     assert_eq!(status, StatusCode::OK);
@@ -306,15 +302,9 @@
 fn body_that_ends_by_the_closer_is_incomplete() {
     let shape = success(Framing::UntilClose, Body::Endless);
     let server = BackendServer::start(move |_| Reply::Shaped(shape));
-    let connections = BackendConnections::new(server.address);
-    let head = b"GET / HTTP/1.1\r\nhost: site.example\r\n\r\n".to_vec();
     let calling = async {
-        let timeout = Duration::from_secs(10);
-        let connecting = connections.connect(ReusePolicy::Any, timeout);
-        let mut connection = connecting.await.unwrap();
-        let (body, method) = (SendBody::empty(), Method::GET);
-        let sending = connection.send_request(head, body, &method);
-        assert_eq!(sending.await.unwrap().status, StatusCode::OK);
+        let mut connection = connect(&server).await;
+        assert_eq!(send(&mut connection).await, StatusCode::OK);
         connection.closer().close();
         loop {
             match connection.next_chunk().await {
@@ -326,3 +316,16 @@
     let end = smol::block_on(calling);
     assert!(end.is_err(), "the body looks complete: {end:?}");
 }
+
+async fn connect(server: &BackendServer) -> BackendConnection {
+    let connections = BackendConnections::new(server.address);
+    let connecting = connections.connect(ReusePolicy::Any, Duration::from_secs(10));
+    connecting.await.unwrap()
+}
+
+/// Sends a request and returns the status of its response.
+async fn send(connection: &mut BackendConnection) -> StatusCode {
+    let head = b"GET / HTTP/1.1\r\nhost: site.example\r\n\r\n".to_vec();
+    let sending = connection.send_request(head, SendBody::empty(), &Method::GET);
+    sending.await.unwrap().status
+}
