Soak: servers that start what they refuse at the deadline, and responses in two parts

They now refuse it at the deadline. Another writes a response or a refusal in two parts with a pause between them, or ends in between.

These plays had no responses in two parts yet. The count of true refusals that were withheld leaves out requests that ran.

--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -61,6 +61,9 @@
     /// let servers there refuse half of all requests, which boxes may all send again
     #[argh(switch)]
     refusing: bool,
+    /// let servers there start what they refuse at the deadline, if a slot is free then
+    #[argh(switch)]
+    racing: bool,
     /// threads that call a deployment in its whole size
     #[argh(option, default = "60")]
     callers: usize,
@@ -144,6 +147,7 @@
         callers: args.callers,
         always_named: args.named,
         refuses: args.refusing,
+        starts_refused: args.racing,
         span: Duration::from_secs(args.seconds),
     };
     let held: Vec<bool> = seeds
--- a/tests/soak/src/site/mod.rs
+++ b/tests/soak/src/site/mod.rs
@@ -201,7 +201,9 @@
         }
         match by_id.get(call.id.as_str()) {
             None => never_arrived += 1,
-            Some(all) if all.iter().all(|arrival| arrival.is_refused) => refused += 1,
+            Some(all) if all.iter().all(|arrival| arrival.is_only_refused()) => {
+                refused += 1;
+            }
             Some(_) => {}
         }
     }
--- a/tests/soak/src/site/play.rs
+++ b/tests/soak/src/site/play.rs
@@ -40,6 +40,8 @@
     /// Whether servers refuse many requests at any time, and each of these may be sent
     /// again.
     pub refuses: bool,
+    /// Whether servers may start at any time what they refuse at the deadline.
+    pub starts_refused: bool,
 }
 
 /// What callers and servers saw.
@@ -402,6 +404,7 @@
             } else {
                 0.0
             },
+            starts_refused: self.setup.starts_refused,
         };
         ServerProcess::start(spec, service, self.arrivals.clone())
     }
--- a/tests/soak/src/site/server.rs
+++ b/tests/soak/src/site/server.rs
@@ -26,6 +26,7 @@
     slots: usize,
     queue: usize,
     refused_share: f64,
+    starts_refused: bool,
     load: Mutex<Load>,
     slot_freed: Condvar,
     trouble: Mutex<(Trouble, f64)>,
@@ -44,6 +45,8 @@
 enum Admission {
     Runs,
     Refused,
+    /// Its deadline passed while it waited.
+    TimedOut,
     CallerLeft,
 }
 
@@ -84,6 +87,7 @@
             slots,
             queue,
             refused_share,
+            starts_refused,
         } = spec;
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
         let address = listener.local_addr().expect("the listener is bound");
@@ -92,6 +96,7 @@
             slots,
             queue,
             refused_share,
+            starts_refused,
             load: Mutex::default(),
             slot_freed: Condvar::new(),
             trouble: Mutex::new((Trouble::None, 0.0)),
@@ -125,7 +130,7 @@
 }
 
 impl Shared {
-    fn serve(&self, stream: TcpStream) {
+    fn serve(self: &Arc<Self>, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else {
             return;
         };
@@ -166,7 +171,7 @@
     }
 
     fn handle(
-        &self,
+        self: &Arc<Self>,
         head: &Head,
         reader: &mut BufReader<TcpStream>,
         writer: &mut TcpStream,
@@ -193,20 +198,56 @@
             let refused = self.refuse(&request, "503 Service Unavailable", writer);
             return refused && self.write_surplus(&request, trouble, b"", writer);
         }
+        if trouble == Trouble::Splits && rand::rng().random_bool(SPLIT_REFUSAL_SHARE) {
+            let refusal = self.refusal(&request, "503 Service Unavailable");
+            return write_in_parts(refusal.as_bytes(), writer);
+        }
         match self.wait_for_slot(&request, writer) {
             Admission::Refused => {
                 self.refuse(&request, "503 Service Unavailable", writer)
             }
+            Admission::TimedOut => {
+                let refused = self.refuse(&request, "503 Service Unavailable", writer);
+                if self.starts_refused || trouble == Trouble::StartsRefused {
+                    self.start_refused(&request);
+                }
+                refused
+            }
             Admission::CallerLeft => false,
             Admission::Runs => {
                 let keeps_open = self.run(&request, trouble, writer);
-                self.load.lock().expect("no holder panics").running -= 1;
-                self.slot_freed.notify_one();
+                self.free_slot();
                 keeps_open
             }
         }
     }
 
+    fn free_slot(&self) {
+        self.load.lock().expect("no holder panics").running -= 1;
+        self.slot_freed.notify_one();
+    }
+
+    /// Runs a request that was refused at its deadline, if a slot is free at that moment:
+    /// the timer has refused it, and a worker has taken it from the queue as well.
+    fn start_refused(self: &Arc<Self>, request: &Request) {
+        let load = self.load.lock().expect("no holder panics");
+        let is_full = |load: &mut Load| load.running >= self.slots;
+        let waited = self
+            .slot_freed
+            .wait_timeout_while(load, RACE_WINDOW, is_full);
+        let mut load = waited.expect("no holder panics").0;
+        if load.running >= self.slots {
+            return;
+        }
+        load.running += 1;
+        self.reports.send(&ServerReport::Ran(request.number, now()));
+        let (server, work) = (self.clone(), request.work);
+        spawn(move || {
+            std::thread::sleep(work);
+            server.free_slot();
+        });
+    }
+
     fn record_arrival(&self, head: &Head) -> Request {
         let number = |name: &str| {
             let text = head.headers.get(name)?;
@@ -248,14 +289,16 @@
         }
         load.waiting += 1;
         let admission = loop {
-            if Instant::now() >= request.deadline {
-                break Admission::Refused;
+            let remaining = request.deadline.saturating_duration_since(Instant::now());
+            if remaining.is_zero() {
+                break Admission::TimedOut;
             }
             if load.running < self.slots {
                 load.running += 1;
                 break Admission::Runs;
             }
-            let waited = self.slot_freed.wait_timeout(load, CHECK_INTERVAL);
+            let time = CHECK_INTERVAL.min(remaining);
+            let waited = self.slot_freed.wait_timeout(load, time);
             load = waited.expect("no holder panics").0;
             if is_closed(stream) {
                 break Admission::CallerLeft;
@@ -316,21 +359,27 @@
                 let _ = writer.write_all(&[head.as_bytes(), &body].concat());
                 false
             }
+            Trouble::Splits => write_in_parts(&response, writer),
             _ => writer.write_all(&response).is_ok(),
         }
     }
 
     /// Refuses a request before it runs; returns whether the connection can be kept.
     fn refuse(&self, request: &Request, status: &str, writer: &mut TcpStream) -> bool {
+        let refusal = self.refusal(request, status);
+        writer.write_all(refusal.as_bytes()).is_ok()
+    }
+
+    /// Reports that a request is refused before it runs, and returns the response.
+    fn refusal(&self, request: &Request, status: &str) -> String {
         let number = status.split(' ').next().and_then(|text| text.parse().ok());
         self.report_answered(request, number.expect("a status has a number"), true);
-        let text = format!(
+        format!(
             "HTTP/1.1 {status}\r\nx-wingspur-request-id: {}\r\n\
              x-wingspur-not-executed: 1\r\n{}content-length: 0\r\n\r\n",
             request.id,
             self.load_header(),
-        );
-        writer.write_all(text.as_bytes()).is_ok()
+        )
     }
 
     /// Writes a second response; returns whether the connection can be kept.
@@ -389,6 +438,18 @@
     }
 }
 
+/// Writes a response in two parts with a pause between them, or only the first of them.
+/// Returns whether the connection can be kept.
+fn write_in_parts(response: &[u8], writer: &mut TcpStream) -> bool {
+    let mut random = rand::rng();
+    let (first, rest) = response.split_at(random.random_range(1..response.len()));
+    if writer.write_all(first).is_err() || random.random_bool(CUT_SHARE) {
+        return false;
+    }
+    std::thread::sleep(PART_PAUSE.mul_f64(random.random()));
+    writer.write_all(rest).is_ok()
+}
+
 /// Works for a time; returns false if the caller left meanwhile.
 fn work_for(time: Duration, stream: &TcpStream) -> bool {
     let until = Instant::now() + time;
@@ -424,3 +485,11 @@
 /// Share of the requests with a surplus response that are refused first.
 const SURPLUS_REFUSAL_SHARE: f64 = 0.5;
 const SURPLUS_DELAY: Duration = Duration::from_millis(60);
+/// Share of the requests with a response in two parts that are refused.
+const SPLIT_REFUSAL_SHARE: f64 = 0.5;
+/// Share of the responses in two parts of which only the first part is written.
+const CUT_SHARE: f64 = 0.2;
+/// The longest pause between two parts of a response.
+const PART_PAUSE: Duration = Duration::from_millis(600);
+/// How long a refused request stays in the queue, where a worker may still find it.
+const RACE_WINDOW: Duration = Duration::from_millis(3);
--- a/tests/soak/src/site/server_messages.rs
+++ b/tests/soak/src/site/server_messages.rs
@@ -19,6 +19,8 @@
     pub queue: usize,
     /// Share of the requests that it refuses at any time.
     pub refused_share: f64,
+    /// Whether it may start at any time what it refuses at the deadline.
+    pub starts_refused: bool,
 }
 
 /// A command to the process of a server.
@@ -74,6 +76,12 @@
     RefusesEarly,
     /// They run and their response has no length and ends with the connection.
     Unframed,
+    /// Those whose deadline passes in the queue are refused with the mark, and run if a
+    /// slot is free at that moment.
+    StartsRefused,
+    /// Their response, or the refusal of half of them, comes in two parts with a pause
+    /// between them. Some servers end in between.
+    Splits,
 }
 
 /// What has become of a request at a server.
@@ -115,4 +123,9 @@
             is_refused: false,
         }
     }
+
+    /// Whether the server refused the request with the mark and did not run it.
+    pub fn is_only_refused(&self) -> bool {
+        self.is_refused && self.ran_at.is_none()
+    }
 }
--- a/tests/soak/src/site/trouble.rs
+++ b/tests/soak/src/site/trouble.rs
@@ -158,7 +158,7 @@
     }
 }
 
-const TROUBLES: [Trouble; 10] = [
+const TROUBLES: [Trouble; 12] = [
     Trouble::Errors,
     Trouble::Sheds,
     Trouble::Hangs,
@@ -169,6 +169,8 @@
     Trouble::SurplusUnnamed,
     Trouble::RefusesEarly,
     Trouble::Unframed,
+    Trouble::StartsRefused,
+    Trouble::Splits,
 ];
 const PATH_FAULTS: [PathFault; 7] = [
     PathFault::HoldRequests,
