Refusals log the time that their server was given, and how long it held the request

The log could not tell a refusal on arrival from one out of the server's queue or at its deadline. attempt: a refusal. has server_timeout_ms (the header as sent), held_ms and left_ms now, and wingspur_refusal_time_left_seconds counts by evidence how much of its time the server had left. The time that a server is given is a value of its own, ServerDeadline, in the whole milliseconds of the header.

No decision changes.

--- a/crates/wingspur-edge/src/operation/metrics.rs
+++ b/crates/wingspur-edge/src/operation/metrics.rs
@@ -87,6 +87,9 @@
     server_hints: IntCounterVec,
     /// Responses of servers that claim that a request did not run, by what they prove.
     refusal_evidence: IntCounterVec,
+    /// The time that such servers had left until the deadline that they were given, in
+    /// seconds, by what the responses prove.
+    refusal_time_left: HistogramVec,
     /// Store responses and updates whose era was not the expected one: older, missing,
     /// unreadable, or of a restored store.
     store_eras: IntCounterVec,
@@ -312,6 +315,11 @@
                 "Responses of servers that claim a request did not run, by their evidence.",
                 &["evidence"],
             ),
+            refusal_time_left: histogram(
+                "wingspur_refusal_time_left_seconds",
+                "Time left until the server's deadline when it refused, by evidence.",
+                "evidence",
+            ),
             quota_refusals: counter(
                 "wingspur_quota_refusals_total",
                 "Requests refused by the quota of their account.",
@@ -399,10 +407,13 @@
         self.server_hints.with_label_values(&[hint]).inc();
     }
 
-    /// Counts a response of a server that claims that a request did not run.
-    pub fn count_refusal_evidence(&self, evidence: RunEvidence) {
+    /// Counts a response of a server that claims that a request did not run, and that had
+    /// this much time left until the deadline that it was given.
+    pub fn count_refusal_evidence(&self, evidence: RunEvidence, time_left: Duration) {
         let labels = [evidence.as_str()];
         self.refusal_evidence.with_label_values(&labels).inc();
+        let seconds = self.refusal_time_left.with_label_values(&labels);
+        seconds.observe(time_left.as_secs_f64());
     }
 
     /// Counts a message of a peer that was refused.
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -15,7 +15,7 @@
 };
 use wingspur_transport::{
     BackendConnection, BackendConnections, ConnectError, ResponseError, ResponseHead,
-    RunEvidence, SendBody, SentRequest, UnprovenReason,
+    RunEvidence, SendBody, SentRequest, ServerDeadline, UnprovenReason,
 };
 
 use crate::catalog::active_bundle::ActiveRoute;
@@ -235,11 +235,12 @@
         body: SendBody,
     ) -> Result<Received, ResponseError> {
         let method = &self.outgoing.method;
-        let request = self.serialize_head(account, &body);
+        let deadline = self.outgoing.server_deadline(wingspur_clock::now());
+        let request = self.serialize_head(deadline, account, &body);
         let is_first = connection.is_new();
         let mut head = connection.send_request(request, body, method).await?;
         let mut hints = self.observe_hints(&head);
-        let mut evidence = self.observe_evidence(&head, is_first);
+        let mut evidence = self.observe_evidence(&head, is_first, deadline);
         let mut skipped_responses = 0;
         let names = &self.shared.header_names;
         while self.outgoing.is_response_to_other(&head, names) {
@@ -260,7 +261,7 @@
             }
             head = connection.read_head(method).await?;
             hints = self.observe_hints(&head);
-            evidence = self.observe_evidence(&head, false);
+            evidence = self.observe_evidence(&head, false, deadline);
         }
         // Only boxes state a result; callers and other boxes rely on it.
         head.headers.remove(RESULT_HEADER);
@@ -290,15 +291,24 @@
     }
 
     /// Determines, logs and counts what a head says about whether the request ran.
-    /// `is_first` says whether nothing else was received on its connection.
-    fn observe_evidence(&self, head: &ResponseHead, is_first: bool) -> RunEvidence {
+    /// `is_first` says whether nothing else was received on its connection, and `deadline`
+    /// is the one that the server was given.
+    fn observe_evidence(
+        &self,
+        head: &ResponseHead,
+        is_first: bool,
+        deadline: ServerDeadline,
+    ) -> RunEvidence {
         let id = self.outgoing.id.as_ref();
         let sent = SentRequest { id, is_first };
         let evidence = head.run_evidence(&self.shared.header_names, sent);
         if evidence == RunEvidence::Ordinary {
             return evidence;
         }
-        self.shared.metrics.count_refusal_evidence(evidence);
+        let now = wingspur_clock::now();
+        let server_left = deadline.remaining(now);
+        let metrics = &self.shared.metrics;
+        metrics.count_refusal_evidence(evidence, server_left);
         tracing::info!(
             id = id_text(id),
             server = %self.pick.server.id,
@@ -306,6 +316,9 @@
             body_bytes = head.body_bytes,
             is_first,
             evidence = evidence.as_str(),
+            server_timeout_ms = deadline.timeout_ms(),
+            held_ms = deadline.elapsed(now).as_millis() as u64,
+            left_ms = self.remaining().as_millis() as u64,
             "attempt: a refusal."
         );
         evidence
@@ -450,6 +463,7 @@
     /// Serializes the request's head for this attempt.
     fn serialize_head(
         &self,
+        deadline: ServerDeadline,
         account: Option<&ClientAccount>,
         body: &SendBody,
     ) -> Vec<u8> {
@@ -458,7 +472,7 @@
         let expected = expected.map(|name| (name, self.pick.server.id.as_str()));
         let account = account.map(|account| (names.account, account.name.as_str()));
         let headers: Vec<_> = expected.into_iter().chain(account).collect();
-        serialize_head(&self.outgoing, names, self.remaining(), &headers, body)
+        serialize_head(&self.outgoing, names, deadline, &headers, body)
     }
 
     /// Returns how long the response should take.
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -114,10 +114,10 @@
     ) -> Result<Received, ResponseError> {
         let message = self.message();
         let own_headers = [(RELAY_HEADER, message.as_str())];
-        let remaining = self.remaining().saturating_sub(HOP_ALLOWANCE);
+        let deadline = self.outgoing.server_deadline(began + HOP_ALLOWANCE);
         let names = &self.shared.header_names;
         let request =
-            serialize_head(&self.outgoing, names, remaining, &own_headers, &body);
+            serialize_head(&self.outgoing, names, deadline, &own_headers, &body);
         let method = &self.outgoing.method;
         let mut head = connection.send_request(request, body, method).await?;
         let service = &self.service.name;
--- a/crates/wingspur-edge/src/proxy/request_head.rs
+++ b/crates/wingspur-edge/src/proxy/request_head.rs
@@ -7,7 +7,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use wingspur_protocol::HeaderNames;
 use wingspur_state::{RequestFingerprint, RouteClass};
-use wingspur_transport::{ResponseHead, ReusePolicy, SendBody};
+use wingspur_transport::{ResponseHead, ReusePolicy, SendBody, ServerDeadline};
 
 use crate::proxy::admission::Principal;
 use crate::proxy::in_flight_requests::InFlightGuard;
@@ -47,14 +47,19 @@
     pub fn is_overdue(&self, now: Instant) -> bool {
         self.deadline.saturating_duration_since(now) < Duration::from_millis(1)
     }
+
+    /// Returns the deadline of a server that is sent the request now.
+    pub fn server_deadline(&self, now: Instant) -> ServerDeadline {
+        ServerDeadline::new(now, self.deadline.saturating_duration_since(now))
+    }
 }
 
-/// Serializes the head of a request for one attempt, with the time that is left for it
-/// and the headers of this attempt alone.
+/// Serializes the head of a request for one attempt, with the deadline of its server and
+/// the headers of this attempt alone.
 pub fn serialize_head(
     outgoing: &UpstreamRequest,
     names: &HeaderNames,
-    remaining: Duration,
+    deadline: ServerDeadline,
     attempt_headers: &[(&str, &str)],
     body: &SendBody,
 ) -> Vec<u8> {
@@ -69,8 +74,8 @@
         head.extend_from_slice(value.as_bytes());
         head.extend_from_slice(b"\r\n");
     }
-    let remaining_ms = remaining.as_millis().to_string();
-    push_header(&mut head, names.deadline_ms, &remaining_ms);
+    let timeout_ms = deadline.timeout_ms().to_string();
+    push_header(&mut head, names.deadline_ms, &timeout_ms);
     for (name, value) in attempt_headers {
         push_header(&mut head, name, value);
     }
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -16,6 +16,7 @@
 mod response_error;
 mod response_head;
 mod run_evidence;
+mod server_deadline;
 mod server_hints;
 mod store;
 mod tls;
@@ -48,6 +49,7 @@
 };
 pub use response_error::ResponseError;
 pub use run_evidence::{RunEvidence, SentRequest, UnprovenReason, declared_run_evidence};
+pub use server_deadline::ServerDeadline;
 pub use store::{
     KeyValue, RangeResult, StoreClient, StoreError, WatchStream, WriteOutcome,
 };
--- /dev/null
+++ b/crates/wingspur-transport/src/server_deadline.rs
@@ -0,0 +1,36 @@
+//! The deadline that a server is given with a request.
+
+use std::time::{Duration, Instant};
+
+/// The deadline that a server is given with a request.
+///
+/// The server counts its time from when the request arrives, so its own deadline passes
+/// no earlier than this one, which counts from when the request was sent.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerDeadline {
+    sent: Instant,
+    timeout: Duration,
+}
+
+impl ServerDeadline {
+    /// Gives a server the whole milliseconds of what remains when the request is sent.
+    pub fn new(sent: Instant, remaining: Duration) -> Self {
+        let timeout = Duration::from_millis(remaining.as_millis() as u64);
+        Self { sent, timeout }
+    }
+
+    /// Returns the time that the server is given, in milliseconds.
+    pub fn timeout_ms(self) -> u64 {
+        self.timeout.as_millis() as u64
+    }
+
+    /// Returns how long ago the request was sent.
+    pub fn elapsed(self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.sent)
+    }
+
+    /// Returns the time that is left to the server.
+    pub fn remaining(self, now: Instant) -> Duration {
+        self.timeout.saturating_sub(self.elapsed(now))
+    }
+}
