Tests: a refusal at the server's deadline is no promise (known red)

The caller is told 503 with the result 3002 (not sent) for a request that its server refuses at the deadline that it was given and starts in that moment; the test stops there, before the same through a relay. Over own sources it is told 503 and 3002 for a declared status 5 ms before the deadline, as a server with a ticking clock sends it.

--- a/tests/src/backend_server.rs
+++ b/tests/src/backend_server.rs
@@ -30,6 +30,8 @@
     Error,
     /// The request is refused before it runs, with the header that states so.
     Refused,
+    /// The same at the deadline that the server was given, and it runs at that moment.
+    RefusedAtDeadline,
     /// The request is refused with 503 without that header, so it may have run.
     Unmarked,
     /// The request is refused with 421, as for another instance of the server.
@@ -143,7 +145,10 @@
             stream,
             &complete_response(id, "500 Internal Server Error", extra, "failed"),
         ),
-        Reply::Refused => {
+        Reply::Refused | Reply::RefusedAtDeadline => {
+            if reply == Reply::RefusedAtDeadline {
+                std::thread::sleep(time_given(head));
+            }
             let mark = format!("x-wingspur-not-executed: 1\r\n{extra}");
             write(
                 stream,
@@ -178,6 +183,13 @@
     }
 }
 
+/// Returns the time that the server is given for a request.
+fn time_given(head: &Head) -> Duration {
+    let text = head.headers.get("x-wingspur-request-deadline-ms");
+    let timeout_ms = text.and_then(|text| text.parse().ok());
+    timeout_ms.map_or(Duration::ZERO, Duration::from_millis)
+}
+
 /// Returns a complete response with the server's stamp.
 fn complete_response(id: &str, status: &str, extra: &str, body: &str) -> String {
     format!(
--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use wingspur_bench::{Fleet, small_zagreb};
+use wingspur_tests::listen;
 use wingspur_transport::Workers;
 
 /// Starts a server that responds to each request with what `answer` writes. The
@@ -275,6 +276,21 @@
     });
 }
 
+/// A declared refusal that may be due to the server's deadline, by a clock with ticks.
+#[test]
+fn declared_refusal_at_the_deadline_is_no_promise() {
+    let server = listen(|head, out| {
+        let given_ms: u64 = head.headers["wingspur-deadline-ms"].parse().unwrap();
+        std::thread::sleep(Duration::from_millis(given_ms.saturating_sub(5)));
+        out.write_all(b"HTTP/1.1 503 Status\r\ncontent-length: 2\r\n\r\nno")
+            .is_ok()
+    });
+    with_box(server, |caller| {
+        let answer = raw_call(caller, GET);
+        assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+    });
+}
+
 #[test]
 fn an_answer_that_names_another_request_is_not_passed_on() {
     let (server, _) = raw_server(|_, out| {
--- a/tests/tests/refusal_evidence.rs
+++ b/tests/tests/refusal_evidence.rs
@@ -84,8 +84,8 @@
     }
 
     /// Sends a once-only request directly and one through a relay while the servers
-    /// respond in this shape, and returns the outcomes.
-    fn outcomes(&self, name: &str, shape: ResponseShape) -> [Outcome; 2] {
+    /// handle requests so, and returns the outcomes.
+    fn outcomes(&self, name: &str, reply: Reply) -> [Outcome; 2] {
         let mut of_relay = false;
         self.callers().map(|caller| {
             let id = format!("{name}-{of_relay}");
@@ -93,7 +93,7 @@
             // Leaves a connection behind that the next request is sent on.
             let before = caller.call("once_only", &format!("{id}-before"));
             assert_eq!(before.status, 200, "{id}");
-            *self.reply.lock().unwrap() = Reply::Shaped(shape);
+            *self.reply.lock().unwrap() = reply;
             let (status, result) = call_and_discard(caller.address(), &id);
             *self.reply.lock().unwrap() = Reply::Complete;
             let ran = self.servers.iter().flat_map(BackendServer::executed_ids);
@@ -107,14 +107,14 @@
     }
 
     fn assert_promised(&self, name: &str, shape: ResponseShape) {
-        for outcome in self.outcomes(name, shape) {
+        for outcome in self.outcomes(name, Reply::Shaped(shape)) {
             let is_promise = outcome.status == 503 && outcome.result.is_some();
             assert!(is_promise && outcome.ran == 0, "{name}: {outcome:?}");
         }
     }
 
     fn assert_not_promised(&self, name: &str, shape: ResponseShape) {
-        for outcome in self.outcomes(name, shape) {
+        for outcome in self.outcomes(name, Reply::Shaped(shape)) {
             let is_in_doubt = matches!(outcome.status, 502 | 504);
             assert!(is_in_doubt && outcome.ran <= 1, "{name}: {outcome:?}");
         }
@@ -230,6 +230,16 @@
     fleet.close();
 }
 
+/// The timer of the server refuses what one of its workers starts in the same moment.
+#[test]
+fn refusal_at_the_deadline_is_no_promise() {
+    let fleet = Fleet::start(SHORT_TIMEOUT_MS);
+    for outcome in fleet.outcomes("at-deadline", Reply::RefusedAtDeadline) {
+        assert!(outcome.status == 504 && outcome.ran == 1, "{outcome:?}");
+    }
+    fleet.close();
+}
+
 #[test]
 fn marked_refusal_is_a_promise_however_its_body_ends() {
     let fleet = Fleet::start(AMPLE_TIMEOUT_MS);
@@ -338,7 +348,7 @@
         ..ResponseShape::new(200, false)
     };
     fleet.assert_not_promised("unnamed", after(EchoedId::Missing));
-    for outcome in fleet.outcomes("named", after(EchoedId::Other)) {
+    for outcome in fleet.outcomes("named", Reply::Shaped(after(EchoedId::Other))) {
         assert_eq!((outcome.status, outcome.ran), (200, 1));
     }
     fleet.close();
@@ -351,7 +361,7 @@
         preamble: Preamble::MarkedInterim,
         ..ResponseShape::new(200, false)
     };
-    for outcome in fleet.outcomes("interim", shape) {
+    for outcome in fleet.outcomes("interim", Reply::Shaped(shape)) {
         assert_eq!((outcome.status, outcome.ran), (200, 1));
     }
     fleet.close();
