--- a/tests/soak/src/site/mod.rs
+++ b/tests/soak/src/site/mod.rs
@@ -187,11 +187,12 @@
 }
 
 /// Summarizes what callers were told, and how many true refusals were withheld: requests
-/// told to be in doubt of which all arrivals were refused, or that never arrived.
+/// told to be in doubt of which all arrivals were refused, some of these on arrival, or
+/// that never arrived.
 fn summary(seen: &Seen, findings: &[Finding]) -> String {
     let by_id = arrivals_by_id(&seen.arrivals);
     let mut told: BTreeMap<String, usize> = BTreeMap::new();
-    let (mut refused, mut never_arrived) = (0, 0);
+    let (mut refused, mut on_arrival, mut never_arrived) = (0, 0, 0);
     for call in &seen.calls {
         let status = call.status.map_or("none".to_owned(), |s| s.to_string());
         let result = call.result.as_deref().unwrap_or("server");
@@ -203,6 +204,9 @@
             None => never_arrived += 1,
             Some(all) if all.iter().all(|arrival| arrival.is_only_refused()) => {
                 refused += 1;
+                let all_on_arrival =
+                    all.iter().all(|arrival| arrival.is_refused_at_once());
+                on_arrival += usize::from(all_on_arrival);
             }
             Some(_) => {}
         }
@@ -214,7 +218,8 @@
     let calls = seen.calls.len();
     format!(
         "{verdict}; {calls} once-only requests, told {told:?}; \
-         in doubt though refused {refused}, though never arrived {never_arrived}"
+         in doubt though refused {refused} (on arrival {on_arrival}), \
+         though never arrived {never_arrived}"
     )
 }
 
--- a/tests/soak/src/site/server.rs
+++ b/tests/soak/src/site/server.rs
@@ -256,7 +256,8 @@
         let id = head.headers.get("x-wingspur-request-id");
         let id = id.cloned().unwrap_or_default();
         let deadline_ms = number("x-wingspur-request-deadline-ms").unwrap_or(10_000);
-        let at = Instant::now();
+        let (at, since_tick) = (Instant::now(), now().as_micros() % CLOCK_TICK_US);
+        let tick = at - Duration::from_micros(since_tick as u64);
         let request_number = self.arrived.fetch_add(1, Ordering::Relaxed);
         let arrived = ServerReport::Arrived(request_number, id.clone(), now());
         self.reports.send(&arrived);
@@ -264,7 +265,7 @@
             id,
             work: Duration::from_millis(number("x-soak-work-ms").unwrap_or(0)),
             response_bytes: number("x-soak-answer-bytes").unwrap_or(0) as usize,
-            deadline: at + Duration::from_millis(deadline_ms),
+            deadline: tick + Duration::from_millis(deadline_ms),
             number: request_number,
         }
     }
@@ -475,6 +476,8 @@
     }
 }
 
+/// The clock by which a server counts deadlines advances in ticks of this length.
+const CLOCK_TICK_US: u128 = 10_000;
 /// How soon a server notices that a caller has left or that it has to end.
 const CHECK_INTERVAL: Duration = Duration::from_millis(40);
 /// How long a connection may be idle; boxes are told so.
--- a/tests/soak/src/site/server_messages.rs
+++ b/tests/soak/src/site/server_messages.rs
@@ -124,8 +124,18 @@
         }
     }
 
+    /// Whether the server refused the request as soon as it had arrived.
+    pub fn is_refused_at_once(&self) -> bool {
+        let refused_at = self.answered.filter(|_| self.is_refused);
+        refused_at
+            .is_some_and(|(at, _)| at.as_millis() <= self.at.as_millis() + ON_ARRIVAL_MS)
+    }
+
     /// Whether the server refused the request with the mark and did not run it.
     pub fn is_only_refused(&self) -> bool {
         self.is_refused && self.ran_at.is_none()
     }
 }
+
+/// A refusal within this time is one on arrival.
+const ON_ARRIVAL_MS: u128 = 20;
