Refusals: one at the deadline that its server was given is no proof

Cause: a server refuses what waits in its queue when its deadline passes, and a worker of the same server takes the request from the queue in that moment. The box took any marked refusal for a proof, also one that is made in the instant of its contrary.

Change: a 408 or 5xx refusal that is read with under 10 ms left of the time that its server was given, or later, is in doubt (504, at_deadline), directly, at a relay and over own sources; for its server's health it stays a refusal. The 10 ms allow for a server's ticking clock. Refusals about the request itself (421, 429 and other 4xx) count whenever they are read.

It works because a server counts its time from a later moment than the box does, so what is read earlier was not decided by its deadline.

--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -195,7 +195,7 @@
             Received::Complete(response) => {
                 self.evaluate(response, connection, guard, began)
             }
-            Received::NotRun(status, hints) => {
+            Received::Refused(status, hints, end) => {
                 // A refusal by a server that has set a rate limit says nothing about its
                 // health: the limit already tells how much it accepts.
                 let at_limit = hints.limit_per_s != Ok(None);
@@ -205,8 +205,11 @@
                     HealthOutcome::Refused
                 });
                 release_unread(&self.shared, guard.backend.clone(), connection);
-                let end = AttemptEnd::RefusedBeforeRunning;
-                self.failure(end, ResultCode::NotSent, &status)
+                let code = match end {
+                    AttemptEnd::RefusedBeforeRunning => ResultCode::NotSent,
+                    _ => ResultCode::DeadlineAfterSend,
+                };
+                self.failure(end, code, &status)
             }
             Received::Unproven(status, reason) => {
                 guard.end(HealthOutcome::Failed);
@@ -269,7 +272,13 @@
             RunEvidence::Ordinary => {}
             // Nothing is awaited between the proof and its use: the deadline or a stop
             // would take its place.
-            RunEvidence::NotRun => return Ok(Received::NotRun(head.status, hints)),
+            RunEvidence::NotRun => {
+                let end = AttemptEnd::RefusedBeforeRunning;
+                return Ok(Received::Refused(head.status, hints, end));
+            }
+            RunEvidence::Unproven(UnprovenReason::AtDeadline) => {
+                return Ok(Received::Refused(head.status, hints, AttemptEnd::InDoubt));
+            }
             RunEvidence::Unproven(reason) => {
                 if reason == UnprovenReason::Unnamed {
                     // The response to this request may still follow.
@@ -300,12 +309,16 @@
         deadline: ServerDeadline,
     ) -> RunEvidence {
         let id = self.outgoing.id.as_ref();
-        let sent = SentRequest { id, is_first };
-        let evidence = head.run_evidence(&self.shared.header_names, sent);
+        let sent = SentRequest {
+            id,
+            is_first,
+            deadline,
+        };
+        let now = wingspur_clock::now();
+        let evidence = head.run_evidence(&self.shared.header_names, sent, now);
         if evidence == RunEvidence::Ordinary {
             return evidence;
         }
-        let now = wingspur_clock::now();
         let server_left = deadline.remaining(now);
         let metrics = &self.shared.metrics;
         metrics.count_refusal_evidence(evidence, server_left);
@@ -511,8 +524,8 @@
 enum Received {
     /// All of it.
     Complete(BufferedResponse),
-    /// The head of a refusal, which proves that the request did not run.
-    NotRun(StatusCode, ServerHints),
+    /// The head of a refusal of this request, and how the attempt ends by it.
+    Refused(StatusCode, ServerHints, AttemptEnd),
     /// The head of a refusal that proves nothing.
     Unproven(StatusCode, UnprovenReason),
     /// The beginning of a response that is too long to buffer.
--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -20,7 +20,8 @@
     AttemptEnd, AttemptOutcome, RetryDecision, Route, RouteClass, decide_retry,
 };
 use wingspur_transport::{
-    PooledConnection, RunEvidence, SendBody, SendFailure, declared_run_evidence,
+    PooledConnection, RunEvidence, SendBody, SendFailure, ServerDeadline, UnprovenReason,
+    declared_run_evidence,
 };
 
 use crate::active_bundle::ServiceHandle;
@@ -243,7 +244,8 @@
         mut attempt: AttemptGuard,
         body: SendBody,
     ) -> Result<ResponseHead, FailedAttempt> {
-        let request = self.build_request(pending, body);
+        let deadline = ServerDeadline::new(wingspur_clock::now(), pending.remaining());
+        let request = self.build_request(pending, body, deadline);
         let pool = pending.handle.pools[attempt.server].clone();
         let sending = async { Some(pool.send(request).await) };
         let expired = async {
@@ -272,7 +274,8 @@
                 ))
             }
             Some(Ok((response, connection))) => {
-                self.handle_response_head(pending, attempt, response, connection)
+                let head = (response, connection, attempt);
+                self.handle_response_head(pending, head, deadline)
             }
         }
     }
@@ -280,9 +283,8 @@
     fn handle_response_head(
         &self,
         pending: &PendingRequest,
-        mut attempt: AttemptGuard,
-        response: Response<Incoming>,
-        connection: PooledConnection,
+        (response, connection, mut attempt): ResponseHead,
+        deadline: ServerDeadline,
     ) -> Result<ResponseHead, FailedAttempt> {
         self.apply_hints(pending, attempt.server, response.headers());
         if is_for_another_request(&pending.parts.headers, response.headers()) {
@@ -295,7 +297,8 @@
         }
         let status = response.status();
         let declared = &pending.handle.service.retry.not_run_statuses;
-        match declared_run_evidence(status, declared) {
+        let now = wingspur_clock::now();
+        match declared_run_evidence(status, declared, deadline, now) {
             RunEvidence::Ordinary => {}
             RunEvidence::NotRun => {
                 // The server sheds load or drains, which is no sign of a fault.
@@ -303,6 +306,11 @@
                 let end = AttemptEnd::RefusedBeforeRunning;
                 return Err(FailedAttempt::new(end, ResultCode::NotSent));
             }
+            RunEvidence::Unproven(UnprovenReason::AtDeadline) => {
+                attempt.finish(AttemptOutcome::Abandoned);
+                let (end, code) = (AttemptEnd::InDoubt, ResultCode::DeadlineAfterSend);
+                return Err(FailedAttempt::new(end, code));
+            }
             RunEvidence::Unproven(_) => {
                 attempt.finish(AttemptOutcome::Failed);
                 return Err(FailedAttempt::new(
@@ -375,14 +383,15 @@
         &self,
         pending: &PendingRequest,
         body: SendBody,
+        deadline: ServerDeadline,
     ) -> Request<SendBody> {
         let mut request = Request::new(body);
         *request.method_mut() = pending.parts.method.clone();
         *request.uri_mut() = pending.parts.uri.clone();
         *request.headers_mut() = pending.parts.headers.clone();
-        let remaining_ms = pending.remaining().as_millis() as u64;
+        let timeout_ms = deadline.timeout_ms();
         let headers = request.headers_mut();
-        headers.insert(DEADLINE_HEADER, HeaderValue::from(remaining_ms));
+        headers.insert(DEADLINE_HEADER, HeaderValue::from(timeout_ms));
         request
     }
 
--- a/crates/wingspur-transport/src/run_evidence.rs
+++ b/crates/wingspur-transport/src/run_evidence.rs
@@ -1,10 +1,12 @@
 //! Decides whether the head of a server's response proves that the request did not run.
 
+use std::time::Instant;
+
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use wingspur_protocol::{ExecutionState, HeaderNames, RESULT_HEADER, ResultCode};
 
-use crate::ResponseHead;
+use crate::{ResponseHead, ServerDeadline};
 
 /// What the head of a response says about whether the request ran.
 ///
@@ -31,6 +33,9 @@
     Unnamed,
     /// The server states that the request did not run, in a response that is no error.
     Contradictory,
+    /// The server may have refused the request because its deadline had passed. A worker
+    /// of the server may have taken the request from the queue in the same moment.
+    AtDeadline,
 }
 
 /// A request as it was sent on a connection.
@@ -41,6 +46,8 @@
     /// Whether it is the first one on its connection, so that no response on it can
     /// belong to an earlier request.
     pub is_first: bool,
+    /// The deadline that the server was given.
+    pub deadline: ServerDeadline,
 }
 
 impl RunEvidence {
@@ -54,11 +61,17 @@
     }
 }
 
-/// Decides what a status says about whether the request ran, where the operator has
-/// declared by which statuses the servers refuse requests before running them.
-pub fn declared_run_evidence(status: StatusCode, declared: &[u16]) -> RunEvidence {
+/// Decides what a status, received at this moment from a server with this deadline, says
+/// about whether the request ran, where the operator has declared by which statuses the
+/// servers refuse requests before running them.
+pub fn declared_run_evidence(
+    status: StatusCode,
+    declared: &[u16],
+    deadline: ServerDeadline,
+    received: Instant,
+) -> RunEvidence {
     if declared.contains(&status.as_u16()) {
-        RunEvidence::NotRun
+        refusal_evidence(status, deadline, received)
     } else if promises_not_run(status) {
         RunEvidence::Unproven(UnprovenReason::Unmarked)
     } else {
@@ -67,12 +80,13 @@
 }
 
 impl ResponseHead {
-    /// Decides what this head, received in response to a request, says about whether the
-    /// request ran.
+    /// Decides what this head, received in response to a request at this moment, says
+    /// about whether the request ran.
     pub fn run_evidence(
         &self,
         names: &HeaderNames,
         request: SentRequest<'_>,
+        received: Instant,
     ) -> RunEvidence {
         let is_marked = names
             .not_executed
@@ -89,7 +103,7 @@
             && names.expected_server_id.is_some();
         let is_error = self.status.is_client_error() || self.status.is_server_error();
         match (is_marked || is_other_server, is_error) {
-            (true, true) => RunEvidence::NotRun,
+            (true, true) => refusal_evidence(self.status, request.deadline, received),
             (true, false) => RunEvidence::Unproven(UnprovenReason::Contradictory),
             (false, _) => RunEvidence::Unproven(UnprovenReason::Unmarked),
         }
@@ -126,6 +140,25 @@
     }
 }
 
+/// Decides what a server's statement proves that it has refused a request before running
+/// it.
+fn refusal_evidence(
+    status: StatusCode,
+    deadline: ServerDeadline,
+    received: Instant,
+) -> RunEvidence {
+    match may_be_due_to_deadline(status) && deadline.may_have_passed(received) {
+        true => RunEvidence::Unproven(UnprovenReason::AtDeadline),
+        false => RunEvidence::NotRun,
+    }
+}
+
+/// Whether a server may refuse with this status what has waited too long. Other client
+/// errors are about the request itself, and are found when it arrives.
+fn may_be_due_to_deadline(status: StatusCode) -> bool {
+    status.is_server_error() || status == StatusCode::REQUEST_TIMEOUT
+}
+
 /// Whether callers take a status to mean that the request did not run and never will.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
@@ -144,6 +177,7 @@
             Self::Unmarked => "unmarked",
             Self::Unnamed => "unnamed",
             Self::Contradictory => "contradictory",
+            Self::AtDeadline => "at_deadline",
         }
     }
 }
--- a/crates/wingspur-transport/src/server_deadline.rs
+++ b/crates/wingspur-transport/src/server_deadline.rs
@@ -33,4 +33,14 @@
     pub fn remaining(self, now: Instant) -> Duration {
         self.timeout.saturating_sub(self.elapsed(now))
     }
+
+    /// Whether the server's own deadline may have passed before it sent what was received
+    /// at this moment.
+    pub fn may_have_passed(self, received: Instant) -> bool {
+        self.remaining(received) < MAX_CLOCK_TICK
+    }
 }
+
+/// Servers may read a clock that advances in ticks, and so see their deadline pass early by
+/// a tick.
+const MAX_CLOCK_TICK: Duration = Duration::from_millis(10);
--- a/tests/tests/late_refusals.rs
+++ b/tests/tests/late_refusals.rs
@@ -1,4 +1,5 @@
-//! A refusal that a box has read is told as one, even if the deadline passes at that moment.
+//! A refusal that a box has read is told by what it proves, even if the deadline passes at
+//! that moment.
 
 mod edge;
 
@@ -12,8 +13,9 @@
 use wingspur_tests::{BackendServer, Reply, listen};
 
 /// The route's timeout.
-const TIMEOUT_MS: u64 = 100;
+const TIMEOUT_MS: u64 = 200;
 const NOT_RUN: &str = "wingspur_refusal_evidence_total{evidence=\"not_run\"}";
+const AT_DEADLINE: &str = "wingspur_refusal_evidence_total{evidence=\"at_deadline\"}";
 
 /// Starts a server that refuses each request after `delay_ms`, with the mark, and withholds
 /// the body of the refusal.
@@ -54,20 +56,24 @@
         deployment
             .store
             .put(&key, &edge::server_entry(address, "ready"));
-        delay_ms.store(TIMEOUT_MS - 5 + n, Ordering::SeqCst);
-        let before = deployment.counter(NOT_RUN);
+        delay_ms.store(TIMEOUT_MS / 2 + 4 * n, Ordering::SeqCst);
+        let counts = || [NOT_RUN, AT_DEADLINE].map(|name| deployment.counter(name));
+        let before = counts();
         let mut status = 0;
         edge::wait_until("the server is known", || {
             let answer = deployment.call("once_only", &format!("id-{n}"));
             status = answer.status;
             answer.headers.get("wingspur-result") != Some(&"3001".to_owned())
         });
-        let was_read = deployment.counter(NOT_RUN) > before;
-        assert!(!was_read || status == 503, "after {n} ms: {status}");
-        read += u32::from(was_read);
+        let [not_run, at_deadline] = counts();
+        let is_proof = not_run > before[0];
+        assert!(!is_proof || status == 503, "server {n}: {status}");
+        let is_late = at_deadline > before[1];
+        assert!(!is_late || status == 504, "server {n}: {status}");
+        read += u32::from(is_proof);
         deployment.store.remove(&key);
         edge::wait_until("the server is gone", || has_no_server("between"));
     }
-    assert!(read > 0, "no refusal was read");
+    assert!(read > 0, "no refusal was read in time");
     deployment.close();
 }
--- a/tests/tests/refusal_evidence.rs
+++ b/tests/tests/refusal_evidence.rs
@@ -18,7 +18,7 @@
     BackendServer, Body, EchoedId, Framing, PlatformStore, Preamble, Reply, ResponseShape,
 };
 use wingspur_transport::{
-    ResponseHead, RunEvidence, SentRequest, UnprovenReason, Workers,
+    ResponseHead, RunEvidence, SentRequest, ServerDeadline, UnprovenReason, Workers,
 };
 
 /// A box that reaches the servers, and one that hands its requests to it.
@@ -86,6 +86,11 @@
     /// Sends a once-only request directly and one through a relay while the servers
     /// handle requests so, and returns the outcomes.
     fn outcomes(&self, name: &str, reply: Reply) -> [Outcome; 2] {
+        self.outcomes_with_body(name, reply, NO_BODY)
+    }
+
+    /// Does the same for a request with this body.
+    fn outcomes_with_body(&self, name: &str, reply: Reply, body: &str) -> [Outcome; 2] {
         let mut of_relay = false;
         self.callers().map(|caller| {
             let id = format!("{name}-{of_relay}");
@@ -94,7 +99,7 @@
             let before = caller.call("once_only", &format!("{id}-before"));
             assert_eq!(before.status, 200, "{id}");
             *self.reply.lock().unwrap() = reply;
-            let (status, result) = call_and_discard(caller.address(), &id);
+            let (status, result) = call_and_discard(caller.address(), &id, body);
             *self.reply.lock().unwrap() = Reply::Complete;
             let ran = self.servers.iter().flat_map(BackendServer::executed_ids);
             let ran = ran.filter(|ran| *ran == id).count();
@@ -129,11 +134,11 @@
 
 /// Sends a once-only request, discards the body of its response, and returns the status
 /// and the box's own result number.
-fn call_and_discard(to: SocketAddr, id: &str) -> (u16, Option<String>) {
+fn call_and_discard(to: SocketAddr, id: &str, body: &str) -> (u16, Option<String>) {
     let mut stream = TcpStream::connect(to).unwrap();
     let request = format!(
         "POST /once_only/a HTTP/1.1\r\nhost: site.example\r\nconnection: close\r\n\
-         x-wingspur-request-id: {id}\r\ncontent-length: 0\r\n\r\n"
+         x-wingspur-request-id: {id}\r\n{body}"
     );
     stream.write_all(request.as_bytes()).unwrap();
     stream
@@ -161,8 +166,39 @@
     )
 }
 
-/// Judges a head with these ids in response to a request.
+/// Creates a request that is sent now, with the time that its server is given.
+fn sent_request(
+    id: Option<&HeaderValue>,
+    is_first: bool,
+    given: Duration,
+) -> (SentRequest<'_>, Instant) {
+    let now = Instant::now();
+    let deadline = ServerDeadline::new(now, given);
+    let request = SentRequest {
+        id,
+        is_first,
+        deadline,
+    };
+    (request, now)
+}
+
+/// Judges a head with these ids, received at once in response to a request whose server
+/// has ample time.
 fn evidence(
+    status: u16,
+    is_marked: bool,
+    echoed: &[&'static str],
+    id: Option<&HeaderValue>,
+    is_first: bool,
+) -> RunEvidence {
+    let given = Duration::from_millis(AMPLE_TIMEOUT_MS);
+    let (request, now) = sent_request(id, is_first, given);
+    evidence_at(now, status, is_marked, echoed, request)
+}
+
+/// Judges a head with these ids, received at this moment in response to a request.
+fn evidence_at(
+    received: Instant,
     status: u16,
     is_marked: bool,
     echoed: &[&'static str],
@@ -182,7 +218,7 @@
         headers,
         body_bytes: None,
     };
-    head.run_evidence(&names, request)
+    head.run_evidence(&names, request, received)
 }
 
 /// A request that its server never answers ends soon.
@@ -191,6 +227,10 @@
 /// is told as 504.
 const AMPLE_TIMEOUT_MS: u64 = 60_000;
 const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::UntilClose];
+/// The last lines of a head, and the body after it.
+const NO_BODY: &str = "content-length: 0\r\n\r\n";
+/// Boxes pass on a body of unknown length as it arrives.
+const STREAMED_BODY: &str = "transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
 /// More than a box buffers of a response.
 const LONG_BYTES: usize = 2 << 20;
 
@@ -234,8 +274,11 @@
 #[test]
 fn refusal_at_the_deadline_is_no_promise() {
     let fleet = Fleet::start(SHORT_TIMEOUT_MS);
-    for outcome in fleet.outcomes("at-deadline", Reply::RefusedAtDeadline) {
-        assert!(outcome.status == 504 && outcome.ran == 1, "{outcome:?}");
+    for (name, body) in [("empty", NO_BODY), ("streamed", STREAMED_BODY)] {
+        let reply = Reply::RefusedAtDeadline;
+        for outcome in fleet.outcomes_with_body(name, reply, body) {
+            assert!(outcome.status == 504 && outcome.ran == 1, "{outcome:?}");
+        }
     }
     fleet.close();
 }
@@ -303,10 +346,8 @@
 #[test]
 fn refusal_with_two_ids_is_no_promise() {
     let id = HeaderValue::from_static("own");
-    let request = SentRequest {
-        id: Some(&id),
-        is_first: true,
-    };
+    let judge =
+        |status, is_marked, echoed| evidence(status, is_marked, echoed, Some(&id), true);
     let unnamed = RunEvidence::Unproven(UnprovenReason::Unnamed);
     for (echoed, expected) in [
         (&["own"][..], RunEvidence::NotRun),
@@ -317,27 +358,46 @@
         (&[""], unnamed),
         (&[], unnamed),
     ] {
-        assert_eq!(evidence(503, true, echoed, request), expected, "{echoed:?}");
-        assert_eq!(
-            evidence(421, false, echoed, request),
-            expected,
-            "{echoed:?}"
-        );
+        assert_eq!(judge(503, true, echoed), expected, "{echoed:?}");
+        assert_eq!(judge(421, false, echoed), expected, "{echoed:?}");
     }
 }
 
 #[test]
 fn refusal_of_a_request_without_an_id_counts_on_a_new_connection() {
-    let request = |is_first| SentRequest { id: None, is_first };
+    let judge = |status, is_marked, echoed, is_first| {
+        evidence(status, is_marked, echoed, None, is_first)
+    };
     let unnamed = RunEvidence::Unproven(UnprovenReason::Unnamed);
-    let not_run = evidence(400, true, &[], request(true));
-    assert_eq!(not_run, RunEvidence::NotRun);
-    assert_eq!(evidence(400, true, &[], request(false)), unnamed);
-    assert_eq!(evidence(400, true, &["other"], request(true)), unnamed);
+    assert_eq!(judge(400, true, &[], true), RunEvidence::NotRun);
+    assert_eq!(judge(400, true, &[], false), unnamed);
+    assert_eq!(judge(400, true, &["other"], true), unnamed);
     let unmarked = RunEvidence::Unproven(UnprovenReason::Unmarked);
-    assert_eq!(evidence(503, false, &[], request(true)), unmarked);
-    let ordinary = evidence(400, false, &[], request(true));
-    assert_eq!(ordinary, RunEvidence::Ordinary);
+    assert_eq!(judge(503, false, &[], true), unmarked);
+    assert_eq!(judge(400, false, &[], true), RunEvidence::Ordinary);
+}
+
+#[test]
+fn refusal_counts_only_before_the_deadline_that_its_server_was_given() {
+    let id = HeaderValue::from_static("own");
+    let given = Duration::from_micros(100_900);
+    let (request, sent) = sent_request(Some(&id), true, given);
+    let after = |ms| sent + Duration::from_millis(ms);
+    let judge = |ms, status| evidence_at(after(ms), status, true, &["own"], request);
+    let at_deadline = RunEvidence::Unproven(UnprovenReason::AtDeadline);
+    for status in [408, 500, 503] {
+        for ms in [0, 50, 90] {
+            assert_eq!(judge(ms, status), RunEvidence::NotRun, "{status} {ms}");
+        }
+        // The clock of the server may be 10 ms ahead, and the box may read late.
+        for ms in [91, 100, 101, 500] {
+            assert_eq!(judge(ms, status), at_deadline, "{status} {ms}");
+        }
+    }
+    // These are about the request itself, whenever they are read.
+    for status in [400, 421, 429] {
+        assert_eq!(judge(101, status), RunEvidence::NotRun, "{status}");
+    }
 }
 
 #[test]
@@ -392,7 +452,7 @@
     // The servers count as replaced afterwards, so that one request shows it.
     let caller = Caller::of(&fleet.direct);
     *fleet.reply.lock().unwrap() = Reply::Shaped(shape);
-    let (status, result) = call_and_discard(caller.address(), "misdirected");
+    let (status, result) = call_and_discard(caller.address(), "misdirected", NO_BODY);
     assert_eq!(status, 503, "{result:?}");
     assert!(result.is_some());
     fleet.close();
