Retries: none with under 20 ms left, so that a true refusal is told at once

A once-only request that was refused with proof could be sent again with 5 ms left. It is hardly answered then, and since a refusal in the last 10 ms of a server's time proves nothing, the caller was told 504 (in doubt) where the first refusal alone was a promise.

Change: no retry with under 20 ms left: 10 ms of the server's deadline and as much for the exchange. The request is told as what its attempts prove, at once.

--- a/crates/wingspur-state/src/retry.rs
+++ b/crates/wingspur-state/src/retry.rs
@@ -194,7 +194,8 @@
     }
 }
 
-/// A retry with less time left could not be answered before the deadline.
-const MIN_REMAINING: Duration = Duration::from_millis(5);
+/// With less time left, a retry is hardly answered in time, and a refusal of it would come
+/// so close to the deadline that it proves nothing.
+const MIN_REMAINING: Duration = Duration::from_millis(20);
 const STARTING_TOKENS: f64 = 10.0;
 const MAX_TOKENS: f64 = 100.0;
