Test: the walk over all orders of events has refusals at the deadline

The model of the servers knew refusals that keep their word alone. A server may time out now: it refuses at its deadline, and may run the request before or after that refusal is read.

--- a/tests/tests/attempt_ledger.rs
+++ b/tests/tests/attempt_ledger.rs
@@ -29,9 +29,11 @@
     WithholdsRefusals,
     /// A failed connection is recorded as in doubt.
     DoubtsFailedConnections,
+    /// A refusal at the server's deadline is recorded as a proof.
+    BelievesLateRefusals,
 }
 
-const MUTANTS: [Mutant; 9] = [
+const MUTANTS: [Mutant; 10] = [
     Mutant::ForgetsSending,
     Mutant::WritesBeforeRecording,
     Mutant::WritesAfterPromise,
@@ -41,6 +43,7 @@
     Mutant::AsksLatestAttempt,
     Mutant::WithholdsRefusals,
     Mutant::DoubtsFailedConnections,
+    Mutant::BelievesLateRefusals,
 ];
 
 /// What has become of an attempt, as nobody sees it whole.
@@ -70,6 +73,10 @@
     Unseen,
     Ran,
     Refused,
+    /// Refused at its deadline. A worker may still have taken the request.
+    TimedOut,
+    /// Refused at its deadline, and run.
+    TimedOutAndRan,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -82,7 +89,9 @@
     WriteTakesNothing(usize),
     ServerRuns(usize),
     ServerRefuses(usize),
+    ServerTimesOut(usize),
     ReadRefusal(usize),
+    ReadLateRefusal(usize),
     ReadResponse(usize),
     /// The connection is lost, or the deadline passes.
     Lost(usize),
@@ -118,6 +127,10 @@
         for (n, attempt) in self.attempts.iter().enumerate() {
             if attempt.is_written && attempt.server == Server::Unseen {
                 events.extend([Event::ServerRuns(n), Event::ServerRefuses(n)]);
+                events.push(Event::ServerTimesOut(n));
+            }
+            if attempt.server == Server::TimedOut {
+                events.push(Event::ServerRuns(n));
             }
             match attempt.stage {
                 Stage::Connecting => {
@@ -134,6 +147,9 @@
                         Server::Unseen => None,
                         Server::Ran => Some(Event::ReadResponse(n)),
                         Server::Refused => Some(Event::ReadRefusal(n)),
+                        Server::TimedOut | Server::TimedOutAndRan => {
+                            Some(Event::ReadLateRefusal(n))
+                        }
                     });
                 }
                 Stage::Over => {}
@@ -179,8 +195,22 @@
                 self.attempts[n].is_written = false;
                 self.end(n, AttemptEnd::NotSent);
             }
-            Event::ServerRuns(n) => self.attempts[n].server = Server::Ran,
+            Event::ServerRuns(n) => {
+                let server = &mut self.attempts[n].server;
+                *server = match server {
+                    Server::TimedOut => Server::TimedOutAndRan,
+                    _ => Server::Ran,
+                };
+            }
             Event::ServerRefuses(n) => self.attempts[n].server = Server::Refused,
+            Event::ServerTimesOut(n) => self.attempts[n].server = Server::TimedOut,
+            Event::ReadLateRefusal(n) => self.end(
+                n,
+                match mutant {
+                    Mutant::BelievesLateRefusals => AttemptEnd::RefusedBeforeRunning,
+                    _ => AttemptEnd::InDoubt,
+                },
+            ),
             Event::ReadRefusal(n) => {
                 self.attempts[n].refusal_read = true;
                 let end = match mutant {
@@ -208,10 +238,9 @@
             }
             Event::Refuse => return self.refuse(mutant),
         }
-        let has_run = self
-            .attempts
-            .iter()
-            .any(|attempt| attempt.server == Server::Ran);
+        let has_run = self.attempts.iter().any(|attempt| {
+            matches!(attempt.server, Server::Ran | Server::TimedOutAndRan)
+        });
         (self.is_promised && has_run).then_some("a promise for a request that ran")
     }
 
