--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -12,7 +12,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, Uri, Version};
+use hyper::{Request, Response, StatusCode, Uri, Version};
 use wingspur_protocol::{
     HeaderNames, OperationId, OperationOutcome, ResultCode, parse_load_hint,
 };
@@ -296,9 +296,7 @@
             ));
         }
         let status = response.status();
-        let declared = &pending.handle.service.retry.not_run_statuses;
-        let now = wingspur_clock::now();
-        match declared_run_evidence(status, declared, deadline, now) {
+        match self.observe_evidence(pending, status, deadline) {
             RunEvidence::Ordinary => {}
             RunEvidence::NotRun => {
                 // The server sheds load or drains, which is no sign of a fault.
@@ -328,6 +326,35 @@
         Ok((response, connection, attempt))
     }
 
+    /// Determines, logs and counts what a status says about whether the request ran.
+    /// `deadline` is the one that the server was given.
+    fn observe_evidence(
+        &self,
+        pending: &PendingRequest,
+        status: StatusCode,
+        deadline: ServerDeadline,
+    ) -> RunEvidence {
+        let declared = &pending.handle.service.retry.not_run_statuses;
+        let now = wingspur_clock::now();
+        let evidence = declared_run_evidence(status, declared, deadline, now);
+        if evidence != RunEvidence::Ordinary {
+            let metrics = &self.shared.metrics;
+            metrics.count_refusal_evidence(evidence, deadline.remaining(now));
+            let id = pending.parts.headers.get(REQUEST_ID_HEADER);
+            tracing::info!(
+                id = id.and_then(|id| id.to_str().ok()),
+                service = pending.handle.service.name,
+                status = status.as_u16(),
+                evidence = evidence.as_str(),
+                server_timeout_ms = deadline.timeout_ms(),
+                held_ms = deadline.elapsed(now).as_millis() as u64,
+                left_ms = pending.remaining().as_millis() as u64,
+                "proxy: a refusal."
+            );
+        }
+        evidence
+    }
+
     /// Applies the load hint and the draining header of a server's response.
     fn apply_hints(&self, pending: &PendingRequest, server: usize, headers: &HeaderMap) {
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
