Soak: servers that shed their queue, and what each promise rests on

The plays so far could not tell from what source a promise came, and servers raced at their deadline only. Each refusal is reported with its cause, and the summary counts promises by source (nothing sent, a server's refusal by cause, through a relay), requests in chunks, those that ran after a promise and those that ran twice.

--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -61,9 +61,20 @@
     /// let servers there refuse half of all requests, which boxes may all send again
     #[argh(switch)]
     refusing: bool,
-    /// let servers there start what they refuse at the deadline, if a slot is free then
+    /// let servers there start what they refuse after it has waited, if a slot is free
+    /// then
     #[argh(switch)]
     racing: bool,
+    /// probability that servers there refuse a request that waits, each time that they
+    /// look at their queue
+    #[argh(option, default = "0.0")]
+    shedding: f64,
+    /// slots of each server there, if not those of the deployment
+    #[argh(option)]
+    slots: Option<usize>,
+    /// how often processes there stand still, per second
+    #[argh(option, default = "PAUSES_PER_SECOND")]
+    pauses: f64,
     /// threads that call a deployment in its whole size
     #[argh(option, default = "60")]
     callers: usize,
@@ -141,13 +152,19 @@
 /// Plays a deployment in its whole size with all seeds. Returns whether the promises held
 /// in each.
 fn play_all_sites(args: &Args, shape: Shape, seeds: Range<u64>) -> bool {
+    let shape = Shape {
+        slots: args.slots.unwrap_or(shape.slots),
+        ..shape
+    };
     let setup = site::Setup {
         program: args.program.clone(),
         shape,
         callers: args.callers,
         always_named: args.named,
         refuses: args.refusing,
+        shed_probability: args.shedding.clamp(0.0, 1.0),
         starts_refused: args.racing,
+        pauses_per_second: args.pauses,
         span: Duration::from_secs(args.seconds),
     };
     let held: Vec<bool> = seeds
@@ -229,6 +246,8 @@
     }
 }
 
+/// Some seven in a play of 20 s, half of them of everything at once.
+const PAUSES_PER_SECOND: f64 = 0.35;
 /// Limits the number of processes on one machine to a few dozen.
 const MAX_BOXES: usize = 60;
 const MAX_DATA_CENTRES: usize = 3;
--- a/tests/soak/src/site/mod.rs
+++ b/tests/soak/src/site/mod.rs
@@ -21,7 +21,7 @@
 use crate::site::caller::Call;
 use crate::site::moment::Moment;
 use crate::site::play::{Seen, play};
-use crate::site::server_messages::Arrival;
+use crate::site::server_messages::{Arrival, RefusalCause};
 use crate::site::trouble::draw_events;
 
 pub use part::Part;
@@ -40,12 +40,12 @@
 pub fn play_site(setup: &Setup, seed: u64, logs: &Path) -> bool {
     let folder = logs.join(format!("site-{seed}-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("the folder for logs can be made");
-    let events = draw_events(seed, setup.span);
+    let events = draw_events(seed, setup.span, setup.pauses_per_second);
     let seen = play(setup, &events, seed, &folder);
     let logged = logged_requests(&folder);
     let mut findings = findings(&seen);
     findings.extend(withheld(&seen, &logged));
-    println!("seed {seed}: {}", summary(&seen, &findings));
+    println!("seed {seed}: {}", summary(&seen, &logged, &findings));
     if findings.is_empty() {
         if let Err(error) = std::fs::remove_dir_all(&folder) {
             eprintln!("{}: cannot be removed: {error}", folder.display());
@@ -98,6 +98,8 @@
     sent: usize,
     /// Attempts whose server proved that the request did not run.
     proven: usize,
+    /// Whether it was handed to a relay.
+    is_relayed: bool,
     /// The lines that name the request, each with its box.
     lines: Vec<String>,
 }
@@ -141,6 +143,7 @@
             request.lines.push(format!("{name} {line}"));
             match fields["message"].as_str() {
                 Some("attempt: sent.") => request.sent += 1,
+                Some("relay: sent.") => request.is_relayed = true,
                 Some("attempt: failed.") if fields["end"] == "NotSent" => {
                     request.sent = request.sent.saturating_sub(1);
                 }
@@ -180,7 +183,7 @@
             or_dash(arrival.ran_at.map(ms)),
             or_dash(arrival.answered.map(|(at, _)| ms(at))),
             or_dash(arrival.answered.map(|(_, status)| i64::from(status))),
-            if arrival.is_refused { " marked" } else { "" },
+            arrival.refused.map_or(String::new(), |cause| format!(" {cause:?}")),
         ));
     }
     text
@@ -189,14 +192,24 @@
 /// Summarizes what callers were told, and how many true refusals were withheld: requests
 /// told to be in doubt of which all arrivals were refused, some of these on arrival, or
 /// that never arrived.
-fn summary(seen: &Seen, findings: &[Finding]) -> String {
+fn summary(
+    seen: &Seen,
+    logged: &HashMap<String, LoggedRequest>,
+    findings: &[Finding],
+) -> String {
     let by_id = arrivals_by_id(&seen.arrivals);
+    let mut sources: BTreeMap<PromiseSource, usize> = BTreeMap::new();
     let mut told: BTreeMap<String, usize> = BTreeMap::new();
     let (mut refused, mut on_arrival, mut never_arrived) = (0, 0, 0);
     for call in &seen.calls {
         let status = call.status.map_or("none".to_owned(), |s| s.to_string());
         let result = call.result.as_deref().unwrap_or("server");
         *told.entry(format!("{status}/{result}")).or_default() += 1;
+        let arrivals = by_id.get(call.id.as_str()).map_or(&[][..], Vec::as_slice);
+        if call.status.is_some_and(promises_not_run) {
+            let log = logged.get(&call.id);
+            *sources.entry(promise_source(call, arrivals, log)).or_default() += 1;
+        }
         if !matches!(call.status, Some(502 | 504)) {
             continue;
         }
@@ -216,13 +229,53 @@
         count => format!("{count} FINDINGS"),
     };
     let calls = seen.calls.len();
+    let chunked = seen.calls.iter().filter(|call| call.body.1).count();
+    let broken = |promise| findings.iter().filter(|f| f.promise == promise).count();
+    let (ran, twice) = (broken("not run"), broken("once only"));
+    let promises: usize = sources.values().sum();
     format!(
-        "{verdict}; {calls} once-only requests, told {told:?}; \
+        "{verdict}; {calls} once-only requests, {chunked} in chunks; \
+         {promises} promises {sources:?}, of which ran {ran}; ran twice {twice}; \
+         told {told:?}; \
          in doubt though refused {refused} (on arrival {on_arrival}), \
          though never arrived {never_arrived}"
     )
 }
 
+/// What a promise rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum PromiseSource {
+    /// The box's own state: nothing arrived at a server.
+    NothingSent,
+    /// The same at a relay.
+    RelaySentNothing,
+    /// The last refusal of the servers that got the request.
+    Server(RefusalCause),
+    /// The same at a relay.
+    RelayServer(RefusalCause),
+    /// Neither: no server refused the request last.
+    NotRefused,
+}
+
+/// Determines what the promise that a caller was given rests on.
+fn promise_source(
+    call: &Call,
+    arrivals: &[&Arrival],
+    logged: Option<&LoggedRequest>,
+) -> PromiseSource {
+    let is_relayed = logged.is_some_and(|logged| logged.is_relayed);
+    let before = arrivals.iter().filter(|arrival| arrival.at <= call.ended);
+    match (before.max_by_key(|arrival| arrival.at), is_relayed) {
+        (None, false) => PromiseSource::NothingSent,
+        (None, true) => PromiseSource::RelaySentNothing,
+        (Some(last), is_relayed) => match (last.refused, is_relayed) {
+            (Some(cause), false) => PromiseSource::Server(cause),
+            (Some(cause), true) => PromiseSource::RelayServer(cause),
+            (None, _) => PromiseSource::NotRefused,
+        },
+    }
+}
+
 impl Seen {
     /// Returns the arrivals of a request at servers.
     fn arrivals_of(&self, id: &str) -> Vec<&Arrival> {
--- a/tests/soak/src/site/play.rs
+++ b/tests/soak/src/site/play.rs
@@ -40,8 +40,13 @@
     /// Whether servers refuse many requests at any time, and each of these may be sent
     /// again.
     pub refuses: bool,
-    /// Whether servers may start at any time what they refuse at the deadline.
+    /// Probability that a request which waits at a server is refused when the server next
+    /// looks at its queue.
+    pub shed_probability: f64,
+    /// Whether servers may start at any time what they refuse after it has waited.
     pub starts_refused: bool,
+    /// How often processes stand still.
+    pub pauses_per_second: f64,
 }
 
 /// What callers and servers saw.
@@ -404,6 +409,7 @@
             } else {
                 0.0
             },
+            shed_probability: self.setup.shed_probability,
             starts_refused: self.setup.starts_refused,
         };
         ServerProcess::start(spec, service, self.arrivals.clone())
--- a/tests/soak/src/site/server.rs
+++ b/tests/soak/src/site/server.rs
@@ -13,7 +13,9 @@
 use crate::site::moment::now;
 use crate::site::part::{Reports, read_command};
 use crate::site::path::{Path, reset};
-use crate::site::server_messages::{ServerCommand, ServerReport, ServerSpec, Trouble};
+use crate::site::server_messages::{
+    RefusalCause, ServerCommand, ServerReport, ServerSpec, Trouble,
+};
 
 /// One instance of a backend server.
 struct Server {
@@ -26,6 +28,7 @@
     slots: usize,
     queue: usize,
     refused_share: f64,
+    shed_probability: f64,
     starts_refused: bool,
     load: Mutex<Load>,
     slot_freed: Condvar,
@@ -44,9 +47,8 @@
 /// How a request got past the queue.
 enum Admission {
     Runs,
-    Refused,
-    /// Its deadline passed while it waited.
-    TimedOut,
+    /// It is refused on arrival, or after it has waited.
+    Refused(RefusalCause),
     CallerLeft,
 }
 
@@ -87,6 +89,7 @@
             slots,
             queue,
             refused_share,
+            shed_probability,
             starts_refused,
         } = spec;
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
@@ -96,6 +99,7 @@
             slots,
             queue,
             refused_share,
+            shed_probability,
             starts_refused,
             load: Mutex::default(),
             slot_freed: Condvar::new(),
@@ -181,7 +185,7 @@
         let expected = head.headers.get("x-wingspur-expected-instance");
         let is_other = expected.is_some_and(|expected| *expected != self.instance);
         if trouble == Trouble::RefusesEarly && !is_other {
-            let refused = self.refuse(&request, "503 Service Unavailable", writer);
+            let refused = self.refuse(&request, RefusalCause::OnArrival, writer);
             std::thread::sleep(EARLY_REFUSAL_PAUSE);
             return refused && read_body(reader, &head.headers).is_some();
         }
@@ -189,26 +193,24 @@
             return false;
         }
         if is_other {
-            return self.refuse(&request, "421 Misdirected Request", writer);
+            return self.refuse(&request, RefusalCause::OtherServer, writer);
         }
         if trouble == Trouble::Sheds {
-            return self.refuse(&request, "503 Service Unavailable", writer);
+            return self.refuse(&request, RefusalCause::OnArrival, writer);
         }
         if trouble.has_surplus() && rand::rng().random_bool(SURPLUS_REFUSAL_SHARE) {
-            let refused = self.refuse(&request, "503 Service Unavailable", writer);
+            let refused = self.refuse(&request, RefusalCause::OnArrival, writer);
             return refused && self.write_surplus(&request, trouble, b"", writer);
         }
         if trouble == Trouble::Splits && rand::rng().random_bool(SPLIT_REFUSAL_SHARE) {
-            let refusal = self.refusal(&request, "503 Service Unavailable");
+            let refusal = self.refusal(&request, RefusalCause::OnArrival);
             return write_in_parts(refusal.as_bytes(), writer);
         }
         match self.wait_for_slot(&request, writer) {
-            Admission::Refused => {
-                self.refuse(&request, "503 Service Unavailable", writer)
-            }
-            Admission::TimedOut => {
-                let refused = self.refuse(&request, "503 Service Unavailable", writer);
-                if self.starts_refused || trouble == Trouble::StartsRefused {
+            Admission::Refused(cause) => {
+                let refused = self.refuse(&request, cause, writer);
+                let may_start = self.starts_refused || trouble == Trouble::StartsRefused;
+                if may_start && cause != RefusalCause::OnArrival {
                     self.start_refused(&request);
                 }
                 refused
@@ -227,8 +229,8 @@
         self.slot_freed.notify_one();
     }
 
-    /// Runs a request that was refused at its deadline, if a slot is free at that moment:
-    /// the timer has refused it, and a worker has taken it from the queue as well.
+    /// Runs a request that was refused after it has waited, if a slot is free at that
+    /// moment: it was refused, and a worker has taken it from the queue as well.
     fn start_refused(self: &Arc<Self>, request: &Request) {
         let load = self.load.lock().expect("no holder panics");
         let is_full = |load: &mut Load| load.running >= self.slots;
@@ -286,13 +288,13 @@
     fn wait_for_slot(&self, request: &Request, stream: &TcpStream) -> Admission {
         let mut load = self.load.lock().expect("no holder panics");
         if load.running >= self.slots && load.waiting >= self.queue {
-            return Admission::Refused;
+            return Admission::Refused(RefusalCause::OnArrival);
         }
         load.waiting += 1;
         let admission = loop {
             let remaining = request.deadline.saturating_duration_since(Instant::now());
             if remaining.is_zero() {
-                break Admission::TimedOut;
+                break Admission::Refused(RefusalCause::AtDeadline);
             }
             if load.running < self.slots {
                 load.running += 1;
@@ -304,6 +306,9 @@
             if is_closed(stream) {
                 break Admission::CallerLeft;
             }
+            if rand::rng().random_bool(self.shed_probability) {
+                break Admission::Refused(RefusalCause::InQueue);
+            }
         };
         load.waiting -= 1;
         admission
@@ -324,15 +329,15 @@
         }
         if is_late {
             let late = self.response(request, "504 Gateway Timeout", b"late");
-            self.report_answered(request, 504, false);
+            self.report_answered(request, 504, None);
             return writer.write_all(&late).is_ok();
         }
         let body = pattern(&request.id, request.response_bytes);
         let response = self.response(request, "200 OK", &body);
         match trouble {
-            Trouble::Errors => self.report_answered(request, 500, false),
+            Trouble::Errors => self.report_answered(request, 500, None),
             Trouble::Resets => {}
-            _ => self.report_answered(request, 200, false),
+            _ => self.report_answered(request, 200, None),
         }
         match trouble {
             Trouble::Errors => {
@@ -366,17 +371,25 @@
     }
 
     /// Refuses a request before it runs; returns whether the connection can be kept.
-    fn refuse(&self, request: &Request, status: &str, writer: &mut TcpStream) -> bool {
-        let refusal = self.refusal(request, status);
+    fn refuse(
+        &self,
+        request: &Request,
+        cause: RefusalCause,
+        writer: &mut TcpStream,
+    ) -> bool {
+        let refusal = self.refusal(request, cause);
         writer.write_all(refusal.as_bytes()).is_ok()
     }
 
     /// Reports that a request is refused before it runs, and returns the response.
-    fn refusal(&self, request: &Request, status: &str) -> String {
-        let number = status.split(' ').next().and_then(|text| text.parse().ok());
-        self.report_answered(request, number.expect("a status has a number"), true);
+    fn refusal(&self, request: &Request, cause: RefusalCause) -> String {
+        let (status, reason) = match cause {
+            RefusalCause::OtherServer => (421, "Misdirected Request"),
+            _ => (503, "Service Unavailable"),
+        };
+        self.report_answered(request, status, Some(cause));
         format!(
-            "HTTP/1.1 {status}\r\nx-wingspur-request-id: {}\r\n\
+            "HTTP/1.1 {status} {reason}\r\nx-wingspur-request-id: {}\r\n\
              x-wingspur-not-executed: 1\r\n{}content-length: 0\r\n\r\n",
             request.id,
             self.load_header(),
@@ -413,8 +426,13 @@
         writer.write_all(text.as_bytes()).is_ok()
     }
 
-    fn report_answered(&self, request: &Request, status: u16, is_refused: bool) {
-        let report = ServerReport::Answered(request.number, status, is_refused, now());
+    fn report_answered(
+        &self,
+        request: &Request,
+        status: u16,
+        refused: Option<RefusalCause>,
+    ) {
+        let report = ServerReport::Answered(request.number, status, refused, now());
         self.reports.send(&report);
     }
 
--- a/tests/soak/src/site/server_messages.rs
+++ b/tests/soak/src/site/server_messages.rs
@@ -19,7 +19,10 @@
     pub queue: usize,
     /// Share of the requests that it refuses at any time.
     pub refused_share: f64,
-    /// Whether it may start at any time what it refuses at the deadline.
+    /// Probability that a request which waits is refused when its server next looks at
+    /// the queue.
+    pub shed_probability: f64,
+    /// Whether it may start at any time what it refuses after it has waited.
     pub starts_refused: bool,
 }
 
@@ -45,8 +48,22 @@
     Arrived(usize, String, Moment),
     /// It begins to run.
     Ran(usize, Moment),
-    /// It was refused, or the first byte of its response was written, with this status.
-    Answered(usize, u16, bool, Moment),
+    /// It was refused for this cause, or the first byte of its response was written, with
+    /// this status.
+    Answered(usize, u16, Option<RefusalCause>, Moment),
+}
+
+/// When a server has decided to refuse a request with the mark.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum RefusalCause {
+    /// As soon as it had arrived.
+    OnArrival,
+    /// While it waited, with time left.
+    InQueue,
+    /// When its deadline passed while it waited.
+    AtDeadline,
+    /// As soon as it had arrived, since it names another server.
+    OtherServer,
 }
 
 /// What a server does to a share of its requests.
@@ -97,8 +114,8 @@
     pub ran_at: Option<Moment>,
     /// When it was answered, and the status; `None` if it was not.
     pub answered: Option<(Moment, u16)>,
-    /// Whether the server refused it with the mark.
-    pub is_refused: bool,
+    /// Why the server refused it with the mark; `None` if it did not.
+    pub refused: Option<RefusalCause>,
 }
 
 /// Arrivals at all servers.
@@ -120,22 +137,20 @@
             at,
             ran_at: None,
             answered: None,
-            is_refused: false,
+            refused: None,
         }
     }
 
     /// Whether the server refused the request as soon as it had arrived.
     pub fn is_refused_at_once(&self) -> bool {
-        let refused_at = self.answered.filter(|_| self.is_refused);
-        refused_at
-            .is_some_and(|(at, _)| at.as_millis() <= self.at.as_millis() + ON_ARRIVAL_MS)
+        matches!(
+            self.refused,
+            Some(RefusalCause::OnArrival | RefusalCause::OtherServer)
+        )
     }
 
     /// Whether the server refused the request with the mark and did not run it.
     pub fn is_only_refused(&self) -> bool {
-        self.is_refused && self.ran_at.is_none()
+        self.refused.is_some() && self.ran_at.is_none()
     }
 }
-
-/// A refusal within this time is one on arrival.
-const ON_ARRIVAL_MS: u128 = 20;
--- a/tests/soak/src/site/server_process.rs
+++ b/tests/soak/src/site/server_process.rs
@@ -43,10 +43,10 @@
                 ServerReport::Ran(number, at) => {
                     arrivals[index_of[&number]].ran_at = Some(at);
                 }
-                ServerReport::Answered(number, status, is_refused, at) => {
+                ServerReport::Answered(number, status, refused, at) => {
                     let arrival = &mut arrivals[index_of[&number]];
                     arrival.answered = Some((at, status));
-                    arrival.is_refused = is_refused;
+                    arrival.refused = refused;
                 }
             }
         };
--- a/tests/soak/src/site/trouble.rs
+++ b/tests/soak/src/site/trouble.rs
@@ -76,7 +76,7 @@
 }
 
 /// Draws the events of a seed in the order in which they begin.
-pub fn draw_events(seed: u64, span: Duration) -> Vec<Event> {
+pub fn draw_events(seed: u64, span: Duration, pauses_per_second: f64) -> Vec<Event> {
     let mut random = StdRng::seed_from_u64(seed);
     let count = (span.as_secs_f64() * EVENTS_PER_SECOND) as usize;
     let mut events: Vec<Event> = (0..count)
@@ -86,13 +86,13 @@
             kind: draw_kind(&mut random),
         })
         .collect();
-    events.extend(draw_pauses(&mut random, span));
+    let pauses = (span.as_secs_f64() * pauses_per_second) as usize;
+    events.extend(draw_pauses(&mut random, span, pauses));
     events.sort_by_key(|event| event.at);
     events
 }
 
-fn draw_pauses(random: &mut StdRng, span: Duration) -> Vec<Event> {
-    let count = (span.as_secs_f64() * PAUSES_PER_SECOND) as usize;
+fn draw_pauses(random: &mut StdRng, span: Duration, count: usize) -> Vec<Event> {
     let pauses = (0..count).map(|_| Event {
         at: span.mul_f64(random.random_range(0.02..0.95)),
         lasts: Duration::from_millis(random.random_range(200..900)),
@@ -183,5 +183,3 @@
 ];
 /// Events last three seconds on average, so that some five overlap.
 const EVENTS_PER_SECOND: f64 = 1.6;
-/// Some seven in a play of 20 s, half of them of everything at once.
-const PAUSES_PER_SECOND: f64 = 0.35;
