Attempts log how the request's body is held

A refusal that is false is seen as run twice where the request is sent again, and as refused alone where it is not.

--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -422,7 +422,8 @@
         self.avoided.push(server);
         self.resends.sent += 1;
         let id = self.outgoing.id.as_ref();
-        log_pick(id, &pick, self.count_tried(), self.remaining());
+        let body_kind = self.body.as_ref().map_or("gone", SendBody::kind);
+        log_pick(id, &pick, self.count_tried(), body_kind, self.remaining());
         let in_flight = &self.outgoing.in_flight;
         in_flight.record_attempt(&pick.server.id, self.outgoing.fingerprint);
         let body = self.take_body();
--- a/crates/wingspur-edge/src/proxy/request_log.rs
+++ b/crates/wingspur-edge/src/proxy/request_log.rs
@@ -219,14 +219,21 @@
 }
 
 /// Logs which server a request is sent to, and the figures that the choice is based on.
-/// `left` is the time left for the request.
-pub fn log_pick(id: Option<&HeaderValue>, pick: &Pick, attempt: usize, left: Duration) {
+/// `left` is the time left for the request, and `body_kind` how its body is held.
+pub fn log_pick(
+    id: Option<&HeaderValue>,
+    pick: &Pick,
+    attempt: usize,
+    body_kind: &str,
+    left: Duration,
+) {
     let probe = pick.probe.as_ref();
     let position = probe.and_then(|probe| probe.position);
     tracing::info!(
         id = id_text(id),
         server = %pick.server.id,
         attempt,
+        body = body_kind,
         candidates = pick.candidates,
         drawn_among = pick.choice_set_size,
         in_flight = pick.in_flight,
--- a/crates/wingspur-transport/src/body.rs
+++ b/crates/wingspur-transport/src/body.rs
@@ -42,6 +42,15 @@
         }
     }
 
+    /// Returns how the body is held, as a log value.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Buffered(None) => "none",
+            Self::Buffered(Some(_)) => "buffered",
+            Self::Stream(..) => "streamed",
+        }
+    }
+
     /// Creates an empty body.
     pub fn empty() -> Self {
         Self::Buffered(None)
--- a/tests/soak/src/site/mod.rs
+++ b/tests/soak/src/site/mod.rs
@@ -183,7 +183,9 @@
             or_dash(arrival.ran_at.map(ms)),
             or_dash(arrival.answered.map(|(at, _)| ms(at))),
             or_dash(arrival.answered.map(|(_, status)| i64::from(status))),
-            arrival.refused.map_or(String::new(), |cause| format!(" {cause:?}")),
+            arrival
+                .refused
+                .map_or(String::new(), |cause| format!(" {cause:?}")),
         ));
     }
     text
@@ -208,7 +210,9 @@
         let arrivals = by_id.get(call.id.as_str()).map_or(&[][..], Vec::as_slice);
         if call.status.is_some_and(promises_not_run) {
             let log = logged.get(&call.id);
-            *sources.entry(promise_source(call, arrivals, log)).or_default() += 1;
+            *sources
+                .entry(promise_source(call, arrivals, log))
+                .or_default() += 1;
         }
         if !matches!(call.status, Some(502 | 504)) {
             continue;
