Buffers: what a box holds of requests and responses is bounded as a whole

What callers saw, reported by other operators: a faulty server sent bytes without end, the machine that called it kept them all and ran out of memory, and the requests of other clients ended with it.

Cause: each response was bounded (1 MiB, in a buffer that doubles), the box was not, so n responses held n MiB; and a response to a caller that does not read was copied once more into hyper's write buffer, which a kept connection keeps.

The users' machines have 260 MB.

Change: memory_mb, the memory that the box may use. A quarter of it is the budget for what is buffered of responses, heads and kept request bodies beyond 16 KiB each. A body beyond it is passed on as it comes, at 32 KiB that are not sent yet (its server waits), a request body beyond it is sent once, a head beyond it is unreadable. Bytes own their lease, so it ends when they have been written. Responses are written in parts instead of being copied. The same over own sources, where bodies are always passed on and hyper's client buffers 64 KiB at most; responses of the store and of boxes have a budget of their own. Gauges wingspur_buffered_bytes and wingspur_denied_buffers, a log line when the limit is reached and when half is free again.

--- a/crates/wingspur-edge/src/edge_state.rs
+++ b/crates/wingspur-edge/src/edge_state.rs
@@ -8,7 +8,7 @@
 use wingspur_state::{
     AnnouncedStates, Bundle, FleetMembership, ServerRegistry, SuspectRequests,
 };
-use wingspur_transport::{Announcement, Catalog, Connector, Spawner};
+use wingspur_transport::{Announcement, BufferBudget, Catalog, Connector, Spawner};
 
 use crate::catalog::active_bundle::ActiveBundle;
 use crate::locks::{LockRank, RankedMutex};
@@ -70,6 +70,8 @@
     pub relays: Relays,
     /// Notified when this box has lost or regained the path to a service.
     pub path_changed: Notify,
+    /// The budget for what is buffered of requests and responses.
+    pub buffers: Arc<BufferBudget>,
     /// The requests in flight.
     pub in_flight: Arc<InFlightRequests>,
     /// When the box started.
@@ -99,7 +101,9 @@
             fleet_boxes: 0,
         };
         let (home, regions) = (settings.data_centre.clone(), settings.regions.clone());
-        let services = Services::new(home, regions, settings.retry_budget);
+        let buffers = BufferBudget::new(settings.buffer_bytes());
+        let budget = settings.retry_budget;
+        let services = Services::new(home, regions, budget, buffers.clone());
         services
             .path_fault
             .set(settings.fault_injection.server_path);
@@ -147,8 +151,13 @@
             pending_updates: Notify::new(),
             urgent_updates: Notify::new(),
             link_plan_changed: Notify::new(),
-            relays: Relays::new(settings.data_centre.clone(), settings.regions.clone()),
+            relays: Relays::new(
+                settings.data_centre.clone(),
+                settings.regions.clone(),
+                buffers.clone(),
+            ),
             path_changed: Notify::new(),
+            buffers,
             in_flight: InFlightRequests::new(),
             started_at: wingspur_clock::now(),
             stopping: Shutdown::new(),
@@ -167,6 +176,7 @@
         let old = self.settings();
         let fixed = old.changes_needing_restart(&new);
         self.services.set_budget(new.retry_budget);
+        self.buffers.set_limit(new.buffer_bytes());
         self.inject_faults(&old, &new);
         *self.settings.lock() = Arc::new(new);
         fixed
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -29,3 +29,4 @@
 pub use operation::shutdown::{Shutdown, ShutdownSchedule, shutdown_result};
 pub use proxy::error_response::error_response;
 pub use proxy::headers::{check_framing, strip_hop_by_hop};
+pub use proxy::request_body::{BodyLimits, receive_body};
--- a/crates/wingspur-edge/src/operation/metrics.rs
+++ b/crates/wingspur-edge/src/operation/metrics.rs
@@ -10,7 +10,7 @@
 };
 use wingspur_protocol::ResultCode;
 use wingspur_state::{Priority, RetryReason, StopReason, SuspectEvent, UrgencyDecision};
-use wingspur_transport::{HttpClientTotals, RunEvidence};
+use wingspur_transport::{BufferBudget, HttpClientTotals, RunEvidence};
 
 use crate::quotas::quarantine_state::SendPermission;
 
@@ -105,6 +105,10 @@
     pub unreachable_services: IntGauge,
     /// How long relays took to begin their responses, in seconds, by service.
     relay_seconds: HistogramVec,
+    /// Bytes that are leased for what the box buffers of requests and responses.
+    buffered_bytes: IntGauge,
+    /// Leases that were not granted, since the limit for buffers was reached.
+    denied_buffers: IntGauge,
     /// Frames sent to other boxes.
     frames: IntCounter,
     /// Bytes of those frames.
@@ -182,6 +186,14 @@
             "Services whose servers this box cannot reach.",
         );
         let metrics = Self {
+            buffered_bytes: gauge(
+                "wingspur_buffered_bytes",
+                "Bytes of requests and responses that are buffered beyond small ones.",
+            ),
+            denied_buffers: gauge(
+                "wingspur_denied_buffers",
+                "Buffers that could not grow since the limit was reached.",
+            ),
             relayed: counter(
                 "wingspur_relayed_requests_total",
                 "Requests handed to and taken from other boxes, by outcome.",
@@ -536,6 +548,12 @@
         }
     }
 
+    /// Sets the metrics of what the box buffers.
+    pub fn set_buffers(&self, buffers: &BufferBudget) {
+        self.buffered_bytes.set(buffers.leased_bytes() as i64);
+        self.denied_buffers.set(buffers.denied() as i64);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut out = Vec::new();
--- a/crates/wingspur-edge/src/operation/operator.rs
+++ b/crates/wingspur-edge/src/operation/operator.rs
@@ -54,7 +54,10 @@
 ) -> Response<Full<Bytes>> {
     let endpoint = OperatorEndpoint {
         is_ready: shared.is_ready(),
-        metrics: || shared.metrics.render(),
+        metrics: || {
+            shared.metrics.set_buffers(&shared.buffers);
+            shared.metrics.render()
+        },
         status: || status(&shared),
     };
     endpoint.answer(&request)
--- a/crates/wingspur-edge/src/operation/settings.rs
+++ b/crates/wingspur-edge/src/operation/settings.rs
@@ -61,6 +61,11 @@
     /// The bandwidth of the box's network link, in megabits per second.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
+    /// The memory that the box may use, in MiB. A quarter of it is for what the box
+    /// buffers of requests and responses, and another one for responses of the store and
+    /// of other boxes.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
     /// The number of threads for the request path.
     #[serde(default = "default_worker_threads")]
     pub worker_threads: usize,
@@ -234,6 +239,12 @@
         (shares + 0.01) as u32
     }
 
+    /// Returns how many bytes of requests and responses the box may buffer, and as many of
+    /// what the store and other boxes send.
+    pub fn buffer_bytes(&self) -> usize {
+        (self.memory_mb << 20) as usize / 4
+    }
+
     /// Returns how long the load balancer may still send requests after a stop began. It
     /// is at most half of the time that the stop may take, so that the last requests can
     /// still be answered.
@@ -446,6 +457,7 @@
     ),
     optional("cpu_share", Kind::Amount),
     optional("link_mbps", Kind::Amount),
+    optional("memory_mb", Kind::Number(16, 1 << 20)),
     optional("worker_threads", Kind::Number(1, 256)),
     optional("max_body_bytes", Kind::Number(0, u64::MAX)),
     optional("kept_body_bytes", Kind::Number(0, 16 << 20)),
@@ -631,6 +643,10 @@
     1000.0
 }
 
+fn default_memory_mb() -> u64 {
+    256
+}
+
 fn default_worker_threads() -> usize {
     2
 }
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -256,8 +256,8 @@
             }
             tracing::info!(server = %self.pick.server.id, "attempt: skipped a response to another request.");
             connection.disable_reuse();
-            let skipped = connection.read_whole(MAX_BUFFERED_BYTES).await?;
-            if skipped.is_err() || !connection.is_read() {
+            connection.skip_body(MAX_BUFFERED_BYTES).await?;
+            if !connection.is_read() {
                 return Err(ResponseError::Unreadable(
                     "a response to another request".to_owned(),
                 ));
@@ -671,7 +671,8 @@
     }
 }
 
-/// Responses up to this length are received completely before any of it is passed on.
+/// Responses up to this length are received completely before any of it is passed on, if
+/// the budget for buffers allows.
 pub const MAX_BUFFERED_BYTES: usize = 1 << 20;
 /// The most responses to earlier requests that are skipped. A connection that was read to
 /// its end has one at most.
--- a/crates/wingspur-edge/src/proxy/mod.rs
+++ b/crates/wingspur-edge/src/proxy/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! `edge_state` may import `in_flight_requests`, `catalog` may import `server_hints` and
 //! `suspect_requests`, and `edge_box` and `peer_port` any file. `lib` re-exports
-//! `error_response` and `headers`.
+//! `error_response`, `headers` and `request_body`.
 
 pub mod admission;
 pub mod attempt;
@@ -13,6 +13,7 @@
 pub mod relay_requests;
 pub mod relayed_attempt;
 pub mod request;
+pub mod request_body;
 pub mod request_head;
 pub mod request_log;
 pub mod request_origin;
--- a/crates/wingspur-edge/src/proxy/request.rs
+++ b/crates/wingspur-edge/src/proxy/request.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, COOKIE, HOST, HeaderMap, HeaderValue,
@@ -26,6 +26,7 @@
 use crate::proxy::forwarding::RequestForwarder;
 use crate::proxy::headers::{check_framing, strip_hop_by_hop};
 use crate::proxy::in_flight_requests::InFlightGuard;
+use crate::proxy::request_body::{BodyLimits, receive_body};
 use crate::proxy::request_head::UpstreamRequest;
 use crate::proxy::request_log::RequestLog;
 use crate::proxy::request_origin::RequestOrigin;
@@ -133,9 +134,13 @@
     let deadline = arrived + caller_timeout.min(route.timeout());
     let deadline = shared.stopping.cap_deadline(deadline);
     let limits = active.bundle.caller_limits;
-    let buffered_bytes = shared.settings().kept_body_bytes;
-    let body = receive_body(body, limits.max_body_bytes, buffered_bytes, deadline);
-    let body = body.await.map_err(RequestError::from_code)?;
+    let limits = BodyLimits {
+        max_bytes: limits.max_body_bytes,
+        max_kept_bytes: shared.settings().kept_body_bytes,
+    };
+    let expired = wingspur_clock::sleep_until(deadline);
+    let body = receive_body(body, limits, &shared.buffers, expired).await;
+    let body = body.map_err(RequestError::from_code)?;
     if let Some(account) = admitted.account.as_ref().filter(|_| !is_relayed) {
         // Counted only after its body was received, so that it reaches a server right
         // after.
@@ -301,36 +306,6 @@
     timeout_ms.map_or(Duration::MAX, Duration::from_millis)
 }
 
-/// Buffers a body of at most `max_buffered_bytes`, so that it can be sent again; streams
-/// a longer one, or one of unknown length.
-///
-/// Fails if the body's known length exceeds `max_bytes`, if it is not received
-/// completely, or if it is still being buffered at the deadline.
-async fn receive_body(
-    body: Incoming,
-    max_bytes: u64,
-    max_buffered_bytes: u64,
-    deadline: Instant,
-) -> Result<SendBody, ResultCode> {
-    if body.is_end_stream() {
-        return Ok(SendBody::empty());
-    }
-    match body.size_hint().exact() {
-        Some(length) if length > max_bytes => Err(ResultCode::TooLarge),
-        Some(length) if length <= max_buffered_bytes => {
-            let collected = Limited::new(body, length as usize).collect();
-            let received = async { collected.await.map_err(|_| ResultCode::BadFraming) };
-            let expired = async {
-                wingspur_clock::sleep_until(deadline).await;
-                Err(ResultCode::DeadlineBeforeSend)
-            };
-            let buffered = received.or(expired).await?;
-            Ok(SendBody::buffered(buffered.to_bytes()))
-        }
-        _ => Ok(SendBody::Stream(body, max_bytes)),
-    }
-}
-
 fn host_of(parts: &Parts) -> Option<&str> {
     let authority = parts.uri.authority().map(|authority| authority.as_str());
     let header = parts
--- a/crates/wingspur-edge/src/proxy/response_body.rs
+++ b/crates/wingspur-edge/src/proxy/response_body.rs
@@ -10,7 +10,8 @@
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use wingspur_clock::Timer;
 use wingspur_transport::{
-    BackendConnection, BodyError, ConnectionCloser, ResponseError, poll_buffered,
+    BackendConnection, BodyError, ConnectionCloser, ResponseError, SendWindow,
+    poll_buffered,
 };
 
 use crate::edge_state::EdgeState;
@@ -119,8 +120,9 @@
     }
 }
 
-/// Returns the beginning of a body and then the rest of it, as it is received. Disarms the
-/// closer of the connection before the connection can be reused.
+/// Returns the beginning of a body and then the rest of it, as it is received, no faster
+/// than it is sent. Disarms the closer of the connection before the connection can be
+/// reused.
 fn receive_chunks(source: BodySource, closer: ConnectionCloser) -> ChunkStream {
     let BodySource {
         first,
@@ -131,27 +133,35 @@
         closer.disarm();
         guard(Ok(*connection));
     };
+    let window = SendWindow::default();
     let state = (Some(first), Some((connection, guard, end)));
-    let chunks = futures_lite::stream::unfold(state, |(first, source)| async move {
-        if let Some(first) = first {
-            return Some((Ok(first), (None, source)));
-        }
-        let (mut connection, guard, end) = source?;
-        match connection.next_chunk().await {
-            // The HTTP server stops polling after the last byte of a body of known
-            // length, so the attempt ends here.
-            Ok(Some(chunk)) if connection.is_read() => {
-                end(connection, guard);
-                Some((Ok(chunk), (None, None)))
-            }
-            Ok(Some(chunk)) => Some((Ok(chunk), (None, Some((connection, guard, end))))),
-            Ok(None) => {
-                end(connection, guard);
-                None
+    let chunks = futures_lite::stream::unfold(state, move |(first, source)| {
+        let window = window.clone();
+        async move {
+            if let Some(first) = first {
+                return Some((Ok(window.track(first)), (None, source)));
             }
-            Err(error) => {
-                guard(Err(&error));
-                Some((Err(error.into()), (None, None)))
+            let (mut connection, guard, end) = source?;
+            window.ready().await;
+            match connection.next_chunk().await {
+                // The HTTP server stops polling after the last byte of a body of known
+                // length, so the attempt ends here.
+                Ok(Some(chunk)) if connection.is_read() => {
+                    end(connection, guard);
+                    Some((Ok(window.track(chunk)), (None, None)))
+                }
+                Ok(Some(chunk)) => {
+                    let chunk = window.track(chunk);
+                    Some((Ok(chunk), (None, Some((connection, guard, end)))))
+                }
+                Ok(None) => {
+                    end(connection, guard);
+                    None
+                }
+                Err(error) => {
+                    guard(Err(&error));
+                    Some((Err(error.into()), (None, None)))
+                }
             }
         }
     });
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -11,7 +11,7 @@
     FleetSize, Regions, RegistryChange, ResendDemand, RetryAfterSchedule,
     RetryBudgetSettings, ServerKey, ServerPath, ServerRecord, ServiceUrgency, server_key,
 };
-use wingspur_transport::{BackendConnections, InjectedPathFault};
+use wingspur_transport::{BackendConnections, BufferBudget, InjectedPathFault};
 
 use crate::locks::{LockRank, RankedMutex};
 
@@ -52,6 +52,8 @@
     coverage_role: RankedMutex<CoverageRole>,
     /// The fault of the path to all servers that is injected now.
     pub path_fault: InjectedPathFault,
+    /// The budget for what is buffered of servers' responses.
+    buffers: Arc<BufferBudget>,
 }
 
 impl ServiceState {
@@ -72,6 +74,7 @@
         home: DataCentreId,
         regions: Regions,
         budget: RetryBudgetSettings,
+        buffers: Arc<BufferBudget>,
     ) -> Self {
         Self {
             home,
@@ -86,6 +89,7 @@
                 CoverageRole::default(),
             ),
             path_fault: InjectedPathFault::default(),
+            buffers,
         }
     }
 
@@ -193,8 +197,14 @@
     pub fn backend(&self, address: SocketAddr) -> Arc<BackendConnections> {
         let mut backends = self.backends.lock();
         let path_fault = || self.path_fault.clone();
-        let create =
-            || Arc::new(BackendConnections::with_path_fault(address, path_fault()));
+        let buffers = || self.buffers.clone();
+        let create = || {
+            Arc::new(BackendConnections::with_path_fault(
+                address,
+                buffers(),
+                path_fault(),
+            ))
+        };
         backends.entry(address).or_insert_with(create).clone()
     }
 
--- a/crates/wingspur-entry/src/entry_state.rs
+++ b/crates/wingspur-entry/src/entry_state.rs
@@ -10,7 +10,9 @@
     PEER_PROTOCOL_VERSION, PeerEnvelope, PeerMessage, PeerReply, StoreKeys, encode_peer,
 };
 use wingspur_state::{AccountLimiter, BoxId, CallerLimits};
-use wingspur_transport::{FaultInjector, HttpClient, Spawner, StoreClient, TlsIdentity};
+use wingspur_transport::{
+    BufferBudget, FaultInjector, HttpClient, Spawner, StoreClient, TlsIdentity,
+};
 
 use wingspur_edge::{LockRank, Metrics, OwnSources, RankedMutex, Settings, Shutdown};
 
@@ -29,6 +31,8 @@
     pub spawner: Spawner,
     /// Counters and gauges.
     pub metrics: Metrics,
+    /// The budget for what is buffered of requests.
+    pub buffers: Arc<BufferBudget>,
     /// HTTP client for peers.
     pub peer_client: HttpClient,
     /// HTTP client for the box list.
@@ -83,16 +87,22 @@
         faults: &FaultInjector,
         identity: Option<Arc<TlsIdentity>>,
     ) -> Self {
-        let store_http = Arc::new(HttpClient::new(spawner.clone(), faults.clone()));
+        let buffer_bytes = settings.buffer_bytes();
+        let responses = BufferBudget::new(buffer_bytes);
+        let new_client = || {
+            let client = HttpClient::new(spawner.clone(), faults.clone());
+            client.with_buffers(responses.clone())
+        };
+        let store_http = Arc::new(new_client());
         let client = store_http.clone();
         let store = StoreClient::new(sources.store_address, client, STORE_TIMEOUT);
         let membership =
             Membership::new(settings.box_id.clone(), MembershipSettings::default());
         let incarnation = unix_time().as_micros() as u64;
         Self {
-            peer_client: HttpClient::new(spawner.clone(), faults.clone())
-                .with_identity(identity.clone()),
-            box_list_client: HttpClient::new(spawner.clone(), faults.clone()),
+            buffers: BufferBudget::new(buffer_bytes),
+            peer_client: new_client().with_identity(identity.clone()),
+            box_list_client: new_client(),
             identity,
             store_http,
             store,
--- a/crates/wingspur-entry/src/operator.rs
+++ b/crates/wingspur-entry/src/operator.rs
@@ -24,6 +24,7 @@
                 .set_exchanges("peers", shared.peer_client.totals());
             let store = shared.store_http.totals();
             shared.metrics.set_exchanges("store", store);
+            shared.metrics.set_buffers(&shared.buffers);
             shared.metrics.render()
         },
         status: || status(&shared),
--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -8,8 +8,7 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Uri, Version};
@@ -29,7 +28,10 @@
 use crate::concurrency_limiter::ConcurrencyPermit;
 use crate::entry_state::EntryState;
 use crate::response_body::{AttemptGuard, BodyTimeout, ResponseBody, UpstreamBody};
-use wingspur_edge::{check_framing, error_response, shutdown_result, strip_hop_by_hop};
+use wingspur_edge::{
+    BodyLimits, check_framing, error_response, receive_body, shutdown_result,
+    strip_hop_by_hop,
+};
 
 /// Answers callers' requests.
 #[derive(Debug, Clone)]
@@ -160,7 +162,12 @@
             deadline,
             sent,
         };
-        let body = self.receive_body(body, pending.remaining()).await?;
+        let limits = BodyLimits {
+            max_bytes: self.shared.settings.max_body_bytes,
+            max_kept_bytes: self.shared.settings.kept_body_bytes,
+        };
+        let expired = wingspur_clock::sleep(pending.remaining());
+        let body = receive_body(body, limits, &self.shared.buffers, expired).await?;
         prepare_head(&mut pending.parts, from);
         match class {
             RouteClass::OnceOnly => self.run_once(pending, body, permit).await,
@@ -468,34 +475,6 @@
         let allowed = self.shared.accounts.lock().take(account, rate, now);
         allowed.then_some(()).ok_or(ResultCode::AccountLimit)
     }
-
-    /// Buffers a small body, so that it can be sent again, and streams a large one or one
-    /// of unknown length.
-    async fn receive_body(
-        &self,
-        body: Incoming,
-        timeout: Duration,
-    ) -> Result<SendBody, ResultCode> {
-        if body.is_end_stream() {
-            return Ok(SendBody::empty());
-        }
-        let settings = &self.shared.settings;
-        match body.size_hint().exact() {
-            Some(length) if length > settings.max_body_bytes => Err(ResultCode::TooLarge),
-            Some(length) if length <= settings.kept_body_bytes => {
-                let collected = Limited::new(body, length as usize).collect();
-                let received =
-                    async { collected.await.map_err(|_| ResultCode::BadFraming) };
-                let expired = async {
-                    wingspur_clock::sleep(timeout).await;
-                    Err(ResultCode::DeadlineBeforeSend)
-                };
-                let collected = received.or(expired).await?;
-                Ok(SendBody::buffered(collected.to_bytes()))
-            }
-            _ => Ok(SendBody::Stream(body, settings.max_body_bytes)),
-        }
-    }
 }
 
 /// Returns whether a response has the id of another request than the one sent. Servers
--- a/crates/wingspur-entry/src/response_body.rs
+++ b/crates/wingspur-entry/src/response_body.rs
@@ -10,7 +10,7 @@
 use prometheus::IntCounter;
 use wingspur_clock::Timer;
 use wingspur_state::{AttemptId, AttemptOutcome, ServerIndex};
-use wingspur_transport::{BodyError, PooledConnection, poll_buffered};
+use wingspur_transport::{BodyError, PooledConnection, SendWindow, poll_buffered};
 
 use crate::active_bundle::ServiceHandle;
 use crate::concurrency_limiter::ConcurrencyPermit;
@@ -127,6 +127,7 @@
 #[derive(Debug)]
 pub struct UpstreamBody {
     incoming: Incoming,
+    window: SendWindow,
     attempt: AttemptGuard,
     connection: Option<PooledConnection>,
     timer: Timer,
@@ -163,6 +164,7 @@
         let connection = Some(connection);
         Self {
             incoming,
+            window: SendWindow::default(),
             attempt,
             connection,
             timer,
@@ -176,12 +178,18 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match Pin::new(&mut self.incoming).poll_frame(context) {
+        let polled = match self.window.poll_ready(context) {
+            Poll::Ready(()) => Pin::new(&mut self.incoming).poll_frame(context),
+            Poll::Pending => Poll::Pending,
+        };
+        match polled {
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(limit) = self.idle_limit {
                     self.timer = Timer::after(limit);
                     self.attempt.record_progress();
                 }
+                let window = &self.window;
+                let frame = frame.map_data(|data| window.track(data));
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => {
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -24,6 +24,7 @@
 use socket2::SockRef;
 use wingspur_state::MAX_RESEND_TRANSIT;
 
+use crate::buffer_budget::{BufferBudget, BufferLease, LeasedBuffer, UNLEASED_BYTES};
 use crate::fair_stream::FairStream;
 use crate::path_fault::InjectedPathFault;
 use crate::response_head::{
@@ -36,6 +37,7 @@
 pub struct BackendConnections {
     address: SocketAddr,
     path_fault: InjectedPathFault,
+    buffers: Arc<BufferBudget>,
     idle: Mutex<Vec<IdleConnection>>,
     opened: AtomicUsize,
     /// How long the last connection took to be established, in microseconds; 0 before the
@@ -51,6 +53,8 @@
 pub struct BackendConnection {
     stream: FairStream<TcpStream>,
     path_fault: InjectedPathFault,
+    /// What is buffered of responses counts here.
+    buffers: Arc<BufferBudget>,
     buffer: BytesMut,
     /// How much of the body of the current response has not been read.
     framing: Framing,
@@ -143,17 +147,23 @@
 }
 
 impl BackendConnections {
-    /// Creates the set without connections.
-    pub fn new(address: SocketAddr) -> Self {
-        Self::with_path_fault(address, InjectedPathFault::default())
+    /// Creates the set without connections. What is buffered of their responses counts
+    /// in the budget.
+    pub fn new(address: SocketAddr, buffers: Arc<BufferBudget>) -> Self {
+        Self::with_path_fault(address, buffers, InjectedPathFault::default())
     }
 
     /// Creates the set without connections; all of them are subject to the injected
     /// fault.
-    pub fn with_path_fault(address: SocketAddr, path_fault: InjectedPathFault) -> Self {
+    pub fn with_path_fault(
+        address: SocketAddr,
+        buffers: Arc<BufferBudget>,
+        path_fault: InjectedPathFault,
+    ) -> Self {
         Self {
             address,
             path_fault,
+            buffers,
             idle: Mutex::default(),
             opened: AtomicUsize::new(0),
             last_connect_us: AtomicU64::new(0),
@@ -204,7 +214,8 @@
         let took_us = wingspur_clock::since(started).as_micros().max(1) as u64;
         self.last_connect_us.store(took_us, Ordering::Relaxed);
         self.opened.fetch_add(1, Ordering::Relaxed);
-        Ok(BackendConnection::new(stream, self.path_fault.clone()))
+        let (path_fault, buffers) = (self.path_fault.clone(), self.buffers.clone());
+        Ok(BackendConnection::new(stream, path_fault, buffers))
     }
 
     /// Keeps a connection for the next request if its response was read completely and it
@@ -278,10 +289,15 @@
 }
 
 impl BackendConnection {
-    fn new(stream: TcpStream, path_fault: InjectedPathFault) -> Self {
+    fn new(
+        stream: TcpStream,
+        path_fault: InjectedPathFault,
+        buffers: Arc<BufferBudget>,
+    ) -> Self {
         Self {
             stream: FairStream::new(stream),
             path_fault,
+            buffers,
             buffer: BytesMut::new(),
             framing: Framing::Done,
             is_new: true,
@@ -339,6 +355,7 @@
         method: &Method,
     ) -> Result<ResponseHead, ResponseError> {
         let mut interim_bytes = 0;
+        let mut lease = BufferLease::empty(self.buffers.clone());
         loop {
             if let Some((head, length)) = parse_head(&self.buffer)? {
                 self.buffer.advance(length);
@@ -354,6 +371,10 @@
             if self.buffer.len() > MAX_HEAD_BYTES {
                 return Err(unreadable("its head is too long"));
             }
+            let beyond = self.buffer.len().saturating_sub(UNLEASED_BYTES);
+            if !lease.grow_to(beyond) {
+                return Err(unreadable("its head is too long for the memory left"));
+            }
             if self.read_more().await? == 0 {
                 return Err(unexpected_end());
             }
@@ -392,8 +413,9 @@
         }
     }
 
-    /// Reads the response body to its end. If it is longer than `limit` bytes, returns
-    /// the inner `Err` with what was read so far; `next_chunk` returns the remainder.
+    /// Reads the response body to its end. If it is longer than `limit` bytes, or than the
+    /// budget for buffers allows, returns the inner `Err` with what was read so far;
+    /// `next_chunk` returns the remainder.
     ///
     /// The bytes are copied into one buffer: a small chunk would hold on to the whole
     /// block that it was read into.
@@ -401,14 +423,26 @@
         &mut self,
         limit: usize,
     ) -> Result<Result<Bytes, Bytes>, ResponseError> {
-        let mut body = BytesMut::new();
+        let mut body = LeasedBuffer::new(self.buffers.clone());
         while let Some(chunk) = self.next_chunk().await? {
-            body.extend_from_slice(&chunk);
-            if body.len() > limit {
-                return Ok(Err(body.freeze()));
+            let is_leased = body.extend(&chunk);
+            if !is_leased || body.len() > limit {
+                return Ok(Err(body.into_bytes()));
             }
         }
-        Ok(Ok(body.freeze()))
+        Ok(Ok(body.into_bytes()))
+    }
+
+    /// Reads the response body to its end without keeping it. Stops after `limit` bytes,
+    /// which leaves the response unread.
+    pub async fn skip_body(&mut self, limit: usize) -> Result<(), ResponseError> {
+        let mut skipped = 0;
+        while skipped <= limit
+            && let Some(chunk) = self.next_chunk().await?
+        {
+            skipped += chunk.len();
+        }
+        Ok(())
     }
 
     /// Discards the remainder of the response body, so that the connection can be reused.
@@ -420,7 +454,7 @@
         }
         let reading = async {
             // A body that cannot be read leaves the connection unread, and so unused.
-            let _ = self.read_whole(MAX_DISCARDED_BYTES).await;
+            let _ = self.skip_body(MAX_DISCARDED_BYTES).await;
         };
         reading.or(wingspur_clock::sleep(timeout)).await;
     }
@@ -595,11 +629,16 @@
 ) -> Result<(), ResponseError> {
     match body {
         SendBody::Buffered(None) => write_first(&mut stream, &head).await,
-        SendBody::Buffered(Some(bytes)) => {
+        SendBody::Buffered(Some(bytes)) if bytes.len() <= MAX_JOINED_BYTES => {
             let mut all = head;
             all.extend_from_slice(&bytes);
             write_first(&mut stream, &all).await
         }
+        SendBody::Buffered(Some(bytes)) => {
+            write_first(&mut stream, &head).await?;
+            let written = stream.write_all(&bytes).await;
+            written.map_err(ResponseError::Broken)
+        }
         streamed @ SendBody::Stream(..) => {
             let chunked = hyper::body::Body::size_hint(&streamed).exact().is_none();
             write_first(&mut stream, &head).await?;
@@ -671,6 +710,9 @@
 /// The number of bytes read from a server at once. A larger value needs fewer system
 /// calls for a long response.
 const READ_BYTES: usize = 16 << 10;
+/// A body up to this length is sent in the same packets as its head; a longer one is not
+/// copied.
+const MAX_JOINED_BYTES: usize = 16 << 10;
 /// The longest body that is read only to reuse its connection.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 /// The longest head of a response, and the most bytes of its interim responses and of its
--- a/crates/wingspur-transport/src/http_client.rs
+++ b/crates/wingspur-transport/src/http_client.rs
@@ -8,8 +8,8 @@
 
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use futures_rustls::rustls::pki_types::ServerName;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Bytes};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{ETAG, HOST, HeaderValue, IF_NONE_MATCH};
 use hyper::http::response::Parts;
@@ -17,6 +17,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use crate::buffer_budget::{BufferBudget, LeasedBuffer};
 use crate::fair_stream::FairStream;
 use crate::{FaultInjector, InjectedFault, Spawner, TlsIdentity};
 
@@ -26,6 +27,8 @@
 pub struct HttpClient {
     connector: Connector,
     faults: FaultInjector,
+    /// What is received of responses counts here.
+    buffers: Arc<BufferBudget>,
     idle: Mutex<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>,
     sent_bytes: AtomicU64,
     received_bytes: AtomicU64,
@@ -90,6 +93,7 @@
         Self {
             connector: Connector::new(spawner, None),
             faults,
+            buffers: BufferBudget::new(MAX_RESPONSE_BYTES),
             idle: Mutex::default(),
             sent_bytes: AtomicU64::new(0),
             received_bytes: AtomicU64::new(0),
@@ -104,6 +108,13 @@
         self
     }
 
+    /// Sets the budget for the bodies of responses. A response that it has no room for
+    /// fails.
+    pub fn with_buffers(mut self, buffers: Arc<BufferBudget>) -> Self {
+        self.buffers = buffers;
+        self
+    }
+
     /// Sends a POST request and returns the body of the response, within `timeout`.
     ///
     /// Fails with `HttpClientError::Status` when the status is not a success.
@@ -270,12 +281,7 @@
         self.sent_bytes.fetch_add(sent, Ordering::Relaxed);
         let response = sender.send_request(request).await?;
         let (parts, body) = response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES);
-        let body = body
-            .collect()
-            .await
-            .map_err(|_| HttpClientError::Reply)?
-            .to_bytes();
+        let body = self.receive(body).await?;
         self.received_bytes
             .fetch_add(body.len() as u64, Ordering::Relaxed);
         if fault == InjectedFault::DropReply {
@@ -285,6 +291,18 @@
         Ok((parts, body))
     }
 
+    async fn receive(&self, mut body: Incoming) -> Result<Bytes, HttpClientError> {
+        let mut received = LeasedBuffer::new(self.buffers.clone());
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| HttpClientError::Reply)?;
+            let data = frame.into_data().unwrap_or_default();
+            if !received.extend(&data) || received.len() > MAX_RESPONSE_BYTES {
+                return Err(HttpClientError::Reply);
+            }
+        }
+        Ok(received.into_bytes())
+    }
+
     async fn apply_request_fault(&self, to: SocketAddr) -> InjectedFault {
         let fault = self.faults.fault_for(to);
         match fault {
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -4,6 +4,7 @@
 mod accepted_stream;
 mod backend;
 mod body;
+mod buffer_budget;
 mod catalog;
 mod fair_stream;
 mod fault_injection;
@@ -16,10 +17,12 @@
 mod response_error;
 mod response_head;
 mod run_evidence;
+mod send_window;
 mod server_deadline;
 mod server_hints;
 mod store;
 mod tls;
+mod vectored_io;
 mod workers;
 
 pub use accepted_stream::HeadTimeout;
@@ -28,6 +31,7 @@
     ReusePolicy,
 };
 pub use body::{BodyError, SendBody, poll_buffered};
+pub use buffer_budget::{BufferBudget, BufferLease, LeasedBuffer, UNLEASED_BYTES};
 pub use catalog::{
     Announcement, Catalog, CatalogError, CatalogFuture, CatalogResponse,
     ConditionalWriteResult, LeaseId, ReportedEra, StoreLease,
@@ -49,6 +53,7 @@
 };
 pub use response_error::ResponseError;
 pub use run_evidence::{RunEvidence, SentRequest, UnprovenReason, declared_run_evidence};
+pub use send_window::SendWindow;
 pub use server_deadline::ServerDeadline;
 pub use store::{
     KeyValue, RangeResult, StoreClient, StoreError, WatchStream, WriteOutcome,
--- a/crates/wingspur-transport/src/listener.rs
+++ b/crates/wingspur-transport/src/listener.rs
@@ -14,9 +14,10 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use smol::net::{TcpListener, TcpStream};
-use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
+use smol_hyper::rt::{SmolExecutor, SmolTimer};
 
 use crate::accepted_stream::{AcceptedStream, HeadDeadline, HeadTimer, HttpVersion};
+use crate::vectored_io::VectoredIo;
 use crate::{
     HeadTimeout, PeerCertificate, Spawner, StopSignal, StopTrigger, TlsIdentity,
     stop_pair,
@@ -255,7 +256,7 @@
             self.handle_request(request, from, &request_counts)
         });
         let arrival = stream.arrival().clone();
-        let io = FuturesIo::new(stream);
+        let io = VectoredIo::new(stream);
         let mut connection = pin!(builder.serve_connection(io, service));
         let result = match self.until_stop(connection.as_mut()).await {
             Some(result) => result,
@@ -294,7 +295,7 @@
         });
         let head_timeout = self.options.head_timeout.clone();
         let late_head = HeadDeadline::new(stream.arrival().clone(), head_timeout);
-        let io = FuturesIo::new(stream);
+        let io = VectoredIo::new(stream);
         let mut connection = pin!(builder.serve_connection(io, service));
         let served = async { Some(connection.as_mut().await) };
         let late = async {
--- a/crates/wingspur-transport/src/pool.rs
+++ b/crates/wingspur-transport/src/pool.rs
@@ -152,9 +152,10 @@
         stream
             .set_nodelay(true)
             .map_err(|error| error.to_string())?;
-        let handshake = hyper::client::conn::http1::handshake(FuturesIo::new(
-            FairStream::new(stream),
-        ));
+        let io = FuturesIo::new(FairStream::new(stream));
+        let mut builder = hyper::client::conn::http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
+        let handshake = builder.handshake(io);
         let (sender, connection) = handshake.await.map_err(|error| error.to_string())?;
         self.opened.fetch_add(1, Ordering::Relaxed);
         self.spawner.detach(async move {
@@ -184,6 +185,9 @@
     }
 }
 
+/// The largest buffer of a connection in each direction. Buffers that have grown do not
+/// shrink.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a connection may be idle before `keep_warm` closes it.
 const MAX_IDLE: Duration = Duration::from_secs(60);
--- a/crates/wingspur/src/run.rs
+++ b/crates/wingspur/src/run.rs
@@ -8,7 +8,7 @@
 use wingspur_edge::{EdgeBox, Settings, load_settings, parse_settings};
 use wingspur_entry::EntryBox;
 use wingspur_platform::{catalog, header_names};
-use wingspur_transport::{FaultInjector, HttpClient, Spawner, Workers};
+use wingspur_transport::{BufferBudget, FaultInjector, HttpClient, Spawner, Workers};
 
 use crate::CommandResult;
 use crate::args::RunArgs;
@@ -125,7 +125,8 @@
             let started = EntryBox::start(settings, spawner, faults).await;
             return Ok(Self::Own(Box::new(started.map_err(CommandError::failed)?)));
         };
-        let client = HttpClient::new(spawner.clone(), FaultInjector::default());
+        let client = HttpClient::new(spawner.clone(), FaultInjector::default())
+            .with_buffers(BufferBudget::new(settings.buffer_bytes()));
         let address = sources.store_address;
         let catalog = catalog(address, client.into(), STORE_TIMEOUT, LEASE_TTL);
         let started = EdgeBox::start(settings, header_names(), catalog, spawner).await;
--- a/tests/tests/endless_responses.rs
+++ b/tests/tests/endless_responses.rs
@@ -17,7 +17,7 @@
     BackendServer, Body, Framing, PlatformStore, Preamble, Reply, ResponseShape,
 };
 use wingspur_transport::{
-    BackendConnection, BackendConnections, ReusePolicy, SendBody, Workers,
+    BackendConnection, BackendConnections, BufferBudget, ReusePolicy, SendBody, Workers,
 };
 
 #[global_allocator]
@@ -318,7 +318,7 @@
 }
 
 async fn connect(server: &BackendServer) -> BackendConnection {
-    let connections = BackendConnections::new(server.address);
+    let connections = BackendConnections::new(server.address, BufferBudget::unlimited());
     let connecting = connections.connect(ReusePolicy::Any, Duration::from_secs(10));
     connecting.await.unwrap()
 }
--- a/tests/tests/suspended_box.rs
+++ b/tests/tests/suspended_box.rs
@@ -12,7 +12,7 @@
 
 use edge::{Deployment, Route, configuration, wait_until, with_accounts};
 use wingspur_tests::{Answer, BackendServer, Reply, StoreFault, call};
-use wingspur_transport::{BackendConnections, ReusePolicy};
+use wingspur_transport::{BackendConnections, BufferBudget, ReusePolicy};
 
 /// Serializes the tests, since they all step the one clock of the process.
 static CLOCK: Mutex<()> = Mutex::new(());
@@ -118,7 +118,7 @@
     let _clock = lock_clock();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("the listener is bound");
-    let backend = BackendConnections::new(address);
+    let backend = BackendConnections::new(address, BufferBudget::unlimited());
     let timeout = Duration::from_secs(10);
     smol::block_on(async {
         let first = backend.connect(ReusePolicy::Any, timeout).await;
--- a/tests/tests/unsent_requests.rs
+++ b/tests/tests/unsent_requests.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use hyper::Method;
-use wingspur_transport::{BackendConnections, ResponseError, ReusePolicy, SendBody};
+use wingspur_transport::{
+    BackendConnections, BufferBudget, ResponseError, ReusePolicy, SendBody,
+};
 
 const REQUEST: &[u8] = b"POST /a HTTP/1.1\r\nhost: site.example\r\n\r\n";
 
@@ -13,7 +15,10 @@
 /// request after that.
 fn send_after(serve: impl FnOnce(TcpStream)) -> Result<u16, ResponseError> {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let connections = BackendConnections::new(listener.local_addr().unwrap());
+    let connections = BackendConnections::new(
+        listener.local_addr().unwrap(),
+        BufferBudget::unlimited(),
+    );
     smol::block_on(async {
         let timeout = Duration::from_secs(5);
         let connected = connections.connect(ReusePolicy::Any, timeout).await;
