--- a/crates/wingspur/tests/signals.rs
+++ b/crates/wingspur/tests/signals.rs
@@ -3,6 +3,7 @@
 mod program;
 
 use std::process::Stdio;
+use std::time::Duration;
 
 use program::{Program, wait_until};
 use rustix::process::Signal;
@@ -18,6 +19,22 @@
     assert_eq!(code, Some(0));
 }
 
+/// A settings file may change while a box stops.
+#[test]
+fn a_reload_within_a_stop_cuts_nothing() {
+    let (answer, code) = stop_twice(Signal::HUP);
+    assert_eq!(answer.status, 504);
+    assert_eq!(code, Some(0));
+}
+
+/// A box that stands still within its stop answers what it can before it would be killed.
+#[test]
+fn a_pause_within_a_stop_cuts_nothing() {
+    let (answer, code) = stop_twice(Signal::STOP);
+    assert_eq!(answer.status, 504);
+    assert_eq!(code, Some(0));
+}
+
 #[test]
 fn a_person_may_end_a_stop_at_once() {
     let (answer, code) = stop_twice(Signal::INT);
@@ -41,6 +58,12 @@
     running.signal(Signal::TERM);
     wait_until("it is stopping", || running.get("/ready").status == 503);
     running.signal(second);
+    if second == Signal::STOP {
+        std::thread::sleep(PAUSE);
+        running.signal(Signal::CONT);
+    }
     let code = running.wait();
     (calling.join().expect("the caller ends"), code)
 }
+
+const PAUSE: Duration = Duration::from_millis(800);
