Listeners: callers that connect at once wait in a queue as long as the system allows

What callers saw: of 300 that connected to one box in the same moment, 26 had no connection within the second that callers wait. After a loss of boxes such herds are the normal case.

Cause: the sockets were bound with the standard library's accept queue of 128; the kernel drops the packets of callers beyond it, which try again after a second.

--- a/crates/wingspur-edge/src/edge_box.rs
+++ b/crates/wingspur-edge/src/edge_box.rs
@@ -10,7 +10,7 @@
 use wingspur_protocol::HeaderNames;
 use wingspur_transport::{
     Catalog, HeadTimeout, HttpListener, ListenerOptions, Spawner, StopSignal,
-    StopTrigger, stop_pair,
+    StopTrigger, bind_listener, stop_pair,
 };
 
 use crate::catalog::announce::{run_announcement, withdraw_announcement};
@@ -69,11 +69,11 @@
         catalog: Catalog,
         spawner: &Spawner,
     ) -> Result<Self, EdgeError> {
-        let caller_port = bind("caller_address", settings.caller_address).await?;
-        let peer_port = bind("peer_address", settings.peer_address).await?;
-        let operator_port = bind("operator_address", settings.operator_address).await?;
+        let caller_port = bind("caller_address", settings.caller_address)?;
+        let peer_port = bind("peer_address", settings.peer_address)?;
+        let operator_port = bind("operator_address", settings.operator_address)?;
         let collector_port = match settings.metrics_address {
-            Some(address) => Some(bind("metrics_address", address).await?),
+            Some(address) => Some(bind("metrics_address", address)?),
             None => None,
         };
         let mut settings = settings;
@@ -347,12 +347,8 @@
     is_stale
 }
 
-async fn bind(
-    field: &'static str,
-    address: SocketAddr,
-) -> Result<TcpListener, EdgeError> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|error| EdgeError::Bind {
+fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener, EdgeError> {
+    bind_listener(address).map_err(|error| EdgeError::Bind {
         field,
         address,
         error,
--- a/crates/wingspur-entry/src/entry_box.rs
+++ b/crates/wingspur-entry/src/entry_box.rs
@@ -10,7 +10,7 @@
 use wingspur_edge::{Metrics, Settings, ShutdownSchedule};
 use wingspur_transport::{
     FaultInjector, HeadTimeout, HttpListener, ListenerOptions, Spawner, StopTrigger,
-    TlsError, TlsFiles, TlsIdentity, stop_pair,
+    TlsError, TlsFiles, TlsIdentity, bind_listener, stop_pair,
 };
 
 use crate::bundles::{load_initial_bundle, run_pointer_watch};
@@ -73,9 +73,9 @@
         faults: FaultInjector,
     ) -> Result<Self, StartError> {
         let sources = settings.own_sources.clone().ok_or(StartError::NoSources)?;
-        let caller_port = bind("caller_address", settings.caller_address).await?;
-        let peer_port = bind("peer_address", settings.peer_address).await?;
-        let operator_port = bind("operator_address", settings.operator_address).await?;
+        let caller_port = bind("caller_address", settings.caller_address)?;
+        let peer_port = bind("peer_address", settings.peer_address)?;
+        let operator_port = bind("operator_address", settings.operator_address)?;
         let files = settings.tls.as_ref().map(TlsFiles::from);
         let identity = files.map(TlsIdentity::load).transpose()?.map(Arc::new);
         let shared = EntryState::new(
@@ -276,17 +276,12 @@
     }
 }
 
-async fn bind(
-    field: &'static str,
-    address: SocketAddr,
-) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|error| StartError::Bind {
-            field,
-            address,
-            error,
-        })
+fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    bind_listener(address).map_err(|error| StartError::Bind {
+        field,
+        address,
+        error,
+    })
 }
 
 fn listen<H, F, B>(
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -44,7 +44,7 @@
     LinkBody, LinkError, LinkReceiver, LinkSender, LinkTimeouts, accept_link,
     empty_link_body, open_link,
 };
-pub use listener::{HttpListener, ListenerCounts, ListenerOptions};
+pub use listener::{HttpListener, ListenerCounts, ListenerOptions, bind_listener};
 pub use path_fault::{InjectedPathFault, PathFault};
 pub use pool::{BackendPool, PooledConnection, SendFailure};
 pub use publish::{
--- a/crates/wingspur-transport/src/listener.rs
+++ b/crates/wingspur-transport/src/listener.rs
@@ -15,6 +15,7 @@
 use hyper::{Request, Response};
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{SmolExecutor, SmolTimer};
+use socket2::{Domain, Socket, Type};
 
 use crate::accepted_stream::{AcceptedStream, HeadDeadline, HeadTimer, HttpVersion};
 use crate::vectored_io::VectoredIo;
@@ -153,6 +154,17 @@
     }
 }
 
+/// Binds a socket on which many callers may connect in the same moment: they wait in a
+/// queue as long as the system allows until they are accepted.
+pub fn bind_listener(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    // A box that starts again binds the port although old connections are still closing.
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(MAX_ACCEPT_QUEUE)?;
+    TcpListener::try_from(std::net::TcpListener::from(socket))
+}
+
 /// What the tasks of the listener and of its connections share.
 #[derive(Clone)]
 struct Server<H> {
@@ -430,6 +442,9 @@
     }
 }
 
+/// Systems lower it to their own limit. The standard library's 128 is too short for the
+/// callers of a lost box that come to another one at once.
+const MAX_ACCEPT_QUEUE: i32 = 65_535;
 /// The delay after a failed accept, before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
