--- a/tests/tests/late_in_the_stop.rs
+++ b/tests/tests/late_in_the_stop.rs
@@ -11,9 +11,11 @@
 
 use edge::{Caller, Route, configuration, server_entry, wait_until};
 use serde_json::json;
-use wingspur_edge::EdgeBox;
+use wingspur_bench::small_zagreb;
+use wingspur_edge::{DrainSettings, EdgeBox};
+use wingspur_entry::EntryBox;
 use wingspur_tests::{PlatformStore, listen, read_keep_alive_response};
-use wingspur_transport::{PathFault, Workers};
+use wingspur_transport::{FaultInjector, PathFault, Workers};
 
 /// A box that reaches the servers, and one that hands its requests to it.
 struct Fleet {
@@ -24,6 +26,20 @@
     workers: Workers,
 }
 
+/// A box as its callers see it.
+#[derive(Debug, Clone, Copy)]
+struct Target {
+    address: SocketAddr,
+    sources: Sources,
+}
+
+/// Where a box has its routes and servers from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sources {
+    Catalog,
+    Own,
+}
+
 /// What a caller does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Habit {
@@ -103,15 +119,10 @@
         } else {
             &self.direct
         };
-        let address = Caller::of(called).address();
-        let began = Instant::now();
-        let callers = HABITS.iter().flat_map(|habit| {
-            (0..CALLERS).map(move |n| {
-                let at = SPREAD.mul_f64(f64::from(n) / f64::from(CALLERS));
-                std::thread::spawn(move || call_at(*habit, n, address, began, at))
-            })
+        let callers = start_callers(Target {
+            address: Caller::of(called).address(),
+            sources: Sources::Catalog,
         });
-        let callers: Vec<_> = callers.collect();
         std::thread::sleep(WARM_TIME);
         let Self {
             store,
@@ -130,40 +141,58 @@
             })
         };
         let stopping = [stop(direct, stops_direct), stop(relayed, stops_relayed)];
-        let unanswered: Vec<Unanswered> = callers
-            .into_iter()
-            .flat_map(|caller| caller.join().expect("callers do not panic"))
-            .collect();
+        let unanswered = join_all(callers);
         for running in stopping {
             let running = running.join().expect("a stop does not panic");
             running.map(|running| smol::block_on(running.close()));
         }
         workers.close();
         drop(store);
-        let arrived = arrived.lock().unwrap();
-        let lost = unanswered.iter().filter(|call| arrived.contains(&call.id));
-        let lost: Vec<String> = lost.map(Unanswered::describe).collect();
-        assert!(arrived.len() > usize::from(CALLERS), "{}", arrived.len());
-        assert!(
-            lost.is_empty(),
-            "{} of {}: {lost:#?}",
-            lost.len(),
-            arrived.len()
-        );
+        assert_none_lost(&unanswered, &arrived.lock().unwrap());
     }
 }
 
+type Callers = Vec<std::thread::JoinHandle<Vec<Unanswered>>>;
+
+/// Starts callers of each habit, which begin at moments spread over the stop.
+fn start_callers(to: Target) -> Callers {
+    let began = Instant::now();
+    let callers = HABITS.iter().flat_map(|habit| {
+        (0..CALLERS).map(move |n| {
+            let at = SPREAD.mul_f64(f64::from(n) / f64::from(CALLERS));
+            std::thread::spawn(move || call_at(*habit, n, to, began, at))
+        })
+    });
+    callers.collect()
+}
+
+/// Returns the requests that got no response from their server.
+fn join_all(callers: Callers) -> Vec<Unanswered> {
+    let callers = callers.into_iter();
+    let unanswered = callers.flat_map(|caller| caller.join().expect("none panics"));
+    unanswered.collect()
+}
+
+fn assert_none_lost(unanswered: &[Unanswered], arrived: &BTreeSet<String>) {
+    let lost = unanswered.iter().filter(|call| arrived.contains(&call.id));
+    let lost: Vec<String> = lost.map(Unanswered::describe).collect();
+    let all = arrived.len();
+    assert!(all > usize::from(CALLERS), "only {all} requests arrived");
+    assert!(lost.is_empty(), "{} of {all}: {lost:#?}", lost.len());
+}
+
 /// Starts a server that works for a while on each request.
 fn start_server(arrived: Arc<Mutex<BTreeSet<String>>>) -> SocketAddr {
     listen(move |head, stream| {
         let id = &head.headers["x-wingspur-request-id"];
         arrived.lock().unwrap().insert(id.clone());
         std::thread::sleep(WORK_TIME);
-        let length = if head.path.starts_with("/download") {
-            LONG_BYTES
-        } else {
-            100
-        };
+        let length =
+            if head.path.starts_with("/download") || head.path.starts_with("/archive") {
+                LONG_BYTES
+            } else {
+                100
+            };
         let response = format!(
             "HTTP/1.1 200 OK\r\nx-wingspur-request-id: {id}\r\n\
              x-wingspur-server-stamp: stamp\r\ncontent-length: {length}\r\n\r\n"
@@ -180,12 +209,17 @@
 fn call_at(
     habit: Habit,
     number: u16,
-    to: SocketAddr,
+    to: Target,
     began: Instant,
     at: Duration,
 ) -> Vec<Unanswered> {
     let id = |step: usize| format!("{habit:?}-{number}-{step}");
-    let mut reader = BufReader::new(TcpStream::connect(to).unwrap());
+    let request = |class: &str, step| request(to.sources, class, &id(step));
+    let send = |reader: &BufReader<TcpStream>, class: &str, step| {
+        let mut stream = reader.get_ref();
+        stream.write_all(request(class, step).as_bytes())
+    };
+    let mut reader = BufReader::new(TcpStream::connect(to.address).unwrap());
     let limit = Some(Duration::from_secs(30));
     reader.get_ref().set_read_timeout(limit).unwrap();
     let mut unanswered = Vec::new();
@@ -206,9 +240,7 @@
         }
         closes
     };
-    if send(reader.get_ref(), "read", &id(0)).is_err()
-        || receive(&mut reader, id(0), Instant::now())
-    {
+    if send(&reader, "read", 0).is_err() || receive(&mut reader, id(0), Instant::now()) {
         return unanswered;
     }
     std::thread::sleep(
@@ -217,13 +249,13 @@
     let sent = Instant::now();
     match habit {
         Habit::Kept => {
-            let _ = send(reader.get_ref(), "once_only", &id(1));
+            let _ = send(&reader, "once_only", 1);
             receive(&mut reader, id(1), sent);
         }
         Habit::Busy => {
             for step in 1.. {
                 let sent = Instant::now();
-                let _ = send(reader.get_ref(), "once_only", &id(step));
+                let _ = send(&reader, "once_only", step);
                 let is_over = began.elapsed() > WARM_TIME + 2 * SPREAD;
                 if receive(&mut reader, id(step), sent) || is_over {
                     break;
@@ -231,14 +263,14 @@
             }
         }
         Habit::Pipelines => {
-            let both = [request("read", &id(1)), request("read", &id(2))].concat();
+            let both = [request("read", 1), request("read", 2)].concat();
             let _ = reader.get_ref().write_all(both.as_bytes());
             if !receive(&mut reader, id(1), sent) {
                 receive(&mut reader, id(2), sent);
             }
         }
         Habit::Uploads => {
-            let head = request("once_only", &id(1));
+            let head = request("once_only", 1);
             let head = head.replace("content-length: 0", "transfer-encoding: chunked");
             let _ = reader.get_ref().write_all(head.as_bytes());
             for _ in 0..4 {
@@ -249,7 +281,7 @@
             receive(&mut reader, id(1), sent);
         }
         Habit::Downloads => {
-            let _ = send(reader.get_ref(), "download", &id(1));
+            let _ = send(&reader, "download", 1);
             let slow = SlowReader(reader.into_inner());
             let mut reader = BufReader::with_capacity(64 << 10, slow);
             let response = read_keep_alive_response(&mut reader);
@@ -266,18 +298,21 @@
     unanswered
 }
 
-fn request(class: &str, id: &str) -> String {
+fn request(sources: Sources, class: &str, id: &str) -> String {
     let method = if class == "once_only" { "POST" } else { "GET" };
+    let path = match (sources, class) {
+        (Sources::Catalog, class) => format!("/{class}/a"),
+        (Sources::Own, "once_only") => "/submit/a".to_owned(),
+        (Sources::Own, "read") => "/exam/a".to_owned(),
+        (Sources::Own, _) => "/archive/a".to_owned(),
+    };
     format!(
-        "{method} /{class}/a HTTP/1.1\r\nhost: site.example\r\n\
-         x-wingspur-request-id: {id}\r\ncontent-length: 0\r\n\r\n"
+        "{method} {path} HTTP/1.1\r\nhost: site.example\r\nidempotency-key: {id}\r\n\
+         x-wingspur-request-id: {id}\r\n\
+         content-length: 0\r\n\r\n"
     )
 }
 
-fn send(mut stream: &TcpStream, class: &str, id: &str) -> std::io::Result<()> {
-    stream.write_all(request(class, id).as_bytes())
-}
-
 /// Reads a long response over [`SLOW_TIME`].
 struct SlowReader(TcpStream);
 
@@ -328,3 +363,42 @@
 fn stop_of_a_box_and_its_relay_loses_no_request() {
     Fleet::start().play(true, true, true);
 }
+
+#[test]
+fn stop_of_a_box_over_own_sources_loses_no_request() {
+    let arrived = Arc::new(Mutex::new(BTreeSet::new()));
+    let workers = Workers::start(4);
+    let spawner = workers.spawner();
+    smol::block_on(async {
+        let mut fleet = wingspur_bench::Fleet::start(small_zagreb(1), &spawner)
+            .await
+            .unwrap();
+        let publishing = fleet.publish_next(|bundle| {
+            for server in bundle.services.iter_mut().flat_map(|s| &mut s.servers) {
+                server.address = start_server(arrived.clone());
+            }
+        });
+        let version = publishing.await.unwrap();
+        assert!(fleet.wait_in_force(version, Duration::from_secs(20)).await);
+        fleet.stop_box(0).await;
+        let mut settings = fleet.settings()[0].clone();
+        settings.drain = DrainSettings {
+            balancer_lag_ms: LAG.as_millis() as u64,
+            limit_ms: 10_000,
+            kill_after_s: None,
+        };
+        let starting = EntryBox::start(settings, &spawner, FaultInjector::default());
+        let running = starting.await.unwrap();
+        assert!(running.wait_ready(Duration::from_secs(20)).await);
+        let callers = start_callers(Target {
+            address: running.addresses().caller,
+            sources: Sources::Own,
+        });
+        smol::Timer::after(WARM_TIME).await;
+        running.close().await;
+        let unanswered = smol::unblock(move || join_all(callers)).await;
+        assert_none_lost(&unanswered, &arrived.lock().unwrap());
+        fleet.close().await;
+    });
+    workers.close();
+}
