Request bodies in chunks are kept like those of known length

What callers saw: a once-only request with a body in chunks was told 503 after one true refusal, with time, budget and servers left; one of known length is served by the next server.

Cause: a body of unknown length was passed on as it came, whatever its length, and was gone after the first attempt (body_gone).

Change: it is kept up to kept_body_bytes within the budget for buffers; once it is longer, what was received is sent and the rest passed on as it comes.

Checks: refusal_at_the_deadline streams a body of 100,000 bytes now, since a short one in chunks is kept, and has that as a further case.

--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -640,7 +640,7 @@
             let written = stream.write_all(&bytes).await;
             written.map_err(ResponseError::Broken)
         }
-        streamed @ SendBody::Stream(..) => {
+        streamed @ SendBody::Stream(_) => {
             let chunked = hyper::body::Body::size_hint(&streamed).exact().is_none();
             write_first(&mut stream, &head).await?;
             send_stream(stream, streamed, chunked).await
--- a/crates/wingspur-transport/src/body.rs
+++ b/crates/wingspur-transport/src/body.rs
@@ -1,7 +1,7 @@
 //! The request body that is sent to a backend server.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
@@ -14,9 +14,19 @@
 pub enum SendBody {
     /// Held in memory. `None` for an empty body, or once the body was sent.
     Buffered(Option<Bytes>),
-    /// Streamed from the caller. The number is how many bytes may still follow; a longer
-    /// body fails with `BodyError::TooLong`.
-    Stream(Incoming, u64),
+    /// Streamed from the caller.
+    Stream(StreamedBody),
+}
+
+/// A body that is passed on as the caller sends it.
+#[derive(Debug)]
+pub struct StreamedBody {
+    /// What was received already; `None` once it was sent.
+    pub beginning: Option<Bytes>,
+    /// The source of what follows.
+    pub rest: Incoming,
+    /// How many bytes may still follow. A longer body fails with `BodyError::TooLong`.
+    pub max_rest_bytes: u64,
 }
 
 impl SendBody {
@@ -29,7 +39,7 @@
     pub fn try_clone(&self) -> Option<Self> {
         match self {
             Self::Buffered(bytes) => Some(Self::Buffered(Option::<Bytes>::clone(bytes))),
-            Self::Stream(..) => None,
+            Self::Stream(_) => None,
         }
     }
 
@@ -38,7 +48,7 @@
     pub fn buffered_bytes(&self) -> Option<&[u8]> {
         match self {
             Self::Buffered(bytes) => Some(bytes.as_deref().unwrap_or_default()),
-            Self::Stream(..) => None,
+            Self::Stream(_) => None,
         }
     }
 
@@ -47,7 +57,7 @@
         match self {
             Self::Buffered(None) => "none",
             Self::Buffered(Some(_)) => "buffered",
-            Self::Stream(..) => "streamed",
+            Self::Stream(_) => "streamed",
         }
     }
 
@@ -57,6 +67,38 @@
     }
 }
 
+impl StreamedBody {
+    fn poll_data(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(beginning) = self.beginning.take() {
+            return Poll::Ready(Some(Ok(Frame::data(beginning))));
+        }
+        let frame = match ready!(Pin::new(&mut self.rest).poll_frame(context)) {
+            Some(Ok(frame)) => frame,
+            Some(Err(error)) => return Poll::Ready(Some(Err(error.into()))),
+            None => return Poll::Ready(None),
+        };
+        let length = frame.data_ref().map_or(0, Bytes::len) as u64;
+        if length > self.max_rest_bytes {
+            return Poll::Ready(Some(Err(BodyError::TooLong)));
+        }
+        self.max_rest_bytes -= length;
+        Poll::Ready(Some(Ok(frame)))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let beginning_bytes = self.beginning.as_ref().map_or(0, Bytes::len) as u64;
+        let mut hint = self.rest.size_hint();
+        if let Some(upper) = hint.upper() {
+            hint.set_upper(upper + beginning_bytes);
+        }
+        hint.set_lower(hint.lower() + beginning_bytes);
+        hint
+    }
+}
+
 /// Why a body ended before it was complete.
 #[derive(Debug, thiserror::Error)]
 pub enum BodyError {
@@ -102,29 +144,14 @@
             Self::Buffered(bytes) => {
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
-            Self::Stream(incoming, remaining) => {
-                let frame = match Pin::new(incoming).poll_frame(context) {
-                    Poll::Ready(Some(Ok(frame))) => frame,
-                    Poll::Ready(Some(Err(error))) => {
-                        return Poll::Ready(Some(Err(error.into())));
-                    }
-                    Poll::Ready(None) => return Poll::Ready(None),
-                    Poll::Pending => return Poll::Pending,
-                };
-                let length = frame.data_ref().map_or(0, Bytes::len) as u64;
-                if length > *remaining {
-                    return Poll::Ready(Some(Err(BodyError::TooLong)));
-                }
-                *remaining -= length;
-                Poll::Ready(Some(Ok(frame)))
-            }
+            Self::Stream(body) => body.poll_data(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(bytes) => bytes.is_none(),
-            Self::Stream(incoming, _) => incoming.is_end_stream(),
+            Self::Stream(body) => body.beginning.is_none() && body.rest.is_end_stream(),
         }
     }
 
@@ -133,7 +160,7 @@
             Self::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
-            Self::Stream(incoming, _) => incoming.size_hint(),
+            Self::Stream(body) => body.size_hint(),
         }
     }
 }
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -30,7 +30,7 @@
     BackendConnection, BackendConnections, ConnectError, ConnectionCloser, ResponseHead,
     ReusePolicy,
 };
-pub use body::{BodyError, SendBody, poll_buffered};
+pub use body::{BodyError, SendBody, StreamedBody, poll_buffered};
 pub use buffer_budget::{BufferBudget, BufferLease, LeasedBuffer, UNLEASED_BYTES};
 pub use catalog::{
     Announcement, Catalog, CatalogError, CatalogFuture, CatalogResponse,
--- a/tests/tests/refusal_evidence.rs
+++ b/tests/tests/refusal_evidence.rs
@@ -229,11 +229,21 @@
 const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::UntilClose];
 /// The last lines of a head, and the body after it.
 const NO_BODY: &str = "content-length: 0\r\n\r\n";
-/// Boxes pass on a body of unknown length as it arrives.
-const STREAMED_BODY: &str = "transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+/// Boxes keep a short body of unknown length.
+const CHUNKED_BODY: &str = "transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+/// More than a box keeps of a request body.
+const STREAMED_BYTES: usize = 100_000;
 /// More than a box buffers of a response.
 const LONG_BYTES: usize = 2 << 20;
 
+/// Returns the last line of a head, and a body that boxes pass on as it arrives.
+fn streamed_body() -> String {
+    let bytes = "a".repeat(STREAMED_BYTES);
+    format!(
+        "transfer-encoding: chunked\r\n\r\n{STREAMED_BYTES:x}\r\n{bytes}\r\n0\r\n\r\n"
+    )
+}
+
 /// Bodies that arrive, that end early, that fall silent and that never end.
 const BODIES: [Body; 7] = [
     Body::Whole(0),
@@ -274,7 +284,13 @@
 #[test]
 fn refusal_at_the_deadline_is_no_promise() {
     let fleet = Fleet::start(SHORT_TIMEOUT_MS);
-    for (name, body) in [("empty", NO_BODY), ("streamed", STREAMED_BODY)] {
+    let streamed = streamed_body();
+    let bodies = [
+        ("empty", NO_BODY),
+        ("chunked", CHUNKED_BODY),
+        ("streamed", &streamed),
+    ];
+    for (name, body) in bodies {
         let reply = Reply::RefusedAtDeadline;
         for outcome in fleet.outcomes_with_body(name, reply, body) {
             assert!(outcome.status == 504 && outcome.ran == 1, "{outcome:?}");
