Buffers: a long one leases at most 128 KiB more than it holds

A response that passes 1 MiB doubled its buffer to 2 MiB just before it was passed on, and leased as much; read in the diff, not seen in a play. Names in the budget say reserve and release.

--- a/crates/wingspur-transport/src/buffer_budget.rs
+++ b/crates/wingspur-transport/src/buffer_budget.rs
@@ -68,7 +68,7 @@
         self.denied.load(Ordering::Relaxed)
     }
 
-    fn take(&self, bytes: usize) -> bool {
+    fn reserve(&self, bytes: usize) -> bool {
         let limit_bytes = self.limit_bytes.load(Ordering::Relaxed);
         let add = |leased: usize| {
             let total = leased.checked_add(bytes);
@@ -93,7 +93,7 @@
         false
     }
 
-    fn give_back(&self, bytes: usize) {
+    fn release(&self, bytes: usize) {
         let leased_bytes = self.leased_bytes.fetch_sub(bytes, Ordering::AcqRel) - bytes;
         let half_bytes = self.limit_bytes.load(Ordering::Relaxed) / 2;
         if leased_bytes <= half_bytes
@@ -121,7 +121,7 @@
     #[must_use]
     pub fn grow_to(&mut self, bytes: usize) -> bool {
         let missing = bytes.saturating_sub(self.bytes);
-        let grows = missing == 0 || self.budget.take(missing);
+        let grows = missing == 0 || self.budget.reserve(missing);
         if grows {
             self.bytes += missing;
         }
@@ -143,7 +143,7 @@
 impl Drop for BufferLease {
     fn drop(&mut self) {
         if self.bytes > 0 {
-            self.budget.give_back(self.bytes);
+            self.budget.release(self.bytes);
         }
     }
 }
@@ -175,8 +175,8 @@
         let needed = self.bytes.len() + bytes.len();
         let mut is_leased = true;
         if needed > self.bytes.capacity() {
-            // Doubles, so that each byte is copied a few times at most.
-            let capacity = needed.next_power_of_two();
+            // Doubles at first, so that each byte is copied a few times at most.
+            let capacity = needed.next_power_of_two().min(needed + MAX_GROWTH_BYTES);
             is_leased = self.lease.grow_to(capacity.saturating_sub(UNLEASED_BYTES));
             let capacity = if is_leased { capacity } else { needed };
             self.bytes.reserve_exact(capacity - self.bytes.len());
@@ -203,3 +203,5 @@
 
 /// What each buffer has free: as much as a connection reads at once.
 pub const UNLEASED_BYTES: usize = 16 << 10;
+/// Limits how much more than its bytes a long buffer leases.
+const MAX_GROWTH_BYTES: usize = 128 << 10;
