--- a/tests/tests/response_memory.rs
+++ b/tests/tests/response_memory.rs
@@ -108,14 +108,7 @@
     /// much the memory of the process grows at most within some seconds. The other service
     /// is served beside them.
     fn flood(&self) -> usize {
-        let before = held_bytes();
-        let callers: Vec<TcpStream> = (0..FLOOD).map(|n| self.send(n)).collect();
-        let until = Instant::now() + FLOOD_TIME;
-        let mut grown_bytes = 0;
-        while Instant::now() < until {
-            grown_bytes = grown_bytes.max(held_bytes().saturating_sub(before));
-            std::thread::sleep(Duration::from_millis(5));
-        }
+        let (callers, grown_bytes) = flood(self.address(), "POST /once_only/a");
         let kept_body = [b'a'; KEPT_BODY_BYTES];
         for body in [&b""[..], &kept_body] {
             wait_until("the other service is served", || {
@@ -126,20 +119,33 @@
         grown_bytes
     }
 
-    fn send(&self, number: usize) -> TcpStream {
-        let mut stream = TcpStream::connect(self.address()).unwrap();
+    fn close(self) {
+        smol::block_on(self.running.close());
+        self.workers.close();
+    }
+}
+
+/// Sends requests and reads nothing. Returns the callers, and by how much the memory of
+/// the process grows at most within some seconds.
+fn flood(to: SocketAddr, target: &str) -> (Vec<TcpStream>, usize) {
+    let before = held_bytes();
+    let callers = (0..FLOOD).map(|number| {
+        let mut stream = TcpStream::connect(to).unwrap();
         let request = format!(
-            "POST /once_only/a HTTP/1.1\r\nhost: site.example\r\n\
+            "{target} HTTP/1.1\r\nhost: site.example\r\n\
              x-wingspur-request-id: endless-{number}\r\ncontent-length: 0\r\n\r\n"
         );
         stream.write_all(request.as_bytes()).unwrap();
         stream
+    });
+    let callers: Vec<TcpStream> = callers.collect();
+    let until = Instant::now() + FLOOD_TIME;
+    let mut grown_bytes = 0;
+    while Instant::now() < until {
+        grown_bytes = grown_bytes.max(held_bytes().saturating_sub(before));
+        std::thread::sleep(Duration::from_millis(5));
     }
-
-    fn close(self) {
-        smol::block_on(self.running.close());
-        self.workers.close();
-    }
+    (callers, grown_bytes)
 }
 
 fn held_bytes() -> usize {
@@ -175,6 +181,8 @@
 /// box six blocks of 16 KiB (free of the budget, unsent, being read, and hyper's), in the
 /// server of the test four.
 const REQUEST_BYTES: usize = (6 + 4) * (16 << 10);
+/// Over own sources, hyper's client reads so much ahead.
+const HTTP_CLIENT_BYTES: usize = 64 << 10;
 const LONG_BYTES: usize = 200_000;
 const KEPT_BODY_BYTES: usize = 60_000;
 
@@ -192,6 +200,47 @@
     }
 }
 
+#[test]
+fn responses_without_end_over_own_sources_do_not_fill_the_memory() {
+    let alone = ALONE
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner());
+    let workers = Workers::start(2);
+    let shape = success(Framing::Length, Body::Endless);
+    let servers: Vec<BackendServer> = (0..SERVERS)
+        .map(|_| BackendServer::start(move |_| Reply::Shaped(shape)))
+        .collect();
+    let grown_bytes = smol::block_on(async {
+        let plan = wingspur_bench::small_zagreb(1);
+        let spawner = workers.spawner();
+        let mut fleet = wingspur_bench::Fleet::start(plan, &spawner).await.unwrap();
+        let publishing = fleet.publish_next(|bundle| {
+            let pages = &mut bundle.services[0];
+            pages.limits.concurrency = FLOOD;
+            for (server, endless) in pages.servers.iter_mut().zip(&servers) {
+                server.address = endless.address;
+                server.slots = FLOOD as u32;
+            }
+        });
+        let version = publishing.await.unwrap();
+        assert!(fleet.wait_in_force(version, Duration::from_secs(20)).await);
+        let to = fleet.caller_addresses()[0];
+        let (callers, grown_bytes) =
+            smol::unblock(move || flood(to, "GET /exam/a")).await;
+        drop(callers);
+        fleet.close().await;
+        grown_bytes
+    });
+    workers.close();
+    drop(alone);
+    println!(
+        "grown {grown_bytes} of {}",
+        FLOOD * (HTTP_CLIENT_BYTES + REQUEST_BYTES)
+    );
+    let allowed = FLOOD * (HTTP_CLIENT_BYTES + REQUEST_BYTES);
+    assert!(grown_bytes < allowed, "{grown_bytes} of {allowed}");
+}
+
 #[test]
 fn heads_without_end_do_not_fill_the_memory() {
     for preamble in [Preamble::EndlessHeaderValue, Preamble::EndlessInterim] {
