--- a/tests/tests/unreachable_servers.rs
+++ b/tests/tests/unreachable_servers.rs
@@ -181,8 +181,10 @@
         let pair = Pair::start();
         for n in 0..6 {
             let id = format!("before-{n}");
-            assert_eq!(Caller::of(&pair.near).call("read", &id).status, 200);
-            assert_eq!(Caller::of(&pair.far).call("read", &id).status, 200);
+            for running in [&pair.near, &pair.far] {
+                let answer = Caller::of(running).call("read", &id);
+                assert_eq!(answer.status, 200, "{fault:?} {id}: {answer:?}");
+            }
         }
         pair.inject(fault);
         wait_until_served(Caller::of(&pair.near), "first");
@@ -190,7 +192,7 @@
             for class in ["read", "once_only"] {
                 let id = format!("{class}-{n}");
                 let answer = Caller::of(&pair.near).call(class, &id);
-                assert_eq!(answer.status, 200, "{fault:?} {id}");
+                assert_eq!(answer.status, 200, "{fault:?} {id}: {answer:?}");
                 assert_eq!(answer.body, b"own body", "{fault:?} {id}");
             }
         }
