Readiness: a box is ready once its services have their servers

What callers saw: a read at a box that had just become ready, with three servers announced, was told 503, no_server (3001).

Cause: readiness asked whether the directory of announced servers is empty; the directory changes first, and its servers are added to the services' balancers after its lock is released. A request between the two finds no server.

Change: the services say whether they have servers, once all changes of a batch have been applied.

--- a/crates/wingspur-edge/src/edge_state.rs
+++ b/crates/wingspur-edge/src/edge_state.rs
@@ -231,7 +231,7 @@
     pub fn is_ready(&self) -> bool {
         !self.stopping.has_begun()
             && self.bundle_version() > 0
-            && !self.directory.lock().is_empty()
+            && self.services.has_servers()
             && self.can_enforce_account_limits()
     }
 
--- a/crates/wingspur-edge/src/services.rs
+++ b/crates/wingspur-edge/src/services.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use wingspur_state::{
@@ -45,6 +46,8 @@
     by_name: RankedMutex<HashMap<String, Arc<ServiceState>>>,
     /// The service of each announced server.
     by_server: RankedMutex<HashMap<ServerKey, Arc<ServiceState>>>,
+    /// Whether there were servers after the latest changes had been applied.
+    has_servers: AtomicBool,
     backends: RankedMutex<HashMap<SocketAddr, Arc<BackendConnections>>>,
     /// Data centres whose servers are sent no further requests.
     evacuated: RankedMutex<Arc<BTreeSet<DataCentreId>>>,
@@ -82,6 +85,7 @@
             budget: RankedMutex::new(LockRank::BudgetSettings, budget),
             by_name: RankedMutex::new(LockRank::Services, HashMap::new()),
             by_server: RankedMutex::new(LockRank::ServersByKey, HashMap::new()),
+            has_servers: AtomicBool::new(false),
             backends: RankedMutex::new(LockRank::Backends, HashMap::new()),
             evacuated: RankedMutex::new(LockRank::Evacuated, Arc::default()),
             coverage_role: RankedMutex::new(
@@ -235,6 +239,14 @@
                 RegistryChange::Removed(record) => self.forget(record),
             }
         }
+        // Only now: requests must not come while some services lack their servers.
+        let has_servers = !self.by_server.lock().is_empty();
+        self.has_servers.store(has_servers, Ordering::Release);
+    }
+
+    /// Whether there are servers that requests can be sent to.
+    pub fn has_servers(&self) -> bool {
+        self.has_servers.load(Ordering::Acquire)
     }
 
     /// Removes a server instance and the connections to it.
