--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -65,6 +65,9 @@
     /// then
     #[argh(switch)]
     racing: bool,
+    /// how many milliseconds early deadlines pass at servers there
+    #[argh(option, default = "0")]
+    early_ms: u64,
     /// probability that servers there refuse a request that waits, each time that they
     /// look at their queue
     #[argh(option, default = "0.0")]
@@ -72,6 +75,9 @@
     /// slots of each server there, if not those of the deployment
     #[argh(option)]
     slots: Option<usize>,
+    /// let boxes there run a fifth of the time, 20 ms at once
+    #[argh(switch)]
+    sliced: bool,
     /// how often processes there stand still, per second
     #[argh(option, default = "PAUSES_PER_SECOND")]
     pauses: f64,
@@ -164,7 +170,9 @@
         refuses: args.refusing,
         shed_probability: args.shedding.clamp(0.0, 1.0),
         starts_refused: args.racing,
+        early: Duration::from_millis(args.early_ms),
         pauses_per_second: args.pauses,
+        slices_boxes: args.sliced,
         span: Duration::from_secs(args.seconds),
     };
     let held: Vec<bool> = seeds
--- a/tests/soak/src/site/play.rs
+++ b/tests/soak/src/site/play.rs
@@ -45,8 +45,12 @@
     pub shed_probability: f64,
     /// Whether servers may start at any time what they refuse after it has waited.
     pub starts_refused: bool,
+    /// How long before the time that a request states its deadline passes at a server.
+    pub early: Duration,
     /// How often processes stand still.
     pub pauses_per_second: f64,
+    /// Whether boxes run a fifth of the time.
+    pub slices_boxes: bool,
 }
 
 /// What callers and servers saw.
@@ -151,7 +155,7 @@
             .map(|process| PlayedBox {
                 process,
                 failed_polls: MAX_FAILED_POLLS,
-                is_sliced: false,
+                is_sliced: setup.slices_boxes,
             })
             .collect();
         let mut play = Self {
@@ -362,7 +366,7 @@
             FollowUp::Stop(n) => self.boxes[n].process.stop(),
             FollowUp::Resume(n) => self.boxes[n].process.set_suspended(false),
             FollowUp::EndSlices(n) => {
-                self.boxes[n].is_sliced = false;
+                self.boxes[n].is_sliced = self.setup.slices_boxes;
                 self.boxes[n].process.set_suspended(false);
             }
             FollowUp::RegainPath(n) => self.boxes[n].process.set_server_path("none"),
@@ -411,6 +415,7 @@
             },
             shed_probability: self.setup.shed_probability,
             starts_refused: self.setup.starts_refused,
+            early: self.setup.early,
         };
         ServerProcess::start(spec, service, self.arrivals.clone())
     }
--- a/tests/soak/src/site/server.rs
+++ b/tests/soak/src/site/server.rs
@@ -30,6 +30,7 @@
     refused_share: f64,
     shed_probability: f64,
     starts_refused: bool,
+    early: Duration,
     load: Mutex<Load>,
     slot_freed: Condvar,
     trouble: Mutex<(Trouble, f64)>,
@@ -91,6 +92,7 @@
             refused_share,
             shed_probability,
             starts_refused,
+            early,
         } = spec;
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
         let address = listener.local_addr().expect("the listener is bound");
@@ -101,6 +103,7 @@
             refused_share,
             shed_probability,
             starts_refused,
+            early,
             load: Mutex::default(),
             slot_freed: Condvar::new(),
             trouble: Mutex::new((Trouble::None, 0.0)),
@@ -258,6 +261,7 @@
         let id = head.headers.get("x-wingspur-request-id");
         let id = id.cloned().unwrap_or_default();
         let deadline_ms = number("x-wingspur-request-deadline-ms").unwrap_or(10_000);
+        let time = Duration::from_millis(deadline_ms).saturating_sub(self.early);
         let (at, since_tick) = (Instant::now(), now().as_micros() % CLOCK_TICK_US);
         let tick = at - Duration::from_micros(since_tick as u64);
         let request_number = self.arrived.fetch_add(1, Ordering::Relaxed);
@@ -267,7 +271,7 @@
             id,
             work: Duration::from_millis(number("x-soak-work-ms").unwrap_or(0)),
             response_bytes: number("x-soak-answer-bytes").unwrap_or(0) as usize,
-            deadline: tick + Duration::from_millis(deadline_ms),
+            deadline: tick + time,
             number: request_number,
         }
     }
--- a/tests/soak/src/site/server_messages.rs
+++ b/tests/soak/src/site/server_messages.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -24,6 +25,8 @@
     pub shed_probability: f64,
     /// Whether it may start at any time what it refuses after it has waited.
     pub starts_refused: bool,
+    /// How long before the time that a request states its deadline passes here.
+    pub early: Duration,
 }
 
 /// A command to the process of a server.
