Refused requests are logged with all their attempts, and when each refusal arrived

How long a server held a request was counted until the box read the refusal, which includes the box's own lateness.

Change: the line with the outcome (request: refused., over own sources proxy: refused., which is new) lists each attempt with its server, when it was sent, the time given, when the refusal arrived and was read, the round trip, status, evidence and end. The kernel tells when the last bytes arrived and the shortest round trip (TCP_INFO); where it does not, the time of reading and the shortest connect stand in. No decision uses either yet.

--- a/crates/wingspur-edge/src/locks.rs
+++ b/crates/wingspur-edge/src/locks.rs
@@ -73,6 +73,8 @@
     RequestsOut,
     /// The attempts of one request.
     Attempts,
+    /// What is logged of the attempts of one request.
+    AttemptTraces,
 }
 
 /// A mutex with a rank.
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -22,6 +22,7 @@
 use crate::edge_state::EdgeState;
 use crate::log_values::id_text;
 use crate::path_check::{check_path_soon, record_connected, record_unreached};
+use crate::proxy::attempt_trace::RefusalTrace;
 use crate::proxy::request_head::{UpstreamRequest, reuse_policy, serialize_head};
 use crate::proxy::response_body::{BodySource, StreamGuard};
 use crate::proxy::server_hints::observe_response;
@@ -239,11 +240,12 @@
     ) -> Result<Received, ResponseError> {
         let method = &self.outgoing.method;
         let deadline = self.outgoing.server_deadline(wingspur_clock::now());
+        self.outgoing.in_flight.record_sent(self.number, deadline);
         let request = self.serialize_head(deadline, account, &body);
         let is_first = connection.is_new();
         let mut head = connection.send_request(request, body, method).await?;
         let mut hints = self.observe_hints(&head);
-        let mut evidence = self.observe_evidence(&head, is_first, deadline);
+        let mut evidence = self.observe_evidence(&head, connection, is_first, deadline);
         let mut skipped_responses = 0;
         let names = &self.shared.header_names;
         while self.outgoing.is_response_to_other(&head, names) {
@@ -264,7 +266,7 @@
             }
             head = connection.read_head(method).await?;
             hints = self.observe_hints(&head);
-            evidence = self.observe_evidence(&head, false, deadline);
+            evidence = self.observe_evidence(&head, connection, false, deadline);
         }
         // Only boxes state a result; callers and other boxes rely on it.
         head.headers.remove(RESULT_HEADER);
@@ -305,6 +307,7 @@
     fn observe_evidence(
         &self,
         head: &ResponseHead,
+        connection: &BackendConnection,
         is_first: bool,
         deadline: ServerDeadline,
     ) -> RunEvidence {
@@ -319,6 +322,14 @@
         if evidence == RunEvidence::Ordinary {
             return evidence;
         }
+        let arrival = connection.latest_arrival();
+        let refusal = RefusalTrace {
+            status: head.status,
+            arrival,
+            read_at: now,
+            evidence,
+        };
+        self.outgoing.in_flight.record_refusal(self.number, refusal);
         let server_left = deadline.remaining(now);
         let metrics = &self.shared.metrics;
         metrics.count_refusal_evidence(evidence, server_left);
@@ -330,7 +341,9 @@
             is_first,
             evidence = evidence.as_str(),
             server_timeout_ms = deadline.timeout_ms(),
-            held_ms = deadline.elapsed(now).as_millis() as u64,
+            held_ms = deadline.elapsed(arrival.at).as_millis() as u64,
+            read_after_ms = deadline.elapsed(now).as_millis() as u64,
+            round_trip_us = arrival.round_trip.as_micros() as u64,
             left_ms = self.remaining().as_millis() as u64,
             "attempt: a refusal."
         );
--- /dev/null
+++ b/crates/wingspur-edge/src/proxy/attempt_trace.rs
@@ -0,0 +1,112 @@
+//! What is logged of the attempts of a request in the line with its outcome.
+
+use std::fmt::Write;
+use std::time::Instant;
+
+use hyper::StatusCode;
+use wingspur_state::{AttemptEnd, AttemptNumber};
+use wingspur_transport::{ResponseArrival, RunEvidence, ServerDeadline};
+
+/// The attempts of one request, in the order in which they began.
+#[derive(Debug, Default)]
+pub struct AttemptTraces(Vec<AttemptTrace>);
+
+/// One attempt, as far as it has come.
+#[derive(Debug)]
+struct AttemptTrace {
+    /// Id of the server or of the relay.
+    target: String,
+    /// When the request was sent, and the time that the target was given.
+    sent: Option<ServerDeadline>,
+    refusal: Option<RefusalTrace>,
+    end: Option<AttemptEnd>,
+}
+
+/// A refusal as it was received, and what it proves.
+#[derive(Debug, Clone, Copy)]
+pub struct RefusalTrace {
+    /// The status.
+    pub status: StatusCode,
+    /// When it arrived.
+    pub arrival: ResponseArrival,
+    /// When it was read.
+    pub read_at: Instant,
+    /// What it proves about whether the request ran.
+    pub evidence: RunEvidence,
+}
+
+impl AttemptTraces {
+    /// Records that an attempt begins at the server, or at the relay, with this id.
+    /// Returns its number.
+    pub fn begin(&mut self, target: &str) -> AttemptNumber {
+        self.0.push(AttemptTrace {
+            target: target.to_owned(),
+            sent: None,
+            refusal: None,
+            end: None,
+        });
+        self.0.len() - 1
+    }
+
+    /// Records that the request is sent, with this deadline.
+    pub fn record_sent(&mut self, attempt: AttemptNumber, deadline: ServerDeadline) {
+        self.0[attempt].sent = Some(deadline);
+    }
+
+    /// Records that a refusal was read. The last one of an attempt counts.
+    pub fn record_refusal(&mut self, attempt: AttemptNumber, refusal: RefusalTrace) {
+        self.0[attempt].refusal = Some(refusal);
+    }
+
+    /// Records how an attempt ended.
+    pub fn record_end(&mut self, attempt: AttemptNumber, end: AttemptEnd) {
+        self.0[attempt].end = Some(end);
+    }
+
+    /// Describes all attempts as the value of one log field. Moments are in milliseconds
+    /// from when the request arrived.
+    pub fn text(&self, arrived: Instant) -> String {
+        let texts = self.0.iter().map(|attempt| attempt.text(arrived));
+        texts.collect::<Vec<_>>().join("; ")
+    }
+}
+
+impl AttemptTrace {
+    fn text(&self, arrived: Instant) -> String {
+        let ms = |at: Instant| at.saturating_duration_since(arrived).as_millis();
+        let mut text = self.target.clone();
+        // Writing to a string does not fail.
+        if let Some(deadline) = self.sent {
+            let (sent_ms, timeout_ms) = (ms(deadline.sent_at()), deadline.timeout_ms());
+            let _ = write!(text, " sent_ms={sent_ms} timeout_ms={timeout_ms}");
+        }
+        if let Some(refusal) = &self.refusal {
+            let RefusalTrace {
+                status,
+                arrival,
+                read_at,
+                evidence,
+            } = refusal;
+            let (received_ms, read_ms) = (ms(arrival.at), ms(*read_at));
+            let round_trip_us = arrival.round_trip.as_micros();
+            let _ = write!(
+                text,
+                " received_ms={received_ms} read_ms={read_ms} \
+                 round_trip_us={round_trip_us} status={} evidence={}",
+                status.as_u16(),
+                evidence.as_str()
+            );
+        }
+        if let (Some(deadline), Some(refusal)) = (self.sent, &self.refusal) {
+            let held_ms = deadline.elapsed(refusal.arrival.at).as_millis();
+            let _ = write!(text, " held_ms={held_ms}");
+        }
+        match self.end {
+            Some(end) => {
+                let _ = write!(text, " end={end:?}");
+            }
+            None => text.push_str(" end=none"),
+        }
+        text
+    }
+}
--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -367,10 +367,8 @@
         );
         self.tried_relays.push(relay.id.clone());
         let attempts_made = self.count_tried() as u8;
-        let number = self.attempts().begin(AttemptTarget::Relay);
         self.resends.sent += 1;
-        let in_flight = &self.outgoing.in_flight;
-        in_flight.record_attempt(&relay.id, self.outgoing.fingerprint);
+        let number = self.begin_attempt(AttemptTarget::Relay, &relay.id);
         let body = self.take_body();
         self.latest_attempt = None;
         let attempt = RelayedAttempt {
@@ -385,6 +383,11 @@
         self.run_attempt(number, attempt.run(body));
     }
 
+    fn begin_attempt(&self, target: AttemptTarget, id: &str) -> AttemptNumber {
+        let in_flight = &self.outgoing.in_flight;
+        in_flight.begin_attempt(target, id, self.outgoing.fingerprint)
+    }
+
     /// Runs an attempt, and records its end at the moment at which it ends.
     fn run_attempt(
         &mut self,
@@ -394,7 +397,7 @@
         let in_flight = self.outgoing.in_flight.clone();
         self.running_attempts.push(Box::pin(async move {
             let result = attempt.await;
-            in_flight.attempts().end(number, result.end());
+            in_flight.end_attempt(number, result.end());
             result
         }));
     }
@@ -418,14 +421,13 @@
         self.quarantine_permit = self.quarantine_permit.after_send();
         let connect_timeout = self.connect_timeout();
         let server = pick.server.key();
-        let number = self.attempts().begin(AttemptTarget::Server(server));
+        let target = AttemptTarget::Server(server);
+        let number = self.begin_attempt(target, &pick.server.id);
         self.avoided.push(server);
         self.resends.sent += 1;
         let id = self.outgoing.id.as_ref();
         let body_kind = self.body.as_ref().map_or("gone", SendBody::kind);
         log_pick(id, &pick, self.count_tried(), body_kind, self.remaining());
-        let in_flight = &self.outgoing.in_flight;
-        in_flight.record_attempt(&pick.server.id, self.outgoing.fingerprint);
         let body = self.take_body();
         self.latest_attempt = Some((wingspur_clock::now(), pick.clone()));
         let attempt = UpstreamAttempt {
--- a/crates/wingspur-edge/src/proxy/in_flight_requests.rs
+++ b/crates/wingspur-edge/src/proxy/in_flight_requests.rs
@@ -7,9 +7,13 @@
 use std::time::Instant;
 
 use wingspur_protocol::{ExecutionState, ResultCode};
-use wingspur_state::{AttemptLedger, AttemptNumber, RequestFingerprint};
+use wingspur_state::{
+    AttemptEnd, AttemptLedger, AttemptNumber, AttemptTarget, RequestFingerprint,
+};
+use wingspur_transport::ServerDeadline;
 
 use crate::locks::{LockRank, RankedMutex, RankedMutexGuard};
+use crate::proxy::attempt_trace::{AttemptTraces, RefusalTrace};
 
 /// All requests that were accepted and have not finished.
 #[derive(Debug)]
@@ -26,6 +30,7 @@
     requests: Arc<InFlightRequests>,
     number: u64,
     attempts: RankedMutex<AttemptLedger>,
+    attempt_traces: RankedMutex<AttemptTraces>,
     is_relayed: bool,
 }
 
@@ -91,6 +96,10 @@
             requests: self.clone(),
             number,
             attempts: RankedMutex::new(LockRank::Attempts, AttemptLedger::default()),
+            attempt_traces: RankedMutex::new(
+                LockRank::AttemptTraces,
+                AttemptTraces::default(),
+            ),
             is_relayed,
         })
     }
@@ -152,13 +161,29 @@
         self.change(|details| details.route = route.to_owned());
     }
 
-    /// Records that an attempt at a server, or at a relay, begins. Nothing was sent yet.
-    pub fn record_attempt(&self, server: &str, fingerprint: RequestFingerprint) {
+    /// Begins an attempt at the server, or at the relay, with this id. Nothing was sent
+    /// yet. Returns its number among the attempts of the request.
+    pub fn begin_attempt(
+        &self,
+        target: AttemptTarget,
+        server: &str,
+        fingerprint: RequestFingerprint,
+    ) -> AttemptNumber {
+        let number = self.attempts().begin(target);
+        let traced = self.attempt_traces.lock().begin(server);
+        debug_assert_eq!(number, traced, "each attempt has a trace");
         self.change(|details| {
             details.stage = RequestStage::Sent;
             details.fingerprint = Some(fingerprint);
             details.server = server.to_owned();
         });
+        number
+    }
+
+    /// Records how an attempt ended.
+    pub fn end_attempt(&self, attempt: AttemptNumber, end: AttemptEnd) {
+        self.attempts().end(attempt, end);
+        self.attempt_traces.lock().record_end(attempt, end);
     }
 
     /// Records that the response is being forwarded while it is received.
@@ -171,6 +196,22 @@
         self.attempts.lock()
     }
 
+    /// Records for the log that an attempt sends the request, with this deadline.
+    pub fn record_sent(&self, attempt: AttemptNumber, deadline: ServerDeadline) {
+        self.attempt_traces.lock().record_sent(attempt, deadline);
+    }
+
+    /// Records for the log that an attempt has received a refusal.
+    pub fn record_refusal(&self, attempt: AttemptNumber, refusal: RefusalTrace) {
+        self.attempt_traces.lock().record_refusal(attempt, refusal);
+    }
+
+    /// Describes all attempts as the value of one log field, for a request that arrived at
+    /// this moment.
+    pub fn attempts_text(&self, arrived: Instant) -> String {
+        self.attempt_traces.lock().text(arrived)
+    }
+
     /// Records that an attempt writes the request from now on. Returns false if it must
     /// not, because the request was already refused as not run.
     #[must_use]
--- a/crates/wingspur-edge/src/proxy/mod.rs
+++ b/crates/wingspur-edge/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod attempt_trace;
 pub mod error_response;
 pub mod forwarding;
 pub mod headers;
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -23,6 +23,7 @@
 use crate::proxy::attempt::{
     AttemptResult, FailedAttempt, LATE_RESPONSE_GRACE, MAX_BUFFERED_BYTES, release_unread,
 };
+use crate::proxy::attempt_trace::RefusalTrace;
 use crate::proxy::request_head::{UpstreamRequest, reuse_policy, serialize_head};
 use crate::proxy::response_body::{BodySource, StreamGuard};
 use crate::request_error::BufferedResponse;
@@ -115,6 +116,7 @@
         let message = self.message();
         let own_headers = [(RELAY_HEADER, message.as_str())];
         let deadline = self.outgoing.server_deadline(began + HOP_ALLOWANCE);
+        self.outgoing.in_flight.record_sent(self.number, deadline);
         let names = &self.shared.header_names;
         let request =
             serialize_head(&self.outgoing, names, deadline, &own_headers, &body);
@@ -131,7 +133,9 @@
         if !result.is_taken {
             return Ok(Received::Declined(head.status));
         }
-        match head.relayed_run_evidence() {
+        let evidence = head.relayed_run_evidence();
+        self.trace_refusal(&head, connection, evidence);
+        match evidence {
             RunEvidence::Ordinary => {}
             RunEvidence::NotRun => return Ok(Received::NotRun(head)),
             RunEvidence::Unproven(reason) => {
@@ -144,6 +148,24 @@
         }
     }
 
+    fn trace_refusal(
+        &self,
+        head: &ResponseHead,
+        connection: &BackendConnection,
+        evidence: RunEvidence,
+    ) {
+        if evidence == RunEvidence::Ordinary {
+            return;
+        }
+        let refusal = RefusalTrace {
+            status: head.status,
+            arrival: connection.latest_arrival(),
+            read_at: wingspur_clock::now(),
+            evidence,
+        };
+        self.outgoing.in_flight.record_refusal(self.number, refusal);
+    }
+
     fn record_load(&self, load: f32) {
         let mut directory = self.shared.relays.directory.lock();
         directory.record_load(&self.relay.id, load);
--- a/crates/wingspur-edge/src/proxy/request_log.rs
+++ b/crates/wingspur-edge/src/proxy/request_log.rs
@@ -143,6 +143,7 @@
             Some(_) => self.metrics.count_relayed("taken", "answered"),
             None => self.metrics.count_answer(service, status, took),
         }
+        let attempts = error.map(|_| self.in_flight.attempts_text(self.began));
         tracing::info!(
             id = self.id,
             fingerprint = self.fingerprint_text(),
@@ -154,6 +155,7 @@
             status = status.as_u16(),
             code,
             result,
+            attempts,
             retry_after_ms,
             from_box = self.from_box.as_deref(),
             took_ms = took.as_millis() as u64,
--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -16,7 +16,8 @@
     HeaderNames, OperationId, OperationOutcome, ResultCode, parse_load_hint,
 };
 use wingspur_state::{
-    AttemptEnd, AttemptOutcome, RetryDecision, Route, RouteClass, decide_retry,
+    AttemptEnd, AttemptNumber, AttemptOutcome, RetryDecision, Route, RouteClass,
+    decide_retry,
 };
 use wingspur_transport::{
     PooledConnection, RunEvidence, SendBody, SendFailure, ServerDeadline, UnprovenReason,
@@ -29,8 +30,8 @@
 use crate::entry_state::EntryState;
 use crate::response_body::{AttemptGuard, BodyTimeout, ResponseBody, UpstreamBody};
 use wingspur_edge::{
-    BodyLimits, check_framing, error_response, receive_body, shutdown_result,
-    strip_hop_by_hop,
+    AttemptTraces, BodyLimits, LockRank, RankedMutex, RefusalTrace, check_framing,
+    error_response, receive_body, shutdown_result, strip_hop_by_hop,
 };
 
 /// Answers callers' requests.
@@ -46,8 +47,26 @@
     route: usize,
     parts: Parts,
     deadline: Instant,
+    progress: Arc<RequestProgress>,
+}
+
+/// How far a request has come.
+struct RequestProgress {
+    arrived: Instant,
     /// Whether it was sent to a server, so that it may have run.
-    sent: Arc<AtomicBool>,
+    sent: AtomicBool,
+    attempts: RankedMutex<AttemptTraces>,
+}
+
+impl RequestProgress {
+    fn begin() -> Arc<Self> {
+        let traces = AttemptTraces::default();
+        Arc::new(Self {
+            arrived: wingspur_clock::now(),
+            sent: AtomicBool::new(false),
+            attempts: RankedMutex::new(LockRank::AttemptTraces, traces),
+        })
+    }
 }
 
 impl PendingRequest {
@@ -103,18 +122,20 @@
         from: SocketAddr,
     ) -> Response<ResponseBody> {
         let http1 = request.version() == Version::HTTP_11;
-        let sent = Arc::new(AtomicBool::new(false));
-        let answering = self.try_answer(request, from, sent.clone());
+        let id = request.headers().get(REQUEST_ID_HEADER).cloned();
+        let progress = RequestProgress::begin();
+        let answering = self.try_answer(request, from, progress.clone());
         let stopped = async {
             self.shared.stopping.drain_expired().await;
             // A request still in progress at the drain deadline gets an error response
             // before the box ends.
-            Err(shutdown_result(sent.load(Ordering::Acquire)))
+            Err(shutdown_result(progress.sent.load(Ordering::Acquire)))
         };
         let mut response = match answering.or(stopped).await {
             Ok(response) => response,
             Err(code) => {
                 self.shared.metrics.count_refusal(code);
+                log_refused(id.as_ref(), code, &progress);
                 error_response(code, None).map(ResponseBody::own)
             }
         };
@@ -131,9 +152,9 @@
         &self,
         request: Request<Incoming>,
         from: SocketAddr,
-        sent: Arc<AtomicBool>,
+        progress: Arc<RequestProgress>,
     ) -> Result<Response<ResponseBody>, ResultCode> {
-        let arrived = wingspur_clock::now();
+        let arrived = progress.arrived;
         let bundle = self.shared.active_bundle().ok_or(ResultCode::NotReady)?;
         let (parts, body) = request.into_parts();
         check_framing(&parts.headers)?;
@@ -160,7 +181,7 @@
             route: target.route,
             parts,
             deadline,
-            sent,
+            progress,
         };
         let limits = BodyLimits {
             max_bytes: self.shared.settings.max_body_bytes,
@@ -223,12 +244,16 @@
             let resendable = body.as_ref().and_then(SendBody::try_clone);
             let sent = body.take().unwrap_or(SendBody::empty());
             let attempt = AttemptGuard::begin(pending.handle.clone(), server);
+            let name = &pending.handle.service.servers[server].name;
+            let progress = &pending.progress;
+            let number = progress.attempts.lock().begin(name);
             tried.push(server);
-            pending.sent.store(true, Ordering::Release);
-            let failed = match self.send(pending, attempt, sent).await {
+            progress.sent.store(true, Ordering::Release);
+            let failed = match self.send(pending, number, attempt, sent).await {
                 Ok(head) => return Ok(head),
                 Err(failed) => failed,
             };
+            progress.attempts.lock().record_end(number, failed.end);
             may_have_run |= !failed.end.certainly_not_run();
             body = failed.unsent.or(resendable);
             if !self.may_retry(pending, failed.end, tried.len(), body.is_some()) {
@@ -248,10 +273,13 @@
     async fn send(
         &self,
         pending: &PendingRequest,
+        number: AttemptNumber,
         mut attempt: AttemptGuard,
         body: SendBody,
     ) -> Result<ResponseHead, FailedAttempt> {
         let deadline = ServerDeadline::new(wingspur_clock::now(), pending.remaining());
+        let attempts = &pending.progress.attempts;
+        attempts.lock().record_sent(number, deadline);
         let request = self.build_request(pending, body, deadline);
         let pool = pending.handle.pools[attempt.server].clone();
         let sending = async { Some(pool.send(request).await) };
@@ -282,7 +310,7 @@
             }
             Some(Ok((response, connection))) => {
                 let head = (response, connection, attempt);
-                self.handle_response_head(pending, head, deadline)
+                self.handle_response_head(pending, number, head, deadline)
             }
         }
     }
@@ -290,6 +318,7 @@
     fn handle_response_head(
         &self,
         pending: &PendingRequest,
+        number: AttemptNumber,
         (response, connection, mut attempt): ResponseHead,
         deadline: ServerDeadline,
     ) -> Result<ResponseHead, FailedAttempt> {
@@ -303,7 +332,7 @@
             ));
         }
         let status = response.status();
-        match self.observe_evidence(pending, status, deadline) {
+        match self.observe_evidence(pending, number, status, &connection, deadline) {
             RunEvidence::Ordinary => {}
             RunEvidence::NotRun => {
                 // The server sheds load or drains, which is no sign of a fault.
@@ -338,13 +367,24 @@
     fn observe_evidence(
         &self,
         pending: &PendingRequest,
+        number: AttemptNumber,
         status: StatusCode,
+        connection: &PooledConnection,
         deadline: ServerDeadline,
     ) -> RunEvidence {
         let declared = &pending.handle.service.retry.not_run_statuses;
         let now = wingspur_clock::now();
         let evidence = declared_run_evidence(status, declared, deadline, now);
         if evidence != RunEvidence::Ordinary {
+            let arrival = connection.latest_arrival();
+            let refusal = RefusalTrace {
+                status,
+                arrival,
+                read_at: now,
+                evidence,
+            };
+            let attempts = &pending.progress.attempts;
+            attempts.lock().record_refusal(number, refusal);
             let metrics = &self.shared.metrics;
             metrics.count_refusal_evidence(evidence, deadline.remaining(now));
             let id = pending.parts.headers.get(REQUEST_ID_HEADER);
@@ -354,7 +394,9 @@
                 status = status.as_u16(),
                 evidence = evidence.as_str(),
                 server_timeout_ms = deadline.timeout_ms(),
-                held_ms = deadline.elapsed(now).as_millis() as u64,
+                held_ms = deadline.elapsed(arrival.at).as_millis() as u64,
+                read_after_ms = deadline.elapsed(now).as_millis() as u64,
+                round_trip_us = arrival.round_trip.as_micros() as u64,
                 left_ms = pending.remaining().as_millis() as u64,
                 "proxy: a refusal."
             );
@@ -477,6 +519,20 @@
     }
 }
 
+/// Logs that a request gets a response of the box's own, and what has become of its
+/// attempts.
+fn log_refused(id: Option<&HeaderValue>, code: ResultCode, progress: &RequestProgress) {
+    tracing::info!(
+        id = id.and_then(|id| id.to_str().ok()),
+        status = code.status(),
+        code = code.number(),
+        result = code.name(),
+        attempts = progress.attempts.lock().text(progress.arrived),
+        took_ms = wingspur_clock::since(progress.arrived).as_millis() as u64,
+        "proxy: refused."
+    );
+}
+
 /// Returns whether a response has the id of another request than the one sent. Servers
 /// need not send the id, but if they do, it must be the request's.
 fn is_for_another_request(request: &HeaderMap, response: &HeaderMap) -> bool {
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -9,14 +9,14 @@
 use std::future::{Future, poll_fn};
 use std::io;
 use std::net::{Shutdown, SocketAddr};
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::task::Poll;
+use std::task::{Poll, ready};
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt};
 use http_body_util::BodyExt;
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
@@ -30,7 +30,7 @@
 use crate::response_head::{
     Framing, ParsedHead, framing_of, keep_alive_timeout, parse_head, unreadable,
 };
-use crate::{ResponseError, SendBody};
+use crate::{ResponseArrival, ResponseError, SendBody};
 
 /// The idle connections of this box to one backend server.
 #[derive(Debug)]
@@ -43,6 +43,8 @@
     /// How long the last connection took to be established, in microseconds; 0 before the
     /// first one.
     last_connect_us: AtomicU64,
+    /// How long the fastest connection took to be established, in microseconds.
+    fastest_connect_us: AtomicU64,
 }
 
 /// A connection in use for one request.
@@ -52,6 +54,10 @@
 #[derive(Debug)]
 pub struct BackendConnection {
     stream: FairStream<TcpStream>,
+    /// The shortest time to connect to this server so far.
+    connect_time: Duration,
+    /// When the last part of the current request was sent; `None` while it is being sent.
+    request_sent_at: Option<Instant>,
     path_fault: InjectedPathFault,
     /// What is buffered of responses counts here.
     buffers: Arc<BufferBudget>,
@@ -167,6 +173,7 @@
             idle: Mutex::default(),
             opened: AtomicUsize::new(0),
             last_connect_us: AtomicU64::new(0),
+            fastest_connect_us: AtomicU64::new(u64::MAX),
         }
     }
 
@@ -213,9 +220,18 @@
         limited.map_err(ConnectError::Refused)?;
         let took_us = wingspur_clock::since(started).as_micros().max(1) as u64;
         self.last_connect_us.store(took_us, Ordering::Relaxed);
+        let fastest_us = self
+            .fastest_connect_us
+            .fetch_min(took_us, Ordering::Relaxed);
         self.opened.fetch_add(1, Ordering::Relaxed);
         let (path_fault, buffers) = (self.path_fault.clone(), self.buffers.clone());
-        Ok(BackendConnection::new(stream, path_fault, buffers))
+        let connect_time = Duration::from_micros(fastest_us.min(took_us));
+        Ok(BackendConnection::new(
+            stream,
+            connect_time,
+            path_fault,
+            buffers,
+        ))
     }
 
     /// Keeps a connection for the next request if its response was read completely and it
@@ -291,11 +307,14 @@
 impl BackendConnection {
     fn new(
         stream: TcpStream,
+        connect_time: Duration,
         path_fault: InjectedPathFault,
         buffers: Arc<BufferBudget>,
     ) -> Self {
         Self {
             stream: FairStream::new(stream),
+            connect_time,
+            request_sent_at: None,
             path_fault,
             buffers,
             buffer: BytesMut::new(),
@@ -319,6 +338,7 @@
         method: &Method,
     ) -> Result<ResponseHead, ResponseError> {
         self.is_new = false;
+        self.request_sent_at = None;
         let writer = self.stream.get_ref().clone();
         let mut sending = pin!(send(writer, head, body));
         let (sent, head_result) = {
@@ -332,7 +352,7 @@
                         error @ (ResponseError::NotSent(_) | ResponseError::RequestBody),
                     ) = ended
                     {
-                        return Poll::Ready((Some(Ok(())), Err(error)));
+                        return Poll::Ready((None, Err(error)));
                     }
                     // A server that refuses a request early may close its side. Its
                     // response shows the cause then, not the send error.
@@ -345,10 +365,22 @@
             })
             .await
         };
-        self.reusable &= matches!(sent, Some(Ok(())));
+        self.reusable &= matches!(sent, Some(Ok(_)));
+        self.request_sent_at = sent.and_then(Result::ok);
         head_result
     }
 
+    /// Returns when the last part of the current request was sent; `None` if its response
+    /// arrived before that.
+    pub fn request_sent_at(&self) -> Option<Instant> {
+        self.request_sent_at
+    }
+
+    /// Returns when the data that was received last arrived.
+    pub fn latest_arrival(&self) -> ResponseArrival {
+        ResponseArrival::latest(self.stream.get_ref(), self.connect_time)
+    }
+
     /// Reads the head of the next response and skips interim (1xx) responses.
     pub async fn read_head(
         &mut self,
@@ -623,11 +655,12 @@
     }
 }
 
+/// Sends a request, and returns when its last part was sent, or a moment before that.
 async fn send(
     mut stream: TcpStream,
     head: Vec<u8>,
     body: SendBody,
-) -> Result<(), ResponseError> {
+) -> Result<Instant, ResponseError> {
     match body {
         SendBody::Buffered(None) => write_first(&mut stream, &head).await,
         SendBody::Buffered(Some(bytes)) if bytes.len() <= MAX_JOINED_BYTES => {
@@ -637,34 +670,63 @@
         }
         SendBody::Buffered(Some(bytes)) => {
             write_first(&mut stream, &head).await?;
-            let written = stream.write_all(&bytes).await;
+            let written = write_all(&mut stream, &bytes).await;
             written.map_err(ResponseError::Broken)
         }
         streamed @ SendBody::Stream(_) => {
             let chunked = hyper::body::Body::size_hint(&streamed).exact().is_none();
-            write_first(&mut stream, &head).await?;
-            send_stream(stream, streamed, chunked).await
+            let head_sent_at = write_first(&mut stream, &head).await?;
+            send_stream(stream, streamed, chunked, head_sent_at).await
         }
     }
 }
 
 /// Writes the first bytes of a request. Fails with `ResponseError::NotSent` if not even
 /// one of them could be written.
-async fn write_first(stream: &mut TcpStream, bytes: &[u8]) -> Result<(), ResponseError> {
+async fn write_first(
+    stream: &mut TcpStream,
+    bytes: &[u8],
+) -> Result<Instant, ResponseError> {
+    let began = wingspur_clock::now();
     let written = match stream.write(bytes).await {
         Ok(0) => Err(io::ErrorKind::WriteZero.into()),
         written => written,
     };
     let written = written.map_err(ResponseError::NotSent)?;
-    let rest = stream.write_all(&bytes[written..]).await;
+    if written == bytes.len() {
+        return Ok(began);
+    }
+    let rest = write_all(stream, &bytes[written..]).await;
     rest.map_err(ResponseError::Broken)
 }
 
+/// Writes all bytes, and returns when the last write was tried that took some.
+async fn write_all(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<Instant> {
+    let mut remaining = bytes;
+    poll_fn(|context| {
+        loop {
+            let tried_at = wingspur_clock::now();
+            let writing = Pin::new(&mut *stream).poll_write(context, remaining);
+            let written = ready!(writing)?;
+            remaining = &remaining[written..];
+            if remaining.is_empty() {
+                return Poll::Ready(Ok(tried_at));
+            }
+            if written == 0 {
+                return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
+            }
+        }
+    })
+    .await
+}
+
+/// Sends a body as it arrives. `sent_at` is when the head was sent.
 async fn send_stream(
     mut stream: TcpStream,
     mut body: SendBody,
     chunked: bool,
-) -> Result<(), ResponseError> {
+    mut sent_at: Instant,
+) -> Result<Instant, ResponseError> {
     let broken = ResponseError::Broken;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ResponseError::RequestBody)?;
@@ -676,17 +738,20 @@
         }
         if chunked {
             let size = format!("{:x}\r\n", data.len());
-            stream.write_all(size.as_bytes()).await.map_err(broken)?;
+            write_all(&mut stream, size.as_bytes())
+                .await
+                .map_err(broken)?;
         }
-        stream.write_all(&data).await.map_err(broken)?;
+        sent_at = write_all(&mut stream, &data).await.map_err(broken)?;
         if chunked {
-            stream.write_all(b"\r\n").await.map_err(broken)?;
+            sent_at = write_all(&mut stream, b"\r\n").await.map_err(broken)?;
         }
     }
     if chunked {
-        stream.write_all(b"0\r\n\r\n").await.map_err(broken)?;
+        let end = write_all(&mut stream, b"0\r\n\r\n").await;
+        sent_at = end.map_err(broken)?;
     }
-    Ok(())
+    Ok(sent_at)
 }
 
 fn unexpected_end() -> ResponseError {
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -14,6 +14,7 @@
 mod path_fault;
 mod pool;
 mod publish;
+mod response_arrival;
 mod response_error;
 mod response_head;
 mod run_evidence;
@@ -51,6 +52,7 @@
     PublishError, Published, accept_bundle, assemble_bundle, load_bundle, load_pointer,
     submit_bundle,
 };
+pub use response_arrival::ResponseArrival;
 pub use response_error::ResponseError;
 pub use run_evidence::{RunEvidence, SentRequest, UnprovenReason, declared_run_evidence};
 pub use send_window::SendWindow;
--- a/crates/wingspur-transport/src/pool.rs
+++ b/crates/wingspur-transport/src/pool.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
@@ -14,7 +14,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::fair_stream::FairStream;
-use crate::{SendBody, Spawner};
+use crate::{ResponseArrival, SendBody, Spawner};
 
 /// The connections of this box to one backend server.
 #[derive(Debug)]
@@ -23,11 +23,13 @@
     spawner: Spawner,
     idle: Mutex<Vec<IdleConnection>>,
     opened: AtomicUsize,
+    /// How long the fastest connection took to be established, in microseconds.
+    fastest_connect_us: AtomicU64,
 }
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<SendBody>,
+    connection: PooledConnection,
     since: Instant,
 }
 
@@ -38,6 +40,16 @@
 #[derive(Debug)]
 pub struct PooledConnection {
     sender: SendRequest<SendBody>,
+    stream: TcpStream,
+    /// The shortest time to connect to this server so far.
+    connect_time: Duration,
+}
+
+impl PooledConnection {
+    /// Returns when the data that was received last arrived.
+    pub fn latest_arrival(&self) -> ResponseArrival {
+        ResponseArrival::latest(&self.stream, self.connect_time)
+    }
 }
 
 /// Why a request got no response.
@@ -65,6 +77,7 @@
             spawner,
             idle: Mutex::default(),
             opened: AtomicUsize::new(0),
+            fastest_connect_us: AtomicU64::new(u64::MAX),
         }
     }
 
@@ -77,8 +90,8 @@
         let mut request = request;
         // The server may have closed an idle connection in the meantime. hyper then
         // returns the request unsent, and it is sent on the next connection.
-        while let Some(sender) = self.take_idle() {
-            match send_on(sender, request).await {
+        while let Some(connection) = self.take_idle() {
+            match send_on(connection, request).await {
                 Err(SendFailure::NotSent {
                     request: unsent, ..
                 }) => request = *unsent,
@@ -86,7 +99,7 @@
             }
         }
         match self.connect().await {
-            Ok(sender) => send_on(sender, request).await,
+            Ok(connection) => send_on(connection, request).await,
             Err(reason) => {
                 let request = Box::new(request);
                 Err(SendFailure::NotSent { request, reason })
@@ -96,10 +109,8 @@
 
     /// Returns a connection to the pool after its response was read completely.
     pub fn release(&self, connection: PooledConnection) {
-        let idle = IdleConnection {
-            sender: connection.sender,
-            since: wingspur_clock::now(),
-        };
+        let since = wingspur_clock::now();
+        let idle = IdleConnection { connection, since };
         self.idle.lock().expect("no holder panics").push(idle);
     }
 
@@ -108,18 +119,18 @@
     pub async fn keep_warm(&self, count: usize, now: Instant) {
         let missing = {
             let mut idle = self.idle.lock().expect("no holder panics");
-            let is_reusable = |connection: &IdleConnection| {
-                now.saturating_duration_since(connection.since) < MAX_IDLE
-                    && !connection.sender.is_closed()
+            let is_reusable = |idle: &IdleConnection| {
+                now.saturating_duration_since(idle.since) < MAX_IDLE
+                    && !idle.connection.sender.is_closed()
             };
             idle.retain(is_reusable);
             count.saturating_sub(idle.len())
         };
         for _ in 0..missing {
-            let Ok(sender) = self.connect().await else {
+            let Ok(connection) = self.connect().await else {
                 return;
             };
-            self.release(PooledConnection { sender });
+            self.release(connection);
         }
     }
 
@@ -130,16 +141,17 @@
 
     /// Takes the connection that was used last of those that are ready for a request. One
     /// that was released just now may be ready only later, and stays in the pool.
-    fn take_idle(&self) -> Option<SendRequest<SendBody>> {
+    fn take_idle(&self) -> Option<PooledConnection> {
         let mut idle = self.idle.lock().expect("no holder panics");
-        idle.retain(|connection| !connection.sender.is_closed());
+        idle.retain(|idle| !idle.connection.sender.is_closed());
         let position = idle
             .iter()
-            .rposition(|connection| connection.sender.is_ready())?;
-        Some(idle.remove(position).sender)
+            .rposition(|idle| idle.connection.sender.is_ready())?;
+        Some(idle.remove(position).connection)
     }
 
-    async fn connect(&self) -> Result<SendRequest<SendBody>, String> {
+    async fn connect(&self) -> Result<PooledConnection, String> {
+        let started = wingspur_clock::now();
         let connecting = async { TcpStream::connect(self.address).await };
         let expired = async {
             wingspur_clock::sleep(CONNECT_TIMEOUT).await;
@@ -152,7 +164,11 @@
         stream
             .set_nodelay(true)
             .map_err(|error| error.to_string())?;
-        let io = FuturesIo::new(FairStream::new(stream));
+        let took_us = wingspur_clock::since(started).as_micros() as u64;
+        let fastest_us = self
+            .fastest_connect_us
+            .fetch_min(took_us, Ordering::Relaxed);
+        let io = FuturesIo::new(FairStream::new(stream.clone()));
         let mut builder = hyper::client::conn::http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let handshake = builder.handshake(io);
@@ -162,16 +178,20 @@
             // The request on a failed connection gets the error.
             let _ = connection.await;
         });
-        Ok(sender)
+        Ok(PooledConnection {
+            sender,
+            stream,
+            connect_time: Duration::from_micros(fastest_us.min(took_us)),
+        })
     }
 }
 
 async fn send_on(
-    mut sender: SendRequest<SendBody>,
+    mut connection: PooledConnection,
     request: Request<SendBody>,
 ) -> Result<(Response<Incoming>, PooledConnection), SendFailure> {
-    match sender.try_send_request(request).await {
-        Ok(response) => Ok((response, PooledConnection { sender })),
+    match connection.sender.try_send_request(request).await {
+        Ok(response) => Ok((response, connection)),
         Err(mut error) => match error.take_message() {
             Some(request) => {
                 let reason = error.into_error().to_string();
--- a/crates/wingspur-transport/src/server_deadline.rs
+++ b/crates/wingspur-transport/src/server_deadline.rs
@@ -19,14 +19,19 @@
         Self { sent, timeout }
     }
 
+    /// Returns when the request was sent.
+    pub fn sent_at(self) -> Instant {
+        self.sent
+    }
+
     /// Returns the time that the server is given, in milliseconds.
     pub fn timeout_ms(self) -> u64 {
         self.timeout.as_millis() as u64
     }
 
-    /// Returns how long ago the request was sent.
-    pub fn elapsed(self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.sent)
+    /// Returns the time from when the request was sent until a moment.
+    pub fn elapsed(self, until: Instant) -> Duration {
+        until.saturating_duration_since(self.sent)
     }
 
     /// Returns the time that is left to the server.
