Tests: a refusal after a wait is no promise (known red)

What callers saw: 503 for requests that ran (rule REFUSED), if their server decides a refusal after the request has waited, where one of its workers may start it. The refusal is believed, whatever time is left: four tests fail on this code. Directly and through a relay, with empty, chunked and streamed bodies, both servers refuse after 300 ms, or 100 ms ahead of the deadline, what they run: told 503, run twice where it could be sent again. Over own sources told 503. The walk over all orders of events (attempt_ledger) has servers with a queue, from which one part refuses and another runs, judged by the real rule: a promise for a request that ran; an eleventh mutant believes such refusals. What was a server that times out there is one of its cases.

--- a/tests/src/backend_server.rs
+++ b/tests/src/backend_server.rs
@@ -32,6 +32,8 @@
     Refused,
     /// The same at the deadline that the server was given, and it runs at that moment.
     RefusedAtDeadline,
+    /// The same after it has waited for this long, and it runs at that moment.
+    RefusedAfter(Duration),
     /// The request is refused with 503 without that header, so it may have run.
     Unmarked,
     /// The request is refused with 421, as for another instance of the server.
@@ -145,10 +147,12 @@
             stream,
             &complete_response(id, "500 Internal Server Error", extra, "failed"),
         ),
-        Reply::Refused | Reply::RefusedAtDeadline => {
-            if reply == Reply::RefusedAtDeadline {
-                std::thread::sleep(time_given(head));
-            }
+        Reply::Refused | Reply::RefusedAtDeadline | Reply::RefusedAfter(_) => {
+            std::thread::sleep(match reply {
+                Reply::RefusedAtDeadline => time_given(head),
+                Reply::RefusedAfter(wait) => wait,
+                _ => Duration::ZERO,
+            });
             let mark = format!("x-wingspur-not-executed: 1\r\n{extra}");
             write(
                 stream,
--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -291,6 +291,21 @@
     });
 }
 
+/// A declared refusal that the server decides where one of its workers may have started
+/// the request.
+#[test]
+fn declared_refusal_after_a_wait_is_no_promise() {
+    let server = listen(|_, out| {
+        std::thread::sleep(Duration::from_millis(300));
+        out.write_all(b"HTTP/1.1 503 Status\r\ncontent-length: 2\r\n\r\nno")
+            .is_ok()
+    });
+    with_box(server, |caller| {
+        let answer = raw_call(caller, GET);
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    });
+}
+
 /// A late copy of a refusal must not be read as the response to the next attempt.
 #[test]
 fn refused_attempt_leaves_its_connection_to_no_other() {
--- a/tests/tests/attempt_ledger.rs
+++ b/tests/tests/attempt_ledger.rs
@@ -2,10 +2,15 @@
 //! promise that a request did not run with a model of the servers.
 
 use std::collections::HashSet;
+use std::time::{Duration, Instant};
 
+use hyper::StatusCode;
 use wingspur_state::{AttemptEnd, AttemptLedger, AttemptTarget};
+use wingspur_transport::{RunEvidence, ServerDeadline, declared_run_evidence};
 
 const MAX_ATTEMPTS: usize = 3;
+/// The time that a server is given.
+const SERVER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// An error that the box makes on purpose, to show that the walk finds it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,9 +36,11 @@
     DoubtsFailedConnections,
     /// A refusal at the server's deadline is recorded as a proof.
     BelievesLateRefusals,
+    /// A refusal out of the server's queue is recorded as a proof.
+    BelievesWaitingServers,
 }
 
-const MUTANTS: [Mutant; 10] = [
+const MUTANTS: [Mutant; 11] = [
     Mutant::ForgetsSending,
     Mutant::WritesBeforeRecording,
     Mutant::WritesAfterPromise,
@@ -44,6 +51,7 @@
     Mutant::WithholdsRefusals,
     Mutant::DoubtsFailedConnections,
     Mutant::BelievesLateRefusals,
+    Mutant::BelievesWaitingServers,
 ];
 
 /// What has become of an attempt, as nobody sees it whole.
@@ -68,15 +76,51 @@
 }
 
 /// What a server, or the server behind a relay, does with the request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+struct Server {
+    /// Whether the request is in its queue, where a worker may take it.
+    has_queued: bool,
+    has_run: bool,
+    response: Option<Response>,
+}
+
+/// What a server has sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum Server {
-    Unseen,
-    Ran,
-    Refused,
-    /// Refused at its deadline. A worker may still have taken the request.
-    TimedOut,
-    /// Refused at its deadline, and run.
-    TimedOutAndRan,
+enum Response {
+    /// The outcome of the request.
+    Outcome,
+    /// A refusal that was decided before the request was in the queue.
+    RefusedOnArrival,
+    /// A refusal of what is in the queue, with time left.
+    RefusedAfterWait,
+    /// A refusal of what is in the queue, at the deadline.
+    RefusedAtDeadline,
+}
+
+impl Response {
+    /// Returns how long after the request was sent the response is received.
+    fn delay(self) -> Duration {
+        match self {
+            Self::RefusedOnArrival => Duration::from_millis(1),
+            Self::Outcome | Self::RefusedAfterWait => SERVER_TIMEOUT / 2,
+            Self::RefusedAtDeadline => SERVER_TIMEOUT,
+        }
+    }
+
+    /// Returns how an attempt with this response ends by the rules of the box.
+    fn attempt_end(self) -> AttemptEnd {
+        if self == Self::Outcome {
+            return AttemptEnd::Answered;
+        }
+        let sent = Instant::now();
+        let deadline = ServerDeadline::new(sent, SERVER_TIMEOUT);
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let received = sent + self.delay();
+        match declared_run_evidence(status, &[status.as_u16()], deadline, received) {
+            RunEvidence::NotRun => AttemptEnd::RefusedBeforeRunning,
+            _ => AttemptEnd::InDoubt,
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,11 +131,10 @@
     SecondStep(usize),
     /// The connection fails at the write, which takes no byte.
     WriteTakesNothing(usize),
+    ServerQueues(usize),
+    /// A worker takes the request, also one that another part of the server refuses.
     ServerRuns(usize),
-    ServerRefuses(usize),
-    ServerTimesOut(usize),
-    ReadRefusal(usize),
-    ReadLateRefusal(usize),
+    ServerResponds(usize, Response),
     ReadResponse(usize),
     /// The connection is lost, or the deadline passes.
     Lost(usize),
@@ -125,12 +168,8 @@
             events.extend([server, AttemptTarget::Relay].map(Event::Begin));
         }
         for (n, attempt) in self.attempts.iter().enumerate() {
-            if attempt.is_written && attempt.server == Server::Unseen {
-                events.extend([Event::ServerRuns(n), Event::ServerRefuses(n)]);
-                events.push(Event::ServerTimesOut(n));
-            }
-            if attempt.server == Server::TimedOut {
-                events.push(Event::ServerRuns(n));
+            if attempt.is_written {
+                events.extend(attempt.server.events(n));
             }
             match attempt.stage {
                 Stage::Connecting => {
@@ -143,14 +182,8 @@
                 }
                 Stage::Waiting => {
                     events.extend([Event::Lost(n), Event::Dropped(n)]);
-                    events.extend(match attempt.server {
-                        Server::Unseen => None,
-                        Server::Ran => Some(Event::ReadResponse(n)),
-                        Server::Refused => Some(Event::ReadRefusal(n)),
-                        Server::TimedOut | Server::TimedOutAndRan => {
-                            Some(Event::ReadLateRefusal(n))
-                        }
-                    });
+                    let response = attempt.server.response;
+                    events.extend(response.map(|_| Event::ReadResponse(n)));
                 }
                 Stage::Over => {}
             }
@@ -165,7 +198,7 @@
                 self.ledger.begin(target);
                 self.attempts.push(Attempt {
                     stage: Stage::Connecting,
-                    server: Server::Unseen,
+                    server: Server::default(),
                     refusal_read: false,
                     is_written: false,
                 });
@@ -195,34 +228,17 @@
                 self.attempts[n].is_written = false;
                 self.end(n, AttemptEnd::NotSent);
             }
-            Event::ServerRuns(n) => {
-                let server = &mut self.attempts[n].server;
-                *server = match server {
-                    Server::TimedOut => Server::TimedOutAndRan,
-                    _ => Server::Ran,
-                };
+            Event::ServerQueues(n) => self.attempts[n].server.has_queued = true,
+            Event::ServerRuns(n) => self.attempts[n].server.has_run = true,
+            Event::ServerResponds(n, response) => {
+                self.attempts[n].server.response = Some(response);
             }
-            Event::ServerRefuses(n) => self.attempts[n].server = Server::Refused,
-            Event::ServerTimesOut(n) => self.attempts[n].server = Server::TimedOut,
-            Event::ReadLateRefusal(n) => self.end(
-                n,
-                match mutant {
-                    Mutant::BelievesLateRefusals => AttemptEnd::RefusedBeforeRunning,
-                    _ => AttemptEnd::InDoubt,
-                },
-            ),
-            Event::ReadRefusal(n) => {
-                self.attempts[n].refusal_read = true;
-                let end = match mutant {
-                    Mutant::WithholdsRefusals => AttemptEnd::InDoubt,
-                    _ => AttemptEnd::RefusedBeforeRunning,
+            Event::ReadResponse(n) => {
+                let Some(response) = self.attempts[n].server.response else {
+                    return None;
                 };
-                self.end(n, end);
-                if mutant == Mutant::ConfusesAttempts {
-                    self.ledger.end(n.saturating_sub(1), end);
-                }
+                self.read(n, response, mutant);
             }
-            Event::ReadResponse(n) => self.end(n, AttemptEnd::Answered),
             Event::Lost(n) => self.end(
                 n,
                 match mutant {
@@ -238,12 +254,28 @@
             }
             Event::Refuse => return self.refuse(mutant),
         }
-        let has_run = self.attempts.iter().any(|attempt| {
-            matches!(attempt.server, Server::Ran | Server::TimedOutAndRan)
-        });
+        let has_run = self.attempts.iter().any(|attempt| attempt.server.has_run);
         (self.is_promised && has_run).then_some("a promise for a request that ran")
     }
 
+    fn read(&mut self, n: usize, response: Response, mutant: Mutant) {
+        use Response::*;
+        let is_true_refusal = response == RefusedOnArrival;
+        self.attempts[n].refusal_read |= is_true_refusal;
+        let end = match (mutant, response) {
+            (Mutant::BelievesLateRefusals, RefusedAtDeadline)
+            | (Mutant::BelievesWaitingServers, RefusedAfterWait) => {
+                AttemptEnd::RefusedBeforeRunning
+            }
+            (Mutant::WithholdsRefusals, RefusedOnArrival) => AttemptEnd::InDoubt,
+            (_, response) => response.attempt_end(),
+        };
+        self.end(n, end);
+        if mutant == Mutant::ConfusesAttempts && is_true_refusal {
+            self.ledger.end(n.saturating_sub(1), end);
+        }
+    }
+
     fn record_sending(&mut self, n: usize, mutant: Mutant) {
         if mutant == Mutant::ForgetsSending {
             return;
@@ -269,6 +301,30 @@
     }
 }
 
+impl Server {
+    /// Returns what the server may do next with the request of an attempt.
+    fn events(self, n: usize) -> Vec<Event> {
+        let mut events = Vec::new();
+        if self == Self::default() {
+            events.push(Event::ServerQueues(n));
+            events.push(Event::ServerResponds(n, Response::RefusedOnArrival));
+        }
+        if !self.has_queued {
+            return events;
+        }
+        if !self.has_run {
+            events.push(Event::ServerRuns(n));
+        }
+        if self.response.is_none() {
+            let refusals = [Response::RefusedAfterWait, Response::RefusedAtDeadline];
+            let outcome = self.has_run.then_some(Response::Outcome);
+            let responses = refusals.into_iter().chain(outcome);
+            events.extend(responses.map(|response| Event::ServerResponds(n, response)));
+        }
+        events
+    }
+}
+
 /// Whether the box can know that an attempt has not run and will not.
 fn is_not_run(attempt: &Attempt) -> bool {
     let may_write = attempt.stage == Stage::HalfSent;
--- a/tests/tests/refusal_evidence.rs
+++ b/tests/tests/refusal_evidence.rs
@@ -283,7 +283,28 @@
 /// The timer of the server refuses what one of its workers starts in the same moment.
 #[test]
 fn refusal_at_the_deadline_is_no_promise() {
-    let fleet = Fleet::start(SHORT_TIMEOUT_MS);
+    assert_run_once_and_told(&[504], SHORT_TIMEOUT_MS, Reply::RefusedAtDeadline);
+}
+
+/// The server sheds from its queue what one of its workers starts in the same moment.
+#[test]
+fn refusal_after_a_wait_is_no_promise() {
+    let wait = Duration::from_millis(300);
+    assert_run_once_and_told(&[502], AMPLE_TIMEOUT_MS, Reply::RefusedAfter(wait));
+}
+
+/// The deadline passes earlier by the server's count than by the box's.
+#[test]
+fn refusal_ahead_of_the_deadline_is_no_promise() {
+    let wait = Duration::from_millis(SHORT_TIMEOUT_MS - 100);
+    // The machine may stand still until the deadline.
+    assert_run_once_and_told(&[502, 504], SHORT_TIMEOUT_MS, Reply::RefusedAfter(wait));
+}
+
+/// Checks what callers are told of requests that run once although they are refused, with
+/// bodies of every kind, directly and through a relay.
+fn assert_run_once_and_told(statuses: &[u16], timeout_ms: u64, reply: Reply) {
+    let fleet = Fleet::start(timeout_ms);
     let streamed = streamed_body();
     let bodies = [
         ("empty", NO_BODY),
@@ -291,9 +312,9 @@
         ("streamed", &streamed),
     ];
     for (name, body) in bodies {
-        let reply = Reply::RefusedAtDeadline;
         for outcome in fleet.outcomes_with_body(name, reply, body) {
-            assert!(outcome.status == 504 && outcome.ran == 1, "{outcome:?}");
+            let is_right = statuses.contains(&outcome.status) && outcome.ran == 1;
+            assert!(is_right, "{name}: {outcome:?}");
         }
     }
     fleet.close();
