Refusals: only one that comes as the request arrives proves that it did not run

Cause: a refusal that a server decides after a request has waited was believed, whatever time was left. In such a process two parts decide at once: one refuses what a worker takes from the queue in the same moment. Until now only the last 10 ms of the server's time were in doubt, so a server whose deadline is earlier than the box thinks, or one that sheds its queue, was believed.

Change: a 408, 429 or 5xx refusal is a proof only if it arrived within max_prompt_delay_ms (10) and a round trip after the head or the last byte of the request was sent (RefusalTiming). A later one is delayed: 502 with code 3005, no resend of a once-only request. When it arrived is the kernel's word, so that a box that stands still withholds nothing. 429 was a proof whenever it came. Over own sources the operator can declare that refusals are atomic.

Why it works: what was refused before it could wait cannot be in a worker's hands; nothing else about a server's time is believed. Left: a server that starts within milliseconds of a request's arrival what it refuses as soon.

Tests: refusal_counts_only_before_the_deadline... asserted that a 429 is a proof at any time; 429 is in the stricter list now, and 413 beside 400 and 421 in the other. Boxes of tests on other matters get 60 s, since how fast stand-in servers answer on a busy machine is not theirs. declared_run_evidence takes what the operator has declared as one value.

--- a/crates/wingspur-bench/src/fleet.rs
+++ b/crates/wingspur-bench/src/fleet.rs
@@ -409,6 +409,8 @@
             },
             retry: RetryRules {
                 not_run_statuses: vec![503],
+                // The servers take a request out of their queue before they refuse it.
+                atomic_refusals: true,
                 ..RetryRules::default()
             },
             servers: started.iter().enumerate().map(server).collect(),
--- a/crates/wingspur-edge/src/operation/metrics.rs
+++ b/crates/wingspur-edge/src/operation/metrics.rs
@@ -10,7 +10,7 @@
 };
 use wingspur_protocol::ResultCode;
 use wingspur_state::{Priority, RetryReason, StopReason, SuspectEvent, UrgencyDecision};
-use wingspur_transport::{BufferBudget, HttpClientTotals, RunEvidence};
+use wingspur_transport::{BufferBudget, HttpClientTotals, RefusalTiming, RunEvidence};
 
 use crate::quotas::quarantine_state::SendPermission;
 
@@ -87,6 +87,9 @@
     server_hints: IntCounterVec,
     /// Responses of servers that claim that a request did not run, by what they prove.
     refusal_evidence: IntCounterVec,
+    /// How long after their request such responses arrived, in seconds, by what they
+    /// prove.
+    refusal_delay: HistogramVec,
     /// The time that such servers had left until the deadline that they were given, in
     /// seconds, by what the responses prove.
     refusal_time_left: HistogramVec,
@@ -327,6 +330,11 @@
                 "Responses of servers that claim a request did not run, by their evidence.",
                 &["evidence"],
             ),
+            refusal_delay: histogram(
+                "wingspur_refusal_delay_seconds",
+                "Time from a request until its refusal arrived, by evidence.",
+                "evidence",
+            ),
             refusal_time_left: histogram(
                 "wingspur_refusal_time_left_seconds",
                 "Time left until the server's deadline when it refused, by evidence.",
@@ -419,13 +427,14 @@
         self.server_hints.with_label_values(&[hint]).inc();
     }
 
-    /// Counts a response of a server that claims that a request did not run, and that had
-    /// this much time left until the deadline that it was given.
-    pub fn count_refusal_evidence(&self, evidence: RunEvidence, time_left: Duration) {
+    /// Counts a response of a server that claims that a request did not run.
+    pub fn count_refusal_evidence(&self, evidence: RunEvidence, timing: &RefusalTiming) {
         let labels = [evidence.as_str()];
         self.refusal_evidence.with_label_values(&labels).inc();
-        let seconds = self.refusal_time_left.with_label_values(&labels);
-        seconds.observe(time_left.as_secs_f64());
+        let delays = self.refusal_delay.with_label_values(&labels);
+        delays.observe(timing.delay().as_secs_f64());
+        let times_left = self.refusal_time_left.with_label_values(&labels);
+        times_left.observe(timing.server_left().as_secs_f64());
     }
 
     /// Counts a message of a peer that was refused.
--- a/crates/wingspur-edge/src/operation/settings.rs
+++ b/crates/wingspur-edge/src/operation/settings.rs
@@ -76,6 +76,11 @@
     /// resent.
     #[serde(default = "default_kept_body_bytes")]
     pub kept_body_bytes: u64,
+    /// How long a backend server may take, besides the round trip, to refuse a request as
+    /// it arrives, in milliseconds. A refusal that comes later does not prove that the
+    /// request did not run: it may have waited where a worker of the server takes it.
+    #[serde(default = "default_max_prompt_delay_ms")]
+    pub max_prompt_delay_ms: u64,
     /// Whether the less urgent requests of a service that is over its capacity are
     /// refused.
     #[serde(default)]
@@ -245,6 +250,11 @@
         (self.memory_mb << 20) as usize / 4
     }
 
+    /// Returns how long a backend server may take to refuse a request as it arrives.
+    pub fn max_prompt_delay(&self) -> Duration {
+        Duration::from_millis(self.max_prompt_delay_ms)
+    }
+
     /// Returns how long the load balancer may still send requests after a stop began. It
     /// is at most half of the time that the stop may take, so that the last requests can
     /// still be answered.
@@ -461,6 +471,7 @@
     optional("worker_threads", Kind::Number(1, 256)),
     optional("max_body_bytes", Kind::Number(0, u64::MAX)),
     optional("kept_body_bytes", Kind::Number(0, 16 << 20)),
+    optional("max_prompt_delay_ms", Kind::Number(0, 600_000)),
     optional("admission_by_urgency", Kind::Flag),
     optional(
         "drain",
@@ -655,6 +666,10 @@
     64 << 20
 }
 
+fn default_max_prompt_delay_ms() -> u64 {
+    10
+}
+
 fn default_kept_body_bytes() -> u64 {
     64 << 10
 }
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -14,8 +14,8 @@
     Pick, RequestFingerprint, ServerRecord,
 };
 use wingspur_transport::{
-    BackendConnection, BackendConnections, ConnectError, ResponseError, ResponseHead,
-    RunEvidence, SendBody, SentRequest, ServerDeadline, UnprovenReason,
+    BackendConnection, BackendConnections, ConnectError, RefusalTiming, ResponseError,
+    ResponseHead, RunEvidence, SendBody, SentRequest, ServerDeadline, UnprovenReason,
 };
 
 use crate::catalog::active_bundle::ActiveRoute;
@@ -196,7 +196,7 @@
             Received::Complete(response) => {
                 self.evaluate(response, connection, guard, began)
             }
-            Received::Refused(status, hints, end) => {
+            Received::Refused(status, hints, unproven) => {
                 // A refusal by a server that has set a rate limit says nothing about its
                 // health: the limit already tells how much it accepts.
                 let at_limit = hints.limit_per_s != Ok(None);
@@ -206,18 +206,18 @@
                     HealthOutcome::Refused
                 });
                 release_unread(&self.shared, guard.backend.clone(), connection);
-                let code = match end {
-                    AttemptEnd::RefusedBeforeRunning => ResultCode::NotSent,
-                    _ => ResultCode::DeadlineAfterSend,
-                };
-                self.failure(end, code, &status)
+                match unproven {
+                    None => {
+                        let end = AttemptEnd::RefusedBeforeRunning;
+                        self.failure(end, ResultCode::NotSent, &status)
+                    }
+                    Some(reason) => self.unproven(status, reason),
+                }
             }
             Received::Unproven(status, reason) => {
                 guard.end(HealthOutcome::Failed);
                 release_unread(&self.shared, guard.backend.clone(), connection);
-                let code = ResultCode::ConnectionLostAfterSend;
-                let text = format!("{status}, {}", reason.as_str());
-                self.failure(AttemptEnd::InDoubt, code, &text)
+                self.unproven(status, reason)
             }
             Received::Beginning { head, first } => {
                 guard.record_response_started();
@@ -275,11 +275,10 @@
             // Nothing is awaited between the proof and its use: the deadline or a stop
             // would take its place.
             RunEvidence::NotRun => {
-                let end = AttemptEnd::RefusedBeforeRunning;
-                return Ok(Received::Refused(head.status, hints, end));
+                return Ok(Received::Refused(head.status, hints, None));
             }
-            RunEvidence::Unproven(UnprovenReason::AtDeadline) => {
-                return Ok(Received::Refused(head.status, hints, AttemptEnd::InDoubt));
+            RunEvidence::Unproven(reason) if reason.is_refusal() => {
+                return Ok(Received::Refused(head.status, hints, Some(reason)));
             }
             RunEvidence::Unproven(reason) => {
                 if reason == UnprovenReason::Unnamed {
@@ -311,18 +310,20 @@
         is_first: bool,
         deadline: ServerDeadline,
     ) -> RunEvidence {
-        let id = self.outgoing.id.as_ref();
-        let sent = SentRequest {
-            id,
-            is_first,
-            deadline,
-        };
-        let now = wingspur_clock::now();
-        let evidence = head.run_evidence(&self.shared.header_names, sent, now);
-        if evidence == RunEvidence::Ordinary {
-            return evidence;
+        let names = &self.shared.header_names;
+        if !head.claims_refusal(names) {
+            return RunEvidence::Ordinary;
         }
         let arrival = connection.latest_arrival();
+        let now = wingspur_clock::now();
+        let timing = RefusalTiming {
+            deadline,
+            request_sent_at: connection.request_sent_at(),
+            arrival,
+            max_prompt_delay: self.shared.settings().max_prompt_delay(),
+        };
+        let id = self.outgoing.id.as_ref();
+        let evidence = head.run_evidence(names, SentRequest { id, is_first }, timing);
         let refusal = RefusalTrace {
             status: head.status,
             arrival,
@@ -330,9 +331,8 @@
             evidence,
         };
         self.outgoing.in_flight.record_refusal(self.number, refusal);
-        let server_left = deadline.remaining(now);
         let metrics = &self.shared.metrics;
-        metrics.count_refusal_evidence(evidence, server_left);
+        metrics.count_refusal_evidence(evidence, &timing);
         tracing::info!(
             id = id_text(id),
             server = %self.pick.server.id,
@@ -434,6 +434,13 @@
         Ok(())
     }
 
+    /// Returns the failure of an attempt with a refusal that does not prove that the
+    /// request did not run.
+    fn unproven(&self, status: StatusCode, reason: UnprovenReason) -> AttemptResult {
+        let text = format!("{status}, {}", reason.as_str());
+        self.failure(AttemptEnd::InDoubt, reason.result_code(), &text)
+    }
+
     fn failure(
         &self,
         end: AttemptEnd,
@@ -537,9 +544,11 @@
 enum Received {
     /// All of it.
     Complete(BufferedResponse),
-    /// The head of a refusal of this request, and how the attempt ends by it.
-    Refused(StatusCode, ServerHints, AttemptEnd),
-    /// The head of a refusal that proves nothing.
+    /// The head of a refusal of this request, and why it does not prove that the request
+    /// did not run, if it does not.
+    Refused(StatusCode, ServerHints, Option<UnprovenReason>),
+    /// The head of a response that is no valid refusal of this request, although callers
+    /// would take it for one.
     Unproven(StatusCode, UnprovenReason),
     /// The beginning of a response that is too long to buffer.
     Beginning { head: ResponseHead, first: Bytes },
--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -13,15 +13,16 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Uri, Version};
 use wingspur_protocol::{
-    HeaderNames, OperationId, OperationOutcome, ResultCode, parse_load_hint,
+    ExecutionState, HeaderNames, OperationId, OperationOutcome, ResultCode,
+    parse_load_hint,
 };
 use wingspur_state::{
     AttemptEnd, AttemptNumber, AttemptOutcome, RetryDecision, Route, RouteClass,
     decide_retry,
 };
 use wingspur_transport::{
-    PooledConnection, RunEvidence, SendBody, SendFailure, ServerDeadline, UnprovenReason,
-    declared_run_evidence,
+    DeclaredRefusals, PooledConnection, RefusalTiming, RunEvidence, SendBody,
+    SendFailure, ServerDeadline, declared_run_evidence,
 };
 
 use crate::active_bundle::ServiceHandle;
@@ -340,18 +341,14 @@
                 let end = AttemptEnd::RefusedBeforeRunning;
                 return Err(FailedAttempt::new(end, ResultCode::NotSent));
             }
-            RunEvidence::Unproven(UnprovenReason::AtDeadline) => {
-                attempt.finish(AttemptOutcome::Abandoned);
-                let (end, code) = (AttemptEnd::InDoubt, ResultCode::DeadlineAfterSend);
+            RunEvidence::Unproven(reason) => {
+                attempt.finish(match reason.is_refusal() {
+                    true => AttemptOutcome::Abandoned,
+                    false => AttemptOutcome::Failed,
+                });
+                let (end, code) = (AttemptEnd::InDoubt, reason.result_code());
                 return Err(FailedAttempt::new(end, code));
             }
-            RunEvidence::Unproven(_) => {
-                attempt.finish(AttemptOutcome::Failed);
-                return Err(FailedAttempt::new(
-                    AttemptEnd::InDoubt,
-                    ResultCode::ConnectionLostAfterSend,
-                ));
-            }
         }
         if status.is_server_error() {
             attempt.record_head(AttemptOutcome::Failed);
@@ -372,35 +369,50 @@
         connection: &PooledConnection,
         deadline: ServerDeadline,
     ) -> RunEvidence {
-        let declared = &pending.handle.service.retry.not_run_statuses;
+        if !status.is_client_error() && !status.is_server_error() {
+            return RunEvidence::Ordinary;
+        }
+        let rules = &pending.handle.service.retry;
+        let declared = DeclaredRefusals {
+            statuses: &rules.not_run_statuses,
+            are_atomic: rules.atomic_refusals,
+        };
+        let arrival = connection.latest_arrival();
         let now = wingspur_clock::now();
-        let evidence = declared_run_evidence(status, declared, deadline, now);
-        if evidence != RunEvidence::Ordinary {
-            let arrival = connection.latest_arrival();
-            let refusal = RefusalTrace {
-                status,
-                arrival,
-                read_at: now,
-                evidence,
-            };
-            let attempts = &pending.progress.attempts;
-            attempts.lock().record_refusal(number, refusal);
-            let metrics = &self.shared.metrics;
-            metrics.count_refusal_evidence(evidence, deadline.remaining(now));
-            let id = pending.parts.headers.get(REQUEST_ID_HEADER);
-            tracing::info!(
-                id = id.and_then(|id| id.to_str().ok()),
-                service = pending.handle.service.name,
-                status = status.as_u16(),
-                evidence = evidence.as_str(),
-                server_timeout_ms = deadline.timeout_ms(),
-                held_ms = deadline.elapsed(arrival.at).as_millis() as u64,
-                read_after_ms = deadline.elapsed(now).as_millis() as u64,
-                round_trip_us = arrival.round_trip.as_micros() as u64,
-                left_ms = pending.remaining().as_millis() as u64,
-                "proxy: a refusal."
-            );
+        let timing = RefusalTiming {
+            deadline,
+            request_sent_at: Some(connection.sent_at()),
+            arrival,
+            max_prompt_delay: self.shared.settings.max_prompt_delay(),
+        };
+        let evidence = declared_run_evidence(status, declared, timing);
+        if evidence == RunEvidence::Ordinary {
+            return evidence;
         }
+        let refusal = RefusalTrace {
+            status,
+            arrival,
+            read_at: now,
+            evidence,
+        };
+        let attempts = &pending.progress.attempts;
+        attempts.lock().record_refusal(number, refusal);
+        self.shared
+            .metrics
+            .count_refusal_evidence(evidence, &timing);
+        let id = pending.parts.headers.get(REQUEST_ID_HEADER);
+        tracing::info!(
+            id = id.and_then(|id| id.to_str().ok()),
+            service = pending.handle.service.name,
+            status = status.as_u16(),
+            evidence = evidence.as_str(),
+            server_timeout_ms = deadline.timeout_ms(),
+            held_ms = timing.delay().as_millis() as u64,
+            read_after_ms = deadline.elapsed(now).as_millis() as u64,
+            round_trip_us = arrival.round_trip.as_micros() as u64,
+            left_ms = pending.remaining().as_millis() as u64,
+            "proxy: a refusal."
+        );
         evidence
     }
 
@@ -544,9 +556,7 @@
 /// attempt may have run, no later attempt changes the result to *not run*.
 fn final_failure(code: ResultCode, may_have_run: bool) -> (ResultCode, bool) {
     match code {
-        ResultCode::DeadlineAfterSend | ResultCode::ConnectionLostAfterSend => {
-            (code, false)
-        }
+        code if code.run_state() == ExecutionState::Unknown => (code, false),
         ResultCode::DeadlineBeforeSend if may_have_run => {
             (ResultCode::DeadlineAfterSend, false)
         }
--- a/crates/wingspur-protocol/src/result_code.rs
+++ b/crates/wingspur-protocol/src/result_code.rs
@@ -43,6 +43,8 @@
     DeadlineAfterSend,
     /// The connection failed after the request was sent.
     ConnectionLostAfterSend,
+    /// A server has refused the request, but only after it may have waited in its queue.
+    DelayedRefusal,
     /// The once-only claim could not be recorded.
     ClaimUnavailable,
     /// The once-only request is running.
@@ -77,7 +79,7 @@
 
 impl ResultCode {
     /// All codes, in the order of their numbers.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 26] = [
         Self::NoRoute,
         Self::MethodNotAllowed,
         Self::TooLarge,
@@ -96,6 +98,7 @@
         Self::NotSent,
         Self::DeadlineAfterSend,
         Self::ConnectionLostAfterSend,
+        Self::DelayedRefusal,
         Self::ClaimUnavailable,
         Self::InProgress,
         Self::AlreadyRun,
@@ -131,6 +134,7 @@
             Self::NotSent => 3002,
             Self::DeadlineAfterSend => 3003,
             Self::ConnectionLostAfterSend => 3004,
+            Self::DelayedRefusal => 3005,
             Self::ClaimUnavailable => 4001,
             Self::InProgress => 4002,
             Self::AlreadyRun => 4003,
@@ -156,7 +160,7 @@
             Self::DeadlineBeforeSend | Self::NotReady | Self::CatalogStale => 503,
             // Callers may rely on a 503 to mean that the request did not run.
             Self::NotSent => 503,
-            Self::ConnectionLostAfterSend => 502,
+            Self::ConnectionLostAfterSend | Self::DelayedRefusal => 502,
             Self::DeadlineAfterSend => 504,
             Self::InProgress | Self::AlreadyRun | Self::OutcomeUnknown => 409,
             Self::KeyTooOld => 410,
@@ -184,6 +188,7 @@
             Self::NotSent => "not_sent",
             Self::DeadlineAfterSend => "deadline_in_doubt",
             Self::ConnectionLostAfterSend => "in_doubt",
+            Self::DelayedRefusal => "delayed_refusal",
             Self::ClaimUnavailable => "claim_unavailable",
             Self::InProgress => "in_progress",
             Self::AlreadyRun => "already_run",
@@ -197,9 +202,9 @@
     /// Returns whether the request ran, as far as the code states it.
     pub fn run_state(self) -> ExecutionState {
         match self {
-            Self::DeadlineAfterSend | Self::ConnectionLostAfterSend => {
-                ExecutionState::Unknown
-            }
+            Self::DeadlineAfterSend
+            | Self::ConnectionLostAfterSend
+            | Self::DelayedRefusal => ExecutionState::Unknown,
             Self::InProgress | Self::OutcomeUnknown | Self::KeyTooOld => {
                 ExecutionState::Unknown
             }
--- a/crates/wingspur-state/src/bundle.rs
+++ b/crates/wingspur-state/src/bundle.rs
@@ -217,6 +217,11 @@
     pub budget_percent: u8,
     /// Statuses by which a server declares that it did not run the request.
     pub not_run_statuses: Vec<u16>,
+    /// Whether the servers refuse requests so that no worker can run what is refused,
+    /// however long it has waited. Otherwise only a refusal on arrival proves that the
+    /// request did not run.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub atomic_refusals: bool,
 }
 
 impl Default for RetryRules {
@@ -225,6 +230,7 @@
             retries: 2,
             budget_percent: 10,
             not_run_statuses: Vec::new(),
+            atomic_refusals: false,
         }
     }
 }
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -14,6 +14,7 @@
 mod path_fault;
 mod pool;
 mod publish;
+mod refusal_timing;
 mod response_arrival;
 mod response_error;
 mod response_head;
@@ -52,9 +53,12 @@
     PublishError, Published, accept_bundle, assemble_bundle, load_bundle, load_pointer,
     submit_bundle,
 };
+pub use refusal_timing::RefusalTiming;
 pub use response_arrival::ResponseArrival;
 pub use response_error::ResponseError;
-pub use run_evidence::{RunEvidence, SentRequest, UnprovenReason, declared_run_evidence};
+pub use run_evidence::{
+    DeclaredRefusals, RunEvidence, SentRequest, UnprovenReason, declared_run_evidence,
+};
 pub use send_window::SendWindow;
 pub use server_deadline::ServerDeadline;
 pub use store::{
--- a/crates/wingspur-transport/src/pool.rs
+++ b/crates/wingspur-transport/src/pool.rs
@@ -43,9 +43,16 @@
     stream: TcpStream,
     /// The shortest time to connect to this server so far.
     connect_time: Duration,
+    /// When the current request was handed to the connection.
+    sent_at: Instant,
 }
 
 impl PooledConnection {
+    /// Returns when the sending of the current request began.
+    pub fn sent_at(&self) -> Instant {
+        self.sent_at
+    }
+
     /// Returns when the data that was received last arrived.
     pub fn latest_arrival(&self) -> ResponseArrival {
         ResponseArrival::latest(&self.stream, self.connect_time)
@@ -164,7 +171,8 @@
         stream
             .set_nodelay(true)
             .map_err(|error| error.to_string())?;
-        let took_us = wingspur_clock::since(started).as_micros() as u64;
+        let connected = wingspur_clock::now();
+        let took_us = connected.saturating_duration_since(started).as_micros() as u64;
         let fastest_us = self
             .fastest_connect_us
             .fetch_min(took_us, Ordering::Relaxed);
@@ -182,6 +190,7 @@
             sender,
             stream,
             connect_time: Duration::from_micros(fastest_us.min(took_us)),
+            sent_at: connected,
         })
     }
 }
@@ -190,6 +199,7 @@
     mut connection: PooledConnection,
     request: Request<SendBody>,
 ) -> Result<(Response<Incoming>, PooledConnection), SendFailure> {
+    connection.sent_at = wingspur_clock::now();
     match connection.sender.try_send_request(request).await {
         Ok(response) => Ok((response, connection)),
         Err(mut error) => match error.take_message() {
--- a/crates/wingspur-transport/src/response_arrival.rs
+++ b/crates/wingspur-transport/src/response_arrival.rs
@@ -12,7 +12,8 @@
     /// When the data that was received last arrived. It may have arrived earlier, but for
     /// a tick of the kernel, which is up to 10 ms.
     pub at: Instant,
-    /// The time in which a packet reaches the server and is acknowledged.
+    /// The shortest time so far in which a packet has reached the server and an answer to
+    /// it has come back.
     pub round_trip: Duration,
 }
 
@@ -20,8 +21,8 @@
     /// Returns when the data that was received last on a connection arrived.
     ///
     /// The kernel knows it, however late this box gets to read. Where the kernel does not
-    /// tell, it is now, and the round trip is `connect_time`, how long it takes to connect
-    /// to the server.
+    /// tell, it is now. `connect_time` is the shortest time to connect to the server so
+    /// far.
     pub fn latest(stream: &TcpStream, connect_time: Duration) -> Self {
         let info = tcp_info(stream);
         // After the kernel was asked: a pause in between makes the arrival later, never
@@ -36,7 +37,7 @@
         });
         Self {
             at: now.checked_sub(since_received).unwrap_or(now),
-            round_trip: round_trip.unwrap_or(connect_time),
+            round_trip: round_trip.map_or(connect_time, |trip| trip.min(connect_time)),
         }
     }
 }
--- a/crates/wingspur-transport/src/run_evidence.rs
+++ b/crates/wingspur-transport/src/run_evidence.rs
@@ -1,12 +1,10 @@
 //! Decides whether the head of a server's response proves that the request did not run.
 
-use std::time::Instant;
-
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use wingspur_protocol::{ExecutionState, HeaderNames, RESULT_HEADER, ResultCode};
 
-use crate::{ResponseHead, ServerDeadline};
+use crate::{RefusalTiming, ResponseHead};
 
 /// What the head of a response says about whether the request ran.
 ///
@@ -36,6 +34,9 @@
     /// The server may have refused the request because its deadline had passed. A worker
     /// of the server may have taken the request from the queue in the same moment.
     AtDeadline,
+    /// The refusal came so late that the request may have waited in the server's queue,
+    /// where a worker may have taken it in the same moment.
+    Delayed,
 }
 
 /// A request as it was sent on a connection.
@@ -46,8 +47,16 @@
     /// Whether it is the first one on its connection, so that no response on it can
     /// belong to an earlier request.
     pub is_first: bool,
-    /// The deadline that the server was given.
-    pub deadline: ServerDeadline,
+}
+
+/// What the operator has declared about the refusals of a service's servers.
+#[derive(Debug, Clone, Copy)]
+pub struct DeclaredRefusals<'a> {
+    /// The statuses by which the servers refuse requests before running them.
+    pub statuses: &'a [u16],
+    /// Whether a request that is refused can be run by no worker, however long it has
+    /// waited.
+    pub are_atomic: bool,
 }
 
 impl RunEvidence {
@@ -61,17 +70,18 @@
     }
 }
 
-/// Decides what a status, received at this moment from a server with this deadline, says
-/// about whether the request ran, where the operator has declared by which statuses the
-/// servers refuse requests before running them.
+/// Decides what a status says about whether the request ran, where the operator has
+/// declared how the servers refuse requests.
 pub fn declared_run_evidence(
     status: StatusCode,
-    declared: &[u16],
-    deadline: ServerDeadline,
-    received: Instant,
+    declared: DeclaredRefusals<'_>,
+    timing: RefusalTiming,
 ) -> RunEvidence {
-    if declared.contains(&status.as_u16()) {
-        refusal_evidence(status, deadline, received)
+    if declared.statuses.contains(&status.as_u16()) {
+        match declared.are_atomic {
+            true => RunEvidence::NotRun,
+            false => refusal_evidence(status, timing),
+        }
     } else if promises_not_run(status) {
         RunEvidence::Unproven(UnprovenReason::Unmarked)
     } else {
@@ -80,18 +90,20 @@
 }
 
 impl ResponseHead {
-    /// Decides what this head, received in response to a request at this moment, says
-    /// about whether the request ran.
+    /// Whether the server, or the status, states that the request did not run.
+    pub fn claims_refusal(&self, names: &HeaderNames) -> bool {
+        self.is_marked(names) || promises_not_run(self.status)
+    }
+
+    /// Decides what this head, received in response to a request, says about whether the
+    /// request ran.
     pub fn run_evidence(
         &self,
         names: &HeaderNames,
         request: SentRequest<'_>,
-        received: Instant,
+        timing: RefusalTiming,
     ) -> RunEvidence {
-        let is_marked = names
-            .not_executed
-            .is_some_and(|name| self.headers.contains_key(name));
-        if !is_marked && !promises_not_run(self.status) {
+        if !self.claims_refusal(names) {
             return RunEvidence::Ordinary;
         }
         if !self.names_request(names, request) {
@@ -102,8 +114,8 @@
         let is_other_server = self.status == StatusCode::MISDIRECTED_REQUEST
             && names.expected_server_id.is_some();
         let is_error = self.status.is_client_error() || self.status.is_server_error();
-        match (is_marked || is_other_server, is_error) {
-            (true, true) => refusal_evidence(self.status, request.deadline, received),
+        match (self.is_marked(names) || is_other_server, is_error) {
+            (true, true) => refusal_evidence(self.status, timing),
             (true, false) => RunEvidence::Unproven(UnprovenReason::Contradictory),
             (false, _) => RunEvidence::Unproven(UnprovenReason::Unmarked),
         }
@@ -129,6 +141,12 @@
         ResultCode::from_number(number.parse().ok()?)
     }
 
+    /// Whether the server states in a header that it has not run the request.
+    fn is_marked(&self, names: &HeaderNames) -> bool {
+        let mark = names.not_executed;
+        mark.is_some_and(|name| self.headers.contains_key(name))
+    }
+
     /// Returns whether the response names the request. A response to a request without an
     /// id cannot, so it must be the first on its connection.
     fn names_request(&self, names: &HeaderNames, request: SentRequest<'_>) -> bool {
@@ -142,21 +160,24 @@
 
 /// Decides what a server's statement proves that it has refused a request before running
 /// it.
-fn refusal_evidence(
-    status: StatusCode,
-    deadline: ServerDeadline,
-    received: Instant,
-) -> RunEvidence {
-    match may_be_due_to_deadline(status) && deadline.may_have_passed(received) {
-        true => RunEvidence::Unproven(UnprovenReason::AtDeadline),
-        false => RunEvidence::NotRun,
+fn refusal_evidence(status: StatusCode, timing: RefusalTiming) -> RunEvidence {
+    if !may_be_decided_late(status) {
+        RunEvidence::NotRun
+    } else if timing.may_be_due_to_deadline() {
+        RunEvidence::Unproven(UnprovenReason::AtDeadline)
+    } else if timing.is_prompt() {
+        RunEvidence::NotRun
+    } else {
+        RunEvidence::Unproven(UnprovenReason::Delayed)
     }
 }
 
-/// Whether a server may refuse with this status what has waited too long. Other client
-/// errors are about the request itself, and are found when it arrives.
-fn may_be_due_to_deadline(status: StatusCode) -> bool {
-    status.is_server_error() || status == StatusCode::REQUEST_TIMEOUT
+/// Whether a server may refuse with this status what has waited. Other client errors are
+/// about the request itself, and are found in its head.
+fn may_be_decided_late(status: StatusCode) -> bool {
+    status.is_server_error()
+        || status == StatusCode::REQUEST_TIMEOUT
+        || status == StatusCode::TOO_MANY_REQUESTS
 }
 
 /// Whether callers take a status to mean that the request did not run and never will.
@@ -178,6 +199,24 @@
             Self::Unnamed => "unnamed",
             Self::Contradictory => "contradictory",
             Self::AtDeadline => "at_deadline",
+            Self::Delayed => "delayed",
+        }
+    }
+
+    /// Whether the server did refuse this request, so that the response is no sign of a
+    /// fault.
+    pub fn is_refusal(self) -> bool {
+        matches!(self, Self::AtDeadline | Self::Delayed)
+    }
+
+    /// Returns the result code for the caller of a request that is not sent again.
+    pub fn result_code(self) -> ResultCode {
+        match self {
+            Self::AtDeadline => ResultCode::DeadlineAfterSend,
+            Self::Delayed => ResultCode::DelayedRefusal,
+            Self::Unmarked | Self::Unnamed | Self::Contradictory => {
+                ResultCode::ConnectionLostAfterSend
+            }
         }
     }
 }
--- a/tests/soak/src/boxes.rs
+++ b/tests/soak/src/boxes.rs
@@ -29,6 +29,8 @@
     pub kill_after_s: Option<f64>,
     /// Retry budget in the settings of the box.
     pub budget: Budget,
+    /// How long a server may take to refuse on arrival; `None` for the box's default.
+    pub max_prompt_delay_ms: Option<u64>,
 }
 
 /// One box, whether its process is running or not.
@@ -75,6 +77,9 @@
         if let Some(kill_after_s) = spec.kill_after_s {
             settings["drain"]["kill_after_s"] = json!(kill_after_s);
         }
+        if let Some(max_prompt_delay_ms) = spec.max_prompt_delay_ms {
+            settings["max_prompt_delay_ms"] = json!(max_prompt_delay_ms);
+        }
         let created = Self {
             caller_address,
             operator_address,
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -75,6 +75,10 @@
     /// slots of each server there, if not those of the deployment
     #[argh(option)]
     slots: Option<usize>,
+    /// how many milliseconds a server may take to refuse on arrival, if not the default of
+    /// the boxes; also with `--refusals`
+    #[argh(option)]
+    max_prompt_delay_ms: Option<u64>,
     /// let boxes there run a fifth of the time, 20 ms at once
     #[argh(switch)]
     sliced: bool,
@@ -121,7 +125,7 @@
         return ExitCode::from(2);
     }
     if args.refusals {
-        return match play_refusals(args.program) {
+        return match play_refusals(args.program, args.max_prompt_delay_ms) {
             true => ExitCode::SUCCESS,
             false => ExitCode::FAILURE,
         };
@@ -173,6 +177,7 @@
         early: Duration::from_millis(args.early_ms),
         pauses_per_second: args.pauses,
         slices_boxes: args.sliced,
+        max_prompt_delay_ms: args.max_prompt_delay_ms,
         span: Duration::from_secs(args.seconds),
     };
     let held: Vec<bool> = seeds
--- a/tests/soak/src/planned/play/box_work.rs
+++ b/tests/soak/src/planned/play/box_work.rs
@@ -148,6 +148,7 @@
             cpu_share: shares.get(index).copied().unwrap_or(1.0),
             kill_after_s: Some(KILL_AFTER.as_secs_f64()),
             budget: BUDGET,
+            max_prompt_delay_ms: None,
         };
         let address = self.store.address;
         let process = SoakBox::new(&spec, &self.setup.program, address, self.folder);
--- a/tests/soak/src/refusals.rs
+++ b/tests/soak/src/refusals.rs
@@ -50,11 +50,11 @@
 
 /// Sends each shape over each path. Prints a line for each case and returns whether all
 /// promises held.
-pub fn play_refusals(program: PathBuf) -> bool {
+pub fn play_refusals(program: PathBuf, max_prompt_delay_ms: Option<u64>) -> bool {
     let folder = std::env::temp_dir().join(format!("refusals-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("the folder for logs can be made");
     println!("logs: {}", folder.display());
-    let mut stage = Stage::start(&program, &folder);
+    let mut stage = Stage::start(&program, &folder, max_prompt_delay_ms);
     let mut broken = 0;
     for path in [Path::Direct, Path::Relayed, Path::Stopping, Path::Suspended] {
         stage.prepare(path);
@@ -174,7 +174,11 @@
 }
 
 impl Stage {
-    fn start(program: &std::path::Path, folder: &std::path::Path) -> Self {
+    fn start(
+        program: &std::path::Path,
+        folder: &std::path::Path,
+        max_prompt_delay_ms: Option<u64>,
+    ) -> Self {
         let store = PlatformStore::start(500);
         let reply = Arc::new(Mutex::new(Reply::Complete));
         let servers: Vec<_> = (0..SERVERS)
@@ -190,6 +194,7 @@
                 cpu_share: 1.0,
                 kill_after_s: None,
                 budget: RETRY_BUDGET,
+                max_prompt_delay_ms,
             };
             SoakBox::new(&spec, program, store.address, folder)
         };
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -142,6 +142,7 @@
                     cpu_share: 1.0,
                     kill_after_s: None,
                     budget: RETRY_BUDGET,
+                    max_prompt_delay_ms: None,
                 };
                 SoakBox::new(&spec, &setup.program, store.address, folder)
             })
--- a/tests/soak/src/site/play.rs
+++ b/tests/soak/src/site/play.rs
@@ -49,6 +49,8 @@
     pub early: Duration,
     /// How often processes stand still.
     pub pauses_per_second: f64,
+    /// How long a server may take to refuse on arrival; `None` for the boxes' default.
+    pub max_prompt_delay_ms: Option<u64>,
     /// Whether boxes run a fifth of the time.
     pub slices_boxes: bool,
 }
@@ -148,6 +150,7 @@
                 cpu_share: 0.2,
                 kill_after_s: Some(KILL_AFTER.as_secs_f64()),
                 budget: setup.budget(),
+                max_prompt_delay_ms: setup.max_prompt_delay_ms,
             };
             SoakBox::new(&spec, &setup.program, store.address, folder)
         });
--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -76,8 +76,14 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
-/// Runs a test with one box in front of one raw server.
+/// Runs a test with one box in front of one raw server, whose refusals are declared to be
+/// atomic.
 fn with_box(server: SocketAddr, test: impl FnOnce(SocketAddr)) {
+    with_box_of(server, true, test);
+}
+
+/// Runs a test with one box in front of one raw server.
+fn with_box_of(server: SocketAddr, atomic_refusals: bool, test: impl FnOnce(SocketAddr)) {
     let workers = Workers::start(2);
     smol::block_on(async {
         let spawner = workers.spawner();
@@ -87,6 +93,7 @@
                 let pages = &mut bundle.services[0];
                 pages.servers.truncate(1);
                 pages.servers[0].address = server;
+                pages.retry.atomic_refusals = atomic_refusals;
             })
             .await
             .unwrap();
@@ -282,10 +289,9 @@
     let server = listen(|head, out| {
         let given_ms: u64 = head.headers["wingspur-deadline-ms"].parse().unwrap();
         std::thread::sleep(Duration::from_millis(given_ms.saturating_sub(5)));
-        out.write_all(b"HTTP/1.1 503 Status\r\ncontent-length: 2\r\n\r\nno")
-            .is_ok()
+        out.write_all(DECLARED_REFUSAL).is_ok()
     });
-    with_box(server, |caller| {
+    with_box_of(server, false, |caller| {
         let answer = raw_call(caller, GET);
         assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
     });
@@ -295,21 +301,37 @@
 /// the request.
 #[test]
 fn declared_refusal_after_a_wait_is_no_promise() {
-    let server = listen(|_, out| {
-        std::thread::sleep(Duration::from_millis(300));
-        out.write_all(b"HTTP/1.1 503 Status\r\ncontent-length: 2\r\n\r\nno")
-            .is_ok()
-    });
-    with_box(server, |caller| {
+    let server = refuses_after_a_wait();
+    with_box_of(server, false, |caller| {
         let answer = raw_call(caller, GET);
         assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+        assert!(answer.contains("wingspur-result: 3005"), "{answer}");
     });
 }
 
+#[test]
+fn refusal_that_is_declared_atomic_is_a_promise_after_a_wait() {
+    with_box_of(refuses_after_a_wait(), true, |caller| {
+        let answer = raw_call(caller, GET);
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("wingspur-result: 3002"), "{answer}");
+    });
+}
+
+/// Starts a server that refuses each request after it has waited.
+fn refuses_after_a_wait() -> SocketAddr {
+    listen(|_, out| {
+        std::thread::sleep(Duration::from_millis(300));
+        out.write_all(DECLARED_REFUSAL).is_ok()
+    })
+}
+
+/// The bundle declares 503.
+const DECLARED_REFUSAL: &[u8] = b"HTTP/1.1 503 Status\r\ncontent-length: 2\r\n\r\nno";
+
 /// A late copy of a refusal must not be read as the response to the next attempt.
 #[test]
 fn refused_attempt_leaves_its_connection_to_no_other() {
-    const REFUSAL: &[u8] = b"HTTP/1.1 503 Status\r\ncontent-length: 2\r\n\r\nno";
     let refused = Mutex::new(None);
     let server = listen(move |_, out| {
         let connection = out.peer_addr().ok();
@@ -318,7 +340,7 @@
             Some(first) if first != connection => {
                 b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
             }
-            _ => REFUSAL,
+            _ => DECLARED_REFUSAL,
         };
         *refused = Some(refused.unwrap_or(connection));
         out.write_all(response).is_ok()
--- a/tests/tests/attempt_ledger.rs
+++ b/tests/tests/attempt_ledger.rs
@@ -6,7 +6,10 @@
 
 use hyper::StatusCode;
 use wingspur_state::{AttemptEnd, AttemptLedger, AttemptTarget};
-use wingspur_transport::{RunEvidence, ServerDeadline, declared_run_evidence};
+use wingspur_transport::{
+    DeclaredRefusals, RefusalTiming, ResponseArrival, RunEvidence, ServerDeadline,
+    declared_run_evidence,
+};
 
 const MAX_ATTEMPTS: usize = 3;
 /// The time that a server is given.
@@ -113,10 +116,21 @@
             return AttemptEnd::Answered;
         }
         let sent = Instant::now();
-        let deadline = ServerDeadline::new(sent, SERVER_TIMEOUT);
+        let timing = RefusalTiming {
+            deadline: ServerDeadline::new(sent, SERVER_TIMEOUT),
+            request_sent_at: Some(sent),
+            arrival: ResponseArrival {
+                at: sent + self.delay(),
+                round_trip: Duration::ZERO,
+            },
+            max_prompt_delay: Duration::from_millis(10),
+        };
+        let declared = DeclaredRefusals {
+            statuses: &[503],
+            are_atomic: false,
+        };
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        let received = sent + self.delay();
-        match declared_run_evidence(status, &[status.as_u16()], deadline, received) {
+        match declared_run_evidence(status, declared, timing) {
             RunEvidence::NotRun => AttemptEnd::RefusedBeforeRunning,
             _ => AttemptEnd::InDoubt,
         }
@@ -234,9 +248,7 @@
                 self.attempts[n].server.response = Some(response);
             }
             Event::ReadResponse(n) => {
-                let Some(response) = self.attempts[n].server.response else {
-                    return None;
-                };
+                let response = self.attempts[n].server.response?;
                 self.read(n, response, mutant);
             }
             Event::Lost(n) => self.end(
--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -235,10 +235,19 @@
     store: &PlatformStore,
     workers: &Workers,
 ) -> [EdgeBox; 2] {
-    let direct = start_box("box-direct", store, workers);
-    let mut settings = settings("box-relayed", store.address);
-    settings.fault_injection.server_path = PathFault::Refuse;
-    [direct, start_box_with(settings, store, workers)]
+    start_direct_and_relayed_with(store, workers, |settings| settings)
+}
+
+/// Does the same with changed settings.
+pub fn start_direct_and_relayed_with(
+    store: &PlatformStore,
+    workers: &Workers,
+    change: impl Fn(Settings) -> Settings,
+) -> [EdgeBox; 2] {
+    let direct = with_resends(settings("box-direct", store.address), AMPLE_RESENDS);
+    let mut relayed = settings("box-relayed", store.address);
+    relayed.fault_injection.server_path = PathFault::Refuse;
+    [direct, relayed].map(|settings| start_box_with(change(settings), store, workers))
 }
 
 /// Returns an address that is never connected to.
@@ -257,6 +266,8 @@
         "operator_address": "127.0.0.1:0",
         "catalog": {"form": "kv", "store_address": store},
         "drain": {"balancer_lag_ms": 100, "limit_ms": 5000},
+        // More than any pause of the machine.
+        "max_prompt_delay_ms": 60_000,
     });
     parse_settings("test", &text.to_string()).expect("the settings are valid")
 }
--- a/tests/tests/refusal_evidence.rs
+++ b/tests/tests/refusal_evidence.rs
@@ -12,13 +12,14 @@
 use hyper::header::{HeaderMap, HeaderValue};
 
 use edge::{Caller, Route, configuration, server_entry, wait_until};
-use wingspur_edge::EdgeBox;
+use wingspur_edge::{EdgeBox, Settings};
 use wingspur_platform::header_names;
 use wingspur_tests::{
     BackendServer, Body, EchoedId, Framing, PlatformStore, Preamble, Reply, ResponseShape,
 };
 use wingspur_transport::{
-    ResponseHead, RunEvidence, SentRequest, ServerDeadline, UnprovenReason, Workers,
+    RefusalTiming, ResponseArrival, ResponseHead, RunEvidence, SentRequest,
+    ServerDeadline, UnprovenReason, Workers,
 };
 
 /// A box that reaches the servers, and one that hands its requests to it.
@@ -43,6 +44,11 @@
 
 impl Fleet {
     fn start(timeout_ms: u64) -> Self {
+        Self::start_with(timeout_ms, |settings| settings)
+    }
+
+    /// Starts boxes with changed settings.
+    fn start_with(timeout_ms: u64, change: impl Fn(Settings) -> Settings) -> Self {
         let store = PlatformStore::start(500);
         let routes = [Route {
             class: "once_only",
@@ -61,7 +67,8 @@
             store.put(&format!("servers/i-{n}"), &entry);
         }
         let workers = Workers::start(2);
-        let [direct, relayed] = edge::start_direct_and_relayed(&store, &workers);
+        let [direct, relayed] =
+            edge::start_direct_and_relayed_with(&store, &workers, change);
         let fleet = Self {
             _store: store,
             servers,
@@ -166,20 +173,19 @@
     )
 }
 
-/// Creates a request that is sent now, with the time that its server is given.
-fn sent_request(
-    id: Option<&HeaderValue>,
-    is_first: bool,
-    given: Duration,
-) -> (SentRequest<'_>, Instant) {
-    let now = Instant::now();
-    let deadline = ServerDeadline::new(now, given);
-    let request = SentRequest {
-        id,
-        is_first,
-        deadline,
-    };
-    (request, now)
+/// Returns the timing of a refusal that arrives after a delay, of a request that was sent
+/// at once to a server with this time.
+fn timing(given: Duration, delay: Duration) -> RefusalTiming {
+    let sent = Instant::now();
+    RefusalTiming {
+        deadline: ServerDeadline::new(sent, given),
+        request_sent_at: Some(sent),
+        arrival: ResponseArrival {
+            at: sent + delay,
+            round_trip: ROUND_TRIP,
+        },
+        max_prompt_delay: MAX_PROMPT_DELAY,
+    }
 }
 
 /// Judges a head with these ids, received at once in response to a request whose server
@@ -191,14 +197,24 @@
     id: Option<&HeaderValue>,
     is_first: bool,
 ) -> RunEvidence {
-    let given = Duration::from_millis(AMPLE_TIMEOUT_MS);
-    let (request, now) = sent_request(id, is_first, given);
-    evidence_at(now, status, is_marked, echoed, request)
+    let timing = timing(Duration::from_millis(AMPLE_TIMEOUT_MS), Duration::ZERO);
+    let request = SentRequest { id, is_first };
+    evidence_with(timing, status, is_marked, echoed, request)
 }
 
-/// Judges a head with these ids, received at this moment in response to a request.
-fn evidence_at(
-    received: Instant,
+/// Judges a marked refusal with this timing.
+fn timed_evidence(timing: RefusalTiming, status: u16) -> RunEvidence {
+    let id = HeaderValue::from_static("own");
+    let request = SentRequest {
+        id: Some(&id),
+        is_first: true,
+    };
+    evidence_with(timing, status, true, &["own"], request)
+}
+
+/// Judges a head with these ids, received in response to a request with this timing.
+fn evidence_with(
+    timing: RefusalTiming,
     status: u16,
     is_marked: bool,
     echoed: &[&'static str],
@@ -218,9 +234,12 @@
         headers,
         body_bytes: None,
     };
-    head.run_evidence(&names, request, received)
+    head.run_evidence(&names, request, timing)
 }
 
+/// How long a server may take to refuse on arrival, besides the round trip.
+const MAX_PROMPT_DELAY: Duration = Duration::from_millis(10);
+const ROUND_TRIP: Duration = Duration::from_millis(3);
 /// A request that its server never answers ends soon.
 const SHORT_TIMEOUT_MS: u64 = 1_000;
 /// More than any pause of the machine: a refusal that counts only once its body has ended
@@ -304,7 +323,10 @@
 /// Checks what callers are told of requests that run once although they are refused, with
 /// bodies of every kind, directly and through a relay.
 fn assert_run_once_and_told(statuses: &[u16], timeout_ms: u64, reply: Reply) {
-    let fleet = Fleet::start(timeout_ms);
+    let fleet = Fleet::start_with(timeout_ms, |settings| Settings {
+        max_prompt_delay_ms: 50,
+        ..settings
+    });
     let streamed = streamed_body();
     let bodies = [
         ("empty", NO_BODY),
@@ -416,25 +438,69 @@
 
 #[test]
 fn refusal_counts_only_before_the_deadline_that_its_server_was_given() {
-    let id = HeaderValue::from_static("own");
     let given = Duration::from_micros(100_900);
-    let (request, sent) = sent_request(Some(&id), true, given);
-    let after = |ms| sent + Duration::from_millis(ms);
-    let judge = |ms, status| evidence_at(after(ms), status, true, &["own"], request);
+    let judge = |ms, status| {
+        let patient = RefusalTiming {
+            max_prompt_delay: Duration::from_secs(60),
+            ..timing(given, Duration::from_millis(ms))
+        };
+        timed_evidence(patient, status)
+    };
     let at_deadline = RunEvidence::Unproven(UnprovenReason::AtDeadline);
-    for status in [408, 500, 503] {
+    for status in [408, 429, 500, 503] {
         for ms in [0, 50, 90] {
             assert_eq!(judge(ms, status), RunEvidence::NotRun, "{status} {ms}");
         }
-        // The clock of the server may be 10 ms ahead, and the box may read late.
+        // The clock of the server may be 10 ms ahead, and the response takes a while.
         for ms in [91, 100, 101, 500] {
             assert_eq!(judge(ms, status), at_deadline, "{status} {ms}");
         }
     }
-    // These are about the request itself, whenever they are read.
-    for status in [400, 421, 429] {
-        assert_eq!(judge(101, status), RunEvidence::NotRun, "{status}");
+}
+
+#[test]
+fn refusal_counts_only_if_it_comes_as_the_request_arrives() {
+    let given = Duration::from_millis(AMPLE_TIMEOUT_MS);
+    let judge = |ms, status| {
+        let delay = Duration::from_millis(ms);
+        timed_evidence(timing(given, delay), status)
+    };
+    let delayed = RunEvidence::Unproven(UnprovenReason::Delayed);
+    for status in [408, 429, 500, 503] {
+        for ms in [0, 3, 13] {
+            assert_eq!(judge(ms, status), RunEvidence::NotRun, "{status} {ms}");
+        }
+        for ms in [14, 100, 30_000] {
+            assert_eq!(judge(ms, status), delayed, "{status} {ms}");
+        }
     }
+    // These are about the request itself, and are found in its head.
+    for status in [400, 413, 421] {
+        let late_ms = 2 * AMPLE_TIMEOUT_MS;
+        assert_eq!(judge(late_ms, status), RunEvidence::NotRun, "{status}");
+    }
+}
+
+/// The caller, not the server, lets the rest of a body wait.
+#[test]
+fn refusal_of_a_slow_body_counts_after_its_head_or_its_end() {
+    let given = Duration::from_millis(AMPLE_TIMEOUT_MS);
+    let ms = Duration::from_millis;
+    let judge = |refused_ms, sent_ms: Option<u64>| {
+        let timing = timing(given, ms(refused_ms));
+        let sent = timing.deadline.sent_at();
+        let request_sent_at = sent_ms.map(|sent_ms| sent + ms(sent_ms));
+        let timing = RefusalTiming {
+            request_sent_at,
+            ..timing
+        };
+        timed_evidence(timing, 503)
+    };
+    let delayed = RunEvidence::Unproven(UnprovenReason::Delayed);
+    assert_eq!(judge(5, None), RunEvidence::NotRun, "by its head");
+    assert_eq!(judge(2_000, None), delayed, "before its end");
+    assert_eq!(judge(2_005, Some(2_000)), RunEvidence::NotRun, "whole");
+    assert_eq!(judge(2_100, Some(2_000)), delayed, "after a wait");
 }
 
 #[test]
