Traces of attempts: a relay's sending is counted from when it was sent

The trace of a relayed attempt counted from 5 ms later, the allowance for the hop, so that its times read 5 ms off. The text of an attempt is written in one place.

--- a/crates/wingspur-edge/src/proxy/attempt_trace.rs
+++ b/crates/wingspur-edge/src/proxy/attempt_trace.rs
@@ -79,27 +79,20 @@
         if let Some(deadline) = self.sent {
             let (sent_ms, timeout_ms) = (ms(deadline.sent_at()), deadline.timeout_ms());
             let _ = write!(text, " sent_ms={sent_ms} timeout_ms={timeout_ms}");
-        }
-        if let Some(refusal) = &self.refusal {
-            let RefusalTrace {
-                status,
-                arrival,
-                read_at,
-                evidence,
-            } = refusal;
-            let (received_ms, read_ms) = (ms(arrival.at), ms(*read_at));
-            let round_trip_us = arrival.round_trip.as_micros();
-            let _ = write!(
-                text,
-                " received_ms={received_ms} read_ms={read_ms} \
-                 round_trip_us={round_trip_us} status={} evidence={}",
-                status.as_u16(),
-                evidence.as_str()
-            );
-        }
-        if let (Some(deadline), Some(refusal)) = (self.sent, &self.refusal) {
-            let held_ms = deadline.elapsed(refusal.arrival.at).as_millis();
-            let _ = write!(text, " held_ms={held_ms}");
+            if let Some(refusal) = &self.refusal {
+                let arrival = refusal.arrival;
+                let _ = write!(
+                    text,
+                    " received_ms={} read_ms={} held_ms={} round_trip_us={} status={} \
+                     evidence={}",
+                    ms(arrival.at),
+                    ms(refusal.read_at),
+                    deadline.elapsed(arrival.at).as_millis(),
+                    arrival.round_trip.as_micros(),
+                    refusal.status.as_u16(),
+                    refusal.evidence.as_str(),
+                );
+            }
         }
         match self.end {
             Some(end) => {
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -14,7 +14,7 @@
 use wingspur_state::{AttemptEnd, AttemptNumber};
 use wingspur_transport::{
     BackendConnection, BackendConnections, ResponseError, ResponseHead, RunEvidence,
-    SendBody, UnprovenReason,
+    SendBody, ServerDeadline, UnprovenReason,
 };
 
 use crate::catalog::active_bundle::ActiveRoute;
@@ -116,7 +116,9 @@
         let message = self.message();
         let own_headers = [(RELAY_HEADER, message.as_str())];
         let deadline = self.outgoing.server_deadline(began + HOP_ALLOWANCE);
-        self.outgoing.in_flight.record_sent(self.number, deadline);
+        let time = Duration::from_millis(deadline.timeout_ms());
+        let sent = ServerDeadline::new(began, time);
+        self.outgoing.in_flight.record_sent(self.number, sent);
         let names = &self.shared.header_names;
         let request =
             serialize_head(&self.outgoing, names, deadline, &own_headers, &body);
