--- a/crates/wingspur-transport/src/run_evidence.rs
+++ b/crates/wingspur-transport/src/run_evidence.rs
@@ -1,4 +1,4 @@
-//! Decides whether the head of a server's response proves that the request did not run.
+//! Decides whether a server's response proves that the request did not run.
 
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
@@ -8,8 +8,8 @@
 
 /// What the head of a response says about whether the request ran.
 ///
-/// The head alone decides: a refusal is a refusal, however long its body is and whether
-/// or not the body ever arrives.
+/// The head decides, and when it arrived: a refusal is a refusal, however long its body is
+/// and whether or not the body ever arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunEvidence {
     /// It is an ordinary response, which promises nothing.
