The trace of an attempt names its connection and what it carried before

Callers were told 503 for requests that ran. The hypotheses of the incident cannot be told apart by the log: an attempt's trace names the server and the times, but not whether its connection had carried the request before, so that a refusal may be a copy.

Each connection has a number among those to its address, counts its requests, and keeps a keyed hash of the ids that got an error response (32 at most). `request: refused.` and `proxy: refused.` show it for every attempt, and `wingspur_repeated_requests_total` counts requests that come again to such a connection, by cause: the caller repeats an id, an earlier attempt was at the same address, other boxes relay one id. No decision changes.

promise_lines checks the new fields and failed without them.

--- a/crates/wingspur-bench/src/load.rs
+++ b/crates/wingspur-bench/src/load.rs
@@ -326,7 +326,7 @@
 }
 
 async fn send_request(pool: &BackendPool, request: Request<SendBody>) -> RequestOutcome {
-    let (response, lease) = match pool.send(request).await {
+    let (response, lease) = match pool.send(request, None).await {
         Ok(leased) => leased,
         Err(SendFailure::NotSent { .. }) => return RequestOutcome::Unsent,
         Err(SendFailure::MaybeSent(_)) => return RequestOutcome::Interrupted,
--- a/crates/wingspur-edge/src/lib.rs
+++ b/crates/wingspur-edge/src/lib.rs
@@ -27,7 +27,7 @@
     parse_settings,
 };
 pub use operation::shutdown::{Shutdown, ShutdownSchedule, shutdown_result};
-pub use proxy::attempt_trace::{AttemptTraces, RefusalTrace};
+pub use proxy::attempt_trace::{AttemptTraces, RefusalTrace, RepetitionCause};
 pub use proxy::error_response::error_response;
 pub use proxy::headers::{check_framing, strip_hop_by_hop};
 pub use proxy::request_body::{BodyLimits, receive_body};
--- a/crates/wingspur-edge/src/operation/metrics.rs
+++ b/crates/wingspur-edge/src/operation/metrics.rs
@@ -12,6 +12,7 @@
 use wingspur_state::{Priority, RetryReason, StopReason, SuspectEvent, UrgencyDecision};
 use wingspur_transport::{BufferBudget, HttpClientTotals, RefusalTiming, RunEvidence};
 
+use crate::proxy::attempt_trace::RepetitionCause;
 use crate::quotas::quarantine_state::SendPermission;
 
 /// The metrics of one box.
@@ -87,6 +88,8 @@
     server_hints: IntCounterVec,
     /// Responses of servers that claim that a request did not run, by what they prove.
     refusal_evidence: IntCounterVec,
+    /// Requests that come again to a connection on which they have failed, by cause.
+    repeated_requests: IntCounterVec,
     /// How long after their request such responses arrived, in seconds, by what they
     /// prove.
     refusal_delay: HistogramVec,
@@ -330,6 +333,11 @@
                 "Responses of servers that claim a request did not run, by their evidence.",
                 &["evidence"],
             ),
+            repeated_requests: counter(
+                "wingspur_repeated_requests_total",
+                "Requests that came again to a connection on which they failed, by cause.",
+                &["cause"],
+            ),
             refusal_delay: histogram(
                 "wingspur_refusal_delay_seconds",
                 "Time from a request until its refusal arrived, by evidence.",
@@ -437,6 +445,12 @@
         times_left.observe(timing.server_left().as_secs_f64());
     }
 
+    /// Counts a request that comes again to a connection on which it has failed.
+    pub fn count_repeated_request(&self, cause: RepetitionCause) {
+        let repeated = self.repeated_requests.with_label_values(&[cause.as_str()]);
+        repeated.inc();
+    }
+
     /// Counts a message of a peer that was refused.
     pub fn count_peer_refusal(&self, reason: &str) {
         self.peer_refusals.with_label_values(&[reason]).inc();
--- a/crates/wingspur-edge/src/peers/relay_search.rs
+++ b/crates/wingspur-edge/src/peers/relay_search.rs
@@ -114,7 +114,7 @@
     let mut connection = connections.connect(ReusePolicy::Any, QUERY_TIMEOUT).await?;
     let body = SendBody::buffered(body.into());
     let head = connection
-        .send_request(head.into_bytes(), body, &Method::POST)
+        .send_request(head.into_bytes(), body, &Method::POST, None)
         .await?;
     let body = connection.read_whole(MAX_QUERY_BYTES).await?;
     connections.release(connection);
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -243,7 +243,9 @@
         self.outgoing.in_flight.record_sent(self.number, deadline);
         let request = self.serialize_head(deadline, account, &body);
         let is_first = connection.is_new();
-        let mut head = connection.send_request(request, body, method).await?;
+        let id = self.outgoing.id.as_ref();
+        record_connection(&self.shared, &self.outgoing, self.number, connection);
+        let mut head = connection.send_request(request, body, method, id).await?;
         let mut hints = self.observe_hints(&head);
         let mut evidence = self.observe_evidence(&head, connection, is_first, deadline);
         let mut skipped_responses = 0;
@@ -524,6 +526,27 @@
     }
 }
 
+/// Records the connection that an attempt uses, before the request is sent on it.
+pub fn record_connection(
+    shared: &EdgeState,
+    outgoing: &UpstreamRequest,
+    attempt: AttemptNumber,
+    connection: &BackendConnection,
+) {
+    let id = outgoing.id.as_ref();
+    let used = connection.usage(id);
+    let Some(cause) = outgoing.in_flight.record_connection(attempt, used) else {
+        return;
+    };
+    shared.metrics.count_repeated_request(cause);
+    tracing::info!(
+        id = id_text(id),
+        connection = %format_args!("{}#{}", used.address, used.number),
+        cause = cause.as_str(),
+        "attempt: comes again to a connection on which it failed."
+    );
+}
+
 /// Releases a connection once the body of its response, which is not needed, has been
 /// discarded. Reads it in the background, so that the attempt ends at once.
 pub fn release_unread(
--- a/crates/wingspur-edge/src/proxy/attempt_trace.rs
+++ b/crates/wingspur-edge/src/proxy/attempt_trace.rs
@@ -5,7 +5,7 @@
 
 use hyper::StatusCode;
 use wingspur_state::{AttemptEnd, AttemptNumber};
-use wingspur_transport::{ResponseArrival, RunEvidence, ServerDeadline};
+use wingspur_transport::{ConnectionUse, ResponseArrival, RunEvidence, ServerDeadline};
 
 /// The attempts of one request, in the order in which they began.
 #[derive(Debug, Default)]
@@ -18,6 +18,7 @@
     target: String,
     /// When the request was sent, and the time that the target was given.
     sent: Option<ServerDeadline>,
+    connection: Option<ConnectionUse>,
     refusal: Option<RefusalTrace>,
     end: Option<AttemptEnd>,
 }
@@ -35,6 +36,28 @@
     pub evidence: RunEvidence,
 }
 
+/// Why a request comes again to a connection on which it has failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RepetitionCause {
+    /// The caller has sent a request with the same id before.
+    Caller,
+    /// An earlier attempt of the request was at the same address.
+    Resend,
+    /// Other boxes have relayed a request with the same id before.
+    Relayed,
+}
+
+impl RepetitionCause {
+    /// Returns the cause as a metric label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Caller => "caller",
+            Self::Resend => "resend",
+            Self::Relayed => "relayed",
+        }
+    }
+}
+
 impl AttemptTraces {
     /// Records that an attempt begins at the server, or at the relay, with this id.
     /// Returns its number.
@@ -42,6 +65,7 @@
         self.0.push(AttemptTrace {
             target: target.to_owned(),
             sent: None,
+            connection: None,
             refusal: None,
             end: None,
         });
@@ -53,6 +77,29 @@
         self.0[attempt].sent = Some(deadline);
     }
 
+    /// Records the connection that an attempt uses, and returns why the request comes to
+    /// its address again; `None` if the connection has not failed it before.
+    ///
+    /// A request is sent again if an earlier attempt had the same address. Otherwise the
+    /// caller, or several boxes that relay the request, repeat its id.
+    pub fn record_connection(
+        &mut self,
+        attempt: AttemptNumber,
+        connection: ConnectionUse,
+        is_relayed: bool,
+    ) -> Option<RepetitionCause> {
+        let is_resend = self.0.iter().any(|earlier| {
+            let used = earlier.connection.as_ref();
+            used.is_some_and(|used| used.address == connection.address)
+        });
+        self.0[attempt].connection = Some(connection);
+        connection.is_repeated.then_some(match is_resend {
+            true => RepetitionCause::Resend,
+            false if is_relayed => RepetitionCause::Relayed,
+            false => RepetitionCause::Caller,
+        })
+    }
+
     /// Records that a refusal was read. The last one of an attempt counts.
     pub fn record_refusal(&mut self, attempt: AttemptNumber, refusal: RefusalTrace) {
         self.0[attempt].refusal = Some(refusal);
@@ -79,6 +126,20 @@
         if let Some(deadline) = self.sent {
             let (sent_ms, timeout_ms) = (ms(deadline.sent_at()), deadline.timeout_ms());
             let _ = write!(text, " sent_ms={sent_ms} timeout_ms={timeout_ms}");
+            if let Some(connection) = &self.connection {
+                let ConnectionUse {
+                    address,
+                    number,
+                    earlier_requests,
+                    earlier_errors,
+                    is_repeated,
+                } = connection;
+                let _ = write!(
+                    text,
+                    " connection={address}#{number} earlier_requests={earlier_requests} \
+                     earlier_errors={earlier_errors} is_repeated={is_repeated}",
+                );
+            }
             if let Some(refusal) = &self.refusal {
                 let arrival = refusal.arrival;
                 let _ = write!(
--- a/crates/wingspur-edge/src/proxy/in_flight_requests.rs
+++ b/crates/wingspur-edge/src/proxy/in_flight_requests.rs
@@ -10,10 +10,10 @@
 use wingspur_state::{
     AttemptEnd, AttemptLedger, AttemptNumber, AttemptTarget, RequestFingerprint,
 };
-use wingspur_transport::ServerDeadline;
+use wingspur_transport::{ConnectionUse, ServerDeadline};
 
 use crate::locks::{LockRank, RankedMutex, RankedMutexGuard};
-use crate::proxy::attempt_trace::{AttemptTraces, RefusalTrace};
+use crate::proxy::attempt_trace::{AttemptTraces, RefusalTrace, RepetitionCause};
 
 /// All requests that were accepted and have not finished.
 #[derive(Debug)]
@@ -201,6 +201,17 @@
         self.attempt_traces.lock().record_sent(attempt, deadline);
     }
 
+    /// Records for the log which connection an attempt uses. Returns why the request comes
+    /// again to it; `None` if it has not failed there before.
+    pub fn record_connection(
+        &self,
+        attempt: AttemptNumber,
+        connection: ConnectionUse,
+    ) -> Option<RepetitionCause> {
+        let mut traces = self.attempt_traces.lock();
+        traces.record_connection(attempt, connection, self.is_relayed)
+    }
+
     /// Records for the log that an attempt has received a refusal.
     pub fn record_refusal(&self, attempt: AttemptNumber, refusal: RefusalTrace) {
         self.attempt_traces.lock().record_refusal(attempt, refusal);
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -21,7 +21,8 @@
 use crate::edge_state::EdgeState;
 use crate::log_values::id_text;
 use crate::proxy::attempt::{
-    AttemptResult, FailedAttempt, LATE_RESPONSE_GRACE, MAX_BUFFERED_BYTES, release_unread,
+    AttemptResult, FailedAttempt, LATE_RESPONSE_GRACE, MAX_BUFFERED_BYTES,
+    record_connection, release_unread,
 };
 use crate::proxy::attempt_trace::RefusalTrace;
 use crate::proxy::request_head::{UpstreamRequest, reuse_policy, serialize_head};
@@ -123,7 +124,9 @@
         let request =
             serialize_head(&self.outgoing, names, deadline, &own_headers, &body);
         let method = &self.outgoing.method;
-        let mut head = connection.send_request(request, body, method).await?;
+        let id = self.outgoing.id.as_ref();
+        record_connection(&self.shared, &self.outgoing, self.number, connection);
+        let mut head = connection.send_request(request, body, method, id).await?;
         let service = &self.service.name;
         let hop = wingspur_clock::since(began);
         self.shared.metrics.observe_relay_latency(service, hop);
--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -75,6 +75,11 @@
         &self.handle.service.routes[self.route]
     }
 
+    /// Returns the request's id; the box gives one to a request without an id.
+    fn request_id(&self) -> Option<&HeaderValue> {
+        self.parts.headers.get(REQUEST_ID_HEADER)
+    }
+
     fn remaining(&self) -> Duration {
         self.deadline
             .saturating_duration_since(wingspur_clock::now())
@@ -283,7 +288,8 @@
         attempts.lock().record_sent(number, deadline);
         let request = self.build_request(pending, body, deadline);
         let pool = pending.handle.pools[attempt.server].clone();
-        let sending = async { Some(pool.send(request).await) };
+        let id = pending.request_id();
+        let sending = async { Some(pool.send(request, id).await) };
         let expired = async {
             wingspur_clock::sleep_until(pending.deadline).await;
             None
@@ -323,6 +329,12 @@
         (response, connection, mut attempt): ResponseHead,
         deadline: ServerDeadline,
     ) -> Result<ResponseHead, FailedAttempt> {
+        let used = connection.used();
+        let mut attempts = pending.progress.attempts.lock();
+        if let Some(cause) = attempts.record_connection(number, used, false) {
+            self.shared.metrics.count_repeated_request(cause);
+        }
+        drop(attempts);
         self.apply_hints(pending, attempt.server, response.headers());
         if is_for_another_request(&pending.parts.headers, response.headers()) {
             tracing::warn!("proxy: an answer to another request; its connection ends.");
@@ -400,7 +412,7 @@
         self.shared
             .metrics
             .count_refusal_evidence(evidence, &timing);
-        let id = pending.parts.headers.get(REQUEST_ID_HEADER);
+        let id = pending.request_id();
         tracing::info!(
             id = id.and_then(|id| id.to_str().ok()),
             service = pending.handle.service.name,
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -18,19 +18,20 @@
 use bytes::{Buf, Bytes, BytesMut};
 use futures_lite::{AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt};
 use http_body_util::BodyExt;
-use hyper::header::HeaderMap;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode};
 use smol::net::TcpStream;
 use socket2::SockRef;
 use wingspur_state::MAX_RESEND_TRANSIT;
 
 use crate::buffer_budget::{BufferBudget, BufferLease, LeasedBuffer, UNLEASED_BYTES};
+use crate::connection_history::ConnectionHistory;
 use crate::fair_stream::FairStream;
 use crate::path_fault::InjectedPathFault;
 use crate::response_head::{
     Framing, ParsedHead, framing_of, keep_alive_timeout, parse_head, unreadable,
 };
-use crate::{ResponseArrival, ResponseError, SendBody};
+use crate::{ConnectionUse, ResponseArrival, ResponseError, SendBody};
 
 /// The idle connections of this box to one backend server.
 #[derive(Debug)]
@@ -54,6 +55,12 @@
 #[derive(Debug)]
 pub struct BackendConnection {
     stream: FairStream<TcpStream>,
+    address: SocketAddr,
+    /// Its number among the connections to the address, from 1.
+    number: usize,
+    history: ConnectionHistory,
+    /// The id of the current request, if it has one.
+    request_id: Option<HeaderValue>,
     /// The shortest time to connect to this server so far.
     connect_time: Duration,
     /// When the last part of the current request was sent; `None` while it is being sent.
@@ -223,15 +230,24 @@
         let fastest_us = self
             .fastest_connect_us
             .fetch_min(took_us, Ordering::Relaxed);
-        self.opened.fetch_add(1, Ordering::Relaxed);
-        let (path_fault, buffers) = (self.path_fault.clone(), self.buffers.clone());
-        let connect_time = Duration::from_micros(fastest_us.min(took_us));
-        Ok(BackendConnection::new(
-            stream,
-            connect_time,
-            path_fault,
-            buffers,
-        ))
+        let number = self.opened.fetch_add(1, Ordering::Relaxed) + 1;
+        Ok(BackendConnection {
+            stream: FairStream::new(stream),
+            address: self.address,
+            number,
+            history: ConnectionHistory::default(),
+            request_id: None,
+            connect_time: Duration::from_micros(fastest_us.min(took_us)),
+            request_sent_at: None,
+            path_fault: self.path_fault.clone(),
+            buffers: self.buffers.clone(),
+            buffer: BytesMut::new(),
+            framing: Framing::Done,
+            is_new: true,
+            reusable: true,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            was_closed: Arc::default(),
+        })
     }
 
     /// Keeps a connection for the next request if its response was read completely and it
@@ -305,28 +321,13 @@
 }
 
 impl BackendConnection {
-    fn new(
-        stream: TcpStream,
-        connect_time: Duration,
-        path_fault: InjectedPathFault,
-        buffers: Arc<BufferBudget>,
-    ) -> Self {
-        Self {
-            stream: FairStream::new(stream),
-            connect_time,
-            request_sent_at: None,
-            path_fault,
-            buffers,
-            buffer: BytesMut::new(),
-            framing: Framing::Done,
-            is_new: true,
-            reusable: true,
-            idle_timeout: DEFAULT_IDLE_TIMEOUT,
-            was_closed: Arc::default(),
-        }
+    /// Returns what the connection carried before a request that is to be sent on it, and
+    /// that may have an id.
+    pub fn usage(&self, id: Option<&HeaderValue>) -> ConnectionUse {
+        self.history.usage(self.address, self.number, id)
     }
 
-    /// Sends a request and reads the head of the response.
+    /// Sends a request, which may have an id, and reads the head of the response.
     ///
     /// A response that arrives before the whole request was sent ends the sending, and
     /// the connection is not reused after it. The server may still be reading the body,
@@ -336,8 +337,11 @@
         head: Vec<u8>,
         body: SendBody,
         method: &Method,
+        id: Option<&HeaderValue>,
     ) -> Result<ResponseHead, ResponseError> {
         self.is_new = false;
+        self.history.record_sent();
+        self.request_id = id.cloned();
         self.request_sent_at = None;
         let writer = self.stream.get_ref().clone();
         let mut sending = pin!(send(writer, head, body));
@@ -541,6 +545,8 @@
             headers,
             keeps_open,
         } = head;
+        self.history
+            .record_response(status, self.request_id.as_ref());
         let bodiless = *method == Method::HEAD
             || status == StatusCode::NO_CONTENT
             || status == StatusCode::NOT_MODIFIED;
--- /dev/null
+++ b/crates/wingspur-transport/src/connection_history.rs
@@ -0,0 +1,94 @@
+//! What a connection has carried, by which a response is told from a copy of another one.
+
+use std::hash::{BuildHasher, RandomState};
+use std::net::SocketAddr;
+use std::sync::LazyLock;
+
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+
+/// The requests that one connection has carried.
+///
+/// A server may send copies of a response until the connection ends. A copy names the
+/// request of the original, so it is told apart only as long as the connection does not
+/// carry this request again.
+#[derive(Debug, Default)]
+pub struct ConnectionHistory {
+    requests: u64,
+    /// The requests that got an error response.
+    failed: Vec<RequestHash>,
+}
+
+/// A hash of a request's id.
+type RequestHash = u64;
+
+/// The connection that a request is sent on, and what it carried before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// The address that it leads to.
+    pub address: SocketAddr,
+    /// Its number among the connections to this address, from 1.
+    pub number: usize,
+    /// How many requests it carried before this one.
+    pub earlier_requests: u64,
+    /// How many of these got an error response.
+    pub earlier_errors: usize,
+    /// Whether one of these has the same id, so that a response to this request may be a
+    /// copy of an earlier one.
+    pub is_repeated: bool,
+}
+
+impl ConnectionUse {
+    /// Whether no request was sent on the connection before.
+    pub fn is_first(&self) -> bool {
+        self.earlier_requests == 0
+    }
+}
+
+impl ConnectionHistory {
+    /// Records that a request is sent.
+    pub fn record_sent(&mut self) {
+        self.requests += 1;
+    }
+
+    /// Records the status of the response to a request, which may have an id.
+    pub fn record_response(&mut self, status: StatusCode, id: Option<&HeaderValue>) {
+        let is_error = status.is_client_error() || status.is_server_error();
+        if is_error && !self.has_failed(id) && self.failed.len() < MAX_FAILED {
+            self.failed.push(hash_of(id));
+        }
+    }
+
+    /// Returns what was carried before a request that is to be sent now, and that may have
+    /// an id. `number` is that of the connection among those to its address.
+    pub fn usage(
+        &self,
+        address: SocketAddr,
+        number: usize,
+        id: Option<&HeaderValue>,
+    ) -> ConnectionUse {
+        ConnectionUse {
+            address,
+            number,
+            earlier_requests: self.requests,
+            earlier_errors: self.failed.len(),
+            is_repeated: self.has_failed(id),
+        }
+    }
+
+    /// Whether a request, which may have an id, got an error response, so that copies of it
+    /// may still arrive.
+    pub fn has_failed(&self, id: Option<&HeaderValue>) -> bool {
+        self.failed.contains(&hash_of(id))
+    }
+}
+
+/// Callers choose the ids, so the hash is keyed. A collision costs a new connection.
+fn hash_of(id: Option<&HeaderValue>) -> RequestHash {
+    static KEY: LazyLock<RandomState> = LazyLock::new(RandomState::new);
+    KEY.hash_one(id.map(HeaderValue::as_bytes))
+}
+
+/// The most requests with an error response that are kept, which bounds the memory of a
+/// connection.
+const MAX_FAILED: usize = 32;
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -6,6 +6,7 @@
 mod body;
 mod buffer_budget;
 mod catalog;
+mod connection_history;
 mod fair_stream;
 mod fault_injection;
 mod http_client;
@@ -38,6 +39,7 @@
     Announcement, Catalog, CatalogError, CatalogFuture, CatalogResponse,
     ConditionalWriteResult, LeaseId, ReportedEra, StoreLease,
 };
+pub use connection_history::ConnectionUse;
 pub use fault_injection::{FaultInjector, InjectedFault};
 pub use http_client::{
     Connector, HttpClient, HttpClientError, HttpClientTotals, HttpResponse,
--- a/crates/wingspur-transport/src/pool.rs
+++ b/crates/wingspur-transport/src/pool.rs
@@ -9,12 +9,14 @@
 use futures_lite::FutureExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
+use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use crate::connection_history::ConnectionHistory;
 use crate::fair_stream::FairStream;
-use crate::{ResponseArrival, SendBody, Spawner};
+use crate::{ConnectionUse, ResponseArrival, SendBody, Spawner};
 
 /// The connections of this box to one backend server.
 #[derive(Debug)]
@@ -41,6 +43,9 @@
 pub struct PooledConnection {
     sender: SendRequest<SendBody>,
     stream: TcpStream,
+    history: ConnectionHistory,
+    /// What the connection carried before the current request.
+    used: ConnectionUse,
     /// The shortest time to connect to this server so far.
     connect_time: Duration,
     /// When the current request was handed to the connection.
@@ -53,6 +58,11 @@
         self.sent_at
     }
 
+    /// Returns what the connection carried before the current request.
+    pub fn used(&self) -> ConnectionUse {
+        self.used
+    }
+
     /// Returns when the data that was received last arrived.
     pub fn latest_arrival(&self) -> ResponseArrival {
         ResponseArrival::latest(&self.stream, self.connect_time)
@@ -88,17 +98,18 @@
         }
     }
 
-    /// Sends a request on an idle connection or a new one, and returns the response with
-    /// its body unread.
+    /// Sends a request, which may have an id, on an idle connection or a new one, and
+    /// returns the response with its body unread.
     pub async fn send(
         &self,
         request: Request<SendBody>,
+        id: Option<&HeaderValue>,
     ) -> Result<(Response<Incoming>, PooledConnection), SendFailure> {
         let mut request = request;
         // The server may have closed an idle connection in the meantime. hyper then
         // returns the request unsent, and it is sent on the next connection.
         while let Some(connection) = self.take_idle() {
-            match send_on(connection, request).await {
+            match send_on(connection, request, id).await {
                 Err(SendFailure::NotSent {
                     request: unsent, ..
                 }) => request = *unsent,
@@ -106,7 +117,7 @@
             }
         }
         match self.connect().await {
-            Ok(connection) => send_on(connection, request).await,
+            Ok(connection) => send_on(connection, request, id).await,
             Err(reason) => {
                 let request = Box::new(request);
                 Err(SendFailure::NotSent { request, reason })
@@ -181,7 +192,8 @@
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let handshake = builder.handshake(io);
         let (sender, connection) = handshake.await.map_err(|error| error.to_string())?;
-        self.opened.fetch_add(1, Ordering::Relaxed);
+        let number = self.opened.fetch_add(1, Ordering::Relaxed) + 1;
+        let history = ConnectionHistory::default();
         self.spawner.detach(async move {
             // The request on a failed connection gets the error.
             let _ = connection.await;
@@ -189,6 +201,8 @@
         Ok(PooledConnection {
             sender,
             stream,
+            used: history.usage(self.address, number, None),
+            history,
             connect_time: Duration::from_micros(fastest_us.min(took_us)),
             sent_at: connected,
         })
@@ -198,10 +212,19 @@
 async fn send_on(
     mut connection: PooledConnection,
     request: Request<SendBody>,
+    id: Option<&HeaderValue>,
 ) -> Result<(Response<Incoming>, PooledConnection), SendFailure> {
     connection.sent_at = wingspur_clock::now();
+    let ConnectionUse {
+        address, number, ..
+    } = connection.used;
+    connection.used = connection.history.usage(address, number, id);
+    connection.history.record_sent();
     match connection.sender.try_send_request(request).await {
-        Ok(response) => Ok((response, connection)),
+        Ok(response) => {
+            connection.history.record_response(response.status(), id);
+            Ok((response, connection))
+        }
         Err(mut error) => match error.take_message() {
             Some(request) => {
                 let reason = error.into_error().to_string();
--- a/tests/tests/promise_lines.rs
+++ b/tests/tests/promise_lines.rs
@@ -68,6 +68,10 @@
     for field in [
         " sent_ms=",
         " timeout_ms=",
+        " connection=127.0.0.1:",
+        " earlier_requests=0 ",
+        " earlier_errors=0 ",
+        " is_repeated=false ",
         " received_ms=",
         " read_ms=",
         " held_ms=",
--- a/tests/tests/unsent_requests.rs
+++ b/tests/tests/unsent_requests.rs
@@ -25,7 +25,8 @@
         let mut connection = connected.unwrap();
         serve(listener.accept().unwrap().0);
         let body = SendBody::empty();
-        let response = connection.send_request(REQUEST.to_vec(), body, &Method::POST);
+        let response =
+            connection.send_request(REQUEST.to_vec(), body, &Method::POST, None);
         response.await.map(|head| head.status.as_u16())
     })
 }
