Tests: a copy of a refusal is no promise (known red)

A server refuses an id, and when the id comes again on the connection on which it was refused, writes a copy of the refusal ahead of its own response.

--- /dev/null
+++ b/tests/tests/copied_refusals.rs
@@ -0,0 +1,92 @@
+//! A copy of a refusal that answers a later sending of the same request is no promise.
+
+mod copying_server;
+mod edge;
+
+use copying_server::{CopyingServer, REFUSAL_421, REFUSAL_503};
+use edge::{Caller, Deployment, Route, configuration, server_entry, wait_until};
+use wingspur_tests::{Answer, PlatformStore};
+use wingspur_transport::Workers;
+
+const ONCE_ONLY: &str = "once_only";
+const REQUESTS: usize = 10;
+
+/// Starts a box before a server that has catalog entries with these ids.
+fn start(server: &CopyingServer, ids: &[&str]) -> Deployment {
+    let entries = ids.iter().map(|id| ((*id).to_owned(), server.address));
+    Deployment::start_with_entries(&entries.collect::<Vec<_>>(), &[Route::new(ONCE_ONLY)])
+}
+
+/// Returns how many of some requests ran although their caller was promised that they did
+/// not.
+fn false_promises(answers: &[(String, Answer)], server: &CopyingServer) -> usize {
+    let ran = server.executed_ids();
+    let is_false = |(id, answer): &&(String, Answer)| {
+        matches!(answer.status, 408 | 421 | 429 | 503) && ran.contains(id)
+    };
+    answers.iter().filter(is_false).count()
+}
+
+/// Sends each id twice and returns the second answers. The first ones must be promises.
+fn repeat(first: Caller, second: Caller) -> Vec<(String, Answer)> {
+    let repeated = (0..REQUESTS).map(|n| {
+        let id = format!("repeated-{n}");
+        let refused = first.call(ONCE_ONLY, &id);
+        assert_eq!(refused.status, 503, "{id} is refused when it comes first");
+        let answer = second.call(ONCE_ONLY, &id);
+        (id, answer)
+    });
+    repeated.collect()
+}
+
+fn assert_all_served(answers: &[(String, Answer)], server: &CopyingServer) {
+    assert_eq!(false_promises(answers, server), 0, "{answers:?}");
+    for (id, answer) in answers {
+        assert_eq!(answer.status, 200, "{id}");
+    }
+}
+
+#[test]
+fn copy_of_a_refusal_is_no_promise_for_a_caller_that_repeats_its_id() {
+    for refusal in [REFUSAL_503, REFUSAL_421] {
+        let server = CopyingServer::start(refusal);
+        let deployment = start(&server, &["i-0"]);
+        let caller = deployment.caller();
+        let answers = repeat(caller, caller);
+        assert_all_served(&answers, &server);
+        deployment.close();
+    }
+}
+
+#[test]
+fn copy_of_a_refusal_is_no_promise_where_two_entries_share_an_address() {
+    for refusal in [REFUSAL_503, REFUSAL_421] {
+        let server = CopyingServer::start(refusal);
+        let deployment = start(&server, &["i-0", "i-new"]);
+        let ids = (0..REQUESTS).map(|n| format!("shared-{n}"));
+        let call = |id: String| {
+            let answer = deployment.call(ONCE_ONLY, &id);
+            (id, answer)
+        };
+        let answers: Vec<_> = ids.map(call).collect();
+        assert_all_served(&answers, &server);
+        deployment.close();
+    }
+}
+
+#[test]
+fn copy_of_a_refusal_is_no_promise_for_a_request_that_comes_directly_and_relayed() {
+    let server = CopyingServer::start(REFUSAL_503);
+    let store = PlatformStore::start(500);
+    store.put("op/config", &configuration(1, &[Route::new(ONCE_ONLY)]));
+    store.put("servers/i-0", &server_entry(server.address, "ready"));
+    let workers = Workers::start(2);
+    let [direct, relayed] = edge::start_direct_and_relayed(&store, &workers);
+    wait_until("both are ready", || direct.is_ready() && relayed.is_ready());
+    let answers = repeat(Caller::of(&direct), Caller::of(&relayed));
+    assert_all_served(&answers, &server);
+    for running in [direct, relayed] {
+        smol::block_on(running.close());
+    }
+    workers.close();
+}
--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -100,16 +100,39 @@
         Self::start_by(servers, &configuration(1, routes), settings)
     }
 
+    /// Starts a box with some servers, each given by the id and the address of its catalog
+    /// entry.
+    pub fn start_with_entries(
+        entries: &[(String, SocketAddr)],
+        routes: &[Route],
+    ) -> Self {
+        Self::start_entries(entries, &configuration(1, routes), |store| {
+            with_resends(settings("box-1", store), AMPLE_RESENDS)
+        })
+    }
+
     fn start_by(
         servers: &[BackendServer],
         configuration: &Value,
         settings: impl FnOnce(SocketAddr) -> Settings,
+    ) -> Self {
+        let servers = servers.iter().enumerate();
+        let entries: Vec<_> = servers
+            .map(|(n, server)| (format!("i-{n}"), server.address))
+            .collect();
+        Self::start_entries(&entries, configuration, settings)
+    }
+
+    fn start_entries(
+        entries: &[(String, SocketAddr)],
+        configuration: &Value,
+        settings: impl FnOnce(SocketAddr) -> Settings,
     ) -> Self {
         let store = PlatformStore::start(500);
         store.put("op/config", configuration);
-        for (n, server) in servers.iter().enumerate() {
-            let entry = server_entry(server.address, "ready");
-            store.put(&format!("servers/i-{n}"), &entry);
+        for (id, address) in entries {
+            let entry = server_entry(*address, "ready");
+            store.put(&format!("servers/{id}"), &entry);
         }
         let workers = Workers::start(2);
         let settings = settings(store.address);
