A refusal on a connection that has failed the request before is no promise

Callers were told 503 for requests that ran. A server may send a copy of a refusal, which bears the id of its original; where the request was under way again on the same connection, the copy was taken for the answer to the second sending. Pools go by address and the last connection used comes first, so the second sending met that very connection: a caller that repeats its id, the box itself where two catalog entries share an address, a request that comes directly and through a relay.

Now a connection on which a request got an error response is not used for that request again, and a refusal on such a connection is a possible copy, which proves nothing, whoever chose it. The same rule holds between boxes: a relay's refusal, also that it has not taken a request, counts only if it names the request; a request without an id goes to a relay, and as a once-only request to a server, on a new connection.

--- a/crates/wingspur-edge/src/operation/metrics.rs
+++ b/crates/wingspur-edge/src/operation/metrics.rs
@@ -88,7 +88,8 @@
     server_hints: IntCounterVec,
     /// Responses of servers that claim that a request did not run, by what they prove.
     refusal_evidence: IntCounterVec,
-    /// Requests that come again to a connection on which they have failed, by cause.
+    /// Requests that come again to an address where they have failed on an open
+    /// connection, by cause.
     repeated_requests: IntCounterVec,
     /// How long after their request such responses arrived, in seconds, by what they
     /// prove.
@@ -335,7 +336,7 @@
             ),
             repeated_requests: counter(
                 "wingspur_repeated_requests_total",
-                "Requests that came again to a connection on which they failed, by cause.",
+                "Requests that came again where an open connection failed them, by cause.",
                 &["cause"],
             ),
             refusal_delay: histogram(
@@ -445,7 +446,8 @@
         times_left.observe(timing.server_left().as_secs_f64());
     }
 
-    /// Counts a request that comes again to a connection on which it has failed.
+    /// Counts a request that comes again to an address where it has failed on an open
+    /// connection.
     pub fn count_repeated_request(&self, cause: RepetitionCause) {
         let repeated = self.repeated_requests.with_label_values(&[cause.as_str()]);
         repeated.inc();
--- a/crates/wingspur-edge/src/peers/relay_search.rs
+++ b/crates/wingspur-edge/src/peers/relay_search.rs
@@ -111,7 +111,8 @@
         body.len()
     );
     let connections = shared.relays.connections(to.peer_address);
-    let mut connection = connections.connect(ReusePolicy::Any, QUERY_TIMEOUT).await?;
+    let reuse = ReusePolicy::Any;
+    let mut connection = connections.connect(reuse, None, QUERY_TIMEOUT).await?;
     let body = SendBody::buffered(body.into());
     let head = connection
         .send_request(head.into_bytes(), body, &Method::POST, None)
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -14,8 +14,9 @@
     Pick, RequestFingerprint, ServerRecord,
 };
 use wingspur_transport::{
-    BackendConnection, BackendConnections, ConnectError, RefusalTiming, ResponseError,
-    ResponseHead, RunEvidence, SendBody, SentRequest, ServerDeadline, UnprovenReason,
+    Attribution, BackendConnection, BackendConnections, ConnectError, ConnectionUse,
+    RefusalTiming, ResponseError, ResponseHead, RunEvidence, SendBody, SentRequest,
+    ServerDeadline, UnprovenReason,
 };
 
 use crate::catalog::active_bundle::ActiveRoute;
@@ -124,8 +125,10 @@
         let mut guard = AttemptGuard::begin(&self, backend.clone());
         let timeout = self.connect_timeout.min(self.remaining());
         let lost_at = self.service.path.lock().lost_at();
-        let reuse = reuse_policy(self.route.route.class, lost_at);
-        let mut connection = match backend.connect(reuse, timeout).await {
+        let has_id = self.outgoing.id.is_some();
+        let reuse = reuse_policy(self.route.route.class, has_id, lost_at);
+        let id = self.outgoing.id.as_ref();
+        let mut connection = match backend.connect(reuse, id, timeout).await {
             Ok(connection) => {
                 if connection.is_new() {
                     record_connected(&self.shared, &self.service, guard.server.key());
@@ -215,7 +218,11 @@
                 }
             }
             Received::Unproven(status, reason) => {
-                guard.end(HealthOutcome::Failed);
+                guard.end(match reason {
+                    // It was counted when it came first.
+                    UnprovenReason::PossibleCopy => HealthOutcome::Abandoned,
+                    _ => HealthOutcome::Failed,
+                });
                 release_unread(&self.shared, guard.backend.clone(), connection);
                 self.unproven(status, reason)
             }
@@ -242,15 +249,15 @@
         let deadline = self.outgoing.server_deadline(wingspur_clock::now());
         self.outgoing.in_flight.record_sent(self.number, deadline);
         let request = self.serialize_head(deadline, account, &body);
-        let is_first = connection.is_new();
         let id = self.outgoing.id.as_ref();
-        record_connection(&self.shared, &self.outgoing, self.number, connection);
+        let used =
+            record_connection(&self.shared, &self.outgoing, self.number, connection);
+        let mut sent = self.outgoing.sent_on(&used);
         let mut head = connection.send_request(request, body, method, id).await?;
         let mut hints = self.observe_hints(&head);
-        let mut evidence = self.observe_evidence(&head, connection, is_first, deadline);
         let mut skipped_responses = 0;
         let names = &self.shared.header_names;
-        while self.outgoing.is_response_to_other(&head, names) {
+        while head.attribution(names, sent) == Attribution::Other {
             // A second response to an earlier request; the one to this request may
             // follow.
             skipped_responses += 1;
@@ -268,8 +275,9 @@
             }
             head = connection.read_head(method).await?;
             hints = self.observe_hints(&head);
-            evidence = self.observe_evidence(&head, connection, false, deadline);
+            sent.is_first = false;
         }
+        let evidence = self.observe_evidence(&head, connection, sent, deadline);
         // Only boxes state a result; callers and other boxes rely on it.
         head.headers.remove(RESULT_HEADER);
         match evidence {
@@ -283,7 +291,7 @@
                 return Ok(Received::Refused(head.status, hints, Some(reason)));
             }
             RunEvidence::Unproven(reason) => {
-                if reason == UnprovenReason::Unnamed {
+                if reason.is_ambiguous() {
                     // The response to this request may still follow.
                     connection.disable_reuse();
                 }
@@ -303,13 +311,12 @@
     }
 
     /// Determines, logs and counts what a head says about whether the request ran.
-    /// `is_first` says whether nothing else was received on its connection, and `deadline`
-    /// is the one that the server was given.
+    /// `deadline` is the one that the server was given.
     fn observe_evidence(
         &self,
         head: &ResponseHead,
         connection: &BackendConnection,
-        is_first: bool,
+        sent: SentRequest<'_>,
         deadline: ServerDeadline,
     ) -> RunEvidence {
         let names = &self.shared.header_names;
@@ -324,8 +331,7 @@
             arrival,
             max_prompt_delay: self.shared.settings().max_prompt_delay(),
         };
-        let id = self.outgoing.id.as_ref();
-        let evidence = head.run_evidence(names, SentRequest { id, is_first }, timing);
+        let evidence = head.run_evidence(names, sent, timing);
         let refusal = RefusalTrace {
             status: head.status,
             arrival,
@@ -336,11 +342,11 @@
         let metrics = &self.shared.metrics;
         metrics.count_refusal_evidence(evidence, &timing);
         tracing::info!(
-            id = id_text(id),
+            id = id_text(sent.id),
             server = %self.pick.server.id,
             status = head.status.as_u16(),
             body_bytes = head.body_bytes,
-            is_first,
+            is_first = sent.is_first,
             evidence = evidence.as_str(),
             server_timeout_ms = deadline.timeout_ms(),
             held_ms = deadline.elapsed(arrival.at).as_millis() as u64,
@@ -526,25 +532,27 @@
     }
 }
 
-/// Records the connection that an attempt uses, before the request is sent on it.
+/// Records and returns the use of a connection, before the request is sent on it.
 pub fn record_connection(
     shared: &EdgeState,
     outgoing: &UpstreamRequest,
     attempt: AttemptNumber,
     connection: &BackendConnection,
-) {
+) -> ConnectionUse {
     let id = outgoing.id.as_ref();
     let used = connection.usage(id);
-    let Some(cause) = outgoing.in_flight.record_connection(attempt, used) else {
-        return;
-    };
-    shared.metrics.count_repeated_request(cause);
-    tracing::info!(
-        id = id_text(id),
-        connection = %format_args!("{}#{}", used.address, used.number),
-        cause = cause.as_str(),
-        "attempt: comes again to a connection on which it failed."
-    );
+    if let Some(cause) = outgoing.in_flight.record_connection(attempt, used) {
+        shared.metrics.count_repeated_request(cause);
+        tracing::info!(
+            id = id_text(id),
+            connection = %format_args!("{}#{}", used.address, used.number),
+            avoided = used.avoided,
+            is_repeated = used.is_repeated,
+            cause = cause.as_str(),
+            "attempt: the request failed on a connection to this address before."
+        );
+    }
+    used
 }
 
 /// Releases a connection once the body of its response, which is not needed, has been
--- a/crates/wingspur-edge/src/proxy/attempt_trace.rs
+++ b/crates/wingspur-edge/src/proxy/attempt_trace.rs
@@ -36,7 +36,7 @@
     pub evidence: RunEvidence,
 }
 
-/// Why a request comes again to a connection on which it has failed.
+/// Why a request comes again to an address where it has failed on an open connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RepetitionCause {
     /// The caller has sent a request with the same id before.
@@ -78,7 +78,7 @@
     }
 
     /// Records the connection that an attempt uses, and returns why the request comes to
-    /// its address again; `None` if the connection has not failed it before.
+    /// its address again; `None` if no connection to it has failed the request before.
     ///
     /// A request is sent again if an earlier attempt had the same address. Otherwise the
     /// caller, or several boxes that relay the request, repeat its id.
@@ -93,7 +93,8 @@
             used.is_some_and(|used| used.address == connection.address)
         });
         self.0[attempt].connection = Some(connection);
-        connection.is_repeated.then_some(match is_resend {
+        let has_failed = connection.is_repeated || connection.avoided > 0;
+        has_failed.then_some(match is_resend {
             true => RepetitionCause::Resend,
             false if is_relayed => RepetitionCause::Relayed,
             false => RepetitionCause::Caller,
@@ -133,11 +134,13 @@
                     earlier_requests,
                     earlier_errors,
                     is_repeated,
+                    avoided,
                 } = connection;
                 let _ = write!(
                     text,
                     " connection={address}#{number} earlier_requests={earlier_requests} \
-                     earlier_errors={earlier_errors} is_repeated={is_repeated}",
+                     earlier_errors={earlier_errors} is_repeated={is_repeated} \
+                     avoided={avoided}",
                 );
             }
             if let Some(refusal) = &self.refusal {
--- a/crates/wingspur-edge/src/proxy/forwarding.rs
+++ b/crates/wingspur-edge/src/proxy/forwarding.rs
@@ -327,10 +327,11 @@
     fn pick_connected(&mut self) -> Option<Pick> {
         self.avoided = self.servers_tried();
         let lost_at = self.service.path.lock().lost_at();
-        let reuse = reuse_policy(self.route.route.class, lost_at);
+        let id = self.outgoing.id.as_ref();
+        let reuse = reuse_policy(self.route.route.class, id.is_some(), lost_at);
         let pick = self.pick().filter(|_| !self.needs_permit())?;
         let backend = self.shared.services.backend(pick.server.address);
-        backend.has_idle(reuse).then_some(pick)
+        backend.has_idle(reuse, id).then_some(pick)
     }
 
     /// Hands the request to a relay; returns whether there is one.
--- a/crates/wingspur-edge/src/proxy/in_flight_requests.rs
+++ b/crates/wingspur-edge/src/proxy/in_flight_requests.rs
@@ -202,7 +202,7 @@
     }
 
     /// Records for the log which connection an attempt uses. Returns why the request comes
-    /// again to it; `None` if it has not failed there before.
+    /// again to its address; `None` if no connection to it has failed the request before.
     pub fn record_connection(
         &self,
         attempt: AttemptNumber,
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -13,8 +13,8 @@
 };
 use wingspur_state::{AttemptEnd, AttemptNumber};
 use wingspur_transport::{
-    BackendConnection, BackendConnections, ResponseError, ResponseHead, RunEvidence,
-    SendBody, ServerDeadline, UnprovenReason,
+    Attribution, BackendConnection, BackendConnections, ResponseError, ResponseHead,
+    ReusePolicy, RunEvidence, SendBody, ServerDeadline, UnprovenReason,
 };
 
 use crate::catalog::active_bundle::ActiveRoute;
@@ -60,9 +60,14 @@
     pub async fn run(self, body: SendBody) -> AttemptResult {
         let connections = self.shared.relays.connections(self.relay.peer_address);
         let guard = RelayGuard::begin(&self, connections.clone());
-        let reuse = reuse_policy(self.route.route.class, None);
         let timeout = CONNECT_TIMEOUT.min(self.remaining());
-        let mut connection = match connections.connect(reuse, timeout).await {
+        let id = self.outgoing.id.as_ref();
+        // What the relay says of a request without an id counts on a new connection only.
+        let reuse = match id {
+            Some(_) => reuse_policy(self.route.route.class, true, None),
+            None => ReusePolicy::Never,
+        };
+        let mut connection = match connections.connect(reuse, id, timeout).await {
             Ok(connection) => connection,
             Err(error) => return self.not_taken("unreached", &error),
         };
@@ -125,20 +130,26 @@
             serialize_head(&self.outgoing, names, deadline, &own_headers, &body);
         let method = &self.outgoing.method;
         let id = self.outgoing.id.as_ref();
-        record_connection(&self.shared, &self.outgoing, self.number, connection);
+        let used =
+            record_connection(&self.shared, &self.outgoing, self.number, connection);
+        let sent = self.outgoing.sent_on(&used);
         let mut head = connection.send_request(request, body, method, id).await?;
         let service = &self.service.name;
         let hop = wingspur_clock::since(began);
         self.shared.metrics.observe_relay_latency(service, hop);
-        if self.outgoing.is_response_to_other(&head, names) {
+        let attribution = head.attribution(names, sent);
+        if attribution == Attribution::Other {
             return Err(unreadable("a response to another request"));
         }
         let result = relay_result(&mut head)?;
         self.record_load(result.load);
         if !result.is_taken {
-            return Ok(Received::Declined(head.status));
+            return Ok(match attribution.unproven_reason() {
+                None => Received::Declined(head.status),
+                Some(reason) => Received::Unproven(head.status, reason),
+            });
         }
-        let evidence = head.relayed_run_evidence();
+        let evidence = head.relayed_run_evidence(names, sent);
         self.trace_refusal(&head, connection, evidence);
         match evidence {
             RunEvidence::Ordinary => {}
--- a/crates/wingspur-edge/src/proxy/request_head.rs
+++ b/crates/wingspur-edge/src/proxy/request_head.rs
@@ -7,7 +7,9 @@
 use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use wingspur_protocol::HeaderNames;
 use wingspur_state::{RequestFingerprint, RouteClass};
-use wingspur_transport::{ResponseHead, ReusePolicy, SendBody, ServerDeadline};
+use wingspur_transport::{
+    ConnectionUse, ReusePolicy, SendBody, SentRequest, ServerDeadline,
+};
 
 use crate::proxy::admission::Principal;
 use crate::proxy::in_flight_requests::InFlightGuard;
@@ -36,10 +38,13 @@
 }
 
 impl UpstreamRequest {
-    /// Whether a response names another request. Without an id it may belong to this one.
-    pub fn is_response_to_other(&self, head: &ResponseHead, names: &HeaderNames) -> bool {
-        let named = head.headers.get(names.request_id);
-        named.is_some_and(|id| Some(id) != self.id.as_ref())
+    /// Returns the request as it is sent on a connection with this history.
+    pub fn sent_on(&self, used: &ConnectionUse) -> SentRequest<'_> {
+        SentRequest {
+            id: self.id.as_ref(),
+            is_first: used.is_first(),
+            is_repeated: used.is_repeated,
+        }
     }
 
     /// Whether a server that gets the request now is left less than a millisecond, the
@@ -91,13 +96,18 @@
     head
 }
 
-/// Returns which pooled connections a request of a class may use. `lost_at` is when the
-/// path to the servers was lost, if it is: only connections that have worked since then
-/// are used.
+/// Returns which pooled connections a request of a class may use. `has_id` says whether
+/// the request has an id, and `lost_at` is when the path to the servers was lost, if it
+/// is: only connections that have worked since then are used.
 ///
-/// If a pooled connection turns out to be dead, it is unknown whether the request has
+/// A refusal of a request without an id counts on a new connection only, so a once-only
+/// request without one uses no other as long as one can be opened. If a pooled connection turns out to be dead, it is unknown whether the request has
 /// run. So a once-only request only uses a connection that was in use a moment ago.
-pub fn reuse_policy(class: RouteClass, lost_at: Option<Instant>) -> ReusePolicy {
+pub fn reuse_policy(
+    class: RouteClass,
+    has_id: bool,
+    lost_at: Option<Instant>,
+) -> ReusePolicy {
     let used_at_least = wingspur_clock::now().checked_sub(ONCE_ONLY_MAX_IDLE);
     match (lost_at, class.is_retry_safe()) {
         (Some(lost_at), true) => ReusePolicy::UsedSince(lost_at),
@@ -105,6 +115,7 @@
             ReusePolicy::UsedSince(used_at_least.map_or(lost_at, |at| at.max(lost_at)))
         }
         (None, true) => ReusePolicy::Any,
+        (None, false) if !has_id => ReusePolicy::Never,
         (None, false) => ReusePolicy::IdleAtMost(ONCE_ONLY_MAX_IDLE),
     }
 }
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -61,6 +61,8 @@
     history: ConnectionHistory,
     /// The id of the current request, if it has one.
     request_id: Option<HeaderValue>,
+    /// How many idle connections were left out when this one was taken.
+    avoided: usize,
     /// The shortest time to connect to this server so far.
     connect_time: Duration,
     /// When the last part of the current request was sent; `None` while it is being sent.
@@ -118,6 +120,8 @@
     /// Only one on which a response was read after this moment, and for which `Any` holds
     /// as well.
     UsedSince(Instant),
+    /// None.
+    Never,
 }
 
 /// The head of a response.
@@ -184,21 +188,29 @@
         }
     }
 
-    /// Takes an idle connection or opens a new one. Opening fails with
-    /// `ConnectError::Silent` after `timeout`, or earlier if the last connection was
-    /// established fast.
+    /// Takes an idle connection for a request, which may have an id, or opens a new one.
+    /// Opening fails with `ConnectError::Silent` after `timeout`, or earlier if the last
+    /// connection was established fast.
+    ///
+    /// Connections on which the request got an error response are left out: copies of the
+    /// response may still arrive there.
     pub async fn connect(
         &self,
         reuse: ReusePolicy,
+        id: Option<&HeaderValue>,
         timeout: Duration,
     ) -> Result<BackendConnection, ConnectError> {
         let now = wingspur_clock::now();
-        while let Some(mut connection) = self.take_idle(reuse, now) {
+        let mut avoided = 0;
+        while let Some(mut connection) = self.take_idle(reuse, id, now, &mut avoided) {
             if connection.has_no_input().await && !self.path_fault.resets_open() {
+                connection.avoided = avoided;
                 return Ok(connection);
             }
         }
-        self.open(timeout.min(self.connect_timeout())).await
+        let mut connection = self.open(timeout.min(self.connect_timeout())).await?;
+        connection.avoided = avoided;
+        Ok(connection)
     }
 
     /// Checks whether the server accepts connections, by opening one within `timeout`.
@@ -237,6 +249,7 @@
             number,
             history: ConnectionHistory::default(),
             request_id: None,
+            avoided: 0,
             connect_time: Duration::from_micros(fastest_us.min(took_us)),
             request_sent_at: None,
             path_fault: self.path_fault.clone(),
@@ -253,7 +266,7 @@
     /// Keeps a connection for the next request if its response was read completely and it
     /// may be reused; otherwise closes it.
     pub fn release(&self, mut connection: BackendConnection) {
-        if !connection.is_reusable() {
+        if !connection.is_reusable() || connection.history.is_full() {
             return;
         }
         connection.is_new = false;
@@ -264,11 +277,12 @@
         self.idle.lock().expect("no holder panics").push(idle);
     }
 
-    /// Returns whether there is an idle connection that the policy allows.
-    pub fn has_idle(&self, reuse: ReusePolicy) -> bool {
+    /// Returns whether there is an idle connection that `connect` would take.
+    pub fn has_idle(&self, reuse: ReusePolicy, id: Option<&HeaderValue>) -> bool {
         let idle = self.idle.lock().expect("no holder panics");
         let now = wingspur_clock::now();
-        idle.last().is_some_and(|idle| idle.is_allowed(reuse, now))
+        let mut idle = idle.iter();
+        idle.any(|idle| idle.is_allowed(reuse, now) && !idle.has_failed(id))
     }
 
     /// Closes connections that were idle for too long. Returns false if none is left.
@@ -293,21 +307,29 @@
         }
     }
 
-    /// Takes the most recently used idle connection, or returns `None` if the policy does
-    /// not allow it.
-    fn take_idle(&self, reuse: ReusePolicy, now: Instant) -> Option<BackendConnection> {
+    /// Takes the most recently used idle connection that the policy allows and on which
+    /// the request has not failed. Sets `avoided` to how many it has failed on.
+    fn take_idle(
+        &self,
+        reuse: ReusePolicy,
+        id: Option<&HeaderValue>,
+        now: Instant,
+        avoided: &mut usize,
+    ) -> Option<BackendConnection> {
         let mut idle = self.idle.lock().expect("no holder panics");
-        let newest = idle.last()?;
-        if !newest.is_allowed(reuse, now) {
-            return None;
-        }
-        idle.pop().map(|idle| idle.connection)
+        let allowed = || idle.iter().filter(|idle| idle.is_allowed(reuse, now));
+        *avoided = allowed().filter(|idle| idle.has_failed(id)).count();
+        let position = idle
+            .iter()
+            .rposition(|idle| idle.is_allowed(reuse, now) && !idle.has_failed(id))?;
+        Some(idle.remove(position).connection)
     }
 }
 
 impl IdleConnection {
     fn is_allowed(&self, reuse: ReusePolicy, now: Instant) -> bool {
         let limit = match reuse {
+            ReusePolicy::Never => return false,
             ReusePolicy::UsedSince(at) if self.since < at => return false,
             ReusePolicy::Any | ReusePolicy::UsedSince(_) => self.connection.idle_timeout,
             ReusePolicy::IdleAtMost(limit) => limit.min(self.connection.idle_timeout),
@@ -315,6 +337,10 @@
         !self.is_idle_for(limit, now)
     }
 
+    fn has_failed(&self, id: Option<&HeaderValue>) -> bool {
+        self.connection.history.has_failed(id)
+    }
+
     fn is_idle_for(&self, limit: Duration, now: Instant) -> bool {
         now.saturating_duration_since(self.since) >= limit
     }
@@ -324,7 +350,10 @@
     /// Returns what the connection carried before a request that is to be sent on it, and
     /// that may have an id.
     pub fn usage(&self, id: Option<&HeaderValue>) -> ConnectionUse {
-        self.history.usage(self.address, self.number, id)
+        ConnectionUse {
+            avoided: self.avoided,
+            ..self.history.usage(self.address, self.number, id)
+        }
     }
 
     /// Sends a request, which may have an id, and reads the head of the response.
@@ -547,6 +576,9 @@
         } = head;
         self.history
             .record_response(status, self.request_id.as_ref());
+        // A copy of this response could be told from no other.
+        let is_unnamed = self.request_id.is_none();
+        self.reusable &= !(is_unnamed && self.history.has_failed(None));
         let bodiless = *method == Method::HEAD
             || status == StatusCode::NO_CONTENT
             || status == StatusCode::NOT_MODIFIED;
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -59,7 +59,8 @@
 pub use response_arrival::ResponseArrival;
 pub use response_error::ResponseError;
 pub use run_evidence::{
-    DeclaredRefusals, RunEvidence, SentRequest, UnprovenReason, declared_run_evidence,
+    Attribution, DeclaredRefusals, RunEvidence, SentRequest, UnprovenReason,
+    declared_run_evidence,
 };
 pub use send_window::SendWindow;
 pub use server_deadline::ServerDeadline;
--- a/crates/wingspur-transport/src/run_evidence.rs
+++ b/crates/wingspur-transport/src/run_evidence.rs
@@ -29,6 +29,9 @@
     Unmarked,
     /// The response does not name the request, so it may belong to another one.
     Unnamed,
+    /// The request got an error response on this connection before, of which the response
+    /// may be a copy.
+    PossibleCopy,
     /// The server states that the request did not run, in a response that is no error.
     Contradictory,
     /// The server may have refused the request because its deadline had passed. A worker
@@ -47,6 +50,33 @@
     /// Whether it is the first one on its connection, so that no response on it can
     /// belong to an earlier request.
     pub is_first: bool,
+    /// Whether it got an error response on its connection before, of which copies may
+    /// arrive.
+    pub is_repeated: bool,
+}
+
+/// To which request a response belongs, as far as can be told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Attribution {
+    /// To the request that was sent last on the connection.
+    Own,
+    /// To another request, which it names.
+    Other,
+    /// It names no request, or several, and the connection has carried others.
+    Unnamed,
+    /// To the request that was sent last, or to an earlier sending of it.
+    PossibleCopy,
+}
+
+impl Attribution {
+    /// Returns why a refusal that is attributed so proves nothing; `None` if it may.
+    pub fn unproven_reason(self) -> Option<UnprovenReason> {
+        match self {
+            Self::Own => None,
+            Self::Other | Self::Unnamed => Some(UnprovenReason::Unnamed),
+            Self::PossibleCopy => Some(UnprovenReason::PossibleCopy),
+        }
+    }
 }
 
 /// What the operator has declared about the refusals of a service's servers.
@@ -106,8 +136,8 @@
         if !self.claims_refusal(names) {
             return RunEvidence::Ordinary;
         }
-        if !self.names_request(names, request) {
-            return RunEvidence::Unproven(UnprovenReason::Unnamed);
+        if let Some(reason) = self.attribution(names, request).unproven_reason() {
+            return RunEvidence::Unproven(reason);
         }
         // Where requests name the server that they are for, every other server answers
         // 421 without running them.
@@ -124,10 +154,17 @@
     /// Decides what this head, received from another box that has taken a request, says
     /// about whether the request ran. The other box has judged its server's refusals, so
     /// only a refusal of its own counts.
-    pub fn relayed_run_evidence(&self) -> RunEvidence {
+    pub fn relayed_run_evidence(
+        &self,
+        names: &HeaderNames,
+        request: SentRequest<'_>,
+    ) -> RunEvidence {
         if !promises_not_run(self.status) {
             return RunEvidence::Ordinary;
         }
+        if let Some(reason) = self.attribution(names, request).unproven_reason() {
+            return RunEvidence::Unproven(reason);
+        }
         match self.result_code().map(ResultCode::run_state) {
             Some(ExecutionState::NotRun) => RunEvidence::NotRun,
             _ => RunEvidence::Unproven(UnprovenReason::Unmarked),
@@ -147,13 +184,21 @@
         mark.is_some_and(|name| self.headers.contains_key(name))
     }
 
-    /// Returns whether the response names the request. A response to a request without an
-    /// id cannot, so it must be the first on its connection.
-    fn names_request(&self, names: &HeaderNames, request: SentRequest<'_>) -> bool {
-        let mut echoed = self.headers.get_all(names.request_id).iter().peekable();
-        match request.id {
-            Some(id) => echoed.peek().is_some() && echoed.all(|echoed| echoed == id),
-            None => echoed.peek().is_none() && request.is_first,
+    /// Determines to which request this response belongs. A response to a request without
+    /// an id names none, so it must be the first on its connection.
+    pub fn attribution(
+        &self,
+        names: &HeaderNames,
+        request: SentRequest<'_>,
+    ) -> Attribution {
+        let mut named = self.headers.get_all(names.request_id).iter();
+        match named.next() {
+            None if request.id.is_none() && request.is_first => Attribution::Own,
+            None => Attribution::Unnamed,
+            Some(first) if Some(first) != request.id => Attribution::Other,
+            Some(first) if named.any(|other| other != first) => Attribution::Unnamed,
+            Some(_) if request.is_repeated => Attribution::PossibleCopy,
+            Some(_) => Attribution::Own,
         }
     }
 }
@@ -197,12 +242,19 @@
         match self {
             Self::Unmarked => "unmarked",
             Self::Unnamed => "unnamed",
+            Self::PossibleCopy => "possible_copy",
             Self::Contradictory => "contradictory",
             Self::AtDeadline => "at_deadline",
             Self::Delayed => "delayed",
         }
     }
 
+    /// Whether the response may be to another sending than the latest one on its
+    /// connection, whose own response may follow.
+    pub fn is_ambiguous(self) -> bool {
+        matches!(self, Self::Unnamed | Self::PossibleCopy)
+    }
+
     /// Whether the server did refuse this request, so that the response is no sign of a
     /// fault.
     pub fn is_refusal(self) -> bool {
@@ -214,7 +266,7 @@
         match self {
             Self::AtDeadline => ResultCode::DeadlineAfterSend,
             Self::Delayed => ResultCode::DelayedRefusal,
-            Self::Unmarked | Self::Unnamed | Self::Contradictory => {
+            Self::Unmarked | Self::Unnamed | Self::PossibleCopy | Self::Contradictory => {
                 ResultCode::ConnectionLostAfterSend
             }
         }
