--- a/crates/wingspur-transport/src/connection_history.rs
+++ b/crates/wingspur-transport/src/connection_history.rs
@@ -88,7 +88,7 @@
     /// Whether a request, which may have an id, got an error response, so that copies of it
     /// may still arrive.
     pub fn has_failed(&self, id: Option<&HeaderValue>) -> bool {
-        self.failed.contains(&hash_of(id))
+        !self.failed.is_empty() && self.failed.contains(&hash_of(id))
     }
 }
 
