Repeated and missing ids keep no more connections than others

A review of the fix: a caller that repeats one id that fails made the box open a connection for each request, all of which stayed idle until their timeout; so did once-only requests without an id. Servers with few connections would have reset other callers.

A connection on which a request has failed is closed as the request comes again, so the new one takes its place; one that was opened for a request without an id closes after it. The number in the log is now unique in the process, since a pool of an address may end and begin anew.

--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -25,7 +25,7 @@
 use wingspur_state::MAX_RESEND_TRANSIT;
 
 use crate::buffer_budget::{BufferBudget, BufferLease, LeasedBuffer, UNLEASED_BYTES};
-use crate::connection_history::ConnectionHistory;
+use crate::connection_history::{ConnectionHistory, next_connection_number};
 use crate::fair_stream::FairStream;
 use crate::path_fault::InjectedPathFault;
 use crate::response_head::{
@@ -56,12 +56,12 @@
 pub struct BackendConnection {
     stream: FairStream<TcpStream>,
     address: SocketAddr,
-    /// Its number among the connections to the address, from 1.
-    number: usize,
+    /// Its number among the connections of this process, from 1.
+    number: u64,
     history: ConnectionHistory,
     /// The id of the current request, if it has one.
     request_id: Option<HeaderValue>,
-    /// How many idle connections were left out when this one was taken.
+    /// How many idle connections were closed when this one was taken.
     avoided: usize,
     /// The shortest time to connect to this server so far.
     connect_time: Duration,
@@ -120,7 +120,7 @@
     /// Only one on which a response was read after this moment, and for which `Any` holds
     /// as well.
     UsedSince(Instant),
-    /// None.
+    /// None, and the connection closes after the request.
     Never,
 }
 
@@ -192,8 +192,9 @@
     /// Opening fails with `ConnectError::Silent` after `timeout`, or earlier if the last
     /// connection was established fast.
     ///
-    /// Connections on which the request got an error response are left out: copies of the
-    /// response may still arrive there.
+    /// Idle connections on which the request got an error response are closed: copies of
+    /// the response may still arrive there. As each of them makes room for a new one, a
+    /// caller that repeats an id gets no more connections than any other.
     pub async fn connect(
         &self,
         reuse: ReusePolicy,
@@ -201,8 +202,8 @@
         timeout: Duration,
     ) -> Result<BackendConnection, ConnectError> {
         let now = wingspur_clock::now();
-        let mut avoided = 0;
-        while let Some(mut connection) = self.take_idle(reuse, id, now, &mut avoided) {
+        let avoided = self.close_failed(id);
+        while let Some(mut connection) = self.take_idle(reuse, now) {
             if connection.has_no_input().await && !self.path_fault.resets_open() {
                 connection.avoided = avoided;
                 return Ok(connection);
@@ -210,6 +211,7 @@
         }
         let mut connection = self.open(timeout.min(self.connect_timeout())).await?;
         connection.avoided = avoided;
+        connection.reusable = reuse != ReusePolicy::Never;
         Ok(connection)
     }
 
@@ -242,11 +244,11 @@
         let fastest_us = self
             .fastest_connect_us
             .fetch_min(took_us, Ordering::Relaxed);
-        let number = self.opened.fetch_add(1, Ordering::Relaxed) + 1;
+        self.opened.fetch_add(1, Ordering::Relaxed);
         Ok(BackendConnection {
             stream: FairStream::new(stream),
             address: self.address,
-            number,
+            number: next_connection_number(),
             history: ConnectionHistory::default(),
             request_id: None,
             avoided: 0,
@@ -281,8 +283,8 @@
     pub fn has_idle(&self, reuse: ReusePolicy, id: Option<&HeaderValue>) -> bool {
         let idle = self.idle.lock().expect("no holder panics");
         let now = wingspur_clock::now();
-        let mut idle = idle.iter();
-        idle.any(|idle| idle.is_allowed(reuse, now) && !idle.has_failed(id))
+        let newest = idle.iter().rfind(|idle| !idle.has_failed(id));
+        newest.is_some_and(|idle| idle.is_allowed(reuse, now))
     }
 
     /// Closes connections that were idle for too long. Returns false if none is left.
@@ -307,22 +309,24 @@
         }
     }
 
-    /// Takes the most recently used idle connection that the policy allows and on which
-    /// the request has not failed. Sets `avoided` to how many it has failed on.
-    fn take_idle(
-        &self,
-        reuse: ReusePolicy,
-        id: Option<&HeaderValue>,
-        now: Instant,
-        avoided: &mut usize,
-    ) -> Option<BackendConnection> {
+    /// Closes the idle connections on which a request, which may have an id, got an error
+    /// response. Returns how many these were.
+    fn close_failed(&self, id: Option<&HeaderValue>) -> usize {
         let mut idle = self.idle.lock().expect("no holder panics");
-        let allowed = || idle.iter().filter(|idle| idle.is_allowed(reuse, now));
-        *avoided = allowed().filter(|idle| idle.has_failed(id)).count();
-        let position = idle
-            .iter()
-            .rposition(|idle| idle.is_allowed(reuse, now) && !idle.has_failed(id))?;
-        Some(idle.remove(position).connection)
+        let before = idle.len();
+        idle.retain(|idle| !idle.has_failed(id));
+        before - idle.len()
+    }
+
+    /// Takes the most recently used idle connection, or returns `None` if the policy does
+    /// not allow it.
+    fn take_idle(&self, reuse: ReusePolicy, now: Instant) -> Option<BackendConnection> {
+        let mut idle = self.idle.lock().expect("no holder panics");
+        let newest = idle.last()?;
+        if !newest.is_allowed(reuse, now) {
+            return None;
+        }
+        idle.pop().map(|idle| idle.connection)
     }
 }
 
--- a/crates/wingspur-transport/src/connection_history.rs
+++ b/crates/wingspur-transport/src/connection_history.rs
@@ -3,6 +3,7 @@
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::sync::LazyLock;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use hyper::StatusCode;
 use hyper::header::HeaderValue;
@@ -27,8 +28,8 @@
 pub struct ConnectionUse {
     /// The address that it leads to.
     pub address: SocketAddr,
-    /// Its number among the connections to this address, from 1.
-    pub number: usize,
+    /// Its number among the connections of this process, from 1.
+    pub number: u64,
     /// How many requests it carried before this one.
     pub earlier_requests: u64,
     /// How many of these got an error response.
@@ -36,7 +37,7 @@
     /// Whether one of these has the same id, so that a response to this request may be a
     /// copy of an earlier one.
     pub is_repeated: bool,
-    /// How many idle connections to the address were left out, because the request has
+    /// How many idle connections to the address were closed, because the request has
     /// failed on them before.
     pub avoided: usize,
 }
@@ -63,11 +64,11 @@
     }
 
     /// Returns what was carried before a request that is to be sent now, and that may have
-    /// an id. `number` is that of the connection among those to its address.
+    /// an id. `number` is the connection's own.
     pub fn usage(
         &self,
         address: SocketAddr,
-        number: usize,
+        number: u64,
         id: Option<&HeaderValue>,
     ) -> ConnectionUse {
         ConnectionUse {
@@ -92,6 +93,12 @@
     }
 }
 
+/// Returns the number of a new connection.
+pub fn next_connection_number() -> u64 {
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    LAST.fetch_add(1, Ordering::Relaxed) + 1
+}
+
 /// Callers choose the ids, so the hash is keyed. A collision costs a new connection.
 fn hash_of(id: Option<&HeaderValue>) -> RequestHash {
     static KEY: LazyLock<RandomState> = LazyLock::new(RandomState::new);
--- a/crates/wingspur-transport/src/pool.rs
+++ b/crates/wingspur-transport/src/pool.rs
@@ -14,7 +14,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use crate::connection_history::ConnectionHistory;
+use crate::connection_history::{ConnectionHistory, next_connection_number};
 use crate::fair_stream::FairStream;
 use crate::{ConnectionUse, ResponseArrival, SendBody, Spawner};
 
@@ -192,7 +192,8 @@
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let handshake = builder.handshake(io);
         let (sender, connection) = handshake.await.map_err(|error| error.to_string())?;
-        let number = self.opened.fetch_add(1, Ordering::Relaxed) + 1;
+        self.opened.fetch_add(1, Ordering::Relaxed);
+        let number = next_connection_number();
         let history = ConnectionHistory::default();
         self.spawner.detach(async move {
             // The request on a failed connection gets the error.
--- a/tests/tests/copied_refusals.rs
+++ b/tests/tests/copied_refusals.rs
@@ -3,10 +3,16 @@
 mod copying_server;
 mod edge;
 
+use std::time::Duration;
+
 use copying_server::{CopyingServer, REFUSAL_421, REFUSAL_503};
 use edge::{Caller, Deployment, Route, configuration, server_entry, wait_until};
-use wingspur_tests::{Answer, PlatformStore};
-use wingspur_transport::Workers;
+use hyper::Method;
+use hyper::header::HeaderValue;
+use wingspur_tests::{Answer, BackendServer, PlatformStore, Reply};
+use wingspur_transport::{
+    BackendConnection, BackendConnections, BufferBudget, ReusePolicy, SendBody, Workers,
+};
 
 const ONCE_ONLY: &str = "once_only";
 const REQUESTS: usize = 10;
@@ -92,3 +98,56 @@
     }
     workers.close();
 }
+
+#[test]
+fn repeated_ids_hold_no_more_connections_than_others() {
+    let server = BackendServer::start(|_| Reply::Refused);
+    let connections = BackendConnections::new(server.address, BufferBudget::new(1 << 20));
+    let [id, other] = ["repeated", "other"].map(HeaderValue::from_static);
+    for n in 1..=REQUESTS {
+        let connection = refused_connection(&connections, ReusePolicy::Any, Some(&id));
+        assert_eq!(connections.opened(), n, "each goes on a new connection");
+        connections.release(connection);
+    }
+    let kept = refused_connection(&connections, ReusePolicy::Any, Some(&other));
+    assert_eq!(
+        connections.opened(),
+        REQUESTS,
+        "another id uses the last one"
+    );
+    assert!(
+        !connections.has_idle(ReusePolicy::Any, Some(&other)),
+        "the others closed"
+    );
+    drop(kept);
+}
+
+#[test]
+fn requests_without_an_id_keep_no_connection_that_has_refused_them() {
+    let server = BackendServer::start(|_| Reply::Refused);
+    let connections = BackendConnections::new(server.address, BufferBudget::new(1 << 20));
+    for reuse in [ReusePolicy::Any, ReusePolicy::Never] {
+        for _ in 0..REQUESTS {
+            connections.release(refused_connection(&connections, reuse, None));
+            assert!(!connections.has_idle(ReusePolicy::Any, None), "{reuse:?}");
+        }
+    }
+}
+
+/// Sends a request that its server refuses, and returns the connection after that.
+fn refused_connection(
+    connections: &BackendConnections,
+    reuse: ReusePolicy,
+    id: Option<&HeaderValue>,
+) -> BackendConnection {
+    let name = id.map_or("", |id| id.to_str().expect("it is text"));
+    let head = format!("GET / HTTP/1.1\r\nx-wingspur-request-id: {name}\r\n\r\n");
+    smol::block_on(async {
+        let connecting = connections.connect(reuse, id, Duration::from_secs(10));
+        let mut connection = connecting.await.expect("the server listens");
+        let body = SendBody::empty();
+        let sending = connection.send_request(head.into_bytes(), body, &Method::GET, id);
+        assert_eq!(sending.await.expect("the server responds").status, 503);
+        connection
+    })
+}
