Soak: servers copy refusals, callers repeat ids, entries share an address

The soak could not find that a copy of a refusal was taken for the answer to the next sending: its callers never repeated an id, and no two entries had one address. Three flags of `--site` add this. `--copying`: servers write copies of their refusals on the same connection later. `--repeating`: callers send refused requests again with the same id. `--sharing`: servers have a second entry with the same address, and some answer 421 to requests for it.

Each sending has a number in a header, which servers report, so each run is judged with what the caller was told of this very sending. A request that comes again may run once in all, after each earlier sending was refused.

--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -82,6 +82,15 @@
     /// let boxes there run a fifth of the time, 20 ms at once
     #[argh(switch)]
     sliced: bool,
+    /// let servers there write copies of their refusals on the same connection later
+    #[argh(switch)]
+    copying: bool,
+    /// let callers there repeat requests that were refused, with the same id
+    #[argh(switch)]
+    repeating: bool,
+    /// let half of the servers there have a second entry with the same address
+    #[argh(switch)]
+    sharing: bool,
     /// how often processes there stand still, per second
     #[argh(option, default = "PAUSES_PER_SECOND")]
     pauses: f64,
@@ -177,6 +186,9 @@
         early: Duration::from_millis(args.early_ms),
         pauses_per_second: args.pauses,
         slices_boxes: args.sliced,
+        copies_refusals: args.copying,
+        repeats_ids: args.repeating,
+        shares_addresses: args.sharing,
         max_prompt_delay_ms: args.max_prompt_delay_ms,
         span: Duration::from_secs(args.seconds),
     };
--- a/tests/soak/src/site/caller.rs
+++ b/tests/soak/src/site/caller.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
 use wingspur_tests::read_keep_alive_response;
@@ -33,6 +33,8 @@
     pub shape: String,
     /// Differs between plays that run at the same time.
     pub play: u32,
+    /// Whether requests that were refused are repeated with the same id.
+    pub repeats_ids: bool,
     /// The boxes.
     pub balancer: Balancer,
 }
@@ -42,6 +44,8 @@
 pub struct Call {
     /// The request's id.
     pub id: String,
+    /// The number of this sending of it, from 1.
+    pub sending: u32,
     /// Number of the box.
     pub box_index: usize,
     /// Length of the body, and whether it was sent in chunks.
@@ -67,7 +71,16 @@
     random: StdRng,
     shape: Shape,
     balancer: Arc<RwLock<Balancer>>,
-    kept: Option<(usize, BufReader<TcpStream>)>,
+    kept: Option<Connection>,
+    repeats_ids: bool,
+}
+
+/// A connection to a box.
+struct Connection {
+    box_index: usize,
+    /// Whether it was used before.
+    is_kept: bool,
+    reader: BufReader<TcpStream>,
 }
 
 /// Plays all callers until the commands end; each command is the current balancer.
@@ -89,13 +102,12 @@
             shape,
             balancer: balancer.clone(),
             kept: None,
+            repeats_ids: spec.repeats_ids,
         };
         let (stop, reports) = (stop.clone(), reports.clone());
         spawn(move || {
             while !stop.load(Ordering::Relaxed) {
-                if let Some(call) = caller.call() {
-                    reports.send(&call);
-                }
+                caller.call().iter().for_each(|call| reports.send(call));
                 let pause_ms = caller.random.random_range(0..MAX_PAUSE_MS);
                 std::thread::sleep(Duration::from_millis(pause_ms));
             }
@@ -112,16 +124,78 @@
 }
 
 impl Caller {
-    /// Sends one request; returns it if it is once-only and was sent to a box.
-    fn call(&mut self) -> Option<Call> {
+    /// Sends one request, and may repeat it if it was refused. Returns each sending to a
+    /// box if the request is once-only.
+    fn call(&mut self) -> Vec<Call> {
         let class = self.draw_class();
         if !class.keeps_connections {
             self.kept = None;
         }
-        let is_kept = self.kept.is_some();
-        let (box_index, mut reader) = self.connection()?;
-        self.sent += 1;
-        let id = format!("{}-c{}-{}", self.play, self.number, self.sent);
+        let mut connection = self.connection();
+        let mut calls = Vec::new();
+        let mut body = None;
+        let id = format!("{}-c{}-{}", self.play, self.number, self.sent + 1);
+        self.sent += usize::from(connection.is_some());
+        while let Some(used) = connection.take() {
+            let sending = calls.len() as u32 + 1;
+            let Some(call) = self.send(&class, &id, sending, body, used) else {
+                break;
+            };
+            body = Some(call.body);
+            if self.repeats(&call) {
+                connection = self.connection_after(call.box_index);
+            }
+            calls.push(call);
+        }
+        calls.retain(|_| class.is_once_only());
+        calls
+    }
+
+    /// Whether a request is sent again with the same id, so that each sending but the last
+    /// was refused before the next one began.
+    fn repeats(&mut self, call: &Call) -> bool {
+        self.repeats_ids
+            && call.sending < MAX_SENDINGS
+            && call.status.is_some_and(promises_not_run)
+            && self.random.random_bool(REPEATED_SHARE)
+    }
+
+    /// Returns a connection for the repetition of a request, soon or later, to the same box
+    /// or another one.
+    fn connection_after(&mut self, box_index: usize) -> Option<Connection> {
+        let is_soon = self.random.random_bool(0.5);
+        let max_pause_ms = if is_soon { 10 } else { MAX_REPETITION_PAUSE_MS };
+        let pause_ms = self.random.random_range(0..max_pause_ms);
+        std::thread::sleep(Duration::from_millis(pause_ms));
+        let is_same_box = self.random.random_bool(SAME_BOX_SHARE);
+        if is_same_box && self.kept.is_some() {
+            return self.kept.take();
+        }
+        self.kept = None;
+        let boxes = self.balancer.read().expect("no holder panics");
+        let suited = boxes
+            .iter()
+            .filter(|(index, _)| (*index == box_index) == is_same_box);
+        let chosen = suited.choose(&mut self.random).copied();
+        drop(boxes);
+        connect(chosen?)
+    }
+
+    /// Sends a request, with a body like this or a new one; returns what its caller was
+    /// told.
+    fn send(
+        &mut self,
+        class: &Class,
+        id: &str,
+        sending: u32,
+        body: Option<(usize, bool)>,
+        connection: Connection,
+    ) -> Option<Call> {
+        let Connection {
+            box_index,
+            is_kept,
+            mut reader,
+        } = connection;
         let leaves_after = self.random.random_bool(LEAVE_SHARE).then(|| {
             let work_ms = class.work.as_millis() as u64;
             Duration::from_millis(self.random.random_range(1..2 * work_ms))
@@ -129,9 +203,11 @@
         let limit = class.deadline + PATIENCE;
         let timeout = leaves_after.unwrap_or(limit);
         reader.get_ref().set_read_timeout(Some(timeout)).ok()?;
-        let body = self.draw_body(&class);
+        let body = body.unwrap_or_else(|| self.draw_body(class));
         let began = now();
-        let written = self.write(&class, &id, body, reader.get_ref()).is_ok();
+        let written = self
+            .write(class, id, sending, body, reader.get_ref())
+            .is_ok();
         let response = read_keep_alive_response(&mut reader);
         let ended = now();
         let header = |name: &str| {
@@ -140,7 +216,8 @@
         };
         let closes = header("connection").is_some_and(|value| value == "close");
         let call = Call {
-            id,
+            id: id.to_owned(),
+            sending,
             box_index,
             body,
             is_kept,
@@ -152,11 +229,15 @@
         };
         let has_response = response.is_some();
         if written && has_response && !closes && class.keeps_connections {
-            self.kept = Some((box_index, reader));
+            self.kept = Some(Connection {
+                box_index,
+                is_kept: true,
+                reader,
+            });
         } else if !has_response && self.random.random_bool(ABRUPT_SHARE) {
             reset(reader.get_ref());
         }
-        class.is_once_only().then_some(call)
+        Some(call)
     }
 
     fn draw_class(&mut self) -> Class {
@@ -166,16 +247,14 @@
     }
 
     /// Returns the kept connection, or a new one to a box of the balancer.
-    fn connection(&mut self) -> Option<(usize, BufReader<TcpStream>)> {
+    fn connection(&mut self) -> Option<Connection> {
         if let Some(kept) = self.kept.take() {
             return Some(kept);
         }
         let boxes = self.balancer.read().expect("no holder panics");
-        let (index, address) = *boxes.choose(&mut self.random)?;
+        let chosen = *boxes.choose(&mut self.random)?;
         drop(boxes);
-        let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok()?;
-        stream.set_nodelay(true).ok()?;
-        Some((index, BufReader::new(stream)))
+        connect(chosen)
     }
 
     /// Draws the length of a body, and whether it is sent in chunks.
@@ -190,6 +269,7 @@
         &mut self,
         class: &Class,
         id: &str,
+        sending: u32,
         (body_bytes, is_chunked): (usize, bool),
         mut stream: &TcpStream,
     ) -> std::io::Result<()> {
@@ -201,7 +281,7 @@
         let deadline_ms = class.deadline.as_millis();
         let mut head = format!(
             "{method} /{}/{id} HTTP/1.1\r\nhost: {HOST}\r\n\
-             x-wingspur-request-id: {id}\r\n\
+             x-wingspur-request-id: {id}\r\nx-soak-sending: {sending}\r\n\
              x-wingspur-request-deadline-ms: {deadline_ms}\r\n\
              x-soak-work-ms: {work_ms}\r\nx-soak-answer-bytes: {response_bytes}\r\n",
             class.service
@@ -236,6 +316,22 @@
     }
 }
 
+/// Opens a connection to a box of the balancer.
+fn connect((box_index, address): (usize, SocketAddr)) -> Option<Connection> {
+    let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok()?;
+    stream.set_nodelay(true).ok()?;
+    Some(Connection {
+        box_index,
+        is_kept: false,
+        reader: BufReader::new(stream),
+    })
+}
+
+/// Whether callers take a status to mean that a request has not run and never will.
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Host of all routes.
 pub const HOST: &str = "site.example";
 const MAX_PAUSE_MS: u64 = 120;
@@ -246,6 +342,12 @@
 const LEAVE_SHARE: f64 = 0.06;
 /// Share of the callers without a response that reset their connection.
 const ABRUPT_SHARE: f64 = 0.3;
+/// Share of the refused requests that are sent again, if some are.
+const REPEATED_SHARE: f64 = 0.7;
+const MAX_SENDINGS: u32 = 3;
+/// Share of the repetitions that go to the same box.
+const SAME_BOX_SHARE: f64 = 0.7;
+const MAX_REPETITION_PAUSE_MS: u64 = 800;
 const CHUNKED_SHARE: f64 = 0.4;
 /// Share of the bodies that are sent in three parts with pauses.
 const SLOW_SHARE: f64 = 0.3;
--- a/tests/soak/src/site/mod.rs
+++ b/tests/soak/src/site/mod.rs
@@ -7,18 +7,19 @@
 mod part;
 mod path;
 mod play;
+mod response_writer;
 mod server;
 mod server_messages;
 mod server_process;
 mod shape;
 mod trouble;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::path::Path;
 
 use serde_json::Value;
 
-use crate::site::caller::Call;
+use crate::site::caller::{Call, promises_not_run};
 use crate::site::moment::Moment;
 use crate::site::play::{Seen, play};
 use crate::site::server_messages::{Arrival, RefusalCause};
@@ -57,6 +58,10 @@
             "  {promise}: {}",
             timeline(call, &seen.arrivals_of(&call.id))
         );
+        let others = seen.calls.iter().filter(|other| other.id == call.id);
+        for other in others.filter(|other| other.sending != call.sending) {
+            println!("    also {}", timeline(other, &[]));
+        }
         let lines = logged.get(&call.id).map_or(&[][..], |logged| &logged.lines);
         lines.iter().for_each(|line| println!("      {line}"));
     }
@@ -71,16 +76,16 @@
     call: &'a Call,
 }
 
-/// Returns the requests that ran although their caller was told that they did not, that
-/// ran more than once, or whose caller got the response to another one.
+/// Returns the sendings that ran although their caller was told that they did not, that ran
+/// more than once, or whose caller got the response to another request, and the requests
+/// that ran more often than they were sent without being refused.
 fn findings(seen: &Seen) -> Vec<Finding<'_>> {
-    let by_id = arrivals_by_id(&seen.arrivals);
+    let by_sending = arrivals_by_sending(&seen.arrivals);
     let broken = seen.calls.iter().filter_map(|call| {
-        let arrivals = by_id.get(call.id.as_str()).map_or(&[][..], Vec::as_slice);
-        let runs = arrivals.iter().filter(|arrival| arrival.ran_at.is_some());
+        let arrivals = by_sending.get(&call.key()).map_or(&[][..], Vec::as_slice);
         let is_promise = call.status.is_some_and(promises_not_run);
         let is_others = call.named.as_ref().is_some_and(|named| *named != call.id);
-        let promise = match (is_promise, runs.count()) {
+        let promise = match (is_promise, count_runs(arrivals)) {
             (true, 1..) => "not run",
             (_, 2..) => "once only",
             _ if is_others => "own response",
@@ -88,7 +93,39 @@
         };
         Some(Finding { promise, call })
     });
-    broken.collect()
+    let mut findings: Vec<Finding> = broken.collect();
+    let of_sendings: HashSet<&str> =
+        findings.iter().map(|f| f.call.id.as_str()).collect();
+    let by_id = arrivals_by_id(&seen.arrivals);
+    let excess = last_sendings(&seen.calls).into_iter().filter(|call| {
+        let id = call.id.as_str();
+        let runs = by_id.get(id).map_or(0, |arrivals| count_runs(arrivals));
+        let last_refused = call.status.is_some_and(promises_not_run);
+        // Callers repeat only what was refused.
+        !of_sendings.contains(id) && runs > usize::from(!last_refused)
+    });
+    findings.extend(excess.map(|call| Finding {
+        promise: "once only",
+        call,
+    }));
+    findings
+}
+
+/// Returns the last sending of each request.
+fn last_sendings(calls: &[Call]) -> Vec<&Call> {
+    let mut last: HashMap<&str, &Call> = HashMap::new();
+    for call in calls {
+        let known = last.entry(&call.id).or_insert(call);
+        if known.sending < call.sending {
+            *known = call;
+        }
+    }
+    last.into_values().collect()
+}
+
+fn count_runs(arrivals: &[&Arrival]) -> usize {
+    let runs = arrivals.iter().filter(|arrival| arrival.ran_at.is_some());
+    runs.count()
 }
 
 /// What the boxes logged of a request.
@@ -111,13 +148,17 @@
     logged: &HashMap<String, LoggedRequest>,
 ) -> Vec<Finding<'a>> {
     let by_id = arrivals_by_id(&seen.arrivals);
+    let by_sending = arrivals_by_sending(&seen.arrivals);
     let withheld = seen.calls.iter().filter(|call| {
         let Some(LoggedRequest { sent, proven, .. }) = logged.get(&call.id) else {
             return false;
         };
-        let has_arrived = by_id.contains_key(call.id.as_str());
-        // A relay that was killed may have logged no attempt of its own.
-        let all_proven = *sent > 0 && proven == sent;
+        let has_arrived = by_sending.contains_key(&call.key());
+        // A relay that was killed may have logged no attempt of its own. The log does not
+        // say which sending an attempt belongs to, so all of them must be in it.
+        let arrived = by_id.get(call.id.as_str()).map_or(0, Vec::len);
+        let is_logged = *sent > 0 && (call.sending == 1 || *sent >= arrived);
+        let all_proven = is_logged && proven == sent;
         matches!(call.status, Some(502 | 504)) && has_arrived && all_proven
     });
     let promise = "withheld";
@@ -165,9 +206,10 @@
     let (body_bytes, is_chunked) = call.body;
     let framing = if is_chunked { "chunked" } else { "length" };
     let mut text = format!(
-        "id {} at node box-{} ({}, {body_bytes} bytes, {framing}) sent {} \
+        "id {} sending {} at node box-{} ({}, {body_bytes} bytes, {framing}) sent {} \
          answered status {:?} result {} names {}",
         call.id,
+        call.sending,
         call.box_index,
         if call.is_kept { "kept" } else { "new" },
         ms(call.began),
@@ -177,8 +219,14 @@
     );
     for arrival in arrivals {
         text.push_str(&format!(
-            " [{} at {} ran {} end {} status {}{}]",
+            " [sending {} at {}{} at {} ran {} end {} status {}{}]",
+            arrival.sending,
             arrival.instance,
+            if arrival.is_repeated {
+                ", refused on this connection before,"
+            } else {
+                ""
+            },
             ms(arrival.at),
             or_dash(arrival.ran_at.map(ms)),
             or_dash(arrival.answered.map(|(at, _)| ms(at))),
@@ -199,7 +247,7 @@
     logged: &HashMap<String, LoggedRequest>,
     findings: &[Finding],
 ) -> String {
-    let by_id = arrivals_by_id(&seen.arrivals);
+    let by_sending = arrivals_by_sending(&seen.arrivals);
     let mut sources: BTreeMap<PromiseSource, usize> = BTreeMap::new();
     let mut told: BTreeMap<String, usize> = BTreeMap::new();
     let (mut refused, mut on_arrival, mut never_arrived) = (0, 0, 0);
@@ -207,7 +255,7 @@
         let status = call.status.map_or("none".to_owned(), |s| s.to_string());
         let result = call.result.as_deref().unwrap_or("server");
         *told.entry(format!("{status}/{result}")).or_default() += 1;
-        let arrivals = by_id.get(call.id.as_str()).map_or(&[][..], Vec::as_slice);
+        let arrivals = by_sending.get(&call.key()).map_or(&[][..], Vec::as_slice);
         if call.status.is_some_and(promises_not_run) {
             let log = logged.get(&call.id);
             *sources
@@ -217,7 +265,7 @@
         if !matches!(call.status, Some(502 | 504)) {
             continue;
         }
-        match by_id.get(call.id.as_str()) {
+        match by_sending.get(&call.key()) {
             None => never_arrived += 1,
             Some(all) if all.iter().all(|arrival| arrival.is_only_refused()) => {
                 refused += 1;
@@ -236,13 +284,23 @@
     let chunked = seen.calls.iter().filter(|call| call.body.1).count();
     let broken = |promise| findings.iter().filter(|f| f.promise == promise).count();
     let (ran, twice) = (broken("not run"), broken("once only"));
+    let repetitions = seen.calls.iter().filter(|call| call.sending > 1).count();
+    let repeated = seen.arrivals.iter().filter(|arrival| arrival.is_repeated);
+    let repeated = repeated.count();
+    let mut refusals: BTreeMap<RefusalCause, usize> = BTreeMap::new();
+    for cause in seen.arrivals.iter().filter_map(|arrival| arrival.refused) {
+        *refusals.entry(cause).or_default() += 1;
+    }
     let promises: usize = sources.values().sum();
     format!(
-        "{verdict}; {calls} once-only requests, {chunked} in chunks; \
+        "{verdict}; {calls} once-only requests, {chunked} in chunks, \
+         {repetitions} repeated; \
          {promises} promises {sources:?}, of which ran {ran}; ran twice {twice}; \
          told {told:?}; \
          in doubt though refused {refused} (on arrival {on_arrival}), \
-         though never arrived {never_arrived}"
+         though never arrived {never_arrived}; \
+         {repeated} arrivals on a connection that had refused the request; \
+         refusals {refusals:?}"
     )
 }
 
@@ -280,6 +338,13 @@
     }
 }
 
+impl Call {
+    /// Returns what tells this sending of the request from all others.
+    fn key(&self) -> (&str, u32) {
+        (&self.id, self.sending)
+    }
+}
+
 impl Seen {
     /// Returns the arrivals of a request at servers.
     fn arrivals_of(&self, id: &str) -> Vec<&Arrival> {
@@ -288,6 +353,16 @@
     }
 }
 
+/// Returns the arrivals of each sending of a request, by its id and number.
+fn arrivals_by_sending(arrivals: &[Arrival]) -> HashMap<(&str, u32), Vec<&Arrival>> {
+    let mut by_sending: HashMap<(&str, u32), Vec<&Arrival>> = HashMap::new();
+    for arrival in arrivals {
+        let key = (arrival.id.as_str(), arrival.sending);
+        by_sending.entry(key).or_default().push(arrival);
+    }
+    by_sending
+}
+
 fn arrivals_by_id(arrivals: &[Arrival]) -> HashMap<&str, Vec<&Arrival>> {
     let mut by_id: HashMap<&str, Vec<&Arrival>> = HashMap::new();
     for arrival in arrivals {
@@ -295,8 +370,3 @@
     }
     by_id
 }
-
-/// Whether callers take a status to mean that a request has not run and never will.
-fn promises_not_run(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
--- a/tests/soak/src/site/play.rs
+++ b/tests/soak/src/site/play.rs
@@ -53,6 +53,12 @@
     pub max_prompt_delay_ms: Option<u64>,
     /// Whether boxes run a fifth of the time.
     pub slices_boxes: bool,
+    /// Whether servers write copies of their refusals later.
+    pub copies_refusals: bool,
+    /// Whether callers repeat requests that were refused, with the same id.
+    pub repeats_ids: bool,
+    /// Whether some servers have a second entry with another id and the same address.
+    pub shares_addresses: bool,
 }
 
 /// What callers and servers saw.
@@ -65,6 +71,7 @@
 
 struct Play<'a> {
     setup: &'a Setup,
+    seed: u64,
     random: StdRng,
     store: PlatformStore,
     version: u64,
@@ -163,6 +170,7 @@
             .collect();
         let mut play = Self {
             setup,
+            seed,
             random: StdRng::seed_from_u64(!seed),
             store,
             version: 0,
@@ -202,6 +210,7 @@
             seed,
             shape: self.setup.shape.name.to_owned(),
             play: std::process::id(),
+            repeats_ids: self.setup.repeats_ids,
             balancer: self.balancer.clone(),
         });
         self.callers = Some(callers);
@@ -384,7 +393,8 @@
             FollowUp::Drain(n) => self.replace(n),
             FollowUp::EndServer(n) => {
                 let server = &mut self.servers[n].server;
-                self.store.remove(&server_key(server));
+                let keys = server_keys(server);
+                keys.iter().for_each(|key| self.store.remove(key));
                 server.send(ServerCommand::End);
             }
             FollowUp::Configure => self.configure(),
@@ -407,7 +417,11 @@
     fn start_server(&mut self, service: usize) -> ServerProcess {
         let Shape { slots, queue, .. } = self.setup.shape;
         let instance = format!("i-{:x}", self.random.random::<u32>());
+        let is_shared =
+            self.setup.shares_addresses && self.random.random_bool(SHARED_ADDRESS_SHARE);
         let spec = ServerSpec {
+            other_instance: is_shared.then(|| format!("{instance}-second")),
+            takes_other: is_shared && self.random.random_bool(TAKEN_SECOND_SHARE),
             instance,
             slots,
             queue,
@@ -419,6 +433,7 @@
             shed_probability: self.setup.shed_probability,
             starts_refused: self.setup.starts_refused,
             early: self.setup.early,
+            copying_seed: self.setup.copies_refusals.then_some(self.seed),
         };
         ServerProcess::start(spec, service, self.arrivals.clone())
     }
@@ -434,7 +449,8 @@
             "address": server.path_address, "data_centre": data_centre,
             "slots": self.setup.shape.slots, "state": state, "cold_ms": 0,
         });
-        self.store.put(&server_key(server), &entry);
+        let keys = server_keys(server);
+        keys.iter().for_each(|key| self.store.put(key, &entry));
     }
 
     /// Starts a server of another service at the address of one that has crashed, whose
@@ -447,7 +463,8 @@
         let target = next.address;
         let mut old = std::mem::replace(&mut played.server, next);
         old.send(ServerCommand::End);
-        self.store.remove(&server_key(&old));
+        let keys = server_keys(&old);
+        keys.iter().for_each(|key| self.store.remove(key));
         match &played.path_owner {
             Some(_) => self.replaced.push(old),
             None => played.path_owner = Some(old),
@@ -547,12 +564,19 @@
     format!("dc-{}", number % shape.data_centres)
 }
 
-fn server_key(server: &ServerProcess) -> String {
-    format!("servers/{}", server.instance)
+/// Returns the keys of all entries of a server.
+fn server_keys(server: &ServerProcess) -> Vec<String> {
+    let instances = [Some(&server.instance), server.other_instance.as_ref()];
+    let keys = instances.into_iter().flatten();
+    keys.map(|instance| format!("servers/{instance}")).collect()
 }
 
 /// Half of the requests that are refused are refused twice.
 const REFUSED_SHARE: f64 = 0.5;
+/// Share of the servers with a second entry, if some have one.
+const SHARED_ADDRESS_SHARE: f64 = 0.5;
+/// Share of the second entries whose requests their servers take.
+const TAKEN_SECOND_SHARE: f64 = 0.7;
 const TICK: Duration = Duration::from_millis(20);
 const START_TIME: Duration = Duration::from_secs(20);
 const KILL_AFTER: Duration = Duration::from_secs(6);
--- a/tests/soak/src/site/server.rs
+++ b/tests/soak/src/site/server.rs
@@ -1,18 +1,21 @@
 //! Backend servers with slots, a queue and troubles, which report what runs and when.
 
-use std::io::{BufRead, BufReader, ErrorKind, Write};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io::{BufRead, BufReader, ErrorKind};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use rand::RngExt;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use wingspur_tests::{Head, read_body, read_request_head};
 
 use crate::planned::{pattern, spawn};
 use crate::site::moment::now;
 use crate::site::part::{Reports, read_command};
 use crate::site::path::{Path, reset};
+use crate::site::response_writer::ResponseWriter;
 use crate::site::server_messages::{
     RefusalCause, ServerCommand, ServerReport, ServerSpec, Trouble,
 };
@@ -25,12 +28,15 @@
 
 struct Shared {
     instance: String,
+    /// The id of a second entry whose requests it takes too.
+    other_instance: Option<String>,
     slots: usize,
     queue: usize,
     refused_share: f64,
     shed_probability: f64,
     starts_refused: bool,
     early: Duration,
+    copying_seed: Option<u64>,
     load: Mutex<Load>,
     slot_freed: Condvar,
     trouble: Mutex<(Trouble, f64)>,
@@ -55,6 +61,8 @@
 
 struct Request {
     id: String,
+    /// The number of the caller's sending of it.
+    sending: u32,
     work: Duration,
     response_bytes: usize,
     deadline: Instant,
@@ -87,23 +95,28 @@
     fn start(spec: ServerSpec) -> Self {
         let ServerSpec {
             instance,
+            other_instance,
+            takes_other,
             slots,
             queue,
             refused_share,
             shed_probability,
             starts_refused,
             early,
+            copying_seed,
         } = spec;
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
         let address = listener.local_addr().expect("the listener is bound");
         let shared = Arc::new(Shared {
             instance,
+            other_instance: other_instance.filter(|_| takes_other),
             slots,
             queue,
             refused_share,
             shed_probability,
             starts_refused,
             early,
+            copying_seed,
             load: Mutex::default(),
             slot_freed: Condvar::new(),
             trouble: Mutex::new((Trouble::None, 0.0)),
@@ -138,16 +151,17 @@
 
 impl Shared {
     fn serve(self: &Arc<Self>, stream: TcpStream) {
-        let Ok(mut writer) = stream.try_clone() else {
+        let Ok(writer) = stream.try_clone() else {
             return;
         };
+        let writer = ResponseWriter::new(writer);
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream);
         while self.wait_for_request(&mut reader) {
             let Some(head) = read_request_head(&mut reader) else {
                 return;
             };
-            if !self.handle(&head, &mut reader, &mut writer) {
+            if !self.handle(&head, &mut reader, &writer) {
                 return;
             }
         }
@@ -181,12 +195,13 @@
         self: &Arc<Self>,
         head: &Head,
         reader: &mut BufReader<TcpStream>,
-        writer: &mut TcpStream,
+        writer: &Arc<ResponseWriter>,
     ) -> bool {
-        let request = self.record_arrival(head);
+        let request = self.record_arrival(head, writer);
+        writer.begin_request();
         let trouble = self.draw_trouble();
         let expected = head.headers.get("x-wingspur-expected-instance");
-        let is_other = expected.is_some_and(|expected| *expected != self.instance);
+        let is_other = expected.is_some_and(|expected| !self.is_own(expected));
         if trouble == Trouble::RefusesEarly && !is_other {
             let refused = self.refuse(&request, RefusalCause::OnArrival, writer);
             std::thread::sleep(EARLY_REFUSAL_PAUSE);
@@ -206,10 +221,12 @@
             return refused && self.write_surplus(&request, trouble, b"", writer);
         }
         if trouble == Trouble::Splits && rand::rng().random_bool(SPLIT_REFUSAL_SHARE) {
-            let refusal = self.refusal(&request, RefusalCause::OnArrival);
-            return write_in_parts(refusal.as_bytes(), writer);
+            let refusal = self.refusal(&request, RefusalCause::OnArrival, writer);
+            let written = writer.write_in_parts(refusal.as_bytes());
+            self.plan_copies(&request, &refusal, writer);
+            return written;
         }
-        match self.wait_for_slot(&request, writer) {
+        match self.wait_for_slot(&request, writer.stream()) {
             Admission::Refused(cause) => {
                 let refused = self.refuse(&request, cause, writer);
                 let may_start = self.starts_refused || trouble == Trouble::StartsRefused;
@@ -227,6 +244,12 @@
         }
     }
 
+    /// Whether requests for this instance are taken.
+    fn is_own(&self, instance: &str) -> bool {
+        let other = self.other_instance.as_deref();
+        instance == self.instance || other == Some(instance)
+    }
+
     fn free_slot(&self) {
         self.load.lock().expect("no holder panics").running -= 1;
         self.slot_freed.notify_one();
@@ -253,7 +276,7 @@
         });
     }
 
-    fn record_arrival(&self, head: &Head) -> Request {
+    fn record_arrival(&self, head: &Head, writer: &ResponseWriter) -> Request {
         let number = |name: &str| {
             let text = head.headers.get(name)?;
             text.parse::<u64>().ok()
@@ -265,10 +288,19 @@
         let (at, since_tick) = (Instant::now(), now().as_micros() % CLOCK_TICK_US);
         let tick = at - Duration::from_micros(since_tick as u64);
         let request_number = self.arrived.fetch_add(1, Ordering::Relaxed);
-        let arrived = ServerReport::Arrived(request_number, id.clone(), now());
+        let sending = number("x-soak-sending").unwrap_or(0) as u32;
+        let is_repeated = writer.has_refused(&id);
+        let arrived = ServerReport::Arrived {
+            number: request_number,
+            id: id.clone(),
+            sending,
+            is_repeated,
+            at: now(),
+        };
         self.reports.send(&arrived);
         Request {
             id,
+            sending,
             work: Duration::from_millis(number("x-soak-work-ms").unwrap_or(0)),
             response_bytes: number("x-soak-answer-bytes").unwrap_or(0) as usize,
             deadline: tick + time,
@@ -319,22 +351,22 @@
     }
 
     /// Runs a request; returns whether the connection can be kept.
-    fn run(&self, request: &Request, trouble: Trouble, writer: &mut TcpStream) -> bool {
+    fn run(&self, request: &Request, trouble: Trouble, writer: &ResponseWriter) -> bool {
         self.reports.send(&ServerReport::Ran(request.number, now()));
         if trouble == Trouble::Hangs {
-            work_for(HANG_TIME, writer);
+            work_for(HANG_TIME, writer.stream());
             return false;
         }
         let factor = if trouble == Trouble::Slow { 6 } else { 1 };
         let remaining = request.deadline.saturating_duration_since(Instant::now());
         let is_late = request.work * factor > remaining;
-        if !work_for((request.work * factor).min(remaining), writer) {
+        if !work_for((request.work * factor).min(remaining), writer.stream()) {
             return false;
         }
         if is_late {
             let late = self.response(request, "504 Gateway Timeout", b"late");
             self.report_answered(request, 504, None);
-            return writer.write_all(&late).is_ok();
+            return writer.write(&late);
         }
         let body = pattern(&request.id, request.response_bytes);
         let response = self.response(request, "200 OK", &body);
@@ -346,18 +378,18 @@
         match trouble {
             Trouble::Errors => {
                 let error = self.response(request, "500 Internal Server Error", b"error");
-                writer.write_all(&error).is_ok()
+                writer.write(&error)
             }
             Trouble::Resets => {
-                reset(writer);
+                reset(writer.stream());
                 false
             }
             Trouble::CutsBody => {
-                let _ = writer.write_all(&response[..response.len() - 1]);
+                writer.write_last(&response[..response.len() - 1]);
                 false
             }
             Trouble::SurplusAfter | Trouble::SurplusUnnamed => {
-                let written = writer.write_all(&response).is_ok();
+                let written = writer.write(&response);
                 written && self.write_surplus(request, trouble, &response, writer)
             }
             Trouble::Unframed => {
@@ -366,11 +398,11 @@
                      x-wingspur-server-stamp: {}\r\n\r\n",
                     request.id, self.instance
                 );
-                let _ = writer.write_all(&[head.as_bytes(), &body].concat());
+                writer.write_last(&[head.as_bytes(), &body].concat());
                 false
             }
-            Trouble::Splits => write_in_parts(&response, writer),
-            _ => writer.write_all(&response).is_ok(),
+            Trouble::Splits => writer.write_in_parts(&response),
+            _ => writer.write(&response),
         }
     }
 
@@ -379,14 +411,40 @@
         &self,
         request: &Request,
         cause: RefusalCause,
-        writer: &mut TcpStream,
+        writer: &Arc<ResponseWriter>,
     ) -> bool {
-        let refusal = self.refusal(request, cause);
-        writer.write_all(refusal.as_bytes()).is_ok()
+        let refusal = self.refusal(request, cause, writer);
+        let written = writer.write(refusal.as_bytes());
+        self.plan_copies(request, &refusal, writer);
+        written
+    }
+
+    /// Plans the copies of a refusal, if this server copies them.
+    fn plan_copies(
+        &self,
+        request: &Request,
+        refusal: &str,
+        writer: &Arc<ResponseWriter>,
+    ) {
+        let Some(seed) = self.copying_seed else {
+            return;
+        };
+        // The start of an id differs between plays of a seed.
+        let id = request.id.split_once('-').map_or("", |(_, id)| id);
+        let mut hasher = DefaultHasher::new();
+        (seed, &self.instance, id, request.sending).hash(&mut hasher);
+        let mut random = StdRng::seed_from_u64(hasher.finish());
+        writer.plan_copies(refusal.as_bytes(), &mut random);
     }
 
     /// Reports that a request is refused before it runs, and returns the response.
-    fn refusal(&self, request: &Request, cause: RefusalCause) -> String {
+    fn refusal(
+        &self,
+        request: &Request,
+        cause: RefusalCause,
+        writer: &ResponseWriter,
+    ) -> String {
+        writer.record_refused(&request.id);
         let (status, reason) = match cause {
             RefusalCause::OtherServer => (421, "Misdirected Request"),
             _ => (503, "Service Unavailable"),
@@ -406,14 +464,14 @@
         request: &Request,
         trouble: Trouble,
         response: &[u8],
-        writer: &mut TcpStream,
+        writer: &ResponseWriter,
     ) -> bool {
         let mut random = rand::rng();
         if random.random_bool(0.5) {
             std::thread::sleep(SURPLUS_DELAY);
         }
         if trouble == Trouble::SurplusAfter && random.random_bool(0.3) {
-            return writer.write_all(response).is_ok();
+            return writer.write(response);
         }
         let named = match (trouble, random.random_bool(0.5)) {
             (Trouble::SurplusUnnamed, _) => String::new(),
@@ -427,7 +485,7 @@
         let text = format!(
             "HTTP/1.1 503 Service Unavailable\r\n{named}{mark}content-length: 0\r\n\r\n"
         );
-        writer.write_all(text.as_bytes()).is_ok()
+        writer.write(text.as_bytes())
     }
 
     fn report_answered(
@@ -461,18 +519,6 @@
     }
 }
 
-/// Writes a response in two parts with a pause between them, or only the first of them.
-/// Returns whether the connection can be kept.
-fn write_in_parts(response: &[u8], writer: &mut TcpStream) -> bool {
-    let mut random = rand::rng();
-    let (first, rest) = response.split_at(random.random_range(1..response.len()));
-    if writer.write_all(first).is_err() || random.random_bool(CUT_SHARE) {
-        return false;
-    }
-    std::thread::sleep(PART_PAUSE.mul_f64(random.random()));
-    writer.write_all(rest).is_ok()
-}
-
 /// Works for a time; returns false if the caller left meanwhile.
 fn work_for(time: Duration, stream: &TcpStream) -> bool {
     let until = Instant::now() + time;
@@ -512,9 +558,5 @@
 const SURPLUS_DELAY: Duration = Duration::from_millis(60);
 /// Share of the requests with a response in two parts that are refused.
 const SPLIT_REFUSAL_SHARE: f64 = 0.5;
-/// Share of the responses in two parts of which only the first part is written.
-const CUT_SHARE: f64 = 0.2;
-/// The longest pause between two parts of a response.
-const PART_PAUSE: Duration = Duration::from_millis(600);
 /// How long a refused request stays in the queue, where a worker may still find it.
 const RACE_WINDOW: Duration = Duration::from_millis(3);
--- a/tests/soak/src/site/server_messages.rs
+++ b/tests/soak/src/site/server_messages.rs
@@ -14,6 +14,11 @@
 pub struct ServerSpec {
     /// Id of the instance.
     pub instance: String,
+    /// Id in a second entry with the same address.
+    pub other_instance: Option<String>,
+    /// Whether it takes requests for that id too, or refuses them as an instance that was
+    /// started again and whose former entry is left.
+    pub takes_other: bool,
     /// Requests that it works on at the same time.
     pub slots: usize,
     /// Requests that wait before it refuses more.
@@ -27,6 +32,8 @@
     pub starts_refused: bool,
     /// How long before the time that a request states its deadline passes here.
     pub early: Duration,
+    /// If set, it writes copies of its refusals later, as drawn from this seed.
+    pub copying_seed: Option<u64>,
 }
 
 /// A command to the process of a server.
@@ -48,7 +55,18 @@
     /// It listens at this address, and its path at the other one.
     Started(SocketAddr, SocketAddr),
     /// The head of a request has arrived.
-    Arrived(usize, String, Moment),
+    Arrived {
+        /// The request's number.
+        number: usize,
+        /// Its id.
+        id: String,
+        /// The number of the caller's sending of it.
+        sending: u32,
+        /// Whether its connection has refused a request with this id before.
+        is_repeated: bool,
+        /// When it arrived.
+        at: Moment,
+    },
     /// It begins to run.
     Ran(usize, Moment),
     /// It was refused for this cause, or the first byte of its response was written, with
@@ -109,6 +127,10 @@
 pub struct Arrival {
     /// The request's id.
     pub id: String,
+    /// The number of the caller's sending of it, from 1.
+    pub sending: u32,
+    /// Whether its connection has refused a request with this id before.
+    pub is_repeated: bool,
     /// The instance.
     pub instance: String,
     /// When its head had arrived.
@@ -133,9 +155,17 @@
 
 impl Arrival {
     /// Creates the record of a request whose head has arrived.
-    pub fn new(id: String, instance: &str, at: Moment) -> Self {
+    pub fn new(
+        id: String,
+        sending: u32,
+        is_repeated: bool,
+        instance: &str,
+        at: Moment,
+    ) -> Self {
         Self {
             id,
+            sending,
+            is_repeated,
             instance: instance.to_owned(),
             at,
             ran_at: None,
--- a/tests/soak/src/site/server_process.rs
+++ b/tests/soak/src/site/server_process.rs
@@ -15,6 +15,8 @@
 pub struct ServerProcess {
     /// Id of the instance.
     pub instance: String,
+    /// Id of a second instance with the same address.
+    pub other_instance: Option<String>,
     /// Number of its service.
     pub service: usize,
     /// Address on which it listens.
@@ -36,9 +38,15 @@
                 ServerReport::Started(address, path) => {
                     started.send((address, path)).expect("the play waits");
                 }
-                ServerReport::Arrived(number, id, at) => {
+                ServerReport::Arrived {
+                    number,
+                    id,
+                    sending,
+                    is_repeated,
+                    at,
+                } => {
                     index_of.insert(number, arrivals.len());
-                    arrivals.push(Arrival::new(id, &instance, at));
+                    arrivals.push(Arrival::new(id, sending, is_repeated, &instance, at));
                 }
                 ServerReport::Ran(number, at) => {
                     arrivals[index_of[&number]].ran_at = Some(at);
@@ -51,11 +59,13 @@
             }
         };
         let instance = spec.instance.clone();
+        let other_instance = spec.other_instance.clone();
         let mut process = PartProcess::start(Part::Server, receive);
         process.send(&spec);
         let (address, path_address) = addresses.recv().expect("a server starts");
         Self {
             instance,
+            other_instance,
             service,
             address,
             path_address,
