Over own sources, a surplus refusal that names no request is no promise

What callers saw: a server of own sources whose surplus refusal, by a declared status, arrives in the place of the next response had that request told 503 (it has not run and never will), while it ran. So with a refusal without an id, and with one that names an id which has failed on the connection before.

Cause: a refusal by a declared status was believed whichever response it was. Only a response that named another id was turned away, the pool did not leave out connections on which the id had failed, and an error that names nothing left its connection to the next request.

Change: Attribution::of_response is the one rule for servers, relays and own sources. Where servers need not name requests, an unnamed response counts only as the first on its connection. declared_run_evidence asks it first. BackendPool leaves out connections on which the id has failed and closes full ones; a connection closes after an error that does not name its request. A once-only request goes on an unused connection unless the server's latest response named its request (unknown: it did not). Hints are not taken from possible copies.

Why it works: a surplus response can only follow a response on its connection, so on a connection that carried nothing there is none; elsewhere only the id tells it apart, and the connection does not carry an id again that has failed on it.

--- a/crates/wingspur-bench/src/load.rs
+++ b/crates/wingspur-bench/src/load.rs
@@ -15,7 +15,7 @@
 use std::collections::{BTreeMap, HashSet};
 use wingspur_edge::Settings;
 use wingspur_transport::{
-    BackendPool, FaultInjector, HttpClient, SendBody, SendFailure, Spawner,
+    BackendPool, FaultInjector, HttpClient, PoolReuse, SendBody, SendFailure, Spawner,
 };
 
 /// Load generator that sends each request to a random ready address, as the platform's
@@ -326,7 +326,7 @@
 }
 
 async fn send_request(pool: &BackendPool, request: Request<SendBody>) -> RequestOutcome {
-    let (response, lease) = match pool.send(request, None).await {
+    let (response, lease) = match pool.send(request, None, PoolReuse::Any).await {
         Ok(leased) => leased,
         Err(SendFailure::NotSent { .. }) => return RequestOutcome::Unsent,
         Err(SendFailure::MaybeSent(_)) => return RequestOutcome::Interrupted,
--- a/crates/wingspur-entry/src/proxy.rs
+++ b/crates/wingspur-entry/src/proxy.rs
@@ -18,11 +18,12 @@
 };
 use wingspur_state::{
     AttemptEnd, AttemptNumber, AttemptOutcome, RetryDecision, Route, RouteClass,
-    decide_retry,
+    ServerIndex, decide_retry,
 };
 use wingspur_transport::{
-    DeclaredRefusals, PooledConnection, RefusalTiming, RunEvidence, SendBody,
-    SendFailure, ServerDeadline, declared_run_evidence,
+    Attribution, DeclaredRefusals, PoolReuse, PooledConnection, RefusalTiming,
+    ResponseNaming, RunEvidence, SendBody, SendFailure, SentRequest, ServerDeadline,
+    declared_run_evidence,
 };
 
 use crate::active_bundle::ServiceHandle;
@@ -80,6 +81,23 @@
         self.parts.headers.get(REQUEST_ID_HEADER)
     }
 
+    /// Determines to which request a response on a connection belongs. Servers need not
+    /// name the request.
+    fn attribution(
+        &self,
+        headers: &HeaderMap,
+        connection: &PooledConnection,
+    ) -> Attribution {
+        let used = connection.used();
+        let sent = SentRequest {
+            id: self.request_id(),
+            is_first: used.is_first(),
+            is_repeated: used.is_repeated,
+        };
+        let naming = ResponseNaming::Optional;
+        Attribution::of_response(headers, REQUEST_ID_HEADER, naming, sent)
+    }
+
     fn remaining(&self) -> Duration {
         self.deadline
             .saturating_duration_since(wingspur_clock::now())
@@ -289,7 +307,11 @@
         let request = self.build_request(pending, body, deadline);
         let pool = pending.handle.pools[attempt.server].clone();
         let id = pending.request_id();
-        let sending = async { Some(pool.send(request, id).await) };
+        let reuse = match pending.route().class {
+            RouteClass::OnceOnly if !pool.names_requests() => PoolReuse::Unused,
+            _ => PoolReuse::Any,
+        };
+        let sending = async { Some(pool.send(request, id, reuse).await) };
         let expired = async {
             wingspur_clock::sleep_until(pending.deadline).await;
             None
@@ -326,7 +348,7 @@
         &self,
         pending: &PendingRequest,
         number: AttemptNumber,
-        (response, connection, mut attempt): ResponseHead,
+        (response, mut connection, mut attempt): ResponseHead,
         deadline: ServerDeadline,
     ) -> Result<ResponseHead, FailedAttempt> {
         let used = connection.used();
@@ -335,8 +357,8 @@
             self.shared.metrics.count_repeated_request(cause);
         }
         drop(attempts);
-        self.apply_hints(pending, attempt.server, response.headers());
-        if is_for_another_request(&pending.parts.headers, response.headers()) {
+        let attribution = pending.attribution(response.headers(), &connection);
+        if attribution == Attribution::Other {
             tracing::warn!("proxy: an answer to another request; its connection ends.");
             attempt.finish(AttemptOutcome::Failed);
             return Err(FailedAttempt::new(
@@ -344,8 +366,20 @@
                 ResultCode::ConnectionLostAfterSend,
             ));
         }
+        if attribution != Attribution::PossibleCopy {
+            self.apply_hints(pending, attempt.server, response.headers());
+        }
+        self.record_naming(pending, attempt.server, &response, &mut connection);
         let status = response.status();
-        match self.observe_evidence(pending, number, status, &connection, deadline) {
+        let evidence = self.observe_evidence(
+            pending,
+            number,
+            status,
+            attribution,
+            &connection,
+            deadline,
+        );
+        match evidence {
             RunEvidence::Ordinary => {}
             RunEvidence::NotRun => {
                 // The server sheds load or drains, which is no sign of a fault.
@@ -378,6 +412,7 @@
         pending: &PendingRequest,
         number: AttemptNumber,
         status: StatusCode,
+        attribution: Attribution,
         connection: &PooledConnection,
         deadline: ServerDeadline,
     ) -> RunEvidence {
@@ -397,7 +432,7 @@
             arrival,
             max_prompt_delay: self.shared.settings.max_prompt_delay(),
         };
-        let evidence = declared_run_evidence(status, declared, timing);
+        let evidence = declared_run_evidence(status, declared, attribution, timing);
         if evidence == RunEvidence::Ordinary {
             return evidence;
         }
@@ -428,6 +463,26 @@
         evidence
     }
 
+    /// Records whether a response names its request. If it does not, a copy of it could
+    /// be taken for the response to a later request, so that the connection is closed
+    /// after an error, and where later once-only requests would not use it.
+    fn record_naming(
+        &self,
+        pending: &PendingRequest,
+        server: ServerIndex,
+        response: &Response<Incoming>,
+        connection: &mut PooledConnection,
+    ) {
+        let names_request = response.headers().contains_key(REQUEST_ID_HEADER);
+        pending.handle.pools[server].record_naming(names_request);
+        let status = response.status();
+        let is_error = status.is_client_error() || status.is_server_error();
+        let is_once_only = pending.route().class == RouteClass::OnceOnly;
+        if !names_request && (is_error || is_once_only) {
+            connection.close_after_response();
+        }
+    }
+
     /// Applies the load hint and the draining header of a server's response.
     fn apply_hints(&self, pending: &PendingRequest, server: usize, headers: &HeaderMap) {
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
@@ -557,13 +612,6 @@
     );
 }
 
-/// Returns whether a response has the id of another request than the one sent. Servers
-/// need not send the id, but if they do, it must be the request's.
-fn is_for_another_request(request: &HeaderMap, response: &HeaderMap) -> bool {
-    let response_id = response.get(REQUEST_ID_HEADER);
-    response_id.is_some_and(|id| Some(id) != request.get(REQUEST_ID_HEADER))
-}
-
 /// Returns the final result code, and whether the request certainly did not run. Once an
 /// attempt may have run, no later attempt changes the result to *not run*.
 fn final_failure(code: ResultCode, may_have_run: bool) -> (ResultCode, bool) {
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -50,7 +50,7 @@
 };
 pub use listener::{HttpListener, ListenerCounts, ListenerOptions, bind_listener};
 pub use path_fault::{InjectedPathFault, PathFault};
-pub use pool::{BackendPool, PooledConnection, SendFailure};
+pub use pool::{BackendPool, PoolReuse, PooledConnection, SendFailure};
 pub use publish::{
     PublishError, Published, accept_bundle, assemble_bundle, load_bundle, load_pointer,
     submit_bundle,
@@ -59,8 +59,8 @@
 pub use response_arrival::ResponseArrival;
 pub use response_error::ResponseError;
 pub use run_evidence::{
-    Attribution, DeclaredRefusals, RunEvidence, SentRequest, UnprovenReason,
-    declared_run_evidence,
+    Attribution, DeclaredRefusals, ResponseNaming, RunEvidence, SentRequest,
+    UnprovenReason, declared_run_evidence,
 };
 pub use send_window::SendWindow;
 pub use server_deadline::ServerDeadline;
--- a/crates/wingspur-transport/src/pool.rs
+++ b/crates/wingspur-transport/src/pool.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
@@ -27,6 +27,18 @@
     opened: AtomicUsize,
     /// How long the fastest connection took to be established, in microseconds.
     fastest_connect_us: AtomicU64,
+    /// Whether the latest response named its request.
+    names_requests: AtomicBool,
+}
+
+/// Which idle connections a request may use, besides that it has not failed on them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PoolReuse {
+    /// Any.
+    Any,
+    /// Only one on which nothing was sent, so that no response on it can belong to an
+    /// earlier request.
+    Unused,
 }
 
 #[derive(Debug)]
@@ -50,9 +62,21 @@
     connect_time: Duration,
     /// When the current request was handed to the connection.
     sent_at: Instant,
+    /// Whether another request may be sent after the current one.
+    reusable: bool,
 }
 
 impl PooledConnection {
+    /// Whether a request, which may have an id, may be sent on the connection now.
+    fn is_allowed(&self, id: Option<&HeaderValue>, reuse: PoolReuse) -> bool {
+        let ConnectionUse {
+            address, number, ..
+        } = self.used;
+        let used = self.history.usage(address, number, id);
+        let is_reuse_allowed = reuse == PoolReuse::Any || used.is_first();
+        self.sender.is_ready() && !used.is_repeated && is_reuse_allowed
+    }
+
     /// Returns when the sending of the current request began.
     pub fn sent_at(&self) -> Instant {
         self.sent_at
@@ -63,6 +87,11 @@
         self.used
     }
 
+    /// Has the connection closed after the current response.
+    pub fn close_after_response(&mut self) {
+        self.reusable = false;
+    }
+
     /// Returns when the data that was received last arrived.
     pub fn latest_arrival(&self) -> ResponseArrival {
         ResponseArrival::latest(&self.stream, self.connect_time)
@@ -95,20 +124,25 @@
             idle: Mutex::default(),
             opened: AtomicUsize::new(0),
             fastest_connect_us: AtomicU64::new(u64::MAX),
+            names_requests: AtomicBool::new(false),
         }
     }
 
     /// Sends a request, which may have an id, on an idle connection or a new one, and
     /// returns the response with its body unread.
+    ///
+    /// Connections on which the request got an error response are left out: copies of the
+    /// response may still arrive there.
     pub async fn send(
         &self,
         request: Request<SendBody>,
         id: Option<&HeaderValue>,
+        reuse: PoolReuse,
     ) -> Result<(Response<Incoming>, PooledConnection), SendFailure> {
         let mut request = request;
         // The server may have closed an idle connection in the meantime. hyper then
         // returns the request unsent, and it is sent on the next connection.
-        while let Some(connection) = self.take_idle() {
+        while let Some(connection) = self.take_idle(id, reuse) {
             match send_on(connection, request, id).await {
                 Err(SendFailure::NotSent {
                     request: unsent, ..
@@ -125,8 +159,22 @@
         }
     }
 
-    /// Returns a connection to the pool after its response was read completely.
+    /// Whether the server's latest response named its request; false before the first.
+    pub fn names_requests(&self) -> bool {
+        self.names_requests.load(Ordering::Relaxed)
+    }
+
+    /// Records whether a response of the server names its request.
+    pub fn record_naming(&self, names_request: bool) {
+        self.names_requests.store(names_request, Ordering::Relaxed);
+    }
+
+    /// Returns a connection to the pool after its response was read completely, or closes
+    /// it if it may not be reused.
     pub fn release(&self, connection: PooledConnection) {
+        if !connection.reusable || connection.history.is_full() {
+            return;
+        }
         let since = wingspur_clock::now();
         let idle = IdleConnection { connection, since };
         self.idle.lock().expect("no holder panics").push(idle);
@@ -157,14 +205,19 @@
         self.opened.load(Ordering::Relaxed)
     }
 
-    /// Takes the connection that was used last of those that are ready for a request. One
-    /// that was released just now may be ready only later, and stays in the pool.
-    fn take_idle(&self) -> Option<PooledConnection> {
+    /// Takes the connection that was used last of those that are ready for a request and
+    /// that it may use. One that was released just now may be ready only later, and stays
+    /// in the pool.
+    fn take_idle(
+        &self,
+        id: Option<&HeaderValue>,
+        reuse: PoolReuse,
+    ) -> Option<PooledConnection> {
         let mut idle = self.idle.lock().expect("no holder panics");
         idle.retain(|idle| !idle.connection.sender.is_closed());
         let position = idle
             .iter()
-            .rposition(|idle| idle.connection.sender.is_ready())?;
+            .rposition(|idle| idle.connection.is_allowed(id, reuse))?;
         Some(idle.remove(position).connection)
     }
 
@@ -206,6 +259,7 @@
             history,
             connect_time: Duration::from_micros(fastest_us.min(took_us)),
             sent_at: connected,
+            reusable: true,
         })
     }
 }
--- a/crates/wingspur-transport/src/run_evidence.rs
+++ b/crates/wingspur-transport/src/run_evidence.rs
@@ -1,7 +1,7 @@
 //! Decides whether a server's response proves that the request did not run.
 
 use hyper::StatusCode;
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderMap, HeaderValue};
 use wingspur_protocol::{ExecutionState, HeaderNames, RESULT_HEADER, ResultCode};
 
 use crate::{RefusalTiming, ResponseHead};
@@ -68,7 +68,36 @@
     PossibleCopy,
 }
 
+/// Whether servers name in each response the request that it belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseNaming {
+    /// They do if the request has an id.
+    Required,
+    /// They need not.
+    Optional,
+}
+
 impl Attribution {
+    /// Determines to which request a response with these headers belongs. A response that
+    /// names none where it need not must be the first on its connection.
+    pub fn of_response(
+        headers: &HeaderMap,
+        id_header: &str,
+        naming: ResponseNaming,
+        request: SentRequest<'_>,
+    ) -> Self {
+        let may_be_unnamed = request.id.is_none() || naming == ResponseNaming::Optional;
+        let mut named = headers.get_all(id_header).iter();
+        match named.next() {
+            None if may_be_unnamed && request.is_first => Self::Own,
+            None => Self::Unnamed,
+            Some(first) if Some(first) != request.id => Self::Other,
+            Some(first) if named.any(|other| other != first) => Self::Unnamed,
+            Some(_) if request.is_repeated => Self::PossibleCopy,
+            Some(_) => Self::Own,
+        }
+    }
+
     /// Returns why a refusal that is attributed so proves nothing; `None` if it may.
     pub fn unproven_reason(self) -> Option<UnprovenReason> {
         match self {
@@ -105,9 +134,13 @@
 pub fn declared_run_evidence(
     status: StatusCode,
     declared: DeclaredRefusals<'_>,
+    attribution: Attribution,
     timing: RefusalTiming,
 ) -> RunEvidence {
     if declared.statuses.contains(&status.as_u16()) {
+        if let Some(reason) = attribution.unproven_reason() {
+            return RunEvidence::Unproven(reason);
+        }
         match declared.are_atomic {
             true => RunEvidence::NotRun,
             false => refusal_evidence(status, timing),
@@ -184,22 +217,14 @@
         mark.is_some_and(|name| self.headers.contains_key(name))
     }
 
-    /// Determines to which request this response belongs. A response to a request without
-    /// an id names none, so it must be the first on its connection.
+    /// Determines to which request this response belongs.
     pub fn attribution(
         &self,
         names: &HeaderNames,
         request: SentRequest<'_>,
     ) -> Attribution {
-        let mut named = self.headers.get_all(names.request_id).iter();
-        match named.next() {
-            None if request.id.is_none() && request.is_first => Attribution::Own,
-            None => Attribution::Unnamed,
-            Some(first) if Some(first) != request.id => Attribution::Other,
-            Some(first) if named.any(|other| other != first) => Attribution::Unnamed,
-            Some(_) if request.is_repeated => Attribution::PossibleCopy,
-            Some(_) => Attribution::Own,
-        }
+        let naming = ResponseNaming::Required;
+        Attribution::of_response(&self.headers, names.request_id, naming, request)
     }
 }
 
--- a/tests/tests/answers.rs
+++ b/tests/tests/answers.rs
@@ -1,6 +1,7 @@
 //! Framing of responses and requests: raw servers and raw callers send what HTTP
 //! libraries would not.
 
+use std::collections::HashSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -8,7 +9,8 @@
 use std::time::{Duration, Instant};
 
 use wingspur_bench::{Fleet, small_zagreb};
-use wingspur_tests::listen;
+use wingspur_state::RetryRules;
+use wingspur_tests::{Head, listen};
 use wingspur_transport::Workers;
 
 /// Starts a server that responds to each request with what `answer` writes. The
@@ -84,16 +86,31 @@
 
 /// Runs a test with one box in front of one raw server.
 fn with_box_of(server: SocketAddr, atomic_refusals: bool, test: impl FnOnce(SocketAddr)) {
+    let rules = RetryRules {
+        not_run_statuses: vec![503],
+        atomic_refusals,
+        ..RetryRules::default()
+    };
+    with_box_and_rules(server, &rules, test);
+}
+
+/// Runs a test with one box in front of one raw server, to which these rules apply.
+fn with_box_and_rules(
+    server: SocketAddr,
+    rules: &RetryRules,
+    test: impl FnOnce(SocketAddr),
+) {
     let workers = Workers::start(2);
     smol::block_on(async {
         let spawner = workers.spawner();
         let mut fleet = Fleet::start(small_zagreb(1), &spawner).await.unwrap();
         let version = fleet
             .publish_next(|bundle| {
-                let pages = &mut bundle.services[0];
-                pages.servers.truncate(1);
-                pages.servers[0].address = server;
-                pages.retry.atomic_refusals = atomic_refusals;
+                for service in &mut bundle.services[..2] {
+                    service.servers.truncate(1);
+                    service.servers[0].address = server;
+                    service.retry = rules.clone();
+                }
             })
             .await
             .unwrap();
@@ -351,6 +368,106 @@
     });
 }
 
+/// Starts a server that runs every request. The first response on each connection has the
+/// status `first`; a refusal precedes each later one. `names` tells whether the first
+/// response and the refusal name the request.
+fn sends_surplus_refusals(first: &'static str, names: [bool; 2]) -> SocketAddr {
+    let seen = Mutex::new(HashSet::new());
+    listen(move |head, out| {
+        let is_first = seen.lock().unwrap().insert(out.peer_addr().ok());
+        let own = response(first, names[0], &head);
+        let refusal = response("503 Status", names[1], &head);
+        let bytes = if is_first { own } else { refusal + &own };
+        out.write_all(bytes.as_bytes()).is_ok()
+    })
+}
+
+/// Returns a response with a short body that names its request or does not.
+fn response(status: &str, names_request: bool, request: &Head) -> String {
+    let name = match names_request {
+        true => format!("x-request-id: {}\r\n", request.headers["x-request-id"]),
+        false => String::new(),
+    };
+    format!("HTTP/1.1 {status}\r\n{name}content-length: 2\r\n\r\nok")
+}
+
+/// Sends a request and returns the status of its response.
+fn call_once(caller: SocketAddr, line: &str, id: &str, key: usize) -> String {
+    let request = format!(
+        "{line} HTTP/1.1\r\nhost: x\r\nx-request-id: {id}\r\nconnection: close\r\n\
+         idempotency-key: {key}\r\ncontent-length: 0\r\n\r\n"
+    );
+    let answer = raw_call(caller, &request);
+    answer.split(' ').nth(1).unwrap_or_default().to_owned()
+}
+
+const READ: &str = "GET /exam/p";
+const ONCE_ONLY: &str = "POST /submit/p";
+
+/// Rules by which a request is sent once.
+fn rules_without_retries() -> RetryRules {
+    RetryRules {
+        not_run_statuses: vec![503],
+        atomic_refusals: true,
+        retries: 0,
+        ..RetryRules::default()
+    }
+}
+
+#[test]
+fn surplus_declared_refusal_is_no_promise() {
+    // The status of the first response, which of the two name their request, whether the
+    // id comes again, and what the caller of the second request gets.
+    let cases = [
+        (READ, "200 OK", [false, false], false, "502"),
+        (READ, "200 OK", [true, false], false, "502"),
+        (READ, "500 Error", [true, true], true, "500"),
+        (ONCE_ONLY, "200 OK", [false, false], false, "200"),
+        (ONCE_ONLY, "200 OK", [true, false], false, "502"),
+        (ONCE_ONLY, "500 Error", [true, true], true, "500"),
+        (ONCE_ONLY, "500 Error", [false, false], false, "500"),
+    ];
+    let mut wrong = Vec::new();
+    for case in cases {
+        let (line, first, names, is_repeated, told) = case;
+        let server = sends_surplus_refusals(first, names);
+        with_box_and_rules(server, &rules_without_retries(), |caller| {
+            call_once(caller, line, "id-0", 0);
+            let id = if is_repeated { "id-0" } else { "id-1" };
+            let status = call_once(caller, line, id, 1);
+            if status != told {
+                wrong.push((case, status));
+            }
+        });
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+/// Three of ten requests are refused on arrival.
+#[test]
+fn declared_refusal_of_a_once_only_request_is_a_promise() {
+    for names_request in [false, true] {
+        let connections = Arc::new(Mutex::new(HashSet::new()));
+        let seen = connections.clone();
+        let server = listen(move |head, out| {
+            seen.lock().unwrap().insert(out.peer_addr().ok());
+            let is_refused = head.headers["idempotency-key"].ends_with(['1', '3', '5']);
+            let status = if is_refused { "503 Status" } else { "200 OK" };
+            let bytes = response(status, names_request, &head);
+            out.write_all(bytes.as_bytes()).is_ok()
+        });
+        with_box_and_rules(server, &rules_without_retries(), |caller| {
+            let call = |n| call_once(caller, ONCE_ONLY, &format!("id-{n}"), n);
+            let told: Vec<_> = (0..200).map(call).collect();
+            let count = |status| told.iter().filter(|told| *told == status).count();
+            let counts = ["200", "502", "503"].map(count);
+            let opened = connections.lock().unwrap().len();
+            println!("named: {names_request}, {counts:?}, {opened} connections used");
+            assert_eq!(counts, [140, 0, 60], "named: {names_request}");
+        });
+    }
+}
+
 #[test]
 fn an_answer_that_names_another_request_is_not_passed_on() {
     let (server, _) = raw_server(|_, out| {
--- a/tests/tests/attempt_ledger.rs
+++ b/tests/tests/attempt_ledger.rs
@@ -7,8 +7,8 @@
 use hyper::StatusCode;
 use wingspur_state::{AttemptEnd, AttemptLedger, AttemptTarget};
 use wingspur_transport::{
-    DeclaredRefusals, RefusalTiming, ResponseArrival, RunEvidence, ServerDeadline,
-    declared_run_evidence,
+    Attribution, DeclaredRefusals, RefusalTiming, ResponseArrival, RunEvidence,
+    ServerDeadline, declared_run_evidence,
 };
 
 const MAX_ATTEMPTS: usize = 3;
@@ -130,7 +130,7 @@
             are_atomic: false,
         };
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        match declared_run_evidence(status, declared, timing) {
+        match declared_run_evidence(status, declared, Attribution::Own, timing) {
             RunEvidence::NotRun => AttemptEnd::RefusedBeforeRunning,
             _ => AttemptEnd::InDoubt,
         }
--- a/tests/tests/silent_connections.rs
+++ b/tests/tests/silent_connections.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::{Method, Request};
 use wingspur_transport::{
-    BackendPool, FaultInjector, HttpClient, HttpClientError, SendBody, Workers,
+    BackendPool, FaultInjector, HttpClient, HttpClientError, PoolReuse, SendBody, Workers,
 };
 
 const CONNECTIONS: usize = 3;
@@ -112,7 +112,10 @@
         let request = Request::get("/a").header("host", "server");
         let request = request.body(SendBody::empty()).expect("it is valid");
         smol::block_on(async {
-            let (response, connection) = pool.send(request).await.expect("it is sent");
+            let (response, connection) = pool
+                .send(request, None, PoolReuse::Any)
+                .await
+                .expect("it is sent");
             response.into_body().collect().await.expect("it is whole");
             pool.release(connection);
         });
