--- a/tests/tests/unreachable_servers.rs
+++ b/tests/tests/unreachable_servers.rs
@@ -2,6 +2,7 @@
 
 mod edge;
 
+use std::collections::HashMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -432,6 +433,116 @@
     }
 }
 
+/// Starts a relay that refuses each id when it comes first. When it comes again on the
+/// same connection, a copy of the refusal precedes its 200.
+fn copying_relay(is_taken: bool) -> ScriptedRelay {
+    let result = |is_taken| {
+        encode_relay_header(&RelayResult {
+            is_taken,
+            load: 0.0,
+        })
+    };
+    let (refused, served) = (result(is_taken), result(true));
+    let refused_on = Mutex::new(HashMap::new());
+    ScriptedRelay::start(move |request, stream| {
+        let name = name_of(request);
+        let peer = stream.peer_addr().ok();
+        let refusal = format!(
+            "HTTP/1.1 503 Service Unavailable\r\n{name}wingspur-result: 3002\r\n\
+             {RELAY_RESULT_HEADER}: {refused}\r\ncontent-length: 0\r\n\r\n"
+        );
+        let own = format!(
+            "HTTP/1.1 200 OK\r\n{name}{RELAY_RESULT_HEADER}: {served}\r\n\
+             content-length: 3\r\n\r\nran"
+        );
+        let before = refused_on.lock().unwrap().insert(name, peer);
+        let bytes = match before {
+            None => refusal,
+            Some(first) if first == peer => refusal + &own,
+            Some(_) => own,
+        };
+        stream.write_all(bytes.as_bytes()).is_ok()
+    })
+}
+
+#[test]
+fn copy_of_a_relays_refusal_is_no_promise() {
+    for is_taken in [true, false] {
+        let pair = Pair::start();
+        let relay = copying_relay(is_taken);
+        leave_only(&relay, &pair);
+        for n in 0..5 {
+            let id = format!("id-{n}");
+            let call = || Caller::of(&pair.near).call("once_only", &id).status;
+            wait_until("the relay refuses it", || {
+                let before = relay.taken();
+                assert_eq!(call(), 503, "{id} {is_taken}");
+                relay.taken() > before
+            });
+            let mut status = 503;
+            wait_until("the relay gets it again", || {
+                let before = relay.taken();
+                status = call();
+                relay.taken() > before
+            });
+            assert_eq!(status, 200, "{id} {is_taken}");
+        }
+        pair.close();
+    }
+}
+
+#[test]
+fn a_relays_refusal_that_does_not_name_the_request_is_no_promise() {
+    for is_taken in [true, false] {
+        let pair = Pair::start();
+        let result = encode_relay_header(&RelayResult {
+            is_taken,
+            load: 0.0,
+        });
+        let relay = ScriptedRelay::start(move |_, stream| {
+            let headers =
+                format!("wingspur-result: 3002\r\n{RELAY_RESULT_HEADER}: {result}\r\n");
+            write_response(stream, "503 Service Unavailable", &headers, b"")
+        });
+        leave_only(&relay, &pair);
+        for n in 0..3 {
+            let before = relay.taken();
+            let answer = Caller::of(&pair.near).call("once_only", &format!("id-{n}"));
+            let told = (answer.status, relay.taken());
+            assert_eq!(told, (502, before + 1), "{is_taken}");
+        }
+        pair.close();
+    }
+}
+
+/// The servers are reached by the other box, which must not get the request.
+#[test]
+fn unnamed_decline_of_a_relay_does_not_send_the_request_to_another() {
+    let pair = Pair::start();
+    let declined = encode_relay_header(&RelayResult {
+        is_taken: false,
+        load: 0.0,
+    });
+    let relay = ScriptedRelay::start(move |_, stream| {
+        let headers = format!("{RELAY_RESULT_HEADER}: {declined}\r\n");
+        write_response(stream, "503 Service Unavailable", &headers, b"")
+    });
+    relay.announce(&pair.store);
+    pair.cut_off();
+    let started = Instant::now();
+    for n in 0.. {
+        assert!(started.elapsed() < Duration::from_secs(30), "never asked");
+        let id = format!("id-{n}");
+        let answer = Caller::of(&pair.near).call("once_only", &id);
+        if relay.taken() > 0 {
+            assert_eq!(answer.status, 502, "{id}");
+            assert!(!pair.executed_ids().contains(&id), "{id}");
+            break;
+        }
+    }
+    pair.close();
+}
+
 #[test]
 fn a_request_that_a_relay_has_not_taken_goes_to_another() {
     let pair = Pair::start();
