Own sources: a repeated id keeps no more connections than others

As on the platform path: idle connections on which an id has failed are closed as the id comes again, so that the new connection takes their place. Before, the pool kept each of them for up to 60 s, so that a caller which repeats an id that fails made the box open one connection for each request. Read, with no test of its own over own sources; repeated_ids_hold_no_more_connections_than_others covers the same rule of the other pool.

--- a/crates/wingspur-transport/src/connection_history.rs
+++ b/crates/wingspur-transport/src/connection_history.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Whether no request was sent yet.
+    pub fn is_unused(&self) -> bool {
+        self.requests == 0
+    }
+
     /// Whether no further request may be sent, because its error could not be kept.
     pub fn is_full(&self) -> bool {
         self.failed.len() >= MAX_FAILED
--- a/crates/wingspur-transport/src/pool.rs
+++ b/crates/wingspur-transport/src/pool.rs
@@ -67,14 +67,10 @@
 }
 
 impl PooledConnection {
-    /// Whether a request, which may have an id, may be sent on the connection now.
-    fn is_allowed(&self, id: Option<&HeaderValue>, reuse: PoolReuse) -> bool {
-        let ConnectionUse {
-            address, number, ..
-        } = self.used;
-        let used = self.history.usage(address, number, id);
-        let is_reuse_allowed = reuse == PoolReuse::Any || used.is_first();
-        self.sender.is_ready() && !used.is_repeated && is_reuse_allowed
+    /// Whether a request may be sent on the connection now.
+    fn is_allowed(&self, reuse: PoolReuse) -> bool {
+        let is_reuse_allowed = reuse == PoolReuse::Any || self.history.is_unused();
+        self.sender.is_ready() && is_reuse_allowed
     }
 
     /// Returns when the sending of the current request began.
@@ -131,8 +127,8 @@
     /// Sends a request, which may have an id, on an idle connection or a new one, and
     /// returns the response with its body unread.
     ///
-    /// Connections on which the request got an error response are left out: copies of the
-    /// response may still arrive there.
+    /// Idle connections on which the request got an error response are closed: copies of
+    /// the response may still arrive there.
     pub async fn send(
         &self,
         request: Request<SendBody>,
@@ -214,10 +210,13 @@
         reuse: PoolReuse,
     ) -> Option<PooledConnection> {
         let mut idle = self.idle.lock().expect("no holder panics");
-        idle.retain(|idle| !idle.connection.sender.is_closed());
+        idle.retain(|idle| {
+            let connection = &idle.connection;
+            !connection.sender.is_closed() && !connection.history.has_failed(id)
+        });
         let position = idle
             .iter()
-            .rposition(|idle| idle.connection.is_allowed(id, reuse))?;
+            .rposition(|idle| idle.connection.is_allowed(reuse))?;
         Some(idle.remove(position).connection)
     }
 
