Hints are observed with the response that they belong to

Callers of a server that sends copies of its responses saw 503 (code 3001) for an instance that served: a copy of the 421 of the former instance came on a pooled connection of the address before the response to a request for the next one, and took that one out of use, which is never undone. A copy of a refusal with Retry-After began its backoff again, a copy with a rate limit set one that was lifted, and a copy of a draining hint made the next instance drain.

Cause: connections belong to an address, and UpstreamAttempt::exchange applied the hints of every head that it read, also of those that name another request and are skipped. Evidence was taken from the request's own response already.

Now the hints of a skipped response are not applied, and neither are those of a refusal that does not name the request (or may be a copy) on a connection that has carried others. As before they are applied for requests without an id, on a new connection, and with ordinary responses, named or not, whatever becomes of the response. wingspur_skipped_responses_total counts what is skipped.

--- a/crates/wingspur-edge/src/operation/metrics.rs
+++ b/crates/wingspur-edge/src/operation/metrics.rs
@@ -91,6 +91,8 @@
     /// Requests that come again to an address where they have failed on an open
     /// connection, by cause.
     repeated_requests: IntCounterVec,
+    /// Responses of servers that named an earlier request and were skipped.
+    skipped_responses: IntCounter,
     /// How long after their request such responses arrived, in seconds, by what they
     /// prove.
     refusal_delay: HistogramVec,
@@ -176,6 +178,10 @@
             "wingspur_callers_gone_total",
             "Requests whose callers left before the answer.",
         );
+        let skipped_responses = unlabelled_counter(
+            "wingspur_skipped_responses_total",
+            "Responses of servers that named an earlier request.",
+        );
         let hedges = unlabelled_counter("wingspur_hedges_total", "Second attempts.");
         let frames =
             unlabelled_counter("wingspur_frames_total", "Frames sent to other boxes.");
@@ -268,6 +274,7 @@
                 "kind",
             ),
             client_disconnects: disconnects,
+            skipped_responses,
             dropped_log_lines,
             urgency_decisions: counter(
                 "wingspur_urgency_decisions_total",
@@ -453,6 +460,11 @@
         repeated.inc();
     }
 
+    /// Counts a response that named an earlier request and was skipped.
+    pub fn count_skipped_response(&self) {
+        self.skipped_responses.inc();
+    }
+
     /// Counts a message of a peer that was refused.
     pub fn count_peer_refusal(&self, reason: &str) {
         self.peer_refusals.with_label_values(&[reason]).inc();
--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -202,7 +202,7 @@
             Received::Refused(status, hints, unproven) => {
                 // A refusal by a server that has set a rate limit says nothing about its
                 // health: the limit already tells how much it accepts.
-                let at_limit = hints.limit_per_s != Ok(None);
+                let at_limit = hints.is_some_and(|hints| hints.limit_per_s != Ok(None));
                 guard.end(if at_limit {
                     HealthOutcome::Abandoned
                 } else {
@@ -254,13 +254,14 @@
             record_connection(&self.shared, &self.outgoing, self.number, connection);
         let mut sent = self.outgoing.sent_on(&used);
         let mut head = connection.send_request(request, body, method, id).await?;
-        let mut hints = self.observe_hints(&head);
         let mut skipped_responses = 0;
         let names = &self.shared.header_names;
         while head.attribution(names, sent) == Attribution::Other {
             // A second response to an earlier request; the one to this request may
-            // follow.
+            // follow. Its hints and its refusal were observed when the first came, and may
+            // be about another instance at the same address.
             skipped_responses += 1;
+            self.shared.metrics.count_skipped_response();
             if skipped_responses > MAX_SKIPPED_RESPONSES {
                 let reason = "too many responses to other requests";
                 return Err(ResponseError::Unreadable(reason.to_owned()));
@@ -274,10 +275,10 @@
                 ));
             }
             head = connection.read_head(method).await?;
-            hints = self.observe_hints(&head);
             sent.is_first = false;
         }
         let evidence = self.observe_evidence(&head, connection, sent, deadline);
+        let hints = self.observe_hints(&head, sent, evidence);
         // Only boxes state a result; callers and other boxes rely on it.
         head.headers.remove(RESULT_HEADER);
         match evidence {
@@ -305,9 +306,27 @@
         }
     }
 
-    fn observe_hints(&self, head: &ResponseHead) -> ServerHints {
-        let id = id_text(self.outgoing.id.as_ref());
-        observe_response(&self.shared, id, &self.pick.server, head)
+    /// Applies and returns the hints in a response, regardless of what becomes of it;
+    /// `None` if it may be a copy of a refusal, whose hints were applied when it came.
+    fn observe_hints(
+        &self,
+        head: &ResponseHead,
+        sent: SentRequest<'_>,
+        evidence: RunEvidence,
+    ) -> Option<ServerHints> {
+        let may_be_copy = match evidence {
+            // The responses to a request without an id never name it.
+            RunEvidence::Unproven(reason) => {
+                reason.is_ambiguous() && sent.id.is_some() && !sent.is_first
+            }
+            RunEvidence::Ordinary | RunEvidence::NotRun => false,
+        };
+        if may_be_copy {
+            return None;
+        }
+        let id = id_text(sent.id);
+        let server = &self.pick.server;
+        Some(observe_response(&self.shared, id, server, head))
     }
 
     /// Determines, logs and counts what a head says about whether the request ran.
@@ -577,7 +596,7 @@
     Complete(BufferedResponse),
     /// The head of a refusal of this request, and why it does not prove that the request
     /// did not run, if it does not.
-    Refused(StatusCode, ServerHints, Option<UnprovenReason>),
+    Refused(StatusCode, Option<ServerHints>, Option<UnprovenReason>),
     /// The head of a response that is no valid refusal of this request, although callers
     /// would take it for one.
     Unproven(StatusCode, UnprovenReason),
--- a/crates/wingspur-edge/src/proxy/server_hints.rs
+++ b/crates/wingspur-edge/src/proxy/server_hints.rs
@@ -19,9 +19,10 @@
 /// Applies the hints in a server's response head, regardless of what happens to the
 /// response afterwards, and returns them.
 ///
-/// Every response head from a server passes through here, so that no request path can
-/// miss a hint. If the head comes from another instance than the one the request was sent
-/// to, its other hints are not applied.
+/// Every response that belongs to a request passes through here once, so that no request
+/// path can miss a hint. A copy does not: its backoff or limit may be over, and the
+/// request that it precedes may be for another instance. If the head comes from another
+/// instance than the one the request was sent to, its other hints are not applied.
 pub fn observe_response(
     shared: &EdgeState,
     id: &str,
