--- a/tests/tests/endless_responses.rs
+++ b/tests/tests/endless_responses.rs
@@ -319,13 +319,13 @@
 
 async fn connect(server: &BackendServer) -> BackendConnection {
     let connections = BackendConnections::new(server.address, BufferBudget::unlimited());
-    let connecting = connections.connect(ReusePolicy::Any, Duration::from_secs(10));
+    let connecting = connections.connect(ReusePolicy::Any, None, Duration::from_secs(10));
     connecting.await.unwrap()
 }
 
 /// Sends a request and returns the status of its response.
 async fn send(connection: &mut BackendConnection) -> StatusCode {
     let head = b"GET / HTTP/1.1\r\nhost: site.example\r\n\r\n".to_vec();
-    let sending = connection.send_request(head, SendBody::empty(), &Method::GET);
+    let sending = connection.send_request(head, SendBody::empty(), &Method::GET, None);
     sending.await.unwrap().status
 }
--- a/tests/tests/response_memory.rs
+++ b/tests/tests/response_memory.rs
@@ -265,10 +265,12 @@
     });
     let connections = BackendConnections::new(address, BufferBudget::new(0));
     smol::block_on(async {
-        let connecting = connections.connect(ReusePolicy::Any, Duration::from_secs(5));
+        let connecting =
+            connections.connect(ReusePolicy::Any, None, Duration::from_secs(5));
         let mut connection = connecting.await.unwrap();
         let head = b"GET / HTTP/1.1\r\nhost: site.example\r\n\r\n".to_vec();
-        let sending = connection.send_request(head, SendBody::empty(), &Method::GET);
+        let sending =
+            connection.send_request(head, SendBody::empty(), &Method::GET, None);
         sending.await.ok()?;
         match connection.read_whole(usize::MAX).await.unwrap() {
             Ok(whole) => Some(whole.len()),
--- a/tests/tests/suspended_box.rs
+++ b/tests/tests/suspended_box.rs
@@ -121,13 +121,13 @@
     let backend = BackendConnections::new(address, BufferBudget::unlimited());
     let timeout = Duration::from_secs(10);
     smol::block_on(async {
-        let first = backend.connect(ReusePolicy::Any, timeout).await;
+        let first = backend.connect(ReusePolicy::Any, None, timeout).await;
         backend.release(first.expect("the server accepts"));
-        let reused = backend.connect(ReusePolicy::Any, timeout).await;
+        let reused = backend.connect(ReusePolicy::Any, None, timeout).await;
         backend.release(reused.expect("the server accepts"));
         assert_eq!(backend.opened(), 1, "an idle connection is reused");
         wingspur_clock::simulate_suspension(Duration::from_secs(30));
-        let fresh = backend.connect(ReusePolicy::Any, timeout).await;
+        let fresh = backend.connect(ReusePolicy::Any, None, timeout).await;
         assert!(fresh.is_ok());
         assert_eq!(backend.opened(), 2);
     });
--- a/tests/tests/unsent_requests.rs
+++ b/tests/tests/unsent_requests.rs
@@ -21,7 +21,7 @@
     );
     smol::block_on(async {
         let timeout = Duration::from_secs(5);
-        let connected = connections.connect(ReusePolicy::Any, timeout).await;
+        let connected = connections.connect(ReusePolicy::Any, None, timeout).await;
         let mut connection = connected.unwrap();
         serve(listener.accept().unwrap().0);
         let body = SendBody::empty();
