A response that names no request is not passed on after others

Found by the review of the fix, same class: a server sends a response too many that names no request; on a connection that has carried others, it was taken for the response to the request that waits unless it claimed to be a refusal. Callers got another request's 500, 404 or even its 200 with the server's stamp.

A response without an id, to a request with one, counts only as the first on its connection; after others the request is in doubt (502; reads are sent again) and the connection closes.

unnamed_response_after_others_is_not_passed_on failed before (500 where 502 is asked) and passes now for 500, 404 and 200.

--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -299,6 +299,14 @@
                 return Ok(Received::Unproven(head.status, reason));
             }
         }
+        if head.attribution(names, sent) == Attribution::Unnamed
+            && sent.id.is_some()
+            && !sent.is_first
+        {
+            connection.disable_reuse();
+            let reason = "a response that names no request, on a connection with others";
+            return Err(ResponseError::Unreadable(reason.to_owned()));
+        }
         self.check_origin(&head)?;
         match connection.read_whole(MAX_BUFFERED_BYTES).await? {
             Ok(body) => Ok(Received::Complete(BufferedResponse { head, body })),
