A copy that comes while a request is still sent ends the attempt at once

Found by the review: a response to another request stops the sending of a long body, and was skipped; the box then waited until the deadline for a response that cannot come, since the rest of the request is never sent. The attempt now ends in doubt at once. Also, the latency of a relay is no longer observed from a response to another request. Read; no test of its own.

--- a/crates/wingspur-edge/src/proxy/attempt.rs
+++ b/crates/wingspur-edge/src/proxy/attempt.rs
@@ -268,6 +268,11 @@
             }
             tracing::info!(server = %self.pick.server.id, "attempt: skipped a response to another request.");
             connection.disable_reuse();
+            if connection.request_sent_at().is_none() {
+                // The rest of the request is not sent, so no response to it will follow.
+                let reason = "a response to another request came while this one was sent";
+                return Err(ResponseError::Unreadable(reason.to_owned()));
+            }
             connection.skip_body(MAX_BUFFERED_BYTES).await?;
             if !connection.is_read() {
                 return Err(ResponseError::Unreadable(
--- a/crates/wingspur-edge/src/proxy/relayed_attempt.rs
+++ b/crates/wingspur-edge/src/proxy/relayed_attempt.rs
@@ -134,13 +134,13 @@
             record_connection(&self.shared, &self.outgoing, self.number, connection);
         let sent = self.outgoing.sent_on(&used);
         let mut head = connection.send_request(request, body, method, id).await?;
-        let service = &self.service.name;
         let hop = wingspur_clock::since(began);
-        self.shared.metrics.observe_relay_latency(service, hop);
         let attribution = head.attribution(names, sent);
         if attribution == Attribution::Other {
             return Err(unreadable("a response to another request"));
         }
+        let service = &self.service.name;
+        self.shared.metrics.observe_relay_latency(service, hop);
         let result = relay_result(&mut head)?;
         self.record_load(result.load);
         if !result.is_taken {
