--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -39,7 +39,7 @@
     Announcement, Catalog, CatalogError, CatalogFuture, CatalogResponse,
     ConditionalWriteResult, LeaseId, ReportedEra, StoreLease,
 };
-pub use connection_history::ConnectionUse;
+pub use connection_history::{ConnectionHistory, ConnectionUse};
 pub use fault_injection::{FaultInjector, InjectedFault};
 pub use http_client::{
     Connector, HttpClient, HttpClientError, HttpClientTotals, HttpResponse,
