An idle connection does not keep its last request's id

Read in the last look at the change: the id is a part of the buffer of the caller's head, so each idle connection kept up to a whole head in memory. The id is dropped as the connection is released. Also the order of a doc comment.

--- a/crates/wingspur-edge/src/proxy/request_head.rs
+++ b/crates/wingspur-edge/src/proxy/request_head.rs
@@ -100,9 +100,10 @@
 /// the request has an id, and `lost_at` is when the path to the servers was lost, if it
 /// is: only connections that have worked since then are used.
 ///
-/// A refusal of a request without an id counts on a new connection only, so a once-only
-/// request without one uses no other as long as one can be opened. If a pooled connection turns out to be dead, it is unknown whether the request has
-/// run. So a once-only request only uses a connection that was in use a moment ago.
+/// If a pooled connection turns out to be dead, it is unknown whether the request has
+/// run. So a once-only request only uses a connection that was in use a moment ago. A
+/// refusal of a request without an id counts on a new connection only, so a once-only
+/// request without one uses no other as long as one can be opened.
 pub fn reuse_policy(
     class: RouteClass,
     has_id: bool,
--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -272,8 +272,10 @@
             return;
         }
         connection.is_new = false;
-        // Releases the memory of the buffer while the connection is idle.
+        // Releases the memory of the buffers, also of the head that the id is a part of,
+        // while the connection is idle.
         connection.buffer = BytesMut::new();
+        connection.request_id = None;
         let since = wingspur_clock::now();
         let idle = IdleConnection { connection, since };
         self.idle.lock().expect("no holder panics").push(idle);
