--- a/review/standin-2/entry_box.rs
+++ b/review/standin-2/entry_box.rs
@@ -25,7 +25,7 @@
     pub log: PathBuf,
 }
 
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     listener.local_addr().expect("it is bound")
 }
@@ -33,14 +33,29 @@
 impl EntryBox {
     /// Starts a box with the settings that the deploy file's template gives it.
     pub fn start(program: &str, folder: &Path, id: &str, zone: &str, store: SocketAddr) -> Self {
-        let (callers, peers) = (free_address(), free_address());
+        let peers = free_address();
+        Self::start_at(program, folder, (id, zone), store, peers, &[peers])
+    }
+
+    /// Does the same with an address for other boxes, and with seeds.
+    pub fn start_at(
+        program: &str,
+        folder: &Path,
+        (id, zone): (&str, &str),
+        store: SocketAddr,
+        peers: SocketAddr,
+        seeds: &[SocketAddr],
+    ) -> Self {
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let seeds = seeds.join(",");
+        let callers = free_address();
         let (operator, metrics) = (free_address(), free_address());
         let settings = format!(
-            r#"{{"box_id":"{id}","data_centre":"{zone}","regions":{{"z1":"r1","z2":"r1"}},
+            r#"{{"box_id":"{id}","data_centre":"{zone}","regions":{{"z1":"r1","z2":"r1","z3":"r1"}},
 "fleet":"platform","caller_address":"{callers}","peer_address":"{peers}",
 "operator_address":"{operator}","metrics_address":"{metrics}","cpu_share":0.2,
 "link_mbps":1000.0,"memory_mb":260,"worker_threads":1,
-"catalog":{{"form":"kv","store_address":"{store}","seeds":["{peers}"]}},
+"catalog":{{"form":"kv","store_address":"{store}","seeds":[{seeds}]}},
 "first_start":true,"retry_budget":{{"ratio":0.2,"window_s":10,"slack":60}},
 "quota":{{"window_s":5,"overrun":0.1,"slack":20}},
 "drain":{{"balancer_lag_ms":2500,"kill_after_s":6}},
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 
 mod entry_box;
 mod http;
+mod isolated;
 mod json;
 mod listing;
 mod server;
@@ -66,6 +67,7 @@
     };
     let outcome = match case.as_str() {
         "listing" => listing::play(&play),
+        "isolated" => isolated::play(&play),
         _ => Outcome::CouldNotRun,
     };
     if std::env::var("KEEP").is_err() {
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -24,6 +24,8 @@
     changes: Vec<Change>,
     leases: BTreeMap<u64, (Instant, Duration)>,
     next_lease: u64,
+    /// Whether calls get no answer and are not done.
+    is_silent: bool,
 }
 
 #[derive(Clone)]
@@ -83,6 +85,29 @@
         self.state.1.notify_all();
     }
 
+    /// The keys that begin with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.state.0.lock().unwrap();
+        let items = state.items(state.revision());
+        items.into_keys().filter(|key| key.starts_with(prefix)).collect()
+    }
+
+    /// From now on calls get no answer and are not done, or are served again.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.state.0.lock().unwrap().is_silent = is_silent;
+    }
+
+    fn is_silent(&self) -> bool {
+        self.state.0.lock().unwrap().is_silent
+    }
+
+    /// Keeps a connection open, on which nothing is said any more, for longer than a case
+    /// lasts.
+    fn say_nothing(&self, wire: Wire) {
+        std::thread::sleep(Duration::from_secs(150));
+        drop(wire);
+    }
+
     fn expire_leases(&self) {
         let mut state = self.state.0.lock().unwrap();
         let now = Instant::now();
@@ -101,7 +126,13 @@
     fn serve(&self, stream: TcpStream) {
         let mut wire = Wire::new(stream);
         while let Ok(message) = wire.read() {
+            if self.is_silent() {
+                return self.say_nothing(wire);
+            }
             let (status, body) = self.call(&message);
+            if self.is_silent() {
+                return self.say_nothing(wire);
+            }
             if wire.answer(status, "content-type: application/json\r\n", body.as_bytes()).is_err() {
                 return;
             }
