Review case 4: a cut-off surplus answer and the true one are read as one refusal

The beginning of a 421 that is cut off within a header's value, followed by the true answer on the same connection, parses as one head: a 421 that names the request. It counts as proof that the request did not run, and a non-idempotent request is sent to a second server.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod json;
 mod listing;
 mod server;
+mod spliced;
 mod store;
 
 use std::fs::File;
@@ -67,6 +68,7 @@
     };
     let outcome = match case.as_str() {
         "listing" => listing::play(&play),
+        "spliced" => spliced::play(&play),
         "isolated" => isolated::play(&play),
         _ => Outcome::CouldNotRun,
     };
