--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -68,7 +68,8 @@
     };
     let outcome = match case.as_str() {
         "listing" => listing::play(&play),
-        "spliced" => spliced::play(&play),
+        "spliced" => spliced::play(&play, spliced::Kind::AfterRefusal),
+        "spliced-failure" => spliced::play(&play, spliced::Kind::AfterSuccess),
         "isolated" => isolated::play(&play),
         _ => Outcome::CouldNotRun,
     };
--- a/review/standin-2/spliced.rs
+++ b/review/standin-2/spliced.rs
@@ -24,13 +24,24 @@
 const SPOILED: usize = 34;
 /// The requests are sent within 5 s.
 const INTERVAL: Duration = Duration::from_micros(16_600);
-/// What a server has sent of the surplus answer when it is cut off.
-const CUT_OFF: &[u8] = b"HTTP/1.1 421 Misdirected Request\r\nX-Wingspur-Instance-Id: i-02d9";
+/// What a server has sent of a surplus refusal when it is cut off.
+const REFUSAL: &[u8] = b"HTTP/1.1 421 Misdirected Request\r\nX-Wingspur-Instance-Id: i-02d9";
+/// What a server has sent of a surplus success when it is cut off.
+const SUCCESS: &[u8] = b"HTTP/1.1 200 OK\r\nDate: Sun, 06 Dec 2026 10:";
+
+/// What the spoiled answers are.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Kind {
+    /// Successes, each after the beginning of a refusal.
+    AfterRefusal,
+    /// Failures, each after the beginning of a success.
+    AfterSuccess,
+}
 
 /// What the servers have run: the request, and whether its answer was spoiled.
 type Runs = Arc<Mutex<Vec<(String, bool)>>>;
 
-pub fn play(play: &Play) -> Outcome {
+pub fn play(play: &Play, kind: Kind) -> Outcome {
     let record = &play.record;
     let store = Store::start(StoreOptions { page: 500, behind: Duration::ZERO });
     store.put(
@@ -51,6 +62,7 @@
             id,
             runs: runs.clone(),
             answers: answers.clone(),
+            kind,
             is_faulty: play.has_trouble && number < FAULTY,
             record: record.clone(),
         };
@@ -92,16 +104,18 @@
     let twice = times.values().filter(|count| **count > 1).count();
     let promises = [408, 421, 429, 503];
     let refused = times.keys().filter(|id| promises.contains(&statuses[**id])).count();
+    let failed = runs.iter().filter(|(_, is_spoiled)| *is_spoiled && kind == Kind::AfterSuccess);
+    let mixed = failed.filter(|(request, _)| statuses[request] == 200).count();
     let served = statuses.values().filter(|status| **status == 200).count();
     let text = format!(
-        "{REQUESTS} requests, {served} served, {spoiled} answers spoiled; {twice} requests ran twice, {refused} were refused with a promise and had run"
+        "{REQUESTS} requests, {served} served, {spoiled} answers spoiled; {twice} requests ran twice, {refused} were refused with a promise and had run, {mixed} failures were passed on as successes"
     );
     record.write(&text);
     println!("{text}");
     if served == 0 {
         return Outcome::CouldNotRun;
     }
-    match twice + refused {
+    match twice + refused + mixed {
         0 => Outcome::Held,
         _ => Outcome::Broken,
     }
@@ -113,6 +127,7 @@
     runs: Runs,
     /// The number of answers of the servers that spoil some.
     answers: Arc<AtomicUsize>,
+    kind: Kind,
     is_faulty: bool,
     record: Record,
 }
@@ -132,7 +147,11 @@
                     "server {} sends the beginning of a surplus answer, and then its answer to {id}",
                     self.id
                 ));
-                if wire.stream.write_all(CUT_OFF).is_err() {
+                let surplus = match self.kind {
+                    Kind::AfterRefusal => REFUSAL,
+                    Kind::AfterSuccess => SUCCESS,
+                };
+                if wire.stream.write_all(surplus).is_err() {
                     return;
                 }
                 std::thread::sleep(Duration::from_millis(5));
@@ -141,7 +160,11 @@
                 "X-Wingspur-Request-Id: {id}\r\nX-Wingspur-Server-Stamp: s-{}\r\n",
                 self.id
             );
-            if wire.answer(200, &headers, b"done").is_err() {
+            let (status, body): (u16, &[u8]) = match is_spoiled && self.kind == Kind::AfterSuccess {
+                true => (500, b"failed"),
+                false => (200, b"done"),
+            };
+            if wire.answer(status, &headers, body).is_err() {
                 return;
             }
         }
