--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -93,6 +93,15 @@
     }
 
     /// From now on calls get no answer and are not done, or are served again.
+    /// An outage of the kind `silent lapse`: all leases run out meanwhile.
+    pub fn lapse(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        let leases: Vec<u64> = state.leases.keys().copied().collect();
+        for lease in leases {
+            state.end_lease(lease);
+        }
+    }
+
     pub fn set_silent(&self, is_silent: bool) {
         self.state.0.lock().unwrap().is_silent = is_silent;
     }
