Tests: the set-up of a direct and a relaying box moves to the shared module

cut_heads built the two boxes, their store and workers by itself; the tests of spoiled responses need the same.

--- a/tests/tests/cut_heads.rs
+++ b/tests/tests/cut_heads.rs
@@ -7,10 +7,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use edge::{Caller, Route, configuration, server_entry, wait_until};
-use wingspur_edge::EdgeBox;
-use wingspur_tests::{Answer, Head, PlatformStore, call, read_body, read_request_head};
-use wingspur_transport::Workers;
+use edge::{Caller, DirectAndRelayed};
+use wingspur_tests::{Answer, Head, call, read_body, read_request_head};
 
 /// How a server ends a response that it does not complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,45 +33,11 @@
     "",
 ];
 
-struct Fleet {
-    _store: PlatformStore,
-    boxes: [EdgeBox; 2],
-    workers: Workers,
-}
-
-impl Fleet {
-    fn start() -> Self {
-        let store = PlatformStore::start(500);
-        store.put("op/config", &configuration(1, &[Route::new("once_only")]));
-        for n in 0..2 {
-            let entry = server_entry(start_server(), "ready");
-            store.put(&format!("servers/i-{n}"), &entry);
-        }
-        let workers = Workers::start(2);
-        let boxes = edge::start_direct_and_relayed(&store, &workers);
-        let fleet = Self {
-            _store: store,
-            boxes,
-            workers,
-        };
-        for caller in fleet.callers() {
-            wait_until("the box serves", || {
-                send(caller, "first", "whole").status == 200
-            });
-        }
-        fleet
-    }
-
-    fn callers(&self) -> [Caller; 2] {
-        self.boxes.each_ref().map(Caller::of)
-    }
-
-    fn close(self) {
-        let [direct, relayed] = self.boxes;
-        smol::block_on(relayed.close());
-        smol::block_on(direct.close());
-        self.workers.close();
-    }
+fn start() -> DirectAndRelayed {
+    let servers = [start_server(), start_server()];
+    DirectAndRelayed::start(&servers, |caller| {
+        send(caller, "first", "whole").status == 200
+    })
 }
 
 /// Starts a server that follows the plan in each request.
@@ -147,7 +111,7 @@
 
 #[test]
 fn a_head_that_is_cut_off_ends_in_502() {
-    let fleet = Fleet::start();
+    let fleet = start();
     let mut sent = 0;
     for framing in 0..FRAMINGS.len() {
         for before in [Before::Nothing, Before::Response, Before::Interim] {
--- a/tests/tests/edge/mod.rs
+++ b/tests/tests/edge/mod.rs
@@ -31,6 +31,14 @@
     pub timeout_ms: u64,
 }
 
+/// A box that reaches the servers, and one that hands its requests to the first, with a
+/// once-only route.
+pub struct DirectAndRelayed {
+    _store: PlatformStore,
+    boxes: [EdgeBox; 2],
+    workers: Workers,
+}
+
 /// Sends requests to a box and waits for the responses.
 #[derive(Clone, Copy)]
 pub struct Caller(SocketAddr);
@@ -273,6 +281,43 @@
     [direct, relayed].map(|settings| start_box_with(change(settings), store, workers))
 }
 
+impl DirectAndRelayed {
+    /// Starts the boxes with some servers, which `serves` must show to be in use: it is
+    /// called for each box until it holds.
+    pub fn start(servers: &[SocketAddr], serves: impl Fn(Caller) -> bool) -> Self {
+        let store = PlatformStore::start(500);
+        store.put("op/config", &configuration(1, &[Route::new("once_only")]));
+        for (n, address) in servers.iter().enumerate() {
+            let entry = server_entry(*address, "ready");
+            store.put(&format!("servers/i-{n}"), &entry);
+        }
+        let workers = Workers::start(2);
+        let boxes = start_direct_and_relayed(&store, &workers);
+        let pair = Self {
+            _store: store,
+            boxes,
+            workers,
+        };
+        for caller in pair.callers() {
+            wait_until("the box serves", || serves(caller));
+        }
+        pair
+    }
+
+    /// Returns a caller of each box.
+    pub fn callers(&self) -> [Caller; 2] {
+        self.boxes.each_ref().map(Caller::of)
+    }
+
+    /// Stops the boxes gracefully.
+    pub fn close(self) {
+        let [direct, relayed] = self.boxes;
+        smol::block_on(relayed.close());
+        smol::block_on(direct.close());
+        self.workers.close();
+    }
+}
+
 /// Returns an address that is never connected to.
 pub fn any_address() -> SocketAddr {
     "127.0.0.1:9".parse().expect("it is a constant")
