Transport: a reset that the sending of a request took ends a response as incomplete

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection.

Cause: the kernel reports a reset once for each socket. The request was still being written, so the write took ECONNRESET, and send_request kept of it only that the connection is not reused. The next read returned 0, which ends a body without a length.

Change: the connection remembers that the sending failed, and a read of 0 bytes is an error then. Why this works: after a reset no read can tell the end of the stream from the failure, so the one report must be kept. Responses with a length or in chunks never depended on it. Relayed requests use the same connections.

--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -79,6 +79,9 @@
     reusable: bool,
     /// How long it may be idle and still be reused; after that the server may close it.
     idle_timeout: Duration,
+    /// Whether it failed while a request was being sent on it. The kernel reports a reset
+    /// once, and reads after that return the end of the stream.
+    has_failed: bool,
     /// Whether a closer has closed it.
     was_closed: Arc<AtomicBool>,
 }
@@ -261,6 +264,7 @@
             is_new: true,
             reusable: true,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            has_failed: false,
             was_closed: Arc::default(),
         })
     }
@@ -405,6 +409,7 @@
             .await
         };
         self.reusable &= matches!(sent, Some(Ok(_)));
+        self.has_failed = matches!(&sent, Some(Err(error)) if !is_after_end(error));
         self.request_sent_at = sent.and_then(Result::ok);
         head_result
     }
@@ -682,7 +687,7 @@
     }
 
     /// Reads more data into the buffer and returns the number of bytes, 0 if the server
-    /// has closed the connection. Fails if this box has closed it.
+    /// has closed the connection. Fails if this box has closed it, or if it has failed.
     async fn read_more(&mut self) -> Result<usize, ResponseError> {
         let buffered = self.buffer.len();
         self.buffer.resize(buffered + READ_BYTES, 0);
@@ -694,6 +699,9 @@
             Ok(0) if self.was_closed.load(Ordering::Acquire) => Err(
                 ResponseError::Broken(io::ErrorKind::ConnectionAborted.into()),
             ),
+            Ok(0) if self.has_failed => {
+                Err(ResponseError::Broken(io::ErrorKind::ConnectionReset.into()))
+            }
             read => read.map_err(ResponseError::Broken),
         }
     }
@@ -798,6 +806,15 @@
     Ok(sent_at)
 }
 
+/// Returns whether the sending of a request failed only after the server had ended its
+/// direction of the connection: the kernel reports a reset as `EPIPE` then.
+fn is_after_end(error: &ResponseError) -> bool {
+    match error {
+        ResponseError::Broken(error) => error.kind() == io::ErrorKind::BrokenPipe,
+        _ => false,
+    }
+}
+
 fn unexpected_end() -> ResponseError {
     ResponseError::Broken(io::ErrorKind::UnexpectedEof.into())
 }
