Transport: one function tells how the body after a head ends

BackendConnection decided on HEAD, 204 and 304 by itself and asked response_head for the rest. The head now answers for all of it, so that later checks stand in one place.

--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -29,7 +29,7 @@
 use crate::fair_stream::FairStream;
 use crate::path_fault::InjectedPathFault;
 use crate::response_head::{
-    Framing, ParsedHead, framing_of, keep_alive_timeout, parse_head, unreadable,
+    Framing, ParsedHead, keep_alive_timeout, parse_head, unreadable,
 };
 use crate::{ConnectionUse, ResponseArrival, ResponseError, SendBody};
 
@@ -580,25 +580,16 @@
         head: ParsedHead,
         method: &Method,
     ) -> Result<ResponseHead, ResponseError> {
+        self.framing = head.framing(method)?;
+        self.reusable &= head.keeps_open() && self.framing != Framing::UntilClose;
         let ParsedHead {
-            status,
-            headers,
-            keeps_open,
+            status, headers, ..
         } = head;
         self.history
             .record_response(status, self.request_id.as_ref());
         // A copy of this response could be told from no other.
         let is_unnamed = self.request_id.is_none();
         self.reusable &= !(is_unnamed && self.history.has_failed(None));
-        let bodiless = *method == Method::HEAD
-            || status == StatusCode::NO_CONTENT
-            || status == StatusCode::NOT_MODIFIED;
-        self.framing = if bodiless {
-            Framing::Done
-        } else {
-            framing_of(&headers)?
-        };
-        self.reusable &= keeps_open && self.framing != Framing::UntilClose;
         if let Some(timeout) = keep_alive_timeout(&headers) {
             self.idle_timeout = timeout;
         }
--- a/crates/wingspur-transport/src/response_head.rs
+++ b/crates/wingspur-transport/src/response_head.rs
@@ -2,22 +2,21 @@
 
 use std::time::Duration;
 
-use hyper::StatusCode;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
 };
+use hyper::{Method, StatusCode, Version};
 
 use crate::ResponseError;
 
 /// The head of a response, as parsed.
 pub struct ParsedHead {
+    /// HTTP/1.0 or HTTP/1.1.
+    pub version: Version,
     /// The status.
     pub status: StatusCode,
     /// All headers.
     pub headers: HeaderMap,
-    /// Whether the server keeps the connection open after this response: it speaks
-    /// HTTP/1.1 and sent no `Connection: close`.
-    pub keeps_open: bool,
 }
 
 /// How the end of a body is recognized, and how much of it has not been read yet.
@@ -56,21 +55,54 @@
         let value = value.map_err(|_| unreadable("a header value is invalid"))?;
         headers.append(name, value);
     }
-    let keeps_open =
-        parsed.version == Some(1) && !has_token(&headers, &CONNECTION, "close");
     let head = ParsedHead {
+        version: match parsed.version {
+            Some(0) => Version::HTTP_10,
+            _ => Version::HTTP_11,
+        },
         status,
         headers,
-        keeps_open,
     };
     Ok(Some((head, length)))
 }
 
-/// Returns how the end of the body after these headers is recognized.
+impl ParsedHead {
+    /// Whether the server keeps the connection open after this response: it speaks
+    /// HTTP/1.1 and sent no `Connection: close`.
+    pub fn keeps_open(&self) -> bool {
+        self.version == Version::HTTP_11
+            && !has_token(&self.headers, &CONNECTION, "close")
+    }
+
+    /// Returns how the end of the body after this head is recognized.
+    ///
+    /// Fails with `ResponseError::Unreadable` when the headers are invalid or contradict
+    /// each other, so that two readers could disagree on where the body ends.
+    pub fn framing(&self, method: &Method) -> Result<Framing, ResponseError> {
+        framing_of(method, self.status, &self.headers)
+    }
+}
+
+/// Returns how the end of the body after a head is recognized.
 ///
-/// Fails with `ResponseError::Unreadable` when the headers are invalid or contradict each
-/// other, so that two readers could disagree on where the body ends.
-pub fn framing_of(headers: &HeaderMap) -> Result<Framing, ResponseError> {
+/// Fails with `ResponseError::Unreadable` like [`ParsedHead::framing`].
+pub fn framing_of(
+    method: &Method,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> Result<Framing, ResponseError> {
+    let is_bodiless = *method == Method::HEAD
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    if is_bodiless {
+        return Ok(Framing::Done);
+    }
+    let framing = declared_framing(headers)?;
+    Ok(framing.unwrap_or(Framing::UntilClose))
+}
+
+/// Returns what the headers say of the end of the body; `None` if nothing.
+fn declared_framing(headers: &HeaderMap) -> Result<Option<Framing>, ResponseError> {
     let lengths = headers.get_all(CONTENT_LENGTH);
     let mut lengths = lengths
         .iter()
@@ -82,12 +114,12 @@
                 "`Transfer-Encoding` without `chunked`, or beside `Content-Length`",
             ));
         }
-        return Ok(Framing::Chunked(None));
+        return Ok(Some(Framing::Chunked(None)));
     }
     match length {
-        None => Ok(Framing::UntilClose),
+        None => Ok(None),
         Some(Some(length)) if lengths.all(|other| other == Some(length)) => {
-            Ok(Framing::Length(length))
+            Ok(Some(Framing::Length(length)))
         }
         Some(_) => Err(unreadable("its `Content-Length` is invalid")),
     }
--- /dev/null
+++ b/tests/tests/raw_responses/mod.rs
@@ -0,0 +1,227 @@
+//! Responses byte by byte, whole and spoiled.
+#![allow(dead_code, reason = "each suite uses a part")]
+
+/// A response as its server sends it. `{own}` stands for the lines with the request's id
+/// and the server's stamp.
+pub struct Response {
+    /// The status line and the fields, with the empty line.
+    pub head: &'static str,
+    /// What the server sends after the head.
+    pub after_head: &'static str,
+    /// What it does then.
+    pub end: End,
+}
+
+/// What the server does after its response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// It waits for the next request.
+    StaysOpen,
+    /// It closes the connection.
+    Closes,
+}
+
+/// Returns a response on a connection that stays open.
+pub const fn open(head: &'static str, after_head: &'static str) -> Response {
+    Response {
+        head,
+        after_head,
+        end: End::StaysOpen,
+    }
+}
+
+/// Returns a response that ends with its connection.
+pub const fn closing(head: &'static str, after_head: &'static str) -> Response {
+    Response {
+        head,
+        after_head,
+        end: End::Closes,
+    }
+}
+
+/// What servers send in this test, whole or spoiled.
+pub const BODY: &str = "the answer of this server!!";
+pub const CHUNKED: &str = "1b\r\nthe answer of this server!!\r\n0\r\n\r\n";
+
+/// Heads that no HTTP/1.1 response has.
+pub const UNREADABLE_HEADS: &[Response] = &[
+    open("HTTP/1.1 000 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
+    open("HTTP/1.1 099 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
+    open("HTTP/1.1 20 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
+    open("HTTP/1.1 2x0 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
+    open("HTTP/1.1 2000 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
+    open("HTTP/9.9 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
+    open("HTTQ/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
+    open(
+        "HTTP/1.1 200 O\u{1}K\r\n{own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}x a: b\r\ncontent-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}x-a : b\r\ncontent-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}x\t-a: b\r\ncontent-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}x\u{1}a: b\r\ncontent-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}x\u{7f}a: b\r\ncontent-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}x-a: b\u{0}\r\ncontent-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}x-a: b\u{1f}\r\ncontent-length: 27\r\n\r\n",
+        BODY,
+    ),
+    closing("HTTP/1.1 200 OK\r\n{own}content length: 27\r\n\r\n", BODY),
+    closing("HTTP/1.1 200 OK\r\n{own}content-length : 27\r\n\r\n", BODY),
+    closing(
+        "HTTP/1.1 200 OK\r\n{own}content-l\u{1}ngth: 27\r\n\r\n",
+        BODY,
+    ),
+    closing(
+        "HTTP/1.1 200 OK\r\n{own}content\u{0}length: 27\r\n\r\n",
+        BODY,
+    ),
+    closing(
+        "HTTP/1.1 200 OK\r\n{own}transfer encoding: chunked\r\n\r\n",
+        CHUNKED,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}no field\r\ncontent-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}: nameless\r\ncontent-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}x-a: b\r\n folded\r\ncontent-length: 27\r\n\r\n",
+        BODY,
+    ),
+    closing("HTTP/1.1 200 OK\r\n{own}content-length 27\r\n\r\n", BODY),
+];
+
+/// A length or an encoding of the body that is invalid or contradicts another one.
+pub const UNREADABLE_LENGTHS: &[Response] = &[
+    open("HTTP/1.1 200 OK\r\n{own}content-length: \r\n\r\n", BODY),
+    open("HTTP/1.1 200 OK\r\n{own}content-length: 2x\r\n\r\n", BODY),
+    open("HTTP/1.1 200 OK\r\n{own}content-length: 2 7\r\n\r\n", BODY),
+    open("HTTP/1.1 200 OK\r\n{own}content-length: -27\r\n\r\n", BODY),
+    open("HTTP/1.1 200 OK\r\n{own}content-length: 0x1b\r\n\r\n", BODY),
+    open("HTTP/1.1 200 OK\r\n{own}content-length: 27.0\r\n\r\n", BODY),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}content-length: 27, 7\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}content-length: 36893488147419103259\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}content-length: 27\r\ncontent-length: 7\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: gzip\r\n\r\n",
+        CHUNKED,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunkee\r\n\r\n",
+        CHUNKED,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: \r\n\r\n",
+        CHUNKED,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\ncontent-length: 27\r\n\r\n",
+        CHUNKED,
+    ),
+];
+
+/// Responses that end before their bodies do.
+pub const CUT_BODIES: &[Response] = &[
+    closing("HTTP/1.1 200 OK\r\n{own}content-length: 28\r\n\r\n", BODY),
+    closing("HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", ""),
+    closing(CHUNKED_HEAD, ""),
+    closing(CHUNKED_HEAD, "1b\r\nthe answer"),
+    closing(CHUNKED_HEAD, "1b\r\nthe answer of this server!!"),
+    closing(CHUNKED_HEAD, "1b\r\nthe answer of this server!!\r\n"),
+    closing(CHUNKED_HEAD, "1b\r\nthe answer of this server!!\r\n0\r\n"),
+    closing(
+        CHUNKED_HEAD,
+        "1c\r\nthe answer of this server!!\r\n0\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "1a\r\nthe answer of this server!!\r\n0\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "x\r\nthe answer of this server!!\r\n0\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "+1b\r\nthe answer of this server!!\r\n0\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "0x1b\r\nthe answer of this server!!\r\n0\r\n\r\n",
+    ),
+];
+
+pub const CHUNKED_HEAD: &str =
+    "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\n\r\n";
+
+/// Complete responses, in every framing that a server may use.
+pub const WHOLE: &[Response] = &[
+    open("HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
+    open("HTTP/1.1 200 OK\r\n{own}content-length: 027\r\n\r\n", BODY),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}content-length: 27\r\ncontent-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open("HTTP/1.1 200\r\n{own}content-length: 27\r\n\r\n", BODY),
+    open("HTTP/1.0 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
+    open("HTTP/1.1 200 OK\r\n{own}Content-Length: 27\r\n\r\n", BODY),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}via: HTTP/1.1 gateway\r\ncontent-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n\
+         HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(CHUNKED_HEAD, CHUNKED),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: Chunked\r\n\r\n",
+        CHUNKED,
+    ),
+    open(
+        CHUNKED_HEAD,
+        "1B;a=b\r\nthe answer of this server!!\r\n00\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "a\r\nthe answer\r\n11\r\n of this server!!\r\n0\r\nx-sum: 1\r\nx-b:\r\n\r\n",
+    ),
+    closing("HTTP/1.1 200 OK\r\n{own}connection: close\r\n\r\n", BODY),
+    closing(
+        "HTTP/1.1 200 OK\r\n{own}connection: x-a, Close\r\n\r\n",
+        BODY,
+    ),
+    closing("HTTP/1.0 200 OK\r\n{own}\r\n", BODY),
+];
