Transport: a length with a sign is refused

Cause: the length was read by u64::parse, which takes a sign. RFC 9112, section 6.2, takes digits only, and a length that another reader refuses is no proof of where the body ends.

Evidence: signed_length_is_refused, before: 32 of 32 passed on as 200 (two segmentations, new and used connections, direct and relayed); after: 32 of 32 end in 502. Whole responses are still delivered.

--- a/crates/wingspur-transport/src/response_head.rs
+++ b/crates/wingspur-transport/src/response_head.rs
@@ -104,9 +104,7 @@
 /// Returns what the headers say of the end of the body; `None` if nothing.
 fn declared_framing(headers: &HeaderMap) -> Result<Option<Framing>, ResponseError> {
     let lengths = headers.get_all(CONTENT_LENGTH);
-    let mut lengths = lengths
-        .iter()
-        .map(|value| value.to_str().ok()?.parse().ok());
+    let mut lengths = lengths.iter().map(parse_length);
     let length: Option<Option<u64>> = lengths.next();
     if headers.contains_key(TRANSFER_ENCODING) {
         if length.is_some() || !has_token(headers, &TRANSFER_ENCODING, "chunked") {
@@ -125,6 +123,13 @@
     }
 }
 
+/// Parses a `Content-Length`, which consists of digits only.
+fn parse_length(value: &HeaderValue) -> Option<u64> {
+    let text = value.to_str().ok()?;
+    let has_only_digits = text.bytes().all(|byte| byte.is_ascii_digit());
+    has_only_digits.then(|| text.parse().ok())?
+}
+
 /// Returns for how long an idle connection may be reused, from the timeout in the
 /// server's `Keep-Alive` header less a safety margin; `None` without a readable timeout.
 pub fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
--- a/tests/tests/broken_responses.rs
+++ b/tests/tests/broken_responses.rs
@@ -160,6 +160,11 @@
     assert_refused(CUT_BODIES);
 }
 
+#[test]
+fn signed_length_is_refused() {
+    assert_refused(SIGNED_LENGTHS);
+}
+
 /// The number of responses that servers have sent.
 static RESPONSES: AtomicUsize = AtomicUsize::new(0);
 /// The time between two segments, so that the first is read alone.
--- a/tests/tests/raw_responses/mod.rs
+++ b/tests/tests/raw_responses/mod.rs
@@ -185,6 +185,20 @@
 pub const CHUNKED_HEAD: &str =
     "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\n\r\n";
 
+/// A length with a sign, alone or beside the same one without it.
+pub const SIGNED_LENGTHS: &[Response] = &[
+    open("HTTP/1.1 200 OK\r\n{own}content-length: +27\r\n\r\n", BODY),
+    open("HTTP/1.1 200 OK\r\n{own}content-length: +027\r\n\r\n", BODY),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}content-length: 27\r\ncontent-length: +27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}content-length: +27\r\ncontent-length: 27\r\n\r\n",
+        BODY,
+    ),
+];
+
 /// Complete responses, in every framing that a server may use.
 pub const WHOLE: &[Response] = &[
     open("HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
