Transport: `chunked` must be the only coding of a response

Cause: the head was searched for the token `chunked` anywhere in the field. A box asks for no coding, so with another one the body is not the server's; and where `chunked` does not come last, it does not tell the end of the body. HTTP/1.0 has no codings (RFC 9112, section 6.1).

--- a/crates/wingspur-transport/src/response_head.rs
+++ b/crates/wingspur-transport/src/response_head.rs
@@ -79,7 +79,7 @@
     /// Fails with `ResponseError::Unreadable` when the headers are invalid or contradict
     /// each other, so that two readers could disagree on where the body ends.
     pub fn framing(&self, method: &Method) -> Result<Framing, ResponseError> {
-        framing_of(method, self.status, &self.headers)
+        framing_of(method, self.version, self.status, &self.headers)
     }
 }
 
@@ -88,6 +88,7 @@
 /// Fails with `ResponseError::Unreadable` like [`ParsedHead::framing`].
 pub fn framing_of(
     method: &Method,
+    version: Version,
     status: StatusCode,
     headers: &HeaderMap,
 ) -> Result<Framing, ResponseError> {
@@ -97,19 +98,27 @@
     if is_bodiless {
         return Ok(Framing::Done);
     }
-    let framing = declared_framing(headers)?;
+    let framing = declared_framing(version, headers)?;
     Ok(framing.unwrap_or(Framing::UntilClose))
 }
 
 /// Returns what the headers say of the end of the body; `None` if nothing.
-fn declared_framing(headers: &HeaderMap) -> Result<Option<Framing>, ResponseError> {
+fn declared_framing(
+    version: Version,
+    headers: &HeaderMap,
+) -> Result<Option<Framing>, ResponseError> {
     let lengths = headers.get_all(CONTENT_LENGTH);
     let mut lengths = lengths.iter().map(parse_length);
     let length: Option<Option<u64>> = lengths.next();
-    if headers.contains_key(TRANSFER_ENCODING) {
-        if length.is_some() || !has_token(headers, &TRANSFER_ENCODING, "chunked") {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    if let Some(coding) = codings.next() {
+        // No other coding was asked for, and HTTP/1.0 has none.
+        let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked")
+            && codings.next().is_none()
+            && version == Version::HTTP_11;
+        if length.is_some() || !is_chunked {
             return Err(unreadable(
-                "`Transfer-Encoding` without `chunked`, or beside `Content-Length`",
+                "`Transfer-Encoding` is not just `chunked`, or beside `Content-Length`",
             ));
         }
         return Ok(Some(Framing::Chunked(None)));
--- a/tests/tests/broken_responses.rs
+++ b/tests/tests/broken_responses.rs
@@ -165,6 +165,11 @@
     assert_refused(SIGNED_LENGTHS);
 }
 
+#[test]
+fn coding_other_than_chunked_is_refused() {
+    assert_refused(CODINGS);
+}
+
 /// The number of responses that servers have sent.
 static RESPONSES: AtomicUsize = AtomicUsize::new(0);
 /// The time between two segments, so that the first is read alone.
--- a/tests/tests/raw_responses/mod.rs
+++ b/tests/tests/raw_responses/mod.rs
@@ -199,6 +199,40 @@
     ),
 ];
 
+/// Codings that were not asked for, `chunked` twice, or where HTTP/1.0 has no codings.
+pub const CODINGS: &[Response] = &[
+    open(
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked, gzip\r\n\r\n",
+        CHUNKED,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: gzip, chunked\r\n\r\n",
+        CHUNKED,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked, chunked\r\n\r\n",
+        CHUNKED,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked,\r\n\r\n",
+        CHUNKED,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: gzip\r\n\
+         transfer-encoding: chunked\r\n\r\n",
+        CHUNKED,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\n\
+         transfer-encoding: chunked\r\n\r\n",
+        CHUNKED,
+    ),
+    open(
+        "HTTP/1.0 200 OK\r\n{own}transfer-encoding: chunked\r\n\r\n",
+        CHUNKED,
+    ),
+];
+
 /// Complete responses, in every framing that a server may use.
 pub const WHOLE: &[Response] = &[
     open("HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
