Transport: a status of 600 or more is refused

What callers saw: the statuses 600 and 999 of a server in trouble, as its answer. 000 was refused before.

Cause: hyper's StatusCode takes 100 to 999. HTTP has the classes 1xx to 5xx (RFC 9110, section 15); another status shows that the status line is damaged.

Evidence: status_that_http_does_not_have_is_refused, before: 24 of 24 passed on; after: 24 of 24 end in 502.

--- a/crates/wingspur-transport/src/response_head.rs
+++ b/crates/wingspur-transport/src/response_head.rs
@@ -13,7 +13,7 @@
 pub struct ParsedHead {
     /// HTTP/1.0 or HTTP/1.1.
     pub version: Version,
-    /// The status.
+    /// The status, below 600.
     pub status: StatusCode,
     /// All headers.
     pub headers: HeaderMap,
@@ -47,6 +47,7 @@
     };
     let status = StatusCode::from_u16(parsed.code.unwrap_or_default());
     let status = status.map_err(|_| unreadable("the status code is out of range"))?;
+    check_status(status)?;
     let mut headers = HeaderMap::with_capacity(parsed.headers.len());
     for header in parsed.headers.iter() {
         let name = HeaderName::from_bytes(header.name.as_bytes());
@@ -139,6 +140,14 @@
     has_only_digits.then(|| text.parse().ok())?
 }
 
+/// Checks that a status is one of HTTP's five classes (RFC 9110, section 15).
+fn check_status(status: StatusCode) -> Result<(), ResponseError> {
+    match status.as_u16() {
+        100..600 => Ok(()),
+        _ => Err(unreadable("the status code is out of range")),
+    }
+}
+
 /// Returns for how long an idle connection may be reused, from the timeout in the
 /// server's `Keep-Alive` header less a safety margin; `None` without a readable timeout.
 pub fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
--- a/tests/tests/broken_responses.rs
+++ b/tests/tests/broken_responses.rs
@@ -170,6 +170,11 @@
     assert_refused(CODINGS);
 }
 
+#[test]
+fn status_that_http_does_not_have_is_refused() {
+    assert_refused(STATUSES);
+}
+
 /// The number of responses that servers have sent.
 static RESPONSES: AtomicUsize = AtomicUsize::new(0);
 /// The time between two segments, so that the first is read alone.
--- a/tests/tests/raw_responses/mod.rs
+++ b/tests/tests/raw_responses/mod.rs
@@ -233,6 +233,13 @@
     ),
 ];
 
+/// Statuses beyond those of HTTP.
+pub const STATUSES: &[Response] = &[
+    open("HTTP/1.1 600 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
+    open("HTTP/1.1 700 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
+    open("HTTP/1.1 999 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
+];
+
 /// Complete responses, in every framing that a server may use.
 pub const WHOLE: &[Response] = &[
     open("HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
