Transport: an empty line is no last chunk

Cause: httparse::parse_chunk_size takes a line without digits for a chunk of size 0, which ends the body.

A size begins with a hexadecimal digit, so the check of the first byte covers empty lines, blanks and extensions without a size.

--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -29,7 +29,7 @@
 use crate::fair_stream::FairStream;
 use crate::path_fault::InjectedPathFault;
 use crate::response_head::{
-    Framing, ParsedHead, keep_alive_timeout, parse_head, unreadable,
+    Framing, ParsedHead, keep_alive_timeout, parse_chunk_header, parse_head, unreadable,
 };
 use crate::{ConnectionUse, ResponseArrival, ResponseError, SendBody};
 
@@ -615,20 +615,15 @@
 
     async fn read_chunk_header(&mut self) -> Result<(), ResponseError> {
         loop {
-            match httparse::parse_chunk_size(&self.buffer) {
-                Ok(httparse::Status::Complete((head, 0))) => {
-                    self.buffer.advance(head);
-                    self.skip_trailers().await?;
-                    self.framing = Framing::Done;
-                    return Ok(());
-                }
-                Ok(httparse::Status::Complete((head, size))) => {
-                    self.buffer.advance(head);
+            if let Some((length, size)) = parse_chunk_header(&self.buffer)? {
+                self.buffer.advance(length);
+                if size > 0 {
                     self.framing = Framing::Chunked(Some(size));
                     return Ok(());
                 }
-                Ok(httparse::Status::Partial) => {}
-                Err(_) => return Err(unreadable("a chunk size is invalid")),
+                self.skip_trailers().await?;
+                self.framing = Framing::Done;
+                return Ok(());
             }
             if self.buffer.len() > MAX_LINE_BYTES {
                 return Err(unreadable("a chunk header is too long"));
--- a/crates/wingspur-transport/src/response_head.rs
+++ b/crates/wingspur-transport/src/response_head.rs
@@ -148,6 +148,22 @@
     }
 }
 
+/// Parses the chunk header at the start of `bytes` and returns its length in bytes and the
+/// size of the chunk, or `None` while the header is incomplete.
+///
+/// Fails with `ResponseError::Unreadable` when there is no size or an invalid one.
+pub fn parse_chunk_header(bytes: &[u8]) -> Result<Option<(usize, u64)>, ResponseError> {
+    // The parser takes an empty line for a chunk of size 0.
+    if bytes.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) {
+        return Err(unreadable("a chunk has no size"));
+    }
+    match httparse::parse_chunk_size(bytes) {
+        Ok(httparse::Status::Complete(header)) => Ok(Some(header)),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_) => Err(unreadable("a chunk size is invalid")),
+    }
+}
+
 /// Returns for how long an idle connection may be reused, from the timeout in the
 /// server's `Keep-Alive` header less a safety margin; `None` without a readable timeout.
 pub fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
--- a/tests/tests/broken_responses.rs
+++ b/tests/tests/broken_responses.rs
@@ -175,6 +175,11 @@
     assert_refused(STATUSES);
 }
 
+#[test]
+fn chunk_without_a_size_does_not_end_a_body() {
+    assert_refused(SIZELESS_CHUNKS);
+}
+
 /// The number of responses that servers have sent.
 static RESPONSES: AtomicUsize = AtomicUsize::new(0);
 /// The time between two segments, so that the first is read alone.
--- a/tests/tests/raw_responses/mod.rs
+++ b/tests/tests/raw_responses/mod.rs
@@ -240,6 +240,18 @@
     open("HTTP/1.1 999 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
 ];
 
+/// A chunk header without a size.
+pub const SIZELESS_CHUNKS: &[Response] = &[
+    open(CHUNKED_HEAD, "\r\nthe answer of this server!!\r\n0\r\n\r\n"),
+    open(CHUNKED_HEAD, "\r\n\r\n"),
+    open(CHUNKED_HEAD, " \r\n\r\n"),
+    open(CHUNKED_HEAD, ";a=b\r\n\r\n"),
+    open(
+        CHUNKED_HEAD,
+        "1b\r\nthe answer of this server!!\r\n\r\n\r\n",
+    ),
+];
+
 /// Complete responses, in every framing that a server may use.
 pub const WHOLE: &[Response] = &[
     open("HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
