Transport: a trailer that is no header field is refused

What callers saw: an answer whose trailers held a line that is no field was passed on as complete; so was an empty body where the last chunk came first and the data was skipped as trailers (MIXED).

Cause: trailers were skipped up to the next empty line, whatever they held.

Trailers are still not passed on; valid ones are still skipped.

--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -29,7 +29,8 @@
 use crate::fair_stream::FairStream;
 use crate::path_fault::InjectedPathFault;
 use crate::response_head::{
-    Framing, ParsedHead, keep_alive_timeout, parse_chunk_header, parse_head, unreadable,
+    Framing, ParsedHead, check_field, keep_alive_timeout, parse_chunk_header, parse_head,
+    unreadable,
 };
 use crate::{ConnectionUse, ResponseArrival, ResponseError, SendBody};
 
@@ -644,6 +645,7 @@
                     return Ok(());
                 }
                 Some(end) => {
+                    check_field(&self.buffer[..end])?;
                     self.buffer.advance(end + 2);
                     skipped += end + 2;
                     if skipped > MAX_HEAD_BYTES {
--- a/crates/wingspur-transport/src/response_head.rs
+++ b/crates/wingspur-transport/src/response_head.rs
@@ -164,6 +164,19 @@
     }
 }
 
+/// Checks that a line, without its end, is a header field.
+pub fn check_field(line: &[u8]) -> Result<(), ResponseError> {
+    let colon = line.iter().position(|byte| *byte == b':');
+    let (name, value) =
+        colon.map_or((line, None), |at| (&line[..at], line.get(at + 1..)));
+    let is_field = HeaderName::from_bytes(name).is_ok()
+        && value.is_some_and(|value| HeaderValue::from_bytes(value).is_ok());
+    match is_field {
+        true => Ok(()),
+        false => Err(unreadable("a trailer is no header field")),
+    }
+}
+
 /// Returns for how long an idle connection may be reused, from the timeout in the
 /// server's `Keep-Alive` header less a safety margin; `None` without a readable timeout.
 pub fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
--- a/tests/tests/broken_responses.rs
+++ b/tests/tests/broken_responses.rs
@@ -180,6 +180,11 @@
     assert_refused(SIZELESS_CHUNKS);
 }
 
+#[test]
+fn trailer_that_is_no_field_is_refused() {
+    assert_refused(TRAILERS);
+}
+
 /// The number of responses that servers have sent.
 static RESPONSES: AtomicUsize = AtomicUsize::new(0);
 /// The time between two segments, so that the first is read alone.
--- a/tests/tests/raw_responses/mod.rs
+++ b/tests/tests/raw_responses/mod.rs
@@ -252,6 +252,46 @@
     ),
 ];
 
+/// Trailers with a line that is no field.
+pub const TRAILERS: &[Response] = &[
+    open(
+        CHUNKED_HEAD,
+        "1b\r\nthe answer of this server!!\r\n0\r\nno field\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "1b\r\nthe answer of this server!!\r\n0\r\nx a: b\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "1b\r\nthe answer of this server!!\r\n0\r\nx-a : b\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "1b\r\nthe answer of this server!!\r\n0\r\n: b\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "1b\r\nthe answer of this server!!\r\n0\r\nx\u{1}: b\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "1b\r\nthe answer of this server!!\r\n0\r\nx-a: \u{0}\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "1b\r\nthe answer of this server!!\r\n0\r\nx-a: b\nc\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "1b\r\nthe answer of this server!!\r\n0\r\n x-a: b\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "0\r\nthe answer of this server!!\r\n0\r\n\r\n",
+    ),
+];
+
 /// Complete responses, in every framing that a server may use.
 pub const WHOLE: &[Response] = &[
     open("HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
