Transport: bytes after a response that begin no other one show that its length is wrong

Cause: what follows the end of a response was only taken to mean that the connection is not reused.

Such a second answer is a known fault of servers and says nothing against the first.

Why this works: a server has nothing to send after its answer but another answer, so other bytes belong to the body that the head did not announce. What arrives only after the announced end was read cannot be weighed; it still closes the connection. The last part of a long body is checked before it is passed on, so that the caller sees it cut off.

--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -29,8 +29,8 @@
 use crate::fair_stream::FairStream;
 use crate::path_fault::InjectedPathFault;
 use crate::response_head::{
-    Framing, ParsedHead, check_field, keep_alive_timeout, parse_chunk_header, parse_head,
-    unreadable,
+    Framing, ParsedHead, begins_response, check_field, keep_alive_timeout,
+    parse_chunk_header, parse_head, unreadable,
 };
 use crate::{ConnectionUse, ResponseArrival, ResponseError, SendBody};
 
@@ -464,10 +464,17 @@
         loop {
             match self.framing {
                 Framing::Done => return Ok(None),
-                Framing::Length(0) => self.framing = Framing::Done,
+                Framing::Length(0) => {
+                    self.check_end()?;
+                    self.framing = Framing::Done;
+                }
                 Framing::Length(remaining) => {
                     let chunk = self.take_bytes(remaining).await?;
-                    self.framing = Framing::Length(remaining - chunk.len() as u64);
+                    let unread = remaining - chunk.len() as u64;
+                    self.framing = Framing::Length(unread);
+                    if unread == 0 {
+                        self.check_end()?;
+                    }
                     return Ok(Some(chunk));
                 }
                 Framing::UntilClose => {
@@ -582,6 +589,9 @@
         method: &Method,
     ) -> Result<ResponseHead, ResponseError> {
         self.framing = head.framing(method)?;
+        if self.framing == Framing::Done && *method != Method::HEAD {
+            self.check_end()?;
+        }
         self.reusable &= head.keeps_open() && self.framing != Framing::UntilClose;
         let ParsedHead {
             status, headers, ..
@@ -606,6 +616,15 @@
         })
     }
 
+    /// Checks what follows the current response: only another response may. Other bytes
+    /// belong to its body, so that the head did not tell where the body ends.
+    fn check_end(&self) -> Result<(), ResponseError> {
+        match begins_response(&self.buffer) {
+            true => Ok(()),
+            false => Err(unreadable("it is followed by bytes that begin no response")),
+        }
+    }
+
     async fn take_bytes(&mut self, max_bytes: u64) -> Result<Bytes, ResponseError> {
         if self.buffer.is_empty() && self.read_more().await? == 0 {
             return Err(unexpected_end());
@@ -623,6 +642,7 @@
                     return Ok(());
                 }
                 self.skip_trailers().await?;
+                self.check_end()?;
                 self.framing = Framing::Done;
                 return Ok(());
             }
--- a/crates/wingspur-transport/src/response_head.rs
+++ b/crates/wingspur-transport/src/response_head.rs
@@ -164,6 +164,12 @@
     }
 }
 
+/// Whether bytes are the beginning of a response, as far as they go.
+pub fn begins_response(bytes: &[u8]) -> bool {
+    let length = bytes.len().min(STATUS_LINE_START.len());
+    bytes[..length] == STATUS_LINE_START[..length]
+}
+
 /// Checks that a line, without its end, is a header field.
 pub fn check_field(line: &[u8]) -> Result<(), ResponseError> {
     let colon = line.iter().position(|byte| *byte == b':');
@@ -204,6 +210,8 @@
     ResponseError::Unreadable(reason.to_owned())
 }
 
+/// What a status line of HTTP/1 begins with.
+const STATUS_LINE_START: &[u8] = b"HTTP/1.";
 /// The largest number of headers in a response.
 const MAX_HEADERS: usize = 96;
 /// A connection is reused for this fraction of the server's timeout only. The server
--- a/tests/tests/broken_responses.rs
+++ b/tests/tests/broken_responses.rs
@@ -185,6 +185,17 @@
     assert_refused(TRAILERS);
 }
 
+#[test]
+fn length_that_is_less_than_what_was_sent_is_refused() {
+    assert_refused(TOO_LONG);
+    play(TOO_LONG_FROM_THE_START, &[Segments::One], check_refused);
+}
+
+#[test]
+fn response_before_another_one_is_delivered() {
+    play(FOLLOWED, &[Segments::One, Segments::Two], check_delivered);
+}
+
 /// The number of responses that servers have sent.
 static RESPONSES: AtomicUsize = AtomicUsize::new(0);
 /// The time between two segments, so that the first is read alone.
--- a/tests/tests/raw_responses/mod.rs
+++ b/tests/tests/raw_responses/mod.rs
@@ -292,6 +292,40 @@
     ),
 ];
 
+/// Responses after whose end come bytes that begin no other response.
+pub const TOO_LONG: &[Response] = &[
+    open("HTTP/1.1 200 OK\r\n{own}content-length: 7\r\n\r\n", BODY),
+    open("HTTP/1.1 200 OK\r\n{own}content-length: 26\r\n\r\n", BODY),
+    closing("HTTP/1.1 200 OK\r\n{own}content-length: 7\r\n\r\n", BODY),
+    closing(
+        "HTTP/1.1 200 OK\r\n{own}content-length: 7\r\nconnection: close\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 500 Status\r\n{own}content-length: 7\r\n\r\n",
+        BODY,
+    ),
+    open(
+        CHUNKED_HEAD,
+        "0\r\n\r\n1b\r\nthe answer of this server!!\r\n0\r\n\r\n",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "a\r\nthe answer\r\n0\r\n\r\n of this server!!",
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\nx-wingspur-request-id: another\r\ncontent-length: 7\r\n\r\n",
+        BODY,
+    ),
+];
+
+/// The same where the head alone is a whole response.
+pub const TOO_LONG_FROM_THE_START: &[Response] = &[
+    open("HTTP/1.1 200 OK\r\n{own}content-length: 0\r\n\r\n", BODY),
+    open("HTTP/1.1 204 No Content\r\n{own}\r\n", BODY),
+    open("HTTP/1.1 304 Not Modified\r\n{own}\r\n", BODY),
+];
+
 /// Complete responses, in every framing that a server may use.
 pub const WHOLE: &[Response] = &[
     open("HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
@@ -332,3 +366,19 @@
     ),
     closing("HTTP/1.0 200 OK\r\n{own}\r\n", BODY),
 ];
+
+/// Complete responses after which another one begins.
+pub const FOLLOWED: &[Response] = &[
+    open(
+        "HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n",
+        "the answer of this server!!HTTP/1.1 500 Status\r\ncontent-length: 0\r\n\r\n",
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n",
+        "the answer of this server!!HT",
+    ),
+    open(
+        CHUNKED_HEAD,
+        "1b\r\nthe answer of this server!!\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n",
+    ),
+];
