Transport: a 204 with a body, and a 304 with an unreadable length, are refused

What callers saw: `204` although the head told of 27 bytes or chunks, where the status may be spoiled, and 204 and 304 with an unreadable length (MIXED: a body other than the server's).

Cause: the length and the coding of responses without a body were never read.

Evidence: body_of_a_response_that_can_have_none_is_refused, before: 32 of 32 passed on; after: 32 of 32 end in 502. RFC 9110, section 8.6, and RFC 9112, section 6.1, forbid both fields in a 204; `Content-Length: 0` is tolerated, and a 304 may tell the length of what it stands for.

--- a/crates/wingspur-transport/src/response_head.rs
+++ b/crates/wingspur-transport/src/response_head.rs
@@ -93,14 +93,18 @@
     status: StatusCode,
     headers: &HeaderMap,
 ) -> Result<Framing, ResponseError> {
-    let is_bodiless = *method == Method::HEAD
-        || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED;
-    if is_bodiless {
-        return Ok(Framing::Done);
-    }
     let framing = declared_framing(version, headers)?;
-    Ok(framing.unwrap_or(Framing::UntilClose))
+    let is_empty = matches!(framing, None | Some(Framing::Length(0)));
+    match status {
+        _ if *method == Method::HEAD => Ok(Framing::Done),
+        StatusCode::NOT_MODIFIED => Ok(Framing::Done),
+        StatusCode::NO_CONTENT if is_empty => Ok(Framing::Done),
+        StatusCode::NO_CONTENT => Err(unreadable("a 204 with a body")),
+        _ => match framing {
+            Some(framing) => Ok(framing),
+            None => Ok(Framing::UntilClose),
+        },
+    }
 }
 
 /// Returns what the headers say of the end of the body; `None` if nothing.
--- a/tests/tests/broken_responses.rs
+++ b/tests/tests/broken_responses.rs
@@ -196,6 +196,11 @@
     play(FOLLOWED, &[Segments::One, Segments::Two], check_delivered);
 }
 
+#[test]
+fn body_of_a_response_that_can_have_none_is_refused() {
+    assert_refused(BODILESS);
+}
+
 /// The number of responses that servers have sent.
 static RESPONSES: AtomicUsize = AtomicUsize::new(0);
 /// The time between two segments, so that the first is read alone.
--- a/tests/tests/raw_responses/mod.rs
+++ b/tests/tests/raw_responses/mod.rs
@@ -326,6 +326,17 @@
     open("HTTP/1.1 304 Not Modified\r\n{own}\r\n", BODY),
 ];
 
+/// Responses that can have no body, whose heads announce one.
+pub const BODILESS: &[Response] = &[
+    open("HTTP/1.1 204 OK\r\n{own}content-length: 27\r\n\r\n", ""),
+    open("HTTP/1.1 204 OK\r\n{own}content-length: x\r\n\r\n", ""),
+    open(
+        "HTTP/1.1 204 OK\r\n{own}transfer-encoding: chunked\r\n\r\n",
+        "",
+    ),
+    open("HTTP/1.1 304 OK\r\n{own}content-length: x\r\n\r\n", ""),
+];
+
 /// Complete responses, in every framing that a server may use.
 pub const WHOLE: &[Response] = &[
     open("HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
