Transport: a body without a length must end with a close that the head announces

Cause: without a length and a coding, any end of the connection was the end of the body.

Why this rule: RFC 9112, sections 9.3 and 9.6, has a server send `Connection: close` where the close ends the body. Without it the head says that the connection goes on, which contradicts such a body, so the head is damaged or the end is an accident. HTTP/1.0 closes unless it says `keep-alive`. The head of a refusal proves what it did before, as the body is not needed: the error comes when the body is read.

--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -484,6 +484,9 @@
                     }
                     return Ok(Some(self.buffer.split().freeze()));
                 }
+                Framing::Undelimited => {
+                    return Err(unreadable("its head does not say where its body ends"));
+                }
                 Framing::Chunked(None) => self.read_chunk_header().await?,
                 Framing::Chunked(Some(0)) => {
                     self.expect_line_end().await?;
@@ -592,7 +595,8 @@
         if self.framing == Framing::Done && *method != Method::HEAD {
             self.check_end()?;
         }
-        self.reusable &= head.keeps_open() && self.framing != Framing::UntilClose;
+        let has_end = !matches!(self.framing, Framing::UntilClose | Framing::Undelimited);
+        self.reusable &= head.keeps_open() && has_end;
         let ParsedHead {
             status, headers, ..
         } = head;
@@ -607,7 +611,7 @@
         let body_bytes = match self.framing {
             Framing::Length(length) => Some(length),
             Framing::Done => Some(0),
-            Framing::Chunked(_) | Framing::UntilClose => None,
+            Framing::Chunked(_) | Framing::UntilClose | Framing::Undelimited => None,
         };
         Ok(ResponseHead {
             status,
--- a/crates/wingspur-transport/src/response_head.rs
+++ b/crates/wingspur-transport/src/response_head.rs
@@ -29,6 +29,8 @@
     Chunked(Option<u64>),
     /// The body ends when the server closes the connection.
     UntilClose,
+    /// The head does not say where the body ends, so that it cannot be read.
+    Undelimited,
     /// The whole body has been read.
     Done,
 }
@@ -102,7 +104,8 @@
         StatusCode::NO_CONTENT => Err(unreadable("a 204 with a body")),
         _ => match framing {
             Some(framing) => Ok(framing),
-            None => Ok(Framing::UntilClose),
+            None if ends_with_connection(version, headers) => Ok(Framing::UntilClose),
+            None => Ok(Framing::Undelimited),
         },
     }
 }
@@ -144,6 +147,16 @@
     has_only_digits.then(|| text.parse().ok())?
 }
 
+/// Whether a body without a length ends with the connection. The server announces the
+/// close then (RFC 9112, section 9.6); without that, the head was damaged and the body may
+/// have had another end.
+fn ends_with_connection(version: Version, headers: &HeaderMap) -> bool {
+    match version {
+        Version::HTTP_10 => !has_token(headers, &CONNECTION, "keep-alive"),
+        _ => has_token(headers, &CONNECTION, "close"),
+    }
+}
+
 /// Checks that a status is one of HTTP's five classes (RFC 9110, section 15).
 fn check_status(status: StatusCode) -> Result<(), ResponseError> {
     match status.as_u16() {
--- a/tests/tests/broken_responses.rs
+++ b/tests/tests/broken_responses.rs
@@ -201,6 +201,11 @@
     assert_refused(BODILESS);
 }
 
+#[test]
+fn body_that_ends_with_the_connection_unannounced_is_refused() {
+    assert_refused(UNANNOUNCED_ENDS);
+}
+
 /// The number of responses that servers have sent.
 static RESPONSES: AtomicUsize = AtomicUsize::new(0);
 /// The time between two segments, so that the first is read alone.
--- a/tests/tests/raw_responses/mod.rs
+++ b/tests/tests/raw_responses/mod.rs
@@ -337,6 +337,25 @@
     open("HTTP/1.1 304 OK\r\n{own}content-length: x\r\n\r\n", ""),
 ];
 
+/// Bodies that end with the connection, although the head does not announce that.
+pub const UNANNOUNCED_ENDS: &[Response] = &[
+    closing("HTTP/1.1 200 OK\r\n{own}\r\n", BODY),
+    closing(
+        "HTTP/1.1 200 OK\r\n{own}connection: keep-alive\r\n\r\n",
+        BODY,
+    ),
+    closing("HTTP/1.1 200 OK\r\n{own}content-lengxh: 27\r\n\r\n", BODY),
+    closing(
+        "HTTP/1.1 200 OK\r\n{own}transfer-encodinx: chunked\r\n\r\n",
+        CHUNKED,
+    ),
+    closing(
+        "HTTP/1.0 200 OK\r\n{own}connection: keep-alive\r\n\r\n",
+        BODY,
+    ),
+    open("HTTP/1.1 200 OK\r\n{own}content-lengxh: 27\r\n\r\n", BODY),
+];
+
 /// Complete responses, in every framing that a server may use.
 pub const WHOLE: &[Response] = &[
     open("HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
