Transport: a misspelled length or coding shows that a body without a length is damaged

Cause: a field whose name differs in a byte from `content-length` or `transfer-encoding` is a valid one that nobody reads, and the close was announced.

It is asked only where nothing else tells the end of the body, so that no field with a similar name costs an answer that has a length.

--- a/crates/wingspur-transport/src/response_head.rs
+++ b/crates/wingspur-transport/src/response_head.rs
@@ -148,13 +148,32 @@
 }
 
 /// Whether a body without a length ends with the connection. The server announces the
-/// close then (RFC 9112, section 9.6); without that, the head was damaged and the body may
-/// have had another end.
+/// close then (RFC 9112, section 9.6); without that, or beside a misspelled length or
+/// encoding, the head was damaged and the body may have had another end.
 fn ends_with_connection(version: Version, headers: &HeaderMap) -> bool {
-    match version {
+    let is_announced = match version {
         Version::HTTP_10 => !has_token(headers, &CONNECTION, "keep-alive"),
         _ => has_token(headers, &CONNECTION, "close"),
-    }
+    };
+    let is_misspelled = |name: &HeaderName| {
+        [CONTENT_LENGTH, TRANSFER_ENCODING]
+            .iter()
+            .any(|framing| is_misspelling(name.as_str(), framing.as_str()))
+    };
+    is_announced && !headers.keys().any(is_misspelled)
+}
+
+/// Whether a name differs from another one by a byte that is replaced, added or missing,
+/// or by two adjacent bytes that are replaced.
+fn is_misspelling(name: &str, of: &str) -> bool {
+    let (name, of) = (name.as_bytes(), of.as_bytes());
+    let same = |(a, b): &(&u8, &u8)| a == b;
+    let prefix = name.iter().zip(of).take_while(same).count();
+    let (name, of) = (&name[prefix..], &of[prefix..]);
+    let suffix = name.iter().rev().zip(of.iter().rev());
+    let suffix = suffix.take_while(same).count();
+    let differing = (name.len() - suffix, of.len() - suffix);
+    matches!(differing, (1, 1) | (2, 2) | (0, 1) | (1, 0))
 }
 
 /// Checks that a status is one of HTTP's five classes (RFC 9110, section 15).
--- a/tests/tests/broken_responses.rs
+++ b/tests/tests/broken_responses.rs
@@ -206,6 +206,11 @@
     assert_refused(UNANNOUNCED_ENDS);
 }
 
+#[test]
+fn body_without_length_is_refused_if_a_length_is_misspelled() {
+    assert_refused(MISSPELLED);
+}
+
 /// The number of responses that servers have sent.
 static RESPONSES: AtomicUsize = AtomicUsize::new(0);
 /// The time between two segments, so that the first is read alone.
--- a/tests/tests/raw_responses/mod.rs
+++ b/tests/tests/raw_responses/mod.rs
@@ -356,6 +356,34 @@
     open("HTTP/1.1 200 OK\r\n{own}content-lengxh: 27\r\n\r\n", BODY),
 ];
 
+/// Bodies that end with the connection, in whose head a length or an encoding is
+/// misspelled.
+pub const MISSPELLED: &[Response] = &[
+    closing(
+        "HTTP/1.1 200 OK\r\n{own}connection: close\r\ncontent-lengxh: 27\r\n\r\n",
+        BODY,
+    ),
+    closing(
+        "HTTP/1.1 200 OK\r\n{own}connection: close\r\ncontentlength: 27\r\n\r\n",
+        BODY,
+    ),
+    closing(
+        "HTTP/1.1 200 OK\r\n{own}connection: close\r\ncontent--length: 27\r\n\r\n",
+        BODY,
+    ),
+    closing(
+        "HTTP/1.1 200 OK\r\n{own}connection: close\r\n\
+         transfer-encodinx: chunked\r\n\r\n",
+        CHUNKED,
+    ),
+    closing(
+        "HTTP/1.1 200 OK\r\n{own}connection: close\r\n\
+         transfre-encoding: chunked\r\n\r\n",
+        CHUNKED,
+    ),
+    closing("HTTP/1.0 200 OK\r\n{own}bontent-length: 27\r\n\r\n", BODY),
+];
+
 /// Complete responses, in every framing that a server may use.
 pub const WHOLE: &[Response] = &[
     open("HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
