Transport: a second status line within a head shows two joined heads

What callers saw: the beginning of one answer and a whole second one were read as one.

Cause: the first head is cut off within a value or a reason; what follows up to the line's end, the second status line, becomes a part of it, and httparse accepts both. The status is then of the first head, the id and the stamp are of the second.

Why this works: wherever a head is cut off, the next one brings its status line: within a name, a line or the status code the parser refuses it, and within a value or a reason it is found by its form.

--- a/crates/wingspur-transport/src/response_head.rs
+++ b/crates/wingspur-transport/src/response_head.rs
@@ -50,6 +50,10 @@
     let status = StatusCode::from_u16(parsed.code.unwrap_or_default());
     let status = status.map_err(|_| unreadable("the status code is out of range"))?;
     check_status(status)?;
+    let beginning = bytes[..length].trim_ascii_start();
+    if contains_status_line(&beginning[1..]) {
+        return Err(unreadable("two heads are joined in it"));
+    }
     let mut headers = HeaderMap::with_capacity(parsed.headers.len());
     for header in parsed.headers.iter() {
         let name = HeaderName::from_bytes(header.name.as_bytes());
@@ -184,6 +188,18 @@
     }
 }
 
+/// Whether bytes contain a status line. Within a head, it shows that the head was cut off
+/// and is followed by another one.
+fn contains_status_line(bytes: &[u8]) -> bool {
+    let is_status_line = |line: &[u8]| {
+        line.starts_with(b"HTTP/1.")
+            && line[7].is_ascii_digit()
+            && line[8] == b' '
+            && line[9..].iter().all(u8::is_ascii_digit)
+    };
+    bytes.windows(12).any(is_status_line)
+}
+
 /// Parses the chunk header at the start of `bytes` and returns its length in bytes and the
 /// size of the chunk, or `None` while the header is incomplete.
 ///
--- a/tests/tests/broken_responses.rs
+++ b/tests/tests/broken_responses.rs
@@ -211,6 +211,11 @@
     assert_refused(MISSPELLED);
 }
 
+#[test]
+fn joined_heads_are_refused() {
+    assert_refused(JOINED_HEADS);
+}
+
 /// The number of responses that servers have sent.
 static RESPONSES: AtomicUsize = AtomicUsize::new(0);
 /// The time between two segments, so that the first is read alone.
--- a/tests/tests/raw_responses/mod.rs
+++ b/tests/tests/raw_responses/mod.rs
@@ -384,6 +384,62 @@
     closing("HTTP/1.0 200 OK\r\n{own}bontent-length: 27\r\n\r\n", BODY),
 ];
 
+/// The beginning of one head and a whole second one.
+pub const JOINED_HEADS: &[Response] = &[
+    open(
+        "HTTP/1.1 200 OK\r\ndate: Sun, 06HTTP/1.1 500 Status\r\n\
+         {own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\ndate:HTTP/1.1 500 Status\r\n{own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\nx-a: bHTTP/1.1 500\r\n{own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OHTTP/1.1 500 Status\r\n{own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 HTTP/1.1 500 Status\r\n{own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 \u{e9}HTTP/1.0 500 No\r\n{own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 20HTTP/1.1 500 Status\r\n{own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\nx-HTTP/1.1 500 No\r\n{own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 200 OK\r\nHTTP/1.1 500 No\r\n{own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 421 No\r\nx-wingspur-instance-id: i-0HTTP/1.1 200 OK\r\n\
+         {own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 503 No\r\nx-wingspur-not-executed: 1HTTP/1.1 200 OK\r\n\
+         {own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+    open(
+        "HTTP/1.1 103 Hints\r\nlink: </aHTTP/1.1 103 Hints\r\n\r\n\
+         HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n",
+        BODY,
+    ),
+];
+
 /// Complete responses, in every framing that a server may use.
 pub const WHOLE: &[Response] = &[
     open("HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
