Transport: responses that hyper reads are checked as those of BackendConnection are

It refuses signed lengths, chunks without a size and trailers that are no field by itself, but passes on as complete: a length that is less than the body, codings besides `chunked`, `chunked` beside a length, statuses from 600 on, a 204 with a body, joined heads, and bodies that end with the connection unannounced or beside a misspelled length.

Cause: hyper is lenient where a client need not tell a damaged answer from an odd one.

Change: CheckedStream follows the responses in the bytes of a connection, with the functions of BackendConnection, and fails the read that shows the damage, so that hyper never sees a damaged response as complete. Heads are parsed twice on these paths; of bodies only chunk headers and trailers are read.

--- a/crates/wingspur-transport/src/http_client.rs
+++ b/crates/wingspur-transport/src/http_client.rs
@@ -18,6 +18,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::buffer_budget::{BufferBudget, LeasedBuffer};
+use crate::checked_stream::{CheckedStream, HeadRequestFlag};
 use crate::fair_stream::FairStream;
 use crate::{FaultInjector, InjectedFault, Spawner, TlsIdentity};
 
@@ -387,7 +388,10 @@
         B: Body<Data = Bytes> + Send + 'static,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
-        let io = FuturesIo::new(FairStream::new(stream));
+        // No request of this client has the method `HEAD`.
+        let is_head_request = HeadRequestFlag::default();
+        let stream = CheckedStream::new(FairStream::new(stream), is_head_request);
+        let io = FuturesIo::new(stream);
         let mut builder = hyper::client::conn::http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let (sender, connection) = builder.handshake(io).await?;
--- a/crates/wingspur-transport/src/lib.rs
+++ b/crates/wingspur-transport/src/lib.rs
@@ -6,6 +6,7 @@
 mod body;
 mod buffer_budget;
 mod catalog;
+mod checked_stream;
 mod connection_history;
 mod fair_stream;
 mod fault_injection;
--- a/crates/wingspur-transport/src/pool.rs
+++ b/crates/wingspur-transport/src/pool.rs
@@ -14,6 +14,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use crate::checked_stream::{CheckedStream, HeadRequestFlag};
 use crate::connection_history::{ConnectionHistory, next_connection_number};
 use crate::fair_stream::FairStream;
 use crate::{ConnectionUse, ResponseArrival, SendBody, Spawner};
@@ -55,6 +56,7 @@
 pub struct PooledConnection {
     sender: SendRequest<SendBody>,
     stream: TcpStream,
+    is_head_request: HeadRequestFlag,
     history: ConnectionHistory,
     /// What the connection carried before the current request.
     used: ConnectionUse,
@@ -239,7 +241,9 @@
         let fastest_us = self
             .fastest_connect_us
             .fetch_min(took_us, Ordering::Relaxed);
-        let io = FuturesIo::new(FairStream::new(stream.clone()));
+        let is_head_request = HeadRequestFlag::default();
+        let checked = FairStream::new(stream.clone());
+        let io = FuturesIo::new(CheckedStream::new(checked, is_head_request.clone()));
         let mut builder = hyper::client::conn::http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let handshake = builder.handshake(io);
@@ -254,6 +258,7 @@
         Ok(PooledConnection {
             sender,
             stream,
+            is_head_request,
             used: history.usage(self.address, number, None),
             history,
             connect_time: Duration::from_micros(fastest_us.min(took_us)),
@@ -274,6 +279,7 @@
     } = connection.used;
     connection.used = connection.history.usage(address, number, id);
     connection.history.record_sent();
+    connection.is_head_request.set_method(request.method());
     match connection.sender.try_send_request(request).await {
         Ok(response) => {
             connection.history.record_response(response.status(), id);
