Transport: one check of what follows a response; responses to HEAD have a test

BackendConnection and CheckedStream had the same two checks and messages each; they share them now. No behaviour changes. Heads of responses to `HEAD` are tested too: sound ones are read without a body, spoiled ones refused.

--- a/crates/wingspur-transport/src/backend.rs
+++ b/crates/wingspur-transport/src/backend.rs
@@ -29,8 +29,8 @@
 use crate::fair_stream::FairStream;
 use crate::path_fault::InjectedPathFault;
 use crate::response_head::{
-    Framing, ParsedHead, begins_response, check_field, keep_alive_timeout,
-    parse_chunk_header, parse_head, unreadable,
+    Framing, ParsedHead, check_field, check_following, keep_alive_timeout,
+    parse_chunk_header, parse_head, undelimited, unreadable,
 };
 use crate::{ConnectionUse, ResponseArrival, ResponseError, SendBody};
 
@@ -465,7 +465,7 @@
             match self.framing {
                 Framing::Done => return Ok(None),
                 Framing::Length(0) => {
-                    self.check_end()?;
+                    check_following(&self.buffer)?;
                     self.framing = Framing::Done;
                 }
                 Framing::Length(remaining) => {
@@ -473,7 +473,7 @@
                     let unread = remaining - chunk.len() as u64;
                     self.framing = Framing::Length(unread);
                     if unread == 0 {
-                        self.check_end()?;
+                        check_following(&self.buffer)?;
                     }
                     return Ok(Some(chunk));
                 }
@@ -484,9 +484,7 @@
                     }
                     return Ok(Some(self.buffer.split().freeze()));
                 }
-                Framing::Undelimited => {
-                    return Err(unreadable("its head does not say where its body ends"));
-                }
+                Framing::Undelimited => return Err(undelimited()),
                 Framing::Chunked(None) => self.read_chunk_header().await?,
                 Framing::Chunked(Some(0)) => {
                     self.expect_line_end().await?;
@@ -593,7 +591,7 @@
     ) -> Result<ResponseHead, ResponseError> {
         self.framing = head.framing(method)?;
         if self.framing == Framing::Done && *method != Method::HEAD {
-            self.check_end()?;
+            check_following(&self.buffer)?;
         }
         let has_end = !matches!(self.framing, Framing::UntilClose | Framing::Undelimited);
         self.reusable &= head.keeps_open() && has_end;
@@ -620,15 +618,6 @@
         })
     }
 
-    /// Checks what follows the current response: only another response may. Other bytes
-    /// belong to its body, so that the head did not tell where the body ends.
-    fn check_end(&self) -> Result<(), ResponseError> {
-        match begins_response(&self.buffer) {
-            true => Ok(()),
-            false => Err(unreadable("it is followed by bytes that begin no response")),
-        }
-    }
-
     async fn take_bytes(&mut self, max_bytes: u64) -> Result<Bytes, ResponseError> {
         if self.buffer.is_empty() && self.read_more().await? == 0 {
             return Err(unexpected_end());
@@ -646,7 +635,7 @@
                     return Ok(());
                 }
                 self.skip_trailers().await?;
-                self.check_end()?;
+                check_following(&self.buffer)?;
                 self.framing = Framing::Done;
                 return Ok(());
             }
--- a/crates/wingspur-transport/src/checked_stream.rs
+++ b/crates/wingspur-transport/src/checked_stream.rs
@@ -11,7 +11,8 @@
 
 use crate::ResponseError;
 use crate::response_head::{
-    Framing, begins_response, check_field, parse_chunk_header, parse_head, unreadable,
+    Framing, check_field, check_following, parse_chunk_header, parse_head, undelimited,
+    unreadable,
 };
 
 /// A stream for an HTTP/1.1 client that is more lenient than `BackendConnection`. A read
@@ -80,6 +81,7 @@
 }
 
 impl ResponseChecker {
+    /// Checks the bytes that have arrived.
     fn check(&mut self, mut bytes: &[u8]) -> Result<(), ResponseError> {
         while !bytes.is_empty() {
             bytes = match self.position {
@@ -108,8 +110,8 @@
         Ok(())
     }
 
-    /// Checks a head, a chunk header or a trailer line of which a part may have arrived
-    /// before. Returns the bytes after it, none while it is incomplete.
+    /// Checks a head, a chunk header or a trailer line, of which a part may have arrived
+    /// before. Returns the bytes after it; none while it is incomplete.
     fn check_line<'a>(&mut self, bytes: &'a [u8]) -> Result<&'a [u8], ResponseError> {
         if self.partial.is_empty() {
             if let Some(length) = self.check_joined(bytes)? {
@@ -157,20 +159,18 @@
         if head.status.is_informational() {
             return Ok(Some(length));
         }
-        self.position = match head.framing(&self.is_head_request.method())? {
+        let method = self.is_head_request.method();
+        self.position = match head.framing(&method)? {
             Framing::Done | Framing::Length(0) => {
-                let is_head_request = self.is_head_request.method() == Method::HEAD;
-                if !is_head_request {
-                    self.end_response(&bytes[length..])?;
+                if method != Method::HEAD {
+                    check_following(&bytes[length..])?;
                 }
                 Position::Head
             }
             Framing::Length(length) => Position::Body(length),
             Framing::Chunked(_) => Position::ChunkHeader,
             Framing::UntilClose => Position::UntilClose,
-            Framing::Undelimited => {
-                return Err(unreadable("its head does not say where its body ends"));
-            }
+            Framing::Undelimited => return Err(undelimited()),
         };
         Ok(Some(length))
     }
@@ -186,13 +186,10 @@
         Ok(Some(length))
     }
 
-    /// Goes on to the next response, and checks that what follows is the beginning of one.
+    /// Goes on to the next response, and checks what follows the one before.
     fn end_response(&mut self, following: &[u8]) -> Result<(), ResponseError> {
         self.position = Position::Head;
-        match begins_response(following) {
-            true => Ok(()),
-            false => Err(unreadable("it is followed by bytes that begin no response")),
-        }
+        check_following(following)
     }
 }
 
--- a/crates/wingspur-transport/src/response_head.rs
+++ b/crates/wingspur-transport/src/response_head.rs
@@ -216,10 +216,19 @@
     }
 }
 
-/// Whether bytes are the beginning of a response, as far as they go.
-pub fn begins_response(bytes: &[u8]) -> bool {
+/// Checks what follows a response: only another response may. Other bytes belong to its
+/// body, so that the head did not tell where the body ends.
+pub fn check_following(bytes: &[u8]) -> Result<(), ResponseError> {
     let length = bytes.len().min(STATUS_LINE_START.len());
-    bytes[..length] == STATUS_LINE_START[..length]
+    match bytes[..length] == STATUS_LINE_START[..length] {
+        true => Ok(()),
+        false => Err(unreadable("it is followed by bytes that begin no response")),
+    }
+}
+
+/// Returns the error for a body with [`Framing::Undelimited`].
+pub fn undelimited() -> ResponseError {
+    unreadable("its head does not say where its body ends")
 }
 
 /// Checks that a line, without its end, is a header field.
--- a/tests/tests/broken_responses.rs
+++ b/tests/tests/broken_responses.rs
@@ -9,8 +9,10 @@
 use std::time::Duration;
 
 use edge::{Caller, DirectAndRelayed};
+use hyper::Method;
 use raw_responses::*;
 use wingspur_tests::{Answer, Head, call, listen};
+use wingspur_transport::{BackendConnections, BufferBudget, ReusePolicy, SendBody};
 
 /// How the bytes of a response are cut into segments.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -216,6 +218,43 @@
     assert_refused(JOINED_HEADS);
 }
 
+/// Returns whether the head of a response to a `HEAD` is read, which has no body.
+fn reads_head(response: &'static Response) -> bool {
+    let address = listen(|_, stream| {
+        let head = response.head.replace("{own}", "x-own: 1\r\n");
+        stream.write_all(head.as_bytes()).is_ok() && response.end == End::StaysOpen
+    });
+    let connections = BackendConnections::new(address, BufferBudget::unlimited());
+    smol::block_on(async {
+        let timeout = Duration::from_secs(5);
+        let connected = connections.connect(ReusePolicy::Any, None, timeout).await;
+        let mut connection = connected.unwrap();
+        let request = b"HEAD /a HTTP/1.1\r\nhost: site.example\r\n\r\n".to_vec();
+        let body = SendBody::empty();
+        let sending = connection.send_request(request, body, &Method::HEAD, None);
+        let is_sound = sending.await.is_ok();
+        is_sound && connection.read_whole(0).await.unwrap().unwrap().is_empty()
+    })
+}
+
+#[test]
+fn response_to_head_has_no_body_and_a_sound_head() {
+    for response in WHOLE {
+        assert!(reads_head(response), "{:?}", response.head);
+    }
+    let spoiled = [
+        UNREADABLE_HEADS,
+        UNREADABLE_LENGTHS,
+        SIGNED_LENGTHS,
+        CODINGS,
+        STATUSES,
+        JOINED_HEADS,
+    ];
+    for response in spoiled.into_iter().flatten() {
+        assert!(!reads_head(response), "{:?}", response.head);
+    }
+}
+
 /// The number of responses that servers have sent.
 static RESPONSES: AtomicUsize = AtomicUsize::new(0);
 /// The time between two segments, so that the first is read alone.
