Test: the addresses of a box under test stay free until it listens there

The box had ended: `peer_address` 127.0.0.1:46773: address already in use.

Cause: the set-up asks the kernel for a free port of 127.0.0.1 and gives it back; until the box listens, any other test or outgoing connection may get the same one.

Change: each address has a loopback address of its own, by process and number, which nothing else uses. Why it works: a port is taken per address.

--- a/crates/wingspur/tests/program/mod.rs
+++ b/crates/wingspur/tests/program/mod.rs
@@ -1,9 +1,10 @@
 //! The program itself, before a stand-in of the store and one server.
 #![allow(dead_code, reason = "each suite uses a part")]
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -123,7 +124,12 @@
     })
 }
 
+/// Returns an address that stays free until the box listens there: no other test or
+/// connection uses its loopback address.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high, low, NEXT.fetch_add(1, Ordering::Relaxed));
+    let listener = TcpListener::bind((ip, 0)).unwrap();
     listener.local_addr().unwrap()
 }
