Transport: mixed line ends show that a body without a length is damaged

What callers could see: a line feed that was added to the end of a head, or a CR that was lost or replaced there, ended the head early. Of a body without a length the rest of the head, CR LF or LF, was then passed on as its beginning.

Cause: a LF alone is a valid end of a line, so the damaged head parses.

(A byte added right after an intact head that announces no length belongs to the body, and no reader can tell.) Where a length follows, the bytes after the end already show the damage, so that a server that mixes line ends is still delivered there (whole_response_is_delivered_in_every_framing has one).

--- a/crates/wingspur-transport/src/response_head.rs
+++ b/crates/wingspur-transport/src/response_head.rs
@@ -17,6 +17,9 @@
     pub status: StatusCode,
     /// All headers.
     pub headers: HeaderMap,
+    /// Whether some lines end with CR LF and others with a LF alone. Either is valid;
+    /// together they show that the head may have ended elsewhere.
+    has_mixed_line_ends: bool,
 }
 
 /// How the end of a body is recognized, and how much of it has not been read yet.
@@ -69,6 +72,7 @@
         },
         status,
         headers,
+        has_mixed_line_ends: has_mixed_line_ends(beginning),
     };
     Ok(Some((head, length)))
 }
@@ -86,31 +90,36 @@
     /// Fails with `ResponseError::Unreadable` when the headers are invalid or contradict
     /// each other, so that two readers could disagree on where the body ends.
     pub fn framing(&self, method: &Method) -> Result<Framing, ResponseError> {
-        framing_of(method, self.version, self.status, &self.headers)
+        let framing = declared_framing(self.version, &self.headers)?;
+        let is_empty = matches!(framing, None | Some(Framing::Length(0)));
+        match self.status {
+            _ if *method == Method::HEAD => Ok(Framing::Done),
+            StatusCode::NOT_MODIFIED => Ok(Framing::Done),
+            StatusCode::NO_CONTENT if is_empty => Ok(Framing::Done),
+            StatusCode::NO_CONTENT => Err(unreadable("a 204 with a body")),
+            _ => Ok(framing.unwrap_or_else(|| self.framing_without_length())),
+        }
     }
-}
 
-/// Returns how the end of the body after a head is recognized.
-///
-/// Fails with `ResponseError::Unreadable` like [`ParsedHead::framing`].
-pub fn framing_of(
-    method: &Method,
-    version: Version,
-    status: StatusCode,
-    headers: &HeaderMap,
-) -> Result<Framing, ResponseError> {
-    let framing = declared_framing(version, headers)?;
-    let is_empty = matches!(framing, None | Some(Framing::Length(0)));
-    match status {
-        _ if *method == Method::HEAD => Ok(Framing::Done),
-        StatusCode::NOT_MODIFIED => Ok(Framing::Done),
-        StatusCode::NO_CONTENT if is_empty => Ok(Framing::Done),
-        StatusCode::NO_CONTENT => Err(unreadable("a 204 with a body")),
-        _ => match framing {
-            Some(framing) => Ok(framing),
-            None if ends_with_connection(version, headers) => Ok(Framing::UntilClose),
-            None => Ok(Framing::Undelimited),
-        },
+    /// Returns how the end of a body without a length is recognized. A server announces
+    /// the close that ends it (RFC 9112, section 9.6). Without that, or beside a misspelled
+    /// length or encoding, the head was damaged and the body may have had another end.
+    fn framing_without_length(&self) -> Framing {
+        let is_announced = match self.version {
+            Version::HTTP_10 => !has_token(&self.headers, &CONNECTION, "keep-alive"),
+            _ => has_token(&self.headers, &CONNECTION, "close"),
+        };
+        let is_misspelled = |name: &HeaderName| {
+            [CONTENT_LENGTH, TRANSFER_ENCODING]
+                .iter()
+                .any(|framing| is_misspelling(name.as_str(), framing.as_str()))
+        };
+        let is_damaged =
+            self.has_mixed_line_ends || self.headers.keys().any(is_misspelled);
+        match is_announced && !is_damaged {
+            true => Framing::UntilClose,
+            false => Framing::Undelimited,
+        }
     }
 }
 
@@ -151,22 +160,6 @@
     has_only_digits.then(|| text.parse().ok())?
 }
 
-/// Whether a body without a length ends with the connection. The server announces the
-/// close then (RFC 9112, section 9.6); without that, or beside a misspelled length or
-/// encoding, the head was damaged and the body may have had another end.
-fn ends_with_connection(version: Version, headers: &HeaderMap) -> bool {
-    let is_announced = match version {
-        Version::HTTP_10 => !has_token(headers, &CONNECTION, "keep-alive"),
-        _ => has_token(headers, &CONNECTION, "close"),
-    };
-    let is_misspelled = |name: &HeaderName| {
-        [CONTENT_LENGTH, TRANSFER_ENCODING]
-            .iter()
-            .any(|framing| is_misspelling(name.as_str(), framing.as_str()))
-    };
-    is_announced && !headers.keys().any(is_misspelled)
-}
-
 /// Whether a name differs from another one by a byte that is replaced, added or missing,
 /// or by two adjacent bytes that are replaced.
 fn is_misspelling(name: &str, of: &str) -> bool {
@@ -200,6 +193,12 @@
     bytes.windows(12).any(is_status_line)
 }
 
+fn has_mixed_line_ends(head: &[u8]) -> bool {
+    let line_feeds = head.iter().filter(|byte| **byte == b'\n').count();
+    let pairs = head.windows(2).filter(|pair| pair == b"\r\n").count();
+    pairs > 0 && pairs < line_feeds
+}
+
 /// Parses the chunk header at the start of `bytes` and returns its length in bytes and the
 /// size of the chunk, or `None` while the header is incomplete.
 ///
--- a/tests/tests/broken_responses.rs
+++ b/tests/tests/broken_responses.rs
@@ -213,6 +213,11 @@
     assert_refused(MISSPELLED);
 }
 
+#[test]
+fn body_without_length_is_refused_if_line_ends_are_mixed() {
+    assert_refused(MIXED_LINE_ENDS);
+}
+
 #[test]
 fn joined_heads_are_refused() {
     assert_refused(JOINED_HEADS);
--- a/tests/tests/client_responses.rs
+++ b/tests/tests/client_responses.rs
@@ -125,6 +125,7 @@
         CODINGS,
         STATUSES,
         BODILESS,
+        MIXED_LINE_ENDS,
         JOINED_HEADS,
     ]);
 }
--- a/tests/tests/raw_responses/mod.rs
+++ b/tests/tests/raw_responses/mod.rs
@@ -440,6 +440,12 @@
     ),
 ];
 
+/// Bodies without a length after heads some of whose lines end with a line feed alone.
+pub const MIXED_LINE_ENDS: &[Response] = &[
+    closing("HTTP/1.1 200 OK\r\n{own}connection: close\r\n\n\r\n", BODY),
+    closing("HTTP/1.1 200 OK\r\n{own}connection: close\n\r\n\r\n", BODY),
+];
+
 /// Complete responses, in every framing that a server may use.
 pub const WHOLE: &[Response] = &[
     open("HTTP/1.1 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
@@ -448,6 +454,7 @@
         "HTTP/1.1 200 OK\r\n{own}content-length: 27\r\ncontent-length: 27\r\n\r\n",
         BODY,
     ),
+    open("HTTP/1.1 200 OK\n{own}content-length: 27\r\n\r\n", BODY),
     open("HTTP/1.1 200\r\n{own}content-length: 27\r\n\r\n", BODY),
     open("HTTP/1.0 200 OK\r\n{own}content-length: 27\r\n\r\n", BODY),
     open("HTTP/1.1 200 OK\r\n{own}Content-Length: 27\r\n\r\n", BODY),
